Add the workspace, the design page and the shared interfaces

The packages, traits and wire formats are fixed first so that the parts can be built independently. docs/design.md lists the alternatives that were considered for each choice; choices marked (measure) have no figure yet.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Engine model on virtual time, experiment scenarios and plots.
--- /dev/null
+++ b/crates/core/src/digest.rs
@@ -0,0 +1,22 @@
+//! Rendezvous hashing, used to assign work to members without any message.
+
+use sha2::{Digest, Sha256};
+
+/// Score of one candidate; the candidate with the highest score wins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RendezvousScore(u64);
+
+/// Computes the score of `candidate` for `subject`. The result is the same on every VM and in
+/// every version of the program, which the assignment of cold-start slots depends on.
+pub fn rendezvous_score(subject: &[&[u8]], candidate: &[u8]) -> RendezvousScore {
+    let mut hasher = Sha256::new();
+    for part in subject {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.update(candidate);
+    let digest = hasher.finalize();
+    let mut head = [0; 8];
+    head.copy_from_slice(&digest[..8]);
+    RendezvousScore(u64::from_be_bytes(head))
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,31 @@
+//! Vocabulary shared by all packages: names, keys, time, error kinds and the plan model.
+//!
+//! This package does no I/O and reads no clock, so that every decision built on it can be
+//! replayed in a test from its inputs alone.
+
+mod digest;
+mod error_kind;
+mod generation_id;
+mod identity;
+mod mono_time;
+mod name;
+mod plan;
+mod run_state;
+mod service_error;
+mod wall_time;
+
+pub use crate::{
+    digest::{RendezvousScore, rendezvous_score},
+    error_kind::ErrorKind,
+    generation_id::{GenerationId, GenerationIdError},
+    identity::{Incarnation, LogOffset, OrderFence, PlanRevision, ServerInstance, VmSeat},
+    mono_time::MonoTime,
+    name::{
+        ModelName, NameError, OperatorName, RequestKey, RouteName, ServerName, ServiceName,
+        TeamName, VersionName, ZoneName,
+    },
+    plan::{ModelPlacement, MoveId, OperatingPlan, VersionMove, ZonePlan, ZoneState},
+    run_state::RunState,
+    service_error::ServiceError,
+    wall_time::WallTime,
+};
--- /dev/null
+++ b/crates/engine/src/service_client.rs
@@ -0,0 +1,48 @@
+//! Interface to one server of a plain service.
+
+use bytes::Bytes;
+use dragonflycart_core::RequestKey;
+
+use crate::{BoxFuture, CallFailure};
+
+/// Call to a plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceRequest {
+    /// Identity of this exchange, echoed by the server.
+    pub request_id: String,
+    /// Idempotency key of the caller, if any.
+    pub key: Option<RequestKey>,
+    /// Operation of the service.
+    pub operation: String,
+    /// Body, passed on unchanged.
+    pub body: Bytes,
+}
+
+/// Whole answer of a plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// HTTP status of the answer.
+    pub status: u16,
+    /// Body, passed on unchanged.
+    pub body: Bytes,
+}
+
+/// Client of one server of a plain service.
+pub trait ServiceClient: Send + Sync {
+    /// Sends one call and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`CallFailure::NotSent`] only if no byte of the request was handed to a socket.
+    fn call(&self, request: ServiceRequest) -> BoxFuture<'_, Result<ServiceAnswer, CallFailure>>;
+
+    /// Asks whether the call with `key` was executed, where the service offers this.
+    ///
+    /// # Errors
+    ///
+    /// Any transport failure.
+    fn lookup<'a>(
+        &'a self,
+        key: &'a RequestKey,
+    ) -> BoxFuture<'a, Result<Option<ServiceAnswer>, CallFailure>>;
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry VM's daemon as a library.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line as a library.
--- /dev/null
+++ b/crates/platform/src/http_directory.rs
@@ -0,0 +1,38 @@
+//! Client of the platform's VM list over HTTP: `GET /vms` answers a JSON array of entries.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+
+use crate::{BoxFuture, DirectoryError, VmDirectory, VmEntry, http_transport::HttpTransport};
+
+/// Longest wait for the list.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// VM list met over HTTP.
+pub struct HttpDirectory {
+    transport: HttpTransport,
+}
+
+impl HttpDirectory {
+    /// Builds a client for the list at `address`.
+    pub fn new(address: SocketAddr) -> HttpDirectory {
+        HttpDirectory { transport: HttpTransport::new(address) }
+    }
+
+    async fn read_list(&self) -> Result<Vec<VmEntry>, DirectoryError> {
+        let answer = self.transport.exchange(Method::GET, "/vms", Bytes::new(), LIST_TIMEOUT).await;
+        let (status, body) = answer.map_err(|_| DirectoryError::Unavailable)?;
+        if status != StatusCode::OK {
+            return Err(DirectoryError::Unavailable);
+        }
+        serde_json::from_slice(&body).map_err(|_| DirectoryError::Unavailable)
+    }
+}
+
+impl VmDirectory for HttpDirectory {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<VmEntry>, DirectoryError>> {
+        Box::pin(self.read_list())
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions as pure values: placement, admission, fairness, limits, retries, version moves.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Validated settings of the daemon, read from INI files.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated state as pure values: plan, call ledger, latches, membership.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,20 @@
+//! Records of the log service and messages between entry VMs.
+//!
+//! The structs derive their protobuf encoding, so the build needs no generator. Field numbers are
+//! never reused; a field that an older program does not know is skipped.
+
+mod frame_codec;
+mod log_records;
+mod peer_messages;
+
+pub use crate::{
+    frame_codec::{FrameCodec, FrameError},
+    log_records::{
+        CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult, LogEntry, MoveEnd,
+        PlanProposal, PlanSnapshot, RecordBatch, log_entry,
+    },
+    peer_messages::{
+        Evidence, EvidenceCounter, Heartbeat, Hello, LatchSet, MoveLatch, PeerMessage, PlanCopy,
+        PlanFetch, ZoneLatch, peer_message,
+    },
+};
--- /dev/null
+++ b/crates/wire/src/log_records.rs
@@ -0,0 +1,250 @@
+//! Records of the log service.
+//!
+//! Identities of 128 bits travel as 16 big-endian bytes.
+
+use prost::{Message, Oneof};
+
+/// Records that go out in one append. The pair of writer and sequence identifies the append, so
+/// that a repeated append has no second effect.
+#[derive(Clone, PartialEq, Message)]
+pub struct RecordBatch {
+    /// Incarnation of the writing VM.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub writer: bytes::Bytes,
+    /// Sequence of the append within the incarnation.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Wall-clock time of the append in Unix milliseconds; used only for record ages.
+    #[prost(uint64, tag = "3")]
+    pub written_at_ms: u64,
+    /// Records in order.
+    #[prost(message, repeated, tag = "4")]
+    pub entries: Vec<LogEntry>,
+}
+
+/// One record.
+#[derive(Clone, PartialEq, Message)]
+pub struct LogEntry {
+    /// Kind and content of the record.
+    #[prost(oneof = "log_entry::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    pub kind: Option<log_entry::Kind>,
+}
+
+/// Kinds of records.
+pub mod log_entry {
+    use super::{
+        CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult, MoveEnd, Oneof,
+        PlanProposal, PlanSnapshot,
+    };
+
+    /// Kind and content of one record.
+    #[derive(Clone, PartialEq, Oneof)]
+    pub enum Kind {
+        /// Topic `plan`: a proposed plan.
+        #[prost(message, tag = "1")]
+        PlanProposal(PlanProposal),
+        /// Topic `plan`: a copy of the plan in force.
+        #[prost(message, tag = "2")]
+        PlanSnapshot(PlanSnapshot),
+        /// Topic `calls`: a claim to execute a call.
+        #[prost(message, tag = "3")]
+        CallClaim(CallClaim),
+        /// Topic `calls`: the outcome of a call.
+        #[prost(message, tag = "4")]
+        CallOutcome(CallOutcome),
+        /// Topic `calls`: a claim that was given up before anything was sent.
+        #[prost(message, tag = "5")]
+        CallRelease(CallRelease),
+        /// Topic `jobs`: an accepted deferred generation.
+        #[prost(message, tag = "6")]
+        JobAccepted(JobAccepted),
+        /// Topic `jobs`: a VM that works on a deferred generation.
+        #[prost(message, tag = "7")]
+        JobClaim(JobClaim),
+        /// Topic `jobs`: part of the result of a deferred generation.
+        #[prost(message, tag = "8")]
+        JobResult(JobResult),
+        /// Topic `moves`: the end of a version move.
+        #[prost(message, tag = "9")]
+        MoveEnd(MoveEnd),
+    }
+}
+
+/// Proposed plan. It is accepted if its base revision is the current one when it is read in log
+/// order.
+#[derive(Clone, PartialEq, Message)]
+pub struct PlanProposal {
+    /// Revision that the proposal builds on.
+    #[prost(uint64, tag = "1")]
+    pub base_revision: u64,
+    /// Identity of the submission; a second proposal with the same identity has no effect.
+    #[prost(string, tag = "2")]
+    pub submit_id: String,
+    /// Operator who submitted the plan.
+    #[prost(string, tag = "3")]
+    pub author: String,
+    /// Plan as JSON.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub body: bytes::Bytes,
+    /// Wall-clock time of the submission in Unix milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub submitted_at_ms: u64,
+}
+
+/// Copy of the plan in force, appended again before the log removes older records.
+#[derive(Clone, PartialEq, Message)]
+pub struct PlanSnapshot {
+    /// Revision of the plan. A snapshot with a lower revision than the current one is ignored.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Offset after the last record that the snapshot includes.
+    #[prost(uint64, tag = "2")]
+    pub as_of_offset: u64,
+    /// Plan as JSON.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: bytes::Bytes,
+    /// Operator who submitted the plan.
+    #[prost(string, tag = "4")]
+    pub author: String,
+    /// Identity of the submission of the plan.
+    #[prost(string, tag = "5")]
+    pub submit_id: String,
+}
+
+/// Claim to execute a call that is not idempotent.
+#[derive(Clone, PartialEq, Message)]
+pub struct CallClaim {
+    /// Team of the caller.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Idempotency key of the caller.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Identity of the claim.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub claim_id: bytes::Bytes,
+    /// Incarnation of the claiming VM.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub owner: bytes::Bytes,
+    /// Wall-clock time of the claim in Unix milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub made_at_ms: u64,
+    /// Digest of service, operation and body, to detect a key used for another request.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub request_digest: bytes::Bytes,
+    /// In a copy of an expiring claim: the offset of the first record of this claim plus one.
+    /// Zero in the first record.
+    #[prost(uint64, tag = "7")]
+    pub original_offset_plus_one: u64,
+}
+
+/// Outcome of a call.
+#[derive(Clone, PartialEq, Message)]
+pub struct CallOutcome {
+    /// Team of the caller.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Idempotency key of the caller.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Claim that the outcome settles.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub claim_id: bytes::Bytes,
+    /// HTTP status of the answer, or zero if the outcome can't be known.
+    #[prost(uint32, tag = "4")]
+    pub status: u32,
+    /// Body of the answer.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub body: bytes::Bytes,
+}
+
+/// Claim that its owner gave up before any byte was sent. Only the owner appends it.
+#[derive(Clone, PartialEq, Message)]
+pub struct CallRelease {
+    /// Team of the caller.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Idempotency key of the caller.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Claim that is given up.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub claim_id: bytes::Bytes,
+}
+
+/// Accepted deferred generation.
+#[derive(Clone, PartialEq, Message)]
+pub struct JobAccepted {
+    /// Team of the caller.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Idempotency key of the caller.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Request as JSON.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub request: bytes::Bytes,
+    /// Wall-clock time of acceptance in Unix milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub accepted_at_ms: u64,
+}
+
+/// VM that works on a deferred generation.
+#[derive(Clone, PartialEq, Message)]
+pub struct JobClaim {
+    /// Team of the caller.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Idempotency key of the caller.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Incarnation of the working VM.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub worker: bytes::Bytes,
+    /// Number of the attempt, from 1.
+    #[prost(uint32, tag = "4")]
+    pub attempt: u32,
+}
+
+/// Part of the result of a deferred generation.
+#[derive(Clone, PartialEq, Message)]
+pub struct JobResult {
+    /// Team of the caller.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Idempotency key of the caller.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Attempt that produced the result. Parts of different attempts are never joined.
+    #[prost(uint32, tag = "3")]
+    pub attempt: u32,
+    /// Incarnation of the VM that ran the attempt.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub worker: bytes::Bytes,
+    /// Number of this part, from 0.
+    #[prost(uint32, tag = "5")]
+    pub part: u32,
+    /// Number of parts.
+    #[prost(uint32, tag = "6")]
+    pub parts: u32,
+    /// Content of the part.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub body: bytes::Bytes,
+}
+
+/// End of a version move.
+#[derive(Clone, PartialEq, Message)]
+pub struct MoveEnd {
+    /// Identity of the move.
+    #[prost(string, tag = "1")]
+    pub move_id: String,
+    /// True for a rollback, false for a move that is done.
+    #[prost(bool, tag = "2")]
+    pub rolled_back: bool,
+    /// Reason with the evidence, for operators.
+    #[prost(string, tag = "3")]
+    pub reason: String,
+    /// Wall-clock time of the end in Unix milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub ended_at_ms: u64,
+}
--- /dev/null
+++ b/crates/wire/src/peer_messages.rs
@@ -0,0 +1,177 @@
+//! Messages between entry VMs.
+
+use prost::{Message, Oneof};
+
+/// One message between entry VMs.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerMessage {
+    /// Kind and content of the message.
+    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6")]
+    pub kind: Option<peer_message::Kind>,
+}
+
+/// Kinds of messages.
+pub mod peer_message {
+    use super::{Evidence, Heartbeat, Hello, LatchSet, Oneof, PlanCopy, PlanFetch};
+
+    /// Kind and content of one message.
+    #[derive(Clone, PartialEq, Oneof)]
+    pub enum Kind {
+        /// First message on a connection.
+        #[prost(message, tag = "1")]
+        Hello(Hello),
+        /// Periodic sign of life.
+        #[prost(message, tag = "2")]
+        Heartbeat(Heartbeat),
+        /// Request for the plan in force.
+        #[prost(message, tag = "3")]
+        PlanFetch(PlanFetch),
+        /// The plan in force.
+        #[prost(message, tag = "4")]
+        PlanCopy(PlanCopy),
+        /// Latches that are set.
+        #[prost(message, tag = "5")]
+        LatchSet(LatchSet),
+        /// Evidence about model versions.
+        #[prost(message, tag = "6")]
+        Evidence(Evidence),
+    }
+}
+
+/// First message on a connection, from both ends.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// Incarnation of the sender, 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub incarnation: bytes::Bytes,
+    /// Seat of the sender in its availability zone.
+    #[prost(uint32, tag = "2")]
+    pub seat: u32,
+    /// Availability zone of the sender.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Address at which the sender accepts peer connections.
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// Version of the protocol.
+    #[prost(uint32, tag = "5")]
+    pub protocol: u32,
+}
+
+/// Periodic sign of life.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// Plan revision in force on the sender.
+    #[prost(uint64, tag = "1")]
+    pub plan_revision: u64,
+    /// Whether the sender is draining.
+    #[prost(bool, tag = "2")]
+    pub draining: bool,
+    /// Whether the sender can read the log service.
+    #[prost(bool, tag = "3")]
+    pub log_reachable: bool,
+    /// Sequence of the heartbeat on this connection.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+}
+
+/// Request for the plan in force.
+#[derive(Clone, PartialEq, Message)]
+pub struct PlanFetch {}
+
+/// The plan in force on the sender.
+#[derive(Clone, PartialEq, Message)]
+pub struct PlanCopy {
+    /// Revision of the plan.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Plan as JSON.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: bytes::Bytes,
+    /// Operator who submitted the plan.
+    #[prost(string, tag = "3")]
+    pub author: String,
+    /// Identity of the submission.
+    #[prost(string, tag = "4")]
+    pub submit_id: String,
+    /// Offset after the last record of topic `plan` that the copy includes.
+    #[prost(uint64, tag = "5")]
+    pub as_of_offset: u64,
+}
+
+/// Latches that are set. They only grow, so receivers merge them by maximum.
+#[derive(Clone, PartialEq, Message)]
+pub struct LatchSet {
+    /// Latches of version moves.
+    #[prost(message, repeated, tag = "1")]
+    pub moves: Vec<MoveLatch>,
+    /// Latches of availability zones.
+    #[prost(message, repeated, tag = "2")]
+    pub zones: Vec<ZoneLatch>,
+}
+
+/// State of a version move: 0 running, 1 done, 2 rolled back. Merged by maximum.
+#[derive(Clone, PartialEq, Message)]
+pub struct MoveLatch {
+    /// Identity of the move.
+    #[prost(string, tag = "1")]
+    pub move_id: String,
+    /// State of the move.
+    #[prost(uint32, tag = "2")]
+    pub state: u32,
+    /// Reason, for operators.
+    #[prost(string, tag = "3")]
+    pub reason: String,
+}
+
+/// Availability zone that an operator took out without the log service.
+#[derive(Clone, PartialEq, Message)]
+pub struct ZoneLatch {
+    /// Availability zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Plan revision in force when the latch was set; it ends with a higher revision.
+    #[prost(uint64, tag = "2")]
+    pub set_at_revision: u64,
+    /// Operator who set the latch.
+    #[prost(string, tag = "3")]
+    pub author: String,
+}
+
+/// Counters about model versions as seen by one VM since its start. Receivers keep the highest
+/// counters per incarnation, so lost and repeated messages do no harm.
+#[derive(Clone, PartialEq, Message)]
+pub struct Evidence {
+    /// Incarnation that counted, 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub incarnation: bytes::Bytes,
+    /// Counters.
+    #[prost(message, repeated, tag = "2")]
+    pub counters: Vec<EvidenceCounter>,
+}
+
+/// Counters of one model version on one route within one time bucket.
+#[derive(Clone, PartialEq, Message)]
+pub struct EvidenceCounter {
+    /// Model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Version.
+    #[prost(string, tag = "2")]
+    pub version: String,
+    /// Route.
+    #[prost(string, tag = "3")]
+    pub route: String,
+    /// Finished requests.
+    #[prost(uint64, tag = "4")]
+    pub finished: u64,
+    /// Requests that failed because of the version.
+    #[prost(uint64, tag = "5")]
+    pub failed: u64,
+    /// Requests that were slower than the objective.
+    #[prost(uint64, tag = "6")]
+    pub slow: u64,
+    /// Start of the time bucket in Unix seconds.
+    #[prost(uint64, tag = "7")]
+    pub bucket_s: u64,
+}
--- /dev/null
+++ b/src/bin/dragonflycartctl.rs
@@ -0,0 +1,3 @@
+//! Entry point of `dragonflycartctl`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/dragonflycartd.rs
@@ -0,0 +1,3 @@
+//! Entry point of `dragonflycartd`.
+
+fn main() {}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Integration tests, one module per topic.
