--- /dev/null
+++ b/crates/node/src/generation/generation_store.rs
@@ -0,0 +1,98 @@
+//! Generations that callers can read on this VM.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use dragonflycart_core::{GenerationId, MonoTime, RequestKey, TeamName};
+
+use crate::generation::GenerationBuffer;
+
+struct StoredGeneration {
+    team: TeamName,
+    buffer: Arc<GenerationBuffer>,
+    /// Time of the end as first noticed by [`GenerationStore::expire`].
+    ended_at: Option<MonoTime>,
+}
+
+#[derive(Default)]
+struct StoreState {
+    generations: BTreeMap<u128, StoredGeneration>,
+    by_key: BTreeMap<(TeamName, RequestKey), u128>,
+}
+
+/// Generations by identity, kept for a while after their end so that a caller that lost its
+/// connection can fetch the rest.
+#[derive(Default)]
+pub(crate) struct GenerationStore {
+    state: Mutex<StoreState>,
+}
+
+impl GenerationStore {
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a generation. With a key, returns the generation that already has the key, if any,
+    /// and adds nothing.
+    pub(crate) fn insert(
+        &self,
+        id: &GenerationId,
+        team: &TeamName,
+        key: Option<&RequestKey>,
+        buffer: &Arc<GenerationBuffer>,
+    ) -> Option<Arc<GenerationBuffer>> {
+        let mut state = self.lock();
+        if let Some(key) = key {
+            let by_key = (team.clone(), key.clone());
+            if let Some(unique) = state.by_key.get(&by_key).copied()
+                && let Some(stored) = state.generations.get(&unique)
+            {
+                return Some(Arc::clone(&stored.buffer));
+            }
+            state.by_key.insert(by_key, id.unique());
+        }
+        let stored =
+            StoredGeneration { team: team.clone(), buffer: Arc::clone(buffer), ended_at: None };
+        state.generations.insert(id.unique(), stored);
+        None
+    }
+
+    /// Returns the generation if it is kept here and belongs to `team`.
+    pub(crate) fn find(&self, id: &GenerationId, team: &TeamName) -> Option<Arc<GenerationBuffer>> {
+        let state = self.lock();
+        let stored = state.generations.get(&id.unique())?;
+        if &stored.team != team {
+            return None;
+        }
+        Some(Arc::clone(&stored.buffer))
+    }
+
+    /// Removes one generation, whatever its state.
+    pub(crate) fn remove(&self, id: &GenerationId) {
+        let mut state = self.lock();
+        state.generations.remove(&id.unique());
+        state.by_key.retain(|_, unique| *unique != id.unique());
+    }
+
+    /// Removes generations that ended at least `retention` ago.
+    pub(crate) fn expire(&self, now: MonoTime, retention: Duration) {
+        let mut state = self.lock();
+        state.generations.retain(|_, stored| {
+            if stored.buffer.end().is_none() {
+                return true;
+            }
+            let ended_at = *stored.ended_at.get_or_insert(now);
+            now.since(ended_at) < retention
+        });
+        let StoreState { generations, by_key } = &mut *state;
+        by_key.retain(|_, unique| generations.contains_key(unique));
+    }
+
+    /// Returns the number of generations that have not ended.
+    pub(crate) fn open_count(&self) -> usize {
+        self.lock().generations.values().filter(|stored| stored.buffer.end().is_none()).count()
+    }
+}
--- /dev/null
+++ b/crates/node/src/generation/mod.rs
@@ -0,0 +1,13 @@
+//! Generations on the traffic threads: receiving, buffering and continuing them.
+
+mod generation_buffer;
+mod generation_runner;
+mod generation_spec;
+mod generation_store;
+
+pub(crate) use self::{
+    generation_buffer::{BufferSlice, GenerationBuffer, GenerationEnd},
+    generation_runner::{GenerationRunner, RunnerLimits},
+    generation_spec::GenerationSpec,
+    generation_store::GenerationStore,
+};
--- /dev/null
+++ b/crates/node/src/node_clock.rs
@@ -0,0 +1,30 @@
+//! The only place where the daemon reads clocks.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use dragonflycart_core::{MonoTime, WallTime};
+
+/// Clocks of the process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NodeClock {
+    start: Instant,
+}
+
+impl NodeClock {
+    /// Starts the monotonic clock.
+    pub(crate) fn start() -> NodeClock {
+        NodeClock { start: Instant::now() }
+    }
+
+    /// Returns the monotonic time. It starts at one second, so that a span can be subtracted
+    /// from an early time without saturating at zero.
+    pub(crate) fn now(&self) -> MonoTime {
+        MonoTime::from_micros(1_000_000 + self.start.elapsed().as_micros() as u64)
+    }
+
+    /// Returns the wall-clock time.
+    pub(crate) fn wall(&self) -> WallTime {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        WallTime::from_unix_millis(elapsed.as_millis() as u64)
+    }
+}
--- /dev/null
+++ b/crates/node/src/node_lifecycle.rs
@@ -0,0 +1,110 @@
+//! Phases of the daemon's life.
+//!
+//! A planned stop first only takes the VM out of the load balancer, because work keeps arriving
+//! until the balancer has noticed; then it rejects new work; it ends when the last stream ended.
+
+use statig::prelude::*;
+
+/// What may change the phase.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LifecycleEvent {
+    /// The plan is known from the log service or from a peer.
+    PlanKnown,
+    /// The process was asked to stop.
+    StopRequested,
+    /// The load balancer has had time to notice that the VM is not ready.
+    BalancerNoticed,
+    /// No stream and no call is open.
+    Idle,
+    /// The limit on the time for stopping has passed.
+    StopLimitReached,
+}
+
+/// Phase as seen by the rest of the daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum LifecyclePhase {
+    /// No plan is known yet.
+    Starting,
+    /// The VM serves.
+    Ready,
+    /// The VM reports not ready and still takes work.
+    Leaving,
+    /// The VM takes no new work.
+    Draining,
+    /// The process may exit.
+    Stopped,
+}
+
+impl LifecyclePhase {
+    /// Returns whether the load balancer should send work here.
+    pub(crate) fn is_ready(self) -> bool {
+        self == LifecyclePhase::Ready
+    }
+
+    /// Returns whether new work is accepted.
+    pub(crate) fn accepts_work(self) -> bool {
+        matches!(self, LifecyclePhase::Ready | LifecyclePhase::Leaving)
+    }
+}
+
+/// State machine behind [`LifecyclePhase`].
+#[derive(Default)]
+pub(crate) struct NodeLifecycle;
+
+#[state_machine(initial = "State::starting()", state(derive(Debug, Clone, PartialEq)))]
+impl NodeLifecycle {
+    #[state]
+    fn starting(event: &LifecycleEvent) -> Outcome<State> {
+        match event {
+            LifecycleEvent::PlanKnown => Transition(State::ready()),
+            LifecycleEvent::StopRequested => Transition(State::draining()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn ready(event: &LifecycleEvent) -> Outcome<State> {
+        match event {
+            LifecycleEvent::StopRequested => Transition(State::leaving()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn leaving(event: &LifecycleEvent) -> Outcome<State> {
+        match event {
+            LifecycleEvent::BalancerNoticed => Transition(State::draining()),
+            LifecycleEvent::StopLimitReached => Transition(State::stopped()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn draining(event: &LifecycleEvent) -> Outcome<State> {
+        match event {
+            LifecycleEvent::Idle | LifecycleEvent::StopLimitReached => {
+                Transition(State::stopped())
+            }
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn stopped(event: &LifecycleEvent) -> Outcome<State> {
+        let _ = event;
+        Handled
+    }
+}
+
+impl From<&State> for LifecyclePhase {
+    fn from(state: &State) -> LifecyclePhase {
+        match state {
+            State::Starting { .. } => LifecyclePhase::Starting,
+            State::Ready { .. } => LifecyclePhase::Ready,
+            State::Leaving { .. } => LifecyclePhase::Leaving,
+            State::Draining { .. } => LifecyclePhase::Draining,
+            State::Stopped { .. } => LifecyclePhase::Stopped,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/peer_event.rs
@@ -0,0 +1,16 @@
+//! What peer connections tell the control thread.
+
+use dragonflycart_wire::{PeerMessage, peer_message::Kind};
+use tokio::sync::mpsc;
+
+use crate::peer::LinkIdentity;
+
+/// Message received from a peer.
+pub(crate) struct PeerEvent {
+    /// Sender.
+    pub(crate) identity: LinkIdentity,
+    /// Content.
+    pub(crate) kind: Kind,
+    /// Queue of answers on the same connection.
+    pub(crate) reply: mpsc::Sender<PeerMessage>,
+}
--- /dev/null
+++ b/crates/node/src/peer/peer_hub.rs
@@ -0,0 +1,122 @@
+//! Accepts and dials peer connections.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use dragonflycart_wire::PeerMessage;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{broadcast, mpsc, watch},
+    task::JoinHandle,
+};
+
+use crate::peer::{LinkDirection, LinkIdentity, PeerEvent, PeerLink};
+
+/// Longest wait for a TCP connection to a peer.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Pause between attempts to connect to the same peer.
+const REDIAL_DELAY: Duration = Duration::from_millis(500);
+
+/// Keeps one outgoing connection to each known peer and serves the incoming ones.
+pub(crate) struct PeerHub {
+    own: Arc<LinkIdentity>,
+    events: mpsc::Sender<PeerEvent>,
+    broadcasts: broadcast::Sender<PeerMessage>,
+    dialers: BTreeMap<SocketAddr, JoinHandle<()>>,
+}
+
+impl PeerHub {
+    /// Builds a hub without connections.
+    pub(crate) fn new(
+        own: LinkIdentity,
+        events: mpsc::Sender<PeerEvent>,
+        broadcasts: broadcast::Sender<PeerMessage>,
+    ) -> PeerHub {
+        PeerHub { own: Arc::new(own), events, broadcasts, dialers: BTreeMap::new() }
+    }
+
+    /// Serves incoming connections and dials the peers in `addresses` as the set changes.
+    pub(crate) async fn run(
+        mut self,
+        listener: TcpListener,
+        mut addresses: watch::Receiver<BTreeSet<SocketAddr>>,
+    ) {
+        self.update_dialers(&addresses.borrow_and_update().clone());
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((socket, _)) = accepted else {
+                        // Out of file descriptors or similar; do not spin.
+                        tokio::time::sleep(REDIAL_DELAY).await;
+                        continue;
+                    };
+                    self.serve(socket);
+                }
+                changed = addresses.changed() => {
+                    if changed.is_err() {
+                        self.close();
+                        return;
+                    }
+                    self.update_dialers(&addresses.borrow_and_update().clone());
+                }
+            }
+        }
+    }
+
+    fn serve(&self, socket: TcpStream) {
+        let link = PeerLink::new(socket, LinkDirection::Incoming, self.events.clone());
+        let own = Arc::clone(&self.own);
+        let broadcasts = self.broadcasts.subscribe();
+        tokio::spawn(async move { link.run(&own, broadcasts).await });
+    }
+
+    fn update_dialers(&mut self, addresses: &BTreeSet<SocketAddr>) {
+        self.dialers.retain(|address, dialer| {
+            let keep = addresses.contains(address);
+            if !keep {
+                dialer.abort();
+            }
+            keep
+        });
+        for address in addresses {
+            if self.dialers.contains_key(address) || address.to_string() == self.own.address {
+                continue;
+            }
+            let own = Arc::clone(&self.own);
+            let events = self.events.clone();
+            let broadcasts = self.broadcasts.clone();
+            let dialer = tokio::spawn(dial_forever(*address, own, events, broadcasts));
+            self.dialers.insert(*address, dialer);
+        }
+    }
+
+    /// Ends all dialers.
+    fn close(self) {
+        for dialer in self.dialers.into_values() {
+            dialer.abort();
+        }
+    }
+}
+
+async fn dial_forever(
+    address: SocketAddr,
+    own: Arc<LinkIdentity>,
+    events: mpsc::Sender<PeerEvent>,
+    broadcasts: broadcast::Sender<PeerMessage>,
+) {
+    loop {
+        let connected = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+        if let Ok(Ok(socket)) = connected {
+            let link = PeerLink::new(socket, LinkDirection::Outgoing, events.clone());
+            link.run(&own, broadcasts.subscribe()).await;
+        }
+        if events.is_closed() {
+            return;
+        }
+        tokio::time::sleep(REDIAL_DELAY).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/peer_link.rs
@@ -0,0 +1,123 @@
+//! One connection between two entry VMs.
+
+use std::time::Duration;
+
+use dragonflycart_wire::{FrameCodec, PeerMessage, peer_message::Kind};
+use futures::{SinkExt, StreamExt};
+use tokio::{
+    net::TcpStream,
+    sync::{broadcast, mpsc},
+    time::{Instant, timeout_at},
+};
+use tokio_util::codec::Framed;
+
+use crate::peer::{LinkIdentity, PeerEvent};
+
+/// A connection without any message for this long is closed and dialled again. Heartbeats come
+/// every second, so three in a row were lost.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// Longest wait for a write; a peer that does not read is disconnected.
+const WRITE_LIMIT: Duration = Duration::from_secs(2);
+/// Answers queued for one connection.
+const REPLY_QUEUE: usize = 16;
+
+/// Which end opened the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LinkDirection {
+    /// This VM dialled: it sends broadcasts on this connection.
+    Outgoing,
+    /// The peer dialled: this VM sends only answers and echoes heartbeats.
+    Incoming,
+}
+
+/// One connection between two entry VMs.
+pub(crate) struct PeerLink {
+    framed: Framed<TcpStream, FrameCodec>,
+    direction: LinkDirection,
+    events: mpsc::Sender<PeerEvent>,
+}
+
+impl PeerLink {
+    /// Wraps a connected socket.
+    pub(crate) fn new(
+        socket: TcpStream,
+        direction: LinkDirection,
+        events: mpsc::Sender<PeerEvent>,
+    ) -> PeerLink {
+        let _ = socket.set_nodelay(true);
+        PeerLink { framed: Framed::new(socket, FrameCodec::new()), direction, events }
+    }
+
+    /// Runs the connection until it fails, is silent for too long, or the process stops.
+    pub(crate) async fn run(
+        mut self,
+        own: &LinkIdentity,
+        mut broadcasts: broadcast::Receiver<PeerMessage>,
+    ) {
+        if !self.send(PeerMessage { kind: Some(Kind::Hello(own.hello())) }).await {
+            return;
+        }
+        let Some(identity) = self.receive_hello().await else {
+            return;
+        };
+        if identity.incarnation == own.incarnation {
+            return;
+        }
+        let (reply, mut replies) = mpsc::channel(REPLY_QUEUE);
+        let mut silence_ends = Instant::now() + SILENCE_LIMIT;
+        loop {
+            tokio::select! {
+                received = timeout_at(silence_ends, self.framed.next()) => {
+                    let Ok(Some(Ok(message))) = received else { return };
+                    silence_ends = Instant::now() + SILENCE_LIMIT;
+                    let Some(kind) = message.kind else { continue };
+                    let event = PeerEvent { identity: identity.clone(), kind, reply: reply.clone() };
+                    if self.events.send(event).await.is_err() {
+                        return;
+                    }
+                }
+                Some(message) = replies.recv() => {
+                    if !self.send(message).await {
+                        return;
+                    }
+                }
+                message = broadcasts.recv() => {
+                    let message = match message {
+                        Ok(message) => message,
+                        // Every broadcast is repeated or superseded by a later one.
+                        Err(broadcast::error::RecvError::Lagged(_)) => continue,
+                        Err(broadcast::error::RecvError::Closed) => return,
+                    };
+                    if !self.wants(&message) {
+                        continue;
+                    }
+                    if !self.send(message).await {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns whether a broadcast goes out on this connection. The dialled end echoes heartbeats
+    /// only, so that each broadcast reaches a peer once.
+    fn wants(&self, message: &PeerMessage) -> bool {
+        match self.direction {
+            LinkDirection::Outgoing => true,
+            LinkDirection::Incoming => matches!(message.kind, Some(Kind::Heartbeat(_))),
+        }
+    }
+
+    async fn receive_hello(&mut self) -> Option<LinkIdentity> {
+        let deadline = Instant::now() + SILENCE_LIMIT;
+        let message = timeout_at(deadline, self.framed.next()).await.ok()??.ok()?;
+        let Some(Kind::Hello(hello)) = message.kind else {
+            return None;
+        };
+        LinkIdentity::from_hello(&hello)
+    }
+
+    async fn send(&mut self, message: PeerMessage) -> bool {
+        matches!(tokio::time::timeout(WRITE_LIMIT, self.framed.send(message)).await, Ok(Ok(())))
+    }
+}
