Add settings: INI files checked as a whole against a table of keys

An operator corrects a settings file away from the VM that reads it, so all faults are reported in one pass, each with file, section, key, what was found and what is allowed. Sections, keys, ranges and defaults are one table that drives checks, defaults and rendering, so these can't disagree.

Ruled out: serde structs per section, because an error of a deserializer stops at the first fault and has no range. Lines that the INI reader would join with their neighbours or drop without a message are rejected before it sees them.

--- /dev/null
+++ b/crates/settings/src/config_builder.rs
@@ -0,0 +1,77 @@
+//! Builder of validated settings.
+
+use crate::{
+    Config, ConfigProblem, ConfigProblems, raw_section::RawSection,
+    relation_checker::RelationChecker, section_checker::SectionChecker,
+};
+
+/// Name shown in place of a file for settings that were set by a program.
+const NO_FILE: &str = "(no file)";
+
+/// Builder of a [`Config`]: a settings file and single settings that replace those of the file.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigBuilder {
+    file: Option<(String, String)>,
+    replacements: Vec<(String, String, String)>,
+}
+
+impl ConfigBuilder {
+    /// Starts without any setting.
+    pub fn new() -> ConfigBuilder {
+        ConfigBuilder::default()
+    }
+
+    /// Takes the settings of an INI text; `name` is the file name for messages.
+    #[must_use]
+    pub fn file(mut self, name: &str, text: &str) -> ConfigBuilder {
+        self.file = Some((name.to_owned(), text.to_owned()));
+        self
+    }
+
+    /// Sets one key, written as in a file. It replaces the key of the file; a section that the
+    /// file does not have is added.
+    #[must_use]
+    pub fn set(mut self, section: &str, key: &str, value: &str) -> ConfigBuilder {
+        self.replacements.push((section.to_owned(), key.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Checks everything.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults found in one pass.
+    pub fn build(self) -> Result<Config, ConfigProblems> {
+        let mut problems = ConfigProblems::default();
+        let (file, text) = self.file.unwrap_or_else(|| (NO_FILE.to_owned(), String::new()));
+        let mut raw_sections = RawSection::read_all(&file, &text, &mut problems);
+        for (section, key, value) in self.replacements {
+            replace_key(&mut raw_sections, section, key, value);
+        }
+        let sections = SectionChecker::new(&file, &mut problems).check_all(&raw_sections);
+        RelationChecker::new(&file, &sections, &mut problems).check_all();
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        Config::from_sections(sections).ok_or_else(|| {
+            problems.push(ConfigProblem {
+                file,
+                section: String::new(),
+                key: String::new(),
+                found: "a key whose form differs from the table of keys".to_owned(),
+                allowed: "nothing; this is a defect of dragonflycart".to_owned(),
+            });
+            problems
+        })
+    }
+}
+
+fn replace_key(sections: &mut Vec<RawSection>, heading: String, key: String, value: String) {
+    let value = value.trim().to_owned();
+    let Some(section) = sections.iter_mut().find(|section| section.heading == heading) else {
+        sections.push(RawSection { heading, entries: vec![(key, value)] });
+        return;
+    };
+    section.entries.retain(|(existing, _)| *existing != key);
+    section.entries.push((key, value));
+}
--- /dev/null
+++ b/crates/settings/src/settings_command.rs
@@ -0,0 +1,32 @@
+//! The commands `settings check` and `settings show`, shared by the binaries.
+
+use std::path::Path;
+
+use crate::{Config, ConfigProblems};
+
+/// Checks a settings file and returns a one-line summary.
+///
+/// # Errors
+///
+/// Returns all faults of the file.
+pub fn check_settings(path: &Path) -> Result<String, ConfigProblems> {
+    let config = Config::load(path)?;
+    Ok(format!(
+        "{}: no faults; zone {}, seat {}, {} engines, {} service servers, {} teams",
+        path.display(),
+        config.vm.zone,
+        config.vm.seat,
+        config.engines.len(),
+        config.service_servers.len(),
+        config.teams.len(),
+    ))
+}
+
+/// Returns the settings in effect as INI: defaults filled in, credentials masked.
+///
+/// # Errors
+///
+/// Returns all faults of the file.
+pub fn show_settings(path: &Path) -> Result<String, ConfigProblems> {
+    Config::load(path).map(|config| config.render())
+}
--- /dev/null
+++ b/crates/settings/src/team_settings.rs
@@ -0,0 +1,35 @@
+//! Share, limits and credential of a team.
+
+use std::time::Duration;
+
+use crate::{PriorityClass, SecretText, section_values::SectionValues};
+
+/// Settings of one team.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamSettings {
+    /// Weight in fair queueing.
+    pub weight: f64,
+    /// Priority class.
+    pub priority: PriorityClass,
+    /// Highest rate of requests on this VM, if limited.
+    pub requests_per_second: Option<f64>,
+    /// Highest rate of tokens on this VM, if limited.
+    pub tokens_per_second: Option<f64>,
+    /// How much unused rate can be saved up, as time at the full rate.
+    pub burst: Duration,
+    /// Bearer token of the team.
+    pub credential: SecretText,
+}
+
+impl TeamSettings {
+    pub(crate) fn from_values(values: &SectionValues) -> Option<TeamSettings> {
+        Some(TeamSettings {
+            weight: values.number("weight")?,
+            priority: values.parsed("priority")?,
+            requests_per_second: values.number("requests_per_second"),
+            tokens_per_second: values.number("tokens_per_second"),
+            burst: values.duration("burst")?,
+            credential: values.text("credential").map(SecretText::new)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/settings/src/timeout_settings.rs
@@ -0,0 +1,68 @@
+//! Periods and timeouts.
+
+use std::time::Duration;
+
+use crate::section_values::SectionValues;
+
+/// Periods and timeouts; docs/settings.md says what each is for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TimeoutSettings {
+    /// How long records are buffered before they are appended together.
+    pub log_buffer: Duration,
+    /// How long an append may take before its outcome counts as unknown.
+    pub log_append: Duration,
+    /// Longest wait of one long poll on the log.
+    pub log_poll: Duration,
+    /// Interval of heartbeats between entry VMs.
+    pub peer_heartbeat: Duration,
+    /// Silence after which a peer counts as failed.
+    pub peer_silence: Duration,
+    /// Interval between reads of the platform's VM list.
+    pub vm_list_poll: Duration,
+    /// Interval between reads of a backend server's load report.
+    pub report_poll: Duration,
+    /// Longest wait for a connection.
+    pub connect: Duration,
+    /// Silence on a stream after which it is resumed on a new connection.
+    pub engine_silence: Duration,
+    /// Time without a token, with heartbeats, after which a generation is continued elsewhere.
+    pub engine_progress: Duration,
+    /// Pause of the control thread after which cold slots need fresh reports.
+    pub control_pause: Duration,
+    /// How long a finished or broken stream can still be resumed.
+    pub stream_retention: Duration,
+    /// Deadline of a generation whose caller states none.
+    pub request_deadline: Duration,
+    /// Deadline of a service call whose caller states none.
+    pub call_deadline: Duration,
+    /// How long the outcome of a call that is not idempotent is kept.
+    pub call_window: Duration,
+    /// How long the result of a deferred generation is kept.
+    pub job_retention: Duration,
+    /// Time over which the load of a zone that returns to service grows to its limit.
+    pub zone_ramp: Duration,
+}
+
+impl TimeoutSettings {
+    pub(crate) fn from_values(values: &SectionValues) -> Option<TimeoutSettings> {
+        Some(TimeoutSettings {
+            log_buffer: values.duration("log_buffer")?,
+            log_append: values.duration("log_append")?,
+            log_poll: values.duration("log_poll")?,
+            peer_heartbeat: values.duration("peer_heartbeat")?,
+            peer_silence: values.duration("peer_silence")?,
+            vm_list_poll: values.duration("vm_list_poll")?,
+            report_poll: values.duration("report_poll")?,
+            connect: values.duration("connect")?,
+            engine_silence: values.duration("engine_silence")?,
+            engine_progress: values.duration("engine_progress")?,
+            control_pause: values.duration("control_pause")?,
+            stream_retention: values.duration("stream_retention")?,
+            request_deadline: values.duration("request_deadline")?,
+            call_deadline: values.duration("call_deadline")?,
+            call_window: values.duration("call_window")?,
+            job_retention: values.duration("job_retention")?,
+            zone_ramp: values.duration("zone_ramp")?,
+        })
+    }
+}
