Add the HTTP clients of engines and plain services

Entry VMs need to tell a request that was never sent from one that may have been executed. The clients open a connection per generation, order and call, never repeat a request, and report NotSent only for connect failures. A pool was ruled out for these because a close race on an idle connection would turn into an unknown outcome.

TokenStream becomes a type with the server instance, and ServiceAnswer gets an instance field, so that callers notice a restarted server.

--- /dev/null
+++ b/crates/engine/src/http_service.rs
@@ -0,0 +1,80 @@
+//! Client of one server of a plain service over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use dragonflycart_core::RequestKey;
+use hyper::{Method, StatusCode};
+
+use crate::{
+    BoxFuture, CallFailure, ServiceAnswer, ServiceClient, ServiceOptions, ServiceRequest,
+    http_exchange::{ConnectionReuse, HttpExchange, OutgoingRequest, header_text, stated_instance},
+    protocol::{KEY_HEADER, OPERATIONS_PATH, OUTCOME_STATUS_HEADER, OUTCOMES_PATH, encode_segment},
+};
+
+/// Longest wait for a TCP connection; the farthest zone is a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Server of a plain service reached over HTTP.
+pub struct HttpService {
+    calls: HttpExchange,
+    options: ServiceOptions,
+}
+
+impl HttpService {
+    /// Builds a client for the server at `address`.
+    pub fn new(address: SocketAddr, options: ServiceOptions) -> HttpService {
+        let calls = HttpExchange::new(address, CONNECT_TIMEOUT, ConnectionReuse::Never);
+        HttpService { calls, options }
+    }
+
+    async fn send_call(&self, request: ServiceRequest) -> Result<ServiceAnswer, CallFailure> {
+        let path = format!("{OPERATIONS_PATH}/{}", encode_segment(&request.operation));
+        let mut outgoing = OutgoingRequest::new(Method::POST, path, request.body);
+        outgoing.key = request.key.map(String::from);
+        let timeout = self.options.answer_timeout;
+        let response = self.calls.exchange(outgoing, &request.request_id, timeout).await?;
+        Ok(ServiceAnswer {
+            status: response.status().as_u16(),
+            instance: stated_instance(response.headers()),
+            body: response.into_body(),
+        })
+    }
+
+    async fn send_lookup(&self, key: &RequestKey) -> Result<Option<ServiceAnswer>, CallFailure> {
+        if !self.options.supports_lookup {
+            return Ok(None);
+        }
+        let mut outgoing =
+            OutgoingRequest::new(Method::GET, OUTCOMES_PATH.to_owned(), Bytes::new());
+        outgoing.key = Some(key.as_str().to_owned());
+        let request_id = self.calls.draw_request_id();
+        let timeout = self.options.answer_timeout;
+        let response = self.calls.exchange(outgoing, &request_id, timeout).await?;
+        if header_text(response.headers(), KEY_HEADER) != Some(key.as_str()) {
+            return Err(CallFailure::WrongAnswer);
+        }
+        match response.status() {
+            StatusCode::NOT_FOUND => return Ok(None),
+            StatusCode::OK => {}
+            _ => return Err(CallFailure::MaybeSent),
+        }
+        let status = header_text(response.headers(), OUTCOME_STATUS_HEADER);
+        let status = status.and_then(|text| text.parse().ok()).ok_or(CallFailure::MaybeSent)?;
+        let instance = stated_instance(response.headers());
+        Ok(Some(ServiceAnswer { status, instance, body: response.into_body() }))
+    }
+}
+
+impl ServiceClient for HttpService {
+    fn call(&self, request: ServiceRequest) -> BoxFuture<'_, Result<ServiceAnswer, CallFailure>> {
+        Box::pin(self.send_call(request))
+    }
+
+    fn lookup<'a>(
+        &'a self,
+        key: &'a RequestKey,
+    ) -> BoxFuture<'a, Result<Option<ServiceAnswer>, CallFailure>> {
+        Box::pin(self.send_lookup(key))
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,27 +5,32 @@
 
 mod call_failure;
 mod engine_client;
+mod event_check;
 mod generation_request;
+mod http_engine;
+mod http_exchange;
+mod http_service;
 mod load_report;
+pub mod protocol;
 mod service_client;
+mod service_options;
 mod stream_event;
+mod token_stream;
 
 use std::{future::Future, pin::Pin};
 
-use futures::stream::BoxStream;
-
 pub use crate::{
     call_failure::CallFailure,
     engine_client::{EngineClient, EngineError, EngineOrder, OrderOutcome},
     generation_request::GenerationRequest,
+    http_engine::HttpEngine,
+    http_service::HttpService,
     load_report::LoadReport,
     service_client::{ServiceAnswer, ServiceClient, ServiceRequest},
+    service_options::ServiceOptions,
     stream_event::{FinishReason, StreamEvent},
+    token_stream::TokenStream,
 };
 
 /// Future returned by the object-safe asynchronous interfaces.
 pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
-
-/// Events of one generation on one connection. It ends after `Finished`, or without it when the
-/// connection breaks.
-pub type TokenStream = BoxStream<'static, Result<StreamEvent, EngineError>>;
--- a/crates/engine/src/service_client.rs
+++ b/crates/engine/src/service_client.rs
@@ -1,7 +1,7 @@
 //! Interface to one server of a plain service.
 
 use bytes::Bytes;
-use dragonflycart_core::RequestKey;
+use dragonflycart_core::{RequestKey, ServerInstance};
 
 use crate::{BoxFuture, CallFailure};
 
@@ -23,13 +23,16 @@
 pub struct ServiceAnswer {
     /// HTTP status of the answer.
     pub status: u16,
+    /// Run of the server's process, if the server states it.
+    pub instance: Option<ServerInstance>,
     /// Body, passed on unchanged.
     pub body: Bytes,
 }
 
 /// Client of one server of a plain service.
 pub trait ServiceClient: Send + Sync {
-    /// Sends one call and waits for the whole answer.
+    /// Sends one call and waits for the whole answer. A caller that drops the future must treat
+    /// the call as possibly sent.
     ///
     /// # Errors
     ///
--- /dev/null
+++ b/crates/engine/src/service_options.rs
@@ -0,0 +1,18 @@
+//! Options of the client of a plain service.
+
+use std::time::Duration;
+
+/// Options of the client of a plain service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceOptions {
+    /// Longest wait for the whole answer, the connect included.
+    pub answer_timeout: Duration,
+    /// Whether the service can look up executed calls by idempotency key.
+    pub supports_lookup: bool,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> ServiceOptions {
+        ServiceOptions { answer_timeout: Duration::from_secs(10), supports_lookup: false }
+    }
+}
