Add the plan log and the call ledger

A reader that starts after records were removed must not decide on proposals or own a call until nothing it needs can be missing.

New record CallCheckpoint ends a series of copies; without it a new VM can't tell a complete log from one that lost claims. Releases carry the caller's attempt number and void earlier attempts that land later; an empty log alone does not show that no claim is still on its way.

Ruled out: statig for CallAttempt, because the permit has to be moved out of the state.

--- /dev/null
+++ b/crates/state/src/call_attempt.rs
@@ -0,0 +1,200 @@
+//! One VM's attempt to run a call.
+
+use bytes::Bytes;
+use dragonflycart_core::{MonoTime, WallTime};
+use dragonflycart_wire::{CallClaim, CallOutcome, CallRelease};
+
+use crate::{
+    AttemptAnswer, CallKey, CallLedger, CallView, ClaimId, ClaimNote, DispatchPermit, OutcomeNote,
+    ReleaseNote,
+};
+
+/// Phase of an attempt. Each variant holds what exists in that phase only.
+///
+/// A plain enum is used and not `statig`, because the permit is moved out of the state, which a
+/// handler that gets its state by reference can't do.
+#[derive(Debug)]
+enum AttemptPhase {
+    /// No claim was submitted.
+    Idle,
+    /// The claim may be in the log, now or later.
+    Claimed,
+    /// The claim owns the key; nothing was sent.
+    Owner(DispatchPermit),
+    /// The permit was handed out.
+    Dispatched,
+    /// The attempt has ended after its permit was handed out.
+    Settled(OutcomeNote),
+    /// The claim will never be sent.
+    GivenUp,
+}
+
+/// One VM's attempt to run a call that is not idempotent.
+#[derive(Debug)]
+pub struct CallAttempt {
+    key: CallKey,
+    claim: ClaimNote,
+    deadline: MonoTime,
+    phase: AttemptPhase,
+    key_reused: bool,
+}
+
+impl CallAttempt {
+    /// Starts an attempt. Nothing is sent after `deadline`. `claim.attempt` is the number that the
+    /// caller gave, or zero.
+    pub fn new(key: CallKey, claim: ClaimNote, deadline: MonoTime) -> CallAttempt {
+        CallAttempt { key, claim, deadline, phase: AttemptPhase::Idle, key_reused: false }
+    }
+
+    /// Returns the key of the call.
+    pub fn key(&self) -> &CallKey {
+        &self.key
+    }
+
+    /// Returns the identity of the claim.
+    pub fn claim_id(&self) -> ClaimId {
+        self.claim.claim_id
+    }
+
+    /// Returns the claim to append, once. From here on it counts as being in the log.
+    pub fn submit(&mut self) -> Option<CallClaim> {
+        if !matches!(self.phase, AttemptPhase::Idle) {
+            return None;
+        }
+        self.phase = AttemptPhase::Claimed;
+        Some(self.claim.to_wire(&self.key, None))
+    }
+
+    /// Takes note of what was read from the log. The attempt becomes the owner if its claim is the
+    /// first open one of a ledger that misses nothing.
+    pub fn observe(&mut self, ledger: &CallLedger, now: WallTime) {
+        self.key_reused |= ledger.is_reused(&self.key, &self.claim.request_digest);
+        if !matches!(self.phase, AttemptPhase::Claimed) || self.key_reused {
+            return;
+        }
+        let owns = match ledger.view(&self.key) {
+            CallView::Owned(owner) => owner.claim_id == self.claim.claim_id,
+            _ => false,
+        };
+        let young = ledger.is_within_window(self.claim.made_at, now);
+        if owns && young && ledger.is_authoritative(now) {
+            self.phase = AttemptPhase::Owner(DispatchPermit::new(self.claim.claim_id));
+        }
+    }
+
+    /// Hands out the permit if this attempt owns the key and the deadline has not passed. The call
+    /// counts as sent until the permit comes back.
+    pub fn take_permit(&mut self, now: MonoTime) -> Option<DispatchPermit> {
+        if now >= self.deadline {
+            return None;
+        }
+        match std::mem::replace(&mut self.phase, AttemptPhase::Dispatched) {
+            AttemptPhase::Owner(permit) => Some(permit),
+            other => {
+                self.phase = other;
+                None
+            }
+        }
+    }
+
+    /// Takes back a permit that was not used, which proves that nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the permit if it belongs to another attempt.
+    pub fn return_permit(&mut self, permit: DispatchPermit) -> Result<(), DispatchPermit> {
+        let matches = matches!(self.phase, AttemptPhase::Dispatched);
+        if !matches || permit.claim_id() != self.claim.claim_id {
+            return Err(permit);
+        }
+        self.phase = AttemptPhase::Owner(permit);
+        Ok(())
+    }
+
+    /// Records the end of the call after it was sent and returns the record to append. Status zero
+    /// means that the answer was lost.
+    pub fn settle(&mut self, status: u32, body: Bytes, now: WallTime) -> Option<CallOutcome> {
+        if !matches!(self.phase, AttemptPhase::Dispatched) {
+            return None;
+        }
+        let outcome = OutcomeNote { claim_id: self.claim.claim_id, status, body, made_at: now };
+        let record = outcome.to_wire(&self.key);
+        self.phase = AttemptPhase::Settled(outcome);
+        Some(record)
+    }
+
+    /// Gives the claim up for good and returns the record to append. Impossible while the permit
+    /// is out. Without a claim the record only voids earlier attempts, which takes a number.
+    pub fn give_up(&mut self, now: WallTime) -> Option<CallRelease> {
+        let claim_id = match self.phase {
+            AttemptPhase::Idle => ClaimId::default(),
+            AttemptPhase::Claimed | AttemptPhase::Owner(_) => self.claim.claim_id,
+            _ => return None,
+        };
+        self.phase = AttemptPhase::GivenUp;
+        // A different request under the same key must not void the attempts of the first one.
+        let through_attempt = if self.key_reused { 0 } else { self.claim.attempt };
+        if claim_id == ClaimId::default() && through_attempt == 0 {
+            return None;
+        }
+        let note = ReleaseNote { claim_id, through_attempt, made_at: now };
+        Some(note.to_wire(&self.key, None))
+    }
+
+    /// Returns whether the claim was given up.
+    pub fn is_given_up(&self) -> bool {
+        matches!(self.phase, AttemptPhase::GivenUp)
+    }
+
+    /// Returns whether the attempt owns the key and may send.
+    pub fn is_owner(&self) -> bool {
+        matches!(self.phase, AttemptPhase::Owner(_))
+    }
+
+    /// Returns the answer that is correct now. `log_reachable` tells whether the release can get
+    /// into the log.
+    pub fn answer(&self, ledger: &CallLedger, log_reachable: bool, now: WallTime) -> AttemptAnswer {
+        if let AttemptPhase::Settled(outcome) = &self.phase
+            && outcome.is_known()
+        {
+            return AttemptAnswer::Outcome(outcome.clone());
+        }
+        if self.key_reused {
+            return if self.is_given_up() {
+                AttemptAnswer::KeyReused
+            } else {
+                AttemptAnswer::Pending
+            };
+        }
+        if let CallView::Settled(outcome) = ledger.view(&self.key) {
+            return AttemptAnswer::Outcome(outcome);
+        }
+        match self.phase {
+            AttemptPhase::GivenUp => self.answer_given_up(ledger, log_reachable, now),
+            AttemptPhase::Settled(_) => AttemptAnswer::Unknown,
+            _ => AttemptAnswer::Pending,
+        }
+    }
+
+    /// A caller that states its first attempt has no other one that could run. Otherwise the log
+    /// has to show that no other attempt ran or can run.
+    fn answer_given_up(
+        &self,
+        ledger: &CallLedger,
+        log_reachable: bool,
+        now: WallTime,
+    ) -> AttemptAnswer {
+        if ledger.excludes_attempt(&self.key, self.claim.attempt, now) {
+            return AttemptAnswer::NotRun;
+        }
+        if !log_reachable && self.claim.attempt == 1 {
+            return AttemptAnswer::NotRun;
+        }
+        let open = matches!(ledger.view(&self.key), CallView::Owned(owner)
+            if owner.claim_id != self.claim.claim_id);
+        if self.claim.attempt == 0 || open || !log_reachable {
+            return AttemptAnswer::Unknown;
+        }
+        AttemptAnswer::Pending
+    }
+}
--- /dev/null
+++ b/crates/state/src/call_ledger.rs
@@ -0,0 +1,233 @@
+//! Topic `calls`, folded in log order.
+//!
+//! A call runs at most once because all VMs agree on the owner of its key. They agree only if none
+//! misses a claim, so a ledger that started after records were removed decides nothing until it
+//! has read a complete series of copies that starts at or after its first record.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use dragonflycart_core::{LogOffset, WallTime};
+use dragonflycart_wire::{CallCheckpoint, LogEntry, RecordBatch, log_entry::Kind};
+
+use crate::{
+    CallKey, CallView, ClaimId, ClaimNote, KeyHistory, LedgerLimits, OutcomeNote, ReleaseNote,
+};
+
+/// Claims, releases and outcomes of calls within the call window.
+#[derive(Debug, Clone)]
+pub struct CallLedger {
+    limits: LedgerLimits,
+    keys: BTreeMap<CallKey, KeyHistory>,
+    /// Offset of the next record to read.
+    position: LogOffset,
+    /// Start of the unbroken series of records read.
+    read_from: LogOffset,
+    /// Time at which reading at `read_from` started.
+    read_since: WallTime,
+    /// End of the log when reading started.
+    end_at_start: LogOffset,
+    complete: bool,
+    checkpoint_made_at: Option<WallTime>,
+}
+
+impl CallLedger {
+    /// Starts to read at the first record that the log still has; `end` is the end of the log now.
+    pub fn new(
+        limits: LedgerLimits,
+        first_available: LogOffset,
+        end: LogOffset,
+        now: WallTime,
+    ) -> CallLedger {
+        CallLedger {
+            limits,
+            keys: BTreeMap::new(),
+            position: first_available,
+            read_from: first_available,
+            read_since: now,
+            end_at_start: end,
+            complete: first_available == LogOffset(0),
+            checkpoint_made_at: None,
+        }
+    }
+
+    /// Returns the offset of the next record to read.
+    pub fn position(&self) -> LogOffset {
+        self.position
+    }
+
+    /// Returns the number of keys that are known.
+    pub fn key_count(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Continues at `first_available` because the log has removed the records before it. If
+    /// records were missed, the ledger decides nothing until the next checkpoint.
+    pub fn skip_removed(&mut self, first_available: LogOffset, now: WallTime) {
+        if first_available <= self.position {
+            return;
+        }
+        self.position = first_available;
+        self.read_from = first_available;
+        self.read_since = now;
+        self.complete = false;
+    }
+
+    /// Applies one append. Records that were read before are ignored; a gap counts as removed
+    /// records. An append that can't be decoded is passed as an empty batch.
+    pub fn apply_batch(&mut self, offset: LogOffset, batch: &RecordBatch, now: WallTime) {
+        if offset < self.position {
+            return;
+        }
+        self.skip_removed(offset, now);
+        self.position = offset.next();
+        for entry in &batch.entries {
+            let Some(kind) = &entry.kind else {
+                continue;
+            };
+            self.apply_record(offset, kind);
+        }
+    }
+
+    /// Returns whether the ledger knows every key of the call window and has read at least what
+    /// was in the log when it started. Only then may it decide that a key has no owner.
+    pub fn is_authoritative(&self, now: WallTime) -> bool {
+        self.is_complete(now) && self.position >= self.end_at_start
+    }
+
+    /// Returns what is known about a key.
+    pub fn view(&self, key: &CallKey) -> CallView {
+        let Some(history) = self.keys.get(key) else {
+            return CallView::Unseen;
+        };
+        if let Some(outcome) = history.outcome().filter(|outcome| outcome.is_known()) {
+            return CallView::Settled(outcome.clone());
+        }
+        match history.owner() {
+            Some(claim) => CallView::Owned(claim.clone()),
+            None => CallView::Free,
+        }
+    }
+
+    /// Returns the records of a key.
+    pub fn history(&self, key: &CallKey) -> Option<&KeyHistory> {
+        self.keys.get(key)
+    }
+
+    /// Returns whether the key is in use for a request with another digest.
+    pub fn is_reused(&self, key: &CallKey, digest: &[u8]) -> bool {
+        let Some(history) = self.keys.get(key) else {
+            return false;
+        };
+        let claim = match history.outcome() {
+            Some(outcome) => history.claim(outcome.claim_id).or_else(|| history.owner()),
+            None => history.owner(),
+        };
+        claim.is_some_and(|claim| claim.request_digest != digest)
+    }
+
+    /// Returns whether a release of the claim was read.
+    pub fn is_released(&self, key: &CallKey, claim_id: ClaimId) -> bool {
+        self.keys.get(key).is_some_and(|history| history.is_released(claim_id))
+    }
+
+    /// Returns whether no claim of attempt `attempt` or an earlier one ran or can still run: no
+    /// claim is open, and a release voids those that land later.
+    pub fn excludes_attempt(&self, key: &CallKey, attempt: u32, now: WallTime) -> bool {
+        if attempt == 0 || !self.is_authoritative(now) {
+            return false;
+        }
+        let Some(history) = self.keys.get(key) else {
+            return false;
+        };
+        history.voided_through() >= attempt
+            && history.open_claims().is_empty()
+            && history.outcome().is_none()
+    }
+
+    /// Returns whether a claim is young enough to run: other VMs still know it.
+    pub fn is_within_window(&self, made_at: WallTime, now: WallTime) -> bool {
+        now.since(made_at) < self.limits.call_window
+    }
+
+    /// Removes keys that are older than the call window.
+    pub fn expire(&mut self, now: WallTime) {
+        let lifetime = self.limits.call_window + self.limits.clock_margin;
+        self.keys.retain(|_, history| now.since(history.latest()) < lifetime);
+    }
+
+    /// Returns whether the records have to be appended again: half the retention time has passed
+    /// since the last checkpoint was made. `stagger` differs between VMs, so that usually one of
+    /// them appends; several do no harm.
+    pub fn checkpoint_due(&self, now: WallTime, stagger: Duration) -> bool {
+        if !self.is_authoritative(now) {
+            return false;
+        }
+        let interval = self.limits.retention / 2 + stagger;
+        self.checkpoint_made_at.is_none_or(|made_at| now.since(made_at) >= interval)
+    }
+
+    /// Returns copies of all records and, as the last entry, the checkpoint. They are appended in
+    /// this order, in one or more appends. Empty if this ledger may not decide.
+    pub fn checkpoint(&self, now: WallTime) -> Vec<LogEntry> {
+        let mut entries = Vec::new();
+        if !self.is_authoritative(now) {
+            return entries;
+        }
+        for (key, history) in &self.keys {
+            for kind in history.copies(key) {
+                entries.push(LogEntry { kind: Some(kind) });
+            }
+        }
+        let checkpoint =
+            CallCheckpoint { as_of_offset: self.position.0, made_at_ms: now.as_unix_millis() };
+        entries.push(LogEntry { kind: Some(Kind::CallCheckpoint(checkpoint)) });
+        entries
+    }
+
+    /// Complete are a log that never removed a record, a checkpoint that starts within what was
+    /// read, and reading without a gap for longer than any key is kept.
+    fn is_complete(&self, now: WallTime) -> bool {
+        let lifetime = self.limits.call_window + self.limits.clock_margin;
+        self.complete || now.since(self.read_since) >= lifetime
+    }
+
+    fn apply_record(&mut self, offset: LogOffset, kind: &Kind) {
+        match kind {
+            Kind::CallClaim(claim) => {
+                let first = first_offset(offset, claim.original_offset_plus_one);
+                let note = ClaimNote::from_wire(claim);
+                self.history_mut(&claim.team, &claim.key).add_claim(first, note);
+            }
+            Kind::CallRelease(release) => {
+                let first = first_offset(offset, release.original_offset_plus_one);
+                let note = ReleaseNote::from_wire(release);
+                self.history_mut(&release.team, &release.key).add_release(first, note);
+            }
+            Kind::CallOutcome(outcome) => {
+                let note = OutcomeNote::from_wire(outcome);
+                self.history_mut(&outcome.team, &outcome.key).add_outcome(note);
+            }
+            Kind::CallCheckpoint(checkpoint) => self.apply_checkpoint(offset, checkpoint),
+            _ => {}
+        }
+    }
+
+    fn apply_checkpoint(&mut self, offset: LogOffset, checkpoint: &CallCheckpoint) {
+        let as_of = LogOffset(checkpoint.as_of_offset);
+        if as_of < self.read_from || as_of > offset {
+            return;
+        }
+        self.complete = true;
+        let made_at = WallTime::from_unix_millis(checkpoint.made_at_ms);
+        self.checkpoint_made_at = self.checkpoint_made_at.max(Some(made_at));
+    }
+
+    fn history_mut(&mut self, team: &str, key: &str) -> &mut KeyHistory {
+        self.keys.entry(CallKey::new(team, key)).or_default()
+    }
+}
+
+/// Returns the offset at which a record first appeared.
+fn first_offset(offset: LogOffset, original_plus_one: u64) -> LogOffset {
+    original_plus_one.checked_sub(1).map_or(offset, LogOffset)
+}
--- /dev/null
+++ b/crates/state/src/plan_state.rs
@@ -0,0 +1,135 @@
+//! The plan in force as a function of the records of topic `plan`.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use dragonflycart_core::{LogOffset, PlanRevision, WallTime};
+use dragonflycart_wire::{PlanCopy, PlanProposal, PlanSnapshot, ProposalDecision};
+
+use crate::PlanVerdict;
+
+/// Decisions that are kept. 520 changes a day make 64 decisions about three hours, longer than an
+/// operator's tool repeats a submission.
+const DECISIONS_KEPT: usize = 64;
+
+/// Plan in force and the latest decisions, after all records below some offset.
+///
+/// Everything here is a function of the log alone, so that all readers reach the same decisions;
+/// copies carry the whole of it.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct PlanState {
+    revision: PlanRevision,
+    author: String,
+    submit_id: String,
+    body: Bytes,
+    decisions: VecDeque<ProposalDecision>,
+}
+
+impl PlanState {
+    /// Takes over the plan of a snapshot.
+    pub fn from_snapshot(snapshot: &PlanSnapshot) -> PlanState {
+        PlanState {
+            revision: PlanRevision(snapshot.revision),
+            author: snapshot.author.clone(),
+            submit_id: snapshot.submit_id.clone(),
+            body: snapshot.body.clone(),
+            decisions: snapshot.decisions.iter().cloned().collect(),
+        }
+    }
+
+    /// Takes over the plan of a peer.
+    pub fn from_copy(copy: &PlanCopy) -> PlanState {
+        PlanState {
+            revision: PlanRevision(copy.revision),
+            author: copy.author.clone(),
+            submit_id: copy.submit_id.clone(),
+            body: copy.body.clone(),
+            decisions: copy.decisions.iter().cloned().collect(),
+        }
+    }
+
+    /// Returns the plan as a log record.
+    pub fn to_snapshot(&self, as_of: LogOffset, made_at: WallTime) -> PlanSnapshot {
+        PlanSnapshot {
+            revision: self.revision.0,
+            as_of_offset: as_of.0,
+            body: self.body.clone(),
+            author: self.author.clone(),
+            submit_id: self.submit_id.clone(),
+            decisions: self.decisions.iter().cloned().collect(),
+            made_at_ms: made_at.as_unix_millis(),
+        }
+    }
+
+    /// Returns the plan as a message for a peer.
+    pub fn to_copy(&self, as_of: LogOffset) -> PlanCopy {
+        PlanCopy {
+            revision: self.revision.0,
+            body: self.body.clone(),
+            author: self.author.clone(),
+            submit_id: self.submit_id.clone(),
+            as_of_offset: as_of.0,
+            decisions: self.decisions.iter().cloned().collect(),
+        }
+    }
+
+    /// Returns the revision in force; zero if no plan was accepted yet.
+    pub fn revision(&self) -> PlanRevision {
+        self.revision
+    }
+
+    /// Returns the operator who submitted the plan in force.
+    pub fn author(&self) -> &str {
+        &self.author
+    }
+
+    /// Returns the plan as JSON.
+    pub fn body(&self) -> &Bytes {
+        &self.body
+    }
+
+    /// Returns the decision about a submission, or `NotKnown` if it is not among the latest ones.
+    pub fn verdict(&self, submit_id: &str) -> PlanVerdict {
+        let Some(decision) = self.decisions.iter().find(|found| found.submit_id == submit_id)
+        else {
+            return PlanVerdict::NotKnown;
+        };
+        let revision = PlanRevision(decision.revision);
+        if decision.accepted {
+            return PlanVerdict::Accepted { revision };
+        }
+        PlanVerdict::Rejected { winner: decision.author.clone(), revision }
+    }
+
+    /// Decides on a proposal: it is accepted if its base is the revision in force. A submission
+    /// that was decided before keeps its decision.
+    pub fn decide(&mut self, proposal: &PlanProposal) {
+        if self.verdict(&proposal.submit_id) != PlanVerdict::NotKnown {
+            return;
+        }
+        let accepted = proposal.base_revision == self.revision.0;
+        if accepted {
+            self.revision = self.revision.next();
+            self.author = proposal.author.clone();
+            self.submit_id = proposal.submit_id.clone();
+            self.body = proposal.body.clone();
+        }
+        let (author, revision) = self.winner_over(proposal.base_revision);
+        let decision =
+            ProposalDecision { submit_id: proposal.submit_id.clone(), accepted, author, revision };
+        self.decisions.push_back(decision);
+        while self.decisions.len() > DECISIONS_KEPT {
+            self.decisions.pop_front();
+        }
+    }
+
+    /// Returns who followed on `base`, or the plan in force if that decision is no longer kept.
+    fn winner_over(&self, base: u64) -> (String, u64) {
+        for decision in &self.decisions {
+            if decision.accepted && decision.revision == base + 1 {
+                return (decision.author.clone(), decision.revision);
+            }
+        }
+        (self.author.clone(), self.revision.0)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,8 @@
 pub use crate::{
     frame_codec::{FrameCodec, FrameError},
     log_records::{
-        CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult, LogEntry, MoveEnd,
-        PlanProposal, PlanSnapshot, RecordBatch, log_entry,
+        CallCheckpoint, CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult,
+        LogEntry, MoveEnd, PlanProposal, PlanSnapshot, ProposalDecision, RecordBatch, log_entry,
     },
     peer_messages::{
         Evidence, EvidenceCounter, Heartbeat, Hello, LatchSet, MoveLatch, PeerMessage, PlanCopy,
--- a/crates/wire/src/log_records.rs
+++ b/crates/wire/src/log_records.rs
@@ -26,15 +26,15 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct LogEntry {
     /// Kind and content of the record.
-    #[prost(oneof = "log_entry::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "log_entry::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<log_entry::Kind>,
 }
 
 /// Kinds of records.
 pub mod log_entry {
     use super::{
-        CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult, MoveEnd, Oneof,
-        PlanProposal, PlanSnapshot,
+        CallCheckpoint, CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult,
+        MoveEnd, Oneof, PlanProposal, PlanSnapshot,
     };
 
     /// Kind and content of one record.
@@ -67,6 +67,9 @@
         /// Topic `moves`: the end of a version move.
         #[prost(message, tag = "9")]
         MoveEnd(MoveEnd),
+        /// Topic `calls`: the end of a series of copies.
+        #[prost(message, tag = "10")]
+        CallCheckpoint(CallCheckpoint),
     }
 }
 
@@ -109,6 +112,29 @@
     /// Identity of the submission of the plan.
     #[prost(string, tag = "5")]
     pub submit_id: String,
+    /// Latest decided proposals, oldest first.
+    #[prost(message, repeated, tag = "6")]
+    pub decisions: Vec<ProposalDecision>,
+    /// Wall-clock time at which the copy was made, in Unix milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub made_at_ms: u64,
+}
+
+/// Decision about one proposal.
+#[derive(Clone, PartialEq, Message)]
+pub struct ProposalDecision {
+    /// Identity of the submission.
+    #[prost(string, tag = "1")]
+    pub submit_id: String,
+    /// Whether the proposal was accepted.
+    #[prost(bool, tag = "2")]
+    pub accepted: bool,
+    /// Author of the accepted proposal, or of the one that won against a rejected proposal.
+    #[prost(string, tag = "3")]
+    pub author: String,
+    /// Revision of the accepted proposal, or of the one that won against a rejected proposal.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
 }
 
 /// Claim to execute a call that is not idempotent.
@@ -136,6 +162,9 @@
     /// Zero in the first record.
     #[prost(uint64, tag = "7")]
     pub original_offset_plus_one: u64,
+    /// Number of the caller's attempt, from 1. Zero if the caller did not state it.
+    #[prost(uint32, tag = "8")]
+    pub attempt: u32,
 }
 
 /// Outcome of a call.
@@ -156,9 +185,16 @@
     /// Body of the answer.
     #[prost(bytes = "bytes", tag = "5")]
     pub body: bytes::Bytes,
+    /// Wall-clock time of the outcome in Unix milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub made_at_ms: u64,
 }
 
 /// Claim that its owner gave up before any byte was sent. Only the owner appends it.
+///
+/// A release that names an attempt also voids every claim of that attempt or an earlier one that
+/// does not own the key at this place of the log. Without that, a claim of an earlier attempt
+/// that lands later would run after the caller was told that nothing runs.
 #[derive(Clone, PartialEq, Message)]
 pub struct CallRelease {
     /// Team of the caller.
@@ -170,6 +206,28 @@
     /// Claim that is given up.
     #[prost(bytes = "bytes", tag = "3")]
     pub claim_id: bytes::Bytes,
+    /// Highest attempt whose claims are voided. Zero voids none besides the named claim.
+    #[prost(uint32, tag = "4")]
+    pub through_attempt: u32,
+    /// In a copy of an expiring release: the offset of the first record of it plus one. Zero in
+    /// the first record.
+    #[prost(uint64, tag = "5")]
+    pub original_offset_plus_one: u64,
+    /// Wall-clock time of the release in Unix milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub made_at_ms: u64,
+}
+
+/// End of a series of copies of all calls that are younger than the call window. A reader that
+/// reads from `as_of_offset` or an earlier offset up to this record knows all of them.
+#[derive(Clone, PartialEq, Message)]
+pub struct CallCheckpoint {
+    /// Offset after the last record that the copies include. The copies follow it.
+    #[prost(uint64, tag = "1")]
+    pub as_of_offset: u64,
+    /// Wall-clock time at which the copies were made, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub made_at_ms: u64,
 }
 
 /// Accepted deferred generation.
--- a/crates/wire/src/peer_messages.rs
+++ b/crates/wire/src/peer_messages.rs
@@ -2,6 +2,8 @@
 
 use prost::{Message, Oneof};
 
+use crate::ProposalDecision;
+
 /// One message between entry VMs.
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerMessage {
@@ -97,6 +99,9 @@
     /// Offset after the last record of topic `plan` that the copy includes.
     #[prost(uint64, tag = "5")]
     pub as_of_offset: u64,
+    /// Latest decided proposals, oldest first.
+    #[prost(message, repeated, tag = "6")]
+    pub decisions: Vec<ProposalDecision>,
 }
 
 /// Latches that are set. They only grow, so receivers merge them by maximum.
