Add version moves as decision logic: sequential tests, shares, time plan

Operators need a move to end done or rolled back by its deadline, and a bad version must get few requests. The comparison is conditional on the bad requests of both versions within one short period, so a platform fault common to both gives no evidence.

--- /dev/null
+++ b/crates/policy/src/move_control.rs
@@ -0,0 +1,218 @@
+//! Control of one version move on one VM.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use dragonflycart_core::{RouteName, VersionMove, WallTime};
+
+use crate::{
+    MoveDecision, MoveEvidence, MoveJudge, MoveMeasure, MovePace, MoveReason, MoveSettings,
+    MoveShares, MoveState,
+};
+
+/// Time after its creation for which a control sends no request to the new version and decides
+/// nothing from a lack of evidence: the evidence of the peers has not arrived yet.
+const WARM_UP: Duration = Duration::from_secs(8);
+
+/// Windows over which the request rate is measured; the higher rate counts.
+const RATE_WINDOWS_S: [u64; 2] = [5, 30];
+
+/// Lowest assumed request rate of a route.
+const RATE_FLOOR: f64 = 1.0 / 30.0;
+
+/// Share at which evidence counts towards the proof that the version is good.
+const PROOF_SHARE: f64 = 0.4;
+
+/// Share of the new version while an alarm is raised.
+const ALARM_SHARE: f64 = 0.3;
+
+/// Time for which an alarm lowers the share.
+const ALARM_HOLD_S: u64 = 20;
+
+/// Evidence against the new version at which the share stops growing.
+const HOLD_EVIDENCE: f64 = 2.0;
+
+/// Control of one version move on one VM. Every VM runs its own; they agree through the evidence
+/// they exchange and through the lattice of states.
+#[derive(Debug, Clone)]
+pub struct MoveControl {
+    pace: MovePace,
+    settings: MoveSettings,
+    judge: MoveJudge,
+    state: MoveState,
+    created: WallTime,
+    watch_until: WallTime,
+    held: bool,
+}
+
+impl MoveControl {
+    /// Creates the control of a move at time `now`.
+    pub fn new(plan: &VersionMove, settings: MoveSettings, now: WallTime) -> MoveControl {
+        let pace = MovePace::new(plan);
+        let horizon = pace.span() + settings.watch;
+        MoveControl {
+            pace,
+            judge: MoveJudge::new(settings.clone(), plan.start, horizon),
+            state: MoveState::Running,
+            created: now,
+            watch_until: plan.deadline.after(settings.watch),
+            held: false,
+            settings,
+        }
+    }
+
+    /// Returns the judgement.
+    pub fn judge(&self) -> &MoveJudge {
+        &self.judge
+    }
+
+    /// Decides what to do now, from the evidence merged so far and the latch known from peers.
+    pub fn tick(
+        &mut self,
+        now: WallTime,
+        evidence: &mut MoveEvidence,
+        latch: MoveState,
+    ) -> MoveDecision {
+        let before = self.state;
+        self.state = self.state.merge(latch);
+        let mut entered = (self.state > before).then_some(MoveReason::Peer);
+        self.judge.absorb(evidence, now);
+        if let Some((state, reason)) = self.transition(now) {
+            self.state = state;
+            entered = Some(reason);
+        }
+        let shares = self.shares(now, evidence);
+        let settled = self.state == MoveState::RolledBack || now >= self.watch_until;
+        MoveDecision { state: self.state, entered, shares, settled }
+    }
+
+    /// Drops evidence beyond the retention time.
+    pub fn forget_old(&mut self, now: WallTime, evidence: &mut MoveEvidence) {
+        let now_s = now.as_unix_millis() / 1_000;
+        let first_s = now_s.saturating_sub(self.settings.retention.as_secs());
+        evidence.forget_before(first_s);
+        self.judge.forget_before(first_s);
+    }
+
+    fn transition(&self, now: WallTime) -> Option<(MoveState, MoveReason)> {
+        if self.state == MoveState::RolledBack {
+            return None;
+        }
+        if let Some(reason) = self.judge.rejection() {
+            return Some((MoveState::RolledBack, reason));
+        }
+        if self.state == MoveState::Done || !self.pace.may_finish(now) {
+            return None;
+        }
+        let reason = match self.proof() {
+            Ok(reason) if !self.is_doubtful(now) => return Some((MoveState::Done, reason)),
+            Ok(_) => self.doubt(),
+            Err(reason) => reason,
+        };
+        let informed = now >= self.created.after(WARM_UP);
+        let over = self.pace.is_over(now) || (informed && self.pace.must_decide(now));
+        over.then_some((MoveState::RolledBack, reason))
+    }
+
+    /// Returns why the version is proven good, or what is missing.
+    fn proof(&self) -> Result<MoveReason, MoveReason> {
+        let mut total = 0;
+        let mut unjudged = Vec::new();
+        for (route, comparison) in self.judge.routes() {
+            let [old, new] = comparison.totals();
+            total += new.total();
+            if old.total() + new.total() <= self.settings.route_floor {
+                unjudged.push(route.clone());
+                continue;
+            }
+            for measure in MoveMeasure::ALL {
+                let proof = comparison.proof(measure);
+                if proof.evidence() >= 1.0 / self.settings.proof_error {
+                    continue;
+                }
+                let (requests, evidence) = (proof.requests(), proof.evidence());
+                let route = Some(route.clone());
+                return Err(MoveReason::Unproven { route, measure, requests, evidence });
+            }
+        }
+        let needed = self.settings.route_floor;
+        if total < needed || unjudged.len() == self.judge.routes().len() {
+            return Err(MoveReason::TooLittleTraffic { requests: total, needed });
+        }
+        Ok(MoveReason::Proven { requests: total, unjudged })
+    }
+
+    fn doubt(&self) -> MoveReason {
+        MoveReason::Unproven {
+            route: None,
+            measure: MoveMeasure::Failed,
+            requests: 0,
+            evidence: self.judge.evidence(),
+        }
+    }
+
+    /// Returns whether an alarm was raised lately or the evidence leans against the version.
+    fn is_doubtful(&self, now: WallTime) -> bool {
+        self.is_alarmed(now) || self.judge.evidence() >= HOLD_EVIDENCE
+    }
+
+    fn is_alarmed(&self, now: WallTime) -> bool {
+        let now_s = self.judge.settled_s(now);
+        self.judge.last_alarm_s().is_some_and(|alarm_s| now_s < alarm_s + ALARM_HOLD_S)
+    }
+
+    fn shares(&mut self, now: WallTime, evidence: &MoveEvidence) -> MoveShares {
+        let held = self.is_alarmed(now);
+        if held != self.held {
+            self.held = held;
+            self.judge.cut_strata();
+        }
+        let limit = if held { ALARM_SHARE } else { 1.0 };
+        let shares = match self.state {
+            MoveState::RolledBack => MoveShares::default(),
+            MoveState::Done => MoveShares::uniform(limit),
+            MoveState::Running => self.running_shares(now, evidence, limit),
+        };
+        self.judge.set_proving(shares.overall >= PROOF_SHARE && !held);
+        shares
+    }
+
+    /// Returns shares that keep the requests at risk of one step within the cap, or within the
+    /// number of requests that already concluded on the new version.
+    fn running_shares(&self, now: WallTime, evidence: &MoveEvidence, limit: f64) -> MoveShares {
+        if !self.pace.has_started(now) || now < self.created.after(WARM_UP) {
+            return MoveShares::default();
+        }
+        let ceiling = self.pace.ceiling(now).min(limit);
+        let rates = self.rates(now, evidence);
+        let cap = self.settings.risk_cap / rates.len().max(1) as f64;
+        let grows = self.judge.evidence() < HOLD_EVIDENCE;
+        let mut shares = MoveShares::uniform(ceiling);
+        let (mut new_rate, mut rate_sum) = (0.0, 0.0);
+        for (route, rate) in rates {
+            let verified = match self.judge.routes().get(&route) {
+                Some(comparison) if grows => comparison.totals()[1].total() as f64,
+                _ => 0.0,
+            };
+            let share = (verified.max(cap) / (rate * self.pace.step_s())).min(ceiling);
+            new_rate += share * rate;
+            rate_sum += rate;
+            shares.routes.insert(route, share);
+        }
+        if rate_sum > 0.0 {
+            shares.overall = new_rate / rate_sum;
+        }
+        shares
+    }
+
+    fn rates(&self, now: WallTime, evidence: &MoveEvidence) -> BTreeMap<RouteName, f64> {
+        let end_s = self.judge.settled_s(now);
+        let mut rates = BTreeMap::new();
+        for window_s in RATE_WINDOWS_S {
+            for (route, total) in evidence.totals(end_s.saturating_sub(window_s), end_s) {
+                let rate = rates.entry(route).or_insert(RATE_FLOOR);
+                *rate = rate.max(total as f64 / window_s as f64);
+            }
+        }
+        rates
+    }
+}
--- /dev/null
+++ b/crates/policy/src/move_judge.rs
@@ -0,0 +1,174 @@
+//! Judgement of a new version from the evidence of all VMs.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use dragonflycart_core::{RouteName, WallTime};
+
+use crate::{
+    MoveComparison, MoveCounts, MoveEvidence, MoveMeasure, MoveReason, MoveSettings, MoveTest,
+};
+
+/// Routes with a weight of their own in the combined evidence; further routes are tested only as
+/// part of all routes together.
+const JUDGED_ROUTES: usize = 8;
+
+/// Weight of a version that is bad from the start; the rest is spread over later segments.
+const START_WEIGHT: f64 = 0.5;
+
+/// Times at which the test allows for a version that turns bad.
+const SEGMENTS: u64 = 64;
+
+/// Judgement of a new version: one comparison per route and one over all routes. It takes each
+/// settled counter into account once, so late evidence is used when it arrives.
+#[derive(Debug, Clone)]
+pub struct MoveJudge {
+    settings: MoveSettings,
+    start_s: u64,
+    segment_s: u64,
+    segments: u64,
+    seen: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
+    routes: BTreeMap<RouteName, MoveComparison>,
+    overall: [MoveTest; 2],
+    proving: bool,
+    alarm_s: Option<u64>,
+}
+
+impl MoveJudge {
+    /// Creates the judgement of a move that starts at `start` and is watched for `horizon`.
+    pub fn new(settings: MoveSettings, start: WallTime, horizon: Duration) -> MoveJudge {
+        let mut test = MoveTest::new(settings.margin);
+        test.open_segment(START_WEIGHT);
+        MoveJudge {
+            start_s: start.as_unix_millis() / 1_000,
+            segment_s: (horizon.as_secs() / SEGMENTS).max(1),
+            segments: 0,
+            seen: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            overall: [test.clone(), test],
+            proving: false,
+            alarm_s: None,
+            settings,
+        }
+    }
+
+    /// Takes the settled evidence into account.
+    pub fn absorb(&mut self, evidence: &mut MoveEvidence, now: WallTime) {
+        let now_s = self.settled_s(now);
+        for (bucket_s, route, sums) in evidence.take_changed(now_s.saturating_sub(1)) {
+            if bucket_s < self.start_s {
+                continue;
+            }
+            self.open_segments(bucket_s);
+            self.close_ready(&route, bucket_s);
+            let seen = self.seen.entry((bucket_s, route.clone())).or_default();
+            let added = [sums[0].since(seen[0]), sums[1].since(seen[1])];
+            *seen = sums;
+            if self.comparison(route).add(bucket_s, added) {
+                self.alarm_s = self.alarm_s.max(Some(bucket_s));
+            }
+        }
+        let routes: Vec<_> = self.routes.keys().cloned().collect();
+        for route in routes {
+            self.close_ready(&route, now_s);
+        }
+    }
+
+    /// Drops buckets that the evidence no longer holds.
+    pub fn forget_before(&mut self, first_s: u64) {
+        self.seen.retain(|key, _| key.0 >= first_s);
+    }
+
+    /// Closes all strata, so that none spans a change of the share.
+    pub fn cut_strata(&mut self) {
+        let routes: Vec<_> = self.routes.keys().cloned().collect();
+        for route in routes {
+            self.close_ready(&route, u64::MAX);
+        }
+    }
+
+    /// Sets whether strata count towards the proof that the version is good.
+    pub fn set_proving(&mut self, proving: bool) {
+        self.proving = proving;
+    }
+
+    /// Returns the second from which evidence is not settled yet.
+    pub fn settled_s(&self, now: WallTime) -> u64 {
+        (now.as_unix_millis() / 1_000).saturating_sub(self.settings.settle.as_secs())
+    }
+
+    /// Returns the start of the last bucket that raised an alarm.
+    pub fn last_alarm_s(&self) -> Option<u64> {
+        self.alarm_s
+    }
+
+    /// Returns the comparisons per route.
+    pub fn routes(&self) -> &BTreeMap<RouteName, MoveComparison> {
+        &self.routes
+    }
+
+    /// Returns the combined evidence against the new version, a weighted average of the tests.
+    pub fn evidence(&self) -> f64 {
+        self.weighted_tests().map(|(weight, _, _, test)| weight * test.evidence()).sum()
+    }
+
+    /// Returns why the new version must be rolled back, if the evidence suffices.
+    pub fn rejection(&self) -> Option<MoveReason> {
+        let evidence = self.evidence();
+        if evidence < 1.0 / self.settings.rollback_error {
+            return None;
+        }
+        let strongest = self
+            .weighted_tests()
+            .max_by(|a, b| (a.0 * a.3.evidence()).total_cmp(&(b.0 * b.3.evidence())));
+        let (_, route, measure, test) = strongest?;
+        let counts = test.totals();
+        Some(MoveReason::Worse { route: route.cloned(), measure, counts, evidence })
+    }
+
+    fn weighted_tests(
+        &self,
+    ) -> impl Iterator<Item = (f64, Option<&RouteName>, MoveMeasure, &MoveTest)> {
+        let overall = MoveMeasure::ALL
+            .into_iter()
+            .map(|measure| (0.25, None, measure, &self.overall[measure as usize]));
+        let share = 0.25 / JUDGED_ROUTES as f64;
+        let routes = self.routes.iter().take(JUDGED_ROUTES).flat_map(move |(route, comparison)| {
+            MoveMeasure::ALL
+                .into_iter()
+                .map(move |measure| (share, Some(route), measure, comparison.test(measure)))
+        });
+        overall.chain(routes)
+    }
+
+    fn comparison(&mut self, route: RouteName) -> &mut MoveComparison {
+        // A route seen for the first time has the weight that the others got so far.
+        let opened = self.segments as f64 / SEGMENTS as f64;
+        let weight = START_WEIGHT + (1.0 - START_WEIGHT) * opened;
+        self.routes.entry(route).or_insert_with(|| MoveComparison::new(&self.settings, weight))
+    }
+
+    fn close_ready(&mut self, route: &RouteName, now_s: u64) {
+        let Some(comparison) = self.routes.get_mut(route) else { return };
+        if !comparison.is_ready(now_s) {
+            return;
+        }
+        let strata = comparison.close_stratum(self.proving);
+        for (test, stratum) in self.overall.iter_mut().zip(&strata) {
+            test.absorb(stratum);
+        }
+    }
+
+    fn open_segments(&mut self, bucket_s: u64) {
+        let due = ((bucket_s - self.start_s) / self.segment_s).min(SEGMENTS);
+        while self.segments < due {
+            self.segments += 1;
+            let weight = (1.0 - START_WEIGHT) / SEGMENTS as f64;
+            for test in &mut self.overall {
+                test.open_segment(weight);
+            }
+            for comparison in self.routes.values_mut() {
+                comparison.open_segment(weight);
+            }
+        }
+    }
+}
