Add the placement of one VM: admission, fair queueing, limits, policies

The daemon needs one facade for the control thread. PlacementEngine takes requests, progress, ends, failures and load reports, and returns decisions from tick(). The limits that must hold under every policy (cold slots, zones, retries) are applied before a policy chooses, so a baseline policy can't violate them.

Decided here: a cold slot is used only with a report younger than the freshness limit, and a new instance only after that limit has passed since it was first seen; otherwise VMs with different views of the instance could use the slots of both at once. The carry limit of a zone is divided by seat, whole part plus remainder by rendezvous score, so the parts sum up to the limit exactly. Failed requests wait for the retry budget instead of being rejected when it is empty.

--- /dev/null
+++ b/crates/policy/src/cold_signal.rs
@@ -0,0 +1,18 @@
+//! Signs that a backend server is cold.
+
+use strum::{Display, IntoStaticStr};
+
+/// Sign that a backend server is cold. Any sign lowers its limit at once; only a report taken
+/// after the sign raises it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ColdSignal {
+    /// The instance identity in a report or response header changed.
+    InstanceChanged,
+    /// A connection was reset or refused.
+    ConnectionReset,
+    /// The server reported the cold state.
+    ReportedCold,
+    /// The time to first token was over four times the server's moving average.
+    SlowFirstToken,
+}
--- /dev/null
+++ b/crates/policy/src/placement_engine.rs
@@ -0,0 +1,271 @@
+//! Facade that the control thread owns: events go in, decisions come out.
+
+mod preemption;
+mod request_flow;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use dragonflycart_core::{ErrorKind, Incarnation, MonoTime, RouteName, ServerName, ZoneName};
+
+use crate::{
+    AdmissionControl, ColdSignal, FairQueue, PlacementDecision, PolicySettings, PoolKey,
+    RequestTicket, RetryBudget, ServerKey, ServerReport, ServerSpec, ServerTable, UnknownPolicy,
+    VmPosition, name_index::NameIndex, request_entry::RequestEntry, request_placer::RequestPlacer,
+};
+
+/// Interval at which values derived from the length statistics are recomputed.
+const STATISTICS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Placement of one entry VM: admission, fair queueing, limits and the choice of servers.
+///
+/// It does no I/O and reads no clock. The caller passes the time, reports what happened, and
+/// carries out the decisions of [`PlacementEngine::tick`], which it calls at a fixed interval of
+/// a few milliseconds and after a submission that should not wait for the next one.
+#[derive(Debug)]
+pub struct PlacementEngine {
+    placer: RequestPlacer,
+    admission: AdmissionControl,
+    budget: RetryBudget,
+    requests: BTreeMap<RequestTicket, RequestEntry>,
+    queues: BTreeMap<PoolKey, FairQueue>,
+    /// Failed requests that wait for the retry budget, with the time at which they give up.
+    retries: VecDeque<(MonoTime, RequestTicket)>,
+    running_deadlines: BTreeSet<(MonoTime, RequestTicket)>,
+    outbox: Vec<PlacementDecision>,
+    routes: NameIndex<RouteName>,
+    next_ticket: u64,
+    last_tick: MonoTime,
+    statistics_at: MonoTime,
+    /// Moving average of the time per output token, in seconds.
+    token_time: f64,
+    retries_started: u64,
+    /// Time of the last preemption per pool.
+    preempted_at: BTreeMap<PoolKey, MonoTime>,
+}
+
+impl PlacementEngine {
+    /// Builds the placement of a VM that starts at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UnknownPolicy`] if the configured policy isn't registered.
+    pub fn new(
+        settings: PolicySettings,
+        position: VmPosition,
+        now: MonoTime,
+    ) -> Result<PlacementEngine, UnknownPolicy> {
+        Ok(PlacementEngine {
+            admission: AdmissionControl::new(settings.queue_limit),
+            budget: RetryBudget::new(settings.retry_share),
+            requests: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            retries: VecDeque::new(),
+            running_deadlines: BTreeSet::new(),
+            outbox: Vec::new(),
+            routes: NameIndex::new(),
+            next_ticket: 1,
+            last_tick: now,
+            statistics_at: now,
+            token_time: settings.token_time.as_secs_f64(),
+            retries_started: 0,
+            preempted_at: BTreeMap::new(),
+            placer: RequestPlacer::new(settings, position, now)?,
+        })
+    }
+
+    /// Adds a backend server. It gets work after its first load report.
+    pub fn insert_server(&mut self, spec: ServerSpec) -> ServerKey {
+        self.placer.servers.insert(spec)
+    }
+
+    /// Takes a backend server out of use. Its running requests are left alone.
+    pub fn remove_server(&mut self, name: &ServerName) {
+        if let Some(key) = self.placer.servers.find(name) {
+            self.placer.servers.remove(key);
+        }
+    }
+
+    /// Returns the servers.
+    pub fn servers(&self) -> &ServerTable {
+        &self.placer.servers
+    }
+
+    /// Applies the plan's state and carry limit of a zone. A zone without a call gets no work.
+    pub fn set_zone(&mut self, now: MonoTime, zone: &ZoneName, open: bool, carry_limit: u32) {
+        self.placer.set_zone(zone, open, carry_limit, now);
+    }
+
+    /// Sets how many VMs are believed to share the servers. The initial value is the number of
+    /// seats. A wrong value costs efficiency, no guarantee depends on it.
+    pub fn set_vm_count(&mut self, vms: u32) {
+        self.placer.set_vm_count(vms);
+    }
+
+    /// Notes an incarnation that was seen on the seat of this VM.
+    pub fn seat_seen(&mut self, incarnation: Incarnation) {
+        self.placer.cold.seat_seen(incarnation);
+    }
+
+    /// Sets whether the VM takes no new work.
+    pub fn set_draining(&mut self, draining: bool) {
+        self.admission.set_draining(draining);
+    }
+
+    /// Applies a load report.
+    pub fn report(&mut self, now: MonoTime, server: ServerKey, report: ServerReport) {
+        self.placer.report(server, report, now);
+    }
+
+    /// Applies a sign that a server is cold.
+    pub fn signal(&mut self, now: MonoTime, server: ServerKey, signal: ColdSignal) {
+        self.placer.servers.get_mut(server).signal(signal, now);
+    }
+
+    /// Applies an event of a server's prefix cache.
+    pub fn cache_event(&mut self, server: ServerKey, sequence: u64, digest: u64, inserted: bool) {
+        self.placer.servers.get_mut(server).prefixes.apply(sequence, digest, inserted);
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(FairQueue::len).sum::<usize>() + self.retries.len()
+    }
+
+    /// Returns the number of retries that were started.
+    pub fn retries_started(&self) -> u64 {
+        self.retries_started
+    }
+
+    /// Returns the decisions that are due.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<PlacementDecision> {
+        if now.since(self.last_tick) > self.placer.settings.pause_limit {
+            self.placer.cold.pause_ended(now);
+        }
+        self.last_tick = now;
+        if now.since(self.statistics_at) >= STATISTICS_INTERVAL {
+            self.statistics_at = now;
+            self.placer.refresh_residuals();
+        }
+        self.release_retries(now);
+        self.expire_waiting(now);
+        self.expire_running(now);
+        self.place_waiting(now);
+        self.preempt_deferred(now);
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn reject(&mut self, ticket: RequestTicket, kind: ErrorKind) {
+        self.requests.remove(&ticket);
+        self.outbox.push(PlacementDecision::Reject { ticket, kind });
+    }
+
+    fn expire_waiting(&mut self, now: MonoTime) {
+        let mut expired = Vec::new();
+        for queue in self.queues.values_mut() {
+            while let Some(request) = queue.pop_expired(now) {
+                expired.push(request.ticket);
+            }
+        }
+        for ticket in expired {
+            let Some(entry) = self.requests.get(&ticket) else {
+                continue;
+            };
+            let kind = match (entry.deadline, entry.tokens) {
+                (None, 0) => ErrorKind::Overloaded,
+                (Some(_), 0) if entry.failed_on.is_empty() => ErrorKind::DeadlineNotStarted,
+                (Some(_), _) => ErrorKind::DeadlineExceeded,
+                (None, _) => ErrorKind::Interrupted,
+            };
+            self.reject(ticket, kind);
+        }
+    }
+
+    fn expire_running(&mut self, now: MonoTime) {
+        while let Some((deadline, ticket)) = self.running_deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            self.running_deadlines.pop_first();
+            let Some(entry) = self.requests.remove(&ticket) else {
+                continue;
+            };
+            let Some(server) = entry.server else {
+                continue;
+            };
+            self.placer.release(&entry, server, now);
+            let kind = ErrorKind::DeadlineExceeded;
+            self.outbox.push(PlacementDecision::Cancel { ticket, server, kind });
+        }
+    }
+
+    fn place_waiting(&mut self, now: MonoTime) {
+        let placer = &mut self.placer;
+        let requests = &mut self.requests;
+        let outbox = &mut self.outbox;
+        let deadlines = &mut self.running_deadlines;
+        let shed_late = placer.settings.shed_late;
+        let token_time = self.token_time;
+        for queue in self.queues.values_mut() {
+            loop {
+                let mut chosen = None;
+                let mut late = false;
+                let found = queue.pop_with(|queued| {
+                    let Some(entry) = requests.get(&queued.ticket) else {
+                        return true;
+                    };
+                    if shed_late && is_late(entry, placer, token_time, now) {
+                        late = true;
+                        return true;
+                    }
+                    chosen = placer.place(entry, now);
+                    chosen.is_some()
+                });
+                let Some(queued) = found else {
+                    break;
+                };
+                let ticket = queued.ticket;
+                if late {
+                    // The work was charged to its team when it was taken from the queue.
+                    queue.correct(queued.class, queued.team, queued.cost, 0);
+                    requests.remove(&ticket);
+                    let kind = ErrorKind::Overloaded;
+                    outbox.push(PlacementDecision::Reject { ticket, kind });
+                    continue;
+                }
+                let (Some(chosen), Some(entry)) = (chosen, requests.get_mut(&ticket)) else {
+                    continue;
+                };
+                entry.server = Some(chosen.server);
+                if let Some(deadline) = entry.deadline {
+                    deadlines.insert((deadline, ticket));
+                }
+                outbox.push(PlacementDecision::Dispatch {
+                    ticket,
+                    server: chosen.server,
+                    instance: placer.servers.get(chosen.server).instance(),
+                    cold_slot: chosen.cold,
+                });
+            }
+        }
+    }
+}
+
+/// Quantile of the output length that must fit before the deadline for a request to be started.
+/// Low, so that only requests which would very likely be late are rejected.
+const LATE_QUANTILE: f64 = 0.2;
+
+/// Returns whether a request would very likely end after its deadline if it started now.
+fn is_late(entry: &RequestEntry, placer: &RequestPlacer, token_time: f64, now: MonoTime) -> bool {
+    let Some(deadline) = entry.deadline else {
+        return false;
+    };
+    if entry.max_tokens == 0 || entry.tokens > 0 {
+        return false;
+    }
+    let length = placer.lengths.remaining(entry.team, entry.route, 0, LATE_QUANTILE);
+    let length = length.min(entry.max_tokens);
+    now + Duration::from_secs_f64(f64::from(length) * token_time) > deadline
+}
--- /dev/null
+++ b/crates/policy/src/placement_engine/preemption.rs
@@ -0,0 +1,64 @@
+//! Preemption of deferred work by interactive requests.
+
+use dragonflycart_core::MonoTime;
+
+use super::PlacementEngine;
+use crate::{PlacementDecision, PoolKey, PriorityClass, RequestTicket, ServerKey};
+
+impl PlacementEngine {
+    /// Preempts at most one deferred request per pool if an interactive one waited too long.
+    pub(super) fn preempt_deferred(&mut self, now: MonoTime) {
+        let Some(patience) = self.placer.settings.preempt_after else {
+            return;
+        };
+        let mut waiting = Vec::new();
+        for (pool, queue) in &self.queues {
+            let Some(first) = queue.first_of(PriorityClass::Interactive) else {
+                continue;
+            };
+            let entry = self.requests.get(&first.ticket);
+            if entry.is_some_and(|entry| now.since(entry.submitted) >= patience) {
+                waiting.push(*pool);
+            }
+        }
+        for pool in waiting {
+            if self.preempted_at.get(&pool).is_some_and(|last| now.since(*last) < patience) {
+                continue;
+            }
+            if let Some((server, ticket)) = self.cheapest_deferred(pool) {
+                self.preempted_at.insert(pool, now);
+                self.preempt(server, ticket, now);
+            }
+        }
+    }
+
+    /// Returns the deferred request of the pool with the fewest computed tokens, which is the
+    /// cheapest to compute again.
+    fn cheapest_deferred(&self, pool: PoolKey) -> Option<(ServerKey, RequestTicket)> {
+        let servers = &self.placer.servers;
+        let mut cheapest: Option<(u32, ServerKey, RequestTicket)> = None;
+        for key in servers.members(pool) {
+            for (ticket, attempt) in &servers.get(*key).attempts {
+                if attempt.class != PriorityClass::Batch {
+                    continue;
+                }
+                let ranked = (attempt.prompt + attempt.tokens, *key, *ticket);
+                if cheapest.is_none_or(|found| ranked < found) {
+                    cheapest = Some(ranked);
+                }
+            }
+        }
+        cheapest.map(|(_, server, ticket)| (server, ticket))
+    }
+
+    fn preempt(&mut self, server: ServerKey, ticket: RequestTicket, now: MonoTime) {
+        let Some(mut entry) = self.requests.remove(&ticket) else {
+            return;
+        };
+        self.settle(&entry, entry.tokens, now);
+        entry.server = None;
+        entry.charged = self.expected_cost(&entry);
+        self.enqueue(entry, true, now);
+        self.outbox.push(PlacementDecision::Preempt { ticket, server });
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement_engine/request_flow.rs
@@ -0,0 +1,256 @@
+//! Life of a request in the placement: submission, progress, end, failure, retry.
+
+use dragonflycart_core::{ErrorKind, MonoTime};
+
+use super::PlacementEngine;
+use crate::{
+    AttemptFailure, ColdSignal, FairQueue, PlacementDecision, PoolKey, RequestTicket, RouteKey,
+    ServerKey, TeamKey, TokenProgress, WorkRequest,
+    admission_control::{AdmissionOutcome, AdmissionView},
+    request_entry::RequestEntry,
+};
+
+/// Further servers that a request may use after its first one.
+const RETRY_SERVERS: usize = 2;
+/// Server failures after which a request is not retried, because it may be their cause.
+const SERVER_FAILURES: u32 = 2;
+/// Cost of a prompt token relative to an output token; prompts are processed in parallel.
+const PROMPT_COST: f64 = 0.1;
+/// Weight of a new value in the moving average of the time per token.
+const TOKEN_TIME_WEIGHT: f64 = 0.02;
+/// Outputs shorter than this say little about the time per token.
+const TOKEN_TIME_LENGTH: u32 = 16;
+
+impl PlacementEngine {
+    /// Takes a request. The outcome is among the decisions of the next tick.
+    pub fn submit(&mut self, now: MonoTime, request: WorkRequest) -> RequestTicket {
+        let ticket = RequestTicket(self.next_ticket);
+        self.next_ticket += 1;
+        self.budget.deposit();
+        let pool = self.placer.servers.pool_key(&request.pool);
+        let team = TeamKey(self.placer.teams.intern(&request.team));
+        let route = RouteKey(self.routes.intern(&request.route));
+        let mut entry = RequestEntry {
+            ticket,
+            pool,
+            team,
+            route,
+            class: request.class,
+            prompt: request.prompt_tokens,
+            max_tokens: request.max_tokens,
+            tokens: request.delivered_tokens,
+            deadline: request.deadline,
+            idempotent: request.idempotent,
+            prefix: request.prefix,
+            submitted: now,
+            charged: 0,
+            server: None,
+            failed_on: Vec::new(),
+            server_failures: 0,
+            retry: false,
+        };
+        entry.charged = self.expected_cost(&entry);
+        let view = self.admission_view(&entry, now);
+        match self.admission.admit(&view) {
+            AdmissionOutcome::Reject(kind) => {
+                self.outbox.push(PlacementDecision::Reject { ticket, kind });
+                return ticket;
+            }
+            AdmissionOutcome::Displace => self.displace(pool),
+            AdmissionOutcome::Wait => {}
+        }
+        if let Some(weight) = self.placer.settings.team_weights.get(&request.team).copied() {
+            self.queue(pool).set_team_weight(team, weight);
+        }
+        self.enqueue(entry, false, now);
+        ticket
+    }
+
+    pub(super) fn enqueue(&mut self, entry: RequestEntry, front: bool, now: MonoTime) {
+        let patience = self.placer.settings.queue_patience;
+        let mut queued = entry.queued();
+        queued.deadline = Some(entry.deadline.unwrap_or(now + patience));
+        let queue = self.queue(entry.pool);
+        if front {
+            queue.push_front(queued);
+        } else {
+            queue.push(queued);
+        }
+        self.requests.insert(entry.ticket, entry);
+    }
+
+    fn queue(&mut self, pool: PoolKey) -> &mut FairQueue {
+        let weights = self.placer.settings.class_weights;
+        self.queues.entry(pool).or_insert_with(|| FairQueue::new(weights))
+    }
+
+    pub(super) fn expected_cost(&self, entry: &RequestEntry) -> u32 {
+        let lengths = &self.placer.lengths;
+        let output = lengths.remaining(entry.team, entry.route, 0, 0.5).min(entry.max_tokens);
+        request_cost(entry.prompt, output)
+    }
+
+    fn admission_view(&mut self, entry: &RequestEntry, now: MonoTime) -> AdmissionView {
+        let servers = &self.placer.servers;
+        let members = servers.members(entry.pool);
+        let mut fits = false;
+        for key in members {
+            let memory = servers.get(*key).report.as_ref().map_or(0, |r| r.memory_total_tokens);
+            if memory == 0 || u64::from(entry.prompt + entry.tokens) < memory {
+                fits = true;
+                break;
+            }
+        }
+        let servers = members.len();
+        let queue_limit = self.placer.settings.queue_limit;
+        let queue = self.queue(entry.pool);
+        // The counts per team are needed only when the queue is full.
+        let full = queue.len() >= queue_limit;
+        AdmissionView {
+            now,
+            deadline: entry.deadline,
+            servers,
+            fits,
+            queued: queue.len(),
+            team_queued: if full { queue.team_len(entry.team) } else { 0 },
+            teams: if full { queue.team_count() } else { 1 },
+        }
+    }
+
+    fn displace(&mut self, pool: PoolKey) {
+        let Some((_, last)) = self.queue(pool).longest_team() else {
+            return;
+        };
+        self.queue(pool).remove(last.ticket);
+        self.reject(last.ticket, ErrorKind::TeamLimited);
+    }
+
+    /// Applies a batch of token progress.
+    pub fn progress(&mut self, now: MonoTime, batch: &[TokenProgress]) {
+        for progress in batch {
+            let Some(entry) = self.requests.get_mut(&progress.ticket) else {
+                continue;
+            };
+            entry.tokens = entry.tokens.max(progress.tokens);
+            let Some(server) = entry.server else {
+                continue;
+            };
+            let state = self.placer.servers.get_mut(server);
+            if state.progress(progress.ticket, progress.tokens, now) {
+                state.signal(ColdSignal::SlowFirstToken, now);
+            }
+        }
+    }
+
+    /// Notes that a request ended with `tokens` tokens of output. It is forgotten.
+    pub fn finished(&mut self, now: MonoTime, ticket: RequestTicket, tokens: u32) {
+        let Some(entry) = self.requests.remove(&ticket) else {
+            return;
+        };
+        self.placer.lengths.record(entry.team, entry.route, tokens);
+        self.settle(&entry, tokens, now);
+    }
+
+    /// Forgets a request whose caller went away. Returns the server on which it is to be
+    /// cancelled.
+    pub fn cancel(&mut self, now: MonoTime, ticket: RequestTicket) -> Option<ServerKey> {
+        let entry = self.requests.remove(&ticket)?;
+        self.queue(entry.pool).remove(ticket);
+        self.settle(&entry, entry.tokens, now);
+        entry.server
+    }
+
+    /// Releases the server of a request and corrects the charge to its team.
+    pub(super) fn settle(&mut self, entry: &RequestEntry, tokens: u32, now: MonoTime) {
+        let Some(server) = entry.server else {
+            return;
+        };
+        if let Some(deadline) = entry.deadline {
+            self.running_deadlines.remove(&(deadline, entry.ticket));
+        }
+        let attempt = self.placer.servers.get(server).attempts.get(&entry.ticket).copied();
+        if let Some(attempt) = attempt
+            && tokens >= TOKEN_TIME_LENGTH
+        {
+            let per_token = now.since(attempt.sent_at).as_secs_f64() / f64::from(tokens);
+            self.token_time += (per_token - self.token_time) * TOKEN_TIME_WEIGHT;
+        }
+        self.placer.release(entry, server, now);
+        let actual = request_cost(entry.prompt, tokens);
+        self.queue(entry.pool).correct(entry.class, entry.team, entry.charged, actual);
+    }
+
+    /// Notes that an attempt failed. The request is retried or rejected by a later tick.
+    pub fn failed(&mut self, now: MonoTime, ticket: RequestTicket, failure: AttemptFailure) {
+        let Some(mut entry) = self.requests.remove(&ticket) else {
+            return;
+        };
+        let Some(server) = entry.server else {
+            self.requests.insert(ticket, entry);
+            return;
+        };
+        self.settle(&entry, entry.tokens, now);
+        entry.server = None;
+        entry.failed_on.push(server);
+        if failure.is_server_failure() {
+            entry.server_failures += 1;
+            self.placer.servers.get_mut(server).signal(ColdSignal::ConnectionReset, now);
+        }
+        if let Some(kind) = retry_refusal(&entry, failure) {
+            self.outbox.push(PlacementDecision::Reject { ticket, kind });
+            return;
+        }
+        self.requests.insert(ticket, entry);
+        self.retries.push_back((now + self.placer.settings.queue_patience, ticket));
+    }
+
+    /// Queues failed requests again as far as the retry budget allows.
+    pub(super) fn release_retries(&mut self, now: MonoTime) {
+        while let Some((gives_up, ticket)) = self.retries.front().copied() {
+            let Some(entry) = self.requests.get(&ticket) else {
+                self.retries.pop_front();
+                continue;
+            };
+            let expired = entry.deadline.unwrap_or(gives_up).min(gives_up) <= now;
+            if expired {
+                let kind = if entry.tokens > 0 {
+                    ErrorKind::Interrupted
+                } else {
+                    ErrorKind::BackendFailed
+                };
+                self.retries.pop_front();
+                self.reject(ticket, kind);
+                continue;
+            }
+            if !self.budget.withdraw() {
+                break;
+            }
+            self.retries.pop_front();
+            if let Some(mut entry) = self.requests.remove(&ticket) {
+                entry.retry = true;
+                entry.charged = self.expected_cost(&entry);
+                self.retries_started += 1;
+                self.enqueue(entry, true, now);
+            }
+        }
+    }
+}
+
+/// Returns the error of a request that must not be retried, or `None` if it may be.
+fn retry_refusal(entry: &RequestEntry, failure: AttemptFailure) -> Option<ErrorKind> {
+    if failure.may_have_run() && !entry.idempotent {
+        return Some(ErrorKind::OutcomeUnknown);
+    }
+    if entry.server_failures < SERVER_FAILURES && entry.failed_on.len() <= RETRY_SERVERS {
+        return None;
+    }
+    Some(match (entry.tokens, failure.may_have_run()) {
+        (0, true) => ErrorKind::BackendFailed,
+        (0, false) => ErrorKind::Overloaded,
+        _ => ErrorKind::Interrupted,
+    })
+}
+
+fn request_cost(prompt: u32, output: u32) -> u32 {
+    (f64::from(prompt) * PROMPT_COST) as u32 + output + 1
+}
--- /dev/null
+++ b/crates/policy/src/server_spec.rs
@@ -0,0 +1,14 @@
+//! Configured properties of a backend server.
+
+use dragonflycart_core::{ServerName, ServiceName, ZoneName};
+
+/// Configured properties of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerSpec {
+    /// Name.
+    pub name: ServerName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Service of a plain server. Models of an engine are taken from its load reports.
+    pub service: Option<ServiceName>,
+}
--- /dev/null
+++ b/crates/policy/src/server_state.rs
@@ -0,0 +1,270 @@
+//! State of one backend server as this VM sees it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use dragonflycart_core::{MonoTime, ServerInstance};
+
+use crate::{
+    ColdSignal, LengthEstimator, MemoryForecast, PoolKey, PrefixView, PriorityClass, RequestTicket,
+    RouteKey, ServerReport, ServerSpec, TeamKey, ZoneKey,
+};
+
+/// A time to first token over this multiple of the moving average is a cold signal.
+const SLOW_FIRST_TOKEN: f64 = 4.0;
+/// First tokens before the moving average is used.
+const FIRST_TOKENS_KNOWN: u32 = 8;
+/// A first token within this time is no cold signal, whatever the average is.
+const FIRST_TOKEN_FLOOR: Duration = Duration::from_secs(1);
+/// Weight of a new value in the moving average of the time to first token.
+const FIRST_TOKEN_WEIGHT: f64 = 0.1;
+/// Requests sent less than this before a report may not be in it.
+const TRANSIT_TIME: Duration = Duration::from_millis(10);
+
+/// Request of this VM that runs on a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnAttempt {
+    pub(crate) prompt: u32,
+    pub(crate) tokens: u32,
+    pub(crate) sent_at: MonoTime,
+    pub(crate) first_token: bool,
+    pub(crate) team: TeamKey,
+    pub(crate) route: RouteKey,
+    pub(crate) class: PriorityClass,
+}
+
+/// Request of this VM that ended after the last report was taken.
+#[derive(Debug, Clone, Copy)]
+struct EndedAttempt {
+    sent_at: MonoTime,
+    ended_at: MonoTime,
+    tokens: u32,
+}
+
+/// State of one backend server as this VM sees it.
+#[derive(Debug)]
+pub struct ServerState {
+    pub(crate) spec: ServerSpec,
+    pub(crate) zone: ZoneKey,
+    pub(crate) pools: Vec<PoolKey>,
+    pub(crate) report: Option<ServerReport>,
+    pub(crate) reported_at: MonoTime,
+    pub(crate) attempts: BTreeMap<RequestTicket, OwnAttempt>,
+    pub(crate) prefixes: PrefixView,
+    pub(crate) removed: bool,
+    pub(crate) forecast: MemoryForecast,
+    pub(crate) forecast_stale: bool,
+    /// Position of this VM's random draw since the last report, see
+    /// `claims_of_others`.
+    pub(crate) draw: f64,
+    ended: Vec<EndedAttempt>,
+    cold: bool,
+    signal_at: Option<MonoTime>,
+    first_token_average: f64,
+    first_tokens: u32,
+}
+
+impl ServerState {
+    /// Builds the state of a server without any report.
+    pub(crate) fn new(spec: ServerSpec, zone: ZoneKey) -> ServerState {
+        ServerState {
+            spec,
+            zone,
+            pools: Vec::new(),
+            report: None,
+            reported_at: MonoTime::default(),
+            attempts: BTreeMap::new(),
+            prefixes: PrefixView::default(),
+            removed: false,
+            forecast: MemoryForecast::default(),
+            forecast_stale: true,
+            draw: 0.0,
+            ended: Vec::new(),
+            cold: true,
+            signal_at: None,
+            first_token_average: 0.0,
+            first_tokens: 0,
+        }
+    }
+
+    /// Applies a report that is not older than the last one. Returns false if it is older.
+    pub(crate) fn apply_report(&mut self, report: ServerReport, now: MonoTime) -> bool {
+        if let Some(last) = &self.report {
+            if report.taken_at < last.taken_at {
+                return false;
+            }
+            if report.instance != last.instance {
+                self.signal_at = Some(report.taken_at);
+                self.prefixes.clear();
+                self.first_tokens = 0;
+            }
+        }
+        if report.cold {
+            self.cold = true;
+        } else if self.signal_at.is_none_or(|signal| report.taken_at >= signal) {
+            self.cold = false;
+        }
+        self.ended.retain(|ended| ended.ended_at > report.taken_at);
+        self.reported_at = now;
+        self.report = Some(report);
+        self.forecast_stale = true;
+        true
+    }
+
+    /// Lowers the limit to the cold limit until a report that was taken after `now`.
+    pub(crate) fn signal(&mut self, signal: ColdSignal, now: MonoTime) {
+        self.cold = true;
+        self.signal_at = Some(now);
+        if matches!(signal, ColdSignal::InstanceChanged | ColdSignal::ConnectionReset) {
+            self.prefixes.clear();
+        }
+    }
+
+    /// Returns whether the server counts as cold.
+    pub fn is_cold(&self) -> bool {
+        self.cold
+    }
+
+    /// Returns the last reported instance.
+    pub fn instance(&self) -> ServerInstance {
+        self.report.as_ref().map_or(ServerInstance::default(), |report| report.instance)
+    }
+
+    /// Returns the limit on concurrent requests, summed over all VMs.
+    pub(crate) fn limit(&self, cold_slots: u32) -> u32 {
+        let Some(report) = &self.report else {
+            return 0;
+        };
+        if !self.cold {
+            return report.bears;
+        }
+        let after_signal = self.signal_at.is_none_or(|signal| report.taken_at >= signal);
+        if report.cold && after_signal { report.bears } else { cold_slots.min(report.bears) }
+    }
+
+    /// Returns whether the server may get new work, apart from its load.
+    pub(crate) fn is_usable(&self, now: MonoTime, timeout: Duration) -> bool {
+        let Some(report) = &self.report else {
+            return false;
+        };
+        !self.removed && !report.leaving && now.since(self.reported_at) <= timeout
+    }
+
+    fn in_report(&self, sent_at: MonoTime) -> bool {
+        self.report.as_ref().is_some_and(|report| sent_at + TRANSIT_TIME <= report.taken_at)
+    }
+
+    /// Returns the number of requests that this VM sent after the last report was taken.
+    pub(crate) fn sent_since_report(&self) -> u32 {
+        let mut sent = 0;
+        for attempt in self.attempts.values() {
+            sent += u32::from(!self.in_report(attempt.sent_at));
+        }
+        sent
+    }
+
+    /// Returns the requests that other VMs are assumed to have sent since the last report: each
+    /// as many as this one. The random draw rounds up or down, so that of a small rest of
+    /// capacity about the right number of VMs take a part, without any message.
+    pub(crate) fn claims_of_others(&self, vms: u32) -> f64 {
+        (f64::from(self.sent_since_report()) + self.draw) * f64::from(vms.saturating_sub(1))
+    }
+
+    /// Returns the estimated number of requests in the server.
+    pub(crate) fn estimated_requests(&self) -> u32 {
+        let Some(report) = &self.report else {
+            return 0;
+        };
+        let mut ended = 0;
+        for attempt in &self.ended {
+            ended += u32::from(self.in_report(attempt.sent_at));
+        }
+        (report.running + report.waiting).saturating_sub(ended) + self.sent_since_report()
+    }
+
+    /// Counts a dispatched request.
+    pub(crate) fn add(&mut self, ticket: RequestTicket, attempt: OwnAttempt) {
+        self.attempts.insert(ticket, attempt);
+        self.forecast_stale = true;
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn remove(&mut self, ticket: RequestTicket, now: MonoTime) -> Option<OwnAttempt> {
+        let attempt = self.attempts.remove(&ticket)?;
+        self.ended.push(EndedAttempt {
+            sent_at: attempt.sent_at,
+            ended_at: now,
+            tokens: attempt.prompt + attempt.tokens,
+        });
+        self.forecast_stale = true;
+        Some(attempt)
+    }
+
+    /// Applies the progress of a request. Returns true if its first token was so late that the
+    /// server may be cold.
+    pub(crate) fn progress(&mut self, ticket: RequestTicket, tokens: u32, now: MonoTime) -> bool {
+        let Some(attempt) = self.attempts.get_mut(&ticket) else {
+            return false;
+        };
+        attempt.tokens = attempt.tokens.max(tokens);
+        self.forecast_stale = true;
+        if attempt.first_token {
+            return false;
+        }
+        attempt.first_token = true;
+        let delay = now.since(attempt.sent_at);
+        let slow = self.first_tokens >= FIRST_TOKENS_KNOWN
+            && delay > FIRST_TOKEN_FLOOR
+            && delay.as_secs_f64() > SLOW_FIRST_TOKEN * self.first_token_average;
+        self.first_tokens += 1;
+        let weight = FIRST_TOKEN_WEIGHT.max(1.0 / f64::from(self.first_tokens));
+        self.first_token_average += (delay.as_secs_f64() - self.first_token_average) * weight;
+        slow
+    }
+
+    /// Rebuilds the memory forecast if anything changed. `others` are quantiles of the remaining
+    /// length of running requests of which nothing else is known.
+    pub(crate) fn refresh_forecast(
+        &mut self,
+        lengths: &LengthEstimator,
+        quantile: f64,
+        others: &[u32],
+    ) {
+        if !self.forecast_stale {
+            return;
+        }
+        self.forecast_stale = false;
+        let mut forecast = std::mem::take(&mut self.forecast);
+        forecast.clear();
+        let mut own_requests = 0.0;
+        let mut own_memory = 0.0;
+        for attempt in self.attempts.values() {
+            let held = f64::from(attempt.prompt + attempt.tokens);
+            let remaining =
+                lengths.remaining(attempt.team, attempt.route, attempt.tokens, quantile);
+            forecast.add(held, f64::from(remaining), 1.0);
+            if self.in_report(attempt.sent_at) {
+                own_requests += 1.0;
+                own_memory += held;
+            }
+        }
+        for attempt in &self.ended {
+            if self.in_report(attempt.sent_at) {
+                own_requests += 1.0;
+                own_memory += f64::from(attempt.tokens);
+            }
+        }
+        if let Some(report) = &self.report {
+            let running = f64::from(report.running);
+            let count = (running + f64::from(report.waiting) - own_requests).max(0.0);
+            let memory = (report.memory_used_tokens as f64 - own_memory).max(0.0);
+            // Requests that wait in the server hold no memory yet; they are assumed to be of the
+            // average size.
+            let mean = memory / (running - own_requests).max(1.0);
+            for remaining in others {
+                forecast.add(mean, f64::from(*remaining), count / others.len() as f64);
+            }
+        }
+        forecast.prepare();
+        self.forecast = forecast;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/zone_limits.rs
@@ -0,0 +1,99 @@
+//! Load limit of an availability zone.
+
+use std::time::Duration;
+
+use dragonflycart_core::{MonoTime, RendezvousScore, VmSeat, ZoneName, rendezvous_score};
+
+/// Limit of one zone for one VM.
+///
+/// The carry limit holds for the sum over all VMs. It is divided by seats: every seat of the
+/// deployment gets the whole part of limit / seats, and the remainder goes to the seats with the
+/// highest rendezvous scores. The parts sum up to the limit exactly, whatever VMs are up, without
+/// any message. The part of an empty seat stays unused.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ZoneLimits {
+    part: u32,
+    open: bool,
+    returned_at: Option<MonoTime>,
+    running: u32,
+}
+
+impl ZoneLimits {
+    /// Builds the state of a zone that is out of service and has no limit yet.
+    pub fn new() -> ZoneLimits {
+        ZoneLimits { part: 0, open: false, returned_at: None, running: 0 }
+    }
+
+    /// Computes the part of the limit that belongs to one seat.
+    pub fn part_of_seat(
+        zone: &ZoneName,
+        limit: u32,
+        seats: &[(ZoneName, VmSeat)],
+        own: (&ZoneName, VmSeat),
+    ) -> u32 {
+        if seats.is_empty() {
+            return limit;
+        }
+        let count = seats.len() as u32;
+        let score_of = |seat: (&ZoneName, VmSeat)| -> RendezvousScore {
+            let subject = [b"carry".as_slice(), zone.as_str().as_bytes()];
+            rendezvous_score(&subject, format!("{}/{}", seat.0, seat.1).as_bytes())
+        };
+        let own_score = score_of(own);
+        let mut ahead = 0;
+        for (seat_zone, seat) in seats {
+            let score = score_of((seat_zone, *seat));
+            if (score, seat_zone, *seat) > (own_score, own.0, own.1) {
+                ahead += 1;
+            }
+        }
+        limit / count + u32::from(ahead < limit % count)
+    }
+
+    /// Applies the plan's state of the zone. A zone that opens ramps up, except when `ramp` is
+    /// false, at the start of the VM.
+    pub fn apply(&mut self, open: bool, part: u32, now: MonoTime, ramp: bool) {
+        if open && !self.open {
+            self.returned_at = ramp.then_some(now);
+        }
+        self.open = open;
+        self.part = part;
+    }
+
+    /// Counts a dispatched request.
+    pub fn add(&mut self) {
+        self.running += 1;
+    }
+
+    /// Counts the end of a request.
+    pub fn remove(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Returns whether the zone is in service.
+    pub fn is_open(&self) -> bool {
+        self.open
+    }
+
+    /// Returns whether this VM may send one more request into the zone.
+    pub fn has_room(&self, now: MonoTime, ramp: Duration) -> bool {
+        if !self.open {
+            return false;
+        }
+        let Some(returned_at) = self.returned_at else {
+            return self.running < self.part;
+        };
+        let passed = now.since(returned_at);
+        if passed >= ramp {
+            return self.running < self.part;
+        }
+        let share = passed.as_secs_f64() / ramp.as_secs_f64();
+        self.running < (f64::from(self.part) * share) as u32
+    }
+}
+
+impl Default for ZoneLimits {
+    fn default() -> ZoneLimits {
+        ZoneLimits::new()
+    }
+}
