--- a/crates/node/src/node_lifecycle.rs
+++ b/crates/node/src/node_lifecycle.rs
@@ -83,9 +83,7 @@
     #[state]
     fn draining(event: &LifecycleEvent) -> Outcome<State> {
         match event {
-            LifecycleEvent::Idle | LifecycleEvent::StopLimitReached => {
-                Transition(State::stopped())
-            }
+            LifecycleEvent::Idle | LifecycleEvent::StopLimitReached => Transition(State::stopped()),
             _ => Handled,
         }
     }
