--- /dev/null
+++ b/crates/node/src/control/control_loop.rs
@@ -0,0 +1,313 @@
+//! Event loop of the control thread.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use dragonflycart_core::{
+    ErrorKind, Incarnation, ModelName, OperatingPlan, PlanRevision, RouteName, ServiceError,
+    TeamName, VersionName,
+};
+use dragonflycart_platform::LogTopic;
+use dragonflycart_policy::{
+    AttemptFailure, MoveCounts, MoveSettings, PolicySettings, PriorityClass, RequestTicket,
+    VmPosition, WorkPool, WorkRequest,
+};
+use dragonflycart_settings::Config;
+use tokio::{
+    sync::{mpsc, watch},
+    time::MissedTickBehavior,
+};
+
+use crate::{
+    control::{
+        AttemptReport, ControlMessage, GenerationAsk, PlacedGeneration, PlacementTicket, ServiceAsk,
+        placement_control::PlacementControl, plan_control::PlanControl,
+        version_control::VersionControl,
+    },
+    log_tailer::TailEvent,
+    node_clock::NodeClock,
+    node_metrics::NodeMetrics,
+};
+
+/// Interval of placement decisions. A request that can start at once does not wait for it.
+const PLACEMENT_PERIOD: Duration = Duration::from_millis(5);
+/// Interval of slower duties: moves, heartbeats, metrics.
+const UPKEEP_PERIOD: Duration = Duration::from_millis(250);
+/// Messages handled before the due timers are looked at again.
+const MESSAGE_BATCH: usize = 256;
+
+/// Gap between tokens beyond which a request counts as slow in the evidence about versions. It is
+/// the target for 95 in 100 gaps.
+const SLOW_GAP: Duration = Duration::from_millis(72);
+/// Time to the first token beyond which a request counts as slow.
+const SLOW_FIRST_TOKEN: Duration = Duration::from_millis(360);
+
+/// What the control thread starts with.
+pub(crate) struct ControlParts {
+    /// Settings.
+    pub(crate) config: Arc<Config>,
+    /// Clocks.
+    pub(crate) clock: NodeClock,
+    /// This run of the process.
+    pub(crate) incarnation: Incarnation,
+    /// Metrics.
+    pub(crate) metrics: Arc<NodeMetrics>,
+    /// Publishes the revision in effect; zero until a plan is known.
+    pub(crate) revision: watch::Sender<PlanRevision>,
+    /// Placement that was built and checked at start.
+    pub(crate) placement: PlacementControl,
+}
+
+/// What the evidence about versions needs to know of a running request.
+struct RunningWork {
+    model: ModelName,
+    version: VersionName,
+    route: RouteName,
+}
+
+/// Event loop of the control thread.
+pub(crate) struct ControlLoop {
+    config: Arc<Config>,
+    clock: NodeClock,
+    metrics: Arc<NodeMetrics>,
+    revision: watch::Sender<PlanRevision>,
+    placement: PlacementControl,
+    plan: PlanControl,
+    versions: VersionControl,
+    running: BTreeMap<RequestTicket, RunningWork>,
+}
+
+impl ControlLoop {
+    /// Builds the loop.
+    pub(crate) fn new(parts: ControlParts) -> ControlLoop {
+        let retention = parts.config.platform.record_retention;
+        ControlLoop {
+            plan: PlanControl::new(retention),
+            versions: VersionControl::new(parts.incarnation, MoveSettings::default()),
+            running: BTreeMap::new(),
+            config: parts.config,
+            clock: parts.clock,
+            metrics: parts.metrics,
+            revision: parts.revision,
+            placement: parts.placement,
+        }
+    }
+
+    /// Runs until all senders of messages are gone.
+    pub(crate) async fn run(mut self, mut messages: mpsc::Receiver<ControlMessage>) {
+        let mut placement_timer = tokio::time::interval(PLACEMENT_PERIOD);
+        placement_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut upkeep_timer = tokio::time::interval(UPKEEP_PERIOD);
+        upkeep_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(MESSAGE_BATCH);
+        loop {
+            tokio::select! {
+                biased;
+                _ = placement_timer.tick() => self.placement.tick(self.clock.now()),
+                _ = upkeep_timer.tick() => self.upkeep(),
+                count = messages.recv_many(&mut batch, MESSAGE_BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                    let mut submitted = false;
+                    for message in batch.drain(..) {
+                        submitted |= self.handle(message);
+                    }
+                    if submitted {
+                        self.placement.tick(self.clock.now());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Handles one message. Returns whether a placement decision is wanted at once.
+    fn handle(&mut self, message: ControlMessage) -> bool {
+        let now = self.clock.now();
+        match message {
+            ControlMessage::PlaceGeneration(ask, reply) => {
+                let _ = reply.send(self.place_generation(ask));
+                return true;
+            }
+            ControlMessage::PlaceCall(ask, reply) => {
+                let _ = reply.send(self.place_call(ask));
+                return true;
+            }
+            ControlMessage::Progress(progress) => self.placement.progress(now, progress),
+            ControlMessage::Attempt(ticket, report) => {
+                self.end_attempt(ticket, report);
+                return true;
+            }
+            ControlMessage::Reading(reading) => self.placement.reading(now, reading),
+            ControlMessage::Tail(event) => self.tail(event),
+            ControlMessage::Drain => self.placement.engine_mut().set_draining(true),
+        }
+        false
+    }
+
+    fn place_generation(&mut self, ask: GenerationAsk) -> Result<PlacedGeneration, ServiceError> {
+        let Some(version) = self.versions.choose(&ask.model, &ask.route, &ask.key) else {
+            let message = format!("model {}: the plan in effect places no version", ask.model);
+            return Err(ServiceError::new(ErrorKind::NotFound, message));
+        };
+        let class = self.class_of(&ask.team);
+        let pool = WorkPool::Generation(ask.model.clone(), version.clone());
+        let request = WorkRequest {
+            pool,
+            team: ask.team,
+            route: ask.route.clone(),
+            class,
+            prompt_tokens: ask.prompt_tokens,
+            max_tokens: ask.max_tokens,
+            delivered_tokens: 0,
+            deadline: Some(ask.deadline),
+            idempotent: true,
+            prefix: None,
+        };
+        let (ticket, notices) = self.placement.submit(self.clock.now(), request);
+        let forced_prefix =
+            self.config.models.get(&ask.model).is_some_and(|model| model.forced_prefix);
+        let work = RunningWork { model: ask.model, version: version.clone(), route: ask.route };
+        self.running.insert(ticket, work);
+        Ok(PlacedGeneration {
+            ticket: PlacementTicket { ticket, notices },
+            version,
+            priority: class.engine_priority(),
+            forced_prefix,
+        })
+    }
+
+    fn place_call(&mut self, ask: ServiceAsk) -> PlacementTicket {
+        let class = self.class_of(&ask.team);
+        let request = WorkRequest {
+            pool: WorkPool::Service(ask.service),
+            team: ask.team,
+            route: ask.operation,
+            class,
+            prompt_tokens: 0,
+            max_tokens: 0,
+            delivered_tokens: 0,
+            deadline: Some(ask.deadline),
+            idempotent: ask.idempotent,
+            prefix: None,
+        };
+        let (ticket, notices) = self.placement.submit(self.clock.now(), request);
+        PlacementTicket { ticket, notices }
+    }
+
+    fn class_of(&self, team: &TeamName) -> PriorityClass {
+        let priority = self.config.teams.get(team).map(|settings| settings.priority);
+        match priority {
+            Some(dragonflycart_settings::PriorityClass::High) => PriorityClass::Interactive,
+            Some(dragonflycart_settings::PriorityClass::Low) => PriorityClass::Batch,
+            _ => PriorityClass::Standard,
+        }
+    }
+
+    fn end_attempt(&mut self, ticket: RequestTicket, report: AttemptReport) {
+        let now = self.clock.now();
+        match report {
+            AttemptReport::Finished { tokens, first_token, token_gap } => {
+                self.placement.finished(now, ticket, tokens);
+                let slow = first_token.is_some_and(|span| span > SLOW_FIRST_TOKEN)
+                    || token_gap.is_some_and(|span| span > SLOW_GAP);
+                let counts = MoveCounts { finished: 1, failed: 0, slow: u64::from(slow) };
+                self.count_version(ticket, counts);
+                self.running.remove(&ticket);
+            }
+            AttemptReport::Failed { failure, by_version } => {
+                self.placement.failed(now, ticket, failure);
+                if by_version {
+                    self.count_version(ticket, MoveCounts { finished: 0, failed: 1, slow: 0 });
+                }
+                if failure == AttemptFailure::NotSent {
+                    // The placement learns nothing else about a server that can't be reached.
+                    self.placement.tick(now);
+                }
+            }
+            AttemptReport::Cancelled => {
+                self.placement.cancel(now, ticket);
+                self.running.remove(&ticket);
+            }
+        }
+    }
+
+    fn count_version(&mut self, ticket: RequestTicket, counts: MoveCounts) {
+        let Some(work) = self.running.get(&ticket) else {
+            return;
+        };
+        let wall = self.clock.wall();
+        self.versions.count(&work.model, &work.version, &work.route, counts, wall);
+    }
+
+    fn tail(&mut self, event: TailEvent) {
+        match event {
+            TailEvent::Batch(topic, batch) => {
+                self.metrics.log_reachable.set(1);
+                if topic == LogTopic::Plan && self.plan.apply(&batch) {
+                    self.plan_changed();
+                }
+            }
+            TailEvent::Truncated(LogTopic::Plan, first_available) => {
+                self.plan.skip(first_available);
+            }
+            TailEvent::Truncated(..) => {}
+            TailEvent::Unreachable(_) => {
+                self.metrics.log_reachable.set(0);
+            }
+        }
+    }
+
+    fn plan_changed(&mut self) {
+        let plan = self.plan.plan();
+        self.versions.set_plan(&plan, self.clock.wall());
+        self.apply_zones(&plan);
+        self.metrics.plan_revision.set(self.plan.revision().0 as i64);
+        self.revision.send_replace(self.plan.revision());
+    }
+
+    fn apply_zones(&mut self, plan: &OperatingPlan) {
+        let now = self.clock.now();
+        for (zone, settings) in &plan.zones {
+            let open = plan.zone_is_in(zone);
+            self.placement.engine_mut().set_zone(now, zone, open, settings.carry_limit);
+        }
+    }
+
+    fn upkeep(&mut self) {
+        let wall = self.clock.wall();
+        let endings = self.versions.tick(wall, |_| Default::default());
+        let _ = endings;
+        self.metrics.queued.set(self.placement.engine().waiting() as i64);
+    }
+}
+
+/// Builds the placement settings from the daemon's settings.
+pub(crate) fn policy_settings(config: &Config) -> PolicySettings {
+    let mut settings = PolicySettings {
+        policy: config.placement.policy.clone(),
+        headroom: config.placement.headroom,
+        pause_limit: config.timeouts.control_pause,
+        zone_ramp: config.timeouts.zone_ramp,
+        ..PolicySettings::default()
+    };
+    for (zone, zone_settings) in &config.zones {
+        settings.seats.insert(zone.clone(), zone_settings.seats);
+    }
+    for (team, team_settings) in &config.teams {
+        // Weights are fractions in the settings and integers in the queue.
+        let weight = (team_settings.weight * WEIGHT_SCALE).round().max(1.0) as u32;
+        settings.team_weights.insert(team.clone(), weight);
+    }
+    let weights = &config.placement;
+    settings.class_weights = [weights.weight_high, weights.weight_normal, weights.weight_low]
+        .map(|weight| (weight * WEIGHT_SCALE).round().max(1.0) as u32);
+    settings
+}
+
+/// Steps of a weight of one.
+const WEIGHT_SCALE: f64 = 16.0;
+
+/// Returns the position of this VM.
+pub(crate) fn vm_position(config: &Config, incarnation: Incarnation) -> VmPosition {
+    VmPosition { zone: config.vm.zone.clone(), seat: config.vm.seat, incarnation }
+}
--- /dev/null
+++ b/crates/node/src/control/control_thread.rs
@@ -0,0 +1,53 @@
+//! Starts the control thread.
+
+use std::thread::JoinHandle;
+
+use log::error;
+use tokio::sync::mpsc;
+
+use crate::control::{ControlHandle, ControlMessage, control_loop::ControlLoop};
+
+pub(crate) use crate::control::control_loop::ControlParts;
+
+/// Messages that may wait for the control thread. Progress reports are dropped beyond it, other
+/// senders wait.
+const MESSAGE_QUEUE: usize = 65_536;
+
+/// The running control thread.
+pub(crate) struct ControlThread {
+    handle: ControlHandle,
+    thread: JoinHandle<()>,
+}
+
+impl ControlThread {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error if the thread can't be created.
+    pub(crate) fn start(
+        build: impl FnOnce(ControlHandle) -> ControlParts,
+    ) -> std::io::Result<ControlThread> {
+        let (sender, messages) = mpsc::channel::<ControlMessage>(MESSAGE_QUEUE);
+        let handle = ControlHandle::new(sender);
+        let parts = build(handle.clone());
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || runtime.block_on(ControlLoop::new(parts).run(messages)))?;
+        Ok(ControlThread { handle, thread })
+    }
+
+    /// Returns a handle to send messages with.
+    pub(crate) fn handle(&self) -> ControlHandle {
+        self.handle.clone()
+    }
+
+    /// Waits for the thread, which ends when all handles are dropped.
+    pub(crate) fn close(self) {
+        drop(self.handle);
+        if self.thread.join().is_err() {
+            error!("control: thread ended with a panic");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,21 @@
+//! The control thread: the only owner of control state.
+//!
+//! Traffic threads send it messages and never wait for it longer than a few milliseconds, because
+//! it does no I/O: clients of the platform, of peers and of backend servers run on the traffic
+//! threads and report to it.
+
+mod control_handle;
+mod control_loop;
+mod control_message;
+mod control_thread;
+mod placement_control;
+mod placement_ticket;
+mod plan_control;
+mod version_control;
+
+pub(crate) use self::{
+    control_handle::ControlHandle,
+    control_message::{AttemptReport, ControlMessage, GenerationAsk, ServerReading, ServiceAsk},
+    control_thread::{ControlParts, ControlThread},
+    placement_ticket::{PlacedGeneration, PlacementGrant, PlacementNotice, PlacementTicket},
+};
--- /dev/null
+++ b/crates/node/src/control/placement_control.rs
@@ -0,0 +1,200 @@
+//! Connects the placement to the requests on the traffic threads.
+
+use std::collections::BTreeMap;
+
+use dragonflycart_core::{ErrorKind, MonoTime, ServerName, VmSeat, ZoneName};
+use dragonflycart_engine::LoadReport;
+use dragonflycart_policy::{
+    AttemptFailure, PlacementDecision, PlacementEngine, PolicySettings, RequestTicket, ServerKey,
+    ServerReport, ServerSpec, TokenProgress, UnknownPolicy, VmPosition, WorkRequest,
+};
+use dragonflycart_settings::Config;
+use tokio::sync::mpsc;
+
+use crate::control::{PlacementGrant, PlacementNotice, ServerReading};
+
+/// Placement of this VM and the requests that wait for its decisions.
+pub(crate) struct PlacementControl {
+    engine: PlacementEngine,
+    seat_label: String,
+    servers: BTreeMap<ServerName, ServerKey>,
+    names: BTreeMap<ServerKey, ServerName>,
+    waiters: BTreeMap<RequestTicket, mpsc::UnboundedSender<PlacementNotice>>,
+}
+
+impl PlacementControl {
+    /// Builds the placement with all configured backend servers.
+    ///
+    /// # Errors
+    ///
+    /// [`UnknownPolicy`] if the configured policy is not registered.
+    pub(crate) fn new(
+        config: &Config,
+        position: VmPosition,
+        settings: PolicySettings,
+        now: MonoTime,
+    ) -> Result<PlacementControl, UnknownPolicy> {
+        let seat_label = format!("{}/{}", position.zone, position.seat);
+        let engine = PlacementEngine::new(settings, position, now)?;
+        let mut control = PlacementControl {
+            engine,
+            seat_label,
+            servers: BTreeMap::new(),
+            names: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+        };
+        for (name, settings) in &config.engines {
+            control.insert(ServerSpec {
+                name: name.clone(),
+                zone: settings.zone.clone(),
+                service: None,
+            });
+        }
+        for (name, settings) in &config.service_servers {
+            control.insert(ServerSpec {
+                name: name.clone(),
+                zone: settings.zone.clone(),
+                service: Some(settings.service.clone()),
+            });
+        }
+        Ok(control)
+    }
+
+    fn insert(&mut self, spec: ServerSpec) {
+        let name = spec.name.clone();
+        let key = self.engine.insert_server(spec);
+        self.servers.insert(name.clone(), key);
+        self.names.insert(key, name);
+    }
+
+    /// Returns the placement itself, for zone states and limits.
+    pub(crate) fn engine_mut(&mut self) -> &mut PlacementEngine {
+        &mut self.engine
+    }
+
+    /// Returns the placement itself.
+    pub(crate) fn engine(&self) -> &PlacementEngine {
+        &self.engine
+    }
+
+    /// Returns the configured servers by name.
+    pub(crate) fn servers(&self) -> &BTreeMap<ServerName, ServerKey> {
+        &self.servers
+    }
+
+    /// Submits a request; its decisions arrive on the returned channel.
+    pub(crate) fn submit(
+        &mut self,
+        now: MonoTime,
+        request: WorkRequest,
+    ) -> (RequestTicket, mpsc::UnboundedReceiver<PlacementNotice>) {
+        let ticket = self.engine.submit(now, request);
+        let (sender, notices) = mpsc::unbounded_channel();
+        self.waiters.insert(ticket, sender);
+        (ticket, notices)
+    }
+
+    /// Applies the number of tokens of a running generation.
+    pub(crate) fn progress(&mut self, now: MonoTime, progress: TokenProgress) {
+        self.engine.progress(now, &[progress]);
+    }
+
+    /// Applies the end of a request.
+    pub(crate) fn finished(&mut self, now: MonoTime, ticket: RequestTicket, tokens: u32) {
+        self.waiters.remove(&ticket);
+        self.engine.finished(now, ticket, tokens);
+    }
+
+    /// Applies a failed attempt; a later tick grants another server or rejects the request.
+    pub(crate) fn failed(&mut self, now: MonoTime, ticket: RequestTicket, failure: AttemptFailure) {
+        self.engine.failed(now, ticket, failure);
+    }
+
+    /// Forgets a request whose caller went away.
+    pub(crate) fn cancel(&mut self, now: MonoTime, ticket: RequestTicket) {
+        self.waiters.remove(&ticket);
+        self.engine.cancel(now, ticket);
+    }
+
+    /// Applies a load report. A server that did not answer keeps its last report until that is
+    /// too old to be used.
+    pub(crate) fn reading(&mut self, now: MonoTime, reading: ServerReading) {
+        let Some(key) = self.servers.get(&reading.server).copied() else {
+            return;
+        };
+        let Some(report) = reading.report else {
+            return;
+        };
+        self.engine.report(now, key, server_report(report, reading.asked_at));
+    }
+
+    /// Passes the decisions that are due to the waiting requests.
+    pub(crate) fn tick(&mut self, now: MonoTime) {
+        for decision in self.engine.tick(now) {
+            match decision {
+                PlacementDecision::Dispatch { ticket, server, .. } => {
+                    self.grant(now, ticket, server);
+                }
+                PlacementDecision::Reject { ticket, kind } => self.end(ticket, kind, false),
+                PlacementDecision::Cancel { ticket, kind, .. } => self.end(ticket, kind, true),
+                PlacementDecision::Preempt { ticket, .. } => {
+                    self.notify(ticket, PlacementNotice::Preempted);
+                }
+            }
+        }
+    }
+
+    fn grant(&mut self, now: MonoTime, ticket: RequestTicket, server: ServerKey) {
+        let Some(name) = self.names.get(&server).cloned() else {
+            return;
+        };
+        let seat = self.seat_label.clone();
+        if !self.notify(ticket, PlacementNotice::Granted(PlacementGrant { server: name, seat })) {
+            // The caller went away between the submission and the decision.
+            self.cancel(now, ticket);
+        }
+    }
+
+    fn end(&mut self, ticket: RequestTicket, kind: ErrorKind, running: bool) {
+        let notice = if running {
+            PlacementNotice::Cancelled(kind)
+        } else {
+            PlacementNotice::Rejected(kind)
+        };
+        self.notify(ticket, notice);
+        self.waiters.remove(&ticket);
+    }
+
+    fn notify(&self, ticket: RequestTicket, notice: PlacementNotice) -> bool {
+        self.waiters.get(&ticket).is_some_and(|waiter| waiter.send(notice).is_ok())
+    }
+}
+
+/// Converts a report as sent by a backend server. Seats that can't be read are left out; they
+/// belong to no VM of this deployment.
+fn server_report(report: LoadReport, asked_at: MonoTime) -> ServerReport {
+    let mut running_by_seat = Vec::new();
+    for (label, count) in report.running_by_seat {
+        let Some((zone, seat)) = label.rsplit_once('/') else {
+            continue;
+        };
+        let (Ok(zone), Ok(seat)) = (ZoneName::new(zone), seat.parse()) else {
+            continue;
+        };
+        running_by_seat.push((zone, VmSeat(seat), count));
+    }
+    ServerReport {
+        taken_at: asked_at,
+        instance: report.instance,
+        cold: report.cold,
+        bears: report.bears,
+        leaving: report.leaving,
+        running: report.running,
+        waiting: report.waiting,
+        memory_used_tokens: report.memory_used_tokens,
+        memory_total_tokens: report.memory_total_tokens,
+        preemptions: report.preemptions,
+        running_by_seat,
+        loaded: report.loaded,
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/version_control.rs
@@ -0,0 +1,296 @@
+//! Chooses the model version that serves a request, and runs the version moves.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dragonflycart_core::{
+    Incarnation, ModelName, MoveId, OperatingPlan, RequestKey, RouteName,
+    VersionMove, VersionName, WallTime,
+};
+use dragonflycart_policy::{
+    MoveControl, MoveCounts, MoveDecision, MoveEvidence, MoveReason, MoveSettings, MoveShares,
+    MoveSide, MoveState,
+};
+use dragonflycart_wire::{Evidence, EvidenceCounter};
+use log::{info, warn};
+
+use bytes::Bytes;
+
+/// Length of an evidence bucket. Short, because a bad version must be noticed within seconds.
+const BUCKET_S: u64 = 1;
+/// Age of the evidence that is sent to peers again, to make up for lost messages.
+const RESEND_S: u64 = 10;
+
+/// One version move on this VM.
+struct ActiveMove {
+    plan: VersionMove,
+    control: MoveControl,
+    evidence: MoveEvidence,
+    shares: MoveShares,
+    state: MoveState,
+    reason: String,
+}
+
+/// End of a move, to be latched and logged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct MoveEnding {
+    /// Move.
+    pub(crate) move_id: MoveId,
+    /// Done or rolled back.
+    pub(crate) state: MoveState,
+    /// Reason with the evidence.
+    pub(crate) reason: String,
+}
+
+/// What operators see of a move.
+#[derive(Debug, Clone)]
+pub(crate) struct MoveView {
+    /// Move.
+    pub(crate) move_id: MoveId,
+    /// Move as planned.
+    pub(crate) plan: VersionMove,
+    /// State.
+    pub(crate) state: MoveState,
+    /// Share of the new version on this VM.
+    pub(crate) share: f64,
+    /// Reason of the end.
+    pub(crate) reason: String,
+    /// Requests per version: concluded, failed, slow.
+    pub(crate) totals: [MoveCounts; 2],
+}
+
+type CounterKey = (ModelName, VersionName, RouteName, u64);
+
+/// Version moves and the choice of versions on this VM.
+pub(crate) struct VersionControl {
+    own: Incarnation,
+    settings: MoveSettings,
+    moves: BTreeMap<MoveId, ActiveMove>,
+    versions: BTreeMap<ModelName, BTreeSet<VersionName>>,
+    /// Counters of this VM, for peers.
+    counted: BTreeMap<CounterKey, MoveCounts>,
+}
+
+impl VersionControl {
+    /// Starts without a plan.
+    pub(crate) fn new(own: Incarnation, settings: MoveSettings) -> VersionControl {
+        VersionControl {
+            own,
+            settings,
+            moves: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            counted: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over a new plan. A move that is in both plans unchanged keeps its evidence.
+    pub(crate) fn set_plan(&mut self, plan: &OperatingPlan, now: WallTime) {
+        self.versions.clear();
+        for placement in &plan.placements {
+            let versions = self.versions.entry(placement.model.clone()).or_default();
+            versions.insert(placement.version.clone());
+        }
+        let mut old = std::mem::take(&mut self.moves);
+        for (move_id, planned) in &plan.moves {
+            let active = match old.remove(move_id) {
+                Some(active) if active.plan == *planned => active,
+                _ => ActiveMove {
+                    plan: planned.clone(),
+                    control: MoveControl::new(planned, self.settings.clone(), now),
+                    evidence: MoveEvidence::default(),
+                    shares: MoveShares::uniform(0.0),
+                    state: MoveState::Running,
+                    reason: String::new(),
+                },
+            };
+            self.moves.insert(move_id.clone(), active);
+        }
+    }
+
+    /// Returns the version that serves a request, or `None` if the plan places none.
+    pub(crate) fn choose(
+        &self,
+        model: &ModelName,
+        route: &RouteName,
+        key: &RequestKey,
+    ) -> Option<VersionName> {
+        let placed = self.versions.get(model)?;
+        for (move_id, active) in &self.moves {
+            if &active.plan.model != model {
+                continue;
+            }
+            let version = match active.shares.assign(move_id, route, key) {
+                MoveSide::Old => &active.plan.from,
+                MoveSide::New => &active.plan.to,
+            };
+            return Some(version.clone());
+        }
+        placed.last().cloned()
+    }
+
+    /// Counts a concluded request.
+    pub(crate) fn count(
+        &mut self,
+        model: &ModelName,
+        version: &VersionName,
+        route: &RouteName,
+        counts: MoveCounts,
+        now: WallTime,
+    ) {
+        if !self.moves.values().any(|active| &active.plan.model == model) {
+            return;
+        }
+        let bucket_s = bucket_of(now);
+        let key = (model.clone(), version.clone(), route.clone(), bucket_s);
+        let total = self.counted.entry(key).or_default();
+        *total = total.plus(counts);
+        let total = *total;
+        let own = self.own;
+        self.merge_counts(own, model, version, route, bucket_s, total);
+    }
+
+    fn merge_counts(
+        &mut self,
+        incarnation: Incarnation,
+        model: &ModelName,
+        version: &VersionName,
+        route: &RouteName,
+        bucket_s: u64,
+        counts: MoveCounts,
+    ) {
+        for active in self.moves.values_mut() {
+            if &active.plan.model != model {
+                continue;
+            }
+            let side = if version == &active.plan.to {
+                MoveSide::New
+            } else if version == &active.plan.from {
+                MoveSide::Old
+            } else {
+                continue;
+            };
+            active.evidence.merge(incarnation, bucket_s, route, side, counts);
+        }
+    }
+
+    /// Merges the counters of a peer. Counters with invalid names are ignored.
+    pub(crate) fn merge(&mut self, evidence: &Evidence) {
+        let Ok(incarnation) = <[u8; 16]>::try_from(evidence.incarnation.as_ref()) else {
+            return;
+        };
+        let incarnation = Incarnation(u128::from_be_bytes(incarnation));
+        for counter in &evidence.counters {
+            let names = (
+                ModelName::new(&counter.model),
+                VersionName::new(&counter.version),
+                RouteName::new(&counter.route),
+            );
+            let (Ok(model), Ok(version), Ok(route)) = names else {
+                continue;
+            };
+            let counts = MoveCounts {
+                finished: counter.finished,
+                failed: counter.failed,
+                slow: counter.slow,
+            };
+            self.merge_counts(incarnation, &model, &version, &route, counter.bucket_s, counts);
+        }
+    }
+
+    /// Returns the recent counters of this VM as a message, or `None` if there are none.
+    pub(crate) fn evidence(&mut self, now: WallTime) -> Option<Evidence> {
+        let since_s = bucket_of(now).saturating_sub(RESEND_S);
+        self.counted.retain(|(_, _, _, bucket_s), _| *bucket_s >= since_s);
+        if self.counted.is_empty() {
+            return None;
+        }
+        let mut counters = Vec::with_capacity(self.counted.len());
+        for ((model, version, route, bucket_s), counts) in &self.counted {
+            counters.push(EvidenceCounter {
+                model: model.to_string(),
+                version: version.to_string(),
+                route: route.to_string(),
+                finished: counts.finished,
+                failed: counts.failed,
+                slow: counts.slow,
+                bucket_s: *bucket_s,
+            });
+        }
+        let incarnation = Bytes::copy_from_slice(&self.own.0.to_be_bytes());
+        Some(Evidence { incarnation, counters })
+    }
+
+    /// Advances all moves. `latched` tells the state that latches give a move. Returns the ends
+    /// that this VM decided.
+    pub(crate) fn tick(
+        &mut self,
+        now: WallTime,
+        latched: impl Fn(&MoveId) -> MoveState,
+    ) -> Vec<MoveEnding> {
+        let mut endings = Vec::new();
+        for (move_id, active) in &mut self.moves {
+            let known = latched(move_id);
+            let decision: MoveDecision = active.control.tick(now, &mut active.evidence, known);
+            active.control.forget_old(now, &mut active.evidence);
+            active.shares = decision.shares;
+            if decision.state == active.state {
+                continue;
+            }
+            active.state = decision.state;
+            let Some(reason) = decision.entered else {
+                continue;
+            };
+            active.reason = reason.to_string();
+            if decision.state == MoveState::RolledBack {
+                warn!("move: rolled back; move={move_id} reason={reason}");
+            } else {
+                info!("move: done; move={move_id} reason={reason}");
+            }
+            if matches!(reason, MoveReason::Peer) {
+                continue;
+            }
+            endings.push(MoveEnding {
+                move_id: move_id.clone(),
+                state: decision.state,
+                reason: active.reason.clone(),
+            });
+        }
+        endings
+    }
+
+    /// Returns the moves for operators.
+    pub(crate) fn views(&self) -> Vec<MoveView> {
+        let mut views = Vec::with_capacity(self.moves.len());
+        for (move_id, active) in &self.moves {
+            let mut totals = [MoveCounts::default(); 2];
+            for comparison in active.control.judge().routes().values() {
+                let [old, new] = comparison.totals();
+                totals = [totals[0].plus(old), totals[1].plus(new)];
+            }
+            views.push(MoveView {
+                move_id: move_id.clone(),
+                plan: active.plan.clone(),
+                state: active.state,
+                share: active.shares.overall,
+                reason: active.reason.clone(),
+                totals,
+            });
+        }
+        views
+    }
+
+    /// Returns the versions that the plan places, for the check of requests.
+    pub(crate) fn knows(&self, model: &ModelName) -> bool {
+        self.versions.contains_key(model)
+    }
+
+    /// Returns the number of running moves.
+    pub(crate) fn running(&self) -> usize {
+        self.moves.values().filter(|active| active.state == MoveState::Running).count()
+    }
+}
+
+fn bucket_of(now: WallTime) -> u64 {
+    let seconds = now.as_unix_millis() / 1_000;
+    seconds - seconds % BUCKET_S
+}
+
--- a/crates/node/src/generation/generation_buffer.rs
+++ b/crates/node/src/generation/generation_buffer.rs
@@ -7,7 +7,7 @@
 
 use dragonflycart_core::{GenerationId, ServiceError};
 use dragonflycart_engine::FinishReason;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 /// How a generation ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,10 +41,10 @@
     /// thousands of tokens at about 13 bytes a token.
     text: String,
     text_ends: Vec<u32>,
-    token_ids: Vec<u32>,
     end: Option<GenerationEnd>,
     location: GenerationId,
     read: bool,
+    first_token_at: Option<Instant>,
 }
 
 /// Tokens of one generation, shared by the task that fills it and the callers that read it.
@@ -60,10 +60,10 @@
             base,
             text: String::new(),
             text_ends: Vec::new(),
-            token_ids: Vec::new(),
             end: None,
             location,
             read: false,
+            first_token_at: None,
         };
         GenerationBuffer { state: Mutex::new(state), changed: watch::Sender::new(()) }
     }
@@ -73,12 +73,12 @@
     }
 
     /// Appends the next token.
-    pub(crate) fn push(&self, id: u32, text: &str) {
+    pub(crate) fn push(&self, text: &str) {
         let mut state = self.lock();
         state.text.push_str(text);
         let end = state.text.len() as u32;
         state.text_ends.push(end);
-        state.token_ids.push(id);
+        state.first_token_at.get_or_insert_with(Instant::now);
         drop(state);
         self.changed.send_replace(());
     }
@@ -108,20 +108,14 @@
         }
         state.text.clear();
         state.text_ends.clear();
-        state.token_ids.clear();
+        state.first_token_at = None;
         true
     }
 
-    /// Returns the ids of the tokens received so far and the index of the first.
-    pub(crate) fn token_ids(&self) -> (u64, Vec<u32>) {
-        let state = self.lock();
-        (state.base, state.token_ids.clone())
-    }
-
     /// Returns the index of the token that is expected next.
     pub(crate) fn next_index(&self) -> u64 {
         let state = self.lock();
-        state.base + state.token_ids.len() as u64
+        state.base + state.text_ends.len() as u64
     }
 
     /// Returns the index of the first token kept.
@@ -129,6 +123,16 @@
         self.lock().base
     }
 
+    /// Returns whether a caller has read a token.
+    pub(crate) fn is_read(&self) -> bool {
+        self.lock().read
+    }
+
+    /// Returns the time at which the first token was received.
+    pub(crate) fn first_token_at(&self) -> Option<Instant> {
+        self.lock().first_token_at
+    }
+
     /// Returns the end of the generation, if it ended.
     pub(crate) fn end(&self) -> Option<GenerationEnd> {
         self.lock().end.clone()
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -7,27 +7,27 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dragonflycart_core::{ErrorKind, GenerationId, ServerName, ServiceError, VersionName};
+use dragonflycart_core::{ErrorKind, GenerationId, ServiceError};
 use dragonflycart_engine::{
     EngineClient, EngineError, FinishReason, GenerationRequest, StreamEvent, TokenStream,
 };
-use dragonflycart_state::{AssemblerVerdict, StreamAssembler};
+use dragonflycart_policy::AttemptFailure;
+use dragonflycart_state::{ResumePoint, StreamAssembler, TokenVerdict};
 use futures::StreamExt;
 use log::{info, warn};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    control::{AttemptOutcome, ControlHandle, PlacementAsk, PlacementGrant},
+    control::{AttemptReport, ControlHandle, PlacedGeneration, PlacementGrant, PlacementNotice},
     generation::{GenerationBuffer, GenerationEnd, GenerationSpec},
+    node_metrics::NodeMetrics,
+    server_directory::ServerDirectory,
 };
 
 /// Tokens after which progress is reported to the control thread.
 const PROGRESS_STEP: u64 = 16;
 /// Pause before a new connection to an engine whose connection just failed.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
-/// Backend servers that may fail during one generation. A request that was running when two
-/// servers failed is a suspect and is not tried on a third.
-const SERVER_FAILURE_LIMIT: u32 = 2;
 
 /// Bounds on waiting for an engine.
 #[derive(Debug, Clone, Copy)]
@@ -40,170 +40,231 @@
     pub(crate) reconnects: u32,
 }
 
+/// What a runner works with.
+#[derive(Clone)]
+pub(crate) struct RunnerContext {
+    /// Control thread.
+    pub(crate) control: ControlHandle,
+    /// Clients of the backend servers.
+    pub(crate) servers: Arc<ServerDirectory>,
+    /// Metrics.
+    pub(crate) metrics: Arc<NodeMetrics>,
+    /// Bounds on waiting.
+    pub(crate) limits: RunnerLimits,
+}
+
 /// How an attempt on one engine ended.
 enum AttemptEnd {
     Finished(FinishReason),
-    /// The engine lost the generation or can't be reached.
+    /// The engine lost the generation or can't be reached any more.
     EngineLost,
+    /// No connection was made, so the engine never saw the request.
+    NotSent,
     /// The engine failed the generation, for example because the version is bad.
     EngineFailed(String),
     /// No token for too long although the engine answers.
     Stalled,
     /// The engine refused the request without running it.
     Refused(String),
+    /// The placement took the request off the engine.
+    Preempted,
+    /// The placement gave the request up.
+    Cancelled(ErrorKind),
+}
+
+/// What reading one connection led to.
+enum ReadEnd {
+    /// Open a new connection to the same engine.
+    Reconnect,
+    /// The attempt ended.
+    Attempt(AttemptEnd),
 }
 
 /// Runs one generation and fills its buffer.
 pub(crate) struct GenerationRunner {
-    control: ControlHandle,
+    context: RunnerContext,
     buffer: Arc<GenerationBuffer>,
     spec: GenerationSpec,
-    limits: RunnerLimits,
+    placed: PlacedGeneration,
     assembler: StreamAssembler,
-    failed_servers: Vec<ServerName>,
-    unreported_tokens: u64,
-    first_token_at: Option<Instant>,
-    started_at: Instant,
+    unique: String,
+    epoch: u32,
+    last_token_at: Instant,
+    accepted_at: Instant,
 }
 
 impl GenerationRunner {
-    /// Builds the runner of a generation whose first placement is `grant`.
+    /// Builds the runner of a generation that was submitted to the placement.
     pub(crate) fn new(
-        control: ControlHandle,
+        context: RunnerContext,
         buffer: Arc<GenerationBuffer>,
         spec: GenerationSpec,
-        limits: RunnerLimits,
+        placed: PlacedGeneration,
     ) -> GenerationRunner {
-        let assembler = StreamAssembler::new(buffer.location().unique(), buffer.base());
+        let unique = format!("{:032x}", buffer.location().unique());
+        let now = Instant::now();
         GenerationRunner {
-            control,
+            assembler: StreamAssembler::new(&unique),
+            context,
             buffer,
             spec,
-            limits,
-            assembler,
-            failed_servers: Vec::new(),
-            unreported_tokens: 0,
-            first_token_at: None,
-            started_at: Instant::now(),
+            placed,
+            unique,
+            epoch: 0,
+            last_token_at: now,
+            accepted_at: now,
         }
     }
 
-    /// Runs the generation to its end, starting with a placement that was already granted.
-    pub(crate) async fn run(mut self, grant: PlacementGrant) {
-        let id = self.buffer.location();
-        let end = match self.run_attempts(grant).await {
+    /// Runs the generation to its end.
+    pub(crate) async fn run(mut self) {
+        let end = match self.run_attempts().await {
             Ok(reason) => GenerationEnd::Finished { reason },
             Err(error) => {
-                warn!("stream: generation failed; generation={id} kind={}", error.kind());
+                let id = self.buffer.location();
+                warn!("stream: generation failed; generation={id} error={error}");
+                self.context.metrics.count_error(error.kind());
                 GenerationEnd::Failed(error)
             }
         };
         self.buffer.finish(end);
     }
 
-    async fn run_attempts(&mut self, grant: PlacementGrant) -> Result<FinishReason, ServiceError> {
-        let mut grant = grant;
+    async fn run_attempts(&mut self) -> Result<FinishReason, ServiceError> {
+        let mut message = "no backend server became free in time".to_owned();
         loop {
-            let end = self.run_attempt(&grant).await;
-            let outcome = self.outcome(&end);
-            self.control.finish(grant.ticket, outcome);
-            let message = match end {
+            let grant = self.next_grant(&message).await?;
+            let prefix = if self.epoch == 0 && self.assembler.is_untouched() {
+                Vec::new()
+            } else {
+                self.next_epoch(&message).await?
+            };
+            let started_at = Instant::now();
+            let first_index = self.buffer.next_index();
+            let end = self.run_attempt(&grant, prefix).await;
+            self.report(&end, started_at, first_index).await;
+            message = match end {
                 AttemptEnd::Finished(reason) => return Ok(reason),
+                AttemptEnd::Cancelled(kind) => {
+                    return Err(ServiceError::new(kind, "the generation was given up"));
+                }
                 AttemptEnd::EngineLost => "the backend server lost the generation".to_owned(),
+                AttemptEnd::NotSent => "the backend server can't be reached".to_owned(),
                 AttemptEnd::EngineFailed(message) | AttemptEnd::Refused(message) => message,
                 AttemptEnd::Stalled => "the backend server made no progress".to_owned(),
+                AttemptEnd::Preempted => "the generation was preempted".to_owned(),
             };
-            self.failed_servers.push(grant.server.clone());
-            if self.failed_servers.len() as u32 >= SERVER_FAILURE_LIMIT + 1 {
-                return Err(self.lost(&message));
-            }
+            self.context.metrics.continuations.inc();
+            let next = self.buffer.next_index();
             info!(
-                "stream: continuing on another backend server; generation={} failed={} next={}",
-                self.buffer.location(),
-                grant.server,
-                self.buffer.next_index(),
+                "stream: attempt ended; generation={} server={} next={next} reason={message}",
+                self.unique, grant.server,
             );
-            grant = self.place_again(&grant.version, grant.forced_prefix, &message).await?;
         }
     }
 
-    fn outcome(&self, end: &AttemptEnd) -> AttemptOutcome {
-        let tokens = self.buffer.next_index() - self.buffer.base();
-        match end {
-            AttemptEnd::Finished(_) => AttemptOutcome::Finished {
-                tokens,
-                first_token: self.first_token_at.map(|at| at - self.started_at),
-                total: self.started_at.elapsed(),
-            },
-            AttemptEnd::EngineLost => AttemptOutcome::ServerLost,
-            AttemptEnd::EngineFailed(_) => AttemptOutcome::VersionFailed,
-            AttemptEnd::Stalled => AttemptOutcome::Stalled,
-            AttemptEnd::Refused(_) => AttemptOutcome::Refused,
+    /// Waits for a backend server.
+    async fn next_grant(&mut self, message: &str) -> Result<PlacementGrant, ServiceError> {
+        loop {
+            match self.placed.ticket.notices.recv().await {
+                Some(PlacementNotice::Granted(grant)) => return Ok(grant),
+                Some(PlacementNotice::Rejected(kind) | PlacementNotice::Cancelled(kind)) => {
+                    return Err(ServiceError::new(self.honest_kind(kind), message));
+                }
+                Some(PlacementNotice::Preempted) => {}
+                None => return Err(ServiceError::new(ErrorKind::Draining, message)),
+            }
         }
     }
 
-    /// Asks for another server of the same version, and prepares the buffer for it.
-    async fn place_again(
-        &mut self,
-        version: &VersionName,
-        forced_prefix: bool,
-        message: &str,
-    ) -> Result<PlacementGrant, ServiceError> {
-        let has_tokens = self.buffer.next_index() > 0;
+    /// Tells apart generations that are lost after tokens were delivered.
+    fn honest_kind(&self, kind: ErrorKind) -> ErrorKind {
+        if self.buffer.is_read() && kind != ErrorKind::DeadlineExceeded {
+            return ErrorKind::Interrupted;
+        }
+        kind
+    }
+
+    /// Prepares the buffer for the next epoch and returns the forced prefix.
+    async fn next_epoch(&mut self, message: &str) -> Result<Vec<u32>, ServiceError> {
         // Without a forced prefix the only safe way on is a new generation that replaces one
         // whose tokens nobody has seen.
-        let restarts = has_tokens && !forced_prefix;
-        if restarts && (self.buffer.base() > 0 || !self.buffer.restart()) {
-            return Err(self.lost(message));
-        }
-        if restarts {
-            self.assembler = StreamAssembler::new(self.buffer.location().unique(), 0);
+        if !self.placed.forced_prefix && !self.assembler.is_untouched() {
+            if !self.buffer.restart() {
+                return self.give_up(message).await;
+            }
+            self.assembler = StreamAssembler::resumed(ResumePoint {
+                generation: self.unique.clone(),
+                epoch: self.epoch,
+                next_index: 0,
+            });
         }
-        let ask = PlacementAsk {
-            spec: self.spec.clone(),
-            pinned_version: has_tokens.then(|| version.clone()),
-            excluded: self.failed_servers.clone(),
-            generated: self.buffer.next_index() as u32,
-            retry: true,
-        };
-        match self.control.place(ask).await {
-            Ok(grant) => Ok(grant),
-            Err(error) if !has_tokens => Err(error),
-            Err(_) => Err(self.lost(message)),
+        match self.assembler.begin_epoch() {
+            Some(prefix) => {
+                self.epoch += 1;
+                Ok(prefix)
+            }
+            None => self.give_up(message).await,
         }
     }
 
-    fn lost(&self, message: &str) -> ServiceError {
-        let kind = if self.buffer.next_index() == 0 {
-            ErrorKind::BackendFailed
-        } else {
-            ErrorKind::Interrupted
+    async fn give_up<T>(&self, message: &str) -> Result<T, ServiceError> {
+        let ticket = self.placed.ticket.ticket;
+        self.context.control.report_attempt(ticket, AttemptReport::Cancelled).await;
+        Err(ServiceError::new(ErrorKind::Interrupted, message))
+    }
+
+    async fn report(&self, end: &AttemptEnd, started_at: Instant, first_index: u64) {
+        let failed = |failure, by_version| AttemptReport::Failed { failure, by_version };
+        let report = match end {
+            AttemptEnd::Finished(_) => self.finished_report(started_at, first_index),
+            AttemptEnd::EngineLost => failed(AttemptFailure::ServerLost, false),
+            AttemptEnd::NotSent => failed(AttemptFailure::NotSent, false),
+            AttemptEnd::EngineFailed(_) => failed(AttemptFailure::Failed, true),
+            AttemptEnd::Stalled => failed(AttemptFailure::Failed, false),
+            AttemptEnd::Refused(_) => failed(AttemptFailure::Refused, false),
+            // The placement has already taken note of these.
+            AttemptEnd::Preempted | AttemptEnd::Cancelled(_) => return,
         };
-        ServiceError::new(kind, message)
+        self.context.control.report_attempt(self.placed.ticket.ticket, report).await;
+    }
+
+    fn finished_report(&self, started_at: Instant, first_index: u64) -> AttemptReport {
+        let next = self.buffer.next_index();
+        let gaps = (next - first_index) as u32;
+        let first_token = self.buffer.first_token_at().filter(|at| *at >= started_at);
+        let begin = first_token.unwrap_or(started_at);
+        AttemptReport::Finished {
+            tokens: next as u32,
+            first_token: first_token.map(|at| at - started_at),
+            token_gap: (gaps > 1).then(|| (self.last_token_at - begin) / (gaps - 1)),
+        }
     }
 
     /// Runs one attempt on one engine, over as many connections as it takes.
-    async fn run_attempt(&mut self, grant: &PlacementGrant) -> AttemptEnd {
+    async fn run_attempt(&mut self, grant: &PlacementGrant, prefix: Vec<u32>) -> AttemptEnd {
         let location =
             GenerationId::from_parts(grant.server.clone(), self.buffer.location().unique());
         self.buffer.relocate(location.clone());
-        let epoch = self.assembler.begin_epoch();
-        let engine = Arc::clone(&grant.engine);
-        let start = engine.start(self.request(grant, &location, epoch));
-        let mut stream = match tokio::time::timeout(self.limits.silence, start).await {
+        let Some(engine) = self.context.servers.engine(&grant.server) else {
+            return AttemptEnd::Refused("the backend server is not an engine".to_owned());
+        };
+        self.last_token_at = Instant::now();
+        let request = self.request(grant, &location, prefix);
+        let start = tokio::time::timeout(self.context.limits.silence, engine.start(request)).await;
+        let mut stream = match start {
             Ok(Ok(stream)) => Some(stream),
             Ok(Err(EngineError::Refused(message))) => return AttemptEnd::Refused(message),
             Ok(Err(EngineError::Failed(message))) => return AttemptEnd::EngineFailed(message),
-            Ok(Err(EngineError::NotSent)) => return AttemptEnd::EngineLost,
+            Ok(Err(EngineError::NotSent)) => return AttemptEnd::NotSent,
             Ok(Err(_)) | Err(_) => None,
         };
         let mut reconnects = 0;
-        let mut last_token_at = Instant::now();
         loop {
             if let Some(open) = stream.take() {
                 let before = self.buffer.next_index();
-                if let Some(end) = self.read_stream(grant, open, &mut last_token_at).await {
-                    if matches!(end, AttemptEnd::Stalled) {
+                if let ReadEnd::Attempt(end) = self.read_stream(&location, open).await {
+                    if !matches!(end, AttemptEnd::Finished(_)) {
                         self.cancel(&*engine, &location).await;
                     }
                     return end;
@@ -212,7 +273,7 @@
                     reconnects = 0;
                 }
             }
-            if reconnects >= self.limits.reconnects {
+            if reconnects >= self.context.limits.reconnects {
                 self.cancel(&*engine, &location).await;
                 return AttemptEnd::EngineLost;
             }
@@ -230,7 +291,8 @@
     /// failure is ignored: the epoch keeps late tokens out, and the engine may be gone anyway.
     async fn cancel(&self, engine: &dyn EngineClient, location: &GenerationId) {
         let generation = location.to_string();
-        let _ = tokio::time::timeout(self.limits.silence, engine.cancel(&generation)).await;
+        let silence = self.context.limits.silence;
+        let _ = tokio::time::timeout(silence, engine.cancel(&generation)).await;
     }
 
     async fn reconnect(
@@ -239,9 +301,11 @@
         location: &GenerationId,
     ) -> Result<TokenStream, EngineError> {
         let next = self.buffer.next_index();
+        self.context.metrics.reconnects.inc();
         info!("stream: opening a new connection; generation={location} next={next}");
-        let resume = engine.resume(&location.to_string(), next);
-        match tokio::time::timeout(self.limits.silence, resume).await {
+        let generation = location.to_string();
+        let resume = engine.resume(&generation, next);
+        match tokio::time::timeout(self.context.limits.silence, resume).await {
             Ok(result) => result,
             Err(_) => Err(EngineError::ConnectionLost),
         }
@@ -251,100 +315,111 @@
         &self,
         grant: &PlacementGrant,
         location: &GenerationId,
-        epoch: u32,
+        forced_prefix: Vec<u32>,
     ) -> GenerationRequest {
-        let (_, forced_prefix) = self.buffer.token_ids();
         GenerationRequest {
             generation: location.to_string(),
-            epoch,
+            epoch: self.epoch,
             model: self.spec.model.clone(),
-            version: grant.version.clone(),
+            version: self.placed.version.clone(),
             prompt: self.spec.prompt.clone(),
             forced_prefix,
             max_tokens: self.spec.max_tokens,
             seed: self.spec.seed,
-            priority: grant.priority,
+            priority: self.placed.priority,
             team: self.spec.team.clone(),
             route: self.spec.route.clone(),
-            seat: grant.seat.clone(),
+            seat: Some(grant.seat.clone()),
         }
     }
 
-    /// Reads one connection. Returns `None` if the connection is to be replaced.
-    async fn read_stream(
-        &mut self,
-        grant: &PlacementGrant,
-        mut stream: TokenStream,
-        last_token_at: &mut Instant,
-    ) -> Option<AttemptEnd> {
+    /// Reads one connection until it ends, goes silent, or the placement intervenes.
+    async fn read_stream(&mut self, location: &GenerationId, mut stream: TokenStream) -> ReadEnd {
+        let own = location.to_string();
         loop {
-            let silence_ends = Instant::now() + self.limits.silence;
-            let event = match timeout_at(silence_ends, stream.next()).await {
+            let silence_ends = Instant::now() + self.context.limits.silence;
+            let event = tokio::select! {
+                event = timeout_at(silence_ends, stream.next()) => event,
+                notice = self.placed.ticket.notices.recv() => match notice {
+                    Some(PlacementNotice::Cancelled(kind) | PlacementNotice::Rejected(kind)) => {
+                        return ReadEnd::Attempt(AttemptEnd::Cancelled(kind));
+                    }
+                    Some(PlacementNotice::Preempted) => {
+                        return ReadEnd::Attempt(AttemptEnd::Preempted);
+                    }
+                    Some(PlacementNotice::Granted(_)) => continue,
+                    None => {
+                        return ReadEnd::Attempt(AttemptEnd::Cancelled(ErrorKind::Draining));
+                    }
+                },
+            };
+            let event = match event {
                 Ok(Some(Ok(event))) => event,
                 Ok(Some(Err(EngineError::UnknownGeneration))) => {
-                    return Some(AttemptEnd::EngineLost);
+                    return ReadEnd::Attempt(AttemptEnd::EngineLost);
                 }
                 Ok(Some(Err(EngineError::Failed(message)))) => {
-                    return Some(AttemptEnd::EngineFailed(message));
+                    return ReadEnd::Attempt(AttemptEnd::EngineFailed(message));
                 }
-                Ok(Some(Err(_)) | None) | Err(_) => return None,
+                Ok(Some(Err(_)) | None) | Err(_) => return ReadEnd::Reconnect,
             };
-            if let Some(end) = self.apply(grant, event, last_token_at) {
+            if let Some(end) = self.apply(&own, event) {
                 return end;
             }
-            if last_token_at.elapsed() > self.limits.progress {
-                return Some(AttemptEnd::Stalled);
+            if self.last_token_at.elapsed() > self.context.limits.progress {
+                return ReadEnd::Attempt(AttemptEnd::Stalled);
             }
         }
     }
 
-    /// Applies one event. Returns `Some(None)` if the connection is to be replaced and
-    /// `Some(Some(end))` if the attempt ended.
-    fn apply(
-        &mut self,
-        grant: &PlacementGrant,
-        event: StreamEvent,
-        last_token_at: &mut Instant,
-    ) -> Option<Option<AttemptEnd>> {
-        let own = self.buffer.location().to_string();
+    /// Applies one event. Returns `None` if reading goes on.
+    fn apply(&mut self, own: &str, event: StreamEvent) -> Option<ReadEnd> {
         match event {
             StreamEvent::Token { generation, epoch, index, id, text } => {
                 if generation != own {
-                    return Some(None);
+                    return Some(ReadEnd::Reconnect);
                 }
-                match self.assembler.accept_token(epoch, index) {
-                    AssemblerVerdict::Accepted => {}
-                    AssemblerVerdict::Duplicate => return None,
-                    AssemblerVerdict::Rejected => return Some(None),
+                match self.assembler.accept_token(&self.unique, epoch, index, id) {
+                    TokenVerdict::Deliver => self.deliver(&text),
+                    TokenVerdict::Duplicate => {}
+                    _ => return Some(ReadEnd::Reconnect),
                 }
-                self.buffer.push(id, &text);
-                *last_token_at = Instant::now();
-                self.first_token_at.get_or_insert(*last_token_at);
-                self.note_token(grant);
                 None
             }
-            StreamEvent::Heartbeat { generation } => (generation != own).then_some(None),
+            StreamEvent::Heartbeat { generation } => {
+                (generation != own).then_some(ReadEnd::Reconnect)
+            }
             StreamEvent::Finished { generation, epoch, reason, count } => {
-                if generation != own || !self.assembler.accept_finish(epoch, count) {
-                    return Some(None);
+                if generation != own {
+                    return Some(ReadEnd::Reconnect);
+                }
+                match self.assembler.accept_finish(&self.unique, epoch, count) {
+                    TokenVerdict::Deliver => {
+                        Some(ReadEnd::Attempt(AttemptEnd::Finished(reason)))
+                    }
+                    _ => Some(ReadEnd::Reconnect),
                 }
-                Some(Some(AttemptEnd::Finished(reason)))
             }
             StreamEvent::Failed { generation, message } => {
                 if generation != own {
-                    return Some(None);
+                    return Some(ReadEnd::Reconnect);
                 }
-                Some(Some(AttemptEnd::EngineFailed(message)))
+                Some(ReadEnd::Attempt(AttemptEnd::EngineFailed(message)))
             }
         }
     }
 
-    fn note_token(&mut self, grant: &PlacementGrant) {
-        self.unreported_tokens += 1;
-        if self.unreported_tokens < PROGRESS_STEP && self.buffer.next_index() != 1 {
-            return;
+    fn deliver(&mut self, text: &str) {
+        self.buffer.push(text);
+        self.last_token_at = Instant::now();
+        self.context.metrics.tokens.inc();
+        let next = self.buffer.next_index();
+        if next == 1 {
+            let span = self.accepted_at.elapsed();
+            self.context.metrics.first_token.observe(span.as_secs_f64());
+        }
+        if next == 1 || next % PROGRESS_STEP == 0 {
+            self.context.control.progress(self.placed.ticket.ticket, next);
         }
-        self.control.progress(grant.ticket, self.buffer.next_index());
-        self.unreported_tokens = 0;
     }
 }
--- a/crates/node/src/generation/generation_spec.rs
+++ b/crates/node/src/generation/generation_spec.rs
@@ -1,6 +1,6 @@
 //! What a caller asked to be generated.
 
-use dragonflycart_core::{ModelName, MonoTime, RouteName, TeamName};
+use dragonflycart_core::{ModelName, MonoTime, RequestKey, RouteName, TeamName};
 
 /// Characters per token assumed for a prompt whose tokens are not known. English text has about
 /// four; the estimate only feeds the memory forecast and is corrected by load reports.
@@ -21,6 +21,8 @@
     pub(crate) max_tokens: u32,
     /// Sampling seed.
     pub(crate) seed: u64,
+    /// Key that fixes the choice of the version.
+    pub(crate) key: RequestKey,
     /// Time by which the answer must be complete.
     pub(crate) deadline: MonoTime,
 }
--- a/crates/node/src/generation/mod.rs
+++ b/crates/node/src/generation/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use self::{
     generation_buffer::{BufferSlice, GenerationBuffer, GenerationEnd},
-    generation_runner::{GenerationRunner, RunnerLimits},
+    generation_runner::{GenerationRunner, RunnerContext, RunnerLimits},
     generation_spec::GenerationSpec,
     generation_store::GenerationStore,
 };
--- /dev/null
+++ b/crates/node/src/http/caller_context.rs
@@ -0,0 +1,96 @@
+//! What the headers of a request say about its caller.
+
+use std::time::Duration;
+
+use axum::http::{HeaderMap, header};
+use dragonflycart_core::{ErrorKind, RequestKey, RouteName, ServiceError, TeamName};
+use dragonflycart_settings::Config;
+
+/// Route of a request that names none.
+const DEFAULT_ROUTE: &str = "default";
+/// Longest deadline that a caller may ask for.
+const DEADLINE_LIMIT: Duration = Duration::from_secs(24 * 3_600);
+
+/// What the headers of a request say about its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct CallerContext {
+    /// Team, authenticated if it has a credential.
+    pub(crate) team: TeamName,
+    /// Kind of request.
+    pub(crate) route: RouteName,
+    /// Idempotency key.
+    pub(crate) key: Option<RequestKey>,
+    /// Time within which the whole answer is useful.
+    pub(crate) deadline: Option<Duration>,
+    /// Number of the caller's attempt under its key; zero if not stated.
+    pub(crate) attempt: u32,
+}
+
+impl CallerContext {
+    /// Reads and checks the headers.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadRequest`] with a message that names the header, or
+    /// [`ErrorKind::Unauthorized`].
+    pub(crate) fn from_headers(
+        headers: &HeaderMap,
+        config: &Config,
+    ) -> Result<CallerContext, ServiceError> {
+        let team: TeamName = parsed(headers, "x-team")?
+            .ok_or_else(|| ServiceError::new(ErrorKind::BadRequest, "x-team: header is missing"))?;
+        check_credential(headers, config, &team)?;
+        let route = match parsed(headers, "x-route")? {
+            Some(route) => route,
+            None => RouteName::new(DEFAULT_ROUTE).map_err(|error| bad("x-route", error))?,
+        };
+        let deadline = parsed::<u64>(headers, "x-deadline-ms")?.map(Duration::from_millis);
+        if deadline.is_some_and(|span| span.is_zero() || span > DEADLINE_LIMIT) {
+            let limit = DEADLINE_LIMIT.as_millis();
+            return Err(bad("x-deadline-ms", format!("allowed is 1 to {limit}")));
+        }
+        Ok(CallerContext {
+            team,
+            route,
+            key: parsed(headers, "idempotency-key")?,
+            deadline,
+            attempt: parsed(headers, "x-attempt")?.unwrap_or(0),
+        })
+    }
+}
+
+fn bad(name: &str, reason: impl std::fmt::Display) -> ServiceError {
+    ServiceError::new(ErrorKind::BadRequest, format!("{name}: {reason}"))
+}
+
+/// Returns the value of a header, or `None` if it is absent.
+pub(crate) fn parsed<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &str,
+) -> Result<Option<T>, ServiceError>
+where
+    T::Err: std::fmt::Display,
+{
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| bad(name, "the value is not ASCII text"))?;
+    text.trim().parse().map(Some).map_err(|error| bad(name, error))
+}
+
+/// Returns the credential of the `Authorization` header.
+pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers.get(header::AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+}
+
+fn check_credential(
+    headers: &HeaderMap,
+    config: &Config,
+    team: &TeamName,
+) -> Result<(), ServiceError> {
+    let unauthorized =
+        || ServiceError::new(ErrorKind::Unauthorized, "the team or its credential is not known");
+    let settings = config.teams.get(team).ok_or_else(unauthorized)?;
+    let credential = bearer(headers).ok_or_else(unauthorized)?;
+    if settings.credential.matches(credential) { Ok(()) } else { Err(unauthorized()) }
+}
--- /dev/null
+++ b/crates/node/src/server_directory.rs
@@ -0,0 +1,95 @@
+//! Clients of all configured backend servers.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use dragonflycart_core::{MonoTime, ServerName};
+use dragonflycart_engine::{EngineClient, HttpEngine, HttpService, ServiceClient, ServiceOptions};
+use dragonflycart_settings::Config;
+
+use crate::{
+    control::{ControlHandle, ControlMessage, ServerReading},
+    node_clock::NodeClock,
+};
+
+/// Clients of all configured backend servers.
+pub(crate) struct ServerDirectory {
+    engines: BTreeMap<ServerName, Arc<dyn EngineClient>>,
+    services: BTreeMap<ServerName, Arc<dyn ServiceClient>>,
+    /// Every backend server reports its load over the same protocol.
+    reporters: BTreeMap<ServerName, Arc<dyn EngineClient>>,
+}
+
+impl ServerDirectory {
+    /// Builds clients for all backend servers in the settings.
+    pub(crate) fn new(config: &Config) -> ServerDirectory {
+        let mut directory = ServerDirectory {
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            reporters: BTreeMap::new(),
+        };
+        for (name, settings) in &config.engines {
+            let client: Arc<dyn EngineClient> = Arc::new(HttpEngine::new(settings.address));
+            directory.engines.insert(name.clone(), Arc::clone(&client));
+            directory.reporters.insert(name.clone(), client);
+        }
+        for (name, settings) in &config.service_servers {
+            let lookup = config.services.get(&settings.service).is_some_and(|s| s.lookup);
+            let options = ServiceOptions {
+                answer_timeout: config.timeouts.call_deadline,
+                supports_lookup: lookup,
+            };
+            let client = HttpService::new(settings.address, options);
+            directory.services.insert(name.clone(), Arc::new(client));
+            let reporter = HttpEngine::new(settings.address);
+            directory.reporters.insert(name.clone(), Arc::new(reporter));
+        }
+        directory
+    }
+
+    /// Returns the client of an engine.
+    pub(crate) fn engine(&self, name: &ServerName) -> Option<Arc<dyn EngineClient>> {
+        self.engines.get(name).cloned()
+    }
+
+    /// Returns the client of a plain service's server.
+    pub(crate) fn service(&self, name: &ServerName) -> Option<Arc<dyn ServiceClient>> {
+        self.services.get(name).cloned()
+    }
+
+    /// Starts to ask every backend server for its load, spread over the period so that the
+    /// reports do not arrive in bursts.
+    pub(crate) fn start_polls(&self, control: &ControlHandle, clock: NodeClock, period: Duration) {
+        let count = self.reporters.len().max(1) as u32;
+        for (position, (name, client)) in self.reporters.iter().enumerate() {
+            let delay = period * position as u32 / count;
+            let poll = poll_forever(
+                name.clone(),
+                Arc::clone(client),
+                control.clone(),
+                clock,
+                (delay, period),
+            );
+            tokio::spawn(poll);
+        }
+    }
+}
+
+async fn poll_forever(
+    server: ServerName,
+    client: Arc<dyn EngineClient>,
+    control: ControlHandle,
+    clock: NodeClock,
+    (delay, period): (Duration, Duration),
+) {
+    // The first poll is immediate: a new VM can't place anything before it.
+    let mut wait = delay.min(period / 4);
+    loop {
+        tokio::time::sleep(wait).await;
+        wait = period;
+        let asked_at: MonoTime = clock.now();
+        let report = tokio::time::timeout(period * 2, client.report()).await;
+        let report = report.ok().and_then(Result::ok);
+        let reading = ServerReading { server: server.clone(), asked_at, report };
+        control.send(ControlMessage::Reading(reading)).await;
+    }
+}
