Add latches, evidence, members, streams, jobs and the append batcher

A zone latch ends only with a plan that was also submitted after it. By revision alone, a latch set through a VM that lags behind would have no effect on the VMs that are ahead.

CallLedger and JobLedger share LogCoverage, which tells whether a reader can have missed a record, and the record LogCheckpoint (was CallCheckpoint).

BatchFilter remembers the highest sequence per writer only. The folds do not rely on it: a reader that starts between two copies of an append would take the second one for the first.

--- /dev/null
+++ b/crates/state/src/append_budget.rs
@@ -0,0 +1,55 @@
+//! Rate limit on the appends of one VM, over all topics.
+
+use std::time::Duration;
+
+use dragonflycart_core::MonoTime;
+
+/// Appends per second of one VM. With 9 VMs this is 225/s of the several hundred that the log
+/// service takes.
+const APPENDS_PER_SECOND: u32 = 25;
+
+/// Appends that may go out at once after a quiet phase.
+const BURST: u32 = 5;
+
+/// Token bucket for appends.
+#[derive(Debug, Clone)]
+pub struct AppendBudget {
+    interval: Duration,
+    burst: Duration,
+    /// Time from which the bucket is full again.
+    full_at: MonoTime,
+}
+
+impl AppendBudget {
+    /// Starts with a full bucket at the default rate.
+    pub fn new() -> AppendBudget {
+        AppendBudget::with_rate(APPENDS_PER_SECOND, BURST)
+    }
+
+    /// Starts with a full bucket at `rate` appends per second; both values are at least 1.
+    pub fn with_rate(rate: u32, burst: u32) -> AppendBudget {
+        let interval = Duration::from_secs(1) / rate.max(1);
+        let full_at = MonoTime::default();
+        AppendBudget { interval, burst: interval * burst.max(1), full_at }
+    }
+
+    /// Takes one append out of the bucket.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time from which an append is possible.
+    pub fn take(&mut self, now: MonoTime) -> Result<(), MonoTime> {
+        let full_at = self.full_at.max(now) + self.interval;
+        if full_at.since(now) > self.burst {
+            return Err(full_at - self.burst);
+        }
+        self.full_at = full_at;
+        Ok(())
+    }
+}
+
+impl Default for AppendBudget {
+    fn default() -> AppendBudget {
+        AppendBudget::new()
+    }
+}
--- a/crates/state/src/call_ledger.rs
+++ b/crates/state/src/call_ledger.rs
@@ -7,10 +7,11 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use dragonflycart_core::{LogOffset, WallTime};
-use dragonflycart_wire::{CallCheckpoint, LogEntry, RecordBatch, log_entry::Kind};
+use dragonflycart_wire::{LogEntry, RecordBatch, log_entry::Kind};
 
 use crate::{
-    CallKey, CallView, ClaimId, ClaimNote, KeyHistory, LedgerLimits, OutcomeNote, ReleaseNote,
+    CallKey, CallView, ClaimId, ClaimNote, KeyHistory, LedgerLimits, LogCoverage, OutcomeNote,
+    ReleaseNote,
 };
 
 /// Claims, releases and outcomes of calls within the call window.
@@ -18,16 +19,7 @@
 pub struct CallLedger {
     limits: LedgerLimits,
     keys: BTreeMap<CallKey, KeyHistory>,
-    /// Offset of the next record to read.
-    position: LogOffset,
-    /// Start of the unbroken series of records read.
-    read_from: LogOffset,
-    /// Time at which reading at `read_from` started.
-    read_since: WallTime,
-    /// End of the log when reading started.
-    end_at_start: LogOffset,
-    complete: bool,
-    checkpoint_made_at: Option<WallTime>,
+    coverage: LogCoverage,
 }
 
 impl CallLedger {
@@ -38,21 +30,13 @@
         end: LogOffset,
         now: WallTime,
     ) -> CallLedger {
-        CallLedger {
-            limits,
-            keys: BTreeMap::new(),
-            position: first_available,
-            read_from: first_available,
-            read_since: now,
-            end_at_start: end,
-            complete: first_available == LogOffset(0),
-            checkpoint_made_at: None,
-        }
+        let coverage = LogCoverage::new(limits, first_available, end, now);
+        CallLedger { limits, keys: BTreeMap::new(), coverage }
     }
 
     /// Returns the offset of the next record to read.
     pub fn position(&self) -> LogOffset {
-        self.position
+        self.coverage.position()
     }
 
     /// Returns the number of keys that are known.
@@ -63,23 +47,15 @@
     /// Continues at `first_available` because the log has removed the records before it. If
     /// records were missed, the ledger decides nothing until the next checkpoint.
     pub fn skip_removed(&mut self, first_available: LogOffset, now: WallTime) {
-        if first_available <= self.position {
-            return;
-        }
-        self.position = first_available;
-        self.read_from = first_available;
-        self.read_since = now;
-        self.complete = false;
+        self.coverage.skip_removed(first_available, now);
     }
 
     /// Applies one append. Records that were read before are ignored; a gap counts as removed
     /// records. An append that can't be decoded is passed as an empty batch.
     pub fn apply_batch(&mut self, offset: LogOffset, batch: &RecordBatch, now: WallTime) {
-        if offset < self.position {
+        if !self.coverage.advance(offset, now) {
             return;
         }
-        self.skip_removed(offset, now);
-        self.position = offset.next();
         for entry in &batch.entries {
             let Some(kind) = &entry.kind else {
                 continue;
@@ -91,7 +67,7 @@
     /// Returns whether the ledger knows every key of the call window and has read at least what
     /// was in the log when it started. Only then may it decide that a key has no owner.
     pub fn is_authoritative(&self, now: WallTime) -> bool {
-        self.is_complete(now) && self.position >= self.end_at_start
+        self.coverage.is_authoritative(now)
     }
 
     /// Returns what is known about a key.
@@ -151,19 +127,14 @@
 
     /// Removes keys that are older than the call window.
     pub fn expire(&mut self, now: WallTime) {
-        let lifetime = self.limits.call_window + self.limits.clock_margin;
-        self.keys.retain(|_, history| now.since(history.latest()) < lifetime);
+        self.keys.retain(|_, history| now.since(history.latest()) < self.limits.lifetime());
     }
 
     /// Returns whether the records have to be appended again: half the retention time has passed
     /// since the last checkpoint was made. `stagger` differs between VMs, so that usually one of
     /// them appends; several do no harm.
     pub fn checkpoint_due(&self, now: WallTime, stagger: Duration) -> bool {
-        if !self.is_authoritative(now) {
-            return false;
-        }
-        let interval = self.limits.retention / 2 + stagger;
-        self.checkpoint_made_at.is_none_or(|made_at| now.since(made_at) >= interval)
+        self.coverage.checkpoint_due(now, stagger)
     }
 
     /// Returns copies of all records and, as the last entry, the checkpoint. They are appended in
@@ -178,28 +149,20 @@
                 entries.push(LogEntry { kind: Some(kind) });
             }
         }
-        let checkpoint =
-            CallCheckpoint { as_of_offset: self.position.0, made_at_ms: now.as_unix_millis() };
-        entries.push(LogEntry { kind: Some(Kind::CallCheckpoint(checkpoint)) });
+        let checkpoint = self.coverage.checkpoint(now);
+        entries.push(LogEntry { kind: Some(Kind::LogCheckpoint(checkpoint)) });
         entries
     }
 
-    /// Complete are a log that never removed a record, a checkpoint that starts within what was
-    /// read, and reading without a gap for longer than any key is kept.
-    fn is_complete(&self, now: WallTime) -> bool {
-        let lifetime = self.limits.call_window + self.limits.clock_margin;
-        self.complete || now.since(self.read_since) >= lifetime
-    }
-
     fn apply_record(&mut self, offset: LogOffset, kind: &Kind) {
         match kind {
             Kind::CallClaim(claim) => {
-                let first = first_offset(offset, claim.original_offset_plus_one);
+                let first = LogCoverage::first_offset(offset, claim.original_offset_plus_one);
                 let note = ClaimNote::from_wire(claim);
                 self.history_mut(&claim.team, &claim.key).add_claim(first, note);
             }
             Kind::CallRelease(release) => {
-                let first = first_offset(offset, release.original_offset_plus_one);
+                let first = LogCoverage::first_offset(offset, release.original_offset_plus_one);
                 let note = ReleaseNote::from_wire(release);
                 self.history_mut(&release.team, &release.key).add_release(first, note);
             }
@@ -207,27 +170,12 @@
                 let note = OutcomeNote::from_wire(outcome);
                 self.history_mut(&outcome.team, &outcome.key).add_outcome(note);
             }
-            Kind::CallCheckpoint(checkpoint) => self.apply_checkpoint(offset, checkpoint),
+            Kind::LogCheckpoint(checkpoint) => self.coverage.apply_checkpoint(offset, checkpoint),
             _ => {}
         }
     }
 
-    fn apply_checkpoint(&mut self, offset: LogOffset, checkpoint: &CallCheckpoint) {
-        let as_of = LogOffset(checkpoint.as_of_offset);
-        if as_of < self.read_from || as_of > offset {
-            return;
-        }
-        self.complete = true;
-        let made_at = WallTime::from_unix_millis(checkpoint.made_at_ms);
-        self.checkpoint_made_at = self.checkpoint_made_at.max(Some(made_at));
-    }
-
     fn history_mut(&mut self, team: &str, key: &str) -> &mut KeyHistory {
         self.keys.entry(CallKey::new(team, key)).or_default()
     }
 }
-
-/// Returns the offset at which a record first appeared.
-fn first_offset(offset: LogOffset, original_plus_one: u64) -> LogOffset {
-    original_plus_one.checked_sub(1).map_or(offset, LogOffset)
-}
--- /dev/null
+++ b/crates/state/src/evidence_counts.rs
@@ -0,0 +1,31 @@
+//! Counters about one model version.
+
+use std::ops::AddAssign;
+
+/// Counters about one model version on one route. Each only grows within an incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EvidenceCounts {
+    /// Finished requests.
+    pub finished: u64,
+    /// Requests that failed because of the version.
+    pub failed: u64,
+    /// Requests that were slower than the objective.
+    pub slow: u64,
+}
+
+impl EvidenceCounts {
+    /// Raises each counter to the one of `other`.
+    pub fn raise_to(&mut self, other: EvidenceCounts) {
+        self.finished = self.finished.max(other.finished);
+        self.failed = self.failed.max(other.failed);
+        self.slow = self.slow.max(other.slow);
+    }
+}
+
+impl AddAssign for EvidenceCounts {
+    fn add_assign(&mut self, other: EvidenceCounts) {
+        self.finished = self.finished.saturating_add(other.finished);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.slow = self.slow.saturating_add(other.slow);
+    }
+}
--- a/crates/state/src/given_up_claims.rs
+++ b/crates/state/src/given_up_claims.rs
@@ -36,7 +36,7 @@
         now: WallTime,
     ) -> Vec<CallRelease> {
         self.releases.retain(|claim_id, (key, note)| {
-            let young = now.since(note.made_at) < limits.call_window + limits.clock_margin;
+            let young = now.since(note.made_at) < limits.lifetime();
             young && !ledger.is_released(key, *claim_id)
         });
         self.releases.values().map(|(key, note)| note.to_wire(key, None)).collect()
--- /dev/null
+++ b/crates/state/src/job_view.rs
@@ -0,0 +1,27 @@
+//! What the ledger says about a job.
+
+use bytes::Bytes;
+use dragonflycart_core::Incarnation;
+
+/// State of a deferred generation as read from the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobView {
+    /// No record of the job is known.
+    Unseen,
+    /// No VM works on it.
+    Waiting,
+    /// A VM works on it.
+    Claimed {
+        /// Number of the attempt, from 1.
+        attempt: u32,
+        /// Incarnation of the VM.
+        worker: Incarnation,
+    },
+    /// The result is complete.
+    Done {
+        /// Attempt that produced it.
+        attempt: u32,
+        /// Result.
+        body: Bytes,
+    },
+}
--- a/crates/state/src/ledger_limits.rs
+++ b/crates/state/src/ledger_limits.rs
@@ -1,8 +1,8 @@
-//! Time limits of the call ledger.
+//! Time limits of the ledgers.
 
 use std::time::Duration;
 
-/// Time limits of the call ledger; equal on all VMs.
+/// Time limits of the ledgers of calls and jobs; equal on all VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LedgerLimits {
     /// Time for which a key is known; 72 h by default.
@@ -14,6 +14,13 @@
     pub clock_margin: Duration,
 }
 
+impl LedgerLimits {
+    /// Returns the time for which a key is kept.
+    pub fn lifetime(&self) -> Duration {
+        self.call_window + self.clock_margin
+    }
+}
+
 impl Default for LedgerLimits {
     fn default() -> LedgerLimits {
         LedgerLimits {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,7 +3,11 @@
 //! What must never revert or never happen twice is ordered by the log and folded here. Nothing
 //! does I/O or reads a clock, so that tests can run every interleaving of faults.
 
+mod append_budget;
 mod attempt_answer;
+mod attempt_parts;
+mod batch_filter;
+mod batch_writer;
 mod call_attempt;
 mod call_key;
 mod call_ledger;
@@ -11,17 +15,39 @@
 mod claim_id;
 mod claim_note;
 mod dispatch_permit;
+mod evidence_counts;
+mod evidence_store;
+mod evidence_subject;
 mod given_up_claims;
+mod job_history;
+mod job_ledger;
+mod job_view;
 mod key_history;
+mod latch_store;
 mod ledger_limits;
+mod log_coverage;
+mod member_info;
+mod member_state;
+mod member_table;
+mod move_state;
 mod outcome_note;
 mod plan_log;
 mod plan_state;
 mod plan_verdict;
 mod release_note;
+mod resume_point;
+mod stream_assembler;
+mod token_verdict;
+mod writer_error;
+mod writer_limits;
+mod writer_step;
 
 pub use crate::{
+    append_budget::AppendBudget,
     attempt_answer::AttemptAnswer,
+    attempt_parts::AttemptParts,
+    batch_filter::BatchFilter,
+    batch_writer::BatchWriter,
     call_attempt::CallAttempt,
     call_key::CallKey,
     call_ledger::CallLedger,
@@ -29,12 +55,30 @@
     claim_id::{ClaimId, incarnation_from_wire, incarnation_to_wire},
     claim_note::ClaimNote,
     dispatch_permit::DispatchPermit,
+    evidence_counts::EvidenceCounts,
+    evidence_store::EvidenceStore,
+    evidence_subject::EvidenceSubject,
     given_up_claims::GivenUpClaims,
+    job_history::JobHistory,
+    job_ledger::JobLedger,
+    job_view::JobView,
     key_history::KeyHistory,
+    latch_store::LatchStore,
     ledger_limits::LedgerLimits,
+    log_coverage::LogCoverage,
+    member_info::MemberInfo,
+    member_state::MemberState,
+    member_table::MemberTable,
+    move_state::MoveState,
     outcome_note::OutcomeNote,
     plan_log::PlanLog,
     plan_state::PlanState,
     plan_verdict::PlanVerdict,
     release_note::ReleaseNote,
+    resume_point::ResumePoint,
+    stream_assembler::StreamAssembler,
+    token_verdict::TokenVerdict,
+    writer_error::WriterError,
+    writer_limits::WriterLimits,
+    writer_step::WriterStep,
 };
--- a/crates/state/src/plan_state.rs
+++ b/crates/state/src/plan_state.rs
@@ -22,6 +22,7 @@
     author: String,
     submit_id: String,
     body: Bytes,
+    submitted_at: WallTime,
     decisions: VecDeque<ProposalDecision>,
 }
 
@@ -33,6 +34,7 @@
             author: snapshot.author.clone(),
             submit_id: snapshot.submit_id.clone(),
             body: snapshot.body.clone(),
+            submitted_at: WallTime::from_unix_millis(snapshot.submitted_at_ms),
             decisions: snapshot.decisions.iter().cloned().collect(),
         }
     }
@@ -44,6 +46,7 @@
             author: copy.author.clone(),
             submit_id: copy.submit_id.clone(),
             body: copy.body.clone(),
+            submitted_at: WallTime::from_unix_millis(copy.submitted_at_ms),
             decisions: copy.decisions.iter().cloned().collect(),
         }
     }
@@ -58,6 +61,7 @@
             submit_id: self.submit_id.clone(),
             decisions: self.decisions.iter().cloned().collect(),
             made_at_ms: made_at.as_unix_millis(),
+            submitted_at_ms: self.submitted_at.as_unix_millis(),
         }
     }
 
@@ -70,6 +74,7 @@
             submit_id: self.submit_id.clone(),
             as_of_offset: as_of.0,
             decisions: self.decisions.iter().cloned().collect(),
+            submitted_at_ms: self.submitted_at.as_unix_millis(),
         }
     }
 
@@ -88,6 +93,11 @@
         &self.body
     }
 
+    /// Returns when the plan in force was submitted.
+    pub fn submitted_at(&self) -> WallTime {
+        self.submitted_at
+    }
+
     /// Returns the decision about a submission, or `NotKnown` if it is not among the latest ones.
     pub fn verdict(&self, submit_id: &str) -> PlanVerdict {
         let Some(decision) = self.decisions.iter().find(|found| found.submit_id == submit_id)
@@ -113,6 +123,7 @@
             self.author = proposal.author.clone();
             self.submit_id = proposal.submit_id.clone();
             self.body = proposal.body.clone();
+            self.submitted_at = WallTime::from_unix_millis(proposal.submitted_at_ms);
         }
         let (author, revision) = self.winner_over(proposal.base_revision);
         let decision =
--- /dev/null
+++ b/crates/state/src/writer_error.rs
@@ -0,0 +1,18 @@
+//! Why a record can't be buffered.
+
+use displaydoc::Display;
+use thiserror::Error;
+
+/// Reason why a record was not accepted for append. Nothing was written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum WriterError {
+    /// the record has {found} bytes, an append takes {limit}
+    TooLarge {
+        /// Size of the record in bytes.
+        found: usize,
+        /// Largest record in bytes.
+        limit: usize,
+    },
+    /// the append buffer is full because the log service is slow or down
+    Full,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,7 @@
 pub use crate::{
     frame_codec::{FrameCodec, FrameError},
     log_records::{
-        CallCheckpoint, CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult,
+        CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult, LogCheckpoint,
         LogEntry, MoveEnd, PlanProposal, PlanSnapshot, ProposalDecision, RecordBatch, log_entry,
     },
     peer_messages::{
--- a/crates/wire/src/log_records.rs
+++ b/crates/wire/src/log_records.rs
@@ -33,7 +33,7 @@
 /// Kinds of records.
 pub mod log_entry {
     use super::{
-        CallCheckpoint, CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult,
+        CallClaim, CallOutcome, CallRelease, JobAccepted, JobClaim, JobResult, LogCheckpoint,
         MoveEnd, Oneof, PlanProposal, PlanSnapshot,
     };
 
@@ -67,9 +67,9 @@
         /// Topic `moves`: the end of a version move.
         #[prost(message, tag = "9")]
         MoveEnd(MoveEnd),
-        /// Topic `calls`: the end of a series of copies.
+        /// Topics `calls` and `jobs`: the end of a series of copies.
         #[prost(message, tag = "10")]
-        CallCheckpoint(CallCheckpoint),
+        LogCheckpoint(LogCheckpoint),
     }
 }
 
@@ -118,6 +118,9 @@
     /// Wall-clock time at which the copy was made, in Unix milliseconds.
     #[prost(uint64, tag = "7")]
     pub made_at_ms: u64,
+    /// Wall-clock time at which the plan was submitted, in Unix milliseconds.
+    #[prost(uint64, tag = "8")]
+    pub submitted_at_ms: u64,
 }
 
 /// Decision about one proposal.
@@ -218,10 +221,10 @@
     pub made_at_ms: u64,
 }
 
-/// End of a series of copies of all calls that are younger than the call window. A reader that
-/// reads from `as_of_offset` or an earlier offset up to this record knows all of them.
+/// End of a series of copies of everything in a topic that is still needed. A reader that reads
+/// from `as_of_offset` or an earlier offset up to this record misses nothing.
 #[derive(Clone, PartialEq, Message)]
-pub struct CallCheckpoint {
+pub struct LogCheckpoint {
     /// Offset after the last record that the copies include. The copies follow it.
     #[prost(uint64, tag = "1")]
     pub as_of_offset: u64,
@@ -245,6 +248,10 @@
     /// Wall-clock time of acceptance in Unix milliseconds.
     #[prost(uint64, tag = "4")]
     pub accepted_at_ms: u64,
+    /// In a copy of an expiring record: the offset of the first record of it plus one. Zero in the
+    /// first record.
+    #[prost(uint64, tag = "5")]
+    pub original_offset_plus_one: u64,
 }
 
 /// VM that works on a deferred generation.
@@ -262,6 +269,10 @@
     /// Number of the attempt, from 1.
     #[prost(uint32, tag = "4")]
     pub attempt: u32,
+    /// In a copy of an expiring record: the offset of the first record of it plus one. Zero in the
+    /// first record.
+    #[prost(uint64, tag = "5")]
+    pub original_offset_plus_one: u64,
 }
 
 /// Part of the result of a deferred generation.
@@ -288,6 +299,10 @@
     /// Content of the part.
     #[prost(bytes = "bytes", tag = "7")]
     pub body: bytes::Bytes,
+    /// In a copy of an expiring part: the offset of the first record of it plus one. Zero in the
+    /// first record.
+    #[prost(uint64, tag = "8")]
+    pub original_offset_plus_one: u64,
 }
 
 /// End of a version move.
--- a/crates/wire/src/peer_messages.rs
+++ b/crates/wire/src/peer_messages.rs
@@ -102,6 +102,9 @@
     /// Latest decided proposals, oldest first.
     #[prost(message, repeated, tag = "6")]
     pub decisions: Vec<ProposalDecision>,
+    /// Wall-clock time at which the plan was submitted, in Unix milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub submitted_at_ms: u64,
 }
 
 /// Latches that are set. They only grow, so receivers merge them by maximum.
@@ -127,6 +130,9 @@
     /// Reason, for operators.
     #[prost(string, tag = "3")]
     pub reason: String,
+    /// Plan revision in force when the latch was set.
+    #[prost(uint64, tag = "4")]
+    pub set_at_revision: u64,
 }
 
 /// Availability zone that an operator took out without the log service.
@@ -135,12 +141,16 @@
     /// Availability zone.
     #[prost(string, tag = "1")]
     pub zone: String,
-    /// Plan revision in force when the latch was set; it ends with a higher revision.
+    /// Plan revision in force when the latch was set; it ends with a higher revision that was
+    /// submitted after the latch was set.
     #[prost(uint64, tag = "2")]
     pub set_at_revision: u64,
     /// Operator who set the latch.
     #[prost(string, tag = "3")]
     pub author: String,
+    /// Wall-clock time at which the latch was set, in Unix milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub set_at_ms: u64,
 }
 
 /// Counters about model versions as seen by one VM since its start. Receivers keep the highest
