Add burn: good and bad events per objective, mergeable over VMs

The daemon counts and the command line merges, so the definition of a figure is in a package that both use. Periods are numbered since 1970, which makes series of several VMs merge period by period. Counts per team, zone and version are kept apart and for 6 h only, because their combinations at the design scale (200 teams, 7 zones, 2 versions of 31 models) do not fit a VM.

Ruled out: one histogram per period (a burn rate needs only good and bad), and the binary histogram format (pairs of time and count are readable by any program and lose nothing, since all histograms have the same bounds).

--- /dev/null
+++ b/crates/burn/src/burn_tracker.rs
@@ -0,0 +1,66 @@
+//! Counting on the daemon's side.
+
+use dragonflycart_core::{Incarnation, VmSeat, WallTime, ZoneName};
+
+use crate::{
+    BurnEvent, BurnObjective, BurnSnapshot, ObjectiveSnapshot, objective_snapshot::MINUTE_MS,
+};
+
+/// Counts good and bad events per objective. It does no I/O and reads no clock.
+#[derive(Debug, Clone)]
+pub struct BurnTracker {
+    zone: ZoneName,
+    seat: VmSeat,
+    incarnation: Incarnation,
+    started_at: WallTime,
+    pruned_minute: u64,
+    objectives: Vec<ObjectiveSnapshot>,
+}
+
+impl BurnTracker {
+    /// Starts without events on the given VM.
+    pub fn new(
+        zone: ZoneName,
+        seat: VmSeat,
+        incarnation: Incarnation,
+        started_at: WallTime,
+        objectives: Vec<BurnObjective>,
+    ) -> BurnTracker {
+        let objectives = objectives.into_iter().map(ObjectiveSnapshot::new).collect();
+        BurnTracker { zone, seat, incarnation, started_at, pruned_minute: 0, objectives }
+    }
+
+    /// Counts an event for every objective that covers it.
+    pub fn record(&mut self, now: WallTime, event: &BurnEvent) {
+        for objective in &mut self.objectives {
+            if objective.objective.covers(event) {
+                objective.record(now, event);
+            }
+        }
+        // Dropping old periods walks all counts, so it is done once a minute and not per event.
+        let minute = now.as_unix_millis() / MINUTE_MS;
+        if minute > self.pruned_minute {
+            self.pruned_minute = minute;
+            self.prune(now);
+        }
+    }
+
+    fn prune(&mut self, now: WallTime) {
+        for objective in &mut self.objectives {
+            objective.prune(now);
+        }
+    }
+
+    /// Returns all counts, for the administration API.
+    pub fn snapshot(&mut self, now: WallTime) -> BurnSnapshot {
+        self.prune(now);
+        BurnSnapshot {
+            zone: self.zone.clone(),
+            seat: self.seat,
+            incarnation: self.incarnation.to_string(),
+            started_at: self.started_at,
+            taken_at: now,
+            objectives: self.objectives.clone(),
+        }
+    }
+}
