Add the fake engine with connection and response faults

Tests of the daemon need an engine whose output can be checked token by token and which fails on command. Connection faults sit in the listener and stream, so that any fake can die, freeze or leave open connections unresponsive while new ones work.

--- /dev/null
+++ b/crates/testkit/src/engine_core.rs
@@ -0,0 +1,392 @@
+//! Continuous batch of the fake engine, advanced step by step.
+
+use std::collections::BTreeMap;
+
+use dragonflycart_core::{ModelName, OrderFence, ServerInstance, VersionName};
+use dragonflycart_engine::{EngineOrder, GenerationRequest, LoadReport, OrderOutcome};
+
+use crate::{
+    BadEffect, CacheEvent, EngineCommand, EngineConfig, EngineStats,
+    generation_record::{GenerationPhase, GenerationRecord, NextEvent},
+    lagged_value::LaggedValue,
+    prefix_cache::PrefixCache,
+};
+
+/// Reason why a generation is not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StartRefusal {
+    Leaving,
+    NotLoaded,
+    AlreadyKnown,
+    PrefixMismatch,
+    Overloaded,
+}
+
+/// State of the fake engine. Time is a parameter, in milliseconds since the start of the fake.
+pub(crate) struct EngineCore {
+    config: EngineConfig,
+    instance: ServerInstance,
+    records: BTreeMap<String, GenerationRecord>,
+    next_arrival: u64,
+    /// Start of the cold phase; `None` if the engine started warm.
+    cold_since_ms: Option<u64>,
+    rules_since_ms: u64,
+    filled_tokens: u64,
+    leaving: bool,
+    stalled: bool,
+    loaded: Vec<(ModelName, VersionName)>,
+    loading: Vec<(u64, ModelName, VersionName)>,
+    highest_fence: OrderFence,
+    cache: PrefixCache,
+    preemptions: u64,
+    reports: LaggedValue<LoadReport>,
+    stats: EngineStats,
+}
+
+impl EngineCore {
+    pub(crate) fn new(config: EngineConfig, instance: ServerInstance) -> EngineCore {
+        let empty = empty_report(instance, &config);
+        EngineCore {
+            instance,
+            records: BTreeMap::new(),
+            next_arrival: 0,
+            cold_since_ms: config.starts_cold.then_some(0),
+            rules_since_ms: 0,
+            filled_tokens: 0,
+            leaving: false,
+            stalled: false,
+            loaded: config.loaded.clone(),
+            loading: Vec::new(),
+            highest_fence: OrderFence::default(),
+            cache: PrefixCache::new(config.cached_prompts),
+            preemptions: 0,
+            reports: LaggedValue::new(0, empty),
+            stats: EngineStats::default(),
+            config,
+        }
+    }
+
+    /// Loses all volatile state. Published reports still lag, so they show the old instance.
+    pub(crate) fn restart(&mut self, instance: ServerInstance, now_ms: u64) {
+        self.instance = instance;
+        self.records.clear();
+        self.cold_since_ms = Some(now_ms);
+        self.filled_tokens = 0;
+        self.loaded = self.config.loaded.clone();
+        self.loading.clear();
+        self.highest_fence = OrderFence::default();
+        self.cache = PrefixCache::new(self.config.cached_prompts);
+        self.preemptions = 0;
+    }
+
+    pub(crate) fn config(&self) -> &EngineConfig {
+        &self.config
+    }
+
+    pub(crate) fn stats(&self) -> EngineStats {
+        self.stats.clone()
+    }
+
+    pub(crate) fn apply(&mut self, command: EngineCommand, now_ms: u64) {
+        match command {
+            EngineCommand::FillMemory { tokens } => self.filled_tokens = tokens,
+            EngineCommand::Publish { lag_ms, drop_cache_event } => {
+                self.config.report_lag_ms = lag_ms;
+                self.config.drop_cache_event = drop_cache_event;
+            }
+            EngineCommand::BadVersions { rules } => {
+                self.config.bad_versions = rules;
+                self.rules_since_ms = now_ms;
+            }
+            EngineCommand::Leaving { leaving } => self.leaving = leaving,
+            EngineCommand::Stall { stalled } => self.stalled = stalled,
+            EngineCommand::Pace { ms } => self.config.pace_ms = ms,
+        }
+    }
+
+    /// Returns the number of concurrent requests that the engine can handle now.
+    pub(crate) fn bears(&self, now_ms: u64) -> u32 {
+        let Some(cold_since) = self.cold_since_ms else {
+            return self.config.max_batch;
+        };
+        let doublings = now_ms.saturating_sub(cold_since) / self.config.cold_step_ms.max(1);
+        let factor = 1_u32.checked_shl(doublings.min(32) as u32).unwrap_or(u32::MAX);
+        self.config.cold_limit.saturating_mul(factor).min(self.config.max_batch)
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        request: GenerationRequest,
+        now_ms: u64,
+    ) -> Result<(), StartRefusal> {
+        let admitted = self.admit_request(request, now_ms);
+        if admitted.is_err() {
+            self.stats.refused += 1;
+        }
+        admitted
+    }
+
+    fn admit_request(
+        &mut self,
+        request: GenerationRequest,
+        now_ms: u64,
+    ) -> Result<(), StartRefusal> {
+        if self.leaving {
+            return Err(StartRefusal::Leaving);
+        }
+        if !self.serves(&request.model, &request.version) {
+            return Err(StartRefusal::NotLoaded);
+        }
+        if let Some(known) = self.records.get(&request.generation)
+            && known.request.epoch >= request.epoch
+        {
+            return Err(StartRefusal::AlreadyKnown);
+        }
+        let lengths = (self.config.shortest_output, self.config.longest_output);
+        let record = GenerationRecord::new(request, self.next_arrival, lengths);
+        if !record.prefix_matches() {
+            self.stats.prefix_mismatches += 1;
+            return Err(StartRefusal::PrefixMismatch);
+        }
+        self.check_cold_limit(now_ms)?;
+        self.next_arrival += 1;
+        let request = &record.request;
+        self.stats.accepted.push(format!("{} {}", request.version, request.route));
+        self.records.insert(request.generation.clone(), record);
+        Ok(())
+    }
+
+    fn serves(&self, model: &ModelName, version: &VersionName) -> bool {
+        self.config.loaded.is_empty()
+            || self.loaded.iter().any(|(name, loaded)| name == model && loaded == version)
+    }
+
+    fn check_cold_limit(&mut self, now_ms: u64) -> Result<(), StartRefusal> {
+        let bears = self.bears(now_ms);
+        if bears >= self.config.max_batch {
+            return Ok(());
+        }
+        let concurrent = self.records.values().filter(|record| record.is_open()).count() as u32 + 1;
+        self.stats.cold_high_water = self.stats.cold_high_water.max(concurrent);
+        if concurrent <= bears {
+            return Ok(());
+        }
+        self.stats.cold_overloads += 1;
+        if self.config.fail_when_overloaded { Err(StartRefusal::Overloaded) } else { Ok(()) }
+    }
+
+    pub(crate) fn cancel(&mut self, generation: &str, now_ms: u64) -> bool {
+        let Some(record) = self.records.get_mut(generation) else {
+            return false;
+        };
+        if record.is_open() {
+            record.cancel(now_ms);
+            self.stats.cancelled += 1;
+        }
+        true
+    }
+
+    /// Returns the event at `index`, or `None` for an unknown generation.
+    pub(crate) fn event_at(&self, generation: &str, index: u64) -> Option<NextEvent> {
+        self.records.get(generation).map(|record| record.event_at(index))
+    }
+
+    pub(crate) fn order(
+        &mut self,
+        order: EngineOrder,
+        fence: OrderFence,
+        now_ms: u64,
+    ) -> OrderOutcome {
+        let stale = self.config.check_fence && fence < self.highest_fence;
+        let outcome = if stale { OrderOutcome::StaleFence } else { OrderOutcome::Accepted };
+        self.stats.orders.push((order.clone(), fence, outcome));
+        if stale {
+            return outcome;
+        }
+        if self.config.check_fence {
+            self.highest_fence = fence;
+        }
+        match order {
+            EngineOrder::Load { model, version } => {
+                self.loading.push((now_ms + self.config.load_ms, model, version));
+            }
+            EngineOrder::Unload { model, version } => {
+                self.loaded.retain(|(name, loaded)| *name != model || *loaded != version);
+            }
+        }
+        self.finish_loads(now_ms);
+        outcome
+    }
+
+    pub(crate) fn report(&self, now_ms: u64) -> LoadReport {
+        self.reports.read(now_ms, self.config.report_lag_ms)
+    }
+
+    pub(crate) fn cache_events(&self, after: u64, now_ms: u64) -> Vec<CacheEvent> {
+        self.cache.events_after(after, now_ms, self.config.report_lag_ms)
+    }
+
+    /// Advances every running generation by one step.
+    pub(crate) fn step(&mut self, now_ms: u64) {
+        self.finish_loads(now_ms);
+        let retain_ms = self.config.retain_ms;
+        self.records.retain(|_, record| {
+            record.ended_at_ms().is_none_or(|ended_ms| ended_ms + retain_ms > now_ms)
+        });
+        if !self.stalled {
+            self.preempt_overflow(now_ms);
+            self.fill_batch(now_ms);
+            self.decode_batch(now_ms);
+        }
+        let report = self.current_report(now_ms);
+        self.reports.record(now_ms, report, self.config.report_lag_ms);
+    }
+
+    fn finish_loads(&mut self, now_ms: u64) {
+        let loaded = &mut self.loaded;
+        self.loading.retain(|(ready_ms, model, version)| {
+            if *ready_ms > now_ms {
+                return true;
+            }
+            let entry = (model.clone(), version.clone());
+            if !loaded.contains(&entry) {
+                loaded.push(entry);
+            }
+            false
+        });
+    }
+
+    fn running(&self) -> u32 {
+        self.records.values().filter(|record| record.is_running()).count() as u32
+    }
+
+    fn memory_used(&self) -> u64 {
+        let running = self.records.values().filter(|record| record.is_running());
+        self.filled_tokens + running.map(GenerationRecord::memory_tokens).sum::<u64>()
+    }
+
+    /// Preempts until the batch fits: lowest priority first, then the one with the fewest
+    /// computed tokens. Its tokens are kept and computed again on readmission.
+    fn preempt_overflow(&mut self, now_ms: u64) {
+        while self.memory_used() > self.config.memory_tokens {
+            let running = self.records.values_mut().filter(|record| record.is_running());
+            let victim =
+                running.min_by_key(|record| (record.request.priority, record.computed_tokens()));
+            let Some(victim) = victim else { return };
+            if victim.memory_tokens() > self.config.memory_tokens {
+                victim.fail("the generation does not fit in memory", now_ms);
+                continue;
+            }
+            victim.phase = GenerationPhase::Waiting;
+            self.preemptions += 1;
+            self.stats.preemptions += 1;
+        }
+    }
+
+    fn fill_batch(&mut self, now_ms: u64) {
+        let mut room = self.config.max_batch.saturating_sub(self.running());
+        let mut free = self.config.memory_tokens.saturating_sub(self.memory_used());
+        let mut waiting: Vec<&mut GenerationRecord> = self
+            .records
+            .values_mut()
+            .filter(|record| record.phase == GenerationPhase::Waiting)
+            .collect();
+        waiting.sort_by_key(|record| (u8::MAX - record.request.priority, record.arrival));
+        for record in waiting {
+            let needed = record.memory_tokens() + 1;
+            if needed > self.config.memory_tokens {
+                record.fail("the generation does not fit in memory", now_ms);
+                continue;
+            }
+            if room == 0 || needed > free {
+                break;
+            }
+            room -= 1;
+            free -= needed;
+            let prompt = &record.request.prompt;
+            let cached = self.cache.touch(prompt, now_ms, self.config.drop_cache_event);
+            let cached_share = record.prompt_tokens() * cached as u64 / prompt.len().max(1) as u64;
+            let tokens_left = record.memory_tokens() - cached_share;
+            self.stats.recomputed_tokens += record.computed_tokens();
+            record.phase = GenerationPhase::Prefill { tokens_left };
+        }
+    }
+
+    fn decode_batch(&mut self, now_ms: u64) {
+        let running = self.running();
+        let rule_age_ms = now_ms.saturating_sub(self.rules_since_ms);
+        for record in self.records.values_mut() {
+            match &mut record.phase {
+                GenerationPhase::Prefill { tokens_left } => {
+                    *tokens_left = tokens_left.saturating_sub(self.config.prefill_tokens);
+                    if *tokens_left == 0 {
+                        record.phase = GenerationPhase::Decode;
+                    }
+                    continue;
+                }
+                GenerationPhase::Decode => {}
+                _ => continue,
+            }
+            let request = &record.request;
+            let rules = self.config.bad_versions.iter();
+            let rule = rules.clone().find(|rule| rule.applies(request, rule_age_ms, running));
+            match rule.map(|rule| rule.effect) {
+                Some(BadEffect::Fail) => {
+                    record.fail("the version failed", now_ms);
+                    continue;
+                }
+                Some(BadEffect::Slow { factor }) if record.steps_waited + 1 < factor => {
+                    record.steps_waited += 1;
+                    continue;
+                }
+                _ => {}
+            }
+            record.steps_waited = 0;
+            record.decode_token(now_ms);
+            self.stats.tokens += 1;
+        }
+    }
+
+    fn current_report(&self, now_ms: u64) -> LoadReport {
+        let bears = self.bears(now_ms);
+        let mut report = empty_report(self.instance, &self.config);
+        let mut by_seat: BTreeMap<String, u32> = BTreeMap::new();
+        for record in self.records.values().filter(|record| record.is_open()) {
+            if record.is_running() {
+                report.running += 1;
+            } else {
+                report.waiting += 1;
+            }
+            if let Some(seat) = &record.request.seat {
+                *by_seat.entry(seat.clone()).or_default() += 1;
+            }
+        }
+        report.cold = bears < self.config.max_batch;
+        report.bears = bears;
+        report.leaving = self.leaving;
+        report.memory_used_tokens = self.memory_used();
+        report.preemptions = self.preemptions;
+        report.running_by_seat = by_seat.into_iter().collect();
+        report.loaded = self.loaded.clone();
+        report.highest_fence = self.highest_fence;
+        report
+    }
+}
+
+/// Report of an idle, warm server.
+fn empty_report(instance: ServerInstance, config: &EngineConfig) -> LoadReport {
+    LoadReport {
+        instance,
+        cold: config.starts_cold,
+        bears: config.max_batch,
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        memory_used_tokens: 0,
+        memory_total_tokens: config.memory_tokens,
+        preemptions: 0,
+        running_by_seat: Vec::new(),
+        loaded: config.loaded.clone(),
+        highest_fence: OrderFence::default(),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fault_gate.rs
@@ -0,0 +1,182 @@
+//! Connection-level faults of a fake.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    task::{Context, Waker},
+};
+
+use tokio::sync::watch;
+
+use crate::ConnectionNumber;
+
+/// What a connection does with the next read or write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionVerdict {
+    /// The operation is passed to the socket.
+    Pass,
+    /// The operation waits until the verdict changes.
+    Wait,
+    /// Reads wait, writes are discarded and reported as successful.
+    Discard,
+    /// The operation fails and the connection is closed.
+    Reset,
+}
+
+/// Half of a connection that waits for a change of its verdict.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionHalf {
+    Read,
+    Write,
+}
+
+/// One open connection.
+#[derive(Default)]
+struct ConnectionEntry {
+    reset: bool,
+    silent: bool,
+    reader: Option<Waker>,
+    writer: Option<Waker>,
+}
+
+#[derive(Default)]
+struct GateState {
+    frozen: bool,
+    next_number: u64,
+    open: BTreeMap<ConnectionNumber, ConnectionEntry>,
+}
+
+/// Switch for the connections of one fake.
+pub struct FaultGate {
+    state: Mutex<GateState>,
+    dead: watch::Sender<bool>,
+}
+
+impl FaultGate {
+    /// Builds a gate that lets everything pass.
+    pub(crate) fn new() -> FaultGate {
+        FaultGate { state: Mutex::new(GateState::default()), dead: watch::Sender::new(false) }
+    }
+
+    /// Closes the listener and resets all connections.
+    pub fn die(&self) {
+        self.dead.send_replace(true);
+        self.reset_all();
+    }
+
+    /// Opens the listener again.
+    pub fn revive(&self) {
+        self.dead.send_replace(false);
+    }
+
+    /// Returns a receiver of whether the fake is dead.
+    pub fn watch_dead(&self) -> watch::Receiver<bool> {
+        self.dead.subscribe()
+    }
+
+    /// Stops or continues all reads and writes. New connections are accepted in both cases.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.change(|state| state.frozen = frozen);
+    }
+
+    /// Returns whether reads and writes are stopped.
+    pub fn is_frozen(&self) -> bool {
+        self.lock().frozen
+    }
+
+    /// Makes the connections that are open now unresponsive for good; new ones work.
+    pub fn silence_open(&self) {
+        self.change(|state| {
+            for entry in state.open.values_mut() {
+                entry.silent = true;
+            }
+        });
+    }
+
+    /// Resets all open connections.
+    pub fn reset_all(&self) {
+        self.change(|state| {
+            for entry in state.open.values_mut() {
+                entry.reset = true;
+            }
+        });
+    }
+
+    /// Resets one connection.
+    pub fn reset_connection(&self, number: ConnectionNumber) {
+        self.change(|state| {
+            if let Some(entry) = state.open.get_mut(&number) {
+                entry.reset = true;
+            }
+        });
+    }
+
+    /// Returns the number of open connections, without the unresponsive ones: their close by the
+    /// peer is never noticed.
+    pub fn open_connections(&self) -> usize {
+        self.lock().open.values().filter(|entry| !entry.silent).count()
+    }
+
+    /// Returns the number of connections accepted so far.
+    pub fn accepted_connections(&self) -> u64 {
+        self.lock().next_number
+    }
+
+    pub(crate) fn register(&self) -> ConnectionNumber {
+        let mut state = self.lock();
+        let number = ConnectionNumber(state.next_number);
+        state.next_number += 1;
+        state.open.insert(number, ConnectionEntry::default());
+        number
+    }
+
+    pub(crate) fn forget(&self, number: ConnectionNumber) {
+        self.lock().open.remove(&number);
+    }
+
+    /// Returns the verdict for the next operation and registers for a wake-up on its change.
+    pub(crate) fn verdict(
+        &self,
+        number: ConnectionNumber,
+        half: ConnectionHalf,
+        cx: &mut Context<'_>,
+    ) -> ConnectionVerdict {
+        let mut state = self.lock();
+        let frozen = state.frozen;
+        let Some(entry) = state.open.get_mut(&number) else {
+            return ConnectionVerdict::Reset;
+        };
+        let waker = Some(cx.waker().clone());
+        match half {
+            ConnectionHalf::Read => entry.reader = waker,
+            ConnectionHalf::Write => entry.writer = waker,
+        }
+        if entry.reset {
+            ConnectionVerdict::Reset
+        } else if entry.silent {
+            ConnectionVerdict::Discard
+        } else if frozen {
+            ConnectionVerdict::Wait
+        } else {
+            ConnectionVerdict::Pass
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut GateState)) {
+        let mut wakers = Vec::new();
+        let mut state = self.lock();
+        change(&mut state);
+        for entry in state.open.values_mut() {
+            wakers.extend(entry.reader.take());
+            wakers.extend(entry.writer.take());
+        }
+        drop(state);
+        for waker in wakers {
+            waker.wake();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
