--- /dev/null
+++ b/crates/node/src/call/call_runner.rs
@@ -0,0 +1,319 @@
+//! Runs one call to a plain service.
+//!
+//! Idempotent calls are placed and sent, and sent again elsewhere if that fails. Others are sent
+//! only by the VM whose claim the ledger names as the owner, with the permit of that claim in
+//! hand: it comes back only if no byte was passed to a socket.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dragonflycart_core::{ErrorKind, MonoTime, RequestKey, ServerName, ServiceError};
+use dragonflycart_engine::{CallFailure, ServiceAnswer, ServiceClient, ServiceRequest};
+use dragonflycart_policy::AttemptFailure;
+use dragonflycart_state::{CallKey, ClaimId, OutcomeNote};
+use log::{info, warn};
+use sha2::{Digest, Sha256};
+use uuid::Uuid;
+
+use crate::{
+    call::{CallBegin, CallMessage, CallSpec, CallTurn},
+    control::{
+        AttemptReport, ControlHandle, ControlMessage, PlacementGrant, PlacementNotice,
+        PlacementTicket, ServiceAsk,
+    },
+    generation::RunnerContext,
+    node_clock::NodeClock,
+};
+
+/// Largest answer that is kept in the log to be fetched again. A larger one reaches the caller
+/// that waits for it, and its outcome is recorded without the body.
+const LOGGED_ANSWER_LIMIT: usize = 64 << 10;
+/// Status recorded for an answer that is too large for the log: it ran, its body is gone.
+const BODY_NOT_KEPT: u32 = 410;
+
+/// Runs calls to plain services.
+#[derive(Clone)]
+pub(crate) struct CallRunner {
+    context: RunnerContext,
+    clock: NodeClock,
+}
+
+impl CallRunner {
+    /// Builds a runner.
+    pub(crate) fn new(context: RunnerContext, clock: NodeClock) -> CallRunner {
+        CallRunner { context, clock }
+    }
+
+    /// Runs a call to its end, also if the caller goes away meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// An error whose kind tells whether the call was executed.
+    pub(crate) async fn run(self, spec: CallSpec) -> Result<ServiceAnswer, ServiceError> {
+        let task = tokio::spawn(async move {
+            match (spec.idempotent, spec.key.clone()) {
+                (false, Some(key)) => self.run_once(&spec, &key).await,
+                _ => self.run_idempotent(&spec).await,
+            }
+        });
+        task.await.unwrap_or_else(|_| {
+            Err(ServiceError::new(ErrorKind::Internal, "the call ended without a result"))
+        })
+    }
+
+    fn control(&self) -> &ControlHandle {
+        &self.context.control
+    }
+
+    async fn place(&self, spec: &CallSpec) -> Result<PlacementTicket, ServiceError> {
+        let ask = ServiceAsk {
+            team: spec.team.clone(),
+            service: spec.service.clone(),
+            operation: spec.operation.clone(),
+            idempotent: spec.idempotent,
+            deadline: spec.deadline,
+        };
+        self.control().place_call(ask).await
+    }
+
+    async fn run_idempotent(&self, spec: &CallSpec) -> Result<ServiceAnswer, ServiceError> {
+        let mut ticket = self.place(spec).await?;
+        loop {
+            let grant = next_grant(&mut ticket).await.map_err(|kind| {
+                ServiceError::new(kind, "no backend server took the call in time")
+            })?;
+            let failure = match self.send(spec, &grant.server).await {
+                Ok(answer) => {
+                    self.report_success(&ticket).await;
+                    return Ok(answer);
+                }
+                Err(failure) => failure,
+            };
+            info!("call: attempt failed; server={} failure={failure}", grant.server);
+            self.report_failure(&ticket, &failure).await;
+        }
+    }
+
+    async fn send(
+        &self,
+        spec: &CallSpec,
+        server: &ServerName,
+    ) -> Result<ServiceAnswer, CallFailure> {
+        let Some(client) = self.context.servers.service(server) else {
+            return Err(CallFailure::NotSent);
+        };
+        let request = ServiceRequest {
+            request_id: Uuid::now_v7().to_string(),
+            key: spec.key.clone(),
+            operation: spec.operation.to_string(),
+            body: spec.body.clone(),
+        };
+        client.call(request).await
+    }
+
+    async fn report_success(&self, ticket: &PlacementTicket) {
+        let report = AttemptReport::Finished { tokens: 0, first_token: None, token_gap: None };
+        self.control().report_attempt(ticket.ticket, report).await;
+    }
+
+    async fn report_failure(&self, ticket: &PlacementTicket, failure: &CallFailure) {
+        let failure = match failure {
+            CallFailure::NotSent => AttemptFailure::NotSent,
+            CallFailure::MaybeSent => AttemptFailure::ServerLost,
+            CallFailure::WrongAnswer => AttemptFailure::Failed,
+        };
+        let report = AttemptReport::Failed { failure, by_version: false };
+        self.control().report_attempt(ticket.ticket, report).await;
+    }
+
+    async fn run_once(
+        &self,
+        spec: &CallSpec,
+        key: &RequestKey,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        let call_key = CallKey::new(spec.team.as_str(), key.as_str());
+        let begin = CallBegin {
+            key: call_key.clone(),
+            digest: request_digest(spec),
+            attempt: spec.attempt,
+            deadline: spec.deadline,
+        };
+        let mut turn = self
+            .control()
+            .ask(|reply| ControlMessage::Call(CallMessage::Begin(begin, reply)))
+            .await?;
+        let own = loop {
+            match turn {
+                CallTurn::Owner(claim_id) => break claim_id,
+                CallTurn::Answered(outcome) => return Ok(logged_answer(outcome)),
+                CallTurn::Refused(error) => return Err(error),
+                CallTurn::OwnedElsewhere(claim) => {
+                    if let Some(answer) = self.look_up(spec, key, &call_key, claim.owner).await {
+                        return Ok(answer);
+                    }
+                    turn = self
+                        .control()
+                        .ask(|reply| ControlMessage::Call(CallMessage::Await(claim.own, reply)))
+                        .await?;
+                }
+            }
+        };
+        self.run_owned(spec, own).await
+    }
+
+    /// Sends a call that this VM owns.
+    async fn run_owned(
+        &self,
+        spec: &CallSpec,
+        claim_id: ClaimId,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        let mut ticket = self.place(spec).await?;
+        loop {
+            let grant = match next_grant(&mut ticket).await {
+                Ok(grant) => grant,
+                Err(kind) => return self.give_up(claim_id, kind).await,
+            };
+            let permit = self
+                .control()
+                .ask(|reply| ControlMessage::Call(CallMessage::TakePermit(claim_id, reply)))
+                .await?;
+            let Some(permit) = permit else {
+                self.control().report_attempt(ticket.ticket, AttemptReport::Cancelled).await;
+                return self.give_up(claim_id, ErrorKind::DeadlineNotStarted).await;
+            };
+            match self.send(spec, &grant.server).await {
+                Ok(answer) => {
+                    permit.spend();
+                    self.report_success(&ticket).await;
+                    self.settle(claim_id, u32::from(answer.status), &answer.body).await;
+                    return Ok(answer);
+                }
+                Err(CallFailure::NotSent) => {
+                    let message = CallMessage::ReturnPermit(permit);
+                    self.control().send(ControlMessage::Call(message)).await;
+                    self.report_failure(&ticket, &CallFailure::NotSent).await;
+                }
+                Err(failure) => {
+                    permit.spend();
+                    warn!("call: outcome is unknown; claim={claim_id} server={}", grant.server);
+                    self.report_failure(&ticket, &failure).await;
+                    return self.resolve_unknown(spec, claim_id, &grant).await;
+                }
+            }
+        }
+    }
+
+    async fn settle(&self, claim_id: ClaimId, status: u32, body: &Bytes) {
+        let (status, body) = if body.len() > LOGGED_ANSWER_LIMIT {
+            (BODY_NOT_KEPT, Bytes::new())
+        } else {
+            (status, body.clone())
+        };
+        let message = CallMessage::Settle(claim_id, status, body);
+        self.control().send(ControlMessage::Call(message)).await;
+    }
+
+    /// Asks the service whether the call ran, after its answer was lost. Only "it ran" is proof:
+    /// the request may still be on its way.
+    async fn resolve_unknown(
+        &self,
+        spec: &CallSpec,
+        claim_id: ClaimId,
+        grant: &PlacementGrant,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        if let Some(key) = &spec.key
+            && let Some(client) = self.context.servers.service(&grant.server)
+            && let Ok(Some(answer)) = client.lookup(key).await
+        {
+            self.settle(claim_id, u32::from(answer.status), &answer.body).await;
+            return Ok(answer);
+        }
+        self.settle(claim_id, 0, &Bytes::new()).await;
+        let message = "the answer was lost; the call may have run; ask again with the same key";
+        Err(ServiceError::new(ErrorKind::OutcomeUnknown, message))
+    }
+
+    /// Gives the claim up and answers once it is known whether "not run" is true.
+    async fn give_up(
+        &self,
+        claim_id: ClaimId,
+        kind: ErrorKind,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        let turn = self
+            .control()
+            .ask(|reply| ControlMessage::Call(CallMessage::GiveUp(claim_id, kind, reply)))
+            .await?;
+        match turn {
+            CallTurn::Answered(outcome) => Ok(logged_answer(outcome)),
+            CallTurn::Refused(error) => Err(error),
+            CallTurn::Owner(_) | CallTurn::OwnedElsewhere(_) => {
+                Err(ServiceError::new(ErrorKind::OutcomeUnknown, "ask again with the same key"))
+            }
+        }
+    }
+
+    /// Asks the servers of the service whether a call that another VM owns ran.
+    async fn look_up(
+        &self,
+        spec: &CallSpec,
+        key: &RequestKey,
+        call_key: &CallKey,
+        owner: ClaimId,
+    ) -> Option<ServiceAnswer> {
+        for client in self.context.servers.service_clients(&spec.service) {
+            if self.expired(spec.deadline) {
+                return None;
+            }
+            let Some(answer) = ask_lookup(&client, key).await else {
+                continue;
+            };
+            let outcome = OutcomeNote {
+                claim_id: owner,
+                status: u32::from(answer.status),
+                body: answer.body.clone(),
+                made_at: self.clock.wall(),
+            };
+            let message = CallMessage::Found(call_key.clone(), outcome);
+            self.control().send(ControlMessage::Call(message)).await;
+            return Some(answer);
+        }
+        None
+    }
+
+    fn expired(&self, deadline: MonoTime) -> bool {
+        self.clock.now() >= deadline
+    }
+}
+
+async fn ask_lookup(client: &Arc<dyn ServiceClient>, key: &RequestKey) -> Option<ServiceAnswer> {
+    client.lookup(key).await.ok().flatten()
+}
+
+/// Waits for a backend server; the error is the kind with which the placement gave up.
+async fn next_grant(ticket: &mut PlacementTicket) -> Result<PlacementGrant, ErrorKind> {
+    loop {
+        match ticket.notices.recv().await {
+            Some(PlacementNotice::Granted(grant)) => return Ok(grant),
+            Some(PlacementNotice::Rejected(kind) | PlacementNotice::Cancelled(kind)) => {
+                return Err(kind);
+            }
+            Some(PlacementNotice::Preempted) => {}
+            None => return Err(ErrorKind::Draining),
+        }
+    }
+}
+
+fn logged_answer(outcome: OutcomeNote) -> ServiceAnswer {
+    let status = u16::try_from(outcome.status).unwrap_or(502);
+    ServiceAnswer { status, instance: None, body: outcome.body }
+}
+
+/// Digest that tells whether a key is used again for another request.
+fn request_digest(spec: &CallSpec) -> Bytes {
+    let mut hasher = Sha256::new();
+    for part in [spec.service.as_str().as_bytes(), spec.operation.as_str().as_bytes(), &spec.body] {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    Bytes::copy_from_slice(&hasher.finalize())
+}
--- /dev/null
+++ b/crates/node/src/call/mod.rs
@@ -0,0 +1,11 @@
+//! Calls to plain services.
+
+mod call_message;
+mod call_runner;
+mod call_spec;
+
+pub(crate) use self::{
+    call_message::{CallBegin, CallMessage, CallTurn, WaitingClaim},
+    call_runner::CallRunner,
+    call_spec::CallSpec,
+};
--- /dev/null
+++ b/crates/node/src/control/append_control.rs
@@ -0,0 +1,100 @@
+//! Writers of all topics.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use dragonflycart_core::{Incarnation, LogOffset, MonoTime, WallTime};
+use dragonflycart_platform::{LogError, LogTopic};
+use dragonflycart_state::{AppendBudget, BatchWriter, WriterError, WriterLimits, WriterStep};
+use dragonflycart_wire::{LogEntry, log_entry::Kind};
+use log::warn;
+use prost::Message;
+use strum::IntoEnumIterator;
+use tokio::sync::mpsc;
+
+use crate::{
+    control::decoded_batch::DecodedBatch,
+    log_appender::{AppendOrder, AppendResult},
+};
+
+/// Writers of all topics, with a common budget of appends.
+pub(crate) struct AppendControl {
+    writers: BTreeMap<LogTopic, BatchWriter>,
+    budget: AppendBudget,
+    orders: mpsc::UnboundedSender<AppendOrder>,
+}
+
+impl AppendControl {
+    /// Builds the writers of this run of the process.
+    pub(crate) fn new(
+        own: Incarnation,
+        orders: mpsc::UnboundedSender<AppendOrder>,
+    ) -> AppendControl {
+        let mut writers = BTreeMap::new();
+        for topic in LogTopic::iter() {
+            writers.insert(topic, BatchWriter::new(own, WriterLimits::default(), LogOffset(0)));
+        }
+        AppendControl { writers, budget: AppendBudget::new(), orders }
+    }
+
+    /// Buffers a record.
+    ///
+    /// # Errors
+    ///
+    /// [`WriterError`] if it is too large or the buffer is full; nothing was written.
+    pub(crate) fn push(
+        &mut self,
+        topic: LogTopic,
+        kind: Kind,
+        now: MonoTime,
+    ) -> Result<(), WriterError> {
+        let Some(writer) = self.writers.get_mut(&topic) else {
+            return Err(WriterError::Full);
+        };
+        writer.push(LogEntry { kind: Some(kind) }, now).map(|_| ())
+    }
+
+    /// Sends the appends that are due.
+    pub(crate) fn poll(&mut self, now: MonoTime, wall: WallTime) {
+        for (topic, writer) in &mut self.writers {
+            let WriterStep::Append(batch) = writer.poll(&mut self.budget, now, wall) else {
+                continue;
+            };
+            let body = Bytes::from(batch.encode_to_vec());
+            let order = AppendOrder { topic: *topic, sequence: batch.sequence, body };
+            // The appender ends only with the process.
+            let _ = self.orders.send(order);
+        }
+    }
+
+    /// Applies the end of an append.
+    pub(crate) fn ended(&mut self, ended: AppendResult, now: MonoTime) {
+        let Some(writer) = self.writers.get_mut(&ended.topic) else {
+            return;
+        };
+        match ended.result {
+            Ok(offset) => writer.appended(ended.sequence, offset),
+            Err(LogError::AnswerLost) => writer.answer_lost(ended.sequence),
+            Err(error) => {
+                warn!("log: append was refused; topic={} error={error}", ended.topic);
+                writer.refused(ended.sequence, now);
+            }
+        }
+    }
+
+    /// Takes note of what was read, which confirms appends whose answers were lost.
+    pub(crate) fn observe(&mut self, batch: &DecodedBatch, now: MonoTime) {
+        let Some(writer) = self.writers.get_mut(&batch.topic) else {
+            return;
+        };
+        for (offset, append) in &batch.appends {
+            writer.observe(*offset, append);
+        }
+        writer.read_to(batch.read_to(), now);
+    }
+
+    /// Returns whether nothing waits to be written.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.writers.values().all(|w| w.in_flight().is_none() && w.buffered_bytes() == 0)
+    }
+}
--- a/crates/node/src/control/control_handle.rs
+++ b/crates/node/src/control/control_handle.rs
@@ -38,7 +38,10 @@
     /// # Errors
     ///
     /// An error if the control thread has ended.
-    pub(crate) async fn place_call(&self, ask: ServiceAsk) -> Result<PlacementTicket, ServiceError> {
+    pub(crate) async fn place_call(
+        &self,
+        ask: ServiceAsk,
+    ) -> Result<PlacementTicket, ServiceError> {
         self.ask(|reply| ControlMessage::PlaceCall(ask, reply)).await
     }
 
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -1,37 +1,57 @@
 //! Event loop of the control thread.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use dragonflycart_core::{
-    ErrorKind, Incarnation, ModelName, OperatingPlan, PlanRevision, RouteName, ServiceError,
-    TeamName, VersionName,
+    ErrorKind, Incarnation, ModelName, MonoTime, PlanRevision, RouteName, ServiceError, TeamName,
+    VersionName,
 };
 use dragonflycart_platform::LogTopic;
 use dragonflycart_policy::{
-    AttemptFailure, MoveCounts, MoveSettings, PolicySettings, PriorityClass, RequestTicket,
-    VmPosition, WorkPool, WorkRequest,
+    AttemptFailure, MoveCounts, MoveSettings, MoveState, PolicySettings, PriorityClass,
+    RequestTicket, VmPosition, WorkPool, WorkRequest,
 };
 use dragonflycart_settings::Config;
+use dragonflycart_state::{LedgerLimits, MoveState as LatchState};
+use dragonflycart_wire::{
+    MoveEnd, PeerMessage, log_entry::Kind as RecordKind, peer_message::Kind as PeerKind,
+};
+use log::warn;
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{broadcast, mpsc, watch},
     time::MissedTickBehavior,
 };
 
 use crate::{
     control::{
-        AttemptReport, ControlMessage, GenerationAsk, PlacedGeneration, PlacementTicket, ServiceAsk,
-        placement_control::PlacementControl, plan_control::PlanControl,
-        version_control::VersionControl,
+        AttemptReport, ControlMessage, GenerationAsk, PlacedGeneration, PlacementTicket,
+        ServiceAsk,
+        append_control::AppendControl,
+        call_control::{CallControl, CallMoment},
+        decoded_batch::DecodedBatch,
+        peer_control::PeerControl,
+        placement_control::PlacementControl,
+        plan_control::PlanControl,
+        version_control::{MoveEnding, VersionControl},
     },
+    log_appender::AppendOrder,
     log_tailer::TailEvent,
     node_clock::NodeClock,
     node_metrics::NodeMetrics,
+    peer::{LinkIdentity, PeerEvent},
 };
 
 /// Interval of placement decisions. A request that can start at once does not wait for it.
 const PLACEMENT_PERIOD: Duration = Duration::from_millis(5);
 /// Interval of slower duties: moves, heartbeats, metrics.
 const UPKEEP_PERIOD: Duration = Duration::from_millis(250);
+/// Interval between two attempts to append a plan snapshot.
+const SNAPSHOT_RETRY: Duration = Duration::from_secs(60);
 /// Messages handled before the due timers are looked at again.
 const MESSAGE_BATCH: usize = 256;
 
@@ -55,6 +75,14 @@
     pub(crate) revision: watch::Sender<PlanRevision>,
     /// Placement that was built and checked at start.
     pub(crate) placement: PlacementControl,
+    /// Identity towards peers.
+    pub(crate) identity: LinkIdentity,
+    /// Messages to all peers.
+    pub(crate) broadcasts: broadcast::Sender<PeerMessage>,
+    /// Addresses of the peers to keep connections to.
+    pub(crate) addresses: watch::Sender<BTreeSet<SocketAddr>>,
+    /// Appends to carry out.
+    pub(crate) appends: mpsc::UnboundedSender<AppendOrder>,
 }
 
 /// What the evidence about versions needs to know of a running request.
@@ -74,16 +102,32 @@
     plan: PlanControl,
     versions: VersionControl,
     running: BTreeMap<RequestTicket, RunningWork>,
+    appends: AppendControl,
+    calls: CallControl,
+    peers: PeerControl,
+    /// Time since which the log service does not answer.
+    log_lost_at: Option<MonoTime>,
+    /// Last attempt to append a plan snapshot.
+    snapshot_at: Option<MonoTime>,
 }
 
 impl ControlLoop {
     /// Builds the loop.
     pub(crate) fn new(parts: ControlParts) -> ControlLoop {
         let retention = parts.config.platform.record_retention;
+        let call_window = parts.config.timeouts.call_window;
+        let limits = LedgerLimits { call_window, retention, ..LedgerLimits::default() };
+        let now = parts.clock.now();
         ControlLoop {
             plan: PlanControl::new(retention),
             versions: VersionControl::new(parts.incarnation, MoveSettings::default()),
             running: BTreeMap::new(),
+            appends: AppendControl::new(parts.incarnation, parts.appends),
+            calls: CallControl::new(parts.incarnation, limits),
+            peers: PeerControl::new(&parts.identity, parts.broadcasts, parts.addresses, now),
+            // Until the first read, the log service counts as lost.
+            log_lost_at: Some(now),
+            snapshot_at: None,
             config: parts.config,
             clock: parts.clock,
             metrics: parts.metrics,
@@ -102,7 +146,11 @@
         loop {
             tokio::select! {
                 biased;
-                _ = placement_timer.tick() => self.placement.tick(self.clock.now()),
+                _ = placement_timer.tick() => {
+                    let now = self.clock.now();
+                    self.placement.tick(now);
+                    self.appends.poll(now, self.clock.wall());
+                }
                 _ = upkeep_timer.tick() => self.upkeep(),
                 count = messages.recv_many(&mut batch, MESSAGE_BATCH) => {
                     if count == 0 {
@@ -139,7 +187,23 @@
             }
             ControlMessage::Reading(reading) => self.placement.reading(now, reading),
             ControlMessage::Tail(event) => self.tail(event),
-            ControlMessage::Drain => self.placement.engine_mut().set_draining(true),
+            ControlMessage::Append(ended) => {
+                self.appends.ended(ended, now);
+                self.appends.poll(now, self.clock.wall());
+            }
+            ControlMessage::Peer(event) => self.peer(event),
+            ControlMessage::VmList(entries) => self.peers.set_vm_list(&entries),
+            ControlMessage::Call(message) => {
+                let moment = self.moment();
+                self.calls.handle(message, &mut self.appends, moment);
+            }
+            ControlMessage::Drain => {
+                self.placement.engine_mut().set_draining(true);
+                self.peers.set_draining();
+            }
+            ControlMessage::IsIdle(reply) => {
+                let _ = reply.send(self.calls.is_idle() && self.appends.is_idle());
+            }
         }
         false
     }
@@ -239,45 +303,172 @@
         self.versions.count(&work.model, &work.version, &work.route, counts, wall);
     }
 
+    fn moment(&self) -> CallMoment {
+        CallMoment { now: self.clock.now(), wall: self.clock.wall(), log_lost_at: self.log_lost_at }
+    }
+
     fn tail(&mut self, event: TailEvent) {
+        let now = self.clock.now();
         match event {
             TailEvent::Batch(topic, batch) => {
+                self.log_lost_at = None;
                 self.metrics.log_reachable.set(1);
-                if topic == LogTopic::Plan && self.plan.apply(&batch) {
-                    self.plan_changed();
-                }
+                let batch = DecodedBatch::decode(topic, batch);
+                self.appends.observe(&batch, now);
+                self.apply_batch(&batch);
             }
             TailEvent::Truncated(LogTopic::Plan, first_available) => {
                 self.plan.skip(first_available);
             }
+            TailEvent::Truncated(LogTopic::Calls, first_available) => {
+                self.calls.skip(first_available, self.clock.wall());
+            }
             TailEvent::Truncated(..) => {}
             TailEvent::Unreachable(_) => {
+                self.log_lost_at.get_or_insert(now);
                 self.metrics.log_reachable.set(0);
             }
         }
     }
 
+    fn apply_batch(&mut self, batch: &DecodedBatch) {
+        match batch.topic {
+            LogTopic::Plan => {
+                if self.plan.apply(batch) {
+                    self.plan_changed();
+                }
+            }
+            LogTopic::Calls => {
+                self.calls.apply(batch, self.clock.wall());
+                let moment = self.moment();
+                self.calls.advance(&mut self.appends, moment);
+            }
+            LogTopic::Moves => self.apply_ends(batch),
+            LogTopic::Jobs => {}
+        }
+    }
+
+    fn apply_ends(&mut self, batch: &DecodedBatch) {
+        for (_, append) in &batch.appends {
+            for entry in &append.entries {
+                let Some(RecordKind::MoveEnd(end)) = &entry.kind else {
+                    continue;
+                };
+                self.peers.apply_end(end, self.plan.revision());
+            }
+        }
+    }
+
     fn plan_changed(&mut self) {
         let plan = self.plan.plan();
         self.versions.set_plan(&plan, self.clock.wall());
-        self.apply_zones(&plan);
-        self.metrics.plan_revision.set(self.plan.revision().0 as i64);
-        self.revision.send_replace(self.plan.revision());
+        self.apply_zones();
+        let revision = self.plan.revision();
+        self.metrics.plan_revision.set(revision.0 as i64);
+        self.revision.send_replace(revision);
+        // Peers without the log service learn of the plan from this heartbeat.
+        let log_reachable = self.log_lost_at.is_none();
+        self.peers.send_heartbeat(revision, log_reachable, self.clock.now());
     }
 
-    fn apply_zones(&mut self, plan: &OperatingPlan) {
+    /// Applies the plan's zone states, and the latches of zones that were taken out without the
+    /// log service.
+    fn apply_zones(&mut self) {
         let now = self.clock.now();
+        let plan = self.plan.plan();
         for (zone, settings) in &plan.zones {
-            let open = plan.zone_is_in(zone);
+            let latched = self.peers.zone_is_out(zone, self.plan.state());
+            let open = plan.zone_is_in(zone) && !latched;
             self.placement.engine_mut().set_zone(now, zone, open, settings.carry_limit);
         }
     }
 
+    fn peer(&mut self, event: PeerEvent) {
+        let now = self.clock.now();
+        let PeerEvent { identity, kind, reply } = event;
+        self.peers.seen(&identity, now);
+        if identity.zone == self.config.vm.zone && identity.seat == self.config.vm.seat {
+            self.placement.engine_mut().seat_seen(identity.incarnation);
+        }
+        match kind {
+            PeerKind::Heartbeat(heartbeat) => {
+                let revision = self.plan.revision();
+                self.peers.heartbeat(&identity, &heartbeat, revision, &reply, now);
+            }
+            PeerKind::PlanFetch(_) => self.peers.send_plan(self.plan.copy(), &reply),
+            PeerKind::PlanCopy(copy) => {
+                if self.plan.adopt(&copy) {
+                    self.plan_changed();
+                }
+            }
+            PeerKind::LatchSet(latches) => {
+                if self.peers.merge_latches(&latches) {
+                    self.apply_zones();
+                }
+            }
+            PeerKind::Evidence(evidence) => self.versions.merge(&evidence),
+            PeerKind::Hello(_) => {}
+        }
+    }
+
     fn upkeep(&mut self) {
+        let now = self.clock.now();
         let wall = self.clock.wall();
-        let endings = self.versions.tick(wall, |_| Default::default());
-        let _ = endings;
+        let latches = self.peers.latches();
+        let endings = self
+            .versions
+            .tick(wall, |move_id| MoveState::from_number(latches.move_state(move_id).to_wire()));
+        for ending in endings {
+            self.end_move(ending);
+        }
+        if let Some(evidence) = self.versions.evidence(wall) {
+            self.peers.send_evidence(evidence);
+        }
+        let log_reachable = self.log_lost_at.is_none();
+        self.peers.upkeep(self.plan.revision(), log_reachable, now);
+        let moment = self.moment();
+        self.calls.upkeep(&mut self.appends, moment);
+        self.calls.advance(&mut self.appends, moment);
+        self.renew_snapshot();
+        self.update_gauges();
+    }
+
+    /// Latches the end of a move and appends it to the log. The record waits in the writer while
+    /// the log service is down; the latch reaches the peers at once.
+    fn end_move(&mut self, ending: MoveEnding) {
+        let now = self.clock.now();
+        let state = LatchState::from_wire(ending.state.number());
+        let revision = self.plan.revision();
+        self.peers.latch_move(&ending.move_id, state, revision, &ending.reason);
+        let end = MoveEnd {
+            move_id: ending.move_id.0,
+            rolled_back: ending.state == MoveState::RolledBack,
+            reason: ending.reason,
+            ended_at_ms: self.clock.wall().as_unix_millis(),
+        };
+        if let Err(error) = self.appends.push(LogTopic::Moves, RecordKind::MoveEnd(end), now) {
+            warn!("move: end was not accepted for append; error={error}");
+        }
+    }
+
+    fn renew_snapshot(&mut self) {
+        let now = self.clock.now();
+        if self.snapshot_at.is_some_and(|at| now.since(at) < SNAPSHOT_RETRY) {
+            return;
+        }
+        let Some(snapshot) = self.plan.due_snapshot(self.clock.wall()) else {
+            return;
+        };
+        self.snapshot_at = Some(now);
+        let kind = RecordKind::PlanSnapshot(snapshot);
+        if let Err(error) = self.appends.push(LogTopic::Plan, kind, now) {
+            warn!("plan: snapshot was not accepted for append; error={error}");
+        }
+    }
+
+    fn update_gauges(&self) {
         self.metrics.queued.set(self.placement.engine().waiting() as i64);
+        self.metrics.peers_alive.set(self.peers.alive().len() as i64);
     }
 }
 
--- a/crates/node/src/control/control_message.rs
+++ b/crates/node/src/control/control_message.rs
@@ -7,12 +7,16 @@
     TeamName,
 };
 use dragonflycart_engine::LoadReport;
+use dragonflycart_platform::VmEntry;
 use dragonflycart_policy::{AttemptFailure, RequestTicket, TokenProgress};
 use tokio::sync::oneshot;
 
 use crate::{
+    call::CallMessage,
     control::{PlacedGeneration, PlacementTicket},
+    log_appender::AppendResult,
     log_tailer::TailEvent,
+    peer::PeerEvent,
 };
 
 /// Request for the placement of a generation.
@@ -98,8 +102,18 @@
     Reading(ServerReading),
     /// A topic of the log was read.
     Tail(TailEvent),
+    /// An append to the log ended.
+    Append(AppendResult),
+    /// A peer sent a message.
+    Peer(PeerEvent),
+    /// The platform's list of VMs was read.
+    VmList(Vec<VmEntry>),
+    /// A call that is not idempotent needs the ledger.
+    Call(CallMessage),
     /// The VM stops taking new work.
     Drain,
+    /// Asks whether nothing is left to do before the process may end.
+    IsIdle(oneshot::Sender<bool>),
 }
 
 /// Error for an answer that the control thread can't give because it has ended.
--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -5,9 +5,7 @@
 use log::error;
 use tokio::sync::mpsc;
 
-use crate::control::{ControlHandle, ControlMessage, control_loop::ControlLoop};
-
-pub(crate) use crate::control::control_loop::ControlParts;
+use crate::control::{ControlHandle, ControlMessage, ControlParts, control_loop::ControlLoop};
 
 /// Messages that may wait for the control thread. Progress reports are dropped beyond it, other
 /// senders wait.
@@ -25,12 +23,9 @@
     /// # Errors
     ///
     /// An I/O error if the thread can't be created.
-    pub(crate) fn start(
-        build: impl FnOnce(ControlHandle) -> ControlParts,
-    ) -> std::io::Result<ControlThread> {
+    pub(crate) fn start(parts: ControlParts) -> std::io::Result<ControlThread> {
         let (sender, messages) = mpsc::channel::<ControlMessage>(MESSAGE_QUEUE);
         let handle = ControlHandle::new(sender);
-        let parts = build(handle.clone());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,10 +4,14 @@
 //! it does no I/O: clients of the platform, of peers and of backend servers run on the traffic
 //! threads and report to it.
 
+mod append_control;
+mod call_control;
 mod control_handle;
 mod control_loop;
 mod control_message;
 mod control_thread;
+mod decoded_batch;
+mod peer_control;
 mod placement_control;
 mod placement_ticket;
 mod plan_control;
@@ -15,7 +19,9 @@
 
 pub(crate) use self::{
     control_handle::ControlHandle,
+    control_loop::{ControlParts, policy_settings, vm_position},
     control_message::{AttemptReport, ControlMessage, GenerationAsk, ServerReading, ServiceAsk},
-    control_thread::{ControlParts, ControlThread},
+    control_thread::ControlThread,
+    placement_control::PlacementControl,
     placement_ticket::{PlacedGeneration, PlacementGrant, PlacementNotice, PlacementTicket},
 };
--- /dev/null
+++ b/crates/node/src/control/peer_control.rs
@@ -0,0 +1,221 @@
+//! What this VM and its peers tell each other.
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use dragonflycart_core::{MonoTime, MoveId, PlanRevision, WallTime, ZoneName};
+use dragonflycart_platform::{VmEntry, VmState};
+use dragonflycart_state::{LatchStore, MemberInfo, MemberTable, MoveState, PlanState};
+use dragonflycart_wire::{
+    Evidence, Heartbeat, LatchSet, MoveEnd, PeerMessage, PlanCopy, PlanFetch, peer_message::Kind,
+};
+use tokio::sync::{broadcast, mpsc, watch};
+
+use crate::peer::LinkIdentity;
+
+/// Interval of heartbeats.
+const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
+/// Interval at which all latches are sent again, for peers that missed a change.
+const LATCH_PERIOD: Duration = Duration::from_secs(5);
+
+/// Membership, latches and the messages that carry them.
+pub(crate) struct PeerControl {
+    members: MemberTable,
+    latches: LatchStore,
+    broadcasts: broadcast::Sender<PeerMessage>,
+    addresses: watch::Sender<BTreeSet<SocketAddr>>,
+    configured: BTreeSet<SocketAddr>,
+    sequence: u64,
+    heartbeat_at: MonoTime,
+    latches_at: MonoTime,
+    draining: bool,
+}
+
+impl PeerControl {
+    /// Starts with the peers of the settings.
+    pub(crate) fn new(
+        own: &LinkIdentity,
+        broadcasts: broadcast::Sender<PeerMessage>,
+        addresses: watch::Sender<BTreeSet<SocketAddr>>,
+        now: MonoTime,
+    ) -> PeerControl {
+        let configured = addresses.borrow().clone();
+        PeerControl {
+            members: MemberTable::new(own.incarnation, own.zone.as_str(), own.seat, now),
+            latches: LatchStore::default(),
+            broadcasts,
+            addresses,
+            configured,
+            sequence: 0,
+            heartbeat_at: MonoTime::default(),
+            latches_at: MonoTime::default(),
+            draining: false,
+        }
+    }
+
+    /// Returns the members.
+    pub(crate) fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Returns the latches.
+    pub(crate) fn latches(&self) -> &LatchStore {
+        &self.latches
+    }
+
+    /// Returns the members that answer.
+    pub(crate) fn alive(&self) -> Vec<MemberInfo> {
+        self.members.alive().cloned().collect()
+    }
+
+    /// States in heartbeats that this VM is stopping.
+    pub(crate) fn set_draining(&mut self) {
+        self.draining = true;
+    }
+
+    /// Takes note of a sign of life.
+    pub(crate) fn seen(&mut self, identity: &LinkIdentity, now: MonoTime) {
+        self.members.hello(&identity.hello(), now);
+    }
+
+    /// Applies a heartbeat and asks for the plan if the peer has a newer one.
+    pub(crate) fn heartbeat(
+        &mut self,
+        identity: &LinkIdentity,
+        heartbeat: &Heartbeat,
+        revision: PlanRevision,
+        reply: &mpsc::Sender<PeerMessage>,
+        now: MonoTime,
+    ) {
+        self.members.heartbeat(identity.incarnation, heartbeat, now);
+        if heartbeat.plan_revision > revision.0 {
+            // A full queue means that answers are on their way; the next heartbeat asks again.
+            let _ = reply.try_send(message(Kind::PlanFetch(PlanFetch {})));
+        }
+    }
+
+    /// Answers a request for the plan.
+    pub(crate) fn send_plan(&self, copy: PlanCopy, reply: &mpsc::Sender<PeerMessage>) {
+        let _ = reply.try_send(message(Kind::PlanCopy(copy)));
+    }
+
+    /// Merges latches of a peer. Returns whether anything changed.
+    pub(crate) fn merge_latches(&mut self, latches: &LatchSet) -> bool {
+        let changed = self.latches.merge(latches);
+        if changed {
+            self.send_latches();
+        }
+        changed
+    }
+
+    /// Raises the latch of a move. Returns whether it changed.
+    pub(crate) fn latch_move(
+        &mut self,
+        move_id: &MoveId,
+        state: MoveState,
+        revision: PlanRevision,
+        reason: &str,
+    ) -> bool {
+        let changed = self.latches.set_move(move_id, state, revision, reason);
+        if changed {
+            self.send_latches();
+        }
+        changed
+    }
+
+    /// Applies a record of topic `moves`. Returns whether a latch changed.
+    pub(crate) fn apply_end(&mut self, end: &MoveEnd, revision: PlanRevision) -> bool {
+        let changed = self.latches.apply_end(end, revision);
+        if changed {
+            self.send_latches();
+        }
+        changed
+    }
+
+    /// Takes a zone out without the log service.
+    pub(crate) fn latch_zone(
+        &mut self,
+        zone: &ZoneName,
+        set_at: WallTime,
+        revision: PlanRevision,
+        author: &str,
+    ) {
+        if self.latches.set_zone(zone, set_at, revision, author) {
+            self.send_latches();
+        }
+    }
+
+    /// Returns whether a zone is latched out under the plan in effect.
+    pub(crate) fn zone_is_out(&self, zone: &ZoneName, plan: &PlanState) -> bool {
+        self.latches.zone_is_out(zone, plan)
+    }
+
+    /// Takes over the platform's list of VMs. Peers of the settings stay, because the list lags.
+    pub(crate) fn set_vm_list(&mut self, entries: &[VmEntry]) {
+        let mut addresses = self.configured.clone();
+        for entry in entries {
+            if entry.state == VmState::Live {
+                addresses.insert(entry.address);
+            }
+        }
+        self.addresses.send_if_modified(|current| {
+            let changed = *current != addresses;
+            if changed {
+                *current = addresses;
+            }
+            changed
+        });
+    }
+
+    /// Sends a heartbeat at once, for example after the plan changed.
+    pub(crate) fn send_heartbeat(
+        &mut self,
+        revision: PlanRevision,
+        log_reachable: bool,
+        now: MonoTime,
+    ) {
+        self.heartbeat_at = now;
+        self.sequence += 1;
+        let heartbeat = Heartbeat {
+            plan_revision: revision.0,
+            draining: self.draining,
+            log_reachable,
+            sequence: self.sequence,
+        };
+        self.send(Kind::Heartbeat(heartbeat));
+    }
+
+    /// Sends the evidence of this VM.
+    pub(crate) fn send_evidence(&self, evidence: Evidence) {
+        self.send(Kind::Evidence(evidence));
+    }
+
+    fn send_latches(&self) {
+        self.send(Kind::LatchSet(self.latches.to_wire()));
+    }
+
+    fn send(&self, kind: Kind) {
+        // Without a connected peer there is no receiver, which is no failure.
+        let _ = self.broadcasts.send(message(kind));
+    }
+
+    /// Does what is due. Returns the length of a pause of this VM, if there was one.
+    pub(crate) fn upkeep(
+        &mut self,
+        revision: PlanRevision,
+        log_reachable: bool,
+        now: MonoTime,
+    ) -> Option<Duration> {
+        if now.since(self.heartbeat_at) >= HEARTBEAT_PERIOD {
+            self.send_heartbeat(revision, log_reachable, now);
+        }
+        if now.since(self.latches_at) >= LATCH_PERIOD {
+            self.latches_at = now;
+            self.send_latches();
+        }
+        self.members.refresh(now)
+    }
+}
+
+fn message(kind: Kind) -> PeerMessage {
+    PeerMessage { kind: Some(kind) }
+}
--- a/crates/node/src/control/plan_control.rs
+++ b/crates/node/src/control/plan_control.rs
@@ -1,13 +1,13 @@
 //! The plan in effect on this VM.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use dragonflycart_core::{LogOffset, OperatingPlan, PlanRevision, WallTime};
-use dragonflycart_platform::ReadBatch;
 use dragonflycart_state::{PlanLog, PlanState, PlanVerdict};
-use dragonflycart_wire::{PlanCopy, PlanSnapshot, RecordBatch};
+use dragonflycart_wire::{PlanCopy, PlanSnapshot};
 use log::{error, info};
-use prost::Message;
+
+use crate::control::decoded_batch::DecodedBatch;
 
 /// Reader of topic `plan` and the parsed plan in effect.
 pub(crate) struct PlanControl {
@@ -16,12 +16,12 @@
     started: bool,
     parsed: Arc<OperatingPlan>,
     parsed_revision: PlanRevision,
-    retention: std::time::Duration,
+    retention: Duration,
 }
 
 impl PlanControl {
     /// Starts without a plan.
-    pub(crate) fn new(retention: std::time::Duration) -> PlanControl {
+    pub(crate) fn new(retention: Duration) -> PlanControl {
         // Until the first read, records below any offset count as missing, so that nothing is
         // decided; a peer's copy is adopted all the same.
         PlanControl {
@@ -34,14 +34,12 @@
     }
 
     /// Applies what was read from the log. Returns whether the plan in effect changed.
-    pub(crate) fn apply(&mut self, batch: &ReadBatch) -> bool {
+    pub(crate) fn apply(&mut self, batch: &DecodedBatch) -> bool {
         if !self.started {
             self.start(batch.first_available);
         }
-        for record in &batch.records {
-            // A record that can't be decoded still takes its place in the order of the log.
-            let decoded = RecordBatch::decode(record.body.clone()).unwrap_or_default();
-            self.log.apply_batch(record.offset, &decoded);
+        for (offset, append) in &batch.appends {
+            self.log.apply_batch(*offset, append);
         }
         self.refresh()
     }
@@ -82,7 +80,10 @@
             Err(error) => error!("plan: revision can't be read; revision={revision} error={error}"),
         }
         self.parsed_revision = revision;
-        info!("plan: revision is in effect; revision={revision} author={}", self.log.active().author());
+        info!(
+            "plan: revision is in effect; revision={revision} author={}",
+            self.log.active().author()
+        );
         true
     }
 
--- a/crates/node/src/control/version_control.rs
+++ b/crates/node/src/control/version_control.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dragonflycart_core::{
-    Incarnation, ModelName, MoveId, OperatingPlan, RequestKey, RouteName,
-    VersionMove, VersionName, WallTime,
+    Incarnation, ModelName, MoveId, OperatingPlan, RequestKey, RouteName, VersionMove, VersionName,
+    WallTime,
 };
 use dragonflycart_policy::{
     MoveControl, MoveCounts, MoveDecision, MoveEvidence, MoveReason, MoveSettings, MoveShares,
@@ -168,7 +168,7 @@
             } else {
                 continue;
             };
-            active.evidence.merge(incarnation, bucket_s, route, side, counts);
+            active.evidence.merge(incarnation, bucket_s, (route, side), counts);
         }
     }
 
@@ -293,4 +293,3 @@
     let seconds = now.as_unix_millis() / 1_000;
     seconds - seconds % BUCKET_S
 }
-
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -394,9 +394,7 @@
                     return Some(ReadEnd::Reconnect);
                 }
                 match self.assembler.accept_finish(&self.unique, epoch, count) {
-                    TokenVerdict::Deliver => {
-                        Some(ReadEnd::Attempt(AttemptEnd::Finished(reason)))
-                    }
+                    TokenVerdict::Deliver => Some(ReadEnd::Attempt(AttemptEnd::Finished(reason))),
                     _ => Some(ReadEnd::Reconnect),
                 }
             }
--- a/crates/node/src/generation/mod.rs
+++ b/crates/node/src/generation/mod.rs
@@ -4,10 +4,12 @@
 mod generation_runner;
 mod generation_spec;
 mod generation_store;
+mod stream_resumer;
 
 pub(crate) use self::{
     generation_buffer::{BufferSlice, GenerationBuffer, GenerationEnd},
     generation_runner::{GenerationRunner, RunnerContext, RunnerLimits},
     generation_spec::GenerationSpec,
     generation_store::GenerationStore,
+    stream_resumer::StreamResumer,
 };
--- /dev/null
+++ b/crates/node/src/generation/stream_resumer.rs
@@ -0,0 +1,144 @@
+//! Continues a stream that was started through another entry VM.
+
+use std::{sync::Arc, time::Duration};
+
+use dragonflycart_core::{ErrorKind, GenerationId, ServiceError};
+use dragonflycart_engine::{EngineClient, EngineError, StreamEvent, TokenStream};
+use futures::StreamExt;
+use tokio::time::{Instant, timeout_at};
+
+use crate::generation::{GenerationBuffer, GenerationEnd, RunnerContext};
+
+/// Pause before a new connection to an engine whose connection just failed.
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
+
+/// Continues a stream at the engine that runs it. Without the prompt this VM can't continue the
+/// generation anywhere else, so the loss of the engine ends it.
+pub(crate) struct StreamResumer {
+    context: RunnerContext,
+}
+
+impl StreamResumer {
+    /// Builds a resumer.
+    pub(crate) fn new(context: RunnerContext) -> StreamResumer {
+        StreamResumer { context }
+    }
+
+    /// Opens the stream at token `next` and fills the returned buffer in the background.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotFound`] if the engine does not know the generation,
+    /// [`ErrorKind::NoBackend`] if it can't be reached.
+    pub(crate) async fn resume(
+        self,
+        id: &GenerationId,
+        next: u64,
+    ) -> Result<Arc<GenerationBuffer>, ServiceError> {
+        let Some(engine) = self.context.servers.engine(id.server()) else {
+            let message = format!("generation {id}: no such backend server");
+            return Err(ServiceError::new(ErrorKind::NotFound, message));
+        };
+        let stream = match self.open(&*engine, id, next).await {
+            Ok(stream) => stream,
+            Err(EngineError::UnknownGeneration) => {
+                let message = format!("generation {id}: the backend server does not know it");
+                return Err(ServiceError::new(ErrorKind::NotFound, message));
+            }
+            Err(error) => {
+                let message = format!("generation {id}: {error}");
+                return Err(ServiceError::new(ErrorKind::NoBackend, message));
+            }
+        };
+        let buffer = Arc::new(GenerationBuffer::new(id.clone(), next));
+        tokio::spawn(self.fill(engine, id.clone(), stream, Arc::clone(&buffer)));
+        Ok(buffer)
+    }
+
+    async fn open(
+        &self,
+        engine: &dyn EngineClient,
+        id: &GenerationId,
+        next: u64,
+    ) -> Result<TokenStream, EngineError> {
+        let generation = id.to_string();
+        let resume = engine.resume(&generation, next);
+        match tokio::time::timeout(self.context.limits.silence, resume).await {
+            Ok(result) => result,
+            Err(_) => Err(EngineError::ConnectionLost),
+        }
+    }
+
+    async fn fill(
+        self,
+        engine: Arc<dyn EngineClient>,
+        id: GenerationId,
+        stream: TokenStream,
+        buffer: Arc<GenerationBuffer>,
+    ) {
+        let mut stream = Some(stream);
+        let mut reconnects = 0;
+        loop {
+            if let Some(open) = stream.take() {
+                let before = buffer.next_index();
+                if let Some(end) = self.read(open, &id, &buffer).await {
+                    buffer.finish(end);
+                    return;
+                }
+                if buffer.next_index() > before {
+                    reconnects = 0;
+                }
+            }
+            if reconnects >= self.context.limits.reconnects {
+                buffer.finish(lost("the backend server can't be reached"));
+                return;
+            }
+            reconnects += 1;
+            tokio::time::sleep(RECONNECT_DELAY).await;
+            match self.open(&*engine, &id, buffer.next_index()).await {
+                Ok(open) => stream = Some(open),
+                Err(EngineError::UnknownGeneration) => {
+                    buffer.finish(lost("the backend server lost the generation"));
+                    return;
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Reads one connection. Returns `None` if it is to be replaced. The engine's client has
+    /// checked generation and position of each event.
+    async fn read(
+        &self,
+        mut stream: TokenStream,
+        id: &GenerationId,
+        buffer: &GenerationBuffer,
+    ) -> Option<GenerationEnd> {
+        let own = id.to_string();
+        loop {
+            let silence_ends = Instant::now() + self.context.limits.silence;
+            match timeout_at(silence_ends, stream.next()).await.ok()??.ok()? {
+                StreamEvent::Token { generation, index, text, .. } => {
+                    if generation != own || index > buffer.next_index() {
+                        return None;
+                    }
+                    if index == buffer.next_index() {
+                        buffer.push(&text);
+                    }
+                }
+                StreamEvent::Heartbeat { .. } => {}
+                StreamEvent::Finished { reason, count, .. } => {
+                    if count != buffer.next_index() {
+                        return None;
+                    }
+                    return Some(GenerationEnd::Finished { reason });
+                }
+                StreamEvent::Failed { message, .. } => return Some(lost(&message)),
+            }
+        }
+    }
+}
+
+fn lost(message: &str) -> GenerationEnd {
+    GenerationEnd::Failed(ServiceError::new(ErrorKind::Interrupted, message))
+}
--- /dev/null
+++ b/crates/node/src/http/http_front.rs
@@ -0,0 +1,107 @@
+//! Routes of the callers' interface and what its handlers share.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    Router,
+    body::{Body, to_bytes},
+    http::{StatusCode, Uri},
+    response::IntoResponse,
+    routing::{get, post},
+};
+use bytes::Bytes;
+use dragonflycart_core::{ErrorKind, MonoTime, ServiceError};
+use dragonflycart_settings::Config;
+use tokio::sync::watch;
+
+use crate::{
+    generation::{GenerationStore, RunnerContext},
+    http::{ErrorAnswer, generation_handler, health_handler, service_handler},
+    node_clock::NodeClock,
+    node_lifecycle::LifecyclePhase,
+};
+
+/// What the handlers of the callers' interface share.
+#[derive(Clone)]
+pub(crate) struct HttpFront {
+    /// Settings.
+    pub(crate) config: Arc<Config>,
+    /// Clocks.
+    pub(crate) clock: NodeClock,
+    /// What generations run with.
+    pub(crate) runner: RunnerContext,
+    /// Generations on this VM.
+    pub(crate) store: Arc<GenerationStore>,
+    /// Phase of the daemon.
+    pub(crate) phase: watch::Receiver<LifecyclePhase>,
+    /// Becomes true when callers must continue their streams at another VM.
+    pub(crate) handover: watch::Receiver<bool>,
+}
+
+impl HttpFront {
+    /// Builds the routes.
+    pub(crate) fn router(self) -> Router {
+        Router::new()
+            .route("/v1/completions", post(generation_handler::post_completion))
+            .route("/v1/generations/{id}", get(generation_handler::get_generation))
+            .route("/v1/services/{service}/{operation}", post(service_handler::post_call))
+            .route("/healthz", get(health_handler::get_health))
+            .route("/readyz", get(health_handler::get_ready))
+            .route("/metrics", get(health_handler::get_metrics))
+            .fallback(unknown_path)
+            .method_not_allowed_fallback(unknown_method)
+            .with_state(self)
+    }
+
+    /// Refuses new work outside the phases in which it is accepted.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Draining`] while the VM starts or stops.
+    pub(crate) fn check_phase(&self) -> Result<(), ServiceError> {
+        let phase = *self.phase.borrow();
+        if phase.accepts_work() {
+            return Ok(());
+        }
+        Err(ServiceError::new(ErrorKind::Draining, format!("the VM takes no work; it is {phase}")))
+    }
+
+    /// Reads a body up to the limit.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::TooLarge`] or, if the connection breaks, [`ErrorKind::BadRequest`].
+    pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, ServiceError> {
+        let limit = self.config.limits.body;
+        to_bytes(body, limit).await.map_err(|error| {
+            let source = std::error::Error::source(&error);
+            if source.is_some_and(|source| source.to_string().contains("length limit")) {
+                let message = format!("body: at most {limit} bytes are allowed");
+                return ServiceError::new(ErrorKind::TooLarge, message);
+            }
+            ServiceError::new(ErrorKind::BadRequest, "body: the connection ended early")
+        })
+    }
+
+    /// Returns the time at which a request with this deadline expires.
+    pub(crate) fn deadline(&self, asked: Option<Duration>, default: Duration) -> MonoTime {
+        self.clock.now() + asked.unwrap_or(default)
+    }
+
+    /// Counts an error and turns it into an answer.
+    pub(crate) fn error(&self, error: ServiceError) -> ErrorAnswer {
+        self.runner.metrics.count_error(error.kind());
+        ErrorAnswer(error)
+    }
+}
+
+async fn unknown_path(uri: Uri) -> impl IntoResponse {
+    let message = format!("{}: no such path", uri.path());
+    ErrorAnswer(ServiceError::new(ErrorKind::NotFound, message))
+}
+
+async fn unknown_method(uri: Uri) -> impl IntoResponse {
+    let message = format!("{}: the method is not allowed here", uri.path());
+    let answer = ErrorAnswer(ServiceError::new(ErrorKind::BadRequest, message));
+    (StatusCode::METHOD_NOT_ALLOWED, answer)
+}
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -2,12 +2,19 @@
 
 mod caller_context;
 mod completion_request;
-mod completion_stream;
 mod error_answer;
 mod event_body;
+mod generation_handler;
+mod health_handler;
+mod http_front;
+mod http_server;
+mod service_handler;
 
 pub(crate) use self::{
     caller_context::CallerContext,
     completion_request::CompletionRequest,
     error_answer::{ErrorAnswer, error_json},
+    event_body::event_body,
+    http_front::HttpFront,
+    http_server::HttpServer,
 };
--- /dev/null
+++ b/crates/node/src/http/service_handler.rs
@@ -0,0 +1,82 @@
+//! Handlers of calls to plain services.
+
+use axum::{
+    body::Body,
+    extract::{Path, State},
+    http::{HeaderMap, StatusCode},
+    response::{IntoResponse, Response},
+};
+use bytes::Bytes;
+use dragonflycart_core::{ErrorKind, RouteName, ServiceError, ServiceName};
+use dragonflycart_engine::ServiceAnswer;
+
+use crate::{
+    call::{CallRunner, CallSpec},
+    http::{CallerContext, ErrorAnswer, HttpFront},
+};
+
+/// Sends a call to a plain service.
+pub(crate) async fn post_call(
+    State(front): State<HttpFront>,
+    Path((service, operation)): Path<(String, String)>,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, ErrorAnswer> {
+    let result = run_call(&front, &service, &operation, &headers, body).await;
+    result.map_err(|error| front.error(error))
+}
+
+async fn run_call(
+    front: &HttpFront,
+    service: &str,
+    operation: &str,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Response, ServiceError> {
+    let caller = CallerContext::from_headers(headers, &front.config)?;
+    let body = front.read_body(body).await?;
+    let spec = call_spec(front, service, operation, caller, body)?;
+    front.check_phase()?;
+    front.runner.metrics.calls.inc();
+    let answer = CallRunner::new(front.runner.clone(), front.clock).run(spec).await?;
+    Ok(service_response(answer))
+}
+
+fn call_spec(
+    front: &HttpFront,
+    service: &str,
+    operation: &str,
+    caller: CallerContext,
+    body: Bytes,
+) -> Result<CallSpec, ServiceError> {
+    let unknown = |message: String| ServiceError::new(ErrorKind::NotFound, message);
+    let service =
+        ServiceName::new(service).map_err(|error| unknown(format!("service: {error}")))?;
+    let Some(settings) = front.config.services.get(&service) else {
+        return Err(unknown(format!("service: {service} is unknown")));
+    };
+    let operation =
+        RouteName::new(operation).map_err(|error| unknown(format!("operation: {error}")))?;
+    let idempotent = settings.idempotent.contains(&operation);
+    if !idempotent && caller.key.is_none() {
+        let message = "idempotency-key: required, because the operation is not idempotent";
+        return Err(ServiceError::new(ErrorKind::BadRequest, message));
+    }
+    let deadline = front.deadline(caller.deadline, front.config.timeouts.call_deadline);
+    Ok(CallSpec {
+        team: caller.team,
+        service,
+        operation,
+        idempotent,
+        key: caller.key,
+        attempt: caller.attempt,
+        deadline,
+        body,
+    })
+}
+
+/// Passes the answer of a service on unchanged.
+pub(crate) fn service_response(answer: ServiceAnswer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    (status, answer.body).into_response()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,23 @@
 //! The entry VM's daemon as a library.
+//!
+//! One control thread owns all control state and decides; traffic threads carry connections and
+//! streams. The binary only calls [`run_with_args`].
+
+mod call;
+mod control;
+mod daemon;
+mod daemon_command;
+mod generation;
+mod http;
+mod log_appender;
+mod log_tailer;
+mod node_clock;
 mod node_lifecycle;
 mod node_metrics;
-mod node_clock;
 mod peer;
+mod server_directory;
+
+pub use crate::{
+    daemon::{Daemon, DaemonError},
+    daemon_command::run_with_args,
+};
--- a/crates/node/src/peer/peer_event.rs
+++ b/crates/node/src/peer/peer_event.rs
@@ -6,6 +6,7 @@
 use crate::peer::LinkIdentity;
 
 /// Message received from a peer.
+#[derive(Debug)]
 pub(crate) struct PeerEvent {
     /// Sender.
     pub(crate) identity: LinkIdentity,
--- a/crates/node/src/peer/peer_hub.rs
+++ b/crates/node/src/peer/peer_hub.rs
@@ -10,11 +10,14 @@
 use dragonflycart_wire::PeerMessage;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{broadcast, mpsc, watch},
+    sync::{broadcast, watch},
     task::JoinHandle,
 };
 
-use crate::peer::{LinkDirection, LinkIdentity, PeerEvent, PeerLink};
+use crate::{
+    control::ControlHandle,
+    peer::{LinkDirection, LinkIdentity, PeerLink},
+};
 
 /// Longest wait for a TCP connection to a peer.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
@@ -24,7 +27,7 @@
 /// Keeps one outgoing connection to each known peer and serves the incoming ones.
 pub(crate) struct PeerHub {
     own: Arc<LinkIdentity>,
-    events: mpsc::Sender<PeerEvent>,
+    control: ControlHandle,
     broadcasts: broadcast::Sender<PeerMessage>,
     dialers: BTreeMap<SocketAddr, JoinHandle<()>>,
 }
@@ -33,10 +36,10 @@
     /// Builds a hub without connections.
     pub(crate) fn new(
         own: LinkIdentity,
-        events: mpsc::Sender<PeerEvent>,
+        control: ControlHandle,
         broadcasts: broadcast::Sender<PeerMessage>,
     ) -> PeerHub {
-        PeerHub { own: Arc::new(own), events, broadcasts, dialers: BTreeMap::new() }
+        PeerHub { own: Arc::new(own), control, broadcasts, dialers: BTreeMap::new() }
     }
 
     /// Serves incoming connections and dials the peers in `addresses` as the set changes.
@@ -68,7 +71,7 @@
     }
 
     fn serve(&self, socket: TcpStream) {
-        let link = PeerLink::new(socket, LinkDirection::Incoming, self.events.clone());
+        let link = PeerLink::new(socket, LinkDirection::Incoming, self.control.clone());
         let own = Arc::clone(&self.own);
         let broadcasts = self.broadcasts.subscribe();
         tokio::spawn(async move { link.run(&own, broadcasts).await });
@@ -87,9 +90,9 @@
                 continue;
             }
             let own = Arc::clone(&self.own);
-            let events = self.events.clone();
+            let control = self.control.clone();
             let broadcasts = self.broadcasts.clone();
-            let dialer = tokio::spawn(dial_forever(*address, own, events, broadcasts));
+            let dialer = tokio::spawn(dial_forever(*address, own, control, broadcasts));
             self.dialers.insert(*address, dialer);
         }
     }
@@ -105,18 +108,15 @@
 async fn dial_forever(
     address: SocketAddr,
     own: Arc<LinkIdentity>,
-    events: mpsc::Sender<PeerEvent>,
+    control: ControlHandle,
     broadcasts: broadcast::Sender<PeerMessage>,
 ) {
     loop {
         let connected = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
         if let Ok(Ok(socket)) = connected {
-            let link = PeerLink::new(socket, LinkDirection::Outgoing, events.clone());
+            let link = PeerLink::new(socket, LinkDirection::Outgoing, control.clone());
             link.run(&own, broadcasts.subscribe()).await;
         }
-        if events.is_closed() {
-            return;
-        }
         tokio::time::sleep(REDIAL_DELAY).await;
     }
 }
--- a/crates/node/src/peer/peer_link.rs
+++ b/crates/node/src/peer/peer_link.rs
@@ -11,7 +11,10 @@
 };
 use tokio_util::codec::Framed;
 
-use crate::peer::{LinkIdentity, PeerEvent};
+use crate::{
+    control::{ControlHandle, ControlMessage},
+    peer::{LinkIdentity, PeerEvent},
+};
 
 /// A connection without any message for this long is closed and dialled again. Heartbeats come
 /// every second, so three in a row were lost.
@@ -34,7 +37,7 @@
 pub(crate) struct PeerLink {
     framed: Framed<TcpStream, FrameCodec>,
     direction: LinkDirection,
-    events: mpsc::Sender<PeerEvent>,
+    control: ControlHandle,
 }
 
 impl PeerLink {
@@ -42,10 +45,10 @@
     pub(crate) fn new(
         socket: TcpStream,
         direction: LinkDirection,
-        events: mpsc::Sender<PeerEvent>,
+        control: ControlHandle,
     ) -> PeerLink {
         let _ = socket.set_nodelay(true);
-        PeerLink { framed: Framed::new(socket, FrameCodec::new()), direction, events }
+        PeerLink { framed: Framed::new(socket, FrameCodec::new()), direction, control }
     }
 
     /// Runs the connection until it fails, is silent for too long, or the process stops.
@@ -72,9 +75,7 @@
                     silence_ends = Instant::now() + SILENCE_LIMIT;
                     let Some(kind) = message.kind else { continue };
                     let event = PeerEvent { identity: identity.clone(), kind, reply: reply.clone() };
-                    if self.events.send(event).await.is_err() {
-                        return;
-                    }
+                    self.control.send(ControlMessage::Peer(event)).await;
                 }
                 Some(message) = replies.recv() => {
                     if !self.send(message).await {
--- a/crates/node/src/server_directory.rs
+++ b/crates/node/src/server_directory.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use dragonflycart_core::{MonoTime, ServerName};
+use dragonflycart_core::{MonoTime, ServerName, ServiceName};
 use dragonflycart_engine::{EngineClient, HttpEngine, HttpService, ServiceClient, ServiceOptions};
 use dragonflycart_settings::Config;
 
@@ -14,7 +14,7 @@
 /// Clients of all configured backend servers.
 pub(crate) struct ServerDirectory {
     engines: BTreeMap<ServerName, Arc<dyn EngineClient>>,
-    services: BTreeMap<ServerName, Arc<dyn ServiceClient>>,
+    services: BTreeMap<ServerName, (ServiceName, Arc<dyn ServiceClient>)>,
     /// Every backend server reports its load over the same protocol.
     reporters: BTreeMap<ServerName, Arc<dyn EngineClient>>,
 }
@@ -39,7 +39,9 @@
                 supports_lookup: lookup,
             };
             let client = HttpService::new(settings.address, options);
-            directory.services.insert(name.clone(), Arc::new(client));
+            let entry: (ServiceName, Arc<dyn ServiceClient>) =
+                (settings.service.clone(), Arc::new(client));
+            directory.services.insert(name.clone(), entry);
             let reporter = HttpEngine::new(settings.address);
             directory.reporters.insert(name.clone(), Arc::new(reporter));
         }
@@ -53,7 +55,13 @@
 
     /// Returns the client of a plain service's server.
     pub(crate) fn service(&self, name: &ServerName) -> Option<Arc<dyn ServiceClient>> {
-        self.services.get(name).cloned()
+        self.services.get(name).map(|(_, client)| Arc::clone(client))
+    }
+
+    /// Returns the clients of all servers of a plain service.
+    pub(crate) fn service_clients(&self, service: &ServiceName) -> Vec<Arc<dyn ServiceClient>> {
+        let servers = self.services.values().filter(|(name, _)| name == service);
+        servers.map(|(_, client)| Arc::clone(client)).collect()
     }
 
     /// Starts to ask every backend server for its load, spread over the period so that the
--- a/src/bin/dragonflycartd.rs
+++ b/src/bin/dragonflycartd.rs
@@ -1,3 +1,7 @@
-//! Entry point of `dragonflycartd`.
+//! Daemon of an entry VM.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    dragonflycart_node::run_with_args(std::env::args_os())
+}
