Add the fakes of the platform, the plain service and the relay

Each fake also runs as an example program, so that tests can kill it or stop it by a signal; a killed test leaves none behind, because they exit at the end of standard input.

Plain servers now report load and count running calls by seat, which their cold limit needs, so ServiceClient gets report() and ServiceRequest a seat. The platform client no longer lets the HTTP library repeat a request: a repeated append could be written twice. HttpWeights is the missing client of the weight store.

--- a/crates/engine/src/http_exchange.rs
+++ b/crates/engine/src/http_exchange.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     CallFailure,
-    protocol::{INSTANCE_HEADER, KEY_HEADER, REQUEST_ID_HEADER},
+    protocol::{INSTANCE_HEADER, REQUEST_ID_HEADER},
 };
 
 /// Idle connections are kept for two polling intervals of the load report, so that a connection
@@ -44,14 +44,14 @@
 pub(crate) struct OutgoingRequest {
     pub(crate) method: Method,
     pub(crate) path: String,
-    pub(crate) key: Option<String>,
+    pub(crate) headers: Vec<(&'static str, String)>,
     pub(crate) body: Bytes,
 }
 
 impl OutgoingRequest {
-    /// Builds a request without idempotency key.
+    /// Builds a request without further headers.
     pub(crate) fn new(method: Method, path: String, body: Bytes) -> OutgoingRequest {
-        OutgoingRequest { method, path, key: None, body }
+        OutgoingRequest { method, path, headers: Vec::new(), body }
     }
 }
 
@@ -143,8 +143,8 @@
             .uri(format!("http://{}{}", self.address, outgoing.path))
             .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
             .header(REQUEST_ID_HEADER, request_id);
-        if let Some(key) = outgoing.key {
-            builder = builder.header(KEY_HEADER, key);
+        for (name, value) in outgoing.headers {
+            builder = builder.header(name, value);
         }
         builder.body(Full::new(outgoing.body)).ok()
     }
--- a/crates/engine/src/http_service.rs
+++ b/crates/engine/src/http_service.rs
@@ -7,17 +7,24 @@
 use hyper::{Method, StatusCode};
 
 use crate::{
-    BoxFuture, CallFailure, ServiceAnswer, ServiceClient, ServiceOptions, ServiceRequest,
+    BoxFuture, CallFailure, LoadReport, ServiceAnswer, ServiceClient, ServiceOptions,
+    ServiceRequest,
     http_exchange::{ConnectionReuse, HttpExchange, OutgoingRequest, header_text, stated_instance},
-    protocol::{KEY_HEADER, OPERATIONS_PATH, OUTCOME_STATUS_HEADER, OUTCOMES_PATH, encode_segment},
+    protocol::{
+        KEY_HEADER, LOAD_PATH, OPERATIONS_PATH, OUTCOME_STATUS_HEADER, OUTCOMES_PATH, SEAT_HEADER,
+        encode_segment,
+    },
 };
 
 /// Longest wait for a TCP connection; the farthest zone is a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a load report; older reports are replaced by the next poll.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Server of a plain service reached over HTTP.
 pub struct HttpService {
     calls: HttpExchange,
+    polls: HttpExchange,
     options: ServiceOptions,
 }
 
@@ -25,13 +32,19 @@
     /// Builds a client for the server at `address`.
     pub fn new(address: SocketAddr, options: ServiceOptions) -> HttpService {
         let calls = HttpExchange::new(address, CONNECT_TIMEOUT, ConnectionReuse::Never);
-        HttpService { calls, options }
+        let polls = HttpExchange::new(address, CONNECT_TIMEOUT, ConnectionReuse::Idle);
+        HttpService { calls, polls, options }
     }
 
     async fn send_call(&self, request: ServiceRequest) -> Result<ServiceAnswer, CallFailure> {
         let path = format!("{OPERATIONS_PATH}/{}", encode_segment(&request.operation));
         let mut outgoing = OutgoingRequest::new(Method::POST, path, request.body);
-        outgoing.key = request.key.map(String::from);
+        if let Some(key) = request.key {
+            outgoing.headers.push((KEY_HEADER, String::from(key)));
+        }
+        if let Some(seat) = request.seat {
+            outgoing.headers.push((SEAT_HEADER, seat));
+        }
         let timeout = self.options.answer_timeout;
         let response = self.calls.exchange(outgoing, &request.request_id, timeout).await?;
         Ok(ServiceAnswer {
@@ -47,7 +60,7 @@
         }
         let mut outgoing =
             OutgoingRequest::new(Method::GET, OUTCOMES_PATH.to_owned(), Bytes::new());
-        outgoing.key = Some(key.as_str().to_owned());
+        outgoing.headers.push((KEY_HEADER, key.as_str().to_owned()));
         let request_id = self.calls.draw_request_id();
         let timeout = self.options.answer_timeout;
         let response = self.calls.exchange(outgoing, &request_id, timeout).await?;
@@ -64,6 +77,13 @@
         let instance = stated_instance(response.headers());
         Ok(Some(ServiceAnswer { status, instance, body: response.into_body() }))
     }
+
+    async fn read_report(&self) -> Result<LoadReport, CallFailure> {
+        let outgoing = OutgoingRequest::new(Method::GET, LOAD_PATH.to_owned(), Bytes::new());
+        let request_id = self.polls.draw_request_id();
+        let response = self.polls.exchange(outgoing, &request_id, REPORT_TIMEOUT).await?;
+        serde_json::from_slice(response.body()).map_err(|_| CallFailure::MaybeSent)
+    }
 }
 
 impl ServiceClient for HttpService {
@@ -77,4 +97,8 @@
     ) -> BoxFuture<'a, Result<Option<ServiceAnswer>, CallFailure>> {
         Box::pin(self.send_lookup(key))
     }
+
+    fn report(&self) -> BoxFuture<'_, Result<LoadReport, CallFailure>> {
+        Box::pin(self.read_report())
+    }
 }
--- a/crates/engine/src/protocol.rs
+++ b/crates/engine/src/protocol.rs
@@ -10,6 +10,9 @@
 /// Response header of a lookup with the status that the executed call was answered with.
 pub const OUTCOME_STATUS_HEADER: &str = "x-outcome-status";
 
+/// Request header of a call with the "zone/seat" that holds a cold-start slot for it.
+pub const SEAT_HEADER: &str = "x-seat";
+
 /// Path of the generations of an engine.
 pub const GENERATIONS_PATH: &str = "/v1/generations";
 /// Path of the load report, of engines and plain services.
--- a/crates/engine/src/service_client.rs
+++ b/crates/engine/src/service_client.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use dragonflycart_core::{RequestKey, ServerInstance};
 
-use crate::{BoxFuture, CallFailure};
+use crate::{BoxFuture, CallFailure, LoadReport};
 
 /// Call to a plain service.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     pub operation: String,
     /// Body, passed on unchanged.
     pub body: Bytes,
+    /// Seat and zone of the entry VM that holds a cold-start slot for this call, if any.
+    pub seat: Option<String>,
 }
 
 /// Whole answer of a plain service.
@@ -48,4 +50,11 @@
         &'a self,
         key: &'a RequestKey,
     ) -> BoxFuture<'a, Result<Option<ServiceAnswer>, CallFailure>>;
+
+    /// Reads the server's load report.
+    ///
+    /// # Errors
+    ///
+    /// Any transport failure.
+    fn report(&self) -> BoxFuture<'_, Result<LoadReport, CallFailure>>;
 }
--- a/crates/platform/src/http_transport.rs
+++ b/crates/platform/src/http_transport.rs
@@ -33,7 +33,9 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
+        // A repeated append could be written twice; the caller decides about another attempt.
+        let client =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
         HttpTransport { address, client }
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 mod http_directory;
 mod http_log;
 mod http_transport;
+mod http_weights;
 mod log_error;
 mod log_service;
 mod vm_directory;
@@ -16,6 +17,7 @@
 pub use crate::{
     http_directory::HttpDirectory,
     http_log::HttpLog,
+    http_weights::HttpWeights,
     log_error::LogError,
     log_service::{LogRecord, LogService, LogTopic, ReadBatch},
     vm_directory::{DirectoryError, VmDirectory, VmEntry, VmState},
--- /dev/null
+++ b/crates/testkit/src/child_process.rs
@@ -0,0 +1,134 @@
+//! Program under test in its own process, so that it can be killed or stopped by a signal.
+
+use std::{
+    env,
+    ffi::OsStr,
+    io::{self, BufRead, BufReader},
+    path::{Path, PathBuf},
+    process::{Child, ChildStdin, Command, Stdio},
+};
+
+/// Child process. Dropping it kills the process.
+pub struct ChildProcess {
+    child: Child,
+    first_line: String,
+    /// Held open: the fakes exit at the end of their standard input, so that none outlives a
+    /// test program that was killed.
+    _stdin: Option<ChildStdin>,
+}
+
+impl ChildProcess {
+    /// Starts `program` and waits for the first line of its standard output.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started or ends without a line.
+    pub fn start<I>(program: &Path, arguments: I) -> io::Result<ChildProcess>
+    where
+        I: IntoIterator,
+        I::Item: AsRef<OsStr>,
+    {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let stdin = child.stdin.take();
+        let stdout = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut process = ChildProcess { child, first_line: String::new(), _stdin: stdin };
+        let mut reader = BufReader::new(stdout);
+        reader.read_line(&mut process.first_line)?;
+        if process.first_line.is_empty() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        // A full pipe would block the child, so the rest is read and dropped.
+        std::thread::spawn(move || io::copy(&mut reader, &mut io::sink()));
+        Ok(process)
+    }
+
+    /// Returns the first line of standard output, without the line end.
+    pub fn first_line(&self) -> &str {
+        self.first_line.trim_end()
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Stops the process by SIGSTOP. Its connections stay open and its sockets accept bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal can't be sent.
+    pub fn pause(&self) -> io::Result<()> {
+        self.signal("-STOP")
+    }
+
+    /// Continues the process by SIGCONT.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal can't be sent.
+    pub fn resume(&self) -> io::Result<()> {
+        self.signal("-CONT")
+    }
+
+    /// Asks the process to end by SIGTERM.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal can't be sent.
+    pub fn terminate(&self) -> io::Result<()> {
+        self.signal("-TERM")
+    }
+
+    /// Returns whether the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn has_ended(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
+    fn signal(&self, signal: &str) -> io::Result<()> {
+        let status = Command::new("kill").arg(signal).arg(self.id().to_string()).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other("the signal was not sent")) }
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // The process may have ended before.
+        let _ = self.kill();
+    }
+}
+
+/// Finds a program that cargo built beside the running test, for example `examples/fake_engine`
+/// or `dragonflycartd`.
+///
+/// # Errors
+///
+/// Returns an error that names the program if it is not there.
+pub fn find_program(name: &str) -> io::Result<PathBuf> {
+    let current = env::current_exe()?;
+    for directory in current.ancestors().skip(1) {
+        let candidate = directory.join(name);
+        if candidate.is_file() {
+            return Ok(candidate);
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::NotFound, format!("{name} is not built")))
+}
--- /dev/null
+++ b/crates/testkit/src/fake_directory.rs
@@ -0,0 +1,120 @@
+//! Fake VM list.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use axum::{
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    routing::{get, put},
+};
+use dragonflycart_platform::VmEntry;
+use tokio::time::Instant;
+
+use crate::{
+    DirectoryConfig, FakeServer, FaultCommand, FaultSwitch, ListenAddresses,
+    lagged_value::LaggedValue,
+};
+
+/// State shared by the handlers.
+struct DirectoryShared {
+    entries: Mutex<LaggedValue<Vec<VmEntry>>>,
+    lag_ms: u64,
+    began: Instant,
+}
+
+impl DirectoryShared {
+    fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn entries(&self) -> MutexGuard<'_, LaggedValue<Vec<VmEntry>>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn replace(&self, entries: Vec<VmEntry>) {
+        self.entries().record(self.now_ms(), entries, self.lag_ms);
+    }
+}
+
+/// Fake VM list; a change is published after the configured lag.
+pub struct FakeDirectory {
+    server: FakeServer,
+    shared: Arc<DirectoryShared>,
+}
+
+impl FakeDirectory {
+    /// Starts a VM list on free loopback ports.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a failed bind.
+    pub async fn start(config: DirectoryConfig) -> io::Result<FakeDirectory> {
+        FakeDirectory::start_at(ListenAddresses::default(), config).await
+    }
+
+    /// Starts a VM list on the given addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a failed bind.
+    pub async fn start_at(
+        listen: ListenAddresses,
+        config: DirectoryConfig,
+    ) -> io::Result<FakeDirectory> {
+        let shared = Arc::new(DirectoryShared {
+            entries: Mutex::new(LaggedValue::new(0, config.entries)),
+            lag_ms: config.lag_ms,
+            began: Instant::now(),
+        });
+        let service =
+            Router::new().route("/vms", get(read_entries)).with_state(Arc::clone(&shared));
+        let control = Router::new()
+            .route("/control/vms", put(replace_entries))
+            .with_state(Arc::clone(&shared));
+        let faults = FaultSwitch::new(|_| {});
+        let server = FakeServer::start(listen, service, control, faults).await?;
+        Ok(FakeDirectory { server, shared })
+    }
+
+    /// Returns the address of the VM list.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the server, with the control address and the switch for faults.
+    pub fn server(&self) -> &FakeServer {
+        &self.server
+    }
+
+    /// Shows or ends a fault.
+    pub fn fault(&self, command: &FaultCommand) {
+        self.server.faults().apply(command);
+    }
+
+    /// Replaces the entries; readers see them after the lag.
+    pub fn replace(&self, entries: Vec<VmEntry>) {
+        self.shared.replace(entries);
+    }
+
+    /// Stops the VM list.
+    pub async fn close(self) {
+        self.server.close().await;
+    }
+}
+
+async fn read_entries(State(shared): State<Arc<DirectoryShared>>) -> Json<Vec<VmEntry>> {
+    Json(shared.entries().read(shared.now_ms(), shared.lag_ms))
+}
+
+async fn replace_entries(
+    State(shared): State<Arc<DirectoryShared>>,
+    Json(entries): Json<Vec<VmEntry>>,
+) -> StatusCode {
+    shared.replace(entries);
+    StatusCode::NO_CONTENT
+}
--- /dev/null
+++ b/crates/testkit/src/fault_relay.rs
@@ -0,0 +1,191 @@
+//! TCP relay that damages connections on command.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::{
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    routing::{get, post},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+};
+
+use crate::{
+    ConnectionNumber, ListenAddresses, RelayCommand, RelayMode, relay_switch::RelaySwitch,
+};
+
+/// Bytes passed on at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+/// Pause after a failed accept.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Relay in front of one address. Dropping it closes all connections.
+pub struct FaultRelay {
+    address: SocketAddr,
+    control_address: SocketAddr,
+    switch: Arc<RelaySwitch>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl FaultRelay {
+    /// Starts a relay to `target` on free loopback ports.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a failed bind.
+    pub async fn start(target: SocketAddr) -> io::Result<FaultRelay> {
+        FaultRelay::start_at(ListenAddresses::default(), target).await
+    }
+
+    /// Starts a relay to `target` on the given addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a failed bind.
+    pub async fn start_at(listen: ListenAddresses, target: SocketAddr) -> io::Result<FaultRelay> {
+        let switch = Arc::new(RelaySwitch::new());
+        let listener = TcpListener::bind(listen.service).await?;
+        let address = listener.local_addr()?;
+        let control_listener = TcpListener::bind(listen.control).await?;
+        let control_address = control_listener.local_addr()?;
+        let control = Router::new()
+            .route("/control/relay", post(apply_command))
+            .route("/control/connections", get(list_connections))
+            .with_state(Arc::clone(&switch));
+        let accept_task = tokio::spawn(accept_connections(listener, target, Arc::clone(&switch)));
+        let control_task = tokio::spawn(async move {
+            let _ = axum::serve(control_listener, control).await;
+        });
+        let tasks = vec![accept_task, control_task];
+        Ok(FaultRelay { address, control_address, switch, tasks })
+    }
+
+    /// Returns the address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the control endpoint.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control_address
+    }
+
+    /// Changes the mode of connections.
+    pub fn apply(&self, command: RelayCommand) {
+        self.switch.apply(command);
+    }
+
+    /// Returns the open connections in order of acceptance.
+    pub fn open_connections(&self) -> Vec<ConnectionNumber> {
+        self.switch.open_connections()
+    }
+
+    /// Closes all connections and waits until the tasks have ended.
+    pub async fn close(mut self) {
+        for task in std::mem::take(&mut self.tasks) {
+            task.abort();
+            let _ = task.await;
+        }
+    }
+}
+
+impl Drop for FaultRelay {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn accept_connections(listener: TcpListener, target: SocketAddr, switch: Arc<RelaySwitch>) {
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok((near, _)) = listener.accept().await else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        let switch = Arc::clone(&switch);
+        connections.spawn(async move {
+            let (number, mode) = switch.register();
+            // A failed connection to the target closes the near side, which is what a caller of a
+            // dead server sees behind any relay.
+            let _ = relay_connection(near, target, mode).await;
+            switch.forget(number);
+        });
+    }
+}
+
+async fn relay_connection(
+    near: TcpStream,
+    target: SocketAddr,
+    mode: watch::Receiver<RelayMode>,
+) -> io::Result<()> {
+    let far = TcpStream::connect(target).await?;
+    near.set_nodelay(true)?;
+    far.set_nodelay(true)?;
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let mut cut = mode.clone();
+    let pumps = async {
+        // An error on one side ends both directions, so that a reset reaches the other side.
+        tokio::try_join!(
+            pump_bytes(near_read, far_write, mode.clone()),
+            pump_bytes(far_read, near_write, mode.clone()),
+        )
+    };
+    tokio::select! {
+        _ = pumps => {}
+        _ = cut.wait_for(|mode| *mode == RelayMode::Cut) => {}
+    }
+    Ok(())
+}
+
+/// Passes bytes on until the end of the connection.
+async fn pump_bytes(
+    mut source: OwnedReadHalf,
+    mut sink: OwnedWriteHalf,
+    mut mode: watch::Receiver<RelayMode>,
+) -> io::Result<()> {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let current = *mode.borrow_and_update();
+        if current == RelayMode::Stall || current == RelayMode::Cut {
+            if mode.changed().await.is_err() {
+                return Ok(());
+            }
+            continue;
+        }
+        let read = tokio::select! {
+            biased;
+            _ = mode.changed() => continue,
+            read = source.read(&mut chunk) => read?,
+        };
+        match (current, read) {
+            (RelayMode::Discard, 0) => std::future::pending().await,
+            (RelayMode::Discard, _) => {}
+            (_, 0) => return sink.shutdown().await,
+            (_, count) => sink.write_all(&chunk[..count]).await?,
+        }
+    }
+}
+
+async fn apply_command(
+    State(switch): State<Arc<RelaySwitch>>,
+    Json(command): Json<RelayCommand>,
+) -> StatusCode {
+    switch.apply(command);
+    StatusCode::NO_CONTENT
+}
+
+async fn list_connections(State(switch): State<Arc<RelaySwitch>>) -> Json<Vec<ConnectionNumber>> {
+    Json(switch.open_connections())
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,38 +6,78 @@
 
 mod answer_faults;
 mod bad_version;
+mod child_fake;
+mod child_process;
 mod connection_number;
+mod directory_config;
 mod engine_command;
 mod engine_config;
 mod engine_core;
 mod engine_stats;
+mod fake_arguments;
+mod fake_directory;
 mod fake_engine;
+mod fake_log;
 mod fake_server;
+mod fake_service;
+mod fake_weights;
 mod fault_command;
 mod fault_gate;
 mod fault_listener;
+mod fault_relay;
 mod fault_stream;
 mod fault_switch;
 mod generation_record;
 mod lagged_value;
 mod listen_addresses;
+mod log_command;
+mod log_config;
+mod log_core;
+mod log_stats;
 mod prefix_cache;
+mod rate_bucket;
+mod relay_command;
+mod relay_switch;
+mod service_command;
+mod service_config;
+mod service_core;
+mod service_stats;
 mod token_source;
+mod weight_config;
+mod weight_stats;
 
 pub use crate::{
     bad_version::{BadEffect, BadVersion},
+    child_fake::ChildFake,
+    child_process::{ChildProcess, find_program},
     connection_number::ConnectionNumber,
+    directory_config::DirectoryConfig,
     engine_command::EngineCommand,
     engine_config::EngineConfig,
     engine_stats::EngineStats,
+    fake_arguments::{FakeArguments, address_argument, run_until_dead, stdin_end},
+    fake_directory::FakeDirectory,
     fake_engine::FakeEngine,
+    fake_log::FakeLog,
     fake_server::FakeServer,
+    fake_service::FakeService,
+    fake_weights::FakeWeights,
     fault_command::FaultCommand,
     fault_gate::FaultGate,
     fault_listener::FaultListener,
+    fault_relay::FaultRelay,
     fault_stream::FaultStream,
     fault_switch::FaultSwitch,
     listen_addresses::ListenAddresses,
+    log_command::{LogCommand, OutageKind},
+    log_config::LogConfig,
+    log_stats::LogStats,
     prefix_cache::{CacheAction, CacheEvent},
+    relay_command::{RelayCommand, RelayMode, RelayScope},
+    service_command::ServiceCommand,
+    service_config::ServiceConfig,
+    service_stats::{ExecutedCall, ServiceStats},
     token_source::TokenSource,
+    weight_config::WeightConfig,
+    weight_stats::WeightStats,
 };
--- /dev/null
+++ b/crates/testkit/src/rate_bucket.rs
@@ -0,0 +1,37 @@
+//! Token bucket.
+
+/// Token bucket whose burst equals one second of its rate, but at least one.
+pub(crate) struct RateBucket {
+    rate: f64,
+    level: f64,
+    filled_ms: u64,
+}
+
+impl RateBucket {
+    /// Builds a full bucket.
+    pub(crate) fn new(rate: f64) -> RateBucket {
+        RateBucket { rate, level: rate.max(1.0), filled_ms: 0 }
+    }
+
+    /// Changes the rate.
+    pub(crate) fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+        self.level = self.level.min(rate.max(1.0));
+    }
+
+    /// Takes one token.
+    ///
+    /// # Errors
+    ///
+    /// Returns the milliseconds after which a token is available.
+    pub(crate) fn take(&mut self, now_ms: u64) -> Result<(), u64> {
+        let elapsed = now_ms.saturating_sub(self.filled_ms) as f64 / 1_000.0;
+        self.filled_ms = now_ms;
+        self.level = (self.level + elapsed * self.rate).min(self.rate.max(1.0));
+        if self.level >= 1.0 {
+            self.level -= 1.0;
+            return Ok(());
+        }
+        Err(((1.0 - self.level) / self.rate * 1_000.0).ceil() as u64)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/relay_switch.rs
@@ -0,0 +1,67 @@
+//! Modes of the connections of a relay.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::sync::watch;
+
+use crate::{ConnectionNumber, RelayCommand, RelayMode, RelayScope};
+
+struct SwitchState {
+    for_new: RelayMode,
+    next_number: u64,
+    open: BTreeMap<ConnectionNumber, watch::Sender<RelayMode>>,
+}
+
+/// Modes of the connections of a relay.
+pub(crate) struct RelaySwitch {
+    state: Mutex<SwitchState>,
+}
+
+impl RelaySwitch {
+    pub(crate) fn new() -> RelaySwitch {
+        let state = SwitchState { for_new: RelayMode::Pass, next_number: 0, open: BTreeMap::new() };
+        RelaySwitch { state: Mutex::new(state) }
+    }
+
+    pub(crate) fn apply(&self, command: RelayCommand) {
+        let mut state = self.lock();
+        if matches!(command.scope, RelayScope::New | RelayScope::All) {
+            state.for_new = command.mode;
+        }
+        for (number, mode) in &state.open {
+            let selected = match command.scope {
+                RelayScope::Open | RelayScope::All => true,
+                RelayScope::New => false,
+                RelayScope::Connection(wanted) => wanted == *number,
+            };
+            if selected {
+                mode.send_replace(command.mode);
+            }
+        }
+    }
+
+    /// Adds a connection with the mode for new ones.
+    pub(crate) fn register(&self) -> (ConnectionNumber, watch::Receiver<RelayMode>) {
+        let mut state = self.lock();
+        let number = ConnectionNumber(state.next_number);
+        state.next_number += 1;
+        let (sender, receiver) = watch::channel(state.for_new);
+        state.open.insert(number, sender);
+        (number, receiver)
+    }
+
+    pub(crate) fn forget(&self, number: ConnectionNumber) {
+        self.lock().open.remove(&number);
+    }
+
+    pub(crate) fn open_connections(&self) -> Vec<ConnectionNumber> {
+        self.lock().open.keys().copied().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SwitchState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
