Add the whole path in separate processes and its first tests

A VM reported ready before it had asked the backend servers for their load and answered no_backend to the first request in one of three test runs. It now becomes ready after a plan is in effect and every server was asked once, with a bound of 1 s, so that frozen servers can't hold it up.

--- a/crates/node/src/call/call_runner.rs
+++ b/crates/node/src/call/call_runner.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use dragonflycart_core::{ErrorKind, MonoTime, RequestKey, ServerName, ServiceError};
+use dragonflycart_core::{ErrorKind, MonoTime, RequestKey, ServiceError};
 use dragonflycart_engine::{CallFailure, ServiceAnswer, ServiceClient, ServiceRequest};
 use dragonflycart_policy::AttemptFailure;
 use dragonflycart_state::{CallKey, ClaimId, OutcomeNote};
@@ -82,7 +82,7 @@
             let grant = next_grant(&mut ticket).await.map_err(|kind| {
                 ServiceError::new(kind, "no backend server took the call in time")
             })?;
-            let failure = match self.send(spec, &grant.server).await {
+            let failure = match self.send(spec, &grant).await {
                 Ok(answer) => {
                     self.report_success(&ticket).await;
                     return Ok(answer);
@@ -97,9 +97,9 @@
     async fn send(
         &self,
         spec: &CallSpec,
-        server: &ServerName,
+        grant: &PlacementGrant,
     ) -> Result<ServiceAnswer, CallFailure> {
-        let Some(client) = self.context.servers.service(server) else {
+        let Some(client) = self.context.servers.service(&grant.server) else {
             return Err(CallFailure::NotSent);
         };
         let request = ServiceRequest {
@@ -107,6 +107,7 @@
             key: spec.key.clone(),
             operation: spec.operation.to_string(),
             body: spec.body.clone(),
+            seat: Some(grant.seat.clone()),
         };
         client.call(request).await
     }
@@ -181,7 +182,7 @@
                 self.control().report_attempt(ticket.ticket, AttemptReport::Cancelled).await;
                 return self.give_up(claim_id, ErrorKind::DeadlineNotStarted).await;
             };
-            match self.send(spec, &grant.server).await {
+            match self.send(spec, &grant).await {
                 Ok(answer) => {
                     permit.spend();
                     self.report_success(&ticket).await;
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -8,8 +8,8 @@
 };
 
 use dragonflycart_core::{
-    ErrorKind, Incarnation, ModelName, MonoTime, PlanRevision, RouteName, ServiceError, TeamName,
-    VersionName,
+    ErrorKind, Incarnation, ModelName, MonoTime, PlanRevision, RouteName, ServerName, ServiceError,
+    TeamName, VersionName,
 };
 use dragonflycart_platform::LogTopic;
 use dragonflycart_policy::{
@@ -71,8 +71,8 @@
     pub(crate) incarnation: Incarnation,
     /// Metrics.
     pub(crate) metrics: Arc<NodeMetrics>,
-    /// Publishes the revision in effect; zero until a plan is known.
-    pub(crate) revision: watch::Sender<PlanRevision>,
+    /// Becomes true once a plan is in effect and every backend server was asked for its load.
+    pub(crate) prepared: watch::Sender<bool>,
     /// Placement that was built and checked at start.
     pub(crate) placement: PlacementControl,
     /// Identity towards peers.
@@ -97,7 +97,9 @@
     config: Arc<Config>,
     clock: NodeClock,
     metrics: Arc<NodeMetrics>,
-    revision: watch::Sender<PlanRevision>,
+    prepared: watch::Sender<bool>,
+    /// Backend servers that were not asked for their load yet.
+    unread: BTreeSet<ServerName>,
     placement: PlacementControl,
     plan: PlanControl,
     versions: VersionControl,
@@ -131,7 +133,8 @@
             config: parts.config,
             clock: parts.clock,
             metrics: parts.metrics,
-            revision: parts.revision,
+            prepared: parts.prepared,
+            unread: parts.placement.servers().keys().cloned().collect(),
             placement: parts.placement,
         }
     }
@@ -185,7 +188,12 @@
                 self.end_attempt(ticket, report);
                 return true;
             }
-            ControlMessage::Reading(reading) => self.placement.reading(now, reading),
+            ControlMessage::Reading(reading) => {
+                if self.unread.remove(&reading.server) {
+                    self.publish_prepared();
+                }
+                self.placement.reading(now, reading);
+            }
             ControlMessage::Tail(event) => self.tail(event),
             ControlMessage::Append(ended) => {
                 self.appends.ended(ended, now);
@@ -303,6 +311,15 @@
         self.versions.count(&work.model, &work.version, &work.route, counts, wall);
     }
 
+    /// Without load reports nothing can be placed, so the VM waits for them before it asks the
+    /// load balancer for work.
+    fn publish_prepared(&self) {
+        let prepared = self.unread.is_empty() && self.plan.revision() > PlanRevision(0);
+        if prepared && !*self.prepared.borrow() {
+            self.prepared.send_replace(true);
+        }
+    }
+
     fn moment(&self) -> CallMoment {
         CallMoment { now: self.clock.now(), wall: self.clock.wall(), log_lost_at: self.log_lost_at }
     }
@@ -365,7 +382,7 @@
         self.apply_zones();
         let revision = self.plan.revision();
         self.metrics.plan_revision.set(revision.0 as i64);
-        self.revision.send_replace(revision);
+        self.publish_prepared();
         // Peers without the log service learn of the plan from this heartbeat.
         let log_reachable = self.log_lost_at.is_none();
         self.peers.send_heartbeat(revision, log_reachable, self.clock.now());
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use displaydoc::Display;
-use dragonflycart_core::{Incarnation, PlanRevision};
+use dragonflycart_core::Incarnation;
 use dragonflycart_platform::{HttpDirectory, HttpLog, LogService, LogTopic, VmDirectory};
 use dragonflycart_policy::UnknownPolicy;
 use dragonflycart_settings::Config;
@@ -97,7 +97,7 @@
         let peers: BTreeSet<SocketAddr> = self.config.peers.iter().copied().collect();
         let (address_sender, addresses) = watch::channel(peers);
         let (appends, append_orders) = mpsc::unbounded_channel();
-        let (revision, revisions) = watch::channel(PlanRevision(0));
+        let (prepared, preparing) = watch::channel(false);
         let placement = PlacementControl::new(
             &self.config,
             vm_position(&self.config, incarnation),
@@ -110,7 +110,7 @@
             clock: self.clock,
             incarnation,
             metrics: Arc::clone(&metrics),
-            revision,
+            prepared,
             placement,
             identity: identity.clone(),
             broadcasts: broadcasts.clone(),
@@ -132,7 +132,7 @@
         let runner = RunnerContext { control: control.clone(), servers, metrics, limits };
         let serving = Serving::start(self.config, self.clock, runner, self.http);
         drop(self.admin);
-        serving.run(revisions, stop).await;
+        serving.run(preparing, stop).await;
         drop(control);
         drop(thread);
         Ok(())
@@ -217,11 +217,7 @@
         Serving { config, clock, control, store, phase, handover, closed, server }
     }
 
-    async fn run(
-        self,
-        mut revisions: watch::Receiver<PlanRevision>,
-        mut stop: watch::Receiver<bool>,
-    ) {
+    async fn run(self, mut prepared: watch::Receiver<bool>, mut stop: watch::Receiver<bool>) {
         let mut machine = NodeLifecycle.state_machine();
         let store = Arc::clone(&self.store);
         let (clock, retention) = (self.clock, self.config.timeouts.stream_retention);
@@ -233,13 +229,13 @@
         });
         loop {
             let event = tokio::select! {
-                known = revisions.wait_for(|revision| revision.0 > 0),
+                known = prepared.wait_for(|prepared| *prepared),
                     if *self.phase.borrow() == LifecyclePhase::Starting =>
                 {
                     if known.is_err() {
                         return;
                     }
-                    LifecycleEvent::PlanKnown
+                    LifecycleEvent::Prepared
                 }
                 _ = stop.wait_for(|stop| *stop) => LifecycleEvent::StopRequested,
             };
--- a/crates/node/src/node_lifecycle.rs
+++ b/crates/node/src/node_lifecycle.rs
@@ -8,8 +8,8 @@
 /// What may change the phase.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LifecycleEvent {
-    /// The plan is known from the log service or from a peer.
-    PlanKnown,
+    /// A plan is in effect and the backend servers were asked for their load.
+    Prepared,
     /// The process was asked to stop.
     StopRequested,
     /// The load balancer has had time to notice that the VM is not ready.
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum LifecyclePhase {
-    /// No plan is known yet.
+    /// No plan is in effect yet, or the load of the backend servers is not known.
     Starting,
     /// The VM serves.
     Ready,
@@ -57,7 +57,7 @@
     #[state]
     fn starting(event: &LifecycleEvent) -> Outcome<State> {
         match event {
-            LifecycleEvent::PlanKnown => Transition(State::ready()),
+            LifecycleEvent::Prepared => Transition(State::ready()),
             LifecycleEvent::StopRequested => Transition(State::draining()),
             _ => Handled,
         }
--- a/crates/node/src/server_directory.rs
+++ b/crates/node/src/server_directory.rs
@@ -11,6 +11,10 @@
     node_clock::NodeClock,
 };
 
+/// Longest wait for the first report of a server. A new VM is to be ready within 3 s, also when
+/// some servers do not answer.
+const FIRST_POLL_LIMIT: Duration = Duration::from_secs(1);
+
 /// Clients of all configured backend servers.
 pub(crate) struct ServerDirectory {
     engines: BTreeMap<ServerName, Arc<dyn EngineClient>>,
@@ -90,14 +94,16 @@
     (delay, period): (Duration, Duration),
 ) {
     // The first poll is immediate: a new VM can't place anything before it.
-    let mut wait = delay.min(period / 4);
+    let mut wait = Duration::ZERO;
+    let mut limit = FIRST_POLL_LIMIT;
     loop {
         tokio::time::sleep(wait).await;
-        wait = period;
         let asked_at: MonoTime = clock.now();
-        let report = tokio::time::timeout(period * 2, client.report()).await;
+        let report = tokio::time::timeout(limit, client.report()).await;
         let report = report.ok().and_then(Result::ok);
         let reading = ServerReading { server: server.clone(), asked_at, report };
         control.send(ControlMessage::Reading(reading)).await;
+        wait = if limit == FIRST_POLL_LIMIT { delay } else { period };
+        limit = period * 2;
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,5 @@
-//! Integration tests, one module per topic.
+//! Integration tests of the real programs, one module per topic.
+
+mod calls;
+mod streams;
+mod support;
--- /dev/null
+++ b/tests/all/support/caller.rs
@@ -0,0 +1,244 @@
+//! Caller of the HTTP interface.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::{Value, json};
+
+/// Longest wait for one answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(60);
+
+/// Answer to one request.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpAnswer {
+    /// Status code.
+    pub(crate) status: u16,
+    /// Headers.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+impl HttpAnswer {
+    /// Returns the body as JSON.
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    /// Returns the kind of an error answer.
+    pub(crate) fn error_kind(&self) -> String {
+        self.json()["error"]["kind"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Returns what an error answer says about the execution.
+    pub(crate) fn run_state(&self) -> String {
+        self.json()["error"]["run"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// What arrived on an event stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct StreamedAnswer {
+    /// Index of each token, from the event ids.
+    pub(crate) indexes: Vec<u64>,
+    /// Text of all tokens.
+    pub(crate) text: String,
+    /// Whether the stream ended with `[DONE]`.
+    pub(crate) done: bool,
+    /// Id of the last event.
+    pub(crate) last_event: String,
+    /// Error event, if any.
+    pub(crate) error: Option<String>,
+    /// Whether the stream ended with a `reconnect` event.
+    pub(crate) reconnect: bool,
+}
+
+impl StreamedAnswer {
+    fn parse(&mut self, block: &str) {
+        let mut event = "message";
+        for line in block.lines() {
+            if let Some(id) = line.strip_prefix("id: ") {
+                self.last_event = id.to_owned();
+                let (_, index) = id.rsplit_once(':').unwrap();
+                self.indexes.push(index.parse().unwrap());
+            }
+            if let Some(name) = line.strip_prefix("event: ") {
+                event = name;
+            }
+            let Some(data) = line.strip_prefix("data: ") else {
+                continue;
+            };
+            match event {
+                "error" => self.error = Some(data.to_owned()),
+                "reconnect" => self.reconnect = true,
+                _ if data == "[DONE]" => self.done = true,
+                _ => {
+                    let value: Value = serde_json::from_str(data).unwrap();
+                    self.text.push_str(value["choices"][0]["text"].as_str().unwrap());
+                }
+            }
+        }
+    }
+}
+
+/// Caller of the HTTP interface, for one team.
+#[derive(Clone)]
+pub(crate) struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    team: String,
+}
+
+impl Caller {
+    /// Builds a caller of `team`.
+    pub(crate) fn new(team: &str) -> Caller {
+        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
+        Caller { client, team: team.to_owned() }
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// The text of a transport failure.
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<HttpAnswer, String> {
+        let exchange = async {
+            let request = self.request(method, address, path, headers, body.into());
+            let response = self.client.request(request).await.map_err(|e| e.to_string())?;
+            let (parts, body) = response.into_parts();
+            let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
+            Ok(HttpAnswer { status: parts.status.as_u16(), headers: parts.headers, body })
+        };
+        tokio::time::timeout(ANSWER_LIMIT, exchange).await.map_err(|e| e.to_string())?
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("x-team", &self.team)
+            .header("authorization", format!("Bearer {}-credential-0001", self.team));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        request.body(Full::new(body)).unwrap()
+    }
+
+    /// Calls an operation of the booking service.
+    pub(crate) async fn call(
+        &self,
+        address: SocketAddr,
+        operation: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<HttpAnswer, String> {
+        let path = format!("/v1/services/booking/{operation}");
+        self.send(Method::POST, address, &path, headers, body.to_owned()).await
+    }
+
+    /// Asks for a generation without streaming.
+    pub(crate) async fn complete(
+        &self,
+        address: SocketAddr,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Result<HttpAnswer, String> {
+        let body = json!({ "model": "assistant", "prompt": prompt, "max_tokens": max_tokens });
+        let headers = [("x-route", "report")];
+        self.send(Method::POST, address, "/v1/completions", &headers, body.to_string()).await
+    }
+
+    /// Streams a generation and calls `on_token` after each chunk with what arrived so far.
+    ///
+    /// # Errors
+    ///
+    /// What arrived before the connection broke, or an empty answer for a refused request.
+    pub(crate) async fn stream(
+        &self,
+        address: SocketAddr,
+        prompt: &str,
+        max_tokens: u32,
+        on_token: impl FnMut(&StreamedAnswer),
+    ) -> Result<StreamedAnswer, StreamedAnswer> {
+        let body = json!({
+            "model": "assistant", "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+        });
+        let headers = [("x-route", "report")];
+        let request = self.request(
+            Method::POST,
+            address,
+            "/v1/completions",
+            &headers,
+            Bytes::from(body.to_string()),
+        );
+        self.read_stream(request, StreamedAnswer::default(), on_token).await
+    }
+
+    /// Continues a stream at another VM after the last event that arrived.
+    ///
+    /// # Errors
+    ///
+    /// What arrived before the connection broke.
+    pub(crate) async fn resume(
+        &self,
+        address: SocketAddr,
+        so_far: StreamedAnswer,
+    ) -> Result<StreamedAnswer, StreamedAnswer> {
+        let (id, _) = so_far.last_event.rsplit_once(':').unwrap();
+        let path = format!("/v1/generations/{id}");
+        let last_event = so_far.last_event.clone();
+        let headers = [("last-event-id", last_event.as_str())];
+        let request = self.request(Method::GET, address, &path, &headers, Bytes::new());
+        let so_far = StreamedAnswer { reconnect: false, ..so_far };
+        self.read_stream(request, so_far, |_| {}).await
+    }
+
+    async fn read_stream(
+        &self,
+        request: Request<Full<Bytes>>,
+        mut answer: StreamedAnswer,
+        mut on_token: impl FnMut(&StreamedAnswer),
+    ) -> Result<StreamedAnswer, StreamedAnswer> {
+        let Ok(response) = self.client.request(request).await else {
+            return Err(answer);
+        };
+        let status = response.status();
+        let mut body = response.into_body();
+        let mut pending = String::new();
+        loop {
+            let frame = tokio::time::timeout(ANSWER_LIMIT, body.frame()).await;
+            let Ok(Some(Ok(frame))) = frame else { break };
+            let Ok(data) = frame.into_data() else { continue };
+            pending.push_str(std::str::from_utf8(&data).unwrap());
+            if !status.is_success() {
+                answer.error = Some(pending.clone());
+                continue;
+            }
+            while let Some(end) = pending.find("\n\n") {
+                let block: String = pending.drain(..end + 2).collect();
+                answer.parse(&block);
+            }
+            on_token(&answer);
+        }
+        if answer.done { Ok(answer) } else { Err(answer) }
+    }
+}
--- /dev/null
+++ b/tests/all/support/deployment.rs
@@ -0,0 +1,300 @@
+//! A deployment of real daemons with fakes around them.
+
+use std::{
+    fmt::Write,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dragonflycart_core::{ModelPlacement, OperatingPlan, ZoneName, ZonePlan, ZoneState};
+use dragonflycart_platform::{HttpLog, LogService, LogTopic, VmEntry, VmState};
+use dragonflycart_testkit::{
+    DirectoryConfig, FakeDirectory, FakeEngine, FakeLog, FakeService, FakeWeights, FaultRelay,
+    WeightConfig,
+};
+use dragonflycart_wire::{LogEntry, PlanProposal, RecordBatch, log_entry::Kind};
+use hyper::Method;
+use prost::Message;
+
+use crate::support::{
+    Caller, DeploymentSpec, VmProcess, deployment_spec::loaded, port_pool::free_address, wait_for,
+};
+
+/// Teams of every deployment.
+const TEAMS: [&str; 3] = ["desk", "reports", "orders"];
+/// Carry limit of each zone, high enough not to matter unless a test changes it.
+const CARRY_LIMIT: u32 = 1_000;
+
+static NEXT_DIRECTORY: AtomicU32 = AtomicU32::new(0);
+
+/// A deployment of real daemons with fakes around them.
+pub(crate) struct Deployment {
+    /// Log service.
+    pub(crate) log: FakeLog,
+    /// VM list.
+    pub(crate) directory: FakeDirectory,
+    /// Weight store.
+    pub(crate) weights: FakeWeights,
+    /// Engines, ordered by zone.
+    pub(crate) engines: Vec<FakeEngine>,
+    /// Servers of the booking service, ordered by zone.
+    pub(crate) bookings: Vec<FakeService>,
+    /// Entry VMs, ordered by zone.
+    pub(crate) vms: Vec<VmProcess>,
+    /// Relay through which each VM reaches the log service.
+    pub(crate) log_relays: Vec<FaultRelay>,
+    /// Relay in front of each VM's peer address, if the deployment has them.
+    pub(crate) peer_relays: Vec<FaultRelay>,
+    /// Plan as submitted last.
+    pub(crate) plan: OperatingPlan,
+    revision: u64,
+    submissions: u64,
+    spec: DeploymentSpec,
+    folder: PathBuf,
+}
+
+impl Deployment {
+    /// Starts everything, submits a first plan and waits until all VMs are ready.
+    pub(crate) async fn start(spec: DeploymentSpec) -> Deployment {
+        let mut deployment = Deployment::prepare(spec).await;
+        deployment.submit_plan().await;
+        for vm in &mut deployment.vms {
+            vm.start();
+        }
+        for index in 0..deployment.vms.len() {
+            deployment.wait_ready(index).await;
+        }
+        deployment
+    }
+
+    /// Starts the fakes and writes the settings; no VM runs yet and no plan is submitted.
+    pub(crate) async fn prepare(spec: DeploymentSpec) -> Deployment {
+        let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
+        let name = format!("dragonflycart-test-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).unwrap();
+        let mut deployment = Deployment {
+            log: FakeLog::start(spec.log.clone()).await.unwrap(),
+            directory: FakeDirectory::start(DirectoryConfig::default()).await.unwrap(),
+            weights: FakeWeights::start(WeightConfig::default()).await.unwrap(),
+            engines: Vec::new(),
+            bookings: Vec::new(),
+            vms: Vec::new(),
+            log_relays: Vec::new(),
+            peer_relays: Vec::new(),
+            plan: first_plan(&spec),
+            revision: 0,
+            submissions: 0,
+            spec,
+            folder,
+        };
+        deployment.start_fakes().await;
+        deployment.prepare_vms().await;
+        deployment
+    }
+
+    async fn start_fakes(&mut self) {
+        for _ in 0..self.spec.zones * self.spec.engines {
+            self.engines.push(FakeEngine::start(self.spec.engine.clone()).await.unwrap());
+        }
+        for _ in 0..self.spec.zones * self.spec.bookings {
+            self.bookings.push(FakeService::start(self.spec.booking.clone()).await.unwrap());
+        }
+    }
+
+    async fn prepare_vms(&mut self) {
+        let count = usize::from(self.spec.zones * self.spec.seats);
+        let own: Vec<[SocketAddr; 3]> =
+            (0..count).map(|_| [free_address(), free_address(), free_address()]).collect();
+        let mut reachable = Vec::new();
+        let mut entries = Vec::new();
+        for (index, [_, _, peer]) in own.iter().enumerate() {
+            let mut address = *peer;
+            if self.spec.peer_relays {
+                let relay = FaultRelay::start(*peer).await.unwrap();
+                address = relay.address();
+                self.peer_relays.push(relay);
+            }
+            reachable.push(address);
+            let zone = zone_name(index as u16 / self.spec.seats);
+            entries.push(VmEntry { address, zone, state: VmState::Live });
+            self.log_relays.push(FaultRelay::start(self.log.address()).await.unwrap());
+        }
+        self.directory.replace(entries);
+        for (index, [http, admin, peer]) in own.into_iter().enumerate() {
+            let text = self.settings(index, [http, admin, peer], &reachable);
+            let path = self.folder.join(format!("vm-{index}.ini"));
+            fs::write(&path, text).unwrap();
+            self.vms.push(VmProcess::new(http, admin, peer, path));
+        }
+    }
+
+    fn settings(
+        &self,
+        index: usize,
+        [http, admin, peer]: [SocketAddr; 3],
+        reachable: &[SocketAddr],
+    ) -> String {
+        let spec = &self.spec;
+        let zone = index as u16 / spec.seats;
+        let seat = index as u16 % spec.seats;
+        let mut text = format!(
+            "[vm]\nzone = zone-{zone}\nseat = {seat}\nhttp = {http}\npeer = {peer}\n\
+             admin = {admin}\ntraffic_threads = 2\n\n[zones]\n",
+        );
+        for zone in 0..spec.zones {
+            writeln!(text, "zone-{zone} = {}, region-0", spec.seats).unwrap();
+        }
+        let mut others = Vec::new();
+        for (other, address) in reachable.iter().enumerate() {
+            if other != index {
+                others.push(address.to_string());
+            }
+        }
+        writeln!(
+            text,
+            "\n[peers]\naddresses = {}\n\n[platform]\nlog = {}\nvm_list = {}\n\
+             weight_store = {}\n\n[timeouts]\n{}\n\n[drain]\n{}\n\n[log]\nlevel = info\n",
+            others.join(", "),
+            self.log_relays[index].address(),
+            self.directory.address(),
+            self.weights.address(),
+            spec.timeouts,
+            spec.drain,
+        )
+        .unwrap();
+        self.write_work(&mut text);
+        text
+    }
+
+    fn write_work(&self, text: &mut String) {
+        let prefix = if self.spec.forced_prefix { "yes" } else { "no" };
+        writeln!(
+            text,
+            "[model:assistant]\nroutes = report, classify\nforced_prefix = {prefix}\n\n\
+             [service:booking]\nidempotent = status\nnot_idempotent = book\nlookup = {}\n",
+            if self.spec.booking.supports_lookup { "yes" } else { "no" },
+        )
+        .unwrap();
+        for team in TEAMS {
+            writeln!(text, "[team:{team}]\ncredential = {team}-credential-0001\n").unwrap();
+        }
+        writeln!(text, "[operator:ops]\ncredential = ops-credential-0001\n").unwrap();
+        writeln!(text, "[operator:rival]\ncredential = rival-credential-0001\n").unwrap();
+        for (index, engine) in self.engines.iter().enumerate() {
+            let zone = index as u16 / self.spec.engines;
+            writeln!(
+                text,
+                "[engine:engine-{index}]\naddress = {}\nzone = zone-{zone}\n\
+                 models = assistant\nchecks_fences = yes\ncold_limit = 2\nramp = 5s\n",
+                engine.address(),
+            )
+            .unwrap();
+        }
+        for (index, server) in self.bookings.iter().enumerate() {
+            let zone = index as u16 / self.spec.bookings;
+            writeln!(
+                text,
+                "[service-server:booking-{index}]\nservice = booking\naddress = {}\n\
+                 zone = zone-{zone}\nconcurrency = 16\n",
+                server.address(),
+            )
+            .unwrap();
+        }
+    }
+
+    /// Appends the plan as a proposal on the current revision and returns the new revision.
+    pub(crate) async fn submit_plan(&mut self) -> u64 {
+        self.submissions += 1;
+        let proposal = PlanProposal {
+            base_revision: self.revision,
+            submit_id: format!("fixture-{}", self.submissions),
+            author: "ops".to_owned(),
+            body: Bytes::from(serde_json::to_vec(&self.plan).unwrap()),
+            submitted_at_ms: unix_millis(),
+        };
+        let batch = RecordBatch {
+            writer: Bytes::from_static(b"fixture-writer-0"),
+            sequence: self.submissions,
+            written_at_ms: unix_millis(),
+            entries: vec![LogEntry { kind: Some(Kind::PlanProposal(proposal)) }],
+        };
+        let client = HttpLog::new(self.log.address());
+        client.append(LogTopic::Plan, Bytes::from(batch.encode_to_vec())).await.unwrap();
+        self.revision += 1;
+        self.revision
+    }
+
+    /// Waits until a VM takes work from the load balancer and can place a request.
+    pub(crate) async fn wait_ready(&self, index: usize) {
+        let caller = Caller::new("desk");
+        let address = self.vms[index].http;
+        wait_for("a VM to be ready", || async {
+            let answer = caller.send(Method::GET, address, "/readyz", &[], "").await.ok()?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+
+    /// Returns the value of a metric of a VM.
+    pub(crate) async fn metric(&self, index: usize, name: &str) -> Option<f64> {
+        let caller = Caller::new("desk");
+        let address = self.vms[index].http;
+        let answer = caller.send(Method::GET, address, "/metrics", &[], "").await.ok()?;
+        let text = String::from_utf8(answer.body.to_vec()).ok()?;
+        let line = text.lines().find(|line| {
+            line.strip_prefix(name).is_some_and(|rest| rest.starts_with([' ', '{']))
+        })?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    /// Waits until a VM has a plan revision in effect and returns how long it took.
+    pub(crate) async fn wait_revision(&self, index: usize, revision: u64) -> Duration {
+        let start = tokio::time::Instant::now();
+        wait_for("a plan revision to be in effect", || async {
+            let found = self.metric(index, "dragonflycart_plan_revision").await?;
+            (found >= revision as f64).then_some(())
+        })
+        .await;
+        start.elapsed()
+    }
+
+    /// Returns how often calls with `key` were executed, over all booking servers.
+    pub(crate) fn executions(&self, key: &str) -> usize {
+        self.bookings.iter().map(|server| server.stats().executions(key)).sum()
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // The folder holds only this deployment's settings files.
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn first_plan(spec: &DeploymentSpec) -> OperatingPlan {
+    let mut plan = OperatingPlan::default();
+    let (model, version) = loaded("assistant", "v1");
+    for zone in 0..spec.zones {
+        let zone = zone_name(zone);
+        let limits = ZonePlan { state: ZoneState::In, carry_limit: CARRY_LIMIT };
+        plan.zones.insert(zone.clone(), limits);
+        let (model, version) = (model.clone(), version.clone());
+        plan.placements.push(ModelPlacement { zone, model, version });
+    }
+    plan
+}
+
+/// Returns the name of a zone by its number.
+pub(crate) fn zone_name(zone: u16) -> ZoneName {
+    ZoneName::new(&format!("zone-{zone}")).unwrap()
+}
+
+fn unix_millis() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    now.as_millis() as u64
+}
--- /dev/null
+++ b/tests/all/support/deployment_spec.rs
@@ -0,0 +1,57 @@
+//! What a deployment consists of.
+
+use dragonflycart_core::{ModelName, VersionName};
+use dragonflycart_testkit::{EngineConfig, LogConfig, ServiceConfig};
+
+/// What a deployment consists of. Zones are named `zone-0`, `zone-1` and so on.
+#[derive(Clone)]
+pub(crate) struct DeploymentSpec {
+    /// Availability zones.
+    pub(crate) zones: u16,
+    /// Entry VMs per zone.
+    pub(crate) seats: u16,
+    /// Engines per zone.
+    pub(crate) engines: u16,
+    /// Servers of the booking service per zone.
+    pub(crate) bookings: u16,
+    /// Configuration of each engine.
+    pub(crate) engine: EngineConfig,
+    /// Configuration of each booking server.
+    pub(crate) booking: ServiceConfig,
+    /// Configuration of the log service.
+    pub(crate) log: LogConfig,
+    /// Whether engines accept a forced prefix.
+    pub(crate) forced_prefix: bool,
+    /// Whether VMs reach their peers through relays that tests can cut.
+    pub(crate) peer_relays: bool,
+    /// Lines added to section `[drain]`.
+    pub(crate) drain: String,
+    /// Lines added to section `[timeouts]`.
+    pub(crate) timeouts: String,
+}
+
+impl Default for DeploymentSpec {
+    fn default() -> DeploymentSpec {
+        DeploymentSpec {
+            zones: 2,
+            seats: 1,
+            engines: 1,
+            bookings: 1,
+            engine: EngineConfig {
+                loaded: vec![loaded("assistant", "v1")],
+                ..EngineConfig::default()
+            },
+            booking: ServiceConfig { supports_lookup: true, ..ServiceConfig::default() },
+            log: LogConfig::default(),
+            forced_prefix: true,
+            peer_relays: false,
+            drain: "balancer_lag = 200ms".to_owned(),
+            timeouts: "report_poll = 200ms".to_owned(),
+        }
+    }
+}
+
+/// Returns the pair of a model and a version.
+pub(crate) fn loaded(model: &str, version: &str) -> (ModelName, VersionName) {
+    (ModelName::new(model).unwrap(), VersionName::new(version).unwrap())
+}
--- /dev/null
+++ b/tests/all/support/vm_process.rs
@@ -0,0 +1,41 @@
+//! One entry VM: a daemon process with its settings file.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use dragonflycart_testkit::ChildProcess;
+
+/// One entry VM: a daemon process with its settings file.
+pub(crate) struct VmProcess {
+    /// Address for callers.
+    pub(crate) http: SocketAddr,
+    /// Address for operators.
+    pub(crate) admin: SocketAddr,
+    /// Address for peers.
+    pub(crate) peer: SocketAddr,
+    settings: PathBuf,
+    process: Option<ChildProcess>,
+}
+
+impl VmProcess {
+    /// Builds a VM that does not run yet.
+    pub(crate) fn new(
+        http: SocketAddr,
+        admin: SocketAddr,
+        peer: SocketAddr,
+        settings: PathBuf,
+    ) -> VmProcess {
+        VmProcess { http, admin, peer, settings, process: None }
+    }
+
+    /// Starts the daemon; also used to replace one that was killed.
+    pub(crate) fn start(&mut self) {
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_dragonflycartd"));
+        let arguments = [PathBuf::from("run"), self.settings.clone()];
+        self.process = Some(ChildProcess::start(&program, arguments).unwrap());
+    }
+
+    /// Returns the running process.
+    pub(crate) fn process(&mut self) -> &mut ChildProcess {
+        self.process.as_mut().expect("the VM was not started")
+    }
+}
--- /dev/null
+++ b/tests/all/support/wait.rs
@@ -0,0 +1,30 @@
+//! Waits on conditions.
+
+use std::{future::Future, time::Duration};
+
+use tokio::time::Instant;
+
+/// Longest wait for a condition without a bound of its own. Generous, because CI machines are
+/// busy; bounds that the design states are checked separately.
+pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(30);
+/// Interval between two looks at a condition.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// Waits until `condition` yields a value and returns it.
+///
+/// # Panics
+///
+/// Panics with `what` if the value does not come in time.
+pub(crate) async fn wait_for<T, F>(what: &str, mut condition: impl FnMut() -> F) -> T
+where
+    F: Future<Output = Option<T>>,
+{
+    let give_up = Instant::now() + WAIT_LIMIT;
+    loop {
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(Instant::now() < give_up, "timed out waiting for {what}");
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+}
