--- /dev/null
+++ b/crates/operator/src/admin_client.rs
@@ -0,0 +1,228 @@
+//! Client of the administration API over several VMs.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use dragonflycart_burn::BurnSnapshot;
+use dragonflycart_core::{ErrorKind, ZoneName};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Method, Request, StatusCode,
+    header::{AUTHORIZATION, CONTENT_TYPE},
+};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    AdminError, OperatorCredential,
+    api::{
+        BURN_PATH, ErrorAnswer, MOVES_PATH, MovesAnswer, PLAN_PATH, PlanAnswer, STATUS_PATH,
+        SUBMISSIONS_PATH, StatusAnswer, SubmitAnswer, SubmitId, SubmitRequest, ZONES_PATH,
+        ZoneRequest,
+    },
+};
+
+/// Longest wait for a TCP connection; entry VMs answer within milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest accepted answer. The counts of 30 objectives take a few MiB.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+
+/// Client of the administration API. It asks the VMs in the given order until one answers.
+#[derive(Debug, Clone)]
+pub struct AdminClient {
+    servers: Vec<SocketAddr>,
+    credential: OperatorCredential,
+    timeout: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl AdminClient {
+    /// Builds a client for the VMs at `servers`; each gets `timeout` to answer.
+    pub fn new(
+        servers: Vec<SocketAddr>,
+        credential: OperatorCredential,
+        timeout: Duration,
+    ) -> AdminClient {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT.min(timeout)));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        AdminClient { servers, credential, timeout, client }
+    }
+
+    /// Returns the addresses of the VMs.
+    pub fn servers(&self) -> &[SocketAddr] {
+        &self.servers
+    }
+
+    /// Returns the same client for one VM only.
+    #[must_use]
+    pub fn for_server(&self, server: SocketAddr) -> AdminClient {
+        AdminClient { servers: vec![server], ..self.clone() }
+    }
+
+    /// Fetches the plan in effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AdminError`] if no VM gave a usable answer.
+    pub async fn plan(&self) -> Result<PlanAnswer, AdminError> {
+        self.get(PLAN_PATH).await
+    }
+
+    /// Fetches the status of the first VM that answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AdminError`] if no VM gave a usable answer.
+    pub async fn status(&self) -> Result<StatusAnswer, AdminError> {
+        self.get(STATUS_PATH).await
+    }
+
+    /// Fetches the version moves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AdminError`] if no VM gave a usable answer.
+    pub async fn moves(&self) -> Result<MovesAnswer, AdminError> {
+        self.get(MOVES_PATH).await
+    }
+
+    /// Fetches the counts of service-level objectives of the first VM that answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AdminError`] if no VM gave a usable answer.
+    pub async fn burn(&self) -> Result<BurnSnapshot, AdminError> {
+        self.get(BURN_PATH).await
+    }
+
+    /// Submits a plan once. After an error the outcome is unknown.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AdminError`] if no VM gave a usable answer.
+    pub async fn submit(&self, request: &SubmitRequest) -> Result<SubmitAnswer, AdminError> {
+        self.exchange(Method::POST, PLAN_PATH, &to_body(request)).await
+    }
+
+    /// Fetches the outcome of a submission.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AdminError`] if no VM gave a usable answer.
+    pub async fn submission(&self, id: &SubmitId) -> Result<SubmitAnswer, AdminError> {
+        self.get(&format!("{SUBMISSIONS_PATH}/{id}")).await
+    }
+
+    /// Asks once for a change of the state of an availability zone. After an error the outcome
+    /// is unknown.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`AdminError`] if no VM gave a usable answer.
+    pub async fn change_zone(
+        &self,
+        zone: &ZoneName,
+        request: &ZoneRequest,
+    ) -> Result<SubmitAnswer, AdminError> {
+        let path = format!("{ZONES_PATH}/{}", encode_segment(zone.as_str()));
+        self.exchange(Method::POST, &path, &to_body(request)).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, AdminError> {
+        self.exchange(Method::GET, path, &Bytes::new()).await
+    }
+
+    /// Asks each VM in turn. All requests may be repeated: reads have no effect, and changes
+    /// carry the identity of their submission.
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &Bytes,
+    ) -> Result<T, AdminError> {
+        let mut silent = Vec::new();
+        let mut failure = None;
+        for server in &self.servers {
+            match self.exchange_once(*server, &method, path, body).await {
+                Ok((status, answer)) => match read_answer(*server, status, &answer) {
+                    Err(error) if helps_to_ask_another(&error) => failure = Some(error),
+                    result => return result,
+                },
+                Err(reason) => silent.push(format!("{server} ({reason})")),
+            }
+        }
+        Err(failure.unwrap_or_else(|| AdminError::NoAnswer(silent.join(", "))))
+    }
+
+    async fn exchange_once(
+        &self,
+        server: SocketAddr,
+        method: &Method,
+        path: &str,
+        body: &Bytes,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let request = Request::builder()
+            .method(method.clone())
+            .uri(format!("http://{server}{path}"))
+            .header(AUTHORIZATION, self.credential.header_value())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body.clone()))
+            .map_err(|_| "the credential or the path can't be sent".to_owned())?;
+        let answer = async {
+            let response = self.client.request(request).await.map_err(|error| {
+                let reason = if error.is_connect() { "no connection" } else { "no answer" };
+                reason.to_owned()
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES).collect().await;
+            let body = body.map_err(|_| "the answer broke off".to_owned())?;
+            Ok((status, body.to_bytes()))
+        };
+        match tokio::time::timeout(self.timeout, answer).await {
+            Ok(result) => result,
+            Err(_) => Err("no answer in time".to_owned()),
+        }
+    }
+}
+
+fn to_body<T: Serialize>(request: &T) -> Bytes {
+    Bytes::from(serde_json::to_vec(request).unwrap_or_default())
+}
+
+fn read_answer<T: DeserializeOwned>(
+    server: SocketAddr,
+    status: StatusCode,
+    body: &[u8],
+) -> Result<T, AdminError> {
+    if let Ok(answer) = serde_json::from_slice::<ErrorAnswer>(body) {
+        return Err(AdminError::Rejected(answer.error));
+    }
+    serde_json::from_slice(body).map_err(|error| {
+        AdminError::BadAnswer(server.to_string(), format!("status {status}, {error}"))
+    })
+}
+
+/// Another VM may reach the log service or be ready when this one is not.
+fn helps_to_ask_another(error: &AdminError) -> bool {
+    let AdminError::Rejected(body) = error else {
+        return matches!(error, AdminError::BadAnswer(..));
+    };
+    matches!(
+        body.kind,
+        ErrorKind::Draining
+            | ErrorKind::LogUnavailable
+            | ErrorKind::Overloaded
+            | ErrorKind::OutcomeUnknown
+            | ErrorKind::Internal
+    )
+}
+
+/// Encodes the characters of names that have a meaning in a path.
+fn encode_segment(text: &str) -> String {
+    text.replace('/', "%2F").replace(':', "%3A")
+}
--- /dev/null
+++ b/crates/operator/src/api/mod.rs
@@ -0,0 +1,51 @@
+//! Requests and answers of the administration API under `/admin/v1`, used by the client here and
+//! by the server in the daemon. docs/admin-api.md describes them.
+
+mod backend_status;
+mod error_answer;
+mod member_status;
+mod move_state;
+mod move_status;
+mod moves_answer;
+mod plan_answer;
+mod route_evidence;
+mod status_answer;
+mod submit_answer;
+mod submit_id;
+mod submit_request;
+mod vm_identity;
+mod vm_state;
+mod zone_request;
+mod zone_status;
+
+pub use self::{
+    backend_status::{BackendKind, BackendStatus},
+    error_answer::{ErrorAnswer, ErrorBody},
+    member_status::MemberStatus,
+    move_state::MoveState,
+    move_status::MoveStatus,
+    moves_answer::MovesAnswer,
+    plan_answer::PlanAnswer,
+    route_evidence::RouteEvidence,
+    status_answer::StatusAnswer,
+    submit_answer::SubmitAnswer,
+    submit_id::SubmitId,
+    submit_request::SubmitRequest,
+    vm_identity::VmIdentity,
+    vm_state::VmState,
+    zone_request::ZoneRequest,
+    zone_status::ZoneStatus,
+};
+
+/// Path of the active plan and of submissions.
+pub const PLAN_PATH: &str = "/admin/v1/plan";
+/// Path below which the outcome of a submission is found by its id.
+pub const SUBMISSIONS_PATH: &str = "/admin/v1/submissions";
+/// Path below which the state of an availability zone is changed by its name.
+pub const ZONES_PATH: &str = "/admin/v1/zones";
+/// Path of the status of a VM.
+pub const STATUS_PATH: &str = "/admin/v1/status";
+/// Path of the version moves.
+pub const MOVES_PATH: &str = "/admin/v1/moves";
+/// Path of the counts of service-level objectives.
+pub const BURN_PATH: &str = "/admin/v1/burn";
--- /dev/null
+++ b/crates/operator/src/api/status_answer.rs
@@ -0,0 +1,33 @@
+//! Answer of `GET /admin/v1/status`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dragonflycart_core::{ModelName, PlanRevision, WallTime, ZoneName};
+use serde::{Deserialize, Serialize};
+
+use crate::api::{BackendStatus, MemberStatus, MoveStatus, VmIdentity, VmState, ZoneStatus};
+
+/// What one VM knows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StatusAnswer {
+    /// The VM that answers.
+    pub vm: VmIdentity,
+    /// Its phase.
+    pub state: VmState,
+    /// Its wall clock, so that a client can notice a wrong clock on either side.
+    pub now: WallTime,
+    /// Its plan revision.
+    pub plan_revision: PlanRevision,
+    /// Whether its last exchange with the log service succeeded.
+    pub log_reachable: bool,
+    /// Availability zones of its settings.
+    pub zones: BTreeMap<ZoneName, ZoneStatus>,
+    /// Models of its settings.
+    pub models: BTreeSet<ModelName>,
+    /// Backend servers.
+    pub backends: Vec<BackendStatus>,
+    /// Other entry VMs.
+    pub members: Vec<MemberStatus>,
+    /// Version moves.
+    pub moves: Vec<MoveStatus>,
+}
--- /dev/null
+++ b/crates/operator/src/api/vm_identity.rs
@@ -0,0 +1,28 @@
+//! Identity of an entry VM.
+
+use std::{fmt, net::SocketAddr};
+
+use dragonflycart_core::{VmSeat, ZoneName};
+use serde::{Deserialize, Serialize};
+
+/// Identity of an entry VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmIdentity {
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Seat.
+    pub seat: VmSeat,
+    /// Incarnation of the process, as hexadecimal text.
+    pub incarnation: String,
+    /// Address for other entry VMs.
+    pub peer: SocketAddr,
+    /// Address of the administration API, if known.
+    #[serde(default)]
+    pub admin: Option<SocketAddr>,
+}
+
+impl fmt::Display for VmIdentity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.zone, self.seat)
+    }
+}
--- /dev/null
+++ b/crates/operator/src/text_table.rs
@@ -0,0 +1,44 @@
+//! Plain tables.
+
+/// Table with aligned columns.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct TextTable {
+    rows: Vec<Vec<String>>,
+}
+
+impl TextTable {
+    /// Starts a table with its column headings.
+    pub fn new(headings: &[&str]) -> TextTable {
+        TextTable { rows: vec![headings.iter().map(|text| (*text).to_owned()).collect()] }
+    }
+
+    /// Adds a row.
+    pub fn push<const N: usize>(&mut self, cells: [String; N]) {
+        self.rows.push(cells.into());
+    }
+
+    /// Returns whether the table has headings only.
+    pub fn is_empty(&self) -> bool {
+        self.rows.len() <= 1
+    }
+
+    /// Writes the table, one line a row, two spaces between columns.
+    pub fn render(&self) -> String {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or_default();
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or_default()
+        };
+        let widths: Vec<usize> = (0..columns).map(width).collect();
+        let mut text = String::new();
+        for row in &self.rows {
+            let mut line = String::new();
+            for (cell, width) in row.iter().zip(&widths) {
+                line.push_str(&format!("{cell:<width$}  "));
+            }
+            text.push_str(line.trim_end());
+            text.push('\n');
+        }
+        text
+    }
+}
