--- /dev/null
+++ b/crates/node/src/admin/admin_front.rs
@@ -0,0 +1,160 @@
+//! Routes of the administration API.
+
+use std::sync::Arc;
+
+use axum::{
+    Json, Router,
+    body::{Body, to_bytes},
+    extract::{Path, Request, State},
+    http::{HeaderMap, StatusCode},
+    middleware::{self, Next},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use dragonflycart_core::{ErrorKind, OperatorName, ServiceError, ZoneName};
+use dragonflycart_operator::api::{
+    BURN_PATH, MOVES_PATH, PLAN_PATH, STATUS_PATH, SUBMISSIONS_PATH, SubmitAnswer, SubmitId,
+    ZONES_PATH,
+};
+use dragonflycart_settings::Config;
+use log::info;
+use serde::de::DeserializeOwned;
+
+use crate::{
+    admin::{AdminMessage, ZoneChange},
+    control::{ControlHandle, ControlMessage},
+    http::{ErrorAnswer, bearer},
+};
+
+/// Largest body of a request. A plan for 31 models in 7 availability zones has about 40 KB.
+const BODY_LIMIT: usize = 1 << 20;
+
+/// What the handlers of the administration API share.
+#[derive(Clone)]
+pub(crate) struct AdminFront {
+    config: Arc<Config>,
+    control: ControlHandle,
+}
+
+impl AdminFront {
+    /// Builds the front.
+    pub(crate) fn new(config: Arc<Config>, control: ControlHandle) -> AdminFront {
+        AdminFront { config, control }
+    }
+
+    /// Builds the routes. Every one needs a credential of an operator.
+    pub(crate) fn router(self) -> Router {
+        let submissions = format!("{SUBMISSIONS_PATH}/{{id}}");
+        let zones = format!("{ZONES_PATH}/{{zone}}");
+        Router::new()
+            .route(PLAN_PATH, get(get_plan).post(post_plan))
+            .route(&submissions, get(get_submission))
+            .route(&zones, post(post_zone))
+            .route(STATUS_PATH, get(get_status))
+            .route(MOVES_PATH, get(get_moves))
+            .route(BURN_PATH, get(get_burn))
+            .layer(middleware::from_fn_with_state(self.clone(), authenticate))
+            .with_state(self)
+    }
+
+    fn operator(&self, headers: &HeaderMap) -> Option<OperatorName> {
+        let credential = bearer(headers)?;
+        for (name, settings) in &self.config.operators {
+            if settings.credential.matches(credential) {
+                return Some(name.clone());
+            }
+        }
+        None
+    }
+}
+
+/// Puts the operator's name into the request, or refuses it.
+async fn authenticate(
+    State(front): State<AdminFront>,
+    mut request: Request,
+    next: Next,
+) -> Response {
+    let Some(operator) = front.operator(request.headers()) else {
+        let message = "the credential of an operator is missing or unknown";
+        let error = ServiceError::new(ErrorKind::Unauthorized, message);
+        return ErrorAnswer(error).into_response();
+    };
+    let (method, path) = (request.method().clone(), request.uri().path().to_owned());
+    if method != hyper::Method::GET {
+        info!("admin: change asked for; operator={operator} method={method} path={path}");
+    }
+    request.extensions_mut().insert(operator);
+    next.run(request).await
+}
+
+async fn read_json<T: DeserializeOwned>(body: Body) -> Result<T, ServiceError> {
+    let bad = |message: String| ServiceError::new(ErrorKind::BadRequest, message);
+    let body = to_bytes(body, BODY_LIMIT).await.map_err(|error| bad(format!("body: {error}")))?;
+    serde_json::from_slice(&body).map_err(|error| bad(format!("body: {error}")))
+}
+
+fn submit_response(answer: SubmitAnswer) -> Response {
+    let status = match answer {
+        SubmitAnswer::Accepted { .. } | SubmitAnswer::Latched => StatusCode::OK,
+        SubmitAnswer::Conflict { .. } => StatusCode::CONFLICT,
+        SubmitAnswer::Unknown => StatusCode::ACCEPTED,
+        SubmitAnswer::NotSeen => StatusCode::NOT_FOUND,
+    };
+    (status, Json(answer)).into_response()
+}
+
+async fn get_plan(State(front): State<AdminFront>) -> Result<Response, ErrorAnswer> {
+    let ask = front.control.ask(|reply| ControlMessage::Admin(AdminMessage::Plan(reply)));
+    Ok(Json(ask.await?).into_response())
+}
+
+async fn post_plan(
+    State(front): State<AdminFront>,
+    axum::Extension(operator): axum::Extension<OperatorName>,
+    body: Body,
+) -> Result<Response, ErrorAnswer> {
+    let request = read_json(body).await?;
+    let ask = front
+        .control
+        .ask(|reply| ControlMessage::Admin(AdminMessage::Submit(operator, request, reply)));
+    Ok(submit_response(ask.await??))
+}
+
+async fn get_submission(
+    State(front): State<AdminFront>,
+    Path(id): Path<String>,
+) -> Result<Response, ErrorAnswer> {
+    let ask = front
+        .control
+        .ask(|reply| ControlMessage::Admin(AdminMessage::Submission(SubmitId(id), reply)));
+    Ok(submit_response(ask.await?))
+}
+
+async fn post_zone(
+    State(front): State<AdminFront>,
+    axum::Extension(author): axum::Extension<OperatorName>,
+    Path(zone): Path<String>,
+    body: Body,
+) -> Result<Response, ErrorAnswer> {
+    let request = read_json(body).await?;
+    let zone = ZoneName::new(&zone)
+        .map_err(|error| ServiceError::new(ErrorKind::NotFound, format!("zone: {error}")))?;
+    let change = ZoneChange { author, zone, request };
+    let ask = front.control.ask(|reply| ControlMessage::Admin(AdminMessage::Zone(change, reply)));
+    Ok(submit_response(ask.await??))
+}
+
+async fn get_status(State(front): State<AdminFront>) -> Result<Response, ErrorAnswer> {
+    let ask = front.control.ask(|reply| ControlMessage::Admin(AdminMessage::Status(reply)));
+    Ok(Json(ask.await?).into_response())
+}
+
+async fn get_moves(State(front): State<AdminFront>) -> Result<Response, ErrorAnswer> {
+    let ask = front.control.ask(|reply| ControlMessage::Admin(AdminMessage::Moves(reply)));
+    Ok(Json(ask.await?).into_response())
+}
+
+async fn get_burn(State(front): State<AdminFront>) -> Result<Response, ErrorAnswer> {
+    let ask = front.control.ask(|reply| ControlMessage::Admin(AdminMessage::Burn(reply)));
+    Ok(Json(ask.await?).into_response())
+}
--- a/crates/node/src/call/call_runner.rs
+++ b/crates/node/src/call/call_runner.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use dragonflycart_core::{ErrorKind, MonoTime, RequestKey, ServiceError};
+use dragonflycart_core::{ErrorKind, MonoTime, RequestKey, ServiceError, TeamName};
 use dragonflycart_engine::{CallFailure, ServiceAnswer, ServiceClient, ServiceRequest};
 use dragonflycart_policy::AttemptFailure;
 use dragonflycart_state::{CallKey, ClaimId, OutcomeNote};
@@ -23,6 +23,7 @@
     },
     generation::RunnerContext,
     node_clock::NodeClock,
+    service_events::ServiceEvents,
 };
 
 /// Largest answer that is kept in the log to be fetched again. A larger one reaches the caller
@@ -51,16 +52,40 @@
     /// An error whose kind tells whether the call was executed.
     pub(crate) async fn run(self, spec: CallSpec) -> Result<ServiceAnswer, ServiceError> {
         let task = tokio::spawn(async move {
-            match (spec.idempotent, spec.key.clone()) {
+            let result = match (spec.idempotent, spec.key.clone()) {
                 (false, Some(key)) => self.run_once(&spec, &key).await,
                 _ => self.run_idempotent(&spec).await,
-            }
+            };
+            let events = ServiceEvents::new(spec.team, spec.operation).close(&result);
+            self.control().send(ControlMessage::Burn(events)).await;
+            result
         });
         task.await.unwrap_or_else(|_| {
             Err(ServiceError::new(ErrorKind::Internal, "the call ended without a result"))
         })
     }
 
+    /// Returns the recorded answer of a call that is not idempotent.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::OutcomeUnknown`] if none is recorded; the call may still be on its way.
+    pub(crate) async fn fetch(
+        &self,
+        team: &TeamName,
+        key: &RequestKey,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        let key = CallKey::new(team.as_str(), key.as_str());
+        let fetched = self
+            .control()
+            .ask(|reply| ControlMessage::Call(CallMessage::Fetch(key, reply)))
+            .await?;
+        fetched.map(logged_answer).ok_or_else(|| {
+            let message = "no outcome is recorded under this key";
+            ServiceError::new(ErrorKind::OutcomeUnknown, message)
+        })
+    }
+
     fn control(&self) -> &ControlHandle {
         &self.context.control
     }
--- a/crates/node/src/control/call_control.rs
+++ b/crates/node/src/control/call_control.rs
@@ -355,11 +355,6 @@
     pub(crate) fn is_idle(&self) -> bool {
         self.attempts.is_empty()
     }
-
-    /// Returns the number of keys in the ledger.
-    pub(crate) fn key_count(&self) -> usize {
-        self.ledger.as_ref().map_or(0, CallLedger::key_count)
-    }
 }
 
 /// Spreads the checkpoints of several VMs, so that usually one VM appends one.
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -7,16 +7,18 @@
     time::Duration,
 };
 
+use dragonflycart_burn::{BurnKind, BurnObjective, BurnTracker};
 use dragonflycart_core::{
-    ErrorKind, Incarnation, ModelName, MonoTime, PlanRevision, RouteName, ServerName, ServiceError,
-    TeamName, VersionName,
+    ErrorKind, Incarnation, ModelName, MonoTime, OperatingPlan, PlanRevision, RouteName,
+    ServerName, ServiceError, TeamName, VersionName, WallTime, ZoneState,
 };
+use dragonflycart_operator::api::{MovesAnswer, SubmitAnswer, SubmitRequest};
 use dragonflycart_platform::LogTopic;
 use dragonflycart_policy::{
     AttemptFailure, MoveCounts, MoveSettings, MoveState, PolicySettings, PriorityClass,
     RequestTicket, VmPosition, WorkPool, WorkRequest,
 };
-use dragonflycart_settings::Config;
+use dragonflycart_settings::{Config, ObjectiveKind};
 use dragonflycart_state::{LedgerLimits, MoveState as LatchState};
 use dragonflycart_wire::{
     MoveEnd, PeerMessage, log_entry::Kind as RecordKind, peer_message::Kind as PeerKind,
@@ -28,20 +30,26 @@
 };
 
 use crate::{
+    admin::{AdminMessage, SubmitReply, ZoneChange},
     control::{
         AttemptReport, ControlMessage, GenerationAsk, PlacedGeneration, PlacementTicket,
         ServiceAsk,
         append_control::AppendControl,
         call_control::{CallControl, CallMoment},
         decoded_batch::DecodedBatch,
+        job_control::JobControl,
         peer_control::PeerControl,
         placement_control::PlacementControl,
         plan_control::PlanControl,
+        status_view::StatusView,
+        submit_control::{SubmitControl, check_plan, plan_answer},
         version_control::{MoveEnding, VersionControl},
     },
+    job::JobOrder,
     log_appender::AppendOrder,
     log_tailer::TailEvent,
     node_clock::NodeClock,
+    node_lifecycle::LifecyclePhase,
     node_metrics::NodeMetrics,
     peer::{LinkIdentity, PeerEvent},
 };
@@ -81,6 +89,10 @@
     pub(crate) broadcasts: broadcast::Sender<PeerMessage>,
     /// Addresses of the peers to keep connections to.
     pub(crate) addresses: watch::Sender<BTreeSet<SocketAddr>>,
+    /// Attempts of deferred generations to run.
+    pub(crate) jobs: mpsc::UnboundedSender<JobOrder>,
+    /// Phase of the daemon.
+    pub(crate) phase: watch::Receiver<LifecyclePhase>,
     /// Appends to carry out.
     pub(crate) appends: mpsc::UnboundedSender<AppendOrder>,
 }
@@ -106,7 +118,12 @@
     running: BTreeMap<RequestTicket, RunningWork>,
     appends: AppendControl,
     calls: CallControl,
+    jobs: JobControl,
     peers: PeerControl,
+    submissions: SubmitControl,
+    burn: BurnTracker,
+    identity: LinkIdentity,
+    phase: watch::Receiver<LifecyclePhase>,
     /// Time since which the log service does not answer.
     log_lost_at: Option<MonoTime>,
     /// Last attempt to append a plan snapshot.
@@ -126,7 +143,12 @@
             running: BTreeMap::new(),
             appends: AppendControl::new(parts.incarnation, parts.appends),
             calls: CallControl::new(parts.incarnation, limits),
+            jobs: JobControl::new(parts.incarnation, limits, parts.jobs),
             peers: PeerControl::new(&parts.identity, parts.broadcasts, parts.addresses, now),
+            submissions: SubmitControl::default(),
+            burn: burn_tracker(&parts.config, parts.incarnation, parts.clock.wall()),
+            identity: parts.identity,
+            phase: parts.phase,
             // Until the first read, the log service counts as lost.
             log_lost_at: Some(now),
             snapshot_at: None,
@@ -161,6 +183,9 @@
                     }
                     let mut submitted = false;
                     for message in batch.drain(..) {
+                        if matches!(message, ControlMessage::Stop) {
+                            return;
+                        }
                         submitted |= self.handle(message);
                     }
                     if submitted {
@@ -205,10 +230,24 @@
                 let moment = self.moment();
                 self.calls.handle(message, &mut self.appends, moment);
             }
+            ControlMessage::Job(message) => {
+                let moment = self.moment();
+                self.jobs.handle(message, &mut self.appends, moment);
+            }
+            ControlMessage::Admin(message) => self.admin(message),
+            ControlMessage::Burn(events) => {
+                let wall = self.clock.wall();
+                for event in &events {
+                    self.burn.record(wall, event);
+                }
+            }
             ControlMessage::Drain => {
                 self.placement.engine_mut().set_draining(true);
                 self.peers.set_draining();
+                self.jobs.set_draining();
             }
+            // Handled by the loop.
+            ControlMessage::Stop => {}
             ControlMessage::IsIdle(reply) => {
                 let _ = reply.send(self.calls.is_idle() && self.appends.is_idle());
             }
@@ -340,8 +379,12 @@
             TailEvent::Truncated(LogTopic::Calls, first_available) => {
                 self.calls.skip(first_available, self.clock.wall());
             }
-            TailEvent::Truncated(..) => {}
-            TailEvent::Unreachable(_) => {
+            TailEvent::Truncated(LogTopic::Jobs, first_available) => {
+                self.jobs.skip(first_available, self.moment());
+            }
+            // Ends of moves are also kept as latches.
+            TailEvent::Truncated(LogTopic::Moves, _) => {}
+            TailEvent::Unreachable => {
                 self.log_lost_at.get_or_insert(now);
                 self.metrics.log_reachable.set(0);
             }
@@ -354,6 +397,7 @@
                 if self.plan.apply(batch) {
                     self.plan_changed();
                 }
+                self.submissions.advance(&self.plan, self.clock.now());
             }
             LogTopic::Calls => {
                 self.calls.apply(batch, self.clock.wall());
@@ -361,7 +405,7 @@
                 self.calls.advance(&mut self.appends, moment);
             }
             LogTopic::Moves => self.apply_ends(batch),
-            LogTopic::Jobs => {}
+            LogTopic::Jobs => self.jobs.apply(batch, self.moment()),
         }
     }
 
@@ -388,6 +432,82 @@
         self.peers.send_heartbeat(revision, log_reachable, self.clock.now());
     }
 
+    fn admin(&mut self, message: AdminMessage) {
+        let moment = self.moment();
+        match message {
+            AdminMessage::Plan(reply) => {
+                let _ = reply.send(plan_answer(&self.plan));
+            }
+            AdminMessage::Submit(author, request, reply) => {
+                if let Err(error) = check_plan(&request.plan, &self.config) {
+                    let _ = reply.send(Err(error));
+                    return;
+                }
+                let parts = (&self.plan, &mut self.appends);
+                self.submissions.submit(&author, request, reply, parts, moment);
+            }
+            AdminMessage::Submission(id, reply) => {
+                let _ = reply.send(self.submissions.outcome(&self.plan, &id));
+            }
+            AdminMessage::Zone(change, reply) => self.change_zone(change, reply, moment),
+            AdminMessage::Status(reply) => {
+                let _ = reply.send(self.status_view().answer());
+            }
+            AdminMessage::Moves(reply) => {
+                let _ = reply.send(MovesAnswer { moves: self.status_view().moves() });
+            }
+            AdminMessage::Burn(reply) => {
+                let _ = reply.send(self.burn.snapshot(moment.wall));
+            }
+        }
+    }
+
+    /// Changes the state of a zone by a plan, or by a latch if the log service does not answer
+    /// and the operator asked for it. A latch can only take a zone out.
+    fn change_zone(&mut self, change: ZoneChange, reply: SubmitReply, moment: CallMoment) {
+        let ZoneChange { author, zone, request } = change;
+        let mut plan = OperatingPlan::clone(&self.plan.plan());
+        let Some(planned) = plan.zones.get_mut(&zone) else {
+            let message = format!("zone: {zone} is not in the plan in effect");
+            let _ = reply.send(Err(ServiceError::new(ErrorKind::NotFound, message)));
+            return;
+        };
+        let log_lost = moment.log_lost_at.is_some();
+        if log_lost && request.emergency && request.state == ZoneState::Out {
+            let revision = self.plan.revision();
+            self.peers.latch_zone(&zone, moment.wall, revision, author.as_str());
+            self.apply_zones();
+            warn!(
+                "admin: zone is taken out without the log service; zone={zone} operator={author}"
+            );
+            let _ = reply.send(Ok(SubmitAnswer::Latched));
+            return;
+        }
+        planned.state = request.state;
+        let request = SubmitRequest {
+            base_revision: request.base_revision,
+            submit_id: request.submit_id,
+            plan,
+        };
+        let parts = (&self.plan, &mut self.appends);
+        self.submissions.submit(&author, request, reply, parts, moment);
+    }
+
+    fn status_view(&self) -> StatusView<'_> {
+        StatusView {
+            config: &self.config,
+            identity: &self.identity,
+            phase: *self.phase.borrow(),
+            placement: &self.placement,
+            plan: &self.plan,
+            peers: &self.peers,
+            versions: &self.versions,
+            log_reachable: self.log_lost_at.is_none(),
+            now: self.clock.now(),
+            wall: self.clock.wall(),
+        }
+    }
+
     /// Applies the plan's zone states, and the latches of zones that were taken out without the
     /// log service.
     fn apply_zones(&mut self) {
@@ -446,6 +566,10 @@
         let moment = self.moment();
         self.calls.upkeep(&mut self.appends, moment);
         self.calls.advance(&mut self.appends, moment);
+        let mut alive = vec![self.identity.incarnation];
+        alive.extend(self.peers.alive().iter().map(|member| member.incarnation));
+        self.jobs.upkeep(&alive, &mut self.appends, moment);
+        self.submissions.advance(&self.plan, now);
         self.renew_snapshot();
         self.update_gauges();
     }
@@ -489,6 +613,28 @@
     }
 }
 
+fn burn_tracker(config: &Config, incarnation: Incarnation, wall: WallTime) -> BurnTracker {
+    let mut objectives = Vec::new();
+    for (name, settings) in &config.objectives {
+        let kind = match settings.kind {
+            ObjectiveKind::FirstToken => BurnKind::FirstToken,
+            ObjectiveKind::TokenGap => BurnKind::TokenGap,
+            ObjectiveKind::WithinDeadline => BurnKind::WithinDeadline,
+            ObjectiveKind::Answered => BurnKind::Answered,
+        };
+        objectives.push(BurnObjective {
+            name: name.clone(),
+            route: settings.route.clone(),
+            team: settings.team.clone(),
+            kind,
+            threshold_us: settings.threshold.map(|span| span.as_micros() as u64),
+            ratio: settings.ratio,
+            window_ms: settings.window.as_millis() as u64,
+        });
+    }
+    BurnTracker::new(config.vm.zone.clone(), config.vm.seat, incarnation, wall, objectives)
+}
+
 /// Builds the placement settings from the daemon's settings.
 pub(crate) fn policy_settings(config: &Config) -> PolicySettings {
     let mut settings = PolicySettings {
--- a/crates/node/src/control/control_message.rs
+++ b/crates/node/src/control/control_message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dragonflycart_burn::BurnEvent;
 use dragonflycart_core::{
     ErrorKind, ModelName, MonoTime, RequestKey, RouteName, ServerName, ServiceError, ServiceName,
     TeamName,
@@ -12,8 +13,11 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    admin::AdminMessage,
     call::CallMessage,
     control::{PlacedGeneration, PlacementTicket},
+    generation::GenerationSpec,
+    job::JobMessage,
     log_appender::AppendResult,
     log_tailer::TailEvent,
     peer::PeerEvent,
@@ -38,6 +42,21 @@
     pub(crate) deadline: MonoTime,
 }
 
+impl GenerationAsk {
+    /// Builds the request for a generation.
+    pub(crate) fn of(spec: &GenerationSpec) -> GenerationAsk {
+        GenerationAsk {
+            team: spec.team.clone(),
+            route: spec.route.clone(),
+            model: spec.model.clone(),
+            key: spec.key.clone(),
+            prompt_tokens: spec.prompt_tokens(),
+            max_tokens: spec.max_tokens,
+            deadline: spec.deadline,
+        }
+    }
+}
+
 /// Request for the placement of a call to a plain service.
 #[derive(Debug, Clone)]
 pub(crate) struct ServiceAsk {
@@ -110,10 +129,18 @@
     VmList(Vec<VmEntry>),
     /// A call that is not idempotent needs the ledger.
     Call(CallMessage),
+    /// A deferred generation needs the log.
+    Job(JobMessage),
+    /// An operator asks or orders something.
+    Admin(AdminMessage),
+    /// Service-level events.
+    Burn(Vec<BurnEvent>),
     /// The VM stops taking new work.
     Drain,
     /// Asks whether nothing is left to do before the process may end.
     IsIdle(oneshot::Sender<bool>),
+    /// End the thread.
+    Stop,
 }
 
 /// Error for an answer that the control thread can't give because it has ended.
--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -38,10 +38,11 @@
         self.handle.clone()
     }
 
-    /// Waits for the thread, which ends when all handles are dropped.
-    pub(crate) fn close(self) {
-        drop(self.handle);
-        if self.thread.join().is_err() {
+    /// Asks the thread to end and waits for it. Other handles may still exist.
+    pub(crate) async fn close(self) {
+        self.handle.send(ControlMessage::Stop).await;
+        let joined = tokio::task::spawn_blocking(move || self.thread.join()).await;
+        if !matches!(joined, Ok(Ok(()))) {
             error!("control: thread ended with a panic");
         }
     }
--- /dev/null
+++ b/crates/node/src/control/job_control.rs
@@ -0,0 +1,372 @@
+//! Deferred generations: which VM runs them, and what callers are told.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use dragonflycart_core::{
+    ErrorKind, Incarnation, LogOffset, MonoTime, ServiceError, rendezvous_score,
+};
+use dragonflycart_platform::LogTopic;
+use dragonflycart_state::{CallKey, JobLedger, JobView, LedgerLimits, incarnation_to_wire};
+use dragonflycart_wire::{JobAccepted, JobResult, log_entry::Kind};
+use log::{info, warn};
+use serde_json::json;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    control::{
+        append_control::AppendControl,
+        call_control::{CallMoment, stagger},
+        decoded_batch::DecodedBatch,
+    },
+    job::{JobAnswer, JobMessage, JobOrder},
+};
+
+/// Largest part of a result in one record.
+const PART_BYTES: usize = 48 << 10;
+/// Attempts after which a job ends with the last error.
+const ATTEMPT_LIMIT: u32 = 5;
+/// Time that the preferred VM has to claim a job before every VM may.
+const PREFERENCE_TIME: Duration = Duration::from_secs(5);
+/// Interval between two claims of the same job by this VM.
+const CLAIM_PERIOD: Duration = Duration::from_secs(5);
+/// Time for which the worker of a claim must be unheard before another VM claims the job. A wrong
+/// guess costs capacity only: the first complete result in the log counts.
+const WORKER_SILENCE: Duration = Duration::from_secs(15);
+/// Interval between two attempts to append a checkpoint.
+const CHECKPOINT_PERIOD: Duration = Duration::from_secs(60);
+
+/// Caller that waits until its job is in the log.
+struct AcceptWaiter {
+    key: CallKey,
+    deadline: MonoTime,
+    reply: oneshot::Sender<JobAnswer>,
+}
+
+/// What this VM remembers of an open job.
+struct OpenJob {
+    seen_at: MonoTime,
+    claimed_at: Option<MonoTime>,
+    /// Worker of the current claim and the last time at which it was alive.
+    worker: Option<(Incarnation, MonoTime)>,
+    /// Attempt that this VM has started.
+    started: u32,
+}
+
+/// Deferred generations on this VM.
+pub(crate) struct JobControl {
+    own: Incarnation,
+    limits: LedgerLimits,
+    ledger: Option<JobLedger>,
+    waiters: Vec<AcceptWaiter>,
+    open: BTreeMap<CallKey, OpenJob>,
+    orders: mpsc::UnboundedSender<JobOrder>,
+    checkpoint_at: Option<MonoTime>,
+    draining: bool,
+}
+
+impl JobControl {
+    /// Starts without any record.
+    pub(crate) fn new(
+        own: Incarnation,
+        limits: LedgerLimits,
+        orders: mpsc::UnboundedSender<JobOrder>,
+    ) -> JobControl {
+        JobControl {
+            own,
+            limits,
+            ledger: None,
+            waiters: Vec::new(),
+            open: BTreeMap::new(),
+            orders,
+            checkpoint_at: None,
+            draining: false,
+        }
+    }
+
+    /// Stops claiming jobs; attempts that run go on.
+    pub(crate) fn set_draining(&mut self) {
+        self.draining = true;
+    }
+
+    /// Applies what was read from topic `jobs`.
+    pub(crate) fn apply(&mut self, batch: &DecodedBatch, moment: CallMoment) {
+        let limits = self.limits;
+        let ledger = self.ledger.get_or_insert_with(|| {
+            JobLedger::new(limits, batch.first_available, batch.end, moment.wall)
+        });
+        for (offset, append) in &batch.appends {
+            ledger.apply_batch(*offset, append, moment.wall);
+        }
+        self.answer_waiters(moment);
+    }
+
+    /// Goes on at `first_available` after records were removed unread.
+    pub(crate) fn skip(&mut self, first_available: LogOffset, moment: CallMoment) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.skip_removed(first_available, moment.wall);
+        }
+    }
+
+    /// Handles one message.
+    pub(crate) fn handle(
+        &mut self,
+        message: JobMessage,
+        appends: &mut AppendControl,
+        moment: CallMoment,
+    ) {
+        match message {
+            JobMessage::Accept { key, request, deadline, reply } => {
+                let waiter = AcceptWaiter { key, deadline, reply };
+                self.accept(waiter, request, appends, moment);
+            }
+            JobMessage::Fetch(key, reply) => {
+                let _ = reply.send(self.state(&key, moment));
+            }
+            JobMessage::Ended(key, attempt, result) => {
+                self.ended(&key, attempt, result, appends, moment);
+            }
+        }
+    }
+
+    fn accept(
+        &mut self,
+        waiter: AcceptWaiter,
+        request: Bytes,
+        appends: &mut AppendControl,
+        moment: CallMoment,
+    ) {
+        let refuse = |waiter: AcceptWaiter, kind, message: &str| {
+            let _ = waiter.reply.send(JobAnswer::Refused(ServiceError::new(kind, message)));
+        };
+        let known = self.ledger.as_ref().is_some_and(|l| l.view(&waiter.key) != JobView::Unseen);
+        if self.ledger.as_ref().is_some_and(|l| l.is_reused(&waiter.key, &request)) {
+            refuse(waiter, ErrorKind::KeyReused, "the key belongs to another job");
+            return;
+        }
+        if known {
+            let _ = waiter.reply.send(self.state(&waiter.key, moment));
+            return;
+        }
+        if moment.log_lost_at.is_some() {
+            refuse(waiter, ErrorKind::LogUnavailable, "the job can't be recorded now");
+            return;
+        }
+        let record = JobAccepted {
+            team: waiter.key.team.clone(),
+            key: waiter.key.key.clone(),
+            request,
+            accepted_at_ms: moment.wall.as_unix_millis(),
+            original_offset_plus_one: 0,
+        };
+        match appends.push(LogTopic::Jobs, Kind::JobAccepted(record), moment.now) {
+            Ok(()) => self.waiters.push(waiter),
+            Err(error) => refuse(waiter, ErrorKind::LogUnavailable, &error.to_string()),
+        }
+    }
+
+    fn state(&self, key: &CallKey, moment: CallMoment) -> JobAnswer {
+        let refused = |kind, message: &str| JobAnswer::Refused(ServiceError::new(kind, message));
+        let Some(ledger) = &self.ledger else {
+            return refused(ErrorKind::LogUnavailable, "the log was not read yet");
+        };
+        match ledger.view(key) {
+            JobView::Done { body, .. } => JobAnswer::Done(body),
+            JobView::Waiting | JobView::Claimed { .. } => JobAnswer::Accepted,
+            JobView::Unseen if !ledger.is_authoritative(moment.wall) => {
+                refused(ErrorKind::LogUnavailable, "the log was not read to its end yet")
+            }
+            JobView::Unseen => refused(ErrorKind::NotFound, "no job has this key"),
+        }
+    }
+
+    fn answer_waiters(&mut self, moment: CallMoment) {
+        let Some(ledger) = &self.ledger else {
+            return;
+        };
+        let mut waiting = Vec::new();
+        for waiter in std::mem::take(&mut self.waiters) {
+            match ledger.view(&waiter.key) {
+                JobView::Unseen if moment.now < waiter.deadline => waiting.push(waiter),
+                JobView::Unseen => {
+                    let message = "the job may have been recorded; ask again with the same key";
+                    let error = ServiceError::new(ErrorKind::OutcomeUnknown, message);
+                    let _ = waiter.reply.send(JobAnswer::Refused(error));
+                }
+                JobView::Done { body, .. } => {
+                    let _ = waiter.reply.send(JobAnswer::Done(body));
+                }
+                JobView::Waiting | JobView::Claimed { .. } => {
+                    let _ = waiter.reply.send(JobAnswer::Accepted);
+                }
+            }
+        }
+        self.waiters = waiting;
+    }
+
+    /// Appends the result of an attempt. A failed attempt is followed by another one, up to a
+    /// limit; then the job ends with the error.
+    fn ended(
+        &mut self,
+        key: &CallKey,
+        attempt: u32,
+        result: Result<Bytes, ServiceError>,
+        appends: &mut AppendControl,
+        moment: CallMoment,
+    ) {
+        let body = match result {
+            Ok(body) => body,
+            Err(error) if attempt < ATTEMPT_LIMIT => {
+                warn!("job: attempt failed; key={key} attempt={attempt} error={error}");
+                self.claim(key, appends, moment);
+                return;
+            }
+            Err(error) => {
+                warn!("job: given up; key={key} attempt={attempt} error={error}");
+                let body = json!({ "error": { "kind": error.kind(), "message": error.message() } });
+                Bytes::from(body.to_string())
+            }
+        };
+        let parts: Vec<Bytes> = (0..body.len().div_ceil(PART_BYTES).max(1))
+            .map(|part| {
+                let begin = part * PART_BYTES;
+                body.slice(begin..(begin + PART_BYTES).min(body.len()))
+            })
+            .collect();
+        let count = parts.len() as u32;
+        for (part, body) in parts.into_iter().enumerate() {
+            let record = JobResult {
+                team: key.team.clone(),
+                key: key.key.clone(),
+                attempt,
+                worker: incarnation_to_wire(self.own),
+                part: part as u32,
+                parts: count,
+                body,
+                original_offset_plus_one: 0,
+            };
+            if let Err(error) = appends.push(LogTopic::Jobs, Kind::JobResult(record), moment.now) {
+                // Without all parts the attempt does not count; the job is claimed again when
+                // the worker falls silent or restarts.
+                warn!("job: result was not accepted for append; key={key} error={error}");
+                return;
+            }
+        }
+        info!("job: done; key={key} attempt={attempt} parts={count}");
+    }
+
+    fn claim(&mut self, key: &CallKey, appends: &mut AppendControl, moment: CallMoment) {
+        let Some(record) = self.ledger.as_ref().and_then(|ledger| ledger.claim(key, self.own))
+        else {
+            return;
+        };
+        if let Some(job) = self.open.get_mut(key) {
+            job.claimed_at = Some(moment.now);
+        }
+        let _ = appends.push(LogTopic::Jobs, Kind::JobClaim(record), moment.now);
+    }
+
+    /// Claims and starts jobs. `alive` are the incarnations that answer, this one included.
+    pub(crate) fn upkeep(
+        &mut self,
+        alive: &[Incarnation],
+        appends: &mut AppendControl,
+        moment: CallMoment,
+    ) {
+        self.answer_waiters(moment);
+        let Some(ledger) = &mut self.ledger else {
+            return;
+        };
+        ledger.expire(moment.wall);
+        let mut views = Vec::new();
+        for (key, view) in ledger.open_jobs() {
+            views.push((key.clone(), view));
+        }
+        self.open.retain(|key, _| views.iter().any(|(open, _)| open == key));
+        for (key, view) in views {
+            self.advance(key, &view, alive, appends, moment);
+        }
+        self.append_checkpoint(appends, moment);
+    }
+
+    fn advance(
+        &mut self,
+        key: CallKey,
+        view: &JobView,
+        alive: &[Incarnation],
+        appends: &mut AppendControl,
+        moment: CallMoment,
+    ) {
+        let own = self.own;
+        let job = self.open.entry(key.clone()).or_insert(OpenJob {
+            seen_at: moment.now,
+            claimed_at: None,
+            worker: None,
+            started: 0,
+        });
+        let recently =
+            |at: Option<MonoTime>, span| at.is_some_and(|at| moment.now.since(at) < span);
+        let orphaned = match *view {
+            JobView::Claimed { attempt, worker } if worker == own => {
+                if job.started < attempt {
+                    job.started = attempt;
+                    self.start(key, attempt);
+                }
+                return;
+            }
+            JobView::Claimed { worker, .. } => {
+                let last_alive = match job.worker {
+                    Some((known, at)) if known == worker && !alive.contains(&worker) => at,
+                    _ => moment.now,
+                };
+                job.worker = Some((worker, last_alive));
+                moment.now.since(last_alive) >= WORKER_SILENCE
+            }
+            _ => true,
+        };
+        if !orphaned || self.draining || recently(job.claimed_at, CLAIM_PERIOD) {
+            return;
+        }
+        let patience = moment.now.since(job.seen_at) >= PREFERENCE_TIME;
+        if patience || preferred(&key, alive) == Some(own) {
+            self.claim(&key, appends, moment);
+        }
+    }
+
+    fn start(&self, key: CallKey, attempt: u32) {
+        let ledger = self.ledger.as_ref();
+        let accepted = ledger.and_then(|ledger| ledger.history(&key)?.accepted());
+        let Some(accepted) = accepted else {
+            return;
+        };
+        info!("job: attempt starts; key={key} attempt={attempt}");
+        let order = JobOrder { key, attempt, request: accepted.request.clone() };
+        // The worker ends only with the process.
+        let _ = self.orders.send(order);
+    }
+
+    fn append_checkpoint(&mut self, appends: &mut AppendControl, moment: CallMoment) {
+        let Some(ledger) = &self.ledger else {
+            return;
+        };
+        let waited = self.checkpoint_at.is_none_or(|at| moment.now.since(at) >= CHECKPOINT_PERIOD);
+        let due = ledger.checkpoint_due(moment.wall, stagger(self.own, self.limits));
+        if !waited || !due || ledger.position() == LogOffset(0) {
+            return;
+        }
+        self.checkpoint_at = Some(moment.now);
+        for entry in ledger.checkpoint(moment.wall) {
+            let Some(kind) = entry.kind else { continue };
+            let _ = appends.push(LogTopic::Jobs, kind, moment.now);
+        }
+    }
+}
+
+/// Returns the VM that claims a job first, so that usually one VM does.
+fn preferred(key: &CallKey, alive: &[Incarnation]) -> Option<Incarnation> {
+    let subject = [b"job".as_slice(), key.team.as_bytes(), key.key.as_bytes()];
+    alive
+        .iter()
+        .copied()
+        .max_by_key(|incarnation| rendezvous_score(&subject, &incarnation.0.to_be_bytes()))
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -11,10 +11,13 @@
 mod control_message;
 mod control_thread;
 mod decoded_batch;
+mod job_control;
 mod peer_control;
 mod placement_control;
 mod placement_ticket;
 mod plan_control;
+mod status_view;
+mod submit_control;
 mod version_control;
 
 pub(crate) use self::{
--- a/crates/node/src/control/peer_control.rs
+++ b/crates/node/src/control/peer_control.rs
@@ -52,16 +52,16 @@
         }
     }
 
-    /// Returns the members.
-    pub(crate) fn members(&self) -> &MemberTable {
-        &self.members
-    }
-
     /// Returns the latches.
     pub(crate) fn latches(&self) -> &LatchStore {
         &self.latches
     }
 
+    /// Returns the members, also those that fell silent lately.
+    pub(crate) fn known(&self) -> impl Iterator<Item = &MemberInfo> {
+        self.members.known()
+    }
+
     /// Returns the members that answer.
     pub(crate) fn alive(&self) -> Vec<MemberInfo> {
         self.members.alive().cloned().collect()
--- /dev/null
+++ b/crates/node/src/control/submit_control.rs
@@ -0,0 +1,169 @@
+//! Submissions of operators, from the proposal to the decision in the log.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dragonflycart_core::{ErrorKind, MonoTime, OperatingPlan, OperatorName, ServiceError};
+use dragonflycart_operator::api::{PlanAnswer, SubmitAnswer, SubmitId, SubmitRequest};
+use dragonflycart_platform::LogTopic;
+use dragonflycart_settings::Config;
+use dragonflycart_state::PlanVerdict;
+use dragonflycart_wire::{PlanProposal, log_entry::Kind};
+
+use crate::{
+    admin::SubmitReply,
+    control::{append_control::AppendControl, call_control::CallMoment, plan_control::PlanControl},
+};
+
+/// Longest wait for the decision of the log before the operator is told that it is not known.
+const DECISION_LIMIT: Duration = Duration::from_secs(5);
+
+/// Submission whose decision was not read yet.
+struct PendingSubmission {
+    id: SubmitId,
+    expires: MonoTime,
+    reply: SubmitReply,
+}
+
+/// Submissions of operators on this VM.
+#[derive(Default)]
+pub(crate) struct SubmitControl {
+    pending: Vec<PendingSubmission>,
+}
+
+impl SubmitControl {
+    /// Proposes a plan. The reply is sent when the log has decided.
+    pub(crate) fn submit(
+        &mut self,
+        author: &OperatorName,
+        request: SubmitRequest,
+        reply: SubmitReply,
+        (plan, appends): (&PlanControl, &mut AppendControl),
+        moment: CallMoment,
+    ) {
+        if let Some(answer) = known_answer(plan, &request.submit_id) {
+            let _ = reply.send(Ok(answer));
+            return;
+        }
+        let current = plan.revision();
+        if request.base_revision < current {
+            // A proposal on an older revision can't win any more.
+            let _ = reply.send(Ok(conflict(plan)));
+            return;
+        }
+        if !plan.accepts_base(request.base_revision) {
+            let message = format!(
+                "base_revision: {} was never in effect; the current one is {current}",
+                request.base_revision,
+            );
+            let _ = reply.send(Err(ServiceError::new(ErrorKind::BadRequest, message)));
+            return;
+        }
+        if moment.log_lost_at.is_some() {
+            let message = "the log service does not answer; nothing was submitted";
+            let _ = reply.send(Err(ServiceError::new(ErrorKind::LogUnavailable, message)));
+            return;
+        }
+        let proposal = PlanProposal {
+            base_revision: request.base_revision.0,
+            submit_id: request.submit_id.0.clone(),
+            author: author.to_string(),
+            body: Bytes::from(serde_json::to_vec(&request.plan).unwrap_or_default()),
+            submitted_at_ms: moment.wall.as_unix_millis(),
+        };
+        if let Err(error) = appends.push(LogTopic::Plan, Kind::PlanProposal(proposal), moment.now) {
+            let error = ServiceError::new(ErrorKind::LogUnavailable, error.to_string());
+            let _ = reply.send(Err(error));
+            return;
+        }
+        let expires = moment.now + DECISION_LIMIT;
+        self.pending.push(PendingSubmission { id: request.submit_id, expires, reply });
+    }
+
+    /// Answers the submissions whose decision was read, and those that waited too long.
+    pub(crate) fn advance(&mut self, plan: &PlanControl, now: MonoTime) {
+        let mut waiting = Vec::new();
+        for submission in std::mem::take(&mut self.pending) {
+            if let Some(answer) = known_answer(plan, &submission.id) {
+                let _ = submission.reply.send(Ok(answer));
+                continue;
+            }
+            if now >= submission.expires {
+                let _ = submission.reply.send(Ok(SubmitAnswer::Unknown));
+                continue;
+            }
+            waiting.push(submission);
+        }
+        self.pending = waiting;
+    }
+
+    /// Tells what became of a submission.
+    pub(crate) fn outcome(&self, plan: &PlanControl, id: &SubmitId) -> SubmitAnswer {
+        if let Some(answer) = known_answer(plan, id) {
+            return answer;
+        }
+        let waits = self.pending.iter().any(|submission| submission.id == *id);
+        if waits || !plan.is_trusted() { SubmitAnswer::Unknown } else { SubmitAnswer::NotSeen }
+    }
+}
+
+fn known_answer(plan: &PlanControl, id: &SubmitId) -> Option<SubmitAnswer> {
+    match plan.verdict(&id.0) {
+        PlanVerdict::Accepted { revision } => Some(SubmitAnswer::Accepted { revision }),
+        PlanVerdict::Rejected { .. } => Some(conflict(plan)),
+        PlanVerdict::NotKnown => None,
+    }
+}
+
+fn conflict(plan: &PlanControl) -> SubmitAnswer {
+    let PlanAnswer { revision, author, plan } = plan_answer(plan);
+    SubmitAnswer::Conflict { revision, author, plan }
+}
+
+/// Returns the plan in effect for operators.
+pub(crate) fn plan_answer(plan: &PlanControl) -> PlanAnswer {
+    PlanAnswer {
+        revision: plan.revision(),
+        author: OperatorName::new(plan.state().author()).ok(),
+        plan: OperatingPlan::clone(&plan.plan()),
+    }
+}
+
+/// Checks a plan against the settings, so that no VM gets one that it can't carry out.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadRequest`] that names the first fault.
+pub(crate) fn check_plan(plan: &OperatingPlan, config: &Config) -> Result<(), ServiceError> {
+    let bad = |message: String| Err(ServiceError::new(ErrorKind::BadRequest, message));
+    for zone in plan.zones.keys() {
+        if !config.zones.contains_key(zone) {
+            return bad(format!("zones: {zone} is not in the settings"));
+        }
+    }
+    for placement in &plan.placements {
+        if !plan.zones.contains_key(&placement.zone) {
+            return bad(format!("placements: zone {} is not in the plan", placement.zone));
+        }
+        if !config.models.contains_key(&placement.model) {
+            return bad(format!("placements: model {} is not in the settings", placement.model));
+        }
+    }
+    for (move_id, planned) in &plan.moves {
+        if planned.deadline <= planned.start {
+            return bad(format!("moves: {move_id} ends before it starts"));
+        }
+        for version in [&planned.from, &planned.to] {
+            let placed = plan
+                .placements
+                .iter()
+                .any(|placement| placement.model == planned.model && placement.version == *version);
+            if !placed {
+                return bad(format!(
+                    "moves: {move_id} needs version {version}, which is not placed"
+                ));
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/node/src/control/version_control.rs
+++ b/crates/node/src/control/version_control.rs
@@ -6,6 +6,7 @@
     Incarnation, ModelName, MoveId, OperatingPlan, RequestKey, RouteName, VersionMove, VersionName,
     WallTime,
 };
+use dragonflycart_operator::api::RouteEvidence;
 use dragonflycart_policy::{
     MoveControl, MoveCounts, MoveDecision, MoveEvidence, MoveReason, MoveSettings, MoveShares,
     MoveSide, MoveState,
@@ -16,7 +17,7 @@
 use bytes::Bytes;
 
 /// Length of an evidence bucket. Short, because a bad version must be noticed within seconds.
-const BUCKET_S: u64 = 1;
+const BUCKET_MS: u64 = 1_000;
 /// Age of the evidence that is sent to peers again, to make up for lost messages.
 const RESEND_S: u64 = 10;
 
@@ -28,6 +29,7 @@
     shares: MoveShares,
     state: MoveState,
     reason: String,
+    ended_at: Option<WallTime>,
 }
 
 /// End of a move, to be latched and logged.
@@ -54,8 +56,10 @@
     pub(crate) share: f64,
     /// Reason of the end.
     pub(crate) reason: String,
-    /// Requests per version: concluded, failed, slow.
-    pub(crate) totals: [MoveCounts; 2],
+    /// Time of the end.
+    pub(crate) ended_at: Option<WallTime>,
+    /// Evidence per route.
+    pub(crate) evidence: Vec<RouteEvidence>,
 }
 
 type CounterKey = (ModelName, VersionName, RouteName, u64);
@@ -100,6 +104,7 @@
                     shares: MoveShares::uniform(0.0),
                     state: MoveState::Running,
                     reason: String::new(),
+                    ended_at: None,
                 },
             };
             self.moves.insert(move_id.clone(), active);
@@ -141,20 +146,16 @@
         }
         let bucket_s = bucket_of(now);
         let key = (model.clone(), version.clone(), route.clone(), bucket_s);
-        let total = self.counted.entry(key).or_default();
+        let total = self.counted.entry(key.clone()).or_default();
         *total = total.plus(counts);
         let total = *total;
-        let own = self.own;
-        self.merge_counts(own, model, version, route, bucket_s, total);
+        self.merge_counts(self.own, &key, total);
     }
 
     fn merge_counts(
         &mut self,
         incarnation: Incarnation,
-        model: &ModelName,
-        version: &VersionName,
-        route: &RouteName,
-        bucket_s: u64,
+        (model, version, route, bucket_s): &CounterKey,
         counts: MoveCounts,
     ) {
         for active in self.moves.values_mut() {
@@ -168,7 +169,7 @@
             } else {
                 continue;
             };
-            active.evidence.merge(incarnation, bucket_s, (route, side), counts);
+            active.evidence.merge(incarnation, *bucket_s, (route, side), counts);
         }
     }
 
@@ -192,7 +193,8 @@
                 failed: counter.failed,
                 slow: counter.slow,
             };
-            self.merge_counts(incarnation, &model, &version, &route, counter.bucket_s, counts);
+            let key = (model, version, route, counter.bucket_s);
+            self.merge_counts(incarnation, &key, counts);
         }
     }
 
@@ -236,6 +238,7 @@
                 continue;
             }
             active.state = decision.state;
+            active.ended_at = Some(now);
             let Some(reason) = decision.entered else {
                 continue;
             };
@@ -261,10 +264,16 @@
     pub(crate) fn views(&self) -> Vec<MoveView> {
         let mut views = Vec::with_capacity(self.moves.len());
         for (move_id, active) in &self.moves {
-            let mut totals = [MoveCounts::default(); 2];
-            for comparison in active.control.judge().routes().values() {
+            let mut evidence = Vec::new();
+            for (route, comparison) in active.control.judge().routes() {
                 let [old, new] = comparison.totals();
-                totals = [totals[0].plus(old), totals[1].plus(new)];
+                evidence.push(RouteEvidence {
+                    route: route.clone(),
+                    old_requests: old.total(),
+                    old_bad: old.failed + old.slow,
+                    new_requests: new.total(),
+                    new_bad: new.failed + new.slow,
+                });
             }
             views.push(MoveView {
                 move_id: move_id.clone(),
@@ -272,24 +281,14 @@
                 state: active.state,
                 share: active.shares.overall,
                 reason: active.reason.clone(),
-                totals,
+                ended_at: active.ended_at,
+                evidence,
             });
         }
         views
     }
-
-    /// Returns the versions that the plan places, for the check of requests.
-    pub(crate) fn knows(&self, model: &ModelName) -> bool {
-        self.versions.contains_key(model)
-    }
-
-    /// Returns the number of running moves.
-    pub(crate) fn running(&self) -> usize {
-        self.moves.values().filter(|active| active.state == MoveState::Running).count()
-    }
 }
 
 fn bucket_of(now: WallTime) -> u64 {
-    let seconds = now.as_unix_millis() / 1_000;
-    seconds - seconds % BUCKET_S
+    now.as_unix_millis() / BUCKET_MS * BUCKET_MS / 1_000
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -17,12 +17,14 @@
 };
 
 use crate::{
+    admin::AdminFront,
     control::{
         ControlHandle, ControlMessage, ControlParts, ControlThread, PlacementControl,
         policy_settings, vm_position,
     },
     generation::{GenerationStore, RunnerContext, RunnerLimits},
     http::{HttpFront, HttpServer},
+    job::run_worker,
     log_appender::run_appender,
     log_tailer::LogTailer,
     node_clock::NodeClock,
@@ -105,7 +107,11 @@
             self.clock.now(),
         )
         .map_err(DaemonError::Policy)?;
+        let (jobs, job_orders) = mpsc::unbounded_channel();
+        let (phase, phases) = watch::channel(LifecyclePhase::Starting);
         let parts = ControlParts {
+            phase: phases,
+            jobs,
             config: Arc::clone(&self.config),
             clock: self.clock,
             incarnation,
@@ -130,11 +136,13 @@
             reconnects: RECONNECTS,
         };
         let runner = RunnerContext { control: control.clone(), servers, metrics, limits };
-        let serving = Serving::start(self.config, self.clock, runner, self.http);
-        drop(self.admin);
+        let store = Arc::new(GenerationStore::default());
+        let worker = run_worker(runner.clone(), Arc::clone(&store), self.clock, job_orders);
+        tokio::spawn(worker);
+        let parts = (self.clock, runner, store);
+        let serving = Serving::start(self.config, parts, (self.http, self.admin), phase);
         serving.run(preparing, stop).await;
-        drop(control);
-        drop(thread);
+        thread.close().await;
         Ok(())
     }
 
@@ -195,12 +203,10 @@
 impl Serving {
     fn start(
         config: Arc<Config>,
-        clock: NodeClock,
-        runner: RunnerContext,
-        listener: TcpListener,
+        (clock, runner, store): (NodeClock, RunnerContext, Arc<GenerationStore>),
+        (http, admin): (TcpListener, TcpListener),
+        phase: watch::Sender<LifecyclePhase>,
     ) -> Serving {
-        let store = Arc::new(GenerationStore::default());
-        let (phase, phases) = watch::channel(LifecyclePhase::Starting);
         let (handover, handovers) = watch::channel(false);
         let (closed, closing) = watch::channel(false);
         let control = runner.control.clone();
@@ -209,11 +215,14 @@
             clock,
             runner,
             store: Arc::clone(&store),
-            phase: phases,
+            phase: phase.subscribe(),
             handover: handovers,
         };
-        let server = HttpServer::new(listener, front.router(), config.limits.header);
-        let server = tokio::spawn(server.run(closing));
+        let server = HttpServer::new(http, front.router(), config.limits.header);
+        let server = tokio::spawn(server.run(closing.clone()));
+        let front = AdminFront::new(Arc::clone(&config), control.clone());
+        let admin = HttpServer::new(admin, front.router(), config.limits.header);
+        tokio::spawn(admin.run(closing));
         Serving { config, clock, control, store, phase, handover, closed, server }
     }
 
@@ -240,7 +249,7 @@
                 _ = stop.wait_for(|stop| *stop) => LifecycleEvent::StopRequested,
             };
             machine.handle(&event);
-            self.publish((&*machine.state()).into());
+            self.publish(machine.state().into());
             if event == LifecycleEvent::StopRequested {
                 break;
             }
@@ -260,7 +269,7 @@
         let limit = self.config.drain.shutdown_timeout;
         let started = tokio::time::Instant::now();
         let lag = self.config.drain.balancer_lag;
-        while LifecyclePhase::from(&*machine.state()) != LifecyclePhase::Stopped {
+        while LifecyclePhase::from(machine.state()) != LifecyclePhase::Stopped {
             let elapsed = started.elapsed();
             let mut event = None;
             if *self.phase.borrow() == LifecyclePhase::Leaving && elapsed >= lag {
@@ -277,7 +286,7 @@
                 Some(event) => machine.handle(&event),
                 None => tokio::time::sleep(DRAIN_PERIOD).await,
             }
-            self.publish((&*machine.state()).into());
+            self.publish(machine.state().into());
         }
         self.closed.send_replace(true);
         let _ = self.server.await;
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -18,10 +18,14 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    control::{AttemptReport, ControlHandle, PlacedGeneration, PlacementGrant, PlacementNotice},
+    control::{
+        AttemptReport, ControlHandle, ControlMessage, PlacedGeneration, PlacementGrant,
+        PlacementNotice,
+    },
     generation::{GenerationBuffer, GenerationEnd, GenerationSpec},
     node_metrics::NodeMetrics,
     server_directory::ServerDirectory,
+    service_events::ServiceEvents,
 };
 
 /// Tokens after which progress is reported to the control thread.
@@ -89,6 +93,7 @@
     assembler: StreamAssembler,
     unique: String,
     epoch: u32,
+    events: ServiceEvents,
     last_token_at: Instant,
     accepted_at: Instant,
 }
@@ -103,6 +108,8 @@
     ) -> GenerationRunner {
         let unique = format!("{:032x}", buffer.location().unique());
         let now = Instant::now();
+        let mut events = ServiceEvents::new(spec.team.clone(), spec.route.clone());
+        events.version = Some(placed.version.clone());
         GenerationRunner {
             assembler: StreamAssembler::new(&unique),
             context,
@@ -111,6 +118,7 @@
             placed,
             unique,
             epoch: 0,
+            events,
             last_token_at: now,
             accepted_at: now,
         }
@@ -118,7 +126,10 @@
 
     /// Runs the generation to its end.
     pub(crate) async fn run(mut self) {
-        let end = match self.run_attempts().await {
+        let result = self.run_attempts().await;
+        let events = self.events.close(&result);
+        self.context.control.send(ControlMessage::Burn(events)).await;
+        let end = match result {
             Ok(reason) => GenerationEnd::Finished { reason },
             Err(error) => {
                 let id = self.buffer.location();
@@ -246,6 +257,7 @@
         let location =
             GenerationId::from_parts(grant.server.clone(), self.buffer.location().unique());
         self.buffer.relocate(location.clone());
+        self.events.zone = self.context.servers.zone(&grant.server);
         let Some(engine) = self.context.servers.engine(&grant.server) else {
             return AttemptEnd::Refused("the backend server is not an engine".to_owned());
         };
@@ -409,14 +421,19 @@
 
     fn deliver(&mut self, text: &str) {
         self.buffer.push(text);
-        self.last_token_at = Instant::now();
+        let now = Instant::now();
+        let gap = now - self.last_token_at;
+        self.last_token_at = now;
         self.context.metrics.tokens.inc();
         let next = self.buffer.next_index();
         if next == 1 {
             let span = self.accepted_at.elapsed();
             self.context.metrics.first_token.observe(span.as_secs_f64());
+            self.events.first_token(span);
+        } else {
+            self.events.token_gap(gap);
         }
-        if next == 1 || next % PROGRESS_STEP == 0 {
+        if next == 1 || next.is_multiple_of(PROGRESS_STEP) {
             self.context.control.progress(self.placed.ticket.ticket, next);
         }
     }
--- a/crates/node/src/http/generation_handler.rs
+++ b/crates/node/src/http/generation_handler.rs
@@ -79,7 +79,12 @@
         .map_err(|error| ServiceError::new(ErrorKind::Internal, error.to_string()))
 }
 
-fn check_model(
+/// Checks that the settings have the model and its route.
+///
+/// # Errors
+///
+/// [`ErrorKind::NotFound`] or [`ErrorKind::BadRequest`].
+pub(crate) fn check_model(
     front: &HttpFront,
     model: &ModelName,
     caller: &CallerContext,
@@ -136,16 +141,7 @@
         let message = format!("this VM has {limit} open streams, its limit");
         return Err(ServiceError::new(ErrorKind::Overloaded, message));
     }
-    let ask = GenerationAsk {
-        team: spec.team.clone(),
-        route: spec.route.clone(),
-        model: spec.model.clone(),
-        key: spec.key.clone(),
-        prompt_tokens: spec.prompt_tokens(),
-        max_tokens: spec.max_tokens,
-        deadline: spec.deadline,
-    };
-    let placed = front.runner.control.place_generation(ask).await?;
+    let placed = front.runner.control.place_generation(GenerationAsk::of(&spec)).await?;
     front.runner.metrics.generations.inc();
     let runner = GenerationRunner::new(front.runner.clone(), Arc::clone(buffer), spec, placed);
     tokio::spawn(runner.run());
--- a/crates/node/src/http/http_front.rs
+++ b/crates/node/src/http/http_front.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     generation::{GenerationStore, RunnerContext},
-    http::{ErrorAnswer, generation_handler, health_handler, service_handler},
+    http::{ErrorAnswer, generation_handler, health_handler, job_handler, service_handler},
     node_clock::NodeClock,
     node_lifecycle::LifecyclePhase,
 };
@@ -44,6 +44,9 @@
         Router::new()
             .route("/v1/completions", post(generation_handler::post_completion))
             .route("/v1/generations/{id}", get(generation_handler::get_generation))
+            .route("/v1/jobs", post(job_handler::post_job))
+            .route("/v1/jobs/{key}", get(job_handler::get_job))
+            .route("/v1/calls/{key}", get(service_handler::get_call))
             .route("/v1/services/{service}/{operation}", post(service_handler::post_call))
             .route("/healthz", get(health_handler::get_health))
             .route("/readyz", get(health_handler::get_ready))
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -8,10 +8,11 @@
 mod health_handler;
 mod http_front;
 mod http_server;
+mod job_handler;
 mod service_handler;
 
 pub(crate) use self::{
-    caller_context::CallerContext,
+    caller_context::{CallerContext, bearer},
     completion_request::CompletionRequest,
     error_answer::{ErrorAnswer, error_json},
     event_body::event_body,
--- a/crates/node/src/http/service_handler.rs
+++ b/crates/node/src/http/service_handler.rs
@@ -7,7 +7,7 @@
     response::{IntoResponse, Response},
 };
 use bytes::Bytes;
-use dragonflycart_core::{ErrorKind, RouteName, ServiceError, ServiceName};
+use dragonflycart_core::{ErrorKind, RequestKey, RouteName, ServiceError, ServiceName};
 use dragonflycart_engine::ServiceAnswer;
 
 use crate::{
@@ -75,6 +75,28 @@
     })
 }
 
+/// Returns the recorded answer of a call that is not idempotent.
+pub(crate) async fn get_call(
+    State(front): State<HttpFront>,
+    Path(key): Path<String>,
+    headers: HeaderMap,
+) -> Result<Response, ErrorAnswer> {
+    let result = fetch_call(&front, &key, &headers).await;
+    result.map_err(|error| front.error(error))
+}
+
+async fn fetch_call(
+    front: &HttpFront,
+    key: &str,
+    headers: &HeaderMap,
+) -> Result<Response, ServiceError> {
+    let caller = CallerContext::from_headers(headers, &front.config)?;
+    let key = RequestKey::new(key)
+        .map_err(|error| ServiceError::new(ErrorKind::BadRequest, format!("key: {error}")))?;
+    let runner = CallRunner::new(front.runner.clone(), front.clock);
+    Ok(service_response(runner.fetch(&caller.team, &key).await?))
+}
+
 /// Passes the answer of a service on unchanged.
 pub(crate) fn service_response(answer: ServiceAnswer) -> Response {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- /dev/null
+++ b/crates/node/src/job/job_worker.rs
@@ -0,0 +1,90 @@
+//! Runs deferred generations of this VM.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dragonflycart_core::{ErrorKind, GenerationId, RequestKey, ServerName, ServiceError};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::{
+    control::{ControlMessage, GenerationAsk},
+    generation::{
+        GenerationBuffer, GenerationEnd, GenerationRunner, GenerationSpec, GenerationStore,
+        RunnerContext,
+    },
+    job::{JobMessage, JobOrder, JobRequest},
+    node_clock::NodeClock,
+};
+
+/// Longest time for one attempt; 100,000 tokens at 72 ms are two hours.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(4 * 3_600);
+
+/// Runs the attempts that the control thread orders.
+pub(crate) async fn run_worker(
+    context: RunnerContext,
+    store: Arc<GenerationStore>,
+    clock: NodeClock,
+    mut orders: mpsc::UnboundedReceiver<JobOrder>,
+) {
+    while let Some(order) = orders.recv().await {
+        let context = context.clone();
+        let store = Arc::clone(&store);
+        tokio::spawn(async move {
+            let result = run_attempt(&context, &store, clock, &order).await;
+            let message = JobMessage::Ended(order.key, order.attempt, result);
+            context.control.send(ControlMessage::Job(message)).await;
+        });
+    }
+}
+
+async fn run_attempt(
+    context: &RunnerContext,
+    store: &GenerationStore,
+    clock: NodeClock,
+    order: &JobOrder,
+) -> Result<Bytes, ServiceError> {
+    let internal = |message: String| ServiceError::new(ErrorKind::Internal, message);
+    let request: JobRequest = serde_json::from_slice(&order.request)
+        .map_err(|error| internal(format!("the job in the log can't be read: {error}")))?;
+    let unplaced = ServerName::new("unplaced").map_err(|error| internal(error.to_string()))?;
+    let id = GenerationId::generate(unplaced);
+    let key = RequestKey::new(&order.key.key).map_err(|error| internal(error.to_string()))?;
+    let spec = GenerationSpec {
+        team: request.team,
+        route: request.route,
+        model: request.model,
+        prompt: request.prompt,
+        max_tokens: request.max_tokens,
+        seed: request.seed.unwrap_or(id.unique() as u64),
+        key,
+        deadline: clock.now() + ATTEMPT_LIMIT,
+    };
+    let buffer = Arc::new(GenerationBuffer::new(id.clone(), 0));
+    store.insert(&id, &spec.team, None, &buffer);
+    let placed = context.control.place_generation(GenerationAsk::of(&spec)).await;
+    let placed = match placed {
+        Ok(placed) => placed,
+        Err(error) => {
+            store.remove(&id);
+            return Err(error);
+        }
+    };
+    let model = spec.model.clone();
+    GenerationRunner::new(context.clone(), Arc::clone(&buffer), spec, placed).run().await;
+    store.remove(&id);
+    match buffer.end() {
+        Some(GenerationEnd::Finished { reason }) => {
+            let body = json!({
+                "id": buffer.location().to_string(),
+                "object": "text_completion",
+                "model": model,
+                "choices": [{ "index": 0, "text": buffer.whole_text(), "finish_reason": reason }],
+                "usage": { "completion_tokens": buffer.next_index() },
+            });
+            Ok(Bytes::from(body.to_string()))
+        }
+        Some(GenerationEnd::Failed(error)) => Err(error),
+        None => Err(internal("the generation was abandoned".to_owned())),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,12 +3,14 @@
 //! One control thread owns all control state and decides; traffic threads carry connections and
 //! streams. The binary only calls [`run_with_args`].
 
+mod admin;
 mod call;
 mod control;
 mod daemon;
 mod daemon_command;
 mod generation;
 mod http;
+mod job;
 mod log_appender;
 mod log_tailer;
 mod node_clock;
@@ -16,6 +18,7 @@
 mod node_metrics;
 mod peer;
 mod server_directory;
+mod service_events;
 
 pub use crate::{
     daemon::{Daemon, DaemonError},
--- a/crates/node/src/log_tailer.rs
+++ b/crates/node/src/log_tailer.rs
@@ -19,7 +19,7 @@
     /// Records from the reader's position on were removed; reading goes on at this offset.
     Truncated(LogTopic, LogOffset),
     /// The log service did not answer.
-    Unreachable(LogTopic),
+    Unreachable,
 }
 
 /// Follows one topic from its first record and passes what it reads to the control thread.
@@ -56,7 +56,7 @@
                 }
                 Err(_) => {
                     tokio::time::sleep(RETRY_DELAY).await;
-                    TailEvent::Unreachable(self.topic)
+                    TailEvent::Unreachable
                 }
             };
             if self.events.send(event).await.is_err() {
--- a/crates/node/src/server_directory.rs
+++ b/crates/node/src/server_directory.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use dragonflycart_core::{MonoTime, ServerName, ServiceName};
+use dragonflycart_core::{MonoTime, ServerName, ServiceName, ZoneName};
 use dragonflycart_engine::{EngineClient, HttpEngine, HttpService, ServiceClient, ServiceOptions};
 use dragonflycart_settings::Config;
 
@@ -19,6 +19,7 @@
 pub(crate) struct ServerDirectory {
     engines: BTreeMap<ServerName, Arc<dyn EngineClient>>,
     services: BTreeMap<ServerName, (ServiceName, Arc<dyn ServiceClient>)>,
+    zones: BTreeMap<ServerName, ZoneName>,
     /// Every backend server reports its load over the same protocol.
     reporters: BTreeMap<ServerName, Arc<dyn EngineClient>>,
 }
@@ -29,11 +30,13 @@
         let mut directory = ServerDirectory {
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
+            zones: BTreeMap::new(),
             reporters: BTreeMap::new(),
         };
         for (name, settings) in &config.engines {
             let client: Arc<dyn EngineClient> = Arc::new(HttpEngine::new(settings.address));
             directory.engines.insert(name.clone(), Arc::clone(&client));
+            directory.zones.insert(name.clone(), settings.zone.clone());
             directory.reporters.insert(name.clone(), client);
         }
         for (name, settings) in &config.service_servers {
@@ -46,12 +49,18 @@
             let entry: (ServiceName, Arc<dyn ServiceClient>) =
                 (settings.service.clone(), Arc::new(client));
             directory.services.insert(name.clone(), entry);
+            directory.zones.insert(name.clone(), settings.zone.clone());
             let reporter = HttpEngine::new(settings.address);
             directory.reporters.insert(name.clone(), Arc::new(reporter));
         }
         directory
     }
 
+    /// Returns the availability zone of a backend server.
+    pub(crate) fn zone(&self, name: &ServerName) -> Option<ZoneName> {
+        self.zones.get(name).cloned()
+    }
+
     /// Returns the client of an engine.
     pub(crate) fn engine(&self, name: &ServerName) -> Option<Arc<dyn EngineClient>> {
         self.engines.get(name).cloned()
--- a/crates/policy/src/placement_engine.rs
+++ b/crates/policy/src/placement_engine.rs
@@ -13,7 +13,8 @@
 use crate::{
     AdmissionControl, ColdSignal, FairQueue, PlacementDecision, PolicySettings, PoolKey,
     RequestTicket, RetryBudget, ServerKey, ServerReport, ServerSpec, ServerTable, UnknownPolicy,
-    VmPosition, name_index::NameIndex, request_entry::RequestEntry, request_placer::RequestPlacer,
+    VmPosition, ZoneLimits, name_index::NameIndex, request_entry::RequestEntry,
+    request_placer::RequestPlacer,
 };
 
 /// Interval at which values derived from the length statistics are recomputed.
@@ -98,6 +99,17 @@
         self.placer.set_zone(zone, open, carry_limit, now);
     }
 
+    /// Returns the share of a zone's carry limit that is in effect.
+    pub fn zone_ramp(&self, zone: &ZoneName, now: MonoTime) -> f64 {
+        let ramp = self.placer.settings.zone_ramp;
+        self.placer.zone(zone).map_or(0.0, |limits| limits.ramp_share(now, ramp))
+    }
+
+    /// Returns the number of requests of this VM that run in a zone.
+    pub fn zone_running(&self, zone: &ZoneName) -> u32 {
+        self.placer.zone(zone).map_or(0, ZoneLimits::running)
+    }
+
     /// Sets how many VMs are believed to share the servers. The initial value is the number of
     /// seats. A wrong value costs efficiency, no guarantee depends on it.
     pub fn set_vm_count(&mut self, vms: u32) {
--- a/crates/policy/src/request_placer.rs
+++ b/crates/policy/src/request_placer.rs
@@ -111,6 +111,11 @@
         self.zones.entry(key).or_default().apply(open, part, now, known);
     }
 
+    /// Returns the limits of a zone.
+    pub(crate) fn zone(&self, zone: &ZoneName) -> Option<&ZoneLimits> {
+        self.zones.get(&self.servers.find_zone(zone)?)
+    }
+
     /// Applies a load report.
     pub(crate) fn report(&mut self, server: ServerKey, report: ServerReport, now: MonoTime) {
         self.servers.update_pools(server, &report);
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -129,6 +129,21 @@
         self.report.as_ref().map_or(ServerInstance::default(), |report| report.instance)
     }
 
+    /// Returns the last report.
+    pub fn report(&self) -> Option<&ServerReport> {
+        self.report.as_ref()
+    }
+
+    /// Returns the time since the last report arrived.
+    pub fn report_age(&self, now: MonoTime) -> Duration {
+        now.since(self.reported_at)
+    }
+
+    /// Returns the number of running requests of this VM.
+    pub fn own_running(&self) -> u32 {
+        self.attempts.len() as u32
+    }
+
     /// Returns the limit on concurrent requests, summed over all VMs.
     pub(crate) fn limit(&self, cold_slots: u32) -> u32 {
         let Some(report) = &self.report else {
--- a/crates/policy/src/server_table.rs
+++ b/crates/policy/src/server_table.rs
@@ -99,6 +99,11 @@
         ZoneKey(self.zones.intern(zone))
     }
 
+    /// Returns the key of a zone that was used before.
+    pub fn find_zone(&self, zone: &ZoneName) -> Option<ZoneKey> {
+        self.zones.get(zone).map(ZoneKey)
+    }
+
     /// Returns the pool behind a key.
     pub fn pool(&self, key: PoolKey) -> &WorkPool {
         self.pools.name(key.0)
--- a/crates/policy/src/zone_limits.rs
+++ b/crates/policy/src/zone_limits.rs
@@ -75,6 +75,19 @@
         self.open
     }
 
+    /// Returns the number of running requests of this VM.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the share of the limit that is in effect, below 1 while the zone ramps up.
+    pub fn ramp_share(&self, now: MonoTime, ramp: Duration) -> f64 {
+        let Some(returned_at) = self.returned_at else {
+            return 1.0;
+        };
+        (now.since(returned_at).as_secs_f64() / ramp.as_secs_f64()).min(1.0)
+    }
+
     /// Returns whether this VM may send one more request into the zone.
     pub fn has_room(&self, now: MonoTime, ramp: Duration) -> bool {
         if !self.open {
--- a/crates/state/src/member_table.rs
+++ b/crates/state/src/member_table.rs
@@ -136,6 +136,11 @@
         self.members.values().filter(|member| self.state(member.incarnation) == MemberState::Alive)
     }
 
+    /// Returns all members that are not forgotten yet.
+    pub fn known(&self) -> impl Iterator<Item = &MemberInfo> {
+        self.members.values()
+    }
+
     /// Returns the lowest seat of `zone` among the VMs that are alive, this one included.
     pub fn lowest_seat(&self, zone: &str) -> Option<VmSeat> {
         let own = (self.own_seat.0 == zone && !self.seat_lost).then_some(self.own_seat.1);
