Add cache events to the engine client and the fake engine

The placement gives a bonus for a cached prefix and needs the engine's cache events, which arrive late and with gaps. The trait method has a default, so other implementations are unaffected.

--- a/crates/engine/src/engine_client.rs
+++ b/crates/engine/src/engine_client.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{BoxFuture, GenerationRequest, LoadReport, TokenStream};
+use crate::{BoxFuture, CacheEvent, GenerationRequest, LoadReport, TokenStream};
 
 /// Failure of an operation on an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -89,6 +89,16 @@
     /// Any transport failure.
     fn report(&self) -> BoxFuture<'_, Result<LoadReport, EngineError>>;
 
+    /// Reads the published changes of the prefix cache after number `after`. They are late and may
+    /// have gaps. Engines without a prefix cache publish none.
+    ///
+    /// # Errors
+    ///
+    /// Any transport failure.
+    fn cache_events(&self, _after: u64) -> BoxFuture<'_, Result<Vec<CacheEvent>, EngineError>> {
+        Box::pin(async { Ok(Vec::new()) })
+    }
+
     /// Sends an order with its fencing number.
     ///
     /// # Errors
--- a/crates/engine/src/http_engine.rs
+++ b/crates/engine/src/http_engine.rs
@@ -11,11 +11,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    BoxFuture, CallFailure, EngineClient, EngineError, EngineOrder, GenerationRequest, LoadReport,
-    OrderOutcome, StreamEvent, TokenStream,
+    BoxFuture, CacheEvent, CallFailure, EngineClient, EngineError, EngineOrder, GenerationRequest,
+    LoadReport, OrderOutcome, StreamEvent, TokenStream,
     event_check::EventCheck,
     http_exchange::{ConnectionReuse, HttpExchange, OutgoingRequest, read_whole, stated_instance},
-    protocol::{GENERATIONS_PATH, LOAD_PATH, ORDERS_PATH, encode_segment},
+    protocol::{CACHE_EVENTS_PATH, GENERATIONS_PATH, LOAD_PATH, ORDERS_PATH, encode_segment},
 };
 
 /// Longest wait for a TCP connection; the farthest zone is a few milliseconds away.
@@ -37,6 +37,11 @@
     outcome: OrderOutcome,
 }
 
+#[derive(Deserialize)]
+struct CacheAnswer {
+    events: Vec<CacheEvent>,
+}
+
 /// Reason stated by an engine that refuses a request.
 #[derive(Deserialize)]
 struct RefusalAnswer {
@@ -110,6 +115,19 @@
         serde_json::from_slice(&body).map_err(|_| EngineError::Protocol)
     }
 
+    async fn read_cache_events(&self, after: u64) -> Result<Vec<CacheEvent>, EngineError> {
+        let path = format!("{CACHE_EVENTS_PATH}?after={after}");
+        let outgoing = OutgoingRequest::new(Method::GET, path, Bytes::new());
+        let body = match self.send_short(&self.polls, outgoing).await {
+            // Engines without a prefix cache do not serve this path.
+            Err(EngineError::UnknownGeneration) => return Ok(Vec::new()),
+            other => other?,
+        };
+        let answer: CacheAnswer =
+            serde_json::from_slice(&body).map_err(|_| EngineError::Protocol)?;
+        Ok(answer.events)
+    }
+
     async fn send_order(
         &self,
         order: EngineOrder,
@@ -161,6 +179,10 @@
         Box::pin(self.read_report())
     }
 
+    fn cache_events(&self, after: u64) -> BoxFuture<'_, Result<Vec<CacheEvent>, EngineError>> {
+        Box::pin(self.read_cache_events(after))
+    }
+
     fn order(
         &self,
         order: EngineOrder,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -3,6 +3,7 @@
 //! The traits are implemented over HTTP for production and directly by the engine model of the
 //! bench, so that the same decision code drives both.
 
+mod cache_event;
 mod call_failure;
 mod engine_client;
 mod event_check;
@@ -20,6 +21,7 @@
 use std::{future::Future, pin::Pin};
 
 pub use crate::{
+    cache_event::{CacheEvent, PREFIX_BYTES, prefix_digest},
     call_failure::CallFailure,
     engine_client::{EngineClient, EngineError, EngineOrder, OrderOutcome},
     generation_request::GenerationRequest,
--- a/crates/engine/src/protocol.rs
+++ b/crates/engine/src/protocol.rs
@@ -17,6 +17,8 @@
 pub const GENERATIONS_PATH: &str = "/v1/generations";
 /// Path of the load report, of engines and plain services.
 pub const LOAD_PATH: &str = "/v1/load";
+/// Path of the changes of an engine's prefix cache.
+pub const CACHE_EVENTS_PATH: &str = "/v1/cache-events";
 /// Path that accepts orders to an engine.
 pub const ORDERS_PATH: &str = "/v1/orders";
 /// Path prefix of the operations of a plain service.
--- a/crates/testkit/src/engine_core.rs
+++ b/crates/testkit/src/engine_core.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use dragonflycart_core::{ModelName, OrderFence, ServerInstance, VersionName};
-use dragonflycart_engine::{EngineOrder, GenerationRequest, LoadReport, OrderOutcome};
+use dragonflycart_engine::{CacheEvent, EngineOrder, GenerationRequest, LoadReport, OrderOutcome};
 
 use crate::{
-    BadEffect, CacheEvent, EngineCommand, EngineConfig, EngineStats,
+    BadEffect, EngineCommand, EngineConfig, EngineStats,
     generation_record::{GenerationPhase, GenerationRecord, NextEvent},
     lagged_value::LaggedValue,
     prefix_cache::PrefixCache,
