--- a/crates/testkit/src/engine_core.rs
+++ b/crates/testkit/src/engine_core.rs
@@ -8,6 +8,7 @@
 use crate::{
     BadEffect, EngineCommand, EngineConfig, EngineStats,
     generation_record::{GenerationPhase, GenerationRecord, NextEvent},
+    generation_table::GenerationTable,
     lagged_value::LaggedValue,
     prefix_cache::PrefixCache,
 };
@@ -26,7 +27,7 @@
 pub(crate) struct EngineCore {
     config: EngineConfig,
     instance: ServerInstance,
-    records: BTreeMap<String, GenerationRecord>,
+    records: GenerationTable,
     next_arrival: u64,
     /// Start of the cold phase; `None` if the engine started warm.
     cold_since_ms: Option<u64>,
@@ -48,7 +49,7 @@
         let empty = empty_report(instance, &config);
         EngineCore {
             instance,
-            records: BTreeMap::new(),
+            records: GenerationTable::default(),
             next_arrival: 0,
             cold_since_ms: config.starts_cold.then_some(0),
             rules_since_ms: 0,
@@ -152,7 +153,7 @@
         self.next_arrival += 1;
         let request = &record.request;
         self.stats.accepted.push(format!("{} {}", request.version, request.route));
-        self.records.insert(request.generation.clone(), record);
+        self.records.insert(record);
         Ok(())
     }
 
@@ -166,7 +167,7 @@
         if bears >= self.config.max_batch {
             return Ok(());
         }
-        let concurrent = self.records.values().filter(|record| record.is_open()).count() as u32 + 1;
+        let concurrent = self.records.open().filter(|record| record.is_open()).count() as u32 + 1;
         self.stats.cold_high_water = self.stats.cold_high_water.max(concurrent);
         if concurrent <= bears {
             return Ok(());
@@ -176,14 +177,12 @@
     }
 
     pub(crate) fn cancel(&mut self, generation: &str, now_ms: u64) -> bool {
-        let Some(record) = self.records.get_mut(generation) else {
-            return false;
-        };
-        if record.is_open() {
+        if let Some(record) = self.records.get_open(generation) {
             record.cancel(now_ms);
             self.stats.cancelled += 1;
+            return true;
         }
-        true
+        self.records.get(generation).is_some()
     }
 
     /// Returns the event at `index`, or `None` for an unknown generation.
@@ -229,15 +228,12 @@
     /// Advances every running generation by one step.
     pub(crate) fn step(&mut self, now_ms: u64) {
         self.finish_loads(now_ms);
-        let retain_ms = self.config.retain_ms;
-        self.records.retain(|_, record| {
-            record.ended_at_ms().is_none_or(|ended_ms| ended_ms + retain_ms > now_ms)
-        });
         if !self.stalled {
             self.preempt_overflow(now_ms);
             self.fill_batch(now_ms);
             self.decode_batch(now_ms);
         }
+        self.records.settle(now_ms, self.config.retain_ms);
         let report = self.current_report(now_ms);
         self.reports.record(now_ms, report, self.config.report_lag_ms);
     }
@@ -257,11 +253,11 @@
     }
 
     fn running(&self) -> u32 {
-        self.records.values().filter(|record| record.is_running()).count() as u32
+        self.records.open().filter(|record| record.is_running()).count() as u32
     }
 
     fn memory_used(&self) -> u64 {
-        let running = self.records.values().filter(|record| record.is_running());
+        let running = self.records.open().filter(|record| record.is_running());
         self.filled_tokens + running.map(GenerationRecord::memory_tokens).sum::<u64>()
     }
 
@@ -269,7 +265,7 @@
     /// computed tokens. Its tokens are kept and computed again on readmission.
     fn preempt_overflow(&mut self, now_ms: u64) {
         while self.memory_used() > self.config.memory_tokens {
-            let running = self.records.values_mut().filter(|record| record.is_running());
+            let running = self.records.open_mut().filter(|record| record.is_running());
             let victim =
                 running.min_by_key(|record| (record.request.priority, record.computed_tokens()));
             let Some(victim) = victim else { return };
@@ -288,7 +284,7 @@
         let mut free = self.config.memory_tokens.saturating_sub(self.memory_used());
         let mut waiting: Vec<&mut GenerationRecord> = self
             .records
-            .values_mut()
+            .open_mut()
             .filter(|record| record.phase == GenerationPhase::Waiting)
             .collect();
         waiting.sort_by_key(|record| (u8::MAX - record.request.priority, record.arrival));
@@ -315,7 +311,7 @@
     fn decode_batch(&mut self, now_ms: u64) {
         let running = self.running();
         let rule_age_ms = now_ms.saturating_sub(self.rules_since_ms);
-        for record in self.records.values_mut() {
+        for record in self.records.open_mut() {
             match &mut record.phase {
                 GenerationPhase::Prefill { tokens_left } => {
                     *tokens_left = tokens_left.saturating_sub(self.config.prefill_tokens);
@@ -351,7 +347,7 @@
         let bears = self.bears(now_ms);
         let mut report = empty_report(self.instance, &self.config);
         let mut by_seat: BTreeMap<String, u32> = BTreeMap::new();
-        for record in self.records.values().filter(|record| record.is_open()) {
+        for record in self.records.open().filter(|record| record.is_open()) {
             if record.is_running() {
                 report.running += 1;
             } else {
--- a/crates/testkit/src/fake_engine.rs
+++ b/crates/testkit/src/fake_engine.rs
@@ -139,9 +139,12 @@
 }
 
 async fn decode_steps(shared: Arc<EngineShared>, faults: Arc<FaultSwitch>) {
+    let mut next_step = Instant::now();
     loop {
         let pace = Duration::from_millis(shared.core().config().pace_ms.max(1));
-        tokio::time::sleep(pace).await;
+        // Deadlines add up without drift. Steps that were missed are not made up for.
+        next_step = (next_step + pace).max(Instant::now());
+        tokio::time::sleep_until(next_step).await;
         if faults.gate().is_frozen() {
             continue;
         }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -28,6 +28,7 @@
 mod fault_stream;
 mod fault_switch;
 mod generation_record;
+mod generation_table;
 mod lagged_value;
 mod listen_addresses;
 mod log_command;
