--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -28,6 +28,7 @@
 mod fault_stream;
 mod fault_switch;
 mod generation_record;
+mod generation_table;
 mod lagged_value;
 mod listen_addresses;
 mod log_command;
@@ -72,7 +73,6 @@
     log_command::{LogCommand, OutageKind},
     log_config::LogConfig,
     log_stats::LogStats,
-    prefix_cache::{CacheAction, CacheEvent},
     relay_command::{RelayCommand, RelayMode, RelayScope},
     service_command::ServiceCommand,
     service_config::ServiceConfig,
