--- a/crates/state/src/call_attempt.rs
+++ b/crates/state/src/call_attempt.rs
@@ -159,7 +159,7 @@
         {
             return AttemptAnswer::Outcome(outcome.clone());
         }
-        if self.key_reused {
+        if self.key_reused || ledger.is_reused(&self.key, &self.claim.request_digest) {
             return if self.is_given_up() {
                 AttemptAnswer::KeyReused
             } else {
--- a/crates/state/src/plan_log.rs
+++ b/crates/state/src/plan_log.rs
@@ -127,6 +127,17 @@
         }
     }
 
+    /// Returns the verdict on a submission that need not be appended: it is known already, or its
+    /// base is no longer in force.
+    pub fn prejudge(&self, submit_id: &str, base: PlanRevision) -> PlanVerdict {
+        let known = self.verdict(submit_id);
+        if known != PlanVerdict::NotKnown || base >= self.revision() {
+            return known;
+        }
+        let winner = self.active.author().to_owned();
+        PlanVerdict::Rejected { winner, revision: self.revision() }
+    }
+
     /// Returns whether a proposal with this base may be appended. A base that was never in force
     /// here is refused, because the decision on it would depend on where a reader started.
     pub fn accepts_base(&self, base: PlanRevision) -> bool {
--- a/crates/state/src/plan_state.rs
+++ b/crates/state/src/plan_state.rs
@@ -117,6 +117,9 @@
         if self.verdict(&proposal.submit_id) != PlanVerdict::NotKnown {
             return;
         }
+        if self.is_forgotten(proposal.base_revision) {
+            return;
+        }
         let accepted = proposal.base_revision == self.revision.0;
         if accepted {
             self.revision = self.revision.next();
@@ -134,6 +137,14 @@
         }
     }
 
+    /// Returns whether the decision that followed on `base` is no longer kept. A proposal with such
+    /// a base may be a late copy of an accepted one, so that nothing is said about it.
+    fn is_forgotten(&self, base: u64) -> bool {
+        let accepted = self.decisions.iter().filter(|decision| decision.accepted);
+        let oldest = accepted.map(|decision| decision.revision).min().unwrap_or(self.revision.0);
+        self.decisions.len() == DECISIONS_KEPT && base < self.revision.0 && base + 1 < oldest
+    }
+
     /// Returns who followed on `base`, or the plan in force if that decision is no longer kept.
     fn winner_over(&self, base: u64) -> (String, u64) {
         for decision in &self.decisions {
--- /dev/null
+++ b/crates/state/tests/all/call_scenarios.rs
@@ -0,0 +1,246 @@
+//! Single faults of calls that the random runs reach too rarely or can't express.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dragonflycart_core::{Incarnation, LogOffset, MonoTime};
+use dragonflycart_state::{
+    AttemptAnswer, CallAttempt, CallKey, CallLedger, CallView, ClaimId, ClaimNote, GivenUpClaims,
+    LedgerLimits,
+};
+use dragonflycart_wire::{RecordBatch, log_entry::Kind};
+
+use crate::support::{batch_of, hour, millis};
+
+const DEADLINE: MonoTime = MonoTime::from_millis(10_000);
+
+fn key() -> CallKey {
+    CallKey::new("team", "key")
+}
+
+fn note(claim_id: u128, attempt: u32, digest: u8) -> ClaimNote {
+    ClaimNote {
+        claim_id: ClaimId(claim_id),
+        owner: Incarnation(claim_id),
+        attempt,
+        made_at: hour(0),
+        request_digest: Bytes::copy_from_slice(&[digest]),
+    }
+}
+
+fn attempt(claim_id: u128, number: u32) -> CallAttempt {
+    CallAttempt::new(key(), note(claim_id, number, 0), DEADLINE)
+}
+
+fn empty_ledger() -> CallLedger {
+    CallLedger::new(LedgerLimits::default(), LogOffset(0), LogOffset(0), hour(0))
+}
+
+fn append(ledger: &mut CallLedger, kind: Kind) {
+    let offset = ledger.position();
+    ledger.apply_batch(offset, &batch_of(1, offset.0, kind), hour(0));
+}
+
+/// Submits the attempt's claim and lets it be read.
+fn claim(ledger: &mut CallLedger, attempt: &mut CallAttempt) {
+    let record = attempt.submit().expect("the attempt is new");
+    append(ledger, Kind::CallClaim(record));
+    attempt.observe(ledger, hour(0));
+}
+
+fn answer(attempt: &CallAttempt, ledger: &CallLedger) -> AttemptAnswer {
+    attempt.answer(ledger, true, hour(0))
+}
+
+/// Guards against "not run" while a traffic thread may still send.
+#[test]
+fn claim_is_given_up_only_with_the_permit_back() {
+    let mut ledger = empty_ledger();
+    let mut attempt = attempt(1, 1);
+    claim(&mut ledger, &mut attempt);
+    let permit = attempt.take_permit(millis(0)).expect("it owns the key");
+
+    assert!(attempt.take_permit(millis(0)).is_none());
+    assert!(attempt.give_up(hour(0)).is_none());
+    attempt.return_permit(permit).expect("the permit is its own");
+    let release = attempt.give_up(hour(0)).expect("nothing was sent");
+
+    assert_eq!(answer(&attempt, &ledger), AttemptAnswer::Pending);
+    append(&mut ledger, Kind::CallRelease(release));
+    assert_eq!(answer(&attempt, &ledger), AttemptAnswer::NotRun);
+}
+
+/// Guards against a call that is sent after its caller was told that the deadline has passed.
+#[test]
+fn no_permit_after_the_deadline() {
+    let mut ledger = empty_ledger();
+    let mut attempt = attempt(1, 1);
+    claim(&mut ledger, &mut attempt);
+
+    assert!(attempt.take_permit(DEADLINE).is_none());
+    assert!(attempt.give_up(hour(0)).is_some());
+}
+
+/// Guards against choice 5 (a) as first written: an empty log does not show that no claim of an
+/// earlier attempt is still on its way.
+#[test]
+fn late_claim_of_an_earlier_attempt_does_not_run_after_not_run() {
+    let mut ledger = empty_ledger();
+    let mut first = attempt(1, 1);
+    let late_claim = first.submit().expect("the attempt is new");
+    let mut second = attempt(2, 2);
+    let fence = second.give_up(hour(0)).expect("the attempt is numbered");
+    assert_eq!(answer(&second, &ledger), AttemptAnswer::Pending);
+
+    append(&mut ledger, Kind::CallRelease(fence));
+    assert_eq!(answer(&second, &ledger), AttemptAnswer::NotRun);
+    append(&mut ledger, Kind::CallClaim(late_claim));
+    first.observe(&ledger, hour(0));
+
+    assert!(!first.is_owner());
+    let mut third = attempt(3, 3);
+    claim(&mut ledger, &mut third);
+    assert!(third.is_owner(), "a further attempt can run");
+}
+
+/// Guards against choice 5 (b) as first written: the claim of an earlier attempt that waits behind
+/// the owner would run once the owner has given up and answered "not run".
+#[test]
+fn earlier_attempt_behind_the_owner_does_not_run_after_not_run() {
+    let mut ledger = empty_ledger();
+    let mut second = attempt(2, 2);
+    claim(&mut ledger, &mut second);
+    let mut first = attempt(1, 1);
+    claim(&mut ledger, &mut first);
+
+    let release = second.give_up(hour(0)).expect("nothing was sent");
+    append(&mut ledger, Kind::CallRelease(release));
+    first.observe(&ledger, hour(0));
+
+    assert_eq!(answer(&second, &ledger), AttemptAnswer::NotRun);
+    assert!(!first.is_owner());
+}
+
+/// Guards against a key that stays blocked by a claim which landed after it was given up while the
+/// log could not be reached.
+#[test]
+fn release_of_a_late_claim_is_repeated_until_it_is_read() {
+    let mut ledger = empty_ledger();
+    let mut attempt = attempt(1, 1);
+    let late_claim = attempt.submit().expect("the attempt is new");
+    let release = attempt.give_up(hour(0)).expect("nothing was sent");
+    let mut claims = GivenUpClaims::default();
+    claims.add(&release);
+    assert_eq!(attempt.answer(&ledger, false, hour(0)), AttemptAnswer::NotRun);
+
+    append(&mut ledger, Kind::CallClaim(late_claim));
+    assert!(matches!(ledger.view(&key()), CallView::Owned(_)));
+    let due = claims.due(&ledger, LedgerLimits::default(), hour(0));
+    append(&mut ledger, Kind::CallRelease(due[0].clone()));
+
+    assert_eq!(ledger.view(&key()), CallView::Free);
+    assert!(claims.due(&ledger, LedgerLimits::default(), hour(0)).is_empty());
+    assert!(claims.is_empty());
+}
+
+/// Guards against an answer that belongs to another request with the same key.
+#[test]
+fn key_of_another_request_is_refused() {
+    let mut ledger = empty_ledger();
+    let mut first = attempt(1, 1);
+    claim(&mut ledger, &mut first);
+    let mut other = CallAttempt::new(key(), note(2, 2, 9), DEADLINE);
+    claim(&mut ledger, &mut other);
+
+    let release = other.give_up(hour(0)).expect("it was never sent");
+
+    assert_eq!(answer(&other, &ledger), AttemptAnswer::KeyReused);
+    assert_eq!(release.through_attempt, 0, "it must not void attempts of the first request");
+}
+
+/// Guards against a new VM that takes a key for free because the claim was removed from the log.
+#[test]
+fn ledger_after_truncation_decides_only_after_a_checkpoint() {
+    let mut old = empty_ledger();
+    let mut owner = attempt(1, 1);
+    claim(&mut old, &mut owner);
+    let copies = old.checkpoint(hour(1));
+    let limits = LedgerLimits::default();
+    let mut new = CallLedger::new(limits, LogOffset(1), LogOffset(2), hour(1));
+    let mut retry = attempt(2, 2);
+    claim(&mut new, &mut retry);
+    assert!(!retry.is_owner());
+
+    let batch = RecordBatch { entries: copies, ..RecordBatch::default() };
+    new.apply_batch(LogOffset(2), &batch, hour(1));
+    retry.observe(&new, hour(1));
+
+    assert!(new.is_authoritative(hour(1)));
+    assert!(!retry.is_owner());
+    assert!(matches!(new.view(&key()), CallView::Owned(owner) if owner.claim_id == ClaimId(1)));
+}
+
+/// Guards against an append that was applied twice: a reader that sees only the second one would
+/// place the claim after its competitor, while others place it before.
+#[test]
+fn claim_keeps_its_first_place_when_it_is_applied_twice() {
+    let limits = LedgerLimits::default();
+    let first = note(1, 1, 0);
+    let second = note(2, 2, 0);
+    let mut ledger = CallLedger::new(limits, LogOffset(6), LogOffset(6), hour(0));
+    append(&mut ledger, Kind::CallClaim(second.to_wire(&key(), None)));
+    append(&mut ledger, Kind::CallClaim(first.to_wire(&key(), None)));
+
+    append(&mut ledger, Kind::CallClaim(first.to_wire(&key(), Some(LogOffset(5)))));
+
+    assert_eq!(ledger.view(&key()), CallView::Owned(first));
+}
+
+/// Guards against records that are removed before they are appended again, and against a
+/// checkpoint that counts as fresh because it landed late.
+#[test]
+fn checkpoint_is_due_at_half_the_retention() {
+    let mut ledger = empty_ledger();
+    assert!(ledger.checkpoint_due(hour(0), Duration::ZERO));
+    let entries = ledger.checkpoint(hour(0));
+    let batch = RecordBatch { entries, ..RecordBatch::default() };
+    ledger.apply_batch(LogOffset(0), &batch, hour(3));
+
+    assert!(!ledger.checkpoint_due(hour(11), Duration::ZERO));
+    assert!(!ledger.checkpoint_due(hour(12), Duration::from_secs(60)));
+    assert!(ledger.checkpoint_due(hour(12), Duration::ZERO));
+}
+
+/// Guards against unbounded memory, and against a claim that wakes up after its key expired and
+/// then runs beside a newer one.
+#[test]
+fn keys_expire_after_the_window_and_old_claims_do_not_run() {
+    let mut ledger = empty_ledger();
+    let mut attempt = attempt(1, 1);
+    claim(&mut ledger, &mut attempt);
+    ledger.expire(hour(72));
+    assert_eq!(ledger.key_count(), 1, "kept for the clock margin");
+
+    ledger.expire(hour(73));
+    assert_eq!(ledger.view(&key()), CallView::Unseen);
+    let mut paused = CallAttempt::new(key(), note(2, 1, 0), DEADLINE);
+    let record = paused.submit().expect("the attempt is new");
+    append(&mut ledger, Kind::CallClaim(record));
+    paused.observe(&ledger, hour(73));
+
+    assert!(!paused.is_owner());
+}
+
+/// Guards against unbounded memory for one key, and against a flood of claims that pushes out the
+/// owner.
+#[test]
+fn claims_per_key_are_bounded_and_keep_the_owner() {
+    let mut ledger = empty_ledger();
+    for claim_id in (1..500).rev() {
+        append(&mut ledger, Kind::CallClaim(note(claim_id, 1, 0).to_wire(&key(), None)));
+    }
+
+    let history = ledger.history(&key()).expect("it was claimed");
+    assert_eq!(history.owner().map(|owner| owner.claim_id), Some(ClaimId(499)));
+    assert!(history.open_claims().len() <= 64);
+}
--- /dev/null
+++ b/crates/state/tests/all/checkers/at_most_once.rs
@@ -0,0 +1,26 @@
+//! Invariant 7: a call that is not idempotent runs at most once, and every answer is that of the
+//! run of its own request (invariant 5).
+
+use std::collections::BTreeMap;
+
+use super::{CallEvent, Finding};
+
+/// Checks a trace within one call window.
+pub fn check(trace: &[CallEvent]) -> Finding {
+    let mut runs: BTreeMap<usize, (u8, u64)> = BTreeMap::new();
+    for event in trace {
+        if let CallEvent::Ran { key, digest, run, .. } = event
+            && let Some((_, first)) = runs.insert(*key, (*digest, *run))
+        {
+            return Err(format!("key {key} ran twice, as run {first} and run {run}"));
+        }
+    }
+    for event in trace {
+        if let CallEvent::ToldAnswer { key, digest, run } = event
+            && runs.get(key) != Some(&(*digest, *run))
+        {
+            return Err(format!("key {key} was answered with run {run} of another request"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/state/tests/all/checkers/monotone_plan.rs
@@ -0,0 +1,32 @@
+//! Invariant 10: an accepted plan never reverts and is the same on all VMs.
+
+use std::collections::BTreeMap;
+
+use super::Finding;
+
+/// Plan in force on one VM at some moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlanSighting {
+    /// Incarnation of the VM.
+    pub vm: u128,
+    /// Revision in force.
+    pub revision: u64,
+    /// Body in force.
+    pub body: Vec<u8>,
+}
+
+/// Checks sightings in the order in which they were made. `truth` has the body per revision.
+pub fn check(trace: &[PlanSighting], truth: &BTreeMap<u64, Vec<u8>>) -> Finding {
+    let mut highest: BTreeMap<u128, u64> = BTreeMap::new();
+    for sighting in trace {
+        let PlanSighting { vm, revision, body } = sighting;
+        let before = highest.insert(*vm, *revision).unwrap_or(0);
+        if *revision < before {
+            return Err(format!("VM {vm} went back from revision {before} to {revision}"));
+        }
+        if *revision > 0 && truth.get(revision) != Some(body) {
+            return Err(format!("VM {vm} has another plan as revision {revision}"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/state/tests/all/main.rs
@@ -0,0 +1,15 @@
+//! Tests of the replicated state under losses, duplicates, delays, pauses, restarts and
+//! truncation.
+
+mod batches;
+mod call_scenarios;
+mod calls;
+mod checkers;
+mod evidence;
+mod jobs;
+mod latches;
+mod members;
+mod plan_scenarios;
+mod plans;
+mod streams;
+mod support;
