--- /dev/null
+++ b/crates/bench/src/moves_run.rs
@@ -0,0 +1,285 @@
+//! One run of the version move experiment with the sequential policy.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use dragonflycart_core::{
+    Incarnation, ModelName, NameError, RouteName, VersionMove, VersionName, WallTime,
+};
+use dragonflycart_policy::{
+    MoveControl, MoveCounts, MoveEvidence, MoveJudge, MoveReason, MoveSettings, MoveSide, MoveState,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    MovesCase, MovesOutcome, MovesTraffic,
+    moves_case::{ROUTES, SPAN_S, VMS, WATCH_S},
+    moves_traffic::{TICK_S, TickCounts},
+};
+
+/// Start of the move on the wall clock.
+const START_S: f64 = 1_000_000.0;
+
+/// Traffic before the start, from which the request rates are known.
+const LEAD_S: f64 = 40.0;
+
+/// Counters of one bucket of one VM, per route and version.
+type BucketCounts = [[MoveCounts; 2]; ROUTES];
+
+/// Message between VMs.
+#[derive(Debug, Clone)]
+enum Message {
+    Counters { source: usize, bucket_s: u64, counts: Box<BucketCounts> },
+    Latch(MoveState),
+}
+
+/// One run: the control of each VM, their links and the record of what happened.
+#[derive(Debug)]
+pub struct MovesRun {
+    case: MovesCase,
+    rng: ChaCha8Rng,
+    routes: Vec<RouteName>,
+    controls: Vec<MoveControl>,
+    evidence: Vec<MoveEvidence>,
+    states: [MoveState; VMS],
+    ended: [Option<f64>; VMS],
+    shares: [[f64; ROUTES]; VMS],
+    own: Vec<BTreeMap<u64, BucketCounts>>,
+    links: BTreeMap<(usize, usize), VecDeque<(f64, Message)>>,
+    oracle: MoveJudge,
+    oracle_evidence: MoveEvidence,
+    sufficient: Option<f64>,
+    reported: bool,
+    reason: Option<(f64, MoveReason)>,
+}
+
+impl MovesRun {
+    /// Creates a run.
+    ///
+    /// # Errors
+    ///
+    /// Never in practice: the names are constants.
+    pub fn new(case: MovesCase) -> Result<MovesRun, NameError> {
+        let plan = VersionMove {
+            model: ModelName::new("assistant")?,
+            from: VersionName::new("v1")?,
+            to: VersionName::new("v2")?,
+            start: wall(0.0),
+            deadline: wall(SPAN_S),
+        };
+        let settings = MoveSettings {
+            watch: std::time::Duration::from_secs_f64(WATCH_S),
+            ..MoveSettings::default()
+        };
+        let mut instant = settings.clone();
+        instant.settle = std::time::Duration::ZERO;
+        let horizon = plan.deadline.since(plan.start) + settings.watch;
+        let routes = ["report", "classify", "draft", "lookup"];
+        let mut links = BTreeMap::new();
+        for a in 0..VMS {
+            for b in 0..VMS {
+                links.insert((a, b), VecDeque::new());
+            }
+        }
+        Ok(MovesRun {
+            rng: ChaCha8Rng::seed_from_u64(case.seed ^ 0x6c69_6e6b),
+            routes: routes.iter().map(|name| RouteName::new(name)).collect::<Result<_, _>>()?,
+            controls: vec![MoveControl::new(&plan, settings, wall(-LEAD_S)); VMS],
+            evidence: vec![MoveEvidence::default(); VMS],
+            states: [MoveState::Running; VMS],
+            ended: [None; VMS],
+            shares: [[0.0; ROUTES]; VMS],
+            own: vec![BTreeMap::new(); VMS],
+            links,
+            oracle: MoveJudge::new(instant, plan.start, horizon),
+            oracle_evidence: MoveEvidence::default(),
+            sufficient: None,
+            reported: false,
+            reason: None,
+            case,
+        })
+    }
+
+    /// Runs the move and its watch.
+    pub fn run(mut self) -> MovesOutcome {
+        let mut traffic = MovesTraffic::new(self.case.seed);
+        let ticks = ((LEAD_S + SPAN_S + WATCH_S) / TICK_S) as u64;
+        let per_s = (1.0 / TICK_S) as u64;
+        for tick in 0..ticks {
+            let now = tick as f64 * TICK_S - LEAD_S;
+            let concluded = traffic.step(&self.case, now, &self.shares);
+            self.count(now, &concluded);
+            if (tick + 1) % per_s == 0 {
+                self.exchange(now + TICK_S);
+            }
+            self.deliver(now + TICK_S);
+            if (tick + 1) % 2 == 0 {
+                self.decide(now + TICK_S);
+            }
+            let rolled_back = self.states.iter().all(|state| *state == MoveState::RolledBack);
+            if rolled_back && self.reported && now > SPAN_S {
+                break;
+            }
+        }
+        self.outcome(&traffic)
+    }
+
+    /// Adds concluded requests to the counters of the VMs' current buckets.
+    fn count(&mut self, now: f64, concluded: &TickCounts) {
+        let bucket_s = wall(now).as_unix_millis() / 1_000;
+        for (vm, counts) in concluded.iter().enumerate() {
+            let own = self.own[vm].entry(bucket_s).or_default();
+            for (route, sides) in counts.iter().enumerate() {
+                for (side, added) in sides.iter().enumerate() {
+                    own[route][side] = own[route][side].plus(*added);
+                }
+            }
+        }
+    }
+
+    /// Sends the bucket that just ended to all peers, and after a partition what they missed.
+    fn exchange(&mut self, now: f64) {
+        let ended_s = wall(now).as_unix_millis() / 1_000 - 1;
+        for vm in 0..VMS {
+            let healed = self.case.partition.is_some_and(|(_, until)| (now - until).abs() < 0.5);
+            let first_s = if healed { 0 } else { ended_s };
+            let buckets: Vec<_> =
+                self.own[vm].range(first_s..=ended_s).map(|(s, counts)| (*s, *counts)).collect();
+            for (bucket_s, counts) in buckets {
+                let message = Message::Counters { source: vm, bucket_s, counts: Box::new(counts) };
+                if bucket_s == ended_s {
+                    self.apply(vm, message.clone());
+                }
+                self.broadcast(now, vm, &message);
+                if bucket_s == ended_s && self.is_reachable(vm, now) {
+                    merge(&mut self.oracle_evidence, &self.routes, vm, bucket_s, &counts);
+                }
+            }
+        }
+        self.oracle.absorb(&mut self.oracle_evidence, wall(now));
+        if self.sufficient.is_none() && self.oracle.rejection().is_some() {
+            self.sufficient = Some(now);
+        }
+    }
+
+    /// VMs outside of a zone that is cut off now.
+    fn is_reachable(&self, vm: usize, now: f64) -> bool {
+        self.case.connected(now, vm, VMS - 1)
+    }
+
+    fn broadcast(&mut self, now: f64, from: usize, message: &Message) {
+        for to in 0..VMS {
+            if to == from || !self.case.connected(now, from, to) {
+                continue;
+            }
+            // One message in 500 is late by seconds, as after a lost packet on a slow link.
+            let stall = if self.rng.random_bool(0.002) { 2.0 } else { 0.0 };
+            let arrival = now + self.rng.random_range(0.01..0.3) + stall;
+            if let Some(link) = self.links.get_mut(&(from, to)) {
+                link.push_back((arrival, message.clone()));
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: f64) {
+        let mut due = Vec::new();
+        for ((_, to), link) in &mut self.links {
+            // A link delivers in order, so a late message holds up those behind it.
+            while link.front().is_some_and(|(arrival, _)| *arrival <= now) {
+                due.extend(link.pop_front().map(|(_, message)| (*to, message)));
+            }
+        }
+        for (to, message) in due {
+            self.apply(to, message);
+        }
+    }
+
+    fn apply(&mut self, vm: usize, message: Message) {
+        match message {
+            Message::Latch(state) => self.states[vm] = self.states[vm].merge(state),
+            Message::Counters { source, bucket_s, counts } => {
+                merge(&mut self.evidence[vm], &self.routes, source, bucket_s, &counts);
+            }
+        }
+    }
+
+    fn decide(&mut self, now: f64) {
+        for vm in 0..VMS {
+            let latch = self.states[vm];
+            let decision = self.controls[vm].tick(wall(now), &mut self.evidence[vm], latch);
+            self.states[vm] = decision.state;
+            for (share, route) in self.shares[vm].iter_mut().zip(&self.routes) {
+                *share = decision.shares.share(route);
+            }
+            if decision.state != MoveState::Running && self.ended[vm].is_none() {
+                self.ended[vm] = Some(now);
+            }
+            if let Some(reason) = decision.entered {
+                if reason != MoveReason::Peer {
+                    self.reason = Some((now, reason));
+                }
+                self.reported = false;
+            }
+            // Latches are repeated with each decision, as heartbeats do.
+            if decision.state != MoveState::Running {
+                self.reported |= self.case.log_is_up(now);
+                self.broadcast_latch(now, vm, decision.state);
+            }
+        }
+    }
+
+    fn broadcast_latch(&mut self, now: f64, vm: usize, state: MoveState) {
+        let behind = self.states.iter().any(|known| *known < state);
+        if behind {
+            self.broadcast(now, vm, &Message::Latch(state));
+        }
+    }
+
+    fn outcome(&self, traffic: &MovesTraffic) -> MovesOutcome {
+        let in_time = self.ended.iter().all(|ended| ended.is_some_and(|ended| ended <= SPAN_S));
+        let first = self.states[0];
+        let mut last_new = f64::NEG_INFINITY;
+        for (vm, last) in traffic.last_new.iter().enumerate() {
+            if self.sufficient.is_some_and(|time| self.is_reachable(vm, time)) {
+                last_new = last_new.max(*last + TICK_S);
+            }
+        }
+        let (ended_s, reason) = match &self.reason {
+            Some((time, reason)) => (*time, reason.to_string()),
+            None => (f64::NAN, String::new()),
+        };
+        MovesOutcome {
+            scenario: self.case.scenario.to_string(),
+            policy: "sequential".into(),
+            seed: self.case.seed,
+            state: first.to_string(),
+            done_in_time: first == MoveState::Done && in_time,
+            late: !in_time || !self.reported,
+            split: self.states.iter().any(|state| *state != first),
+            ended_s,
+            new_requests: traffic.new_requests,
+            bad_requests: traffic.bad_requests,
+            reaction_s: self.sufficient.map(|time| (last_new - time).max(0.0)),
+            reason,
+        }
+    }
+}
+
+fn wall(time: f64) -> WallTime {
+    WallTime::from_unix_millis(((START_S + time) * 1_000.0).round() as u64)
+}
+
+fn merge(
+    evidence: &mut MoveEvidence,
+    routes: &[RouteName],
+    source: usize,
+    bucket_s: u64,
+    counts: &BucketCounts,
+) {
+    let source = Incarnation(source as u128 + 1);
+    for (route, sides) in routes.iter().zip(counts) {
+        for (side, counts) in [MoveSide::Old, MoveSide::New].into_iter().zip(sides) {
+            evidence.merge(source, bucket_s, (route, side), *counts);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/moves_summary.rs
@@ -0,0 +1,106 @@
+//! Summary of the version move experiment.
+
+use std::fmt;
+
+use crate::MovesOutcome;
+
+/// Summary of all runs of one scenario.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MovesSummary {
+    /// Scenario.
+    pub scenario: String,
+    /// Runs.
+    pub runs: usize,
+    /// Moves done by the deadline, in percent, with the policy and with the baseline.
+    pub done: [f64; 2],
+    /// Moves rolled back, in percent, with the policy and with the baseline.
+    pub rolled_back: [f64; 2],
+    /// Mean number of requests that a bad version got, with the policy and with the baseline.
+    pub bad_requests: [f64; 2],
+    /// Ratio of these means over the runs in which both rolled back.
+    pub paired_ratio: Option<f64>,
+    /// 50th and 100th percentile of the time from sufficient evidence to no new work.
+    pub reaction_s: Option<(f64, f64)>,
+    /// Moves that ended late or without a report, or with VMs that disagreed.
+    pub late: usize,
+}
+
+impl MovesSummary {
+    /// Summarizes the runs of one scenario, with the policy and with the baseline in the same
+    /// order of seeds.
+    pub fn new(policy: &[MovesOutcome], baseline: &[MovesOutcome]) -> MovesSummary {
+        let both = [policy, baseline];
+        let mut sums = [0.0, 0.0];
+        for (a, b) in policy.iter().zip(baseline) {
+            if is_rolled_back(a) && is_rolled_back(b) {
+                sums[0] += a.bad_requests as f64;
+                sums[1] += b.bad_requests as f64;
+            }
+        }
+        let mut reactions: Vec<f64> = policy.iter().filter_map(|run| run.reaction_s).collect();
+        reactions.sort_by(f64::total_cmp);
+        let reaction_s = reactions.last().map(|longest| (reactions[reactions.len() / 2], *longest));
+        MovesSummary {
+            scenario: policy.first().map(|run| run.scenario.clone()).unwrap_or_default(),
+            runs: policy.len(),
+            done: both.map(|runs| percent(runs, |run| run.done_in_time)),
+            rolled_back: both.map(|runs| percent(runs, is_rolled_back)),
+            bad_requests: both.map(|runs| {
+                runs.iter().map(|run| run.bad_requests as f64).sum::<f64>() / runs.len() as f64
+            }),
+            paired_ratio: (sums[1] > 0.0).then(|| sums[0] / sums[1]),
+            reaction_s,
+            late: policy.iter().filter(|run| run.late || run.split).count(),
+        }
+    }
+
+    /// Returns the heading of the table.
+    pub fn heading() -> String {
+        format!(
+            "{:<16}{:>5}{:>8}{:>8}{:>8}{:>8}{:>9}{:>9}{:>7}{:>7}{:>7}{:>7}{:>6}",
+            "scenario",
+            "runs",
+            "done%",
+            "base",
+            "back%",
+            "base",
+            "badreq",
+            "base",
+            "ratio",
+            "paired",
+            "p50 s",
+            "max s",
+            "late"
+        )
+    }
+}
+
+impl fmt::Display for MovesSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:<16}{:>5}", self.scenario, self.runs)?;
+        write!(f, "{:>8.1}{:>8.1}", self.done[0], self.done[1])?;
+        write!(f, "{:>8.1}{:>8.1}", self.rolled_back[0], self.rolled_back[1])?;
+        write!(f, "{:>9.0}{:>9.0}", self.bad_requests[0], self.bad_requests[1])?;
+        let ratio =
+            (self.bad_requests[1] > 0.0).then(|| self.bad_requests[0] / self.bad_requests[1]);
+        for value in [ratio, self.paired_ratio] {
+            match value {
+                Some(value) => write!(f, "{value:>7.2}")?,
+                None => write!(f, "{:>7}", "-")?,
+            }
+        }
+        match self.reaction_s {
+            Some((median, longest)) => write!(f, "{median:>7.2}{longest:>7.2}")?,
+            None => write!(f, "{:>7}{:>7}", "-", "-")?,
+        }
+        write!(f, "{:>6}", self.late)
+    }
+}
+
+fn is_rolled_back(run: &MovesOutcome) -> bool {
+    run.state == "rolled_back"
+}
+
+fn percent(runs: &[MovesOutcome], test: impl Fn(&MovesOutcome) -> bool) -> f64 {
+    100.0 * runs.iter().filter(|run| test(run)).count() as f64 / runs.len() as f64
+}
