Close a stratum on one new request beside many old ones

At a share of 2.5% a route waited up to 13 s for four requests of the new version before its stratum counted.

--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -2,10 +2,14 @@
 
 use crate::{MoveAlarm, MoveCounts, MoveMeasure, MoveProof, MoveSettings, MoveStratum, MoveTest};
 
-/// Requests of each version at which a stratum is closed. The rule looks only at the numbers of
+/// Requests of each version at which a stratum is closed. The rules look only at the numbers of
 /// requests, never at their outcomes, as the validity of the test requires.
 const STRATUM_REQUESTS: u64 = 4;
 
+/// Requests of one version at which a stratum is closed with a single request of the other. At a
+/// share of a few percent, waiting for more would delay the verdict by several seconds.
+const STRATUM_REQUESTS_BESIDE_ONE: u64 = 32;
+
 /// Span at which a stratum is closed even with fewer requests.
 const STRATUM_SPAN_S: u64 = 30;
 
@@ -54,8 +58,11 @@
     /// Returns whether the open stratum is large or old enough to be closed.
     pub fn is_ready(&self, now_s: u64) -> bool {
         let Some(since) = self.open_since else { return false };
-        let full = self.open.iter().all(|counts| counts.total() >= STRATUM_REQUESTS);
-        full || now_s >= since + STRATUM_SPAN_S
+        let totals = self.open.map(MoveCounts::total);
+        let (few, many) = (totals[0].min(totals[1]), totals[0].max(totals[1]));
+        few >= STRATUM_REQUESTS
+            || (few >= 1 && many >= STRATUM_REQUESTS_BESIDE_ONE)
+            || now_s >= since + STRATUM_SPAN_S
     }
 
     /// Closes the open stratum, feeds it to the tests and, if `proving`, to the proofs. Returns
