--- a/crates/bench/src/moves_baseline.rs
+++ b/crates/bench/src/moves_baseline.rs
@@ -5,7 +5,7 @@
 use crate::{
     MovesCase, MovesOutcome, MovesTraffic,
     moves_case::{ROUTES, SPAN_S, VMS, WATCH_S},
-    moves_traffic::{TICK_S, TickCounts},
+    moves_traffic::{Conclusion, TICK_S},
 };
 
 /// Share of the new version from a fraction of the time on.
@@ -73,9 +73,9 @@
         step.map_or(0.0, |(_, share)| share)
     }
 
-    fn count(&mut self, concluded: &TickCounts) {
-        for sides in concluded.iter().flatten() {
-            self.window = self.window.plus(sides[1]);
+    fn count(&mut self, concluded: &[Conclusion]) {
+        for conclusion in concluded.iter().filter(|conclusion| conclusion.side == 1) {
+            self.window = self.window.plus(conclusion.counts);
         }
     }
 
--- a/crates/bench/src/moves_run.rs
+++ b/crates/bench/src/moves_run.rs
@@ -14,7 +14,7 @@
 use crate::{
     MovesCase, MovesOutcome, MovesTraffic,
     moves_case::{ROUTES, SPAN_S, VMS, WATCH_S},
-    moves_traffic::{TICK_S, TickCounts},
+    moves_traffic::{Conclusion, TICK_S},
 };
 
 /// Start of the move on the wall clock.
@@ -23,6 +23,9 @@
 /// Traffic before the start, from which the request rates are known.
 const LEAD_S: f64 = 40.0;
 
+/// Time after its end for which the counters of a bucket may change.
+const OPEN_BUCKETS_S: u64 = 5;
+
 /// Counters of one bucket of one VM, per route and version.
 type BucketCounts = [[MoveCounts; 2]; ROUTES];
 
@@ -107,7 +110,7 @@
         for tick in 0..ticks {
             let now = tick as f64 * TICK_S - LEAD_S;
             let concluded = traffic.step(&self.case, now, &self.shares);
-            self.count(now, &concluded);
+            self.count(&concluded);
             if (tick + 1) % per_s == 0 {
                 self.exchange(now + TICK_S);
             }
@@ -123,36 +126,34 @@
         self.outcome(&traffic)
     }
 
-    /// Adds concluded requests to the counters of the VMs' current buckets.
-    fn count(&mut self, now: f64, concluded: &TickCounts) {
-        let bucket_s = wall(now).as_unix_millis() / 1_000;
-        for (vm, counts) in concluded.iter().enumerate() {
-            let own = self.own[vm].entry(bucket_s).or_default();
-            for (route, sides) in counts.iter().enumerate() {
-                for (side, added) in sides.iter().enumerate() {
-                    own[route][side] = own[route][side].plus(*added);
-                }
-            }
+    /// Adds concluded requests to the counters of their VM.
+    fn count(&mut self, concluded: &[Conclusion]) {
+        for conclusion in concluded {
+            let bucket_s = wall(conclusion.started).as_unix_millis() / 1_000;
+            let own = self.own[conclusion.vm].entry(bucket_s).or_default();
+            let counts = &mut own[conclusion.route][conclusion.side];
+            *counts = counts.plus(conclusion.counts);
         }
     }
 
-    /// Sends the bucket that just ended to all peers, and after a partition what they missed.
+    /// Sends the buckets that may have changed to all peers, and after a partition all that they
+    /// missed.
     fn exchange(&mut self, now: f64) {
         let ended_s = wall(now).as_unix_millis() / 1_000 - 1;
+        let healed = self.case.partition.is_some_and(|(_, until)| (now - until).abs() < 0.5);
         for vm in 0..VMS {
-            let healed = self.case.partition.is_some_and(|(_, until)| (now - until).abs() < 0.5);
-            let first_s = if healed { 0 } else { ended_s };
+            let open_s = ended_s - OPEN_BUCKETS_S;
+            let first_s = if healed { 0 } else { open_s };
             let buckets: Vec<_> =
                 self.own[vm].range(first_s..=ended_s).map(|(s, counts)| (*s, *counts)).collect();
             for (bucket_s, counts) in buckets {
-                let message = Message::Counters { source: vm, bucket_s, counts: Box::new(counts) };
-                if bucket_s == ended_s {
-                    self.apply(vm, message.clone());
-                }
-                self.broadcast(now, vm, &message);
-                if bucket_s == ended_s && self.is_reachable(vm, now) {
+                let counts = Box::new(counts);
+                if bucket_s >= open_s && self.is_reachable(vm, now) {
                     merge(&mut self.oracle_evidence, &self.routes, vm, bucket_s, &counts);
                 }
+                let message = Message::Counters { source: vm, bucket_s, counts };
+                self.apply(vm, message.clone());
+                self.broadcast(now, vm, &message);
             }
         }
         let state = MoveState::Running;
--- a/crates/bench/src/moves_traffic.rs
+++ b/crates/bench/src/moves_traffic.rs
@@ -14,15 +14,27 @@
 /// Latency objective; a request that is open for longer counts as slow.
 const OBJECTIVE_S: f64 = 4.0;
 
-/// Counters per VM, route and version.
-pub type TickCounts = [[[MoveCounts; 2]; ROUTES]; VMS];
+/// One concluded request.
+#[derive(Debug, Clone, Copy)]
+pub struct Conclusion {
+    /// VM that sent the request.
+    pub vm: usize,
+    /// Route.
+    pub route: usize,
+    /// Version: 0 old, 1 new.
+    pub side: usize,
+    /// Start of the request.
+    pub started: f64,
+    /// Outcome.
+    pub counts: MoveCounts,
+}
 
 /// Traffic of one run: draws requests, their versions and their outcomes, and delays each outcome
 /// until the request concludes.
 #[derive(Debug)]
 pub struct MovesTraffic {
     rng: ChaCha8Rng,
-    pending: VecDeque<TickCounts>,
+    pending: VecDeque<Vec<Conclusion>>,
     /// Requests sent to the new version.
     pub new_requests: u64,
     /// Requests sent to the new version while it was bad for them.
@@ -37,7 +49,7 @@
         let ticks = (OBJECTIVE_S / TICK_S) as usize + 2;
         MovesTraffic {
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0x7472_6166),
-            pending: VecDeque::from(vec![TickCounts::default(); ticks]),
+            pending: VecDeque::from(vec![Vec::new(); ticks]),
             new_requests: 0,
             bad_requests: 0,
             last_new: [f64::NEG_INFINITY; VMS],
@@ -50,7 +62,7 @@
         case: &MovesCase,
         now: f64,
         shares: &[[f64; ROUTES]; VMS],
-    ) -> TickCounts {
+    ) -> Vec<Conclusion> {
         let mut weighted = 0.0;
         for row in shares {
             for (route, share) in row.iter().enumerate() {
@@ -68,7 +80,7 @@
             }
         }
         let concluded = self.pending.pop_front().unwrap_or_default();
-        self.pending.push_back(TickCounts::default());
+        self.pending.push_back(Vec::new());
         concluded
     }
 
@@ -97,8 +109,7 @@
             (-self.rng.random::<f64>().max(1e-9).ln()).clamp(0.1, OBJECTIVE_S)
         };
         let tick = (latency / TICK_S) as usize;
-        let slot = &mut self.pending[tick][vm][route][side];
-        *slot = slot.plus(counts);
+        self.pending[tick].push(Conclusion { vm, route, side, started: now, counts });
     }
 
     fn poisson(&mut self, mean: f64) -> u32 {
--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -1,5 +1,7 @@
 //! Comparison of the two versions on one route.
 
+use std::collections::BTreeMap;
+
 use crate::{MoveAlarm, MoveCounts, MoveMeasure, MoveProof, MoveSettings, MoveStratum, MoveTest};
 
 /// Requests of each version at which a stratum is closed. The rules look only at the numbers of
@@ -13,11 +15,10 @@
 /// Span at which a stratum is closed even with fewer requests.
 const STRATUM_SPAN_S: u64 = 30;
 
-/// Comparison on one route: the open stratum and the tests fed with the closed ones.
+/// Comparison on one route: the open stratum of each epoch and the tests fed with the closed ones.
 #[derive(Debug, Clone)]
 pub struct MoveComparison {
-    open: [MoveCounts; 2],
-    open_since: Option<u64>,
+    open: BTreeMap<usize, (u64, [MoveCounts; 2])>,
     tests: [MoveTest; 2],
     proofs: [MoveProof; 2],
     alarms: [MoveAlarm; 2],
@@ -31,8 +32,7 @@
         test.open_segment(weight);
         let tolerances = [settings.failed_tolerance, settings.slow_tolerance];
         MoveComparison {
-            open: [MoveCounts::default(); 2],
-            open_since: None,
+            open: BTreeMap::new(),
             tests: [test.clone(), test],
             proofs: tolerances.map(MoveProof::new),
             alarms: tolerances.map(MoveAlarm::new),
@@ -40,44 +40,42 @@
         }
     }
 
-    /// Adds newly settled counters of a bucket. Returns whether an alarm is raised.
-    pub fn add(&mut self, bucket_s: u64, counts: [MoveCounts; 2]) -> bool {
+    /// Adds newly settled counters of a bucket to the stratum of its epoch, if it has one. Returns
+    /// whether an alarm is raised.
+    pub fn add(&mut self, bucket_s: u64, epoch: Option<usize>, counts: [MoveCounts; 2]) -> bool {
         let mut alarmed = false;
         for (measure, alarm) in MoveMeasure::ALL.into_iter().zip(&mut self.alarms) {
             let (requests, bad) = measure.trials(counts[1]);
             alarmed |= alarm.absorb(requests, bad);
         }
         for (side, added) in counts.into_iter().enumerate() {
-            self.open[side] = self.open[side].plus(added);
             self.totals[side] = self.totals[side].plus(added);
         }
-        self.open_since.get_or_insert(bucket_s);
+        if let Some(epoch) = epoch {
+            let (_, open) = self.open.entry(epoch).or_insert((bucket_s, Default::default()));
+            *open = [open[0].plus(counts[0]), open[1].plus(counts[1])];
+        }
         alarmed
     }
 
-    /// Returns whether the open stratum is large or old enough to be closed.
-    pub fn is_ready(&self, now_s: u64) -> bool {
-        let Some(since) = self.open_since else { return false };
-        let totals = self.open.map(MoveCounts::total);
-        let (few, many) = (totals[0].min(totals[1]), totals[0].max(totals[1]));
-        few >= STRATUM_REQUESTS
-            || (few >= 1 && many >= STRATUM_REQUESTS_BESIDE_ONE)
-            || now_s >= since + STRATUM_SPAN_S
-    }
-
-    /// Closes the open stratum, feeds it to the tests and, if `proving`, to the proofs. Returns
-    /// the stratum of each measure.
-    pub fn close_stratum(&mut self, proving: bool) -> [MoveStratum; 2] {
-        let open = std::mem::take(&mut self.open);
-        self.open_since = None;
-        let strata = MoveMeasure::ALL.map(|measure| measure.stratum(open));
-        for (index, stratum) in strata.iter().enumerate() {
+    /// Closes each open stratum that is large or old enough, feeds it to the tests and, if
+    /// `proving`, to the proofs. Returns the closed strata of each measure.
+    pub fn close_ready(&mut self, now_s: u64, proving: bool) -> Vec<[MoveStratum; 2]> {
+        let mut closed = Vec::new();
+        self.open.retain(|_, (since_s, counts)| {
+            let ready = is_ready(*since_s, counts.map(MoveCounts::total), now_s);
+            if ready {
+                closed.push(MoveMeasure::ALL.map(|measure| measure.stratum(*counts)));
+            }
+            !ready
+        });
+        for (index, stratum) in closed.iter().flat_map(|strata| strata.iter().enumerate()) {
             self.tests[index].absorb(stratum);
             if proving {
                 self.proofs[index].absorb(stratum);
             }
         }
-        strata
+        closed
     }
 
     /// Adds weight to the tests for a version that turns bad now.
@@ -102,3 +100,10 @@
         self.totals
     }
 }
+
+fn is_ready(since_s: u64, totals: [u64; 2], now_s: u64) -> bool {
+    let (few, many) = (totals[0].min(totals[1]), totals[0].max(totals[1]));
+    few >= STRATUM_REQUESTS
+        || (few >= 1 && many >= STRATUM_REQUESTS_BESIDE_ONE)
+        || now_s >= since_s + STRATUM_SPAN_S
+}
--- a/crates/policy/src/move_control.rs
+++ b/crates/policy/src/move_control.rs
@@ -41,7 +41,6 @@
     state: MoveState,
     created: WallTime,
     watch_until: WallTime,
-    held: bool,
 }
 
 impl MoveControl {
@@ -55,7 +54,6 @@
             state: MoveState::Running,
             created: now,
             watch_until: plan.deadline.after(settings.watch),
-            held: false,
             settings,
         }
     }
@@ -162,16 +160,13 @@
 
     fn shares(&mut self, now: WallTime, evidence: &MoveEvidence) -> MoveShares {
         let held = self.is_alarmed(now);
-        if held != self.held {
-            self.held = held;
-            self.judge.cut_strata();
-        }
         let limit = if held { ALARM_SHARE } else { 1.0 };
         let shares = match self.state {
             MoveState::RolledBack => MoveShares::default(),
             MoveState::Done => MoveShares::uniform(limit),
             MoveState::Running => self.running_shares(now, evidence, limit),
         };
+        self.judge.note_shares(now, &shares);
         self.judge.set_proving(shares.overall >= PROOF_SHARE && !held);
         shares
     }
@@ -205,7 +200,8 @@
     }
 
     fn rates(&self, now: WallTime, evidence: &MoveEvidence) -> BTreeMap<RouteName, f64> {
-        let end_s = self.judge.settled_s(now);
+        let objective_s = self.settings.objective.as_secs();
+        let end_s = self.judge.settled_s(now).saturating_sub(objective_s);
         let mut rates = BTreeMap::new();
         for window_s in RATE_WINDOWS_S {
             for (route, total) in evidence.totals(end_s.saturating_sub(window_s), end_s) {
--- a/crates/policy/src/move_counts.rs
+++ b/crates/policy/src/move_counts.rs
@@ -1,7 +1,7 @@
 //! Counters of one version on one route within one time bucket.
 
-/// Concluded requests. Each request is counted once, in the bucket in which it concluded: when it
-/// finishes, when it fails, or when it exceeds the latency objective while still open (then as
+/// Concluded requests. Each request is counted once, in the bucket in which it was started: when
+/// it finishes, when it fails, or when it exceeds the latency objective while still open (then as
 /// finished and slow). A version that never answers is therefore seen as slow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct MoveCounts {
--- a/crates/policy/src/move_evidence.rs
+++ b/crates/policy/src/move_evidence.rs
@@ -32,7 +32,7 @@
         (route, side): (&RouteName, MoveSide),
         counts: MoveCounts,
     ) {
-        if bucket_s < self.first_s {
+        if bucket_s < self.first_s || counts.total() == 0 {
             return;
         }
         let sources = self.sources.entry(bucket_s).or_default();
--- a/crates/policy/src/move_judge.rs
+++ b/crates/policy/src/move_judge.rs
@@ -5,7 +5,8 @@
 use dragonflycart_core::{RouteName, WallTime};
 
 use crate::{
-    MoveComparison, MoveCounts, MoveEvidence, MoveMeasure, MoveReason, MoveSettings, MoveTest,
+    MoveComparison, MoveCounts, MoveEpochs, MoveEvidence, MoveMeasure, MoveReason, MoveSettings,
+    MoveShares, MoveTest,
 };
 
 /// Routes with a weight of their own in the combined evidence; further routes are tested only as
@@ -28,6 +29,7 @@
     segments: u64,
     seen: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
     routes: BTreeMap<RouteName, MoveComparison>,
+    epochs: BTreeMap<RouteName, MoveEpochs>,
     overall: [MoveTest; 2],
     proving: bool,
     alarm_s: Option<u64>,
@@ -44,6 +46,7 @@
             segments: 0,
             seen: BTreeMap::new(),
             routes: BTreeMap::new(),
+            epochs: BTreeMap::new(),
             overall: [test.clone(), test],
             proving: false,
             alarm_s: None,
@@ -63,7 +66,8 @@
             let seen = self.seen.entry((bucket_s, route.clone())).or_default();
             let added = [sums[0].since(seen[0]), sums[1].since(seen[1])];
             *seen = sums;
-            if self.comparison(route).add(bucket_s, added) {
+            let epoch = self.epochs.get(&route).map_or(Some(0), |epochs| epochs.epoch(bucket_s));
+            if self.comparison(route).add(bucket_s, epoch, added) {
                 self.alarm_s = self.alarm_s.max(Some(bucket_s));
             }
         }
@@ -78,11 +82,12 @@
         self.seen.retain(|key, _| key.0 >= first_s);
     }
 
-    /// Closes all strata, so that none spans a change of the share.
-    pub fn cut_strata(&mut self) {
-        let routes: Vec<_> = self.routes.keys().cloned().collect();
-        for route in routes {
-            self.close_ready(&route, u64::MAX);
+    /// Notes the shares that are in effect from now on.
+    pub fn note_shares(&mut self, now: WallTime, shares: &MoveShares) {
+        let now_s = now.as_unix_millis() / 1_000;
+        for route in self.routes.keys().chain(shares.routes.keys()) {
+            let epochs = self.epochs.entry(route.clone()).or_default();
+            epochs.observe(now_s, shares.share(route));
         }
     }
 
@@ -149,12 +154,10 @@
 
     fn close_ready(&mut self, route: &RouteName, now_s: u64) {
         let Some(comparison) = self.routes.get_mut(route) else { return };
-        if !comparison.is_ready(now_s) {
-            return;
-        }
-        let strata = comparison.close_stratum(self.proving);
-        for (test, stratum) in self.overall.iter_mut().zip(&strata) {
-            test.absorb(stratum);
+        for strata in comparison.close_ready(now_s, self.proving) {
+            for (test, stratum) in self.overall.iter_mut().zip(&strata) {
+                test.absorb(stratum);
+            }
         }
     }
 
--- a/crates/policy/src/move_settings.rs
+++ b/crates/policy/src/move_settings.rs
@@ -23,6 +23,8 @@
     /// Requests below which a route of the new version can't be judged. A route that had no more
     /// than this over the whole move does not block it.
     pub route_floor: u64,
+    /// Latency objective: time after its start at which a request is counted at the latest.
+    pub objective: Duration,
     /// Time after the end of a bucket until its counters from other VMs have normally arrived.
     pub settle: Duration,
     /// Time for which the new version is watched after the deadline, with the old one loaded.
@@ -41,6 +43,7 @@
             slow_tolerance: 0.15,
             risk_cap: 24.0,
             route_floor: 30,
+            objective: Duration::from_secs(4),
             settle: Duration::from_secs(1),
             watch: Duration::from_secs(1_800),
             retention: Duration::from_secs(1_800),
