Test periods of high share apart and require a quiet time before a move is done

A version that is bad only under load is good between two attempts at a high share, and the common test forgot the evidence of the attempts. A move is now done only if no alarm was raised for a tenth of its time.

--- a/crates/bench/src/moves_run.rs
+++ b/crates/bench/src/moves_run.rs
@@ -6,7 +6,7 @@
     Incarnation, ModelName, NameError, RouteName, VersionMove, VersionName, WallTime,
 };
 use dragonflycart_policy::{
-    MoveControl, MoveCounts, MoveEvidence, MoveReason, MoveSettings, MoveSide, MoveState,
+    MoveControl, MoveCounts, MoveEvidence, MoveJudge, MoveReason, MoveSettings, MoveSide, MoveState,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -49,7 +49,7 @@
     shares: [[f64; ROUTES]; VMS],
     own: Vec<BTreeMap<u64, BucketCounts>>,
     links: BTreeMap<(usize, usize), VecDeque<(f64, Message)>>,
-    oracle: MoveControl,
+    oracle: MoveJudge,
     oracle_evidence: MoveEvidence,
     sufficient: Option<f64>,
     reported: bool,
@@ -74,8 +74,7 @@
             watch: std::time::Duration::from_secs_f64(WATCH_S),
             ..MoveSettings::default()
         };
-        let mut instant = settings.clone();
-        instant.settle = std::time::Duration::ZERO;
+        let horizon = plan.deadline.since(plan.start) + settings.watch;
         let routes = ["report", "classify", "draft", "lookup"];
         let mut links = BTreeMap::new();
         for a in 0..VMS {
@@ -86,14 +85,14 @@
         Ok(MovesRun {
             rng: ChaCha8Rng::seed_from_u64(case.seed ^ 0x6c69_6e6b),
             routes: routes.iter().map(|name| RouteName::new(name)).collect::<Result<_, _>>()?,
-            controls: vec![MoveControl::new(&plan, settings, wall(-LEAD_S)); VMS],
+            controls: vec![MoveControl::new(&plan, settings.clone(), wall(-LEAD_S)); VMS],
             evidence: vec![MoveEvidence::default(); VMS],
             states: [MoveState::Running; VMS],
             ended: [None; VMS],
             shares: [[0.0; ROUTES]; VMS],
             own: vec![BTreeMap::new(); VMS],
             links,
-            oracle: MoveControl::new(&plan, instant, wall(-LEAD_S)),
+            oracle: MoveJudge::new(settings, plan.start, horizon),
             oracle_evidence: MoveEvidence::default(),
             sufficient: None,
             reported: false,
@@ -156,10 +155,10 @@
                 self.broadcast(now, vm, &message);
             }
         }
-        let state = MoveState::Running;
-        self.oracle.tick(wall(now), &mut self.oracle_evidence, state);
-        if self.sufficient.is_none() && self.oracle.judge().rejection().is_some() {
-            self.sufficient = Some(now);
+        self.oracle.absorb(&mut self.oracle_evidence, wall(now));
+        if self.sufficient.is_none() && self.oracle.rejection().is_some() {
+            // The evidence was complete when its last bucket ended, before it settled.
+            self.sufficient = Some(now - MoveSettings::default().settle.as_secs_f64());
         }
     }
 
@@ -209,6 +208,9 @@
             let latch = self.states[vm];
             let decision = self.controls[vm].tick(wall(now), &mut self.evidence[vm], latch);
             self.states[vm] = decision.state;
+            if vm == VMS - 1 {
+                self.oracle.note_shares(wall(now), &decision.shares);
+            }
             for (share, route) in self.shares[vm].iter_mut().zip(&self.routes) {
                 *share = decision.shares.share(route);
             }
--- a/crates/policy/src/move_control.rs
+++ b/crates/policy/src/move_control.rs
@@ -28,6 +28,9 @@
 /// Time for which an alarm lowers the share.
 const ALARM_HOLD_S: u64 = 20;
 
+/// Fraction of the time of the move that must have passed since the last alarm before it is done.
+const QUIET_FRACTION: u32 = 10;
+
 /// Evidence against the new version at which the share stops growing.
 const HOLD_EVIDENCE: f64 = 2.0;
 
@@ -150,16 +153,17 @@
 
     /// Returns whether an alarm was raised lately or the evidence leans against the version.
     fn is_doubtful(&self, now: WallTime) -> bool {
-        self.is_alarmed(now) || self.judge.evidence() >= HOLD_EVIDENCE
+        let quiet_s = (self.pace.span() / QUIET_FRACTION).as_secs().max(ALARM_HOLD_S);
+        self.is_alarmed(now, quiet_s) || self.judge.evidence() >= HOLD_EVIDENCE
     }
 
-    fn is_alarmed(&self, now: WallTime) -> bool {
+    fn is_alarmed(&self, now: WallTime, hold_s: u64) -> bool {
         let now_s = self.judge.settled_s(now);
-        self.judge.last_alarm_s().is_some_and(|alarm_s| now_s < alarm_s + ALARM_HOLD_S)
+        self.judge.last_alarm_s().is_some_and(|alarm_s| now_s < alarm_s + hold_s)
     }
 
     fn shares(&mut self, now: WallTime, evidence: &MoveEvidence) -> MoveShares {
-        let held = self.is_alarmed(now);
+        let held = self.is_alarmed(now, ALARM_HOLD_S);
         let limit = if held { ALARM_SHARE } else { 1.0 };
         let shares = match self.state {
             MoveState::RolledBack => MoveShares::default(),
--- a/crates/policy/src/move_epochs.rs
+++ b/crates/policy/src/move_epochs.rs
@@ -7,8 +7,8 @@
 /// Factor between two consecutive shares from which a decrease leaves out the buckets around it.
 const ABRUPT_ODDS: f64 = 1.3;
 
-/// Buckets left out on each side of an abrupt decrease, while the VMs change their shares.
-const BLIND_S: u64 = 1;
+/// Buckets left out from an abrupt decrease on, while the VMs change their shares.
+const BLIND_S: u64 = 2;
 
 /// Shares are clamped to this distance from 0 and 1.
 const SHARE_EDGE: f64 = 1e-4;
@@ -40,7 +40,7 @@
 
     /// Returns the epoch of a bucket, or `None` if the share changed too much around it.
     pub fn epoch(&self, bucket_s: u64) -> Option<usize> {
-        let blind = self.blind.iter().rev().any(|blind_s| blind_s.abs_diff(bucket_s) <= BLIND_S);
+        let blind = self.blind.iter().any(|from| (*from..from + BLIND_S).contains(&bucket_s));
         (!blind).then(|| self.starts.partition_point(|(start_s, _)| *start_s <= bucket_s))
     }
 }
--- a/crates/policy/src/move_judge.rs
+++ b/crates/policy/src/move_judge.rs
@@ -13,13 +13,26 @@
 /// part of all routes together.
 const JUDGED_ROUTES: usize = 8;
 
+/// Weight of the test over all routes in the combined evidence. The weights of both measures add
+/// up to 1.
+const OVERALL_WEIGHT: f64 = 0.2;
+
+/// Weight of the test over the strata in which at least half of the requests went to the new
+/// version. A version that is bad only under load is good between two attempts at a high share;
+/// the other tests would forget the evidence of the attempts.
+const LOADED_WEIGHT: f64 = 0.1;
+
+/// Weight of the tests of all single routes together.
+const ROUTES_WEIGHT: f64 = 0.2;
+
 /// Weight of a version that is bad from the start; the rest is spread over later segments.
 const START_WEIGHT: f64 = 0.5;
 
 /// Times at which the test allows for a version that turns bad.
 const SEGMENTS: u64 = 64;
 
-/// Judgement of a new version: one comparison per route and one over all routes. It takes each
+/// Judgement of a new version: one comparison per route, one over all
+/// routes and one over periods with a high share. It takes each
 /// settled counter into account once, so late evidence is used when it arrives.
 #[derive(Debug, Clone)]
 pub struct MoveJudge {
@@ -31,6 +44,7 @@
     routes: BTreeMap<RouteName, MoveComparison>,
     epochs: BTreeMap<RouteName, MoveEpochs>,
     overall: [MoveTest; 2],
+    loaded: [MoveTest; 2],
     proving: bool,
     alarm_s: Option<u64>,
 }
@@ -47,7 +61,8 @@
             seen: BTreeMap::new(),
             routes: BTreeMap::new(),
             epochs: BTreeMap::new(),
-            overall: [test.clone(), test],
+            overall: [test.clone(), test.clone()],
+            loaded: [test.clone(), test],
             proving: false,
             alarm_s: None,
             settings,
@@ -133,10 +148,11 @@
     fn weighted_tests(
         &self,
     ) -> impl Iterator<Item = (f64, Option<&RouteName>, MoveMeasure, &MoveTest)> {
-        let overall = MoveMeasure::ALL
-            .into_iter()
-            .map(|measure| (0.25, None, measure, &self.overall[measure as usize]));
-        let share = 0.25 / JUDGED_ROUTES as f64;
+        let overall = MoveMeasure::ALL.into_iter().flat_map(|measure| {
+            let overall = (OVERALL_WEIGHT, None, measure, &self.overall[measure as usize]);
+            [overall, (LOADED_WEIGHT, None, measure, &self.loaded[measure as usize])]
+        });
+        let share = ROUTES_WEIGHT / JUDGED_ROUTES as f64;
         let routes = self.routes.iter().take(JUDGED_ROUTES).flat_map(move |(route, comparison)| {
             MoveMeasure::ALL
                 .into_iter()
@@ -158,6 +174,11 @@
             for (test, stratum) in self.overall.iter_mut().zip(&strata) {
                 test.absorb(stratum);
             }
+            for (test, stratum) in self.loaded.iter_mut().zip(&strata) {
+                if stratum.new >= stratum.old {
+                    test.absorb(stratum);
+                }
+            }
         }
     }
 
@@ -166,7 +187,7 @@
         while self.segments < due {
             self.segments += 1;
             let weight = (1.0 - START_WEIGHT) / SEGMENTS as f64;
-            for test in &mut self.overall {
+            for test in self.overall.iter_mut().chain(&mut self.loaded) {
                 test.open_segment(weight);
             }
             for comparison in self.routes.values_mut() {
