--- a/crates/policy/src/move_control.rs
+++ b/crates/policy/src/move_control.rs
@@ -28,6 +28,9 @@
 /// Time for which an alarm lowers the share.
 const ALARM_HOLD_S: u64 = 20;
 
+/// Fraction of the time of the move that must have passed since the last alarm before it is done.
+const QUIET_FRACTION: u32 = 10;
+
 /// Evidence against the new version at which the share stops growing.
 const HOLD_EVIDENCE: f64 = 2.0;
 
@@ -41,7 +44,6 @@
     state: MoveState,
     created: WallTime,
     watch_until: WallTime,
-    held: bool,
 }
 
 impl MoveControl {
@@ -55,7 +57,6 @@
             state: MoveState::Running,
             created: now,
             watch_until: plan.deadline.after(settings.watch),
-            held: false,
             settings,
         }
     }
@@ -152,26 +153,24 @@
 
     /// Returns whether an alarm was raised lately or the evidence leans against the version.
     fn is_doubtful(&self, now: WallTime) -> bool {
-        self.is_alarmed(now) || self.judge.evidence() >= HOLD_EVIDENCE
+        let quiet_s = (self.pace.span() / QUIET_FRACTION).as_secs().max(ALARM_HOLD_S);
+        self.is_alarmed(now, quiet_s) || self.judge.evidence() >= HOLD_EVIDENCE
     }
 
-    fn is_alarmed(&self, now: WallTime) -> bool {
+    fn is_alarmed(&self, now: WallTime, hold_s: u64) -> bool {
         let now_s = self.judge.settled_s(now);
-        self.judge.last_alarm_s().is_some_and(|alarm_s| now_s < alarm_s + ALARM_HOLD_S)
+        self.judge.last_alarm_s().is_some_and(|alarm_s| now_s < alarm_s + hold_s)
     }
 
     fn shares(&mut self, now: WallTime, evidence: &MoveEvidence) -> MoveShares {
-        let held = self.is_alarmed(now);
-        if held != self.held {
-            self.held = held;
-            self.judge.cut_strata();
-        }
+        let held = self.is_alarmed(now, ALARM_HOLD_S);
         let limit = if held { ALARM_SHARE } else { 1.0 };
         let shares = match self.state {
             MoveState::RolledBack => MoveShares::default(),
             MoveState::Done => MoveShares::uniform(limit),
             MoveState::Running => self.running_shares(now, evidence, limit),
         };
+        self.judge.note_shares(now, &shares);
         self.judge.set_proving(shares.overall >= PROOF_SHARE && !held);
         shares
     }
@@ -205,7 +204,8 @@
     }
 
     fn rates(&self, now: WallTime, evidence: &MoveEvidence) -> BTreeMap<RouteName, f64> {
-        let end_s = self.judge.settled_s(now);
+        let objective_s = self.settings.objective.as_secs();
+        let end_s = self.judge.settled_s(now).saturating_sub(objective_s);
         let mut rates = BTreeMap::new();
         for window_s in RATE_WINDOWS_S {
             for (route, total) in evidence.totals(end_s.saturating_sub(window_s), end_s) {
--- a/crates/policy/src/move_judge.rs
+++ b/crates/policy/src/move_judge.rs
@@ -5,20 +5,34 @@
 use dragonflycart_core::{RouteName, WallTime};
 
 use crate::{
-    MoveComparison, MoveCounts, MoveEvidence, MoveMeasure, MoveReason, MoveSettings, MoveTest,
+    MoveComparison, MoveCounts, MoveEpochs, MoveEvidence, MoveMeasure, MoveReason, MoveSettings,
+    MoveShares, MoveTest,
 };
 
 /// Routes with a weight of their own in the combined evidence; further routes are tested only as
 /// part of all routes together.
 const JUDGED_ROUTES: usize = 8;
 
+/// Weight of the test over all routes in the combined evidence. The weights of both measures add
+/// up to 1.
+const OVERALL_WEIGHT: f64 = 0.2;
+
+/// Weight of the test over the strata in which at least half of the requests went to the new
+/// version. A version that is bad only under load is good between two attempts at a high share;
+/// the other tests would forget the evidence of the attempts.
+const LOADED_WEIGHT: f64 = 0.1;
+
+/// Weight of the tests of all single routes together.
+const ROUTES_WEIGHT: f64 = 0.2;
+
 /// Weight of a version that is bad from the start; the rest is spread over later segments.
 const START_WEIGHT: f64 = 0.5;
 
 /// Times at which the test allows for a version that turns bad.
 const SEGMENTS: u64 = 64;
 
-/// Judgement of a new version: one comparison per route and one over all routes. It takes each
+/// Judgement of a new version: one comparison per route, one over all
+/// routes and one over periods with a high share. It takes each
 /// settled counter into account once, so late evidence is used when it arrives.
 #[derive(Debug, Clone)]
 pub struct MoveJudge {
@@ -28,7 +42,9 @@
     segments: u64,
     seen: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
     routes: BTreeMap<RouteName, MoveComparison>,
+    epochs: BTreeMap<RouteName, MoveEpochs>,
     overall: [MoveTest; 2],
+    loaded: [MoveTest; 2],
     proving: bool,
     alarm_s: Option<u64>,
 }
@@ -44,7 +60,9 @@
             segments: 0,
             seen: BTreeMap::new(),
             routes: BTreeMap::new(),
-            overall: [test.clone(), test],
+            epochs: BTreeMap::new(),
+            overall: [test.clone(), test.clone()],
+            loaded: [test.clone(), test],
             proving: false,
             alarm_s: None,
             settings,
@@ -63,7 +81,8 @@
             let seen = self.seen.entry((bucket_s, route.clone())).or_default();
             let added = [sums[0].since(seen[0]), sums[1].since(seen[1])];
             *seen = sums;
-            if self.comparison(route).add(bucket_s, added) {
+            let epoch = self.epochs.get(&route).map_or(Some(0), |epochs| epochs.epoch(bucket_s));
+            if self.comparison(route).add(bucket_s, epoch, added) {
                 self.alarm_s = self.alarm_s.max(Some(bucket_s));
             }
         }
@@ -78,11 +97,12 @@
         self.seen.retain(|key, _| key.0 >= first_s);
     }
 
-    /// Closes all strata, so that none spans a change of the share.
-    pub fn cut_strata(&mut self) {
-        let routes: Vec<_> = self.routes.keys().cloned().collect();
-        for route in routes {
-            self.close_ready(&route, u64::MAX);
+    /// Notes the shares that are in effect from now on.
+    pub fn note_shares(&mut self, now: WallTime, shares: &MoveShares) {
+        let now_s = now.as_unix_millis() / 1_000;
+        for route in self.routes.keys().chain(shares.routes.keys()) {
+            let epochs = self.epochs.entry(route.clone()).or_default();
+            epochs.observe(now_s, shares.share(route));
         }
     }
 
@@ -128,10 +148,11 @@
     fn weighted_tests(
         &self,
     ) -> impl Iterator<Item = (f64, Option<&RouteName>, MoveMeasure, &MoveTest)> {
-        let overall = MoveMeasure::ALL
-            .into_iter()
-            .map(|measure| (0.25, None, measure, &self.overall[measure as usize]));
-        let share = 0.25 / JUDGED_ROUTES as f64;
+        let overall = MoveMeasure::ALL.into_iter().flat_map(|measure| {
+            let overall = (OVERALL_WEIGHT, None, measure, &self.overall[measure as usize]);
+            [overall, (LOADED_WEIGHT, None, measure, &self.loaded[measure as usize])]
+        });
+        let share = ROUTES_WEIGHT / JUDGED_ROUTES as f64;
         let routes = self.routes.iter().take(JUDGED_ROUTES).flat_map(move |(route, comparison)| {
             MoveMeasure::ALL
                 .into_iter()
@@ -149,12 +170,15 @@
 
     fn close_ready(&mut self, route: &RouteName, now_s: u64) {
         let Some(comparison) = self.routes.get_mut(route) else { return };
-        if !comparison.is_ready(now_s) {
-            return;
-        }
-        let strata = comparison.close_stratum(self.proving);
-        for (test, stratum) in self.overall.iter_mut().zip(&strata) {
-            test.absorb(stratum);
+        for strata in comparison.close_ready(now_s, self.proving) {
+            for (test, stratum) in self.overall.iter_mut().zip(&strata) {
+                test.absorb(stratum);
+            }
+            for (test, stratum) in self.loaded.iter_mut().zip(&strata) {
+                if stratum.new >= stratum.old {
+                    test.absorb(stratum);
+                }
+            }
         }
     }
 
@@ -163,7 +187,7 @@
         while self.segments < due {
             self.segments += 1;
             let weight = (1.0 - START_WEIGHT) / SEGMENTS as f64;
-            for test in &mut self.overall {
+            for test in self.overall.iter_mut().chain(&mut self.loaded) {
                 test.open_segment(weight);
             }
             for comparison in self.routes.values_mut() {
