--- /dev/null
+++ b/crates/bench/examples/scenario.rs
@@ -0,0 +1,89 @@
+//! Runs scenarios under every policy, prints the means and writes one CSV row per run.
+
+use std::{
+    error::Error,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use clap::{Arg, Command};
+use dragonflycart_bench::{RunRow, ScenarioKind, Simulation, mean_row, print_table};
+use dragonflycart_policy::policy_names;
+use strum::IntoEnumIterator;
+
+fn command() -> Command {
+    Command::new("scenario")
+        .about("Runs scenarios under every policy")
+        .arg(Arg::new("name").default_value("all").help("scenario, several with commas, or all"))
+        .arg(Arg::new("seeds").long("seeds").default_value("20"))
+        .arg(Arg::new("threads").long("threads").default_value("3"))
+        .arg(Arg::new("policies").long("policies").help("policies with commas; default all"))
+        .arg(Arg::new("csv").long("csv").help("file for one row per run"))
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let matches = command().get_matches();
+    let text = |name: &str| matches.get_one::<String>(name).cloned();
+    let seeds: u64 = text("seeds").unwrap_or_default().parse()?;
+    let threads: usize = text("threads").unwrap_or_default().parse()?;
+    let name = text("name").unwrap_or_default();
+    let mut kinds = Vec::new();
+    if name == "all" {
+        kinds.extend(ScenarioKind::iter());
+    } else {
+        for part in name.split(',') {
+            kinds.push(part.parse::<ScenarioKind>()?);
+        }
+    }
+    let policies: Vec<String> = match text("policies") {
+        Some(list) => list.split(',').map(str::to_owned).collect(),
+        None => policy_names().into_iter().map(str::to_owned).collect(),
+    };
+    let mut jobs = Vec::new();
+    for kind in kinds {
+        for policy in &policies {
+            for seed in 1..=seeds {
+                jobs.push((kind, policy.clone(), seed));
+            }
+        }
+    }
+    let rows = run_jobs(&jobs, threads);
+    let mut means = Vec::new();
+    for group in rows.chunk_by(|a, b| a.scenario == b.scenario && a.policy == b.policy) {
+        means.extend(mean_row(group));
+    }
+    print_table(&means);
+    if let Some(path) = text("csv") {
+        let mut writer = csv::Writer::from_path(path)?;
+        for row in &rows {
+            writer.serialize(row)?;
+        }
+        writer.flush()?;
+    }
+    Ok(())
+}
+
+fn run_jobs(jobs: &[(ScenarioKind, String, u64)], threads: usize) -> Vec<RunRow> {
+    let next = AtomicUsize::new(0);
+    let rows = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    let Some((kind, policy, seed)) = jobs.get(number) else {
+                        break;
+                    };
+                    let metrics = Simulation::new(kind.spec(), policy, *seed).run();
+                    let row = RunRow::new(kind.into(), policy, *seed, &metrics);
+                    rows.lock().expect("no run panicked").push((number, row));
+                }
+            });
+        }
+    });
+    let mut rows = rows.into_inner().expect("no run panicked");
+    rows.sort_by_key(|(number, _)| *number);
+    rows.into_iter().map(|(_, row)| row).collect()
+}
--- /dev/null
+++ b/crates/bench/src/engine_model.rs
@@ -0,0 +1,368 @@
+//! Model of an engine with continuous batching.
+
+use std::collections::VecDeque;
+
+use crate::EngineProfile;
+
+/// What a step of the engine resulted in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineEvent {
+    /// One more token of a request.
+    Token(usize),
+    /// A request reached its length.
+    Finished(usize),
+    /// A request was preempted.
+    Preempted(usize),
+}
+
+/// Request inside the engine.
+#[derive(Debug, Clone)]
+struct EngineSequence {
+    id: usize,
+    vm: usize,
+    priority: u8,
+    /// Prompt and output computed so far, in tokens; after a preemption all of it is computed
+    /// again.
+    context: u32,
+    length_left: u32,
+    prefill_left: u32,
+    prefix: Option<(u64, u32)>,
+}
+
+/// Snapshot from which load reports are made.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct EngineSnapshot {
+    pub(crate) instance: u64,
+    pub(crate) cold: bool,
+    pub(crate) bears: u32,
+    pub(crate) running: u32,
+    pub(crate) waiting: u32,
+    pub(crate) memory_used: u64,
+    pub(crate) preemptions: u64,
+    pub(crate) by_vm: Vec<u32>,
+}
+
+/// Model of an engine with continuous batching, driven step by step on virtual time in
+/// milliseconds.
+#[derive(Debug)]
+pub struct EngineModel {
+    profile: EngineProfile,
+    running: Vec<EngineSequence>,
+    waiting: VecDeque<EngineSequence>,
+    memory_used: u64,
+    preemptions: u64,
+    instance: u64,
+    alive: bool,
+    cold_since: Option<f64>,
+    arrivals_over: u32,
+    prefixes: VecDeque<u64>,
+    /// Cache events that are not published yet: time, sequence, digest, inserted.
+    cache_events: Vec<(u64, u64, bool)>,
+    cache_sequence: u64,
+    frozen: bool,
+    snapshot: EngineSnapshot,
+}
+
+impl EngineModel {
+    /// Builds a warm, empty engine.
+    pub fn new(profile: EngineProfile) -> EngineModel {
+        EngineModel {
+            profile,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            memory_used: 0,
+            preemptions: 0,
+            instance: 1,
+            alive: true,
+            cold_since: None,
+            arrivals_over: 0,
+            prefixes: VecDeque::new(),
+            cache_events: Vec::new(),
+            cache_sequence: 0,
+            frozen: false,
+            snapshot: EngineSnapshot::default(),
+        }
+    }
+
+    /// Returns whether the process runs.
+    pub fn is_alive(&self) -> bool {
+        self.alive
+    }
+
+    /// Returns the number of the process's run.
+    pub fn instance(&self) -> u64 {
+        self.instance
+    }
+
+    /// Returns the number of requests in the batch.
+    pub fn running(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Returns the number of requests in the engine.
+    pub fn requests(&self) -> u32 {
+        (self.running.len() + self.waiting.len()) as u32
+    }
+
+    /// Returns the tokens held in memory.
+    pub fn memory_used(&self) -> u64 {
+        self.memory_used
+    }
+
+    /// Returns the preemptions since the start of the process.
+    pub fn preemptions(&self) -> u64 {
+        self.preemptions
+    }
+
+    /// Returns the most concurrent requests that the engine can handle at `now`.
+    pub fn bears(&self, now: f64) -> u32 {
+        let Some(since) = self.cold_since else {
+            return self.profile.batch_limit;
+        };
+        let doublings = ((now - since) / self.profile.cold_step).max(0.0) as u32;
+        let limit = u64::from(self.profile.cold_limit) << doublings.min(16);
+        limit.min(u64::from(self.profile.batch_limit)) as u32
+    }
+
+    /// Returns whether the engine is in cold start at `now`.
+    pub fn is_cold(&self, now: f64) -> bool {
+        self.cold_since.is_some() && self.bears(now) < self.profile.batch_limit
+    }
+
+    /// Makes the engine cold, without a restart.
+    pub fn turn_cold(&mut self, now: f64) {
+        self.cold_since = Some(now);
+        self.arrivals_over = 0;
+    }
+
+    /// Stops updating the load report.
+    pub fn freeze_report(&mut self, frozen: bool) {
+        self.frozen = frozen;
+    }
+
+    /// Ends the process and returns the requests that were in it.
+    pub fn fail(&mut self) -> Vec<usize> {
+        self.alive = false;
+        self.memory_used = 0;
+        self.prefixes.clear();
+        let mut lost: Vec<usize> = self.running.drain(..).map(|sequence| sequence.id).collect();
+        lost.extend(self.waiting.drain(..).map(|sequence| sequence.id));
+        lost
+    }
+
+    /// Starts the next run of the process, which is cold.
+    pub fn restart(&mut self, now: f64) {
+        self.alive = true;
+        self.instance += 1;
+        self.preemptions = 0;
+        self.cache_sequence = 0;
+        self.turn_cold(now);
+    }
+
+    /// Takes a request. `done` tokens of its output were delivered earlier. Returns whether it is
+    /// over the limit of a cold engine; `must_fail` tells whether that makes the engine fail.
+    pub fn accept(&mut self, now: f64, request: NewSequence) -> bool {
+        self.waiting.push_back(EngineSequence {
+            id: request.id,
+            vm: request.vm,
+            priority: request.priority,
+            context: request.prompt + request.done,
+            length_left: request.length.saturating_sub(request.done).max(1),
+            prefill_left: 0,
+            prefix: request.prefix,
+        });
+        let over = self.is_cold(now) && self.requests() > self.bears(now);
+        self.arrivals_over += u32::from(over);
+        over
+    }
+
+    /// Returns whether the engine got so many requests over its cold limit that it fails.
+    pub fn must_fail(&self) -> bool {
+        self.arrivals_over > self.profile.cold_tolerance
+    }
+
+    /// Removes a request.
+    pub fn cancel(&mut self, id: usize) {
+        self.waiting.retain(|sequence| sequence.id != id);
+        if let Some(position) = self.running.iter().position(|sequence| sequence.id == id) {
+            let sequence = self.running.remove(position);
+            self.memory_used -= u64::from(sequence.context);
+        }
+    }
+
+    /// Begins a step: preempts if memory is full, admits waiting requests and returns the
+    /// duration of the step, or `None` if there is nothing to do.
+    pub fn begin_step(&mut self, now: f64, events: &mut Vec<EngineEvent>) -> Option<f64> {
+        let total = self.profile.memory_tokens;
+        while self.memory_used + self.decoding() > total && self.running.len() > 1 {
+            self.preempt(events);
+        }
+        self.admit();
+        if self.running.is_empty() {
+            return None;
+        }
+        let mut budget = self.profile.prefill_chunk;
+        for sequence in &mut self.running {
+            let part = sequence.prefill_left.min(budget);
+            sequence.prefill_left -= part;
+            budget -= part;
+        }
+        let prefilled = self.profile.prefill_chunk - budget;
+        let mut duration = self.profile.step_base
+            + self.profile.step_request * self.decoding() as f64
+            + self.profile.step_prefill * f64::from(prefilled)
+            + self.profile.step_memory * self.memory_used as f64 / 1_000.0;
+        if self.is_cold(now) {
+            duration *= self.profile.cold_slowdown;
+        }
+        Some(duration)
+    }
+
+    /// Ends a step: every request whose prompt is processed gets one token.
+    pub fn end_step(&mut self, events: &mut Vec<EngineEvent>) {
+        let mut position = 0;
+        while position < self.running.len() {
+            let sequence = &mut self.running[position];
+            if sequence.prefill_left > 0 {
+                position += 1;
+                continue;
+            }
+            sequence.context += 1;
+            sequence.length_left -= 1;
+            self.memory_used += 1;
+            events.push(EngineEvent::Token(sequence.id));
+            if sequence.length_left > 0 {
+                position += 1;
+                continue;
+            }
+            let sequence = self.running.remove(position);
+            self.memory_used -= u64::from(sequence.context);
+            events.push(EngineEvent::Finished(sequence.id));
+        }
+    }
+
+    fn decoding(&self) -> u64 {
+        self.running.iter().filter(|sequence| sequence.prefill_left == 0).count() as u64
+    }
+
+    /// Preempts the request of the lowest priority, among those the one with the fewest tokens.
+    fn preempt(&mut self, events: &mut Vec<EngineEvent>) {
+        let victim = self
+            .running
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, sequence)| (sequence.priority, sequence.context))
+            .map(|(position, _)| position);
+        let Some(position) = victim else {
+            return;
+        };
+        let mut sequence = self.running.remove(position);
+        self.memory_used -= u64::from(sequence.context);
+        self.preemptions += 1;
+        events.push(EngineEvent::Preempted(sequence.id));
+        sequence.prefill_left = 0;
+        self.waiting.push_front(sequence);
+    }
+
+    /// Moves waiting requests into the batch, the highest priority first.
+    fn admit(&mut self) {
+        let total = self.profile.memory_tokens;
+        let usable = (total as f64 * (1.0 - self.profile.watermark)) as u64;
+        while self.running.len() < self.profile.batch_limit as usize {
+            let highest = self.waiting.iter().map(|sequence| sequence.priority).max();
+            let Some(highest) = highest else {
+                break;
+            };
+            let first = self.waiting.iter().position(|sequence| sequence.priority == highest);
+            let Some(position) = first else {
+                break;
+            };
+            let needed = u64::from(self.waiting[position].context) + 1;
+            if self.memory_used + needed > usable && !self.running.is_empty() {
+                break;
+            }
+            let Some(mut sequence) = self.waiting.remove(position) else {
+                break;
+            };
+            self.memory_used += u64::from(sequence.context);
+            sequence.prefill_left = sequence.context - self.cached(&sequence);
+            self.running.push(sequence);
+        }
+    }
+
+    /// Looks up and updates the prefix cache. Returns the tokens that need not be computed.
+    fn cached(&mut self, sequence: &EngineSequence) -> u32 {
+        let Some((digest, tokens)) = sequence.prefix else {
+            return 0;
+        };
+        let known = self.prefixes.iter().position(|entry| *entry == digest);
+        if let Some(position) = known {
+            self.prefixes.remove(position);
+        } else {
+            self.publish(digest, true);
+        }
+        self.prefixes.push_back(digest);
+        if self.prefixes.len() > self.profile.cached_prefixes
+            && let Some(evicted) = self.prefixes.pop_front()
+        {
+            self.publish(evicted, false);
+        }
+        if known.is_some() { tokens.min(sequence.context - 1) } else { 0 }
+    }
+
+    fn publish(&mut self, digest: u64, inserted: bool) {
+        self.cache_sequence += 1;
+        if !self.cache_sequence.is_multiple_of(self.profile.cache_event_loss) {
+            self.cache_events.push((self.cache_sequence, digest, inserted));
+        }
+    }
+
+    /// Takes the cache events since the last call.
+    pub(crate) fn take_cache_events(&mut self) -> Vec<(u64, u64, bool)> {
+        std::mem::take(&mut self.cache_events)
+    }
+
+    /// Updates the snapshot that load reports are made from.
+    pub(crate) fn update_snapshot(&mut self, now: f64, vms: usize) {
+        if self.frozen {
+            return;
+        }
+        let mut by_vm = vec![0; vms];
+        for sequence in self.running.iter().chain(&self.waiting) {
+            by_vm[sequence.vm] += 1;
+        }
+        self.snapshot = EngineSnapshot {
+            instance: self.instance,
+            cold: self.is_cold(now),
+            bears: self.bears(now),
+            running: self.running(),
+            waiting: self.waiting.len() as u32,
+            memory_used: self.memory_used,
+            preemptions: self.preemptions,
+            by_vm,
+        };
+    }
+
+    pub(crate) fn snapshot(&self) -> &EngineSnapshot {
+        &self.snapshot
+    }
+}
+
+/// Request that an engine takes.
+#[derive(Debug, Clone, Copy)]
+pub struct NewSequence {
+    /// Number of the request.
+    pub id: usize,
+    /// VM that sent it.
+    pub vm: usize,
+    /// Scheduling priority.
+    pub priority: u8,
+    /// Length of the prompt.
+    pub prompt: u32,
+    /// Output that was delivered earlier, which is processed like a prompt.
+    pub done: u32,
+    /// Output length.
+    pub length: u32,
+    /// Digest and length of the shared prefix.
+    pub prefix: Option<(u64, u32)>,
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,31 @@
 //! Engine model on virtual time, experiment scenarios and plots.
+//!
+//! The model drives the placement of `dragonflycart-policy` through the same facade as the
+//! daemon, with several entry VMs that each have their own late view. Its assumptions are in
+//! `docs/bench.md`.
+
+mod engine_model;
+mod engine_profile;
+mod event_queue;
+mod route_profile;
+mod run_metrics;
+mod run_row;
+mod scenario_kind;
+mod scenario_spec;
+mod sim_request;
+mod simulation;
+mod svg_plot;
+mod vm_model;
+
+pub use crate::{
+    engine_model::{EngineEvent, EngineModel, NewSequence},
+    engine_profile::EngineProfile,
+    route_profile::RouteProfile,
+    run_metrics::RunMetrics,
+    run_row::{RunRow, mean_row, print_table},
+    scenario_kind::ScenarioKind,
+    scenario_spec::{FaultKind, ScenarioSpec},
+    sim_request::SimRequest,
+    simulation::Simulation,
+    svg_plot::plot_metric,
+};
--- /dev/null
+++ b/crates/bench/src/sim_request.rs
@@ -0,0 +1,40 @@
+//! Request of a simulation, with what the policies don't know.
+
+use dragonflycart_policy::{PriorityClass, RequestTicket};
+
+/// Request of a simulation. Times are in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SimRequest {
+    /// VM that accepted it.
+    pub vm: usize,
+    /// Ticket in the VM's placement.
+    pub ticket: RequestTicket,
+    /// Team, by number.
+    pub team: usize,
+    /// Route, by number.
+    pub route: usize,
+    /// Priority class.
+    pub class: PriorityClass,
+    /// Length of the prompt.
+    pub prompt: u32,
+    /// Output length, unknown to the policies.
+    pub length: u32,
+    /// Digest and length of the shared prefix.
+    pub prefix: Option<(u64, u32)>,
+    /// Time of submission.
+    pub submitted: f64,
+    /// Time after which the output is of no use.
+    pub deadline: f64,
+    /// Whether the request makes its engine fail.
+    pub poison: bool,
+    /// Tokens delivered.
+    pub delivered: u32,
+    /// Time of the last delivered token.
+    pub last_token: Option<f64>,
+    /// Engine and its start number, while the request is in an engine.
+    pub engine: Option<(usize, u64)>,
+    /// Number of dispatches.
+    pub dispatches: u32,
+    /// Whether the request ended, in any way.
+    pub ended: bool,
+}
--- /dev/null
+++ b/crates/bench/src/simulation.rs
@@ -0,0 +1,481 @@
+//! Simulation of engines and entry VMs on virtual time.
+
+use dragonflycart_core::RouteName;
+use dragonflycart_policy::{
+    AttemptFailure, ColdSignal, PlacementDecision, PromptPrefix, ServerKey, TokenProgress,
+    WorkRequest,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    EngineEvent, EngineModel, FaultKind, RunMetrics, ScenarioSpec, SimRequest,
+    engine_model::NewSequence,
+    event_queue::EventQueue,
+    scenario_spec::value_at,
+    vm_model::{VmMessage, VmModel, mono, pool, team_name},
+};
+
+/// Interval of the placement's ticks, in milliseconds.
+const TICK: f64 = 10.0;
+/// Ticks between two batches of token progress.
+const PROGRESS_TICKS: u64 = 10;
+/// Interval at which a VM asks a server for its load report, in milliseconds.
+const POLL: f64 = 250.0;
+/// Longest time until a VM learns of a change of the plan, in milliseconds.
+const PLAN_DELAY: f64 = 1_000.0;
+/// Tokens after which a request that makes engines fail does so.
+const POISON_TOKENS: u32 = 3;
+/// Shared prefixes per team.
+const PREFIXES_PER_TEAM: u64 = 4;
+/// Share of a prompt that belongs to a shared prefix.
+const PREFIX_SHARE: f64 = 0.5;
+
+#[derive(Debug, Clone, Copy)]
+enum SimEvent {
+    Arrival,
+    Step(usize, u64),
+    Tick(usize),
+    Poll(usize, usize),
+    Snapshot(usize),
+    Deliver(usize, usize, u64),
+    Restart(usize),
+    Fault(FaultKind),
+    PlanChange(usize, usize, bool),
+    CacheEvent(usize, u64, u64, bool),
+}
+
+/// Simulation of engines and entry VMs on virtual time in milliseconds.
+#[derive(Debug)]
+pub struct Simulation {
+    spec: ScenarioSpec,
+    capacity: f64,
+    now: f64,
+    events: EventQueue<SimEvent>,
+    engines: Vec<EngineModel>,
+    /// Whether a step of the engine is scheduled.
+    busy: Vec<bool>,
+    cold_start: Vec<Option<f64>>,
+    ramping: Vec<bool>,
+    vms: Vec<VmModel>,
+    requests: Vec<SimRequest>,
+    workload: ChaCha8Rng,
+    poison_next: bool,
+    starts: u64,
+    metrics: RunMetrics,
+}
+
+impl Simulation {
+    /// Builds a simulation of a scenario under a policy. Requests depend on the seed only.
+    pub fn new(spec: ScenarioSpec, policy: &str, seed: u64) -> Simulation {
+        let mut events = EventQueue::new();
+        let mut vms = Vec::new();
+        let mut workload = ChaCha8Rng::seed_from_u64(seed);
+        events.push(1_000.0, SimEvent::Arrival);
+        for engine in 0..spec.engines {
+            events.push(engine as f64, SimEvent::Snapshot(engine));
+        }
+        for vm in 0..spec.vms {
+            vms.push(VmModel::new(&spec, vm, policy, seed));
+            events.push(TICK * vm as f64 / spec.vms as f64, SimEvent::Tick(vm));
+            for engine in 0..spec.engines {
+                let phase = workload.random_range(spec.engines as f64..POLL);
+                events.push(phase, SimEvent::Poll(vm, engine));
+            }
+        }
+        for (time, fault) in &spec.faults {
+            events.push(*time, SimEvent::Fault(*fault));
+        }
+        Simulation {
+            capacity: spec.capacity(),
+            now: 0.0,
+            events,
+            engines: (0..spec.engines).map(|_| EngineModel::new(spec.engine.clone())).collect(),
+            busy: vec![false; spec.engines],
+            cold_start: vec![None; spec.engines],
+            ramping: vec![false; spec.engines],
+            vms,
+            requests: Vec::new(),
+            workload,
+            poison_next: false,
+            starts: 0,
+            metrics: RunMetrics::new(spec.teams.len()),
+            spec,
+        }
+    }
+
+    /// Runs to the end and returns the measurements.
+    pub fn run(mut self) -> RunMetrics {
+        let end = self.spec.duration + self.spec.drain;
+        while let Some((time, event)) = self.events.pop() {
+            if time > end {
+                break;
+            }
+            self.now = time;
+            self.handle(event);
+        }
+        self.metrics
+    }
+
+    fn handle(&mut self, event: SimEvent) {
+        match event {
+            SimEvent::Arrival => self.arrive(),
+            SimEvent::Step(engine, instance) => self.step(engine, instance),
+            SimEvent::Tick(vm) => {
+                self.events.push(self.now + TICK, SimEvent::Tick(vm));
+                self.read_inbox(vm);
+                self.tick(vm);
+            }
+            SimEvent::Poll(vm, engine) => self.poll(vm, engine),
+            SimEvent::Snapshot(engine) => {
+                let interval = self.spec.engine.report_interval;
+                self.events.push(self.now + interval, SimEvent::Snapshot(engine));
+                self.engines[engine].update_snapshot(self.now, self.spec.vms);
+                self.observe_ramp(engine);
+            }
+            SimEvent::Deliver(id, engine, start) => self.deliver(id, engine, start),
+            SimEvent::Restart(engine) => {
+                self.engines[engine].restart(self.now);
+                self.engines[engine].update_snapshot(self.now, self.spec.vms);
+                self.cold_start[engine] = Some(self.now);
+                self.ramping[engine] = true;
+            }
+            SimEvent::Fault(fault) => self.apply_fault(fault),
+            SimEvent::PlanChange(vm, zone, open) => self.vms[vm].set_zone(self.now, zone, open),
+            SimEvent::CacheEvent(engine, sequence, digest, inserted) => {
+                for vm in &mut self.vms {
+                    let server = ServerKey::from_index(engine);
+                    vm.placement.cache_event(server, sequence, digest, inserted);
+                }
+            }
+        }
+    }
+
+    fn apply_fault(&mut self, fault: FaultKind) {
+        match fault {
+            FaultKind::ZoneOut(zone) => self.change_plan(zone, false),
+            FaultKind::ZoneIn(zone) => self.change_plan(zone, true),
+            FaultKind::TurnCold(engine) => {
+                self.engines[engine].turn_cold(self.now);
+                self.cold_start[engine] = Some(self.now);
+            }
+            FaultKind::Fail(engine) => self.fail_engine(engine),
+            FaultKind::Freeze(engine) => self.engines[engine].freeze_report(true),
+            FaultKind::Poison => self.poison_next = true,
+        }
+    }
+
+    fn change_plan(&mut self, zone: usize, open: bool) {
+        for vm in 0..self.spec.vms {
+            let delay = PLAN_DELAY * vm as f64 / self.spec.vms as f64;
+            self.events.push(self.now + delay, SimEvent::PlanChange(vm, zone, open));
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.now >= self.spec.duration {
+            return;
+        }
+        let load = value_at(&self.spec.load, self.now);
+        let rate = self.capacity * load / 1_000.0;
+        let gap = -(1.0 - self.workload.random::<f64>()).ln() / rate;
+        self.events.push(self.now + gap, SimEvent::Arrival);
+        let request = self.draw_request();
+        let (id, vm) = (self.requests.len(), request.vm);
+        self.metrics.arrived += 1;
+        self.metrics.team_demand[request.team] += u64::from(request.length);
+        let route = &self.spec.routes[request.route];
+        let work = WorkRequest {
+            pool: pool(),
+            team: team_name(request.team),
+            route: RouteName::new(route.name).expect("the name is valid"),
+            class: request.class,
+            prompt_tokens: request.prompt,
+            max_tokens: route.longest,
+            delivered_tokens: 0,
+            deadline: Some(mono(request.deadline)),
+            idempotent: true,
+            prefix: request.prefix.map(|(digest, tokens)| PromptPrefix { digest, tokens }),
+        };
+        let ticket = self.vms[vm].placement.submit(mono(self.now), work);
+        self.vms[vm].requests.insert(ticket, id);
+        self.requests.push(SimRequest { ticket, ..request });
+        self.tick(vm);
+    }
+
+    fn draw_request(&mut self) -> SimRequest {
+        let scale = value_at(&self.spec.length_scale, self.now);
+        let random = &mut self.workload;
+        let team = pick(self.spec.teams.iter().copied(), random.random());
+        let number = pick(self.spec.routes.iter().map(|route| route.share), random.random());
+        let route = &self.spec.routes[number];
+        let prompt = route.draw_prompt(random);
+        let shared = random.random_range(0..PREFIXES_PER_TEAM);
+        let digest = (team as u64 * 64 + number as u64) * PREFIXES_PER_TEAM + shared;
+        SimRequest {
+            vm: random.random_range(0..self.spec.vms),
+            ticket: dragonflycart_policy::RequestTicket(0),
+            team,
+            route: number,
+            class: route.class,
+            prompt,
+            length: route.draw_length(scale, random),
+            prefix: Some((digest, (f64::from(prompt) * PREFIX_SHARE) as u32)),
+            submitted: self.now,
+            deadline: self.now + route.patience,
+            poison: std::mem::take(&mut self.poison_next),
+            delivered: 0,
+            last_token: None,
+            engine: None,
+            dispatches: 0,
+            ended: false,
+        }
+    }
+
+    /// Delivers the messages of engines to the placement, and progress in batches.
+    fn read_inbox(&mut self, vm: usize) {
+        let model = &mut self.vms[vm];
+        let now = mono(self.now);
+        model.ticks += 1;
+        if model.ticks.is_multiple_of(PROGRESS_TICKS) {
+            let mut batch = Vec::new();
+            for id in &model.sent {
+                let request = &self.requests[*id];
+                if request.delivered > 0 {
+                    let tokens = request.delivered;
+                    batch.push(TokenProgress { ticket: request.ticket, tokens });
+                }
+            }
+            model.placement.progress(now, &batch);
+        }
+        for message in std::mem::take(&mut model.inbox) {
+            match message {
+                VmMessage::Finished(id) => {
+                    let request = &self.requests[id];
+                    model.sent.remove(&id);
+                    model.requests.remove(&request.ticket);
+                    model.placement.finished(now, request.ticket, request.delivered);
+                }
+                VmMessage::Failed(id, failure) => {
+                    model.sent.remove(&id);
+                    model.placement.failed(now, self.requests[id].ticket, failure);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, vm: usize) {
+        for decision in self.vms[vm].placement.tick(mono(self.now)) {
+            match decision {
+                PlacementDecision::Dispatch { ticket, server, .. } => {
+                    let id = self.vms[vm].requests[&ticket];
+                    self.dispatch(vm, id, server.index());
+                }
+                PlacementDecision::Reject { ticket, .. } => {
+                    let Some(id) = self.vms[vm].requests.remove(&ticket) else {
+                        continue;
+                    };
+                    self.requests[id].ended = true;
+                    if self.requests[id].dispatches == 0 {
+                        self.metrics.rejected += 1;
+                    } else {
+                        self.metrics.interrupted += 1;
+                    }
+                }
+                PlacementDecision::Cancel { ticket, server, .. } => {
+                    let Some(id) = self.vms[vm].requests.remove(&ticket) else {
+                        continue;
+                    };
+                    self.requests[id].ended = true;
+                    self.metrics.interrupted += 1;
+                    self.withdraw(vm, id, server.index());
+                }
+                PlacementDecision::Preempt { ticket, server } => {
+                    let id = self.vms[vm].requests[&ticket];
+                    self.metrics.preemptions += 1;
+                    self.withdraw(vm, id, server.index());
+                }
+            }
+        }
+    }
+
+    fn withdraw(&mut self, vm: usize, id: usize, engine: usize) {
+        self.requests[id].engine = None;
+        self.vms[vm].sent.remove(&id);
+        self.engines[engine].cancel(id);
+    }
+
+    fn dispatch(&mut self, vm: usize, id: usize, engine: usize) {
+        self.starts += 1;
+        let request = &mut self.requests[id];
+        if request.dispatches == 0 {
+            self.metrics.dispatches += 1;
+        } else {
+            self.metrics.retries += 1;
+        }
+        request.dispatches += 1;
+        request.engine = Some((engine, self.starts));
+        self.vms[vm].sent.insert(id);
+        let arrival = self.now + self.spec.latency;
+        self.events.push(arrival, SimEvent::Deliver(id, engine, self.starts));
+    }
+
+    fn deliver(&mut self, id: usize, engine: usize, start: u64) {
+        let request = &self.requests[id];
+        if request.engine != Some((engine, start)) {
+            return;
+        }
+        if !self.engines[engine].is_alive() {
+            self.requests[id].engine = None;
+            let message = VmMessage::Failed(id, AttemptFailure::NotSent);
+            self.vms[self.requests[id].vm].inbox.push(message);
+            return;
+        }
+        let sequence = NewSequence {
+            id,
+            vm: request.vm,
+            priority: request.class.engine_priority(),
+            prompt: request.prompt,
+            done: request.delivered,
+            length: request.length,
+            prefix: request.prefix,
+        };
+        if self.engines[engine].accept(self.now, sequence) {
+            let cold_for = self.now - self.cold_start[engine].unwrap_or(self.now);
+            let excess = self.engines[engine].requests() - self.engines[engine].bears(self.now);
+            self.metrics.cold_arrival(cold_for, excess);
+            if self.engines[engine].must_fail() {
+                self.fail_engine(engine);
+                return;
+            }
+        }
+        self.start_step(engine);
+    }
+
+    fn start_step(&mut self, engine: usize) {
+        if self.busy[engine] || !self.engines[engine].is_alive() {
+            return;
+        }
+        let mut events = Vec::new();
+        let duration = self.engines[engine].begin_step(self.now, &mut events);
+        self.metrics.preemptions += events.len() as u64;
+        for (sequence, digest, inserted) in self.engines[engine].take_cache_events() {
+            let published = self.now + self.spec.engine.cache_event_delay;
+            self.events.push(published, SimEvent::CacheEvent(engine, sequence, digest, inserted));
+        }
+        let Some(duration) = duration else {
+            return;
+        };
+        self.busy[engine] = true;
+        let instance = self.engines[engine].instance();
+        self.events.push(self.now + duration, SimEvent::Step(engine, instance));
+    }
+
+    fn step(&mut self, engine: usize, instance: u64) {
+        if !self.engines[engine].is_alive() || self.engines[engine].instance() != instance {
+            return;
+        }
+        self.busy[engine] = false;
+        let mut events = Vec::new();
+        self.engines[engine].end_step(&mut events);
+        for event in events {
+            match event {
+                EngineEvent::Token(id) => {
+                    if self.record_token(id) {
+                        self.fail_engine(engine);
+                        return;
+                    }
+                }
+                EngineEvent::Finished(id) => self.record_end(id),
+                EngineEvent::Preempted(_) => {}
+            }
+        }
+        self.start_step(engine);
+    }
+
+    /// Records a token. Returns whether it makes the engine fail.
+    fn record_token(&mut self, id: usize) -> bool {
+        let request = &mut self.requests[id];
+        request.delivered += 1;
+        let first = request.last_token.is_none();
+        let since = self.now - request.last_token.unwrap_or(request.submitted);
+        request.last_token = Some(self.now);
+        self.metrics.token(first, request.class, since);
+        request.poison && request.delivered >= POISON_TOKENS
+    }
+
+    fn record_end(&mut self, id: usize) {
+        let request = &mut self.requests[id];
+        request.engine = None;
+        request.ended = true;
+        if self.now <= request.deadline {
+            self.metrics.in_time += 1;
+            self.metrics.tokens_in_time += u64::from(request.length);
+            self.metrics.team_served[request.team] += u64::from(request.length);
+        }
+        let vm = request.vm;
+        self.vms[vm].inbox.push(VmMessage::Finished(id));
+    }
+
+    fn fail_engine(&mut self, engine: usize) {
+        if !self.engines[engine].is_alive() {
+            return;
+        }
+        self.metrics.engine_failures += 1;
+        self.busy[engine] = false;
+        for id in self.engines[engine].fail() {
+            let request = &mut self.requests[id];
+            request.engine = None;
+            let message = VmMessage::Failed(id, AttemptFailure::ServerLost);
+            self.vms[request.vm].inbox.push(message);
+        }
+        let restart = self.now + self.spec.engine.restart_time;
+        self.events.push(restart, SimEvent::Restart(engine));
+    }
+
+    fn poll(&mut self, vm: usize, engine: usize) {
+        self.events.push(self.now + POLL, SimEvent::Poll(vm, engine));
+        if self.engines[engine].is_alive() {
+            let snapshot = self.engines[engine].snapshot();
+            self.vms[vm].report(self.now, engine, snapshot, &self.spec);
+        } else {
+            let server = ServerKey::from_index(engine);
+            let signal = ColdSignal::ConnectionReset;
+            self.vms[vm].placement.signal(mono(self.now), server, signal);
+        }
+    }
+
+    /// Notes when a restarted engine has 0.9 of the mean load of the warm ones.
+    fn observe_ramp(&mut self, engine: usize) {
+        if !self.ramping[engine] {
+            return;
+        }
+        let (mut warm, mut load) = (0, 0);
+        for other in &self.engines {
+            if other.is_alive() && !other.is_cold(self.now) {
+                warm += 1;
+                load += other.running();
+            }
+        }
+        if warm == 0 || f64::from(self.engines[engine].running()) < 0.9 * f64::from(load / warm) {
+            return;
+        }
+        self.ramping[engine] = false;
+        let started = self.cold_start[engine].unwrap_or(self.now);
+        self.metrics.ramp_times.push(self.now - started);
+    }
+}
+
+/// Returns the position of the share that `draw` falls into.
+fn pick(shares: impl Iterator<Item = f64>, draw: f64) -> usize {
+    let mut below = 0.0;
+    let mut last = 0;
+    for (position, share) in shares.enumerate() {
+        below += share;
+        last = position;
+        if draw < below {
+            break;
+        }
+    }
+    last
+}
--- /dev/null
+++ b/crates/bench/src/vm_model.rs
@@ -0,0 +1,135 @@
+//! Entry VM of a simulation: the placement with its late view.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dragonflycart_core::{
+    Incarnation, ModelName, MonoTime, ServerInstance, ServerName, TeamName, VersionName, VmSeat,
+    ZoneName,
+};
+use dragonflycart_policy::{
+    AttemptFailure, PlacementEngine, PolicySettings, RequestTicket, ServerKey, ServerReport,
+    ServerSpec, VmPosition, WorkPool,
+};
+
+use crate::{ScenarioSpec, engine_model::EngineSnapshot};
+
+/// Carry limit of a zone, in requests; high enough to have no effect.
+const CARRY_LIMIT: u32 = 100_000;
+
+/// Message from an engine to a VM.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum VmMessage {
+    Finished(usize),
+    Failed(usize, AttemptFailure),
+}
+
+/// Entry VM of a simulation.
+#[derive(Debug)]
+pub(crate) struct VmModel {
+    pub(crate) placement: PlacementEngine,
+    pub(crate) inbox: Vec<VmMessage>,
+    pub(crate) requests: BTreeMap<RequestTicket, usize>,
+    /// Requests that were sent to an engine.
+    pub(crate) sent: BTreeSet<usize>,
+    pub(crate) ticks: u64,
+}
+
+pub(crate) fn mono(millis: f64) -> MonoTime {
+    MonoTime::from_micros((millis.max(0.0) * 1_000.0) as u64)
+}
+
+pub(crate) fn zone_name(zone: usize) -> ZoneName {
+    ZoneName::new(&format!("zone-{zone}")).expect("the name is valid")
+}
+
+pub(crate) fn team_name(team: usize) -> TeamName {
+    TeamName::new(&format!("team-{team}")).expect("the name is valid")
+}
+
+fn model() -> (ModelName, VersionName) {
+    let model = ModelName::new("model").expect("the name is valid");
+    (model, VersionName::new("v1").expect("the name is valid"))
+}
+
+pub(crate) fn pool() -> WorkPool {
+    let (model, version) = model();
+    WorkPool::Generation(model, version)
+}
+
+/// Returns the zone and seat of a VM.
+pub(crate) fn vm_place(spec: &ScenarioSpec, vm: usize) -> (usize, VmSeat) {
+    (vm % spec.zones, VmSeat((vm / spec.zones) as u16))
+}
+
+impl VmModel {
+    pub(crate) fn new(spec: &ScenarioSpec, vm: usize, policy: &str, seed: u64) -> VmModel {
+        let mut seats = BTreeMap::new();
+        for other in 0..spec.vms {
+            let zone = zone_name(vm_place(spec, other).0);
+            *seats.entry(zone).or_insert(0) += 1;
+        }
+        let settings = PolicySettings {
+            policy: policy.to_owned(),
+            seats,
+            random_seed: seed * 1_000 + vm as u64,
+            ..spec.settings.clone()
+        };
+        let (zone, seat) = vm_place(spec, vm);
+        let position =
+            VmPosition { zone: zone_name(zone), seat, incarnation: Incarnation(vm as u128 + 1) };
+        let mut placement = PlacementEngine::new(settings, position, MonoTime::default())
+            .expect("the policy is registered");
+        for zone in 0..spec.zones {
+            placement.set_zone(MonoTime::default(), &zone_name(zone), true, CARRY_LIMIT);
+        }
+        for engine in 0..spec.engines {
+            let name = ServerName::new(&format!("engine-{engine:03}")).expect("the name is valid");
+            let zone = zone_name(engine % spec.zones);
+            placement.insert_server(ServerSpec { name, zone, service: None });
+        }
+        VmModel {
+            placement,
+            inbox: Vec::new(),
+            requests: BTreeMap::new(),
+            sent: BTreeSet::new(),
+            ticks: 0,
+        }
+    }
+
+    pub(crate) fn set_zone(&mut self, now: f64, zone: usize, open: bool) {
+        self.placement.set_zone(mono(now), &zone_name(zone), open, CARRY_LIMIT);
+    }
+
+    /// Applies the load report that arrives at `now`.
+    pub(crate) fn report(
+        &mut self,
+        now: f64,
+        engine: usize,
+        snapshot: &EngineSnapshot,
+        spec: &ScenarioSpec,
+    ) {
+        let mut running_by_seat = Vec::new();
+        for (vm, count) in snapshot.by_vm.iter().enumerate() {
+            if *count > 0 {
+                let (zone, seat) = vm_place(spec, vm);
+                running_by_seat.push((zone_name(zone), seat, *count));
+            }
+        }
+        let age = 2.0 * spec.latency + spec.engine.report_interval;
+        let report = ServerReport {
+            taken_at: mono(now - age),
+            instance: ServerInstance(snapshot.instance),
+            cold: snapshot.cold,
+            bears: snapshot.bears,
+            leaving: false,
+            running: snapshot.running,
+            waiting: snapshot.waiting,
+            memory_used_tokens: snapshot.memory_used,
+            memory_total_tokens: spec.engine.memory_tokens,
+            preemptions: snapshot.preemptions,
+            running_by_seat,
+            loaded: vec![model()],
+        };
+        self.placement.report(mono(now), ServerKey::from_index(engine), report);
+    }
+}
