Test calls and streams under failure through the real programs

Kills, pauses, lost answers, log outages, a cut-off zone and silent connections, each with the caller's retry at another VM.

Found by call_without_backend_server_is_not_run: a call that never reached a server was refused with deadline_exceeded, which says "may have run", although the ledger proved the opposite.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,8 @@
 //! Engine model on virtual time, experiment scenarios and plots.
+//!
+//! The model drives the placement of `dragonflycart-policy` through the same facade as the
+//! daemon, with several entry VMs that each have their own late view. Its assumptions are in
+//! `docs/bench.md`.
 
 mod moves_baseline;
 mod moves_case;
@@ -15,10 +19,6 @@
 pub use crate::moves_scenario::MovesScenario;
 pub use crate::moves_summary::MovesSummary;
 pub use crate::moves_traffic::MovesTraffic;
-//!
-//! The model drives the placement of `dragonflycart-policy` through the same facade as the
-//! daemon, with several entry VMs that each have their own late view. Its assumptions are in
-//! `docs/bench.md`.
 
 mod engine_model;
 mod engine_profile;
--- a/crates/node/src/control/call_control.rs
+++ b/crates/node/src/control/call_control.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use bytes::Bytes;
-use dragonflycart_core::{ErrorKind, Incarnation, MonoTime, ServiceError, WallTime};
+use dragonflycart_core::{ErrorKind, Incarnation, MonoTime, RunState, ServiceError, WallTime};
 use dragonflycart_platform::LogTopic;
 use dragonflycart_state::{
     AttemptAnswer, CallAttempt, CallLedger, CallView, ClaimId, ClaimNote, DispatchPermit,
@@ -263,7 +263,7 @@
         let log_reachable = moment.log_lost_at.is_none();
         let turn = match entry.attempt.answer(ledger, log_reachable, moment.wall) {
             AttemptAnswer::Outcome(outcome) => CallTurn::Answered(outcome),
-            AttemptAnswer::NotRun => refused(entry.reason, "the call did not run"),
+            AttemptAnswer::NotRun => refused(not_run_kind(entry.reason), "the call did not run"),
             AttemptAnswer::KeyReused => {
                 refused(ErrorKind::KeyReused, "the key belongs to another request")
             }
@@ -381,6 +381,12 @@
     CallTurn::Refused(ServiceError::new(kind, message))
 }
 
+/// Returns the kind for a call that certainly did not run. The placement gives up with kinds that
+/// say "may have run" after attempts that never connected.
+fn not_run_kind(reason: ErrorKind) -> ErrorKind {
+    if reason.run_state() == RunState::NotRun { reason } else { ErrorKind::DeadlineNotStarted }
+}
+
 fn unknown_outcome() -> CallTurn {
     refused(ErrorKind::OutcomeUnknown, "the call may have run; ask again with the same key")
 }
--- a/crates/testkit/src/engine_core.rs
+++ b/crates/testkit/src/engine_core.rs
@@ -252,7 +252,7 @@
         });
     }
 
-    fn running(&self) -> u32 {
+    pub(crate) fn running(&self) -> u32 {
         self.records.open().filter(|record| record.is_running()).count() as u32
     }
 
--- a/crates/testkit/src/fake_engine.rs
+++ b/crates/testkit/src/fake_engine.rs
@@ -132,6 +132,11 @@
         self.shared.core().stats()
     }
 
+    /// Returns the number of generations that run now.
+    pub fn running(&self) -> u32 {
+        self.shared.core().running()
+    }
+
     /// Stops the engine.
     pub async fn close(self) {
         self.server.close().await;
--- a/crates/testkit/src/fake_service.rs
+++ b/crates/testkit/src/fake_service.rs
@@ -117,6 +117,11 @@
         self.shared.core().stats()
     }
 
+    /// Returns the number of calls that run now.
+    pub fn running(&self) -> u32 {
+        self.shared.core().running()
+    }
+
     /// Stops the service.
     pub async fn close(self) {
         self.server.close().await;
--- a/crates/testkit/src/service_core.rs
+++ b/crates/testkit/src/service_core.rs
@@ -51,6 +51,10 @@
         &self.config
     }
 
+    pub(crate) fn running(&self) -> u32 {
+        self.running
+    }
+
     pub(crate) fn stats(&self) -> ServiceStats {
         self.stats.clone()
     }
--- a/tests/all/calls.rs
+++ b/tests/all/calls.rs
@@ -1,20 +1,331 @@
-//! Calls to plain services through the real programs.
+//! Calls to plain services that are not idempotent: at most once, with truthful answers.
 
-use crate::support::{Caller, Deployment, DeploymentSpec};
+use std::time::Duration;
+
+use dragonflycart_testkit::{
+    FaultCommand, LogCommand, OutageKind, RelayCommand, RelayMode, RelayScope, ServiceCommand,
+    ServiceConfig,
+};
+
+use crate::support::{Caller, Deployment, DeploymentSpec, HttpAnswer, wait_for};
+
+const BODY: &str = "{\"drums\":4}";
+
+async fn book(deployment: &Deployment, vm: usize, key: &str, attempt: u32) -> HttpAnswer {
+    let attempt = attempt.to_string();
+    let headers = [("idempotency-key", key), ("x-attempt", attempt.as_str())];
+    let caller = Caller::new("orders");
+    caller.call(deployment.vms[vm].http, "book", &headers, BODY).await.unwrap()
+}
+
+/// Books with a deadline that is short against a fault that lasts.
+async fn book_briefly(deployment: &Deployment, vm: usize, key: &str, attempt: u32) -> HttpAnswer {
+    let attempt = attempt.to_string();
+    let headers =
+        [("idempotency-key", key), ("x-attempt", attempt.as_str()), ("x-deadline-ms", "3000")];
+    let caller = Caller::new("orders");
+    caller.call(deployment.vms[vm].http, "book", &headers, BODY).await.unwrap()
+}
+
+fn without_lookup() -> DeploymentSpec {
+    DeploymentSpec {
+        booking: ServiceConfig { supports_lookup: false, ..ServiceConfig::default() },
+        ..DeploymentSpec::default()
+    }
+}
+
+fn cut_log(deployment: &Deployment, vm: usize, mode: RelayMode) {
+    deployment.log_relays[vm].apply(RelayCommand { scope: RelayScope::All, mode });
+}
+
+async fn wait_log_state(deployment: &Deployment, vm: usize, reachable: bool) {
+    let wanted = if reachable { 1.0 } else { 0.0 };
+    wait_for("the log's state to be noticed", || async {
+        let found = deployment.metric(vm, "dragonflycart_log_reachable").await?;
+        (found == wanted).then_some(())
+    })
+    .await;
+}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn booking_runs_once_and_its_answer_can_be_had_again() {
     // Guards against a retry under the same key that runs the booking again at another VM.
     let deployment = Deployment::start(DeploymentSpec::default()).await;
-    let caller = Caller::new("orders");
-    let headers = [("idempotency-key", "order-1"), ("x-attempt", "1")];
 
-    let first = caller.call(deployment.vms[0].http, "book", &headers, "{\"drums\":4}").await;
-    let headers = [("idempotency-key", "order-1"), ("x-attempt", "2")];
-    let second = caller.call(deployment.vms[1].http, "book", &headers, "{\"drums\":4}").await;
+    let first = book(&deployment, 0, "order-1", 1).await;
+    let second = book(&deployment, 1, "order-1", 2).await;
 
-    let (first, second) = (first.unwrap(), second.unwrap());
     assert_eq!(first.status, 200, "{:?}", first.body);
     assert_eq!(second.body, first.body);
     assert_eq!(deployment.executions("order-1"), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn simultaneous_attempts_at_two_vms_run_once() {
+    // Guards against two VMs that both believe to own the same key.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+
+    for round in 0..20 {
+        let key = format!("race-{round}");
+        let (first, second) =
+            tokio::join!(book(&deployment, 0, &key, 1), book(&deployment, 1, &key, 2));
+
+        assert_eq!(first.status, 200, "{:?}", first.body);
+        assert_eq!(second.body, first.body);
+        assert_eq!(deployment.executions(&key), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reused_key_is_refused_without_running() {
+    // Guards against answering one request with the outcome of another.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    book(&deployment, 0, "reused", 1).await;
+    let caller = Caller::new("orders");
+    let headers = [("idempotency-key", "reused")];
+
+    let other = caller.call(deployment.vms[1].http, "book", &headers, "{\"drums\":9}").await;
+
+    let other = other.unwrap();
+    assert_eq!(other.status, 422, "{:?}", other.body);
+    assert_eq!(deployment.executions("reused"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_of_the_service_is_resolved_by_lookup() {
+    // Guards against repeating a call whose answer was lost after it ran.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    for server in &deployment.bookings {
+        server.fault(&FaultCommand::LoseAnswers { count: 1, reset: true });
+    }
+
+    let answer = book(&deployment, 0, "lost", 1).await;
+
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+    assert_eq!(deployment.executions("lost"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_without_lookup_stays_unknown_and_never_repeats() {
+    // Guards against "not run" or a second execution after an answer was lost.
+    let deployment = Deployment::start(without_lookup()).await;
+    for server in &deployment.bookings {
+        server.fault(&FaultCommand::LoseAnswers { count: 1, reset: true });
+    }
+
+    let first = book_briefly(&deployment, 0, "lost", 1).await;
+    let second = book_briefly(&deployment, 1, "lost", 2).await;
+
+    for answer in [first, second] {
+        assert_eq!(answer.error_kind(), "outcome_unknown", "{:?}", answer.body);
+        assert_eq!(answer.run_state(), "maybe_run");
+    }
+    assert_eq!(deployment.executions("lost"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_owner_leaves_no_second_execution() {
+    // Guards against another VM that takes over a call whose owner may have sent it.
+    let mut deployment = Deployment::start(without_lookup()).await;
+    for server in &deployment.bookings {
+        server.command(ServiceCommand::Delay { ms: 1_500 });
+    }
+    let headers = [("idempotency-key", "killed"), ("x-attempt", "1")];
+    let address = deployment.vms[0].http;
+    let first =
+        tokio::spawn(
+            async move { Caller::new("orders").call(address, "book", &headers, BODY).await },
+        );
+    wait_for("the call to be sent", || async {
+        let running = deployment.bookings.iter().any(|server| server.running() > 0);
+        running.then_some(())
+    })
+    .await;
+
+    deployment.vms[0].process().kill().unwrap();
+    assert!(first.await.unwrap().is_err());
+    let retry = book_briefly(&deployment, 1, "killed", 2).await;
+
+    assert_eq!(retry.error_kind(), "outcome_unknown", "{:?}", retry.body);
+    assert_eq!(deployment.executions("killed"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outcome_of_a_killed_owner_is_found_by_lookup() {
+    // Guards against an outcome that stays unknown although the service can tell it.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    for server in &deployment.bookings {
+        server.command(ServiceCommand::Delay { ms: 500 });
+    }
+    let headers = [("idempotency-key", "found"), ("x-attempt", "1")];
+    let address = deployment.vms[0].http;
+    let first =
+        tokio::spawn(
+            async move { Caller::new("orders").call(address, "book", &headers, BODY).await },
+        );
+    wait_for("the call to be sent", || async {
+        let running = deployment.bookings.iter().any(|server| server.running() > 0);
+        running.then_some(())
+    })
+    .await;
+
+    deployment.vms[0].process().kill().unwrap();
+    assert!(first.await.unwrap().is_err());
+    wait_for("the call to be executed", || async {
+        (deployment.executions("found") == 1).then_some(())
+    })
+    .await;
+    let retry = book(&deployment, 1, "found", 2).await;
+
+    assert_eq!(retry.status, 200, "{:?}", retry.body);
+    assert_eq!(deployment.executions("found"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_owner_wakes_without_a_second_execution() {
+    // Guards against a takeover while the owner is paused between its claim and its send.
+    let mut deployment = Deployment::start(without_lookup()).await;
+    let headers = [("idempotency-key", "paused"), ("x-attempt", "1")];
+    let address = deployment.vms[0].http;
+    let first =
+        tokio::spawn(
+            async move { Caller::new("orders").call(address, "book", &headers, BODY).await },
+        );
+
+    deployment.vms[0].process().pause().unwrap();
+    let retry = book_briefly(&deployment, 1, "paused", 2).await;
+    deployment.vms[0].process().resume().unwrap();
+    let first = first.await.unwrap();
+    let last = book(&deployment, 1, "paused", 3).await;
+
+    assert!(deployment.executions("paused") <= 1, "{first:?} {retry:?}");
+    if last.status == 200 {
+        assert_eq!(deployment.executions("paused"), 1);
+    }
+    if last.run_state() == "not_run" {
+        assert_eq!(deployment.executions("paused"), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn log_outage_refuses_truthfully_and_idempotent_calls_go_on() {
+    // Guards against running a call without a claim, and against refusing more than needed.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.log.command(LogCommand::Outage { kind: OutageKind::Refuse });
+    wait_log_state(&deployment, 0, false).await;
+    let caller = Caller::new("desk");
+
+    let first = book_briefly(&deployment, 0, "outage", 1).await;
+    let retry = book_briefly(&deployment, 0, "outage", 2).await;
+    let status = caller.call(deployment.vms[0].http, "status", &[], BODY).await.unwrap();
+    let generation = caller.complete(deployment.vms[0].http, "a report", 10).await.unwrap();
+
+    assert_eq!(first.error_kind(), "log_unavailable", "{:?}", first.body);
+    assert_eq!(first.run_state(), "not_run");
+    assert_eq!(retry.error_kind(), "outcome_unknown", "{:?}", retry.body);
+    assert_eq!(deployment.executions("outage"), 0);
+    assert_eq!(status.status, 200, "{:?}", status.body);
+    assert_eq!(generation.status, 200, "{:?}", generation.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_can_be_used_after_the_log_outage() {
+    // Guards against a claim that lands late and blocks its key for good.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.log.command(LogCommand::Outage { kind: OutageKind::Refuse });
+    wait_log_state(&deployment, 0, false).await;
+    let refused = book_briefly(&deployment, 0, "later", 1).await;
+
+    deployment.log.command(LogCommand::Outage { kind: OutageKind::None });
+    wait_log_state(&deployment, 0, true).await;
+    wait_log_state(&deployment, 1, true).await;
+    let mut attempt = 1;
+    let answer = wait_for("the key to be free", || {
+        attempt += 1;
+        let deployment = &deployment;
+        async move {
+            let answer = book(deployment, 1, "later", attempt).await;
+            (answer.status == 200).then_some(answer)
+        }
+    })
+    .await;
+
+    assert_eq!(refused.run_state(), "not_run");
+    assert_eq!(answer.status, 200);
+    assert_eq!(deployment.executions("later"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_acknowledgements_of_the_log_do_not_repeat_a_call() {
+    // Guards against a second claim or execution when the log loses answers after the write.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.log.fault(&FaultCommand::LoseAnswers { count: 3, reset: true });
+
+    let answer = book(&deployment, 0, "unacknowledged", 1).await;
+    let again = book(&deployment, 1, "unacknowledged", 2).await;
+
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+    assert_eq!(again.body, answer.body);
+    assert_eq!(deployment.executions("unacknowledged"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn claim_that_lands_late_is_released() {
+    // Guards against a key that stays blocked by a claim written after its VM gave up.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.log.command(LogCommand::ApplyLate { count: 2, ms: 4_000 });
+
+    let first = book_briefly(&deployment, 0, "late", 1).await;
+    let mut attempt = 1;
+    wait_for("the key to be settled", || {
+        attempt += 1;
+        let deployment = &deployment;
+        async move {
+            let answer = book(deployment, 1, "late", attempt).await;
+            (answer.status == 200).then_some(())
+        }
+    })
+    .await;
+
+    if first.run_state() == "not_run" {
+        assert_eq!(deployment.executions("late"), 1);
+    }
+    assert!(deployment.executions("late") <= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off_zone_refuses_calls_and_serves_generations() {
+    // Guards against a zone that runs calls it can't claim, or that stops serving altogether.
+    let spec = DeploymentSpec { peer_relays: true, ..DeploymentSpec::default() };
+    let deployment = Deployment::start(spec).await;
+    cut_log(&deployment, 0, RelayMode::Discard);
+    for relay in &deployment.peer_relays {
+        relay.apply(RelayCommand { scope: RelayScope::All, mode: RelayMode::Discard });
+    }
+    wait_log_state(&deployment, 0, false).await;
+    let caller = Caller::new("desk");
+
+    let call = book_briefly(&deployment, 0, "cut", 1).await;
+    let other = book(&deployment, 1, "cut", 2).await;
+    let generation = caller.complete(deployment.vms[0].http, "a report", 10).await.unwrap();
+
+    assert_eq!(call.run_state(), "not_run", "{:?}", call.body);
+    assert_eq!(other.status, 200, "{:?}", other.body);
+    assert_eq!(deployment.executions("cut"), 1);
+    assert_eq!(generation.status, 200, "{:?}", generation.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_without_backend_server_is_not_run() {
+    // Guards against "unknown" where the log proves that nothing was sent.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    for server in &deployment.bookings {
+        server.fault(&FaultCommand::Die);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    let answer = book_briefly(&deployment, 0, "nowhere", 1).await;
+
+    assert_eq!(answer.run_state(), "not_run", "{:?}", answer.body);
+    assert_eq!(deployment.executions("nowhere"), 0);
+}
--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -1,8 +1,59 @@
-//! Generations through the real programs.
+//! Generations through the real programs: every token once, in order, from one generation.
 
-use dragonflycart_testkit::TokenSource;
+use std::time::Duration;
 
-use crate::support::{Caller, Deployment, DeploymentSpec};
+use dragonflycart_testkit::{EngineCommand, FaultCommand, TokenSource};
+use tokio::time::Instant;
+
+use crate::support::{Caller, Deployment, DeploymentSpec, StreamedAnswer, wait_for};
+
+/// Tokens of a stream that lasts long enough to inject a fault: 2 s at 10 ms per token.
+const LONG: u32 = 200;
+
+/// Longest time for which a caller may see no token while an unresponsive connection is replaced:
+/// the silence timeout of 2 s and 1 s for the new connection.
+const SILENCE_BOUND: Duration = Duration::from_secs(3);
+
+fn assert_whole(answer: &StreamedAnswer, count: u32) {
+    assert_eq!(answer.error, None);
+    assert_eq!(answer.indexes, (0..u64::from(count)).collect::<Vec<u64>>());
+    assert_eq!(answer.text, TokenSource::expected_text(u64::from(count)));
+    assert!(answer.done);
+}
+
+/// Streams `LONG` tokens and calls `inject` once after the tenth token.
+async fn stream_with_fault(
+    deployment: &Deployment,
+    mut inject: impl FnMut(&Deployment),
+) -> (Result<StreamedAnswer, StreamedAnswer>, Duration) {
+    let caller = Caller::new("reports");
+    let mut injected = false;
+    let mut last_token = Instant::now();
+    let mut longest_gap = Duration::ZERO;
+    let mut seen = 0;
+    let answer = caller
+        .stream(deployment.vms[0].http, "a long report", LONG, |answer| {
+            if answer.indexes.len() > seen {
+                if seen > 0 {
+                    longest_gap = longest_gap.max(last_token.elapsed());
+                }
+                seen = answer.indexes.len();
+                last_token = Instant::now();
+            }
+            if seen >= 10 && !injected {
+                injected = true;
+                inject(deployment);
+            }
+        })
+        .await;
+    (answer, longest_gap)
+}
+
+/// Returns the engines that run a generation now.
+fn busy_engines(deployment: &Deployment) -> Vec<usize> {
+    let engines = deployment.engines.iter().enumerate();
+    engines.filter(|(_, engine)| engine.running() > 0).map(|(index, _)| index).collect()
+}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_path_streams_every_token_once() {
@@ -12,8 +63,7 @@
 
     let answer = caller.stream(deployment.vms[0].http, "a report", 50, |_| {}).await.unwrap();
 
-    assert_eq!(answer.indexes, (0..50).collect::<Vec<u64>>());
-    assert_eq!(answer.text, TokenSource::expected_text(50));
+    assert_whole(&answer, 50);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -28,3 +78,165 @@
     let text = answer.json()["choices"][0]["text"].as_str().unwrap().to_owned();
     assert_eq!(text, TokenSource::expected_text(30));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_continues_after_the_engine_fails() {
+    // Guards against lost, repeated or spliced tokens when an engine fails mid-decode.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+
+    let (answer, _) = stream_with_fault(&deployment, |deployment| {
+        for index in busy_engines(deployment) {
+            deployment.engines[index].fault(&FaultCommand::Die);
+        }
+    })
+    .await;
+
+    assert_whole(&answer.unwrap(), LONG);
+    let mismatches: u64 = deployment.engines.iter().map(|e| e.stats().prefix_mismatches).sum();
+    assert_eq!(mismatches, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_continues_after_its_connection_goes_silent() {
+    // Guards against a stream that hangs on a connection that is open but dead.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+
+    let (answer, gap) = stream_with_fault(&deployment, |deployment| {
+        for engine in &deployment.engines {
+            engine.fault(&FaultCommand::SilenceOpen);
+        }
+    })
+    .await;
+
+    assert_whole(&answer.unwrap(), LONG);
+    assert!(gap <= SILENCE_BOUND, "no token for {gap:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_continues_when_engine_and_connection_fail_together() {
+    // Guards against two faults at once: the engine fails while its connection is silent.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+
+    let (answer, _) = stream_with_fault(&deployment, |deployment| {
+        for index in busy_engines(deployment) {
+            deployment.engines[index].fault(&FaultCommand::SilenceOpen);
+            deployment.engines[index].fault(&FaultCommand::TurnCold);
+        }
+    })
+    .await;
+
+    assert_whole(&answer.unwrap(), LONG);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_decode_is_not_taken_for_a_dead_connection() {
+    // Guards against replacing a connection on which heartbeats arrive.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+
+    let address = deployment.vms[0].http;
+    let streaming = tokio::spawn(async move {
+        Caller::new("reports").stream(address, "a long report", LONG, |_| {}).await
+    });
+    wait_for("the stream to run", || async {
+        let tokens = deployment.metric(0, "dragonflycart_tokens_total").await?;
+        (tokens >= 20.0).then_some(())
+    })
+    .await;
+
+    for engine in &deployment.engines {
+        engine.command(EngineCommand::Stall { stalled: true });
+    }
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    for engine in &deployment.engines {
+        engine.command(EngineCommand::Stall { stalled: false });
+    }
+    let answer = streaming.await.unwrap();
+
+    assert_whole(&answer.unwrap(), LONG);
+    assert_eq!(deployment.metric(0, "dragonflycart_engine_reconnects_total").await, Some(0.0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_resumes_at_another_vm_after_its_vm_is_killed() {
+    // Guards against a gap or a repeated token when an entry VM is lost mid-stream.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    let caller = Caller::new("reports");
+    let first = deployment.vms[0].http;
+    let streaming = {
+        let caller = caller.clone();
+        tokio::spawn(async move { caller.stream(first, "a long report", LONG, |_| {}).await })
+    };
+    wait_for("the stream to run", || async {
+        let tokens = deployment.metric(0, "dragonflycart_tokens_total").await?;
+        (tokens >= 20.0).then_some(())
+    })
+    .await;
+
+    deployment.vms[0].process().kill().unwrap();
+    let partial = streaming.await.unwrap().unwrap_err();
+    let answer = caller.resume(deployment.vms[1].http, partial).await.unwrap();
+
+    assert_whole(&answer, LONG);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn output_without_forced_prefix_is_never_spliced() {
+    // Guards against joining the start of one generation with the rest of another.
+    let spec = DeploymentSpec { forced_prefix: false, ..DeploymentSpec::default() };
+    let deployment = Deployment::start(spec).await;
+
+    let (answer, _) = stream_with_fault(&deployment, |deployment| {
+        for index in busy_engines(deployment) {
+            deployment.engines[index].fault(&FaultCommand::Die);
+        }
+    })
+    .await;
+
+    let answer = answer.unwrap_err();
+    let error = answer.error.expect("the caller was not told");
+    assert!(error.contains("\"interrupted\""), "{error}");
+    let count = answer.indexes.len() as u64;
+    assert_eq!(answer.indexes, (0..count).collect::<Vec<u64>>());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_answer_starts_over_without_forced_prefix() {
+    // Guards against failing an answer of which the caller has seen nothing yet.
+    let spec = DeploymentSpec { forced_prefix: false, ..DeploymentSpec::default() };
+    let deployment = Deployment::start(spec).await;
+    let caller = Caller::new("reports");
+    let address = deployment.vms[0].http;
+    let answering =
+        tokio::spawn(async move { caller.complete(address, "a long report", LONG).await });
+    let busy = wait_for("an engine to run the generation", || async {
+        let busy = busy_engines(&deployment);
+        (!busy.is_empty()).then_some(busy)
+    })
+    .await;
+
+    deployment.engines[busy[0]].fault(&FaultCommand::Die);
+    let answer = answering.await.unwrap().unwrap();
+
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+    let text = answer.json()["choices"][0]["text"].as_str().unwrap().to_owned();
+    assert_eq!(text, TokenSource::expected_text(u64::from(LONG)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_answers_do_not_reach_the_wrong_caller() {
+    // Guards against matching answers by connection or order instead of identity.
+    let spec = DeploymentSpec { zones: 1, ..DeploymentSpec::default() };
+    let deployment = Deployment::start(spec).await;
+    deployment.engines[0].fault(&FaultCommand::SwapAnswers { keep_head: true });
+    let address = deployment.vms[0].http;
+    let ask = |prompt: &'static str, count: u32| {
+        let caller = Caller::new("reports");
+        tokio::spawn(async move { caller.stream(address, prompt, count, |_| {}).await })
+    };
+
+    let (short, long) = (ask("first", 20), ask("second", 60));
+    let (short, long) = (short.await.unwrap().unwrap(), long.await.unwrap().unwrap());
+
+    assert_whole(&short, 20);
+    assert_whole(&long, 60);
+}
