--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -74,6 +74,8 @@
     Preempted,
     /// The placement gave the request up.
     Cancelled(ErrorKind),
+    /// This process ends; the engine keeps the generation for another VM.
+    Left,
 }
 
 /// What reading one connection led to.
@@ -159,6 +161,10 @@
                 AttemptEnd::Cancelled(kind) => {
                     return Err(ServiceError::new(kind, "the generation was given up"));
                 }
+                AttemptEnd::Left => {
+                    let message = "the VM stops; continue at another VM";
+                    return Err(ServiceError::new(ErrorKind::Draining, message));
+                }
                 AttemptEnd::EngineLost => "the backend server lost the generation".to_owned(),
                 AttemptEnd::NotSent => "the backend server can't be reached".to_owned(),
                 AttemptEnd::EngineFailed(message) | AttemptEnd::Refused(message) => message,
@@ -235,7 +241,7 @@
             AttemptEnd::Stalled => failed(AttemptFailure::Failed, false),
             AttemptEnd::Refused(_) => failed(AttemptFailure::Refused, false),
             // The placement has already taken note of these.
-            AttemptEnd::Preempted | AttemptEnd::Cancelled(_) => return,
+            AttemptEnd::Preempted | AttemptEnd::Cancelled(_) | AttemptEnd::Left => return,
         };
         self.context.control.report_attempt(self.placed.ticket.ticket, report).await;
     }
@@ -276,7 +282,7 @@
             if let Some(open) = stream.take() {
                 let before = self.buffer.next_index();
                 if let ReadEnd::Attempt(end) = self.read_stream(&location, open).await {
-                    if !matches!(end, AttemptEnd::Finished(_)) {
+                    if !matches!(end, AttemptEnd::Finished(_) | AttemptEnd::Left) {
                         self.cancel(&*engine, &location).await;
                     }
                     return end;
@@ -360,9 +366,7 @@
                         return ReadEnd::Attempt(AttemptEnd::Preempted);
                     }
                     Some(PlacementNotice::Granted(_)) => continue,
-                    None => {
-                        return ReadEnd::Attempt(AttemptEnd::Cancelled(ErrorKind::Draining));
-                    }
+                    None => return ReadEnd::Attempt(AttemptEnd::Left),
                 },
             };
             let event = match event {
@@ -406,6 +410,10 @@
                     return Some(ReadEnd::Reconnect);
                 }
                 match self.assembler.accept_finish(&self.unique, epoch, count) {
+                    // An output that was cut off by a cancel is not the whole answer.
+                    TokenVerdict::Deliver if reason == FinishReason::Cancelled => {
+                        Some(ReadEnd::Attempt(AttemptEnd::Stalled))
+                    }
                     TokenVerdict::Deliver => Some(ReadEnd::Attempt(AttemptEnd::Finished(reason))),
                     _ => Some(ReadEnd::Reconnect),
                 }
--- a/crates/node/src/generation/stream_resumer.rs
+++ b/crates/node/src/generation/stream_resumer.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use dragonflycart_core::{ErrorKind, GenerationId, ServiceError};
-use dragonflycart_engine::{EngineClient, EngineError, StreamEvent, TokenStream};
+use dragonflycart_engine::{EngineClient, EngineError, FinishReason, StreamEvent, TokenStream};
 use futures::StreamExt;
 use tokio::time::{Instant, timeout_at};
 
@@ -127,6 +127,10 @@
                     }
                 }
                 StreamEvent::Heartbeat { .. } => {}
+                // An output that was cut off by a cancel is not the whole answer.
+                StreamEvent::Finished { reason: FinishReason::Cancelled, .. } => {
+                    return Some(lost("the generation was cancelled"));
+                }
                 StreamEvent::Finished { reason, count, .. } => {
                     if count != buffer.next_index() {
                         return None;
--- /dev/null
+++ b/tests/all/jobs.rs
@@ -0,0 +1,80 @@
+//! Deferred generations that survive the loss of their entry VM.
+
+use std::time::Duration;
+
+use dragonflycart_testkit::TokenSource;
+use hyper::Method;
+use serde_json::json;
+
+use crate::support::{Caller, Deployment, DeploymentSpec, HttpAnswer, wait_for};
+
+async fn post_job(deployment: &Deployment, vm: usize, key: &str, tokens: u32) -> HttpAnswer {
+    let body = json!({ "model": "assistant", "prompt": "a report", "max_tokens": tokens });
+    let headers = [("idempotency-key", key), ("x-route", "report")];
+    let caller = Caller::new("reports");
+    let address = deployment.vms[vm].http;
+    caller.send(Method::POST, address, "/v1/jobs", &headers, body.to_string()).await.unwrap()
+}
+
+async fn wait_result(deployment: &Deployment, vm: usize, key: &str) -> String {
+    let caller = Caller::new("reports");
+    let address = deployment.vms[vm].http;
+    let path = format!("/v1/jobs/{key}");
+    wait_for("the job to be done", || async {
+        let answer = caller.send(Method::GET, address, &path, &[], "").await.ok()?;
+        let text = answer.json()["choices"][0]["text"].as_str()?.to_owned();
+        (answer.status == 200).then_some(text)
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn job_is_fetched_through_another_vm() {
+    // Guards against a result that only the VM that ran the job can give.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+
+    let accepted = post_job(&deployment, 0, "night-1", 40).await;
+    let text = wait_result(&deployment, 1, "night-1").await;
+
+    assert_eq!(accepted.status, 202, "{:?}", accepted.body);
+    assert_eq!(text, TokenSource::expected_text(40));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_job_is_one_job() {
+    // Guards against a second job under the same key.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+
+    let first = post_job(&deployment, 0, "night-2", 20).await;
+    let second = post_job(&deployment, 1, "night-2", 20).await;
+    let other = post_job(&deployment, 1, "night-2", 21).await;
+    wait_result(&deployment, 1, "night-2").await;
+
+    assert_eq!(first.status, 202, "{:?}", first.body);
+    assert!(matches!(second.status, 200 | 202), "{:?}", second.body);
+    assert_eq!(other.error_kind(), "key_reused", "{:?}", other.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_job_survives_the_loss_of_its_vm() {
+    // Guards against an accepted report that is lost with the VM that ran it.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    let accepted = post_job(&deployment, 0, "night-3", 400).await;
+    assert_eq!(accepted.status, 202, "{:?}", accepted.body);
+    let worker = wait_for("a VM to run the job", || async {
+        for vm in 0..2 {
+            let tokens = deployment.metric(vm, "dragonflycart_tokens_total").await;
+            if tokens.is_some_and(|tokens| tokens >= 5.0) {
+                return Some(vm);
+            }
+        }
+        None
+    })
+    .await;
+
+    deployment.vms[worker].process().kill().unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let text = wait_result(&deployment, 1 - worker, "night-3").await;
+
+    assert_eq!(text, TokenSource::expected_text(400));
+}
--- /dev/null
+++ b/tests/all/plans.rs
@@ -0,0 +1,263 @@
+//! Plans and zones: in effect everywhere within 3 s, never reverting, also with parts cut off.
+
+use std::time::Duration;
+
+use dragonflycart_core::{PlanRevision, ZoneState};
+use dragonflycart_operator::api::SubmitAnswer;
+use dragonflycart_testkit::{
+    FaultCommand, LogCommand, OutageKind, RelayCommand, RelayMode, RelayScope,
+};
+use hyper::Method;
+use tokio::time::Instant;
+
+use crate::support::{
+    Caller, Deployment, DeploymentSpec, Operator, submit_answer, wait_for, zone_name,
+};
+
+/// Time within which an accepted plan is in effect on every reachable VM.
+const IN_EFFECT_BOUND: Duration = Duration::from_secs(3);
+
+fn cut_log(deployment: &Deployment, vm: usize) {
+    let command = RelayCommand { scope: RelayScope::All, mode: RelayMode::Discard };
+    deployment.log_relays[vm].apply(command);
+}
+
+async fn wait_log_lost(deployment: &Deployment, vm: usize) {
+    wait_for("the loss of the log to be noticed", || async {
+        let found = deployment.metric(vm, "dragonflycart_log_reachable").await?;
+        (found == 0.0).then_some(())
+    })
+    .await;
+}
+
+async fn revision(deployment: &Deployment, vm: usize) -> u64 {
+    deployment.metric(vm, "dragonflycart_plan_revision").await.unwrap_or(0.0) as u64
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plan_is_in_effect_everywhere_within_bound() {
+    // Guards against a VM that learns of an accepted plan too late.
+    let spec = DeploymentSpec { zones: 3, seats: 2, ..DeploymentSpec::default() };
+    let mut deployment = Deployment::start(spec).await;
+
+    let start = Instant::now();
+    let revision = deployment.submit_plan().await;
+    for vm in 0..deployment.vms.len() {
+        deployment.wait_revision(vm, revision).await;
+    }
+
+    assert!(start.elapsed() <= IN_EFFECT_BOUND, "took {:?}", start.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plan_reaches_a_vm_without_the_log_through_a_peer() {
+    // Guards against a plan that stays unknown where only peers can be reached.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    cut_log(&deployment, 1);
+    wait_log_lost(&deployment, 1).await;
+
+    let start = Instant::now();
+    let revision = deployment.submit_plan().await;
+    deployment.wait_revision(1, revision).await;
+
+    assert!(start.elapsed() <= IN_EFFECT_BOUND, "took {:?}", start.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn first_of_two_racing_operators_wins() {
+    // Guards against a plan that silently replaces one which its author has not seen.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    let (first, second) = (Operator::new("ops"), Operator::new("rival"));
+    let mut first_plan = deployment.plan.clone();
+    first_plan.zones.get_mut(&zone_name(0)).unwrap().carry_limit = 11;
+    let mut second_plan = deployment.plan.clone();
+    second_plan.zones.get_mut(&zone_name(0)).unwrap().carry_limit = 22;
+
+    let (one, two) = tokio::join!(
+        first.submit(deployment.vms[0].admin, 1, &first_plan),
+        second.submit(deployment.vms[1].admin, 1, &second_plan),
+    );
+
+    let answers = [submit_answer(&one), submit_answer(&two)];
+    let accepted = answers.iter().filter(|a| matches!(a, SubmitAnswer::Accepted { .. })).count();
+    assert_eq!(accepted, 1, "{answers:?}");
+    let (winner, plan) = match answers[0] {
+        SubmitAnswer::Accepted { .. } => (first.name(), first_plan),
+        _ => (second.name(), second_plan),
+    };
+    for answer in answers {
+        let SubmitAnswer::Conflict { author, plan: in_effect, revision } = answer else {
+            continue;
+        };
+        assert_eq!(author.unwrap().as_str(), winner);
+        assert_eq!(in_effect, plan);
+        assert_eq!(revision, PlanRevision(2));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_submission_has_no_second_effect() {
+    // Guards against a second revision when the answer to a submission was lost.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    let operator = Operator::new("ops");
+    let mut plan = deployment.plan.clone();
+    plan.zones.get_mut(&zone_name(1)).unwrap().carry_limit = 33;
+    deployment.log.fault(&FaultCommand::LoseAnswers { count: 1, reset: true });
+
+    let first = operator.submit(deployment.vms[0].admin, 1, &plan).await;
+    let second = operator.submit(deployment.vms[1].admin, 1, &plan).await;
+
+    let accepted = SubmitAnswer::Accepted { revision: PlanRevision(2) };
+    assert_eq!(submit_answer(&first), accepted);
+    assert_eq!(submit_answer(&second), accepted);
+    assert_eq!(revision(&deployment, 0).await, 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_without_credential_changes_nothing() {
+    // Guards against a change by somebody who is not an operator.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    let stranger = Operator::new("desk");
+
+    let answer = stranger.submit(deployment.vms[0].admin, 1, &deployment.plan).await;
+
+    assert_eq!(answer.status, 401);
+    assert_eq!(revision(&deployment, 0).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_vm_catches_up_and_never_reverts() {
+    // Guards against a VM that acts on its old plan after a pause, or spreads it to others.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.vms[1].process().pause().unwrap();
+    for _ in 0..3 {
+        deployment.submit_plan().await;
+    }
+    deployment.wait_revision(0, 4).await;
+
+    deployment.vms[1].process().resume().unwrap();
+    let took = deployment.wait_revision(1, 4).await;
+
+    assert!(took <= IN_EFFECT_BOUND, "took {took:?}");
+    assert_eq!(revision(&deployment, 0).await, 4);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn new_vm_gets_the_plan_from_a_peer_during_a_platform_outage() {
+    // Guards against a replacement VM that can't serve while the platform is down.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.log.command(LogCommand::Outage { kind: OutageKind::Hang });
+    deployment.directory.fault(&FaultCommand::Die);
+    deployment.vms[1].process().kill().unwrap();
+
+    deployment.vms[1].start();
+    deployment.wait_ready(1).await;
+
+    let caller = Caller::new("desk");
+    let answer = caller.complete(deployment.vms[1].http, "a report", 10).await.unwrap();
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+    assert_eq!(revision(&deployment, 1).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn new_vm_is_ready_within_bound() {
+    // Guards against a slow start of a replacement VM.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.vms[1].process().kill().unwrap();
+
+    let start = Instant::now();
+    deployment.vms[1].start();
+    deployment.wait_ready(1).await;
+
+    assert!(start.elapsed() <= IN_EFFECT_BOUND, "took {:?}", start.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_that_is_out_gets_no_new_work() {
+    // Guards against work in a zone more than 3 s after operators took it out.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    let operator = Operator::new("ops");
+    let zone = zone_name(0);
+
+    let answer = operator.set_zone(deployment.vms[1].admin, 1, &zone, ZoneState::Out, false).await;
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+    for vm in 0..2 {
+        deployment.wait_revision(vm, 2).await;
+    }
+    let before = deployment.engines[0].stats().accepted.len();
+    let caller = Caller::new("desk");
+    for vm in 0..2 {
+        for _ in 0..10 {
+            let answer = caller.complete(deployment.vms[vm].http, "text", 3).await.unwrap();
+            assert_eq!(answer.status, 200, "{:?}", answer.body);
+        }
+    }
+
+    assert_eq!(deployment.engines[0].stats().accepted.len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn zone_is_latched_out_while_the_log_is_down() {
+    // Guards against operators who can't take a zone out during a platform outage, and against
+    // a latch that outlives the plan revision that states the zone's state.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.log.command(LogCommand::Outage { kind: OutageKind::Refuse });
+    for vm in 0..2 {
+        wait_log_lost(&deployment, vm).await;
+    }
+    let operator = Operator::new("ops");
+    let zone = zone_name(0);
+
+    let start = Instant::now();
+    let answer = operator.set_zone(deployment.vms[1].admin, 1, &zone, ZoneState::Out, true).await;
+    assert_eq!(submit_answer(&answer), SubmitAnswer::Latched);
+    for vm in 0..2 {
+        wait_for("the zone to be out", || async {
+            let status = operator.status(deployment.vms[vm].admin).await?;
+            (status.zones[&zone].state == ZoneState::Out).then_some(())
+        })
+        .await;
+    }
+    assert!(start.elapsed() <= IN_EFFECT_BOUND, "took {:?}", start.elapsed());
+
+    // The latch ends with a plan submitted clearly later than the latch was set.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    deployment.log.command(LogCommand::Outage { kind: OutageKind::None });
+    let revision = deployment.submit_plan().await;
+    for vm in 0..2 {
+        deployment.wait_revision(vm, revision).await;
+        wait_for("the zone to be in", || async {
+            let status = operator.status(deployment.vms[vm].admin).await?;
+            (status.zones[&zone].state == ZoneState::In).then_some(())
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plan_survives_the_removal_of_old_records() {
+    // Guards against a VM that starts without the plan after the log removed its proposal.
+    let mut deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.submit_plan().await;
+    deployment.wait_revision(0, 2).await;
+    let reader = Caller::new("desk");
+    let end = wait_for("a snapshot to be in the log", || async {
+        let address = deployment.log.address();
+        let path = "/topics/plan?from=0&wait_ms=0";
+        let answer = reader.send(Method::GET, address, path, &[], "").await.ok()?;
+        let line = answer.body.split(|byte| *byte == b'\n').next()?.to_vec();
+        let header: serde_json::Value = serde_json::from_slice(&line).ok()?;
+        let end = header["end"].as_u64()?;
+        (end > 2).then_some(end)
+    })
+    .await;
+
+    deployment.log.command(LogCommand::Expire { first: end - 1 });
+    for vm in 0..2 {
+        deployment.vms[vm].process().kill().unwrap();
+    }
+    deployment.vms[0].start();
+    deployment.wait_ready(0).await;
+
+    assert_eq!(revision(&deployment, 0).await, 2);
+}
--- a/tests/all/support/caller.rs
+++ b/tests/all/support/caller.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request};
+use hyper::{Method, Request};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -19,8 +19,6 @@
 pub(crate) struct HttpAnswer {
     /// Status code.
     pub(crate) status: u16,
-    /// Headers.
-    pub(crate) headers: HeaderMap,
     /// Body.
     pub(crate) body: Bytes,
 }
@@ -119,7 +117,7 @@
             let response = self.client.request(request).await.map_err(|e| e.to_string())?;
             let (parts, body) = response.into_parts();
             let body = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
-            Ok(HttpAnswer { status: parts.status.as_u16(), headers: parts.headers, body })
+            Ok(HttpAnswer { status: parts.status.as_u16(), body })
         };
         tokio::time::timeout(ANSWER_LIMIT, exchange).await.map_err(|e| e.to_string())?
     }
--- a/tests/all/support/deployment.rs
+++ b/tests/all/support/deployment.rs
@@ -51,7 +51,8 @@
     pub(crate) peer_relays: Vec<FaultRelay>,
     /// Plan as submitted last.
     pub(crate) plan: OperatingPlan,
-    revision: u64,
+    /// Revision of the plan submitted last by the fixture.
+    pub(crate) revision: u64,
     submissions: u64,
     spec: DeploymentSpec,
     folder: PathBuf,
@@ -129,7 +130,7 @@
             let text = self.settings(index, [http, admin, peer], &reachable);
             let path = self.folder.join(format!("vm-{index}.ini"));
             fs::write(&path, text).unwrap();
-            self.vms.push(VmProcess::new(http, admin, peer, path));
+            self.vms.push(VmProcess::new(http, admin, path));
         }
     }
 
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -3,14 +3,16 @@
 mod caller;
 mod deployment;
 mod deployment_spec;
+mod operator;
 mod port_pool;
 mod vm_process;
 mod wait;
 
 pub(crate) use self::{
     caller::{Caller, HttpAnswer, StreamedAnswer},
-    deployment::Deployment,
+    deployment::{Deployment, zone_name},
     deployment_spec::DeploymentSpec,
+    operator::{Operator, submit_answer},
     vm_process::VmProcess,
-    wait::{WAIT_LIMIT, wait_for},
+    wait::wait_for,
 };
--- /dev/null
+++ b/tests/all/support/operator.rs
@@ -0,0 +1,72 @@
+//! Operator of the administration API.
+
+use std::net::SocketAddr;
+
+use dragonflycart_core::{OperatingPlan, PlanRevision, ZoneName, ZoneState};
+use dragonflycart_operator::api::{
+    PLAN_PATH, STATUS_PATH, StatusAnswer, SubmitAnswer, SubmitId, SubmitRequest, ZONES_PATH,
+    ZoneRequest,
+};
+use hyper::Method;
+
+use crate::support::{Caller, HttpAnswer};
+
+/// Operator of the administration API.
+pub(crate) struct Operator {
+    caller: Caller,
+    name: String,
+}
+
+impl Operator {
+    /// Builds the operator `name` of the fixture's settings.
+    pub(crate) fn new(name: &str) -> Operator {
+        Operator { caller: Caller::new(name), name: name.to_owned() }
+    }
+
+    /// Returns the operator's name.
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Proposes a plan.
+    pub(crate) async fn submit(
+        &self,
+        address: SocketAddr,
+        base: u64,
+        plan: &OperatingPlan,
+    ) -> HttpAnswer {
+        let base_revision = PlanRevision(base);
+        let submit_id = SubmitId::of_plan(base_revision, plan);
+        let request = SubmitRequest { base_revision, submit_id, plan: plan.clone() };
+        let body = serde_json::to_vec(&request).unwrap();
+        self.caller.send(Method::POST, address, PLAN_PATH, &[], body).await.unwrap()
+    }
+
+    /// Changes the state of a zone.
+    pub(crate) async fn set_zone(
+        &self,
+        address: SocketAddr,
+        base: u64,
+        zone: &ZoneName,
+        state: ZoneState,
+        emergency: bool,
+    ) -> HttpAnswer {
+        let base_revision = PlanRevision(base);
+        let submit_id = SubmitId::of_zone(base_revision, zone, state);
+        let request = ZoneRequest { state, base_revision, submit_id, emergency };
+        let body = serde_json::to_vec(&request).unwrap();
+        let path = format!("{ZONES_PATH}/{zone}");
+        self.caller.send(Method::POST, address, &path, &[], body).await.unwrap()
+    }
+
+    /// Reads the status of a VM.
+    pub(crate) async fn status(&self, address: SocketAddr) -> Option<StatusAnswer> {
+        let answer = self.caller.send(Method::GET, address, STATUS_PATH, &[], "").await.ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+}
+
+/// Reads the answer to a submission.
+pub(crate) fn submit_answer(answer: &HttpAnswer) -> SubmitAnswer {
+    serde_json::from_slice(&answer.body).unwrap()
+}
--- a/tests/all/support/vm_process.rs
+++ b/tests/all/support/vm_process.rs
@@ -10,21 +10,14 @@
     pub(crate) http: SocketAddr,
     /// Address for operators.
     pub(crate) admin: SocketAddr,
-    /// Address for peers.
-    pub(crate) peer: SocketAddr,
     settings: PathBuf,
     process: Option<ChildProcess>,
 }
 
 impl VmProcess {
     /// Builds a VM that does not run yet.
-    pub(crate) fn new(
-        http: SocketAddr,
-        admin: SocketAddr,
-        peer: SocketAddr,
-        settings: PathBuf,
-    ) -> VmProcess {
-        VmProcess { http, admin, peer, settings, process: None }
+    pub(crate) fn new(http: SocketAddr, admin: SocketAddr, settings: PathBuf) -> VmProcess {
+        VmProcess { http, admin, settings, process: None }
     }
 
     /// Starts the daemon; also used to replace one that was killed.
--- a/tests/all/support/wait.rs
+++ b/tests/all/support/wait.rs
@@ -6,7 +6,7 @@
 
 /// Longest wait for a condition without a bound of its own. Generous, because CI machines are
 /// busy; bounds that the design states are checked separately.
-pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(30);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 /// Interval between two looks at a condition.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
