Withhold outcomes without their claim and append call copies in steps

A reader that starts after records were removed can know an outcome without its claim. Such an outcome is now withheld until the copies have been read. Ruled out: the digest in the outcome record, which would let such a reader answer at once, but changes a record that the daemon already builds.

The copies for a checkpoint can be taken a few keys at a time, because all of them at once would overflow the append buffer of a VM with many calls.

An owner whose call window has passed on the wall clock loses its permit; the monotonic clock can stand still while a VM is paused.

--- a/crates/state/src/batch_writer.rs
+++ b/crates/state/src/batch_writer.rs
@@ -140,6 +140,9 @@
         if own && self.in_flight() == Some(batch.sequence) {
             self.confirm(offset);
         }
+        if self.flight.is_none() {
+            self.known_end = self.known_end.max(offset.next());
+        }
     }
 
     /// Reports that everything from the offset of `WriterStep::LookFor` up to `end` was passed to
--- a/crates/state/src/call_attempt.rs
+++ b/crates/state/src/call_attempt.rs
@@ -65,19 +65,24 @@
         Some(self.claim.to_wire(&self.key, None))
     }
 
-    /// Takes note of what was read from the log. The attempt becomes the owner if its claim is the
-    /// first open one of a ledger that misses nothing.
+    /// Takes note of what was read from the log and of the time. The attempt becomes the owner if
+    /// its claim is the first open one of a ledger that misses nothing. It loses the ownership when
+    /// the call window has passed, since other VMs have forgotten the key by then; call this before
+    /// `take_permit`, because the monotonic clock can stand still while the VM is paused.
     pub fn observe(&mut self, ledger: &CallLedger, now: WallTime) {
         self.key_reused |= ledger.is_reused(&self.key, &self.claim.request_digest);
-        if !matches!(self.phase, AttemptPhase::Claimed) || self.key_reused {
+        let young = ledger.is_within_window(self.claim.made_at, now);
+        if !young && self.is_owner() {
+            self.phase = AttemptPhase::Claimed;
+        }
+        if !matches!(self.phase, AttemptPhase::Claimed) || self.key_reused || !young {
             return;
         }
         let owns = match ledger.view(&self.key) {
             CallView::Owned(owner) => owner.claim_id == self.claim.claim_id,
             _ => false,
         };
-        let young = ledger.is_within_window(self.claim.made_at, now);
-        if owns && young && ledger.is_authoritative(now) {
+        if owns && ledger.is_authoritative(now) {
             self.phase = AttemptPhase::Owner(DispatchPermit::new(self.claim.claim_id));
         }
     }
@@ -166,8 +171,8 @@
                 AttemptAnswer::Pending
             };
         }
-        if let CallView::Settled(outcome) = ledger.view(&self.key) {
-            return AttemptAnswer::Outcome(outcome);
+        if let Some(outcome) = ledger.outcome_of(&self.key, &self.claim.request_digest) {
+            return AttemptAnswer::Outcome(outcome.clone());
         }
         match self.phase {
             AttemptPhase::GivenUp => self.answer_given_up(ledger, log_reachable, now),
--- a/crates/state/src/call_ledger.rs
+++ b/crates/state/src/call_ledger.rs
@@ -4,14 +4,14 @@
 //! misses a claim, so a ledger that started after records were removed decides nothing until it
 //! has read a complete series of copies that starts at or after its first record.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, ops::Bound, time::Duration};
 
 use dragonflycart_core::{LogOffset, WallTime};
 use dragonflycart_wire::{LogEntry, RecordBatch, log_entry::Kind};
 
 use crate::{
-    CallKey, CallView, ClaimId, ClaimNote, KeyHistory, LedgerLimits, LogCoverage, OutcomeNote,
-    ReleaseNote,
+    CallKey, CallView, CheckpointPass, ClaimId, ClaimNote, KeyHistory, LedgerLimits, LogCoverage,
+    OutcomeNote, ReleaseNote,
 };
 
 /// Claims, releases and outcomes of calls within the call window.
@@ -95,12 +95,21 @@
             return false;
         };
         let claim = match history.outcome() {
-            Some(outcome) => history.claim(outcome.claim_id).or_else(|| history.owner()),
+            Some(outcome) => history.claim(outcome.claim_id),
             None => history.owner(),
         };
         claim.is_some_and(|claim| claim.request_digest != digest)
     }
 
+    /// Returns the answer of a request. An outcome whose claim is not known is withheld: a reader
+    /// that started after records were removed can't tell which request it belongs to.
+    pub fn outcome_of(&self, key: &CallKey, digest: &[u8]) -> Option<&OutcomeNote> {
+        let history = self.keys.get(key)?;
+        let outcome = history.outcome().filter(|outcome| outcome.is_known())?;
+        let claim = history.claim(outcome.claim_id)?;
+        (claim.request_digest == digest).then_some(outcome)
+    }
+
     /// Returns whether a release of the claim was read.
     pub fn is_released(&self, key: &CallKey, claim_id: ClaimId) -> bool {
         self.keys.get(key).is_some_and(|history| history.is_released(claim_id))
@@ -137,20 +146,43 @@
         self.coverage.checkpoint_due(now, stagger)
     }
 
-    /// Returns copies of all records and, as the last entry, the checkpoint. They are appended in
-    /// this order, in one or more appends. Empty if this ledger may not decide.
-    pub fn checkpoint(&self, now: WallTime) -> Vec<LogEntry> {
+    /// Starts a series of copies, unless this ledger may have missed records.
+    pub fn begin_checkpoint(&self, now: WallTime) -> Option<CheckpointPass> {
+        let pass = CheckpointPass::new(self.coverage.checkpoint(now));
+        self.is_authoritative(now).then_some(pass)
+    }
+
+    /// Returns the copies of the next `count` keys, or the checkpoint after the last one. All of it
+    /// is appended in this order by one writer, in one or more appends.
+    pub fn next_copies(&self, pass: &mut CheckpointPass, count: usize) -> Vec<LogEntry> {
         let mut entries = Vec::new();
-        if !self.is_authoritative(now) {
+        if pass.is_done() {
             return entries;
         }
-        for (key, history) in &self.keys {
+        let start = pass.copied_to().map_or(Bound::Unbounded, Bound::Excluded);
+        for (key, history) in self.keys.range((start.cloned(), Bound::Unbounded)).take(count.max(1))
+        {
             for kind in history.copies(key) {
                 entries.push(LogEntry { kind: Some(kind) });
             }
+            pass.advance(key);
+        }
+        if entries.is_empty() {
+            entries.push(pass.finish());
+        }
+        entries
+    }
+
+    /// Returns a whole series of copies at once, for a small ledger. Empty if this ledger may have
+    /// missed records. If any entry is not appended, the last one must not be appended either.
+    pub fn checkpoint(&self, now: WallTime) -> Vec<LogEntry> {
+        let mut entries = Vec::new();
+        let Some(mut pass) = self.begin_checkpoint(now) else {
+            return entries;
+        };
+        while !pass.is_done() {
+            entries.extend(self.next_copies(&mut pass, 1));
         }
-        let checkpoint = self.coverage.checkpoint(now);
-        entries.push(LogEntry { kind: Some(Kind::LogCheckpoint(checkpoint)) });
         entries
     }
 
--- /dev/null
+++ b/crates/state/src/checkpoint_pass.rs
@@ -0,0 +1,42 @@
+//! Progress of a series of copies.
+
+use dragonflycart_wire::{LogCheckpoint, LogEntry, log_entry::Kind};
+
+use crate::CallKey;
+
+/// Series of copies that is being appended, a few keys at a time, so that it does not fill the
+/// append buffer.
+///
+/// Records that are appended to the log while it goes on need no copy: they follow the offset that
+/// the checkpoint names.
+#[derive(Debug, Clone)]
+pub struct CheckpointPass {
+    checkpoint: LogCheckpoint,
+    copied_to: Option<CallKey>,
+    done: bool,
+}
+
+impl CheckpointPass {
+    pub(crate) fn new(checkpoint: LogCheckpoint) -> CheckpointPass {
+        CheckpointPass { checkpoint, copied_to: None, done: false }
+    }
+
+    /// Returns whether the checkpoint itself was returned.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    pub(crate) fn copied_to(&self) -> Option<&CallKey> {
+        self.copied_to.as_ref()
+    }
+
+    pub(crate) fn advance(&mut self, key: &CallKey) {
+        self.copied_to = Some(key.clone());
+    }
+
+    /// Ends the series. It must be appended after all copies.
+    pub(crate) fn finish(&mut self) -> LogEntry {
+        self.done = true;
+        LogEntry { kind: Some(Kind::LogCheckpoint(self.checkpoint.clone())) }
+    }
+}
--- a/crates/state/src/job_ledger.rs
+++ b/crates/state/src/job_ledger.rs
@@ -1,11 +1,13 @@
 //! Topic `jobs`, folded in log order.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, ops::Bound, time::Duration};
 
 use dragonflycart_core::{Incarnation, LogOffset, WallTime};
 use dragonflycart_wire::{JobClaim, LogEntry, RecordBatch, log_entry::Kind};
 
-use crate::{CallKey, JobHistory, JobView, LedgerLimits, LogCoverage, incarnation_to_wire};
+use crate::{
+    CallKey, CheckpointPass, JobHistory, JobView, LedgerLimits, LogCoverage, incarnation_to_wire,
+};
 
 /// Accepted deferred generations with their attempts and results.
 ///
@@ -111,20 +113,43 @@
         self.coverage.checkpoint_due(now, stagger)
     }
 
-    /// Returns copies of all records and, as the last entry, the checkpoint. Empty if the ledger
-    /// may have missed records.
-    pub fn checkpoint(&self, now: WallTime) -> Vec<LogEntry> {
+    /// Starts a series of copies, unless this ledger may have missed records.
+    pub fn begin_checkpoint(&self, now: WallTime) -> Option<CheckpointPass> {
+        let pass = CheckpointPass::new(self.coverage.checkpoint(now));
+        self.is_authoritative(now).then_some(pass)
+    }
+
+    /// Returns the copies of the next `count` keys, or the checkpoint after the last one. All of it
+    /// is appended in this order by one writer, in one or more appends.
+    pub fn next_copies(&self, pass: &mut CheckpointPass, count: usize) -> Vec<LogEntry> {
         let mut entries = Vec::new();
-        if !self.is_authoritative(now) {
+        if pass.is_done() {
             return entries;
         }
-        for (key, history) in &self.jobs {
+        let start = pass.copied_to().map_or(Bound::Unbounded, Bound::Excluded);
+        for (key, history) in self.jobs.range((start.cloned(), Bound::Unbounded)).take(count.max(1))
+        {
             for kind in history.copies(key) {
                 entries.push(LogEntry { kind: Some(kind) });
             }
+            pass.advance(key);
+        }
+        if entries.is_empty() {
+            entries.push(pass.finish());
+        }
+        entries
+    }
+
+    /// Returns a whole series of copies at once, for a small ledger. Empty if this ledger may have
+    /// missed records. If any entry is not appended, the last one must not be appended either.
+    pub fn checkpoint(&self, now: WallTime) -> Vec<LogEntry> {
+        let mut entries = Vec::new();
+        let Some(mut pass) = self.begin_checkpoint(now) else {
+            return entries;
+        };
+        while !pass.is_done() {
+            entries.extend(self.next_copies(&mut pass, 1));
         }
-        let checkpoint = self.coverage.checkpoint(now);
-        entries.push(LogEntry { kind: Some(Kind::LogCheckpoint(checkpoint)) });
         entries
     }
 
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,6 +12,7 @@
 mod call_key;
 mod call_ledger;
 mod call_view;
+mod checkpoint_pass;
 mod claim_id;
 mod claim_note;
 mod dispatch_permit;
@@ -52,6 +53,7 @@
     call_key::CallKey,
     call_ledger::CallLedger,
     call_view::CallView,
+    checkpoint_pass::CheckpointPass,
     claim_id::{ClaimId, incarnation_from_wire, incarnation_to_wire},
     claim_note::ClaimNote,
     dispatch_permit::DispatchPermit,
