--- a/crates/bench/examples/scenario.rs
+++ b/crates/bench/examples/scenario.rs
@@ -10,7 +10,7 @@
 
 use clap::{Arg, Command};
 use dragonflycart_bench::{RunRow, ScenarioKind, Simulation, mean_row, print_table};
-use dragonflycart_policy::policy_names;
+use dragonflycart_policy::{PolicySettings, policy_names};
 use strum::IntoEnumIterator;
 
 fn command() -> Command {
@@ -20,6 +20,7 @@
         .arg(Arg::new("seeds").long("seeds").default_value("20"))
         .arg(Arg::new("threads").long("threads").default_value("3"))
         .arg(Arg::new("policies").long("policies").help("policies with commas; default all"))
+        .arg(Arg::new("set").long("set").help("settings as name=value with commas, for trials"))
         .arg(Arg::new("csv").long("csv").help("file for one row per run"))
 }
 
@@ -49,7 +50,8 @@
             }
         }
     }
-    let rows = run_jobs(&jobs, threads);
+    let overrides = parse_overrides(&text("set").unwrap_or_default())?;
+    let rows = run_jobs(&jobs, threads, &overrides);
     let mut means = Vec::new();
     for group in rows.chunk_by(|a, b| a.scenario == b.scenario && a.policy == b.policy) {
         means.extend(mean_row(group));
@@ -65,7 +67,37 @@
     Ok(())
 }
 
-fn run_jobs(jobs: &[(ScenarioKind, String, u64)], threads: usize) -> Vec<RunRow> {
+fn parse_overrides(list: &str) -> Result<Vec<(String, f64)>, Box<dyn Error>> {
+    let mut overrides = Vec::new();
+    for part in list.split(',').filter(|part| !part.is_empty()) {
+        let (name, value) = part.split_once('=').ok_or("a setting is name=value")?;
+        overrides.push((name.to_owned(), value.parse()?));
+    }
+    Ok(overrides)
+}
+
+fn apply_overrides(settings: &mut PolicySettings, overrides: &[(String, f64)]) {
+    for (name, value) in overrides {
+        match name.as_str() {
+            "headroom" => settings.headroom = *value,
+            "length_quantile" => settings.length_quantile = *value,
+            "late_quantile" => settings.late_quantile = *value,
+            "batch_share" => settings.batch_share = *value,
+            "queue_depth" => settings.queue_depth = *value as u32,
+            "prefix_bonus" => settings.prefix_bonus = *value,
+            "standard_reserve" => settings.class_reserve[1] = *value,
+            "batch_reserve" => settings.class_reserve[2] = *value,
+            "spread" => settings.spread = *value,
+            _ => panic!("unknown setting {name}"),
+        }
+    }
+}
+
+fn run_jobs(
+    jobs: &[(ScenarioKind, String, u64)],
+    threads: usize,
+    overrides: &[(String, f64)],
+) -> Vec<RunRow> {
     let next = AtomicUsize::new(0);
     let rows = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
@@ -76,7 +108,9 @@
                     let Some((kind, policy, seed)) = jobs.get(number) else {
                         break;
                     };
-                    let metrics = Simulation::new(kind.spec(), policy, *seed).run();
+                    let mut spec = kind.spec();
+                    apply_overrides(&mut spec.settings, overrides);
+                    let metrics = Simulation::new(spec, policy, *seed).run();
                     let row = RunRow::new(kind.into(), policy, *seed, &metrics);
                     rows.lock().expect("no run panicked").push((number, row));
                 }
--- a/crates/bench/src/engine_profile.rs
+++ b/crates/bench/src/engine_profile.rs
@@ -5,7 +5,7 @@
 pub struct EngineProfile {
     /// Fixed part of a step.
     pub step_base: f64,
-    /// Part of a step per request that decodes.
+    /// Part of a step per request that gets a token at its end.
     pub step_request: f64,
     /// Part of a step per prompt token that is processed in it.
     pub step_prefill: f64,
--- a/crates/policy/src/cold_slots.rs
+++ b/crates/policy/src/cold_slots.rs
@@ -29,10 +29,12 @@
 /// (server, instance, s). VMs may have different views of the limit: the slots are numbered, so
 /// the sum over all VMs is at most the largest limit that any of them sees.
 ///
-/// VMs may also have different views of the instance. A slot is used only with a report that was
-/// taken within the freshness limit, and a new instance only after that limit has passed since it
-/// was first seen. By then no VM has a fresh report of the earlier instance, so the slots of two
-/// instances are never in use together.
+/// VMs may also have different views of the instance. A decision names the instance that it was
+/// made for, and must be sent over a connection to that instance, which breaks when the process
+/// ends; so a slot of an earlier instance is never used on a later one. As a second measure, for
+/// callers whose connections can't be tied to an instance, a slot is used only with a report that
+/// was taken within the freshness limit, and a new instance only after that limit has passed
+/// since it was first seen: by then no VM has a fresh report of the earlier instance.
 #[derive(Debug, Clone)]
 pub struct ColdSlots {
     seat: VmSeat,
--- a/crates/policy/src/forecast_policy.rs
+++ b/crates/policy/src/forecast_policy.rs
@@ -5,10 +5,6 @@
     placement_policy::lowest_score,
 };
 
-/// Weight of a random term in the score. VMs with the same reports would otherwise all choose
-/// the same server until the next report.
-const SPREAD: f64 = 0.03;
-
 /// Forecast memory and batch size: a server is admissible if its forecast peak stays under the
 /// headroom and its batch under the limit; among the admissible ones the least loaded one wins.
 #[derive(Debug)]
@@ -18,6 +14,7 @@
     queue_depth: f64,
     prefix_bonus: f64,
     remote_penalty: f64,
+    spread: f64,
 }
 
 impl ForecastPolicy {
@@ -28,6 +25,7 @@
             queue_depth: f64::from(settings.queue_depth),
             prefix_bonus: settings.prefix_bonus,
             remote_penalty: settings.remote_penalty,
+            spread: settings.spread,
         }
     }
 
@@ -40,12 +38,13 @@
             return true;
         }
         let requests = f64::from(candidate.estimated_requests) + candidate.claimed_requests;
-        if requests + 1.0 > self.batch_limit(candidate) {
+        let share = 1.0 - candidate.reserve;
+        if requests + 1.0 > (self.batch_limit(candidate) * share).max(1.0) {
             return false;
         }
         // A request that fits only into an empty server must be able to start there.
         candidate.estimated_requests == 0
-            || candidate.forecast_peak <= candidate.memory_total as f64 * self.headroom
+            || candidate.forecast_peak <= candidate.memory_total as f64 * self.headroom * share
     }
 
     fn score(&self, candidate: &PlacementCandidate) -> f64 {
@@ -68,7 +67,7 @@
         let mut scores = Vec::with_capacity(candidates.len());
         for (candidate, random) in candidates.iter().zip(random) {
             let admissible = self.is_admissible(candidate);
-            let score = self.score(candidate) + SPREAD * random;
+            let score = self.score(candidate) + self.spread * random;
             scores.push(if admissible { score } else { f64::INFINITY });
         }
         let position = lowest_score(candidates, &scores, |_| 0.0)?;
--- a/crates/policy/src/placement_candidate.rs
+++ b/crates/policy/src/placement_candidate.rs
@@ -30,4 +30,6 @@
     pub prefix_share: f64,
     /// Whether the server is in another zone than this VM.
     pub remote: bool,
+    /// Share of the server's capacity that is kept free for requests of more urgent classes.
+    pub reserve: f64,
 }
--- a/crates/policy/src/placement_decision.rs
+++ b/crates/policy/src/placement_decision.rs
@@ -13,8 +13,9 @@
         ticket: RequestTicket,
         /// Backend server.
         server: ServerKey,
-        /// Instance that the decision was made for. A connection to another instance must not
-        /// be used.
+        /// Instance that the decision was made for. A request with a cold-start slot must be sent
+        /// over a connection on which a report of this instance was read: the connection breaks
+        /// when the process ends, so the request can't reach a colder instance.
         instance: ServerInstance,
         /// Whether the request uses a cold-start slot of this VM's seat.
         cold_slot: bool,
--- a/crates/policy/src/policy_settings.rs
+++ b/crates/policy/src/policy_settings.rs
@@ -60,6 +60,9 @@
     pub prefix_bonus: f64,
     /// Increase of the placement score for a server in another zone.
     pub remote_penalty: f64,
+    /// Weight of a random term in the placement score. VMs with the same reports would otherwise
+    /// all choose the same server until the next report.
+    pub spread: f64,
     /// Candidates that one placement compares.
     pub candidate_limit: usize,
     /// Longest queue of a pool, in requests.
@@ -68,6 +71,9 @@
     pub queue_patience: Duration,
     /// Weights of the interactive, standard and batch class.
     pub class_weights: [u32; 3],
+    /// Shares of a server's capacity that the interactive, standard and batch class leave free for
+    /// more urgent ones, so that those find room without a wait.
+    pub class_reserve: [f64; 3],
     /// Weights of teams; the weight of a team that is not listed is 1.
     pub team_weights: BTreeMap<TeamName, u32>,
     /// Wait of an interactive request after which a deferred request is preempted for it.
@@ -102,10 +108,12 @@
             retry_subset: 4,
             prefix_bonus: 0.1,
             remote_penalty: 0.02,
+            spread: 0.03,
             candidate_limit: 32,
             queue_limit: 4_096,
             queue_patience: Duration::from_secs(60),
             class_weights: [16, 4, 1],
+            class_reserve: [0.0, 0.0, 0.0],
             team_weights: BTreeMap::new(),
             preempt_after: None,
             prior_length: 400,
--- a/crates/policy/src/request_placer.rs
+++ b/crates/policy/src/request_placer.rs
@@ -144,7 +144,8 @@
         }
         state.draw = self.random.random();
         let own_running = state.attempts.len() as u32;
-        if state.zone != self.own_zone {
+        // A frozen report says nothing about the requests that are running now.
+        if state.zone != self.own_zone || state.is_frozen() {
             return;
         }
         self.cold.observe(server, instance, taken_at, (seat_running, own_running), now);
@@ -278,13 +279,14 @@
             reported_requests: report.running + report.waiting,
             reported_memory: report.memory_used_tokens,
             memory_total,
-            estimated_requests: state.estimated_requests(),
+            estimated_requests: state.estimated_requests(self.vms),
             claimed_requests,
             limit,
             cold,
             forecast_peak: 0.0,
             prefix_share: prefix_share.min(1.0),
             remote: state.zone != self.own_zone,
+            reserve: self.settings.class_reserve[size.class as usize],
         };
         if self.policy.uses_forecast() {
             candidate.forecast_peak = self.forecast_peak(size, key, claimed_requests);
@@ -295,7 +297,7 @@
     fn forecast_peak(&mut self, size: &RequestSize, key: ServerKey, claimed: f64) -> f64 {
         let quantile = self.settings.length_quantile;
         let state = self.servers.get_mut(key);
-        state.refresh_forecast(&self.lengths, quantile, &self.residuals);
+        state.refresh_forecast(&self.lengths, quantile, &self.residuals, self.vms);
         let (held, remaining) = (f64::from(size.held), f64::from(size.remaining));
         state.forecast.peak_with(held, remaining, 1.0 + claimed)
     }
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -20,6 +20,10 @@
 /// Requests sent less than this before a report may not be in it.
 const TRANSIT_TIME: Duration = Duration::from_millis(10);
 
+/// A report whose content doesn't change for this long while requests run is frozen: the memory in
+/// use changes with every token.
+const FROZEN_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Request of this VM that runs on a server.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct OwnAttempt {
@@ -62,6 +66,9 @@
     /// Ended own requests that the last report includes.
     ended_since_report: u32,
     cold: bool,
+    /// Time at which the content of the reports last changed.
+    content_since: MonoTime,
+    frozen: bool,
     signal_at: Option<MonoTime>,
     first_token_average: f64,
     first_tokens: u32,
@@ -86,6 +93,8 @@
             sent_since_report: 0,
             ended_since_report: 0,
             cold: true,
+            content_since: MonoTime::default(),
+            frozen: false,
             signal_at: None,
             first_token_average: 0.0,
             first_tokens: 0,
@@ -109,6 +118,7 @@
         } else if self.signal_at.is_none_or(|signal| report.taken_at >= signal) {
             self.cold = false;
         }
+        self.check_frozen(&report, now);
         self.ended.retain(|ended| ended.ended_at > report.taken_at);
         self.reported_at = now;
         self.report = Some(report);
@@ -117,6 +127,26 @@
         true
     }
 
+    fn check_frozen(&mut self, report: &ServerReport, now: MonoTime) {
+        let content = |report: &ServerReport| {
+            (report.running, report.waiting, report.memory_used_tokens, report.preemptions)
+        };
+        if self.report.as_ref().is_none_or(|last| content(last) != content(report)) {
+            self.content_since = now;
+        }
+        let own_tokens = self
+            .attempts
+            .values()
+            .any(|attempt| attempt.first_token && attempt.sent_at < self.content_since);
+        let active = report.running > 0 || own_tokens;
+        self.frozen = active && now.since(self.content_since) > FROZEN_AFTER;
+    }
+
+    /// Returns whether the reports stopped changing although requests run.
+    pub fn is_frozen(&self) -> bool {
+        self.frozen
+    }
+
     /// Lowers the limit to the cold limit until a report that was taken after `now`.
     pub(crate) fn signal(&mut self, signal: ColdSignal, now: MonoTime) {
         self.cold = true;
@@ -160,18 +190,25 @@
         self.report.as_ref().is_some_and(|report| sent_at + TRANSIT_TIME <= report.taken_at)
     }
 
-    /// Returns the requests that other VMs are assumed to have sent since the last report: each
-    /// as many as this one. The random draw rounds up or down, so that of a small rest of
+    /// Returns the requests that other VMs are assumed to have added since the last report: each
+    /// as many as this one. Requests that took the place of ended ones don't count, because the
+    /// other VMs see the end of their own requests as well. The random draw rounds up or down, so that of a small rest of
     /// capacity about the right number of VMs take a part, without any message.
     pub(crate) fn claims_of_others(&self, vms: u32) -> f64 {
-        (f64::from(self.sent_since_report) + self.draw) * f64::from(vms.saturating_sub(1))
+        let added = self.sent_since_report.saturating_sub(self.ended_since_report);
+        (f64::from(added) + self.draw) * f64::from(vms.saturating_sub(1))
     }
 
     /// Returns the estimated number of requests in the server.
-    pub(crate) fn estimated_requests(&self) -> u32 {
+    ///
+    /// If the reports are frozen, all VMs are assumed to have as many requests there as this one.
+    pub(crate) fn estimated_requests(&self, vms: u32) -> u32 {
         let Some(report) = &self.report else {
             return 0;
         };
+        if self.frozen {
+            return self.attempts.len() as u32 * vms;
+        }
         let requests = report.running + report.waiting + self.sent_since_report;
         requests.saturating_sub(self.ended_since_report)
     }
@@ -243,6 +280,7 @@
         lengths: &LengthEstimator,
         quantile: f64,
         others: &[u32],
+        vms: u32,
     ) {
         if !self.forecast_stale {
             return;
@@ -268,7 +306,14 @@
                 own_memory += f64::from(attempt.tokens);
             }
         }
-        if let Some(report) = &self.report {
+        if self.frozen {
+            let own: f64 = self.attempts.values().map(|a| f64::from(a.prompt + a.tokens)).sum();
+            let count = self.attempts.len() as f64 * f64::from(vms.saturating_sub(1));
+            let mean = own / (self.attempts.len() as f64).max(1.0);
+            for remaining in others {
+                forecast.add(mean, f64::from(*remaining), count / others.len() as f64);
+            }
+        } else if let Some(report) = &self.report {
             let running = f64::from(report.running);
             let count = (running + f64::from(report.waiting) - own_requests).max(0.0);
             let memory = (report.memory_used_tokens as f64 - own_memory).max(0.0);
