Climb slowly to a full share of 0.9, prove routes apart, ignore common alarms

The share now climbs from 0.5 to 0.9 over a fifth of the time and stays below the share that raised an alarm, proofs start again after an alarm with a smaller error bound, routes are proven at three times the tolerance, and an alarm that the old version shares does not lower the share. The error bound of a rollback is 0.004, the cap 12 requests per step.

--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -15,13 +15,17 @@
 /// Span at which a stratum is closed even with fewer requests.
 const STRATUM_SPAN_S: u64 = 30;
 
+/// Factor on the tolerated rates in the proof of a single route. With the full strictness a route
+/// with a few percent of the traffic could not be proven within the time of a move.
+const ROUTE_TOLERANCE: f64 = 3.0;
+
 /// Comparison on one route: the open stratum of each epoch and the tests fed with the closed ones.
 #[derive(Debug, Clone)]
 pub struct MoveComparison {
     open: BTreeMap<usize, (u64, [MoveCounts; 2])>,
     tests: [MoveTest; 2],
     proofs: [MoveProof; 2],
-    alarms: [MoveAlarm; 2],
+    alarms: [[MoveAlarm; 2]; 2],
     totals: [MoveCounts; 2],
 }
 
@@ -34,21 +38,26 @@
         MoveComparison {
             open: BTreeMap::new(),
             tests: [test.clone(), test],
-            proofs: tolerances.map(MoveProof::new),
-            alarms: tolerances.map(MoveAlarm::new),
+            proofs: tolerances.map(|tolerance| MoveProof::new(ROUTE_TOLERANCE * tolerance)),
+            alarms: [tolerances.map(MoveAlarm::new), tolerances.map(MoveAlarm::new)],
             totals: [MoveCounts::default(); 2],
         }
     }
 
     /// Adds newly settled counters of a bucket to the stratum of its epoch, if it has one. Returns
-    /// whether an alarm is raised.
-    pub fn add(&mut self, bucket_s: u64, epoch: Option<usize>, counts: [MoveCounts; 2]) -> bool {
-        let mut alarmed = false;
-        for (measure, alarm) in MoveMeasure::ALL.into_iter().zip(&mut self.alarms) {
-            let (requests, bad) = measure.trials(counts[1]);
-            alarmed |= alarm.absorb(requests, bad);
-        }
+    /// whether an alarm is raised for the old and for the new version.
+    pub fn add(
+        &mut self,
+        bucket_s: u64,
+        epoch: Option<usize>,
+        counts: [MoveCounts; 2],
+    ) -> [bool; 2] {
+        let mut alarmed = [false; 2];
         for (side, added) in counts.into_iter().enumerate() {
+            for (measure, alarm) in MoveMeasure::ALL.into_iter().zip(&mut self.alarms[side]) {
+                let (requests, bad) = measure.trials(added);
+                alarmed[side] |= alarm.absorb(requests, bad);
+            }
             self.totals[side] = self.totals[side].plus(added);
         }
         if let Some(epoch) = epoch {
@@ -78,6 +87,11 @@
         closed
     }
 
+    /// Starts the proofs again.
+    pub fn restart_proofs(&mut self) {
+        self.proofs = self.proofs.clone().map(MoveProof::restart);
+    }
+
     /// Adds weight to the tests for a version that turns bad now.
     pub fn open_segment(&mut self, weight: f64) {
         for test in &mut self.tests {
--- a/crates/policy/src/move_control.rs
+++ b/crates/policy/src/move_control.rs
@@ -5,8 +5,8 @@
 use dragonflycart_core::{RouteName, VersionMove, WallTime};
 
 use crate::{
-    MoveDecision, MoveEvidence, MoveJudge, MoveMeasure, MovePace, MoveReason, MoveSettings,
-    MoveShares, MoveState,
+    MoveDecision, MoveEvidence, MoveJudge, MoveMeasure, MovePace, MoveProof, MoveReason,
+    MoveSettings, MoveShares, MoveState, move_pace::FULL,
 };
 
 /// Time after its creation for which a control sends no request to the new version and decides
@@ -28,11 +28,18 @@
 /// Time for which an alarm lowers the share.
 const ALARM_HOLD_S: u64 = 20;
 
-/// Fraction of the time of the move that must have passed since the last alarm before it is done.
+/// Fraction of the time of the move for which the version must have had its full share without an
+/// alarm before the move is done.
 const QUIET_FRACTION: u32 = 10;
 
 /// Evidence against the new version at which the share stops growing.
-const HOLD_EVIDENCE: f64 = 2.0;
+const HOLD_EVIDENCE: f64 = 20.0;
+
+/// Part of the full share that counts as full.
+const FULL_ENOUGH: f64 = 0.97;
+
+/// Time without an alarm after which the share may rise above the one that raised the last alarm.
+const PROBATION_S: u64 = 60;
 
 /// Control of one version move on one VM. Every VM runs its own; they agree through the evidence
 /// they exchange and through the lattice of states.
@@ -44,6 +51,10 @@
     state: MoveState,
     created: WallTime,
     watch_until: WallTime,
+    held: bool,
+    last_share: f64,
+    tripped: Option<f64>,
+    full_since: Option<WallTime>,
 }
 
 impl MoveControl {
@@ -57,6 +68,10 @@
             state: MoveState::Running,
             created: now,
             watch_until: plan.deadline.after(settings.watch),
+            held: false,
+            last_share: 0.0,
+            tripped: None,
+            full_since: None,
             settings,
         }
     }
@@ -106,7 +121,7 @@
         }
         let reason = match self.proof() {
             Ok(reason) if !self.is_doubtful(now) => return Some((MoveState::Done, reason)),
-            Ok(_) => self.doubt(),
+            Ok(_) => MoveReason::Doubtful { evidence: self.judge.evidence() },
             Err(reason) => reason,
         };
         let informed = now >= self.created.after(WARM_UP);
@@ -126,35 +141,38 @@
                 continue;
             }
             for measure in MoveMeasure::ALL {
-                let proof = comparison.proof(measure);
-                if proof.evidence() >= 1.0 / self.settings.proof_error {
-                    continue;
-                }
-                let (requests, evidence) = (proof.requests(), proof.evidence());
-                let route = Some(route.clone());
-                return Err(MoveReason::Unproven { route, measure, requests, evidence });
+                self.check_proof(Some(route), measure, comparison.proof(measure))?;
             }
         }
         let needed = self.settings.route_floor;
         if total < needed || unjudged.len() == self.judge.routes().len() {
             return Err(MoveReason::TooLittleTraffic { requests: total, needed });
         }
+        for measure in MoveMeasure::ALL {
+            self.check_proof(None, measure, self.judge.proof(measure))?;
+        }
         Ok(MoveReason::Proven { requests: total, unjudged })
     }
 
-    fn doubt(&self) -> MoveReason {
-        MoveReason::Unproven {
-            route: None,
-            measure: MoveMeasure::Failed,
-            requests: 0,
-            evidence: self.judge.evidence(),
+    fn check_proof(
+        &self,
+        route: Option<&RouteName>,
+        measure: MoveMeasure,
+        proof: &MoveProof,
+    ) -> Result<(), MoveReason> {
+        if proof.evidence() >= self.judge.proof_limit() {
+            return Ok(());
         }
+        let (requests, evidence) = (proof.requests(), proof.evidence());
+        Err(MoveReason::Unproven { route: route.cloned(), measure, requests, evidence })
     }
 
-    /// Returns whether an alarm was raised lately or the evidence leans against the version.
+    /// Returns whether the version was not watched at full share without an alarm for long enough,
+    /// or the evidence leans against it.
     fn is_doubtful(&self, now: WallTime) -> bool {
-        let quiet_s = (self.pace.span() / QUIET_FRACTION).as_secs().max(ALARM_HOLD_S);
-        self.is_alarmed(now, quiet_s) || self.judge.evidence() >= HOLD_EVIDENCE
+        let quiet = self.pace.span() / QUIET_FRACTION;
+        let watched = self.full_since.is_some_and(|since| now.since(since) >= quiet);
+        !watched || self.judge.evidence() >= HOLD_EVIDENCE
     }
 
     fn is_alarmed(&self, now: WallTime, hold_s: u64) -> bool {
@@ -163,18 +181,37 @@
     }
 
     fn shares(&mut self, now: WallTime, evidence: &MoveEvidence) -> MoveShares {
-        let held = self.is_alarmed(now, ALARM_HOLD_S);
-        let limit = if held { ALARM_SHARE } else { 1.0 };
+        self.note_alarm(now);
+        let limit = if self.held { ALARM_SHARE } else { self.tripped.unwrap_or(1.0) };
         let shares = match self.state {
             MoveState::RolledBack => MoveShares::default(),
             MoveState::Done => MoveShares::uniform(limit),
             MoveState::Running => self.running_shares(now, evidence, limit),
         };
         self.judge.note_shares(now, &shares);
-        self.judge.set_proving(shares.overall >= PROOF_SHARE && !held);
+        self.judge.set_proving(shares.overall >= PROOF_SHARE && !self.held);
+        if shares.overall < FULL_ENOUGH * FULL {
+            self.full_since = None;
+        } else {
+            self.full_since.get_or_insert(now);
+        }
+        self.last_share = shares.overall;
         shares
     }
 
+    /// Remembers the share that raised an alarm until the share was held for a while without one.
+    fn note_alarm(&mut self, now: WallTime) {
+        let held = self.is_alarmed(now, ALARM_HOLD_S);
+        if held && !self.held {
+            self.tripped = Some(self.last_share.clamp(ALARM_SHARE, FULL));
+            self.judge.restart_proofs();
+        }
+        if !self.is_alarmed(now, ALARM_HOLD_S + PROBATION_S) {
+            self.tripped = None;
+        }
+        self.held = held;
+    }
+
     /// Returns shares that keep the requests at risk of one step within the cap, or within the
     /// number of requests that already concluded on the new version.
     fn running_shares(&self, now: WallTime, evidence: &MoveEvidence, limit: f64) -> MoveShares {
@@ -183,7 +220,7 @@
         }
         let ceiling = self.pace.ceiling(now).min(limit);
         let rates = self.rates(now, evidence);
-        let cap = self.settings.risk_cap / rates.len().max(1) as f64;
+        let roots = rates.values().map(|rate| rate.sqrt()).sum::<f64>();
         let grows = self.judge.evidence() < HOLD_EVIDENCE;
         let mut shares = MoveShares::uniform(ceiling);
         let (mut new_rate, mut rate_sum) = (0.0, 0.0);
@@ -192,6 +229,8 @@
                 Some(comparison) if grows => comparison.totals()[1].total() as f64,
                 _ => 0.0,
             };
+            // Small routes get more than their part of the cap, so that they are judged in time.
+            let cap = self.settings.risk_cap * rate.sqrt() / roots;
             let share = (verified.max(cap) / (rate * self.pace.step_s())).min(ceiling);
             new_rate += share * rate;
             rate_sum += rate;
--- a/crates/policy/src/move_pace.rs
+++ b/crates/policy/src/move_pace.rs
@@ -4,8 +4,16 @@
 
 use dragonflycart_core::{VersionMove, WallTime};
 
-/// Ceilings of the share by the fraction of the time that has passed.
-const CEILINGS: [(f64, f64); 3] = [(0.6, 0.95), (0.45, 0.8), (0.0, 0.5)];
+/// Ceiling of the share until [`CLIMB`].
+const HALF: f64 = 0.5;
+
+/// Highest share before the move is done. The rest stays with the old version for comparison: at
+/// 0.9 a failure of the new version carries twice the evidence that it carries at 0.95.
+pub(crate) const FULL: f64 = 0.9;
+
+/// Fractions of the time between which the ceiling rises from half to full share. It rises slowly,
+/// so that a version that is bad only under load shows it close to the share that it can bear.
+const CLIMB: (f64, f64) = (0.4, 0.62);
 
 /// Fraction of the time at the end of which a proven version may be done.
 const DONE_FROM: f64 = 0.75;
@@ -59,9 +67,8 @@
 
     /// Returns the highest share of the new version at this time.
     pub fn ceiling(&self, now: WallTime) -> f64 {
-        let progress = self.progress(now);
-        let step = CEILINGS.into_iter().find(|(from, _)| progress >= *from);
-        step.map_or(0.0, |(_, ceiling)| ceiling)
+        let climbed = (self.progress(now) - CLIMB.0) / (CLIMB.1 - CLIMB.0);
+        HALF + (FULL - HALF) * climbed.clamp(0.0, 1.0)
     }
 
     /// Returns the length of one step of the ramp, in seconds.
--- a/crates/policy/src/move_proof.rs
+++ b/crates/policy/src/move_proof.rs
@@ -26,6 +26,12 @@
         MoveProof { tolerance, log_rate: [0.0; GOOD_FRACTIONS.len()], log_odds: 0.0, requests: 0 }
     }
 
+    /// Returns a proof that starts again with the same tolerance.
+    #[must_use]
+    pub fn restart(self) -> MoveProof {
+        MoveProof::new(self.tolerance)
+    }
+
     /// Takes one stratum into account.
     pub fn absorb(&mut self, stratum: &MoveStratum) {
         self.requests += stratum.new;
--- a/crates/policy/src/move_reason.rs
+++ b/crates/policy/src/move_reason.rs
@@ -31,6 +31,12 @@
         /// Evidence that the version is good.
         evidence: f64,
     },
+    /// The deadline came before the new version had its full share for long enough without an
+    /// alarm, or while the evidence leaned against it.
+    Doubtful {
+        /// Combined evidence against the new version.
+        evidence: f64,
+    },
     /// The deadline came with too little traffic to judge the new version.
     TooLittleTraffic {
         /// Requests that concluded on the new version.
@@ -71,6 +77,10 @@
                 write_scope(f, route.as_ref())?;
                 write!(f, ": {measure}, {requests} requests (evidence {evidence:.1})")
             }
+            MoveReason::Doubtful { evidence } => {
+                f.write_str("not watched at full share without an alarm by the deadline")?;
+                write!(f, " (evidence against the new version {evidence:.1})")
+            }
             MoveReason::TooLittleTraffic { requests, needed } => {
                 write!(f, "too little traffic by the deadline: {requests} of {needed} requests")
             }
--- a/crates/policy/src/move_settings.rs
+++ b/crates/policy/src/move_settings.rs
@@ -8,7 +8,8 @@
     /// Highest probability that a version that is not worse than the old one is rolled back by
     /// the comparison, over the whole move and watch.
     pub rollback_error: f64,
-    /// Highest probability that a bad version passes the proof for one measure.
+    /// Highest probability that a bad version passes the proof for one measure, over all attempts.
+    /// The sum over attempts `k` of `2 / (k (k + 1))` is twice the bound of the first attempt.
     pub proof_error: f64,
     /// Odds ratio up to which the new version does not count as worse. It absorbs small
     /// differences between VMs in their shares and clocks.
@@ -36,12 +37,12 @@
 impl Default for MoveSettings {
     fn default() -> MoveSettings {
         MoveSettings {
-            rollback_error: 0.001,
+            rollback_error: 0.004,
             proof_error: 0.01,
             margin: 1.5,
             failed_tolerance: 0.02,
             slow_tolerance: 0.15,
-            risk_cap: 24.0,
+            risk_cap: 12.0,
             route_floor: 30,
             objective: Duration::from_secs(4),
             settle: Duration::from_secs(1),
