--- /dev/null
+++ b/crates/policy/tests/order_planner.rs
@@ -0,0 +1,372 @@
+//! Interleavings of orders from two issuers to one engine.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use dragonflycart_core::{
+    ModelName, ModelPlacement, MonoTime, MoveId, OperatingPlan, OrderFence, PlanRevision,
+    ServerInstance, VersionMove, VersionName, VmSeat, WallTime, ZoneName,
+};
+use dragonflycart_policy::{
+    MoveState, OrderAction, OrderAnswer, OrderCommand, OrderDuty, OrderGate, OrderLoads,
+    OrderPlanner, OrderReport, OrderTarget, OrderVersion, OrderView,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const TIMEOUT_S: u64 = 10;
+const PLAN_LAG_S: u64 = 3;
+const LOAD_S: u64 = 4;
+const CHAOS_S: u64 = 200;
+const END_S: u64 = 300;
+
+fn version(number: u64) -> OrderVersion {
+    let name = format!("v{number}");
+    (ModelName::new("assistant").unwrap(), VersionName::new(&name).unwrap())
+}
+
+fn versions(numbers: &[u64]) -> BTreeSet<OrderVersion> {
+    numbers.iter().map(|number| version(*number)).collect()
+}
+
+fn target(revision: u64, progress: u64, numbers: &[u64]) -> OrderTarget {
+    OrderTarget { revision: PlanRevision(revision), progress, wanted: versions(numbers) }
+}
+
+/// Engine whose loads take a while; unloads take effect at once.
+struct Engine {
+    enforces: bool,
+    instance: u64,
+    loading: Vec<(u64, OrderVersion)>,
+    loaded: BTreeSet<OrderVersion>,
+    fence: OrderFence,
+}
+
+impl Engine {
+    fn new(enforces: bool, loaded: &[u64]) -> Engine {
+        let fence = OrderFence::default();
+        Engine { enforces, instance: 1, loading: Vec::new(), loaded: versions(loaded), fence }
+    }
+
+    fn step(&mut self, now_s: u64) {
+        let (done, rest) = self.loading.drain(..).partition(|(at_s, _)| *at_s <= now_s);
+        self.loading = rest;
+        let done: Vec<(u64, OrderVersion)> = done;
+        self.loaded.extend(done.into_iter().map(|(_, version)| version));
+    }
+
+    fn restart(&mut self) {
+        self.instance += 1;
+        self.loading.clear();
+        self.loaded.clear();
+        self.fence = OrderFence::default();
+    }
+
+    fn execute(&mut self, now_s: u64, command: &OrderCommand) -> OrderAnswer {
+        if self.enforces && command.fence < self.fence {
+            return OrderAnswer::Stale;
+        }
+        if self.enforces {
+            self.fence = self.fence.max(command.fence);
+        }
+        match &command.action {
+            OrderAction::Load(version) if !self.loaded.contains(version) => {
+                self.loading.push((now_s + LOAD_S, version.clone()));
+            }
+            OrderAction::Load(_) => {}
+            OrderAction::Unload(version) => {
+                self.loading.retain(|(_, loading)| loading != version);
+                self.loaded.remove(version);
+            }
+        }
+        OrderAnswer::Accepted
+    }
+
+    fn report(&self, now_s: u64) -> OrderReport {
+        OrderReport {
+            taken_at: MonoTime::from_millis(now_s * 1_000),
+            instance: ServerInstance(self.instance),
+            loaded: self.loaded.clone(),
+            highest_fence: self.fence,
+        }
+    }
+}
+
+/// Entry VM with its own view of the plan.
+struct Vm {
+    seat: VmSeat,
+    planner: OrderPlanner,
+    gate: OrderGate,
+    plan: usize,
+    isolated: bool,
+    report: Option<OrderReport>,
+}
+
+impl Vm {
+    fn new(seat: u16, enforces: bool) -> Vm {
+        let timeout = Duration::from_secs(TIMEOUT_S);
+        Vm {
+            seat: VmSeat(seat),
+            planner: OrderPlanner::new(timeout, enforces),
+            gate: OrderGate::new(timeout + Duration::from_secs(PLAN_LAG_S)),
+            plan: 0,
+            isolated: false,
+            report: None,
+        }
+    }
+
+    fn carries(&self) -> BTreeSet<OrderVersion> {
+        let Some(report) = &self.report else { return BTreeSet::new() };
+        report.loaded.iter().filter(|v| self.gate.may_carry(v, report)).cloned().collect()
+    }
+}
+
+/// Runs random interleavings and returns the engine's final state and the violations.
+fn run(
+    seed: u64,
+    enforces: bool,
+    plans: &[(u64, OrderTarget)],
+) -> (BTreeSet<OrderVersion>, Vec<String>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let first: BTreeSet<_> = plans[0].1.wanted.clone();
+    let mut engine = Engine::new(enforces, &[]);
+    engine.loaded = first;
+    let mut vms = [Vm::new(0, enforces), Vm::new(1, enforces)];
+    let mut orders: Vec<(u64, usize, OrderCommand, bool)> = Vec::new();
+    let mut violations = Vec::new();
+    for now_s in 0..END_S {
+        let chaos = now_s < CHAOS_S;
+        if chaos && rng.random_bool(0.01) {
+            engine.restart();
+        }
+        engine.step(now_s);
+        let newest = plans.iter().rposition(|(at_s, _)| *at_s <= now_s).unwrap_or(0);
+        let settled = plans.iter().rposition(|(at_s, _)| at_s + PLAN_LAG_S <= now_s).unwrap_or(0);
+        for vm in &mut vms {
+            if rng.random_bool(0.05) {
+                vm.isolated = chaos && rng.random_bool(0.4);
+            }
+            vm.isolated &= chaos;
+            if !vm.isolated {
+                vm.plan = if rng.random_bool(0.5) { newest } else { vm.plan.max(settled) };
+            }
+            vm.gate.note(MonoTime::from_millis(now_s * 1_000), &plans[vm.plan].1);
+            if !chaos || rng.random_bool(0.7) {
+                vm.report = Some(engine.report(now_s));
+            }
+        }
+        let (due, rest) = orders.drain(..).partition::<Vec<_>, _>(|(at_s, ..)| *at_s <= now_s);
+        orders = rest;
+        for (_, sender, command, answered) in due {
+            if let OrderAction::Unload(version) = &command.action {
+                let used = vms.iter().any(|vm| !vm.isolated && vm.carries().contains(version));
+                let effective = !enforces || command.fence >= engine.fence;
+                if used && effective && engine.loaded.contains(version) {
+                    violations.push(format!("{now_s} s: {sender} unloaded {version:?} in use"));
+                }
+            }
+            let answer = engine.execute(now_s, &command);
+            let answer = if answered { answer } else { OrderAnswer::Lost };
+            vms[sender].planner.answer(command.fence, answer);
+        }
+        for (index, vm) in vms.iter_mut().enumerate() {
+            let split = chaos && (vm.isolated || rng.random_bool(0.1));
+            let live = if split { vec![vm.seat] } else { vec![VmSeat(0), VmSeat(1)] };
+            let (in_use, report) = (vm.carries(), vm.report.clone());
+            let view = OrderView {
+                now: MonoTime::from_millis(now_s * 1_000),
+                is_issuer: OrderDuty::new(vm.seat, live).is_issuer(),
+                plan_confirmed: !vm.isolated,
+                target: &plans[vm.plan].1,
+                report: report.as_ref(),
+                in_use: &in_use,
+            };
+            for command in vm.planner.decide(&view) {
+                let lost = chaos && rng.random_bool(0.2);
+                let delay_s = if chaos { rng.random_range(0..TIMEOUT_S) } else { 0 };
+                if lost && rng.random_bool(0.5) {
+                    continue;
+                }
+                orders.push((now_s + delay_s, index, command, !lost));
+            }
+        }
+    }
+    (engine.loaded, violations)
+}
+
+/// A move with its load ahead of the start, its end, and a later plan that brings the old version
+/// back and takes the new one away.
+fn move_and_return() -> Vec<(u64, OrderTarget)> {
+    vec![
+        (0, target(1, 0, &[1])),
+        (20, target(2, 0, &[1, 2])),
+        (70, target(2, 3, &[2])),
+        (110, target(3, 0, &[1, 2])),
+        (150, target(4, 0, &[1])),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against an end state that misses the newest plan, and against the unload of a
+    /// version in use by a delayed order, a second issuer or a stale view, on engines of both
+    /// kinds.
+    #[test]
+    fn two_issuers_reach_the_newest_plan_and_unload_nothing_in_use(
+        seed in any::<u64>(),
+        enforces in any::<bool>(),
+    ) {
+        let plans = move_and_return();
+        let (loaded, violations) = run(seed, enforces, &plans);
+        prop_assert_eq!(loaded, versions(&[1]));
+        prop_assert!(violations.is_empty(), "{:?}", violations);
+    }
+}
+
+/// Guards against a second load of the weights while the first order is outstanding, and against
+/// waiting forever when an answer was lost.
+#[test]
+fn a_lost_answer_is_retried_only_after_the_timeout() {
+    let mut planner = OrderPlanner::new(Duration::from_secs(TIMEOUT_S), false);
+    let engine = Engine::new(false, &[1]);
+    let goal = target(1, 0, &[1, 2]);
+    let mut sent_at = Vec::new();
+    for now_s in 0..25 {
+        let report = engine.report(now_s);
+        let view = OrderView {
+            now: MonoTime::from_millis(now_s * 1_000),
+            is_issuer: true,
+            plan_confirmed: true,
+            target: &goal,
+            report: Some(&report),
+            in_use: &BTreeSet::new(),
+        };
+        for command in planner.decide(&view) {
+            planner.answer(command.fence, OrderAnswer::Lost);
+            sent_at.push(now_s);
+        }
+    }
+    assert_eq!(sent_at, [0, 10, 20]);
+}
+
+/// Guards against an unload by a VM that can't confirm its plan: the log is down.
+#[test]
+fn nothing_is_unloaded_without_a_confirmed_plan() {
+    let mut planner = OrderPlanner::new(Duration::from_secs(TIMEOUT_S), false);
+    let engine = Engine::new(false, &[1, 2]);
+    let goal = target(1, 0, &[2]);
+    for now_s in 0..60 {
+        let report = engine.report(now_s);
+        let view = OrderView {
+            now: MonoTime::from_millis(now_s * 1_000),
+            is_issuer: true,
+            plan_confirmed: now_s >= 50,
+            target: &goal,
+            report: Some(&report),
+            in_use: &BTreeSet::new(),
+        };
+        let commands = planner.decide(&view);
+        assert_eq!(commands.is_empty(), now_s != 50, "at {now_s} s: {commands:?}");
+    }
+}
+
+/// Returns the orders of a planner that becomes the issuer at 30 s, with their times.
+fn takeover(enforces: bool) -> Vec<(u64, OrderAction)> {
+    let mut planner = OrderPlanner::new(Duration::from_secs(TIMEOUT_S), enforces);
+    let mut engine = Engine::new(enforces, &[1, 2]);
+    let goal = target(1, 0, &[2]);
+    let mut sent = Vec::new();
+    for now_s in 0..60 {
+        let report = engine.report(now_s);
+        let view = OrderView {
+            now: MonoTime::from_millis(now_s * 1_000),
+            is_issuer: now_s >= 30,
+            plan_confirmed: true,
+            target: &goal,
+            report: Some(&report),
+            in_use: &BTreeSet::new(),
+        };
+        for command in planner.decide(&view) {
+            let answer = engine.execute(now_s, &command);
+            planner.answer(command.fence, answer);
+            sent.push((now_s, command.action));
+        }
+    }
+    sent
+}
+
+/// Guards against a destructive order of a new issuer while orders of its predecessor may still
+/// take effect.
+#[test]
+fn a_new_issuer_waits_or_raises_the_token_before_it_unloads() {
+    let unload = OrderAction::Unload(version(1));
+    let load = OrderAction::Load(version(2));
+
+    assert_eq!(takeover(false), [(40, unload.clone())]);
+    assert_eq!(takeover(true), [(30, load), (31, unload)]);
+}
+
+/// Guards against a load that is needed twice as often as the weight store allows: refusals must
+/// reduce the window and delay the next request.
+#[test]
+fn refused_loads_back_off_and_finished_loads_widen_the_window() {
+    let mut loads = OrderLoads::default();
+    let start = MonoTime::from_millis(0);
+    loads.granted();
+    loads.granted();
+    assert!(!loads.may_begin(start), "the window starts at two loads");
+
+    loads.ended(true);
+    assert!(loads.may_begin(start));
+    loads.refused(start, Some(Duration::from_secs(5)), 0.0);
+    assert!(!loads.may_begin(start + Duration::from_secs(4)));
+    assert!(!loads.may_begin(start + Duration::from_secs(6)), "the window was halved to one");
+
+    loads.ended(true);
+    assert!(loads.may_begin(start + Duration::from_secs(6)));
+}
+
+/// Guards against an unload of the old version before the watch has ended, and against keeping a
+/// new version that was rolled back.
+#[test]
+fn the_target_follows_the_state_of_the_move() {
+    let zone = ZoneName::new("z1").unwrap();
+    let (model, old) = version(1);
+    let placement =
+        ModelPlacement { zone: zone.clone(), model: model.clone(), version: old.clone() };
+    let (id, start) = (MoveId("m".into()), WallTime::from_unix_millis(10_000_000));
+    let planned = VersionMove {
+        model,
+        from: old,
+        to: version(2).1,
+        start,
+        deadline: start.after(Duration::from_secs(3_600)),
+    };
+    let plan = OperatingPlan {
+        placements: vec![placement],
+        moves: [(id.clone(), planned)].into(),
+        ..OperatingPlan::default()
+    };
+    let wanted = |state, settled, now| {
+        let moves = [(id.clone(), (state, settled))].into();
+        OrderTarget::new(PlanRevision(1), &plan, &zone, &moves, now)
+    };
+
+    assert_eq!(wanted(MoveState::Running, false, WallTime::default()).wanted, versions(&[1]));
+    assert_eq!(wanted(MoveState::Running, false, start).wanted, versions(&[1, 2]));
+    assert_eq!(wanted(MoveState::Done, false, start).wanted, versions(&[1, 2]));
+    assert_eq!(wanted(MoveState::Done, true, start).wanted, versions(&[2]));
+    assert_eq!(wanted(MoveState::RolledBack, true, start).wanted, versions(&[1]));
+    let (done, back) =
+        (wanted(MoveState::Done, true, start), wanted(MoveState::RolledBack, true, start));
+    assert!(done.first_fence() < back.first_fence());
+}
