Alarm on unsettled evidence, retreat to 0.15, keep proofs across common faults

The alarm waited for settled evidence, which cost over a second at high share. Failures of a fault that hits both versions no longer count in the proof, and a hold that the old version's alarm explains does not start the proof again.

--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -10,7 +10,7 @@
 
 /// Requests of one version at which a stratum is closed with a single request of the other. At a
 /// share of a few percent, waiting for more would delay the verdict by several seconds.
-const STRATUM_REQUESTS_BESIDE_ONE: u64 = 32;
+const STRATUM_REQUESTS_BESIDE_ONE: u64 = 64;
 
 /// Span at which a stratum is closed even with fewer requests.
 const STRATUM_SPAN_S: u64 = 30;
@@ -44,32 +44,33 @@
         }
     }
 
-    /// Adds newly settled counters of a bucket to the stratum of its epoch, if it has one. Returns
-    /// whether an alarm is raised for the old and for the new version.
-    pub fn add(
-        &mut self,
-        bucket_s: u64,
-        epoch: Option<usize>,
-        counts: [MoveCounts; 2],
-    ) -> [bool; 2] {
+    /// Checks newly arrived counters. Returns whether an alarm is raised for the old and for the
+    /// new version.
+    pub fn check(&mut self, counts: [MoveCounts; 2]) -> [bool; 2] {
         let mut alarmed = [false; 2];
         for (side, added) in counts.into_iter().enumerate() {
             for (measure, alarm) in MoveMeasure::ALL.into_iter().zip(&mut self.alarms[side]) {
                 let (requests, bad) = measure.trials(added);
                 alarmed[side] |= alarm.absorb(requests, bad);
             }
+        }
+        alarmed
+    }
+
+    /// Adds newly settled counters of a bucket to the stratum of its epoch, if it has one.
+    pub fn add(&mut self, bucket_s: u64, epoch: Option<usize>, counts: [MoveCounts; 2]) {
+        for (side, added) in counts.into_iter().enumerate() {
             self.totals[side] = self.totals[side].plus(added);
         }
         if let Some(epoch) = epoch {
             let (_, open) = self.open.entry(epoch).or_insert((bucket_s, Default::default()));
             *open = [open[0].plus(counts[0]), open[1].plus(counts[1])];
         }
-        alarmed
     }
 
-    /// Closes each open stratum that is large or old enough, feeds it to the tests and, if
-    /// `proving`, to the proofs. Returns the closed strata of each measure.
-    pub fn close_ready(&mut self, now_s: u64, proving: bool) -> Vec<[MoveStratum; 2]> {
+    /// Closes each open stratum that is large or old enough and feeds it to the tests. Returns the
+    /// closed strata of each measure.
+    pub fn close_ready(&mut self, now_s: u64) -> Vec<[MoveStratum; 2]> {
         let mut closed = Vec::new();
         self.open.retain(|_, (since_s, counts)| {
             let ready = is_ready(*since_s, counts.map(MoveCounts::total), now_s);
@@ -80,13 +81,17 @@
         });
         for (index, stratum) in closed.iter().flat_map(|strata| strata.iter().enumerate()) {
             self.tests[index].absorb(stratum);
-            if proving {
-                self.proofs[index].absorb(stratum);
-            }
         }
         closed
     }
 
+    /// Feeds the strata of each measure to the proofs.
+    pub fn prove(&mut self, strata: &[MoveStratum; 2]) {
+        for (proof, stratum) in self.proofs.iter_mut().zip(strata) {
+            proof.absorb(stratum);
+        }
+    }
+
     /// Starts the proofs again.
     pub fn restart_proofs(&mut self) {
         self.proofs = self.proofs.clone().map(MoveProof::restart);
--- a/crates/policy/src/move_control.rs
+++ b/crates/policy/src/move_control.rs
@@ -23,7 +23,7 @@
 const PROOF_SHARE: f64 = 0.4;
 
 /// Share of the new version while an alarm is raised.
-const ALARM_SHARE: f64 = 0.3;
+const ALARM_SHARE: f64 = 0.15;
 
 /// Time for which an alarm lowers the share.
 const ALARM_HOLD_S: u64 = 20;
@@ -54,7 +54,8 @@
     held: bool,
     last_share: f64,
     tripped: Option<f64>,
-    full_since: Option<WallTime>,
+    watched: Duration,
+    last_tick: WallTime,
 }
 
 impl MoveControl {
@@ -71,7 +72,8 @@
             held: false,
             last_share: 0.0,
             tripped: None,
-            full_since: None,
+            watched: Duration::ZERO,
+            last_tick: now,
             settings,
         }
     }
@@ -120,7 +122,7 @@
             return None;
         }
         let reason = match self.proof() {
-            Ok(reason) if !self.is_doubtful(now) => return Some((MoveState::Done, reason)),
+            Ok(reason) if !self.is_doubtful() => return Some((MoveState::Done, reason)),
             Ok(_) => MoveReason::Doubtful { evidence: self.judge.evidence() },
             Err(reason) => reason,
         };
@@ -169,10 +171,9 @@
 
     /// Returns whether the version was not watched at full share without an alarm for long enough,
     /// or the evidence leans against it.
-    fn is_doubtful(&self, now: WallTime) -> bool {
+    fn is_doubtful(&self) -> bool {
         let quiet = self.pace.span() / QUIET_FRACTION;
-        let watched = self.full_since.is_some_and(|since| now.since(since) >= quiet);
-        !watched || self.judge.evidence() >= HOLD_EVIDENCE
+        self.held || self.watched < quiet || self.judge.evidence() >= HOLD_EVIDENCE
     }
 
     fn is_alarmed(&self, now: WallTime, hold_s: u64) -> bool {
@@ -190,11 +191,10 @@
         };
         self.judge.note_shares(now, &shares);
         self.judge.set_proving(shares.overall >= PROOF_SHARE && !self.held);
-        if shares.overall < FULL_ENOUGH * FULL {
-            self.full_since = None;
-        } else {
-            self.full_since.get_or_insert(now);
+        if self.last_share >= FULL_ENOUGH * FULL {
+            self.watched += now.since(self.last_tick);
         }
+        self.last_tick = now;
         self.last_share = shares.overall;
         shares
     }
@@ -204,7 +204,11 @@
         let held = self.is_alarmed(now, ALARM_HOLD_S);
         if held && !self.held {
             self.tripped = Some(self.last_share.clamp(ALARM_SHARE, FULL));
+        }
+        if self.held && !held && self.judge.last_alarm_s().is_some() {
+            // The old version did not raise the alarm too, so nothing but the new one explains it.
             self.judge.restart_proofs();
+            self.watched = Duration::ZERO;
         }
         if !self.is_alarmed(now, ALARM_HOLD_S + PROBATION_S) {
             self.tripped = None;
--- a/crates/policy/src/move_epochs.rs
+++ b/crates/policy/src/move_epochs.rs
@@ -2,10 +2,10 @@
 
 /// Factor by which the odds of the share may change within an epoch. It is no larger than the
 /// margin of the tests, which absorbs the remaining difference.
-const EPOCH_ODDS: f64 = 1.5;
+const EPOCH_ODDS: f64 = 1.25;
 
 /// Factor between two consecutive shares from which a decrease leaves out the buckets around it.
-const ABRUPT_ODDS: f64 = 1.3;
+const ABRUPT_ODDS: f64 = 1.25;
 
 /// Buckets left out from an abrupt decrease on, while the VMs change their shares.
 const BLIND_S: u64 = 2;
--- a/crates/policy/src/move_judge.rs
+++ b/crates/policy/src/move_judge.rs
@@ -1,12 +1,15 @@
 //! Judgement of a new version from the evidence of all VMs.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use dragonflycart_core::{RouteName, WallTime};
 
 use crate::{
     MoveComparison, MoveCounts, MoveEpochs, MoveEvidence, MoveMeasure, MoveProof, MoveReason,
-    MoveSettings, MoveShares, MoveTest,
+    MoveSettings, MoveShares, MoveStratum, MoveTest,
 };
 
 /// Routes with a weight of their own in the combined evidence; further routes are tested only as
@@ -15,15 +18,15 @@
 
 /// Weight of the test over all routes in the combined evidence. The weights of both measures add
 /// up to 1.
-const OVERALL_WEIGHT: f64 = 0.3;
+const OVERALL_WEIGHT: f64 = 0.36;
 
 /// Weight of the test over the strata in which at least half of the requests went to the new
 /// version. A version that is bad only under load is good between two attempts at a high share;
 /// the other tests would forget the evidence of the attempts.
-const LOADED_WEIGHT: f64 = 0.1;
+const LOADED_WEIGHT: f64 = 0.08;
 
 /// Weight of the tests of all single routes together.
-const ROUTES_WEIGHT: f64 = 0.1;
+const ROUTES_WEIGHT: f64 = 0.06;
 
 /// Time within which an alarm of the old version explains one of the new version: a platform
 /// fault that hits both.
@@ -44,7 +47,10 @@
     start_s: u64,
     segment_s: u64,
     segments: u64,
+    checked: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
+    pending: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
     seen: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
+    unproven: VecDeque<(u64, RouteName, [MoveStratum; 2])>,
     routes: BTreeMap<RouteName, MoveComparison>,
     epochs: BTreeMap<RouteName, MoveEpochs>,
     overall: [MoveTest; 2],
@@ -64,7 +70,10 @@
             start_s: start.as_unix_millis() / 1_000,
             segment_s: (horizon.as_secs() / SEGMENTS).max(1),
             segments: 0,
+            checked: BTreeMap::new(),
+            pending: BTreeMap::new(),
             seen: BTreeMap::new(),
+            unproven: VecDeque::new(),
             routes: BTreeMap::new(),
             epochs: BTreeMap::new(),
             overall: [test.clone(), test.clone()],
@@ -77,33 +86,47 @@
         }
     }
 
-    /// Takes the settled evidence into account.
+    /// Takes new evidence into account: for the alarms at once, for the tests once it has settled.
     pub fn absorb(&mut self, evidence: &mut MoveEvidence, now: WallTime) {
-        let now_s = self.settled_s(now);
-        for (bucket_s, route, sums) in evidence.take_changed(now_s.saturating_sub(1)) {
+        for (bucket_s, route, sums) in evidence.take_changed(u64::MAX) {
             if bucket_s < self.start_s {
                 continue;
             }
+            let checked = self.checked.entry((bucket_s, route.clone())).or_default();
+            let added = [sums[0].since(checked[0]), sums[1].since(checked[1])];
+            *checked = sums;
+            let raised = self.comparison(route.clone()).check(added);
+            for (alarm_s, raised) in self.alarms_s.iter_mut().zip(raised) {
+                *alarm_s = (*alarm_s).max(raised.then_some(bucket_s));
+            }
+            self.pending.insert((bucket_s, route), sums);
+        }
+        let now_s = self.settled_s(now);
+        while let Some(entry) = self.pending.first_entry() {
+            if entry.key().0 >= now_s {
+                break;
+            }
+            let ((bucket_s, route), sums) = entry.remove_entry();
             self.open_segments(bucket_s);
             self.close_ready(&route, bucket_s);
             let seen = self.seen.entry((bucket_s, route.clone())).or_default();
             let added = [sums[0].since(seen[0]), sums[1].since(seen[1])];
             *seen = sums;
             let epoch = self.epochs.get(&route).map_or(Some(0), |epochs| epochs.epoch(bucket_s));
-            let raised = self.comparison(route).add(bucket_s, epoch, added);
-            for (alarm_s, raised) in self.alarms_s.iter_mut().zip(raised) {
-                *alarm_s = (*alarm_s).max(raised.then_some(bucket_s));
-            }
+            self.comparison(route).add(bucket_s, epoch, added);
         }
         let routes: Vec<_> = self.routes.keys().cloned().collect();
         for route in routes {
             self.close_ready(&route, now_s);
         }
+        self.prove_settled(now_s);
     }
 
     /// Drops buckets that the evidence no longer holds.
     pub fn forget_before(&mut self, first_s: u64) {
-        self.seen.retain(|key, _| key.0 >= first_s);
+        for counts in [&mut self.checked, &mut self.pending, &mut self.seen] {
+            counts.retain(|key, _| key.0 >= first_s);
+        }
     }
 
     /// Notes the shares that are in effect from now on.
@@ -137,6 +160,7 @@
     /// error bound, so that the bound holds for all attempts together.
     pub fn restart_proofs(&mut self) {
         self.attempts += 1;
+        self.unproven.clear();
         self.proofs = self.proofs.clone().map(MoveProof::restart);
         for comparison in self.routes.values_mut() {
             comparison.restart_proofs();
@@ -202,14 +226,12 @@
 
     fn close_ready(&mut self, route: &RouteName, now_s: u64) {
         let Some(comparison) = self.routes.get_mut(route) else { return };
-        for strata in comparison.close_ready(now_s, self.proving) {
+        for strata in comparison.close_ready(now_s) {
             for (test, stratum) in self.overall.iter_mut().zip(&strata) {
                 test.absorb(stratum);
             }
-            for (proof, stratum) in self.proofs.iter_mut().zip(&strata) {
-                if self.proving {
-                    proof.absorb(stratum);
-                }
+            if self.proving {
+                self.unproven.push_back((now_s, route.clone(), strata));
             }
             for (test, stratum) in self.loaded.iter_mut().zip(&strata) {
                 if stratum.new >= stratum.old {
@@ -219,6 +241,22 @@
         }
     }
 
+    /// Feeds strata to the proofs once no alarm followed them closely. Requests that failed in a
+    /// platform fault say nothing about the rate of the version; the tests judge them in
+    /// comparison with the old version.
+    fn prove_settled(&mut self, now_s: u64) {
+        if self.alarms_s[1].is_some_and(|alarm_s| now_s <= alarm_s + COMMON_ALARM_S) {
+            self.unproven.clear();
+        }
+        while self.unproven.front().is_some_and(|(s, _, _)| s + COMMON_ALARM_S < now_s) {
+            let Some((_, route, strata)) = self.unproven.pop_front() else { break };
+            for (proof, stratum) in self.proofs.iter_mut().zip(&strata) {
+                proof.absorb(stratum);
+            }
+            self.comparison(route).prove(&strata);
+        }
+    }
+
     fn open_segments(&mut self, bucket_s: u64) {
         let due = ((bucket_s - self.start_s) / self.segment_s).min(SEGMENTS);
         while self.segments < due {
--- a/crates/policy/src/move_settings.rs
+++ b/crates/policy/src/move_settings.rs
@@ -39,7 +39,7 @@
         MoveSettings {
             rollback_error: 0.004,
             proof_error: 0.01,
-            margin: 1.5,
+            margin: 1.25,
             failed_tolerance: 0.02,
             slow_tolerance: 0.15,
             risk_cap: 12.0,
--- a/crates/policy/src/move_test.rs
+++ b/crates/policy/src/move_test.rs
@@ -2,9 +2,9 @@
 
 use crate::MoveStratum;
 
-/// Odds ratios of the alternatives. Their average covers a version that is twice as bad as well
-/// as one that nearly always fails.
-const ALTERNATIVES: [f64; 4] = [3.0, 8.0, 30.0, 200.0];
+/// Odds ratios of the alternatives. Their average covers a version that fails a few times as often
+/// as the old one as well as one that nearly always fails.
+const ALTERNATIVES: [f64; 3] = [4.0, 12.0, 50.0];
 
 /// Test of "the new version is not worse than the old one by more than the margin" by betting: an
 /// e-process, whose expected value is at most 1 at every stopping time if the statement holds. By
