--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,16 @@
 mod move_state;
 mod move_stratum;
 mod move_test;
+mod order_action;
+mod order_answer;
+mod order_command;
+mod order_duty;
+mod order_gate;
+mod order_loads;
+mod order_planner;
+mod order_report;
+mod order_target;
+mod order_view;
 
 pub use crate::move_alarm::MoveAlarm;
 pub use crate::move_comparison::MoveComparison;
@@ -96,3 +106,13 @@
     work_request::{PromptPrefix, TokenProgress, WorkRequest},
     zone_limits::ZoneLimits,
 };
+pub use crate::order_action::{OrderAction, OrderVersion};
+pub use crate::order_answer::OrderAnswer;
+pub use crate::order_command::OrderCommand;
+pub use crate::order_duty::OrderDuty;
+pub use crate::order_gate::OrderGate;
+pub use crate::order_loads::OrderLoads;
+pub use crate::order_planner::OrderPlanner;
+pub use crate::order_report::OrderReport;
+pub use crate::order_target::OrderTarget;
+pub use crate::order_view::OrderView;
--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -10,18 +10,22 @@
 
 /// Requests of one version at which a stratum is closed with a single request of the other. At a
 /// share of a few percent, waiting for more would delay the verdict by several seconds.
-const STRATUM_REQUESTS_BESIDE_ONE: u64 = 32;
+const STRATUM_REQUESTS_BESIDE_ONE: u64 = 64;
 
 /// Span at which a stratum is closed even with fewer requests.
 const STRATUM_SPAN_S: u64 = 30;
 
+/// Factor on the tolerated rates in the proof of a single route. With the full strictness a route
+/// with a few percent of the traffic could not be proven within the time of a move.
+const ROUTE_TOLERANCE: f64 = 3.0;
+
 /// Comparison on one route: the open stratum of each epoch and the tests fed with the closed ones.
 #[derive(Debug, Clone)]
 pub struct MoveComparison {
     open: BTreeMap<usize, (u64, [MoveCounts; 2])>,
     tests: [MoveTest; 2],
     proofs: [MoveProof; 2],
-    alarms: [MoveAlarm; 2],
+    alarms: [[MoveAlarm; 2]; 2],
     totals: [MoveCounts; 2],
 }
 
@@ -34,20 +38,27 @@
         MoveComparison {
             open: BTreeMap::new(),
             tests: [test.clone(), test],
-            proofs: tolerances.map(MoveProof::new),
-            alarms: tolerances.map(MoveAlarm::new),
+            proofs: tolerances.map(|tolerance| MoveProof::new(ROUTE_TOLERANCE * tolerance)),
+            alarms: [tolerances.map(MoveAlarm::new), tolerances.map(MoveAlarm::new)],
             totals: [MoveCounts::default(); 2],
         }
     }
 
-    /// Adds newly settled counters of a bucket to the stratum of its epoch, if it has one. Returns
-    /// whether an alarm is raised.
-    pub fn add(&mut self, bucket_s: u64, epoch: Option<usize>, counts: [MoveCounts; 2]) -> bool {
-        let mut alarmed = false;
-        for (measure, alarm) in MoveMeasure::ALL.into_iter().zip(&mut self.alarms) {
-            let (requests, bad) = measure.trials(counts[1]);
-            alarmed |= alarm.absorb(requests, bad);
+    /// Checks newly arrived counters. Returns whether an alarm is raised for the old and for the
+    /// new version.
+    pub fn check(&mut self, counts: [MoveCounts; 2]) -> [bool; 2] {
+        let mut alarmed = [false; 2];
+        for (side, added) in counts.into_iter().enumerate() {
+            for (measure, alarm) in MoveMeasure::ALL.into_iter().zip(&mut self.alarms[side]) {
+                let (requests, bad) = measure.trials(added);
+                alarmed[side] |= alarm.absorb(requests, bad);
+            }
         }
+        alarmed
+    }
+
+    /// Adds newly settled counters of a bucket to the stratum of its epoch, if it has one.
+    pub fn add(&mut self, bucket_s: u64, epoch: Option<usize>, counts: [MoveCounts; 2]) {
         for (side, added) in counts.into_iter().enumerate() {
             self.totals[side] = self.totals[side].plus(added);
         }
@@ -55,12 +66,11 @@
             let (_, open) = self.open.entry(epoch).or_insert((bucket_s, Default::default()));
             *open = [open[0].plus(counts[0]), open[1].plus(counts[1])];
         }
-        alarmed
     }
 
-    /// Closes each open stratum that is large or old enough, feeds it to the tests and, if
-    /// `proving`, to the proofs. Returns the closed strata of each measure.
-    pub fn close_ready(&mut self, now_s: u64, proving: bool) -> Vec<[MoveStratum; 2]> {
+    /// Closes each open stratum that is large or old enough and feeds it to the tests. Returns the
+    /// closed strata of each measure.
+    pub fn close_ready(&mut self, now_s: u64) -> Vec<[MoveStratum; 2]> {
         let mut closed = Vec::new();
         self.open.retain(|_, (since_s, counts)| {
             let ready = is_ready(*since_s, counts.map(MoveCounts::total), now_s);
@@ -71,13 +81,22 @@
         });
         for (index, stratum) in closed.iter().flat_map(|strata| strata.iter().enumerate()) {
             self.tests[index].absorb(stratum);
-            if proving {
-                self.proofs[index].absorb(stratum);
-            }
         }
         closed
     }
 
+    /// Feeds the strata of each measure to the proofs.
+    pub fn prove(&mut self, strata: &[MoveStratum; 2]) {
+        for (proof, stratum) in self.proofs.iter_mut().zip(strata) {
+            proof.absorb(stratum);
+        }
+    }
+
+    /// Starts the proofs again.
+    pub fn restart_proofs(&mut self) {
+        self.proofs = self.proofs.clone().map(MoveProof::restart);
+    }
+
     /// Adds weight to the tests for a version that turns bad now.
     pub fn open_segment(&mut self, weight: f64) {
         for test in &mut self.tests {
