--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -80,6 +80,16 @@
 mod work_request;
 mod zone_limits;
 
+pub use crate::order_action::{OrderAction, OrderVersion};
+pub use crate::order_answer::OrderAnswer;
+pub use crate::order_command::OrderCommand;
+pub use crate::order_duty::OrderDuty;
+pub use crate::order_gate::OrderGate;
+pub use crate::order_loads::OrderLoads;
+pub use crate::order_planner::OrderPlanner;
+pub use crate::order_report::OrderReport;
+pub use crate::order_target::OrderTarget;
+pub use crate::order_view::OrderView;
 pub use crate::{
     admission_control::AdmissionControl,
     arena_keys::{PoolKey, RequestTicket, RouteKey, ServerKey, TeamKey, ZoneKey},
@@ -106,13 +116,3 @@
     work_request::{PromptPrefix, TokenProgress, WorkRequest},
     zone_limits::ZoneLimits,
 };
-pub use crate::order_action::{OrderAction, OrderVersion};
-pub use crate::order_answer::OrderAnswer;
-pub use crate::order_command::OrderCommand;
-pub use crate::order_duty::OrderDuty;
-pub use crate::order_gate::OrderGate;
-pub use crate::order_loads::OrderLoads;
-pub use crate::order_planner::OrderPlanner;
-pub use crate::order_report::OrderReport;
-pub use crate::order_target::OrderTarget;
-pub use crate::order_view::OrderView;
