Send engine orders; count version evidence by the time of dispatch

Requests are counted in the bucket in which they were sent and once only, and an open request without a first token for 2 s counts as slow, so that a version that never answers is noticed. A connection to another run of a server's process than the one reported is given up at once: the request was not counted against the cold limit.

--- a/crates/engine/src/load_report.rs
+++ b/crates/engine/src/load_report.rs
@@ -26,6 +26,9 @@
     pub preemptions: u64,
     /// Running requests per entry VM, as "zone/seat", for cold-start accounting.
     pub running_by_seat: Vec<(String, u32)>,
+    /// Requests in the server per model version. A version with requests is not unloaded.
+    #[serde(default)]
+    pub running_by_version: Vec<(ModelName, VersionName, u32)>,
     /// Model versions that are loaded.
     pub loaded: Vec<(ModelName, VersionName)>,
     /// Highest fencing number seen.
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -15,8 +15,8 @@
 use dragonflycart_operator::api::{MovesAnswer, SubmitAnswer, SubmitRequest};
 use dragonflycart_platform::LogTopic;
 use dragonflycart_policy::{
-    AttemptFailure, MoveCounts, MoveSettings, MoveState, PolicySettings, PriorityClass,
-    RequestTicket, VmPosition, WorkPool, WorkRequest,
+    MoveCounts, MoveSettings, MoveState, PolicySettings, PriorityClass, RequestTicket, VmPosition,
+    WorkPool, WorkRequest,
 };
 use dragonflycart_settings::{Config, ObjectiveKind};
 use dragonflycart_state::{LedgerLimits, MoveState as LatchState};
@@ -33,11 +33,12 @@
     admin::{AdminMessage, SubmitReply, ZoneChange},
     control::{
         AttemptReport, ControlMessage, GenerationAsk, PlacedGeneration, PlacementTicket,
-        ServiceAsk,
+        ServerReading, ServiceAsk,
         append_control::AppendControl,
         call_control::{CallControl, CallMoment},
         decoded_batch::DecodedBatch,
         job_control::JobControl,
+        order_control::{OrderControl, OrderMoment},
         peer_control::PeerControl,
         placement_control::PlacementControl,
         plan_control::PlanControl,
@@ -51,6 +52,7 @@
     node_clock::NodeClock,
     node_lifecycle::LifecyclePhase,
     node_metrics::NodeMetrics,
+    order_sender::OrderTask,
     peer::{LinkIdentity, PeerEvent},
 };
 
@@ -66,6 +68,8 @@
 /// Gap between tokens beyond which a request counts as slow in the evidence about versions. It is
 /// the target for 95 in 100 gaps.
 const SLOW_GAP: Duration = Duration::from_millis(72);
+/// Time without a first token after which an open request counts as slow.
+const UNANSWERED_LIMIT: Duration = Duration::from_secs(2);
 /// Time to the first token beyond which a request counts as slow.
 const SLOW_FIRST_TOKEN: Duration = Duration::from_millis(360);
 
@@ -91,6 +95,8 @@
     pub(crate) addresses: watch::Sender<BTreeSet<SocketAddr>>,
     /// Attempts of deferred generations to run.
     pub(crate) jobs: mpsc::UnboundedSender<JobOrder>,
+    /// Orders to engines to send.
+    pub(crate) orders: mpsc::UnboundedSender<OrderTask>,
     /// Phase of the daemon.
     pub(crate) phase: watch::Receiver<LifecyclePhase>,
     /// Appends to carry out.
@@ -102,6 +108,12 @@
     model: ModelName,
     version: VersionName,
     route: RouteName,
+    /// Time of the last dispatch; waiting for a server is not the version's doing.
+    sent_at: Option<WallTime>,
+    /// Whether a token arrived since the last dispatch.
+    answered: bool,
+    /// Whether the request was counted already.
+    counted: bool,
 }
 
 /// Event loop of the control thread.
@@ -128,6 +140,9 @@
     log_lost_at: Option<MonoTime>,
     /// Last attempt to append a plan snapshot.
     snapshot_at: Option<MonoTime>,
+    orders: OrderControl,
+    /// Last time at which topic `plan` was read to its end.
+    plan_read_at: Option<MonoTime>,
 }
 
 impl ControlLoop {
@@ -152,6 +167,8 @@
             // Until the first read, the log service counts as lost.
             log_lost_at: Some(now),
             snapshot_at: None,
+            orders: OrderControl::new(&parts.config, parts.orders),
+            plan_read_at: None,
             config: parts.config,
             clock: parts.clock,
             metrics: parts.metrics,
@@ -173,7 +190,7 @@
                 biased;
                 _ = placement_timer.tick() => {
                     let now = self.clock.now();
-                    self.placement.tick(now);
+                    self.place(now);
                     self.appends.poll(now, self.clock.wall());
                 }
                 _ = upkeep_timer.tick() => self.upkeep(),
@@ -189,7 +206,7 @@
                         submitted |= self.handle(message);
                     }
                     if submitted {
-                        self.placement.tick(self.clock.now());
+                        self.place(self.clock.now());
                     }
                 }
             }
@@ -208,7 +225,12 @@
                 let _ = reply.send(self.place_call(ask));
                 return true;
             }
-            ControlMessage::Progress(progress) => self.placement.progress(now, progress),
+            ControlMessage::Progress(progress) => {
+                if let Some(work) = self.running.get_mut(&progress.ticket) {
+                    work.answered = true;
+                }
+                self.placement.progress(now, progress);
+            }
             ControlMessage::Attempt(ticket, report) => {
                 self.end_attempt(ticket, report);
                 return true;
@@ -217,8 +239,12 @@
                 if self.unread.remove(&reading.server) {
                     self.publish_prepared();
                 }
-                self.placement.reading(now, reading);
+                self.read_report(reading, now);
             }
+            ControlMessage::InstanceChanged(server) => {
+                self.placement.instance_changed(now, &server);
+            }
+            ControlMessage::Order(ended) => self.orders.ended(ended, now),
             ControlMessage::Tail(event) => self.tail(event),
             ControlMessage::Append(ended) => {
                 self.appends.ended(ended, now);
@@ -277,7 +303,14 @@
         let (ticket, notices) = self.placement.submit(self.clock.now(), request);
         let forced_prefix =
             self.config.models.get(&ask.model).is_some_and(|model| model.forced_prefix);
-        let work = RunningWork { model: ask.model, version: version.clone(), route: ask.route };
+        let work = RunningWork {
+            model: ask.model,
+            version: version.clone(),
+            route: ask.route,
+            sent_at: None,
+            answered: false,
+            counted: false,
+        };
         self.running.insert(ticket, work);
         Ok(PlacedGeneration {
             ticket: PlacementTicket { ticket, notices },
@@ -305,6 +338,40 @@
         PlacementTicket { ticket, notices }
     }
 
+    /// Carries out the placement decisions that are due.
+    fn place(&mut self, now: MonoTime) {
+        let wall = self.clock.wall();
+        for ticket in self.placement.tick(now) {
+            let Some(work) = self.running.get_mut(&ticket) else {
+                continue;
+            };
+            work.sent_at = Some(wall);
+            work.answered = false;
+        }
+    }
+
+    fn read_report(&mut self, mut reading: ServerReading, now: MonoTime) {
+        if let Some(report) = &mut reading.report {
+            self.orders.note_report(&reading.server, reading.asked_at, report);
+        }
+        self.placement.reading(now, reading);
+    }
+
+    /// Counts requests as slow while they are open, so that a version that never answers is
+    /// noticed.
+    fn count_unanswered(&mut self, wall: WallTime) {
+        let mut slow = Vec::new();
+        for (ticket, work) in &self.running {
+            let overdue = work.sent_at.is_some_and(|at| wall.since(at) > UNANSWERED_LIMIT);
+            if overdue && !work.answered && !work.counted {
+                slow.push(*ticket);
+            }
+        }
+        for ticket in slow {
+            self.count_version(ticket, MoveCounts { finished: 1, failed: 0, slow: 1 });
+        }
+    }
+
     fn class_of(&self, team: &TeamName) -> PriorityClass {
         let priority = self.config.teams.get(team).map(|settings| settings.priority);
         match priority {
@@ -330,10 +397,6 @@
                 if by_version {
                     self.count_version(ticket, MoveCounts { finished: 0, failed: 1, slow: 0 });
                 }
-                if failure == AttemptFailure::NotSent {
-                    // The placement learns nothing else about a server that can't be reached.
-                    self.placement.tick(now);
-                }
             }
             AttemptReport::Cancelled => {
                 self.placement.cancel(now, ticket);
@@ -343,11 +406,18 @@
     }
 
     fn count_version(&mut self, ticket: RequestTicket, counts: MoveCounts) {
-        let Some(work) = self.running.get(&ticket) else {
+        let wall = self.clock.wall();
+        let Some(work) = self.running.get_mut(&ticket) else {
             return;
         };
-        let wall = self.clock.wall();
-        self.versions.count(&work.model, &work.version, &work.route, counts, wall);
+        let Some(sent_at) = work.sent_at else {
+            return;
+        };
+        if std::mem::replace(&mut work.counted, true) {
+            return;
+        }
+        let times = (sent_at, wall);
+        self.versions.count(&work.model, &work.version, &work.route, counts, times);
     }
 
     /// Without load reports nothing can be placed, so the VM waits for them before it asks the
@@ -394,6 +464,9 @@
     fn apply_batch(&mut self, batch: &DecodedBatch) {
         match batch.topic {
             LogTopic::Plan => {
+                if batch.read_to() >= batch.end {
+                    self.plan_read_at = Some(self.clock.now());
+                }
                 if self.plan.apply(batch) {
                     self.plan_changed();
                 }
@@ -551,6 +624,7 @@
     fn upkeep(&mut self) {
         let now = self.clock.now();
         let wall = self.clock.wall();
+        self.count_unanswered(wall);
         let latches = self.peers.latches();
         let endings = self
             .versions
@@ -569,6 +643,7 @@
         let mut alive = vec![self.identity.incarnation];
         alive.extend(self.peers.alive().iter().map(|member| member.incarnation));
         self.jobs.upkeep(&alive, &mut self.appends, moment);
+        self.order_engines();
         self.submissions.advance(&self.plan, now);
         self.renew_snapshot();
         self.update_gauges();
@@ -592,6 +667,23 @@
         }
     }
 
+    fn order_engines(&mut self) {
+        let plan = self.plan.plan();
+        let zone = self.identity.zone.as_str();
+        let seats = self.peers.alive().into_iter().filter(|member| member.zone == zone);
+        let moment = OrderMoment {
+            now: self.clock.now(),
+            wall: self.clock.wall(),
+            revision: self.plan.revision(),
+            plan: &plan,
+            moves: self.versions.states(),
+            carrying: self.versions.carrying(),
+            live_seats: seats.map(|member| member.seat).collect(),
+            log_read_at: self.plan_read_at,
+        };
+        self.orders.upkeep(&moment);
+    }
+
     fn renew_snapshot(&mut self) {
         let now = self.clock.now();
         if self.snapshot_at.is_some_and(|at| now.since(at) < SNAPSHOT_RETRY) {
@@ -642,6 +734,9 @@
         headroom: config.placement.headroom,
         pause_limit: config.timeouts.control_pause,
         zone_ramp: config.timeouts.zone_ramp,
+        // Cold-start slots need a report of the last two polls.
+        report_freshness: config.timeouts.report_lag + config.timeouts.report_poll * 2,
+        report_timeout: config.timeouts.peer_silence,
         ..PolicySettings::default()
     };
     for (zone, zone_settings) in &config.zones {
--- a/crates/node/src/control/control_message.rs
+++ b/crates/node/src/control/control_message.rs
@@ -20,6 +20,7 @@
     job::JobMessage,
     log_appender::AppendResult,
     log_tailer::TailEvent,
+    order_sender::OrderEnded,
     peer::PeerEvent,
 };
 
@@ -119,6 +120,10 @@
     Attempt(RequestTicket, AttemptReport),
     /// A backend server was asked for its load.
     Reading(ServerReading),
+    /// A connection showed another run of a server's process than the last report.
+    InstanceChanged(ServerName),
+    /// An order to an engine ended.
+    Order(OrderEnded),
     /// A topic of the log was read.
     Tail(TailEvent),
     /// An append to the log ended.
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod control_thread;
 mod decoded_batch;
 mod job_control;
+mod order_control;
 mod peer_control;
 mod placement_control;
 mod placement_ticket;
--- /dev/null
+++ b/crates/node/src/control/order_control.rs
@@ -0,0 +1,228 @@
+//! Orders to the engines of this VM's zone, and which versions of a server may get requests.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use dragonflycart_core::{
+    ModelName, MonoTime, MoveId, OperatingPlan, OrderFence, PlanRevision, ServerName, VmSeat,
+    WallTime, ZoneName,
+};
+use dragonflycart_engine::LoadReport;
+use dragonflycart_policy::{
+    MoveState, OrderAction, OrderAnswer, OrderDuty, OrderGate, OrderLoads, OrderPlanner,
+    OrderReport, OrderTarget, OrderVersion, OrderView,
+};
+use dragonflycart_settings::Config;
+use log::info;
+use tokio::sync::mpsc;
+
+use crate::order_sender::{OrderEnded, OrderResult, OrderTask};
+
+/// Time within which a plan is in effect on every VM that can be reached.
+const PLAN_SPREAD: Duration = Duration::from_secs(3);
+/// Time within which the log must have been read for destructive orders.
+const CONFIRMED_WITHIN: Duration = Duration::from_secs(3);
+
+/// One engine as far as orders are concerned.
+struct OrderedEngine {
+    zone: ZoneName,
+    models: BTreeSet<ModelName>,
+    planner: OrderPlanner,
+    report: Option<OrderReport>,
+    running: BTreeSet<OrderVersion>,
+    /// Loads that the weight store granted, with the time at which they count as failed.
+    loading: BTreeMap<OrderVersion, MonoTime>,
+}
+
+/// What the targets depend on.
+pub(crate) struct OrderMoment<'a> {
+    pub(crate) now: MonoTime,
+    pub(crate) wall: WallTime,
+    pub(crate) revision: PlanRevision,
+    pub(crate) plan: &'a OperatingPlan,
+    /// State of each move and whether it is settled.
+    pub(crate) moves: BTreeMap<MoveId, (MoveState, bool)>,
+    /// Versions that get requests from this VM.
+    pub(crate) carrying: BTreeSet<OrderVersion>,
+    /// Live seats of this VM's zone.
+    pub(crate) live_seats: Vec<VmSeat>,
+    /// Last time at which the log was read to its end.
+    pub(crate) log_read_at: Option<MonoTime>,
+}
+
+/// Orders to engines and the versions that may get requests.
+pub(crate) struct OrderControl {
+    zone: ZoneName,
+    seat: VmSeat,
+    timeout: Duration,
+    engines: BTreeMap<ServerName, OrderedEngine>,
+    gates: BTreeMap<ZoneName, OrderGate>,
+    loads: OrderLoads,
+    tasks: mpsc::UnboundedSender<OrderTask>,
+}
+
+impl OrderControl {
+    /// Builds the planners of all configured engines.
+    pub(crate) fn new(config: &Config, tasks: mpsc::UnboundedSender<OrderTask>) -> OrderControl {
+        let timeout = config.timeouts.order;
+        let mut engines = BTreeMap::new();
+        for (name, settings) in &config.engines {
+            let engine = OrderedEngine {
+                zone: settings.zone.clone(),
+                models: settings.models.clone(),
+                planner: OrderPlanner::new(timeout, settings.checks_fences),
+                report: None,
+                running: BTreeSet::new(),
+                loading: BTreeMap::new(),
+            };
+            engines.insert(name.clone(), engine);
+        }
+        let gate = |_| OrderGate::new(timeout + PLAN_SPREAD);
+        let gates = config.zones.keys().map(|zone| (zone.clone(), gate(zone))).collect();
+        OrderControl {
+            zone: config.vm.zone.clone(),
+            seat: config.vm.seat,
+            timeout,
+            engines,
+            gates,
+            loads: OrderLoads::default(),
+            tasks,
+        }
+    }
+
+    /// Takes note of a load report and removes the versions that must not get requests now.
+    pub(crate) fn note_report(
+        &mut self,
+        name: &ServerName,
+        asked_at: MonoTime,
+        report: &mut LoadReport,
+    ) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let seen = OrderReport {
+            taken_at: asked_at,
+            instance: report.instance,
+            loaded: report.loaded.iter().cloned().collect(),
+            highest_fence: report.highest_fence,
+        };
+        engine.running.clear();
+        for (model, version, _) in &report.running_by_version {
+            engine.running.insert((model.clone(), version.clone()));
+        }
+        if let Some(gate) = self.gates.get(&engine.zone) {
+            report.loaded.retain(|version| gate.may_carry(version, &seen));
+        }
+        for version in &seen.loaded {
+            if engine.loading.remove(version).is_some() {
+                self.loads.ended(true);
+            }
+        }
+        engine.report = Some(seen);
+    }
+
+    /// Updates the targets and sends the orders that are due.
+    pub(crate) fn upkeep(&mut self, moment: &OrderMoment<'_>) {
+        if moment.revision == PlanRevision(0) {
+            return;
+        }
+        let mut targets = BTreeMap::new();
+        for (zone, gate) in &mut self.gates {
+            let target =
+                OrderTarget::new(moment.revision, moment.plan, zone, &moment.moves, moment.wall);
+            gate.note(moment.now, &target);
+            targets.insert(zone.clone(), target);
+        }
+        self.expire_loads(moment.now);
+        let duty = OrderDuty::new(self.seat, moment.live_seats.iter().copied());
+        let names: Vec<ServerName> = self.engines.keys().cloned().collect();
+        for name in names {
+            self.order_engine(&name, &targets, duty.is_issuer(), moment);
+        }
+    }
+
+    fn expire_loads(&mut self, now: MonoTime) {
+        for engine in self.engines.values_mut() {
+            let before = engine.loading.len();
+            engine.loading.retain(|_, expires| *expires > now);
+            for _ in engine.loading.len()..before {
+                self.loads.ended(false);
+            }
+        }
+    }
+
+    fn order_engine(
+        &mut self,
+        name: &ServerName,
+        targets: &BTreeMap<ZoneName, OrderTarget>,
+        is_issuer: bool,
+        moment: &OrderMoment<'_>,
+    ) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let Some(target) = targets.get(&engine.zone) else {
+            return;
+        };
+        let mut target = target.clone();
+        target.wanted.retain(|(model, _)| engine.models.contains(model));
+        let in_use = moment.carrying.union(&engine.running).cloned().collect();
+        let confirmed =
+            moment.log_read_at.is_some_and(|at| moment.now.since(at) <= CONFIRMED_WITHIN);
+        let view = OrderView {
+            now: moment.now,
+            is_issuer: is_issuer && engine.zone == self.zone,
+            plan_confirmed: confirmed,
+            target: &target,
+            report: engine.report.as_ref(),
+            in_use: &in_use,
+        };
+        for command in engine.planner.decide(&view) {
+            let loaded = engine
+                .report
+                .as_ref()
+                .is_some_and(|report| report.loaded.contains(command.action.version()));
+            // A load of a loaded version only raises the engine's fencing token.
+            let fetches = matches!(command.action, OrderAction::Load(_)) && !loaded;
+            if fetches && !self.loads.may_begin(moment.now) {
+                engine.planner.answer(command.fence, OrderAnswer::Withheld);
+                continue;
+            }
+            if fetches {
+                self.loads.granted();
+                let expires = moment.now + self.timeout;
+                engine.loading.insert(command.action.version().clone(), expires);
+            }
+            info!("order: sending; server={name} action={:?}", command.action);
+            let task = OrderTask { server: name.clone(), command, fetches };
+            // The sender ends only with the process.
+            let _ = self.tasks.send(task);
+        }
+    }
+
+    /// Applies the end of an order.
+    pub(crate) fn ended(&mut self, ended: OrderEnded, now: MonoTime) {
+        let Some(engine) = self.engines.get_mut(&ended.server) else {
+            return;
+        };
+        let fence: OrderFence = ended.command.fence;
+        let answer = match ended.result {
+            OrderResult::Answered(answer) => answer,
+            OrderResult::LoadRefused(retry_after) => {
+                if engine.loading.remove(ended.command.action.version()).is_some() {
+                    self.loads.ended(false);
+                }
+                self.loads.refused(now, retry_after, jitter(fence));
+                OrderAnswer::Withheld
+            }
+        };
+        engine.planner.answer(fence, answer);
+    }
+}
+
+/// Spreads the VMs' next requests to the weight store.
+fn jitter(fence: OrderFence) -> f64 {
+    (fence.sequence % 16) as f64 / 16.0
+}
--- a/crates/node/src/control/placement_control.rs
+++ b/crates/node/src/control/placement_control.rs
@@ -1,12 +1,12 @@
 //! Connects the placement to the requests on the traffic threads.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use dragonflycart_core::{ErrorKind, MonoTime, ServerName, VmSeat, ZoneName};
+use dragonflycart_core::{ErrorKind, MonoTime, ServerInstance, ServerName, VmSeat, ZoneName};
 use dragonflycart_engine::LoadReport;
 use dragonflycart_policy::{
-    AttemptFailure, PlacementDecision, PlacementEngine, PolicySettings, RequestTicket, ServerKey,
-    ServerReport, ServerSpec, TokenProgress, UnknownPolicy, VmPosition, WorkRequest,
+    AttemptFailure, ColdSignal, PlacementDecision, PlacementEngine, PolicySettings, RequestTicket,
+    ServerKey, ServerReport, ServerSpec, TokenProgress, UnknownPolicy, VmPosition, WorkRequest,
 };
 use dragonflycart_settings::Config;
 use tokio::sync::mpsc;
@@ -17,6 +17,7 @@
 pub(crate) struct PlacementControl {
     engine: PlacementEngine,
     seat_label: String,
+    report_lag: Duration,
     servers: BTreeMap<ServerName, ServerKey>,
     names: BTreeMap<ServerKey, ServerName>,
     waiters: BTreeMap<RequestTicket, mpsc::UnboundedSender<PlacementNotice>>,
@@ -39,6 +40,7 @@
         let mut control = PlacementControl {
             engine,
             seat_label,
+            report_lag: config.timeouts.report_lag,
             servers: BTreeMap::new(),
             names: BTreeMap::new(),
             waiters: BTreeMap::new(),
@@ -125,15 +127,20 @@
         let Some(report) = reading.report else {
             return;
         };
-        self.engine.report(now, key, server_report(report, reading.asked_at));
+        // A report may show the state before the question was asked.
+        let taken_at = reading.asked_at - self.report_lag;
+        self.engine.report(now, key, server_report(report, taken_at));
     }
 
-    /// Passes the decisions that are due to the waiting requests.
-    pub(crate) fn tick(&mut self, now: MonoTime) {
+    /// Passes the decisions that are due to the waiting requests. Returns the requests that were
+    /// granted a server.
+    pub(crate) fn tick(&mut self, now: MonoTime) -> Vec<RequestTicket> {
+        let mut granted = Vec::new();
         for decision in self.engine.tick(now) {
             match decision {
-                PlacementDecision::Dispatch { ticket, server, .. } => {
-                    self.grant(now, ticket, server);
+                PlacementDecision::Dispatch { ticket, server, instance, .. } => {
+                    granted.push(ticket);
+                    self.grant(now, ticket, server, instance);
                 }
                 PlacementDecision::Reject { ticket, kind } => self.end(ticket, kind, false),
                 PlacementDecision::Cancel { ticket, kind, .. } => self.end(ticket, kind, true),
@@ -142,14 +149,29 @@
                 }
             }
         }
+        granted
     }
 
-    fn grant(&mut self, now: MonoTime, ticket: RequestTicket, server: ServerKey) {
+    /// Applies a sign that a server restarted, seen on a connection before it was reported.
+    pub(crate) fn instance_changed(&mut self, now: MonoTime, server: &ServerName) {
+        if let Some(key) = self.servers.get(server).copied() {
+            self.engine.signal(now, key, ColdSignal::InstanceChanged);
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now: MonoTime,
+        ticket: RequestTicket,
+        server: ServerKey,
+        instance: ServerInstance,
+    ) {
         let Some(name) = self.names.get(&server).cloned() else {
             return;
         };
         let seat = self.seat_label.clone();
-        if !self.notify(ticket, PlacementNotice::Granted(PlacementGrant { server: name, seat })) {
+        let grant = PlacementGrant { server: name, seat, instance };
+        if !self.notify(ticket, PlacementNotice::Granted(grant)) {
             // The caller went away between the submission and the decision.
             self.cancel(now, ticket);
         }
@@ -172,7 +194,7 @@
 
 /// Converts a report as sent by a backend server. Seats that can't be read are left out; they
 /// belong to no VM of this deployment.
-fn server_report(report: LoadReport, asked_at: MonoTime) -> ServerReport {
+fn server_report(report: LoadReport, taken_at: MonoTime) -> ServerReport {
     let mut running_by_seat = Vec::new();
     for (label, count) in report.running_by_seat {
         let Some((zone, seat)) = label.rsplit_once('/') else {
@@ -184,7 +206,7 @@
         running_by_seat.push((zone, VmSeat(seat), count));
     }
     ServerReport {
-        taken_at: asked_at,
+        taken_at,
         instance: report.instance,
         cold: report.cold,
         bears: report.bears,
--- a/crates/node/src/control/placement_ticket.rs
+++ b/crates/node/src/control/placement_ticket.rs
@@ -1,6 +1,6 @@
 //! A request's connection to the placement.
 
-use dragonflycart_core::{ErrorKind, ServerName, VersionName};
+use dragonflycart_core::{ErrorKind, ServerInstance, ServerName, VersionName};
 use dragonflycart_policy::RequestTicket;
 use tokio::sync::mpsc;
 
@@ -11,6 +11,8 @@
     pub(crate) server: ServerName,
     /// Zone and seat of this VM, stated to a cold server so that it can report what runs there.
     pub(crate) seat: String,
+    /// Run of the server's process that the decision was made for.
+    pub(crate) instance: ServerInstance,
 }
 
 /// What the placement decides about a request over time.
--- a/crates/node/src/control/version_control.rs
+++ b/crates/node/src/control/version_control.rs
@@ -1,6 +1,9 @@
 //! Chooses the model version that serves a request, and runs the version moves.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use dragonflycart_core::{
     Incarnation, ModelName, MoveId, OperatingPlan, RequestKey, RouteName, VersionMove, VersionName,
@@ -18,8 +21,11 @@
 
 /// Length of an evidence bucket. Short, because a bad version must be noticed within seconds.
 const BUCKET_MS: u64 = 1_000;
-/// Age of the evidence that is sent to peers again, to make up for lost messages.
-const RESEND_S: u64 = 10;
+/// Time for which a changed counter is sent to peers again, to make up for lost messages.
+const RESEND_TIME: Duration = Duration::from_secs(10);
+/// Time for which a counter is kept after its last change. A request that lasts longer than this
+/// after the last other one of its bucket starts the bucket anew, which only loses evidence.
+const COUNTER_LIFETIME: Duration = Duration::from_secs(3_600);
 
 /// One version move on this VM.
 struct ActiveMove {
@@ -30,6 +36,7 @@
     state: MoveState,
     reason: String,
     ended_at: Option<WallTime>,
+    settled: bool,
 }
 
 /// End of a move, to be latched and logged.
@@ -64,6 +71,13 @@
 
 type CounterKey = (ModelName, VersionName, RouteName, u64);
 
+/// Counters of one bucket with the time of their last change.
+#[derive(Debug, Clone, Copy, Default)]
+struct CountedBucket {
+    counts: MoveCounts,
+    changed_at: WallTime,
+}
+
 /// Version moves and the choice of versions on this VM.
 pub(crate) struct VersionControl {
     own: Incarnation,
@@ -71,7 +85,7 @@
     moves: BTreeMap<MoveId, ActiveMove>,
     versions: BTreeMap<ModelName, BTreeSet<VersionName>>,
     /// Counters of this VM, for peers.
-    counted: BTreeMap<CounterKey, MoveCounts>,
+    counted: BTreeMap<CounterKey, CountedBucket>,
 }
 
 impl VersionControl {
@@ -105,6 +119,7 @@
                     state: MoveState::Running,
                     reason: String::new(),
                     ended_at: None,
+                    settled: false,
                 },
             };
             self.moves.insert(move_id.clone(), active);
@@ -132,23 +147,24 @@
         placed.last().cloned()
     }
 
-    /// Counts a concluded request.
+    /// Counts a concluded request in the bucket in which it was sent.
     pub(crate) fn count(
         &mut self,
         model: &ModelName,
         version: &VersionName,
         route: &RouteName,
         counts: MoveCounts,
-        now: WallTime,
+        (sent_at, now): (WallTime, WallTime),
     ) {
         if !self.moves.values().any(|active| &active.plan.model == model) {
             return;
         }
-        let bucket_s = bucket_of(now);
+        let bucket_s = bucket_of(sent_at);
         let key = (model.clone(), version.clone(), route.clone(), bucket_s);
-        let total = self.counted.entry(key.clone()).or_default();
-        *total = total.plus(counts);
-        let total = *total;
+        let bucket = self.counted.entry(key.clone()).or_default();
+        bucket.counts = bucket.counts.plus(counts);
+        bucket.changed_at = now;
+        let total = bucket.counts;
         self.merge_counts(self.own, &key, total);
     }
 
@@ -200,13 +216,13 @@
 
     /// Returns the recent counters of this VM as a message, or `None` if there are none.
     pub(crate) fn evidence(&mut self, now: WallTime) -> Option<Evidence> {
-        let since_s = bucket_of(now).saturating_sub(RESEND_S);
-        self.counted.retain(|(_, _, _, bucket_s), _| *bucket_s >= since_s);
-        if self.counted.is_empty() {
-            return None;
-        }
-        let mut counters = Vec::with_capacity(self.counted.len());
-        for ((model, version, route, bucket_s), counts) in &self.counted {
+        self.counted.retain(|_, bucket| now.since(bucket.changed_at) < COUNTER_LIFETIME);
+        let mut counters = Vec::new();
+        for ((model, version, route, bucket_s), bucket) in &self.counted {
+            if now.since(bucket.changed_at) >= RESEND_TIME {
+                continue;
+            }
+            let counts = bucket.counts;
             counters.push(EvidenceCounter {
                 model: model.to_string(),
                 version: version.to_string(),
@@ -217,6 +233,9 @@
                 bucket_s: *bucket_s,
             });
         }
+        if counters.is_empty() {
+            return None;
+        }
         let incarnation = Bytes::copy_from_slice(&self.own.0.to_be_bytes());
         Some(Evidence { incarnation, counters })
     }
@@ -234,6 +253,7 @@
             let decision: MoveDecision = active.control.tick(now, &mut active.evidence, known);
             active.control.forget_old(now, &mut active.evidence);
             active.shares = decision.shares;
+            active.settled = decision.settled;
             if decision.state == active.state {
                 continue;
             }
@@ -260,6 +280,32 @@
         endings
     }
 
+    /// Returns the state of each move and whether it is settled.
+    pub(crate) fn states(&self) -> BTreeMap<MoveId, (MoveState, bool)> {
+        let entry =
+            |(id, active): (&MoveId, &ActiveMove)| (id.clone(), (active.state, active.settled));
+        self.moves.iter().map(entry).collect()
+    }
+
+    /// Returns the versions that get requests.
+    pub(crate) fn carrying(&self) -> BTreeSet<(ModelName, VersionName)> {
+        let mut carrying = BTreeSet::new();
+        for (model, versions) in &self.versions {
+            let active = self.moves.values().find(|active| &active.plan.model == model);
+            let Some(active) = active else {
+                carrying.extend(versions.last().map(|version| (model.clone(), version.clone())));
+                continue;
+            };
+            if active.shares.overall < 1.0 {
+                carrying.insert((model.clone(), active.plan.from.clone()));
+            }
+            if active.shares.overall > 0.0 {
+                carrying.insert((model.clone(), active.plan.to.clone()));
+            }
+        }
+        carrying
+    }
+
     /// Returns the moves for operators.
     pub(crate) fn views(&self) -> Vec<MoveView> {
         let mut views = Vec::with_capacity(self.moves.len());
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -4,7 +4,9 @@
 
 use displaydoc::Display;
 use dragonflycart_core::Incarnation;
-use dragonflycart_platform::{HttpDirectory, HttpLog, LogService, LogTopic, VmDirectory};
+use dragonflycart_platform::{
+    HttpDirectory, HttpLog, HttpWeights, LogService, LogTopic, VmDirectory,
+};
 use dragonflycart_policy::UnknownPolicy;
 use dragonflycart_settings::Config;
 use log::info;
@@ -30,6 +32,7 @@
     node_clock::NodeClock,
     node_lifecycle::{LifecycleEvent, LifecyclePhase, NodeLifecycle},
     node_metrics::NodeMetrics,
+    order_sender::run_sender,
     peer::{LinkIdentity, PeerHub},
     server_directory::ServerDirectory,
 };
@@ -107,11 +110,13 @@
             self.clock.now(),
         )
         .map_err(DaemonError::Policy)?;
+        let (orders, order_tasks) = mpsc::unbounded_channel();
         let (jobs, job_orders) = mpsc::unbounded_channel();
         let (phase, phases) = watch::channel(LifecyclePhase::Starting);
         let parts = ControlParts {
             phase: phases,
             jobs,
+            orders,
             config: Arc::clone(&self.config),
             clock: self.clock,
             incarnation,
@@ -130,6 +135,11 @@
         start_platform(&self.config, &control, append_orders);
         let servers = Arc::new(ServerDirectory::new(&self.config));
         servers.start_polls(&control, self.clock, self.config.timeouts.report_poll);
+        let weights = Arc::new(HttpWeights::new(self.config.platform.weight_store));
+        let timeout = self.config.timeouts.order;
+        let sender =
+            run_sender(Arc::clone(&servers), weights, control.clone(), timeout, order_tasks);
+        tokio::spawn(sender);
         let limits = RunnerLimits {
             silence: self.config.timeouts.engine_silence,
             progress: self.config.timeouts.engine_progress,
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -7,7 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dragonflycart_core::{ErrorKind, GenerationId, ServiceError};
+use dragonflycart_core::{ErrorKind, GenerationId, ServerInstance, ServiceError};
 use dragonflycart_engine::{
     EngineClient, EngineError, FinishReason, GenerationRequest, StreamEvent, TokenStream,
 };
@@ -271,6 +271,14 @@
         let request = self.request(grant, &location, prefix);
         let start = tokio::time::timeout(self.context.limits.silence, engine.start(request)).await;
         let mut stream = match start {
+            Ok(Ok(stream)) if self.is_other_instance(grant, stream.instance()) => {
+                // A restarted server is cold, and this request was not counted against its cold
+                // limit.
+                self.cancel(&*engine, &location).await;
+                let message = ControlMessage::InstanceChanged(grant.server.clone());
+                self.context.control.send(message).await;
+                return AttemptEnd::Refused("the backend server was restarted".to_owned());
+            }
             Ok(Ok(stream)) => Some(stream),
             Ok(Err(EngineError::Refused(message))) => return AttemptEnd::Refused(message),
             Ok(Err(EngineError::Failed(message))) => return AttemptEnd::EngineFailed(message),
@@ -305,6 +313,10 @@
         }
     }
 
+    fn is_other_instance(&self, grant: &PlacementGrant, found: Option<ServerInstance>) -> bool {
+        found.is_some_and(|instance| instance != grant.instance)
+    }
+
     /// Cancels a generation that is given up, so that it does not use the engine any longer. A
     /// failure is ignored: the epoch keeps late tokens out, and the engine may be gone anyway.
     async fn cancel(&self, engine: &dyn EngineClient, location: &GenerationId) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod node_clock;
 mod node_lifecycle;
 mod node_metrics;
+mod order_sender;
 mod peer;
 mod server_directory;
 mod service_events;
--- /dev/null
+++ b/crates/node/src/order_sender.rs
@@ -0,0 +1,99 @@
+//! Sends orders to engines for the control thread.
+
+use std::{sync::Arc, time::Duration};
+
+use dragonflycart_core::ServerName;
+use dragonflycart_engine::{EngineError, EngineOrder, OrderOutcome};
+use dragonflycart_platform::{WeightStore, WeightStoreError};
+use dragonflycart_policy::{OrderAction, OrderAnswer, OrderCommand};
+use tokio::sync::mpsc;
+
+use crate::{
+    control::{ControlHandle, ControlMessage},
+    server_directory::ServerDirectory,
+};
+
+/// Order that the control thread wants to be sent.
+#[derive(Debug)]
+pub(crate) struct OrderTask {
+    /// Engine.
+    pub(crate) server: ServerName,
+    /// Order.
+    pub(crate) command: OrderCommand,
+    /// Whether the engine will fetch weights, which the weight store must permit.
+    pub(crate) fetches: bool,
+}
+
+/// How an order ended.
+#[derive(Debug)]
+pub(crate) enum OrderResult {
+    /// The engine's answer, or that it was lost.
+    Answered(OrderAnswer),
+    /// The weight store refused the load; nothing was sent.
+    LoadRefused(Option<Duration>),
+}
+
+/// End of an order.
+#[derive(Debug)]
+pub(crate) struct OrderEnded {
+    /// Engine.
+    pub(crate) server: ServerName,
+    /// Order.
+    pub(crate) command: OrderCommand,
+    /// How it ended.
+    pub(crate) result: OrderResult,
+}
+
+/// Sends orders until the control thread ends. `timeout` is the time after which an order must not
+/// take effect any more.
+pub(crate) async fn run_sender(
+    servers: Arc<ServerDirectory>,
+    weights: Arc<dyn WeightStore>,
+    control: ControlHandle,
+    timeout: Duration,
+    mut tasks: mpsc::UnboundedReceiver<OrderTask>,
+) {
+    while let Some(task) = tasks.recv().await {
+        let servers = Arc::clone(&servers);
+        let weights = Arc::clone(&weights);
+        let control = control.clone();
+        tokio::spawn(async move {
+            let sending = send_order(&servers, &*weights, &task);
+            let result = tokio::time::timeout(timeout, sending)
+                .await
+                .unwrap_or(OrderResult::Answered(OrderAnswer::Lost));
+            let ended = OrderEnded { server: task.server, command: task.command, result };
+            control.send(ControlMessage::Order(ended)).await;
+        });
+    }
+}
+
+async fn send_order(
+    servers: &ServerDirectory,
+    weights: &dyn WeightStore,
+    task: &OrderTask,
+) -> OrderResult {
+    let (model, version) = task.command.action.version().clone();
+    if task.fetches {
+        match weights.begin_load(&model, &version).await {
+            Ok(()) => {}
+            Err(WeightStoreError::RateLimited { retry_after }) => {
+                return OrderResult::LoadRefused(Some(retry_after));
+            }
+            Err(WeightStoreError::Unavailable) => return OrderResult::LoadRefused(None),
+        }
+    }
+    let Some(engine) = servers.engine(&task.server) else {
+        return OrderResult::Answered(OrderAnswer::Withheld);
+    };
+    let order = match task.command.action {
+        OrderAction::Load(_) => EngineOrder::Load { model, version },
+        OrderAction::Unload(_) => EngineOrder::Unload { model, version },
+    };
+    OrderResult::Answered(match engine.order(order, task.command.fence).await {
+        Ok(OrderOutcome::Accepted) => OrderAnswer::Accepted,
+        Ok(OrderOutcome::StaleFence) => OrderAnswer::Stale,
+        Err(EngineError::NotSent) => OrderAnswer::Withheld,
+        Err(_) => OrderAnswer::Lost,
+    })
+}
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -120,6 +120,8 @@
     span("call_window", "1m", "30d", "72h"),
     span("job_retention", "1m", "30d", "72h"),
     span("zone_ramp", "1s", "1h", "60s"),
+    span("order", "500ms", "10m", "10s"),
+    span("report_lag", "0ms", "10s", "1s"),
 ];
 
 const DRAIN_KEYS: &[KeySpec] = &[
--- a/crates/settings/src/timeout_settings.rs
+++ b/crates/settings/src/timeout_settings.rs
@@ -41,6 +41,10 @@
     pub job_retention: Duration,
     /// Time over which the load of a zone that returns to service grows to its limit.
     pub zone_ramp: Duration,
+    /// Time after which an order to an engine can't take effect any more.
+    pub order: Duration,
+    /// Longest time by which backend servers hold back a load report.
+    pub report_lag: Duration,
 }
 
 impl TimeoutSettings {
@@ -63,6 +67,8 @@
             call_window: values.duration("call_window")?,
             job_retention: values.duration("job_retention")?,
             zone_ramp: values.duration("zone_ramp")?,
+            order: values.duration("order")?,
+            report_lag: values.duration("report_lag")?,
         })
     }
 }
--- a/crates/testkit/src/engine_core.rs
+++ b/crates/testkit/src/engine_core.rs
@@ -347,12 +347,15 @@
         let bears = self.bears(now_ms);
         let mut report = empty_report(self.instance, &self.config);
         let mut by_seat: BTreeMap<String, u32> = BTreeMap::new();
+        let mut by_version: BTreeMap<(ModelName, VersionName), u32> = BTreeMap::new();
         for record in self.records.open().filter(|record| record.is_open()) {
             if record.is_running() {
                 report.running += 1;
             } else {
                 report.waiting += 1;
             }
+            let version = (record.request.model.clone(), record.request.version.clone());
+            *by_version.entry(version).or_default() += 1;
             if let Some(seat) = &record.request.seat {
                 *by_seat.entry(seat.clone()).or_default() += 1;
             }
@@ -363,6 +366,9 @@
         report.memory_used_tokens = self.memory_used();
         report.preemptions = self.preemptions;
         report.running_by_seat = by_seat.into_iter().collect();
+        for ((model, version), count) in by_version {
+            report.running_by_version.push((model, version, count));
+        }
         report.loaded = self.loaded.clone();
         report.highest_fence = self.highest_fence;
         report
@@ -382,6 +388,7 @@
         memory_total_tokens: config.memory_tokens,
         preemptions: 0,
         running_by_seat: Vec::new(),
+        running_by_version: Vec::new(),
         loaded: config.loaded.clone(),
         highest_fence: OrderFence::default(),
     }
--- a/crates/testkit/src/service_core.rs
+++ b/crates/testkit/src/service_core.rs
@@ -169,6 +169,7 @@
         memory_total_tokens: 0,
         preemptions: 0,
         running_by_seat: Vec::new(),
+        running_by_version: Vec::new(),
         loaded: Vec::new(),
         highest_fence: OrderFence::default(),
     }
