Wait for load reports that were read under a plan before becoming ready

19 of 46 integration tests failed after the check of which versions may get requests was added: reports that arrive before the plan show no version as usable, and the VM became ready on them. The readiness now counts reports from the first plan on. 46 of 46 tests pass.

--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -124,6 +124,8 @@
     prepared: watch::Sender<bool>,
     /// Backend servers that were not asked for their load yet.
     unread: BTreeSet<ServerName>,
+    /// Whether a plan was in effect before.
+    planned: bool,
     placement: PlacementControl,
     plan: PlanControl,
     versions: VersionControl,
@@ -173,6 +175,7 @@
             clock: parts.clock,
             metrics: parts.metrics,
             prepared: parts.prepared,
+            planned: false,
             unread: parts.placement.servers().keys().cloned().collect(),
             placement: parts.placement,
         }
@@ -236,10 +239,11 @@
                 return true;
             }
             ControlMessage::Reading(reading) => {
-                if self.unread.remove(&reading.server) {
+                let server = reading.server.clone();
+                self.read_report(reading, now);
+                if self.unread.remove(&server) {
                     self.publish_prepared();
                 }
-                self.read_report(reading, now);
             }
             ControlMessage::InstanceChanged(server) => {
                 self.placement.instance_changed(now, &server);
@@ -497,6 +501,12 @@
         let plan = self.plan.plan();
         self.versions.set_plan(&plan, self.clock.wall());
         self.apply_zones();
+        self.order_engines();
+        if !self.planned {
+            // Reports that were read without a plan tell no version that may get requests.
+            self.planned = true;
+            self.unread = self.placement.servers().keys().cloned().collect();
+        }
         let revision = self.plan.revision();
         self.metrics.plan_revision.set(revision.0 as i64);
         self.publish_prepared();
