Add the commands of dragonflycartctl and the burn report

A submission is followed until the log shows its outcome: a lost answer is resolved by asking for the submit id, a submission that the log does not show is repeated under the same id, and "accepted" is printed only for the answer that the log shows it. A conflict is checked against the own submit id, since an earlier try may have been accepted without an answer.

The burn report asks all VMs that are given or known as members and counts each incarnation once; VMs without an answer are named and the exit code says that the report is partial.

Ruled out: a client that takes the first VM's figures for all (no VM holds the counts of the others), and a script or style from another file in the page.

--- a/crates/operator/src/admin_client.rs
+++ b/crates/operator/src/admin_client.rs
@@ -145,18 +145,24 @@
         path: &str,
         body: &Bytes,
     ) -> Result<T, AdminError> {
-        let mut silent = Vec::new();
-        let mut failure = None;
+        let mut failures: Vec<AdminError> = Vec::new();
         for server in &self.servers {
-            match self.exchange_once(*server, &method, path, body).await {
-                Ok((status, answer)) => match read_answer(*server, status, &answer) {
-                    Err(error) if helps_to_ask_another(&error) => failure = Some(error),
-                    result => return result,
-                },
-                Err(reason) => silent.push(format!("{server} ({reason})")),
+            let result = match self.exchange_once(*server, &method, path, body).await {
+                Ok((status, answer)) => read_answer(*server, status, &answer),
+                Err(error) => Err(error),
+            };
+            match result {
+                Ok(answer) => return Ok(answer),
+                Err(error) => {
+                    let ask_another = helps_to_ask_another(&error);
+                    failures.push(error);
+                    if !ask_another {
+                        break;
+                    }
+                }
             }
         }
-        Err(failure.unwrap_or_else(|| AdminError::NoAnswer(silent.join(", "))))
+        Err(summarise(failures))
     }
 
     async fn exchange_once(
@@ -165,27 +171,31 @@
         method: &Method,
         path: &str,
         body: &Bytes,
-    ) -> Result<(StatusCode, Bytes), String> {
+    ) -> Result<(StatusCode, Bytes), AdminError> {
         let request = Request::builder()
             .method(method.clone())
             .uri(format!("http://{server}{path}"))
             .header(AUTHORIZATION, self.credential.header_value())
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body.clone()))
-            .map_err(|_| "the credential or the path can't be sent".to_owned())?;
+            .map_err(|_| AdminError::NotSent(format!("{path} is not a path")))?;
+        let lost = |reason: &str| AdminError::NoAnswer(format!("{server} ({reason})"));
         let answer = async {
             let response = self.client.request(request).await.map_err(|error| {
-                let reason = if error.is_connect() { "no connection" } else { "no answer" };
-                reason.to_owned()
+                if error.is_connect() {
+                    AdminError::NotSent(format!("{server} (no connection)"))
+                } else {
+                    lost("the connection broke")
+                }
             })?;
             let status = response.status();
             let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES).collect().await;
-            let body = body.map_err(|_| "the answer broke off".to_owned())?;
+            let body = body.map_err(|_| lost("the answer broke off"))?;
             Ok((status, body.to_bytes()))
         };
         match tokio::time::timeout(self.timeout, answer).await {
             Ok(result) => result,
-            Err(_) => Err("no answer in time".to_owned()),
+            Err(_) => Err(lost("no answer in time")),
         }
     }
 }
@@ -209,9 +219,7 @@
 
 /// Another VM may reach the log service or be ready when this one is not.
 fn helps_to_ask_another(error: &AdminError) -> bool {
-    let AdminError::Rejected(body) = error else {
-        return matches!(error, AdminError::BadAnswer(..));
-    };
+    let AdminError::Rejected(body) = error else { return true };
     matches!(
         body.kind,
         ErrorKind::Draining
@@ -222,6 +230,27 @@
     )
 }
 
+/// Combines the failures of several VMs. A clear rejection by one VM does not undo what another
+/// may have received, so the request counts as received if any VM may have received it.
+fn summarise(failures: Vec<AdminError>) -> AdminError {
+    let texts: Vec<_> = failures
+        .iter()
+        .map(|failure| match failure {
+            AdminError::NotSent(text) | AdminError::NoAnswer(text) => text.clone(),
+            AdminError::Rejected(_) | AdminError::BadAnswer(..) => failure.to_string(),
+        })
+        .collect();
+    let text = texts.join(", ");
+    if let [single] = failures.as_slice() {
+        return single.clone();
+    }
+    if failures.iter().any(AdminError::maybe_run) {
+        return AdminError::NoAnswer(text);
+    }
+    let rejected = failures.into_iter().rfind(|error| matches!(error, AdminError::Rejected(_)));
+    rejected.unwrap_or(AdminError::NotSent(text))
+}
+
 /// Encodes the characters of names that have a meaning in a path.
 fn encode_segment(text: &str) -> String {
     text.replace('/', "%2F").replace(':', "%3A")
--- /dev/null
+++ b/crates/operator/src/burn_merge.rs
@@ -0,0 +1,79 @@
+//! Merging of the counts of several VMs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dragonflycart_burn::{BurnSnapshot, ObjectiveSnapshot};
+use dragonflycart_core::WallTime;
+
+use crate::{BurnReport, ObjectiveReport};
+
+/// Counts of several VMs. Each incarnation is counted once, even if it was asked twice.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct BurnMerge {
+    incarnations: BTreeSet<String>,
+    answered: BTreeSet<String>,
+    missing: BTreeSet<String>,
+    differing: BTreeSet<String>,
+    counted_since: WallTime,
+    now: WallTime,
+    objectives: BTreeMap<String, ObjectiveSnapshot>,
+}
+
+impl BurnMerge {
+    /// Starts without counts.
+    pub fn new() -> BurnMerge {
+        BurnMerge::default()
+    }
+
+    /// Adds the counts of a VM. Counts of an objective whose definition differs from that of an
+    /// earlier VM are left out, and the report says so.
+    pub fn add(&mut self, snapshot: &BurnSnapshot) {
+        if !self.incarnations.insert(snapshot.incarnation.clone()) {
+            return;
+        }
+        let vm = format!("{}/{}", snapshot.zone, snapshot.seat);
+        self.answered.insert(vm.clone());
+        self.counted_since = self.counted_since.max(snapshot.started_at);
+        self.now = self.now.max(snapshot.taken_at);
+        for counts in &snapshot.objectives {
+            let name = &counts.objective.name;
+            let Some(merged) = self.objectives.get_mut(name) else {
+                self.objectives.insert(name.clone(), counts.clone());
+                continue;
+            };
+            if !merged.merge(counts) {
+                self.differing.insert(format!("{name} on {vm}"));
+            }
+        }
+    }
+
+    /// Names a VM that did not answer.
+    pub fn add_missing(&mut self, vm: String) {
+        self.missing.insert(vm);
+    }
+
+    /// Returns whether the counts of an incarnation are included.
+    pub fn has_incarnation(&self, incarnation: &str) -> bool {
+        self.incarnations.contains(incarnation)
+    }
+
+    /// Returns whether no VM answered.
+    pub fn is_empty(&self) -> bool {
+        self.answered.is_empty()
+    }
+
+    /// Computes the report, as of the latest clock of the VMs that answered.
+    pub fn into_report(self) -> BurnReport {
+        let now = self.now;
+        let objectives = self.objectives.values().map(|counts| ObjectiveReport::new(counts, now));
+        BurnReport {
+            made_at: now,
+            counted_since: self.counted_since,
+            partial: !self.missing.is_empty() || !self.differing.is_empty(),
+            answered: self.answered.into_iter().collect(),
+            missing: self.missing.into_iter().collect(),
+            differing: self.differing.into_iter().collect(),
+            objectives: objectives.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/command_line.rs
@@ -0,0 +1,151 @@
+//! Arguments of the command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use dragonflycart_core::ZoneName;
+
+use crate::CREDENTIAL_VARIABLE;
+
+/// Exit codes as shown by `--help`.
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 faults in a file, 2 wrong command line, \
+    3 another operator's plan won, 4 outcome unknown, 5 no server answered, 6 rejected by the \
+    server, 7 partial report, 8 a followed move was rolled back.";
+
+/// Builds the description of all commands and arguments.
+pub fn build_command() -> Command {
+    Command::new("dragonflycartctl")
+        .about("Submits plans to dragonflycart and shows its state")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global_args())
+        .subcommand(plan_command())
+        .subcommand(zone_command())
+        .subcommand(Command::new("status").about("Shows what one VM knows"))
+        .subcommand(moves_command())
+        .subcommand(burn_command())
+}
+
+fn global_args() -> [Arg; 5] {
+    let seconds = value_parser!(u64).range(1..=3_600);
+    [
+        Arg::new("server")
+            .long("server")
+            .value_name("ADDR")
+            .help("Administration address of a VM; repeat for more, asked in this order")
+            .value_parser(value_parser!(SocketAddr))
+            .action(ArgAction::Append)
+            .global(true),
+        Arg::new("credential-file")
+            .long("credential-file")
+            .value_name("FILE")
+            .help(format!("File with the credential; without it {CREDENTIAL_VARIABLE} is used"))
+            .value_parser(value_parser!(PathBuf))
+            .global(true),
+        Arg::new("timeout")
+            .long("timeout")
+            .value_name("SECONDS")
+            .help("Wait for the answer of one VM")
+            .default_value("5")
+            .value_parser(seconds)
+            .global(true),
+        Arg::new("patience")
+            .long("patience")
+            .value_name("SECONDS")
+            .help("Wait for the outcome of a submission")
+            .default_value("30")
+            .value_parser(seconds)
+            .global(true),
+        Arg::new("json")
+            .long("json")
+            .help("Writes results for programs, one JSON value a line")
+            .action(ArgAction::SetTrue)
+            .global(true),
+    ]
+}
+
+fn file_arg() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .help("Plan file, CSV")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn base_arg() -> Arg {
+    Arg::new("base")
+        .long("base")
+        .value_name("REVISION")
+        .help("Revision that the change replaces; the active one by default")
+        .value_parser(value_parser!(u64))
+}
+
+fn plan_command() -> Command {
+    Command::new("plan")
+        .about("Checks, compares, submits and shows plans")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("check")
+                .about("Reports every fault of a plan file; with --server also against the VMs")
+                .arg(file_arg()),
+        )
+        .subcommand(
+            Command::new("diff").about("Compares a plan file with the active plan").arg(file_arg()),
+        )
+        .subcommand(
+            Command::new("submit")
+                .about("Submits a plan file and waits until the log shows the outcome")
+                .arg(file_arg())
+                .arg(base_arg()),
+        )
+        .subcommand(Command::new("show").about("Shows the active plan"))
+}
+
+fn zone_command() -> Command {
+    let zone = Arg::new("zone")
+        .value_name("ZONE")
+        .help("Availability zone")
+        .required(true)
+        .value_parser(|text: &str| ZoneName::new(text));
+    let emergency = Arg::new("emergency")
+        .long("emergency")
+        .help("Sets a latch on the VMs if the log service is down")
+        .action(ArgAction::SetTrue);
+    Command::new("zone")
+        .about("Takes an availability zone out of service or returns it")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("out")
+                .about("Gives the zone no new work")
+                .arg(zone.clone())
+                .arg(base_arg())
+                .arg(emergency),
+        )
+        .subcommand(
+            Command::new("in").about("Returns the zone to service").arg(zone).arg(base_arg()),
+        )
+}
+
+fn moves_command() -> Command {
+    Command::new("moves")
+        .about("Shows version moves")
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("Lists all moves"))
+        .subcommand(
+            Command::new("follow")
+                .about("Reports each change until all moves have ended")
+                .arg(Arg::new("move").value_name("MOVE").help("Only this move").num_args(0..=1)),
+        )
+}
+
+fn burn_command() -> Command {
+    Command::new("burn").about("Reports error budgets and burn rates over all VMs").arg(
+        Arg::new("html")
+            .long("html")
+            .value_name("FILE")
+            .help("Also writes the report as one HTML page")
+            .value_parser(value_parser!(PathBuf)),
+    )
+}
--- /dev/null
+++ b/crates/operator/src/command_runner.rs
@@ -0,0 +1,130 @@
+//! From arguments to a command.
+
+use std::{ffi::OsString, io::Write, net::SocketAddr, path::PathBuf, time::Duration};
+
+use clap::ArgMatches;
+use dragonflycart_core::{PlanRevision, WallTime, ZoneName, ZoneState};
+
+use crate::{
+    AdminClient, Console, ExitStatus, OperatorCredential, Surroundings, build_command,
+    burn_command::run_burn,
+    moves_command::{follow_moves, list_moves},
+    plan_command::PlanCommand,
+    status_command::show_status,
+    zone_command::change_zone,
+};
+
+/// Parsed arguments and what a command takes from its surroundings.
+pub struct CommandRunner<'a> {
+    matches: ArgMatches,
+    surroundings: Surroundings<'a>,
+}
+
+impl<'a> CommandRunner<'a> {
+    /// Parses `args`, the name of the program first.
+    ///
+    /// # Errors
+    ///
+    /// Returns the message and exit status if the command line is wrong or asks for help.
+    pub fn parse<I, T>(
+        args: I,
+        surroundings: Surroundings<'a>,
+    ) -> Result<CommandRunner<'a>, (String, ExitStatus)>
+    where
+        I: IntoIterator<Item = T>,
+        T: Into<OsString> + Clone,
+    {
+        let matches = build_command().try_get_matches_from(args).map_err(|error| {
+            let status = if error.use_stderr() { ExitStatus::Usage } else { ExitStatus::Done };
+            (error.render().to_string(), status)
+        })?;
+        Ok(CommandRunner { matches, surroundings })
+    }
+
+    /// Runs the command.
+    pub async fn run(&self, out: &mut dyn Write, err: &mut dyn Write) -> ExitStatus {
+        let mut console = Console::new(out, err, self.matches.get_flag("json"));
+        let client = match self.build_client() {
+            Ok(client) => client,
+            Err(reason) if self.needs_client() => {
+                console.note(&reason);
+                return ExitStatus::Usage;
+            }
+            Err(_) => None,
+        };
+        self.dispatch(&mut console, client).await
+    }
+
+    /// Only the check of a plan file works without a server.
+    fn needs_client(&self) -> bool {
+        let plan = self.matches.subcommand_matches("plan");
+        let offline = plan.is_some_and(|plan| plan.subcommand_name() == Some("check"));
+        !offline || self.servers().next().is_some()
+    }
+
+    fn servers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.matches.get_many::<SocketAddr>("server").into_iter().flatten().copied()
+    }
+
+    fn build_client(&self) -> Result<Option<AdminClient>, String> {
+        let mut servers = Vec::new();
+        for server in self.servers() {
+            if !servers.contains(&server) {
+                servers.push(server);
+            }
+        }
+        if servers.is_empty() {
+            return Err("no server: give --server ADDR, once for each VM".to_owned());
+        }
+        let file = self.matches.get_one::<PathBuf>("credential-file");
+        let credential =
+            OperatorCredential::load(file.map(PathBuf::as_path), self.surroundings.credential)
+                .map_err(|error| error.to_string())?;
+        Ok(Some(AdminClient::new(servers, credential, self.seconds("timeout"))))
+    }
+
+    fn seconds(&self, name: &str) -> Duration {
+        Duration::from_secs(self.matches.get_one::<u64>(name).copied().unwrap_or_default())
+    }
+
+    async fn dispatch(&self, console: &mut Console<'_>, client: Option<AdminClient>) -> ExitStatus {
+        let patience = self.seconds("patience");
+        let now: fn() -> WallTime = self.surroundings.now;
+        let (group, matches) = self.matches.subcommand().unwrap_or(("", &self.matches));
+        let (command, arguments) = matches.subcommand().unwrap_or(("", matches));
+        if group == "plan" {
+            let file = arguments.try_get_one::<PathBuf>("file").ok().flatten().cloned();
+            let base = base_revision(arguments);
+            let plan = PlanCommand { client, file: file.unwrap_or_default(), base, patience, now };
+            return plan.run(command, console).await;
+        }
+        let Some(client) = client else { return ExitStatus::Usage };
+        match (group, command) {
+            ("zone", _) => {
+                let state = if command == "out" { ZoneState::Out } else { ZoneState::In };
+                let Some(zone) = arguments.get_one::<ZoneName>("zone") else {
+                    return ExitStatus::Usage;
+                };
+                let flag = arguments.try_get_one::<bool>("emergency").ok().flatten();
+                let emergency = flag.copied().unwrap_or_default();
+                let wanted = (zone.clone(), state, emergency);
+                change_zone(console, &client, wanted, base_revision(arguments), patience).await
+            }
+            ("status", _) => show_status(console, &client, now).await,
+            ("moves", "follow") => {
+                let only = arguments.get_one::<String>("move").map(String::as_str);
+                follow_moves(console, &client, only).await
+            }
+            ("moves", _) => list_moves(console, &client).await,
+            ("burn", _) => {
+                let page = arguments.get_one::<PathBuf>("html").map(PathBuf::as_path);
+                run_burn(console, &client, page).await
+            }
+            _ => ExitStatus::Usage,
+        }
+    }
+}
+
+fn base_revision(arguments: &ArgMatches) -> Option<PlanRevision> {
+    arguments.try_get_one::<u64>("base").ok().flatten().copied().map(PlanRevision)
+}
--- a/crates/operator/src/console.rs
+++ b/crates/operator/src/console.rs
@@ -61,7 +61,7 @@
     pub fn failure(&mut self, error: &AdminError) -> ExitStatus {
         self.note(&error.to_string());
         match error {
-            AdminError::NoAnswer(_) => ExitStatus::NoAnswer,
+            AdminError::NotSent(_) | AdminError::NoAnswer(_) => ExitStatus::NoAnswer,
             AdminError::Rejected(_) | AdminError::BadAnswer(..) => ExitStatus::Rejected,
         }
     }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -4,11 +4,23 @@
 
 mod admin_client;
 mod admin_error;
+mod burn_alert;
+mod burn_command;
+mod burn_merge;
+mod burn_page;
+mod burn_report;
+mod command_line;
+mod command_runner;
 mod console;
+mod entry_point;
 mod exit_status;
+mod moves_command;
+mod objective_report;
 mod operator_credential;
+mod plan_command;
 mod plan_difference;
 mod plan_sheet;
+mod plan_submission;
 mod row_kind;
 mod sheet_checker;
 mod sheet_column;
@@ -16,17 +28,30 @@
 mod sheet_problem;
 mod sheet_reader;
 mod sheet_row;
+mod status_command;
+mod surroundings;
 mod text_table;
 mod time_text;
+mod worst_entry;
+mod zone_command;
 
 pub use crate::{
     admin_client::AdminClient,
     admin_error::AdminError,
+    burn_alert::BurnAlert,
+    burn_merge::BurnMerge,
+    burn_page::BurnPage,
+    burn_report::BurnReport,
+    command_line::build_command,
+    command_runner::CommandRunner,
     console::Console,
+    entry_point::{main_with_args, run_command},
     exit_status::ExitStatus,
+    objective_report::ObjectiveReport,
     operator_credential::{CREDENTIAL_VARIABLE, CredentialError, OperatorCredential},
     plan_difference::PlanDifference,
     plan_sheet::PlanSheet,
+    plan_submission::PlanSubmission,
     row_kind::RowKind,
     sheet_checker::SheetChecker,
     sheet_column::SheetColumn,
@@ -34,6 +59,8 @@
     sheet_problem::SheetProblem,
     sheet_reader::SheetReader,
     sheet_row::SheetRow,
+    surroundings::Surroundings,
     text_table::TextTable,
     time_text::{format_time, parse_time},
+    worst_entry::WorstEntry,
 };
--- a/crates/operator/src/plan_sheet.rs
+++ b/crates/operator/src/plan_sheet.rs
@@ -39,6 +39,10 @@
     /// Returns every fault of the file, by row.
     pub fn read(bytes: &[u8], context: &SheetContext) -> Result<OperatingPlan, Vec<SheetProblem>> {
         let (rows, problems) = SheetReader::read(bytes);
+        // Without rows every zone would be reported as missing, which would hide the real fault.
+        if rows.is_empty() && !problems.is_empty() {
+            return Err(problems);
+        }
         let mut sheet = PlanSheet { problems, ..PlanSheet::default() };
         for row in &rows {
             sheet.read_row(row);
--- /dev/null
+++ b/crates/operator/src/zone_command.rs
@@ -0,0 +1,55 @@
+//! The commands `zone out` and `zone in`.
+
+use std::time::Duration;
+
+use dragonflycart_core::{ErrorKind, PlanRevision, ZoneName, ZoneState};
+use serde_json::json;
+
+use crate::{
+    AdminClient, AdminError, Console, ExitStatus, PlanSubmission, plan_command::report_outcome,
+};
+
+/// Changes the state of a zone: its name, the wanted state, and whether a latch may be set.
+pub(crate) async fn change_zone(
+    console: &mut Console<'_>,
+    client: &AdminClient,
+    (zone, state, emergency): (ZoneName, ZoneState, bool),
+    base: Option<PlanRevision>,
+    patience: Duration,
+) -> ExitStatus {
+    let active = match console.watch("waiting for the active plan", client.plan()).await {
+        Ok(active) => active,
+        Err(error) => return console.failure(&error),
+    };
+    let Some(planned) = active.plan.zones.get(&zone) else {
+        let known: Vec<_> = active.plan.zones.keys().map(ZoneName::as_str).collect();
+        console.note(&format!("zone {zone} is not in the active plan; {}", known.join(", ")));
+        return ExitStatus::Usage;
+    };
+    if planned.state == state && base.is_none() && !emergency {
+        let revision = active.revision;
+        console.value(&json!({ "outcome": "already_active", "revision": revision }));
+        console.line(&format!("zone {zone} is {state} since revision {revision} or earlier"));
+        return ExitStatus::Done;
+    }
+    let base = base.unwrap_or(active.revision);
+    let mut wanted = active.plan.clone();
+    if let Some(planned) = wanted.zones.get_mut(&zone) {
+        planned.state = state;
+    }
+    let submission = PlanSubmission::of_zone(base, zone, state, emergency);
+    let work = submission.run(client, patience);
+    match console.watch("waiting for the log to show the outcome", work).await {
+        Ok(answer) => report_outcome(console, &answer, base, &wanted),
+        Err(error) => {
+            let log_is_down = matches!(
+                &error,
+                AdminError::Rejected(body) if body.kind == ErrorKind::LogUnavailable
+            );
+            if log_is_down && state == ZoneState::Out && !emergency {
+                console.note("with --emergency the VMs take the zone out without the log service");
+            }
+            console.failure(&error)
+        }
+    }
+}
