--- a/crates/operator/tests/burn.rs
+++ b/crates/operator/tests/burn.rs
@@ -119,11 +119,13 @@
     };
 
     let ended = alert_of(&[(50 * MINUTE, "yard", 0, 500), (2 * MINUTE, "yard", 1_000, 0)]);
-    let brief = alert_of(&[(5 * HOUR, "yard", 100_000, 0), (2 * MINUTE, "yard", 50, 50)]);
+    let brief = alert_of(&[(50 * MINUTE, "yard", 100_000, 0), (2 * MINUTE, "yard", 50, 50)]);
+    let present = alert_of(&[(50 * MINUTE, "yard", 500, 500), (2 * MINUTE, "yard", 50, 50)]);
     let steady = alert_of(&[(5 * HOUR, "yard", 900, 100), (20 * MINUTE, "yard", 900, 100)]);
 
     assert_eq!(ended, BurnAlert::None);
-    assert_eq!(brief, BurnAlert::Fast, "50% over 5 min and over 1 h");
+    assert_eq!(brief, BurnAlert::None, "50 times over 5 min, 0.05 times over 1 h");
+    assert_eq!(present, BurnAlert::Fast, "50 times over 5 min and 1 h");
     assert_eq!(steady, BurnAlert::Slow, "10 times over 30 min and 6 h");
 }
 
