Base new plans on the zone states in effect, latches included

A new plan revision ends a latch. A file with a blank zone state took the state of the active plan, which says "in" while an emergency latch holds the zone out, so the morning's submission would have returned the zone to service. For the same reason "zone in" on a latched zone submitted nothing.

--- a/crates/operator/src/api/status_answer.rs
+++ b/crates/operator/src/api/status_answer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dragonflycart_core::{ModelName, PlanRevision, WallTime, ZoneName};
+use dragonflycart_core::{ModelName, OperatingPlan, PlanRevision, WallTime, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::api::{BackendStatus, MemberStatus, MoveStatus, VmIdentity, VmState, ZoneStatus};
@@ -31,3 +31,20 @@
     /// Version moves.
     pub moves: Vec<MoveStatus>,
 }
+
+impl StatusAnswer {
+    /// Returns `plan` with the states of latched zones. A new plan ends a latch, so it must not
+    /// be based on the older state that the plan has.
+    pub fn plan_in_effect(&self, plan: &OperatingPlan) -> OperatingPlan {
+        let mut plan = plan.clone();
+        for (zone, status) in &self.zones {
+            if !status.latched {
+                continue;
+            }
+            if let Some(planned) = plan.zones.get_mut(zone) {
+                planned.state = status.state;
+            }
+        }
+        plan
+    }
+}
--- a/crates/operator/src/plan_command.rs
+++ b/crates/operator/src/plan_command.rs
@@ -129,8 +129,8 @@
         let context = SheetContext {
             now: status.now,
             zones: Some(status.zones.keys().cloned().collect()),
-            models: Some(status.models),
-            active: active.plan.clone(),
+            models: Some(status.models.clone()),
+            active: status.plan_in_effect(&active.plan),
         };
         Ok((context, active))
     }
--- a/crates/operator/src/zone_command.rs
+++ b/crates/operator/src/zone_command.rs
@@ -21,19 +21,25 @@
         Ok(active) => active,
         Err(error) => return console.failure(&error),
     };
+    let status = match console.watch("waiting for the status", client.status()).await {
+        Ok(status) => status,
+        Err(error) => return console.failure(&error),
+    };
     let Some(planned) = active.plan.zones.get(&zone) else {
         let known: Vec<_> = active.plan.zones.keys().map(ZoneName::as_str).collect();
         console.note(&format!("zone {zone} is not in the active plan; {}", known.join(", ")));
         return ExitStatus::Usage;
     };
-    if planned.state == state && base.is_none() && !emergency {
+    // A latched zone needs a revision even if the plan has the wanted state: it ends the latch.
+    let latched = status.zones.get(&zone).is_some_and(|zone_status| zone_status.latched);
+    if planned.state == state && base.is_none() && !emergency && !latched {
         let revision = active.revision;
         console.value(&json!({ "outcome": "already_active", "revision": revision }));
         console.line(&format!("zone {zone} is {state} since revision {revision} or earlier"));
         return ExitStatus::Done;
     }
     let base = base.unwrap_or(active.revision);
-    let mut wanted = active.plan.clone();
+    let mut wanted = status.plan_in_effect(&active.plan);
     if let Some(planned) = wanted.zones.get_mut(&zone) {
         planned.state = state;
     }
--- a/crates/operator/tests/commands.rs
+++ b/crates/operator/tests/commands.rs
@@ -237,6 +237,32 @@
     assert_eq!(vm.run(&["zone", "in", "b"]).out, "accepted as revision 7\n");
 }
 
+/// Guards against a zone that stays out because its plan state already is "in" while a latch holds
+/// it out.
+#[test]
+fn returning_a_latched_zone_makes_a_revision() {
+    let vm = start_vm(&[]);
+    vm.state().latched_out = plan_of(ACTIVE).zones.into_keys().collect();
+
+    let result = vm.run(&["zone", "in", "b"]);
+
+    assert_eq!(result.out, "accepted as revision 6\n", "{result:?}");
+}
+
+/// Guards against a morning's file that returns a zone to service that was taken out by a latch.
+#[test]
+fn a_blank_state_keeps_a_latched_zone_out() {
+    let vm = start_vm(&[]);
+    vm.state().latched_out.extend("b".parse());
+    let file = write_file("latched.csv", ACTIVE);
+
+    let result = vm.run(&submit_args(&file));
+
+    assert_eq!(result.out, "accepted as revision 6\n", "{result:?}");
+    let states: Vec<_> = vm.state().plan.zones.values().map(|zone| zone.state).collect();
+    assert_eq!(states, [ZoneState::In, ZoneState::Out]);
+}
+
 /// Guards against a faulty file that reaches the server, and against faults without a place.
 #[test]
 fn a_faulty_file_is_reported_and_not_submitted() {
--- a/crates/operator/tests/support/mod.rs
+++ b/crates/operator/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     path::PathBuf,
     sync::{Arc, Mutex, MutexGuard},
@@ -18,7 +18,7 @@
 };
 use dragonflycart_burn::BurnSnapshot;
 use dragonflycart_core::{
-    ErrorKind, OperatingPlan, PlanRevision, ServiceError, VmSeat, WallTime, ZoneName,
+    ErrorKind, OperatingPlan, PlanRevision, ServiceError, VmSeat, WallTime, ZoneName, ZoneState,
 };
 use dragonflycart_operator::{
     ExitStatus, Surroundings,
@@ -63,6 +63,7 @@
     pub accepted: BTreeMap<SubmitId, PlanRevision>,
     pub faults: VecDeque<SubmitFault>,
     pub posts: usize,
+    pub latched_out: BTreeSet<ZoneName>,
     pub members: Vec<MemberStatus>,
     pub moves: VecDeque<Vec<MoveStatus>>,
     pub burn: Option<BurnSnapshot>,
@@ -80,6 +81,7 @@
         self.revision = self.revision.next();
         self.author = "salma".to_owned();
         self.plan = plan;
+        self.latched_out.clear();
         self.accepted.insert(id, self.revision);
         SubmitAnswer::Accepted { revision: self.revision }
     }
@@ -112,6 +114,7 @@
             accepted: BTreeMap::new(),
             faults: VecDeque::new(),
             posts: 0,
+            latched_out: BTreeSet::new(),
             members: Vec::new(),
             moves: VecDeque::new(),
             burn: None,
@@ -256,9 +259,10 @@
     let state = state.lock().expect("unpoisoned");
     let mut zones = BTreeMap::new();
     for (zone, plan) in &state.plan.zones {
+        let latched = state.latched_out.contains(zone);
         let zone_status = ZoneStatus {
-            state: plan.state,
-            latched: false,
+            state: if latched { ZoneState::Out } else { plan.state },
+            latched,
             carry_limit: plan.carry_limit,
             ramp: 1.0,
             running: 3,
