--- a/crates/policy/tests/cold_slots.rs
+++ b/crates/policy/tests/cold_slots.rs
@@ -120,7 +120,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(64))]
+    #![proptest_config(ProptestConfig::with_cases(24))]
 
     /// Guards against a cold server that gets more requests than it can handle because VMs have
     /// different views of its instance and limit, restart, or were paused.
