Let bad requests cancel trust, weigh the common tests more, add move tests

Exposure doubled with every step even while several percent of the new version's requests failed, because concluded requests counted whatever their outcome.

--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -15,6 +15,9 @@
 /// Span at which a stratum is closed even with fewer requests.
 const STRATUM_SPAN_S: u64 = 30;
 
+/// Multiple of the tolerated rate at which bad requests cancel the good ones in the trust.
+const TRUST_FACTOR: f64 = 2.0;
+
 /// Factor on the tolerated rates in the proof of a single route. With the full strictness a route
 /// with a few percent of the traffic could not be proven within the time of a move.
 const ROUTE_TOLERANCE: f64 = 3.0;
@@ -27,6 +30,8 @@
     proofs: [MoveProof; 2],
     alarms: [[MoveAlarm; 2]; 2],
     totals: [MoveCounts; 2],
+    tolerances: [f64; 2],
+    trust: f64,
 }
 
 impl MoveComparison {
@@ -41,6 +46,8 @@
             proofs: tolerances.map(|tolerance| MoveProof::new(ROUTE_TOLERANCE * tolerance)),
             alarms: [tolerances.map(MoveAlarm::new), tolerances.map(MoveAlarm::new)],
             totals: [MoveCounts::default(); 2],
+            tolerances,
+            trust: 0.0,
         }
     }
 
@@ -62,6 +69,12 @@
         for (side, added) in counts.into_iter().enumerate() {
             self.totals[side] = self.totals[side].plus(added);
         }
+        self.trust += counts[1].total() as f64;
+        for (measure, tolerance) in MoveMeasure::ALL.into_iter().zip(self.tolerances) {
+            let (_, bad) = measure.trials(counts[1]);
+            self.trust -= bad as f64 / (TRUST_FACTOR * tolerance);
+        }
+        self.trust = self.trust.max(0.0);
         if let Some(epoch) = epoch {
             let (_, open) = self.open.entry(epoch).or_insert((bucket_s, Default::default()));
             *open = [open[0].plus(counts[0]), open[1].plus(counts[1])];
@@ -114,6 +127,12 @@
         &self.proofs[measure as usize]
     }
 
+    /// Returns the number of requests that concluded on the new version, less a deduction for each
+    /// bad one. It does not grow while the rate of bad requests is over twice the tolerated one.
+    pub fn trust(&self) -> f64 {
+        self.trust
+    }
+
     /// Returns all counters so far, of the old and of the new version.
     pub fn totals(&self) -> [MoveCounts; 2] {
         self.totals
--- a/crates/policy/src/move_control.rs
+++ b/crates/policy/src/move_control.rs
@@ -9,8 +9,9 @@
     MoveSettings, MoveShares, MoveState, move_pace::FULL,
 };
 
-/// Time after its creation for which a control sends no request to the new version and decides
-/// nothing from a lack of evidence: the evidence of the peers has not arrived yet.
+/// Time after its creation, beside the settle time and the objective, for which a control sends no
+/// request to the new version and decides nothing from a lack of evidence: it does not know the
+/// request rates and the evidence of its peers yet.
 const WARM_UP: Duration = Duration::from_secs(8);
 
 /// Windows over which the request rate is measured; the higher rate counts.
@@ -126,11 +127,14 @@
             Ok(_) => MoveReason::Doubtful { evidence: self.judge.evidence() },
             Err(reason) => reason,
         };
-        let informed = now >= self.created.after(WARM_UP);
-        let over = self.pace.is_over(now) || (informed && self.pace.must_decide(now));
+        let over = self.pace.is_over(now) || (self.is_informed(now) && self.pace.must_decide(now));
         over.then_some((MoveState::RolledBack, reason))
     }
 
+    fn is_informed(&self, now: WallTime) -> bool {
+        now >= self.created.after(WARM_UP + self.settings.settle + self.settings.objective)
+    }
+
     /// Returns why the version is proven good, or what is missing.
     fn proof(&self) -> Result<MoveReason, MoveReason> {
         let mut total = 0;
@@ -210,16 +214,17 @@
             self.judge.restart_proofs();
             self.watched = Duration::ZERO;
         }
-        if !self.is_alarmed(now, ALARM_HOLD_S + PROBATION_S) {
+        // After an alarm in the watch the old version keeps a part of the traffic for comparison.
+        if self.state != MoveState::Done && !self.is_alarmed(now, ALARM_HOLD_S + PROBATION_S) {
             self.tripped = None;
         }
         self.held = held;
     }
 
     /// Returns shares that keep the requests at risk of one step within the cap, or within the
-    /// number of requests that already concluded on the new version.
+    /// trust that concluded requests of the new version have earned.
     fn running_shares(&self, now: WallTime, evidence: &MoveEvidence, limit: f64) -> MoveShares {
-        if !self.pace.has_started(now) || now < self.created.after(WARM_UP) {
+        if !self.pace.has_started(now) || !self.is_informed(now) {
             return MoveShares::default();
         }
         let ceiling = self.pace.ceiling(now).min(limit);
@@ -229,13 +234,13 @@
         let mut shares = MoveShares::uniform(ceiling);
         let (mut new_rate, mut rate_sum) = (0.0, 0.0);
         for (route, rate) in rates {
-            let verified = match self.judge.routes().get(&route) {
-                Some(comparison) if grows => comparison.totals()[1].total() as f64,
+            let trust = match self.judge.routes().get(&route) {
+                Some(comparison) if grows => comparison.trust(),
                 _ => 0.0,
             };
             // Small routes get more than their part of the cap, so that they are judged in time.
             let cap = self.settings.risk_cap * rate.sqrt() / roots;
-            let share = (verified.max(cap) / (rate * self.pace.step_s())).min(ceiling);
+            let share = (trust.max(cap) / (rate * self.pace.step_s())).min(ceiling);
             new_rate += share * rate;
             rate_sum += rate;
             shares.routes.insert(route, share);
--- a/crates/policy/src/move_judge.rs
+++ b/crates/policy/src/move_judge.rs
@@ -18,22 +18,22 @@
 
 /// Weight of the test over all routes in the combined evidence. The weights of both measures add
 /// up to 1.
-const OVERALL_WEIGHT: f64 = 0.36;
+const OVERALL_WEIGHT: f64 = 0.4;
 
 /// Weight of the test over the strata in which at least half of the requests went to the new
 /// version. A version that is bad only under load is good between two attempts at a high share;
 /// the other tests would forget the evidence of the attempts.
-const LOADED_WEIGHT: f64 = 0.08;
+const LOADED_WEIGHT: f64 = 0.05;
 
 /// Weight of the tests of all single routes together.
-const ROUTES_WEIGHT: f64 = 0.06;
+const ROUTES_WEIGHT: f64 = 0.05;
 
 /// Time within which an alarm of the old version explains one of the new version: a platform
 /// fault that hits both.
 const COMMON_ALARM_S: u64 = 10;
 
 /// Weight of a version that is bad from the start; the rest is spread over later segments.
-const START_WEIGHT: f64 = 0.6;
+const START_WEIGHT: f64 = 0.75;
 
 /// Times at which the test allows for a version that turns bad.
 const SEGMENTS: u64 = 32;
--- /dev/null
+++ b/crates/policy/tests/move_control.rs
@@ -0,0 +1,172 @@
+//! Control of one move on one VM.
+
+use std::time::Duration;
+
+use dragonflycart_core::{Incarnation, ModelName, RouteName, VersionMove, VersionName, WallTime};
+use dragonflycart_policy::{
+    MoveControl, MoveCounts, MoveDecision, MoveEvidence, MoveReason, MoveSettings, MoveSide,
+    MoveState,
+};
+
+const START_S: u64 = 10_000;
+const SPAN_S: u64 = 1_200;
+
+fn at(second: u64) -> WallTime {
+    WallTime::from_unix_millis(second * 1_000)
+}
+
+fn plan() -> VersionMove {
+    VersionMove {
+        model: ModelName::new("assistant").unwrap(),
+        from: VersionName::new("v1").unwrap(),
+        to: VersionName::new("v2").unwrap(),
+        start: at(START_S),
+        deadline: at(START_S + SPAN_S),
+    }
+}
+
+/// One VM with deterministic traffic: every `1 / rate`-th request is bad.
+struct Bed {
+    control: MoveControl,
+    evidence: MoveEvidence,
+    last: MoveDecision,
+    new_requests: f64,
+    carry: [[f64; 2]; 2],
+}
+
+impl Bed {
+    fn new(created_s: u64) -> Bed {
+        let settings = MoveSettings { watch: Duration::from_secs(600), ..MoveSettings::default() };
+        let mut control = MoveControl::new(&plan(), settings, at(created_s));
+        let mut evidence = MoveEvidence::default();
+        let last = control.tick(at(created_s), &mut evidence, MoveState::Running);
+        Bed { control, evidence, last, new_requests: 0.0, carry: [[0.0; 2]; 2] }
+    }
+
+    /// Runs one second of traffic on one route with failure rates of the old and new version.
+    fn second(&mut self, now_s: u64, requests: f64, failing: [f64; 2]) {
+        let route = RouteName::new("report").unwrap();
+        let share = self.last.shares.share(&route);
+        self.new_requests += requests * share;
+        for (side, part) in [(MoveSide::Old, 1.0 - share), (MoveSide::New, share)] {
+            let carry = &mut self.carry[side as usize];
+            carry[0] += requests * part;
+            let total = carry[0].floor();
+            carry[0] -= total;
+            carry[1] += total * failing[side as usize];
+            let failed = carry[1].floor().min(total);
+            carry[1] -= failed;
+            let counts =
+                MoveCounts { finished: (total - failed) as u64, failed: failed as u64, slow: 0 };
+            self.evidence.merge(Incarnation(1), now_s, (&route, side), counts);
+        }
+        self.last = self.control.tick(at(now_s + 1), &mut self.evidence, MoveState::Running);
+    }
+
+    fn run(&mut self, from_s: u64, until_s: u64, requests: f64, failing: [f64; 2]) {
+        for now_s in from_s..until_s {
+            self.second(now_s, requests, failing);
+        }
+    }
+
+    fn share(&self) -> f64 {
+        self.last.shares.overall
+    }
+}
+
+/// Guards against a good move that misses its deadline, and against traffic before its start.
+#[test]
+fn a_good_move_is_done_before_the_deadline() {
+    let mut bed = Bed::new(START_S - 60);
+    bed.run(START_S - 60, START_S - 1, 50.0, [0.002, 0.002]);
+    assert_eq!(bed.new_requests, 0.0);
+
+    bed.run(START_S - 1, START_S + SPAN_S, 50.0, [0.002, 0.002]);
+
+    assert_eq!(bed.last.state, MoveState::Done);
+    assert_eq!(bed.share(), 1.0);
+    assert!(!bed.last.settled, "the old version is needed until the watch ends");
+}
+
+/// Guards against a cap on requests at risk that grows with the traffic volume.
+#[test]
+fn a_bad_version_gets_few_requests_at_any_volume() {
+    for requests in [20.0, 400.0, 4_000.0] {
+        let mut bed = Bed::new(START_S - 60);
+        bed.run(START_S - 60, START_S, requests, [0.002, 0.002]);
+        bed.run(START_S, START_S + 120, requests, [0.002, 0.4]);
+
+        assert_eq!(bed.last.state, MoveState::RolledBack, "at {requests} requests/s");
+        assert_eq!(bed.share(), 0.0);
+        assert!(bed.new_requests < 40.0, "{} at {requests} requests/s", bed.new_requests);
+    }
+}
+
+/// Guards against a rollback caused by a platform fault that hits both versions.
+#[test]
+fn a_common_fault_does_not_roll_back() {
+    let mut bed = Bed::new(START_S - 60);
+    bed.run(START_S - 60, START_S + 500, 50.0, [0.002, 0.002]);
+    bed.run(START_S + 500, START_S + 560, 50.0, [0.4, 0.4]);
+    bed.run(START_S + 560, START_S + SPAN_S, 50.0, [0.002, 0.002]);
+    assert_eq!(bed.last.state, MoveState::Done);
+}
+
+/// Guards against a version that turns bad after the move is done and stays, with no traffic left
+/// on the old version to compare with.
+#[test]
+fn a_version_that_turns_bad_after_done_is_rolled_back() {
+    let mut bed = Bed::new(START_S - 60);
+    bed.run(START_S - 60, START_S + SPAN_S, 50.0, [0.002, 0.002]);
+    assert_eq!(bed.last.state, MoveState::Done);
+
+    bed.run(START_S + SPAN_S, START_S + SPAN_S + 60, 50.0, [0.002, 0.3]);
+
+    assert_eq!(bed.last.state, MoveState::RolledBack);
+}
+
+/// Guards against a move that is silently late when nothing is known at the deadline.
+#[test]
+fn a_move_without_evidence_ends_before_the_deadline_with_a_reason() {
+    let mut bed = Bed::new(START_S - 60);
+    for now_s in START_S..START_S + SPAN_S {
+        bed.last = bed.control.tick(at(now_s), &mut bed.evidence, MoveState::Running);
+        if let Some(reason) = &bed.last.entered {
+            assert_eq!(*reason, MoveReason::TooLittleTraffic { requests: 0, needed: 30 });
+            assert!(now_s < START_S + SPAN_S);
+        }
+    }
+    assert_eq!(bed.last.state, MoveState::RolledBack);
+}
+
+/// Guards against a VM that starts shortly before the deadline and rolls back a good move, because
+/// the evidence and latches of its peers have not arrived yet.
+#[test]
+fn a_new_vm_does_not_decide_from_a_lack_of_evidence_before_the_deadline() {
+    let created_s = START_S + SPAN_S - 12;
+    let mut bed = Bed::new(created_s);
+    for now_s in created_s..START_S + SPAN_S {
+        bed.last = bed.control.tick(at(now_s), &mut bed.evidence, MoveState::Running);
+        assert_eq!(bed.last.state, MoveState::Running, "{} s", now_s - created_s);
+        assert_eq!(bed.share(), 0.0);
+    }
+    bed.last = bed.control.tick(at(START_S + SPAN_S), &mut bed.evidence, MoveState::Running);
+    assert_eq!(bed.last.state, MoveState::RolledBack);
+}
+
+/// Guards against a late message that undoes a rollback, and against new work after the latch.
+#[test]
+fn a_rollback_latch_stops_new_work_at_once_and_stays() {
+    let mut bed = Bed::new(START_S - 60);
+    bed.run(START_S - 60, START_S + 300, 50.0, [0.002, 0.002]);
+    assert!(bed.share() > 0.0);
+
+    let now = at(START_S + 301);
+    let decision = bed.control.tick(now, &mut bed.evidence, MoveState::RolledBack);
+    assert_eq!(decision.entered, Some(MoveReason::Peer));
+    assert_eq!(decision.shares.overall, 0.0);
+
+    let decision = bed.control.tick(now, &mut bed.evidence, MoveState::Done);
+    assert_eq!(decision.state, MoveState::RolledBack);
+    assert_eq!(decision.entered, None);
+}
