--- a/crates/bench/src/moves_baseline.rs
+++ b/crates/bench/src/moves_baseline.rs
@@ -61,6 +61,7 @@
             new_requests: traffic.new_requests,
             bad_requests: traffic.bad_requests,
             reaction_s: None,
+            clear_reaction_s: None,
             reason: String::new(),
         }
     }
--- a/crates/bench/src/moves_outcome.rs
+++ b/crates/bench/src/moves_outcome.rs
@@ -27,6 +27,9 @@
     pub bad_requests: u64,
     /// Time from sufficient evidence to the last request to the new version on a reachable VM.
     pub reaction_s: Option<f64>,
+    /// The same from twice the sufficient evidence, a margin for the different order in which the
+    /// VMs and the oracle see late counters.
+    pub clear_reaction_s: Option<f64>,
     /// Reason of the first end.
     pub reason: String,
 }
--- a/crates/bench/src/moves_run.rs
+++ b/crates/bench/src/moves_run.rs
@@ -51,7 +51,7 @@
     links: BTreeMap<(usize, usize), VecDeque<(f64, Message)>>,
     oracle: MoveJudge,
     oracle_evidence: MoveEvidence,
-    sufficient: Option<f64>,
+    sufficient: [Option<f64>; 2],
     reported: bool,
     reason: Option<(f64, MoveReason)>,
 }
@@ -94,7 +94,7 @@
             links,
             oracle: MoveJudge::new(settings, plan.start, horizon),
             oracle_evidence: MoveEvidence::default(),
-            sufficient: None,
+            sufficient: [None; 2],
             reported: false,
             reason: None,
             case,
@@ -156,9 +156,12 @@
             }
         }
         self.oracle.absorb(&mut self.oracle_evidence, wall(now));
-        if self.sufficient.is_none() && self.oracle.rejection().is_some() {
-            // The evidence was complete when its last bucket ended, before it settled.
-            self.sufficient = Some(now - MoveSettings::default().settle.as_secs_f64());
+        let settings = MoveSettings::default();
+        for (factor, time) in [1.0, 2.0].into_iter().zip(&mut self.sufficient) {
+            if self.oracle.evidence() >= factor / settings.rollback_error {
+                // The evidence was complete when its last bucket ended, before it settled.
+                time.get_or_insert(now - settings.settle.as_secs_f64());
+            }
         }
     }
 
@@ -238,15 +241,18 @@
         }
     }
 
+    /// Returns the time from sufficient evidence to the last request that a reachable VM sent to
+    /// the new version.
+    fn reaction(&self, sufficient: Option<f64>, traffic: &MovesTraffic) -> Option<f64> {
+        let time = sufficient?;
+        let reachable = (0..VMS).filter(|vm| self.is_reachable(*vm, time));
+        let last = reachable.map(|vm| traffic.last_new[vm] + TICK_S).fold(time, f64::max);
+        Some(last - time)
+    }
+
     fn outcome(&self, traffic: &MovesTraffic) -> MovesOutcome {
         let in_time = self.ended.iter().all(|ended| ended.is_some_and(|ended| ended <= SPAN_S));
         let first = self.states[0];
-        let mut last_new = f64::NEG_INFINITY;
-        for (vm, last) in traffic.last_new.iter().enumerate() {
-            if self.sufficient.is_some_and(|time| self.is_reachable(vm, time)) {
-                last_new = last_new.max(*last + TICK_S);
-            }
-        }
         let (ended_s, reason) = match &self.reason {
             Some((time, reason)) => (*time, reason.to_string()),
             None => (f64::NAN, String::new()),
@@ -262,7 +268,8 @@
             ended_s,
             new_requests: traffic.new_requests,
             bad_requests: traffic.bad_requests,
-            reaction_s: self.sufficient.map(|time| (last_new - time).max(0.0)),
+            reaction_s: self.reaction(self.sufficient[0], traffic),
+            clear_reaction_s: self.reaction(self.sufficient[1], traffic),
             reason,
         }
     }
--- a/crates/bench/src/moves_summary.rs
+++ b/crates/bench/src/moves_summary.rs
@@ -21,6 +21,10 @@
     pub paired_ratio: Option<f64>,
     /// 50th and 100th percentile of the time from sufficient evidence to no new work.
     pub reaction_s: Option<(f64, f64)>,
+    /// Moves for which this time was over 3 s.
+    pub slow_reactions: usize,
+    /// Longest time from twice the sufficient evidence to no new work.
+    pub clear_reaction_s: Option<f64>,
     /// Moves that ended late or without a report, or with VMs that disagreed.
     pub late: usize,
 }
@@ -50,28 +54,18 @@
             }),
             paired_ratio: (sums[1] > 0.0).then(|| sums[0] / sums[1]),
             reaction_s,
+            slow_reactions: reactions.iter().filter(|reaction| **reaction > 3.0).count(),
+            clear_reaction_s: policy.iter().filter_map(|run| run.clear_reaction_s).reduce(f64::max),
             late: policy.iter().filter(|run| run.late || run.split).count(),
         }
     }
 
     /// Returns the heading of the table.
     pub fn heading() -> String {
-        format!(
-            "{:<16}{:>5}{:>8}{:>8}{:>8}{:>8}{:>9}{:>9}{:>7}{:>7}{:>7}{:>7}{:>6}",
-            "scenario",
-            "runs",
-            "done%",
-            "base",
-            "back%",
-            "base",
-            "badreq",
-            "base",
-            "ratio",
-            "paired",
-            "p50 s",
-            "max s",
-            "late"
-        )
+        let counts = format!("{:<16}{:>5}{:>8}{:>8}", "scenario", "runs", "done%", "base");
+        let bad = format!("{:>8}{:>8}{:>9}{:>9}", "back%", "base", "badreq", "base");
+        let ratios = format!("{:>7}{:>7}{:>7}{:>7}", "ratio", "paired", "p50 s", "max s");
+        format!("{counts}{bad}{ratios}{:>5}{:>7}{:>5}", ">3 s", "max 2x", "late")
     }
 }
 
@@ -93,7 +87,12 @@
             Some((median, longest)) => write!(f, "{median:>7.2}{longest:>7.2}")?,
             None => write!(f, "{:>7}{:>7}", "-", "-")?,
         }
-        write!(f, "{:>6}", self.late)
+        write!(f, "{:>5}", self.slow_reactions)?;
+        match self.clear_reaction_s {
+            Some(longest) => write!(f, "{longest:>7.2}")?,
+            None => write!(f, "{:>7}", "-")?,
+        }
+        write!(f, "{:>5}", self.late)
     }
 }
 
--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -32,6 +32,7 @@
     totals: [MoveCounts; 2],
     tolerances: [f64; 2],
     trust: f64,
+    earned: f64,
 }
 
 impl MoveComparison {
@@ -48,6 +49,7 @@
             totals: [MoveCounts::default(); 2],
             tolerances,
             trust: 0.0,
+            earned: 0.0,
         }
     }
 
@@ -75,6 +77,7 @@
             self.trust -= bad as f64 / (TRUST_FACTOR * tolerance);
         }
         self.trust = self.trust.max(0.0);
+        self.earned = self.earned.max(self.trust);
         if let Some(epoch) = epoch {
             let (_, open) = self.open.entry(epoch).or_insert((bucket_s, Default::default()));
             *open = [open[0].plus(counts[0]), open[1].plus(counts[1])];
@@ -133,6 +136,11 @@
         self.trust
     }
 
+    /// Restores the highest trust so far, because a platform fault explains the bad requests.
+    pub fn restore_trust(&mut self) {
+        self.trust = self.earned;
+    }
+
     /// Returns all counters so far, of the old and of the new version.
     pub fn totals(&self) -> [MoveCounts; 2] {
         self.totals
--- a/crates/policy/src/move_judge.rs
+++ b/crates/policy/src/move_judge.rs
@@ -119,6 +119,11 @@
         for route in routes {
             self.close_ready(&route, now_s);
         }
+        if self.has_common_alarm(now_s) {
+            for comparison in self.routes.values_mut() {
+                comparison.restore_trust();
+            }
+        }
         self.prove_settled(now_s);
     }
 
@@ -156,6 +161,11 @@
         (!common).then_some(new_s)
     }
 
+    fn has_common_alarm(&self, now_s: u64) -> bool {
+        let recent = self.alarms_s[1].is_some_and(|new_s| new_s + COMMON_ALARM_S >= now_s);
+        recent && self.last_alarm_s().is_none()
+    }
+
     /// Starts the proofs that the version is good again. Each attempt gets a smaller part of the
     /// error bound, so that the bound holds for all attempts together.
     pub fn restart_proofs(&mut self) {
