--- a/crates/policy/src/move_epochs.rs
+++ b/crates/policy/src/move_epochs.rs
@@ -8,7 +8,7 @@
 const ABRUPT_ODDS: f64 = 1.25;
 
 /// Buckets left out from an abrupt decrease on, while the VMs change their shares.
-const BLIND_S: u64 = 2;
+const BLIND_S: u64 = 1;
 
 /// Shares are clamped to this distance from 0 and 1.
 const SHARE_EDGE: f64 = 1e-4;
