--- a/src/bin/dragonflycartctl.rs
+++ b/src/bin/dragonflycartctl.rs
@@ -1,3 +1,7 @@
-//! Entry point of `dragonflycartctl`.
+//! Operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    dragonflycart_operator::main_with_args(std::env::args_os())
+}
