--- a/crates/bench/examples/scenario.rs
+++ b/crates/bench/examples/scenario.rs
@@ -8,7 +8,7 @@
     },
 };
 
-use clap::{Arg, Command};
+use clap::{Arg, ArgAction, Command};
 use dragonflycart_bench::{RunRow, ScenarioKind, Simulation, mean_row, print_table};
 use dragonflycart_policy::{PolicySettings, policy_names};
 use strum::IntoEnumIterator;
@@ -21,6 +21,12 @@
         .arg(Arg::new("threads").long("threads").default_value("3"))
         .arg(Arg::new("policies").long("policies").help("policies with commas; default all"))
         .arg(Arg::new("set").long("set").help("settings as name=value with commas, for trials"))
+        .arg(
+            Arg::new("shed-all")
+                .long("shed-all")
+                .action(ArgAction::SetTrue)
+                .help("baselines reject late requests by length forecasts as well"),
+        )
         .arg(Arg::new("csv").long("csv").help("file for one row per run"))
 }
 
@@ -51,7 +57,8 @@
         }
     }
     let overrides = parse_overrides(&text("set").unwrap_or_default())?;
-    let rows = run_jobs(&jobs, threads, &overrides);
+    let shed_all = matches.get_flag("shed-all");
+    let rows = run_jobs(&jobs, threads, &overrides, shed_all);
     let mut means = Vec::new();
     for group in rows.chunk_by(|a, b| a.scenario == b.scenario && a.policy == b.policy) {
         means.extend(mean_row(group));
@@ -97,6 +104,7 @@
     jobs: &[(ScenarioKind, String, u64)],
     threads: usize,
     overrides: &[(String, f64)],
+    shed_all: bool,
 ) -> Vec<RunRow> {
     let next = AtomicUsize::new(0);
     let rows = Mutex::new(Vec::new());
@@ -109,6 +117,8 @@
                         break;
                     };
                     let mut spec = kind.spec();
+                    // Baselines know nothing of lengths, so they can't tell what will be late.
+                    spec.settings.shed_late = shed_all || policy == "forecast";
                     apply_overrides(&mut spec.settings, overrides);
                     let metrics = Simulation::new(spec, policy, *seed).run();
                     let row = RunRow::new(kind.into(), policy, *seed, &metrics);
--- a/crates/policy/src/length_estimator.rs
+++ b/crates/policy/src/length_estimator.rs
@@ -15,6 +15,8 @@
 const ROUTE_WEIGHT: f64 = 8.0;
 /// Weight of the prior within the estimate of a route.
 const PRIOR_WEIGHT: f64 = 2.0;
+/// Finished requests from which on a route counts as known.
+const KNOWN_REQUESTS: f64 = 20.0;
 /// Growth of the observation weight is folded back at this value to keep precision.
 const RESCALE_AT: f64 = 1e9;
 
@@ -102,7 +104,8 @@
         let weight_of = |bucket: usize| {
             let mut weight = self.prior.share(bucket, PRIOR_WEIGHT * 0.1);
             if let Some(histogram) = route_histogram {
-                weight += histogram.share(bucket, ROUTE_WEIGHT.min(histogram.total));
+                weight +=
+                    histogram.share(bucket, ROUTE_WEIGHT.min(histogram.total / histogram.unit));
             } else {
                 weight += self.prior.share(bucket, PRIOR_WEIGHT);
             }
@@ -114,6 +117,14 @@
         quantile_beyond(weight_of, reached, q)
     }
 
+    /// Returns whether enough requests of the route ended for decisions against a request. With
+    /// less, a wrong prior could reject all requests of a route, which then would never be
+    /// corrected.
+    pub fn knows(&self, route: RouteKey) -> bool {
+        let histogram = self.routes.get(&route);
+        histogram.is_some_and(|histogram| histogram.total >= KNOWN_REQUESTS * histogram.unit)
+    }
+
     /// Returns quantiles of the remaining length of a running request of which nothing is known.
     /// A long request is more likely to be found running than a short one: the density of the
     /// remainder at `x` is proportional to the share of lengths beyond `x`.
--- a/crates/policy/src/placement_engine/request_flow.rs
+++ b/crates/policy/src/placement_engine/request_flow.rs
@@ -96,7 +96,7 @@
         let quantile = self.placer.settings.length_quantile;
         entry.remaining = lengths.remaining(team, route, tokens, quantile).min(room);
         let short = lengths.remaining(team, route, 0, self.placer.settings.late_quantile);
-        entry.short_length = short.min(entry.max_tokens);
+        entry.short_length = if lengths.knows(route) { short.min(entry.max_tokens) } else { 0 };
         let median = lengths.remaining(team, route, tokens, 0.5).min(room);
         entry.charged = request_cost(entry.prompt, median);
     }
--- a/crates/policy/src/policy_settings.rs
+++ b/crates/policy/src/policy_settings.rs
@@ -98,7 +98,7 @@
             headroom: 0.9,
             length_quantile: 0.5,
             batch_share: 1.0,
-            queue_depth: 0,
+            queue_depth: 2,
             cold_slots: 2,
             report_freshness: Duration::from_secs(1),
             report_timeout: Duration::from_secs(3),
@@ -108,7 +108,7 @@
             retry_subset: 4,
             prefix_bonus: 0.1,
             remote_penalty: 0.02,
-            spread: 0.03,
+            spread: 0.3,
             candidate_limit: 32,
             queue_limit: 4_096,
             queue_patience: Duration::from_secs(60),
@@ -119,7 +119,7 @@
             prior_length: 400,
             token_time: Duration::from_millis(40),
             shed_late: true,
-            late_quantile: 0.2,
+            late_quantile: 0.95,
         }
     }
 }
@@ -127,11 +127,15 @@
 impl PolicySettings {
     /// Returns settings for deployments in which stalls and inter-token latency matter most.
     pub fn latency_first() -> PolicySettings {
-        PolicySettings { headroom: 0.9, batch_share: 0.9, ..PolicySettings::default() }
+        PolicySettings {
+            headroom: 1.05,
+            class_reserve: [0.0, 0.0, 0.1],
+            ..PolicySettings::default()
+        }
     }
 
     /// Returns settings for deployments in which finished work matters most.
     pub fn throughput_first() -> PolicySettings {
-        PolicySettings { headroom: 0.97, batch_share: 1.0, ..PolicySettings::default() }
+        PolicySettings { headroom: 0.98, ..PolicySettings::default() }
     }
 }
--- a/crates/policy/src/request_placer.rs
+++ b/crates/policy/src/request_placer.rs
@@ -137,12 +137,14 @@
     pub(crate) fn report(&mut self, server: ServerKey, report: ServerReport, now: MonoTime) {
         self.servers.update_pools(server, &report);
         let seat_running = report.running_of_seat(&self.position.zone, self.position.seat);
+        let foreign = report.running_outside(&self.position.zone);
         let state = self.servers.get_mut(server);
         let (instance, taken_at) = (report.instance, report.taken_at);
         if !state.apply_report(report, now) {
             return;
         }
         state.draw = self.random.random();
+        state.foreign_requests = foreign;
         let own_running = state.attempts.len() as u32;
         // A frozen report says nothing about the requests that are running now.
         if state.zone != self.own_zone || state.is_frozen() {
@@ -263,8 +265,14 @@
         let own_requests = state.attempts.len() as u32;
         let cold = state.is_cold();
         let limit = state.limit(self.settings.cold_slots);
+        let estimated_requests = state.estimated_requests(self.vms);
+        // A server that turned cold without a restart still runs requests that were sent to it
+        // while it was warm. Those of other zones hold no slot, so they take slots from the end.
+        let foreign = state.foreign_requests;
         if cold
-            && (state.zone != self.own_zone || !self.cold.has_free(key, limit, own_requests, now))
+            && (state.zone != self.own_zone
+                || estimated_requests >= limit
+                || !self.cold.has_free(key, limit.saturating_sub(foreign), own_requests, now))
         {
             return None;
         }
@@ -279,7 +287,7 @@
             reported_requests: report.running + report.waiting,
             reported_memory: report.memory_used_tokens,
             memory_total,
-            estimated_requests: state.estimated_requests(self.vms),
+            estimated_requests,
             claimed_requests,
             limit,
             cold,
--- a/crates/policy/src/server_report.rs
+++ b/crates/policy/src/server_report.rs
@@ -43,4 +43,15 @@
         }
         running
     }
+
+    /// Returns the requests in the server that came from VMs outside `zone`.
+    pub fn running_outside(&self, zone: &ZoneName) -> u32 {
+        let mut running = 0;
+        for (entry_zone, _, count) in &self.running_by_seat {
+            if entry_zone != zone {
+                running += count;
+            }
+        }
+        running
+    }
 }
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -60,6 +60,8 @@
     /// Position of this VM's random draw since the last report, see
     /// `claims_of_others`.
     pub(crate) draw: f64,
+    /// Requests of VMs in other zones by the last report.
+    pub(crate) foreign_requests: u32,
     ended: Vec<EndedAttempt>,
     /// Own requests that the last report doesn't include.
     sent_since_report: u32,
@@ -89,6 +91,7 @@
             forecast: MemoryForecast::default(),
             forecast_stale: true,
             draw: 0.0,
+            foreign_requests: 0,
             ended: Vec::new(),
             sent_since_report: 0,
             ended_since_report: 0,
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -226,3 +226,51 @@
     assert_eq!(dispatches(&engine.tick(at(2))).len(), 32);
     assert_eq!(engine.waiting(), 68);
 }
+
+/// Guards against a server that turned cold without a restart and gets slot requests on top of
+/// the requests that other zones still have there.
+#[test]
+fn requests_of_other_zones_take_cold_slots() {
+    for (foreign, expected) in [(0, 4), (3, 1), (4, 0)] {
+        let (mut engine, keys) = single_vm(settings(1), 1);
+        let other = ZoneName::new("bauska").unwrap();
+        for millis in [0, 2_000] {
+            let mut cold = report(at(millis));
+            cold.cold = true;
+            cold.bears = 4;
+            cold.running = foreign;
+            cold.running_by_seat = vec![(other.clone(), VmSeat(0), foreign)];
+            engine.report(at(millis), keys[0], cold);
+        }
+        for _ in 0..10 {
+            engine.submit(at(2_000), request("a"));
+        }
+        assert_eq!(dispatches(&engine.tick(at(2_000))).len(), expected, "{foreign}");
+    }
+}
+
+/// Guards against a frozen load report that draws all requests to one server, or keeps them away.
+#[test]
+fn frozen_report_is_replaced_by_own_requests() {
+    let (mut engine, keys) = single_vm(settings(1), 2);
+    let mut frozen = report(at(0));
+    frozen.running = 1;
+    frozen.memory_used_tokens = 500;
+    let mut sent = 0;
+    for step in 0..40 {
+        let now = at(step * 100);
+        frozen.taken_at = now;
+        engine.report(now, keys[0], frozen.clone());
+        let mut live = report(now);
+        live.running = 16;
+        live.memory_used_tokens = 10_000 + step;
+        engine.report(now, keys[1], live);
+        engine.submit(now, request("a"));
+        for (_, server) in dispatches(&engine.tick(now)) {
+            sent += usize::from(server == keys[0]);
+        }
+    }
+    assert!(engine.servers().get(keys[0]).is_frozen());
+    assert!(!engine.servers().get(keys[1]).is_frozen());
+    assert!((10..=32).contains(&sent), "{sent} of 40 requests to the frozen server");
+}
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -20,8 +20,10 @@
     ZoneName::new("jelgava").unwrap()
 }
 
+/// Returns settings with no requests beyond a server's limit, so that tests can count exactly.
 pub fn settings(seats: u16) -> PolicySettings {
-    PolicySettings { seats: BTreeMap::from([(zone(), seats)]), ..PolicySettings::default() }
+    let seats = BTreeMap::from([(zone(), seats)]);
+    PolicySettings { seats, queue_depth: 0, ..PolicySettings::default() }
 }
 
 pub fn position(seat: u16) -> VmPosition {
