--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -234,7 +234,8 @@
     for (foreign, expected) in [(0, 4), (3, 1), (4, 0)] {
         let (mut engine, keys) = single_vm(settings(1), 1);
         let other = ZoneName::new("bauska").unwrap();
-        for millis in [0, 2_000] {
+        for millis in [0, 500, 1_000, 1_500, 2_000] {
+            engine.tick(at(millis));
             let mut cold = report(at(millis));
             cold.cold = true;
             cold.bears = 4;
