--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -6,7 +6,7 @@
 
 /// Requests of each version at which a stratum is closed. The rules look only at the numbers of
 /// requests, never at their outcomes, as the validity of the test requires.
-const STRATUM_REQUESTS: u64 = 10;
+const STRATUM_REQUESTS: u64 = 4;
 
 /// Requests of one version at which a stratum is closed with a single request of the other. At a
 /// share of a few percent, waiting for more would delay the verdict by several seconds.
