Double the alarm limit after each alarm that the comparison did not confirm

After an alarm in the watch the share is 0.95, so that a version that is bad above 0.9 shows it beside the old one.

--- a/crates/policy/src/move_alarm.rs
+++ b/crates/policy/src/move_alarm.rs
@@ -1,8 +1,11 @@
 //! Fast, unpaired check of the new version's rate.
 
-/// Logarithm of the likelihood ratio at which the alarm is raised. Below it a run of bad luck of
-/// odds 1 to 150 against stays unnoticed.
-const ALARM_LOG: f64 = 5.0;
+/// Logarithm of the likelihood ratio at which the first alarm is raised. Below it a run of bad luck
+/// of odds 1 to 150 against stays unnoticed.
+const LIMIT_FIRST: f64 = 5.0;
+
+/// Highest limit.
+const LIMIT_MAX: f64 = 80.0;
 
 /// Cumulative sum of the log likelihood ratio of a high rate against the tolerated one. It needs
 /// no traffic of the old version, and can't tell a bad version from a platform fault: it only
@@ -11,12 +14,21 @@
 pub struct MoveAlarm {
     tolerance: f64,
     sum: f64,
+    limit: f64,
 }
 
 impl MoveAlarm {
     /// Creates an alarm for a tolerated rate.
     pub fn new(tolerance: f64) -> MoveAlarm {
-        MoveAlarm { tolerance, sum: 0.0 }
+        MoveAlarm { tolerance, sum: 0.0, limit: LIMIT_FIRST }
+    }
+
+    /// Doubles the limit after an alarm that the comparison did not confirm. A version that is bad
+    /// only under load shows it only until the alarm lowers the share; each further attempt must
+    /// yield more evidence than the one before, or the attempts would go on until the deadline.
+    pub fn raise_limit(&mut self) {
+        self.sum = 0.0;
+        self.limit = (2.0 * self.limit).min(LIMIT_MAX);
     }
 
     /// Takes requests into account and returns whether the alarm is raised.
@@ -25,7 +37,7 @@
         let good = requests.saturating_sub(bad) as f64;
         self.sum += bad as f64 * (high / self.tolerance).ln();
         self.sum += good * ((1.0 - high) / (1.0 - self.tolerance)).ln();
-        self.sum = self.sum.clamp(0.0, 2.0 * ALARM_LOG);
-        self.sum >= ALARM_LOG
+        self.sum = self.sum.clamp(0.0, 2.0 * self.limit);
+        self.sum >= self.limit
     }
 }
--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -108,8 +108,11 @@
         }
     }
 
-    /// Starts the proofs again.
+    /// Starts the proofs again and raises the limits of the new version's alarms.
     pub fn restart_proofs(&mut self) {
+        for alarm in &mut self.alarms[1] {
+            alarm.raise_limit();
+        }
         self.proofs = self.proofs.clone().map(MoveProof::restart);
     }
 
--- a/crates/policy/src/move_control.rs
+++ b/crates/policy/src/move_control.rs
@@ -26,6 +26,10 @@
 /// Share of the new version while an alarm is raised.
 const ALARM_SHARE: f64 = 0.15;
 
+/// Share of the new version after an alarm in the watch. It is above the full share of a running
+/// move, because a version that is bad only above that must show it again beside the old version.
+const WATCHED_SHARE: f64 = 0.95;
+
 /// Time for which an alarm lowers the share.
 const ALARM_HOLD_S: u64 = 20;
 
@@ -207,7 +211,8 @@
     fn note_alarm(&mut self, now: WallTime) {
         let held = self.is_alarmed(now, ALARM_HOLD_S);
         if held && !self.held {
-            self.tripped = Some(self.last_share.clamp(ALARM_SHARE, FULL));
+            let highest = if self.state == MoveState::Done { WATCHED_SHARE } else { FULL };
+            self.tripped = Some(self.last_share.clamp(ALARM_SHARE, highest));
         }
         if self.held && !held && self.judge.last_alarm_s().is_some() {
             // The old version did not raise the alarm too, so nothing but the new one explains it.
