Report the counts of the last 15 to 30 s in the reason of a rollback

The counts of the whole move hid what changed (failed 170 of 52,022 requests, old version 57 of 21,503 for a version that turned bad after the deadline). Decisions are unchanged.

--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -123,6 +123,13 @@
         }
     }
 
+    /// Starts a new period of the recent counts.
+    pub fn rotate_recent(&mut self) {
+        for test in &mut self.tests {
+            test.rotate_recent();
+        }
+    }
+
     /// Returns the test of a measure.
     pub fn test(&self, measure: MoveMeasure) -> &MoveTest {
         &self.tests[measure as usize]
--- a/crates/policy/src/move_judge.rs
+++ b/crates/policy/src/move_judge.rs
@@ -28,6 +28,9 @@
 /// Weight of the tests of all single routes together.
 const ROUTES_WEIGHT: f64 = 0.05;
 
+/// Length of a period of the counts that a rollback reports.
+const PERIOD_S: u64 = 15;
+
 /// Time within which an alarm of the old version explains one of the new version: a platform
 /// fault that hits both.
 const COMMON_ALARM_S: u64 = 10;
@@ -47,6 +50,7 @@
     start_s: u64,
     segment_s: u64,
     segments: u64,
+    periods: u64,
     checked: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
     pending: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
     seen: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
@@ -70,6 +74,7 @@
             start_s: start.as_unix_millis() / 1_000,
             segment_s: (horizon.as_secs() / SEGMENTS).max(1),
             segments: 0,
+            periods: 0,
             checked: BTreeMap::new(),
             pending: BTreeMap::new(),
             seen: BTreeMap::new(),
@@ -108,6 +113,7 @@
             }
             let ((bucket_s, route), sums) = entry.remove_entry();
             self.open_segments(bucket_s);
+            self.rotate_recent(bucket_s);
             self.close_ready(&route, bucket_s);
             let seen = self.seen.entry((bucket_s, route.clone())).or_default();
             let added = [sums[0].since(seen[0]), sums[1].since(seen[1])];
@@ -207,7 +213,7 @@
             .weighted_tests()
             .max_by(|a, b| (a.0 * a.3.evidence()).total_cmp(&(b.0 * b.3.evidence())));
         let (_, route, measure, test) = strongest?;
-        let counts = test.totals();
+        let counts = test.recent();
         Some(MoveReason::Worse { route: route.cloned(), measure, counts, evidence })
     }
 
@@ -267,6 +273,20 @@
         }
     }
 
+    fn rotate_recent(&mut self, bucket_s: u64) {
+        let period = (bucket_s - self.start_s) / PERIOD_S;
+        if period <= self.periods {
+            return;
+        }
+        self.periods = period;
+        for test in self.overall.iter_mut().chain(&mut self.loaded) {
+            test.rotate_recent();
+        }
+        for comparison in self.routes.values_mut() {
+            comparison.rotate_recent();
+        }
+    }
+
     fn open_segments(&mut self, bucket_s: u64) {
         let due = ((bucket_s - self.start_s) / self.segment_s).min(SEGMENTS);
         while self.segments < due {
--- a/crates/policy/src/move_reason.rs
+++ b/crates/policy/src/move_reason.rs
@@ -15,7 +15,7 @@
         route: Option<RouteName>,
         /// What is worse.
         measure: MoveMeasure,
-        /// Requests and bad requests of both versions.
+        /// Recent requests and bad requests of both versions.
         counts: MoveStratum,
         /// Combined evidence; the version is rolled back at the inverse of the error bound.
         evidence: f64,
--- a/crates/policy/src/move_stratum.rs
+++ b/crates/policy/src/move_stratum.rs
@@ -23,6 +23,17 @@
 const RESCALE_ABOVE: f64 = 1e200;
 
 impl MoveStratum {
+    /// Returns the sum of two strata, for reports.
+    #[must_use]
+    pub fn plus(&self, other: &MoveStratum) -> MoveStratum {
+        MoveStratum {
+            old: self.old + other.old,
+            new: self.new + other.new,
+            old_bad: self.old_bad + other.old_bad,
+            new_bad: self.new_bad + other.new_bad,
+        }
+    }
+
     /// Returns the logarithm of the likelihood ratio of odds ratio `high` against `low`, given the
     /// margins. For every true odds ratio up to `low` the expected likelihood ratio is at most 1,
     /// because the conditional distribution has a monotone likelihood ratio.
--- a/crates/policy/src/move_test.rs
+++ b/crates/policy/src/move_test.rs
@@ -17,13 +17,13 @@
 pub struct MoveTest {
     margin: f64,
     wealth: [f64; ALTERNATIVES.len()],
-    totals: MoveStratum,
+    recent: [MoveStratum; 2],
 }
 
 impl MoveTest {
     /// Creates a test of "the odds ratio is at most `margin`".
     pub fn new(margin: f64) -> MoveTest {
-        MoveTest { margin, wealth: [0.0; ALTERNATIVES.len()], totals: MoveStratum::default() }
+        MoveTest { margin, wealth: [0.0; ALTERNATIVES.len()], recent: [MoveStratum::default(); 2] }
     }
 
     /// Adds weight for a version that turns bad now.
@@ -33,12 +33,14 @@
         }
     }
 
+    /// Starts a new period of the recent counts.
+    pub fn rotate_recent(&mut self) {
+        self.recent = [MoveStratum::default(), self.recent[0]];
+    }
+
     /// Takes one stratum into account.
     pub fn absorb(&mut self, stratum: &MoveStratum) {
-        self.totals.old += stratum.old;
-        self.totals.new += stratum.new;
-        self.totals.old_bad += stratum.old_bad;
-        self.totals.new_bad += stratum.new_bad;
+        self.recent[0] = self.recent[0].plus(stratum);
         for (wealth, odds) in self.wealth.iter_mut().zip(ALTERNATIVES) {
             *wealth = (*wealth * stratum.log_ratio(odds, self.margin).exp()).min(f64::MAX / 1e9);
         }
@@ -49,8 +51,9 @@
         self.wealth.iter().sum::<f64>() / ALTERNATIVES.len() as f64
     }
 
-    /// Returns the requests and bad requests of all strata so far.
-    pub fn totals(&self) -> MoveStratum {
-        self.totals
+    /// Returns the requests and bad requests of this period and the one before. Those
+    /// of the whole move would hide a version that turned bad late.
+    pub fn recent(&self) -> MoveStratum {
+        self.recent[0].plus(&self.recent[1])
     }
 }
--- a/crates/policy/tests/move_control.rs
+++ b/crates/policy/tests/move_control.rs
@@ -170,3 +170,21 @@
     assert_eq!(decision.state, MoveState::RolledBack);
     assert_eq!(decision.entered, None);
 }
+
+/// Guards against a reason whose counts are those of the whole move and so hide what changed.
+#[test]
+fn the_reason_shows_the_recent_counts() {
+    let mut bed = Bed::new(START_S - 60);
+    bed.run(START_S - 60, START_S + 600, 50.0, [0.002, 0.002]);
+    for now_s in START_S + 600..START_S + 660 {
+        bed.second(now_s, 50.0, [0.002, 0.4]);
+        if bed.last.entered.is_some() {
+            break;
+        }
+    }
+    let Some(MoveReason::Worse { counts, .. }) = bed.last.entered else {
+        panic!("not rolled back: {:?}", bed.last);
+    };
+    assert!(counts.new < 10_000, "{counts:?}");
+    assert!(counts.new_bad * 100 > counts.new, "{counts:?}");
+}
