--- a/crates/bench/tests/moves.rs
+++ b/crates/bench/tests/moves.rs
@@ -37,3 +37,16 @@
     assert_eq!(outcome.state, "rolled_back");
     assert!(outcome.ended_s <= 60.0);
 }
+
+/// Guards against a move that is silently late, or ends in two states, when a partition lasts over
+/// the deadline: each side ends it on time, and the rollback of one side wins when they meet.
+#[test]
+fn a_partition_over_the_deadline_ends_on_time_and_in_one_state() {
+    let mut case = MovesCase::draw(MovesScenario::BadLater, 2);
+    case.partition = Some((300.0, 1_500.0));
+
+    let outcome = MovesRun::new(case).unwrap().run();
+
+    assert!(!outcome.late && !outcome.split, "{outcome:?}");
+    assert_eq!(outcome.state, "rolled_back");
+}
