Keep what any move needs, and keep listed new versions before their move

The target removed a new version that the plan lists before the load lead, and the result of a move that is planned again under another name depended on the order of the names.

--- a/crates/policy/src/order_target.rs
+++ b/crates/policy/src/order_target.rs
@@ -5,9 +5,7 @@
     time::Duration,
 };
 
-use dragonflycart_core::{
-    MoveId, OperatingPlan, OrderFence, PlanRevision, VersionMove, WallTime, ZoneName,
-};
+use dragonflycart_core::{MoveId, OperatingPlan, OrderFence, PlanRevision, WallTime, ZoneName};
 
 use crate::{MoveState, order_action::OrderVersion};
 
@@ -42,7 +40,7 @@
         for placement in plan.placements.iter().filter(|placement| placement.zone == *zone) {
             wanted.insert((placement.model.clone(), placement.version.clone()));
         }
-        let mut progress = 0;
+        let (mut progress, mut needed, mut unneeded) = (0, BTreeSet::new(), BTreeSet::new());
         for (id, planned) in &plan.moves {
             let (state, settled) = moves.get(id).copied().unwrap_or_default();
             progress += 2 * u64::from(state.number()) + u64::from(settled);
@@ -51,16 +49,20 @@
             if !wanted.contains(&from) && !wanted.contains(&to) {
                 continue;
             }
-            for (version, needed) in
-                [(from, needs_old(state, settled)), (to, needs_new(planned, state, now))]
-            {
-                if needed {
-                    wanted.insert(version);
-                } else {
-                    wanted.remove(&version);
+            let sets = [&mut needed, &mut unneeded];
+            sets[usize::from(state == MoveState::Done && settled)].insert(from);
+            match state {
+                MoveState::RolledBack => _ = unneeded.insert(to),
+                MoveState::Done => _ = needed.insert(to),
+                MoveState::Running if now.after(LOAD_LEAD) >= planned.start => {
+                    needed.insert(to);
                 }
+                MoveState::Running => {}
             }
         }
+        // A later move may need again what an earlier one left behind.
+        wanted.retain(|version| !unneeded.contains(version));
+        wanted.extend(needed);
         OrderTarget { revision, progress, wanted }
     }
 
@@ -70,15 +72,3 @@
         OrderFence { revision: self.revision, sequence: self.progress << PROGRESS_SHIFT }
     }
 }
-
-fn needs_old(state: MoveState, settled: bool) -> bool {
-    state == MoveState::RolledBack || !settled
-}
-
-fn needs_new(planned: &VersionMove, state: MoveState, now: WallTime) -> bool {
-    match state {
-        MoveState::Running => now.after(LOAD_LEAD) >= planned.start,
-        MoveState::Done => true,
-        MoveState::RolledBack => false,
-    }
-}
--- a/crates/policy/tests/order_planner.rs
+++ b/crates/policy/tests/order_planner.rs
@@ -351,22 +351,33 @@
         start,
         deadline: start.after(Duration::from_secs(3_600)),
     };
-    let plan = OperatingPlan {
+    let mut plan = OperatingPlan {
         placements: vec![placement],
-        moves: [(id.clone(), planned)].into(),
+        moves: [(id.clone(), planned.clone())].into(),
         ..OperatingPlan::default()
     };
-    let wanted = |state, settled, now| {
+    let wanted = |plan: &OperatingPlan, state, settled, now| {
         let moves = [(id.clone(), (state, settled))].into();
-        OrderTarget::new(PlanRevision(1), &plan, &zone, &moves, now)
+        OrderTarget::new(PlanRevision(1), plan, &zone, &moves, now)
     };
 
-    assert_eq!(wanted(MoveState::Running, false, WallTime::default()).wanted, versions(&[1]));
-    assert_eq!(wanted(MoveState::Running, false, start).wanted, versions(&[1, 2]));
-    assert_eq!(wanted(MoveState::Done, false, start).wanted, versions(&[1, 2]));
-    assert_eq!(wanted(MoveState::Done, true, start).wanted, versions(&[2]));
-    assert_eq!(wanted(MoveState::RolledBack, true, start).wanted, versions(&[1]));
-    let (done, back) =
-        (wanted(MoveState::Done, true, start), wanted(MoveState::RolledBack, true, start));
+    assert_eq!(
+        wanted(&plan, MoveState::Running, false, WallTime::default()).wanted,
+        versions(&[1])
+    );
+    assert_eq!(wanted(&plan, MoveState::Running, false, start).wanted, versions(&[1, 2]));
+    assert_eq!(wanted(&plan, MoveState::Done, false, start).wanted, versions(&[1, 2]));
+    assert_eq!(wanted(&plan, MoveState::Done, true, start).wanted, versions(&[2]));
+    assert_eq!(wanted(&plan, MoveState::RolledBack, true, start).wanted, versions(&[1]));
+    let (done, back) = (
+        wanted(&plan, MoveState::Done, true, start),
+        wanted(&plan, MoveState::RolledBack, true, start),
+    );
     assert!(done.first_fence() < back.first_fence());
+
+    // The move is planned again under another name: its versions are needed whatever the first
+    // one left behind.
+    plan.moves.insert(MoveId("a".into()), planned);
+    let again = wanted(&plan, MoveState::RolledBack, true, start);
+    assert_eq!(again.wanted, versions(&[1, 2]));
 }
