--- a/crates/policy/src/move_comparison.rs
+++ b/crates/policy/src/move_comparison.rs
@@ -108,8 +108,11 @@
         }
     }
 
-    /// Starts the proofs again.
+    /// Starts the proofs again and raises the limits of the new version's alarms.
     pub fn restart_proofs(&mut self) {
+        for alarm in &mut self.alarms[1] {
+            alarm.raise_limit();
+        }
         self.proofs = self.proofs.clone().map(MoveProof::restart);
     }
 
@@ -120,6 +123,13 @@
         }
     }
 
+    /// Starts a new period of the recent counts.
+    pub fn rotate_recent(&mut self) {
+        for test in &mut self.tests {
+            test.rotate_recent();
+        }
+    }
+
     /// Returns the test of a measure.
     pub fn test(&self, measure: MoveMeasure) -> &MoveTest {
         &self.tests[measure as usize]
