Confirm a conflict at every VM; replaced processes are not missing

A VM that has the plan from a peer and has not read the log up to it answers a conflict for a submission that was accepted, so each given VM is asked for the submit id. The default wait is longer than the 5 s after which a VM answers that the outcome is unknown. A silent process whose seat answers again was replaced, so it no longer makes the burn report partial.

--- a/crates/operator/src/burn_command.rs
+++ b/crates/operator/src/burn_command.rs
@@ -5,7 +5,10 @@
 use dragonflycart_burn::BurnSnapshot;
 use tokio::task::JoinSet;
 
-use crate::{AdminClient, AdminError, BurnMerge, BurnPage, Console, ExitStatus, api::StatusAnswer};
+use crate::{
+    AdminClient, AdminError, BurnMerge, BurnPage, Console, ExitStatus,
+    api::{StatusAnswer, VmState},
+};
 
 /// Answers of one VM.
 type VmAnswer = (SocketAddr, Result<(BurnSnapshot, StatusAnswer), AdminError>);
@@ -68,6 +71,11 @@
         if merge.has_incarnation(&member.vm.incarnation) {
             continue;
         }
+        // A silent process whose place answers was replaced; its counts are lost, which the
+        // report shows by the time since which events were counted in full.
+        if member.state == VmState::Silent && merge.has_answered(&member.vm.to_string()) {
+            continue;
+        }
         named.extend(member.vm.admin);
         merge.add_missing(member.vm.to_string());
     }
--- a/crates/operator/src/burn_merge.rs
+++ b/crates/operator/src/burn_merge.rs
@@ -57,6 +57,11 @@
         self.incarnations.contains(incarnation)
     }
 
+    /// Returns whether a VM with this place, written as zone and seat, answered.
+    pub fn has_answered(&self, vm: &str) -> bool {
+        self.answered.contains(vm)
+    }
+
     /// Returns whether no VM answered.
     pub fn is_empty(&self) -> bool {
         self.answered.is_empty()
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -12,6 +12,9 @@
     3 another operator's plan won, 4 outcome unknown, 5 no server answered, 6 rejected by the \
     server, 7 partial report, 8 a followed move was rolled back.";
 
+/// Longer than the 5 s after which a VM answers that the outcome of a submission is unknown.
+const DEFAULT_TIMEOUT_SECONDS: &str = "7";
+
 /// Builds the description of all commands and arguments.
 pub fn build_command() -> Command {
     Command::new("dragonflycartctl")
@@ -48,7 +51,7 @@
             .long("timeout")
             .value_name("SECONDS")
             .help("Wait for the answer of one VM")
-            .default_value("5")
+            .default_value(DEFAULT_TIMEOUT_SECONDS)
             .value_parser(seconds)
             .global(true),
         Arg::new("patience")
--- a/crates/operator/src/plan_command.rs
+++ b/crates/operator/src/plan_command.rs
@@ -188,6 +188,9 @@
                 "not accepted: revision {revision} by {author} replaced revision {base} first"
             );
             console.table(&title, &PlanDifference::table(&differences, ["ACTIVE", "YOURS"]));
+            if differences.is_empty() {
+                console.line("the active plan has the same content as yours");
+            }
             ExitStatus::Conflict
         }
         SubmitAnswer::Unknown | SubmitAnswer::NotSeen => {
--- a/crates/operator/src/plan_submission.rs
+++ b/crates/operator/src/plan_submission.rs
@@ -84,16 +84,20 @@
         }
     }
 
-    /// A conflict can be with the own submission, if an earlier try was accepted and its answer
-    /// was lost. The log decides.
+    /// A conflict can be with the own submission: an earlier try was accepted and its answer was
+    /// lost, and the VM that answers has the plan from a peer and has not read the log up to it.
+    /// Any VM that has read it decides.
     async fn confirm(&self, client: &AdminClient, answer: SubmitAnswer) -> SubmitAnswer {
         if !matches!(answer, SubmitAnswer::Conflict { .. }) {
             return answer;
         }
-        match client.submission(self.id()).await {
-            Ok(accepted @ SubmitAnswer::Accepted { .. }) => accepted,
-            _ => answer,
+        for server in client.servers() {
+            let outcome = client.for_server(*server).submission(self.id()).await;
+            if let Ok(accepted @ SubmitAnswer::Accepted { .. }) = outcome {
+                return accepted;
+            }
         }
+        answer
     }
 
     async fn submit_once(&self, client: &AdminClient) -> Result<SubmitAnswer, AdminError> {
--- a/crates/operator/tests/burn.rs
+++ b/crates/operator/tests/burn.rs
@@ -160,6 +160,27 @@
     assert!(page.contains("PARTIAL: no counts from a/2, a/3"), "{page}");
 }
 
+/// Guards against a report that stays partial after a VM was replaced, because a peer still lists
+/// the process before.
+#[test]
+fn a_replaced_process_is_not_missing() {
+    let vm = FakeVm::start(0, OperatingPlan::default());
+    vm.state().burn = Some(snapshot(0, 0.99, &[(MINUTE, "yard", 90, 10)]));
+    let mut before = identity(0, None);
+    before.incarnation = "ff".to_owned();
+    let member = MemberStatus {
+        vm: before,
+        state: VmState::Silent,
+        plan_revision: PlanRevision(5),
+        heard_ms_ago: 60_000,
+    };
+    vm.state().members = vec![member];
+
+    let result = vm.run(&["burn"]);
+
+    assert_eq!(result.status, ExitStatus::Done, "{result:?}");
+}
+
 /// Guards against adding counts that follow different definitions without saying so.
 #[test]
 fn differing_definitions_make_the_report_partial() {
--- a/crates/operator/tests/commands.rs
+++ b/crates/operator/tests/commands.rs
@@ -134,6 +134,27 @@
     );
 }
 
+/// Guards against the same if the VM that answers has not read the log, but another has.
+#[test]
+fn another_vm_can_confirm_the_own_submission() {
+    let lagging = start_vm(&[]);
+    let current = start_vm(&[]);
+    let file = changed_file("lagging.csv");
+    let own = plan_of(&std::fs::read_to_string(&file).expect("the file is readable"));
+    let id = SubmitId::of_plan(PlanRevision(5), &own);
+    current.state().order(id, PlanRevision(5), own.clone());
+    lagging.state().revision = PlanRevision(6);
+    lagging.state().plan = own;
+    let args = [submit_args(&file).as_slice(), &["--base", "5"]].concat();
+
+    let alone = lagging.run(&args);
+    let together = run_against(&[lagging.address, current.address], &args);
+
+    assert_eq!(alone.status, ExitStatus::Conflict, "{alone:?}");
+    assert!(alone.out.contains("the same content"), "{alone:?}");
+    assert_eq!(together.out, "accepted as revision 6\n", "{together:?}");
+}
+
 /// Guards against giving up while another VM could answer.
 #[test]
 fn the_next_server_is_asked() {
