--- a/crates/engine/src/service_client.rs
+++ b/crates/engine/src/service_client.rs
@@ -1,9 +1,9 @@
 //! Interface to one server of a plain service.
 
 use bytes::Bytes;
-use dragonflycart_core::RequestKey;
+use dragonflycart_core::{RequestKey, ServerInstance};
 
-use crate::{BoxFuture, CallFailure};
+use crate::{BoxFuture, CallFailure, LoadReport};
 
 /// Call to a plain service.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     pub operation: String,
     /// Body, passed on unchanged.
     pub body: Bytes,
+    /// Seat and zone of the entry VM that holds a cold-start slot for this call, if any.
+    pub seat: Option<String>,
 }
 
 /// Whole answer of a plain service.
@@ -23,13 +25,16 @@
 pub struct ServiceAnswer {
     /// HTTP status of the answer.
     pub status: u16,
+    /// Run of the server's process, if the server states it.
+    pub instance: Option<ServerInstance>,
     /// Body, passed on unchanged.
     pub body: Bytes,
 }
 
 /// Client of one server of a plain service.
 pub trait ServiceClient: Send + Sync {
-    /// Sends one call and waits for the whole answer.
+    /// Sends one call and waits for the whole answer. A caller that drops the future must treat
+    /// the call as possibly sent.
     ///
     /// # Errors
     ///
@@ -45,4 +50,11 @@
         &'a self,
         key: &'a RequestKey,
     ) -> BoxFuture<'a, Result<Option<ServiceAnswer>, CallFailure>>;
+
+    /// Reads the server's load report.
+    ///
+    /// # Errors
+    ///
+    /// Any transport failure.
+    fn report(&self) -> BoxFuture<'_, Result<LoadReport, CallFailure>>;
 }
--- /dev/null
+++ b/crates/node/src/control/control_loop.rs
@@ -0,0 +1,772 @@
+//! Event loop of the control thread.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use dragonflycart_burn::{BurnKind, BurnObjective, BurnTracker};
+use dragonflycart_core::{
+    ErrorKind, Incarnation, ModelName, MonoTime, OperatingPlan, PlanRevision, RouteName,
+    ServerName, ServiceError, TeamName, VersionName, WallTime, ZoneState,
+};
+use dragonflycart_operator::api::{MovesAnswer, SubmitAnswer, SubmitRequest};
+use dragonflycart_platform::LogTopic;
+use dragonflycart_policy::{
+    MoveCounts, MoveSettings, MoveState, PolicySettings, PriorityClass, RequestTicket, VmPosition,
+    WorkPool, WorkRequest,
+};
+use dragonflycart_settings::{Config, ObjectiveKind};
+use dragonflycart_state::{LedgerLimits, MoveState as LatchState};
+use dragonflycart_wire::{
+    MoveEnd, PeerMessage, log_entry::Kind as RecordKind, peer_message::Kind as PeerKind,
+};
+use log::warn;
+use tokio::{
+    sync::{broadcast, mpsc, watch},
+    time::MissedTickBehavior,
+};
+
+use crate::{
+    admin::{AdminMessage, SubmitReply, ZoneChange},
+    control::{
+        AttemptReport, ControlMessage, GenerationAsk, PlacedGeneration, PlacementTicket,
+        ServerReading, ServiceAsk,
+        append_control::AppendControl,
+        call_control::{CallControl, CallMoment},
+        decoded_batch::DecodedBatch,
+        job_control::JobControl,
+        order_control::{OrderControl, OrderMoment},
+        peer_control::PeerControl,
+        placement_control::PlacementControl,
+        plan_control::PlanControl,
+        status_view::StatusView,
+        submit_control::{SubmitControl, check_plan, plan_answer},
+        version_control::{MoveEnding, VersionControl},
+    },
+    job::JobOrder,
+    log_appender::AppendOrder,
+    log_tailer::TailEvent,
+    node_clock::NodeClock,
+    node_lifecycle::LifecyclePhase,
+    node_metrics::NodeMetrics,
+    order_sender::OrderTask,
+    peer::{LinkIdentity, PeerEvent},
+};
+
+/// Interval of placement decisions. A request that can start at once does not wait for it.
+const PLACEMENT_PERIOD: Duration = Duration::from_millis(5);
+/// Interval of slower duties: moves, heartbeats, metrics.
+const UPKEEP_PERIOD: Duration = Duration::from_millis(250);
+/// Interval between two attempts to append a plan snapshot.
+const SNAPSHOT_RETRY: Duration = Duration::from_secs(60);
+/// Messages handled before the due timers are looked at again.
+const MESSAGE_BATCH: usize = 256;
+
+/// Gap between tokens beyond which a request counts as slow in the evidence about versions. It is
+/// the target for 95 in 100 gaps.
+const SLOW_GAP: Duration = Duration::from_millis(72);
+/// Time without a first token after which an open request counts as slow.
+const UNANSWERED_LIMIT: Duration = Duration::from_secs(2);
+/// Time to the first token beyond which a request counts as slow.
+const SLOW_FIRST_TOKEN: Duration = Duration::from_millis(360);
+
+/// What the control thread starts with.
+pub(crate) struct ControlParts {
+    /// Settings.
+    pub(crate) config: Arc<Config>,
+    /// Clocks.
+    pub(crate) clock: NodeClock,
+    /// This run of the process.
+    pub(crate) incarnation: Incarnation,
+    /// Metrics.
+    pub(crate) metrics: Arc<NodeMetrics>,
+    /// Becomes true once a plan is in effect and every backend server was asked for its load.
+    pub(crate) prepared: watch::Sender<bool>,
+    /// Placement that was built and checked at start.
+    pub(crate) placement: PlacementControl,
+    /// Identity towards peers.
+    pub(crate) identity: LinkIdentity,
+    /// Messages to all peers.
+    pub(crate) broadcasts: broadcast::Sender<PeerMessage>,
+    /// Addresses of the peers to keep connections to.
+    pub(crate) addresses: watch::Sender<BTreeSet<SocketAddr>>,
+    /// Attempts of deferred generations to run.
+    pub(crate) jobs: mpsc::UnboundedSender<JobOrder>,
+    /// Orders to engines to send.
+    pub(crate) orders: mpsc::UnboundedSender<OrderTask>,
+    /// Phase of the daemon.
+    pub(crate) phase: watch::Receiver<LifecyclePhase>,
+    /// Appends to carry out.
+    pub(crate) appends: mpsc::UnboundedSender<AppendOrder>,
+}
+
+/// What the evidence about versions needs to know of a running request.
+struct RunningWork {
+    model: ModelName,
+    version: VersionName,
+    route: RouteName,
+    /// Time of the last dispatch; waiting for a server is not the version's doing.
+    sent_at: Option<WallTime>,
+    /// Whether a token arrived since the last dispatch.
+    answered: bool,
+    /// Whether the request was counted already.
+    counted: bool,
+}
+
+/// Event loop of the control thread.
+pub(crate) struct ControlLoop {
+    config: Arc<Config>,
+    clock: NodeClock,
+    metrics: Arc<NodeMetrics>,
+    prepared: watch::Sender<bool>,
+    /// Backend servers that were not asked for their load yet.
+    unread: BTreeSet<ServerName>,
+    /// Whether a plan was in effect before.
+    planned: bool,
+    placement: PlacementControl,
+    plan: PlanControl,
+    versions: VersionControl,
+    running: BTreeMap<RequestTicket, RunningWork>,
+    appends: AppendControl,
+    calls: CallControl,
+    jobs: JobControl,
+    peers: PeerControl,
+    submissions: SubmitControl,
+    burn: BurnTracker,
+    identity: LinkIdentity,
+    phase: watch::Receiver<LifecyclePhase>,
+    /// Time since which the log service does not answer.
+    log_lost_at: Option<MonoTime>,
+    /// Last attempt to append a plan snapshot.
+    snapshot_at: Option<MonoTime>,
+    orders: OrderControl,
+    /// Last time at which topic `plan` was read to its end.
+    plan_read_at: Option<MonoTime>,
+}
+
+impl ControlLoop {
+    /// Builds the loop.
+    pub(crate) fn new(parts: ControlParts) -> ControlLoop {
+        let retention = parts.config.platform.record_retention;
+        let call_window = parts.config.timeouts.call_window;
+        let limits = LedgerLimits { call_window, retention, ..LedgerLimits::default() };
+        let now = parts.clock.now();
+        ControlLoop {
+            plan: PlanControl::new(retention),
+            versions: VersionControl::new(parts.incarnation, MoveSettings::default()),
+            running: BTreeMap::new(),
+            appends: AppendControl::new(parts.incarnation, parts.appends),
+            calls: CallControl::new(parts.incarnation, limits),
+            jobs: JobControl::new(parts.incarnation, limits, parts.jobs),
+            peers: PeerControl::new(&parts.identity, parts.broadcasts, parts.addresses, now),
+            submissions: SubmitControl::default(),
+            burn: burn_tracker(&parts.config, parts.incarnation, parts.clock.wall()),
+            identity: parts.identity,
+            phase: parts.phase,
+            // Until the first read, the log service counts as lost.
+            log_lost_at: Some(now),
+            snapshot_at: None,
+            orders: OrderControl::new(&parts.config, parts.orders),
+            plan_read_at: None,
+            config: parts.config,
+            clock: parts.clock,
+            metrics: parts.metrics,
+            prepared: parts.prepared,
+            planned: false,
+            unread: parts.placement.servers().keys().cloned().collect(),
+            placement: parts.placement,
+        }
+    }
+
+    /// Runs until all senders of messages are gone.
+    pub(crate) async fn run(mut self, mut messages: mpsc::Receiver<ControlMessage>) {
+        let mut placement_timer = tokio::time::interval(PLACEMENT_PERIOD);
+        placement_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut upkeep_timer = tokio::time::interval(UPKEEP_PERIOD);
+        upkeep_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(MESSAGE_BATCH);
+        loop {
+            tokio::select! {
+                biased;
+                _ = placement_timer.tick() => {
+                    let now = self.clock.now();
+                    self.place(now);
+                    self.appends.poll(now, self.clock.wall());
+                }
+                _ = upkeep_timer.tick() => self.upkeep(),
+                count = messages.recv_many(&mut batch, MESSAGE_BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                    let mut submitted = false;
+                    for message in batch.drain(..) {
+                        if matches!(message, ControlMessage::Stop) {
+                            return;
+                        }
+                        submitted |= self.handle(message);
+                    }
+                    if submitted {
+                        self.place(self.clock.now());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Handles one message. Returns whether a placement decision is wanted at once.
+    fn handle(&mut self, message: ControlMessage) -> bool {
+        let now = self.clock.now();
+        match message {
+            ControlMessage::PlaceGeneration(ask, reply) => {
+                let _ = reply.send(self.place_generation(ask));
+                return true;
+            }
+            ControlMessage::PlaceCall(ask, reply) => {
+                let _ = reply.send(self.place_call(ask));
+                return true;
+            }
+            ControlMessage::Progress(progress) => {
+                if let Some(work) = self.running.get_mut(&progress.ticket) {
+                    work.answered = true;
+                }
+                self.placement.progress(now, progress);
+            }
+            ControlMessage::Attempt(ticket, report) => {
+                self.end_attempt(ticket, report);
+                return true;
+            }
+            ControlMessage::Reading(reading) => {
+                let server = reading.server.clone();
+                self.read_report(reading, now);
+                if self.unread.remove(&server) {
+                    self.publish_prepared();
+                }
+            }
+            ControlMessage::InstanceChanged(server) => {
+                self.placement.instance_changed(now, &server);
+            }
+            ControlMessage::Order(ended) => self.orders.ended(ended, now),
+            ControlMessage::Tail(event) => self.tail(event),
+            ControlMessage::Append(ended) => {
+                self.appends.ended(ended, now);
+                self.appends.poll(now, self.clock.wall());
+            }
+            ControlMessage::Peer(event) => self.peer(event),
+            ControlMessage::VmList(entries) => self.peers.set_vm_list(&entries),
+            ControlMessage::Call(message) => {
+                let moment = self.moment();
+                self.calls.handle(message, &mut self.appends, moment);
+            }
+            ControlMessage::Job(message) => {
+                let moment = self.moment();
+                self.jobs.handle(message, &mut self.appends, moment);
+            }
+            ControlMessage::Admin(message) => self.admin(message),
+            ControlMessage::Burn(events) => {
+                let wall = self.clock.wall();
+                for event in &events {
+                    self.burn.record(wall, event);
+                }
+            }
+            ControlMessage::Drain => {
+                self.placement.engine_mut().set_draining(true);
+                self.peers.set_draining();
+                self.jobs.set_draining();
+            }
+            // Handled by the loop.
+            ControlMessage::Stop => {}
+            ControlMessage::IsIdle(reply) => {
+                let _ = reply.send(self.calls.is_idle() && self.appends.is_idle());
+            }
+        }
+        false
+    }
+
+    fn place_generation(&mut self, ask: GenerationAsk) -> Result<PlacedGeneration, ServiceError> {
+        let Some(version) = self.versions.choose(&ask.model, &ask.route, &ask.key) else {
+            let message = format!("model {}: the plan in effect places no version", ask.model);
+            return Err(ServiceError::new(ErrorKind::NotFound, message));
+        };
+        let class = self.class_of(&ask.team);
+        let pool = WorkPool::Generation(ask.model.clone(), version.clone());
+        let request = WorkRequest {
+            pool,
+            team: ask.team,
+            route: ask.route.clone(),
+            class,
+            prompt_tokens: ask.prompt_tokens,
+            max_tokens: ask.max_tokens,
+            delivered_tokens: 0,
+            deadline: Some(ask.deadline),
+            idempotent: true,
+            prefix: None,
+        };
+        let (ticket, notices) = self.placement.submit(self.clock.now(), request);
+        let forced_prefix =
+            self.config.models.get(&ask.model).is_some_and(|model| model.forced_prefix);
+        let work = RunningWork {
+            model: ask.model,
+            version: version.clone(),
+            route: ask.route,
+            sent_at: None,
+            answered: false,
+            counted: false,
+        };
+        self.running.insert(ticket, work);
+        Ok(PlacedGeneration {
+            ticket: PlacementTicket { ticket, notices },
+            version,
+            priority: class.engine_priority(),
+            forced_prefix,
+        })
+    }
+
+    fn place_call(&mut self, ask: ServiceAsk) -> PlacementTicket {
+        let class = self.class_of(&ask.team);
+        let request = WorkRequest {
+            pool: WorkPool::Service(ask.service),
+            team: ask.team,
+            route: ask.operation,
+            class,
+            prompt_tokens: 0,
+            max_tokens: 0,
+            delivered_tokens: 0,
+            deadline: Some(ask.deadline),
+            idempotent: ask.idempotent,
+            prefix: None,
+        };
+        let (ticket, notices) = self.placement.submit(self.clock.now(), request);
+        PlacementTicket { ticket, notices }
+    }
+
+    /// Carries out the placement decisions that are due.
+    fn place(&mut self, now: MonoTime) {
+        let wall = self.clock.wall();
+        for ticket in self.placement.tick(now) {
+            let Some(work) = self.running.get_mut(&ticket) else {
+                continue;
+            };
+            work.sent_at = Some(wall);
+            work.answered = false;
+        }
+    }
+
+    fn read_report(&mut self, mut reading: ServerReading, now: MonoTime) {
+        if let Some(report) = &mut reading.report {
+            self.orders.note_report(&reading.server, reading.asked_at, report);
+        }
+        self.placement.reading(now, reading);
+    }
+
+    /// Counts requests as slow while they are open, so that a version that never answers is
+    /// noticed.
+    fn count_unanswered(&mut self, wall: WallTime) {
+        let mut slow = Vec::new();
+        for (ticket, work) in &self.running {
+            let overdue = work.sent_at.is_some_and(|at| wall.since(at) > UNANSWERED_LIMIT);
+            if overdue && !work.answered && !work.counted {
+                slow.push(*ticket);
+            }
+        }
+        for ticket in slow {
+            self.count_version(ticket, MoveCounts { finished: 1, failed: 0, slow: 1 });
+        }
+    }
+
+    fn class_of(&self, team: &TeamName) -> PriorityClass {
+        let priority = self.config.teams.get(team).map(|settings| settings.priority);
+        match priority {
+            Some(dragonflycart_settings::PriorityClass::High) => PriorityClass::Interactive,
+            Some(dragonflycart_settings::PriorityClass::Low) => PriorityClass::Batch,
+            _ => PriorityClass::Standard,
+        }
+    }
+
+    fn end_attempt(&mut self, ticket: RequestTicket, report: AttemptReport) {
+        let now = self.clock.now();
+        match report {
+            AttemptReport::Finished { tokens, first_token, token_gap } => {
+                self.placement.finished(now, ticket, tokens);
+                let slow = first_token.is_some_and(|span| span > SLOW_FIRST_TOKEN)
+                    || token_gap.is_some_and(|span| span > SLOW_GAP);
+                let counts = MoveCounts { finished: 1, failed: 0, slow: u64::from(slow) };
+                self.count_version(ticket, counts);
+                self.running.remove(&ticket);
+            }
+            AttemptReport::Failed { failure, by_version } => {
+                self.placement.failed(now, ticket, failure);
+                if by_version {
+                    self.count_version(ticket, MoveCounts { finished: 0, failed: 1, slow: 0 });
+                }
+            }
+            AttemptReport::Cancelled => {
+                self.placement.cancel(now, ticket);
+                self.running.remove(&ticket);
+            }
+        }
+    }
+
+    fn count_version(&mut self, ticket: RequestTicket, counts: MoveCounts) {
+        let wall = self.clock.wall();
+        let Some(work) = self.running.get_mut(&ticket) else {
+            return;
+        };
+        let Some(sent_at) = work.sent_at else {
+            return;
+        };
+        if std::mem::replace(&mut work.counted, true) {
+            return;
+        }
+        let times = (sent_at, wall);
+        self.versions.count(&work.model, &work.version, &work.route, counts, times);
+    }
+
+    /// Without load reports nothing can be placed, so the VM waits for them before it asks the
+    /// load balancer for work.
+    fn publish_prepared(&self) {
+        let prepared = self.unread.is_empty() && self.plan.revision() > PlanRevision(0);
+        if prepared && !*self.prepared.borrow() {
+            self.prepared.send_replace(true);
+        }
+    }
+
+    fn moment(&self) -> CallMoment {
+        CallMoment { now: self.clock.now(), wall: self.clock.wall(), log_lost_at: self.log_lost_at }
+    }
+
+    fn tail(&mut self, event: TailEvent) {
+        let now = self.clock.now();
+        match event {
+            TailEvent::Batch(topic, batch) => {
+                self.log_lost_at = None;
+                self.metrics.log_reachable.set(1);
+                let batch = DecodedBatch::decode(topic, batch);
+                self.appends.observe(&batch, now);
+                self.apply_batch(&batch);
+            }
+            TailEvent::Truncated(LogTopic::Plan, first_available) => {
+                self.plan.skip(first_available);
+            }
+            TailEvent::Truncated(LogTopic::Calls, first_available) => {
+                self.calls.skip(first_available, self.clock.wall());
+            }
+            TailEvent::Truncated(LogTopic::Jobs, first_available) => {
+                self.jobs.skip(first_available, self.moment());
+            }
+            // Ends of moves are also kept as latches.
+            TailEvent::Truncated(LogTopic::Moves, _) => {}
+            TailEvent::Unreachable => {
+                self.log_lost_at.get_or_insert(now);
+                self.metrics.log_reachable.set(0);
+            }
+        }
+    }
+
+    fn apply_batch(&mut self, batch: &DecodedBatch) {
+        match batch.topic {
+            LogTopic::Plan => {
+                if batch.read_to() >= batch.end {
+                    self.plan_read_at = Some(self.clock.now());
+                }
+                if self.plan.apply(batch) {
+                    self.plan_changed();
+                }
+                self.submissions.advance(&self.plan, self.clock.now());
+            }
+            LogTopic::Calls => {
+                self.calls.apply(batch, self.clock.wall());
+                let moment = self.moment();
+                self.calls.advance(&mut self.appends, moment);
+            }
+            LogTopic::Moves => self.apply_ends(batch),
+            LogTopic::Jobs => self.jobs.apply(batch, self.moment()),
+        }
+    }
+
+    fn apply_ends(&mut self, batch: &DecodedBatch) {
+        for (_, append) in &batch.appends {
+            for entry in &append.entries {
+                let Some(RecordKind::MoveEnd(end)) = &entry.kind else {
+                    continue;
+                };
+                self.peers.apply_end(end, self.plan.revision());
+            }
+        }
+    }
+
+    fn plan_changed(&mut self) {
+        let plan = self.plan.plan();
+        self.versions.set_plan(&plan, self.clock.wall());
+        self.apply_zones();
+        self.order_engines();
+        if !self.planned {
+            // Reports that were read without a plan tell no version that may get requests.
+            self.planned = true;
+            self.unread = self.placement.servers().keys().cloned().collect();
+        }
+        let revision = self.plan.revision();
+        self.metrics.plan_revision.set(revision.0 as i64);
+        self.publish_prepared();
+        // Peers without the log service learn of the plan from this heartbeat.
+        let log_reachable = self.log_lost_at.is_none();
+        self.peers.send_heartbeat(revision, log_reachable, self.clock.now());
+    }
+
+    fn admin(&mut self, message: AdminMessage) {
+        let moment = self.moment();
+        match message {
+            AdminMessage::Plan(reply) => {
+                let _ = reply.send(plan_answer(&self.plan));
+            }
+            AdminMessage::Submit(author, request, reply) => {
+                if let Err(error) = check_plan(&request.plan, &self.config) {
+                    let _ = reply.send(Err(error));
+                    return;
+                }
+                let parts = (&self.plan, &mut self.appends);
+                self.submissions.submit(&author, request, reply, parts, moment);
+            }
+            AdminMessage::Submission(id, reply) => {
+                let _ = reply.send(self.submissions.outcome(&self.plan, &id));
+            }
+            AdminMessage::Zone(change, reply) => self.change_zone(change, reply, moment),
+            AdminMessage::Status(reply) => {
+                let _ = reply.send(self.status_view().answer());
+            }
+            AdminMessage::Moves(reply) => {
+                let _ = reply.send(MovesAnswer { moves: self.status_view().moves() });
+            }
+            AdminMessage::Burn(reply) => {
+                let _ = reply.send(self.burn.snapshot(moment.wall));
+            }
+        }
+    }
+
+    /// Changes the state of a zone by a plan, or by a latch if the log service does not answer
+    /// and the operator asked for it. A latch can only take a zone out.
+    fn change_zone(&mut self, change: ZoneChange, reply: SubmitReply, moment: CallMoment) {
+        let ZoneChange { author, zone, request } = change;
+        let mut plan = OperatingPlan::clone(&self.plan.plan());
+        let Some(planned) = plan.zones.get_mut(&zone) else {
+            let message = format!("zone: {zone} is not in the plan in effect");
+            let _ = reply.send(Err(ServiceError::new(ErrorKind::NotFound, message)));
+            return;
+        };
+        let log_lost = moment.log_lost_at.is_some();
+        if log_lost && request.emergency && request.state == ZoneState::Out {
+            let revision = self.plan.revision();
+            self.peers.latch_zone(&zone, moment.wall, revision, author.as_str());
+            self.apply_zones();
+            warn!(
+                "admin: zone is taken out without the log service; zone={zone} operator={author}"
+            );
+            let _ = reply.send(Ok(SubmitAnswer::Latched));
+            return;
+        }
+        planned.state = request.state;
+        let request = SubmitRequest {
+            base_revision: request.base_revision,
+            submit_id: request.submit_id,
+            plan,
+        };
+        let parts = (&self.plan, &mut self.appends);
+        self.submissions.submit(&author, request, reply, parts, moment);
+    }
+
+    fn status_view(&self) -> StatusView<'_> {
+        StatusView {
+            config: &self.config,
+            identity: &self.identity,
+            phase: *self.phase.borrow(),
+            placement: &self.placement,
+            plan: &self.plan,
+            peers: &self.peers,
+            versions: &self.versions,
+            log_reachable: self.log_lost_at.is_none(),
+            now: self.clock.now(),
+            wall: self.clock.wall(),
+        }
+    }
+
+    /// Applies the plan's zone states, and the latches of zones that were taken out without the
+    /// log service.
+    fn apply_zones(&mut self) {
+        let now = self.clock.now();
+        let plan = self.plan.plan();
+        for (zone, settings) in &plan.zones {
+            let latched = self.peers.zone_is_out(zone, self.plan.state());
+            let open = plan.zone_is_in(zone) && !latched;
+            self.placement.engine_mut().set_zone(now, zone, open, settings.carry_limit);
+        }
+    }
+
+    fn peer(&mut self, event: PeerEvent) {
+        let now = self.clock.now();
+        let PeerEvent { identity, kind, reply } = event;
+        self.peers.seen(&identity, now);
+        if identity.zone == self.config.vm.zone && identity.seat == self.config.vm.seat {
+            self.placement.engine_mut().seat_seen(identity.incarnation);
+        }
+        match kind {
+            PeerKind::Heartbeat(heartbeat) => {
+                let revision = self.plan.revision();
+                self.peers.heartbeat(&identity, &heartbeat, revision, &reply, now);
+            }
+            PeerKind::PlanFetch(_) => self.peers.send_plan(self.plan.copy(), &reply),
+            PeerKind::PlanCopy(copy) => {
+                if self.plan.adopt(&copy) {
+                    self.plan_changed();
+                }
+            }
+            PeerKind::LatchSet(latches) => {
+                if self.peers.merge_latches(&latches) {
+                    self.apply_zones();
+                }
+            }
+            PeerKind::Evidence(evidence) => self.versions.merge(&evidence),
+            PeerKind::Hello(_) => {}
+        }
+    }
+
+    fn upkeep(&mut self) {
+        let now = self.clock.now();
+        let wall = self.clock.wall();
+        self.count_unanswered(wall);
+        let latches = self.peers.latches();
+        let endings = self
+            .versions
+            .tick(wall, |move_id| MoveState::from_number(latches.move_state(move_id).to_wire()));
+        for ending in endings {
+            self.end_move(ending);
+        }
+        if let Some(evidence) = self.versions.evidence(wall) {
+            self.peers.send_evidence(evidence);
+        }
+        let log_reachable = self.log_lost_at.is_none();
+        self.peers.upkeep(self.plan.revision(), log_reachable, now);
+        let moment = self.moment();
+        self.calls.upkeep(&mut self.appends, moment);
+        self.calls.advance(&mut self.appends, moment);
+        let mut alive = vec![self.identity.incarnation];
+        alive.extend(self.peers.alive().iter().map(|member| member.incarnation));
+        self.jobs.upkeep(&alive, &mut self.appends, moment);
+        self.order_engines();
+        self.submissions.advance(&self.plan, now);
+        self.renew_snapshot();
+        self.update_gauges();
+    }
+
+    /// Latches the end of a move and appends it to the log. The record waits in the writer while
+    /// the log service is down; the latch reaches the peers at once.
+    fn end_move(&mut self, ending: MoveEnding) {
+        let now = self.clock.now();
+        let state = LatchState::from_wire(ending.state.number());
+        let revision = self.plan.revision();
+        self.peers.latch_move(&ending.move_id, state, revision, &ending.reason);
+        let end = MoveEnd {
+            move_id: ending.move_id.0,
+            rolled_back: ending.state == MoveState::RolledBack,
+            reason: ending.reason,
+            ended_at_ms: self.clock.wall().as_unix_millis(),
+        };
+        if let Err(error) = self.appends.push(LogTopic::Moves, RecordKind::MoveEnd(end), now) {
+            warn!("move: end was not accepted for append; error={error}");
+        }
+    }
+
+    fn order_engines(&mut self) {
+        let plan = self.plan.plan();
+        let zone = self.identity.zone.as_str();
+        let seats = self.peers.alive().into_iter().filter(|member| member.zone == zone);
+        let moment = OrderMoment {
+            now: self.clock.now(),
+            wall: self.clock.wall(),
+            revision: self.plan.revision(),
+            plan: &plan,
+            moves: self.versions.states(),
+            carrying: self.versions.carrying(),
+            live_seats: seats.map(|member| member.seat).collect(),
+            log_read_at: self.plan_read_at,
+        };
+        self.orders.upkeep(&moment);
+    }
+
+    fn renew_snapshot(&mut self) {
+        let now = self.clock.now();
+        if self.snapshot_at.is_some_and(|at| now.since(at) < SNAPSHOT_RETRY) {
+            return;
+        }
+        let Some(snapshot) = self.plan.due_snapshot(self.clock.wall()) else {
+            return;
+        };
+        self.snapshot_at = Some(now);
+        let kind = RecordKind::PlanSnapshot(snapshot);
+        if let Err(error) = self.appends.push(LogTopic::Plan, kind, now) {
+            warn!("plan: snapshot was not accepted for append; error={error}");
+        }
+    }
+
+    fn update_gauges(&self) {
+        self.metrics.queued.set(self.placement.engine().waiting() as i64);
+        self.metrics.peers_alive.set(self.peers.alive().len() as i64);
+    }
+}
+
+fn burn_tracker(config: &Config, incarnation: Incarnation, wall: WallTime) -> BurnTracker {
+    let mut objectives = Vec::new();
+    for (name, settings) in &config.objectives {
+        let kind = match settings.kind {
+            ObjectiveKind::FirstToken => BurnKind::FirstToken,
+            ObjectiveKind::TokenGap => BurnKind::TokenGap,
+            ObjectiveKind::WithinDeadline => BurnKind::WithinDeadline,
+            ObjectiveKind::Answered => BurnKind::Answered,
+        };
+        objectives.push(BurnObjective {
+            name: name.clone(),
+            route: settings.route.clone(),
+            team: settings.team.clone(),
+            kind,
+            threshold_us: settings.threshold.map(|span| span.as_micros() as u64),
+            ratio: settings.ratio,
+            window_ms: settings.window.as_millis() as u64,
+        });
+    }
+    BurnTracker::new(config.vm.zone.clone(), config.vm.seat, incarnation, wall, objectives)
+}
+
+/// Builds the placement settings from the daemon's settings.
+pub(crate) fn policy_settings(config: &Config) -> PolicySettings {
+    let mut settings = PolicySettings {
+        policy: config.placement.policy.clone(),
+        headroom: config.placement.headroom,
+        pause_limit: config.timeouts.control_pause,
+        zone_ramp: config.timeouts.zone_ramp,
+        // Cold-start slots need a report of the last two polls.
+        report_freshness: config.timeouts.report_lag + config.timeouts.report_poll * 2,
+        report_timeout: config.timeouts.peer_silence,
+        ..PolicySettings::default()
+    };
+    for (zone, zone_settings) in &config.zones {
+        settings.seats.insert(zone.clone(), zone_settings.seats);
+    }
+    for (team, team_settings) in &config.teams {
+        // Weights are fractions in the settings and integers in the queue.
+        let weight = (team_settings.weight * WEIGHT_SCALE).round().max(1.0) as u32;
+        settings.team_weights.insert(team.clone(), weight);
+    }
+    let weights = &config.placement;
+    settings.class_weights = [weights.weight_high, weights.weight_normal, weights.weight_low]
+        .map(|weight| (weight * WEIGHT_SCALE).round().max(1.0) as u32);
+    settings
+}
+
+/// Steps of a weight of one.
+const WEIGHT_SCALE: f64 = 16.0;
+
+/// Returns the position of this VM.
+pub(crate) fn vm_position(config: &Config, incarnation: Incarnation) -> VmPosition {
+    VmPosition { zone: config.vm.zone.clone(), seat: config.vm.seat, incarnation }
+}
--- /dev/null
+++ b/crates/node/src/control/control_thread.rs
@@ -0,0 +1,49 @@
+//! Starts the control thread.
+
+use std::thread::JoinHandle;
+
+use log::error;
+use tokio::sync::mpsc;
+
+use crate::control::{ControlHandle, ControlMessage, ControlParts, control_loop::ControlLoop};
+
+/// Messages that may wait for the control thread. Progress reports are dropped beyond it, other
+/// senders wait.
+const MESSAGE_QUEUE: usize = 65_536;
+
+/// The running control thread.
+pub(crate) struct ControlThread {
+    handle: ControlHandle,
+    thread: JoinHandle<()>,
+}
+
+impl ControlThread {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error if the thread can't be created.
+    pub(crate) fn start(parts: ControlParts) -> std::io::Result<ControlThread> {
+        let (sender, messages) = mpsc::channel::<ControlMessage>(MESSAGE_QUEUE);
+        let handle = ControlHandle::new(sender);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || runtime.block_on(ControlLoop::new(parts).run(messages)))?;
+        Ok(ControlThread { handle, thread })
+    }
+
+    /// Returns a handle to send messages with.
+    pub(crate) fn handle(&self) -> ControlHandle {
+        self.handle.clone()
+    }
+
+    /// Asks the thread to end and waits for it. Other handles may still exist.
+    pub(crate) async fn close(self) {
+        self.handle.send(ControlMessage::Stop).await;
+        let joined = tokio::task::spawn_blocking(move || self.thread.join()).await;
+        if !matches!(joined, Ok(Ok(()))) {
+            error!("control: thread ended with a panic");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/generation/generation_runner.rs
@@ -0,0 +1,460 @@
+//! Runs one generation to its end, over as many connections and backend servers as it takes.
+//!
+//! A connection that goes silent is replaced by a new one to the same engine at the next index.
+//! When the engine has lost the generation, it continues on another engine of the same model
+//! version, with the received tokens as a forced prefix and a higher epoch. Tokens of an old epoch
+//! or with an unexpected index never reach the buffer.
+
+use std::{sync::Arc, time::Duration};
+
+use dragonflycart_core::{ErrorKind, GenerationId, ServerInstance, ServiceError};
+use dragonflycart_engine::{
+    EngineClient, EngineError, FinishReason, GenerationRequest, StreamEvent, TokenStream,
+};
+use dragonflycart_policy::AttemptFailure;
+use dragonflycart_state::{ResumePoint, StreamAssembler, TokenVerdict};
+use futures::StreamExt;
+use log::{info, warn};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    control::{
+        AttemptReport, ControlHandle, ControlMessage, PlacedGeneration, PlacementGrant,
+        PlacementNotice,
+    },
+    generation::{GenerationBuffer, GenerationEnd, GenerationSpec},
+    node_metrics::NodeMetrics,
+    server_directory::ServerDirectory,
+    service_events::ServiceEvents,
+};
+
+/// Tokens after which progress is reported to the control thread.
+const PROGRESS_STEP: u64 = 16;
+/// Pause before a new connection to an engine whose connection just failed.
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
+
+/// Bounds on waiting for an engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunnerLimits {
+    /// Longest time without any event before the connection is replaced.
+    pub(crate) silence: Duration,
+    /// Longest time without a token before the generation continues elsewhere.
+    pub(crate) progress: Duration,
+    /// New connections to one engine without a token in between.
+    pub(crate) reconnects: u32,
+}
+
+/// What a runner works with.
+#[derive(Clone)]
+pub(crate) struct RunnerContext {
+    /// Control thread.
+    pub(crate) control: ControlHandle,
+    /// Clients of the backend servers.
+    pub(crate) servers: Arc<ServerDirectory>,
+    /// Metrics.
+    pub(crate) metrics: Arc<NodeMetrics>,
+    /// Bounds on waiting.
+    pub(crate) limits: RunnerLimits,
+}
+
+/// How an attempt on one engine ended.
+enum AttemptEnd {
+    Finished(FinishReason),
+    /// The engine lost the generation or can't be reached any more.
+    EngineLost,
+    /// No connection was made, so the engine never saw the request.
+    NotSent,
+    /// The engine failed the generation, for example because the version is bad.
+    EngineFailed(String),
+    /// No token for too long although the engine answers.
+    Stalled,
+    /// The engine refused the request without running it.
+    Refused(String),
+    /// The placement took the request off the engine.
+    Preempted,
+    /// The placement gave the request up.
+    Cancelled(ErrorKind),
+    /// This process ends; the engine keeps the generation for another VM.
+    Left,
+}
+
+/// What reading one connection led to.
+enum ReadEnd {
+    /// Open a new connection to the same engine.
+    Reconnect,
+    /// The attempt ended.
+    Attempt(AttemptEnd),
+}
+
+/// Runs one generation and fills its buffer.
+pub(crate) struct GenerationRunner {
+    context: RunnerContext,
+    buffer: Arc<GenerationBuffer>,
+    spec: GenerationSpec,
+    placed: PlacedGeneration,
+    assembler: StreamAssembler,
+    unique: String,
+    epoch: u32,
+    events: ServiceEvents,
+    last_token_at: Instant,
+    accepted_at: Instant,
+}
+
+impl GenerationRunner {
+    /// Builds the runner of a generation that was submitted to the placement.
+    pub(crate) fn new(
+        context: RunnerContext,
+        buffer: Arc<GenerationBuffer>,
+        spec: GenerationSpec,
+        placed: PlacedGeneration,
+    ) -> GenerationRunner {
+        let unique = format!("{:032x}", buffer.location().unique());
+        let now = Instant::now();
+        let mut events = ServiceEvents::new(spec.team.clone(), spec.route.clone());
+        events.version = Some(placed.version.clone());
+        GenerationRunner {
+            assembler: StreamAssembler::new(&unique),
+            context,
+            buffer,
+            spec,
+            placed,
+            unique,
+            epoch: 0,
+            events,
+            last_token_at: now,
+            accepted_at: now,
+        }
+    }
+
+    /// Runs the generation to its end.
+    pub(crate) async fn run(mut self) {
+        let result = self.run_attempts().await;
+        let events = self.events.close(&result);
+        self.context.control.send(ControlMessage::Burn(events)).await;
+        let end = match result {
+            Ok(reason) => GenerationEnd::Finished { reason },
+            Err(error) => {
+                let id = self.buffer.location();
+                warn!("stream: generation failed; generation={id} error={error}");
+                self.context.metrics.count_error(error.kind());
+                GenerationEnd::Failed(error)
+            }
+        };
+        self.buffer.finish(end);
+    }
+
+    async fn run_attempts(&mut self) -> Result<FinishReason, ServiceError> {
+        let mut message = "no backend server became free in time".to_owned();
+        loop {
+            let grant = self.next_grant(&message).await?;
+            let prefix = if self.epoch == 0 && self.assembler.is_untouched() {
+                Vec::new()
+            } else {
+                self.next_epoch(&message).await?
+            };
+            let started_at = Instant::now();
+            let first_index = self.buffer.next_index();
+            let end = self.run_attempt(&grant, prefix).await;
+            self.report(&end, started_at, first_index).await;
+            message = match end {
+                AttemptEnd::Finished(reason) => return Ok(reason),
+                AttemptEnd::Cancelled(kind) => {
+                    return Err(ServiceError::new(kind, "the generation was given up"));
+                }
+                AttemptEnd::Left => {
+                    let message = "the VM stops; continue at another VM";
+                    return Err(ServiceError::new(ErrorKind::Draining, message));
+                }
+                AttemptEnd::EngineLost => "the backend server lost the generation".to_owned(),
+                AttemptEnd::NotSent => "the backend server can't be reached".to_owned(),
+                AttemptEnd::EngineFailed(message) | AttemptEnd::Refused(message) => message,
+                AttemptEnd::Stalled => "the backend server made no progress".to_owned(),
+                AttemptEnd::Preempted => "the generation was preempted".to_owned(),
+            };
+            self.context.metrics.continuations.inc();
+            let next = self.buffer.next_index();
+            info!(
+                "stream: attempt ended; generation={} server={} next={next} reason={message}",
+                self.unique, grant.server,
+            );
+        }
+    }
+
+    /// Waits for a backend server.
+    async fn next_grant(&mut self, message: &str) -> Result<PlacementGrant, ServiceError> {
+        loop {
+            match self.placed.ticket.notices.recv().await {
+                Some(PlacementNotice::Granted(grant)) => return Ok(grant),
+                Some(PlacementNotice::Rejected(kind) | PlacementNotice::Cancelled(kind)) => {
+                    return Err(ServiceError::new(self.honest_kind(kind), message));
+                }
+                Some(PlacementNotice::Preempted) => {}
+                None => return Err(ServiceError::new(ErrorKind::Draining, message)),
+            }
+        }
+    }
+
+    /// Tells apart generations that are lost after tokens were delivered.
+    fn honest_kind(&self, kind: ErrorKind) -> ErrorKind {
+        if self.buffer.is_read() && kind != ErrorKind::DeadlineExceeded {
+            return ErrorKind::Interrupted;
+        }
+        kind
+    }
+
+    /// Prepares the buffer for the next epoch and returns the forced prefix.
+    async fn next_epoch(&mut self, message: &str) -> Result<Vec<u32>, ServiceError> {
+        // Without a forced prefix the only safe way on is a new generation that replaces one
+        // whose tokens nobody has seen.
+        if !self.placed.forced_prefix && !self.assembler.is_untouched() {
+            if !self.buffer.restart() {
+                return self.give_up(message).await;
+            }
+            self.assembler = StreamAssembler::resumed(ResumePoint {
+                generation: self.unique.clone(),
+                epoch: self.epoch,
+                next_index: 0,
+            });
+        }
+        match self.assembler.begin_epoch() {
+            Some(prefix) => {
+                self.epoch += 1;
+                Ok(prefix)
+            }
+            None => self.give_up(message).await,
+        }
+    }
+
+    async fn give_up<T>(&self, message: &str) -> Result<T, ServiceError> {
+        let ticket = self.placed.ticket.ticket;
+        self.context.control.report_attempt(ticket, AttemptReport::Cancelled).await;
+        Err(ServiceError::new(ErrorKind::Interrupted, message))
+    }
+
+    async fn report(&self, end: &AttemptEnd, started_at: Instant, first_index: u64) {
+        let failed = |failure, by_version| AttemptReport::Failed { failure, by_version };
+        let report = match end {
+            AttemptEnd::Finished(_) => self.finished_report(started_at, first_index),
+            AttemptEnd::EngineLost => failed(AttemptFailure::ServerLost, false),
+            AttemptEnd::NotSent => failed(AttemptFailure::NotSent, false),
+            AttemptEnd::EngineFailed(_) => failed(AttemptFailure::Failed, true),
+            AttemptEnd::Stalled => failed(AttemptFailure::Failed, false),
+            AttemptEnd::Refused(_) => failed(AttemptFailure::Refused, false),
+            // The placement has already taken note of these.
+            AttemptEnd::Preempted | AttemptEnd::Cancelled(_) | AttemptEnd::Left => return,
+        };
+        self.context.control.report_attempt(self.placed.ticket.ticket, report).await;
+    }
+
+    fn finished_report(&self, started_at: Instant, first_index: u64) -> AttemptReport {
+        let next = self.buffer.next_index();
+        let gaps = (next - first_index) as u32;
+        let first_token = self.buffer.first_token_at().filter(|at| *at >= started_at);
+        let begin = first_token.unwrap_or(started_at);
+        AttemptReport::Finished {
+            tokens: next as u32,
+            first_token: first_token.map(|at| at - started_at),
+            token_gap: (gaps > 1).then(|| (self.last_token_at - begin) / (gaps - 1)),
+        }
+    }
+
+    /// Runs one attempt on one engine, over as many connections as it takes.
+    async fn run_attempt(&mut self, grant: &PlacementGrant, prefix: Vec<u32>) -> AttemptEnd {
+        let location =
+            GenerationId::from_parts(grant.server.clone(), self.buffer.location().unique());
+        self.buffer.relocate(location.clone());
+        self.events.zone = self.context.servers.zone(&grant.server);
+        let Some(engine) = self.context.servers.engine(&grant.server) else {
+            return AttemptEnd::Refused("the backend server is not an engine".to_owned());
+        };
+        self.last_token_at = Instant::now();
+        let request = self.request(grant, &location, prefix);
+        let start = tokio::time::timeout(self.context.limits.silence, engine.start(request)).await;
+        let mut stream = match start {
+            Ok(Ok(stream)) if self.is_other_instance(grant, stream.instance()) => {
+                // A restarted server is cold, and this request was not counted against its cold
+                // limit.
+                self.cancel(&*engine, &location).await;
+                let message = ControlMessage::InstanceChanged(grant.server.clone());
+                self.context.control.send(message).await;
+                return AttemptEnd::Refused("the backend server was restarted".to_owned());
+            }
+            Ok(Ok(stream)) => Some(stream),
+            Ok(Err(EngineError::Refused(message))) => return AttemptEnd::Refused(message),
+            Ok(Err(EngineError::Failed(message))) => return AttemptEnd::EngineFailed(message),
+            Ok(Err(EngineError::NotSent)) => return AttemptEnd::NotSent,
+            Ok(Err(_)) | Err(_) => None,
+        };
+        let mut reconnects = 0;
+        loop {
+            if let Some(open) = stream.take() {
+                let before = self.buffer.next_index();
+                if let ReadEnd::Attempt(end) = self.read_stream(&location, open).await {
+                    if !matches!(end, AttemptEnd::Finished(_) | AttemptEnd::Left) {
+                        self.cancel(&*engine, &location).await;
+                    }
+                    return end;
+                }
+                if self.buffer.next_index() > before {
+                    reconnects = 0;
+                }
+            }
+            if reconnects >= self.context.limits.reconnects {
+                self.cancel(&*engine, &location).await;
+                return AttemptEnd::EngineLost;
+            }
+            reconnects += 1;
+            tokio::time::sleep(RECONNECT_DELAY).await;
+            match self.reconnect(&*engine, &location).await {
+                Ok(open) => stream = Some(open),
+                Err(EngineError::UnknownGeneration) => return AttemptEnd::EngineLost,
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn is_other_instance(&self, grant: &PlacementGrant, found: Option<ServerInstance>) -> bool {
+        found.is_some_and(|instance| instance != grant.instance)
+    }
+
+    /// Cancels a generation that is given up, so that it does not use the engine any longer. A
+    /// failure is ignored: the epoch keeps late tokens out, and the engine may be gone anyway.
+    async fn cancel(&self, engine: &dyn EngineClient, location: &GenerationId) {
+        let generation = location.to_string();
+        let silence = self.context.limits.silence;
+        let _ = tokio::time::timeout(silence, engine.cancel(&generation)).await;
+    }
+
+    async fn reconnect(
+        &self,
+        engine: &dyn EngineClient,
+        location: &GenerationId,
+    ) -> Result<TokenStream, EngineError> {
+        let next = self.buffer.next_index();
+        self.context.metrics.reconnects.inc();
+        info!("stream: opening a new connection; generation={location} next={next}");
+        let generation = location.to_string();
+        let resume = engine.resume(&generation, next);
+        match tokio::time::timeout(self.context.limits.silence, resume).await {
+            Ok(result) => result,
+            Err(_) => Err(EngineError::ConnectionLost),
+        }
+    }
+
+    fn request(
+        &self,
+        grant: &PlacementGrant,
+        location: &GenerationId,
+        forced_prefix: Vec<u32>,
+    ) -> GenerationRequest {
+        GenerationRequest {
+            generation: location.to_string(),
+            epoch: self.epoch,
+            model: self.spec.model.clone(),
+            version: self.placed.version.clone(),
+            prompt: self.spec.prompt.clone(),
+            forced_prefix,
+            max_tokens: self.spec.max_tokens,
+            seed: self.spec.seed,
+            priority: self.placed.priority,
+            team: self.spec.team.clone(),
+            route: self.spec.route.clone(),
+            seat: Some(grant.seat.clone()),
+        }
+    }
+
+    /// Reads one connection until it ends, goes silent, or the placement intervenes.
+    async fn read_stream(&mut self, location: &GenerationId, mut stream: TokenStream) -> ReadEnd {
+        let own = location.to_string();
+        loop {
+            let silence_ends = Instant::now() + self.context.limits.silence;
+            let event = tokio::select! {
+                event = timeout_at(silence_ends, stream.next()) => event,
+                notice = self.placed.ticket.notices.recv() => match notice {
+                    Some(PlacementNotice::Cancelled(kind) | PlacementNotice::Rejected(kind)) => {
+                        return ReadEnd::Attempt(AttemptEnd::Cancelled(kind));
+                    }
+                    Some(PlacementNotice::Preempted) => {
+                        return ReadEnd::Attempt(AttemptEnd::Preempted);
+                    }
+                    Some(PlacementNotice::Granted(_)) => continue,
+                    None => return ReadEnd::Attempt(AttemptEnd::Left),
+                },
+            };
+            let event = match event {
+                Ok(Some(Ok(event))) => event,
+                Ok(Some(Err(EngineError::UnknownGeneration))) => {
+                    return ReadEnd::Attempt(AttemptEnd::EngineLost);
+                }
+                Ok(Some(Err(EngineError::Failed(message)))) => {
+                    return ReadEnd::Attempt(AttemptEnd::EngineFailed(message));
+                }
+                Ok(Some(Err(_)) | None) | Err(_) => return ReadEnd::Reconnect,
+            };
+            if let Some(end) = self.apply(&own, event) {
+                return end;
+            }
+            if self.last_token_at.elapsed() > self.context.limits.progress {
+                return ReadEnd::Attempt(AttemptEnd::Stalled);
+            }
+        }
+    }
+
+    /// Applies one event. Returns `None` if reading goes on.
+    fn apply(&mut self, own: &str, event: StreamEvent) -> Option<ReadEnd> {
+        match event {
+            StreamEvent::Token { generation, epoch, index, id, text } => {
+                if generation != own {
+                    return Some(ReadEnd::Reconnect);
+                }
+                match self.assembler.accept_token(&self.unique, epoch, index, id) {
+                    TokenVerdict::Deliver => self.deliver(&text),
+                    TokenVerdict::Duplicate => {}
+                    _ => return Some(ReadEnd::Reconnect),
+                }
+                None
+            }
+            StreamEvent::Heartbeat { generation } => {
+                (generation != own).then_some(ReadEnd::Reconnect)
+            }
+            StreamEvent::Finished { generation, epoch, reason, count } => {
+                if generation != own {
+                    return Some(ReadEnd::Reconnect);
+                }
+                match self.assembler.accept_finish(&self.unique, epoch, count) {
+                    // An output that was cut off by a cancel is not the whole answer.
+                    TokenVerdict::Deliver if reason == FinishReason::Cancelled => {
+                        Some(ReadEnd::Attempt(AttemptEnd::Stalled))
+                    }
+                    TokenVerdict::Deliver => Some(ReadEnd::Attempt(AttemptEnd::Finished(reason))),
+                    _ => Some(ReadEnd::Reconnect),
+                }
+            }
+            StreamEvent::Failed { generation, message } => {
+                if generation != own {
+                    return Some(ReadEnd::Reconnect);
+                }
+                Some(ReadEnd::Attempt(AttemptEnd::EngineFailed(message)))
+            }
+        }
+    }
+
+    fn deliver(&mut self, text: &str) {
+        self.buffer.push(text);
+        let now = Instant::now();
+        let gap = now - self.last_token_at;
+        self.last_token_at = now;
+        self.context.metrics.tokens.inc();
+        let next = self.buffer.next_index();
+        if next == 1 {
+            let span = self.accepted_at.elapsed();
+            self.context.metrics.first_token.observe(span.as_secs_f64());
+            self.events.first_token(span);
+        } else {
+            self.events.token_gap(gap);
+        }
+        if next == 1 || next.is_multiple_of(PROGRESS_STEP) {
+            self.context.control.progress(self.placed.ticket.ticket, next);
+        }
+    }
+}
