--- /dev/null
+++ b/crates/bench/examples/capacity.rs
@@ -0,0 +1,339 @@
+//! Slopes of the control state of one node: memory, processor time and message sizes at several
+//! sizes, for `docs/CAPACITY.md`.
+//!
+//! The state is the daemon's own, fed directly; no cluster is run. Memory is the difference in
+//! resident memory, so that small sizes are repeated until it is well above a page.
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use dragonflycart_core::{
+    Incarnation, LogOffset, ModelName, ModelPlacement, MonoTime, MoveId, OperatingPlan,
+    PlanRevision, RouteName, ServerInstance, ServerName, TeamName, VersionMove, VersionName,
+    VmSeat, WallTime, ZoneName, ZonePlan, ZoneState,
+};
+use dragonflycart_policy::{
+    MoveCounts, MoveEvidence, MoveSide, PlacementEngine, PolicySettings, PriorityClass, ServerKey,
+    ServerReport, ServerSpec, VmPosition, WorkPool, WorkRequest,
+};
+use dragonflycart_state::{
+    CallKey, CallLedger, ClaimId, ClaimNote, LedgerLimits, MemberTable, OutcomeNote,
+    incarnation_to_wire,
+};
+use dragonflycart_wire::{
+    Evidence, EvidenceCounter, Heartbeat, Hello, LatchSet, LogEntry, MoveLatch, RecordBatch,
+    log_entry::Kind,
+};
+use prost::Message;
+
+/// Repetitions of each measurement; the lowest and highest are printed.
+const REPEATS: usize = 5;
+/// Size of a memory page in bytes.
+const PAGE_BYTES: u64 = 4_096;
+/// Models at the design size.
+const MODELS: usize = 31;
+/// Zones at the design size.
+const ZONES: usize = 7;
+
+fn main() {
+    println!("part                  size   per unit                          spread");
+    messages();
+    members();
+    placement();
+    ledger();
+    evidence();
+}
+
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Runs `work` several times and prints the time per unit.
+fn time_per_unit(part: &str, size: usize, units: usize, mut work: impl FnMut()) {
+    let mut spans = Vec::new();
+    for _ in 0..REPEATS {
+        let began = Instant::now();
+        work();
+        spans.push(began.elapsed().as_nanos() as f64 / units as f64 / 1_000.0);
+    }
+    spans.sort_by(f64::total_cmp);
+    let middle = spans[REPEATS / 2];
+    let (low, high) = (spans[0], spans[REPEATS - 1]);
+    println!("{part:<20} {size:>6}   {middle:>10.3} us          {low:>8.3} to {high:.3} us");
+}
+
+/// Builds copies of a value until they are large enough and prints the memory per unit.
+fn memory_per_unit<T>(part: &str, size: usize, copies: usize, build: impl Fn() -> T) {
+    let before = resident_bytes();
+    let mut values = Vec::with_capacity(copies);
+    for _ in 0..copies {
+        values.push(build());
+    }
+    let grown = resident_bytes().saturating_sub(before);
+    black_box(&values);
+    let each = grown as f64 / (size * copies) as f64;
+    println!("{part:<20} {size:>6}   {each:>10.0} bytes");
+}
+
+fn print_size(part: &str, bytes: usize) {
+    println!("{part:<20} {:>6}   {bytes:>10} bytes", "-");
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("the name is valid")
+}
+
+fn hello(number: u128) -> Hello {
+    Hello {
+        incarnation: Bytes::copy_from_slice(&number.to_be_bytes()),
+        seat: (number % 64) as u32,
+        zone: format!("zone-{}", number as usize % ZONES),
+        address: format!("10.0.{}.{}:8081", number / 250, number % 250),
+        protocol: 1,
+    }
+}
+
+fn heartbeat(sequence: u64) -> Heartbeat {
+    Heartbeat { plan_revision: 100_000, draining: false, log_reachable: true, sequence }
+}
+
+fn design_plan() -> OperatingPlan {
+    let mut plan = OperatingPlan::default();
+    for zone in 0..ZONES {
+        let zone: ZoneName = name(&format!("zone-{zone}"));
+        plan.zones.insert(zone.clone(), ZonePlan { state: ZoneState::In, carry_limit: 10_000 });
+        for model in 0..MODELS {
+            for version in ["2026.11", "2026.12"] {
+                plan.placements.push(ModelPlacement {
+                    zone: zone.clone(),
+                    model: name(&format!("model-{model}")),
+                    version: name(version),
+                });
+            }
+        }
+    }
+    for model in 0..MODELS {
+        let planned = VersionMove {
+            model: name(&format!("model-{model}")),
+            from: name("2026.11"),
+            to: name("2026.12"),
+            start: WallTime::from_unix_millis(1_796_400_000_000),
+            deadline: WallTime::from_unix_millis(1_796_436_000_000),
+        };
+        plan.moves.insert(MoveId(format!("model-{model}-december")), planned);
+    }
+    plan
+}
+
+fn messages() {
+    print_size("heartbeat", heartbeat(1_000_000).encoded_len());
+    print_size("hello", hello(400).encoded_len());
+    let counter = EvidenceCounter {
+        model: "model-12".to_owned(),
+        version: "2026.12".to_owned(),
+        route: "report".to_owned(),
+        finished: 120,
+        failed: 1,
+        slow: 3,
+        bucket_s: 1_796_400_000,
+    };
+    let one = Evidence { incarnation: Bytes::from_static(&[1; 16]), counters: vec![counter] };
+    print_size("evidence counter", one.encoded_len() - 18);
+    let latch = MoveLatch {
+        move_id: "model-12-december".to_owned(),
+        state: 1,
+        reason: "proven good: 4000 requests".to_owned(),
+        set_at_revision: 100_000,
+    };
+    let latches = LatchSet { moves: vec![latch; MODELS], zones: Vec::new() };
+    print_size("latches, 31 moves", latches.encoded_len());
+    print_size("plan, design size", serde_json::to_vec(&design_plan()).unwrap_or_default().len());
+    let claim = claim_batch(7);
+    print_size("call claim append", claim.encoded_len());
+}
+
+fn members() {
+    for size in [9, 100, 420] {
+        let build = || {
+            let seat = VmSeat(0);
+            let mut table = MemberTable::new(Incarnation(1), "zone-0", seat, MonoTime::default());
+            for number in 0..size {
+                table.hello(&hello(number as u128 + 2), MonoTime::from_millis(1));
+            }
+            table
+        };
+        memory_per_unit("member, memory", size, 20_000 / size, build);
+        let mut table = build();
+        let mut now = MonoTime::from_millis(1_000);
+        time_per_unit("member, heartbeat", size, size * 100, || {
+            for round in 0..100 {
+                now = now + Duration::from_millis(1_000);
+                for number in 0..size {
+                    table.heartbeat(Incarnation(number as u128 + 2), &heartbeat(round), now);
+                }
+                table.refresh(now);
+            }
+        });
+    }
+}
+
+fn server_report(now: MonoTime, model: usize) -> ServerReport {
+    ServerReport {
+        taken_at: now,
+        instance: ServerInstance(1),
+        cold: false,
+        bears: 64,
+        leaving: false,
+        running: 20,
+        waiting: 0,
+        memory_used_tokens: 100_000,
+        memory_total_tokens: 400_000,
+        preemptions: 0,
+        running_by_seat: Vec::new(),
+        loaded: vec![(name(&format!("model-{}", model % MODELS)), name("2026.11"))],
+    }
+}
+
+fn build_placement(servers: usize) -> (PlacementEngine, Vec<ServerKey>) {
+    let zone: ZoneName = name("zone-0");
+    let position = VmPosition { zone: zone.clone(), seat: VmSeat(0), incarnation: Incarnation(1) };
+    let mut settings = PolicySettings::default();
+    settings.seats.insert(zone.clone(), 60);
+    let start = MonoTime::from_millis(1_000);
+    let mut engine =
+        PlacementEngine::new(settings, position, start).expect("the policy is registered");
+    engine.set_zone(start, &zone, true, 1_000_000);
+    let mut keys = Vec::new();
+    for number in 0..servers {
+        keys.push(engine.insert_server(ServerSpec {
+            name: name::<ServerName>(&format!("engine-{number}")),
+            zone: zone.clone(),
+            service: None,
+        }));
+    }
+    for (number, key) in keys.iter().enumerate() {
+        engine.report(start, *key, server_report(start, number));
+    }
+    (engine, keys)
+}
+
+fn placement() {
+    for size in [16, 100, 600] {
+        memory_per_unit("server, memory", size, 6_000 / size, || build_placement(size));
+        let (mut engine, keys) = build_placement(size);
+        let mut now = MonoTime::from_millis(1_000);
+        time_per_unit("server, report", size, size * 20, || {
+            for _ in 0..20 {
+                now = now + Duration::from_millis(500);
+                for (number, key) in keys.iter().enumerate() {
+                    engine.report(now, *key, server_report(now, number));
+                }
+            }
+        });
+        time_per_unit("idle tick", size, 1_000, || {
+            for _ in 0..1_000 {
+                now = now + Duration::from_millis(5);
+                black_box(engine.tick(now));
+            }
+        });
+        time_per_unit("request, whole life", size, 1_000, || {
+            for number in 0..1_000 {
+                now = now + Duration::from_millis(1);
+                let ticket = engine.submit(now, request(number));
+                black_box(engine.tick(now));
+                engine.finished(now, ticket, 20);
+            }
+        });
+    }
+}
+
+fn request(number: usize) -> WorkRequest {
+    WorkRequest {
+        pool: WorkPool::Generation(name(&format!("model-{}", number % MODELS)), name("2026.11")),
+        team: name::<TeamName>(&format!("team-{}", number % 200)),
+        route: name::<RouteName>("report"),
+        class: PriorityClass::Interactive,
+        prompt_tokens: 200,
+        max_tokens: 400,
+        delivered_tokens: 0,
+        deadline: None,
+        idempotent: true,
+        prefix: None,
+    }
+}
+
+fn claim_batch(number: u64) -> RecordBatch {
+    let key = CallKey::new("team-100", &format!("order-2026-{number:08}"));
+    let claim = ClaimNote {
+        claim_id: ClaimId(u128::from(number) + 1),
+        owner: Incarnation(7),
+        attempt: 1,
+        made_at: WallTime::from_unix_millis(1_796_400_000_000),
+        request_digest: Bytes::from_static(&[7; 32]),
+    };
+    let outcome = OutcomeNote {
+        claim_id: claim.claim_id,
+        status: 200,
+        body: Bytes::from_static(&[b'x'; 120]),
+        made_at: claim.made_at,
+    };
+    let entries = vec![
+        LogEntry { kind: Some(Kind::CallClaim(claim.to_wire(&key, None))) },
+        LogEntry { kind: Some(Kind::CallOutcome(outcome.to_wire(&key))) },
+    ];
+    RecordBatch {
+        writer: incarnation_to_wire(Incarnation(7)),
+        sequence: number + 1,
+        written_at_ms: 1_796_400_000_000,
+        entries,
+    }
+}
+
+fn fill_ledger(batches: &[RecordBatch]) -> CallLedger {
+    let now = WallTime::from_unix_millis(1_796_400_000_000);
+    let mut ledger = CallLedger::new(LedgerLimits::default(), LogOffset(0), LogOffset(0), now);
+    for (offset, batch) in batches.iter().enumerate() {
+        ledger.apply_batch(LogOffset(offset as u64), batch, now);
+    }
+    ledger
+}
+
+fn ledger() {
+    for size in [1_000, 10_000, 100_000] {
+        let batches: Vec<RecordBatch> = (0..size as u64).map(claim_batch).collect();
+        memory_per_unit("call key, memory", size, 1, || fill_ledger(&batches));
+        time_per_unit("call key, fold", size, size, || {
+            black_box(fill_ledger(&batches));
+        });
+    }
+}
+
+fn evidence() {
+    let route: RouteName = name("report");
+    let model: ModelName = name("model-1");
+    let version: VersionName = name("2026.12");
+    black_box((&model, &version, PlanRevision(1)));
+    for size in [9, 100, 420] {
+        let mut evidence = MoveEvidence::default();
+        let mut bucket_s = 0;
+        time_per_unit("evidence, merge", size, size * 60, || {
+            for _ in 0..60 {
+                bucket_s += 1;
+                for number in 0..size {
+                    let counts = MoveCounts { finished: 3, failed: 0, slow: 0 };
+                    let from = Incarnation(number as u128);
+                    evidence.merge(from, bucket_s, (&route, MoveSide::New), counts);
+                }
+            }
+            black_box(evidence.take_changed(bucket_s));
+        });
+    }
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -4,14 +4,10 @@
 
 use displaydoc::Display;
 use dragonflycart_core::Incarnation;
-use dragonflycart_platform::{
-    HttpDirectory, HttpLog, HttpWeights, LogService, LogTopic, VmDirectory,
-};
 use dragonflycart_policy::UnknownPolicy;
 use dragonflycart_settings::Config;
 use log::info;
 use statig::blocking::IntoStateMachineExt;
-use strum::IntoEnumIterator;
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
@@ -19,21 +15,16 @@
 };
 
 use crate::{
-    admin::AdminFront,
     control::{
         ControlHandle, ControlMessage, ControlParts, ControlThread, PlacementControl,
         policy_settings, vm_position,
     },
     generation::{GenerationStore, RunnerContext, RunnerLimits},
-    http::{HttpFront, HttpServer},
-    job::run_worker,
-    log_appender::run_appender,
-    log_tailer::LogTailer,
+    kernel::{KernelContext, KernelWiring, NodeKernel, OneUse},
     node_clock::NodeClock,
     node_lifecycle::{LifecycleEvent, LifecyclePhase, NodeLifecycle},
     node_metrics::NodeMetrics,
-    order_sender::run_sender,
-    peer::{LinkIdentity, PeerHub},
+    peer::LinkIdentity,
     server_directory::ServerDirectory,
 };
 
@@ -41,12 +32,8 @@
 const RECONNECTS: u32 = 3;
 /// Broadcasts that a slow peer connection may miss before it skips some.
 const BROADCAST_QUEUE: usize = 64;
-/// Events of the log that may wait for the control thread.
-const TAIL_QUEUE: usize = 64;
 /// Interval at which a stopping daemon looks whether it may end.
 const DRAIN_PERIOD: Duration = Duration::from_millis(100);
-/// Interval at which ended generations are looked at for removal.
-const EXPIRE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Failure to start the daemon.
 #[derive(Debug, Display, Error)]
@@ -129,29 +116,34 @@
             appends,
         };
         let thread = ControlThread::start(parts).map_err(DaemonError::Thread)?;
-        let control = thread.handle();
-        let hub = PeerHub::new(identity, control.clone(), broadcasts);
-        tokio::spawn(hub.run(self.peer, addresses));
-        start_platform(&self.config, &control, append_orders);
-        let servers = Arc::new(ServerDirectory::new(&self.config));
-        servers.start_polls(&control, self.clock, self.config.timeouts.report_poll);
-        let weights = Arc::new(HttpWeights::new(self.config.platform.weight_store));
-        let timeout = self.config.timeouts.order;
-        let sender =
-            run_sender(Arc::clone(&servers), weights, control.clone(), timeout, order_tasks);
-        tokio::spawn(sender);
-        let limits = RunnerLimits {
-            silence: self.config.timeouts.engine_silence,
-            progress: self.config.timeouts.engine_progress,
-            reconnects: RECONNECTS,
-        };
-        let runner = RunnerContext { control: control.clone(), servers, metrics, limits };
+        let (handover, handovers) = watch::channel(false);
+        let (close, closing) = watch::channel(false);
         let store = Arc::new(GenerationStore::default());
-        let worker = run_worker(runner.clone(), Arc::clone(&store), self.clock, job_orders);
-        tokio::spawn(worker);
-        let parts = (self.clock, runner, store);
-        let serving = Serving::start(self.config, parts, (self.http, self.admin), phase);
+        let context = KernelContext {
+            clock: self.clock,
+            identity,
+            runner: runner_context(&self.config, thread.handle(), metrics),
+            store: Arc::clone(&store),
+            phase: phase.subscribe(),
+            handover: handovers,
+            closing,
+            wiring: KernelWiring {
+                http: OneUse::new(self.http),
+                admin: OneUse::new(self.admin),
+                peer: OneUse::new(self.peer),
+                addresses: OneUse::new(addresses),
+                appends: OneUse::new(append_orders),
+                orders: OneUse::new(order_tasks),
+                jobs: OneUse::new(job_orders),
+                broadcasts,
+            },
+            config: Arc::clone(&self.config),
+        };
+        let kernel = NodeKernel::start(&context, close);
+        let serving =
+            Serving { config: self.config, control: thread.handle(), store, phase, handover };
         serving.run(preparing, stop).await;
+        kernel.close().await;
         thread.close().await;
         Ok(())
     }
@@ -166,86 +158,31 @@
     }
 }
 
-/// Starts everything that talks to the platform.
-fn start_platform(
+fn runner_context(
     config: &Config,
-    control: &ControlHandle,
-    orders: mpsc::UnboundedReceiver<crate::log_appender::AppendOrder>,
-) {
-    let service: Arc<dyn LogService> = Arc::new(HttpLog::new(config.platform.log));
-    let (events, mut tail) = mpsc::channel(TAIL_QUEUE);
-    for topic in LogTopic::iter() {
-        let tailer = LogTailer::new(Arc::clone(&service), topic, events.clone());
-        tokio::spawn(tailer.run());
-    }
-    let tail_control = control.clone();
-    tokio::spawn(async move {
-        while let Some(event) = tail.recv().await {
-            tail_control.send(ControlMessage::Tail(event)).await;
-        }
-    });
-    tokio::spawn(run_appender(service, control.clone(), orders));
-    let directory = HttpDirectory::new(config.platform.vm_list);
-    tokio::spawn(poll_vm_list(directory, control.clone(), config.timeouts.vm_list_poll));
-}
-
-async fn poll_vm_list(directory: HttpDirectory, control: ControlHandle, period: Duration) {
-    loop {
-        if let Ok(entries) = directory.list().await {
-            control.send(ControlMessage::VmList(entries)).await;
-        }
-        tokio::time::sleep(period).await;
-    }
+    control: ControlHandle,
+    metrics: Arc<NodeMetrics>,
+) -> RunnerContext {
+    let limits = RunnerLimits {
+        silence: config.timeouts.engine_silence,
+        progress: config.timeouts.engine_progress,
+        reconnects: RECONNECTS,
+    };
+    RunnerContext { control, servers: Arc::new(ServerDirectory::new(config)), metrics, limits }
 }
 
-/// The callers' interface and the phases of the daemon.
+/// Phases of the daemon from its start to the end of a planned stop.
 struct Serving {
     config: Arc<Config>,
-    clock: NodeClock,
     control: ControlHandle,
     store: Arc<GenerationStore>,
     phase: watch::Sender<LifecyclePhase>,
     handover: watch::Sender<bool>,
-    closed: watch::Sender<bool>,
-    server: tokio::task::JoinHandle<()>,
 }
 
 impl Serving {
-    fn start(
-        config: Arc<Config>,
-        (clock, runner, store): (NodeClock, RunnerContext, Arc<GenerationStore>),
-        (http, admin): (TcpListener, TcpListener),
-        phase: watch::Sender<LifecyclePhase>,
-    ) -> Serving {
-        let (handover, handovers) = watch::channel(false);
-        let (closed, closing) = watch::channel(false);
-        let control = runner.control.clone();
-        let front = HttpFront {
-            config: Arc::clone(&config),
-            clock,
-            runner,
-            store: Arc::clone(&store),
-            phase: phase.subscribe(),
-            handover: handovers,
-        };
-        let server = HttpServer::new(http, front.router(), config.limits.header);
-        let server = tokio::spawn(server.run(closing.clone()));
-        let front = AdminFront::new(Arc::clone(&config), control.clone());
-        let admin = HttpServer::new(admin, front.router(), config.limits.header);
-        tokio::spawn(admin.run(closing));
-        Serving { config, clock, control, store, phase, handover, closed, server }
-    }
-
     async fn run(self, mut prepared: watch::Receiver<bool>, mut stop: watch::Receiver<bool>) {
         let mut machine = NodeLifecycle.state_machine();
-        let store = Arc::clone(&self.store);
-        let (clock, retention) = (self.clock, self.config.timeouts.stream_retention);
-        tokio::spawn(async move {
-            loop {
-                tokio::time::sleep(EXPIRE_PERIOD).await;
-                store.expire(clock.now(), retention);
-            }
-        });
         loop {
             let event = tokio::select! {
                 known = prepared.wait_for(|prepared| *prepared),
@@ -298,8 +235,6 @@
             }
             self.publish(machine.state().into());
         }
-        self.closed.send_replace(true);
-        let _ = self.server.await;
     }
 
     async fn is_idle(&self) -> bool {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod generation;
 mod http;
 mod job;
+mod kernel;
 mod log_appender;
 mod log_tailer;
 mod node_clock;
@@ -18,6 +19,7 @@
 mod node_metrics;
 mod order_sender;
 mod peer;
+mod plugins;
 mod server_directory;
 mod service_events;
 
--- /dev/null
+++ b/crates/node/src/plugins/directory_plugin.rs
@@ -0,0 +1,35 @@
+//! Reads the platform's list of VMs.
+
+use dragonflycart_platform::{HttpDirectory, VmDirectory};
+use tokio::task::JoinHandle;
+
+use crate::{
+    control::ControlMessage,
+    kernel::{KernelContext, NodePlugin, PluginEntry},
+};
+
+/// Reads the platform's list of VMs.
+struct DirectoryPlugin;
+
+impl NodePlugin for DirectoryPlugin {
+    fn name(&self) -> &'static str {
+        "directory"
+    }
+
+    fn start(&self, context: &KernelContext) -> Option<JoinHandle<()>> {
+        let directory = HttpDirectory::new(context.config.platform.vm_list);
+        let control = context.runner.control.clone();
+        let period = context.config.timeouts.vm_list_poll;
+        tokio::spawn(async move {
+            loop {
+                if let Ok(entries) = directory.list().await {
+                    control.send(ControlMessage::VmList(entries)).await;
+                }
+                tokio::time::sleep(period).await;
+            }
+        });
+        None
+    }
+}
+
+inventory::submit!(PluginEntry(&DirectoryPlugin));
--- /dev/null
+++ b/crates/node/src/plugins/expiry_plugin.rs
@@ -0,0 +1,34 @@
+//! Removes generations that ended long ago.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::task::JoinHandle;
+
+use crate::kernel::{KernelContext, NodePlugin, PluginEntry};
+
+/// Interval at which ended generations are looked at for removal.
+const EXPIRE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Removes generations that ended long ago.
+struct ExpiryPlugin;
+
+impl NodePlugin for ExpiryPlugin {
+    fn name(&self) -> &'static str {
+        "expiry"
+    }
+
+    fn start(&self, context: &KernelContext) -> Option<JoinHandle<()>> {
+        let store = Arc::clone(&context.store);
+        let clock = context.clock;
+        let retention = context.config.timeouts.stream_retention;
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(EXPIRE_PERIOD).await;
+                store.expire(clock.now(), retention);
+            }
+        });
+        None
+    }
+}
+
+inventory::submit!(PluginEntry(&ExpiryPlugin));
--- /dev/null
+++ b/crates/node/src/plugins/log_plugin.rs
@@ -0,0 +1,46 @@
+//! Follows the log service and carries out appends.
+
+use std::sync::Arc;
+
+use dragonflycart_platform::{HttpLog, LogService, LogTopic};
+use strum::IntoEnumIterator;
+use tokio::{sync::mpsc, task::JoinHandle};
+
+use crate::{
+    control::ControlMessage,
+    kernel::{KernelContext, NodePlugin, PluginEntry},
+    log_appender::run_appender,
+    log_tailer::LogTailer,
+};
+
+/// Events of the log that may wait for the control thread.
+const TAIL_QUEUE: usize = 64;
+
+/// Follows the log service and carries out appends.
+struct LogPlugin;
+
+impl NodePlugin for LogPlugin {
+    fn name(&self) -> &'static str {
+        "log"
+    }
+
+    fn start(&self, context: &KernelContext) -> Option<JoinHandle<()>> {
+        let service: Arc<dyn LogService> = Arc::new(HttpLog::new(context.config.platform.log));
+        let (events, mut tail) = mpsc::channel(TAIL_QUEUE);
+        for topic in LogTopic::iter() {
+            let tailer = LogTailer::new(Arc::clone(&service), topic, events.clone());
+            tokio::spawn(tailer.run());
+        }
+        let control = context.runner.control.clone();
+        tokio::spawn(async move {
+            while let Some(event) = tail.recv().await {
+                control.send(ControlMessage::Tail(event)).await;
+            }
+        });
+        let orders = context.wiring.appends.take()?;
+        tokio::spawn(run_appender(service, context.runner.control.clone(), orders));
+        None
+    }
+}
+
+inventory::submit!(PluginEntry(&LogPlugin));
--- /dev/null
+++ b/crates/node/src/plugins/order_plugin.rs
@@ -0,0 +1,32 @@
+//! Sends orders to engines.
+
+use std::sync::Arc;
+
+use dragonflycart_platform::HttpWeights;
+use tokio::task::JoinHandle;
+
+use crate::{
+    kernel::{KernelContext, NodePlugin, PluginEntry},
+    order_sender::run_sender,
+};
+
+/// Sends orders to engines.
+struct OrderPlugin;
+
+impl NodePlugin for OrderPlugin {
+    fn name(&self) -> &'static str {
+        "orders"
+    }
+
+    fn start(&self, context: &KernelContext) -> Option<JoinHandle<()>> {
+        let tasks = context.wiring.orders.take()?;
+        let weights = Arc::new(HttpWeights::new(context.config.platform.weight_store));
+        let servers = Arc::clone(&context.runner.servers);
+        let control = context.runner.control.clone();
+        let timeout = context.config.timeouts.order;
+        tokio::spawn(run_sender(servers, weights, control, timeout, tasks));
+        None
+    }
+}
+
+inventory::submit!(PluginEntry(&OrderPlugin));
