Serve a request with the old version while none carries the new one

A request that a version move assigned to the new version failed with no_backend while no engine carried that version. The control of a move starts to send after 8 s, and the order gate lets a version that is wanted anew carry requests only after the order timeout and the plan's spread (13 s); a version that is still being loaded has the same effect. The old version now serves such requests. The reverse is excluded: a version that was rolled back gets nothing.

Ruled out: engines that lost the version (the fakes had both loaded all the time), and the end of the move (all failures came 8.5 to 12.2 s after the start of the move).

--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -286,7 +286,13 @@
     }
 
     fn place_generation(&mut self, ask: GenerationAsk) -> Result<PlacedGeneration, ServiceError> {
-        let Some(version) = self.versions.choose(&ask.model, &ask.route, &ask.key) else {
+        let now = self.clock.now();
+        let can_serve = |version: &VersionName| {
+            let pool = WorkPool::Generation(ask.model.clone(), version.clone());
+            self.placement.engine().can_serve(&pool, now)
+        };
+        let chosen = self.versions.choose(&ask.model, &ask.route, &ask.key, can_serve);
+        let Some(version) = chosen else {
             let message = format!("model {}: the plan in effect places no version", ask.model);
             return Err(ServiceError::new(ErrorKind::NotFound, message));
         };
--- a/crates/node/src/control/version_control.rs
+++ b/crates/node/src/control/version_control.rs
@@ -127,20 +127,26 @@
     }
 
     /// Returns the version that serves a request, or `None` if the plan places none.
+    ///
+    /// `can_serve` tells whether a server can get requests of a version. The new version of a move
+    /// may not be loaded yet, or not carry requests for the time of a delayed order; the old one
+    /// serves in its place. The reverse would send requests to a version that was rolled back.
     pub(crate) fn choose(
         &self,
         model: &ModelName,
         route: &RouteName,
         key: &RequestKey,
+        can_serve: impl Fn(&VersionName) -> bool,
     ) -> Option<VersionName> {
         let placed = self.versions.get(model)?;
         for (move_id, active) in &self.moves {
             if &active.plan.model != model {
                 continue;
             }
+            let (from, to) = (&active.plan.from, &active.plan.to);
             let version = match active.shares.assign(move_id, route, key) {
-                MoveSide::Old => &active.plan.from,
-                MoveSide::New => &active.plan.to,
+                MoveSide::New if can_serve(to) || !can_serve(from) => to,
+                MoveSide::New | MoveSide::Old => from,
             };
             return Some(version.clone());
         }
--- a/crates/policy/src/placement_engine.rs
+++ b/crates/policy/src/placement_engine.rs
@@ -13,7 +13,7 @@
 use crate::{
     AdmissionControl, ColdSignal, FairQueue, PlacementDecision, PolicySettings, PoolKey,
     RequestTicket, RetryBudget, ServerKey, ServerReport, ServerSpec, ServerTable, UnknownPolicy,
-    VmPosition, ZoneLimits, name_index::NameIndex, request_entry::RequestEntry,
+    VmPosition, WorkPool, ZoneLimits, name_index::NameIndex, request_entry::RequestEntry,
     request_placer::RequestPlacer,
 };
 
@@ -103,6 +103,11 @@
         &self.placer.servers
     }
 
+    /// Returns whether a server that may get new work serves a pool, in a zone that is in service.
+    pub fn can_serve(&self, pool: &WorkPool, now: MonoTime) -> bool {
+        self.placer.can_serve(pool, now)
+    }
+
     /// Applies the plan's state and carry limit of a zone. A zone without a call gets no work.
     pub fn set_zone(&mut self, now: MonoTime, zone: &ZoneName, open: bool, carry_limit: u32) {
         self.placer.set_zone(zone, open, carry_limit, now);
--- a/crates/policy/src/request_placer.rs
+++ b/crates/policy/src/request_placer.rs
@@ -9,7 +9,7 @@
 use crate::{
     ColdSlots, LengthEstimator, PlacementCandidate, PlacementPolicy, PolicySettings, PoolKey,
     PriorityClass, RetrySubset, ServerKey, ServerReport, ServerTable, TeamKey, UnknownPolicy,
-    VmPosition, ZoneKey, ZoneLimits, find_policy, name_index::NameIndex,
+    VmPosition, WorkPool, ZoneKey, ZoneLimits, find_policy, name_index::NameIndex,
     request_entry::RequestEntry, server_state::OwnAttempt,
 };
 
@@ -138,6 +138,18 @@
         self.zones.get(&self.servers.find_zone(zone)?)
     }
 
+    /// Returns whether a server that may get new work serves a pool, in a zone that is in service.
+    pub(crate) fn can_serve(&self, pool: &WorkPool, now: MonoTime) -> bool {
+        let Some(pool) = self.servers.find_pool(pool) else {
+            return false;
+        };
+        self.servers.members(pool).iter().any(|key| {
+            let state = self.servers.get(*key);
+            state.is_usable(now, self.settings.report_timeout)
+                && self.zones.get(&state.zone).is_some_and(ZoneLimits::is_open)
+        })
+    }
+
     /// Applies a load report.
     pub(crate) fn report(&mut self, server: ServerKey, report: ServerReport, now: MonoTime) {
         self.servers.update_pools(server, &report);
--- a/crates/policy/src/server_table.rs
+++ b/crates/policy/src/server_table.rs
@@ -94,6 +94,11 @@
         key
     }
 
+    /// Returns the key of a pool that was used before.
+    pub fn find_pool(&self, pool: &WorkPool) -> Option<PoolKey> {
+        self.pools.get(pool).map(PoolKey)
+    }
+
     /// Returns the key of a zone, which is assigned on first use.
     pub fn zone_key(&mut self, zone: &ZoneName) -> ZoneKey {
         ZoneKey(self.zones.intern(zone))
