Answer "unknown" when a VM refuses a repeated call without the log

A VM that starts or stops answered "draining" with "not run" to any attempt of a call that is not idempotent, without knowing the log. An earlier attempt under the key may have run at another VM, so a caller that trusted the answer would book twice under a new key. Choice 5 allows "not run" without the log only for an attempt that states that it is the first. Other attempts now get outcome_unknown, here and where the control thread ends during a call.

Ruled out: the ledger and the release of claims; the refusal comes before a claim is made.

--- a/crates/node/src/call/call_runner.rs
+++ b/crates/node/src/call/call_runner.rs
@@ -167,7 +167,8 @@
         let mut turn = self
             .control()
             .ask(|reply| ControlMessage::Call(CallMessage::Begin(begin, reply)))
-            .await?;
+            .await
+            .map_err(|error| spec.refusal(error))?;
         let own = loop {
             match turn {
                 CallTurn::Owner(claim_id) => break claim_id,
@@ -180,7 +181,8 @@
                     turn = self
                         .control()
                         .ask(|reply| ControlMessage::Call(CallMessage::Await(claim.own, reply)))
-                        .await?;
+                        .await
+                        .map_err(|error| spec.refusal(error))?;
                 }
             }
         };
@@ -193,19 +195,20 @@
         spec: &CallSpec,
         claim_id: ClaimId,
     ) -> Result<ServiceAnswer, ServiceError> {
-        let mut ticket = self.place(spec).await?;
+        let mut ticket = self.place(spec).await.map_err(|error| spec.refusal(error))?;
         loop {
             let grant = match next_grant(&mut ticket).await {
                 Ok(grant) => grant,
-                Err(kind) => return self.give_up(claim_id, kind).await,
+                Err(kind) => return self.give_up(spec, claim_id, kind).await,
             };
             let permit = self
                 .control()
                 .ask(|reply| ControlMessage::Call(CallMessage::TakePermit(claim_id, reply)))
-                .await?;
+                .await
+                .map_err(|error| spec.refusal(error))?;
             let Some(permit) = permit else {
                 self.control().report_attempt(ticket.ticket, AttemptReport::Cancelled).await;
-                return self.give_up(claim_id, ErrorKind::DeadlineNotStarted).await;
+                return self.give_up(spec, claim_id, ErrorKind::DeadlineNotStarted).await;
             };
             match self.send(spec, &grant).await {
                 Ok(answer) => {
@@ -262,13 +265,15 @@
     /// Gives the claim up and answers once it is known whether "not run" is true.
     async fn give_up(
         &self,
+        spec: &CallSpec,
         claim_id: ClaimId,
         kind: ErrorKind,
     ) -> Result<ServiceAnswer, ServiceError> {
         let turn = self
             .control()
             .ask(|reply| ControlMessage::Call(CallMessage::GiveUp(claim_id, kind, reply)))
-            .await?;
+            .await
+            .map_err(|error| spec.refusal(error))?;
         match turn {
             CallTurn::Answered(outcome) => Ok(logged_answer(outcome)),
             CallTurn::Refused(error) => Err(error),
--- a/crates/node/src/call/call_spec.rs
+++ b/crates/node/src/call/call_spec.rs
@@ -1,7 +1,9 @@
 //! Call to a plain service as a caller asked for it.
 
 use bytes::Bytes;
-use dragonflycart_core::{MonoTime, RequestKey, RouteName, ServiceName, TeamName};
+use dragonflycart_core::{
+    ErrorKind, MonoTime, RequestKey, RouteName, RunState, ServiceError, ServiceName, TeamName,
+};
 
 /// Call to a plain service as a caller asked for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,3 +25,17 @@
     /// Body, passed on unchanged.
     pub(crate) body: Bytes,
 }
+
+impl CallSpec {
+    /// Returns the error of a call that is refused before the log was read for its key.
+    ///
+    /// Such a refusal says nothing about earlier attempts under the key, so "not run" is correct
+    /// only for a call that is idempotent or states that it is the first attempt.
+    pub(crate) fn refusal(&self, error: ServiceError) -> ServiceError {
+        if self.idempotent || self.attempt == 1 || error.run_state() != RunState::NotRun {
+            return error;
+        }
+        let message = format!("{}; an earlier attempt may have run", error.message());
+        ServiceError::new(ErrorKind::OutcomeUnknown, message)
+    }
+}
--- a/crates/node/src/http/service_handler.rs
+++ b/crates/node/src/http/service_handler.rs
@@ -36,7 +36,7 @@
     let caller = CallerContext::from_headers(headers, &front.config)?;
     let body = front.read_body(body).await?;
     let spec = call_spec(front, service, operation, caller, body)?;
-    front.check_phase()?;
+    front.check_phase().map_err(|error| spec.refusal(error))?;
     front.runner.metrics.calls.inc();
     let answer = CallRunner::new(front.runner.clone(), front.clock).run(spec).await?;
     Ok(service_response(answer))
