--- a/tests/all/calls.rs
+++ b/tests/all/calls.rs
@@ -329,3 +329,40 @@
     assert_eq!(answer.run_state(), "not_run", "{:?}", answer.body);
     assert_eq!(deployment.executions("nowhere"), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn vm_that_takes_no_work_does_not_deny_an_earlier_attempt() {
+    // Guards against "not run" from a VM that starts or stops and has not read the log for a key
+    // that ran at another VM.
+    let mut deployment = Deployment::start(DeploymentSpec {
+        drain: "balancer_lag = 0ms".to_owned(),
+        ..DeploymentSpec::default()
+    })
+    .await;
+    let first = book(&deployment, 1, "denied", 1).await;
+    assert_eq!(first.status, 200, "{:?}", first.body);
+    // A stream keeps the stopping VM alive while it takes no new work.
+    let address = deployment.vms[0].http;
+    let streaming = tokio::spawn(async move {
+        Caller::new("reports").stream(address, "a long report", 500, |_| {}).await
+    });
+    wait_for("the stream to run", || async {
+        let tokens = deployment.metric(0, "dragonflycart_tokens_total").await?;
+        (tokens >= 10.0).then_some(())
+    })
+    .await;
+    deployment.vms[0].process().terminate().unwrap();
+    wait_for("the VM to take no new calls", || async {
+        let answer = book(&deployment, 0, "unused", 1).await;
+        (answer.error_kind() == "draining").then_some(())
+    })
+    .await;
+
+    let again = book(&deployment, 0, "denied", 2).await;
+    let unstated = book(&deployment, 0, "denied", 0).await;
+
+    assert_eq!(again.run_state(), "maybe_run", "{:?}", again.body);
+    assert_eq!(unstated.run_state(), "maybe_run", "{:?}", unstated.body);
+    assert_eq!(deployment.executions("denied"), 1);
+    assert!(streaming.await.unwrap().is_ok());
+}
--- /dev/null
+++ b/tests/all/chaos/fault_schedule.rs
@@ -0,0 +1,246 @@
+//! Random faults with their ends.
+
+use std::time::Duration;
+
+use dragonflycart_testkit::{
+    EngineCommand, FaultCommand, LogCommand, OutageKind, RelayCommand, RelayMode, RelayScope,
+    ServiceCommand,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use crate::support::Deployment;
+
+/// Pauses between two faults in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 100..600;
+/// Durations of a fault in milliseconds; longer than the silence timeout at times.
+const FAULT_MS: std::ops::Range<u64> = 300..3_500;
+
+/// A fault with the index of what it hits.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    EngineDies(usize),
+    EngineTurnsCold(usize),
+    EngineConnectionsSilent(usize),
+    EngineFreezes(usize),
+    EngineAnswersSwapped(usize),
+    EngineAnswersLost(usize),
+    EngineLeaves(usize),
+    EngineStalls(usize),
+    EngineLinkStalls(usize),
+    EngineLinkCut(usize),
+    ServerDies(usize),
+    ServerConnectionsSilent(usize),
+    ServerAnswersLost(usize),
+    ServerAnswersLate(usize),
+    ServerLeaves(usize),
+    LogOutage(OutageKind),
+    LogSlow,
+    LogAnswersLost,
+    LogAppliesLate,
+    LogLinkCut(usize),
+    PeersCut(usize),
+    ZonePartitioned(usize),
+    VmListFreezes,
+    VmKilled(usize),
+    VmPaused(usize),
+}
+
+/// Random faults with their ends.
+pub(super) struct FaultSchedule {
+    rng: ChaCha8Rng,
+    open: Vec<(Instant, Fault)>,
+    history: Vec<Fault>,
+}
+
+impl FaultSchedule {
+    /// Builds the schedule of a seed.
+    pub(super) fn new(seed: u64) -> FaultSchedule {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        FaultSchedule { rng, open: Vec::new(), history: Vec::new() }
+    }
+
+    /// Returns the number of injected faults.
+    pub(super) fn injected(&self) -> usize {
+        self.history.len()
+    }
+
+    /// Returns the injected faults as text.
+    pub(super) fn describe(&self) -> String {
+        format!("{:?}", self.history)
+    }
+
+    /// Ends the faults that are due, injects one and pauses.
+    pub(super) async fn step(&mut self, deployment: &mut Deployment) {
+        let now = Instant::now();
+        let due = self.open.extract_if(.., |(end, _)| *end <= now).collect::<Vec<_>>();
+        for (_, fault) in due {
+            heal(deployment, fault);
+        }
+        let fault = self.draw(deployment);
+        let end = now + Duration::from_millis(self.rng.random_range(FAULT_MS));
+        if self.is_allowed(fault) {
+            inject(deployment, fault);
+            self.open.push((end, fault));
+            self.history.push(fault);
+        }
+        let pause = self.rng.random_range(PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+
+    /// Ends all faults.
+    pub(super) async fn heal_all(&mut self, deployment: &mut Deployment) {
+        for (_, fault) in std::mem::take(&mut self.open) {
+            heal(deployment, fault);
+        }
+    }
+
+    fn draw(&mut self, deployment: &Deployment) -> Fault {
+        let engine = self.rng.random_range(0..deployment.engines.len());
+        let server = self.rng.random_range(0..deployment.bookings.len());
+        let vm = self.rng.random_range(0..deployment.vms.len());
+        match self.rng.random_range(0..31) {
+            0 => Fault::EngineDies(engine),
+            1 => Fault::EngineTurnsCold(engine),
+            2 => Fault::EngineConnectionsSilent(engine),
+            3 => Fault::EngineFreezes(engine),
+            4 => Fault::EngineAnswersSwapped(engine),
+            5 => Fault::EngineAnswersLost(engine),
+            6 => Fault::EngineLeaves(engine),
+            7 => Fault::EngineStalls(engine),
+            8 => Fault::EngineLinkStalls(engine),
+            9 => Fault::EngineLinkCut(engine),
+            10 => Fault::ServerDies(server),
+            11 => Fault::ServerConnectionsSilent(server),
+            12 => Fault::ServerAnswersLost(server),
+            13 => Fault::ServerAnswersLate(server),
+            14 => Fault::ServerLeaves(server),
+            15 => Fault::LogOutage(OutageKind::Refuse),
+            16 => Fault::LogOutage(OutageKind::RefuseAppends),
+            17 => Fault::LogOutage(OutageKind::Hang),
+            18 => Fault::LogSlow,
+            19 => Fault::LogAnswersLost,
+            20 => Fault::LogAppliesLate,
+            21 => Fault::LogLinkCut(vm),
+            22 => Fault::PeersCut(vm),
+            23 => Fault::ZonePartitioned(vm),
+            24 => Fault::VmListFreezes,
+            25..=27 => Fault::VmKilled(vm),
+            _ => Fault::VmPaused(vm),
+        }
+    }
+
+    /// Returns whether a fault may be added. At most one VM is killed or paused at a time, and no
+    /// more than one engine is dead or frozen, so that requests can be served at all; everything
+    /// else may occur together and twice.
+    fn is_allowed(&self, fault: Fault) -> bool {
+        let kind = |fault| match fault {
+            Fault::VmKilled(_) | Fault::VmPaused(_) => 1,
+            Fault::EngineDies(_) | Fault::EngineFreezes(_) => 2,
+            Fault::ServerDies(_) => 3,
+            Fault::LogOutage(_) => 4,
+            _ => 0,
+        };
+        kind(fault) == 0 || !self.open.iter().any(|(_, open)| kind(*open) == kind(fault))
+    }
+}
+
+fn link(deployment: &Deployment, engine: usize, mode: RelayMode) {
+    deployment.engine_relays[engine].apply(RelayCommand { scope: RelayScope::Open, mode });
+}
+
+fn inject(deployment: &mut Deployment, fault: Fault) {
+    let lose = FaultCommand::LoseAnswers { count: 2, reset: true };
+    match fault {
+        Fault::EngineDies(index) => deployment.engines[index].fault(&FaultCommand::Die),
+        Fault::EngineTurnsCold(index) => deployment.engines[index].fault(&FaultCommand::TurnCold),
+        Fault::EngineConnectionsSilent(index) => {
+            deployment.engines[index].fault(&FaultCommand::SilenceOpen);
+        }
+        Fault::EngineFreezes(index) => deployment.engines[index].fault(&FaultCommand::Freeze),
+        Fault::EngineAnswersSwapped(index) => {
+            deployment.engines[index].fault(&FaultCommand::SwapAnswers { keep_head: true });
+        }
+        Fault::EngineAnswersLost(index) => deployment.engines[index].fault(&lose),
+        Fault::EngineLeaves(index) => {
+            deployment.engines[index].command(EngineCommand::Leaving { leaving: true });
+        }
+        Fault::EngineStalls(index) => {
+            deployment.engines[index].command(EngineCommand::Stall { stalled: true });
+        }
+        Fault::EngineLinkStalls(index) => link(deployment, index, RelayMode::Stall),
+        Fault::EngineLinkCut(index) => link(deployment, index, RelayMode::Cut),
+        Fault::ServerDies(index) => deployment.bookings[index].fault(&FaultCommand::Die),
+        Fault::ServerConnectionsSilent(index) => {
+            deployment.bookings[index].fault(&FaultCommand::SilenceOpen);
+        }
+        Fault::ServerAnswersLost(index) => deployment.bookings[index].fault(&lose),
+        Fault::ServerAnswersLate(index) => {
+            deployment.bookings[index].fault(&FaultCommand::AnswerLate { ms: 1_000 });
+        }
+        Fault::ServerLeaves(index) => {
+            deployment.bookings[index].command(ServiceCommand::Leaving { leaving: true });
+        }
+        Fault::LogOutage(kind) => deployment.log.command(LogCommand::Outage { kind }),
+        Fault::LogSlow => deployment.log.command(LogCommand::Slow { ms: 500 }),
+        Fault::LogAnswersLost => deployment.log.fault(&lose),
+        Fault::LogAppliesLate => {
+            deployment.log.command(LogCommand::ApplyLate { count: 3, ms: 1_500 });
+        }
+        Fault::LogLinkCut(vm) => deployment.cut_log(vm, true),
+        Fault::PeersCut(vm) => deployment.cut_peers(vm, true),
+        Fault::ZonePartitioned(vm) => {
+            deployment.cut_log(vm, true);
+            deployment.cut_peers(vm, true);
+        }
+        Fault::VmListFreezes => deployment.directory.fault(&FaultCommand::Freeze),
+        Fault::VmKilled(vm) => deployment.vms[vm].process().kill().unwrap(),
+        Fault::VmPaused(vm) => deployment.vms[vm].process().pause().unwrap(),
+    }
+}
+
+fn heal(deployment: &mut Deployment, fault: Fault) {
+    match fault {
+        Fault::EngineDies(index) => deployment.engines[index].fault(&FaultCommand::Restart),
+        Fault::EngineFreezes(index) => deployment.engines[index].fault(&FaultCommand::Thaw),
+        Fault::EngineAnswersSwapped(index) | Fault::EngineAnswersLost(index) => {
+            deployment.engines[index].fault(&FaultCommand::Clear);
+        }
+        Fault::EngineLeaves(index) => {
+            deployment.engines[index].command(EngineCommand::Leaving { leaving: false });
+        }
+        Fault::EngineStalls(index) => {
+            deployment.engines[index].command(EngineCommand::Stall { stalled: false });
+        }
+        Fault::ServerDies(index) => deployment.bookings[index].fault(&FaultCommand::Restart),
+        Fault::ServerAnswersLost(index) | Fault::ServerAnswersLate(index) => {
+            deployment.bookings[index].fault(&FaultCommand::Clear);
+        }
+        Fault::ServerLeaves(index) => {
+            deployment.bookings[index].command(ServiceCommand::Leaving { leaving: false });
+        }
+        Fault::LogOutage(_) => {
+            deployment.log.command(LogCommand::Outage { kind: OutageKind::None });
+        }
+        Fault::LogSlow => deployment.log.command(LogCommand::Slow { ms: 0 }),
+        Fault::LogAnswersLost => deployment.log.fault(&FaultCommand::Clear),
+        Fault::LogAppliesLate => {
+            deployment.log.command(LogCommand::ApplyLate { count: 0, ms: 0 });
+        }
+        Fault::LogLinkCut(vm) => deployment.cut_log(vm, false),
+        Fault::PeersCut(vm) => deployment.cut_peers(vm, false),
+        Fault::ZonePartitioned(vm) => {
+            deployment.cut_log(vm, false);
+            deployment.cut_peers(vm, false);
+        }
+        Fault::VmListFreezes => deployment.directory.fault(&FaultCommand::Thaw),
+        Fault::VmKilled(vm) => deployment.vms[vm].start(),
+        Fault::VmPaused(vm) => deployment.vms[vm].process().resume().unwrap(),
+        Fault::EngineTurnsCold(_)
+        | Fault::EngineConnectionsSilent(_)
+        | Fault::EngineLinkStalls(_)
+        | Fault::EngineLinkCut(_)
+        | Fault::ServerConnectionsSilent(_) => {}
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,7 +2,11 @@
 
 mod backends;
 mod calls;
+mod chaos;
+mod faults;
 mod jobs;
+mod matrix;
+mod moves;
 mod plans;
 mod stops;
 mod streams;
--- a/tests/all/support/caller.rs
+++ b/tests/all/support/caller.rs
@@ -159,9 +159,20 @@
         address: SocketAddr,
         prompt: &str,
         max_tokens: u32,
+    ) -> Result<HttpAnswer, String> {
+        self.complete_on(address, "report", prompt, max_tokens).await
+    }
+
+    /// Asks for a generation on a route without streaming.
+    pub(crate) async fn complete_on(
+        &self,
+        address: SocketAddr,
+        route: &str,
+        prompt: &str,
+        max_tokens: u32,
     ) -> Result<HttpAnswer, String> {
         let body = json!({ "model": "assistant", "prompt": prompt, "max_tokens": max_tokens });
-        let headers = [("x-route", "report")];
+        let headers = [("x-route", route)];
         self.send(Method::POST, address, "/v1/completions", &headers, body.to_string()).await
     }
 
@@ -200,6 +211,20 @@
         &self,
         address: SocketAddr,
         so_far: StreamedAnswer,
+    ) -> Result<StreamedAnswer, StreamedAnswer> {
+        self.resume_with(address, so_far, |_| {}).await
+    }
+
+    /// Continues a stream and calls `on_token` after each chunk with what arrived so far.
+    ///
+    /// # Errors
+    ///
+    /// What arrived before the connection broke.
+    pub(crate) async fn resume_with(
+        &self,
+        address: SocketAddr,
+        so_far: StreamedAnswer,
+        on_token: impl FnMut(&StreamedAnswer),
     ) -> Result<StreamedAnswer, StreamedAnswer> {
         let (id, _) = so_far.last_event.rsplit_once(':').unwrap();
         let path = format!("/v1/generations/{id}");
@@ -207,7 +232,7 @@
         let headers = [("last-event-id", last_event.as_str())];
         let request = self.request(Method::GET, address, &path, &headers, Bytes::new());
         let so_far = StreamedAnswer { reconnect: false, ..so_far };
-        self.read_stream(request, so_far, |_| {}).await
+        self.read_stream(request, so_far, on_token).await
     }
 
     async fn read_stream(
--- a/tests/all/support/deployment.rs
+++ b/tests/all/support/deployment.rs
@@ -14,7 +14,7 @@
 use dragonflycart_platform::{HttpLog, LogService, LogTopic, VmEntry, VmState};
 use dragonflycart_testkit::{
     DirectoryConfig, FakeDirectory, FakeEngine, FakeLog, FakeService, FakeWeights, FaultRelay,
-    WeightConfig,
+    RelayCommand, RelayMode, RelayScope, WeightConfig,
 };
 use dragonflycart_wire::{LogEntry, PlanProposal, RecordBatch, log_entry::Kind};
 use hyper::Method;
@@ -47,12 +47,17 @@
     pub(crate) vms: Vec<VmProcess>,
     /// Relay through which each VM reaches the log service.
     pub(crate) log_relays: Vec<FaultRelay>,
-    /// Relay in front of each VM's peer address, if the deployment has them.
+    /// Relay of each direction between two VMs, if the deployment has them.
     pub(crate) peer_relays: Vec<FaultRelay>,
+    /// Relay in front of each engine, if the deployment has them.
+    pub(crate) engine_relays: Vec<FaultRelay>,
     /// Plan as submitted last.
     pub(crate) plan: OperatingPlan,
     /// Revision of the plan submitted last by the fixture.
     pub(crate) revision: u64,
+    peer_addresses: Vec<SocketAddr>,
+    /// Numbers of the two VMs of each relay, the one that connects first.
+    peer_links: Vec<(usize, usize)>,
     submissions: u64,
     spec: DeploymentSpec,
     folder: PathBuf,
@@ -87,8 +92,11 @@
             vms: Vec::new(),
             log_relays: Vec::new(),
             peer_relays: Vec::new(),
+            engine_relays: Vec::new(),
             plan: first_plan(&spec),
             revision: 0,
+            peer_addresses: Vec::new(),
+            peer_links: Vec::new(),
             submissions: 0,
             spec,
             folder,
@@ -100,7 +108,12 @@
 
     async fn start_fakes(&mut self) {
         for _ in 0..self.spec.zones * self.spec.engines {
-            self.engines.push(FakeEngine::start(self.spec.engine.clone()).await.unwrap());
+            let engine = FakeEngine::start(self.spec.engine.clone()).await.unwrap();
+            if self.spec.engine_relays {
+                let relay = FaultRelay::start(engine.address()).await.unwrap();
+                self.engine_relays.push(relay);
+            }
+            self.engines.push(engine);
         }
         for _ in 0..self.spec.zones * self.spec.bookings {
             self.bookings.push(FakeService::start(self.spec.booking.clone()).await.unwrap());
@@ -111,34 +124,58 @@
         let count = usize::from(self.spec.zones * self.spec.seats);
         let own: Vec<[SocketAddr; 3]> =
             (0..count).map(|_| [free_address(), free_address(), free_address()]).collect();
-        let mut reachable = Vec::new();
         let mut entries = Vec::new();
         for (index, [_, _, peer]) in own.iter().enumerate() {
-            let mut address = *peer;
-            if self.spec.peer_relays {
-                let relay = FaultRelay::start(*peer).await.unwrap();
-                address = relay.address();
-                self.peer_relays.push(relay);
-            }
-            reachable.push(address);
+            self.peer_addresses.push(*peer);
             let zone = zone_name(index as u16 / self.spec.seats);
-            entries.push(VmEntry { address, zone, state: VmState::Live });
+            entries.push(VmEntry { address: *peer, zone, state: VmState::Live });
             self.log_relays.push(FaultRelay::start(self.log.address()).await.unwrap());
         }
-        self.directory.replace(entries);
+        if self.spec.peer_relays {
+            // The list would show addresses that go round the relays; it is only a hint.
+            self.start_peer_relays().await;
+        } else {
+            self.directory.replace(entries);
+        }
         for (index, [http, admin, peer]) in own.into_iter().enumerate() {
-            let text = self.settings(index, [http, admin, peer], &reachable);
+            let text = self.settings(index, index, [http, admin, peer]);
             let path = self.folder.join(format!("vm-{index}.ini"));
             fs::write(&path, text).unwrap();
             self.vms.push(VmProcess::new(http, admin, path));
         }
     }
 
+    async fn start_peer_relays(&mut self) {
+        for (to, target) in self.peer_addresses.iter().enumerate() {
+            for from in 0..self.peer_addresses.len() {
+                if from != to {
+                    let relay = FaultRelay::start(*target).await.unwrap();
+                    self.peer_relays.push(relay);
+                    self.peer_links.push((from, to));
+                }
+            }
+        }
+    }
+
+    /// Returns the addresses at which VM `from` reaches the others.
+    fn addresses_from(&self, from: usize) -> Vec<String> {
+        let mut addresses = Vec::new();
+        for (to, address) in self.peer_addresses.iter().enumerate() {
+            if to == from {
+                continue;
+            }
+            let link = self.peer_links.iter().position(|link| *link == (from, to));
+            let address = link.map_or(*address, |link| self.peer_relays[link].address());
+            addresses.push(address.to_string());
+        }
+        addresses
+    }
+
     fn settings(
         &self,
         index: usize,
+        log_relay: usize,
         [http, admin, peer]: [SocketAddr; 3],
-        reachable: &[SocketAddr],
     ) -> String {
         let spec = &self.spec;
         let zone = index as u16 / spec.seats;
@@ -150,20 +187,16 @@
         for zone in 0..spec.zones {
             writeln!(text, "zone-{zone} = {}, region-0", spec.seats).unwrap();
         }
-        let mut others = Vec::new();
-        for (other, address) in reachable.iter().enumerate() {
-            if other != index {
-                others.push(address.to_string());
-            }
-        }
+        let others = self.addresses_from(index);
         writeln!(
             text,
             "\n[peers]\naddresses = {}\n\n[platform]\nlog = {}\nvm_list = {}\n\
-             weight_store = {}\n\n[timeouts]\n{}\n\n[drain]\n{}\n\n[log]\nlevel = info\n",
+             weight_store = {}\n{}\n\n[timeouts]\n{}\n\n[drain]\n{}\n\n[log]\nlevel = info\n",
             others.join(", "),
-            self.log_relays[index].address(),
+            self.log_relays[log_relay].address(),
             self.directory.address(),
             self.weights.address(),
+            spec.platform,
             spec.timeouts,
             spec.drain,
         )
@@ -188,11 +221,12 @@
         writeln!(text, "[operator:rival]\ncredential = rival-credential-0001\n").unwrap();
         for (index, engine) in self.engines.iter().enumerate() {
             let zone = index as u16 / self.spec.engines;
+            let relay = self.engine_relays.get(index);
+            let address = relay.map_or(engine.address(), FaultRelay::address);
             writeln!(
                 text,
-                "[engine:engine-{index}]\naddress = {}\nzone = zone-{zone}\n\
+                "[engine:engine-{index}]\naddress = {address}\nzone = zone-{zone}\n\
                  models = assistant\nchecks_fences = yes\ncold_limit = 2\nramp = 5s\n",
-                engine.address(),
             )
             .unwrap();
         }
@@ -208,6 +242,59 @@
         }
     }
 
+    /// Starts another VM with the seat of VM `index`, as a replacement whose predecessor still
+    /// runs, and returns its index.
+    pub(crate) async fn start_double(&mut self, index: usize) -> usize {
+        let [http, admin, peer] = [free_address(), free_address(), free_address()];
+        self.log_relays.push(FaultRelay::start(self.log.address()).await.unwrap());
+        let mut text = self.settings(index, self.vms.len(), [http, admin, peer]);
+        // The double reaches its predecessor too; the predecessor learns of it by its hello.
+        let predecessor = self.peer_addresses[index];
+        text = text.replacen("addresses = ", &format!("addresses = {predecessor}, "), 1);
+        let path = self.folder.join(format!("vm-{}.ini", self.vms.len()));
+        fs::write(&path, text).unwrap();
+        let mut vm = VmProcess::new(http, admin, path);
+        vm.start();
+        self.vms.push(vm);
+        self.vms.len() - 1
+    }
+
+    /// Cuts a VM off from the log service, or connects it again.
+    pub(crate) fn cut_log(&self, index: usize, cut: bool) {
+        set_relay(&self.log_relays[index], cut);
+    }
+
+    /// Cuts a VM off from all peers, or connects it again. Only with relays.
+    pub(crate) fn cut_peers(&self, index: usize, cut: bool) {
+        for (relay, (from, to)) in self.peer_relays.iter().zip(&self.peer_links) {
+            if *from == index || *to == index {
+                set_relay(relay, cut);
+            }
+        }
+    }
+
+    /// Returns the addresses for callers of all VMs.
+    pub(crate) fn callers_addresses(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|vm| vm.http).collect()
+    }
+
+    /// Returns how many requests reached an engine in cold start above what it could handle, over
+    /// all engines.
+    pub(crate) fn cold_overloads(&self) -> u64 {
+        self.engines.iter().map(|engine| engine.stats().cold_overloads).sum()
+    }
+
+    /// Returns how many generations of a version the engines accepted.
+    pub(crate) fn accepted(&self, version: &str) -> usize {
+        let prefix = format!("{version} ");
+        let mut count = 0;
+        for engine in &self.engines {
+            let stats = engine.stats();
+            count += stats.accepted.iter().filter(|entry| entry.starts_with(&prefix)).count();
+        }
+        count
+    }
+
     /// Appends the plan as a proposal on the current revision and returns the new revision.
     pub(crate) async fn submit_plan(&mut self) -> u64 {
         self.submissions += 1;
@@ -277,6 +364,16 @@
     }
 }
 
+/// Drops all bytes of a relay's connections, or closes them and passes new ones.
+fn set_relay(relay: &FaultRelay, cut: bool) {
+    if cut {
+        relay.apply(RelayCommand { scope: RelayScope::All, mode: RelayMode::Discard });
+        return;
+    }
+    relay.apply(RelayCommand { scope: RelayScope::New, mode: RelayMode::Pass });
+    relay.apply(RelayCommand { scope: RelayScope::Open, mode: RelayMode::Cut });
+}
+
 fn first_plan(spec: &DeploymentSpec) -> OperatingPlan {
     let mut plan = OperatingPlan::default();
     let (model, version) = loaded("assistant", "v1");
--- a/tests/all/support/deployment_spec.rs
+++ b/tests/all/support/deployment_spec.rs
@@ -24,6 +24,10 @@
     pub(crate) forced_prefix: bool,
     /// Whether VMs reach their peers through relays that tests can cut.
     pub(crate) peer_relays: bool,
+    /// Whether VMs reach the engines through relays that tests can cut.
+    pub(crate) engine_relays: bool,
+    /// Lines added to section `[platform]`.
+    pub(crate) platform: String,
     /// Lines added to section `[drain]`.
     pub(crate) drain: String,
     /// Lines added to section `[timeouts]`.
@@ -45,6 +49,8 @@
             log: LogConfig::default(),
             forced_prefix: true,
             peer_relays: false,
+            engine_relays: false,
+            platform: String::new(),
             drain: "balancer_lag = 200ms".to_owned(),
             timeouts: "report_poll = 200ms".to_owned(),
         }
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -5,14 +5,16 @@
 mod deployment_spec;
 mod operator;
 mod port_pool;
+mod traffic;
 mod vm_process;
 mod wait;
 
 pub(crate) use self::{
     caller::{Caller, HttpAnswer, StreamedAnswer},
     deployment::{Deployment, zone_name},
-    deployment_spec::DeploymentSpec,
+    deployment_spec::{DeploymentSpec, loaded},
     operator::{Operator, submit_answer},
+    traffic::{Traffic, TrafficReport},
     vm_process::VmProcess,
     wait::wait_for,
 };
--- a/tests/all/support/operator.rs
+++ b/tests/all/support/operator.rs
@@ -35,11 +35,21 @@
         base: u64,
         plan: &OperatingPlan,
     ) -> HttpAnswer {
+        self.try_submit(address, base, plan).await.unwrap()
+    }
+
+    /// Proposes a plan; returns `None` if the VM can't be reached.
+    pub(crate) async fn try_submit(
+        &self,
+        address: SocketAddr,
+        base: u64,
+        plan: &OperatingPlan,
+    ) -> Option<HttpAnswer> {
         let base_revision = PlanRevision(base);
         let submit_id = SubmitId::of_plan(base_revision, plan);
         let request = SubmitRequest { base_revision, submit_id, plan: plan.clone() };
         let body = serde_json::to_vec(&request).unwrap();
-        self.caller.send(Method::POST, address, PLAN_PATH, &[], body).await.unwrap()
+        self.caller.send(Method::POST, address, PLAN_PATH, &[], body).await.ok()
     }
 
     /// Changes the state of a zone.
