Add planned stops to the random schedules and test a version that never loads

A request must not fail because the move assigned it to a version that no engine carries. The fixture ends a VM that still runs before it starts its replacement, because the old process holds the addresses.

--- a/tests/all/chaos/fault_schedule.rs
+++ b/tests/all/chaos/fault_schedule.rs
@@ -45,6 +45,7 @@
     VmListFreezes,
     VmKilled(usize),
     VmPaused(usize),
+    VmStopped(usize),
 }
 
 /// Random faults with their ends.
@@ -100,7 +101,7 @@
         let engine = self.rng.random_range(0..deployment.engines.len());
         let server = self.rng.random_range(0..deployment.bookings.len());
         let vm = self.rng.random_range(0..deployment.vms.len());
-        match self.rng.random_range(0..31) {
+        match self.rng.random_range(0..33) {
             0 => Fault::EngineDies(engine),
             1 => Fault::EngineTurnsCold(engine),
             2 => Fault::EngineConnectionsSilent(engine),
@@ -127,16 +128,17 @@
             23 => Fault::ZonePartitioned(vm),
             24 => Fault::VmListFreezes,
             25..=27 => Fault::VmKilled(vm),
+            28..=29 => Fault::VmStopped(vm),
             _ => Fault::VmPaused(vm),
         }
     }
 
-    /// Returns whether a fault may be added. At most one VM is killed or paused at a time, and no
+    /// Returns whether a fault may be added. At most one VM is killed, stopped or paused at a time, and no
     /// more than one engine is dead or frozen, so that requests can be served at all; everything
     /// else may occur together and twice.
     fn is_allowed(&self, fault: Fault) -> bool {
         let kind = |fault| match fault {
-            Fault::VmKilled(_) | Fault::VmPaused(_) => 1,
+            Fault::VmKilled(_) | Fault::VmPaused(_) | Fault::VmStopped(_) => 1,
             Fault::EngineDies(_) | Fault::EngineFreezes(_) => 2,
             Fault::ServerDies(_) => 3,
             Fault::LogOutage(_) => 4,
@@ -197,6 +199,7 @@
         Fault::VmListFreezes => deployment.directory.fault(&FaultCommand::Freeze),
         Fault::VmKilled(vm) => deployment.vms[vm].process().kill().unwrap(),
         Fault::VmPaused(vm) => deployment.vms[vm].process().pause().unwrap(),
+        Fault::VmStopped(vm) => deployment.vms[vm].process().terminate().unwrap(),
     }
 }
 
@@ -235,7 +238,8 @@
             deployment.cut_peers(vm, false);
         }
         Fault::VmListFreezes => deployment.directory.fault(&FaultCommand::Thaw),
-        Fault::VmKilled(vm) => deployment.vms[vm].start(),
+        // A VM that has not ended its planned stop by then is killed.
+        Fault::VmKilled(vm) | Fault::VmStopped(vm) => deployment.vms[vm].start(),
         Fault::VmPaused(vm) => deployment.vms[vm].process().resume().unwrap(),
         Fault::EngineTurnsCold(_)
         | Fault::EngineConnectionsSilent(_)
--- a/tests/all/moves.rs
+++ b/tests/all/moves.rs
@@ -57,6 +57,10 @@
 
 /// Starts the load and submits a plan with a move from `v1` to `v2`.
 async fn start_move(deployment: &mut Deployment) -> Traffic {
+    start_move_within(deployment, MOVE_TIME).await
+}
+
+async fn start_move_within(deployment: &mut Deployment, time: Duration) -> Traffic {
     let traffic =
         Traffic::start(&deployment.callers_addresses(), 18, 4, Duration::from_millis(100));
     let (model, to) = loaded("assistant", "v2");
@@ -66,7 +70,7 @@
     }
     let start = wall_now();
     let from = VersionName::new("v1").unwrap();
-    let planned = VersionMove { model, from, to, start, deadline: start.after(MOVE_TIME) };
+    let planned = VersionMove { model, from, to, start, deadline: start.after(time) };
     deployment.plan.moves.insert(MoveId(MOVE.to_owned()), planned);
     let revision = deployment.submit_plan().await;
     for vm in 0..3 {
@@ -213,3 +217,24 @@
     let served = deployment.accepted("v2");
     assert!(served <= 2 * BAD_LIMIT, "{served} requests on the bad version");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn version_that_never_loads_is_rolled_back_without_a_failed_request() {
+    // Guards against requests that are refused because no engine carries the version to which
+    // the move assigned them, and against a move that ends without a report.
+    let base = DeploymentSpec::default();
+    let engine = EngineConfig { load_ms: 600_000, max_batch: 64, ..base.engine };
+    let mut deployment =
+        Deployment::start(DeploymentSpec { zones: 3, engine, ..DeploymentSpec::default() }).await;
+    let traffic = start_move_within(&mut deployment, Duration::from_secs(25)).await;
+
+    for vm in 0..3 {
+        let status = wait_end(&deployment, vm).await;
+        assert_eq!(status.state, MoveState::RolledBack, "{status:?}");
+        assert!(status.reason.is_some(), "{status:?}");
+    }
+    let report = traffic.stop().await;
+
+    assert_no_failure(&report);
+    assert_eq!(deployment.accepted("v2"), 0);
+}
--- a/tests/all/support/vm_process.rs
+++ b/tests/all/support/vm_process.rs
@@ -20,8 +20,10 @@
         VmProcess { http, admin, settings, process: None }
     }
 
-    /// Starts the daemon; also used to replace one that was killed.
+    /// Starts the daemon; also used to replace one that was killed. One that still runs is killed
+    /// first, because it holds the addresses.
     pub(crate) fn start(&mut self) {
+        self.process = None;
         let program = PathBuf::from(env!("CARGO_BIN_EXE_dragonflycartd"));
         let arguments = [PathBuf::from("run"), self.settings.clone()];
         self.process = Some(ChildProcess::start(&program, arguments).unwrap());
