--- a/crates/node/src/control/call_control.rs
+++ b/crates/node/src/control/call_control.rs
@@ -114,8 +114,7 @@
                 }
             }
             CallMessage::TakePermit(claim_id, reply) => {
-                let entry = self.attempts.get_mut(&claim_id);
-                let permit = entry.and_then(|entry| entry.attempt.take_permit(moment.now));
+                let permit = self.take_permit(claim_id, moment);
                 if let Err(Some(permit)) = reply.send(permit) {
                     // The runner is gone, so nothing was sent.
                     self.return_permit(permit);
@@ -190,6 +189,15 @@
         }
     }
 
+    /// Hands out a permit after a last look at the ledger, which notices a pause of this VM that
+    /// lasted longer than the call window.
+    fn take_permit(&mut self, claim_id: ClaimId, moment: CallMoment) -> Option<DispatchPermit> {
+        let ledger = self.ledger.as_ref()?;
+        let entry = self.attempts.get_mut(&claim_id)?;
+        entry.attempt.observe(ledger, moment.wall);
+        entry.attempt.take_permit(moment.now)
+    }
+
     fn return_permit(&mut self, permit: DispatchPermit) {
         let claim_id = permit.claim_id();
         if let Some(entry) = self.attempts.get_mut(&claim_id)
@@ -340,13 +348,15 @@
             }
         }
         let waited = self.checkpoint_at.is_none_or(|at| moment.now.since(at) >= CHECKPOINT_PERIOD);
-        let has_keys = ledger.key_count() > 0;
-        if waited && has_keys && ledger.checkpoint_due(moment.wall, stagger(self.own, self.limits))
-        {
+        if waited && ledger.checkpoint_due(moment.wall, stagger(self.own, self.limits)) {
             self.checkpoint_at = Some(moment.now);
             for entry in ledger.checkpoint(moment.wall) {
                 let Some(kind) = entry.kind else { continue };
-                let _ = appends.push(LogTopic::Calls, kind, moment.now);
+                // A checkpoint after missing copies would let a new VM run a call again.
+                if let Err(error) = appends.push(LogTopic::Calls, kind, moment.now) {
+                    warn!("call: checkpoint is put off; error={error}");
+                    return;
+                }
             }
         }
     }
--- a/crates/node/src/control/control_loop/request_part.rs
+++ b/crates/node/src/control/control_loop/request_part.rs
@@ -1,6 +1,6 @@
 //! Placement of requests and what becomes of them.
 
-use dragonflycart_core::{ErrorKind, MonoTime, ServiceError, TeamName, WallTime};
+use dragonflycart_core::{ErrorKind, MonoTime, ServiceError, TeamName, VersionName, WallTime};
 use dragonflycart_policy::{MoveCounts, PriorityClass, RequestTicket, WorkPool, WorkRequest};
 
 use super::{ControlLoop, RunningWork, SLOW_FIRST_TOKEN, SLOW_GAP, UNANSWERED_LIMIT};
@@ -13,7 +13,13 @@
         &mut self,
         ask: GenerationAsk,
     ) -> Result<PlacedGeneration, ServiceError> {
-        let Some(version) = self.versions.choose(&ask.model, &ask.route, &ask.key) else {
+        let now = self.clock.now();
+        let can_serve = |version: &VersionName| {
+            let pool = WorkPool::Generation(ask.model.clone(), version.clone());
+            self.placement.engine().can_serve(&pool, now)
+        };
+        let chosen = self.versions.choose(&ask.model, &ask.route, &ask.key, can_serve);
+        let Some(version) = chosen else {
             let message = format!("model {}: the plan in effect places no version", ask.model);
             return Err(ServiceError::new(ErrorKind::NotFound, message));
         };
--- a/crates/node/src/control/job_control.rs
+++ b/crates/node/src/control/job_control.rs
@@ -351,13 +351,17 @@
         };
         let waited = self.checkpoint_at.is_none_or(|at| moment.now.since(at) >= CHECKPOINT_PERIOD);
         let due = ledger.checkpoint_due(moment.wall, stagger(self.own, self.limits));
-        if !waited || !due || ledger.position() == LogOffset(0) {
+        if !waited || !due {
             return;
         }
         self.checkpoint_at = Some(moment.now);
         for entry in ledger.checkpoint(moment.wall) {
             let Some(kind) = entry.kind else { continue };
-            let _ = appends.push(LogTopic::Jobs, kind, moment.now);
+            // A checkpoint after missing copies would let a new VM take a job for unknown.
+            if let Err(error) = appends.push(LogTopic::Jobs, kind, moment.now) {
+                warn!("job: checkpoint is put off; error={error}");
+                return;
+            }
         }
     }
 }
--- a/crates/node/src/http/generation_handler.rs
+++ b/crates/node/src/http/generation_handler.rs
@@ -173,6 +173,12 @@
     {
         return Ok(stream_response(front, buffer, None, next));
     }
+    if last_event.is_none() && next > 0 {
+        // Only an event id tells which engine generated the token before; the path may name an
+        // engine that the generation has left, whose tokens would not fit.
+        let message = "last-event-id: required to continue in the middle at another VM";
+        return Err(ServiceError::new(ErrorKind::BadRequest, message));
+    }
     let resumer = StreamResumer::new(front.runner.clone());
     let buffer = resumer.resume(&id, next).await?;
     Ok(stream_response(front, buffer, None, next))
