Keep latched zones out in a plan that changes another zone

A change of one zone copied the plan without the latches, so taking zone A out would have returned a latched zone B to service. A VM that has not read the log also no longer answers a conflict for a submission it can't judge.

--- a/crates/node/src/control/control_loop/admin_part.rs
+++ b/crates/node/src/control/control_loop/admin_part.rs
@@ -67,6 +67,12 @@
             return;
         }
         planned.state = request.state;
+        // The new plan states every zone, which ends latches; those of other zones stay out.
+        for (other, planned) in &mut plan.zones {
+            if *other != zone && self.peers.zone_is_out(other, self.plan.state()) {
+                planned.state = ZoneState::Out;
+            }
+        }
         let request = SubmitRequest {
             base_revision: request.base_revision,
             submit_id: request.submit_id,
--- a/crates/node/src/control/submit_control.rs
+++ b/crates/node/src/control/submit_control.rs
@@ -47,8 +47,11 @@
         }
         let current = plan.revision();
         if request.base_revision < current {
-            // A proposal on an older revision can't win any more.
-            let _ = reply.send(Ok(conflict(plan)));
+            // A proposal on an older revision can't win any more. Whether this one did is known
+            // only to a VM that has read the log.
+            let decided = plan.is_trusted() && moment.log_lost_at.is_none();
+            let answer = if decided { conflict(plan) } else { SubmitAnswer::Unknown };
+            let _ = reply.send(Ok(answer));
             return;
         }
         if !plan.accepts_base(request.base_revision) {
