Retry at a server that only refused when no other server is left

When two engines were restarted together, a request that lost the first one and was refused by the second ("the backend server was restarted") avoided both and waited for the queue patience of 60 s, although both engines took work again. A retry may now return to a server that refused it, after a load report newer than the refusal and only if no untried usable server of the retry set is left. A server that may have run the request stays excluded, and the limit of attempts is unchanged. Every attempt but the first begins a new epoch, because a server answers 409 to an epoch that it knows.

Ruled out: the cold slots (the engines were warm 3 s after their restart) and the retry budget (its patience runs from the failure and ends with a rejection; the policy test has no shortage).

--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -145,9 +145,11 @@
 
     async fn run_attempts(&mut self) -> Result<FinishReason, ServiceError> {
         let mut message = "no backend server became free in time".to_owned();
+        let mut first = true;
         loop {
             let grant = self.next_grant(&message).await?;
-            let prefix = if self.epoch == 0 && self.assembler.is_untouched() {
+            // A server that knows the generation from an earlier attempt refuses the same epoch.
+            let prefix = if std::mem::take(&mut first) {
                 Vec::new()
             } else {
                 self.next_epoch(&message).await?
--- a/crates/policy/src/placement_engine/request_flow.rs
+++ b/crates/policy/src/placement_engine/request_flow.rs
@@ -48,6 +48,8 @@
             charged: 0,
             server: None,
             failed_on: Vec::new(),
+            failed_at: now,
+            lost_on: Vec::new(),
             server_failures: 0,
             retry: false,
         };
@@ -204,6 +206,10 @@
         self.settle(&entry, entry.tokens, now);
         entry.server = None;
         entry.failed_on.push(server);
+        entry.failed_at = now;
+        if failure.may_have_run() {
+            entry.lost_on.push(server);
+        }
         if failure.is_server_failure() {
             entry.server_failures += 1;
             self.placer.servers.get_mut(server).signal(ColdSignal::ConnectionReset, now);
--- a/crates/policy/src/request_entry.rs
+++ b/crates/policy/src/request_entry.rs
@@ -31,6 +31,10 @@
     pub(crate) server: Option<ServerKey>,
     /// Servers on which an attempt failed.
     pub(crate) failed_on: Vec<ServerKey>,
+    /// Time of the last failure.
+    pub(crate) failed_at: MonoTime,
+    /// Those of them that may have run it.
+    pub(crate) lost_on: Vec<ServerKey>,
     /// Number of server failures while the request ran on them.
     pub(crate) server_failures: u32,
     /// Whether the next attempt is a retry, which is limited to the retry subset.
--- a/crates/policy/src/request_placer.rs
+++ b/crates/policy/src/request_placer.rs
@@ -255,6 +255,24 @@
         }
     }
 
+    /// Returns whether a retry must avoid a server that failed the request. One that only refused
+    /// it, for example because it was restarted, may get it again after a new report when no other
+    /// server is left.
+    fn avoids(&self, entry: &RequestEntry, key: ServerKey, now: MonoTime) -> bool {
+        if !entry.failed_on.contains(&key) {
+            return false;
+        }
+        let timeout = self.settings.report_timeout;
+        let untried = |server: &ServerKey| {
+            !entry.failed_on.contains(server) && self.servers.get(*server).is_usable(now, timeout)
+        };
+        let subset = self.subsets.get(&(entry.team, entry.pool));
+        let report = self.servers.get(key).report.as_ref();
+        entry.lost_on.contains(&key)
+            || report.is_none_or(|report| report.taken_at <= entry.failed_at)
+            || subset.is_some_and(|subset| subset.servers().iter().any(untried))
+    }
+
     fn candidate(
         &mut self,
         entry: &RequestEntry,
@@ -263,7 +281,7 @@
         now: MonoTime,
     ) -> Option<PlacementCandidate> {
         let state = self.servers.get(key);
-        if !state.is_usable(now, self.settings.report_timeout) || entry.failed_on.contains(&key) {
+        if !state.is_usable(now, self.settings.report_timeout) || self.avoids(entry, key, now) {
             return None;
         }
         if entry.retry && !self.subsets.get(&(entry.team, entry.pool))?.contains(key) {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -89,3 +89,24 @@
         assert_eq!(engine.tick(at(4)), vec![PlacementDecision::Reject { ticket, kind }]);
     }
 }
+
+/// Guards against a request that waits in vain when the only other server refused it, for example
+/// because both were restarted at the same time.
+#[test]
+fn request_returns_to_a_server_that_only_refused_it() {
+    let (mut engine, keys) = single_vm(settings(1), 2);
+    for key in &keys {
+        engine.report(at(1), *key, report(at(1)));
+    }
+    let ticket = engine.submit(at(2), request("a"));
+    engine.tick(at(2));
+    engine.failed(at(3), ticket, AttemptFailure::ServerLost);
+    let second = dispatches(&engine.tick(at(4)))[0].1;
+    engine.failed(at(5), ticket, AttemptFailure::Refused);
+    assert_eq!(engine.tick(at(400)), vec![], "no report since the refusal");
+    for key in &keys {
+        engine.report(at(500), *key, report(at(500)));
+    }
+
+    assert_eq!(dispatches(&engine.tick(at(600))), vec![(ticket, second)]);
+}
