--- a/crates/policy/src/move_judge.rs
+++ b/crates/policy/src/move_judge.rs
@@ -214,9 +214,6 @@
             .max_by(|a, b| (a.0 * a.3.evidence()).total_cmp(&(b.0 * b.3.evidence())));
         let (_, route, measure, test) = strongest?;
         let counts = test.recent();
-        if !counts.shows_worse(self.settings.margin) {
-            return None;
-        }
         Some(MoveReason::Worse { route: route.cloned(), measure, counts, evidence })
     }
 
--- a/crates/policy/src/move_stratum.rs
+++ b/crates/policy/src/move_stratum.rs
@@ -23,12 +23,6 @@
 const RESCALE_ABOVE: f64 = 1e200;
 
 impl MoveStratum {
-    /// Returns whether the rate of the new version is higher than `factor` times that of the old
-    /// one, or the old one has no requests.
-    pub fn shows_worse(&self, factor: f64) -> bool {
-        self.new_bad as f64 * self.old as f64 >= factor * self.old_bad as f64 * self.new as f64
-    }
-
     /// Returns the sum of two strata, for reports.
     #[must_use]
     pub fn plus(&self, other: &MoveStratum) -> MoveStratum {
