--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,7 +2,10 @@
 
 mod moves_baseline;
 mod moves_case;
+mod moves_conclusion;
+mod moves_message;
 mod moves_outcome;
+mod moves_rates;
 mod moves_run;
 mod moves_scenario;
 mod moves_summary;
--- a/crates/bench/src/moves_baseline.rs
+++ b/crates/bench/src/moves_baseline.rs
@@ -5,7 +5,8 @@
 use crate::{
     MovesCase, MovesOutcome, MovesTraffic,
     moves_case::{ROUTES, SPAN_S, VMS, WATCH_S},
-    moves_traffic::{Conclusion, TICK_S},
+    moves_conclusion::MovesConclusion,
+    moves_traffic::TICK_S,
 };
 
 /// Share of the new version from a fraction of the time on.
@@ -74,7 +75,7 @@
         step.map_or(0.0, |(_, share)| share)
     }
 
-    fn count(&mut self, concluded: &[Conclusion]) {
+    fn count(&mut self, concluded: &[MovesConclusion]) {
         for conclusion in concluded.iter().filter(|conclusion| conclusion.side == 1) {
             self.window = self.window.plus(conclusion.counts);
         }
--- a/crates/bench/src/moves_case.rs
+++ b/crates/bench/src/moves_case.rs
@@ -3,7 +3,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::MovesScenario;
+use crate::{MovesScenario, moves_rates::MovesRates};
 
 /// Entry VMs, two in each of three availability zones.
 pub const VMS: usize = 6;
@@ -20,13 +20,6 @@
 /// Fractions of the traffic per route.
 const ROUTE_FRACTIONS: [f64; ROUTES] = [0.55, 0.26, 0.15, 0.04];
 
-/// Failure and slow rate of one version.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Rates {
-    failed: f64,
-    slow: f64,
-}
-
 /// Parameters of one run, drawn from its seed. Times are in seconds since the start of the move.
 #[derive(Debug, Clone)]
 pub struct MovesCase {
@@ -40,9 +33,9 @@
     pub partition: Option<(f64, f64)>,
     /// Times between which the log service is down.
     pub log_outage: Option<(f64, f64)>,
-    old: Rates,
-    good: Rates,
-    bad: Rates,
+    old: MovesRates,
+    good: MovesRates,
+    bad: MovesRates,
     bad_from: f64,
     bad_share: f64,
     bad_route: Option<usize>,
@@ -53,11 +46,11 @@
     /// Draws the parameters of a run.
     pub fn draw(scenario: MovesScenario, seed: u64) -> MovesCase {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let old = Rates {
+        let old = MovesRates {
             failed: log_range(&mut rng, 0.0005, 0.01),
             slow: 0.01 + 0.04 * rng.random::<f64>(),
         };
-        let good = Rates {
+        let good = MovesRates {
             failed: old.failed * rng.random_range(0.8..1.2),
             slow: old.slow * rng.random_range(0.8..1.2),
         };
--- a/crates/bench/src/moves_run.rs
+++ b/crates/bench/src/moves_run.rs
@@ -14,7 +14,9 @@
 use crate::{
     MovesCase, MovesOutcome, MovesTraffic,
     moves_case::{ROUTES, SPAN_S, VMS, WATCH_S},
-    moves_traffic::{Conclusion, TICK_S},
+    moves_conclusion::MovesConclusion,
+    moves_message::{BucketCounts, MovesMessage},
+    moves_traffic::TICK_S,
 };
 
 /// Start of the move on the wall clock.
@@ -26,16 +28,6 @@
 /// Time after its end for which the counters of a bucket may change.
 const OPEN_BUCKETS_S: u64 = 5;
 
-/// Counters of one bucket of one VM, per route and version.
-type BucketCounts = [[MoveCounts; 2]; ROUTES];
-
-/// Message between VMs.
-#[derive(Debug, Clone)]
-enum Message {
-    Counters { source: usize, bucket_s: u64, counts: Box<BucketCounts> },
-    Latch(MoveState),
-}
-
 /// One run: the control of each VM, their links and the record of what happened.
 #[derive(Debug)]
 pub struct MovesRun {
@@ -49,7 +41,7 @@
     shares: [[f64; ROUTES]; VMS],
     own: Vec<BTreeMap<u64, BucketCounts>>,
     sent: Vec<BTreeMap<u64, BucketCounts>>,
-    links: BTreeMap<(usize, usize), VecDeque<(f64, Message)>>,
+    links: BTreeMap<(usize, usize), VecDeque<(f64, MovesMessage)>>,
     oracle: MoveJudge,
     oracle_evidence: MoveEvidence,
     sufficient: [Option<f64>; 2],
@@ -129,7 +121,7 @@
     }
 
     /// Adds concluded requests to the counters of their VM.
-    fn count(&mut self, concluded: &[Conclusion]) {
+    fn count(&mut self, concluded: &[MovesConclusion]) {
         for conclusion in concluded {
             let bucket_s = wall(conclusion.started).as_unix_millis() / 1_000;
             let own = self.own[conclusion.vm].entry(bucket_s).or_default();
@@ -156,7 +148,7 @@
                 if bucket_s >= open_s && self.is_reachable(vm, now) {
                     merge(&mut self.oracle_evidence, &self.routes, vm, bucket_s, &counts);
                 }
-                let message = Message::Counters { source: vm, bucket_s, counts };
+                let message = MovesMessage::Counters { source: vm, bucket_s, counts };
                 self.apply(vm, message.clone());
                 self.broadcast(now, vm, &message);
             }
@@ -176,7 +168,7 @@
         self.case.connected(now, vm, VMS - 1)
     }
 
-    fn broadcast(&mut self, now: f64, from: usize, message: &Message) {
+    fn broadcast(&mut self, now: f64, from: usize, message: &MovesMessage) {
         for to in 0..VMS {
             if to == from || !self.case.connected(now, from, to) {
                 continue;
@@ -203,10 +195,10 @@
         }
     }
 
-    fn apply(&mut self, vm: usize, message: Message) {
+    fn apply(&mut self, vm: usize, message: MovesMessage) {
         match message {
-            Message::Latch(state) => self.states[vm] = self.states[vm].merge(state),
-            Message::Counters { source, bucket_s, counts } => {
+            MovesMessage::Latch(state) => self.states[vm] = self.states[vm].merge(state),
+            MovesMessage::Counters { source, bucket_s, counts } => {
                 merge(&mut self.evidence[vm], &self.routes, source, bucket_s, &counts);
             }
         }
@@ -243,7 +235,7 @@
     fn broadcast_latch(&mut self, now: f64, vm: usize, state: MoveState) {
         let behind = self.states.iter().any(|known| *known < state);
         if behind {
-            self.broadcast(now, vm, &Message::Latch(state));
+            self.broadcast(now, vm, &MovesMessage::Latch(state));
         }
     }
 
--- a/crates/bench/src/moves_traffic.rs
+++ b/crates/bench/src/moves_traffic.rs
@@ -6,7 +6,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::moves_case::{MovesCase, ROUTES, VMS};
+use crate::{
+    moves_case::{MovesCase, ROUTES, VMS},
+    moves_conclusion::MovesConclusion,
+};
 
 /// Length of one step of virtual time.
 pub const TICK_S: f64 = 0.25;
@@ -14,27 +17,12 @@
 /// Latency objective; a request that is open for longer counts as slow.
 const OBJECTIVE_S: f64 = 4.0;
 
-/// One concluded request.
-#[derive(Debug, Clone, Copy)]
-pub struct Conclusion {
-    /// VM that sent the request.
-    pub vm: usize,
-    /// Route.
-    pub route: usize,
-    /// Version: 0 old, 1 new.
-    pub side: usize,
-    /// Start of the request.
-    pub started: f64,
-    /// Outcome.
-    pub counts: MoveCounts,
-}
-
 /// Traffic of one run: draws requests, their versions and their outcomes, and delays each outcome
 /// until the request concludes.
 #[derive(Debug)]
 pub struct MovesTraffic {
     rng: ChaCha8Rng,
-    pending: VecDeque<Vec<Conclusion>>,
+    pending: VecDeque<Vec<MovesConclusion>>,
     /// Requests sent to the new version.
     pub new_requests: u64,
     /// Requests sent to the new version while it was bad for them.
@@ -62,7 +50,7 @@
         case: &MovesCase,
         now: f64,
         shares: &[[f64; ROUTES]; VMS],
-    ) -> Vec<Conclusion> {
+    ) -> Vec<MovesConclusion> {
         let mut weighted = 0.0;
         for row in shares {
             for (route, share) in row.iter().enumerate() {
@@ -109,7 +97,7 @@
             (-self.rng.random::<f64>().max(1e-9).ln()).clamp(0.1, OBJECTIVE_S)
         };
         let tick = (latency / TICK_S) as usize;
-        self.pending[tick].push(Conclusion { vm, route, side, started: now, counts });
+        self.pending[tick].push(MovesConclusion { vm, route, side, started: now, counts });
     }
 
     fn poisson(&mut self, mean: f64) -> u32 {
