Rebuild forecasts when events arrive; assume other VMs' claims only under contention

With 420 VMs the assumption that every VM sends as this one does kept requests away from servers with ample room, so claims of others now count only as far as requests wait for the pool. The benchmark's first figures were wrong: its histogram did not grow, and its constant reports counted as frozen.

--- a/crates/bench/benches/placement.rs
+++ b/crates/bench/benches/placement.rs
@@ -39,7 +39,8 @@
         leaving: false,
         running: 30 + (server * 7 % 20) as u32,
         waiting: 0,
-        memory_used_tokens: 30_000 + (server as u64 * 131) % 10_000,
+        // Changes from report to report; a constant value would count as a frozen report.
+        memory_used_tokens: 30_000 + (server as u64 * 131 + now.as_micros() / 1_000) % 10_000,
         memory_total_tokens: 120_000,
         preemptions: 0,
         running_by_seat: Vec::new(),
@@ -72,7 +73,8 @@
 /// forecasts have to be rebuilt, within the timed part, for the servers that they concern.
 fn measure(policy: &str, models: usize) -> Histogram<u64> {
     let (mut engine, keys) = build(policy);
-    let mut times = Histogram::<u64>::new(3).expect("the precision is valid");
+    let mut times =
+        Histogram::<u64>::new_with_bounds(1, 1_000_000_000, 3).expect("the bounds are valid");
     let mut running: VecDeque<RequestTicket> = VecDeque::new();
     for number in 0..DECISIONS {
         let now = MonoTime::from_millis(number * 10);
--- a/crates/policy/src/placement_engine.rs
+++ b/crates/policy/src/placement_engine.rs
@@ -23,6 +23,9 @@
 /// time change without an event.
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time over which it is averaged whether requests wait for a pool.
+const CONTENTION_WINDOW: Duration = Duration::from_secs(1);
+
 /// Placement of one entry VM: admission, fair queueing, limits and the choice of servers.
 ///
 /// It does no I/O and reads no clock. The caller passes the time, reports what happened, and
@@ -51,6 +54,10 @@
     /// Whether something happened since the last pass over the waiting requests.
     changed: bool,
     last_pass: MonoTime,
+    /// Pools for which requests waited after the last pass.
+    left_waiting: BTreeSet<PoolKey>,
+    /// Share of the time in which requests wait, per pool.
+    contention: BTreeMap<PoolKey, f64>,
 }
 
 impl PlacementEngine {
@@ -81,6 +88,8 @@
             preempted_at: BTreeMap::new(),
             changed: true,
             last_pass: now,
+            left_waiting: BTreeSet::new(),
+            contention: BTreeMap::new(),
             placer: RequestPlacer::new(settings, position, now)?,
         })
     }
@@ -216,15 +225,21 @@
             return;
         }
         self.changed = false;
+        let since_pass = now.since(self.last_pass).as_secs_f64();
+        let weight = (since_pass / CONTENTION_WINDOW.as_secs_f64()).min(1.0);
         self.last_pass = now;
         let placer = &mut self.placer;
-        placer.begin_pass();
         let requests = &mut self.requests;
         let outbox = &mut self.outbox;
         let deadlines = &mut self.running_deadlines;
         let shed_late = placer.settings.shed_late;
         let token_time = self.token_time;
-        for queue in self.queues.values_mut() {
+        for (pool, queue) in &mut self.queues {
+            // Whether requests waited since the last pass is known from what it left behind.
+            let contention = self.contention.entry(*pool).or_insert(0.0);
+            let waited = f64::from(u8::from(self.left_waiting.contains(pool)));
+            *contention += (waited - *contention) * weight;
+            placer.begin_pass(*contention);
             loop {
                 let mut chosen = None;
                 let mut late = false;
@@ -265,6 +280,11 @@
                     cold_slot: chosen.cold,
                 });
             }
+            if queue.is_empty() {
+                self.left_waiting.remove(pool);
+            } else {
+                self.left_waiting.insert(*pool);
+            }
         }
     }
 }
--- a/crates/policy/src/placement_engine/request_flow.rs
+++ b/crates/policy/src/placement_engine/request_flow.rs
@@ -1,5 +1,7 @@
 //! Life of a request in the placement: submission, progress, end, failure, retry.
 
+use std::collections::BTreeSet;
+
 use dragonflycart_core::{ErrorKind, MonoTime};
 
 use super::PlacementEngine;
@@ -138,6 +140,7 @@
 
     /// Applies a batch of token progress.
     pub fn progress(&mut self, now: MonoTime, batch: &[TokenProgress]) {
+        let mut touched = BTreeSet::new();
         for progress in batch {
             let Some(entry) = self.requests.get_mut(&progress.ticket) else {
                 continue;
@@ -150,6 +153,10 @@
             if state.progress(progress.ticket, progress.tokens, now) {
                 state.signal(ColdSignal::SlowFirstToken, now);
             }
+            touched.insert(server);
+        }
+        for server in touched {
+            self.placer.refresh_forecast(server);
         }
     }
 
--- a/crates/policy/src/policy_settings.rs
+++ b/crates/policy/src/policy_settings.rs
@@ -109,7 +109,7 @@
             prefix_bonus: 0.1,
             remote_penalty: 0.02,
             spread: 0.3,
-            candidate_limit: 32,
+            candidate_limit: 16,
             queue_limit: 4_096,
             queue_patience: Duration::from_secs(60),
             class_weights: [16, 4, 1],
--- a/crates/policy/src/request_placer.rs
+++ b/crates/policy/src/request_placer.rs
@@ -64,6 +64,8 @@
     draws: Vec<f64>,
     /// Sizes that were refused since the last call of `begin_pass`.
     refused: Vec<RequestSize>,
+    /// Share of the time in which requests wait for the pool of the current pass.
+    contention: f64,
 }
 
 impl RequestPlacer {
@@ -110,6 +112,7 @@
             candidates: Vec::new(),
             draws: Vec::new(),
             refused: Vec::new(),
+            contention: 0.0,
         })
     }
 
@@ -146,6 +149,8 @@
         state.draw = self.random.random();
         state.foreign_requests = foreign;
         let own_running = state.attempts.len() as u32;
+        self.refresh_forecast(server);
+        let state = self.servers.get_mut(server);
         // A frozen report says nothing about the requests that are running now.
         if state.zone != self.own_zone || state.is_frozen() {
             return;
@@ -157,10 +162,22 @@
         }
     }
 
-    /// Begins a pass over waiting requests. Until the next pass, placements only add load, so a
+    /// Rebuilds the forecast of a server after an event, to keep this out of the placement of a
+    /// request.
+    pub(crate) fn refresh_forecast(&mut self, server: ServerKey) {
+        if !self.policy.uses_forecast() {
+            return;
+        }
+        let quantile = self.settings.length_quantile;
+        let state = self.servers.get_mut(server);
+        state.refresh_forecast(&self.lengths, quantile, &self.residuals, self.vms);
+    }
+
+    /// Begins a pass over the waiting requests of a pool. Until the next pass, placements only add load, so a
     /// request that is as large as a refused one is refused without a comparison of servers.
-    pub(crate) fn begin_pass(&mut self) {
+    pub(crate) fn begin_pass(&mut self, contention: f64) {
         self.refused.clear();
+        self.contention = contention;
     }
 
     /// Chooses a server and counts the request there, or returns `None` if it has to wait.
@@ -276,7 +293,7 @@
         {
             return None;
         }
-        let claimed_requests = state.claims_of_others(self.vms);
+        let claimed_requests = state.claims_of_others(self.vms, self.contention);
         let prefix_share = entry.prefix.map_or(0.0, |prefix| {
             let known = state.prefixes.contains(prefix.digest);
             if known { f64::from(prefix.tokens) / f64::from(entry.prompt.max(1)) } else { 0.0 }
@@ -303,9 +320,8 @@
     }
 
     fn forecast_peak(&mut self, size: &RequestSize, key: ServerKey, claimed: f64) -> f64 {
-        let quantile = self.settings.length_quantile;
-        let state = self.servers.get_mut(key);
-        state.refresh_forecast(&self.lengths, quantile, &self.residuals, self.vms);
+        self.refresh_forecast(key);
+        let state = self.servers.get(key);
         let (held, remaining) = (f64::from(size.held), f64::from(size.remaining));
         state.forecast.peak_with(held, remaining, 1.0 + claimed)
     }
--- a/crates/policy/src/server_state.rs
+++ b/crates/policy/src/server_state.rs
@@ -195,11 +195,16 @@
 
     /// Returns the requests that other VMs are assumed to have added since the last report: each
     /// as many as this one. Requests that took the place of ended ones don't count, because the
-    /// other VMs see the end of their own requests as well. The random draw rounds up or down, so that of a small rest of
-    /// capacity about the right number of VMs take a part, without any message.
-    pub(crate) fn claims_of_others(&self, vms: u32) -> f64 {
+    /// other VMs see the end of their own requests as well. The random draw rounds up or down, so
+    /// that of a small rest of capacity about the right number of VMs take a part, without any
+    /// message.
+    ///
+    /// `contention` is the share of the time in which requests wait for the pool at this VM, and
+    /// so presumably at the others. Without it, hundreds of VMs would keep away from a server
+    /// that has ample room.
+    pub(crate) fn claims_of_others(&self, vms: u32, contention: f64) -> f64 {
         let added = self.sent_since_report.saturating_sub(self.ended_since_report);
-        (f64::from(added) + self.draw) * f64::from(vms.saturating_sub(1))
+        (f64::from(added) + self.draw) * f64::from(vms.saturating_sub(1)) * contention
     }
 
     /// Returns the estimated number of requests in the server.
