--- a/crates/bench/src/engine_model.rs
+++ b/crates/bench/src/engine_model.rs
@@ -2,18 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::EngineProfile;
-
-/// What a step of the engine resulted in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EngineEvent {
-    /// One more token of a request.
-    Token(usize),
-    /// A request reached its length.
-    Finished(usize),
-    /// A request was preempted.
-    Preempted(usize),
-}
+use crate::{EngineEvent, EngineProfile, NewSequence, engine_snapshot::EngineSnapshot};
 
 /// Request inside the engine.
 #[derive(Debug, Clone)]
@@ -29,19 +18,6 @@
     prefix: Option<(u64, u32)>,
 }
 
-/// Snapshot from which load reports are made.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct EngineSnapshot {
-    pub(crate) instance: u64,
-    pub(crate) cold: bool,
-    pub(crate) bears: u32,
-    pub(crate) running: u32,
-    pub(crate) waiting: u32,
-    pub(crate) memory_used: u64,
-    pub(crate) preemptions: u64,
-    pub(crate) by_vm: Vec<u32>,
-}
-
 /// Model of an engine with continuous batching, driven step by step on virtual time in
 /// milliseconds.
 #[derive(Debug)]
@@ -347,22 +323,3 @@
         &self.snapshot
     }
 }
-
-/// Request that an engine takes.
-#[derive(Debug, Clone, Copy)]
-pub struct NewSequence {
-    /// Number of the request.
-    pub id: usize,
-    /// VM that sent it.
-    pub vm: usize,
-    /// Scheduling priority.
-    pub priority: u8,
-    /// Length of the prompt.
-    pub prompt: u32,
-    /// Output that was delivered earlier, which is processed like a prompt.
-    pub done: u32,
-    /// Output length.
-    pub length: u32,
-    /// Digest and length of the shared prefix.
-    pub prefix: Option<(u64, u32)>,
-}
--- /dev/null
+++ b/crates/bench/src/engine_snapshot.rs
@@ -0,0 +1,14 @@
+//! Snapshot from which load reports are made.
+
+/// Snapshot from which load reports are made.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct EngineSnapshot {
+    pub(crate) instance: u64,
+    pub(crate) cold: bool,
+    pub(crate) bears: u32,
+    pub(crate) running: u32,
+    pub(crate) waiting: u32,
+    pub(crate) memory_used: u64,
+    pub(crate) preemptions: u64,
+    pub(crate) by_vm: Vec<u32>,
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,9 +4,12 @@
 //! daemon, with several entry VMs that each have their own late view. Its assumptions are in
 //! `docs/bench.md`.
 
+mod engine_event;
 mod engine_model;
 mod engine_profile;
+mod engine_snapshot;
 mod event_queue;
+mod new_sequence;
 mod route_profile;
 mod run_metrics;
 mod run_row;
@@ -18,8 +21,10 @@
 mod vm_model;
 
 pub use crate::{
-    engine_model::{EngineEvent, EngineModel, NewSequence},
+    engine_event::EngineEvent,
+    engine_model::EngineModel,
     engine_profile::EngineProfile,
+    new_sequence::NewSequence,
     route_profile::RouteProfile,
     run_metrics::RunMetrics,
     run_row::{RunRow, mean_row, print_table},
--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -9,8 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    EngineEvent, EngineModel, FaultKind, RunMetrics, ScenarioSpec, SimRequest,
-    engine_model::NewSequence,
+    EngineEvent, EngineModel, FaultKind, NewSequence, RunMetrics, ScenarioSpec, SimRequest,
     event_queue::EventQueue,
     scenario_spec::value_at,
     vm_model::{VmMessage, VmModel, mono, pool, team_name},
--- a/crates/bench/src/vm_model.rs
+++ b/crates/bench/src/vm_model.rs
@@ -11,7 +11,7 @@
     ServerSpec, VmPosition, WorkPool,
 };
 
-use crate::{ScenarioSpec, engine_model::EngineSnapshot};
+use crate::{ScenarioSpec, engine_snapshot::EngineSnapshot};
 
 /// Carry limit of a zone, in requests; high enough to have no effect.
 const CARRY_LIMIT: u32 = 100_000;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 mod priority_class;
 mod request_entry;
 mod request_placer;
+mod request_size;
 mod retry_budget;
 mod retry_subset;
 mod round_robin_policy;
--- a/crates/policy/src/placement_engine.rs
+++ b/crates/policy/src/placement_engine.rs
@@ -1,5 +1,6 @@
 //! Facade that the control thread owns: events go in, decisions come out.
 
+mod placement_pass;
 mod preemption;
 mod request_flow;
 
@@ -19,13 +20,6 @@
 /// Interval at which values derived from the length statistics are recomputed.
 const STATISTICS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval of passes over the waiting requests when nothing happened; limits that ramp up with
-/// time change without an event.
-const PASS_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Time over which it is averaged whether requests wait for a pool.
-const CONTENTION_WINDOW: Duration = Duration::from_secs(1);
-
 /// Placement of one entry VM: admission, fair queueing, limits and the choice of servers.
 ///
 /// It does no I/O and reads no clock. The caller passes the time, reports what happened, and
@@ -219,83 +213,4 @@
             self.outbox.push(PlacementDecision::Cancel { ticket, server, kind });
         }
     }
-
-    fn place_waiting(&mut self, now: MonoTime) {
-        if !self.changed && now.since(self.last_pass) < PASS_INTERVAL {
-            return;
-        }
-        self.changed = false;
-        let since_pass = now.since(self.last_pass).as_secs_f64();
-        let weight = (since_pass / CONTENTION_WINDOW.as_secs_f64()).min(1.0);
-        self.last_pass = now;
-        let placer = &mut self.placer;
-        let requests = &mut self.requests;
-        let outbox = &mut self.outbox;
-        let deadlines = &mut self.running_deadlines;
-        let shed_late = placer.settings.shed_late;
-        let token_time = self.token_time;
-        for (pool, queue) in &mut self.queues {
-            // Whether requests waited since the last pass is known from what it left behind.
-            let contention = self.contention.entry(*pool).or_insert(0.0);
-            let waited = f64::from(u8::from(self.left_waiting.contains(pool)));
-            *contention += (waited - *contention) * weight;
-            placer.begin_pass(*contention);
-            loop {
-                let mut chosen = None;
-                let mut late = false;
-                let found = queue.pop_with(|queued| {
-                    let Some(entry) = requests.get(&queued.ticket) else {
-                        return true;
-                    };
-                    if shed_late && is_late(entry, token_time, now) {
-                        late = true;
-                        return true;
-                    }
-                    chosen = placer.place(entry, now);
-                    chosen.is_some()
-                });
-                let Some(queued) = found else {
-                    break;
-                };
-                let ticket = queued.ticket;
-                if late {
-                    // The work was charged to its team when it was taken from the queue.
-                    queue.correct(queued.class, queued.team, queued.cost, 0);
-                    requests.remove(&ticket);
-                    let kind = ErrorKind::Overloaded;
-                    outbox.push(PlacementDecision::Reject { ticket, kind });
-                    continue;
-                }
-                let (Some(chosen), Some(entry)) = (chosen, requests.get_mut(&ticket)) else {
-                    continue;
-                };
-                entry.server = Some(chosen.server);
-                if let Some(deadline) = entry.deadline {
-                    deadlines.insert((deadline, ticket));
-                }
-                outbox.push(PlacementDecision::Dispatch {
-                    ticket,
-                    server: chosen.server,
-                    instance: placer.servers.get(chosen.server).instance(),
-                    cold_slot: chosen.cold,
-                });
-            }
-            if queue.is_empty() {
-                self.left_waiting.remove(pool);
-            } else {
-                self.left_waiting.insert(*pool);
-            }
-        }
-    }
-}
-
-/// Returns whether a request would very likely end after its deadline if it started now.
-fn is_late(entry: &RequestEntry, token_time: f64, now: MonoTime) -> bool {
-    let Some(deadline) = entry.deadline else {
-        return false;
-    };
-    if entry.max_tokens == 0 || entry.tokens > 0 {
-        return false;
-    }
-    now + Duration::from_secs_f64(f64::from(entry.short_length) * token_time) > deadline
 }
--- a/crates/policy/src/request_placer.rs
+++ b/crates/policy/src/request_placer.rs
@@ -8,9 +8,9 @@
 
 use crate::{
     ColdSlots, LengthEstimator, PlacementCandidate, PlacementPolicy, PolicySettings, PoolKey,
-    PriorityClass, RetrySubset, ServerKey, ServerReport, ServerTable, TeamKey, UnknownPolicy,
-    VmPosition, ZoneKey, ZoneLimits, find_policy, name_index::NameIndex,
-    request_entry::RequestEntry, server_state::OwnAttempt,
+    RetrySubset, ServerKey, ServerReport, ServerTable, TeamKey, UnknownPolicy, VmPosition, ZoneKey,
+    ZoneLimits, find_policy, name_index::NameIndex, request_entry::RequestEntry,
+    request_size::RequestSize, server_state::OwnAttempt,
 };
 
 /// Quantiles that stand for the running requests of other VMs.
@@ -23,25 +23,6 @@
     pub(crate) cold: bool,
 }
 
-/// Memory that a request holds now and is expected to need in addition, in tokens.
-#[derive(Debug, Clone, Copy)]
-struct RequestSize {
-    pool: PoolKey,
-    class: PriorityClass,
-    held: u32,
-    remaining: u32,
-}
-
-impl RequestSize {
-    /// Returns whether a server that refuses `self` refuses `other` as well.
-    fn covers(&self, other: &RequestSize) -> bool {
-        self.pool == other.pool
-            && self.class <= other.class
-            && self.held <= other.held
-            && self.remaining <= other.remaining
-    }
-}
-
 /// Chooses a server for one request within all limits.
 #[derive(Debug)]
 pub(crate) struct RequestPlacer {
