--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -26,7 +26,7 @@
     engine_profile::EngineProfile,
     new_sequence::NewSequence,
     route_profile::RouteProfile,
-    run_metrics::RunMetrics,
+    run_metrics::{RunMetrics, STALL_AFTER},
     run_row::{RunRow, mean_row, print_table},
     scenario_kind::ScenarioKind,
     scenario_spec::{FaultKind, ScenarioSpec},
--- a/crates/bench/src/run_metrics.rs
+++ b/crates/bench/src/run_metrics.rs
@@ -15,7 +15,7 @@
     pub gaps: Histogram<u64>,
     /// Times to first token of interactive requests, in microseconds.
     pub first_tokens: Histogram<u64>,
-    /// Sum of the parts of gaps beyond [`STALL_AFTER`].
+    /// Sum of the parts of gaps beyond `STALL_AFTER`.
     pub stall: f64,
     /// Preemptions by engines.
     pub preemptions: u64,
