--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -23,9 +23,12 @@
 pub use crate::moves_summary::MovesSummary;
 pub use crate::moves_traffic::MovesTraffic;
 
+mod engine_event;
 mod engine_model;
 mod engine_profile;
+mod engine_snapshot;
 mod event_queue;
+mod new_sequence;
 mod route_profile;
 mod run_metrics;
 mod run_row;
@@ -37,10 +40,12 @@
 mod vm_model;
 
 pub use crate::{
-    engine_model::{EngineEvent, EngineModel, NewSequence},
+    engine_event::EngineEvent,
+    engine_model::EngineModel,
     engine_profile::EngineProfile,
+    new_sequence::NewSequence,
     route_profile::RouteProfile,
-    run_metrics::RunMetrics,
+    run_metrics::{RunMetrics, STALL_AFTER},
     run_row::{RunRow, mean_row, print_table},
     scenario_kind::ScenarioKind,
     scenario_spec::{FaultKind, ScenarioSpec},
