--- a/crates/policy/src/placement_engine/placement_pass.rs
+++ b/crates/policy/src/placement_engine/placement_pass.rs
@@ -16,6 +16,9 @@
 /// Time over which it is averaged whether requests wait for a pool.
 const CONTENTION_WINDOW: Duration = Duration::from_secs(1);
 
+/// Contention below which an empty pool needs no pass; dozens of pools are empty at most times.
+const NO_CONTENTION: f64 = 0.001;
+
 /// What happens to a request that was taken from the queue.
 #[derive(Debug, Clone, Copy)]
 enum TakenRequest {
@@ -34,7 +37,13 @@
         self.changed = false;
         self.last_pass = now;
         let weight = (since_pass.as_secs_f64() / CONTENTION_WINDOW.as_secs_f64()).min(1.0);
-        let pools: Vec<PoolKey> = self.queues.keys().copied().collect();
+        let mut pools = Vec::new();
+        for (pool, queue) in &self.queues {
+            let contention = self.contention.get(pool).copied().unwrap_or(0.0);
+            if !queue.is_empty() || contention > NO_CONTENTION {
+                pools.push(*pool);
+            }
+        }
         for pool in pools {
             self.update_contention(pool, weight);
             while let Some(taken) = self.take_next(pool, now) {
