--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -1,9 +1,10 @@
 //! Simulation of engines and entry VMs on virtual time.
 
-use dragonflycart_core::RouteName;
+mod ramp;
+mod workload;
+
 use dragonflycart_policy::{
-    AttemptFailure, ColdSignal, PlacementDecision, PromptPrefix, ServerKey, TokenProgress,
-    WorkRequest,
+    AttemptFailure, ColdSignal, PlacementDecision, ServerKey, TokenProgress,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -11,8 +12,7 @@
 use crate::{
     EngineEvent, EngineModel, FaultKind, NewSequence, RunMetrics, ScenarioSpec, SimRequest,
     event_queue::EventQueue,
-    scenario_spec::value_at,
-    vm_model::{VmMessage, VmModel, mono, pool, team_name},
+    vm_model::{VmMessage, VmModel, mono},
 };
 
 /// Interval of the placement's ticks, in milliseconds.
@@ -25,10 +25,6 @@
 const PLAN_DELAY: f64 = 1_000.0;
 /// Tokens after which a request that makes engines fail does so.
 const POISON_TOKENS: u32 = 3;
-/// Shared prefixes per team.
-const PREFIXES_PER_TEAM: u64 = 4;
-/// Share of a prompt that belongs to a shared prefix.
-const PREFIX_SHARE: f64 = 0.5;
 
 #[derive(Debug, Clone, Copy)]
 enum SimEvent {
@@ -171,68 +167,6 @@
         }
     }
 
-    fn arrive(&mut self) {
-        if self.now >= self.spec.duration {
-            return;
-        }
-        let load = value_at(&self.spec.load, self.now);
-        let rate = self.capacity * load / 1_000.0;
-        let gap = -(1.0 - self.workload.random::<f64>()).ln() / rate;
-        self.events.push(self.now + gap, SimEvent::Arrival);
-        let request = self.draw_request();
-        let (id, vm) = (self.requests.len(), request.vm);
-        self.metrics.arrived += 1;
-        if request.deadline <= self.spec.duration + self.spec.drain {
-            self.metrics.team_demand[request.team] += u64::from(request.length);
-        }
-        let route = &self.spec.routes[request.route];
-        let work = WorkRequest {
-            pool: pool(),
-            team: team_name(request.team),
-            route: RouteName::new(route.name).expect("the name is valid"),
-            class: request.class,
-            prompt_tokens: request.prompt,
-            max_tokens: route.longest,
-            delivered_tokens: 0,
-            deadline: Some(mono(request.deadline)),
-            idempotent: true,
-            prefix: request.prefix.map(|(digest, tokens)| PromptPrefix { digest, tokens }),
-        };
-        let ticket = self.vms[vm].placement.submit(mono(self.now), work);
-        self.vms[vm].requests.insert(ticket, id);
-        self.requests.push(SimRequest { ticket, ..request });
-        self.tick(vm);
-    }
-
-    fn draw_request(&mut self) -> SimRequest {
-        let scale = value_at(&self.spec.length_scale, self.now);
-        let random = &mut self.workload;
-        let team = pick(self.spec.teams.iter().copied(), random.random());
-        let number = pick(self.spec.routes.iter().map(|route| route.share), random.random());
-        let route = &self.spec.routes[number];
-        let prompt = route.draw_prompt(random);
-        let shared = random.random_range(0..PREFIXES_PER_TEAM);
-        let digest = (team as u64 * 64 + number as u64) * PREFIXES_PER_TEAM + shared;
-        SimRequest {
-            vm: random.random_range(0..self.spec.vms),
-            ticket: dragonflycart_policy::RequestTicket(0),
-            team,
-            route: number,
-            class: route.class,
-            prompt,
-            length: route.draw_length(scale, random),
-            prefix: Some((digest, (f64::from(prompt) * PREFIX_SHARE) as u32)),
-            submitted: self.now,
-            deadline: self.now + route.patience,
-            poison: std::mem::take(&mut self.poison_next),
-            delivered: 0,
-            last_token: None,
-            engine: None,
-            dispatches: 0,
-            ended: false,
-        }
-    }
-
     /// Delivers the messages of engines to the placement, and progress in batches.
     fn read_inbox(&mut self, vm: usize) {
         let model = &mut self.vms[vm];
@@ -448,38 +382,4 @@
             self.vms[vm].placement.signal(mono(self.now), server, signal);
         }
     }
-
-    /// Notes when a restarted engine has 0.9 of the mean load of the warm ones.
-    fn observe_ramp(&mut self, engine: usize) {
-        if !self.ramping[engine] {
-            return;
-        }
-        let (mut warm, mut load) = (0, 0);
-        for other in &self.engines {
-            if other.is_alive() && !other.is_cold(self.now) {
-                warm += 1;
-                load += other.running();
-            }
-        }
-        if warm == 0 || f64::from(self.engines[engine].running()) < 0.9 * f64::from(load / warm) {
-            return;
-        }
-        self.ramping[engine] = false;
-        let started = self.cold_start[engine].unwrap_or(self.now);
-        self.metrics.ramp_times.push(self.now - started);
-    }
-}
-
-/// Returns the position of the share that `draw` falls into.
-fn pick(shares: impl Iterator<Item = f64>, draw: f64) -> usize {
-    let mut below = 0.0;
-    let mut last = 0;
-    for (position, share) in shares.enumerate() {
-        below += share;
-        last = position;
-        if draw < below {
-            break;
-        }
-    }
-    last
 }
--- /dev/null
+++ b/crates/bench/src/simulation/ramp.rs
@@ -0,0 +1,25 @@
+//! Ramp-up of restarted engines.
+
+use super::Simulation;
+
+impl Simulation {
+    /// Notes when a restarted engine has 0.9 of the mean load of the warm ones.
+    pub(super) fn observe_ramp(&mut self, engine: usize) {
+        if !self.ramping[engine] {
+            return;
+        }
+        let (mut warm, mut load) = (0, 0);
+        for other in &self.engines {
+            if other.is_alive() && !other.is_cold(self.now) {
+                warm += 1;
+                load += other.running();
+            }
+        }
+        if warm == 0 || f64::from(self.engines[engine].running()) < 0.9 * f64::from(load / warm) {
+            return;
+        }
+        self.ramping[engine] = false;
+        let started = self.cold_start[engine].unwrap_or(self.now);
+        self.metrics.ramp_times.push(self.now - started);
+    }
+}
