--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod generation_id;
 mod identity;
 mod mono_time;
+mod move_state;
 mod name;
 mod plan;
 mod run_state;
@@ -20,6 +21,7 @@
     generation_id::{GenerationId, GenerationIdError},
     identity::{Incarnation, LogOffset, OrderFence, PlanRevision, ServerInstance, VmSeat},
     mono_time::MonoTime,
+    move_state::MoveState,
     name::{
         ModelName, NameError, OperatorName, RequestKey, RouteName, ServerName, ServiceName,
         TeamName, VersionName, ZoneName,
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -17,7 +17,7 @@
 use dragonflycart_platform::LogTopic;
 use dragonflycart_policy::{MoveSettings, MoveState, RequestTicket};
 use dragonflycart_settings::Config;
-use dragonflycart_state::{LedgerLimits, MoveState as LatchState};
+use dragonflycart_state::LedgerLimits;
 use dragonflycart_wire::{
     MoveEnd, PeerMessage, log_entry::Kind as RecordKind, peer_message::Kind as PeerKind,
 };
@@ -418,8 +418,7 @@
         self.count_unanswered(wall);
         let latches = self.peers.latches();
         let endings = self.versions.tick(wall, |move_id| {
-            let state = MoveState::from_number(latches.move_state(move_id).to_wire());
-            (state, latches.move_reason(move_id).to_owned())
+            (latches.move_state(move_id), latches.move_reason(move_id).to_owned())
         });
         for ending in endings {
             self.end_move(ending);
@@ -445,9 +444,8 @@
     /// the log service is down; the latch reaches the peers at once.
     fn end_move(&mut self, ending: MoveEnding) {
         let now = self.clock.now();
-        let state = LatchState::from_wire(ending.state.number());
         let revision = self.plan.revision();
-        self.peers.latch_move(&ending.move_id, state, revision, &ending.reason);
+        self.peers.latch_move(&ending.move_id, ending.state, revision, &ending.reason);
         let end = MoveEnd {
             move_id: ending.move_id.0,
             rolled_back: ending.state == MoveState::RolledBack,
--- a/crates/state/src/latch_store.rs
+++ b/crates/state/src/latch_store.rs
@@ -87,7 +87,7 @@
         let mut changed = false;
         for latch in &latches.moves {
             let move_id = MoveId(latch.move_id.clone());
-            let state = MoveState::from_wire(latch.state);
+            let state = MoveState::from_number(latch.state);
             let set_at = PlanRevision(latch.set_at_revision);
             changed |= self.set_move(&move_id, state, set_at, &latch.reason);
         }
@@ -137,7 +137,7 @@
         for (move_id, mark) in &self.moves {
             latches.moves.push(MoveLatch {
                 move_id: move_id.0.clone(),
-                state: mark.state.to_wire(),
+                state: mark.state.number(),
                 reason: mark.reason.clone(),
                 set_at_revision: mark.set_at.0,
             });
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -30,7 +30,6 @@
 mod member_info;
 mod member_state;
 mod member_table;
-mod move_state;
 mod outcome_note;
 mod plan_log;
 mod plan_state;
@@ -43,6 +42,8 @@
 mod writer_limits;
 mod writer_step;
 
+pub use dragonflycart_core::MoveState;
+
 pub use crate::{
     append_budget::AppendBudget,
     attempt_answer::AttemptAnswer,
@@ -71,7 +72,6 @@
     member_info::MemberInfo,
     member_state::MemberState,
     member_table::MemberTable,
-    move_state::MoveState,
     outcome_note::OutcomeNote,
     plan_log::PlanLog,
     plan_state::PlanState,
