Answer "unknown" when a repeated job is refused without the log

A VM that stops or can't reach the log answered "not run" to every attempt of a job, although an earlier attempt may have had it accepted. Like calls, only an attempt that states to be the first gets "not run" now. The new test failed before the change with log_unavailable and passes after it.

--- a/crates/node/src/http/job_handler.rs
+++ b/crates/node/src/http/job_handler.rs
@@ -39,7 +39,7 @@
     let body = front.read_body(body).await?;
     let request = CompletionRequest::parse(&body, front.config.limits.prompt)?;
     generation_handler::check_model(front, &request.model, &caller)?;
-    front.check_phase()?;
+    front.check_phase().map_err(|error| repeated_refusal(error, caller.attempt))?;
     let deadline = front.deadline(caller.deadline, front.config.timeouts.call_deadline);
     let job = JobRequest {
         team: caller.team.clone(),
@@ -56,7 +56,18 @@
         let request = Bytes::from(request);
         ControlMessage::Job(JobMessage::Accept { key, request, deadline, reply })
     });
-    job_response(answer.await?)
+    job_response(answer.await?).map_err(|error| repeated_refusal(error, caller.attempt))
+}
+
+/// Returns the error of a job that is refused before the log was read for its key. An earlier
+/// attempt may have been accepted, so "not run" is correct only for a first one.
+fn repeated_refusal(error: ServiceError, attempt: u32) -> ServiceError {
+    let blind = matches!(error.kind(), ErrorKind::Draining | ErrorKind::LogUnavailable);
+    if attempt == 1 || !blind {
+        return error;
+    }
+    let message = format!("{}; an earlier attempt may have been accepted", error.message());
+    ServiceError::new(ErrorKind::OutcomeUnknown, message)
 }
 
 /// Returns the result of a deferred generation, or that it is not done.
--- a/tests/all/jobs.rs
+++ b/tests/all/jobs.rs
@@ -2,15 +2,25 @@
 
 use std::time::Duration;
 
-use dragonflycart_testkit::TokenSource;
+use dragonflycart_testkit::{LogCommand, OutageKind, TokenSource};
 use hyper::Method;
 use serde_json::json;
 
 use crate::support::{Caller, Deployment, DeploymentSpec, HttpAnswer, wait_for};
 
 async fn post_job(deployment: &Deployment, vm: usize, key: &str, tokens: u32) -> HttpAnswer {
+    post_attempt(deployment, vm, key, tokens, "0").await
+}
+
+async fn post_attempt(
+    deployment: &Deployment,
+    vm: usize,
+    key: &str,
+    tokens: u32,
+    attempt: &str,
+) -> HttpAnswer {
     let body = json!({ "model": "assistant", "prompt": "a report", "max_tokens": tokens });
-    let headers = [("idempotency-key", key), ("x-route", "report")];
+    let headers = [("idempotency-key", key), ("x-route", "report"), ("x-attempt", attempt)];
     let caller = Caller::new("reports");
     let address = deployment.vms[vm].http;
     caller.send(Method::POST, address, "/v1/jobs", &headers, body.to_string()).await.unwrap()
@@ -78,3 +88,23 @@
 
     assert_eq!(text, TokenSource::expected_text(400));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_job_is_not_called_not_run_without_the_log() {
+    // Guards against "not run" for a job that an earlier attempt may have had accepted.
+    let deployment = Deployment::start(DeploymentSpec::default()).await;
+    deployment.log.command(LogCommand::Outage { kind: OutageKind::Refuse });
+    wait_for("the loss of the log to be noticed", || async {
+        let found = deployment.metric(0, "dragonflycart_log_reachable").await?;
+        (found == 0.0).then_some(())
+    })
+    .await;
+
+    let first = post_attempt(&deployment, 0, "night-4", 20, "1").await;
+    let second = post_attempt(&deployment, 0, "night-4", 20, "2").await;
+
+    assert_eq!(first.error_kind(), "log_unavailable", "{:?}", first.body);
+    assert_eq!(first.run_state(), "not_run");
+    assert_eq!(second.error_kind(), "outcome_unknown", "{:?}", second.body);
+    assert_eq!(second.run_state(), "maybe_run");
+}
