Cancel generations that nobody has read for the retention time

Found while measuring memory per open stream: levels that were closed stayed in memory, because a generation whose caller had left ran on to its last token at the engine and in the daemon. Callers may come back within stream_retention (120 s by default), so the generation is given up after that time without a reader. Jobs count as read.

abandoned_generation_is_cancelled_after_the_retention timed out after 30 s before the change.

--- a/crates/node/src/generation/generation_buffer.rs
+++ b/crates/node/src/generation/generation_buffer.rs
@@ -3,7 +3,10 @@
 //! The buffer separates the engine's connection from the caller's: either may break and be opened
 //! again without the other noticing, and a caller can read the same tokens more than once.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use dragonflycart_core::{GenerationId, ServiceError};
 use dragonflycart_engine::FinishReason;
@@ -45,12 +48,16 @@
     location: GenerationId,
     read: bool,
     first_token_at: Option<Instant>,
+    readers: u32,
+    /// Time since which nobody reads.
+    unread_since: Instant,
 }
 
 /// Tokens of one generation, shared by the task that fills it and the callers that read it.
 pub(crate) struct GenerationBuffer {
     state: Mutex<BufferState>,
     changed: watch::Sender<()>,
+    abandoned: watch::Sender<bool>,
 }
 
 impl GenerationBuffer {
@@ -64,8 +71,14 @@
             location,
             read: false,
             first_token_at: None,
+            readers: 0,
+            unread_since: Instant::now(),
         };
-        GenerationBuffer { state: Mutex::new(state), changed: watch::Sender::new(()) }
+        GenerationBuffer {
+            state: Mutex::new(state),
+            changed: watch::Sender::new(()),
+            abandoned: watch::Sender::new(false),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, BufferState> {
@@ -123,6 +136,34 @@
         self.lock().base
     }
 
+    /// Counts a reader.
+    pub(crate) fn reader_joined(&self) {
+        self.lock().readers += 1;
+    }
+
+    /// Counts the end of a reader.
+    pub(crate) fn reader_left(&self) {
+        let mut state = self.lock();
+        state.readers = state.readers.saturating_sub(1);
+        state.unread_since = Instant::now();
+    }
+
+    /// Returns for how long nobody has read, or `None` while somebody does.
+    pub(crate) fn unread_for(&self) -> Option<Duration> {
+        let state = self.lock();
+        (state.readers == 0).then(|| state.unread_since.elapsed())
+    }
+
+    /// Gives the generation up, because nobody will read it.
+    pub(crate) fn abandon(&self) {
+        self.abandoned.send_replace(true);
+    }
+
+    /// Returns a receiver that tells whether the generation was given up.
+    pub(crate) fn abandoned(&self) -> watch::Receiver<bool> {
+        self.abandoned.subscribe()
+    }
+
     /// Returns whether a caller has read a token.
     pub(crate) fn is_read(&self) -> bool {
         self.lock().read
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -128,7 +128,17 @@
 
     /// Runs the generation to its end.
     pub(crate) async fn run(mut self) {
-        let result = self.run_attempts().await;
+        let mut abandoned = self.buffer.abandoned();
+        let result = tokio::select! {
+            result = self.run_attempts() => result,
+            _ = abandoned.wait_for(|abandoned| *abandoned) => Err(ServiceError::new(
+                ErrorKind::Interrupted,
+                "the generation was given up, because nobody read it",
+            )),
+        };
+        if *self.buffer.abandoned().borrow() {
+            self.leave_engine().await;
+        }
         let events = self.events.close(&result);
         self.context.control.send(ControlMessage::Burn(events)).await;
         let end = match result {
@@ -143,6 +153,16 @@
         self.buffer.finish(end);
     }
 
+    /// Frees the engine and the placement after the generation was given up.
+    async fn leave_engine(&self) {
+        let location = self.buffer.location();
+        if let Some(engine) = self.context.servers.engine(location.server()) {
+            self.cancel(&*engine, &location).await;
+        }
+        let ticket = self.placed.ticket.ticket;
+        self.context.control.report_attempt(ticket, AttemptReport::Cancelled).await;
+    }
+
     async fn run_attempts(&mut self) -> Result<FinishReason, ServiceError> {
         let mut message = "no backend server became free in time".to_owned();
         let mut first = true;
--- a/crates/node/src/generation/generation_store.rs
+++ b/crates/node/src/generation/generation_store.rs
@@ -77,11 +77,15 @@
         state.by_key.retain(|_, unique| *unique != id.unique());
     }
 
-    /// Removes generations that ended at least `retention` ago.
+    /// Removes generations that ended at least `retention` ago, and gives up those that nobody has
+    /// read for that long.
     pub(crate) fn expire(&self, now: MonoTime, retention: Duration) {
         let mut state = self.lock();
         state.generations.retain(|_, stored| {
             if stored.buffer.end().is_none() {
+                if stored.buffer.unread_for().is_some_and(|span| span >= retention) {
+                    stored.buffer.abandon();
+                }
                 return true;
             }
             let ended_at = *stored.ended_at.get_or_insert(now);
--- a/crates/node/src/generation/stream_resumer.rs
+++ b/crates/node/src/generation/stream_resumer.rs
@@ -81,6 +81,10 @@
         loop {
             if let Some(open) = stream.take() {
                 let before = buffer.next_index();
+                if Arc::strong_count(&buffer) == 1 {
+                    // The caller is gone; the engine keeps the generation.
+                    return;
+                }
                 if let Some(end) = self.read(open, &id, &buffer).await {
                     buffer.finish(end);
                     return;
@@ -112,10 +116,13 @@
         &self,
         mut stream: TokenStream,
         id: &GenerationId,
-        buffer: &GenerationBuffer,
+        buffer: &Arc<GenerationBuffer>,
     ) -> Option<GenerationEnd> {
         let own = id.to_string();
         loop {
+            if Arc::strong_count(buffer) == 1 {
+                return None;
+            }
             let silence_ends = Instant::now() + self.context.limits.silence;
             match timeout_at(silence_ends, stream.next()).await.ok()??.ok()? {
                 StreamEvent::Token { generation, index, text, .. } => {
--- a/crates/node/src/http/event_body.rs
+++ b/crates/node/src/http/event_body.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    generation::{BufferSlice, GenerationBuffer, GenerationEnd},
+    generation::{BufferReader, BufferSlice, GenerationBuffer, GenerationEnd},
     http::error_json,
 };
 
@@ -21,7 +21,7 @@
 
 /// Position of one caller in a buffer.
 struct EventReader {
-    buffer: Arc<GenerationBuffer>,
+    reader: BufferReader,
     changes: watch::Receiver<()>,
     shutdown: watch::Receiver<bool>,
     model: Option<ModelName>,
@@ -38,7 +38,8 @@
     shutdown: watch::Receiver<bool>,
 ) -> Body {
     let changes = buffer.subscribe();
-    let reader = EventReader { buffer, changes, shutdown, model, next, done: false };
+    let reader = BufferReader::new(buffer);
+    let reader = EventReader { reader, changes, shutdown, model, next, done: false };
     Body::from_stream(stream::unfold(reader, |mut reader| async move {
         let chunk = reader.next_chunk().await?;
         Some((Ok::<Bytes, std::convert::Infallible>(chunk), reader))
@@ -53,7 +54,7 @@
         }
         loop {
             self.changes.borrow_and_update();
-            let slice = self.buffer.read_from(self.next);
+            let slice = self.reader.buffer().read_from(self.next);
             if !slice.texts.is_empty() || slice.end.is_some() {
                 return Some(self.render(&slice));
             }
@@ -72,7 +73,7 @@
     }
 
     fn reconnect_event(&self) -> Bytes {
-        let id = self.buffer.location();
+        let id = self.reader.buffer().location();
         let data = json!({ "id": id.to_string(), "next": self.next });
         Bytes::from(format!("event: reconnect\ndata: {data}\n\n"))
     }
--- a/crates/node/src/http/generation_handler.rs
+++ b/crates/node/src/http/generation_handler.rs
@@ -18,7 +18,8 @@
 use crate::{
     control::GenerationAsk,
     generation::{
-        GenerationBuffer, GenerationEnd, GenerationRunner, GenerationSpec, StreamResumer,
+        BufferReader, GenerationBuffer, GenerationEnd, GenerationRunner, GenerationSpec,
+        StreamResumer,
     },
     http::{
         CallerContext, CompletionRequest, ErrorAnswer, HttpFront, caller_context::parsed,
@@ -231,6 +232,8 @@
     buffer: &Arc<GenerationBuffer>,
     model: &ModelName,
 ) -> Result<Response, ServiceError> {
+    let reader = BufferReader::new(Arc::clone(buffer));
+    let buffer = reader.buffer();
     let mut changes = buffer.subscribe();
     let reason = loop {
         changes.borrow_and_update();
--- a/crates/node/src/job/job_worker.rs
+++ b/crates/node/src/job/job_worker.rs
@@ -10,8 +10,8 @@
 use crate::{
     control::{ControlMessage, GenerationAsk},
     generation::{
-        GenerationBuffer, GenerationEnd, GenerationRunner, GenerationSpec, GenerationStore,
-        RunnerContext,
+        BufferReader, GenerationBuffer, GenerationEnd, GenerationRunner, GenerationSpec,
+        GenerationStore, RunnerContext,
     },
     job::{JobMessage, JobOrder, JobRequest},
     node_clock::NodeClock,
@@ -71,6 +71,8 @@
         }
     };
     let model = spec.model.clone();
+    // A job is wanted although no caller reads it.
+    let _reader = BufferReader::new(Arc::clone(&buffer));
     GenerationRunner::new(context.clone(), Arc::clone(&buffer), spec, placed).run().await;
     store.remove(&id);
     match buffer.end() {
--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -240,3 +240,25 @@
     assert_whole(&short, 20);
     assert_whole(&long, 60);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn abandoned_generation_is_cancelled_after_the_retention() {
+    // Guards against generations that nobody reads and that use an engine to their last token.
+    let timeouts = "report_poll = 200ms\nstream_retention = 1s".to_owned();
+    let deployment = Deployment::start(DeploymentSpec { timeouts, ..Default::default() }).await;
+    let address = deployment.vms[0].http;
+    let streaming = tokio::spawn(async move {
+        Caller::new("reports").stream(address, "a long report", 50_000, |_| {}).await
+    });
+    wait_for("an engine to run the generation", || async {
+        (!busy_engines(&deployment).is_empty()).then_some(())
+    })
+    .await;
+
+    streaming.abort();
+
+    wait_for("the generation to be cancelled", || async {
+        busy_engines(&deployment).is_empty().then_some(())
+    })
+    .await;
+}
