--- a/benches/serving_path/bench_daemon.rs
+++ b/benches/serving_path/bench_daemon.rs
@@ -12,7 +12,7 @@
 use dragonflycart_core::{
     ModelName, ModelPlacement, OperatingPlan, VersionName, ZoneName, ZonePlan, ZoneState,
 };
-use dragonflycart_platform::{HttpLog, LogService, LogTopic};
+use dragonflycart_interfaces::{HttpLog, LogService, LogTopic};
 use dragonflycart_testkit::{
     ChildProcess, DirectoryConfig, FakeDirectory, FakeLog, FakeWeights, LogConfig, WeightConfig,
 };
--- /dev/null
+++ b/crates/gateway/src/answer_head.rs
@@ -0,0 +1,85 @@
+//! Status line and headers of a server's response.
+
+use std::time::Duration;
+
+use hyper::{HeaderMap, StatusCode, header::HeaderName, header::HeaderValue};
+
+use crate::{BodyFraming, ChannelError};
+
+/// Largest header section of a response, in bytes.
+pub const HEAD_LIMIT_BYTES: usize = 32 * 1024;
+/// Most headers of a response.
+const HEADER_LIMIT: usize = 100;
+
+/// Head of a response.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// Status code.
+    pub status: StatusCode,
+    /// Headers in the order of arrival.
+    pub headers: HeaderMap,
+    /// How the end of the body is found.
+    pub framing: BodyFraming,
+    /// Whether the connection may be used again after the body.
+    pub keeps_alive: bool,
+}
+
+impl AnswerHead {
+    /// Parses a head. Returns it with its length in bytes, or `None` if `bytes` holds only a part
+    /// of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChannelError::Malformed`] if the bytes are not an HTTP/1 response.
+    pub fn parse(bytes: &[u8]) -> Result<Option<(AnswerHead, usize)>, ChannelError> {
+        let mut slots = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+        let mut parsed = httparse::Response::new(&mut slots);
+        let length = match parsed.parse(bytes).map_err(|_| ChannelError::Malformed)? {
+            httparse::Status::Complete(length) => length,
+            httparse::Status::Partial if bytes.len() > HEAD_LIMIT_BYTES => {
+                return Err(ChannelError::Malformed);
+            }
+            httparse::Status::Partial => return Ok(None),
+        };
+        let status =
+            StatusCode::from_u16(parsed.code.unwrap_or(0)).map_err(|_| ChannelError::Malformed)?;
+        let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+        for header in parsed.headers.iter() {
+            let name = HeaderName::from_bytes(header.name.as_bytes())
+                .map_err(|_| ChannelError::Malformed)?;
+            let value =
+                HeaderValue::from_bytes(header.value).map_err(|_| ChannelError::Malformed)?;
+            headers.append(name, value);
+        }
+        let framing = BodyFraming::of_answer(status, &headers)?;
+        let is_last = parsed.version != Some(1) || has_token(&headers, "connection", "close");
+        let keeps_alive = !is_last && framing != BodyFraming::UntilClose;
+        Ok(Some((AnswerHead { status, headers, framing, keeps_alive }, length)))
+    }
+
+    /// Returns the value of a header as text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Returns for how long the server keeps an idle connection, if it says so.
+    pub fn idle_limit(&self) -> Option<Duration> {
+        let text = self.text("keep-alive")?;
+        for part in text.split(',') {
+            let Some(seconds) = part.trim().strip_prefix("timeout=") else { continue };
+            return seconds.trim().parse().ok().map(Duration::from_secs);
+        }
+        None
+    }
+}
+
+/// Returns whether a header that lists tokens holds `token`.
+pub fn has_token(headers: &HeaderMap, name: &str, token: &str) -> bool {
+    for value in headers.get_all(name) {
+        let Ok(text) = value.to_str() else { continue };
+        if text.split(',').any(|part| part.trim().eq_ignore_ascii_case(token)) {
+            return true;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/gateway/src/answer_relay.rs
@@ -0,0 +1,50 @@
+//! Passes a server's response head on to the caller.
+
+use hyper::{HeaderMap, Response, header};
+
+use crate::{AnswerBody, AnswerHead, WireNames};
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns whether a header concerns one connection only: by its name, or because the
+/// `Connection` header lists it.
+pub fn is_connection_header(headers: &HeaderMap, name: &str) -> bool {
+    CONNECTION_HEADERS.contains(&name) || crate::answer_head::has_token(headers, "connection", name)
+}
+
+/// Returns whether a response is what its server made: a success bears a signature, and no
+/// response has an encoding that callers never ask for.
+pub fn is_genuine(names: &WireNames, head: &AnswerHead) -> bool {
+    if head.headers.contains_key(header::CONTENT_ENCODING) {
+        return false;
+    }
+    !head.status.is_success() || head.headers.contains_key(names.receipt)
+}
+
+/// Builds the response to the caller.
+pub fn build(names: &WireNames, head: &AnswerHead, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    for (name, value) in &head.headers {
+        let text = name.as_str();
+        if is_connection_header(&head.headers, text)
+            || text == "content-length"
+            || names.internal.contains(&text)
+        {
+            continue;
+        }
+        response.headers_mut().append(name.clone(), value.clone());
+    }
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/body_framing.rs
@@ -0,0 +1,48 @@
+//! How the end of a body is found.
+
+use hyper::{HeaderMap, StatusCode};
+
+use crate::{ChannelError, answer_head::has_token};
+
+/// Framing of a response body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body comes in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// Returns the framing that a response's status and headers state.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChannelError::Malformed`] for headers that contradict each other.
+    pub fn of_answer(status: StatusCode, headers: &HeaderMap) -> Result<BodyFraming, ChannelError> {
+        if status.is_informational()
+            || status == StatusCode::NO_CONTENT
+            || status == StatusCode::NOT_MODIFIED
+        {
+            return Ok(BodyFraming::Length(0));
+        }
+        let lengths: Vec<_> = headers.get_all("content-length").iter().collect();
+        if headers.contains_key("transfer-encoding") {
+            if !lengths.is_empty() || !has_token(headers, "transfer-encoding", "chunked") {
+                return Err(ChannelError::Malformed);
+            }
+            return Ok(BodyFraming::Chunked);
+        }
+        let Some(first) = lengths.first() else { return Ok(BodyFraming::UntilClose) };
+        if lengths.iter().any(|length| length != first) {
+            return Err(ChannelError::Malformed);
+        }
+        let text = first.to_str().map_err(|_| ChannelError::Malformed)?;
+        if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(ChannelError::Malformed);
+        }
+        text.parse().map(BodyFraming::Length).map_err(|_| ChannelError::Malformed)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/caller_front.rs
@@ -0,0 +1,101 @@
+//! Accepts callers' connections.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
+use tracing::{info, warn};
+
+use crate::{GatewayContext, StopPhase, request_handler};
+
+/// Largest header section that is buffered, in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
+/// Time after the plan's idle time for which an idle connection stays open, so that a caller that
+/// reuses it just in time does not meet the close.
+const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Idle time while no plan is known. Longer than what callers were seen to use.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(60);
+/// Time after which unacknowledged bytes make the kernel give a caller's connection up.
+const USER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time between keep-alive probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(4);
+/// Pause after a failed accept, which mostly means that descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves callers until the planned stop ends, then lets open requests finish.
+pub async fn serve(context: Arc<GatewayContext>, listener: TcpListener) {
+    let mut stop = context.stop.subscribe();
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(serve_connection(Arc::clone(&context), stream));
+                }
+                Err(error) => {
+                    warn!(%error, "front: can't accept");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+            () = StopPhase::Ended.reached(&mut stop) => break,
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection(context: Arc<GatewayContext>, stream: TcpStream) {
+    if let Err(error) = set_socket_options(&stream) {
+        info!(%error, "front: can't set socket options");
+    }
+    let idle_time = context
+        .view()
+        .plan()
+        .map_or(DEFAULT_IDLE_TIME, |plan| plan.limits.idle_time.max(plan.limits.header_time));
+    let mut stop = context.stop.subscribe();
+    let service = service_fn(|request: Request<Incoming>| {
+        let context = Arc::clone(&context);
+        async move { Ok::<_, Infallible>(request_handler::handle(&context, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_time.max(DEFAULT_IDLE_TIME) + IDLE_MARGIN)
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    loop {
+        tokio::select! {
+            result = &mut connection => {
+                if let Err(error) = result {
+                    tracing::debug!(%error, "front: connection ended");
+                }
+                return;
+            }
+            () = StopPhase::Ended.reached(&mut stop) => {
+                connection.as_mut().graceful_shutdown();
+                break;
+            }
+        }
+    }
+    if let Err(error) = connection.await {
+        tracing::debug!(%error, "front: connection ended");
+    }
+}
+
+fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL)
+            .with_retries(2),
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/channel_pool.rs
@@ -0,0 +1,84 @@
+//! Idle connections to backend servers.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use crate::{ChannelError, ServerChannel};
+
+/// Idle connections kept per server.
+const IDLE_PER_SERVER: usize = 8;
+/// Time for the rest of a response that is of no further use.
+const DISCARD_LIMIT: Duration = Duration::from_millis(200);
+/// Largest response that is read only to keep its connection, in bytes.
+const DISCARD_BYTES: usize = 16 * 1024;
+
+/// Pool of idle connections by server address.
+#[derive(Default)]
+pub struct ChannelPool {
+    idle: Mutex<BTreeMap<SocketAddr, Vec<ServerChannel>>>,
+}
+
+impl ChannelPool {
+    /// Returns an idle connection to a server, or connects.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChannelError::Unreachable`] if the server can't be connected to.
+    pub async fn acquire(&self, address: SocketAddr) -> Result<ServerChannel, ChannelError> {
+        while let Some(mut channel) = self.take_idle(address) {
+            if channel.is_reusable() {
+                return Ok(channel);
+            }
+            channel.close();
+        }
+        ServerChannel::connect(address).await
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<ServerChannel> {
+        self.idle.lock().expect("the pool's lock is never poisoned").get_mut(&address)?.pop()
+    }
+
+    /// Keeps a connection whose exchange ended, if it can be used again.
+    pub fn put_back(&self, address: SocketAddr, mut channel: ServerChannel) {
+        channel.start_idle();
+        if !channel.is_reusable() {
+            channel.close();
+            return;
+        }
+        let mut idle = self.idle.lock().expect("the pool's lock is never poisoned");
+        let channels = idle.entry(address).or_default();
+        if channels.len() < IDLE_PER_SERVER {
+            channels.push(channel);
+        }
+    }
+
+    /// Reads the rest of a short response that is of no further use, and keeps the connection.
+    pub fn put_back_after_body(
+        self: &Arc<ChannelPool>,
+        address: SocketAddr,
+        channel: ServerChannel,
+    ) {
+        let pool = Arc::clone(self);
+        tokio::spawn(async move {
+            let mut channel = channel;
+            let body = tokio::time::timeout(DISCARD_LIMIT, channel.read_body(DISCARD_BYTES)).await;
+            match body {
+                Ok(Ok(_)) => pool.put_back(address, channel),
+                Ok(Err(_)) | Err(_) => channel.close(),
+            }
+        });
+    }
+
+    /// Closes idle connections that can't be used any more.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.lock().expect("the pool's lock is never poisoned");
+        for channels in idle.values_mut() {
+            channels.retain_mut(ServerChannel::is_reusable);
+        }
+        idle.retain(|_, channels| !channels.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/chunk_decoder.rs
@@ -0,0 +1,118 @@
+//! Decoder of chunked bodies.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::ChannelError;
+
+/// Longest line with a chunk size, in bytes.
+const SIZE_LINE_LIMIT: usize = 256;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChunkState {
+    Size,
+    Data(u64),
+    DataEnd,
+    Trailer,
+    Done,
+}
+
+/// What the decoder found in the buffer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DecodedChunk {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End,
+    /// More bytes are needed.
+    NeedsMore,
+}
+
+/// State of decoding one chunked body.
+#[derive(Debug, Clone)]
+pub struct ChunkDecoder {
+    state: ChunkState,
+}
+
+impl ChunkDecoder {
+    /// Builds a decoder at the start of a body.
+    pub fn new() -> ChunkDecoder {
+        ChunkDecoder { state: ChunkState::Size }
+    }
+
+    /// Takes what can be decoded from the front of `buffer`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChannelError::Malformed`] if the bytes are no chunks.
+    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<DecodedChunk, ChannelError> {
+        loop {
+            match self.state {
+                ChunkState::Size => {
+                    let Some(line) = take_line(buffer)? else {
+                        return Ok(DecodedChunk::NeedsMore);
+                    };
+                    let size = parse_size(&line)?;
+                    self.state =
+                        if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
+                }
+                ChunkState::Data(left) => {
+                    if buffer.is_empty() {
+                        return Ok(DecodedChunk::NeedsMore);
+                    }
+                    let taken = left.min(buffer.len() as u64);
+                    let data = buffer.split_to(taken as usize).freeze();
+                    let left = left - taken;
+                    self.state =
+                        if left == 0 { ChunkState::DataEnd } else { ChunkState::Data(left) };
+                    return Ok(DecodedChunk::Data(data));
+                }
+                ChunkState::DataEnd => {
+                    if buffer.len() < 2 {
+                        return Ok(DecodedChunk::NeedsMore);
+                    }
+                    if &buffer[..2] != b"\r\n" {
+                        return Err(ChannelError::Malformed);
+                    }
+                    buffer.advance(2);
+                    self.state = ChunkState::Size;
+                }
+                ChunkState::Trailer => {
+                    let Some(line) = take_line(buffer)? else {
+                        return Ok(DecodedChunk::NeedsMore);
+                    };
+                    if line.is_empty() {
+                        self.state = ChunkState::Done;
+                    }
+                }
+                ChunkState::Done => return Ok(DecodedChunk::End),
+            }
+        }
+    }
+}
+
+impl Default for ChunkDecoder {
+    fn default() -> ChunkDecoder {
+        ChunkDecoder::new()
+    }
+}
+
+fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, ChannelError> {
+    let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
+        if buffer.len() > SIZE_LINE_LIMIT {
+            return Err(ChannelError::Malformed);
+        }
+        return Ok(None);
+    };
+    let line = buffer.split_to(end).freeze();
+    buffer.advance(2);
+    Ok(Some(line))
+}
+
+fn parse_size(line: &[u8]) -> Result<u64, ChannelError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let text = std::str::from_utf8(digits).map_err(|_| ChannelError::Malformed)?.trim();
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return Err(ChannelError::Malformed);
+    }
+    u64::from_str_radix(text, 16).map_err(|_| ChannelError::Malformed)
+}
--- /dev/null
+++ b/crates/gateway/src/engine_shape.rs
@@ -0,0 +1,16 @@
+//! Capacity of the engines of a service.
+
+/// Capacity of one engine and what it can do with running generations.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineShape {
+    /// Generations that run at the same time.
+    pub batch_size: u32,
+    /// Memory for running generations and cached prompt parts, in tokens.
+    pub memory_tokens: u64,
+    /// Whether a running generation can be moved to another engine.
+    pub can_move: bool,
+    /// Whether an engine copies a generation's memory to another engine as it grows.
+    pub can_back_up: bool,
+    /// Output tokens in one event of a stream.
+    pub tokens_per_event: u32,
+}
--- /dev/null
+++ b/crates/gateway/src/event_splitter.rs
@@ -0,0 +1,77 @@
+//! Splits the bytes of an event stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+use crate::ChannelError;
+
+/// Largest event, in bytes.
+const EVENT_LIMIT_BYTES: usize = 256 * 1024;
+
+/// One event of a stream, with the empty line that ends it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// Number in its stream, if it has one.
+    pub id: Option<u64>,
+    /// Bytes as received.
+    pub bytes: Bytes,
+}
+
+/// Collects bytes until events are whole, so that an event that is cut off is never passed on.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+    /// Bytes from the start that hold no end of an event.
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Adds received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Takes the next whole event.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChannelError::Malformed`] if an event is too large.
+    pub fn next_event(&mut self) -> Result<Option<StreamEvent>, ChannelError> {
+        let Some(end) = self.find_end() else {
+            if self.buffer.len() > EVENT_LIMIT_BYTES {
+                return Err(ChannelError::Malformed);
+            }
+            return Ok(None);
+        };
+        let bytes = self.buffer.split_to(end).freeze();
+        self.searched = 0;
+        Ok(Some(StreamEvent { id: event_id(&bytes), bytes }))
+    }
+
+    /// Returns whether bytes of an unfinished event are left.
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    fn find_end(&mut self) -> Option<usize> {
+        let start = self.searched.saturating_sub(3);
+        for index in start..self.buffer.len() {
+            let tail = &self.buffer[index..];
+            if tail.starts_with(b"\n\n") {
+                return Some(index + 2);
+            }
+            if tail.starts_with(b"\r\n\r\n") {
+                return Some(index + 4);
+            }
+        }
+        self.searched = self.buffer.len();
+        None
+    }
+}
+
+fn event_id(bytes: &[u8]) -> Option<u64> {
+    for line in bytes.split(|byte| *byte == b'\n') {
+        let Some(value) = line.strip_prefix(b"id:") else { continue };
+        return std::str::from_utf8(value).ok()?.trim().parse().ok();
+    }
+    None
+}
--- /dev/null
+++ b/crates/gateway/src/fleet_store.rs
@@ -0,0 +1,36 @@
+//! Interface to the store in which operators, backend servers and VMs leave their records.
+
+use std::{future::Future, pin::Pin, time::Duration};
+
+use bytes::Bytes;
+
+use crate::{FleetOrder, FleetTable, ServerRecord, StoreError, TableBatch};
+
+/// Future returned by the object-safe asynchronous interfaces.
+pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// The store and the formats of its records.
+pub trait FleetStore: Send + Sync {
+    /// Reads the newest record of each key.
+    fn read_newest(&self, table: FleetTable) -> BoxFuture<'_, Result<TableBatch, StoreError>>;
+
+    /// Reads records from offset `from` on; waits up to `wait` while there are none.
+    fn read_from(
+        &self,
+        table: FleetTable,
+        from: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<TableBatch, StoreError>>;
+
+    /// Writes the registration of a VM.
+    fn write_vm(&self, name: &str, value: Bytes) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// Decodes a record of the operators' table. `Ok(None)` stands for a key that isn't known.
+    fn decode_order(&self, key: &str, value: &Bytes) -> Result<Option<FleetOrder>, StoreError>;
+
+    /// Returns the zone whose evacuation ends when the record with `key` is removed.
+    fn decode_removed_order(&self, key: &str) -> Option<String>;
+
+    /// Decodes the registration of a backend server.
+    fn decode_server(&self, value: &Bytes) -> Result<ServerRecord, StoreError>;
+}
--- /dev/null
+++ b/crates/gateway/src/fleet_view.rs
@@ -0,0 +1,401 @@
+//! What a VM believes of the fleet, and where it sends work.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use dragonflycart_core::{ErrorKind, MonoTime};
+use slotmap::SlotMap;
+
+use crate::{
+    FleetOrder, Placement, RetryWindow, RoutePlan, ServerKey, ServerLoad, ServerRecord,
+    ServerState, VmSettings, WorkQuery,
+};
+
+/// Time for which a registration that vanished after an outage of the store may come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_800);
+/// Time after an outage of the store in which vanished registrations may be lapsed ones.
+const OUTAGE_SHADOW: Duration = Duration::from_millis(3_000);
+/// Score added for a server in another zone, as a share of a full server.
+const ZONE_PENALTY: f64 = 0.08;
+/// Score taken off for a server that holds the shared part of the prompt.
+const PART_BONUS: f64 = 0.10;
+/// Score added for a server whose requests all fail.
+const FAILURE_PENALTY: f64 = 3.0;
+/// Score added per hundred milliseconds of average latency at plain servers.
+const LATENCY_PENALTY: f64 = 0.5;
+/// Shared parts that are remembered per server.
+const PARTS_REMEMBERED: usize = 256;
+
+/// State of a VM's decisions. It does no I/O and reads no clock.
+#[derive(Debug)]
+pub struct FleetView {
+    settings: Arc<VmSettings>,
+    plan: Option<Arc<RoutePlan>>,
+    servers: SlotMap<ServerKey, ServerState>,
+    by_id: BTreeMap<String, ServerKey>,
+    evacuated: BTreeMap<String, MonoTime>,
+    retries: BTreeMap<String, RetryWindow>,
+    parts: BTreeMap<ServerKey, BTreeMap<u64, MonoTime>>,
+    /// Number of VMs that are known to run, this one included.
+    pub vm_count: usize,
+    store_failed_at: Option<MonoTime>,
+    servers_known: bool,
+}
+
+impl FleetView {
+    /// Builds the view of a VM that knows nothing.
+    pub fn new(settings: Arc<VmSettings>) -> FleetView {
+        FleetView {
+            settings,
+            plan: None,
+            servers: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            evacuated: BTreeMap::new(),
+            retries: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            vm_count: 1,
+            store_failed_at: None,
+            servers_known: false,
+        }
+    }
+
+    /// Returns the plan in force.
+    pub fn plan(&self) -> Option<&Arc<RoutePlan>> {
+        self.plan.as_ref()
+    }
+
+    /// Returns whether requests can be served: a plan and the servers are known.
+    pub fn is_complete(&self) -> bool {
+        self.plan.is_some() && self.servers_known
+    }
+
+    /// Returns the state of a server.
+    pub fn server(&self, key: ServerKey) -> Option<&ServerState> {
+        self.servers.get(key)
+    }
+
+    /// Returns all servers.
+    pub fn servers(&self) -> impl Iterator<Item = (ServerKey, &ServerState)> {
+        self.servers.iter()
+    }
+
+    /// Takes an order of the operators. Returns whether it changed anything.
+    pub fn apply_order(&mut self, order: FleetOrder, now: MonoTime) -> bool {
+        match order {
+            FleetOrder::Plan(plan) => {
+                if self.plan.as_ref().is_some_and(|current| current.version >= plan.version) {
+                    return false;
+                }
+                self.plan = Some(plan);
+                true
+            }
+            FleetOrder::EvacuateZone { zone } => self.evacuated.insert(zone, now).is_none(),
+            FleetOrder::MoveVersion { .. } => false,
+        }
+    }
+
+    /// Takes that the evacuation of a zone ended.
+    pub fn end_evacuation(&mut self, zone: &str) -> bool {
+        self.evacuated.remove(zone).is_some()
+    }
+
+    /// Takes that all evacuations other than those of `zones` ended.
+    pub fn retain_evacuations(&mut self, zones: &BTreeSet<String>) {
+        self.evacuated.retain(|zone, _| zones.contains(zone));
+    }
+
+    /// Takes a failure of the store.
+    pub fn note_store_failure(&mut self, now: MonoTime) {
+        self.store_failed_at = Some(now);
+    }
+
+    /// Takes that the table of servers was read whole.
+    pub fn note_servers_known(&mut self) {
+        self.servers_known = true;
+    }
+
+    /// Takes a server's registration. Returns whether new work or running generations may be
+    /// affected.
+    pub fn apply_server(
+        &mut self,
+        id: &str,
+        record: ServerRecord,
+        offset: u64,
+        now: MonoTime,
+    ) -> bool {
+        if let Some(key) = self.by_id.get(id).copied() {
+            let state = &mut self.servers[key];
+            if offset < state.offset {
+                return false;
+            }
+            let is_same = state.record.started_at_ms == record.started_at_ms
+                && state.record.address == record.address
+                && state.record.service == record.service;
+            if is_same {
+                let before = (state.record.is_draining, state.lapsed_at.is_some());
+                state.update(record, offset, now);
+                return before != (state.record.is_draining, false);
+            }
+            state.leaving_since.get_or_insert(now);
+        }
+        let key = self.servers.insert(ServerState::new(id, record, offset, now));
+        self.by_id.insert(id.to_owned(), key);
+        true
+    }
+
+    /// Takes that a server's registration was removed. A registration that may only have lapsed
+    /// while the store was away counts as gone after a grace time.
+    pub fn remove_server(&mut self, id: &str, now: MonoTime) -> bool {
+        let Some(key) = self.by_id.get(id).copied() else { return false };
+        let state = &mut self.servers[key];
+        if state.leaving_since.is_some() {
+            return false;
+        }
+        let may_have_lapsed =
+            self.store_failed_at.is_some_and(|failed| now.since(failed) < OUTAGE_SHADOW);
+        if may_have_lapsed {
+            state.lapsed_at.get_or_insert(now);
+            return false;
+        }
+        state.leaving_since = Some(now);
+        true
+    }
+
+    /// Takes the ids of all registered servers; all others were removed.
+    pub fn retain_servers(&mut self, ids: &BTreeSet<String>, now: MonoTime) -> bool {
+        let gone: Vec<String> =
+            self.by_id.keys().filter(|id| !ids.contains(*id)).cloned().collect();
+        let mut changed = false;
+        for id in gone {
+            changed |= self.remove_server(&id, now);
+        }
+        changed
+    }
+
+    /// Counts lapsed servers as gone once their grace time is over, and forgets servers that left
+    /// and have no work. Returns whether a server was given up.
+    pub fn expire_servers(&mut self, now: MonoTime) -> bool {
+        let mut changed = false;
+        let mut forgotten = Vec::new();
+        for (key, state) in &mut self.servers {
+            if state.lapsed_at.is_some_and(|lapsed| now.since(lapsed) > LAPSE_GRACE)
+                && state.leaving_since.is_none()
+            {
+                state.leaving_since = Some(now);
+                changed = true;
+            }
+            let is_gone =
+                state.leaving_since.is_some_and(|since| now.since(since) > Duration::from_secs(30));
+            if is_gone && state.own_load.requests == 0 {
+                forgotten.push(key);
+            }
+        }
+        for key in forgotten {
+            self.forget_server(key);
+        }
+        changed
+    }
+
+    fn forget_server(&mut self, key: ServerKey) {
+        self.parts.remove(&key);
+        if let Some(state) = self.servers.remove(key)
+            && self.by_id.get(&state.id) == Some(&key)
+        {
+            self.by_id.remove(&state.id);
+        }
+    }
+
+    /// Takes what a peer says of its load on a server.
+    pub fn note_peer_load(&mut self, peer: u64, id: &str, load: ServerLoad, now: MonoTime) {
+        if let Some(key) = self.by_id.get(id).copied() {
+            self.servers[key].note_peer_load(peer, load, now);
+        }
+    }
+
+    /// Takes that a peer has no load on servers other than `named`.
+    pub fn clear_peer_loads(&mut self, peer: u64, named: &BTreeSet<&str>) {
+        for state in self.servers.values_mut() {
+            if !named.contains(state.id.as_str()) {
+                state.clear_peer_load(peer);
+            }
+        }
+    }
+
+    /// Takes that a peer saw a server leave.
+    pub fn note_leaving(&mut self, id: &str, started_at_ms: Option<u64>, now: MonoTime) -> bool {
+        let Some(key) = self.by_id.get(id).copied() else { return false };
+        let state = &mut self.servers[key];
+        if state.record.started_at_ms != started_at_ms || state.leaving_since.is_some() {
+            return false;
+        }
+        state.leaving_since = Some(now);
+        true
+    }
+
+    /// Takes that another server answers at a server's address.
+    pub fn note_replaced(&mut self, key: ServerKey, now: MonoTime) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.leaving_since.get_or_insert(now);
+        }
+    }
+
+    /// Returns the state of a server for changes.
+    pub fn server_mut(&mut self, key: ServerKey) -> Option<&mut ServerState> {
+        self.servers.get_mut(key)
+    }
+
+    /// Returns whether the work on a server should go elsewhere.
+    pub fn is_leaving(&self, key: ServerKey) -> bool {
+        self.servers.get(key).is_none_or(|state| state.leaving_since.is_some())
+    }
+
+    /// Counts a caller's request for a service.
+    pub fn note_request(&mut self, service: &str, now: MonoTime) {
+        self.retry_window(service).note_request(now);
+    }
+
+    /// Counts a repeat that is sent whatever the budget says.
+    pub fn note_repeat(&mut self, service: &str, now: MonoTime) {
+        self.retry_window(service).note_repeat(now);
+    }
+
+    /// Takes the permission for one repeat.
+    pub fn take_repeat(&mut self, service: &str, now: MonoTime) -> bool {
+        let settings = Arc::clone(&self.settings);
+        let vm_count = self.vm_count;
+        self.retry_window(service).take_repeat(
+            settings.retry_ratio,
+            settings.retry_allowance,
+            vm_count,
+            now,
+        )
+    }
+
+    fn retry_window(&mut self, service: &str) -> &mut RetryWindow {
+        let window = self.settings.retry_window;
+        self.retries.entry(service.to_owned()).or_insert_with(|| RetryWindow::new(window))
+    }
+
+    /// Chooses a server and reserves the load there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::NoBackend`] if no server may be used.
+    pub fn place(&mut self, query: &WorkQuery<'_>, now: MonoTime) -> Result<Placement, ErrorKind> {
+        let mut best: Option<(f64, ServerKey)> = None;
+        for (key, state) in &self.servers {
+            if !self.is_usable(key, state, query, now) {
+                continue;
+            }
+            let score = self.score(key, state, query, now);
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, key));
+            }
+        }
+        let Some((_, key)) = best else { return Err(ErrorKind::NoBackend) };
+        Ok(self.reserve(key, query, now))
+    }
+
+    fn reserve(&mut self, key: ServerKey, query: &WorkQuery<'_>, now: MonoTime) -> Placement {
+        let cold_rate = self.cold_rate(query.service);
+        let load = ServerLoad { requests: 1, tokens: query.demand.total_tokens() };
+        let state = &mut self.servers[key];
+        state.own_load += load;
+        if cold_rate > 0.0 && state.is_cold(now) {
+            state.cold_meter.take(cold_rate, now);
+        }
+        let placement =
+            Placement { server: key, id: state.id.clone(), address: state.record.address, load };
+        if let Some(part) = query.shared_part {
+            self.remember_part(key, part, now);
+        }
+        placement
+    }
+
+    fn remember_part(&mut self, key: ServerKey, part: u64, now: MonoTime) {
+        let parts = self.parts.entry(key).or_default();
+        parts.insert(part, now);
+        if parts.len() <= PARTS_REMEMBERED {
+            return;
+        }
+        if let Some(oldest) = parts.iter().min_by_key(|(_, used)| **used).map(|(part, _)| *part) {
+            parts.remove(&oldest);
+        }
+    }
+
+    /// Returns the load of a placement to its server.
+    pub fn release(&mut self, key: ServerKey, load: ServerLoad) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.own_load -= load;
+        }
+    }
+
+    /// Requests per second that this VM may send to each cold server of a service; zero for no
+    /// limit.
+    fn cold_rate(&self, service: &str) -> f64 {
+        let rate = self
+            .plan
+            .as_ref()
+            .and_then(|plan| plan.services.get(service))
+            .map_or(0.0, |service| service.cold_rate);
+        rate / self.vm_count.max(1) as f64
+    }
+
+    fn is_usable(
+        &self,
+        key: ServerKey,
+        state: &ServerState,
+        query: &WorkQuery<'_>,
+        now: MonoTime,
+    ) -> bool {
+        if state.record.service != query.service || !state.takes_work(now) {
+            return false;
+        }
+        if query.excluded.contains(&key) || self.evacuated.contains_key(&state.record.zone) {
+            return false;
+        }
+        let cold_rate = self.cold_rate(query.service);
+        if cold_rate > 0.0 && state.is_cold(now) && !state.cold_meter.is_open(now) {
+            return false;
+        }
+        true
+    }
+
+    fn score(
+        &self,
+        key: ServerKey,
+        state: &ServerState,
+        query: &WorkQuery<'_>,
+        now: MonoTime,
+    ) -> f64 {
+        let load = state.total_load(now);
+        let engine = self
+            .plan
+            .as_ref()
+            .and_then(|plan| plan.services.get(query.service))
+            .and_then(|service| service.engine);
+        let slots = f64::from(state.record.slots.max(1));
+        let mut score = f64::from(load.requests) / slots;
+        if let Some(engine) = engine {
+            let tokens = (load.tokens + query.demand.total_tokens()) as f64;
+            score += 2.0 * tokens / engine.memory_tokens.max(1) as f64;
+            if let Some(part) = query.shared_part
+                && self.parts.get(&key).is_some_and(|parts| parts.contains_key(&part))
+            {
+                score -= PART_BONUS;
+            }
+        } else if let Some(latency_ms) = state.latency_ms() {
+            score += LATENCY_PENALTY * latency_ms / 100.0;
+        }
+        if state.record.zone != query.near_zone.unwrap_or(&self.settings.zone) {
+            score += ZONE_PENALTY;
+        }
+        if state.lapsed_at.is_some() {
+            score += FAILURE_PENALTY;
+        }
+        score + FAILURE_PENALTY * state.failure_share()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,97 @@
+//! The gateway: all tasks of one VM.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::{SignalKind, signal},
+    time::Instant,
+};
+use tracing::{info, warn};
+
+use crate::{
+    GatewayContext, PeerHub, StopPhase, caller_front, order_follower, server_follower, status_front,
+};
+
+/// Time after the start of a planned stop in which new requests are still served: the balancer
+/// asks once a second and takes a VM out after two answers.
+const LEAVE_TIME: Duration = Duration::from_millis(3_200);
+/// Time before the end of the grace period at which the process gives up open requests.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+
+/// Sockets of the gateway and its context.
+pub struct Gateway {
+    context: Arc<GatewayContext>,
+    caller_listener: TcpListener,
+    status_listener: TcpListener,
+    peer_socket: UdpSocket,
+    ready_path: &'static str,
+}
+
+impl Gateway {
+    /// Binds all addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of an address that can't be bound.
+    pub async fn bind(context: GatewayContext, ready_path: &'static str) -> io::Result<Gateway> {
+        let settings = Arc::clone(&context.settings);
+        Ok(Gateway {
+            context: Arc::new(context),
+            caller_listener: TcpListener::bind(settings.caller_address).await?,
+            status_listener: TcpListener::bind(settings.ready_address).await?,
+            peer_socket: UdpSocket::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?,
+            ready_path,
+        })
+    }
+
+    /// Serves until a planned stop ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if signals can't be handled.
+    pub async fn run(self) -> io::Result<()> {
+        let context = self.context;
+        info!(
+            vm = context.settings.name,
+            zone = context.settings.zone,
+            boot = context.boot,
+            "gateway: started"
+        );
+        tokio::spawn(order_follower::follow(Arc::clone(&context)));
+        tokio::spawn(server_follower::follow(Arc::clone(&context)));
+        tokio::spawn(PeerHub::new(&context, self.peer_socket).run());
+        tokio::spawn(status_front::serve(
+            Arc::clone(&context),
+            self.status_listener,
+            self.ready_path,
+        ));
+        let front = tokio::spawn(caller_front::serve(Arc::clone(&context), self.caller_listener));
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut reload = signal(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = reload.recv() => info!("gateway: reload; no setting changes while running"),
+            }
+        }
+        stop(&context, front).await;
+        Ok(())
+    }
+}
+
+async fn stop(context: &GatewayContext, front: tokio::task::JoinHandle<()>) {
+    let deadline = Instant::now() + context.settings.stop_grace.saturating_sub(STOP_MARGIN);
+    info!("gateway: planned stop begins");
+    context.stop.send_replace(StopPhase::Leaving);
+    tokio::time::sleep(LEAVE_TIME).await;
+    context.stop.send_replace(StopPhase::Refusing);
+    context.stop.send_replace(StopPhase::Ended);
+    match tokio::time::timeout_at(deadline, front).await {
+        Ok(Ok(())) => info!("gateway: planned stop is complete"),
+        Ok(Err(error)) => warn!(%error, "gateway: the front ended with an error"),
+        Err(_) => warn!("gateway: requests were open at the end of the grace period"),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_clock.rs
@@ -0,0 +1,35 @@
+//! The only place where the gateway reads clocks.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dragonflycart_core::MonoTime;
+use tokio::time::Instant;
+
+/// Clocks of the process.
+#[derive(Debug, Clone, Copy)]
+pub struct GatewayClock {
+    start: Instant,
+}
+
+impl GatewayClock {
+    /// Starts the monotonic clock.
+    pub fn start() -> GatewayClock {
+        GatewayClock { start: Instant::now() }
+    }
+
+    /// Returns the monotonic time. It starts at one minute, so that a span can be subtracted from
+    /// an early time without saturating at zero.
+    pub fn now(&self) -> MonoTime {
+        self.at(Instant::now())
+    }
+
+    /// Returns the monotonic time of an instant.
+    pub fn at(&self, instant: Instant) -> MonoTime {
+        MonoTime::from_millis(60_000) + instant.saturating_duration_since(self.start)
+    }
+
+    /// Returns the time of day since the Unix epoch.
+    pub fn unix_time() -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_context.rs
@@ -0,0 +1,81 @@
+//! What all tasks of the gateway share.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::sync::watch;
+
+use crate::{
+    ChannelPool, EngineProtocol, FleetStore, FleetView, GatewayClock, GatewayMetrics, StopPhase,
+    VmSettings, WireNames,
+};
+
+/// Shared state and services of the gateway's tasks.
+pub struct GatewayContext {
+    /// Settings of the VM.
+    pub settings: Arc<VmSettings>,
+    /// Header names.
+    pub names: WireNames,
+    /// The store.
+    pub store: Arc<dyn FleetStore>,
+    /// Formats of the calls to engines.
+    pub engines: Arc<dyn EngineProtocol>,
+    /// Idle connections to servers.
+    pub pool: Arc<ChannelPool>,
+    /// Clock.
+    pub clock: GatewayClock,
+    /// Counters and histograms.
+    pub metrics: GatewayMetrics,
+    /// Identity of this start of the process.
+    pub boot: u64,
+    view: Mutex<FleetView>,
+    /// Counts changes that may concern running work.
+    pub changes: watch::Sender<u64>,
+    /// Progress of a planned stop.
+    pub stop: watch::Sender<StopPhase>,
+}
+
+impl GatewayContext {
+    /// Builds the context of a VM that knows nothing yet.
+    pub fn new(
+        settings: Arc<VmSettings>,
+        names: WireNames,
+        store: Arc<dyn FleetStore>,
+        engines: Arc<dyn EngineProtocol>,
+    ) -> GatewayContext {
+        GatewayContext {
+            view: Mutex::new(FleetView::new(Arc::clone(&settings))),
+            settings,
+            names,
+            store,
+            engines,
+            pool: Arc::default(),
+            clock: GatewayClock::start(),
+            metrics: GatewayMetrics::new(),
+            boot: rand::random(),
+            changes: watch::Sender::new(0),
+            stop: watch::Sender::new(StopPhase::Serving),
+        }
+    }
+
+    /// Locks the view. The lock is held for single decisions only, never across an await.
+    pub fn view(&self) -> MutexGuard<'_, FleetView> {
+        self.view.lock().expect("no decision panics while it holds the view")
+    }
+
+    /// Returns whether generations of a service can be moved between its engines.
+    pub fn can_move(&self, service: &str) -> bool {
+        let view = self.view();
+        let engine = view.plan().and_then(|plan| plan.services.get(service)?.engine);
+        engine.is_some_and(|engine| engine.can_move)
+    }
+
+    /// Tells running work that servers may have changed.
+    pub fn announce_change(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stop.borrow() != StopPhase::Serving
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -0,0 +1,126 @@
+//! Counters and histograms of the gateway.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Smallest bucket of the latency histograms, in seconds.
+const SMALLEST_BUCKET_S: f64 = 0.001;
+/// Number of buckets; each is twice as wide as the one before, so the last ends at 65 s.
+const BUCKETS: u16 = 17;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResultLabels {
+    result: &'static str,
+}
+
+/// Metrics of the gateway. Labels are names from closed lists, so their number is bounded.
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: Family<OutcomeLabels, Counter>,
+    latency: Histogram,
+    first_event: Histogram,
+    moves: Family<ResultLabels, Counter>,
+    store_calls: Family<ResultLabels, Counter>,
+    /// Connections opened to servers.
+    pub connections: Counter,
+    /// Version of the plan in force.
+    pub plan_version: Gauge,
+    /// Servers that take work.
+    pub servers: Gauge,
+    /// VMs that are known to run.
+    pub vms: Gauge,
+}
+
+impl GatewayMetrics {
+    /// Registers all metrics.
+    pub fn new() -> GatewayMetrics {
+        let buckets = || exponential_buckets(SMALLEST_BUCKET_S, 2.0, BUCKETS);
+        let mut metrics = GatewayMetrics {
+            registry: Registry::with_prefix("dragonflycart_gateway"),
+            requests: Family::default(),
+            latency: Histogram::new(buckets()),
+            first_event: Histogram::new(buckets()),
+            moves: Family::default(),
+            store_calls: Family::default(),
+            connections: Counter::default(),
+            plan_version: Gauge::default(),
+            servers: Gauge::default(),
+            vms: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by kind and outcome", self.requests.clone());
+        registry.register("latency_seconds", "Time to the end of a response", self.latency.clone());
+        registry.register(
+            "first_event_seconds",
+            "Time to the first event of a stream",
+            self.first_event.clone(),
+        );
+        registry.register("moves", "Moves of generations by result", self.moves.clone());
+        registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
+        registry.register("connections", "Connections opened to servers", self.connections.clone());
+        registry.register(
+            "plan_version",
+            "Version of the plan in force",
+            self.plan_version.clone(),
+        );
+        registry.register("servers", "Servers that take work", self.servers.clone());
+        registry.register("vms", "VMs that are known to run", self.vms.clone());
+    }
+
+    /// Counts the end of a request.
+    pub fn count_request(&self, kind: &'static str, outcome: &'static str, time: Duration) {
+        self.requests.get_or_create(&OutcomeLabels { kind, outcome }).inc();
+        self.latency.observe(time.as_secs_f64());
+    }
+
+    /// Counts the first event of a stream.
+    pub fn count_first_event(&self, time: Duration) {
+        self.first_event.observe(time.as_secs_f64());
+    }
+
+    /// Counts a move of a generation.
+    pub fn count_move(&self, result: &'static str) {
+        self.moves.get_or_create(&ResultLabels { result }).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, result: &'static str) {
+        self.store_calls.get_or_create(&ResultLabels { result }).inc();
+    }
+
+    /// Encodes all metrics in the text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            tracing::warn!("metrics: can't be encoded");
+        }
+        text
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> GatewayMetrics {
+        GatewayMetrics::new()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http_call.rs
@@ -0,0 +1,69 @@
+//! Calls with a short answer, such as those to the store and to engines.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+
+use crate::{ChannelError, ChannelPool};
+
+/// Largest answer to a call, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Request line and body of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpCall {
+    method: &'static str,
+    path: String,
+    content_type: &'static str,
+    body: Bytes,
+}
+
+impl HttpCall {
+    /// Builds a `GET` of `path`, which may hold a query.
+    pub fn get(path: String) -> HttpCall {
+        HttpCall { method: "GET", path, content_type: "", body: Bytes::new() }
+    }
+
+    /// Builds a `DELETE` of `path`.
+    pub fn delete(path: String) -> HttpCall {
+        HttpCall { method: "DELETE", path, content_type: "", body: Bytes::new() }
+    }
+
+    /// Builds a `POST` of a body.
+    pub fn post(path: String, content_type: &'static str, body: Bytes) -> HttpCall {
+        HttpCall { method: "POST", path, content_type, body }
+    }
+
+    /// Sends the call and returns the status and body of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why there is no answer within `limit`. The call may have been executed
+    /// then, unless the reason is [`ChannelError::Unreachable`].
+    pub async fn send(
+        &self,
+        pool: &ChannelPool,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<(u16, Bytes), ChannelError> {
+        let exchange = async {
+            let mut channel = pool.acquire(address).await?;
+            let head = self.encode_head(address);
+            let answer = channel.exchange(&head, &self.body, None).await?;
+            let body = channel.read_body(ANSWER_LIMIT_BYTES).await?;
+            pool.put_back(address, channel);
+            Ok((answer.status.as_u16(), body))
+        };
+        tokio::time::timeout(limit, exchange).await.unwrap_or(Err(ChannelError::TimedOut))
+    }
+
+    fn encode_head(&self, address: SocketAddr) -> Vec<u8> {
+        let mut head = format!("{} {} HTTP/1.1\r\nhost: {address}\r\n", self.method, self.path);
+        if self.method == "POST" {
+            head.push_str(&format!("content-type: {}\r\n", self.content_type));
+            head.push_str(&format!("content-length: {}\r\n", self.body.len()));
+        }
+        head.push_str("\r\n");
+        head.into_bytes()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,122 @@
+//! Forwards callers' HTTP requests along the routes of a route plan, without a VM set aside for
+//! control. Decisions are values without I/O ([`FleetView`] and the types it consists of); the
+//! other modules carry them out over sockets.
+//!
+//! The crate knows neither the header names nor the record formats of a deployment: it is given
+//! [`WireNames`], a [`FleetStore`] and an [`EngineProtocol`].
+
+mod answer_body;
+mod answer_head;
+mod answer_relay;
+mod body_framing;
+mod call_forwarder;
+mod caller_front;
+mod caller_limits;
+mod caller_request;
+mod channel_error;
+mod channel_pool;
+mod chunk_decoder;
+mod engine_protocol;
+mod engine_shape;
+mod event_splitter;
+mod fleet_order;
+mod fleet_store;
+mod fleet_view;
+mod gateway;
+mod gateway_clock;
+mod gateway_context;
+mod gateway_failure;
+mod gateway_metrics;
+mod generation_mover;
+mod generation_relay;
+mod generation_resumer;
+mod move_follower;
+mod http_call;
+mod order_follower;
+mod peer_hub;
+mod peer_report;
+mod peer_table;
+mod placement;
+mod planned_route;
+mod planned_service;
+mod planned_team;
+mod rate_meter;
+mod request_handler;
+mod retry_window;
+mod route_kind;
+mod route_plan;
+mod server_attempt;
+mod server_channel;
+mod server_follower;
+mod server_key;
+mod server_load;
+mod server_record;
+mod server_state;
+mod status_front;
+mod stop_phase;
+mod store_error;
+mod store_reader;
+mod stream_forwarder;
+mod table_record;
+mod vm_record;
+mod vm_settings;
+mod wire_names;
+mod work_demand;
+mod work_query;
+mod work_ticket;
+
+pub use crate::{
+    answer_body::{AnswerBody, BodyBroken, PieceSender},
+    answer_head::AnswerHead,
+    body_framing::BodyFraming,
+    call_forwarder::CallForwarder,
+    caller_limits::CallerLimits,
+    caller_request::{CallerRequest, SystemFields},
+    channel_error::ChannelError,
+    channel_pool::ChannelPool,
+    chunk_decoder::{ChunkDecoder, DecodedChunk},
+    engine_protocol::{CopyAnswer, EngineProtocol},
+    engine_shape::EngineShape,
+    event_splitter::{EventSplitter, StreamEvent},
+    fleet_order::FleetOrder,
+    fleet_store::{BoxFuture, FleetStore},
+    fleet_view::FleetView,
+    gateway::Gateway,
+    gateway_clock::GatewayClock,
+    gateway_context::GatewayContext,
+    gateway_failure::GatewayFailure,
+    gateway_metrics::GatewayMetrics,
+    generation_mover::{GenerationMover, MoveOutcome},
+    generation_relay::GenerationRelay,
+    generation_resumer::ResumedGeneration,
+    http_call::HttpCall,
+    move_follower::MoveFollower,
+    peer_hub::PeerHub,
+    peer_report::{LeavingEntry, LoadEntry, PeerReport},
+    peer_table::PeerTable,
+    placement::Placement,
+    planned_route::PlannedRoute,
+    planned_service::PlannedService,
+    planned_team::PlannedTeam,
+    rate_meter::RateMeter,
+    retry_window::RetryWindow,
+    route_kind::RouteKind,
+    route_plan::RoutePlan,
+    server_attempt::AttemptOutcome,
+    server_channel::ServerChannel,
+    server_key::ServerKey,
+    server_load::ServerLoad,
+    server_record::ServerRecord,
+    server_state::ServerState,
+    stop_phase::StopPhase,
+    store_error::StoreError,
+    store_reader::StoreReader,
+    stream_forwarder::StreamForwarder,
+    table_record::{FleetTable, TableBatch, TableRecord},
+    vm_record::VmRecord,
+    vm_settings::VmSettings,
+    wire_names::WireNames,
+    work_demand::WorkDemand,
+    work_query::WorkQuery,
+    work_ticket::WorkTicket,
+};
--- /dev/null
+++ b/crates/gateway/src/peer_hub.rs
@@ -0,0 +1,217 @@
+//! Exchanges reports with the other VMs.
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use prost::Message;
+use tokio::{net::UdpSocket, time::Instant};
+use tracing::{info, warn};
+
+use crate::{
+    FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, PeerTable,
+    ServerLoad, VmRecord,
+};
+
+/// Time between two reports to the same VM.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two reads of the table of VMs. New VMs report to all others by themselves.
+const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
+/// Time between attempts to register while the store does not answer.
+const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+/// Largest datagram. It fits a usual network's frame.
+const DATAGRAM_BYTES: usize = 1_400;
+/// Time for which a VM repeats that a server leaves.
+const LEAVING_REPEATED: Duration = Duration::from_secs(3);
+/// Time after the start during which registered VMs count as running before they were heard.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+
+/// Exchange of reports.
+pub struct PeerHub {
+    context: Arc<GatewayContext>,
+    socket: UdpSocket,
+    table: PeerTable,
+    sequence: u64,
+    started: Instant,
+}
+
+impl PeerHub {
+    /// Builds the exchange over a bound socket.
+    pub fn new(context: &Arc<GatewayContext>, socket: UdpSocket) -> PeerHub {
+        PeerHub {
+            context: Arc::clone(context),
+            socket,
+            table: PeerTable::default(),
+            sequence: 0,
+            started: Instant::now(),
+        }
+    }
+
+    /// Exchanges reports for the lifetime of the process.
+    pub async fn run(mut self) {
+        let (sender, mut registrations) = tokio::sync::mpsc::channel(64);
+        tokio::spawn(register(Arc::clone(&self.context)));
+        tokio::spawn(discover(Arc::clone(&self.context), sender));
+        let mut interval = tokio::time::interval(REPORT_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut buffer = vec![0_u8; 2 * DATAGRAM_BYTES];
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((length, sender)) => self.take_report(&buffer[..length], sender),
+                    Err(error) => info!(%error, "peers: receive failed"),
+                },
+                Some((name, address)) = registrations.recv() => {
+                    self.table.note_registration(&name, address);
+                }
+                _ = interval.tick() => self.send_reports().await,
+            }
+        }
+    }
+
+    fn take_report(&mut self, bytes: &[u8], sender: SocketAddr) {
+        let report = match PeerReport::decode(bytes) {
+            Ok(report) => report,
+            Err(error) => {
+                info!(%sender, %error, "peers: report not understood");
+                return;
+            }
+        };
+        let now = self.context.clock.now();
+        if report.boot == self.context.boot
+            || !self.table.note_report(&report.name, sender, report.boot, report.sequence, now)
+        {
+            return;
+        }
+        let mut changed = false;
+        let mut view = self.context.view();
+        take_loads(&mut view, &report, now);
+        for entry in &report.leaving {
+            if view.note_leaving(&entry.server, entry.started_at_ms, now) {
+                info!(server = entry.server, peer = report.name, "servers: leaving, says a peer");
+                changed = true;
+            }
+        }
+        drop(view);
+        if changed {
+            self.context.announce_change();
+        }
+    }
+
+    async fn send_reports(&mut self) {
+        let now = self.context.clock.now();
+        self.sequence += 1;
+        let mut running = self.table.running_count(now);
+        if self.started.elapsed() < SETTLING_TIME {
+            running = running.max(self.table.known_count());
+        }
+        let report = self.build_report(running);
+        let mut bytes = report.encode_to_vec();
+        if bytes.len() > DATAGRAM_BYTES {
+            bytes = PeerReport { leaving: Vec::new(), ..report }.encode_to_vec();
+        }
+        for address in self.table.recipients(now) {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                tracing::debug!(%address, %error, "peers: report not sent");
+            }
+        }
+    }
+
+    fn build_report(&self, running: usize) -> PeerReport {
+        let now = self.context.clock.now();
+        self.context.metrics.vms.set(running as i64 + 1);
+        let mut view = self.context.view();
+        view.vm_count = running + 1;
+        let mut report = PeerReport {
+            name: self.context.settings.name.clone(),
+            zone: self.context.settings.zone.clone(),
+            boot: self.context.boot,
+            sequence: self.sequence,
+            plan_version: view.plan().map_or(0, |plan| plan.version),
+            is_stopping: self.context.is_stopping(),
+            ..PeerReport::default()
+        };
+        for (_, state) in view.servers() {
+            if state.own_load != ServerLoad::default() {
+                report.loads.push(LoadEntry {
+                    server: state.id.clone(),
+                    requests: state.own_load.requests,
+                    tokens: state.own_load.tokens,
+                });
+            }
+            if state.leaving_since.is_some_and(|since| now.since(since) < LEAVING_REPEATED) {
+                report.leaving.push(LeavingEntry {
+                    server: state.id.clone(),
+                    started_at_ms: state.record.started_at_ms,
+                });
+            }
+        }
+        report
+    }
+}
+
+fn take_loads(view: &mut FleetView, report: &PeerReport, now: dragonflycart_core::MonoTime) {
+    let mut named = BTreeSet::new();
+    for entry in &report.loads {
+        let load = ServerLoad { requests: entry.requests, tokens: entry.tokens };
+        view.note_peer_load(report.boot, &entry.server, load, now);
+        named.insert(entry.server.as_str());
+    }
+    view.clear_peer_loads(report.boot, &named);
+}
+
+/// Registers this VM in the store.
+async fn register(context: Arc<GatewayContext>) {
+    let address = SocketAddr::new(context.settings.ip, context.settings.peer_port);
+    let record = VmRecord {
+        address: address.to_string(),
+        zone: context.settings.zone.clone(),
+        boot: context.boot,
+    };
+    let value = Bytes::from(record.encode_to_vec());
+    loop {
+        match context.store.write_vm(&context.settings.name, value.clone()).await {
+            Ok(()) => {
+                info!(%address, "peers: registered");
+                return;
+            }
+            Err(error) => {
+                warn!(%error, "peers: not registered");
+                tokio::time::sleep(REGISTER_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads the registrations of the other VMs.
+async fn discover(
+    context: Arc<GatewayContext>,
+    sender: tokio::sync::mpsc::Sender<(String, SocketAddr)>,
+) {
+    loop {
+        let pause = match context.store.read_newest(FleetTable::Vms).await {
+            Ok(batch) => {
+                for record in batch.records {
+                    let Some(value) = record.value else { continue };
+                    if record.key == context.settings.name {
+                        continue;
+                    }
+                    let address =
+                        VmRecord::decode(value).ok().and_then(|vm| vm.address.parse().ok());
+                    let Some(address) = address else {
+                        warn!(vm = record.key, "peers: registration not understood");
+                        continue;
+                    };
+                    if sender.send((record.key, address)).await.is_err() {
+                        return;
+                    }
+                }
+                DISCOVERY_INTERVAL
+            }
+            Err(error) => {
+                info!(%error, "peers: registrations not read");
+                REGISTER_PAUSE
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_report.rs
@@ -0,0 +1,58 @@
+//! Message by which VMs tell each other about themselves.
+
+use prost::Message;
+
+/// Load that a VM put on one server.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadEntry {
+    /// Identity of the server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Requests sent and not yet answered.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Engine memory that they are expected to need, in tokens.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// Server that a VM knows to leave.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeavingEntry {
+    /// Identity of the server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Start of its process, in Unix milliseconds.
+    #[prost(uint64, optional, tag = "2")]
+    pub started_at_ms: Option<u64>,
+}
+
+/// State of a VM, sent to each peer in one datagram. A report replaces the one before, so that a
+/// lost datagram needs no repair.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerReport {
+    /// Name of the VM.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Identity of this start of the process.
+    #[prost(fixed64, tag = "3")]
+    pub boot: u64,
+    /// Number of the report within this start.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    /// Version of the plan in force; zero for none.
+    #[prost(uint64, tag = "5")]
+    pub plan_version: u64,
+    /// Load of this VM on servers; those without load are left out.
+    #[prost(message, repeated, tag = "6")]
+    pub loads: Vec<LoadEntry>,
+    /// Servers that leave.
+    #[prost(message, repeated, tag = "7")]
+    pub leaving: Vec<LeavingEntry>,
+    /// Whether the VM takes no more work.
+    #[prost(bool, tag = "8")]
+    pub is_stopping: bool,
+}
--- /dev/null
+++ b/crates/gateway/src/placement.rs
@@ -0,0 +1,18 @@
+//! Decision where a request goes.
+
+use std::net::SocketAddr;
+
+use crate::{ServerKey, ServerLoad};
+
+/// Server that was chosen for a request and the load that was reserved there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Key of the server.
+    pub server: ServerKey,
+    /// Identity of the server.
+    pub id: String,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Reserved load.
+    pub load: ServerLoad,
+}
--- /dev/null
+++ b/crates/gateway/src/planned_service.rs
@@ -0,0 +1,21 @@
+//! One service of the route plan.
+
+use std::time::Duration;
+
+use crate::EngineShape;
+
+/// Service: a group of interchangeable backend servers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlannedService {
+    /// Name of the service.
+    pub name: String,
+    /// Connections that each backend server accepts from all callers together.
+    pub max_connections: usize,
+    /// Time for which a backend server stays cold after its start.
+    pub cold_start: Duration,
+    /// Requests per second that a cold backend server tolerates, over all VMs; zero if its
+    /// service has no cold phase.
+    pub cold_rate: f64,
+    /// Engine that generates tokens, or `None` for a plain service.
+    pub engine: Option<EngineShape>,
+}
--- /dev/null
+++ b/crates/gateway/src/request_handler.rs
@@ -0,0 +1,240 @@
+//! Checks a caller's request, reads it whole and has it forwarded.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use dragonflycart_core::ErrorKind;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{HeaderMap, Request, Response, body::Body, body::Incoming, header};
+use rand::RngExt;
+use tokio::time::Instant;
+use tracing::info;
+
+use crate::{
+    AnswerBody, CallForwarder, CallerRequest, GatewayContext, GatewayFailure, PlannedRoute,
+    PlannedTeam, RouteKind, RoutePlan, StopPhase, StreamForwarder, WireNames, WorkDemand,
+    answer_relay,
+};
+
+/// Time after which a caller may come back while this VM does not know the plan yet.
+const UNREADY_RETRY: Duration = Duration::from_millis(300);
+/// Headers that the system sets itself or answers itself.
+const OWN_HEADERS: [&str; 3] = ["authorization", "content-length", "expect"];
+
+/// Serves one request.
+pub async fn handle(
+    context: &Arc<GatewayContext>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let attempt = header_text(request.headers(), context.names.attempt).unwrap_or("").to_owned();
+    let mut response = match accept(context, request, &attempt, arrived).await {
+        Ok(request) => forward(context, request).await,
+        Err(failure) => {
+            log_failure(context, &attempt, "refused", &failure, arrived);
+            failure.response()
+        }
+    };
+    if context.is_stopping() {
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn forward(context: &Arc<GatewayContext>, request: CallerRequest) -> Response<AnswerBody> {
+    let now = context.clock.now();
+    context.view().note_request(&request.service, now);
+    let (attempt, arrived) = (request.attempt.clone(), request.arrived);
+    let kind = request.route.kind;
+    let result = if kind == RouteKind::Stream {
+        StreamForwarder::new(context, request).run().await
+    } else {
+        CallForwarder::new(context, request).run().await
+    };
+    match result {
+        Ok(response) => {
+            if kind != RouteKind::Stream {
+                let outcome = if response.status().is_success() { "answered" } else { "failed" };
+                context.metrics.count_request(kind.into(), outcome, arrived.elapsed());
+            }
+            response
+        }
+        Err(failure) => {
+            log_failure(context, &attempt, kind.into(), &failure, arrived);
+            failure.response()
+        }
+    }
+}
+
+fn log_failure(
+    context: &GatewayContext,
+    attempt: &str,
+    kind: &'static str,
+    failure: &GatewayFailure,
+    arrived: Instant,
+) {
+    context.metrics.count_request(kind, failure.cause, arrived.elapsed());
+    info!(
+        id = attempt,
+        kind,
+        error = %failure.kind,
+        cause = failure.cause,
+        retry_after_ms = failure.retry_after.map(|time| time.as_millis() as u64),
+        after_ms = arrived.elapsed().as_millis() as u64,
+        "request: failed"
+    );
+}
+
+/// Checks a request against the plan and reads its body.
+async fn accept(
+    context: &GatewayContext,
+    request: Request<Incoming>,
+    attempt: &str,
+    arrived: Instant,
+) -> Result<CallerRequest, GatewayFailure> {
+    let plan = {
+        let view = context.view();
+        let plan = view.plan().filter(|_| view.is_complete()).cloned();
+        plan.ok_or_else(|| {
+            GatewayFailure::new(ErrorKind::NoBackend, "the plan isn't known yet")
+                .with_retry_after(UNREADY_RETRY)
+        })?
+    };
+    let (parts, body) = request.into_parts();
+    let host = header_text(&parts.headers, "host").unwrap_or("");
+    let route = plan
+        .find_route(host, parts.uri.path())
+        .ok_or_else(|| GatewayFailure::new(ErrorKind::NotFound, "no route matches"))?
+        .clone();
+    let team = find_team(&plan, &route, &context.names, &parts.headers)?;
+    if *context.stop.borrow() >= StopPhase::Refusing {
+        return Err(GatewayFailure::new(ErrorKind::Draining, "this VM stops"));
+    }
+    if attempt.is_empty() {
+        return Err(GatewayFailure::new(ErrorKind::BadRequest, "the attempt has no identity"));
+    }
+    let stated_ms = header_text(&parts.headers, context.names.time_left)
+        .and_then(|text| text.parse::<u64>().ok());
+    let time_limit =
+        stated_ms.map_or(route.time_limit, |ms| route.time_limit.min(Duration::from_millis(ms)));
+    let deadline = arrived + time_limit;
+    let has_body = !body.is_end_stream();
+    let body = read_body(body, plan.limits.body_bytes, deadline).await?;
+    let service = choose_service(&route);
+    let (demand, shared_part) = read_demand(&context.names, &parts.headers, route.kind);
+    Ok(CallerRequest {
+        attempt: attempt.to_owned(),
+        service,
+        team_priority: team.map_or(0, |team| team.priority),
+        team: team.map(|team| team.name.clone()),
+        method: parts.method,
+        target: parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned(),
+        last_event: header_text(&parts.headers, "last-event-id").and_then(|text| text.parse().ok()),
+        headers: forwarded_headers(&context.names, &parts.headers),
+        body,
+        has_body,
+        arrived,
+        deadline,
+        demand,
+        shared_part,
+        route,
+    })
+}
+
+/// Returns the team whose key a request bears, or `None` where no credential is needed.
+fn find_team<'a>(
+    plan: &'a RoutePlan,
+    route: &PlannedRoute,
+    names: &WireNames,
+    headers: &HeaderMap,
+) -> Result<Option<&'a PlannedTeam>, GatewayFailure> {
+    if route.is_public || !plan.has_teams() {
+        return Ok(None);
+    }
+    let key = header_text(headers, "authorization")
+        .and_then(|text| text.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(names.key_scheme))
+        .map(|(_, key)| key.trim());
+    let team = key.and_then(|key| plan.find_team(key));
+    team.map(Some).ok_or_else(|| GatewayFailure::new(ErrorKind::Unauthorized, "the key is unknown"))
+}
+
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, GatewayFailure> {
+    let collected = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(GatewayFailure::new(ErrorKind::TooLarge, "the body is too large"))
+        }
+        Ok(Err(_)) => Err(GatewayFailure::new(ErrorKind::BadRequest, "the body broke off")),
+        Err(_) => {
+            Err(GatewayFailure::new(ErrorKind::DeadlineNotStarted, "the body came too slowly"))
+        }
+    }
+}
+
+fn choose_service(route: &PlannedRoute) -> String {
+    let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
+    let mut point = if total == 0 { 0 } else { rand::rng().random_range(0..total) };
+    for (service, weight) in &route.services {
+        if point < *weight {
+            return service.clone();
+        }
+        point -= weight;
+    }
+    route.services.first().map(|(service, _)| service.clone()).unwrap_or_default()
+}
+
+/// Reads the engine memory that a stream needs and the last part of its prompt that others share.
+fn read_demand(
+    names: &WireNames,
+    headers: &HeaderMap,
+    kind: RouteKind,
+) -> (WorkDemand, Option<u64>) {
+    if kind != RouteKind::Stream {
+        return (WorkDemand::default(), None);
+    }
+    let counts: Vec<u64> = header_text(headers, names.token_counts)
+        .unwrap_or("")
+        .split(',')
+        .filter_map(|part| part.trim().parse().ok())
+        .collect();
+    let [prompt_tokens, output_limit, ..] = counts[..] else {
+        return (WorkDemand::default(), None);
+    };
+    let hint = header_text(headers, names.length_hint).and_then(|text| text.trim().parse().ok());
+    let parts: Vec<u64> = header_text(headers, names.prompt_parts)
+        .unwrap_or("")
+        .split(',')
+        .filter_map(|part| u64::from_str_radix(part.trim().split(':').next()?, 16).ok())
+        .collect();
+    let shared_part = parts.len().checked_sub(2).map(|index| parts[index]);
+    (WorkDemand::estimate(prompt_tokens, output_limit, hint), shared_part)
+}
+
+/// Returns the headers that are passed on to the server.
+fn forwarded_headers(names: &WireNames, headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let text = name.as_str();
+        let is_own = OWN_HEADERS.contains(&text);
+        if is_own
+            || names.is_set_by_system(text)
+            || answer_relay::is_connection_header(headers, text)
+        {
+            continue;
+        }
+        forwarded.append(name.clone(), value.clone());
+    }
+    forwarded
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/route_kind.rs
@@ -0,0 +1,24 @@
+//! What may be repeated on a route.
+
+use strum::{Display, EnumString, IntoStaticStr};
+
+/// Kind of a route's requests.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, EnumString, IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum RouteKind {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once.
+    NonIdempotent,
+    /// The response is an event stream; a request runs at most once.
+    Stream,
+}
+
+impl RouteKind {
+    /// Returns whether a request that may have run can be sent again.
+    pub fn is_repeatable(self) -> bool {
+        self == RouteKind::Idempotent
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/route_plan.rs
@@ -0,0 +1,77 @@
+//! The route plan in force.
+
+use std::collections::BTreeMap;
+
+use crate::{CallerLimits, PlannedRoute, PlannedService, PlannedTeam};
+
+/// Routes, services, limits and teams of one version of the operators' configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RoutePlan {
+    /// Version; a higher one replaces a lower one.
+    pub version: u64,
+    /// Routes by host, longest prefix first.
+    routes: BTreeMap<String, Vec<PlannedRoute>>,
+    /// Services by name.
+    pub services: BTreeMap<String, PlannedService>,
+    /// Limits on what callers may send.
+    pub limits: CallerLimits,
+    /// Teams by key, or `None` if the plan has no teams and needs no credentials.
+    teams: Option<BTreeMap<String, PlannedTeam>>,
+}
+
+impl RoutePlan {
+    /// Builds a plan from its parts.
+    pub fn new(
+        version: u64,
+        routes: Vec<PlannedRoute>,
+        services: Vec<PlannedService>,
+        limits: CallerLimits,
+        teams: Option<Vec<PlannedTeam>>,
+    ) -> RoutePlan {
+        let mut by_host = BTreeMap::<String, Vec<PlannedRoute>>::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(route);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        RoutePlan {
+            version,
+            routes: by_host,
+            services: services.into_iter().map(|service| (service.name.clone(), service)).collect(),
+            limits,
+            teams: teams.map(index_teams),
+        }
+    }
+
+    /// Returns the route with the longest prefix of `path` on `host`.
+    pub fn find_route(&self, host: &str, path: &str) -> Option<&PlannedRoute> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        self.routes.get(&host)?.iter().find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Returns whether callers need a credential on routes that are not public.
+    pub fn has_teams(&self) -> bool {
+        self.teams.is_some()
+    }
+
+    /// Returns the team that holds `key`.
+    pub fn find_team(&self, key: &str) -> Option<&PlannedTeam> {
+        self.teams.as_ref()?.get(key)
+    }
+
+    /// Returns the number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
+
+fn index_teams(teams: Vec<PlannedTeam>) -> BTreeMap<String, PlannedTeam> {
+    let mut by_key = BTreeMap::new();
+    for team in teams {
+        for key in &team.keys {
+            by_key.insert(key.clone(), team.clone());
+        }
+    }
+    by_key
+}
--- /dev/null
+++ b/crates/gateway/src/server_channel.rs
@@ -0,0 +1,274 @@
+//! One HTTP/1.1 connection to a backend server.
+//!
+//! The connection is read here and not by a client library, because a response counts only with
+//! the echoed identity of its request: a late or extra response on a reused connection is skipped
+//! without losing the right one, and a response that starts before the request body is sent must
+//! not lead to the rest of the body being taken for another request.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::Instant,
+};
+
+use crate::{AnswerHead, BodyFraming, ChannelError, ChunkDecoder, DecodedChunk};
+
+/// Time for a connection to be established. Zones are some milliseconds apart; a lost packet is
+/// sent again after one second, which is too late for plain requests.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Time after which unacknowledged bytes make the kernel give a connection up.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time between keep-alive probes on silent connections.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a connection is kept idle where the server states no limit.
+const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Part of a server's stated idle limit that is used, so that a request never meets its close.
+const IDLE_PART: f64 = 0.6;
+/// Late responses of earlier requests that are skipped.
+const SKIP_LIMIT: u32 = 3;
+
+enum BodyState {
+    Idle,
+    Length(u64),
+    Chunked(ChunkDecoder),
+    UntilClose,
+}
+
+/// Connection that carries one exchange at a time.
+pub struct ServerChannel {
+    stream: TcpStream,
+    buffer: BytesMut,
+    body: BodyState,
+    has_served: bool,
+    is_spent: bool,
+    idle_limit: Duration,
+    idle_since: Instant,
+}
+
+impl ServerChannel {
+    /// Connects to a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChannelError::Unreachable`] if the connection isn't established in time.
+    pub async fn connect(address: SocketAddr) -> Result<ServerChannel, ChannelError> {
+        let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address))
+            .await
+            .map_err(|_| ChannelError::Unreachable)?
+            .map_err(|_| ChannelError::Unreachable)?;
+        set_socket_options(&stream).map_err(|_| ChannelError::Unreachable)?;
+        Ok(ServerChannel {
+            stream,
+            buffer: BytesMut::new(),
+            body: BodyState::Idle,
+            has_served: false,
+            is_spent: false,
+            idle_limit: DEFAULT_IDLE_LIMIT,
+            idle_since: Instant::now(),
+        })
+    }
+
+    /// Returns whether the connection has carried an exchange before.
+    pub fn is_reused(&self) -> bool {
+        self.has_served
+    }
+
+    /// Returns whether the connection can carry another exchange: the last one ended cleanly, no
+    /// bytes came after it, the server has not closed it and its idle limit isn't near.
+    pub fn is_reusable(&mut self) -> bool {
+        if self.is_spent
+            || !matches!(self.body, BodyState::Idle)
+            || !self.buffer.is_empty()
+            || self.idle_since.elapsed() > self.idle_limit
+        {
+            return false;
+        }
+        let mut probe = [0_u8; 1];
+        let pending = self.stream.try_read(&mut probe);
+        matches!(pending, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads the head of its response. `echo` is the header under which the
+    /// response must echo the identity of the request, and that identity; `None` takes the first
+    /// response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why there is no response. The request may have run then.
+    pub async fn exchange(
+        &mut self,
+        head: &[u8],
+        body: &Bytes,
+        echo: Option<(&str, &str)>,
+    ) -> Result<AnswerHead, ChannelError> {
+        let is_reused = std::mem::replace(&mut self.has_served, true);
+        self.is_spent = true;
+        let mut request = BytesMut::with_capacity(head.len() + body.len());
+        request.extend_from_slice(head);
+        request.extend_from_slice(body);
+        let mut sent = 0;
+        let mut skipped = 0;
+        loop {
+            let answer = self.next_head(&request, &mut sent).await?;
+            if answer.status.is_informational() {
+                continue;
+            }
+            let is_ours = echo.is_none_or(|(name, attempt)| match answer.text(name) {
+                Some(echoed) => echoed == attempt,
+                None => !is_reused && !answer.status.is_success(),
+            });
+            if is_ours {
+                self.is_spent = !answer.keeps_alive || sent < request.len();
+                self.note_idle_limit(&answer);
+                return Ok(answer);
+            }
+            skipped += 1;
+            if skipped > SKIP_LIMIT || answer.framing == BodyFraming::UntilClose {
+                return Err(ChannelError::Mismatched);
+            }
+            while self.next_piece().await?.is_some() {}
+        }
+    }
+
+    fn note_idle_limit(&mut self, answer: &AnswerHead) {
+        if let Some(limit) = answer.idle_limit() {
+            self.idle_limit = limit.mul_f64(IDLE_PART);
+        }
+    }
+
+    /// Reads the next head while the rest of the request is sent.
+    async fn next_head(
+        &mut self,
+        request: &[u8],
+        sent: &mut usize,
+    ) -> Result<AnswerHead, ChannelError> {
+        loop {
+            if let Some((head, length)) = AnswerHead::parse(&self.buffer)? {
+                let _ = self.buffer.split_to(length);
+                self.body = match head.framing {
+                    BodyFraming::Length(0) => BodyState::Idle,
+                    BodyFraming::Length(length) => BodyState::Length(length),
+                    BodyFraming::Chunked => BodyState::Chunked(ChunkDecoder::new()),
+                    BodyFraming::UntilClose => BodyState::UntilClose,
+                };
+                return Ok(head);
+            }
+            let (mut reader, mut writer) = self.stream.split();
+            tokio::select! {
+                biased;
+                written = writer.write(&request[*sent..]), if *sent < request.len() => {
+                    match written {
+                        Ok(count) => *sent += count,
+                        // The response may still be readable.
+                        Err(_) => *sent = request.len(),
+                    }
+                }
+                read = reader.read_buf(&mut self.buffer) => {
+                    if read.map_err(|_| ChannelError::Closed)? == 0 {
+                        return Err(ChannelError::Closed);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the next piece of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body ends early.
+    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, ChannelError> {
+        loop {
+            if let Some(piece) = self.buffered_piece()? {
+                return Ok(piece);
+            }
+            let is_open_ended = matches!(self.body, BodyState::UntilClose);
+            let count =
+                self.stream.read_buf(&mut self.buffer).await.map_err(|_| ChannelError::Closed)?;
+            if count == 0 {
+                self.is_spent = true;
+                if is_open_ended {
+                    self.body = BodyState::Idle;
+                    return Ok(None);
+                }
+                return Err(ChannelError::Closed);
+            }
+        }
+    }
+
+    /// Takes a piece from the buffer: `Some(None)` is the end of the body, `None` stands for too
+    /// few bytes.
+    fn buffered_piece(&mut self) -> Result<Option<Option<Bytes>>, ChannelError> {
+        match &mut self.body {
+            BodyState::Idle => Ok(Some(None)),
+            BodyState::Length(left) => {
+                if self.buffer.is_empty() {
+                    return Ok(None);
+                }
+                let taken = (*left).min(self.buffer.len() as u64);
+                *left -= taken;
+                if *left == 0 {
+                    self.body = BodyState::Idle;
+                }
+                Ok(Some(Some(self.buffer.split_to(taken as usize).freeze())))
+            }
+            BodyState::Chunked(decoder) => match decoder.decode(&mut self.buffer)? {
+                DecodedChunk::Data(data) => Ok(Some(Some(data))),
+                DecodedChunk::End => {
+                    self.body = BodyState::Idle;
+                    Ok(Some(None))
+                }
+                DecodedChunk::NeedsMore => Ok(None),
+            },
+            BodyState::UntilClose => {
+                if self.buffer.is_empty() {
+                    return Ok(None);
+                }
+                Ok(Some(Some(self.buffer.split().freeze())))
+            }
+        }
+    }
+
+    /// Reads the rest of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body ends early or has more than `limit` bytes.
+    pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, ChannelError> {
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.next_piece().await? {
+            if body.len() + piece.len() > limit {
+                return Err(ChannelError::Malformed);
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.freeze())
+    }
+
+    /// Marks the start of an idle time.
+    pub fn start_idle(&mut self) {
+        self.idle_since = Instant::now();
+    }
+
+    /// Closes the connection.
+    pub fn close(self) {
+        drop(self.stream);
+    }
+}
+
+/// Sets the options that find a connection that went silent.
+fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL)
+            .with_retries(2),
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/status_front.rs
@@ -0,0 +1,56 @@
+//! Tells the balancer whether the VM takes connections, and serves the metrics.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tracing::warn;
+
+use crate::{AnswerBody, GatewayContext, answer_body};
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves the status address. `ready_path` is the balancer's question.
+pub async fn serve(context: Arc<GatewayContext>, listener: TcpListener, ready_path: &'static str) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(%error, "status: can't accept");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let context = Arc::clone(&context);
+        tokio::spawn(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = answer(&context, request.uri().path(), ready_path);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "status: connection ended");
+            }
+        });
+    }
+}
+
+fn answer(context: &GatewayContext, path: &str, ready_path: &str) -> Response<AnswerBody> {
+    if path == METRICS_PATH {
+        return Response::new(answer_body::full(Bytes::from(context.metrics.encode())));
+    }
+    let is_ready = !context.is_stopping() && context.view().is_complete();
+    let status = match (path == ready_path, is_ready) {
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        (false, _) => StatusCode::NOT_FOUND,
+    };
+    let mut response = Response::new(answer_body::full(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/work_demand.rs
@@ -0,0 +1,31 @@
+//! What a request needs of a backend server.
+
+/// Engine memory that a generation needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct WorkDemand {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Expected output tokens.
+    pub output_tokens: u64,
+}
+
+/// Factor by which the caller's estimate is raised: it is right at the median only.
+const HINT_FACTOR: f64 = 1.2;
+/// Part of the largest output that is expected where the caller gives no estimate.
+const UNHINTED_PART: f64 = 0.5;
+
+impl WorkDemand {
+    /// Builds the demand from a request's token counts and its caller's estimate.
+    pub fn estimate(prompt_tokens: u64, output_limit: u64, hint: Option<u64>) -> WorkDemand {
+        let expected = match hint {
+            Some(hint) => (hint as f64 * HINT_FACTOR) as u64,
+            None => (output_limit as f64 * UNHINTED_PART) as u64,
+        };
+        WorkDemand { prompt_tokens, output_tokens: expected.min(output_limit).max(1) }
+    }
+
+    /// Returns the memory at the end of the generation.
+    pub fn total_tokens(self) -> u64 {
+        self.prompt_tokens + self.output_tokens
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/work_query.rs
@@ -0,0 +1,20 @@
+//! Question for a placement.
+
+use std::collections::BTreeSet;
+
+use crate::{ServerKey, WorkDemand};
+
+/// What a placement is asked for.
+#[derive(Debug, Clone)]
+pub struct WorkQuery<'a> {
+    /// Service that runs the request.
+    pub service: &'a str,
+    /// Memory that the request needs; zero for plain services.
+    pub demand: WorkDemand,
+    /// Last prompt part that other requests share, if any.
+    pub shared_part: Option<u64>,
+    /// Zone that is preferred instead of the VM's own.
+    pub near_zone: Option<&'a str>,
+    /// Servers that must not be used.
+    pub excluded: &'a BTreeSet<ServerKey>,
+}
--- a/crates/node/src/control/append_control.rs
+++ b/crates/node/src/control/append_control.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dragonflycart_core::{Incarnation, LogOffset, MonoTime, WallTime};
-use dragonflycart_platform::{LogError, LogTopic};
+use dragonflycart_interfaces::{LogError, LogTopic};
 use dragonflycart_state::{AppendBudget, BatchWriter, WriterError, WriterLimits, WriterStep};
 use dragonflycart_wire::{LogEntry, log_entry::Kind};
 use log::warn;
--- a/crates/node/src/control/call_control.rs
+++ b/crates/node/src/control/call_control.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use dragonflycart_core::{ErrorKind, Incarnation, MonoTime, RunState, ServiceError, WallTime};
-use dragonflycart_platform::LogTopic;
+use dragonflycart_interfaces::LogTopic;
 use dragonflycart_state::{
     AttemptAnswer, CallAttempt, CallLedger, CallView, ClaimId, ClaimNote, DispatchPermit,
     GivenUpClaims, LedgerLimits,
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -14,7 +14,7 @@
 use dragonflycart_core::{
     Incarnation, ModelName, MonoTime, PlanRevision, RouteName, ServerName, VersionName, WallTime,
 };
-use dragonflycart_platform::LogTopic;
+use dragonflycart_interfaces::LogTopic;
 use dragonflycart_policy::{MoveSettings, MoveState, RequestTicket};
 use dragonflycart_settings::Config;
 use dragonflycart_state::LedgerLimits;
--- a/crates/node/src/control/control_message.rs
+++ b/crates/node/src/control/control_message.rs
@@ -8,7 +8,7 @@
     TeamName,
 };
 use dragonflycart_engine::LoadReport;
-use dragonflycart_platform::VmEntry;
+use dragonflycart_interfaces::VmEntry;
 use dragonflycart_policy::{AttemptFailure, RequestTicket, TokenProgress};
 use tokio::sync::oneshot;
 
--- a/crates/node/src/control/decoded_batch.rs
+++ b/crates/node/src/control/decoded_batch.rs
@@ -1,7 +1,7 @@
 //! What one read of the log yielded, decoded.
 
 use dragonflycart_core::LogOffset;
-use dragonflycart_platform::{LogTopic, ReadBatch};
+use dragonflycart_interfaces::{LogTopic, ReadBatch};
 use dragonflycart_wire::RecordBatch;
 use prost::Message;
 
--- a/crates/node/src/control/job_control.rs
+++ b/crates/node/src/control/job_control.rs
@@ -6,7 +6,7 @@
 use dragonflycart_core::{
     ErrorKind, Incarnation, LogOffset, MonoTime, ServiceError, rendezvous_score,
 };
-use dragonflycart_platform::LogTopic;
+use dragonflycart_interfaces::LogTopic;
 use dragonflycart_state::{CallKey, JobLedger, JobView, LedgerLimits, incarnation_to_wire};
 use dragonflycart_wire::{JobAccepted, JobResult, log_entry::Kind};
 use log::{info, warn};
--- a/crates/node/src/control/peer_control.rs
+++ b/crates/node/src/control/peer_control.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use dragonflycart_core::{MonoTime, MoveId, PlanRevision, WallTime, ZoneName};
-use dragonflycart_platform::{VmEntry, VmState};
+use dragonflycart_interfaces::{VmEntry, VmState};
 use dragonflycart_state::{LatchStore, MemberInfo, MemberTable, MoveState, PlanState};
 use dragonflycart_wire::{
     Evidence, Heartbeat, LatchSet, MoveEnd, PeerMessage, PlanCopy, PlanFetch, peer_message::Kind,
--- a/crates/node/src/control/submit_control.rs
+++ b/crates/node/src/control/submit_control.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use dragonflycart_core::{ErrorKind, MonoTime, OperatingPlan, OperatorName, ServiceError};
+use dragonflycart_interfaces::LogTopic;
 use dragonflycart_operator::api::{PlanAnswer, SubmitAnswer, SubmitId, SubmitRequest};
-use dragonflycart_platform::LogTopic;
 use dragonflycart_settings::Config;
 use dragonflycart_state::PlanVerdict;
 use dragonflycart_wire::{PlanProposal, log_entry::Kind};
--- a/crates/node/src/log_appender.rs
+++ b/crates/node/src/log_appender.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dragonflycart_core::LogOffset;
-use dragonflycart_platform::{LogError, LogService, LogTopic};
+use dragonflycart_interfaces::{LogError, LogService, LogTopic};
 use tokio::sync::mpsc;
 
 use crate::control::{ControlHandle, ControlMessage};
--- a/crates/node/src/log_tailer.rs
+++ b/crates/node/src/log_tailer.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use dragonflycart_core::LogOffset;
-use dragonflycart_platform::{LogError, LogService, LogTopic, ReadBatch};
+use dragonflycart_interfaces::{LogError, LogService, LogTopic, ReadBatch};
 use tokio::sync::mpsc;
 
 /// Longest wait of one read for a new record.
--- a/crates/node/src/order_sender.rs
+++ b/crates/node/src/order_sender.rs
@@ -4,7 +4,7 @@
 
 use dragonflycart_core::ServerName;
 use dragonflycart_engine::{EngineError, EngineOrder, OrderOutcome};
-use dragonflycart_platform::{WeightStore, WeightStoreError};
+use dragonflycart_interfaces::{WeightStore, WeightStoreError};
 use dragonflycart_policy::{OrderAction, OrderAnswer, OrderCommand};
 use tokio::sync::mpsc;
 
--- a/crates/node/src/plugins/directory_plugin.rs
+++ b/crates/node/src/plugins/directory_plugin.rs
@@ -1,6 +1,6 @@
 //! Reads the platform's list of VMs.
 
-use dragonflycart_platform::{HttpDirectory, VmDirectory};
+use dragonflycart_interfaces::{HttpDirectory, VmDirectory};
 use tokio::task::JoinHandle;
 
 use crate::{
--- a/crates/node/src/plugins/log_plugin.rs
+++ b/crates/node/src/plugins/log_plugin.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dragonflycart_platform::{HttpLog, LogService, LogTopic};
+use dragonflycart_interfaces::{HttpLog, LogService, LogTopic};
 use strum::IntoEnumIterator;
 use tokio::{sync::mpsc, task::JoinHandle};
 
--- a/crates/node/src/plugins/order_plugin.rs
+++ b/crates/node/src/plugins/order_plugin.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dragonflycart_platform::HttpWeights;
+use dragonflycart_interfaces::HttpWeights;
 use tokio::task::JoinHandle;
 
 use crate::{
--- a/crates/testkit/src/directory_config.rs
+++ b/crates/testkit/src/directory_config.rs
@@ -1,6 +1,6 @@
 //! Configuration of the fake VM list.
 
-use dragonflycart_platform::VmEntry;
+use dragonflycart_interfaces::VmEntry;
 use serde::{Deserialize, Serialize};
 
 /// Configuration of the fake VM list. Missing fields take their defaults.
--- a/crates/testkit/src/fake_directory.rs
+++ b/crates/testkit/src/fake_directory.rs
@@ -15,7 +15,7 @@
     http::StatusCode,
     routing::{get, put},
 };
-use dragonflycart_platform::VmEntry;
+use dragonflycart_interfaces::VmEntry;
 use tokio::time::Instant;
 
 use crate::{
--- a/crates/testkit/tests/all/log_client.rs
+++ b/crates/testkit/tests/all/log_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dragonflycart_core::LogOffset;
-use dragonflycart_platform::{HttpLog, LogError, LogService, LogTopic};
+use dragonflycart_interfaces::{HttpLog, LogError, LogService, LogTopic};
 use dragonflycart_testkit::{FakeLog, FaultCommand, LogCommand, LogConfig, OutageKind};
 
 use crate::fixtures::closed_address;
--- a/crates/testkit/tests/all/platform_clients.rs
+++ b/crates/testkit/tests/all/platform_clients.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dragonflycart_core::ZoneName;
-use dragonflycart_platform::{
+use dragonflycart_interfaces::{
     HttpDirectory, HttpWeights, VmDirectory, VmEntry, VmState, WeightStore, WeightStoreError,
 };
 use dragonflycart_testkit::{
--- a/examples/trial/trial_deployment.rs
+++ b/examples/trial/trial_deployment.rs
@@ -10,8 +10,8 @@
 use dragonflycart_core::{
     ModelName, ModelPlacement, OperatingPlan, VersionName, WallTime, ZoneName, ZonePlan, ZoneState,
 };
+use dragonflycart_interfaces::{HttpLog, LogService, LogTopic};
 use dragonflycart_node::Daemon;
-use dragonflycart_platform::{HttpLog, LogService, LogTopic};
 use dragonflycart_settings::ConfigBuilder;
 use dragonflycart_testkit::{
     BadEffect, BadVersion, DirectoryConfig, EngineConfig, FakeDirectory, FakeEngine, FakeLog,
--- a/tests/all/plans.rs
+++ b/tests/all/plans.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use dragonflycart_core::{LogOffset, PlanRevision, ZoneState};
+use dragonflycart_interfaces::{HttpLog, LogService, LogTopic};
 use dragonflycart_operator::api::SubmitAnswer;
-use dragonflycart_platform::{HttpLog, LogService, LogTopic};
 use dragonflycart_testkit::{
     FaultCommand, LogCommand, OutageKind, RelayCommand, RelayMode, RelayScope,
 };
--- a/tests/all/support/deployment.rs
+++ b/tests/all/support/deployment.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use dragonflycart_core::{ModelPlacement, OperatingPlan, ZoneName, ZonePlan, ZoneState};
-use dragonflycart_platform::{HttpLog, LogService, LogTopic, VmEntry, VmState};
+use dragonflycart_interfaces::{HttpLog, LogService, LogTopic, VmEntry, VmState};
 use dragonflycart_testkit::{
     DirectoryConfig, FakeDirectory, FakeEngine, FakeLog, FakeService, FakeWeights, FaultRelay,
     RelayCommand, RelayMode, RelayScope, WeightConfig,
