Have engines copy running generations ahead and go on at the copy

Each report now names a second engine that receives its memory as it grows. When its engine leaves, breaks off or falls silent, it goes on there at the next event while the first response is still read; a copy on notice is the fall-back. Ruled out: waiting for the copy before asking the target, which puts the pause back.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -10,8 +10,8 @@
 use slotmap::SlotMap;
 
 use crate::{
-    FleetOrder, Placement, RetryWindow, RoutePlan, ServerKey, ServerLoad, ServerRecord,
-    ServerState, VmSettings, WorkQuery,
+    EngineShape, FleetOrder, Placement, RetryWindow, RoutePlan, ServerKey, ServerLoad,
+    ServerRecord, ServerState, VmSettings, WorkQuery,
 };
 
 /// Time for which a registration that vanished after an outage of the store may come back.
@@ -72,6 +72,11 @@
         self.plan.is_some() && self.servers_known
     }
 
+    /// Returns the engines of a service, or `None` for a plain service.
+    pub fn engine_shape(&self, service: &str) -> Option<EngineShape> {
+        self.plan.as_ref()?.services.get(service)?.engine
+    }
+
     /// Returns the state of a server.
     pub fn server(&self, key: ServerKey) -> Option<&ServerState> {
         self.servers.get(key)
@@ -296,23 +301,77 @@
             }
         }
         let Some((_, key)) = best else { return Err(ErrorKind::NoBackend) };
-        Ok(self.reserve(key, query, now))
+        Ok(self.reserve_work(key, query, now))
+    }
+
+    /// Chooses an engine that receives copies of a generation's memory, and reserves the memory
+    /// there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::NoBackend`] if no engine has room.
+    pub fn place_copy(
+        &mut self,
+        query: &WorkQuery<'_>,
+        now: MonoTime,
+    ) -> Result<Placement, ErrorKind> {
+        let limit = self.engine_shape(query.service).map_or(0, |engine| engine.memory_tokens);
+        let need = query.demand.total_tokens();
+        let mut best: Option<(f64, ServerKey)> = None;
+        for (key, state) in &self.servers {
+            let has_room = state.total_load(now).tokens + need <= limit;
+            if !has_room || !self.is_usable(key, state, query, now) {
+                continue;
+            }
+            let score = self.score(key, state, query, now);
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, key));
+            }
+        }
+        let Some((_, key)) = best else { return Err(ErrorKind::NoBackend) };
+        Ok(self.reserve(key, ServerLoad { requests: 0, tokens: need }))
     }
 
-    fn reserve(&mut self, key: ServerKey, query: &WorkQuery<'_>, now: MonoTime) -> Placement {
+    /// Reserves a certain server, or returns `None` if it takes no work.
+    pub fn place_at(
+        &mut self,
+        key: ServerKey,
+        query: &WorkQuery<'_>,
+        now: MonoTime,
+    ) -> Option<Placement> {
+        let state = self.servers.get(key)?;
+        if !state.takes_work(now) || self.evacuated.contains_key(&state.record.zone) {
+            return None;
+        }
+        Some(self.reserve_work(key, query, now))
+    }
+
+    /// Reserves a server that may be leaving, for a generation whose memory it keeps.
+    pub fn reserve_leaving(
+        &mut self,
+        key: ServerKey,
+        query: &WorkQuery<'_>,
+        now: MonoTime,
+    ) -> Option<Placement> {
+        self.servers.contains_key(key).then(|| self.reserve_work(key, query, now))
+    }
+
+    fn reserve_work(&mut self, key: ServerKey, query: &WorkQuery<'_>, now: MonoTime) -> Placement {
         let cold_rate = self.cold_rate(query.service);
-        let load = ServerLoad { requests: 1, tokens: query.demand.total_tokens() };
         let state = &mut self.servers[key];
-        state.own_load += load;
         if cold_rate > 0.0 && state.is_cold(now) {
             state.cold_meter.take(cold_rate, now);
         }
-        let placement =
-            Placement { server: key, id: state.id.clone(), address: state.record.address, load };
         if let Some(part) = query.shared_part {
             self.remember_part(key, part, now);
         }
-        placement
+        self.reserve(key, ServerLoad { requests: 1, tokens: query.demand.total_tokens() })
+    }
+
+    fn reserve(&mut self, key: ServerKey, load: ServerLoad) -> Placement {
+        let state = &mut self.servers[key];
+        state.own_load += load;
+        Placement { server: key, id: state.id.clone(), address: state.record.address, load }
     }
 
     fn remember_part(&mut self, key: ServerKey, part: u64, now: MonoTime) {
@@ -372,11 +431,7 @@
         now: MonoTime,
     ) -> f64 {
         let load = state.total_load(now);
-        let engine = self
-            .plan
-            .as_ref()
-            .and_then(|plan| plan.services.get(query.service))
-            .and_then(|service| service.engine);
+        let engine = self.engine_shape(query.service);
         let slots = f64::from(state.record.slots.max(1));
         let mut score = f64::from(load.requests) / slots;
         if let Some(engine) = engine {
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -64,9 +64,12 @@
 
     /// Returns whether generations of a service can be moved between its engines.
     pub fn can_move(&self, service: &str) -> bool {
-        let view = self.view();
-        let engine = view.plan().and_then(|plan| plan.services.get(service)?.engine);
-        engine.is_some_and(|engine| engine.can_move)
+        self.view().engine_shape(service).is_some_and(|engine| engine.can_move)
+    }
+
+    /// Returns whether engines of a service copy the memory of generations as it grows.
+    pub fn can_back_up(&self, service: &str) -> bool {
+        self.view().engine_shape(service).is_some_and(|engine| engine.can_back_up)
     }
 
     /// Tells running work that servers may have changed.
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -1,14 +1,19 @@
-//! Moves a running generation from an engine that leaves to another one.
+//! Moves a running generation to another engine.
 //!
-//! The memory is copied twice: first while the generation runs on, which takes most of the time,
-//! then what came since, after the generation has stopped. Only the second copy shows as a pause.
+//! Where an engine received copies of the memory as it grew, the generation goes on there at
+//! once. Otherwise the memory is copied twice: first while the generation runs on, which takes
+//! most of the time, then what came since, after the generation has stopped. Only the second copy
+//! shows as a pause.
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::sync::oneshot;
 use tracing::info;
 
-use crate::{CallerRequest, CopyAnswer, GatewayContext, ServerKey, WorkQuery, WorkTicket};
+use crate::{
+    CallerRequest, CopyAnswer, EngineSeat, GatewayContext, ResumeResult, ResumedGeneration,
+    ServerKey, StreamProgress, WorkQuery, WorkTicket, generation_resumer,
+};
 
 /// Time for one copy. Notices of engines that leave are about two seconds long.
 const COPY_LIMIT: Duration = Duration::from_millis(1_800);
@@ -21,76 +26,123 @@
 /// Calls that are made at most, over all targets.
 const CALL_LIMIT: u32 = 24;
 
+/// Why a generation is moved.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum MoveReason {
+    /// The engine leaves; it still works.
+    Leaving,
+    /// The engine's response broke off or went silent.
+    Broken,
+}
+
 /// Result of a move.
 pub enum MoveOutcome {
-    /// The generation stopped and its memory is complete at the target.
-    Moved {
-        /// Reservation at the target.
-        target: WorkTicket,
-        /// Names the copy.
-        handle: String,
-    },
-    /// The generation stopped, but its memory is only at the source.
-    Stopped {
-        /// Names the memory that the source keeps.
-        handle: String,
-    },
-    /// The generation runs on at the source.
+    /// The generation goes on elsewhere.
+    Resumed(Box<ResumedGeneration>),
+    /// The generation is where it was.
     Stays,
+    /// The generation can't be continued anywhere.
+    Gone,
 }
 
 /// Move of one generation.
 pub struct GenerationMover {
     context: Arc<GatewayContext>,
     request: CallerRequest,
+    progress: Arc<StreamProgress>,
+    reason: MoveReason,
     source: SocketAddr,
+    source_id: String,
+    source_key: ServerKey,
     source_zone: String,
+    backup: Option<SocketAddr>,
+    backup_key: Option<ServerKey>,
     tried: BTreeSet<ServerKey>,
     calls: u32,
 }
 
 impl GenerationMover {
-    /// Starts a move away from the server of `ticket`. The receiver gets the outcome; if it was
-    /// dropped by then, the copy is freed.
+    /// Starts a move away from a seat. The receiver gets the outcome; if it was dropped by then,
+    /// the generation ends.
     pub fn start(
         context: &Arc<GatewayContext>,
         request: &CallerRequest,
-        ticket: &WorkTicket,
+        seat: &EngineSeat,
+        progress: &Arc<StreamProgress>,
+        reason: MoveReason,
     ) -> oneshot::Receiver<MoveOutcome> {
         let (sender, receiver) = oneshot::channel();
-        let zone = context.view().server(ticket.server()).map(|state| state.record.zone.clone());
+        let server = seat.engine.server();
+        let zone = context.view().server(server).map(|state| state.record.zone.clone());
         let mover = GenerationMover {
             context: Arc::clone(context),
             request: request.clone(),
-            source: ticket.address(),
+            progress: Arc::clone(progress),
+            reason,
+            source: seat.engine.address(),
+            source_id: seat.engine.id().to_owned(),
+            source_key: server,
             source_zone: zone.unwrap_or_default(),
-            tried: BTreeSet::from([ticket.server()]),
+            backup: seat.backup.as_ref().map(WorkTicket::address),
+            backup_key: seat.backup.as_ref().map(WorkTicket::server),
+            tried: BTreeSet::from([server]),
             calls: 0,
         };
         tokio::spawn(mover.run(sender));
         receiver
     }
 
-    async fn run(mut self, sender: oneshot::Sender<MoveOutcome>) {
-        let outcome = self.try_targets(&sender).await;
+    async fn run(mut self, mut sender: oneshot::Sender<MoveOutcome>) {
+        let outcome = self.find_outcome(&mut sender).await;
         let result = match &outcome {
-            MoveOutcome::Moved { .. } => "moved",
-            MoveOutcome::Stopped { .. } => "stopped",
+            MoveOutcome::Resumed(_) => "resumed",
             MoveOutcome::Stays => "stays",
+            MoveOutcome::Gone => "gone",
         };
         self.context.metrics.count_move(result);
-        info!(id = self.request.attempt, source = %self.source, result, calls = self.calls,
-            "move: ended");
-        let Err(unused) = sender.send(outcome) else { return };
-        match unused {
-            MoveOutcome::Moved { handle, .. } | MoveOutcome::Stopped { handle } => {
-                self.release(&handle).await;
-            }
-            MoveOutcome::Stays => {}
+        info!(id = self.request.attempt, source = self.source_id, reason = %self.reason, result,
+            calls = self.calls, "move: ended");
+        // A receiver that was dropped takes no more events; a resumed response ends with its
+        // connection.
+        drop(sender.send(outcome));
+    }
+
+    async fn find_outcome(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
+        match self.resume_at_backup().await {
+            ResumeResult::Resumed(resumed) => return MoveOutcome::Resumed(resumed),
+            ResumeResult::Failed => return MoveOutcome::Gone,
+            ResumeResult::NotRun => {}
+        }
+        if self.reason == MoveReason::Broken || !self.context.can_move(&self.request.service) {
+            return MoveOutcome::Stays;
         }
+        self.try_targets(sender).await
     }
 
-    async fn try_targets(&mut self, sender: &oneshot::Sender<MoveOutcome>) -> MoveOutcome {
+    /// Goes on at the engine that received copies, unless it leaves too.
+    async fn resume_at_backup(&mut self) -> ResumeResult {
+        let (Some(address), Some(key)) = (self.backup, self.backup_key) else {
+            return ResumeResult::NotRun;
+        };
+        self.tried.insert(key);
+        let now = self.context.clock.now();
+        let query = self.request.query(&self.tried);
+        let placement = self.context.view().place_at(key, &query, now);
+        let Some(placement) = placement else { return ResumeResult::NotRun };
+        let ticket = WorkTicket::new(&self.context, placement);
+        let resume_from = self.context.engines.resume_value(address, &self.request.attempt);
+        generation_resumer::resume(
+            &self.context,
+            &self.request,
+            ticket,
+            &resume_from,
+            &self.progress,
+        )
+        .await
+    }
+
+    async fn try_targets(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
         for _ in 0..TARGET_LIMIT {
             let Some(target) = self.place() else { return MoveOutcome::Stays };
             self.tried.insert(target.server());
@@ -105,9 +157,9 @@
                 Some(CopyAnswer::Unknown | CopyAnswer::Busy) | None => return MoveOutcome::Stays,
             }
             return match self.copy(&target, true, sender).await {
-                Some(CopyAnswer::Copied { handle }) => MoveOutcome::Moved { target, handle },
+                Some(CopyAnswer::Copied { handle }) => self.resume(Some(target), &handle).await,
                 Some(CopyAnswer::NoRoom { handle: Some(handle) }) => {
-                    MoveOutcome::Stopped { handle }
+                    self.resume(None, &handle).await
                 }
                 _ => MoveOutcome::Stays,
             };
@@ -115,6 +167,33 @@
         MoveOutcome::Stays
     }
 
+    /// Goes on after the generation has stopped: at the target, or else at the source, which keeps
+    /// the memory.
+    async fn resume(&mut self, target: Option<WorkTicket>, handle: &str) -> MoveOutcome {
+        let resume_from = self.context.engines.resume_value(self.source, handle);
+        let excluded = BTreeSet::new();
+        let now = self.context.clock.now();
+        let query = self.request.query(&excluded);
+        let source = self.context.view().reserve_leaving(self.source_key, &query, now);
+        let source = source.map(|placement| WorkTicket::new(&self.context, placement));
+        for ticket in [target, source].into_iter().flatten() {
+            let result = generation_resumer::resume(
+                &self.context,
+                &self.request,
+                ticket,
+                &resume_from,
+                &self.progress,
+            )
+            .await;
+            match result {
+                ResumeResult::Resumed(resumed) => return MoveOutcome::Resumed(resumed),
+                ResumeResult::NotRun => {}
+                ResumeResult::Failed => return MoveOutcome::Gone,
+            }
+        }
+        MoveOutcome::Gone
+    }
+
     fn place(&self) -> Option<WorkTicket> {
         let now = self.context.clock.now();
         let query =
@@ -129,7 +208,7 @@
         &mut self,
         target: &WorkTicket,
         is_final: bool,
-        sender: &oneshot::Sender<MoveOutcome>,
+        sender: &mut oneshot::Sender<MoveOutcome>,
     ) -> Option<CopyAnswer> {
         loop {
             if sender.is_closed() || self.calls >= CALL_LIMIT {
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -1,16 +1,21 @@
 //! Passes the events of a generation on to its caller, across engines.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use tokio::time::Instant;
 use tracing::info;
 
 use crate::{
-    BodyBroken, CallerRequest, ChannelError, EventSplitter, GatewayContext, MoveFollower,
-    MoveOutcome, PieceSender, ServerChannel, StreamEvent, WorkTicket, generation_resumer,
+    BodyBroken, CallerRequest, ChannelError, EngineSeat, EventSplitter, GatewayContext,
+    MoveFollower, MoveOutcome, PieceSender, ResumedGeneration, ServerChannel, StreamEvent,
+    StreamProgress,
 };
 
+/// Time without an event after which a stream whose memory was copied goes on elsewhere. Events
+/// come every 30 to 60 ms, and pauses over 180 ms are late already.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+
 /// How a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -21,6 +26,8 @@
     CallerLeft,
     /// The engine's connection broke.
     Broken,
+    /// The engine was silent for too long.
+    Silent,
     /// The numbers of the events have a gap.
     Gap,
     /// The time limit passed.
@@ -30,22 +37,28 @@
 enum RelayStep {
     Continue,
     End(RelayEnd),
-    Moved(MoveOutcome),
+    Resumed(Box<ResumedGeneration>),
+}
+
+/// Where the events come from.
+pub struct RelaySource {
+    /// Reservations.
+    pub seat: EngineSeat,
+    /// Watches the engine.
+    pub follower: MoveFollower,
+    /// Connection from which the events are read.
+    pub channel: ServerChannel,
 }
 
 /// Relay of one generation. Each event is passed on once and in order, and only whole.
 pub struct GenerationRelay {
     context: Arc<GatewayContext>,
     request: CallerRequest,
-    ticket: WorkTicket,
-    follower: MoveFollower,
-    channel: ServerChannel,
+    source: RelaySource,
+    progress: Arc<StreamProgress>,
     sender: PieceSender,
     splitter: EventSplitter,
-    last_event: Option<u64>,
     events: u64,
-    resumes: u32,
-    /// Longest time between two events, first event included.
     last_event_at: Instant,
     longest_pause_ms: u64,
 }
@@ -55,22 +68,18 @@
     pub fn new(
         context: &Arc<GatewayContext>,
         request: CallerRequest,
-        ticket: WorkTicket,
-        follower: MoveFollower,
-        channel: ServerChannel,
+        source: RelaySource,
+        progress: Arc<StreamProgress>,
         sender: PieceSender,
     ) -> GenerationRelay {
         GenerationRelay {
             context: Arc::clone(context),
-            last_event: request.last_event,
             request,
-            ticket,
-            follower,
-            channel,
+            source,
+            progress,
             sender,
             splitter: EventSplitter::default(),
             events: 0,
-            resumes: 0,
             last_event_at: Instant::now(),
             longest_pause_ms: 0,
         }
@@ -82,26 +91,28 @@
             match self.step().await {
                 RelayStep::Continue => {}
                 RelayStep::End(end) => break end,
-                RelayStep::Moved(outcome) => match self.resume(outcome).await {
-                    Ok(relay) => self = relay,
-                    Err(()) => return,
-                },
+                RelayStep::Resumed(resumed) => self.switch(*resumed),
             }
         };
         self.finish(end).await;
     }
 
     async fn step(&mut self) -> RelayStep {
+        let RelaySource { seat, follower, channel } = &mut self.source;
+        let silence = self.last_event_at + SILENCE_LIMIT;
+        let can_recover = self.events > 0 && seat.backup.is_some();
         tokio::select! {
             biased;
             () = self.sender.closed() => RelayStep::End(RelayEnd::CallerLeft),
-            outcome = self.follower.next(&self.context, &self.request, &self.ticket) => {
-                match outcome {
-                    MoveOutcome::Stays => RelayStep::Continue,
-                    moved => RelayStep::Moved(moved),
-                }
+            outcome = follower.next(&self.request, seat, &self.progress) => match outcome {
+                MoveOutcome::Stays => RelayStep::Continue,
+                MoveOutcome::Gone => RelayStep::End(RelayEnd::Broken),
+                MoveOutcome::Resumed(resumed) => RelayStep::Resumed(resumed),
+            },
+            piece = channel.next_piece() => self.take_piece(piece).await,
+            () = tokio::time::sleep_until(silence), if can_recover => {
+                self.recover(RelayEnd::Silent).await
             }
-            piece = self.channel.next_piece() => self.take_piece(piece).await,
             () = tokio::time::sleep_until(self.request.deadline) => {
                 RelayStep::End(RelayEnd::TimedOut)
             }
@@ -114,16 +125,42 @@
                 self.splitter.push(&bytes);
                 self.pass_events().await
             }
-            Ok(None) if self.splitter.has_partial() => RelayStep::End(RelayEnd::Broken),
+            Ok(None) if self.splitter.has_partial() => self.recover(RelayEnd::Broken).await,
             Ok(None) => RelayStep::End(RelayEnd::Complete),
-            Err(_) if self.follower.is_moving() => match self.follower.outcome().await {
-                MoveOutcome::Stays => RelayStep::End(RelayEnd::Broken),
-                moved => RelayStep::Moved(moved),
-            },
-            Err(_) => RelayStep::End(RelayEnd::Broken),
+            Err(_) => self.recover(RelayEnd::Broken).await,
         }
     }
 
+    /// Goes on elsewhere after the response broke off or went silent, or else ends.
+    async fn recover(&mut self, end: RelayEnd) -> RelayStep {
+        let RelaySource { seat, follower, .. } = &mut self.source;
+        info!(
+            id = self.request.attempt,
+            server = seat.engine.id(),
+            cause = <&str>::from(end),
+            "stream: engine lost"
+        );
+        match follower.recover(&self.request, seat, &self.progress).await {
+            MoveOutcome::Resumed(resumed) => RelayStep::Resumed(resumed),
+            MoveOutcome::Stays | MoveOutcome::Gone => RelayStep::End(end),
+        }
+    }
+
+    /// Takes the events from another engine. The response head was passed on already, and the
+    /// generation is the same, so only the events after the last one matter.
+    fn switch(&mut self, resumed: ResumedGeneration) {
+        let source = RelaySource {
+            seat: resumed.seat,
+            follower: MoveFollower::new(&self.context),
+            channel: resumed.channel,
+        };
+        let old = std::mem::replace(&mut self.source, source);
+        old.channel.close();
+        old.seat.close();
+        self.splitter = EventSplitter::default();
+        self.last_event_at = Instant::now();
+    }
+
     async fn pass_events(&mut self) -> RelayStep {
         loop {
             match self.splitter.next_event() {
@@ -139,7 +176,7 @@
     }
 
     async fn pass_event(&mut self, event: StreamEvent) -> Option<RelayEnd> {
-        if let (Some(last), Some(id)) = (self.last_event, event.id) {
+        if let (Some(last), Some(id)) = (self.progress.last_event(), event.id) {
             if id <= last {
                 return None;
             }
@@ -147,8 +184,8 @@
                 return Some(RelayEnd::Gap);
             }
         }
-        if event.id.is_some() {
-            self.last_event = event.id;
+        if let Some(id) = event.id {
+            self.progress.advance(id);
         }
         self.note_event();
         match self.sender.send(Ok(event.bytes)).await {
@@ -168,53 +205,24 @@
         self.last_event_at = Instant::now();
     }
 
-    /// Goes on at another engine. The response head was passed on already, and the generation is
-    /// the same, so only the events that come after the last one matter.
-    async fn resume(self, outcome: MoveOutcome) -> Result<GenerationRelay, ()> {
-        let GenerationRelay { context, request, ticket, channel, sender, .. } = self;
-        channel.close();
-        let resumed =
-            generation_resumer::resume(&context, &request, ticket, outcome, self.last_event).await;
-        let Ok(resumed) = resumed else {
-            log_end(&context, &request, "not_resumed", self.events, self.longest_pause_ms);
-            if sender.send(Err(BodyBroken::Interrupted)).await.is_err() {
-                info!(id = request.attempt, "stream: the caller left before its end was told");
-            }
-            return Err(());
-        };
-        Ok(GenerationRelay {
-            follower: MoveFollower::new(&context),
-            context,
-            request,
-            ticket: resumed.ticket,
-            channel: resumed.channel,
-            sender,
-            splitter: EventSplitter::default(),
-            last_event: self.last_event,
-            events: self.events,
-            resumes: self.resumes + 1,
-            last_event_at: self.last_event_at,
-            longest_pause_ms: self.longest_pause_ms,
-        })
-    }
-
     async fn finish(self, end: RelayEnd) {
         let outcome = <&str>::from(end);
         log_end(&self.context, &self.request, outcome, self.events, self.longest_pause_ms);
-        let is_failure = matches!(end, RelayEnd::Broken | RelayEnd::Gap);
-        if let Some(state) = self.context.view().server_mut(self.ticket.server()) {
+        let is_failure = matches!(end, RelayEnd::Broken | RelayEnd::Gap | RelayEnd::Silent);
+        let RelaySource { seat, channel, .. } = self.source;
+        if let Some(state) = self.context.view().server_mut(seat.engine.server()) {
             state.note_answer(is_failure, self.request.arrived.elapsed());
         }
         if end == RelayEnd::Complete {
-            self.context.pool.put_back(self.ticket.address(), self.channel);
+            self.context.pool.put_back(seat.engine.address(), channel);
         } else {
-            self.channel.close();
+            channel.close();
         }
         let is_cut = !matches!(end, RelayEnd::Complete | RelayEnd::CallerLeft);
         if is_cut && self.sender.send(Err(BodyBroken::Interrupted)).await.is_err() {
             info!(id = self.request.attempt, "stream: the caller left before its end was told");
         }
-        self.ticket.close();
+        seat.close();
     }
 }
 
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -1,86 +1,59 @@
 //! Goes on with a generation whose memory was copied.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use tracing::info;
 
 use crate::{
-    AnswerHead, AttemptOutcome, CallerRequest, GatewayContext, MoveOutcome, ServerChannel,
-    SystemFields, WorkTicket, answer_relay, server_attempt,
+    AnswerHead, AttemptOutcome, CallerRequest, EngineSeat, GatewayContext, ServerChannel,
+    StreamProgress, SystemFields, WorkTicket, answer_relay, server_attempt,
 };
 
-/// Generation that goes on: its server and the response from there.
+/// Generation that goes on: its engine and the response from there.
 pub struct ResumedGeneration {
-    /// Reservation at the server.
-    pub ticket: WorkTicket,
+    /// Reservations.
+    pub seat: EngineSeat,
     /// Head of the response.
     pub head: AnswerHead,
     /// Connection from which the events are read.
     pub channel: ServerChannel,
 }
 
-/// Result of asking one server to go on.
-enum ResumeStep {
-    Resumed(ResumedGeneration),
-    /// The server did not run the request; another one may.
-    NotRun(WorkTicket),
+/// Result of asking an engine to go on.
+pub enum ResumeResult {
+    /// The generation goes on.
+    Resumed(Box<ResumedGeneration>),
+    /// The engine did not run the request; another one may be asked.
+    NotRun,
     /// The request may have run, so that nobody else may be asked.
-    Failed(WorkTicket),
+    Failed,
 }
 
-/// Goes on with a generation after a move away from the server of `source`. The target is asked
-/// first, then the source, which keeps the memory of a generation that it stopped.
-///
-/// # Errors
-///
-/// Returns the last server's ticket if the generation could not be continued.
+/// Asks the engine of `ticket` to go on from the memory that `resume_from` names.
 pub async fn resume(
-    context: &Arc<GatewayContext>,
-    request: &CallerRequest,
-    source: WorkTicket,
-    outcome: MoveOutcome,
-    last_event: Option<u64>,
-) -> Result<ResumedGeneration, WorkTicket> {
-    let (handle, target) = match outcome {
-        MoveOutcome::Moved { target, handle } => (handle, Some(target)),
-        MoveOutcome::Stopped { handle } => (handle, None),
-        MoveOutcome::Stays => return Err(source),
-    };
-    let resume_from = context.engines.resume_value(source.address(), &handle);
-    if let Some(target) = target {
-        match ask(context, request, target, &resume_from, last_event).await {
-            ResumeStep::Resumed(resumed) => return Ok(resumed),
-            ResumeStep::Failed(ticket) => return Err(ticket),
-            ResumeStep::NotRun(ticket) => ticket.close(),
-        }
-    }
-    match ask(context, request, source, &resume_from, last_event).await {
-        ResumeStep::Resumed(resumed) => Ok(resumed),
-        ResumeStep::Failed(ticket) | ResumeStep::NotRun(ticket) => Err(ticket),
-    }
-}
-
-async fn ask(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
     ticket: WorkTicket,
     resume_from: &str,
-    last_event: Option<u64>,
-) -> ResumeStep {
+    progress: &StreamProgress,
+) -> ResumeResult {
     context.view().note_repeat(&request.service, context.clock.now());
+    let seat = EngineSeat::with_backup(context, request, ticket, &BTreeSet::new());
+    let backup_at = seat.backup_address();
+    let last_event = progress.last_event();
     let fields = SystemFields {
-        server_id: ticket.id(),
+        server_id: seat.engine.id(),
         resume_from: Some(resume_from),
+        backup_at: backup_at.as_deref(),
         last_event,
-        ..SystemFields::default()
     };
-    let outcome = server_attempt::offer(context, request, &ticket, fields).await;
+    let outcome = server_attempt::offer(context, request, &seat.engine, fields).await;
     let (result, is_run) = match outcome {
         AttemptOutcome::Answered { head, channel }
             if head.status.is_success() && answer_relay::is_genuine(&context.names, &head) =>
         {
-            info!(id = request.attempt, server = ticket.id(), last_event, "stream: resumed");
-            return ResumeStep::Resumed(ResumedGeneration { ticket, head, channel });
+            info!(id = request.attempt, server = seat.engine.id(), last_event, "stream: resumed");
+            return ResumeResult::Resumed(Box::new(ResumedGeneration { seat, head, channel }));
         }
         AttemptOutcome::Answered { channel, .. } => {
             channel.close();
@@ -90,6 +63,7 @@
         AttemptOutcome::Refused { .. } => ("refused", false),
         AttemptOutcome::Lost(error) => (error.into(), true),
     };
-    info!(id = request.attempt, server = ticket.id(), result, "stream: not resumed");
-    if is_run { ResumeStep::Failed(ticket) } else { ResumeStep::NotRun(ticket) }
+    info!(id = request.attempt, server = seat.engine.id(), result, "stream: not resumed");
+    seat.close();
+    if is_run { ResumeResult::Failed } else { ResumeResult::NotRun }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,9 @@
 mod chunk_decoder;
 mod engine_protocol;
 mod engine_shape;
+mod engine_seat;
 mod event_splitter;
+mod stream_progress;
 mod fleet_order;
 mod fleet_store;
 mod fleet_view;
@@ -76,6 +78,7 @@
     channel_pool::ChannelPool,
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     engine_protocol::{CopyAnswer, EngineProtocol},
+    engine_seat::EngineSeat,
     engine_shape::EngineShape,
     event_splitter::{EventSplitter, StreamEvent},
     fleet_order::FleetOrder,
@@ -86,9 +89,9 @@
     gateway_context::GatewayContext,
     gateway_failure::GatewayFailure,
     gateway_metrics::GatewayMetrics,
-    generation_mover::{GenerationMover, MoveOutcome},
-    generation_relay::GenerationRelay,
-    generation_resumer::ResumedGeneration,
+    generation_mover::{GenerationMover, MoveOutcome, MoveReason},
+    generation_relay::{GenerationRelay, RelaySource},
+    generation_resumer::{ResumeResult, ResumedGeneration},
     http_call::HttpCall,
     move_follower::MoveFollower,
     peer_hub::PeerHub,
@@ -112,6 +115,7 @@
     store_error::StoreError,
     store_reader::StoreReader,
     stream_forwarder::StreamForwarder,
+    stream_progress::StreamProgress,
     table_record::{FleetTable, TableBatch, TableRecord},
     vm_record::VmRecord,
     vm_settings::VmSettings,
--- a/crates/gateway/src/move_follower.rs
+++ b/crates/gateway/src/move_follower.rs
@@ -1,16 +1,20 @@
-//! Watches the server of a running generation and starts a move when it leaves.
+//! Watches the engine of a running generation and starts a move when it leaves.
 
 use std::sync::Arc;
 
 use tokio::sync::{oneshot, watch};
 
-use crate::{CallerRequest, GatewayContext, GenerationMover, MoveOutcome, WorkTicket};
+use crate::{
+    CallerRequest, EngineSeat, GatewayContext, GenerationMover, MoveOutcome, MoveReason,
+    StreamProgress,
+};
 
-/// Moves that are started for one generation while it stays at the same server.
+/// Moves that are started for one generation while it stays at the same engine.
 const MOVE_LIMIT: u32 = 3;
 
-/// Follows the beliefs about one server, and the move that they caused.
+/// Follows the beliefs about one engine, and the move that they caused.
 pub struct MoveFollower {
+    context: Arc<GatewayContext>,
     changes: watch::Receiver<u64>,
     moving: Option<oneshot::Receiver<MoveOutcome>>,
     started: u32,
@@ -18,42 +22,65 @@
 
 impl MoveFollower {
     /// Follows the beliefs of `context`.
-    pub fn new(context: &GatewayContext) -> MoveFollower {
+    pub fn new(context: &Arc<GatewayContext>) -> MoveFollower {
         let mut changes = context.changes.subscribe();
         changes.mark_changed();
-        MoveFollower { changes, moving: None, started: 0 }
+        MoveFollower { context: Arc::clone(context), changes, moving: None, started: 0 }
     }
 
-    /// Returns whether a move is in progress.
-    pub fn is_moving(&self) -> bool {
-        self.moving.is_some()
-    }
-
-    /// Waits until the server leaves, starts a move then, and waits for its outcome. It is safe to
+    /// Waits until the engine leaves, starts a move then, and waits for its outcome. It is safe to
     /// drop the returned future and to call this again.
     pub async fn next(
         &mut self,
-        context: &Arc<GatewayContext>,
         request: &CallerRequest,
-        ticket: &WorkTicket,
+        seat: &EngineSeat,
+        progress: &Arc<StreamProgress>,
     ) -> MoveOutcome {
         while self.moving.is_none() {
             if self.changes.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
-            if self.started < MOVE_LIMIT
-                && context.can_move(&request.service)
-                && context.view().is_leaving(ticket.server())
-            {
-                self.started += 1;
-                self.moving = Some(GenerationMover::start(context, request, ticket));
+            let is_leaving = self.context.view().is_leaving(seat.engine.server());
+            if is_leaving && self.started < MOVE_LIMIT {
+                self.start(request, seat, progress, MoveReason::Leaving);
             }
         }
         self.outcome().await
     }
 
-    /// Waits for the outcome of the move in progress.
-    pub async fn outcome(&mut self) -> MoveOutcome {
+    /// Returns what becomes of a generation whose response broke off: the outcome of the move in
+    /// progress, or else of a move that starts now.
+    pub async fn recover(
+        &mut self,
+        request: &CallerRequest,
+        seat: &EngineSeat,
+        progress: &Arc<StreamProgress>,
+    ) -> MoveOutcome {
+        if self.moving.is_some() {
+            let outcome = self.outcome().await;
+            if !matches!(outcome, MoveOutcome::Stays) {
+                return outcome;
+            }
+        }
+        if seat.backup.is_none() {
+            return MoveOutcome::Gone;
+        }
+        self.start(request, seat, progress, MoveReason::Broken);
+        self.outcome().await
+    }
+
+    fn start(
+        &mut self,
+        request: &CallerRequest,
+        seat: &EngineSeat,
+        progress: &Arc<StreamProgress>,
+        reason: MoveReason,
+    ) {
+        self.started += 1;
+        self.moving = Some(GenerationMover::start(&self.context, request, seat, progress, reason));
+    }
+
+    async fn outcome(&mut self) -> MoveOutcome {
         let Some(receiver) = &mut self.moving else { return MoveOutcome::Stays };
         let outcome = receiver.await.unwrap_or(MoveOutcome::Stays);
         self.moving = None;
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -7,9 +7,10 @@
 use tracing::info;
 
 use crate::{
-    AnswerBody, AnswerHead, AttemptOutcome, CallerRequest, ChannelError, GatewayContext,
-    GatewayFailure, GenerationRelay, MoveFollower, MoveOutcome, ServerChannel, ServerKey,
-    SystemFields, WorkTicket, answer_body, answer_relay, generation_resumer, server_attempt,
+    AnswerBody, AnswerHead, AttemptOutcome, CallerRequest, ChannelError, EngineSeat,
+    GatewayContext, GatewayFailure, GenerationRelay, MoveFollower, MoveOutcome, RelaySource,
+    ServerChannel, ServerKey, StreamProgress, SystemFields, WorkTicket, answer_body, answer_relay,
+    server_attempt,
 };
 
 /// Servers that are tried while none has run the request.
@@ -25,12 +26,15 @@
     request: CallerRequest,
     excluded: BTreeSet<ServerKey>,
     arrivals: u32,
+    progress: Arc<StreamProgress>,
 }
 
 impl StreamForwarder {
     /// Builds the forwarding of a request.
     pub fn new(context: &Arc<GatewayContext>, request: CallerRequest) -> StreamForwarder {
+        let progress = Arc::new(StreamProgress::new(request.last_event));
         StreamForwarder {
+            progress,
             context: Arc::clone(context),
             request,
             excluded: BTreeSet::new(),
@@ -53,95 +57,95 @@
             if self.arrivals > 0 && !self.context.view().take_repeat(&self.request.service, now) {
                 break;
             }
-            let placed = self.context.view().place(&self.request.query(&self.excluded), now);
-            let Ok(placement) = placed else { break };
-            let ticket = WorkTicket::new(&self.context, placement);
-            self.excluded.insert(ticket.server());
+            let Some(seat) = EngineSeat::take(&self.context, &self.request, &self.excluded) else {
+                break;
+            };
+            self.excluded.insert(seat.engine.server());
             let mut follower = MoveFollower::new(&self.context);
-            let (ticket, outcome) = self.offer_and_follow(ticket, &mut follower).await;
+            let (seat, outcome) = self.offer_and_follow(seat, &mut follower).await;
             match outcome {
-                AttemptOutcome::NotSent(error) => self.log_offer(&ticket, error.into()),
+                AttemptOutcome::NotSent(error) => self.log_offer(&seat, error.into()),
                 AttemptOutcome::Refused { .. } => {
                     self.arrivals += 1;
-                    self.log_offer(&ticket, "refused");
+                    self.log_offer(&seat, "refused");
                     failure = GatewayFailure::new(ErrorKind::Overloaded, "all engines refused");
                 }
                 AttemptOutcome::Lost(error) => {
-                    self.log_offer(&ticket, error.into());
+                    self.log_offer(&seat, error.into());
                     return Err(lost_failure(error));
                 }
                 AttemptOutcome::Answered { head, channel } => {
-                    return self.answer(ticket, follower, head, channel).await;
+                    return self.answer(seat, follower, head, channel).await;
                 }
             }
-            ticket.close();
+            seat.close();
         }
         Err(failure)
     }
 
-    /// Offers the request, and goes on at another engine if this one leaves before the response
-    /// starts.
+    /// Offers the request, and goes on at another engine if this one leaves or breaks off before
+    /// the response starts.
     async fn offer_and_follow(
         &self,
-        ticket: WorkTicket,
+        seat: EngineSeat,
         follower: &mut MoveFollower,
-    ) -> (WorkTicket, AttemptOutcome) {
-        let moved = {
-            let fields = SystemFields { server_id: ticket.id(), ..SystemFields::default() };
-            let offer = server_attempt::offer(&self.context, &self.request, &ticket, fields);
+    ) -> (EngineSeat, AttemptOutcome) {
+        let outcome = {
+            let backup_at = seat.backup_address();
+            let fields = SystemFields {
+                server_id: seat.engine.id(),
+                backup_at: backup_at.as_deref(),
+                ..SystemFields::default()
+            };
+            let offer = server_attempt::offer(&self.context, &self.request, &seat.engine, fields);
             tokio::pin!(offer);
             loop {
                 tokio::select! {
                     biased;
-                    outcome = &mut offer => {
-                        let is_lost = matches!(outcome, AttemptOutcome::Lost(_));
-                        if !is_lost || !follower.is_moving() {
-                            break Err(outcome);
-                        }
-                        match follower.outcome().await {
-                            MoveOutcome::Stays => break Err(outcome),
-                            moved => break Ok(moved),
-                        }
-                    }
-                    moved = follower.next(&self.context, &self.request, &ticket) => {
-                        if !matches!(moved, MoveOutcome::Stays) {
-                            break Ok(moved);
+                    outcome = &mut offer => break Err(outcome),
+                    moved = follower.next(&self.request, &seat, &self.progress) => match moved {
+                        MoveOutcome::Stays => {}
+                        MoveOutcome::Gone => {
+                            break Err(AttemptOutcome::Lost(ChannelError::Closed));
                         }
+                        MoveOutcome::Resumed(resumed) => break Ok(resumed),
                     }
                 }
             }
         };
-        let moved = match moved {
-            Err(outcome) => return (ticket, outcome),
-            Ok(moved) => moved,
-        };
-        let resumed =
-            generation_resumer::resume(&self.context, &self.request, ticket, moved, None).await;
-        match resumed {
-            Ok(resumed) => {
-                let outcome =
-                    AttemptOutcome::Answered { head: resumed.head, channel: resumed.channel };
-                (resumed.ticket, outcome)
+        let resumed = match outcome {
+            Ok(resumed) => resumed,
+            Err(AttemptOutcome::Lost(error)) if error != ChannelError::TimedOut => {
+                match follower.recover(&self.request, &seat, &self.progress).await {
+                    MoveOutcome::Resumed(resumed) => resumed,
+                    MoveOutcome::Stays | MoveOutcome::Gone => {
+                        return (seat, AttemptOutcome::Lost(error));
+                    }
+                }
             }
-            Err(ticket) => (ticket, AttemptOutcome::Lost(ChannelError::Closed)),
-        }
+            Err(outcome) => return (seat, outcome),
+        };
+        seat.close();
+        *follower = MoveFollower::new(&self.context);
+        let outcome = AttemptOutcome::Answered { head: resumed.head, channel: resumed.channel };
+        (resumed.seat, outcome)
     }
 
     async fn answer(
         self,
-        ticket: WorkTicket,
+        seat: EngineSeat,
         follower: MoveFollower,
         head: AnswerHead,
         mut channel: ServerChannel,
     ) -> Result<Response<AnswerBody>, GatewayFailure> {
         let names = self.context.names;
         if !answer_relay::is_genuine(&names, &head) {
-            self.log_offer(&ticket, "not_genuine");
+            self.log_offer(&seat, "not_genuine");
             channel.close();
             return Err(GatewayFailure::new(ErrorKind::Interrupted, "the answer isn't genuine"));
         }
         if !head.status.is_success() {
-            self.log_offer(&ticket, "failed");
+            self.log_offer(&seat, "failed");
             let body = channel.read_body(FAILURE_LIMIT_BYTES);
             let body = tokio::time::timeout_at(self.request.deadline, body).await;
             // A 503 without the statement that the request did not run must not be taken for one.
@@ -149,25 +153,27 @@
                 channel.close();
                 return Err(GatewayFailure::new(ErrorKind::BackendFailed, "the engine failed"));
             };
-            self.context.pool.put_back(ticket.address(), channel);
+            self.context.pool.put_back(seat.engine.address(), channel);
             if matches!(head.status.as_u16(), 408 | 421 | 429 | 503) {
                 return Err(GatewayFailure::new(ErrorKind::BackendFailed, "the engine failed"));
             }
             return Ok(answer_relay::build(&names, &head, answer_body::full(body)));
         }
-        self.log_offer(&ticket, "answered");
+        self.log_offer(&seat, "answered");
         let (sender, body) = answer_body::channel(PIECES_QUEUED);
         let response = answer_relay::build(&names, &head, body);
+        let source = RelaySource { seat, follower, channel };
         let relay =
-            GenerationRelay::new(&self.context, self.request, ticket, follower, channel, sender);
+            GenerationRelay::new(&self.context, self.request, source, self.progress, sender);
         tokio::spawn(relay.run());
         Ok(response)
     }
 
-    fn log_offer(&self, ticket: &WorkTicket, outcome: &'static str) {
+    fn log_offer(&self, seat: &EngineSeat, outcome: &'static str) {
         info!(
             id = self.request.attempt,
-            server = ticket.id(),
+            server = seat.engine.id(),
+            backup = seat.backup.as_ref().map(WorkTicket::id),
             outcome,
             arrivals = self.arrivals,
             waited_ms = self.request.arrived.elapsed().as_millis() as u64,
