Read the store at one VM and pass its tables on to the others

Reads now wait 0.8 s at most. That would cost calls at each VM, so the first VM by name that can read the store does, and passes the tables on; a VM whose copy is older than 0.9 s reads the store itself. Records are merged by offset, never backwards.

Ruled out: asking only for newer versions seen at peers, which shares a stale read.

--- /dev/null
+++ b/crates/gateway/src/feed_server.rs
@@ -0,0 +1,92 @@
+//! Passes the tables of the store on to peers.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use prost::Message;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tracing::{info, warn};
+
+use crate::{
+    FeedNews, FeedRecord, FeedRequest, FeedTable, FleetTable, GatewayContext, TableRecord,
+    server_channel,
+};
+
+/// Time between messages without news. A subscriber reads the store itself soon after they stop.
+const TICK: Duration = Duration::from_millis(300);
+/// Time for the first message of a subscriber.
+const REQUEST_LIMIT: Duration = Duration::from_secs(2);
+/// Time for a subscriber to take a message.
+const SEND_LIMIT: Duration = Duration::from_secs(2);
+
+/// Serves subscribers for the lifetime of the process.
+pub async fn serve(context: Arc<GatewayContext>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_subscriber(Arc::clone(&context), stream));
+            }
+            Err(error) => {
+                warn!(%error, "feed: can't accept");
+                tokio::time::sleep(TICK).await;
+            }
+        }
+    }
+}
+
+async fn serve_subscriber(context: Arc<GatewayContext>, stream: TcpStream) {
+    if let Err(error) = server_channel::set_socket_options(&stream) {
+        info!(%error, "feed: can't set socket options");
+    }
+    let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+    let request = tokio::time::timeout(REQUEST_LIMIT, frames.next()).await;
+    let Ok(Some(Ok(bytes))) = request else { return };
+    let request = match FeedRequest::decode(bytes) {
+        Ok(request) => request,
+        Err(error) => {
+            info!(%error, "feed: request not understood");
+            return;
+        }
+    };
+    let mut changes = context.tables.subscribe();
+    let mut orders_from = request.orders_from;
+    let mut servers_from = request.servers_from;
+    loop {
+        changes.mark_unchanged();
+        let news = FeedNews {
+            orders: read_table(&context, FleetTable::Orders, &mut orders_from),
+            servers: read_table(&context, FleetTable::Servers, &mut servers_from),
+        };
+        let sent = frames.send(Bytes::from(news.encode_to_vec()));
+        if !matches!(tokio::time::timeout(SEND_LIMIT, sent).await, Ok(Ok(()))) {
+            return;
+        }
+        tokio::select! {
+            _ = changes.changed() => {}
+            () = tokio::time::sleep(TICK) => {}
+            // A subscriber sends nothing more; this is its close.
+            _ = frames.next() => return,
+        }
+    }
+}
+
+fn read_table(
+    context: &GatewayContext,
+    table: FleetTable,
+    from: &mut Option<u64>,
+) -> Option<FeedTable> {
+    let batch = context.tables.since(table, from.unwrap_or(0))?;
+    let age = context.tables.age(table)?;
+    let is_whole = from.is_none();
+    *from = Some(batch.next);
+    let mut records = Vec::new();
+    for TableRecord { offset, key, value } in batch.records {
+        if is_whole && value.is_none() {
+            continue;
+        }
+        records.push(FeedRecord { offset, key, value });
+    }
+    Some(FeedTable { records, next: batch.next, is_whole, age_ms: age.as_millis() as u64 })
+}
--- /dev/null
+++ b/crates/gateway/src/fleet_tables.rs
@@ -0,0 +1,75 @@
+//! Mirrors of the tables that every VM follows, with their age.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use tokio::{sync::watch, time::Instant};
+
+use crate::{FleetTable, TableBatch, TableMirror};
+
+#[derive(Debug, Default)]
+struct TableState {
+    mirror: TableMirror,
+    current_at: Option<Instant>,
+}
+
+/// Mirrors by table. What a peer passes on and what this VM reads itself are merged here by
+/// offset, so that no older record follows a newer one.
+#[derive(Debug, Default)]
+pub struct FleetTables {
+    tables: Mutex<BTreeMap<FleetTable, TableState>>,
+    changes: watch::Sender<u64>,
+}
+
+impl FleetTables {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<FleetTable, TableState>> {
+        self.tables.lock().expect("no holder of the tables' lock panics")
+    }
+
+    /// Takes records that were current `age` ago and returns those that were not known.
+    pub fn take(
+        &self,
+        table: FleetTable,
+        batch: TableBatch,
+        is_whole: bool,
+        age: Duration,
+    ) -> TableBatch {
+        let now = Instant::now();
+        let mut tables = self.lock();
+        let state = tables.entry(table).or_default();
+        let news = state.mirror.take(batch, is_whole);
+        let current_at = now.checked_sub(age).unwrap_or(now);
+        state.current_at = Some(state.current_at.map_or(current_at, |at| at.max(current_at)));
+        drop(tables);
+        if !news.records.is_empty() {
+            self.changes.send_modify(|count| *count += 1);
+        }
+        news
+    }
+
+    /// Returns how long ago a table was known to be current, or `None` if it is empty.
+    pub fn age(&self, table: FleetTable) -> Option<Duration> {
+        self.lock().get(&table)?.current_at.map(|at| at.elapsed())
+    }
+
+    /// Returns the offset up to which a table is mirrored, or `None` if it is empty.
+    pub fn next(&self, table: FleetTable) -> Option<u64> {
+        self.lock().get(&table)?.mirror.next()
+    }
+
+    /// Returns the records of a table from offset `from` on, or `None` if it is empty.
+    pub fn since(&self, table: FleetTable, from: u64) -> Option<TableBatch> {
+        let tables = self.lock();
+        let state = tables.get(&table)?;
+        state.mirror.next()?;
+        Some(state.mirror.since(from))
+    }
+
+    /// Follows changes of any table.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -107,11 +107,6 @@
         self.evacuated.remove(zone).is_some()
     }
 
-    /// Takes that all evacuations other than those of `zones` ended.
-    pub fn retain_evacuations(&mut self, zones: &BTreeSet<String>) {
-        self.evacuated.retain(|zone, _| zones.contains(zone));
-    }
-
     /// Takes a failure of the store.
     pub fn note_store_failure(&mut self, now: MonoTime) {
         self.store_failed_at = Some(now);
@@ -169,17 +164,6 @@
         true
     }
 
-    /// Takes the ids of all registered servers; all others were removed.
-    pub fn retain_servers(&mut self, ids: &BTreeSet<String>, now: MonoTime) -> bool {
-        let gone: Vec<String> =
-            self.by_id.keys().filter(|id| !ids.contains(*id)).cloned().collect();
-        let mut changed = false;
-        for id in gone {
-            changed |= self.remove_server(&id, now);
-        }
-        changed
-    }
-
     /// Counts lapsed servers as gone once their grace time is over, and forgets servers that left
     /// and have no work. Returns whether a server was given up.
     pub fn expire_servers(&mut self, now: MonoTime) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,9 +10,19 @@
 use tracing::{info, warn};
 
 use crate::{
-    GatewayContext, PeerHub, StopPhase, caller_front, order_follower, server_follower, status_front,
+    FleetTable, GatewayContext, PeerHub, ReadPace, StopPhase, caller_front, feed_client,
+    feed_server, server_follower, status_front, table_follower,
 };
 
+/// Pace of reading orders. They are to be in force within two seconds, and a read that waits may
+/// miss a record that comes at the same moment.
+const ORDERS_PACE: ReadPace =
+    ReadPace { wait: Duration::from_millis(800), spacing: Duration::from_millis(50) };
+/// Pace of reading registrations of servers, which change all the time. Servers that leave give
+/// about two seconds of notice.
+const SERVERS_PACE: ReadPace =
+    ReadPace { wait: Duration::from_millis(500), spacing: Duration::from_millis(350) };
+
 /// Time after the start of a planned stop in which new requests are still served: the balancer
 /// asks once a second and takes a VM out after two answers.
 const LEAVE_TIME: Duration = Duration::from_millis(3_200);
@@ -25,6 +35,7 @@
     caller_listener: TcpListener,
     status_listener: TcpListener,
     peer_socket: UdpSocket,
+    feed_listener: TcpListener,
     ready_path: &'static str,
 }
 
@@ -36,11 +47,13 @@
     /// Returns the error of an address that can't be bound.
     pub async fn bind(context: GatewayContext, ready_path: &'static str) -> io::Result<Gateway> {
         let settings = Arc::clone(&context.settings);
+        let peer_address = SocketAddr::new(settings.ip, settings.peer_port);
         Ok(Gateway {
             context: Arc::new(context),
             caller_listener: TcpListener::bind(settings.caller_address).await?,
             status_listener: TcpListener::bind(settings.ready_address).await?,
-            peer_socket: UdpSocket::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?,
+            peer_socket: UdpSocket::bind(peer_address).await?,
+            feed_listener: TcpListener::bind(peer_address).await?,
             ready_path,
         })
     }
@@ -58,8 +71,15 @@
             boot = context.boot,
             "gateway: started"
         );
-        tokio::spawn(order_follower::follow(Arc::clone(&context)));
-        tokio::spawn(server_follower::follow(Arc::clone(&context)));
+        tokio::spawn(table_follower::follow(Arc::clone(&context), FleetTable::Orders, ORDERS_PACE));
+        tokio::spawn(table_follower::follow(
+            Arc::clone(&context),
+            FleetTable::Servers,
+            SERVERS_PACE,
+        ));
+        tokio::spawn(server_follower::expire(Arc::clone(&context)));
+        tokio::spawn(feed_server::serve(Arc::clone(&context), self.feed_listener));
+        tokio::spawn(feed_client::follow(Arc::clone(&context)));
         tokio::spawn(PeerHub::new(&context, self.peer_socket).run());
         tokio::spawn(status_front::serve(
             Arc::clone(&context),
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -5,8 +5,8 @@
 use tokio::sync::watch;
 
 use crate::{
-    ChannelPool, EngineProtocol, FleetStore, FleetView, GatewayClock, GatewayMetrics, StopPhase,
-    VmSettings, WireNames,
+    ChannelPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock, GatewayMetrics,
+    PeerTable, StopPhase, VmSettings, WireNames,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -27,7 +27,10 @@
     pub metrics: GatewayMetrics,
     /// Identity of this start of the process.
     pub boot: u64,
+    /// Mirrors of the store's tables.
+    pub tables: FleetTables,
     view: Mutex<FleetView>,
+    peers: Mutex<PeerTable>,
     /// Counts changes that may concern running work.
     pub changes: watch::Sender<u64>,
     /// Progress of a planned stop.
@@ -43,7 +46,9 @@
         engines: Arc<dyn EngineProtocol>,
     ) -> GatewayContext {
         GatewayContext {
+            tables: FleetTables::default(),
             view: Mutex::new(FleetView::new(Arc::clone(&settings))),
+            peers: Mutex::new(PeerTable::new(&settings.name)),
             settings,
             names,
             store,
@@ -62,6 +67,11 @@
         self.view.lock().expect("no decision panics while it holds the view")
     }
 
+    /// Locks the table of the other VMs, for single decisions only.
+    pub fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        self.peers.lock().expect("no holder of the peers' lock panics")
+    }
+
     /// Returns whether generations of a service can be moved between its engines.
     pub fn can_move(&self, service: &str) -> bool {
         self.view().engine_shape(service).is_some_and(|engine| engine.can_move)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,7 +57,12 @@
 mod status_front;
 mod stop_phase;
 mod store_error;
-mod store_reader;
+mod table_mirror;
+mod table_follower;
+mod fleet_tables;
+mod feed_message;
+mod feed_server;
+mod feed_client;
 mod stream_forwarder;
 mod table_record;
 mod vm_record;
@@ -81,8 +86,10 @@
     engine_seat::EngineSeat,
     engine_shape::EngineShape,
     event_splitter::{EventSplitter, StreamEvent},
+    feed_message::{FeedNews, FeedRecord, FeedRequest, FeedTable},
     fleet_order::FleetOrder,
     fleet_store::{BoxFuture, FleetStore},
+    fleet_tables::FleetTables,
     fleet_view::FleetView,
     gateway::Gateway,
     gateway_clock::GatewayClock,
@@ -113,9 +120,10 @@
     server_state::ServerState,
     stop_phase::StopPhase,
     store_error::StoreError,
-    store_reader::StoreReader,
     stream_forwarder::StreamForwarder,
     stream_progress::StreamProgress,
+    table_follower::ReadPace,
+    table_mirror::TableMirror,
     table_record::{FleetTable, TableBatch, TableRecord},
     vm_record::VmRecord,
     vm_settings::VmSettings,
--- a/crates/gateway/src/order_follower.rs
+++ b/crates/gateway/src/order_follower.rs
@@ -1,52 +1,26 @@
-//! Follows the operators' table.
-
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+//! Applies the operators' table to the view.
 
 use tracing::{info, warn};
 
-use crate::{
-    FleetOrder, FleetTable, GatewayContext, StoreError, TableBatch, TableRecord,
-    store_reader::StoreReader,
-};
-
-/// Longest wait of a read. Changes are rare, and each answer costs a call.
-const READ_WAIT: Duration = Duration::from_secs(20);
-/// Shortest time between reads, so that a storm of changes costs few calls.
-const READ_SPACING: Duration = Duration::from_millis(100);
+use crate::{GatewayContext, StoreError, TableBatch, TableRecord};
 
-/// Follows the table for the lifetime of the process.
-pub async fn follow(context: Arc<GatewayContext>) {
-    let mut reader = StoreReader::new(&context, FleetTable::Orders, READ_WAIT, READ_SPACING);
-    loop {
-        let (batch, is_whole) = reader.next().await;
-        apply(&context, batch, is_whole);
-    }
-}
-
-fn apply(context: &GatewayContext, batch: TableBatch, is_whole: bool) {
-    let mut zones = BTreeSet::new();
+/// Applies new records of the table.
+pub fn apply(context: &GatewayContext, batch: &TableBatch) {
     let mut changed = false;
     for record in &batch.records {
-        match apply_record(context, record, &mut zones) {
+        match apply_record(context, record) {
             Ok(is_change) => changed |= is_change,
             Err(error) => {
                 warn!(key = record.key, offset = record.offset, %error, "orders: not understood");
             }
         }
     }
-    if is_whole {
-        context.view().retain_evacuations(&zones);
-    }
     if changed {
         context.announce_change();
     }
 }
 
-fn apply_record(
-    context: &GatewayContext,
-    record: &TableRecord,
-    zones: &mut BTreeSet<String>,
-) -> Result<bool, StoreError> {
+fn apply_record(context: &GatewayContext, record: &TableRecord) -> Result<bool, StoreError> {
     let now = context.clock.now();
     let Some(value) = &record.value else {
         let ended = context.store.decode_removed_order(&record.key);
@@ -54,9 +28,6 @@
         return Ok(ended.is_some_and(|zone| context.view().end_evacuation(&zone)));
     };
     let Some(order) = context.store.decode_order(&record.key, value)? else { return Ok(false) };
-    if let FleetOrder::EvacuateZone { zone } = &order {
-        zones.insert(zone.clone());
-    }
     let changed = context.view().apply_order(order, now);
     let version = context.view().plan().map_or(0, |plan| plan.version);
     context.metrics.plan_version.set(version as i64);
--- a/crates/gateway/src/peer_hub.rs
+++ b/crates/gateway/src/peer_hub.rs
@@ -8,8 +8,8 @@
 use tracing::{info, warn};
 
 use crate::{
-    FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, PeerTable,
-    ServerLoad, VmRecord,
+    FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ServerLoad,
+    VmRecord,
 };
 
 /// Time between two reports to the same VM.
@@ -29,7 +29,6 @@
 pub struct PeerHub {
     context: Arc<GatewayContext>,
     socket: UdpSocket,
-    table: PeerTable,
     sequence: u64,
     started: Instant,
 }
@@ -37,13 +36,7 @@
 impl PeerHub {
     /// Builds the exchange over a bound socket.
     pub fn new(context: &Arc<GatewayContext>, socket: UdpSocket) -> PeerHub {
-        PeerHub {
-            context: Arc::clone(context),
-            socket,
-            table: PeerTable::default(),
-            sequence: 0,
-            started: Instant::now(),
-        }
+        PeerHub { context: Arc::clone(context), socket, sequence: 0, started: Instant::now() }
     }
 
     /// Exchanges reports for the lifetime of the process.
@@ -61,7 +54,7 @@
                     Err(error) => info!(%error, "peers: receive failed"),
                 },
                 Some((name, address)) = registrations.recv() => {
-                    self.table.note_registration(&name, address);
+                    self.context.peers().note_registration(&name, address);
                 }
                 _ = interval.tick() => self.send_reports().await,
             }
@@ -78,7 +71,7 @@
         };
         let now = self.context.clock.now();
         if report.boot == self.context.boot
-            || !self.table.note_report(&report.name, sender, report.boot, report.sequence, now)
+            || !self.context.peers().note_report(&report, sender, now)
         {
             return;
         }
@@ -100,16 +93,19 @@
     async fn send_reports(&mut self) {
         let now = self.context.clock.now();
         self.sequence += 1;
-        let mut running = self.table.running_count(now);
+        let (mut running, known, recipients) = {
+            let mut peers = self.context.peers();
+            (peers.running_count(now), peers.known_count(), peers.recipients(now))
+        };
         if self.started.elapsed() < SETTLING_TIME {
-            running = running.max(self.table.known_count());
+            running = running.max(known);
         }
         let report = self.build_report(running);
         let mut bytes = report.encode_to_vec();
         if bytes.len() > DATAGRAM_BYTES {
             bytes = PeerReport { leaving: Vec::new(), ..report }.encode_to_vec();
         }
-        for address in self.table.recipients(now) {
+        for address in recipients {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
                 tracing::debug!(%address, %error, "peers: report not sent");
             }
@@ -128,6 +124,7 @@
             sequence: self.sequence,
             plan_version: view.plan().map_or(0, |plan| plan.version),
             is_stopping: self.context.is_stopping(),
+            can_read: self.context.peers().can_read(now),
             ..PeerReport::default()
         };
         for (_, state) in view.servers() {
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -55,4 +55,7 @@
     /// Whether the VM takes no more work.
     #[prost(bool, tag = "8")]
     pub is_stopping: bool,
+    /// Whether the VM may read the store for others.
+    #[prost(bool, tag = "9")]
+    pub can_read: bool,
 }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -4,11 +4,18 @@
 
 use dragonflycart_core::MonoTime;
 
+use crate::PeerReport;
+
 /// Time without a report after which a VM doesn't count as running.
 const SILENCE_LIMIT: Duration = Duration::from_millis(3_000);
 /// Time after which a silent VM is sent a report again, in case it is back.
 const SILENT_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time without a report after which a VM no longer counts as the reader of the store.
+const READER_SILENCE: Duration = Duration::from_millis(1_000);
+/// Time after a failed read during which a VM does not read the store for others.
+const FAILED_TIME: Duration = Duration::from_secs(4);
+
 /// What is known of one VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct PeerState {
@@ -17,15 +24,51 @@
     sequence: u64,
     heard_at: Option<MonoTime>,
     sent_at: Option<MonoTime>,
+    can_read: bool,
 }
 
 /// Table of the other VMs by address.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct PeerTable {
+    own_name: String,
     peers: BTreeMap<SocketAddr, PeerState>,
+    store_failed_at: Option<MonoTime>,
 }
 
 impl PeerTable {
+    /// Builds the table of the VM `own_name`.
+    pub fn new(own_name: &str) -> PeerTable {
+        PeerTable { own_name: own_name.to_owned(), peers: BTreeMap::new(), store_failed_at: None }
+    }
+
+    /// Takes that the store did not answer this VM.
+    pub fn note_store_failure(&mut self, now: MonoTime) {
+        self.store_failed_at = Some(now);
+    }
+
+    /// Returns whether this VM may read the store for others.
+    pub fn can_read(&self, now: MonoTime) -> bool {
+        self.store_failed_at.is_none_or(|failed| now.since(failed) > FAILED_TIME)
+    }
+
+    /// Returns the peer that reads the store and passes its tables on, or `None` if this VM does:
+    /// the first by name among those that were heard of and can read it.
+    pub fn reader(&self, now: MonoTime) -> Option<SocketAddr> {
+        let mut first: Option<(&str, SocketAddr)> = None;
+        for (address, state) in &self.peers {
+            let is_heard = state.heard_at.is_some_and(|at| now.since(at) <= READER_SILENCE);
+            if !is_heard || !state.can_read {
+                continue;
+            }
+            if first.is_none_or(|(name, _)| state.name.as_str() < name) {
+                first = Some((&state.name, *address));
+            }
+        }
+        let (name, address) = first?;
+        let is_own = self.can_read(now) && self.own_name.as_str() < name;
+        (!is_own).then_some(address)
+    }
+
     /// Takes the registration of a VM.
     pub fn note_registration(&mut self, name: &str, address: SocketAddr) {
         self.peers.retain(|known, state| state.name != name || *known == address);
@@ -35,27 +78,21 @@
             sequence: 0,
             heard_at: None,
             sent_at: None,
+            can_read: false,
         });
     }
 
     /// Takes a report. Returns false if it is older than one that was taken before.
-    pub fn note_report(
-        &mut self,
-        name: &str,
-        address: SocketAddr,
-        boot: u64,
-        sequence: u64,
-        now: MonoTime,
-    ) -> bool {
-        self.note_registration(name, address);
+    pub fn note_report(&mut self, report: &PeerReport, address: SocketAddr, now: MonoTime) -> bool {
+        self.note_registration(&report.name, address);
         let Some(state) = self.peers.get_mut(&address) else { return false };
-        if state.boot == boot && sequence <= state.sequence {
+        if state.boot == report.boot && report.sequence <= state.sequence {
             return false;
         }
-        state.name = name.to_owned();
-        state.boot = boot;
-        state.sequence = sequence;
+        state.boot = report.boot;
+        state.sequence = report.sequence;
         state.heard_at = Some(now);
+        state.can_read = report.can_read && !report.is_stopping;
         true
     }
 
--- a/crates/gateway/src/server_channel.rs
+++ b/crates/gateway/src/server_channel.rs
@@ -261,7 +261,7 @@
 }
 
 /// Sets the options that find a connection that went silent.
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
--- a/crates/gateway/src/server_follower.rs
+++ b/crates/gateway/src/server_follower.rs
@@ -1,29 +1,16 @@
-//! Follows the table of backend servers.
+//! Applies the table of backend servers to the view.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use tracing::info;
+use tracing::{info, warn};
 
-use crate::{FleetTable, GatewayContext, TableBatch, TableRecord, store_reader::StoreReader};
+use crate::{GatewayContext, TableBatch, TableRecord};
 
-/// Longest wait of a read.
-const READ_WAIT: Duration = Duration::from_secs(1);
-/// Shortest time between reads. Servers that leave give about two seconds of notice.
-const READ_SPACING: Duration = Duration::from_millis(300);
 /// Time between checks for lapsed registrations.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Follows the table for the lifetime of the process.
-pub async fn follow(context: Arc<GatewayContext>) {
-    tokio::spawn(expire(Arc::clone(&context)));
-    let mut reader = StoreReader::new(&context, FleetTable::Servers, READ_WAIT, READ_SPACING);
-    loop {
-        let (batch, is_whole) = reader.next().await;
-        apply(&context, batch, is_whole);
-    }
-}
-
-async fn expire(context: Arc<GatewayContext>) {
+/// Gives up lapsed registrations and stale connections for the lifetime of the process.
+pub async fn expire(context: Arc<GatewayContext>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         let now = context.clock.now();
@@ -34,20 +21,15 @@
     }
 }
 
-/// Takes records of the table; `is_whole` tells that they are all there are.
-pub fn apply(context: &GatewayContext, batch: TableBatch, is_whole: bool) {
+/// Applies new records of the table.
+pub fn apply(context: &GatewayContext, batch: &TableBatch) {
     let mut changed = false;
-    let mut ids = BTreeSet::new();
     for record in &batch.records {
-        ids.insert(record.key.clone());
         changed |= apply_record(context, record);
     }
     let now = context.clock.now();
     let mut view = context.view();
-    if is_whole {
-        changed |= view.retain_servers(&ids, now);
-        view.note_servers_known();
-    }
+    view.note_servers_known();
     let count = view.servers().filter(|(_, state)| state.takes_work(now)).count();
     drop(view);
     context.metrics.servers.set(count as i64);
@@ -63,26 +45,18 @@
         info!(server = record.key, offset = record.offset, changed, "servers: removed");
         return changed;
     };
-    match context.store.decode_server(value) {
-        Ok(server) => {
-            let draining = server.is_draining;
-            let cold_ms = server.cold_left.as_millis() as u64;
-            let changed = context.view().apply_server(&record.key, server, record.offset, now);
-            if changed {
-                info!(
-                    server = record.key,
-                    offset = record.offset,
-                    draining,
-                    cold_ms,
-                    "servers: changed"
-                );
-            }
-            changed
-        }
+    let server = match context.store.decode_server(value) {
+        Ok(server) => server,
         Err(error) => {
-            tracing::warn!(server = record.key, offset = record.offset, %error,
-                "servers: not understood");
-            false
+            warn!(server = record.key, offset = record.offset, %error, "servers: not understood");
+            return false;
         }
+    };
+    let draining = server.is_draining;
+    let cold_ms = server.cold_left.as_millis() as u64;
+    let changed = context.view().apply_server(&record.key, server, record.offset, now);
+    if changed {
+        info!(server = record.key, offset = record.offset, draining, cold_ms, "servers: changed");
     }
+    changed
 }
--- /dev/null
+++ b/crates/gateway/src/table_follower.rs
@@ -0,0 +1,98 @@
+//! Follows a table of the store: through the peer that reads it, or by reading it.
+
+use std::{sync::Arc, time::Duration};
+
+use tracing::{info, warn};
+
+use crate::{FleetTable, GatewayContext, StoreError, TableBatch, order_follower, server_follower};
+
+/// Age of a table beyond which a VM reads it itself although a peer should pass it on. The bound
+/// on orders is two seconds.
+const FRESH_LIMIT: Duration = Duration::from_millis(900);
+/// Time between checks of the age.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest pause after a failed read.
+const RETRY_MIN: Duration = Duration::from_millis(150);
+/// Longest pause after a failed read.
+const RETRY_MAX: Duration = Duration::from_millis(800);
+
+/// How a table is read.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadPace {
+    /// Longest wait of a read for records.
+    pub wait: Duration,
+    /// Pause between reads.
+    pub spacing: Duration,
+}
+
+/// Follows a table for the lifetime of the process.
+pub async fn follow(context: Arc<GatewayContext>, table: FleetTable, pace: ReadPace) {
+    let mut failures = 0;
+    let mut must_reread = false;
+    loop {
+        if !must_reread && is_passed_on(&context, table) {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            continue;
+        }
+        let next = context.tables.next(table).filter(|_| !must_reread);
+        let result = match next {
+            None => context.store.read_newest(table).await,
+            Some(from) => context.store.read_from(table, from, pace.wait).await,
+        };
+        match result {
+            Ok(batch) => {
+                context.metrics.count_store_call("ok");
+                if failures > 0 {
+                    info!(%table, failures, "store: reachable again");
+                }
+                failures = 0;
+                must_reread = false;
+                take(&context, table, batch, next.is_none(), Duration::ZERO);
+                tokio::time::sleep(pace.spacing).await;
+            }
+            Err(StoreError::Expired) => {
+                context.metrics.count_store_call("expired");
+                info!(%table, from = next, "store: records expired");
+                must_reread = true;
+            }
+            Err(error) => {
+                note_failure(&context, table, &error, failures);
+                let pause = RETRY_MIN * 2_u32.saturating_pow(failures.min(4));
+                failures += 1;
+                tokio::time::sleep(pause.min(RETRY_MAX)).await;
+            }
+        }
+    }
+}
+
+/// Returns whether another VM reads the table and passes it on in time.
+fn is_passed_on(context: &GatewayContext, table: FleetTable) -> bool {
+    let is_fresh = context.tables.age(table).is_some_and(|age| age < FRESH_LIMIT);
+    is_fresh && context.peers().reader(context.clock.now()).is_some()
+}
+
+fn note_failure(context: &GatewayContext, table: FleetTable, error: &StoreError, failures: u32) {
+    let now = context.clock.now();
+    context.metrics.count_store_call("failed");
+    context.view().note_store_failure(now);
+    context.peers().note_store_failure(now);
+    if failures == 0 {
+        warn!(%table, %error, "store: lost");
+    }
+}
+
+/// Takes records of a table, from the store or from a peer.
+pub fn take(
+    context: &GatewayContext,
+    table: FleetTable,
+    batch: TableBatch,
+    is_whole: bool,
+    age: Duration,
+) {
+    let news = context.tables.take(table, batch, is_whole, age);
+    match table {
+        FleetTable::Orders => order_follower::apply(context, &news),
+        FleetTable::Servers => server_follower::apply(context, &news),
+        FleetTable::Vms => {}
+    }
+}
