Let generations wait at the VM until an engine has room

Cause on the grown sites: requests queued at engines for seconds (first event after 1.0 s at the median for reports, 1.4 s for classifications), and an engine that left took its queue with it; 1,851 of 2,345 copy calls found the generation not started, 175 were preempted. Copies ahead filled the memory that generations needed.

A generation is now sent only to an engine whose reserved memory has room for it, chosen by memory and by prompts not yet read; VMs tell each other each change at once. Copies ahead stop at 60% of an engine's memory. The last copy of a move waits until the engine's first copies are done.

Ruled out: taking unstarted requests back from an engine that leaves, since nothing states that they did not start in between.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -80,6 +80,7 @@
             demand: self.demand,
             shared_part: self.shared_part,
             near_zone: None,
+            spread_seed: None,
             excluded,
         }
     }
--- /dev/null
+++ b/crates/gateway/src/engine_wait.rs
@@ -0,0 +1,55 @@
+//! Waits until an engine has room for a generation.
+//!
+//! Requests wait at the VM and not in an engine's queue: an engine that leaves takes its queue
+//! with it, and a request that was sent can't be sent again.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use tracing::info;
+
+use crate::{CallerRequest, EngineSeat, GatewayContext, ServerKey, WaiterId};
+
+/// Time between attempts to find an engine.
+const TRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Multiple of the latency target for which a request waits. Callers give a stream up after four
+/// times the target, and the prompt has to be read after the wait.
+const WAIT_TARGETS: f64 = 3.0;
+
+/// Place in the line; it is left when this is dropped with a task whose caller left.
+struct LinePlace<'a> {
+    context: &'a GatewayContext,
+    id: WaiterId,
+}
+
+impl Drop for LinePlace<'_> {
+    fn drop(&mut self) {
+        self.context.line().leave(self.id);
+    }
+}
+
+/// Takes an engine as soon as one has room. Returns `None` if none has in time.
+pub async fn take_seat(
+    context: &Arc<GatewayContext>,
+    request: &CallerRequest,
+    excluded: &BTreeSet<ServerKey>,
+) -> Option<EngineSeat> {
+    let target = request.route.latency_target;
+    let late_at = context.clock.at(request.arrived) + target;
+    let id = context.line().join(&request.service, request.urgency(), late_at);
+    let place = LinePlace { context, id };
+    let give_up_at = (request.arrived + target.mul_f64(WAIT_TARGETS)).min(request.deadline);
+    let mut tries = 0_u32;
+    loop {
+        if context.line().is_first(place.id, context.clock.now()) {
+            tries += 1;
+            if let Some(seat) = EngineSeat::take(context, request, excluded) {
+                return Some(seat);
+            }
+        }
+        if tokio::time::Instant::now() >= give_up_at {
+            info!(id = request.attempt, tries, "stream: no engine had room in time");
+            return None;
+        }
+        tokio::time::sleep(TRY_INTERVAL).await;
+    }
+}
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::Duration,
 };
@@ -18,6 +19,16 @@
 const LAPSE_GRACE: Duration = Duration::from_millis(1_800);
 /// Time after an outage of the store in which vanished registrations may be lapsed ones.
 const OUTAGE_SHADOW: Duration = Duration::from_millis(3_000);
+/// Part of an engine's memory that generations may fill, as reserved.
+const RUN_FILL: f64 = 0.97;
+/// Part of an engine's memory up to which copies of other engines' generations are taken; the
+/// rest is left to generations.
+const COPY_FILL: f64 = 0.60;
+/// Score of a full engine memory.
+const FILL_WEIGHT: f64 = 1.0;
+/// Prompt tokens ahead of a request that count as much as a full memory. They take about half of
+/// a second to read.
+const UNREAD_TOKENS: f64 = 4_000.0;
 /// Score added for a server in another zone, as a share of a full server.
 const ZONE_PENALTY: f64 = 0.08;
 /// Score taken off for a server that holds the shared part of the prompt.
@@ -26,6 +37,8 @@
 const FAILURE_PENALTY: f64 = 3.0;
 /// Score added per hundred milliseconds of average latency at plain servers.
 const LATENCY_PENALTY: f64 = 0.5;
+/// Largest random part of a score.
+const SPREAD_WEIGHT: f64 = 0.4;
 /// Shared parts that are remembered per server.
 const PARTS_REMEMBERED: usize = 256;
 
@@ -236,6 +249,14 @@
         self.servers.get_mut(key)
     }
 
+    /// Returns for how long a server has been known to leave, and the memory of the generations
+    /// that run there, in tokens.
+    pub fn leaving_work(&self, key: ServerKey, now: MonoTime) -> Option<(Duration, u64)> {
+        let state = self.servers.get(key)?;
+        let since = state.leaving_since?;
+        Some((now.since(since), state.total_load(now).tokens))
+    }
+
     /// Returns whether the work on a server should go elsewhere.
     pub fn is_leaving(&self, key: ServerKey) -> bool {
         self.servers.get(key).is_none_or(|state| state.leaving_since.is_some())
@@ -272,19 +293,11 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ErrorKind::NoBackend`] if no server may be used.
+    /// Returns [`ErrorKind::NoBackend`] if no server takes work, and [`ErrorKind::Overloaded`] if
+    /// none has room.
     pub fn place(&mut self, query: &WorkQuery<'_>, now: MonoTime) -> Result<Placement, ErrorKind> {
-        let mut best: Option<(f64, ServerKey)> = None;
-        for (key, state) in &self.servers {
-            if !self.is_usable(key, state, query, now) {
-                continue;
-            }
-            let score = self.score(key, state, query, now);
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, key));
-            }
-        }
-        let Some((_, key)) = best else { return Err(ErrorKind::NoBackend) };
+        let fill_limit = self.engine_shape(query.service).map(|_| RUN_FILL);
+        let key = self.choose(query, fill_limit, now)?;
         Ok(self.reserve_work(key, query, now))
     }
 
@@ -293,18 +306,33 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ErrorKind::NoBackend`] if no engine has room.
+    /// Returns [`ErrorKind::Overloaded`] if no engine has room to spare.
     pub fn place_copy(
         &mut self,
         query: &WorkQuery<'_>,
         now: MonoTime,
     ) -> Result<Placement, ErrorKind> {
-        let limit = self.engine_shape(query.service).map_or(0, |engine| engine.memory_tokens);
-        let need = query.demand.total_tokens();
+        let key = self.choose(query, Some(COPY_FILL), now)?;
+        let tokens = query.demand.reserved_tokens();
+        Ok(self.reserve(key, ServerLoad { copy_tokens: tokens, ..ServerLoad::default() }))
+    }
+
+    /// Returns the usable server with the lowest score whose memory is not filled beyond
+    /// `fill_limit` by the request.
+    fn choose(
+        &self,
+        query: &WorkQuery<'_>,
+        fill_limit: Option<f64>,
+        now: MonoTime,
+    ) -> Result<ServerKey, ErrorKind> {
         let mut best: Option<(f64, ServerKey)> = None;
+        let mut is_full = false;
         for (key, state) in &self.servers {
-            let has_room = state.total_load(now).tokens + need <= limit;
-            if !has_room || !self.is_usable(key, state, query, now) {
+            if !self.is_usable(key, state, query, now) {
+                continue;
+            }
+            if fill_limit.is_some_and(|limit| self.fill_with(state, query, now) > limit) {
+                is_full = true;
                 continue;
             }
             let score = self.score(key, state, query, now);
@@ -312,8 +340,22 @@
                 best = Some((score, key));
             }
         }
-        let Some((_, key)) = best else { return Err(ErrorKind::NoBackend) };
-        Ok(self.reserve(key, ServerLoad { requests: 0, tokens: need }))
+        match best {
+            Some((_, key)) => Ok(key),
+            None if is_full => Err(ErrorKind::Overloaded),
+            None => Err(ErrorKind::NoBackend),
+        }
+    }
+
+    /// Returns the part of an engine's memory that is in use with the request added. An empty
+    /// engine has room for any request, which it refuses itself if it is too large.
+    fn fill_with(&self, state: &ServerState, query: &WorkQuery<'_>, now: MonoTime) -> f64 {
+        let capacity = self.engine_shape(query.service).map_or(0, |engine| engine.memory_tokens);
+        let used = state.total_load(now).memory_tokens();
+        if used == 0 {
+            return 0.0;
+        }
+        (used + query.demand.reserved_tokens()) as f64 / capacity.max(1) as f64
     }
 
     /// Reserves a certain server, or returns `None` if it takes no work.
@@ -349,7 +391,15 @@
         if let Some(part) = query.shared_part {
             self.remember_part(key, part, now);
         }
-        self.reserve(key, ServerLoad { requests: 1, tokens: query.demand.total_tokens() })
+        self.reserve(
+            key,
+            ServerLoad {
+                requests: 1,
+                tokens: query.demand.reserved_tokens(),
+                copy_tokens: 0,
+                unread_tokens: query.demand.prompt_tokens,
+            },
+        )
     }
 
     fn reserve(&mut self, key: ServerKey, load: ServerLoad) -> Placement {
@@ -419,8 +469,8 @@
         let slots = f64::from(state.record.slots.max(1));
         let mut score = f64::from(load.requests) / slots;
         if let Some(engine) = engine {
-            let tokens = (load.tokens + query.demand.total_tokens()) as f64;
-            score += 2.0 * tokens / engine.memory_tokens.max(1) as f64;
+            let fill = load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
+            score += FILL_WEIGHT * fill + load.unread_tokens as f64 / UNREAD_TOKENS;
             if let Some(part) = query.shared_part
                 && self.parts.get(&key).is_some_and(|parts| parts.contains_key(&part))
             {
@@ -432,9 +482,19 @@
         if state.record.zone != query.near_zone.unwrap_or(&self.settings.zone) {
             score += ZONE_PENALTY;
         }
+        if let Some(seed) = query.spread_seed {
+            score += SPREAD_WEIGHT * spread(seed, key);
+        }
         if state.lapsed_at.is_some() {
             score += FAILURE_PENALTY;
         }
         score + FAILURE_PENALTY * state.failure_share()
     }
 }
+
+/// Returns a number from 0 to 1 that depends on a seed and a server only.
+fn spread(seed: u64, key: ServerKey) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, key).hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 /// Pace of reading registrations of servers, which change all the time. Servers that leave give
 /// about two seconds of notice.
 const SERVERS_PACE: ReadPace =
-    ReadPace { wait: Duration::from_millis(500), spacing: Duration::from_millis(350) };
+    ReadPace { wait: Duration::from_millis(500), spacing: Duration::from_millis(200) };
 
 /// Time after the start of a planned stop in which new requests are still served: the balancer
 /// asks once a second and takes a VM out after two answers.
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -2,11 +2,11 @@
 
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     ChannelPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock, GatewayMetrics,
-    PeerTable, StopPhase, VmSettings, WireNames,
+    PeerTable, StopPhase, VmSettings, WaitingLine, WireNames,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -31,6 +31,9 @@
     pub tables: FleetTables,
     view: Mutex<FleetView>,
     peers: Mutex<PeerTable>,
+    line: Mutex<WaitingLine>,
+    /// Wakes the exchange of reports after a change of load that peers should know at once.
+    pub load_changes: Notify,
     /// Counts changes that may concern running work.
     pub changes: watch::Sender<u64>,
     /// Progress of a planned stop.
@@ -49,6 +52,8 @@
             tables: FleetTables::default(),
             view: Mutex::new(FleetView::new(Arc::clone(&settings))),
             peers: Mutex::new(PeerTable::new(&settings.name)),
+            line: Mutex::default(),
+            load_changes: Notify::new(),
             settings,
             names,
             store,
@@ -72,6 +77,11 @@
         self.peers.lock().expect("no holder of the peers' lock panics")
     }
 
+    /// Locks the line of waiting requests, for single decisions only.
+    pub fn line(&self) -> MutexGuard<'_, WaitingLine> {
+        self.line.lock().expect("no holder of the line's lock panics")
+    }
+
     /// Returns whether generations of a service can be moved between its engines.
     pub fn can_move(&self, service: &str) -> bool {
         self.view().engine_shape(service).is_some_and(|engine| engine.can_move)
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -20,11 +20,18 @@
 /// Time after which a copy is asked for again where another one is in progress.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 /// Time after which a copy is asked for again where the generation has not started.
-const UNSTARTED_PAUSE: Duration = Duration::from_millis(150);
+const UNSTARTED_PAUSE: Duration = Duration::from_millis(80);
 /// Targets that are tried.
-const TARGET_LIMIT: u32 = 4;
+const TARGET_LIMIT: u32 = 8;
+/// Pause before the next target after one had no room.
+const TARGET_PAUSE: Duration = Duration::from_millis(30);
 /// Calls that are made at most, over all targets.
-const CALL_LIMIT: u32 = 24;
+const CALL_LIMIT: u32 = 40;
+/// Time after which an engine's first copies are taken to be complete, whatever their number: it
+/// ends half of a second later or sooner.
+const FIRST_COPIES_LIMIT: Duration = Duration::from_millis(1_000);
+/// Part by which first copies take longer than their bytes need.
+const COPY_OVERHEAD: f64 = 1.15;
 
 /// Why a generation is moved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -144,7 +151,10 @@
 
     async fn try_targets(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
         for _ in 0..TARGET_LIMIT {
-            let Some(target) = self.place() else { return MoveOutcome::Stays };
+            let Some(target) = self.place() else {
+                tokio::time::sleep(TARGET_PAUSE).await;
+                continue;
+            };
             self.tried.insert(target.server());
             match self.copy(&target, false, sender).await {
                 Some(CopyAnswer::Copied { handle }) => {
@@ -153,9 +163,13 @@
                         return MoveOutcome::Stays;
                     }
                 }
-                Some(CopyAnswer::NoRoom { .. }) => continue,
+                Some(CopyAnswer::NoRoom { .. }) => {
+                    tokio::time::sleep(TARGET_PAUSE).await;
+                    continue;
+                }
                 Some(CopyAnswer::Unknown | CopyAnswer::Busy) | None => return MoveOutcome::Stays,
             }
+            self.await_first_copies().await;
             return match self.copy(&target, true, sender).await {
                 Some(CopyAnswer::Copied { handle }) => self.resume(Some(target), &handle).await,
                 Some(CopyAnswer::NoRoom { handle: Some(handle) }) => {
@@ -167,6 +181,19 @@
         MoveOutcome::Stays
     }
 
+    /// Waits until the engine's other generations have made their first copies too. A last copy
+    /// would queue behind them on the link, while its generation stands still.
+    async fn await_first_copies(&self) {
+        let now = self.context.clock.now();
+        let (engine, work) = {
+            let view = self.context.view();
+            (view.engine_shape(&self.request.service), view.leaving_work(self.source_key, now))
+        };
+        let (Some(engine), Some((elapsed, tokens))) = (engine, work) else { return };
+        let needed = engine.copy_time(tokens).mul_f64(COPY_OVERHEAD).min(FIRST_COPIES_LIMIT);
+        tokio::time::sleep(needed.saturating_sub(elapsed)).await;
+    }
+
     /// Goes on after the generation has stopped: at the target, or else at the source, which keeps
     /// the memory.
     async fn resume(&mut self, target: Option<WorkTicket>, handle: &str) -> MoveOutcome {
@@ -196,8 +223,11 @@
 
     fn place(&self) -> Option<WorkTicket> {
         let now = self.context.clock.now();
-        let query =
-            WorkQuery { near_zone: Some(&self.source_zone), ..self.request.query(&self.tried) };
+        let query = WorkQuery {
+            near_zone: Some(&self.source_zone),
+            spread_seed: Some(rand::random()),
+            ..self.request.query(&self.tried)
+        };
         let placement = self.context.view().place(&query, now).ok()?;
         Some(WorkTicket::new(&self.context, placement))
     }
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -157,6 +157,7 @@
         let old = std::mem::replace(&mut self.source, source);
         old.channel.close();
         old.seat.close();
+        self.source.seat.engine.note_started();
         self.splitter = EventSplitter::default();
         self.last_event_at = Instant::now();
     }
@@ -196,6 +197,7 @@
 
     fn note_event(&mut self) {
         if self.events == 0 {
+            self.source.seat.engine.note_started();
             self.context.metrics.count_first_event(self.request.arrived.elapsed());
         } else {
             let pause_ms = self.last_event_at.elapsed().as_millis() as u64;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,8 @@
 mod engine_protocol;
 mod engine_shape;
 mod engine_seat;
+mod engine_wait;
+mod waiting_line;
 mod event_splitter;
 mod stream_progress;
 mod fleet_order;
@@ -127,6 +129,7 @@
     table_record::{FleetTable, TableBatch, TableRecord},
     vm_record::VmRecord,
     vm_settings::VmSettings,
+    waiting_line::{WaiterId, WaitingLine},
     wire_names::WireNames,
     work_demand::WorkDemand,
     work_query::WorkQuery,
--- a/crates/gateway/src/peer_hub.rs
+++ b/crates/gateway/src/peer_hub.rs
@@ -12,8 +12,10 @@
     VmRecord,
 };
 
-/// Time between two reports to the same VM.
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two reports without a change.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Shortest time between two reports.
+const REPORT_SPACING: Duration = Duration::from_millis(5);
 /// Time between two reads of the table of VMs. New VMs report to all others by themselves.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
 /// Time between attempts to register while the store does not answer.
@@ -57,6 +59,11 @@
                     self.context.peers().note_registration(&name, address);
                 }
                 _ = interval.tick() => self.send_reports().await,
+                () = self.context.load_changes.notified() => {
+                    self.send_reports().await;
+                    interval.reset();
+                    tokio::time::sleep(REPORT_SPACING).await;
+                }
             }
         }
     }
@@ -133,6 +140,8 @@
                     server: state.id.clone(),
                     requests: state.own_load.requests,
                     tokens: state.own_load.tokens,
+                    copy_tokens: state.own_load.copy_tokens,
+                    unread_tokens: state.own_load.unread_tokens,
                 });
             }
             if state.leaving_since.is_some_and(|since| now.since(since) < LEAVING_REPEATED) {
@@ -149,7 +158,12 @@
 fn take_loads(view: &mut FleetView, report: &PeerReport, now: dragonflycart_core::MonoTime) {
     let mut named = BTreeSet::new();
     for entry in &report.loads {
-        let load = ServerLoad { requests: entry.requests, tokens: entry.tokens };
+        let load = ServerLoad {
+            requests: entry.requests,
+            tokens: entry.tokens,
+            copy_tokens: entry.copy_tokens,
+            unread_tokens: entry.unread_tokens,
+        };
         view.note_peer_load(report.boot, &entry.server, load, now);
         named.insert(entry.server.as_str());
     }
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -11,9 +11,15 @@
     /// Requests sent and not yet answered.
     #[prost(uint32, tag = "2")]
     pub requests: u32,
-    /// Engine memory that they are expected to need, in tokens.
+    /// Engine memory of generations, in tokens.
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
+    /// Engine memory of copies of generations, in tokens.
+    #[prost(uint64, tag = "4")]
+    pub copy_tokens: u64,
+    /// Prompt tokens of generations whose first event hasn't come.
+    #[prost(uint64, tag = "5")]
+    pub unread_tokens: u64,
 }
 
 /// Server that a VM knows to leave.
--- a/crates/gateway/src/server_load.rs
+++ b/crates/gateway/src/server_load.rs
@@ -7,14 +7,27 @@
 pub struct ServerLoad {
     /// Requests that were sent and not yet answered.
     pub requests: u32,
-    /// Engine memory, in tokens.
+    /// Engine memory of generations, in tokens.
     pub tokens: u64,
+    /// Engine memory of copies of generations that run elsewhere, in tokens.
+    pub copy_tokens: u64,
+    /// Prompt tokens of generations whose first event hasn't come.
+    pub unread_tokens: u64,
+}
+
+impl ServerLoad {
+    /// Returns the engine memory in use, in tokens.
+    pub fn memory_tokens(&self) -> u64 {
+        self.tokens + self.copy_tokens
+    }
 }
 
 impl AddAssign for ServerLoad {
     fn add_assign(&mut self, other: ServerLoad) {
         self.requests += other.requests;
         self.tokens += other.tokens;
+        self.copy_tokens += other.copy_tokens;
+        self.unread_tokens += other.unread_tokens;
     }
 }
 
@@ -22,5 +35,7 @@
     fn sub_assign(&mut self, other: ServerLoad) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.copy_tokens = self.copy_tokens.saturating_sub(other.copy_tokens);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
     }
 }
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -10,7 +10,7 @@
     AnswerBody, AnswerHead, AttemptOutcome, CallerRequest, ChannelError, EngineSeat,
     GatewayContext, GatewayFailure, GenerationRelay, MoveFollower, MoveOutcome, RelaySource,
     ServerChannel, ServerKey, StreamProgress, SystemFields, WorkTicket, answer_body, answer_relay,
-    server_attempt,
+    engine_wait, server_attempt,
 };
 
 /// Servers that are tried while none has run the request.
@@ -57,7 +57,10 @@
             if self.arrivals > 0 && !self.context.view().take_repeat(&self.request.service, now) {
                 break;
             }
-            let Some(seat) = EngineSeat::take(&self.context, &self.request, &self.excluded) else {
+            let Some(seat) =
+                engine_wait::take_seat(&self.context, &self.request, &self.excluded).await
+            else {
+                failure = no_room(&self.request);
                 break;
             };
             self.excluded.insert(seat.engine.server());
@@ -182,6 +185,12 @@
     }
 }
 
+/// Returns the failure of a request for which no engine had room, and which was not sent.
+fn no_room(request: &CallerRequest) -> GatewayFailure {
+    GatewayFailure::new(ErrorKind::Overloaded, "no engine had room")
+        .with_retry_after(request.route.latency_target)
+}
+
 fn lost_failure(error: ChannelError) -> GatewayFailure {
     match error {
         ChannelError::TimedOut => {
--- /dev/null
+++ b/crates/gateway/src/waiting_line.rs
@@ -0,0 +1,62 @@
+//! Order of requests that wait for an engine.
+
+use std::collections::BTreeMap;
+
+use dragonflycart_core::MonoTime;
+
+/// Identity of a waiting request; later ones are larger.
+pub type WaiterId = u64;
+
+/// Request that waits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct WaiterState {
+    service: String,
+    urgency: u8,
+    /// Time after which the response is late.
+    late_at: MonoTime,
+}
+
+/// Requests of one VM that wait for an engine. The first one of a service gets the next engine
+/// that has room: requests that can still be on time go before late ones, then by urgency, then
+/// by arrival. A large request is not passed by smaller ones behind it, so that no size starves.
+#[derive(Debug, Clone, Default)]
+pub struct WaitingLine {
+    waiters: BTreeMap<WaiterId, WaiterState>,
+    next_id: WaiterId,
+}
+
+impl WaitingLine {
+    /// Adds a request.
+    pub fn join(&mut self, service: &str, urgency: u8, late_at: MonoTime) -> WaiterId {
+        let id = self.next_id;
+        self.next_id += 1;
+        let state = WaiterState { service: service.to_owned(), urgency, late_at };
+        self.waiters.insert(id, state);
+        id
+    }
+
+    /// Removes a request.
+    pub fn leave(&mut self, id: WaiterId) {
+        self.waiters.remove(&id);
+    }
+
+    /// Returns whether a request is the first one of its service.
+    pub fn is_first(&self, id: WaiterId, now: MonoTime) -> bool {
+        let Some(own) = self.waiters.get(&id) else { return false };
+        let own_rank = (own.late_at <= now, own.urgency, id);
+        for (other_id, other) in &self.waiters {
+            if other.service != own.service {
+                continue;
+            }
+            if (other.late_at <= now, other.urgency, *other_id) < own_rank {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns the number of requests that wait for a service.
+    pub fn count(&self, service: &str) -> usize {
+        self.waiters.values().filter(|waiter| waiter.service == service).count()
+    }
+}
--- a/crates/gateway/src/work_demand.rs
+++ b/crates/gateway/src/work_demand.rs
@@ -11,6 +11,8 @@
 
 /// Factor by which the caller's estimate is raised: it is right at the median only.
 const HINT_FACTOR: f64 = 1.2;
+/// Part of the expected output whose memory is reserved.
+const RESERVED_PART: f64 = 0.6;
 /// Part of the largest output that is expected where the caller gives no estimate.
 const UNHINTED_PART: f64 = 0.5;
 
@@ -24,8 +26,9 @@
         WorkDemand { prompt_tokens, output_tokens: expected.min(output_limit).max(1) }
     }
 
-    /// Returns the memory at the end of the generation.
-    pub fn total_tokens(self) -> u64 {
-        self.prompt_tokens + self.output_tokens
+    /// Returns the memory that is reserved: that of the prompt and a part of the output, since
+    /// generations on one engine are of different ages.
+    pub fn reserved_tokens(self) -> u64 {
+        self.prompt_tokens + (self.output_tokens as f64 * RESERVED_PART) as u64
     }
 }
--- a/crates/gateway/src/work_query.rs
+++ b/crates/gateway/src/work_query.rs
@@ -15,6 +15,8 @@
     pub shared_part: Option<u64>,
     /// Zone that is preferred instead of the VM's own.
     pub near_zone: Option<&'a str>,
+    /// Seed of a random part of the choice, where many VMs choose at the same moment.
+    pub spread_seed: Option<u64>,
     /// Servers that must not be used.
     pub excluded: &'a BTreeSet<ServerKey>,
 }
--- a/crates/gateway/src/work_ticket.rs
+++ b/crates/gateway/src/work_ticket.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use crate::{GatewayContext, Placement, ServerKey};
+use crate::{GatewayContext, Placement, ServerKey, ServerLoad};
 
 /// Load reserved at a server. It is returned when the ticket is closed, or dropped with a task
 /// whose caller left.
@@ -14,6 +14,9 @@
 impl WorkTicket {
     /// Takes over the load that `placement` reserved.
     pub fn new(context: &Arc<GatewayContext>, placement: Placement) -> WorkTicket {
+        if placement.load.memory_tokens() > 0 {
+            context.load_changes.notify_one();
+        }
         WorkTicket { context: Arc::clone(context), placement }
     }
 
@@ -32,6 +35,16 @@
         self.placement.address
     }
 
+    /// Takes that the engine has read the prompt.
+    pub fn note_started(&mut self) {
+        let read = ServerLoad {
+            unread_tokens: std::mem::take(&mut self.placement.load.unread_tokens),
+            ..ServerLoad::default()
+        };
+        self.context.view().release(self.placement.server, read);
+        self.context.load_changes.notify_one();
+    }
+
     /// Returns the load.
     pub fn close(self) {
         drop(self);
@@ -41,5 +54,8 @@
 impl Drop for WorkTicket {
     fn drop(&mut self) {
         self.context.view().release(self.placement.server, self.placement.load);
+        if self.placement.load.memory_tokens() > 0 {
+            self.context.load_changes.notify_one();
+        }
     }
 }
