Make the last copy of a move shortly before the engine leaves

The pauses at moves were hidden, since the pause was counted from the switch; counted from the last event, a quarter of the moves by copy paused over 347 ms. Their last copies (15 ms at the median of all, 266 ms at the third quartile) queued behind first copies of other generations.

The last copy now waits for the time that the engine itself reports, VMs spread the choice of targets over 160 ms so that each sees the choices before, moves prefer engines in the zone, requests don't preempt by team at engines, moved generations are preempted last, and zones that can't be reached are probed once a second. Unread prompts weigh more than memory in the choice.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -10,7 +10,11 @@
 
 /// Highest value of the urgency header.
 const URGENCY_LIMIT: u8 = 9;
-/// Steps of urgency between two team ranks, so that a team's rank goes before a route's.
+/// Urgency of a generation that goes on at another engine.
+const RESUMED_URGENCY: u8 = 1;
+/// Urgency of a new generation on a route of the highest rank.
+const NEW_URGENCY: u8 = 4;
+/// Steps between two team ranks, so that a team's rank goes before a route's.
 const TEAM_STEP: u8 = 3;
 
 /// Request with the route that it matched.
@@ -67,10 +71,20 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns the urgency at the engine: the rank of the team goes before that of the route.
-    pub fn urgency(&self) -> u8 {
-        (self.team_priority.saturating_mul(TEAM_STEP).saturating_add(self.route.priority))
-            .min(URGENCY_LIMIT)
+    /// Returns the rank in the line of waiting requests: the rank of the team goes before that of
+    /// the route.
+    pub fn rank(&self) -> u8 {
+        self.team_priority.saturating_mul(TEAM_STEP).saturating_add(self.route.priority)
+    }
+
+    /// Returns the urgency at the engine. It does not depend on the team: an engine would stop
+    /// running generations for more urgent ones, and callers have nothing of what was read of
+    /// them. A generation that goes on elsewhere is the newest there and would be stopped first.
+    fn urgency(&self, is_resumed: bool) -> u8 {
+        if is_resumed {
+            return RESUMED_URGENCY;
+        }
+        NEW_URGENCY.saturating_add(self.route.priority).min(URGENCY_LIMIT)
     }
 
     /// Builds the question for a placement.
@@ -108,7 +122,8 @@
             push_header(&mut head, names.team, team.as_bytes());
         }
         if self.demand.prompt_tokens > 0 {
-            push_header(&mut head, names.urgency, self.urgency().to_string().as_bytes());
+            let urgency = self.urgency(fields.resume_from.is_some());
+            push_header(&mut head, names.urgency, urgency.to_string().as_bytes());
         }
         if let Some(value) = fields.resume_from {
             push_header(&mut head, names.resume_from, value.as_bytes());
--- a/crates/gateway/src/engine_protocol.rs
+++ b/crates/gateway/src/engine_protocol.rs
@@ -1,6 +1,6 @@
 //! Calls to engines that concern running generations.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::HttpCall;
 
@@ -32,6 +32,13 @@
     /// Builds the call that frees a copy.
     fn release_call(&self, handle: &str) -> HttpCall;
 
+    /// Builds the call that asks an engine for its state.
+    fn report_call(&self) -> HttpCall;
+
+    /// Decodes the time until an engine leaves, as of some hundred milliseconds ago, or returns
+    /// `None` if it isn't known.
+    fn decode_leave_time(&self, body: &[u8]) -> Option<Duration>;
+
     /// Decodes the answer to a copy call, or returns `None` if it can't be read.
     fn decode_copy(&self, status: u16, body: &[u8]) -> Option<CopyAnswer>;
 
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -35,7 +35,7 @@
 ) -> Option<EngineSeat> {
     let target = request.route.latency_target;
     let late_at = context.clock.at(request.arrived) + target;
-    let id = context.line().join(&request.service, request.urgency(), late_at);
+    let id = context.line().join(&request.service, request.rank(), late_at);
     let place = LinePlace { context, id };
     let give_up_at = (request.arrived + target.mul_f64(WAIT_TARGETS)).min(request.deadline);
     let mut tries = 0_u32;
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     EngineShape, FleetOrder, Placement, RetryWindow, RoutePlan, ServerKey, ServerLoad,
-    ServerRecord, ServerState, VmSettings, WorkQuery,
+    ServerRecord, ServerState, VmSettings, WorkQuery, ZoneReach,
 };
 
 /// Time for which a registration that vanished after an outage of the store may come back.
@@ -20,17 +20,22 @@
 /// Time after an outage of the store in which vanished registrations may be lapsed ones.
 const OUTAGE_SHADOW: Duration = Duration::from_millis(3_000);
 /// Part of an engine's memory that generations may fill, as reserved.
-const RUN_FILL: f64 = 0.97;
+const RUN_FILL: f64 = 0.90;
+/// Part that generations from engines that leave may fill.
+const MOVE_FILL: f64 = 0.98;
 /// Part of an engine's memory up to which copies of other engines' generations are taken; the
 /// rest is left to generations.
-const COPY_FILL: f64 = 0.60;
+const COPY_FILL: f64 = 0.45;
 /// Score of a full engine memory.
-const FILL_WEIGHT: f64 = 1.0;
+const FILL_WEIGHT: f64 = 0.4;
 /// Prompt tokens ahead of a request that count as much as a full memory. They take about half of
 /// a second to read.
-const UNREAD_TOKENS: f64 = 4_000.0;
+const UNREAD_TOKENS: f64 = 2_000.0;
 /// Score added for a server in another zone, as a share of a full server.
 const ZONE_PENALTY: f64 = 0.08;
+/// Score added for a server in another zone than the engine whose memory is copied. Such a copy
+/// takes twice as long, and the time before an engine leaves is short.
+const COPY_ZONE_PENALTY: f64 = 0.5;
 /// Score taken off for a server that holds the shared part of the prompt.
 const PART_BONUS: f64 = 0.10;
 /// Score added for a server whose requests all fail.
@@ -56,6 +61,7 @@
     pub vm_count: usize,
     store_failed_at: Option<MonoTime>,
     servers_known: bool,
+    zone_reach: ZoneReach,
 }
 
 impl FleetView {
@@ -72,6 +78,7 @@
             vm_count: 1,
             store_failed_at: None,
             servers_known: false,
+            zone_reach: ZoneReach::default(),
         }
     }
 
@@ -237,6 +244,20 @@
         true
     }
 
+    /// Takes that a server could not be connected to.
+    pub fn note_unreachable(&mut self, key: ServerKey, now: MonoTime) {
+        let Some(state) = self.servers.get_mut(key) else { return };
+        state.note_unreachable(now);
+        self.zone_reach.note_lost(&state.record.zone, key, now);
+    }
+
+    /// Takes that a server answered.
+    pub fn note_reached(&mut self, key: ServerKey) {
+        let Some(state) = self.servers.get_mut(key) else { return };
+        state.note_reached();
+        self.zone_reach.note_reached(&state.record.zone);
+    }
+
     /// Takes that another server answers at a server's address.
     pub fn note_replaced(&mut self, key: ServerKey, now: MonoTime) {
         if let Some(state) = self.servers.get_mut(key) {
@@ -249,12 +270,9 @@
         self.servers.get_mut(key)
     }
 
-    /// Returns for how long a server has been known to leave, and the memory of the generations
-    /// that run there, in tokens.
-    pub fn leaving_work(&self, key: ServerKey, now: MonoTime) -> Option<(Duration, u64)> {
-        let state = self.servers.get(key)?;
-        let since = state.leaving_since?;
-        Some((now.since(since), state.total_load(now).tokens))
+    /// Returns for how long a server has been known to leave.
+    pub fn leaving_for(&self, key: ServerKey, now: MonoTime) -> Option<Duration> {
+        self.servers.get(key)?.leaving_since.map(|since| now.since(since))
     }
 
     /// Returns whether the work on a server should go elsewhere.
@@ -296,8 +314,10 @@
     /// Returns [`ErrorKind::NoBackend`] if no server takes work, and [`ErrorKind::Overloaded`] if
     /// none has room.
     pub fn place(&mut self, query: &WorkQuery<'_>, now: MonoTime) -> Result<Placement, ErrorKind> {
-        let fill_limit = self.engine_shape(query.service).map(|_| RUN_FILL);
+        let limit = if query.near_zone.is_some() { MOVE_FILL } else { RUN_FILL };
+        let fill_limit = self.engine_shape(query.service).map(|_| limit);
         let key = self.choose(query, fill_limit, now)?;
+        self.zone_reach.note_tried(&self.servers[key].record.zone, now);
         Ok(self.reserve_work(key, query, now))
     }
 
@@ -314,7 +334,7 @@
     ) -> Result<Placement, ErrorKind> {
         let key = self.choose(query, Some(COPY_FILL), now)?;
         let tokens = query.demand.reserved_tokens();
-        Ok(self.reserve(key, ServerLoad { copy_tokens: tokens, ..ServerLoad::default() }))
+        Ok(self.reserve(key, ServerLoad { copy_tokens: tokens, ..ServerLoad::default() }, now))
     }
 
     /// Returns the usable server with the lowest score whose memory is not filled beyond
@@ -327,8 +347,11 @@
     ) -> Result<ServerKey, ErrorKind> {
         let mut best: Option<(f64, ServerKey)> = None;
         let mut is_full = false;
+        let cut_off = self.zone_reach.cut_off(now);
         for (key, state) in &self.servers {
-            if !self.is_usable(key, state, query, now) {
+            if !self.is_usable(key, state, query, now)
+                || cut_off.contains(state.record.zone.as_str())
+            {
                 continue;
             }
             if fill_limit.is_some_and(|limit| self.fill_with(state, query, now) > limit) {
@@ -399,13 +422,15 @@
                 copy_tokens: 0,
                 unread_tokens: query.demand.prompt_tokens,
             },
+            now,
         )
     }
 
-    fn reserve(&mut self, key: ServerKey, load: ServerLoad) -> Placement {
+    fn reserve(&mut self, key: ServerKey, load: ServerLoad, now: MonoTime) -> Placement {
         let state = &mut self.servers[key];
+        let seen = state.total_load(now);
         state.own_load += load;
-        Placement { server: key, id: state.id.clone(), address: state.record.address, load }
+        Placement { server: key, id: state.id.clone(), address: state.record.address, seen, load }
     }
 
     fn remember_part(&mut self, key: ServerKey, part: u64, now: MonoTime) {
@@ -479,8 +504,10 @@
         } else if let Some(latency_ms) = state.latency_ms() {
             score += LATENCY_PENALTY * latency_ms / 100.0;
         }
-        if state.record.zone != query.near_zone.unwrap_or(&self.settings.zone) {
-            score += ZONE_PENALTY;
+        match query.near_zone {
+            Some(zone) if state.record.zone != zone => score += COPY_ZONE_PENALTY,
+            None if state.record.zone != self.settings.zone => score += ZONE_PENALTY,
+            _ => {}
         }
         if let Some(seed) = query.spread_seed {
             score += SPREAD_WEIGHT * spread(seed, key);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 /// Pace of reading orders. They are to be in force within two seconds, and a read that waits may
 /// miss a record that comes at the same moment.
 const ORDERS_PACE: ReadPace =
-    ReadPace { wait: Duration::from_millis(800), spacing: Duration::from_millis(50) };
+    ReadPace { wait: Duration::from_millis(600), spacing: Duration::from_millis(50) };
 /// Pace of reading registrations of servers, which change all the time. Servers that leave give
 /// about two seconds of notice.
 const SERVERS_PACE: ReadPace =
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -21,17 +21,25 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 /// Time after which a copy is asked for again where the generation has not started.
 const UNSTARTED_PAUSE: Duration = Duration::from_millis(80);
+/// Time over which VMs spread the choice of targets after an engine's notice.
+const START_SPREAD: Duration = Duration::from_millis(160);
 /// Targets that are tried.
 const TARGET_LIMIT: u32 = 8;
 /// Pause before the next target after one had no room.
 const TARGET_PAUSE: Duration = Duration::from_millis(30);
 /// Calls that are made at most, over all targets.
 const CALL_LIMIT: u32 = 40;
-/// Time after which an engine's first copies are taken to be complete, whatever their number: it
-/// ends half of a second later or sooner.
-const FIRST_COPIES_LIMIT: Duration = Duration::from_millis(1_000);
-/// Part by which first copies take longer than their bytes need.
-const COPY_OVERHEAD: f64 = 1.15;
+/// Age of what an engine reports of itself.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+/// Time before an engine leaves that is kept for the last copies of all its generations.
+const LAST_COPIES_TIME: Duration = Duration::from_millis(350);
+/// Time after which the last copy is made although the engine doesn't say when it leaves. The
+/// shortest notices are one and a half seconds long.
+const UNKNOWN_LEAVE_LIMIT: Duration = Duration::from_millis(900);
+/// Pause before an engine is asked again when it leaves.
+const ASK_PAUSE: Duration = Duration::from_millis(120);
+/// Time for an engine's report.
+const ASK_LIMIT: Duration = Duration::from_millis(300);
 
 /// Why a generation is moved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -150,6 +158,9 @@
     }
 
     async fn try_targets(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
+        // Many VMs move generations at the same moment. Spread over a short time, each sees what
+        // the ones before it chose; the copies queue on the engine's link anyway.
+        tokio::time::sleep(START_SPREAD.mul_f64(rand::random())).await;
         for _ in 0..TARGET_LIMIT {
             let Some(target) = self.place() else {
                 tokio::time::sleep(TARGET_PAUSE).await;
@@ -169,7 +180,7 @@
                 }
                 Some(CopyAnswer::Unknown | CopyAnswer::Busy) | None => return MoveOutcome::Stays,
             }
-            self.await_first_copies().await;
+            self.await_last_moment(sender).await;
             return match self.copy(&target, true, sender).await {
                 Some(CopyAnswer::Copied { handle }) => self.resume(Some(target), &handle).await,
                 Some(CopyAnswer::NoRoom { handle: Some(handle) }) => {
@@ -181,17 +192,43 @@
         MoveOutcome::Stays
     }
 
-    /// Waits until the engine's other generations have made their first copies too. A last copy
-    /// would queue behind them on the link, while its generation stands still.
-    async fn await_first_copies(&self) {
-        let now = self.context.clock.now();
-        let (engine, work) = {
-            let view = self.context.view();
-            (view.engine_shape(&self.request.service), view.leaving_work(self.source_key, now))
-        };
-        let (Some(engine), Some((elapsed, tokens))) = (engine, work) else { return };
-        let needed = engine.copy_time(tokens).mul_f64(COPY_OVERHEAD).min(FIRST_COPIES_LIMIT);
-        tokio::time::sleep(needed.saturating_sub(elapsed)).await;
+    /// Waits until shortly before the engine leaves. By then its other generations have made their
+    /// first copies too; a last copy would queue behind them on the link, while its generation
+    /// stands still.
+    async fn await_last_moment(&self, sender: &mut oneshot::Sender<MoveOutcome>) {
+        while !sender.is_closed() {
+            let now = self.context.clock.now();
+            let elapsed = self.context.view().leaving_for(self.source_key, now);
+            let Some(elapsed) = elapsed else { return };
+            if let Some(left) = self.ask_time_left().await {
+                let wait = left.saturating_sub(REPORT_LAG + LAST_COPIES_TIME);
+                info!(
+                    id = self.request.attempt,
+                    left_ms = left.as_millis() as u64,
+                    wait_ms = wait.as_millis() as u64,
+                    "move: waits for the last copy"
+                );
+                tokio::select! {
+                    () = sender.closed() => {}
+                    () = tokio::time::sleep(wait) => {}
+                }
+                return;
+            }
+            if elapsed > UNKNOWN_LEAVE_LIMIT {
+                return;
+            }
+            tokio::time::sleep(ASK_PAUSE).await;
+        }
+    }
+
+    /// Asks the engine how long it stays, as of some hundred milliseconds ago.
+    async fn ask_time_left(&self) -> Option<Duration> {
+        let call = self.context.engines.report_call();
+        let answer = call.send(&self.context.pool, self.source, ASK_LIMIT).await;
+        match answer {
+            Ok((200, body)) => self.context.engines.decode_leave_time(&body),
+            Ok(_) | Err(_) => None,
+        }
     }
 
     /// Goes on after the generation has stopped: at the target, or else at the source, which keeps
@@ -247,7 +284,9 @@
             self.calls += 1;
             let call =
                 self.context.engines.copy_call(&self.request.attempt, target.address(), is_final);
+            let asked_at = tokio::time::Instant::now();
             let answer = call.send(&self.context.pool, self.source, COPY_LIMIT).await;
+            let took_ms = asked_at.elapsed().as_millis() as u64;
             let copy = match &answer {
                 Ok((status, body)) => self.context.engines.decode_copy(*status, body),
                 Err(_) => None,
@@ -256,6 +295,7 @@
                 id = self.request.attempt,
                 target = target.id(),
                 is_final,
+                took_ms,
                 ?copy,
                 error = answer.err().map(<&str>::from),
                 "move: copied"
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -60,6 +60,8 @@
     splitter: EventSplitter,
     events: u64,
     last_event_at: Instant,
+    /// Time of the last event, or of the switch to another engine after it.
+    silent_since: Instant,
     longest_pause_ms: u64,
 }
 
@@ -81,6 +83,7 @@
             splitter: EventSplitter::default(),
             events: 0,
             last_event_at: Instant::now(),
+            silent_since: Instant::now(),
             longest_pause_ms: 0,
         }
     }
@@ -99,7 +102,7 @@
 
     async fn step(&mut self) -> RelayStep {
         let RelaySource { seat, follower, channel } = &mut self.source;
-        let silence = self.last_event_at + SILENCE_LIMIT;
+        let silence = self.silent_since + SILENCE_LIMIT;
         let can_recover = self.events > 0 && seat.backup.is_some();
         tokio::select! {
             biased;
@@ -159,7 +162,7 @@
         old.seat.close();
         self.source.seat.engine.note_started();
         self.splitter = EventSplitter::default();
-        self.last_event_at = Instant::now();
+        self.silent_since = Instant::now();
     }
 
     async fn pass_events(&mut self) -> RelayStep {
@@ -205,6 +208,7 @@
         }
         self.events += 1;
         self.last_event_at = Instant::now();
+        self.silent_since = self.last_event_at;
     }
 
     async fn finish(self, end: RelayEnd) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod engine_protocol;
 mod engine_shape;
 mod engine_seat;
+mod zone_reach;
 mod engine_wait;
 mod waiting_line;
 mod event_splitter;
@@ -134,4 +135,5 @@
     work_demand::WorkDemand,
     work_query::WorkQuery,
     work_ticket::WorkTicket,
+    zone_reach::ZoneReach,
 };
--- a/crates/gateway/src/peer_hub.rs
+++ b/crates/gateway/src/peer_hub.rs
@@ -17,7 +17,7 @@
 /// Shortest time between two reports.
 const REPORT_SPACING: Duration = Duration::from_millis(5);
 /// Time between two reads of the table of VMs. New VMs report to all others by themselves.
-const DISCOVERY_INTERVAL: Duration = Duration::from_secs(15);
+const DISCOVERY_INTERVAL: Duration = Duration::from_secs(60);
 /// Time between attempts to register while the store does not answer.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
 /// Largest datagram. It fits a usual network's frame.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,6 +13,8 @@
     pub id: String,
     /// Address of the server.
     pub address: SocketAddr,
+    /// Load on the server when it was chosen.
+    pub seen: ServerLoad,
     /// Reserved load.
     pub load: ServerLoad,
 }
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -86,9 +86,7 @@
 
 fn note_unreachable(context: &GatewayContext, ticket: &WorkTicket) {
     let now = context.clock.now();
-    if let Some(state) = context.view().server_mut(ticket.server()) {
-        state.note_unreachable(now);
-    }
+    context.view().note_unreachable(ticket.server(), now);
     info!(server = ticket.id(), address = %ticket.address(), "server: unreachable");
 }
 
@@ -106,6 +104,7 @@
 fn note_load(context: &GatewayContext, ticket: &WorkTicket, answer: &AnswerHead) {
     let now = context.clock.now();
     let mut view = context.view();
+    view.note_reached(ticket.server());
     let Some(state) = view.server_mut(ticket.server()) else { return };
     if let Some(text) = answer.text(context.names.load) {
         let numbers: Vec<u32> =
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -8,8 +8,11 @@
 
 /// Weight of the newest result in the moving averages of a server. About ten results count.
 const AVERAGE_WEIGHT: f64 = 0.1;
-/// Time for which a server that could not be connected to gets no new work.
+/// Time for which a server that could not be connected to gets no new work; it doubles with each
+/// further failure.
 const CONNECT_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest such time.
+const CONNECT_PAUSE_MAX: Duration = Duration::from_millis(8_000);
 /// Time after which what a peer said of its load no longer counts.
 const PEER_LOAD_AGE: Duration = Duration::from_secs(3);
 /// Time after which a server's own statement of its load no longer counts.
@@ -37,6 +40,7 @@
     peer_loads: BTreeMap<u64, (MonoTime, ServerLoad)>,
     stated_requests: Option<(MonoTime, u32)>,
     paused_until: MonoTime,
+    connect_failures: u32,
     failure_share: f64,
     latency_ms: Option<f64>,
 }
@@ -57,6 +61,7 @@
             peer_loads: BTreeMap::new(),
             stated_requests: None,
             paused_until: MonoTime::default(),
+            connect_failures: 0,
             failure_share: 0.0,
             latency_ms: None,
         }
@@ -128,10 +133,17 @@
 
     /// Takes that the server could not be connected to.
     pub fn note_unreachable(&mut self, now: MonoTime) {
-        self.paused_until = now + CONNECT_PAUSE;
+        let pause = CONNECT_PAUSE * 2_u32.saturating_pow(self.connect_failures.min(4));
+        self.connect_failures += 1;
+        self.paused_until = now + pause.min(CONNECT_PAUSE_MAX);
         self.failure_share += AVERAGE_WEIGHT * (1.0 - self.failure_share);
     }
 
+    /// Takes that the server answered.
+    pub fn note_reached(&mut self) {
+        self.connect_failures = 0;
+    }
+
     /// Takes that the server refused a request without running it.
     pub fn note_refusal(&mut self, pause: Duration, now: MonoTime) {
         self.paused_until = self.paused_until.max(now + pause);
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -27,6 +27,8 @@
     excluded: BTreeSet<ServerKey>,
     arrivals: u32,
     progress: Arc<StreamProgress>,
+    /// Time until an engine had room.
+    queued_ms: u64,
 }
 
 impl StreamForwarder {
@@ -39,6 +41,7 @@
             request,
             excluded: BTreeSet::new(),
             arrivals: 0,
+            queued_ms: 0,
         }
     }
 
@@ -63,6 +66,7 @@
                 failure = no_room(&self.request);
                 break;
             };
+            self.queued_ms = self.request.arrived.elapsed().as_millis() as u64;
             self.excluded.insert(seat.engine.server());
             let mut follower = MoveFollower::new(&self.context);
             let (seat, outcome) = self.offer_and_follow(seat, &mut follower).await;
@@ -179,6 +183,9 @@
             backup = seat.backup.as_ref().map(WorkTicket::id),
             outcome,
             arrivals = self.arrivals,
+            seen_tokens = seat.engine.seen_load().memory_tokens(),
+            seen_unread = seat.engine.seen_load().unread_tokens,
+            queued_ms = self.queued_ms,
             waited_ms = self.request.arrived.elapsed().as_millis() as u64,
             "stream: offered"
         );
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -8,7 +8,7 @@
 
 /// Age of a table beyond which a VM reads it itself although a peer should pass it on. The bound
 /// on orders is two seconds.
-const FRESH_LIMIT: Duration = Duration::from_millis(900);
+const FRESH_LIMIT: Duration = Duration::from_millis(1_250);
 /// Time between checks of the age.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest pause after a failed read.
--- a/crates/gateway/src/waiting_line.rs
+++ b/crates/gateway/src/waiting_line.rs
@@ -11,13 +11,13 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct WaiterState {
     service: String,
-    urgency: u8,
+    rank: u8,
     /// Time after which the response is late.
     late_at: MonoTime,
 }
 
 /// Requests of one VM that wait for an engine. The first one of a service gets the next engine
-/// that has room: requests that can still be on time go before late ones, then by urgency, then
+/// that has room: requests that can still be on time go before late ones, then by rank, then
 /// by arrival. A large request is not passed by smaller ones behind it, so that no size starves.
 #[derive(Debug, Clone, Default)]
 pub struct WaitingLine {
@@ -27,10 +27,10 @@
 
 impl WaitingLine {
     /// Adds a request.
-    pub fn join(&mut self, service: &str, urgency: u8, late_at: MonoTime) -> WaiterId {
+    pub fn join(&mut self, service: &str, rank: u8, late_at: MonoTime) -> WaiterId {
         let id = self.next_id;
         self.next_id += 1;
-        let state = WaiterState { service: service.to_owned(), urgency, late_at };
+        let state = WaiterState { service: service.to_owned(), rank, late_at };
         self.waiters.insert(id, state);
         id
     }
@@ -43,12 +43,12 @@
     /// Returns whether a request is the first one of its service.
     pub fn is_first(&self, id: WaiterId, now: MonoTime) -> bool {
         let Some(own) = self.waiters.get(&id) else { return false };
-        let own_rank = (own.late_at <= now, own.urgency, id);
+        let own_order = (own.late_at <= now, own.rank, id);
         for (other_id, other) in &self.waiters {
             if other.service != own.service {
                 continue;
             }
-            if (other.late_at <= now, other.urgency, *other_id) < own_rank {
+            if (other.late_at <= now, other.rank, *other_id) < own_order {
                 return false;
             }
         }
--- a/crates/gateway/src/work_ticket.rs
+++ b/crates/gateway/src/work_ticket.rs
@@ -35,6 +35,11 @@
         self.placement.address
     }
 
+    /// Returns the load on the server when it was chosen.
+    pub fn seen_load(&self) -> ServerLoad {
+        self.placement.seen
+    }
+
     /// Takes that the engine has read the prompt.
     pub fn note_started(&mut self) {
         let read = ServerLoad {
