--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -25,7 +25,7 @@
 const MOVE_FILL: f64 = 0.98;
 /// Part of an engine's memory up to which copies of other engines' generations are taken; the
 /// rest is left to generations.
-const COPY_FILL: f64 = 0.45;
+const COPY_FILL: f64 = 0.30;
 /// Score of a full engine memory.
 const FILL_WEIGHT: f64 = 0.4;
 /// Prompt tokens ahead of a request that count as much as a full memory. They take about half of
@@ -35,7 +35,7 @@
 const ZONE_PENALTY: f64 = 0.08;
 /// Score added for a server in another zone than the engine whose memory is copied. Such a copy
 /// takes twice as long, and the time before an engine leaves is short.
-const COPY_ZONE_PENALTY: f64 = 0.5;
+const COPY_ZONE_PENALTY: f64 = 1.5;
 /// Score taken off for a server that holds the shared part of the prompt.
 const PART_BONUS: f64 = 0.10;
 /// Score added for a server whose requests all fail.
@@ -495,7 +495,11 @@
         let mut score = f64::from(load.requests) / slots;
         if let Some(engine) = engine {
             let fill = load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
-            score += FILL_WEIGHT * fill + load.unread_tokens as f64 / UNREAD_TOKENS;
+            score += FILL_WEIGHT * fill;
+            // A generation that was moved is admitted before prompts that wait.
+            if query.near_zone.is_none() {
+                score += load.unread_tokens as f64 / UNREAD_TOKENS;
+            }
             if let Some(part) = query.shared_part
                 && self.parts.get(&key).is_some_and(|parts| parts.contains_key(&part))
             {
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -145,6 +145,11 @@
         );
         match follower.recover(&self.request, seat, &self.progress).await {
             MoveOutcome::Resumed(resumed) => RelayStep::Resumed(resumed),
+            // A silent engine may only be slow; its response is still open.
+            MoveOutcome::Stays if end == RelayEnd::Silent => {
+                self.silent_since = Instant::now();
+                RelayStep::Continue
+            }
             MoveOutcome::Stays | MoveOutcome::Gone => RelayStep::End(end),
         }
     }
--- a/crates/gateway/src/work_demand.rs
+++ b/crates/gateway/src/work_demand.rs
@@ -26,6 +26,11 @@
         WorkDemand { prompt_tokens, output_tokens: expected.min(output_limit).max(1) }
     }
 
+    /// Returns the expected output without the margin for memory.
+    pub fn expected_tokens(self) -> u64 {
+        (self.output_tokens as f64 / HINT_FACTOR) as u64
+    }
+
     /// Returns the memory that is reserved: that of the prompt and a part of the output, since
     /// generations on one engine are of different ages.
     pub fn reserved_tokens(self) -> u64 {
