Estimate the memory of running generations anew as they grow

Generations that outlive their estimate gather at engines; their reservation stayed at the first estimate, and engines ran out of memory that was thought free.

--- a/crates/gateway/src/engine_seat.rs
+++ b/crates/gateway/src/engine_seat.rs
@@ -62,6 +62,15 @@
         self.backup.as_ref().map(|backup| backup.address().to_string())
     }
 
+    /// Sets the memory of the generation after it has made some output tokens.
+    pub fn resize(&mut self, request: &CallerRequest, made_tokens: u64) {
+        let tokens = request.demand.reserved_after(made_tokens);
+        self.engine.resize(tokens);
+        if let Some(backup) = &mut self.backup {
+            backup.resize(tokens);
+        }
+    }
+
     /// Returns the load to both engines.
     pub fn close(self) {
         self.engine.close();
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -451,6 +451,14 @@
         }
     }
 
+    /// Replaces a part of the load on a server.
+    pub fn replace_load(&mut self, key: ServerKey, old: ServerLoad, new: ServerLoad) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.own_load -= old;
+            state.own_load += new;
+        }
+    }
+
     /// Requests per second that this VM may send to each cold server of a service; zero for no
     /// limit.
     fn cold_rate(&self, service: &str) -> f64 {
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -16,6 +16,9 @@
 /// come every 30 to 60 ms, and pauses over 180 ms are late already.
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 
+/// Events after which the memory of a generation is estimated anew.
+const RESIZE_EVENTS: u64 = 16;
+
 /// How a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -63,6 +66,7 @@
     /// Time of the last event, or of the switch to another engine after it.
     silent_since: Instant,
     longest_pause_ms: u64,
+    tokens_per_event: u64,
 }
 
 impl GenerationRelay {
@@ -74,6 +78,8 @@
         progress: Arc<StreamProgress>,
         sender: PieceSender,
     ) -> GenerationRelay {
+        let engine = context.view().engine_shape(&request.service);
+        let tokens_per_event = engine.map_or(1, |engine| u64::from(engine.tokens_per_event));
         GenerationRelay {
             context: Arc::clone(context),
             request,
@@ -85,6 +91,7 @@
             last_event_at: Instant::now(),
             silent_since: Instant::now(),
             longest_pause_ms: 0,
+            tokens_per_event,
         }
     }
 
@@ -212,6 +219,10 @@
             self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
         }
         self.events += 1;
+        if self.events.is_multiple_of(RESIZE_EVENTS) {
+            let made = self.progress.last_event().map_or(0, |last| last + 1);
+            self.source.seat.resize(&self.request, made * self.tokens_per_event);
+        }
         self.last_event_at = Instant::now();
         self.silent_since = self.last_event_at;
     }
--- a/crates/gateway/src/work_demand.rs
+++ b/crates/gateway/src/work_demand.rs
@@ -11,6 +11,8 @@
 
 /// Factor by which the caller's estimate is raised: it is right at the median only.
 const HINT_FACTOR: f64 = 1.2;
+/// Part of what a generation made that it is expected to make at least.
+const LEAST_LEFT_PART: f64 = 0.2;
 /// Part of the expected output whose memory is reserved.
 const RESERVED_PART: f64 = 0.6;
 /// Part of the largest output that is expected where the caller gives no estimate.
@@ -34,6 +36,14 @@
     /// Returns the memory that is reserved: that of the prompt and a part of the output, since
     /// generations on one engine are of different ages.
     pub fn reserved_tokens(self) -> u64 {
-        self.prompt_tokens + (self.output_tokens as f64 * RESERVED_PART) as u64
+        self.reserved_after(0)
+    }
+
+    /// Returns the memory that is reserved for a generation that has made `made` output tokens. One
+    /// that outlives its estimate is likely to go on for as long as a part of what it made.
+    pub fn reserved_after(self, made: u64) -> u64 {
+        let expected = self.output_tokens.saturating_sub(made) as f64 * RESERVED_PART;
+        let least = made as f64 * LEAST_LEFT_PART;
+        self.prompt_tokens + made + expected.max(least) as u64
     }
 }
--- a/crates/gateway/src/work_ticket.rs
+++ b/crates/gateway/src/work_ticket.rs
@@ -50,6 +50,18 @@
         self.context.load_changes.notify_one();
     }
 
+    /// Sets the engine memory of the generation, or of the copy of one.
+    pub fn resize(&mut self, tokens: u64) {
+        let mut load = self.placement.load;
+        if load.copy_tokens > 0 {
+            load.copy_tokens = tokens;
+        } else {
+            load.tokens = tokens;
+        }
+        self.context.view().replace_load(self.placement.server, self.placement.load, load);
+        self.placement.load = load;
+    }
+
     /// Returns the load.
     pub fn close(self) {
         drop(self);
