Have VMs that missed each other at the store meet

Cause: on grown Qurum many VMs placed generations on engines that were full: of 58 VMs, 33 did not know the load of others in over a third of their choices (trial with the engines' reports beside our own sums). VMs read the registrations before their own was written, so that two that started together could miss each other for a minute. They now register first, and each report names three other VMs.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -105,7 +105,7 @@
     http_call::HttpCall,
     move_follower::MoveFollower,
     peer_hub::PeerHub,
-    peer_report::{LeavingEntry, LoadEntry, PeerReport},
+    peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport},
     peer_table::PeerTable,
     placement::Placement,
     planned_route::PlannedRoute,
--- a/crates/gateway/src/peer_hub.rs
+++ b/crates/gateway/src/peer_hub.rs
@@ -20,6 +20,8 @@
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(60);
 /// Time between attempts to register while the store does not answer.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+/// Other VMs that a report names.
+const PEERS_NAMED: usize = 3;
 /// Largest datagram. It fits a usual network's frame.
 const DATAGRAM_BYTES: usize = 1_400;
 /// Time for which a VM repeats that a server leaves.
@@ -44,8 +46,12 @@
     /// Exchanges reports for the lifetime of the process.
     pub async fn run(mut self) {
         let (sender, mut registrations) = tokio::sync::mpsc::channel(64);
-        tokio::spawn(register(Arc::clone(&self.context)));
-        tokio::spawn(discover(Arc::clone(&self.context), sender));
+        let context = Arc::clone(&self.context);
+        tokio::spawn(async move {
+            // Of two VMs that start together, the one that registers later finds the other.
+            register(&context).await;
+            discover(&context, sender).await;
+        });
         let mut interval = tokio::time::interval(REPORT_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut buffer = vec![0_u8; 2 * DATAGRAM_BYTES];
@@ -82,6 +88,7 @@
         {
             return;
         }
+        self.take_peers(&report);
         let mut changed = false;
         let mut view = self.context.view();
         take_loads(&mut view, &report, now);
@@ -97,6 +104,17 @@
         }
     }
 
+    fn take_peers(&self, report: &PeerReport) {
+        let mut peers = self.context.peers();
+        for entry in &report.peers {
+            match entry.address.parse() {
+                Ok(_) if entry.name == self.context.settings.name => {}
+                Ok(address) => peers.note_rumor(&entry.name, address),
+                Err(_) => info!(peer = report.name, "peers: address not understood"),
+            }
+        }
+    }
+
     async fn send_reports(&mut self) {
         let now = self.context.clock.now();
         self.sequence += 1;
@@ -122,6 +140,10 @@
     fn build_report(&self, running: usize) -> PeerReport {
         let now = self.context.clock.now();
         self.context.metrics.vms.set(running as i64 + 1);
+        let (can_read, peers) = {
+            let table = self.context.peers();
+            (table.can_read(now), table.some_running(PEERS_NAMED, self.sequence, now))
+        };
         let mut view = self.context.view();
         view.vm_count = running + 1;
         let mut report = PeerReport {
@@ -131,7 +153,8 @@
             sequence: self.sequence,
             plan_version: view.plan().map_or(0, |plan| plan.version),
             is_stopping: self.context.is_stopping(),
-            can_read: self.context.peers().can_read(now),
+            can_read,
+            peers,
             ..PeerReport::default()
         };
         for (_, state) in view.servers() {
@@ -171,7 +194,7 @@
 }
 
 /// Registers this VM in the store.
-async fn register(context: Arc<GatewayContext>) {
+async fn register(context: &GatewayContext) {
     let address = SocketAddr::new(context.settings.ip, context.settings.peer_port);
     let record = VmRecord {
         address: address.to_string(),
@@ -195,7 +218,7 @@
 
 /// Reads the registrations of the other VMs.
 async fn discover(
-    context: Arc<GatewayContext>,
+    context: &GatewayContext,
     sender: tokio::sync::mpsc::Sender<(String, SocketAddr)>,
 ) {
     loop {
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -33,6 +33,17 @@
     pub started_at_ms: Option<u64>,
 }
 
+/// Another VM that the sender heard of lately.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerEntry {
+    /// Name of the VM.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Address for datagrams, as `ip:port`.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
 /// State of a VM, sent to each peer in one datagram. A report replaces the one before, so that a
 /// lost datagram needs no repair.
 #[derive(Clone, PartialEq, Message)]
@@ -64,4 +75,7 @@
     /// Whether the VM may read the store for others.
     #[prost(bool, tag = "9")]
     pub can_read: bool,
+    /// Some VMs that run, so that those which missed each other at the store meet.
+    #[prost(message, repeated, tag = "10")]
+    pub peers: Vec<PeerEntry>,
 }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -4,7 +4,7 @@
 
 use dragonflycart_core::MonoTime;
 
-use crate::PeerReport;
+use crate::{PeerEntry, PeerReport};
 
 /// Time without a report after which a VM doesn't count as running.
 const SILENCE_LIMIT: Duration = Duration::from_millis(3_000);
@@ -82,6 +82,14 @@
         });
     }
 
+    /// Takes what a peer says of another VM. It is not believed against what is known, since it
+    /// may be old.
+    pub fn note_rumor(&mut self, name: &str, address: SocketAddr) {
+        if !self.peers.values().any(|state| state.name == name) {
+            self.note_registration(name, address);
+        }
+    }
+
     /// Takes a report. Returns false if it is older than one that was taken before.
     pub fn note_report(&mut self, report: &PeerReport, address: SocketAddr, now: MonoTime) -> bool {
         self.note_registration(&report.name, address);
@@ -111,6 +119,19 @@
         recipients
     }
 
+    /// Returns some VMs that run, other ones at each call.
+    pub fn some_running(&self, count: usize, turn: u64, now: MonoTime) -> Vec<PeerEntry> {
+        let running: Vec<_> =
+            self.peers.iter().filter(|(_, state)| is_running(state, now)).collect();
+        let start = (turn as usize).wrapping_mul(count);
+        let mut entries = Vec::new();
+        for index in 0..count.min(running.len()) {
+            let (address, state) = running[start.wrapping_add(index) % running.len()];
+            entries.push(PeerEntry { name: state.name.clone(), address: address.to_string() });
+        }
+        entries
+    }
+
     /// Returns the number of VMs that run, without this one.
     pub fn running_count(&self, now: MonoTime) -> usize {
         self.peers.values().filter(|state| is_running(state, now)).count()
