--- /dev/null
+++ b/crates/gateway/tests/all/answers.rs
@@ -0,0 +1,59 @@
+//! Heads of servers' responses.
+
+use dragonflycart_gateway::{AnswerHead, BodyFraming, ChannelError};
+
+fn parse(text: &str) -> Result<Option<(AnswerHead, usize)>, ChannelError> {
+    AnswerHead::parse(text.as_bytes())
+}
+
+#[test]
+fn framing_follows_the_headers() {
+    let cases = [
+        ("content-length: 5", BodyFraming::Length(5)),
+        ("transfer-encoding: chunked", BodyFraming::Chunked),
+        ("x: y", BodyFraming::UntilClose),
+    ];
+    for (header, framing) in cases {
+        let (head, _) = parse(&format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n")).unwrap().unwrap();
+        assert_eq!(head.framing, framing, "{header}");
+    }
+}
+
+/// Two readings of one response would let a caller see bytes of another.
+#[test]
+fn contradicting_framing_is_refused() {
+    for headers in [
+        "content-length: 5\r\ncontent-length: 6",
+        "content-length: 5\r\ntransfer-encoding: chunked",
+        "transfer-encoding: gzip",
+        "content-length: +5",
+        "content-length: ",
+    ] {
+        let result = parse(&format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\n"));
+        assert!(matches!(result, Err(ChannelError::Malformed)), "{headers}");
+    }
+}
+
+#[test]
+fn bytes_that_are_no_response_are_refused() {
+    assert!(matches!(parse("garbage here\r\n\r\n"), Err(ChannelError::Malformed)));
+    assert!(matches!(parse("HTTP/1.1 200 OK\r\nconte"), Ok(None)));
+}
+
+#[test]
+fn connection_is_kept_only_where_it_can_be() {
+    let keeps = |text: &str| parse(text).unwrap().unwrap().0.keeps_alive;
+
+    assert!(keeps("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"));
+    assert!(!keeps("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nConnection: keep-alive, Close\r\n\r\n"));
+    assert!(!keeps("HTTP/1.1 200 OK\r\n\r\n"));
+    assert!(!keeps("HTTP/1.0 200 OK\r\ncontent-length: 0\r\n\r\n"));
+}
+
+#[test]
+fn idle_limit_is_read_from_the_header() {
+    let (head, _) =
+        parse("HTTP/1.1 200 OK\r\nkeep-alive: timeout=7, max=5\r\n\r\n").unwrap().unwrap();
+
+    assert_eq!(head.idle_limit(), Some(std::time::Duration::from_secs(7)));
+}
--- /dev/null
+++ b/crates/gateway/tests/all/beliefs.rs
@@ -0,0 +1,148 @@
+//! Beliefs about servers and zones.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use dragonflycart_gateway::ZoneReach;
+
+use crate::fixtures::{ENGINES, at, key_of, query, record, report, view};
+
+#[test]
+fn draining_server_gets_no_work() {
+    let mut view = view(&["a", "b"]);
+    let excluded = BTreeSet::new();
+    let mut draining = record(ENGINES, "a", 8_000);
+    draining.is_draining = true;
+
+    let changed = view.apply_server("e0", draining, 10, at(5));
+
+    assert!(changed);
+    assert!(view.is_leaving(key_of(&view, "e0")));
+    assert_eq!(view.place(&query(report(), &excluded), at(6)).unwrap().id, "e1");
+}
+
+/// An old registration that is passed on late must not bring a leaving server back.
+#[test]
+fn older_registration_is_ignored() {
+    let mut view = view(&["a"]);
+    let mut draining = record(ENGINES, "a", 8_000);
+    draining.is_draining = true;
+    view.apply_server("e0", draining, 10, at(5));
+
+    view.apply_server("e0", record(ENGINES, "a", 8_000), 9, at(6));
+
+    assert!(view.is_leaving(key_of(&view, "e0")));
+}
+
+/// A server that starts again under its id knows nothing of before.
+#[test]
+fn restarted_server_is_a_new_one() {
+    let mut view = view(&["a"]);
+    let before = key_of(&view, "e0");
+    let mut restarted = record(ENGINES, "a", 8_000);
+    restarted.started_at_ms = Some(2);
+
+    view.apply_server("e0", restarted, 10, at(5));
+
+    assert!(view.is_leaving(before));
+    assert!(view.servers().any(|(key, state)| key != before && state.leaving_since.is_none()));
+}
+
+/// Without an outage, a removed registration is a server that left without notice.
+#[test]
+fn removed_server_leaves_at_once() {
+    let mut view = view(&["a"]);
+
+    assert!(view.remove_server("e0", at(10)));
+    assert!(view.is_leaving(key_of(&view, "e0")));
+}
+
+/// Registrations lapse while the store is away; all servers would be given up at its return.
+#[test]
+fn registration_that_lapsed_in_an_outage_may_come_back() {
+    let mut view = view(&["a", "b"]);
+    view.note_store_failure(at(0));
+
+    assert!(!view.remove_server("e0", at(500)));
+    assert!(!view.remove_server("e1", at(500)));
+    view.apply_server("e0", record(ENGINES, "a", 8_000), 20, at(1_000));
+    view.expire_servers(at(2_400));
+
+    assert!(!view.is_leaving(key_of(&view, "e0")));
+    assert!(view.is_leaving(key_of(&view, "e1")));
+}
+
+#[test]
+fn peer_that_saw_a_server_leave_is_believed_for_that_incarnation() {
+    let mut view = view(&["a"]);
+
+    assert!(!view.note_leaving("e0", Some(9), at(1)));
+    assert!(view.note_leaving("e0", Some(1), at(2)));
+    assert!(view.is_leaving(key_of(&view, "e0")));
+}
+
+/// Each request would wait for a connection to each server of a zone that is cut off.
+#[test]
+fn cut_off_zone_is_probed_once_per_interval() {
+    let view = view(&["a", "b", "b", "b"]);
+    let mut reach = ZoneReach::default();
+    reach.note_lost("b", key_of(&view, "e1"), at(0));
+    assert!(reach.cut_off(at(1)).is_empty(), "one server may be down by itself");
+
+    reach.note_lost("b", key_of(&view, "e2"), at(100));
+    assert!(reach.cut_off(at(200)).contains("b"));
+    assert!(reach.cut_off(at(1_200)).is_empty(), "a probe is due");
+
+    reach.note_tried("b", at(1_200));
+    assert!(reach.cut_off(at(1_300)).contains("b"));
+    reach.note_reached("b");
+    assert!(reach.cut_off(at(1_300)).is_empty());
+}
+
+/// A server that can't be reached is tried again after a pause that grows.
+#[test]
+fn unreachable_server_is_paused_longer_each_time() {
+    let mut view = view(&["a"]);
+    let excluded = BTreeSet::new();
+    let key = key_of(&view, "e0");
+    view.note_unreachable(key, at(0));
+    assert!(view.place(&query(report(), &excluded), at(900)).is_err());
+    assert!(view.place(&query(report(), &excluded), at(1_100)).is_ok());
+
+    view.note_unreachable(key, at(2_000));
+
+    assert!(view.place(&query(report(), &excluded), at(3_900)).is_err());
+    assert!(view.place(&query(report(), &excluded), at(4_100)).is_ok());
+}
+
+/// Health answers may be false; only results of requests count.
+#[test]
+fn server_whose_requests_fail_is_avoided_and_comes_back() {
+    let mut view = view(&["a", "a"]);
+    let excluded = BTreeSet::new();
+    let bad = key_of(&view, "e0");
+    for _ in 0..10 {
+        view.server_mut(bad).unwrap().note_answer(true, Duration::from_millis(30));
+    }
+    let placement = view.place(&query(report(), &excluded), at(0)).unwrap();
+    assert_eq!(placement.id, "e1");
+    view.release(placement.server, placement.load);
+
+    for _ in 0..40 {
+        view.server_mut(bad).unwrap().note_answer(false, Duration::from_millis(30));
+    }
+
+    let ids: BTreeSet<_> =
+        (0..4).map(|_| view.place(&query(report(), &excluded), at(0)).unwrap().id).collect();
+    assert_eq!(ids.len(), 2);
+}
+
+/// Whoever asks for a server that left gets none, and its state is dropped after a while.
+#[test]
+fn server_that_left_is_forgotten() {
+    let mut view = view(&["a"]);
+    view.remove_server("e0", at(0));
+
+    view.expire_servers(at(31_000));
+
+    assert_eq!(view.servers().count(), 0);
+}
--- /dev/null
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -0,0 +1,140 @@
+//! Fixtures.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use dragonflycart_core::MonoTime;
+use dragonflycart_gateway::{
+    CallerLimits, EngineShape, FleetOrder, FleetView, PlannedRoute, PlannedService, PlannedTeam,
+    RouteKind, RoutePlan, ServerKey, ServerRecord, VmSettings, WorkDemand, WorkQuery,
+};
+
+/// Service of engines.
+pub(crate) const ENGINES: &str = "assistant";
+/// Plain service.
+pub(crate) const DESK: &str = "desk";
+/// Memory of an engine, in tokens.
+pub(crate) const MEMORY_TOKENS: u64 = 27_000;
+
+pub(crate) fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(60_000 + millis)
+}
+
+pub(crate) fn settings() -> VmSettings {
+    VmSettings {
+        name: "vm-a-1".to_owned(),
+        zone: "a".to_owned(),
+        ip: "127.0.0.1".parse().unwrap(),
+        caller_address: "127.0.0.1:0".parse().unwrap(),
+        ready_address: "127.0.0.1:0".parse().unwrap(),
+        peer_port: 0,
+        memory_bytes: 110 << 20,
+        descriptors: 4_100,
+        heartbeat: Duration::from_millis(1_200),
+        stop_grace: Duration::from_secs(8),
+        retry_ratio: 0.2,
+        retry_allowance: 58.0,
+        retry_window: Duration::from_secs(10),
+    }
+}
+
+pub(crate) fn route(name: &str, prefix: &str, kind: RouteKind, service: &str) -> PlannedRoute {
+    PlannedRoute {
+        name: name.to_owned(),
+        host: "desk.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind,
+        time_limit: Duration::from_secs(6),
+        latency_target: Duration::from_millis(1_500),
+        pause_target: Some(Duration::from_millis(180)),
+        priority: 0,
+        services: vec![(service.to_owned(), 1)],
+        max_attempts: 2,
+        is_public: false,
+    }
+}
+
+pub(crate) fn engine_shape() -> EngineShape {
+    EngineShape {
+        batch_size: 24,
+        memory_tokens: MEMORY_TOKENS,
+        token_bytes: 18_432,
+        link_mbps: 2_700.0,
+        can_move: true,
+        can_back_up: true,
+        tokens_per_event: 4,
+    }
+}
+
+pub(crate) fn plan(version: u64) -> RoutePlan {
+    let service = |name: &str, cold_rate, engine| PlannedService {
+        name: name.to_owned(),
+        max_connections: 300,
+        cold_start: Duration::from_secs(1),
+        cold_rate,
+        engine,
+    };
+    RoutePlan::new(
+        version,
+        vec![
+            route("reports", "/reports/", RouteKind::Stream, ENGINES),
+            route("bookings", "/bookings/", RouteKind::NonIdempotent, DESK),
+            route("urgent", "/bookings/urgent/", RouteKind::NonIdempotent, DESK),
+        ],
+        vec![service(ENGINES, 38.0, Some(engine_shape())), service(DESK, 0.0, None)],
+        CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+        Some(vec![PlannedTeam {
+            name: "studio".to_owned(),
+            keys: vec!["k1".to_owned(), "k2".to_owned()],
+            priority: 1,
+        }]),
+    )
+}
+
+pub(crate) fn record(service: &str, zone: &str, port: u16) -> ServerRecord {
+    ServerRecord {
+        service: service.to_owned(),
+        address: format!("10.0.0.1:{port}").parse().unwrap(),
+        zone: zone.to_owned(),
+        version: "v1".to_owned(),
+        slots: 24,
+        is_draining: false,
+        cold_left: Duration::ZERO,
+        started_at_ms: Some(1),
+    }
+}
+
+/// Returns a view with the plan and the given engines by zone, named `e0`, `e1` and so on.
+pub(crate) fn view(zones: &[&str]) -> FleetView {
+    let mut view = FleetView::new(Arc::new(settings()));
+    view.apply_order(FleetOrder::Plan(Arc::new(plan(1))), at(0));
+    for (index, zone) in zones.iter().enumerate() {
+        let port = 8_000 + index as u16;
+        view.apply_server(&format!("e{index}"), record(ENGINES, zone, port), index as u64, at(0));
+    }
+    view.note_servers_known();
+    view
+}
+
+pub(crate) fn report() -> WorkDemand {
+    WorkDemand::estimate(3_000, 1_600, Some(800))
+}
+
+pub(crate) fn query<'a>(demand: WorkDemand, excluded: &'a BTreeSet<ServerKey>) -> WorkQuery<'a> {
+    WorkQuery {
+        service: ENGINES,
+        demand,
+        shared_part: None,
+        near_zone: None,
+        spread_seed: None,
+        excluded,
+    }
+}
+
+pub(crate) fn key_of(view: &FleetView, id: &str) -> ServerKey {
+    view.servers().find(|(_, state)| state.id == id).map(|(key, _)| key).unwrap()
+}
--- /dev/null
+++ b/crates/gateway/tests/all/limits.rs
@@ -0,0 +1,96 @@
+//! Limits that hold in the sum over all VMs.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use dragonflycart_gateway::{RateMeter, RetryWindow};
+
+use crate::fixtures::{ENGINES, at, query, record, report, view};
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// The sum over VMs would exceed the deployment's allowance if each VM used it whole.
+#[test]
+fn repeats_of_all_vms_stay_within_the_allowance() {
+    let vm_count = 58;
+    let mut sum = 0;
+
+    for _ in 0..vm_count {
+        let mut retries = RetryWindow::new(WINDOW);
+        while retries.take_repeat(0.2, 156.0, vm_count, at(0)) {
+            sum += 1;
+        }
+    }
+
+    assert!(sum <= 156, "{sum}");
+    assert!(sum >= 40, "{sum}: the allowance lies idle");
+}
+
+/// Repeats that are used at the end of one window and the start of the next fall into one
+/// sliding window.
+#[test]
+fn repeats_follow_the_requests_of_the_window() {
+    let mut retries = RetryWindow::new(WINDOW);
+    for index in 0..100 {
+        retries.note_request(at(index * 10));
+    }
+
+    let mut granted = 0;
+    while retries.take_repeat(0.2, 0.0, 1, at(1_000)) {
+        granted += 1;
+    }
+
+    assert!((10..=20).contains(&granted), "{granted}");
+    assert!(!retries.take_repeat(0.2, 0.0, 1, at(9_000)));
+    assert!(!retries.take_repeat(0.2, 0.0, 1, at(12_000)), "the requests are out of the window");
+}
+
+/// Moves of generations can't be refused, but they leave less for other repeats.
+#[test]
+fn forced_repeats_count() {
+    let mut retries = RetryWindow::new(WINDOW);
+    for _ in 0..20 {
+        retries.note_repeat(at(0));
+    }
+
+    assert!(!retries.take_repeat(0.0, 10.0, 1, at(1)));
+}
+
+#[test]
+fn rate_is_limited_without_a_burst() {
+    let mut meter = RateMeter::default();
+    let mut taken = 0;
+
+    for millis in 0..1_000 {
+        if meter.is_open(at(millis)) {
+            meter.take(4.0, at(millis));
+            taken += 1;
+        }
+    }
+
+    assert_eq!(taken, 4);
+}
+
+/// A cold engine falls over under more requests than it bears, whichever VMs send them.
+#[test]
+fn cold_engine_gets_its_rate_from_all_vms_together() {
+    let vm_count = 9;
+    let mut sum = 0;
+    for _ in 0..vm_count {
+        let mut view = view(&[]);
+        view.vm_count = vm_count;
+        let mut cold = record(ENGINES, "a", 8_100);
+        cold.cold_left = Duration::from_secs(60);
+        view.apply_server("cold", cold, 9, at(0));
+        let excluded = BTreeSet::new();
+        for millis in 0..1_000 {
+            if let Ok(placement) = view.place(&query(report(), &excluded), at(millis)) {
+                view.release(placement.server, placement.load);
+                sum += 1;
+            }
+        }
+    }
+
+    // 38 a second is the limit of the plan.
+    assert!(sum <= 38 + vm_count as u32, "{sum}");
+    assert!(sum >= 30, "{sum}");
+}
--- /dev/null
+++ b/crates/gateway/tests/all/loads.rs
@@ -0,0 +1,206 @@
+//! Loads that the choice of engines answers. Each test names its pattern.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use dragonflycart_core::ErrorKind;
+use dragonflycart_gateway::{ServerLoad, WaitingLine, WorkDemand, WorkQuery};
+
+use crate::fixtures::{MEMORY_TOKENS, at, key_of, query, report, view};
+
+/// Pattern: long generations fill the memory of all engines. One more would be read and then
+/// stopped again, or wait in the queue of an engine that may leave.
+#[test]
+fn full_engines_get_no_generation() {
+    let mut view = view(&["a", "b"]);
+    let excluded = BTreeSet::new();
+    let mut placed = 0;
+
+    let refusal = loop {
+        match view.place(&query(report(), &excluded), at(placed)) {
+            Ok(_) => placed += 1,
+            Err(error) => break error,
+        }
+        assert!(placed < 100, "the engines never filled");
+    };
+
+    assert_eq!(refusal, ErrorKind::Overloaded);
+    for (_, state) in view.servers() {
+        assert!(state.own_load.tokens <= MEMORY_TOKENS);
+        assert!(state.own_load.tokens + report().reserved_tokens() > MEMORY_TOKENS * 9 / 10);
+    }
+}
+
+/// Pattern: a request larger than an engine's memory. It must not wait for room that never comes;
+/// the engine refuses it.
+#[test]
+fn request_larger_than_an_engine_goes_to_an_empty_one() {
+    let mut view = view(&["a"]);
+    let excluded = BTreeSet::new();
+    let huge = WorkDemand::estimate(MEMORY_TOKENS * 2, 10, None);
+
+    assert!(view.place(&query(huge, &excluded), at(0)).is_ok());
+}
+
+/// Pattern: a burst of long prompts. Two on one engine make the second one late, while other
+/// engines read none.
+#[test]
+fn burst_of_prompts_spreads_over_the_engines() {
+    let mut view = view(&["a", "a", "b", "b", "b", "c"]);
+    let excluded = BTreeSet::new();
+
+    let mut counts = BTreeMap::new();
+    for _ in 0..6 {
+        let placement = view.place(&query(report(), &excluded), at(0)).unwrap();
+        *counts.entry(placement.id).or_insert(0) += 1;
+    }
+
+    assert_eq!(counts.len(), 6, "{counts:?}");
+}
+
+/// Pattern: many VMs at one moment. What peers sent counts like the VM's own.
+#[test]
+fn load_of_peers_turns_requests_away_from_an_engine() {
+    let mut view = view(&["a", "b"]);
+    let excluded = BTreeSet::new();
+    let load = ServerLoad { requests: 6, tokens: 20_000, copy_tokens: 0, unread_tokens: 6_000 };
+    view.note_peer_load(7, "e0", load, at(0));
+
+    let placement = view.place(&query(report(), &excluded), at(1)).unwrap();
+
+    assert_eq!(placement.id, "e1");
+}
+
+/// Pattern: a VM that died with generations open. What it said must not block an engine forever.
+#[test]
+fn load_of_a_silent_peer_expires() {
+    let mut view = view(&["a"]);
+    let excluded = BTreeSet::new();
+    let load =
+        ServerLoad { requests: 6, tokens: MEMORY_TOKENS, copy_tokens: 0, unread_tokens: 0 };
+    view.note_peer_load(7, "e0", load, at(0));
+
+    assert!(view.place(&query(report(), &excluded), at(2_900)).is_err());
+    assert!(view.place(&query(report(), &excluded), at(3_100)).is_ok());
+}
+
+/// Pattern: memory of generations that run comes before copies for failures that may not come.
+#[test]
+fn copies_leave_memory_to_generations() {
+    let mut view = view(&["a"]);
+    let excluded = BTreeSet::new();
+
+    let mut copies = 0;
+    while view.place_copy(&query(report(), &excluded), at(copies)).is_ok() {
+        copies += 1;
+    }
+
+    let state = view.servers().next().unwrap().1;
+    assert!(copies >= 1);
+    assert!(state.own_load.copy_tokens * 2 < MEMORY_TOKENS);
+    assert!(view.place(&query(report(), &excluded), at(100)).is_ok());
+}
+
+/// Pattern: an engine leaves with all its generations. A copy to another zone takes twice as
+/// long, and the notice is short.
+#[test]
+fn generation_that_moves_stays_in_the_zone_while_there_is_room() {
+    let mut view = view(&["a", "b", "b"]);
+    let source = key_of(&view, "e1");
+    let excluded = BTreeSet::from([source]);
+    let load =
+        ServerLoad { requests: 4, tokens: 14_000, copy_tokens: 0, unread_tokens: 6_000 };
+    view.note_peer_load(7, "e2", load, at(0));
+    let query = WorkQuery { near_zone: Some("b"), ..query(report(), &excluded) };
+
+    let placement = view.place(&query, at(1)).unwrap();
+
+    assert_eq!(placement.id, "e2");
+}
+
+/// Pattern: many generations move at one moment, before their VMs hear of each other's choices.
+#[test]
+fn simultaneous_moves_choose_different_targets() {
+    let excluded = BTreeSet::new();
+    let mut targets = BTreeSet::new();
+
+    for seed in 0..40 {
+        let mut view = view(&["b"; 8]);
+        let query = WorkQuery {
+            near_zone: Some("b"),
+            spread_seed: Some(seed),
+            ..query(report(), &excluded)
+        };
+        targets.insert(view.place(&query, at(0)).unwrap().id);
+    }
+
+    assert!(targets.len() >= 6, "{targets:?}");
+}
+
+/// Pattern: outputs longer than their estimates. They gather at engines, since the short ones end.
+#[test]
+fn generation_that_outlives_its_estimate_keeps_growing_in_the_sum() {
+    let demand = report();
+
+    let at_estimate = demand.reserved_after(demand.expected_tokens());
+    let beyond = demand.reserved_after(2 * demand.expected_tokens());
+
+    assert!(beyond > at_estimate);
+    assert!(beyond > demand.prompt_tokens + 2 * demand.expected_tokens());
+}
+
+/// Pattern: large requests behind small ones. Small ones that pass a waiting large one would take
+/// each piece of memory that becomes free.
+#[test]
+fn line_serves_in_order_whatever_the_size() {
+    let mut line = WaitingLine::default();
+    let first = line.join("assistant", 0, at(1_500));
+    let second = line.join("assistant", 0, at(1_500));
+
+    assert!(line.is_first(first, at(0)));
+    assert!(!line.is_first(second, at(0)));
+    line.leave(first);
+    assert!(line.is_first(second, at(0)));
+}
+
+/// Pattern: overload. Work for responses that are late already would make further ones late.
+#[test]
+fn late_requests_wait_behind_those_that_can_be_on_time() {
+    let mut line = WaitingLine::default();
+    let late = line.join("assistant", 0, at(100));
+    let urgent_late = line.join("assistant", 0, at(150));
+    let timely = line.join("assistant", 3, at(1_500));
+
+    assert!(line.is_first(late, at(50)));
+    assert!(line.is_first(timely, at(200)));
+    assert!(!line.is_first(urgent_late, at(200)));
+}
+
+/// Pattern: requests of different services must not wait for each other.
+#[test]
+fn line_is_kept_per_service() {
+    let mut line = WaitingLine::default();
+    line.join("assistant", 0, at(1_500));
+    let other = line.join("drafter", 9, at(1_500));
+
+    assert!(line.is_first(other, at(0)));
+    assert_eq!(line.count("assistant"), 1);
+}
+
+/// Pattern: a request that ended must leave nothing behind.
+#[test]
+fn released_load_makes_room_again() {
+    let mut view = view(&["a"]);
+    let excluded = BTreeSet::new();
+    let mut placements = Vec::new();
+    while let Ok(placement) = view.place(&query(report(), &excluded), at(0)) {
+        placements.push(placement);
+    }
+
+    let placement = placements.pop().unwrap();
+    view.release(placement.server, placement.load);
+
+    assert!(view.place(&query(report(), &excluded), at(1)).is_ok());
+    for placement in placements {
+        view.release(placement.server, placement.load);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/all/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the gateway's decisions, without network, and of its connections, on loopback.
+
+mod answers;
+mod beliefs;
+mod fixtures;
+mod limits;
+mod loads;
+mod memberships;
+mod routes;
+mod server_channels;
+mod splitting;
+mod tables;
--- /dev/null
+++ b/crates/gateway/tests/all/server_channels.rs
@@ -0,0 +1,160 @@
+//! Connections to servers, against a scripted server on loopback.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use dragonflycart_gateway::{ChannelError, ChannelPool, ServerChannel};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+const ECHO: &str = "attempt-id";
+
+/// Starts a server that answers the n-th request of its only connection with the n-th script and
+/// closes the connection after the last one.
+async fn scripted(scripts: Vec<&'static str>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4_096];
+        for script in scripts {
+            if stream.read(&mut buffer).await.unwrap() == 0 {
+                return;
+            }
+            stream.write_all(script.as_bytes()).await.unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    });
+    address
+}
+
+fn echo(id: &str) -> Option<(&str, &str)> {
+    Some((ECHO, id))
+}
+
+const FIRST: &str = "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ncontent-length: 2\r\n\r\nok";
+const SECOND: &str = "HTTP/1.1 200 OK\r\nattempt-id: a2\r\ncontent-length: 3\r\n\r\nyes";
+const LATE_AND_SECOND: &str = "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ncontent-length: 2\r\n\r\nok\
+     HTTP/1.1 200 OK\r\nattempt-id: a2\r\ncontent-length: 3\r\n\r\nyes";
+
+#[tokio::test]
+async fn second_exchange_uses_the_same_connection() {
+    let address = scripted(vec![FIRST, SECOND]).await;
+    let mut channel = ServerChannel::connect(address).await.unwrap();
+
+    channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    let first = channel.read_body(100).await.unwrap();
+    assert!(channel.is_reusable());
+    channel.exchange(REQUEST, &Bytes::new(), echo("a2")).await.unwrap();
+    let second = channel.read_body(100).await.unwrap();
+
+    assert_eq!((&first[..], &second[..]), (&b"ok"[..], &b"yes"[..]));
+}
+
+/// A server may send a second response to an earlier request where the next one is expected.
+#[tokio::test]
+async fn late_response_of_another_request_is_skipped() {
+    let address = scripted(vec![FIRST, LATE_AND_SECOND]).await;
+    let mut channel = ServerChannel::connect(address).await.unwrap();
+    channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    channel.read_body(100).await.unwrap();
+
+    let head = channel.exchange(REQUEST, &Bytes::new(), echo("a2")).await.unwrap();
+
+    assert_eq!(head.text(ECHO), Some("a2"));
+    assert_eq!(&channel.read_body(100).await.unwrap()[..], b"yes");
+}
+
+/// Only the response to another request came, and then the connection closed.
+#[tokio::test]
+async fn response_of_another_request_is_never_taken() {
+    let address = scripted(vec![FIRST, FIRST]).await;
+    let mut channel = ServerChannel::connect(address).await.unwrap();
+    channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    channel.read_body(100).await.unwrap();
+
+    let result = channel.exchange(REQUEST, &Bytes::new(), echo("a2")).await;
+
+    assert_eq!(result.unwrap_err(), ChannelError::Closed);
+}
+
+/// A success without an echoed identity may belong to anyone.
+#[tokio::test]
+async fn success_without_identity_is_not_taken() {
+    let address = scripted(vec!["HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"]).await;
+    let mut channel = ServerChannel::connect(address).await.unwrap();
+
+    let result = channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await;
+
+    assert!(result.is_err());
+}
+
+/// Bytes after a complete response belong to no request.
+#[tokio::test]
+async fn connection_with_extra_bytes_is_not_used_again() {
+    let address = scripted(vec![LATE_AND_SECOND]).await;
+    let mut channel = ServerChannel::connect(address).await.unwrap();
+    channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    channel.read_body(100).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+
+    assert!(!channel.is_reusable());
+}
+
+/// A body that is cut off must not be taken for a whole one.
+#[tokio::test]
+async fn body_that_ends_early_is_an_error() {
+    for script in [
+        "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ncontent-length: 20\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    ] {
+        let address = scripted(vec![script]).await;
+        let mut channel = ServerChannel::connect(address).await.unwrap();
+        channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+
+        assert_eq!(channel.read_body(100).await, Err(ChannelError::Closed));
+    }
+}
+
+#[tokio::test]
+async fn body_without_length_ends_with_the_connection() {
+    let address = scripted(vec!["HTTP/1.1 200 OK\r\nattempt-id: a1\r\n\r\nall of it"]).await;
+    let mut channel = ServerChannel::connect(address).await.unwrap();
+    channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+
+    assert_eq!(&channel.read_body(100).await.unwrap()[..], b"all of it");
+    assert!(!channel.is_reusable());
+}
+
+/// The rest of a long body would be taken for the next request if a response comes before it is
+/// sent.
+#[tokio::test]
+async fn connection_with_an_unsent_body_is_not_used_again() {
+    let address = scripted(vec![FIRST]).await;
+    let mut channel = ServerChannel::connect(address).await.unwrap();
+    let body = Bytes::from(vec![b'x'; 64 << 20]);
+
+    channel.exchange(REQUEST, &body, echo("a1")).await.unwrap();
+    channel.read_body(100).await.unwrap();
+
+    assert!(!channel.is_reusable());
+}
+
+#[tokio::test]
+async fn pool_gives_an_idle_connection_again_and_drops_closed_ones() {
+    let address = scripted(vec![FIRST]).await;
+    let pool = ChannelPool::default();
+    let mut channel = pool.acquire(address).await.unwrap();
+    channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    channel.read_body(100).await.unwrap();
+    pool.put_back(address, channel);
+
+    let mut reused = pool.acquire(address).await.unwrap();
+    assert!(reused.is_reused());
+    tokio::time::sleep(Duration::from_millis(150)).await;
+
+    assert!(!reused.is_reusable(), "the server closed it");
+}
--- /dev/null
+++ b/crates/gateway/tests/all/tables.rs
@@ -0,0 +1,96 @@
+//! Mirrors of the store's tables.
+
+use bytes::Bytes;
+use dragonflycart_gateway::{TableBatch, TableMirror, TableRecord};
+use proptest::prelude::*;
+
+fn record(offset: u64, key: &str, value: Option<&'static str>) -> TableRecord {
+    TableRecord { offset, key: key.to_owned(), value: value.map(|text| Bytes::from(text)) }
+}
+
+fn batch(records: Vec<TableRecord>, next: u64) -> TableBatch {
+    TableBatch { records, next }
+}
+
+/// A peer may pass records on that were read from the store already.
+#[test]
+fn known_records_are_no_news() {
+    let mut mirror = TableMirror::default();
+    mirror.take(batch(vec![record(0, "a", Some("1")), record(1, "a", Some("2"))], 2), false);
+
+    let news = mirror.take(
+        batch(vec![record(1, "a", Some("2")), record(2, "b", Some("3"))], 3),
+        false,
+    );
+
+    assert_eq!(news.records, vec![record(2, "b", Some("3"))]);
+    assert_eq!(mirror.next(), Some(3));
+}
+
+/// A batch from a peer that lags must not take the mirror back.
+#[test]
+fn older_batch_changes_nothing() {
+    let mut mirror = TableMirror::default();
+    mirror.take(batch(vec![record(5, "a", Some("new"))], 6), true);
+
+    let news = mirror.take(batch(vec![record(2, "a", Some("old"))], 3), true);
+
+    assert!(news.records.is_empty());
+    assert_eq!(mirror.next(), Some(6));
+    assert_eq!(mirror.since(0).records, vec![record(5, "a", Some("new"))]);
+}
+
+/// After the store dropped its history, removals are seen only by what is missing.
+#[test]
+fn whole_batch_removes_missing_keys() {
+    let mut mirror = TableMirror::default();
+    mirror.take(batch(vec![record(0, "a", Some("1")), record(1, "b", Some("2"))], 2), true);
+
+    let news = mirror.take(batch(vec![record(0, "a", Some("1"))], 9), true);
+
+    assert_eq!(news.records, vec![record(8, "b", None)]);
+}
+
+/// A subscriber that has the table up to some offset gets what came since, removals included.
+#[test]
+fn subscriber_gets_what_came_since() {
+    let mut mirror = TableMirror::default();
+    mirror.take(batch(vec![record(0, "a", Some("1")), record(1, "b", Some("2"))], 2), true);
+    mirror.take(batch(vec![record(2, "a", None)], 3), false);
+
+    let since = mirror.since(2);
+
+    assert_eq!(since.records, vec![record(2, "a", None)]);
+    assert_eq!(since.next, 3);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Batches from the store and from peers arrive late, twice and in any order; the mirror ends
+    /// with the newest record of each key of the longest contiguous prefix it was given.
+    #[test]
+    fn mirror_holds_the_newest_record_of_each_key(
+        keys in prop::collection::vec(0_u8..4, 1..30),
+        cuts in prop::collection::vec((0_usize..30, 0_usize..30), 1..20),
+    ) {
+        let log: Vec<TableRecord> = keys
+            .iter()
+            .enumerate()
+            .map(|(offset, key)| record(offset as u64, &key.to_string(), Some("x")))
+            .collect();
+        let mut mirror = TableMirror::default();
+        for (from, to) in cuts {
+            let known = mirror.next().unwrap_or(0) as usize;
+            let to = to.min(log.len());
+            // A reader never skips records: it starts at or before what it has.
+            let from = from.min(known).min(to);
+            mirror.take(batch(log[from..to].to_vec(), to as u64), false);
+        }
+        let end = mirror.next().unwrap_or(0) as usize;
+        for held in mirror.since(0).records {
+            let newest = log[..end].iter().rev().find(|record| record.key == held.key);
+            prop_assert_eq!(newest, Some(&held));
+        }
+    }
+}
