--- a/crates/gateway/tests/all/answers.rs
+++ b/crates/gateway/tests/all/answers.rs
@@ -45,7 +45,9 @@
     let keeps = |text: &str| parse(text).unwrap().unwrap().0.keeps_alive;
 
     assert!(keeps("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"));
-    assert!(!keeps("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nConnection: keep-alive, Close\r\n\r\n"));
+    assert!(!keeps(
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nConnection: keep-alive, Close\r\n\r\n"
+    ));
     assert!(!keeps("HTTP/1.1 200 OK\r\n\r\n"));
     assert!(!keeps("HTTP/1.0 200 OK\r\ncontent-length: 0\r\n\r\n"));
 }
--- a/crates/gateway/tests/all/loads.rs
+++ b/crates/gateway/tests/all/loads.rs
@@ -75,8 +75,7 @@
 fn load_of_a_silent_peer_expires() {
     let mut view = view(&["a"]);
     let excluded = BTreeSet::new();
-    let load =
-        ServerLoad { requests: 6, tokens: MEMORY_TOKENS, copy_tokens: 0, unread_tokens: 0 };
+    let load = ServerLoad { requests: 6, tokens: MEMORY_TOKENS, copy_tokens: 0, unread_tokens: 0 };
     view.note_peer_load(7, "e0", load, at(0));
 
     assert!(view.place(&query(report(), &excluded), at(2_900)).is_err());
@@ -107,8 +106,7 @@
     let mut view = view(&["a", "b", "b"]);
     let source = key_of(&view, "e1");
     let excluded = BTreeSet::from([source]);
-    let load =
-        ServerLoad { requests: 4, tokens: 14_000, copy_tokens: 0, unread_tokens: 6_000 };
+    let load = ServerLoad { requests: 4, tokens: 14_000, copy_tokens: 0, unread_tokens: 6_000 };
     view.note_peer_load(7, "e2", load, at(0));
     let query = WorkQuery { near_zone: Some("b"), ..query(report(), &excluded) };
 
--- a/crates/gateway/tests/all/tables.rs
+++ b/crates/gateway/tests/all/tables.rs
@@ -18,10 +18,8 @@
     let mut mirror = TableMirror::default();
     mirror.take(batch(vec![record(0, "a", Some("1")), record(1, "a", Some("2"))], 2), false);
 
-    let news = mirror.take(
-        batch(vec![record(1, "a", Some("2")), record(2, "b", Some("3"))], 3),
-        false,
-    );
+    let news =
+        mirror.take(batch(vec![record(1, "a", Some("2")), record(2, "b", Some("3"))], 3), false);
 
     assert_eq!(news.records, vec![record(2, "b", Some("3"))]);
     assert_eq!(mirror.next(), Some(3));
--- a/crates/node/src/daemon_command.rs
+++ b/crates/node/src/daemon_command.rs
@@ -15,7 +15,8 @@
 /// Exit code for a daemon that could not start or run.
 const EXIT_FAILURE: u8 = 1;
 
-fn command() -> Command {
+/// Returns the command line of the daemon.
+pub fn command() -> Command {
     let file = || {
         Arg::new("settings")
             .value_name("FILE")
@@ -49,13 +50,17 @@
 
 /// Runs the command line of the daemon.
 pub fn run_with_args(args: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let matches = match command().try_get_matches_from(args) {
-        Ok(matches) => matches,
+    match command().try_get_matches_from(args) {
+        Ok(matches) => run_matches(&matches),
         Err(error) => {
             let _ = error.print();
-            return ExitCode::from(u8::try_from(error.exit_code()).unwrap_or(EXIT_SETTINGS));
+            ExitCode::from(u8::try_from(error.exit_code()).unwrap_or(EXIT_SETTINGS))
         }
-    };
+    }
+}
+
+/// Runs a parsed command line of the daemon.
+pub fn run_matches(matches: &ArgMatches) -> ExitCode {
     match matches.subcommand() {
         Some(("run", matches)) => run(&settings_path(matches)),
         Some(("check", matches)) => print_result(check_settings(&settings_path(matches))),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! The entry VM's daemon as a library.
 //!
 //! One control thread owns all control state and decides; traffic threads carry connections and
-//! streams. The binary only calls [`run_with_args`].
+//! streams. The binary only calls [`command`] and [`run_matches`].
 
 mod admin;
 mod call;
@@ -25,5 +25,5 @@
 
 pub use crate::{
     daemon::{Daemon, DaemonError},
-    daemon_command::run_with_args,
+    daemon_command::{command, run_matches, run_with_args},
 };
--- a/src/bin/dragonflycartd.rs
+++ b/src/bin/dragonflycartd.rs
@@ -2,10 +2,25 @@
 
 use std::process::ExitCode;
 
+/// Exit code for a command line with faults.
+const EXIT_USAGE: u8 = 2;
+
 fn main() -> ExitCode {
-    // The platform names no settings file on the command line, so `gateway` has no arguments.
-    if std::env::args_os().nth(1).is_some_and(|argument| argument == "gateway") {
-        return dragonflycart_platform::run();
+    let command = dragonflycart_node::command().subcommand(dragonflycart_platform::command());
+    let matches = match command.try_get_matches() {
+        Ok(matches) => matches,
+        Err(error) => {
+            let code = u8::try_from(error.exit_code()).unwrap_or(EXIT_USAGE);
+            return match error.print() {
+                Ok(()) => ExitCode::from(code),
+                Err(_) => ExitCode::from(EXIT_USAGE),
+            };
+        }
+    };
+    match matches.subcommand() {
+        Some((dragonflycart_platform::COMMAND_NAME, matches)) => {
+            dragonflycart_platform::run(matches)
+        }
+        _ => dragonflycart_node::run_matches(&matches),
     }
-    dragonflycart_node::run_with_args(std::env::args_os())
 }
