--- a/crates/testkit/src/child_process.rs
+++ b/crates/testkit/src/child_process.rs
@@ -125,6 +125,15 @@
         self.signal("-TERM")
     }
 
+    /// Asks the process to reload by SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system.
+    pub fn reload(&self) -> io::Result<()> {
+        self.signal("-HUP")
+    }
+
     /// Returns whether the process has ended.
     ///
     /// # Errors
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod matrix;
 mod moves;
 mod plans;
+mod soak;
 mod stops;
 mod streams;
 mod support;
--- /dev/null
+++ b/tests/all/soak.rs
@@ -0,0 +1,69 @@
+//! Soak: real gateway processes under random faults, checked by what callers and servers see.
+//!
+//! `SOAK_SEEDS=FIRST..LAST` runs further seeds, `SOAK_SECONDS` sets the length of each.
+
+mod soak_fleet;
+mod soak_schedule;
+mod soak_verdict;
+
+use std::{ops::Range, time::Duration};
+
+use self::{soak_fleet::SoakFleet, soak_schedule::SoakSchedule, soak_verdict::SoakVerdict};
+
+/// Seeds of every run, with the faults that earlier versions failed under.
+const REGRESSION_SEEDS: [u64; 3] = [1, 2, 3];
+/// Length of a run in CI.
+const CI_SECONDS: u64 = 8;
+
+fn extra_seeds() -> Range<u64> {
+    let Ok(text) = std::env::var("SOAK_SEEDS") else { return 0..0 };
+    let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
+    let parse = |text: &str| text.parse::<u64>().expect("SOAK_SEEDS holds two numbers");
+    parse(first)..parse(last)
+}
+
+fn seconds() -> u64 {
+    match std::env::var("SOAK_SECONDS") {
+        Ok(text) => text.parse().expect("SOAK_SECONDS is a number"),
+        Err(_) => CI_SECONDS,
+    }
+}
+
+async fn run_seed(seed: u64) -> SoakVerdict {
+    let schedule = SoakSchedule::new(seed, Duration::from_secs(seconds()));
+    let mut fleet = SoakFleet::start(seed).await;
+    fleet.play(&schedule).await;
+    let verdict = fleet.close().await;
+    println!("seed {seed}: {verdict}");
+    verdict
+}
+
+/// The promises hold under any mix of faults: a request that may not be repeated runs once at
+/// most, a refusal is true, and a stream comes whole and in order or is cut visibly.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_under_random_faults() {
+    let mut failures = Vec::new();
+
+    for seed in REGRESSION_SEEDS.into_iter().chain(extra_seeds()) {
+        let verdict = run_seed(seed).await;
+        if !verdict.violations.is_empty() {
+            failures.push(format!("seed {seed}: {:?}", verdict.violations));
+        }
+        assert!(verdict.served > 0, "seed {seed}: nothing was served");
+    }
+
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Without faults everything is served; otherwise the checks above prove little.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn everything_is_served_without_faults() {
+    let schedule = SoakSchedule::calm(Duration::from_secs(4));
+    let mut fleet = SoakFleet::start(0).await;
+
+    fleet.play(&schedule).await;
+    let verdict = fleet.close().await;
+
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.violations);
+    assert_eq!(verdict.served, verdict.asked, "{verdict}");
+}
--- /dev/null
+++ b/tests/all/soak/soak_fleet.rs
@@ -0,0 +1,410 @@
+//! Gateway processes with stand-ins around them, and callers.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dragonflycart_standins::{
+    CallerRequest, PlanText, READY_PATH, RunLog, RunnerKind, RunnerOptions, RunnerStandin, StoreMode,
+    StoreStandin, send, settings_text,
+};
+use dragonflycart_testkit::{ChildProcess, FaultRelay, RelayCommand, RelayMode, RelayScope};
+use serde_json::json;
+use tokio::{task::JoinSet, time::Instant};
+
+use super::{
+    soak_schedule::{SoakFault, SoakSchedule, TimedFault},
+    soak_verdict::{RequestKind, SoakCall, SoakVerdict},
+};
+use crate::support::port_pool::free_address;
+
+/// Gateways.
+const GATEWAYS: usize = 4;
+/// Engines, and desks, at the start.
+const RUNNERS: usize = 4;
+/// Zones.
+const ZONES: [&str; 2] = ["a", "b"];
+/// Pause between requests.
+const REQUEST_PAUSE: Duration = Duration::from_millis(12);
+/// Interval at which runners renew their registration.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Time for which a runner that leaves still works.
+const NOTICE: Duration = Duration::from_millis(1_200);
+/// Time for the gateways to be ready.
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// Time for open requests to end after the run.
+const END_LIMIT: Duration = Duration::from_secs(12);
+/// Time that callers wait.
+const CALLER_LIMIT: Duration = Duration::from_secs(8);
+
+struct GatewayProcess {
+    settings: PathBuf,
+    front: SocketAddr,
+    ready: SocketAddr,
+    child: Option<ChildProcess>,
+    /// Time at which a process that is down starts again.
+    starts_at: Option<Instant>,
+    /// Time at which a paused process continues.
+    continues_at: Option<Instant>,
+}
+
+struct RunnerSlot {
+    runner: RunnerStandin,
+    relay: FaultRelay,
+    /// Time at which a runner that leaves is gone.
+    gone_at: Option<Instant>,
+    /// Time at which the relay passes bytes on again.
+    heals_at: Option<Instant>,
+}
+
+/// The deployment of one run.
+pub(crate) struct SoakFleet {
+    seed: u64,
+    directory: PathBuf,
+    store: StoreStandin,
+    store_heals_at: Option<Instant>,
+    evacuation_ends_at: Option<Instant>,
+    gateways: Vec<GatewayProcess>,
+    runners: Vec<RunnerSlot>,
+    log: RunLog,
+    calls: Arc<Mutex<Vec<SoakCall>>>,
+    open: JoinSet<()>,
+    next_call: u64,
+    next_runner: u64,
+    plan_version: u64,
+    sequence: u64,
+}
+
+impl SoakFleet {
+    /// Starts all processes and waits until they are ready.
+    pub(crate) async fn start(seed: u64) -> SoakFleet {
+        let directory =
+            std::env::temp_dir().join(format!("dragonflycart-soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&directory).expect("the temporary directory is writable");
+        let mut fleet = SoakFleet {
+            seed,
+            directory,
+            store: StoreStandin::start().await,
+            store_heals_at: None,
+            evacuation_ends_at: None,
+            gateways: Vec::new(),
+            runners: Vec::new(),
+            log: RunLog::default(),
+            calls: Arc::default(),
+            open: JoinSet::new(),
+            next_call: 0,
+            next_runner: 0,
+            plan_version: 0,
+            sequence: 0,
+        };
+        fleet.publish_plan();
+        for number in 0..RUNNERS {
+            fleet.add_runner(RunnerKind::Engine, ZONES[number % ZONES.len()]).await;
+            fleet.add_runner(RunnerKind::Desk, ZONES[number % ZONES.len()]).await;
+        }
+        let peer_port = free_address().port();
+        for number in 0..GATEWAYS {
+            fleet.add_gateway(number, peer_port);
+        }
+        fleet.await_ready().await;
+        fleet
+    }
+
+    fn publish_plan(&mut self) {
+        self.plan_version += 1 + self.plan_version % 3;
+        let plan = PlanText {
+            version: self.plan_version,
+            extra_routes: self.plan_version % 7,
+            keys: vec!["key".to_owned()],
+        };
+        self.store.put_order("config", &plan.value());
+    }
+
+    async fn add_runner(&mut self, kind: RunnerKind, zone: &str) {
+        self.next_runner += 1;
+        let options = RunnerOptions {
+            id: format!("i-{}", self.next_runner),
+            kind,
+            service: if kind == RunnerKind::Engine { "engines" } else { "desk" }.to_owned(),
+            zone: zone.to_owned(),
+        };
+        let runner = RunnerStandin::start(options, &self.log, self.next_runner).await;
+        let relay = FaultRelay::start(runner.address()).await.expect("a loopback port is free");
+        runner.publish_at(relay.address());
+        self.runners.push(RunnerSlot { runner, relay, gone_at: None, heals_at: None });
+        self.heartbeat();
+    }
+
+    fn add_gateway(&mut self, number: usize, peer_port: u16) {
+        // Each process has an address of its own, as on machines of its own.
+        let ip = format!("127.0.{}.{}", 10 + self.seed % 200, 10 + number);
+        let address = |port: u16| format!("{ip}:{port}").parse::<SocketAddr>().expect("an address");
+        let (front, ready) = (address(free_address().port()), address(free_address().port()));
+        let zone = ZONES[number % ZONES.len()];
+        let name = format!("vm-{number}");
+        let text = settings_text(&name, zone, front, ready, peer_port, self.store.address());
+        let settings = self.directory.join(format!("{name}.json"));
+        fs::write(&settings, text).expect("the temporary directory is writable");
+        let child = Some(start_process(&settings));
+        self.gateways.push(GatewayProcess {
+            settings,
+            front,
+            ready,
+            child,
+            starts_at: None,
+            continues_at: None,
+        });
+    }
+
+    async fn await_ready(&mut self) {
+        let deadline = Instant::now() + START_LIMIT;
+        for index in 0..self.gateways.len() {
+            while !is_ready(self.gateways[index].ready).await {
+                assert!(Instant::now() < deadline, "gateway {index} is not ready in time");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                self.heartbeat();
+            }
+        }
+    }
+
+    fn heartbeat(&mut self) {
+        self.sequence += 1;
+        for slot in &self.runners {
+            self.store.put_server(slot.runner.id(), &slot.runner.registration(self.sequence));
+        }
+    }
+
+    /// Sends requests and injects the faults of a schedule.
+    pub(crate) async fn play(&mut self, schedule: &SoakSchedule) {
+        let start = Instant::now();
+        let mut next_heartbeat = start;
+        let mut faults = schedule.faults.iter().peekable();
+        while start.elapsed() < schedule.length {
+            self.send_request();
+            if Instant::now() >= next_heartbeat {
+                self.heartbeat();
+                next_heartbeat = Instant::now() + HEARTBEAT;
+            }
+            while faults.peek().is_some_and(|fault| fault.at <= start.elapsed()) {
+                let fault = faults.next().expect("the fault was peeked");
+                self.inject(*fault).await;
+            }
+            self.heal(false);
+            tokio::time::sleep(REQUEST_PAUSE).await;
+        }
+        self.heal(true);
+    }
+
+    fn send_request(&mut self) {
+        let number = self.next_call;
+        self.next_call += 1;
+        let up: Vec<SocketAddr> =
+            self.gateways.iter().filter(|gateway| gateway.child.is_some()).map(|g| g.front).collect();
+        if up.is_empty() {
+            return;
+        }
+        let address = up[number as usize % up.len()];
+        let (kind, method, path, tokens) = match number % 8 {
+            0 => (RequestKind::Report, "POST", "/reports/r", Some((900, 400 + 80 * (number % 9)))),
+            1..=4 => (RequestKind::Booking, "POST", "/book/b", None),
+            _ => (RequestKind::Lookup, "GET", "/look/l", None),
+        };
+        let body = if method == "POST" { vec![b'x'; 20 + number as usize % 700] } else { vec![] };
+        let request = CallerRequest {
+            id: format!("{:x}-{number:x}", self.seed),
+            method,
+            path: path.to_owned(),
+            key: "key".to_owned(),
+            tokens,
+            body: Bytes::from(body),
+            time_limit: CALLER_LIMIT,
+        };
+        let calls = Arc::clone(&self.calls);
+        self.open.spawn(async move {
+            let answer = send(address, &request).await;
+            calls.lock().expect("no holder panics").push(SoakCall { kind, request, answer });
+        });
+    }
+
+    async fn inject(&mut self, timed: TimedFault) {
+        let until = Instant::now() + timed.time;
+        match timed.fault {
+            SoakFault::Kill | SoakFault::Pause | SoakFault::Stop | SoakFault::Reload => {
+                self.signal_gateway(timed, until);
+            }
+            SoakFault::StoreSlow => {
+                self.set_store(StoreMode::Slow(Duration::from_millis(300)), until);
+            }
+            SoakFault::StoreBusy => self.set_store(StoreMode::Busy, until),
+            SoakFault::StoreSilent => self.set_store(StoreMode::Silent, until),
+            SoakFault::StoreReset => self.set_store(StoreMode::Reset, until),
+            SoakFault::StoreForgets => self.store.forget_history(),
+            SoakFault::RunnerCut => self.damage_runner(timed, RelayMode::Cut, None),
+            SoakFault::RunnerSilent => self.damage_runner(timed, RelayMode::Discard, None),
+            SoakFault::RunnerStall => self.damage_runner(timed, RelayMode::Stall, Some(until)),
+            SoakFault::RunnerCrash => self.replace_runner(timed.target).await,
+            SoakFault::RunnerLeaves => self.drain_runner(timed.target).await,
+            SoakFault::NewPlan => self.publish_plan(),
+            SoakFault::Evacuation => {
+                self.store.put_order("evacuate/b", &json!({}));
+                self.evacuation_ends_at = Some(until);
+            }
+        }
+    }
+
+    fn set_store(&mut self, mode: StoreMode, until: Instant) {
+        self.store.set_mode(mode);
+        self.store_heals_at = Some(until);
+    }
+
+    fn signal_gateway(&mut self, timed: TimedFault, until: Instant) {
+        let gateway = &mut self.gateways[timed.target % GATEWAYS];
+        let Some(child) = &mut gateway.child else { return };
+        match timed.fault {
+            SoakFault::Kill => {
+                child.kill().expect("the process is ours");
+                gateway.child = None;
+                gateway.starts_at = Some(until);
+            }
+            SoakFault::Pause => {
+                child.pause().expect("the process is ours");
+                gateway.continues_at = Some(until);
+            }
+            SoakFault::Stop if gateway.continues_at.is_none() => {
+                child.terminate().expect("the process is ours");
+            }
+            SoakFault::Reload => child.reload().expect("the process is ours"),
+            _ => {}
+        }
+    }
+
+    fn damage_runner(&mut self, timed: TimedFault, mode: RelayMode, until: Option<Instant>) {
+        let count = self.runners.len();
+        let slot = &mut self.runners[timed.target % count];
+        slot.relay.apply(RelayCommand { scope: RelayScope::Open, mode });
+        if until.is_some() {
+            slot.heals_at = until;
+        }
+    }
+
+    async fn replace_runner(&mut self, target: usize) {
+        let index = target % self.runners.len();
+        let slot = self.runners.remove(index);
+        self.store.remove_server(slot.runner.id());
+        let kind = kind_of(&slot.runner);
+        slot.runner.close();
+        slot.relay.close().await;
+        self.add_runner(kind, ZONES[target % ZONES.len()]).await;
+    }
+
+    async fn drain_runner(&mut self, target: usize) {
+        let index = target % self.runners.len();
+        let slot = &mut self.runners[index];
+        if slot.gone_at.is_some() {
+            return;
+        }
+        slot.runner.drain();
+        slot.gone_at = Some(Instant::now() + NOTICE);
+        let kind = kind_of(&slot.runner);
+        self.heartbeat();
+        self.add_runner(kind, ZONES[target % ZONES.len()]).await;
+    }
+
+    /// Ends the faults whose time is over, or all of them.
+    fn heal(&mut self, is_end: bool) {
+        let now = Instant::now();
+        let is_due = |at: &Option<Instant>| at.is_some_and(|at| is_end || at <= now);
+        if is_due(&self.store_heals_at) {
+            self.store.set_mode(StoreMode::Up);
+            self.store_heals_at = None;
+        }
+        if is_due(&self.evacuation_ends_at) {
+            self.store.remove_order("evacuate/b");
+            self.evacuation_ends_at = None;
+        }
+        for gateway in &mut self.gateways {
+            heal_gateway(gateway, &is_due);
+        }
+        for slot in &mut self.runners {
+            if is_due(&slot.heals_at) {
+                slot.relay.apply(RelayCommand { scope: RelayScope::Open, mode: RelayMode::Pass });
+                slot.heals_at = None;
+            }
+        }
+        let mut index = 0;
+        while index < self.runners.len() {
+            if !self.runners[index].gone_at.is_some_and(|at| at <= now) {
+                index += 1;
+                continue;
+            }
+            let slot = self.runners.remove(index);
+            self.store.remove_server(slot.runner.id());
+            slot.runner.close();
+        }
+    }
+
+    /// Waits for open requests, ends all processes and checks the run.
+    pub(crate) async fn close(mut self) -> SoakVerdict {
+        let deadline = Instant::now() + END_LIMIT;
+        while Instant::now() < deadline && !self.open.is_empty() {
+            if tokio::time::timeout(HEARTBEAT, self.open.join_next()).await.is_err() {
+                self.heartbeat();
+            }
+        }
+        self.open.shutdown().await;
+        for gateway in &mut self.gateways {
+            gateway.child = None;
+        }
+        // A file that stays behind is no failure of the run.
+        drop(fs::remove_dir_all(&self.directory));
+        let calls = std::mem::take(&mut *self.calls.lock().expect("no holder panics"));
+        SoakVerdict::check(&calls, &self.log)
+    }
+}
+
+fn heal_gateway(gateway: &mut GatewayProcess, is_due: &impl Fn(&Option<Instant>) -> bool) {
+    if is_due(&gateway.continues_at) {
+        if let Some(child) = &gateway.child {
+            child.resume().expect("the process is ours");
+        }
+        gateway.continues_at = None;
+    }
+    if let Some(child) = &mut gateway.child
+        && child.has_ended().expect("the process is ours")
+    {
+        gateway.child = None;
+        gateway.starts_at = Some(Instant::now());
+    }
+    if gateway.child.is_none() && is_due(&gateway.starts_at) {
+        gateway.child = Some(start_process(&gateway.settings));
+        gateway.starts_at = None;
+        gateway.continues_at = None;
+    }
+}
+
+fn kind_of(runner: &RunnerStandin) -> RunnerKind {
+    if runner.service() == "engines" { RunnerKind::Engine } else { RunnerKind::Desk }
+}
+
+fn start_process(settings: &Path) -> ChildProcess {
+    let program = Path::new(env!("CARGO_BIN_EXE_dragonflycartd"));
+    ChildProcess::start(program, [Path::new("gateway"), settings]).expect("the gateway starts")
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let request = CallerRequest {
+        id: "ready".to_owned(),
+        method: "GET",
+        path: READY_PATH.to_owned(),
+        key: String::new(),
+        tokens: None,
+        body: Bytes::new(),
+        time_limit: Duration::from_millis(500),
+    };
+    send(address, &request).await.status == Some(200)
+}
--- /dev/null
+++ b/tests/all/soak/soak_verdict.rs
@@ -0,0 +1,127 @@
+//! Checks of a run.
+
+use std::fmt;
+
+use dragonflycart_standins::{CallerAnswer, CallerRequest, RunLog};
+
+/// Kind of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestKind {
+    /// Stream of events.
+    Report,
+    /// Must not be repeated.
+    Booking,
+    /// May be repeated.
+    Lookup,
+}
+
+/// Request and what its caller saw.
+#[derive(Debug, Clone)]
+pub(crate) struct SoakCall {
+    /// Kind.
+    pub(crate) kind: RequestKind,
+    /// Request.
+    pub(crate) request: CallerRequest,
+    /// Answer.
+    pub(crate) answer: CallerAnswer,
+}
+
+/// Result of a run.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SoakVerdict {
+    /// Requests.
+    pub(crate) asked: usize,
+    /// Requests with a complete success.
+    pub(crate) served: usize,
+    /// Requests refused with a promise that they did not run.
+    pub(crate) refused: usize,
+    /// Streams that went on at another runner.
+    pub(crate) resumed: usize,
+    /// Broken promises.
+    pub(crate) violations: Vec<String>,
+}
+
+impl fmt::Display for SoakVerdict {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "asked {}, served {}, refused {}, resumed {}, violations {}",
+            self.asked,
+            self.served,
+            self.refused,
+            self.resumed,
+            self.violations.len()
+        )
+    }
+}
+
+impl SoakVerdict {
+    /// Checks all calls of a run against what runners did.
+    pub(crate) fn check(calls: &[SoakCall], log: &RunLog) -> SoakVerdict {
+        let mut verdict = SoakVerdict { asked: calls.len(), ..SoakVerdict::default() };
+        for call in calls {
+            verdict.check_call(call, log);
+        }
+        for id in log.ids() {
+            if !calls.iter().any(|call| call.request.id == id) {
+                verdict.violations.push(format!("{id}: run, but never sent"));
+            }
+        }
+        verdict
+    }
+
+    fn check_call(&mut self, call: &SoakCall, log: &RunLog) {
+        let id = &call.request.id;
+        let starts = log.starts(id);
+        if call.kind != RequestKind::Lookup && starts > 1 {
+            self.violations.push(format!("{id}: run {starts} times: {:?}", log.parts(id)));
+        }
+        if log.parts(id).iter().any(|part| part.is_resumed) {
+            self.resumed += 1;
+        }
+        let Some(status) = call.answer.status else { return };
+        if matches!(status, 408 | 421 | 429 | 503) {
+            self.refused += 1;
+            if call.kind != RequestKind::Lookup && starts > 0 {
+                self.violations.push(format!("{id}: refused with {status}, but run"));
+            }
+        }
+        if matches!(status, 400..=407 | 409..=420) {
+            self.violations.push(format!("{id}: a proper request was ended with {status}"));
+        }
+        if status != 200 {
+            return;
+        }
+        let wrong = match call.kind {
+            RequestKind::Report => check_stream(call),
+            RequestKind::Booking | RequestKind::Lookup => check_body(call),
+        };
+        match wrong {
+            Some(reason) => self.violations.push(format!("{id}: {reason}")),
+            None if call.answer.is_complete => self.served += 1,
+            None => {}
+        }
+    }
+}
+
+fn check_body(call: &SoakCall) -> Option<String> {
+    let expected = format!("{} {}", call.request.id, call.request.body.len());
+    let is_whole = call.answer.body == expected.as_bytes();
+    (call.answer.is_complete && !is_whole)
+        .then(|| format!("a wrong body: {:?}", call.answer.body))
+}
+
+/// A stream is a prefix of its events, and all of them if it looks complete.
+fn check_stream(call: &SoakCall) -> Option<String> {
+    let total = call.request.tokens.map_or(0, |(_, output)| output / 4);
+    let mut expected = String::new();
+    for number in 0..total {
+        expected.push_str(&format!("id: {number}\ndata: {} {number}\n\n", call.request.id));
+    }
+    let body = &call.answer.body;
+    if !expected.as_bytes().starts_with(body) {
+        return Some(format!("events are wrong after {} bytes", body.len()));
+    }
+    (call.answer.is_complete && body.len() < expected.len())
+        .then(|| format!("looks complete with {} of {} bytes", body.len(), expected.len()))
+}
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -4,7 +4,7 @@
 mod deployment;
 mod deployment_spec;
 mod operator;
-mod port_pool;
+pub(crate) mod port_pool;
 mod traffic;
 mod vm_process;
 mod wait;
