Share lost responses between VMs; move generations that outlive their estimate at once

VMs now tell each other how many responses a server lost in the last six seconds. Ruled out as a gain: waiting for generations near their estimate, few of which end within half a second.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -185,7 +185,7 @@
         started: Instant,
     ) -> GatewayFailure {
         channel.close();
-        self.note_answer(ticket, true, started);
+        server_attempt::note_lost(&self.context, ticket, started.elapsed());
         self.log_offer(ticket, error.into());
         self.lost_failure(error)
     }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -40,6 +40,10 @@
 const PART_BONUS: f64 = 0.10;
 /// Score added for a server whose requests all fail.
 const FAILURE_PENALTY: f64 = 3.0;
+/// Score added per response that was lost lately at the server, by any VM.
+const LOSS_PENALTY: f64 = 0.6;
+/// Lost responses that count at most.
+const LOSSES_COUNTED: u32 = 5;
 /// Score added per hundred milliseconds of average latency at plain servers.
 const LATENCY_PENALTY: f64 = 0.5;
 /// Largest random part of a score.
@@ -224,6 +228,13 @@
         }
     }
 
+    /// Takes how many responses of a server a peer lost lately.
+    pub fn note_peer_losses(&mut self, peer: u64, id: &str, lost: u32, now: MonoTime) {
+        if let Some(key) = self.by_id.get(id).copied() {
+            self.servers[key].losses.note_peer(peer, lost, now);
+        }
+    }
+
     /// Takes that a peer has no load on servers other than `named`.
     pub fn clear_peer_loads(&mut self, peer: u64, named: &BTreeSet<&str>) {
         for state in self.servers.values_mut() {
@@ -527,6 +538,7 @@
         if state.lapsed_at.is_some() {
             score += FAILURE_PENALTY;
         }
+        score += LOSS_PENALTY * f64::from(state.losses.total(now).min(LOSSES_COUNTED));
         score + FAILURE_PENALTY * state.failure_share()
     }
 }
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -29,10 +29,6 @@
 const TARGET_PAUSE: Duration = Duration::from_millis(30);
 /// Calls that are made at most, over all targets.
 const CALL_LIMIT: u32 = 40;
-/// Time per token of a generation on a busy engine.
-const TOKEN_TIME: Duration = Duration::from_millis(11);
-/// Time within which a generation is left to end by itself before it is moved.
-const SOON: Duration = Duration::from_millis(500);
 /// Age of what an engine reports of itself.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Time before an engine leaves that is kept for the last copies of all its generations.
@@ -162,12 +158,6 @@
     }
 
     async fn try_targets(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
-        if self.ends_soon() {
-            tokio::time::sleep(SOON).await;
-            if sender.is_closed() {
-                return MoveOutcome::Stays;
-            }
-        }
         // Many VMs move generations at the same moment. Spread over a short time, each sees what
         // the ones before it chose; the copies queue on the engine's link anyway.
         tokio::time::sleep(START_SPREAD.mul_f64(rand::random())).await;
@@ -241,17 +231,6 @@
         }
     }
 
-    /// Returns whether the generation is likely to end before its engine leaves. Then its copy
-    /// would only keep the link from others.
-    fn ends_soon(&self) -> bool {
-        let service = &self.request.service;
-        let Some(engine) = self.context.view().engine_shape(service) else { return false };
-        let made = self.progress.last_event().map_or(0, |last| last + 1);
-        let made_tokens = made * u64::from(engine.tokens_per_event);
-        let left_tokens = self.request.demand.expected_tokens().saturating_sub(made_tokens);
-        TOKEN_TIME * u32::try_from(left_tokens).unwrap_or(u32::MAX) < SOON
-    }
-
     /// Goes on after the generation has stopped: at the target, or else at the source, which keeps
     /// the memory.
     async fn resume(&mut self, target: Option<WorkTicket>, handle: &str) -> MoveOutcome {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod engine_protocol;
 mod engine_shape;
 mod engine_seat;
+mod loss_count;
 mod zone_reach;
 mod engine_wait;
 mod waiting_line;
@@ -87,6 +88,7 @@
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     engine_protocol::{CopyAnswer, EngineProtocol},
     engine_seat::EngineSeat,
+    loss_count::LossCount,
     engine_shape::EngineShape,
     event_splitter::{EventSplitter, StreamEvent},
     feed_message::{FeedNews, FeedRecord, FeedRequest, FeedTable},
--- a/crates/gateway/src/peer_hub.rs
+++ b/crates/gateway/src/peer_hub.rs
@@ -158,13 +158,15 @@
             ..PeerReport::default()
         };
         for (_, state) in view.servers() {
-            if state.own_load != ServerLoad::default() {
+            let lost = state.losses.own(now);
+            if state.own_load != ServerLoad::default() || lost > 0 {
                 report.loads.push(LoadEntry {
                     server: state.id.clone(),
                     requests: state.own_load.requests,
                     tokens: state.own_load.tokens,
                     copy_tokens: state.own_load.copy_tokens,
                     unread_tokens: state.own_load.unread_tokens,
+                    lost,
                 });
             }
             if state.leaving_since.is_some_and(|since| now.since(since) < LEAVING_REPEATED) {
@@ -188,6 +190,7 @@
             unread_tokens: entry.unread_tokens,
         };
         view.note_peer_load(report.boot, &entry.server, load, now);
+        view.note_peer_losses(report.boot, &entry.server, entry.lost, now);
         named.insert(entry.server.as_str());
     }
     view.clear_peer_loads(report.boot, &named);
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -20,6 +20,9 @@
     /// Prompt tokens of generations whose first event hasn't come.
     #[prost(uint64, tag = "5")]
     pub unread_tokens: u64,
+    /// Responses that the VM lost lately.
+    #[prost(uint32, tag = "6")]
+    pub lost: u32,
 }
 
 /// Server that a VM knows to leave.
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to have a server run a request.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use dragonflycart_core::ErrorKind;
 use tokio::time::Instant;
@@ -12,7 +12,7 @@
 };
 
 /// Time for which a server that refused a request gets no new work from this VM.
-const REFUSAL_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
 
 /// What became of a request that was offered to a server.
 pub enum AttemptOutcome {
@@ -78,10 +78,18 @@
     started: Instant,
 ) -> AttemptOutcome {
     channel.close();
+    note_lost(context, ticket, started.elapsed());
+    AttemptOutcome::Lost(error)
+}
+
+/// Takes that a response was lost, and tells the peers at once.
+pub fn note_lost(context: &GatewayContext, ticket: &WorkTicket, time: Duration) {
+    let now = context.clock.now();
     if let Some(state) = context.view().server_mut(ticket.server()) {
-        state.note_answer(true, started.elapsed());
+        state.note_answer(true, time);
+        state.losses.note_own(now);
     }
-    AttemptOutcome::Lost(error)
+    context.load_changes.notify_one();
 }
 
 fn note_unreachable(context: &GatewayContext, ticket: &WorkTicket) {
@@ -114,7 +122,7 @@
         }
     }
     if let Some(cold_ms) = answer.text(context.names.cold_left).and_then(|text| text.parse().ok()) {
-        state.cold_until = state.cold_until.max(now + std::time::Duration::from_millis(cold_ms));
+        state.cold_until = state.cold_until.max(now + Duration::from_millis(cold_ms));
     }
 }
 
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -4,7 +4,7 @@
 
 use dragonflycart_core::MonoTime;
 
-use crate::{RateMeter, ServerLoad, ServerRecord};
+use crate::{LossCount, RateMeter, ServerLoad, ServerRecord};
 
 /// Weight of the newest result in the moving averages of a server. About ten results count.
 const AVERAGE_WEIGHT: f64 = 0.1;
@@ -41,6 +41,8 @@
     stated_requests: Option<(MonoTime, u32)>,
     paused_until: MonoTime,
     connect_failures: u32,
+    /// Responses that were lost.
+    pub losses: LossCount,
     failure_share: f64,
     latency_ms: Option<f64>,
 }
@@ -62,6 +64,7 @@
             stated_requests: None,
             paused_until: MonoTime::default(),
             connect_failures: 0,
+            losses: LossCount::default(),
             failure_share: 0.0,
             latency_ms: None,
         }
--- a/crates/gateway/tests/all/beliefs.rs
+++ b/crates/gateway/tests/all/beliefs.rs
@@ -136,6 +136,25 @@
     assert_eq!(ids.len(), 2);
 }
 
+/// A server that goes down again and again loses a few requests of each VM each time it is up.
+#[test]
+fn losses_of_peers_turn_requests_away_from_a_flapping_server() {
+    let mut view = view(&["a", "b"]);
+    let excluded = BTreeSet::new();
+    let first = view.place(&query(report(), &excluded), at(0)).unwrap();
+    assert_eq!(first.id, "e0", "the server in the zone is preferred");
+    view.release(first.server, first.load);
+
+    view.note_peer_losses(7, "e0", 1, at(10));
+    view.note_peer_losses(8, "e0", 1, at(10));
+    let during = view.place(&query(report(), &excluded), at(20)).unwrap();
+    view.release(during.server, during.load);
+    let after = view.place(&query(report(), &excluded), at(6_100)).unwrap();
+
+    assert_eq!(during.id, "e1");
+    assert_eq!(after.id, "e0");
+}
+
 /// Whoever asks for a server that left gets none, and its state is dropped after a while.
 #[test]
 fn server_that_left_is_forgotten() {
