--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -31,8 +31,6 @@
 /// Prompt tokens ahead of a request that count as much as a full memory. They take about half of
 /// a second to read.
 const UNREAD_TOKENS: f64 = 2_000.0;
-/// Prompt tokens that wait at an engine at most. They take about a second to read.
-const UNREAD_LIMIT: u64 = 7_000;
 /// Score added for a server in another zone, as a share of a full server.
 const ZONE_PENALTY: f64 = 0.08;
 /// Score added for a server in another zone than the engine whose memory is copied. Such a copy
@@ -367,9 +365,7 @@
             {
                 continue;
             }
-            if fill_limit.is_some_and(|limit| self.fill_with(state, query, now) > limit)
-                || !has_time_to_read(state, query, now)
-            {
+            if fill_limit.is_some_and(|limit| self.fill_with(state, query, now) > limit) {
                 is_full = true;
                 continue;
             }
@@ -547,14 +543,6 @@
     }
 }
 
-/// Returns whether a prompt would be read soon at an engine. Where it would not, it waits at the
-/// VM, which can still choose another engine and lets requests that can be on time go first.
-fn has_time_to_read(state: &ServerState, query: &WorkQuery<'_>, now: MonoTime) -> bool {
-    let unread = state.total_load(now).unread_tokens;
-    let is_moved = query.near_zone.is_some();
-    is_moved || unread == 0 || unread + query.demand.prompt_tokens <= UNREAD_LIMIT
-}
-
 /// Returns a number from 0 to 1 that depends on a seed and a server only.
 fn spread(seed: u64, key: ServerKey) -> f64 {
     let mut hasher = DefaultHasher::new();
