--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     AnswerBody, AnswerHead, AttemptOutcome, CallerRequest, ChannelError, GatewayContext,
-    GatewayFailure, ServerChannel, SystemFields, WorkTicket, answer_body, answer_relay,
+    GatewayFailure, OpenAnswer, ServerChannel, SystemFields, WorkTicket, answer_body, answer_relay,
     server_attempt,
 };
 
@@ -81,10 +81,10 @@
                     self.log_offer(&ticket, error.into());
                     failure = self.lost_failure(error);
                 }
-                AttemptOutcome::Answered { head, channel } => {
+                AttemptOutcome::Answered(answer) => {
                     self.arrivals += 1;
                     self.runs += 1;
-                    match self.collect(&ticket, head, channel, started).await {
+                    match self.collect(&ticket, *answer, started).await {
                         Ok(response) => return Ok(response),
                         Err(reason) => failure = reason,
                     }
@@ -147,10 +147,10 @@
     async fn collect(
         &mut self,
         ticket: &WorkTicket,
-        head: AnswerHead,
-        mut channel: ServerChannel,
+        answer: OpenAnswer,
         started: Instant,
     ) -> Result<Response<AnswerBody>, GatewayFailure> {
+        let OpenAnswer { head, mut channel } = answer;
         let body = channel.read_body(ANSWER_LIMIT_BYTES);
         let body = match tokio::time::timeout_at(self.request.deadline, body).await {
             Ok(Ok(body)) => body,
--- a/crates/gateway/src/caller_front.rs
+++ b/crates/gateway/src/caller_front.rs
@@ -69,18 +69,15 @@
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    loop {
-        tokio::select! {
-            result = &mut connection => {
-                if let Err(error) = result {
-                    tracing::debug!(%error, "front: connection ended");
-                }
-                return;
-            }
-            () = StopPhase::Ended.reached(&mut stop) => {
-                connection.as_mut().graceful_shutdown();
-                break;
+    tokio::select! {
+        result = &mut connection => {
+            if let Err(error) = result {
+                tracing::debug!(%error, "front: connection ended");
             }
+            return;
+        }
+        () = StopPhase::Ended.reached(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
         }
     }
     if let Err(error) = connection.await {
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -38,10 +38,8 @@
 
 /// Takes messages from a peer until it stops or another one becomes the reader. Returns why.
 async fn follow_peer(context: &GatewayContext, address: SocketAddr) -> &'static str {
-    let stream = match tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return "unreachable",
-    };
+    let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address));
+    let Ok(Ok(stream)) = connecting.await else { return "unreachable" };
     if let Err(error) = server_channel::set_socket_options(&stream) {
         info!(%error, "feed: can't set socket options");
     }
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -167,7 +167,7 @@
         let source = RelaySource {
             seat: resumed.seat,
             follower: MoveFollower::new(&self.context),
-            channel: resumed.channel,
+            channel: resumed.answer.channel,
         };
         let old = std::mem::replace(&mut self.source, source);
         old.channel.close();
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -5,18 +5,16 @@
 use tracing::info;
 
 use crate::{
-    AnswerHead, AttemptOutcome, CallerRequest, EngineSeat, GatewayContext, ServerChannel,
-    StreamProgress, SystemFields, WorkTicket, answer_relay, server_attempt,
+    AttemptOutcome, CallerRequest, EngineSeat, GatewayContext, OpenAnswer, StreamProgress,
+    SystemFields, WorkTicket, answer_relay, server_attempt,
 };
 
 /// Generation that goes on: its engine and the response from there.
 pub struct ResumedGeneration {
     /// Reservations.
     pub seat: EngineSeat,
-    /// Head of the response.
-    pub head: AnswerHead,
-    /// Connection from which the events are read.
-    pub channel: ServerChannel,
+    /// Response from which the events are read.
+    pub answer: OpenAnswer,
 }
 
 /// Result of asking an engine to go on.
@@ -49,14 +47,15 @@
     };
     let outcome = server_attempt::offer(context, request, &seat.engine, fields).await;
     let (result, is_run) = match outcome {
-        AttemptOutcome::Answered { head, channel }
-            if head.status.is_success() && answer_relay::is_genuine(&context.names, &head) =>
+        AttemptOutcome::Answered(answer)
+            if answer.head.status.is_success()
+                && answer_relay::is_genuine(&context.names, &answer.head) =>
         {
             info!(id = request.attempt, server = seat.engine.id(), last_event, "stream: resumed");
-            return ResumeResult::Resumed(Box::new(ResumedGeneration { seat, head, channel }));
+            return ResumeResult::Resumed(Box::new(ResumedGeneration { seat, answer: *answer }));
         }
-        AttemptOutcome::Answered { channel, .. } => {
-            channel.close();
+        AttemptOutcome::Answered(answer) => {
+            answer.channel.close();
             ("failed", true)
         }
         AttemptOutcome::NotSent(error) => (error.into(), false),
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -14,15 +14,18 @@
 /// Time for which a server that refused a request gets no new work from this VM.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Response whose head was read.
+pub struct OpenAnswer {
+    /// Head of the response.
+    pub head: AnswerHead,
+    /// Connection from which the body is read.
+    pub channel: ServerChannel,
+}
+
 /// What became of a request that was offered to a server.
 pub enum AttemptOutcome {
     /// The server answered and may have run the request.
-    Answered {
-        /// Head of the response.
-        head: AnswerHead,
-        /// Connection from which the body is read.
-        channel: ServerChannel,
-    },
+    Answered(Box<OpenAnswer>),
     /// No byte reached the server.
     NotSent(ChannelError),
     /// The server states that it did not run the request.
@@ -67,7 +70,7 @@
         context.pool.put_back_after_body(ticket.address(), channel);
         return AttemptOutcome::Refused { status };
     }
-    AttemptOutcome::Answered { head: answer, channel }
+    AttemptOutcome::Answered(Box::new(OpenAnswer { head: answer, channel }))
 }
 
 fn lost(
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -7,10 +7,10 @@
 use tracing::info;
 
 use crate::{
-    AnswerBody, AnswerHead, AttemptOutcome, CallerRequest, ChannelError, EngineSeat,
-    GatewayContext, GatewayFailure, GenerationRelay, MoveFollower, MoveOutcome, RelaySource,
-    ServerChannel, ServerKey, StreamProgress, SystemFields, WorkTicket, answer_body, answer_relay,
-    engine_wait, server_attempt,
+    AnswerBody, AttemptOutcome, CallerRequest, ChannelError, EngineSeat, GatewayContext,
+    GatewayFailure, GenerationRelay, MoveFollower, MoveOutcome, OpenAnswer, RelaySource, ServerKey,
+    StreamProgress, SystemFields, WorkTicket, answer_body, answer_relay, engine_wait,
+    server_attempt,
 };
 
 /// Servers that are tried while none has run the request.
@@ -81,8 +81,8 @@
                     self.log_offer(&seat, error.into());
                     return Err(lost_failure(error));
                 }
-                AttemptOutcome::Answered { head, channel } => {
-                    return self.answer(seat, follower, head, channel).await;
+                AttemptOutcome::Answered(answer) => {
+                    return self.answer(seat, follower, *answer).await;
                 }
             }
             seat.close();
@@ -134,17 +134,16 @@
         };
         seat.close();
         *follower = MoveFollower::new(&self.context);
-        let outcome = AttemptOutcome::Answered { head: resumed.head, channel: resumed.channel };
-        (resumed.seat, outcome)
+        (resumed.seat, AttemptOutcome::Answered(Box::new(resumed.answer)))
     }
 
     async fn answer(
         self,
         seat: EngineSeat,
         follower: MoveFollower,
-        head: AnswerHead,
-        mut channel: ServerChannel,
+        answer: OpenAnswer,
     ) -> Result<Response<AnswerBody>, GatewayFailure> {
+        let OpenAnswer { head, mut channel } = answer;
         let names = self.context.names;
         if !answer_relay::is_genuine(&names, &head) {
             self.log_offer(&seat, "not_genuine");
--- a/crates/gateway/tests/all/server_channels.rs
+++ b/crates/gateway/tests/all/server_channels.rs
@@ -10,7 +10,7 @@
 };
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
-const ECHO: &str = "attempt-id";
+const ECHO: &str = "echo-id";
 
 /// Starts a server that answers the n-th request of its only connection with the n-th script and
 /// closes the connection after the last one.
@@ -35,10 +35,10 @@
     Some((ECHO, id))
 }
 
-const FIRST: &str = "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ncontent-length: 2\r\n\r\nok";
-const SECOND: &str = "HTTP/1.1 200 OK\r\nattempt-id: a2\r\ncontent-length: 3\r\n\r\nyes";
-const LATE_AND_SECOND: &str = "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ncontent-length: 2\r\n\r\nok\
-     HTTP/1.1 200 OK\r\nattempt-id: a2\r\ncontent-length: 3\r\n\r\nyes";
+const FIRST: &str = "HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: 2\r\n\r\nok";
+const SECOND: &str = "HTTP/1.1 200 OK\r\necho-id: a2\r\ncontent-length: 3\r\n\r\nyes";
+const LATE_AND_SECOND: &str = "HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: 2\r\n\r\nok\
+     HTTP/1.1 200 OK\r\necho-id: a2\r\ncontent-length: 3\r\n\r\nyes";
 
 #[tokio::test]
 async fn second_exchange_uses_the_same_connection() {
@@ -108,8 +108,8 @@
 #[tokio::test]
 async fn body_that_ends_early_is_an_error() {
     for script in [
-        "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ncontent-length: 20\r\n\r\nhalf",
-        "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: 20\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\necho-id: a1\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
     ] {
         let address = scripted(vec![script]).await;
         let mut channel = ServerChannel::connect(address).await.unwrap();
@@ -121,7 +121,7 @@
 
 #[tokio::test]
 async fn body_without_length_ends_with_the_connection() {
-    let address = scripted(vec!["HTTP/1.1 200 OK\r\nattempt-id: a1\r\n\r\nall of it"]).await;
+    let address = scripted(vec!["HTTP/1.1 200 OK\r\necho-id: a1\r\n\r\nall of it"]).await;
     let mut channel = ServerChannel::connect(address).await.unwrap();
     channel.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
 
--- a/crates/gateway/tests/all/tables.rs
+++ b/crates/gateway/tests/all/tables.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 
 fn record(offset: u64, key: &str, value: Option<&'static str>) -> TableRecord {
-    TableRecord { offset, key: key.to_owned(), value: value.map(|text| Bytes::from(text)) }
+    TableRecord { offset, key: key.to_owned(), value: value.map(Bytes::from) }
 }
 
 fn batch(records: Vec<TableRecord>, next: u64) -> TableBatch {
--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use dragonflycart_standins::{
-    CallerRequest, PlanText, READY_PATH, RunLog, RunnerKind, RunnerOptions, RunnerStandin, StoreMode,
-    StoreStandin, send, settings_text,
+    CallerRequest, PlanText, READY_PATH, RunLog, RunnerKind, RunnerOptions, RunnerStandin,
+    StoreMode, StoreStandin, send, settings_text,
 };
 use dragonflycart_testkit::{ChildProcess, FaultRelay, RelayCommand, RelayMode, RelayScope};
 use serde_json::json;
@@ -203,8 +203,12 @@
     fn send_request(&mut self) {
         let number = self.next_call;
         self.next_call += 1;
-        let up: Vec<SocketAddr> =
-            self.gateways.iter().filter(|gateway| gateway.child.is_some()).map(|g| g.front).collect();
+        let up: Vec<SocketAddr> = self
+            .gateways
+            .iter()
+            .filter(|gateway| gateway.child.is_some())
+            .map(|g| g.front)
+            .collect();
         if up.is_empty() {
             return;
         }
--- a/tests/all/soak/soak_verdict.rs
+++ b/tests/all/soak/soak_verdict.rs
@@ -107,8 +107,7 @@
 fn check_body(call: &SoakCall) -> Option<String> {
     let expected = format!("{} {}", call.request.id, call.request.body.len());
     let is_whole = call.answer.body == expected.as_bytes();
-    (call.answer.is_complete && !is_whole)
-        .then(|| format!("a wrong body: {:?}", call.answer.body))
+    (call.answer.is_complete && !is_whole).then(|| format!("a wrong body: {:?}", call.answer.body))
 }
 
 /// A stream is a prefix of its events, and all of them if it looks complete.
