--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -342,7 +342,7 @@
         }
         let mut index = 0;
         while index < self.runners.len() {
-            if !self.runners[index].gone_at.is_some_and(|at| at <= now) {
+            if self.runners[index].gone_at.is_none_or(|at| at > now) {
                 index += 1;
                 continue;
             }
