Count callers' bodies against the process's memory; drop fields that nothing reads

Bodies were limited one by one only; sixty of the largest size would have filled a VM of 110 MB. All bodies now share a quarter of the memory, and a request beyond it is refused without having run. Silence of a stream follows the route's pause instead of a constant. Fields decoded and never read are gone, and the line of waiting requests is named in the refusal's log line.

--- a/crates/gateway/src/caller_front.rs
+++ b/crates/gateway/src/caller_front.rs
@@ -13,8 +13,10 @@
 
 use crate::{GatewayContext, StopPhase, request_handler};
 
-/// Largest header section that is buffered, in bytes.
-const BUFFER_BYTES: usize = 64 * 1024;
+/// Largest header section that is buffered while no plan is known, in bytes.
+const HEADER_BYTES: usize = 32 * 1024;
+/// Bytes that are buffered beyond the plan's largest header section.
+const BUFFER_MARGIN: usize = 32 * 1024;
 /// Time after the plan's idle time for which an idle connection stays open, so that a caller that
 /// reuses it just in time does not meet the close.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
@@ -54,10 +56,10 @@
     if let Err(error) = set_socket_options(&stream) {
         info!(%error, "front: can't set socket options");
     }
-    let idle_time = context
-        .view()
-        .plan()
-        .map_or(DEFAULT_IDLE_TIME, |plan| plan.limits.idle_time.max(plan.limits.header_time));
+    let limits = context.view().plan().map(|plan| plan.limits);
+    let idle_time =
+        limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time.max(limits.header_time));
+    let header_bytes = limits.map_or(HEADER_BYTES, |limits| limits.header_bytes);
     let mut stop = context.stop.subscribe();
     let service = service_fn(|request: Request<Incoming>| {
         let context = Arc::clone(&context);
@@ -66,7 +68,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_time.max(DEFAULT_IDLE_TIME) + IDLE_MARGIN)
-        .max_buf_size(BUFFER_BYTES)
+        .max_buf_size(header_bytes + BUFFER_MARGIN)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -1,12 +1,12 @@
 //! Request of a caller, checked and read whole.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
 
-use crate::{PlannedRoute, ServerKey, WireNames, WorkDemand, WorkQuery};
+use crate::{BodyShare, PlannedRoute, ServerKey, WireNames, WorkDemand, WorkQuery};
 
 /// Highest value of the urgency header.
 const URGENCY_LIMIT: u8 = 9;
@@ -38,6 +38,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Memory that the body takes.
+    pub body_share: Arc<BodyShare>,
     /// Whether the caller sent a body, even an empty one.
     pub has_body: bool,
     /// Time at which the head was read.
--- a/crates/gateway/src/channel_pool.rs
+++ b/crates/gateway/src/channel_pool.rs
@@ -10,7 +10,7 @@
 use crate::{ChannelError, ServerChannel};
 
 /// Idle connections kept per server.
-const IDLE_PER_SERVER: usize = 8;
+const IDLE_PER_SERVER: usize = 4;
 /// Time for the rest of a response that is of no further use.
 const DISCARD_LIMIT: Duration = Duration::from_millis(200);
 /// Largest response that is read only to keep its connection, in bytes.
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -47,7 +47,8 @@
             }
         }
         if tokio::time::Instant::now() >= give_up_at {
-            info!(id = request.attempt, tries, "stream: no engine had room in time");
+            let waiting = context.line().count(&request.service);
+            info!(id = request.attempt, tries, waiting, "stream: no engine had room in time");
             return None;
         }
         tokio::time::sleep(TRY_INTERVAL).await;
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -5,8 +5,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    ChannelPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock, GatewayMetrics,
-    PeerTable, StopPhase, VmSettings, WaitingLine, WireNames,
+    BodyBudget, ChannelPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock,
+    GatewayMetrics, PeerTable, StopPhase, VmSettings, WaitingLine, WireNames,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -19,6 +19,8 @@
     pub store: Arc<dyn FleetStore>,
     /// Formats of the calls to engines.
     pub engines: Arc<dyn EngineProtocol>,
+    /// Memory for the bodies of requests.
+    pub bodies: BodyBudget,
     /// Idle connections to servers.
     pub pool: Arc<ChannelPool>,
     /// Clock.
@@ -54,6 +56,7 @@
             peers: Mutex::new(PeerTable::new(&settings.name)),
             line: Mutex::default(),
             load_changes: Notify::new(),
+            bodies: BodyBudget::new(settings.memory_bytes),
             settings,
             names,
             store,
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -12,9 +12,11 @@
     StreamProgress,
 };
 
-/// Time without an event after which a stream whose memory was copied goes on elsewhere. Events
-/// come every 30 to 60 ms, and pauses over 180 ms are late already.
-const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// Multiple of the route's longest pause after which a silent stream goes on elsewhere. The stream
+/// is late by then; engines that only read other prompts pause for less.
+const SILENT_PAUSES: u32 = 4;
+/// Time after which a silent stream goes on elsewhere where the route states no pause.
+const DEFAULT_SILENCE: Duration = Duration::from_millis(700);
 
 /// Events after which the memory of a generation is estimated anew.
 const RESIZE_EVENTS: u64 = 16;
@@ -109,7 +111,9 @@
 
     async fn step(&mut self) -> RelayStep {
         let RelaySource { seat, follower, channel } = &mut self.source;
-        let silence = self.silent_since + SILENCE_LIMIT;
+        let pause = self.request.route.pause_target;
+        let limit = pause.map_or(DEFAULT_SILENCE, |pause| pause * SILENT_PAUSES);
+        let silence = self.silent_since + limit;
         let can_recover = self.events > 0 && seat.backup.is_some();
         tokio::select! {
             biased;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod chunk_decoder;
 mod engine_protocol;
 mod engine_shape;
+mod body_budget;
 mod engine_seat;
 mod loss_count;
 mod zone_reach;
@@ -79,6 +80,7 @@
 pub use crate::{
     answer_body::{AnswerBody, BodyBroken, PieceSender},
     answer_head::AnswerHead,
+    body_budget::{BodyBudget, BodyShare},
     body_framing::BodyFraming,
     call_forwarder::CallForwarder,
     caller_limits::CallerLimits,
--- a/crates/gateway/src/planned_service.rs
+++ b/crates/gateway/src/planned_service.rs
@@ -1,7 +1,5 @@
 //! One service of the route plan.
 
-use std::time::Duration;
-
 use crate::EngineShape;
 
 /// Service: a group of interchangeable backend servers.
@@ -9,10 +7,6 @@
 pub struct PlannedService {
     /// Name of the service.
     pub name: String,
-    /// Connections that each backend server accepts from all callers together.
-    pub max_connections: usize,
-    /// Time for which a backend server stays cold after its start.
-    pub cold_start: Duration,
     /// Requests per second that a cold backend server tolerates, over all VMs; zero if its
     /// service has no cold phase.
     pub cold_rate: f64,
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -2,18 +2,18 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dragonflycart_core::ErrorKind;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{HeaderMap, Request, Response, body::Body, body::Incoming, header};
 use rand::RngExt;
 use tokio::time::Instant;
 use tracing::info;
 
 use crate::{
-    AnswerBody, CallForwarder, CallerRequest, GatewayContext, GatewayFailure, PlannedRoute,
-    PlannedTeam, RouteKind, RoutePlan, StopPhase, StreamForwarder, WireNames, WorkDemand,
-    answer_relay,
+    AnswerBody, BodyShare, CallForwarder, CallerRequest, GatewayContext, GatewayFailure,
+    PlannedRoute, PlannedTeam, RouteKind, RoutePlan, StopPhase, StreamForwarder, WireNames,
+    WorkDemand, answer_relay,
 };
 
 /// Time after which a caller may come back while this VM does not know the plan yet.
@@ -121,7 +121,11 @@
         stated_ms.map_or(route.time_limit, |ms| route.time_limit.min(Duration::from_millis(ms)));
     let deadline = arrived + time_limit;
     let has_body = !body.is_end_stream();
-    let body = read_body(body, plan.limits.body_bytes, deadline).await?;
+    let mut share = context.bodies.share();
+    let reading = read_body(body, plan.limits.body_bytes, &mut share);
+    let body = tokio::time::timeout_at(deadline, reading).await.unwrap_or_else(|_| {
+        Err(GatewayFailure::new(ErrorKind::DeadlineNotStarted, "the body came too slowly"))
+    })?;
     let service = choose_service(&route);
     let (demand, shared_part) = read_demand(&context.names, &parts.headers, route.kind);
     Ok(CallerRequest {
@@ -134,6 +138,7 @@
         last_event: header_text(&parts.headers, "last-event-id").and_then(|text| text.parse().ok()),
         headers: forwarded_headers(&context.names, &parts.headers),
         body,
+        body_share: Arc::new(share),
         has_body,
         arrived,
         deadline,
@@ -161,22 +166,27 @@
     team.map(Some).ok_or_else(|| GatewayFailure::new(ErrorKind::Unauthorized, "the key is unknown"))
 }
 
+/// Reads a body whole, within the route plan's limit and the memory for bodies.
 async fn read_body(
-    body: Incoming,
+    mut body: Incoming,
     limit: usize,
-    deadline: Instant,
+    share: &mut BodyShare,
 ) -> Result<Bytes, GatewayFailure> {
-    let collected = tokio::time::timeout_at(deadline, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(GatewayFailure::new(ErrorKind::TooLarge, "the body is too large"))
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(GatewayFailure::new(ErrorKind::BadRequest, "the body broke off"));
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if bytes.len() + data.len() > limit {
+            return Err(GatewayFailure::new(ErrorKind::TooLarge, "the body is too large"));
         }
-        Ok(Err(_)) => Err(GatewayFailure::new(ErrorKind::BadRequest, "the body broke off")),
-        Err(_) => {
-            Err(GatewayFailure::new(ErrorKind::DeadlineNotStarted, "the body came too slowly"))
+        if !share.grow(data.len()) {
+            return Err(GatewayFailure::new(ErrorKind::Overloaded, "no memory for the body"));
         }
+        bytes.extend_from_slice(&data);
     }
+    Ok(bytes.freeze())
 }
 
 fn choose_service(route: &PlannedRoute) -> String {
--- a/crates/gateway/src/route_plan.rs
+++ b/crates/gateway/src/route_plan.rs
@@ -59,11 +59,6 @@
     pub fn find_team(&self, key: &str) -> Option<&PlannedTeam> {
         self.teams.as_ref()?.get(key)
     }
-
-    /// Returns the number of routes.
-    pub fn route_count(&self) -> usize {
-        self.routes.values().map(Vec::len).sum()
-    }
 }
 
 fn index_teams(teams: Vec<PlannedTeam>) -> BTreeMap<String, PlannedTeam> {
--- a/crates/gateway/src/vm_settings.rs
+++ b/crates/gateway/src/vm_settings.rs
@@ -22,10 +22,6 @@
     pub peer_port: u16,
     /// Bytes of memory that the process may use.
     pub memory_bytes: usize,
-    /// File descriptors that the process may use.
-    pub descriptors: usize,
-    /// Interval at which backend servers renew their registration.
-    pub heartbeat: Duration,
     /// Time between SIGTERM and SIGKILL.
     pub stop_grace: Duration,
     /// Repeats allowed per request, over all VMs.
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -28,8 +28,6 @@
         ready_address: "127.0.0.1:0".parse().unwrap(),
         peer_port: 0,
         memory_bytes: 110 << 20,
-        descriptors: 4_100,
-        heartbeat: Duration::from_millis(1_200),
         stop_grace: Duration::from_secs(8),
         retry_ratio: 0.2,
         retry_allowance: 58.0,
@@ -55,10 +53,7 @@
 
 pub(crate) fn engine_shape() -> EngineShape {
     EngineShape {
-        batch_size: 24,
         memory_tokens: MEMORY_TOKENS,
-        token_bytes: 18_432,
-        link_mbps: 2_700.0,
         can_move: true,
         can_back_up: true,
         tokens_per_event: 4,
@@ -66,13 +61,8 @@
 }
 
 pub(crate) fn plan(version: u64) -> RoutePlan {
-    let service = |name: &str, cold_rate, engine| PlannedService {
-        name: name.to_owned(),
-        max_connections: 300,
-        cold_start: Duration::from_secs(1),
-        cold_rate,
-        engine,
-    };
+    let service =
+        |name: &str, cold_rate, engine| PlannedService { name: name.to_owned(), cold_rate, engine };
     RoutePlan::new(
         version,
         vec![
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use dragonflycart_gateway::{RateMeter, RetryWindow};
+use dragonflycart_gateway::{BodyBudget, RateMeter, RetryWindow};
 
 use crate::fixtures::{ENGINES, at, query, record, report, view};
 
@@ -94,3 +94,19 @@
     assert!(sum <= 38 + vm_count as u32, "{sum}");
     assert!(sum >= 30, "{sum}");
 }
+
+/// Many large bodies at once would take more memory than the process has.
+#[test]
+fn bodies_share_a_part_of_the_memory() {
+    let budget = BodyBudget::new(1_000);
+    let mut first = budget.share();
+    let mut second = budget.share();
+
+    assert!(first.grow(200));
+    assert!(!second.grow(100), "a quarter is 250 bytes");
+    assert!(second.grow(50));
+    drop(first);
+
+    assert!(second.grow(200));
+    assert!(!second.grow(1));
+}
