--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::Duration,
 };
@@ -12,7 +11,7 @@
 
 use crate::{
     EngineShape, FleetOrder, Placement, RetryWindow, RoutePlan, ServerKey, ServerLoad,
-    ServerRecord, ServerState, VmSettings, WorkQuery, ZoneReach,
+    ServerRecord, ServerScore, ServerState, VmSettings, WorkQuery, ZoneReach,
 };
 
 /// Time for which a registration that vanished after an outage of the store may come back.
@@ -26,28 +25,6 @@
 /// Part of an engine's memory up to which copies of other engines' generations are taken; the
 /// rest is left to generations.
 const COPY_FILL: f64 = 0.30;
-/// Score of a full engine memory.
-const FILL_WEIGHT: f64 = 0.4;
-/// Prompt tokens ahead of a request that count as much as a full memory. They take about half of
-/// a second to read.
-const UNREAD_TOKENS: f64 = 2_000.0;
-/// Score added for a server in another zone, as a share of a full server.
-const ZONE_PENALTY: f64 = 0.08;
-/// Score added for a server in another zone than the engine whose memory is copied. Such a copy
-/// takes twice as long, and the time before an engine leaves is short.
-const COPY_ZONE_PENALTY: f64 = 1.5;
-/// Score taken off for a server that holds the shared part of the prompt.
-const PART_BONUS: f64 = 0.10;
-/// Score added for a server whose requests all fail.
-const FAILURE_PENALTY: f64 = 3.0;
-/// Score added per response that was lost lately at the server, by any VM.
-const LOSS_PENALTY: f64 = 0.6;
-/// Lost responses that count at most.
-const LOSSES_COUNTED: u32 = 5;
-/// Score added per hundred milliseconds of average latency at plain servers.
-const LATENCY_PENALTY: f64 = 0.5;
-/// Largest random part of a score.
-const SPREAD_WEIGHT: f64 = 0.4;
 /// Shared parts that are remembered per server.
 const PARTS_REMEMBERED: usize = 256;
 
@@ -508,44 +485,16 @@
         query: &WorkQuery<'_>,
         now: MonoTime,
     ) -> f64 {
-        let load = state.total_load(now);
-        let engine = self.engine_shape(query.service);
-        let slots = f64::from(state.record.slots.max(1));
-        let mut score = f64::from(load.requests) / slots;
-        if let Some(engine) = engine {
-            let fill = load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
-            score += FILL_WEIGHT * fill;
-            // A generation that was moved is admitted before prompts that wait.
-            if query.near_zone.is_none() {
-                score += load.unread_tokens as f64 / UNREAD_TOKENS;
-            }
-            if let Some(part) = query.shared_part
-                && self.parts.get(&key).is_some_and(|parts| parts.contains_key(&part))
-            {
-                score -= PART_BONUS;
-            }
-        } else if let Some(latency_ms) = state.latency_ms() {
-            score += LATENCY_PENALTY * latency_ms / 100.0;
-        }
-        match query.near_zone {
-            Some(zone) if state.record.zone != zone => score += COPY_ZONE_PENALTY,
-            None if state.record.zone != self.settings.zone => score += ZONE_PENALTY,
-            _ => {}
-        }
-        if let Some(seed) = query.spread_seed {
-            score += SPREAD_WEIGHT * spread(seed, key);
-        }
-        if state.lapsed_at.is_some() {
-            score += FAILURE_PENALTY;
-        }
-        score += LOSS_PENALTY * f64::from(state.losses.total(now).min(LOSSES_COUNTED));
-        score + FAILURE_PENALTY * state.failure_share()
+        let holds_part = query.shared_part.is_some_and(|part| {
+            self.parts.get(&key).is_some_and(|parts| parts.contains_key(&part))
+        });
+        let score = ServerScore {
+            key,
+            state,
+            engine: self.engine_shape(query.service),
+            holds_part,
+            own_zone: &self.settings.zone,
+        };
+        score.value(query, now)
     }
 }
-
-/// Returns a number from 0 to 1 that depends on a seed and a server only.
-fn spread(seed: u64, key: ServerKey) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    (seed, key).hash(&mut hasher);
-    hasher.finish() as f64 / u64::MAX as f64
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod engine_shape;
 mod body_budget;
 mod engine_seat;
+mod server_score;
 mod loss_count;
 mod zone_reach;
 mod engine_wait;
@@ -124,6 +125,7 @@
     server_key::ServerKey,
     server_load::ServerLoad,
     server_record::ServerRecord,
+    server_score::ServerScore,
     server_state::ServerState,
     stop_phase::StopPhase,
     store_error::StoreError,
--- /dev/null
+++ b/crates/gateway/src/server_score.rs
@@ -0,0 +1,97 @@
+//! How well a server suits a request.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use dragonflycart_core::MonoTime;
+
+use crate::{EngineShape, ServerKey, ServerState, WorkQuery};
+
+/// Score of a full engine memory.
+const FILL_WEIGHT: f64 = 0.4;
+/// Prompt tokens ahead of a request that count as much as a full memory. They take about half of
+/// a second to read.
+const UNREAD_TOKENS: f64 = 2_000.0;
+/// Score added for a server in another zone, as a share of a full server.
+const ZONE_PENALTY: f64 = 0.08;
+/// Score added for a server in another zone than the engine whose memory is copied. Such a copy
+/// takes twice as long, and the time before an engine leaves is short.
+const COPY_ZONE_PENALTY: f64 = 1.5;
+/// Score taken off for a server that holds the shared part of the prompt.
+const PART_BONUS: f64 = 0.10;
+/// Score added for a server whose requests all fail.
+const FAILURE_PENALTY: f64 = 3.0;
+/// Score added per response that was lost lately at the server, by any VM.
+const LOSS_PENALTY: f64 = 0.6;
+/// Lost responses that count at most.
+const LOSSES_COUNTED: u32 = 5;
+/// Score added per hundred milliseconds of average latency at plain servers.
+const LATENCY_PENALTY: f64 = 0.5;
+/// Largest random part of a score.
+const SPREAD_WEIGHT: f64 = 0.4;
+
+/// What the score of a server depends on, besides the request.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerScore<'a> {
+    /// Key of the server.
+    pub key: ServerKey,
+    /// Belief about the server.
+    pub state: &'a ServerState,
+    /// Capacity, if it is an engine.
+    pub engine: Option<EngineShape>,
+    /// Whether it was sent the shared part of the prompt before.
+    pub holds_part: bool,
+    /// Zone of the VM that chooses.
+    pub own_zone: &'a str,
+}
+
+impl ServerScore<'_> {
+    /// Returns the score for a request; the server with the lowest one is chosen.
+    pub fn value(&self, query: &WorkQuery<'_>, now: MonoTime) -> f64 {
+        let state = self.state;
+        let slots = f64::from(state.record.slots.max(1));
+        let mut score = f64::from(state.total_load(now).requests) / slots;
+        score += match self.engine {
+            Some(engine) => self.engine_part(engine, query, now),
+            None => state.latency_ms().map_or(0.0, |ms| LATENCY_PENALTY * ms / 100.0),
+        };
+        score += self.zone_part(query);
+        if let Some(seed) = query.spread_seed {
+            score += SPREAD_WEIGHT * spread(seed, self.key);
+        }
+        if state.lapsed_at.is_some() {
+            score += FAILURE_PENALTY;
+        }
+        score += LOSS_PENALTY * f64::from(state.losses.total(now).min(LOSSES_COUNTED));
+        score + FAILURE_PENALTY * state.failure_share()
+    }
+
+    fn engine_part(&self, engine: EngineShape, query: &WorkQuery<'_>, now: MonoTime) -> f64 {
+        let load = self.state.total_load(now);
+        let fill = load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
+        let mut score = FILL_WEIGHT * fill;
+        // A generation that was moved is admitted before prompts that wait.
+        if query.near_zone.is_none() {
+            score += load.unread_tokens as f64 / UNREAD_TOKENS;
+        }
+        if self.holds_part {
+            score -= PART_BONUS;
+        }
+        score
+    }
+
+    fn zone_part(&self, query: &WorkQuery<'_>) -> f64 {
+        let zone = &self.state.record.zone;
+        match query.near_zone {
+            Some(near) if zone != near => COPY_ZONE_PENALTY,
+            None if zone != self.own_zone => ZONE_PENALTY,
+            _ => 0.0,
+        }
+    }
+}
+
+/// Returns a number from 0 to 1 that depends on a seed and a server only.
+fn spread(seed: u64, key: ServerKey) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, key).hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
