Pass only changes of registrations on, not their renewals

A record that decodes to what its key said before is now kept, but is no news. Ruled out: comparing bytes, since a renewal carries a number that grows.

--- a/crates/gateway/src/fleet_tables.rs
+++ b/crates/gateway/src/fleet_tables.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use tokio::{sync::watch, time::Instant};
 
 use crate::{FleetTable, TableBatch, TableMirror};
@@ -29,18 +30,20 @@
         self.tables.lock().expect("no holder of the tables' lock panics")
     }
 
-    /// Takes records that were current `age` ago and returns those that were not known.
+    /// Takes records that were current `age` ago and returns those that were not known and are no
+    /// renewals.
     pub fn take(
         &self,
         table: FleetTable,
         batch: TableBatch,
         is_whole: bool,
         age: Duration,
+        is_renewal: impl Fn(&Bytes, &Bytes) -> bool,
     ) -> TableBatch {
         let now = Instant::now();
         let mut tables = self.lock();
         let state = tables.entry(table).or_default();
-        let news = state.mirror.take(batch, is_whole);
+        let news = state.mirror.take(batch, is_whole, is_renewal);
         let current_at = now.checked_sub(age).unwrap_or(now);
         state.current_at = Some(state.current_at.map_or(current_at, |at| at.max(current_at)));
         drop(tables);
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use tracing::{info, warn};
 
 use crate::{FleetTable, GatewayContext, StoreError, TableBatch, order_follower, server_follower};
@@ -92,6 +93,18 @@
     }
 }
 
+/// Returns whether a record says the same of its key as the one before.
+fn is_renewal(context: &GatewayContext, table: FleetTable, before: &Bytes, now: &Bytes) -> bool {
+    if before == now {
+        return true;
+    }
+    if table != FleetTable::Servers {
+        return false;
+    }
+    let decode = |value| context.store.decode_server(value);
+    matches!((decode(before), decode(now)), (Ok(before), Ok(now)) if before == now)
+}
+
 /// Takes records of a table, from the store or from a peer.
 pub fn take(
     context: &GatewayContext,
@@ -100,7 +113,9 @@
     is_whole: bool,
     age: Duration,
 ) {
-    let news = context.tables.take(table, batch, is_whole, age);
+    let news = context
+        .tables
+        .take(table, batch, is_whole, age, |before, now| is_renewal(context, table, before, now));
     match table {
         FleetTable::Orders => order_follower::apply(context, &news),
         FleetTable::Servers => server_follower::apply(context, &news),
--- a/crates/gateway/src/table_mirror.rs
+++ b/crates/gateway/src/table_mirror.rs
@@ -1,16 +1,27 @@
 //! Copy of a table of the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
 
 use crate::{TableBatch, TableRecord};
 
 /// Removed keys that are remembered, so that peers learn of the removal.
 const REMOVED_LIMIT: usize = 512;
 
-/// Newest record of each key up to some offset.
+/// Newest record of a key.
+#[derive(Debug, Clone)]
+struct MirrorEntry {
+    record: TableRecord,
+    /// Offset of the record since which the content is the same.
+    changed_at: u64,
+}
+
+/// Newest record of each key up to some offset. Records that only renew a key are not passed on:
+/// servers renew their registrations all the time.
 #[derive(Debug, Clone, Default)]
 pub struct TableMirror {
-    records: BTreeMap<String, TableRecord>,
+    entries: BTreeMap<String, MirrorEntry>,
     next: Option<u64>,
 }
 
@@ -20,41 +31,64 @@
         self.next
     }
 
-    /// Takes records and returns those that were not known. With `is_whole`, keys that are not
-    /// among them were removed.
-    pub fn take(&mut self, batch: TableBatch, is_whole: bool) -> TableBatch {
+    /// Takes records and returns those that were not known and are no renewals by `is_renewal`,
+    /// which is given the old and the new value. With `is_whole`, keys that are not among the
+    /// records were removed.
+    pub fn take(
+        &mut self,
+        batch: TableBatch,
+        is_whole: bool,
+        is_renewal: impl Fn(&Bytes, &Bytes) -> bool,
+    ) -> TableBatch {
         let known_to = self.next.unwrap_or(0);
-        let mut news = Vec::new();
+        let mut unknown = Vec::new();
         if is_whole && batch.next >= known_to {
-            news = self.missing_records(&batch);
+            unknown = self.missing_records(&batch);
         }
         let records = batch.records.into_iter().filter(|record| record.offset >= known_to);
-        news.extend(records);
-        for record in &news {
-            self.records.insert(record.key.clone(), record.clone());
+        unknown.extend(records);
+        let mut news = Vec::new();
+        for record in unknown {
+            if self.insert(record.clone(), &is_renewal) {
+                news.push(record);
+            }
         }
         self.next = Some(known_to.max(batch.next));
         self.forget_removed();
         TableBatch { records: news, next: batch.next }
     }
 
+    /// Keeps a record and returns whether it changes the content of its key.
+    fn insert(&mut self, record: TableRecord, is_renewal: impl Fn(&Bytes, &Bytes) -> bool) -> bool {
+        let old = self.entries.get(&record.key);
+        let renewed_since = old.and_then(|old| match (&old.record.value, &record.value) {
+            (Some(before), Some(now)) if is_renewal(before, now) => Some(old.changed_at),
+            _ => None,
+        });
+        let changed_at = renewed_since.unwrap_or(record.offset);
+        self.entries.insert(record.key.clone(), MirrorEntry { record, changed_at });
+        renewed_since.is_none()
+    }
+
     /// Returns removals for the keys that a whole batch does not hold.
     fn missing_records(&self, batch: &TableBatch) -> Vec<TableRecord> {
         let offset = batch.next.saturating_sub(1);
+        let held: BTreeSet<&str> = batch.records.iter().map(|record| record.key.as_str()).collect();
         let mut missing = Vec::new();
-        for (key, record) in &self.records {
-            let is_held = batch.records.iter().any(|held| held.key == *key);
-            if !is_held && record.value.is_some() && record.offset < batch.next {
+        for (key, MirrorEntry { record, .. }) in &self.entries {
+            if !held.contains(key.as_str()) && record.value.is_some() && record.offset < batch.next
+            {
                 missing.push(TableRecord { offset, key: key.clone(), value: None });
             }
         }
         missing
     }
 
-    /// Returns the newest records from offset `from` on, in the order of their offsets.
+    /// Returns the newest records of the keys that changed at offset `from` or later, in the order
+    /// of their offsets.
     pub fn since(&self, from: u64) -> TableBatch {
-        let mut records: Vec<TableRecord> =
-            self.records.values().filter(|record| record.offset >= from).cloned().collect();
+        let changed = self.entries.values().filter(|entry| entry.changed_at >= from);
+        let mut records: Vec<TableRecord> = changed.map(|entry| entry.record.clone()).collect();
         records.sort_by_key(|record| record.offset);
         TableBatch { records, next: self.next.unwrap_or(0) }
     }
@@ -62,17 +96,17 @@
     /// Forgets the oldest removals beyond the limit.
     fn forget_removed(&mut self) {
         let mut removed: Vec<(u64, String)> = self
-            .records
+            .entries
             .values()
-            .filter(|record| record.value.is_none())
-            .map(|record| (record.offset, record.key.clone()))
+            .filter(|entry| entry.record.value.is_none())
+            .map(|entry| (entry.record.offset, entry.record.key.clone()))
             .collect();
         if removed.len() <= REMOVED_LIMIT {
             return;
         }
         removed.sort();
         for (_, key) in &removed[..removed.len() - REMOVED_LIMIT / 2] {
-            self.records.remove(key);
+            self.entries.remove(key);
         }
     }
 }
