--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -19,12 +19,12 @@
 /// Time after an outage of the store in which vanished registrations may be lapsed ones.
 const OUTAGE_SHADOW: Duration = Duration::from_millis(3_000);
 /// Part of an engine's memory that generations may fill, as reserved.
-const RUN_FILL: f64 = 0.90;
+const RUN_FILL: f64 = 0.97;
 /// Part that generations from engines that leave may fill.
 const MOVE_FILL: f64 = 0.98;
 /// Part of an engine's memory up to which copies of other engines' generations are taken; the
 /// rest is left to generations.
-const COPY_FILL: f64 = 0.30;
+const COPY_FILL: f64 = 0.20;
 /// Shared parts that are remembered per server.
 const PARTS_REMEMBERED: usize = 256;
 
