--- a/crates/gateway/tests/all/loads.rs
+++ b/crates/gateway/tests/all/loads.rs
@@ -57,6 +57,22 @@
     assert_eq!(counts.len(), 6, "{counts:?}");
 }
 
+/// Pattern: a long prompt is being read at the engine that has the most free memory. A request
+/// behind it is late, while an engine with less memory would read it at once.
+#[test]
+fn prompt_that_waits_counts_more_than_memory_in_use() {
+    let mut view = view(&["a", "b"]);
+    let excluded = BTreeSet::new();
+    let reading = ServerLoad { requests: 1, tokens: 3_000, copy_tokens: 0, unread_tokens: 3_000 };
+    let running = ServerLoad { requests: 1, tokens: 6_000, copy_tokens: 0, unread_tokens: 0 };
+    view.note_peer_load(7, "e0", reading, at(0));
+    view.note_peer_load(7, "e1", running, at(0));
+
+    let placement = view.place(&query(report(), &excluded), at(1)).unwrap();
+
+    assert_eq!(placement.id, "e1");
+}
+
 /// Pattern: many VMs at one moment. What peers sent counts like the VM's own.
 #[test]
 fn load_of_peers_turns_requests_away_from_an_engine() {
