--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -152,6 +152,7 @@
     pub fn remove_server(&mut self, id: &str, now: MonoTime) -> bool {
         let Some(key) = self.by_id.get(id).copied() else { return false };
         let state = &mut self.servers[key];
+        state.is_registered = false;
         if state.leaving_since.is_some() {
             return false;
         }
@@ -253,6 +254,12 @@
         }
     }
 
+    /// Returns the servers that count as leaving and may be back.
+    pub fn returned_servers(&self, now: MonoTime) -> Vec<ServerKey> {
+        let returned = self.by_id.values().filter(|key| self.servers[**key].may_be_back(now));
+        returned.copied().collect()
+    }
+
     /// Returns the state of a server for changes.
     pub fn server_mut(&mut self, key: ServerKey) -> Option<&mut ServerState> {
         self.servers.get_mut(key)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     FleetTable, GatewayContext, PeerHub, ReadPace, StopPhase, caller_front, feed_client,
-    feed_server, server_follower, status_front, table_follower,
+    feed_server, return_checker, server_follower, status_front, table_follower,
 };
 
 /// Pace of reading orders. They are to be in force within two seconds, and a read that waits may
@@ -78,6 +78,7 @@
             SERVERS_PACE,
         ));
         tokio::spawn(server_follower::expire(Arc::clone(&context)));
+        tokio::spawn(return_checker::check(Arc::clone(&context)));
         tokio::spawn(feed_server::serve(Arc::clone(&context), self.feed_listener));
         tokio::spawn(feed_client::follow(Arc::clone(&context)));
         tokio::spawn(PeerHub::new(&context, self.peer_socket).run());
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::{ChannelError, ChannelPool};
+use crate::{AnswerHead, ChannelError, ChannelPool};
 
 /// Largest answer to a call, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
@@ -46,13 +46,28 @@
         address: SocketAddr,
         limit: Duration,
     ) -> Result<(u16, Bytes), ChannelError> {
+        let (head, body) = self.send_for_head(pool, address, limit).await?;
+        Ok((head.status.as_u16(), body))
+    }
+
+    /// Sends the call and returns the head and body of the answer.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HttpCall::send`].
+    pub async fn send_for_head(
+        &self,
+        pool: &ChannelPool,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<(AnswerHead, Bytes), ChannelError> {
         let exchange = async {
             let mut channel = pool.acquire(address).await?;
             let head = self.encode_head(address);
             let answer = channel.exchange(&head, &self.body, None).await?;
             let body = channel.read_body(ANSWER_LIMIT_BYTES).await?;
             pool.put_back(address, channel);
-            Ok((answer.status.as_u16(), body))
+            Ok((answer, body))
         };
         tokio::time::timeout(limit, exchange).await.unwrap_or(Err(ChannelError::TimedOut))
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod planned_team;
 mod rate_meter;
 mod request_handler;
+mod return_checker;
 mod retry_window;
 mod route_kind;
 mod route_plan;
--- a/crates/gateway/src/planned_service.rs
+++ b/crates/gateway/src/planned_service.rs
@@ -10,6 +10,8 @@
     /// Requests per second that a cold backend server tolerates, over all VMs; zero if its
     /// service has no cold phase.
     pub cold_rate: f64,
+    /// Path at which a server answers whether it takes work, and who it is.
+    pub status_path: String,
     /// Engine that generates tokens, or `None` for a plain service.
     pub engine: Option<EngineShape>,
 }
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -13,6 +13,9 @@
 const CONNECT_PAUSE: Duration = Duration::from_millis(1_000);
 /// Longest such time.
 const CONNECT_PAUSE_MAX: Duration = Duration::from_millis(8_000);
+/// Time for which a server counts as leaving before it may be back; peers repeat for 800 ms that a
+/// server leaves.
+const RETURN_DELAY: Duration = Duration::from_millis(1_000);
 /// Time after which what a peer said of its load no longer counts.
 const PEER_LOAD_AGE: Duration = Duration::from_secs(3);
 /// Time after which a server's own statement of its load no longer counts.
@@ -29,6 +32,10 @@
     pub offset: u64,
     /// Time at which it was first seen to leave.
     pub leaving_since: Option<MonoTime>,
+    /// Whether its registration is in the store.
+    pub is_registered: bool,
+    /// Whether it said itself that it leaves.
+    pub has_drained: bool,
     /// Time at which its registration vanished while the store had been away.
     pub lapsed_at: Option<MonoTime>,
     /// Time up to which it is cold.
@@ -54,6 +61,8 @@
         ServerState {
             id: id.to_owned(),
             cold_until: now + record.cold_left,
+            is_registered: true,
+            has_drained: record.is_draining,
             record,
             offset,
             leaving_since,
@@ -79,6 +88,8 @@
             self.cold_until = self.cold_until.max(now + record.cold_left);
         }
         self.lapsed_at = None;
+        self.is_registered = true;
+        self.has_drained |= record.is_draining;
         self.record = record;
         self.offset = offset;
     }
@@ -88,6 +99,21 @@
         self.leaving_since.is_none() && now >= self.paused_until
     }
 
+    /// Returns whether the server counts as leaving although it is registered and never said so:
+    /// its registration lapsed while it could not reach the store, and it is back. A server that
+    /// left may also look like this, if its last registration reached the store late.
+    pub fn may_be_back(&self, now: MonoTime) -> bool {
+        let is_settled = self.leaving_since.is_some_and(|since| now.since(since) >= RETURN_DELAY);
+        is_settled && self.is_registered && !self.has_drained
+    }
+
+    /// Takes that the server stated that it doesn't leave.
+    pub fn note_back(&mut self) {
+        self.leaving_since = None;
+        self.paused_until = MonoTime::default();
+        self.connect_failures = 0;
+    }
+
     /// Returns whether the server is cold.
     pub fn is_cold(&self, now: MonoTime) -> bool {
         now < self.cold_until
--- a/crates/gateway/src/wire_names.rs
+++ b/crates/gateway/src/wire_names.rs
@@ -9,6 +9,8 @@
     pub time_left: &'static str,
     /// Identity of the server that the request is for; any other refuses it.
     pub expected_server: &'static str,
+    /// Identity of the server that answers a status check.
+    pub server_id: &'static str,
     /// Name of the caller's team.
     pub team: &'static str,
     /// Scheme of the `Authorization` header that precedes a team's key.
--- a/crates/gateway/tests/all/beliefs.rs
+++ b/crates/gateway/tests/all/beliefs.rs
@@ -165,3 +165,46 @@
 
     assert_eq!(view.servers().count(), 0);
 }
+
+/// A server that was cut off from the store lapsed there, and its return was not noticed: a
+/// service whose servers had all been cut off for five seconds was refused for 16.
+#[test]
+fn server_that_is_registered_again_is_asked_whether_it_is_back() {
+    let mut view = view(&["a"]);
+    let key = key_of(&view, "e0");
+    let excluded = BTreeSet::new();
+    view.remove_server("e0", at(0));
+    assert!(view.returned_servers(at(3_000)).is_empty(), "its registration is gone");
+
+    view.apply_server("e0", record(ENGINES, "a", 8_000), 10, at(3_000));
+    assert_eq!(view.returned_servers(at(3_000)), [key]);
+    assert!(view.is_leaving(key), "its last registration may have come late");
+    view.server_mut(key).unwrap().note_back();
+
+    assert!(view.place(&query(report(), &excluded), at(3_001)).is_ok());
+    assert!(view.returned_servers(at(3_001)).is_empty());
+}
+
+/// What a server says of its own leaving holds for that incarnation.
+#[test]
+fn server_that_drained_is_not_asked_whether_it_is_back() {
+    let mut view = view(&["a"]);
+    let mut draining = record(ENGINES, "a", 8_000);
+    draining.is_draining = true;
+    view.apply_server("e0", draining, 10, at(0));
+    view.remove_server("e0", at(2_000));
+
+    view.apply_server("e0", record(ENGINES, "a", 8_000), 11, at(3_000));
+
+    assert!(view.returned_servers(at(5_000)).is_empty());
+}
+
+/// Peers repeat for a while that a server leaves, and would contradict its return.
+#[test]
+fn server_is_not_asked_at_once_whether_it_is_back() {
+    let mut view = view(&["a"]);
+    view.note_leaving("e0", Some(1), at(0));
+
+    assert!(view.returned_servers(at(900)).is_empty());
+    assert_eq!(view.returned_servers(at(1_100)).len(), 1);
+}
