Refuse generations that a planned stop would cut

The VM now follows how long first events and tokens take, and refuses a generation that is expected to outlast the grace period, to come back at once: another VM can serve it whole. The pace comes from running streams, since VMs that restarted have seen none complete.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -10,8 +10,9 @@
 use slotmap::SlotMap;
 
 use crate::{
-    EngineShape, FleetOrder, Placement, RetryWindow, RoutePlan, ServerKey, ServerLoad,
-    ServerRecord, ServerScore, ServerState, VmSettings, WorkQuery, ZoneReach,
+    EngineShape, FleetOrder, GenerationPace, Placement, RetryWindow, RoutePlan, ServerKey,
+    ServerLoad, ServerRecord, ServerScore, ServerState, VmSettings, WorkDemand, WorkQuery,
+    ZoneReach,
 };
 
 /// Time for which a registration that vanished after an outage of the store may come back.
@@ -37,6 +38,7 @@
     by_id: BTreeMap<String, ServerKey>,
     evacuated: BTreeMap<String, MonoTime>,
     retries: BTreeMap<String, RetryWindow>,
+    paces: BTreeMap<String, GenerationPace>,
     parts: BTreeMap<ServerKey, BTreeMap<u64, MonoTime>>,
     /// Number of VMs that are known to run, this one included.
     pub vm_count: usize,
@@ -55,6 +57,7 @@
             by_id: BTreeMap::new(),
             evacuated: BTreeMap::new(),
             retries: BTreeMap::new(),
+            paces: BTreeMap::new(),
             parts: BTreeMap::new(),
             vm_count: 1,
             store_failed_at: None,
@@ -275,6 +278,19 @@
         self.servers.get(key).is_none_or(|state| state.leaving_since.is_some())
     }
 
+    /// Returns the pace of a service's generations for changes.
+    pub fn pace_mut(&mut self, service: &str) -> &mut GenerationPace {
+        self.paces.entry(service.to_owned()).or_default()
+    }
+
+    /// Returns whether a generation that arrives now is expected to end within `time`. One of
+    /// which nothing is known is.
+    pub fn ends_within(&self, service: &str, demand: WorkDemand, time: Duration) -> bool {
+        let pace = self.paces.get(service);
+        let expected = pace.and_then(|pace| pace.expected_time(demand));
+        expected.is_none_or(|expected| expected <= time)
+    }
+
     /// Counts a caller's request for a service.
     pub fn note_request(&mut self, service: &str, now: MonoTime) {
         self.retry_window(service).note_request(now);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -106,7 +106,7 @@
 async fn stop(context: &GatewayContext, front: tokio::task::JoinHandle<()>) {
     let deadline = Instant::now() + context.settings.stop_grace.saturating_sub(STOP_MARGIN);
     info!("gateway: planned stop begins");
-    context.stop.send_replace(StopPhase::Leaving);
+    context.begin_stop(deadline);
     tokio::time::sleep(LEAVE_TIME.min(context.settings.stop_grace / 2)).await;
     context.stop.send_replace(StopPhase::Ending);
     match tokio::time::timeout_at(deadline, front).await {
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -1,8 +1,14 @@
 //! What all tasks of the gateway share.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, OnceLock},
+    time::Duration,
+};
 
-use tokio::sync::{Notify, watch};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
 
 use crate::{
     BodyBudget, ChannelPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock,
@@ -40,6 +46,7 @@
     pub changes: watch::Sender<u64>,
     /// Progress of a planned stop.
     pub stop: watch::Sender<StopPhase>,
+    stop_deadline: OnceLock<Instant>,
 }
 
 impl GatewayContext {
@@ -67,6 +74,7 @@
             boot: rand::random(),
             changes: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
+            stop_deadline: OnceLock::new(),
         }
     }
 
@@ -100,6 +108,17 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Begins the planned stop, which ends open requests at `deadline`.
+    pub fn begin_stop(&self, deadline: Instant) {
+        self.stop_deadline.get_or_init(|| deadline);
+        self.stop.send_replace(StopPhase::Leaving);
+    }
+
+    /// Returns the time until a planned stop ends open requests, or `None` if none has begun.
+    pub fn time_to_stop(&self) -> Option<Duration> {
+        self.stop_deadline.get().map(|deadline| deadline.duration_since(Instant::now()))
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         *self.stop.borrow() != StopPhase::Serving
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -18,7 +18,7 @@
 /// Time after which a silent stream goes on elsewhere where the route states no pause.
 const DEFAULT_SILENCE: Duration = Duration::from_millis(700);
 
-/// Events after which the memory of a generation is estimated anew.
+/// Events after which the memory of a generation and the pace of its service are estimated anew.
 const RESIZE_EVENTS: u64 = 16;
 
 /// How a stream ended.
@@ -64,6 +64,8 @@
     sender: PieceSender,
     splitter: EventSplitter,
     events: u64,
+    /// Time of the event after which the pace is measured.
+    paced_since: Instant,
     last_event_at: Instant,
     /// Time of the last event, or of the switch to another engine after it.
     silent_since: Instant,
@@ -90,6 +92,7 @@
             sender,
             splitter: EventSplitter::default(),
             events: 0,
+            paced_since: Instant::now(),
             last_event_at: Instant::now(),
             silent_since: Instant::now(),
             longest_pause_ms: 0,
@@ -215,19 +218,27 @@
     }
 
     fn note_event(&mut self) {
+        let now = Instant::now();
+        let service = &self.request.service;
         if self.events == 0 {
+            let time = self.request.arrived.elapsed();
             self.source.seat.engine.note_started();
-            self.context.metrics.count_first_event(self.request.arrived.elapsed());
+            self.context.metrics.count_first_event(time);
+            self.context.view().pace_mut(service).note_first_event(time);
+            self.paced_since = now;
         } else {
             let pause_ms = self.last_event_at.elapsed().as_millis() as u64;
             self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
         }
         self.events += 1;
         if self.events.is_multiple_of(RESIZE_EVENTS) {
+            let tokens = RESIZE_EVENTS * self.tokens_per_event;
+            self.context.view().pace_mut(service).note_tokens(tokens, now - self.paced_since);
+            self.paced_since = now;
             let made = self.progress.last_event().map_or(0, |last| last + 1);
             self.source.seat.resize(&self.request, made * self.tokens_per_event);
         }
-        self.last_event_at = Instant::now();
+        self.last_event_at = now;
         self.silent_since = self.last_event_at;
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod gateway_failure;
 mod gateway_metrics;
 mod generation_mover;
+mod generation_pace;
 mod generation_relay;
 mod generation_resumer;
 mod http_call;
@@ -105,6 +106,7 @@
     gateway_failure::GatewayFailure,
     gateway_metrics::GatewayMetrics,
     generation_mover::{GenerationMover, MoveOutcome, MoveReason},
+    generation_pace::GenerationPace,
     generation_relay::{GenerationRelay, RelaySource},
     generation_resumer::{ResumeResult, ResumedGeneration},
     http_call::HttpCall,
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -1,6 +1,6 @@
 //! Forwards requests whose response is an event stream.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use dragonflycart_core::ErrorKind;
 use hyper::Response;
@@ -51,6 +51,10 @@
     ///
     /// Returns the failure that the caller is told.
     pub async fn run(mut self) -> Result<Response<AnswerBody>, GatewayFailure> {
+        if self.outlasts_stop() {
+            return Err(GatewayFailure::new(ErrorKind::Draining, "it would outlast this VM")
+                .with_retry_after(Duration::ZERO));
+        }
         let mut failure = server_attempt::not_run("no engine takes work");
         for _ in 0..OFFER_LIMIT {
             if self.request.time_left().is_zero() {
@@ -90,6 +94,14 @@
         Err(failure)
     }
 
+    /// Returns whether a planned stop of this VM is expected to cut the stream. Another VM can
+    /// serve it at once.
+    fn outlasts_stop(&self) -> bool {
+        let Some(left) = self.context.time_to_stop() else { return false };
+        let CallerRequest { service, demand, .. } = &self.request;
+        !self.context.view().ends_within(service, *demand, left)
+    }
+
     /// Offers the request, and goes on at another engine if this one leaves or breaks off before
     /// the response starts.
     async fn offer_and_follow(
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -61,13 +61,12 @@
 }
 
 pub(crate) fn plan(version: u64) -> RoutePlan {
-    let service =
-        |name: &str, cold_rate, engine| PlannedService {
-            name: name.to_owned(),
-            cold_rate,
-            status_path: "/health".to_owned(),
-            engine,
-        };
+    let service = |name: &str, cold_rate, engine| PlannedService {
+        name: name.to_owned(),
+        cold_rate,
+        status_path: "/health".to_owned(),
+        engine,
+    };
     RoutePlan::new(
         version,
         vec![
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod loads;
 mod memberships;
+mod paces;
 mod routes;
 mod server_channels;
 mod splitting;
