Copy the generations of a leaving engine in one order, as far as there is time

All copies were started at once, so the last copies of generations that were copied queued behind first copies of others: of 192 moves that left a generation where it was about 80 lost it, whole engines of six to eight at a time. Several engines of a zone leave together, and their copies queued on the links of two or three targets (1.2 s for 0.2 s of copying).

Each VM now asks the engine for its list of generations and finds the same order: those that made most first, unlisted ones last, as many as fit. Targets are chosen by the time until the memory arrives, which counts what is on its way from all VMs. A last copy follows its first one at once within its turn, and waits for the end of the notice otherwise.

Ruled out: waiting for the last moment with all last copies, since one late first copy then costs all of them. What is left is link time: generations for which the schedule has no room.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -96,6 +96,7 @@
             demand: self.demand,
             shared_part: self.shared_part,
             near_zone: None,
+            moved_tokens: 0,
             spread_seed: None,
             excluded,
         }
--- a/crates/gateway/src/engine_protocol.rs
+++ b/crates/gateway/src/engine_protocol.rs
@@ -1,8 +1,8 @@
 //! Calls to engines that concern running generations.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
-use crate::HttpCall;
+use crate::{EngineReport, HttpCall};
 
 /// Answer to a call that copies a generation's memory.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,9 +35,8 @@
     /// Builds the call that asks an engine for its state.
     fn report_call(&self) -> HttpCall;
 
-    /// Decodes the time until an engine leaves, as of some hundred milliseconds ago, or returns
-    /// `None` if it isn't known.
-    fn decode_leave_time(&self, body: &[u8]) -> Option<Duration>;
+    /// Decodes the state of an engine, or returns `None` if it can't be read.
+    fn decode_report(&self, body: &[u8]) -> Option<EngineReport>;
 
     /// Decodes the answer to a copy call, or returns `None` if it can't be read.
     fn decode_copy(&self, status: u16, body: &[u8]) -> Option<CopyAnswer>;
--- a/crates/gateway/src/engine_shape.rs
+++ b/crates/gateway/src/engine_shape.rs
@@ -1,5 +1,7 @@
 //! Capacity of the engines of a service.
 
+use std::time::Duration;
+
 /// Capacity of one engine and what it can do with running generations.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineShape {
@@ -11,4 +13,6 @@
     pub can_back_up: bool,
     /// Output tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// Time to copy one token's memory to another engine in the same zone.
+    pub token_copy_time: Duration,
 }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -12,7 +12,7 @@
 use crate::{
     EngineShape, FleetOrder, GenerationPace, Placement, RetryWindow, RoutePlan, ServerKey,
     ServerLoad, ServerRecord, ServerScore, ServerState, VmSettings, WorkDemand, WorkQuery,
-    ZoneReach,
+    ZoneReach, server_score::copy_factor,
 };
 
 /// Time for which a registration that vanished after an outage of the store may come back.
@@ -392,6 +392,26 @@
         (used + query.demand.reserved_tokens()) as f64 / capacity.max(1) as f64
     }
 
+    /// Returns which part of the memory on a service's leaving engines in a zone has room on its
+    /// other engines there. The rest has to move to other zones.
+    pub fn near_room(&self, service: &str, zone: &str, now: MonoTime) -> f64 {
+        let capacity = self.engine_shape(service).map_or(0, |engine| engine.memory_tokens);
+        let limit = (capacity as f64 * MOVE_FILL) as u64;
+        let (mut room, mut leaving) = (0, 0);
+        for state in self.servers.values() {
+            if state.record.service != service || state.record.zone != zone {
+                continue;
+            }
+            let load = state.total_load(now);
+            if state.takes_work(now) {
+                room += limit.saturating_sub(load.memory_tokens());
+            } else if state.leaving_since.is_some() {
+                leaving += load.tokens;
+            }
+        }
+        if leaving == 0 { 1.0 } else { (room as f64 / leaving as f64).min(1.0) }
+    }
+
     /// Reserves a certain server, or returns `None` if it takes no work.
     pub fn place_at(
         &mut self,
@@ -422,19 +442,20 @@
         if cold_rate > 0.0 && state.is_cold(now) {
             state.cold_meter.take(cold_rate, now);
         }
+        let is_near = query.near_zone == Some(state.record.zone.as_str());
         if let Some(part) = query.shared_part {
             self.remember_part(key, part, now);
         }
-        self.reserve(
-            key,
-            ServerLoad {
-                requests: 1,
-                tokens: query.demand.reserved_tokens(),
-                copy_tokens: 0,
-                unread_tokens: query.demand.prompt_tokens,
-            },
-            now,
-        )
+        // A moved generation reads nothing, but its memory has to arrive.
+        let is_new = query.moved_tokens == 0;
+        let load = ServerLoad {
+            requests: 1,
+            tokens: query.demand.reserved_tokens(),
+            copy_tokens: 0,
+            unread_tokens: if is_new { query.demand.prompt_tokens } else { 0 },
+            arriving_tokens: query.moved_tokens * copy_factor(is_near),
+        };
+        self.reserve(key, load, now)
     }
 
     fn reserve(&mut self, key: ServerKey, load: ServerLoad, now: MonoTime) -> Placement {
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -7,12 +7,13 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::Instant};
 use tracing::info;
 
 use crate::{
-    CallerRequest, CopyAnswer, EngineSeat, GatewayContext, ResumeResult, ResumedGeneration,
-    ServerKey, StreamProgress, WorkQuery, WorkTicket, generation_resumer,
+    CallerRequest, CopyAnswer, EngineReport, EngineSeat, GatewayContext, MoveSchedule, MoveTurn,
+    ResumeResult, ResumedGeneration, ServerKey, StreamProgress, WorkQuery, WorkTicket,
+    generation_resumer, move_schedule::TURN_OVERHEAD,
 };
 
 /// Time for one copy. Notices of engines that leave are about two seconds long.
@@ -21,7 +22,7 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 /// Time after which a copy is asked for again where the generation has not started.
 const UNSTARTED_PAUSE: Duration = Duration::from_millis(80);
-/// Time over which VMs spread the choice of targets after an engine's notice.
+/// Time over which VMs spread their moves from an engine that doesn't tell its state.
 const START_SPREAD: Duration = Duration::from_millis(160);
 /// Targets that are tried.
 const TARGET_LIMIT: u32 = 8;
@@ -30,12 +31,11 @@
 /// Calls that are made at most, over all targets.
 const CALL_LIMIT: u32 = 40;
 /// Age of what an engine reports of itself.
-const REPORT_LAG: Duration = Duration::from_millis(500);
+const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time before an engine leaves that is kept for the last copies of all its generations.
-const LAST_COPIES_TIME: Duration = Duration::from_millis(450);
-/// Time after which the last copy is made although the engine doesn't say when it leaves. The
-/// shortest notices are one and a half seconds long.
-const UNKNOWN_LEAVE_LIMIT: Duration = Duration::from_millis(900);
+const LAST_COPIES_TIME: Duration = Duration::from_millis(300);
+/// Shortest notice of an engine that leaves.
+const SHORTEST_NOTICE: Duration = Duration::from_millis(1_500);
 /// Pause before an engine is asked again when it leaves.
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Time for an engine's report.
@@ -61,6 +61,14 @@
     Gone,
 }
 
+/// When the engine leaves.
+#[derive(Debug, Clone, Copy)]
+struct LeaveTime {
+    at: Instant,
+    /// Whether the engine told it; otherwise it is the shortest notice.
+    is_known: bool,
+}
+
 /// Move of one generation.
 pub struct GenerationMover {
     context: Arc<GatewayContext>,
@@ -75,6 +83,9 @@
     backup_key: Option<ServerKey>,
     tried: BTreeSet<ServerKey>,
     calls: u32,
+    leave: LeaveTime,
+    /// Time at which the turn of the next generation begins.
+    turn_ends: Option<Instant>,
 }
 
 impl GenerationMover {
@@ -90,6 +101,10 @@
         let (sender, receiver) = oneshot::channel();
         let server = seat.engine.server();
         let zone = context.view().server(server).map(|state| state.record.zone.clone());
+        let now = context.clock.now();
+        let elapsed = context.view().leaving_for(server, now).unwrap_or_default();
+        let left = SHORTEST_NOTICE.saturating_sub(elapsed);
+        let leave = LeaveTime { at: Instant::now() + left, is_known: false };
         let mover = GenerationMover {
             context: Arc::clone(context),
             request: request.clone(),
@@ -103,6 +118,8 @@
             backup_key: seat.backup.as_ref().map(WorkTicket::server),
             tried: BTreeSet::from([server]),
             calls: 0,
+            leave,
+            turn_ends: None,
         };
         tokio::spawn(mover.run(sender));
         receiver
@@ -158,17 +175,25 @@
     }
 
     async fn try_targets(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
-        // Many VMs move generations at the same moment. Spread over a short time, each sees what
-        // the ones before it chose; the copies queue on the engine's link anyway.
-        tokio::time::sleep(START_SPREAD.mul_f64(rand::random())).await;
+        let has_time = tokio::select! {
+            () = sender.closed() => false,
+            has_time = self.await_turn() => has_time,
+        };
+        if !has_time {
+            return MoveOutcome::Stays;
+        }
         for _ in 0..TARGET_LIMIT {
-            let Some(target) = self.place() else {
+            let Some(mut target) = self.place() else {
                 tokio::time::sleep(TARGET_PAUSE).await;
                 continue;
             };
             self.tried.insert(target.server());
+            if !self.has_time_for(&target).await {
+                return MoveOutcome::Stays;
+            }
             match self.copy(&target, false, sender).await {
                 Some(CopyAnswer::Copied { handle }) => {
+                    target.note_arrived();
                     if sender.is_closed() {
                         self.release(&handle).await;
                         return MoveOutcome::Stays;
@@ -180,7 +205,7 @@
                 }
                 Some(CopyAnswer::Unknown | CopyAnswer::Busy) | None => return MoveOutcome::Stays,
             }
-            self.await_last_moment(sender).await;
+            self.await_free_link(sender).await;
             return match self.copy(&target, true, sender).await {
                 Some(CopyAnswer::Copied { handle }) => self.resume(Some(target), &handle).await,
                 Some(CopyAnswer::NoRoom { handle: Some(handle) }) => {
@@ -192,43 +217,125 @@
         MoveOutcome::Stays
     }
 
-    /// Waits until shortly before the engine leaves. By then its other generations have made their
-    /// first copies too; a last copy would queue behind them on the link, while its generation
-    /// stands still.
-    async fn await_last_moment(&self, sender: &mut oneshot::Sender<MoveOutcome>) {
-        while !sender.is_closed() {
-            let now = self.context.clock.now();
-            let elapsed = self.context.view().leaving_for(self.source_key, now);
-            let Some(elapsed) = elapsed else { return };
-            if let Some(left) = self.ask_time_left().await {
-                let wait = left.saturating_sub(REPORT_LAG + LAST_COPIES_TIME);
-                info!(
-                    id = self.request.attempt,
-                    left_ms = left.as_millis() as u64,
-                    wait_ms = wait.as_millis() as u64,
-                    "move: waits for the last copy"
-                );
-                tokio::select! {
-                    () = sender.closed() => {}
-                    () = tokio::time::sleep(wait) => {}
+    /// Waits until the first copy is to start. Returns whether there is time for it.
+    async fn await_turn(&mut self) -> bool {
+        loop {
+            match self.find_turn().await {
+                MoveTurn::After(delay) => {
+                    tokio::time::sleep(delay).await;
+                    return true;
                 }
-                return;
-            }
-            if elapsed > UNKNOWN_LEAVE_LIMIT {
-                return;
+                MoveTurn::NoTime if self.leave.is_known || self.first_copies_time().is_zero() => {
+                    return false;
+                }
+                MoveTurn::NoTime => tokio::time::sleep(ASK_PAUSE).await,
             }
-            tokio::time::sleep(ASK_PAUSE).await;
         }
     }
 
-    /// Asks the engine how long it stays, as of some hundred milliseconds ago.
-    async fn ask_time_left(&self) -> Option<Duration> {
+    /// Finds out when the first copy is to start.
+    async fn find_turn(&mut self) -> MoveTurn {
+        let engine = self.context.view().engine_shape(&self.request.service);
+        let (Some(report), Some(engine)) = (self.ask_report().await, engine) else {
+            // Spread over a short time, each VM sees what the ones before it chose.
+            return MoveTurn::After(START_SPREAD.mul_f64(rand::random()));
+        };
+        let now = self.context.clock.now();
+        let (elapsed, near) = {
+            let view = self.context.view();
+            let near = view.near_room(&self.request.service, &self.source_zone, now);
+            (view.leaving_for(self.source_key, now).unwrap_or_default(), near)
+        };
+        let schedule = MoveSchedule {
+            runs: &report.runs,
+            // Copies to other zones take twice as long.
+            token_time: engine.token_copy_time.mul_f64(2.0 - near),
+            time: elapsed + self.first_copies_time(),
+        };
+        let turn = match schedule.turn(&self.request.attempt) {
+            MoveTurn::After(delay) => MoveTurn::After(delay.saturating_sub(elapsed)),
+            turn => turn,
+        };
+        if let MoveTurn::After(delay) = turn {
+            let copy_time = schedule.copy_time(self.memory_tokens());
+            self.turn_ends = Some(Instant::now() + delay + copy_time + TURN_OVERHEAD);
+        }
+        info!(
+            id = self.request.attempt,
+            source = self.source_id,
+            left_ms = (self.leave.at - Instant::now()).as_millis() as u64,
+            is_known = self.leave.is_known,
+            runs = report.runs.len(),
+            tokens = report.runs.iter().map(|run| run.tokens).sum::<u64>(),
+            near,
+            ?turn,
+            "move: planned"
+        );
+        turn
+    }
+
+    /// Returns the time that is left for first copies. One that ends later keeps the last copies
+    /// of other generations waiting until the engine is gone.
+    fn first_copies_time(&self) -> Duration {
+        (self.leave.at - Instant::now()).saturating_sub(LAST_COPIES_TIME)
+    }
+
+    /// Returns whether the memory can arrive at a target in time.
+    async fn has_time_for(&mut self, target: &WorkTicket) -> bool {
+        let engine = self.context.view().engine_shape(&self.request.service);
+        let token_time = engine.map_or(Duration::ZERO, |engine| engine.token_copy_time);
+        let time = token_time.mul_f64(target.arriving_tokens() as f64);
+        if time > self.first_copies_time() && !self.leave.is_known {
+            self.ask_report().await;
+        }
+        let left = self.first_copies_time();
+        let has_time = time <= left;
+        if !has_time {
+            info!(
+                id = self.request.attempt,
+                target = target.id(),
+                time_ms = time.as_millis() as u64,
+                left_ms = left.as_millis() as u64,
+                "move: no time for the copy"
+            );
+        }
+        has_time
+    }
+
+    /// Waits until the last copy is not held up by first copies, while its generation stands still.
+    /// Within its turn that is at once; later, it is when no first copy is made any more.
+    async fn await_free_link(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) {
+        if self.turn_ends.is_some_and(|end| Instant::now() <= end) {
+            return;
+        }
+        if !self.leave.is_known {
+            self.ask_report().await;
+        }
+        let wait = self.first_copies_time();
+        info!(
+            id = self.request.attempt,
+            wait_ms = wait.as_millis() as u64,
+            "move: waits for the last copy"
+        );
+        tokio::select! {
+            () = sender.closed() => {}
+            () = tokio::time::sleep(wait) => {}
+        }
+    }
+
+    /// Asks the engine for its state, and notes when it leaves if it says so.
+    async fn ask_report(&mut self) -> Option<EngineReport> {
         let call = self.context.engines.report_call();
         let answer = call.send(&self.context.pool, self.source, ASK_LIMIT).await;
-        match answer {
-            Ok((200, body)) => self.context.engines.decode_leave_time(&body),
-            Ok(_) | Err(_) => None,
+        let report = match answer {
+            Ok((200, body)) => self.context.engines.decode_report(&body)?,
+            Ok(_) | Err(_) => return None,
+        };
+        if let Some(left) = report.leaves_in {
+            let at = Instant::now() + left.saturating_sub(REPORT_LAG);
+            self.leave = LeaveTime { at, is_known: true };
         }
+        Some(report)
     }
 
     /// Goes on after the generation has stopped: at the target, or else at the source, which keeps
@@ -258,10 +365,19 @@
         MoveOutcome::Gone
     }
 
+    /// Returns the tokens in the generation's memory.
+    fn memory_tokens(&self) -> u64 {
+        let engine = self.context.view().engine_shape(&self.request.service);
+        let per_event = engine.map_or(1, |engine| u64::from(engine.tokens_per_event));
+        let events = self.progress.last_event().map_or(0, |last| last + 1);
+        self.request.demand.prompt_tokens + events * per_event
+    }
+
     fn place(&self) -> Option<WorkTicket> {
         let now = self.context.clock.now();
         let query = WorkQuery {
             near_zone: Some(&self.source_zone),
+            moved_tokens: self.memory_tokens(),
             spread_seed: Some(rand::random()),
             ..self.request.query(&self.tried)
         };
@@ -284,7 +400,7 @@
             self.calls += 1;
             let call =
                 self.context.engines.copy_call(&self.request.attempt, target.address(), is_final);
-            let asked_at = tokio::time::Instant::now();
+            let asked_at = Instant::now();
             let answer = call.send(&self.context.pool, self.source, COPY_LIMIT).await;
             let took_ms = asked_at.elapsed().as_millis() as u64;
             let copy = match &answer {
@@ -306,6 +422,9 @@
                 other => return other,
             };
             tokio::time::sleep(pause).await;
+            if !is_final && !self.has_time_for(target).await {
+                return None;
+            }
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod channel_pool;
 mod chunk_decoder;
 mod engine_protocol;
+mod engine_report;
 mod engine_seat;
 mod engine_shape;
 mod engine_wait;
@@ -41,6 +42,7 @@
 mod http_call;
 mod loss_count;
 mod move_follower;
+mod move_schedule;
 mod order_follower;
 mod peer_hub;
 mod peer_report;
@@ -92,6 +94,7 @@
     channel_pool::ChannelPool,
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     engine_protocol::{CopyAnswer, EngineProtocol},
+    engine_report::{EngineReport, EngineRun},
     engine_seat::EngineSeat,
     engine_shape::EngineShape,
     event_splitter::{EventSplitter, StreamEvent},
@@ -112,6 +115,7 @@
     http_call::HttpCall,
     loss_count::LossCount,
     move_follower::MoveFollower,
+    move_schedule::{MoveSchedule, MoveTurn},
     peer_hub::PeerHub,
     peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport},
     peer_table::PeerTable,
--- a/crates/gateway/src/peer_hub.rs
+++ b/crates/gateway/src/peer_hub.rs
@@ -172,6 +172,7 @@
                     copy_tokens: state.own_load.copy_tokens,
                     unread_tokens: state.own_load.unread_tokens,
                     lost,
+                    arriving_tokens: state.own_load.arriving_tokens,
                 });
             }
             if state.leaving_since.is_some_and(|since| now.since(since) < LEAVING_REPEATED) {
@@ -193,6 +194,7 @@
             tokens: entry.tokens,
             copy_tokens: entry.copy_tokens,
             unread_tokens: entry.unread_tokens,
+            arriving_tokens: entry.arriving_tokens,
         };
         view.note_peer_load(report.boot, &entry.server, load, now);
         view.note_peer_losses(report.boot, &entry.server, entry.lost, now);
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -23,6 +23,9 @@
     /// Responses that the VM lost lately.
     #[prost(uint32, tag = "6")]
     pub lost: u32,
+    /// Tokens whose memory is on its way to the server.
+    #[prost(uint64, tag = "7")]
+    pub arriving_tokens: u64,
 }
 
 /// Server that a VM knows to leave.
--- a/crates/gateway/src/server_load.rs
+++ b/crates/gateway/src/server_load.rs
@@ -13,6 +13,9 @@
     pub copy_tokens: u64,
     /// Prompt tokens of generations whose first event hasn't come.
     pub unread_tokens: u64,
+    /// Tokens whose memory is on its way to the engine; one from another zone counts twice, as its
+    /// copy takes twice as long.
+    pub arriving_tokens: u64,
 }
 
 impl ServerLoad {
@@ -28,6 +31,7 @@
         self.tokens += other.tokens;
         self.copy_tokens += other.copy_tokens;
         self.unread_tokens += other.unread_tokens;
+        self.arriving_tokens += other.arriving_tokens;
     }
 }
 
@@ -37,5 +41,6 @@
         self.tokens = self.tokens.saturating_sub(other.tokens);
         self.copy_tokens = self.copy_tokens.saturating_sub(other.copy_tokens);
         self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.arriving_tokens = self.arriving_tokens.saturating_sub(other.arriving_tokens);
     }
 }
--- a/crates/gateway/src/server_score.rs
+++ b/crates/gateway/src/server_score.rs
@@ -13,9 +13,11 @@
 const UNREAD_TOKENS: f64 = 2_000.0;
 /// Score added for a server in another zone, as a share of a full server.
 const ZONE_PENALTY: f64 = 0.08;
-/// Score added for a server in another zone than the engine whose memory is copied. Such a copy
-/// takes twice as long, and the time before an engine leaves is short.
+/// Score added for a server in another zone than the engine whose memory is copied as it grows.
 const COPY_ZONE_PENALTY: f64 = 1.5;
+/// Score added per second until a moved generation's memory has arrived. The time before an engine
+/// leaves is short, and the copies from all engines that leave queue on the link of the target.
+const ARRIVAL_PENALTY: f64 = 6.0;
 /// Score taken off for a server that holds the shared part of the prompt.
 const PART_BONUS: f64 = 0.10;
 /// Score added for a server whose requests all fail.
@@ -73,6 +75,11 @@
         if query.near_zone.is_none() {
             score += load.unread_tokens as f64 / UNREAD_TOKENS;
         }
+        if query.moved_tokens > 0 {
+            let is_near = query.near_zone == Some(self.state.record.zone.as_str());
+            let tokens = load.arriving_tokens + query.moved_tokens * copy_factor(is_near);
+            score += ARRIVAL_PENALTY * engine.token_copy_time.as_secs_f64() * tokens as f64;
+        }
         if self.holds_part {
             score -= PART_BONUS;
         }
@@ -82,13 +89,18 @@
     fn zone_part(&self, query: &WorkQuery<'_>) -> f64 {
         let zone = &self.state.record.zone;
         match query.near_zone {
-            Some(near) if zone != near => COPY_ZONE_PENALTY,
+            Some(near) if zone != near && query.moved_tokens == 0 => COPY_ZONE_PENALTY,
             None if zone != self.own_zone => ZONE_PENALTY,
             _ => 0.0,
         }
     }
 }
 
+/// Returns how much longer a copy takes than one within a zone.
+pub fn copy_factor(is_near: bool) -> u64 {
+    if is_near { 1 } else { 2 }
+}
+
 /// Returns a number from 0 to 1 that depends on a seed and a server only.
 fn spread(seed: u64, key: ServerKey) -> f64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/gateway/src/work_query.rs
+++ b/crates/gateway/src/work_query.rs
@@ -15,6 +15,8 @@
     pub shared_part: Option<u64>,
     /// Zone that is preferred instead of the VM's own.
     pub near_zone: Option<&'a str>,
+    /// Tokens whose memory must be copied to the server first; zero for a new generation.
+    pub moved_tokens: u64,
     /// Seed of a random part of the choice, where many VMs choose at the same moment.
     pub spread_seed: Option<u64>,
     /// Servers that must not be used.
--- a/crates/gateway/src/work_ticket.rs
+++ b/crates/gateway/src/work_ticket.rs
@@ -50,6 +50,22 @@
         self.context.load_changes.notify_one();
     }
 
+    /// Returns the tokens whose memory has to arrive, with those on their way from elsewhere when
+    /// the server was chosen.
+    pub fn arriving_tokens(&self) -> u64 {
+        self.placement.seen.arriving_tokens + self.placement.load.arriving_tokens
+    }
+
+    /// Takes that the memory of a moved generation has arrived.
+    pub fn note_arrived(&mut self) {
+        let arrived = ServerLoad {
+            arriving_tokens: std::mem::take(&mut self.placement.load.arriving_tokens),
+            ..ServerLoad::default()
+        };
+        self.context.view().release(self.placement.server, arrived);
+        self.context.load_changes.notify_one();
+    }
+
     /// Sets the engine memory of the generation, or of the copy of one.
     pub fn resize(&mut self, tokens: u64) {
         let mut load = self.placement.load;
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -57,6 +57,7 @@
         can_move: true,
         can_back_up: true,
         tokens_per_event: 4,
+        token_copy_time: Duration::from_micros(55),
     }
 }
 
@@ -124,6 +125,7 @@
         demand,
         shared_part: None,
         near_zone: None,
+        moved_tokens: 0,
         spread_seed: None,
         excluded,
     }
--- a/crates/gateway/tests/all/loads.rs
+++ b/crates/gateway/tests/all/loads.rs
@@ -63,8 +63,20 @@
 fn prompt_that_waits_counts_more_than_memory_in_use() {
     let mut view = view(&["a", "b"]);
     let excluded = BTreeSet::new();
-    let reading = ServerLoad { requests: 1, tokens: 3_000, copy_tokens: 0, unread_tokens: 3_000 };
-    let running = ServerLoad { requests: 1, tokens: 6_000, copy_tokens: 0, unread_tokens: 0 };
+    let reading = ServerLoad {
+        requests: 1,
+        tokens: 3_000,
+        copy_tokens: 0,
+        unread_tokens: 3_000,
+        ..ServerLoad::default()
+    };
+    let running = ServerLoad {
+        requests: 1,
+        tokens: 6_000,
+        copy_tokens: 0,
+        unread_tokens: 0,
+        ..ServerLoad::default()
+    };
     view.note_peer_load(7, "e0", reading, at(0));
     view.note_peer_load(7, "e1", running, at(0));
 
@@ -78,7 +90,13 @@
 fn load_of_peers_turns_requests_away_from_an_engine() {
     let mut view = view(&["a", "b"]);
     let excluded = BTreeSet::new();
-    let load = ServerLoad { requests: 6, tokens: 20_000, copy_tokens: 0, unread_tokens: 6_000 };
+    let load = ServerLoad {
+        requests: 6,
+        tokens: 20_000,
+        copy_tokens: 0,
+        unread_tokens: 6_000,
+        ..ServerLoad::default()
+    };
     view.note_peer_load(7, "e0", load, at(0));
 
     let placement = view.place(&query(report(), &excluded), at(1)).unwrap();
@@ -91,7 +109,13 @@
 fn load_of_a_silent_peer_expires() {
     let mut view = view(&["a"]);
     let excluded = BTreeSet::new();
-    let load = ServerLoad { requests: 6, tokens: MEMORY_TOKENS, copy_tokens: 0, unread_tokens: 0 };
+    let load = ServerLoad {
+        requests: 6,
+        tokens: MEMORY_TOKENS,
+        copy_tokens: 0,
+        unread_tokens: 0,
+        ..ServerLoad::default()
+    };
     view.note_peer_load(7, "e0", load, at(0));
 
     assert!(view.place(&query(report(), &excluded), at(2_900)).is_err());
@@ -122,7 +146,13 @@
     let mut view = view(&["a", "b", "b"]);
     let source = key_of(&view, "e1");
     let excluded = BTreeSet::from([source]);
-    let load = ServerLoad { requests: 4, tokens: 14_000, copy_tokens: 0, unread_tokens: 6_000 };
+    let load = ServerLoad {
+        requests: 4,
+        tokens: 14_000,
+        copy_tokens: 0,
+        unread_tokens: 6_000,
+        ..ServerLoad::default()
+    };
     view.note_peer_load(7, "e2", load, at(0));
     let query = WorkQuery { near_zone: Some("b"), ..query(report(), &excluded) };
 
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod loads;
 mod memberships;
+mod moves;
 mod paces;
 mod routes;
 mod server_channels;
