--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -185,15 +185,14 @@
         started: Instant,
     ) -> GatewayFailure {
         channel.close();
-        server_attempt::note_lost(&self.context, ticket, started.elapsed());
+        server_attempt::note_lost(&self.context, &self.request, ticket, started.elapsed());
         self.log_offer(ticket, error.into());
         self.lost_failure(error)
     }
 
     fn note_answer(&self, ticket: &WorkTicket, is_failure: bool, started: Instant) {
-        if let Some(state) = self.context.view().server_mut(ticket.server()) {
-            state.note_answer(is_failure, started.elapsed());
-        }
+        let mut view = self.context.view();
+        view.note_result(ticket.server(), &self.request.route.name, is_failure, started.elapsed());
     }
 
     fn log_offer(&self, ticket: &WorkTicket, outcome: &'static str) {
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -47,6 +47,7 @@
     let request = FeedRequest {
         orders_from: context.tables.next(FleetTable::Orders),
         servers_from: context.tables.next(FleetTable::Servers),
+        statuses_from: context.tables.next(FleetTable::Statuses),
     };
     if frames.send(Bytes::from(request.encode_to_vec())).await.is_err() {
         return "closed";
@@ -61,6 +62,7 @@
         let Ok(news) = FeedNews::decode(bytes) else { return "not understood" };
         take_table(context, FleetTable::Orders, news.orders);
         take_table(context, FleetTable::Servers, news.servers);
+        take_table(context, FleetTable::Statuses, news.statuses);
         if context.peers().reader(context.clock.now()) != Some(address) {
             return "another reader";
         }
--- a/crates/gateway/src/feed_message.rs
+++ b/crates/gateway/src/feed_message.rs
@@ -11,6 +11,9 @@
     /// Offset from which registrations of servers are wanted; none for all.
     #[prost(uint64, optional, tag = "2")]
     pub servers_from: Option<u64>,
+    /// Offset from which statuses are wanted; none for all.
+    #[prost(uint64, optional, tag = "3")]
+    pub statuses_from: Option<u64>,
 }
 
 /// Record of a table.
@@ -53,4 +56,7 @@
     /// Registrations of servers; none if the sender has none yet.
     #[prost(message, optional, tag = "2")]
     pub servers: Option<FeedTable>,
+    /// Statuses of moves to other versions; none if the sender has none yet.
+    #[prost(message, optional, tag = "3")]
+    pub statuses: Option<FeedTable>,
 }
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -53,11 +53,13 @@
     let mut changes = context.tables.subscribe();
     let mut orders_from = request.orders_from;
     let mut servers_from = request.servers_from;
+    let mut statuses_from = request.statuses_from;
     loop {
         changes.mark_unchanged();
         let news = FeedNews {
             orders: read_table(&context, FleetTable::Orders, &mut orders_from),
             servers: read_table(&context, FleetTable::Servers, &mut servers_from),
+            statuses: read_table(&context, FleetTable::Statuses, &mut statuses_from),
         };
         let sent = frames.send(Bytes::from(news.encode_to_vec()));
         if !matches!(tokio::time::timeout(SEND_LIMIT, sent).await, Ok(Ok(()))) {
--- a/crates/gateway/src/fleet_order.rs
+++ b/crates/gateway/src/fleet_order.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::RoutePlan;
+use crate::{RoutePlan, VersionOrder};
 
 /// One entry of the operators' table.
 #[derive(Debug, Clone, PartialEq)]
@@ -15,12 +15,5 @@
         zone: String,
     },
     /// The traffic of a service moves to another version.
-    MoveVersion {
-        /// Name of the service.
-        service: String,
-        /// Version to move to.
-        target: String,
-        /// Time within which the move is to be done or taken back.
-        time_limit: std::time::Duration,
-    },
+    MoveVersion(VersionOrder),
 }
--- a/crates/gateway/src/fleet_store.rs
+++ b/crates/gateway/src/fleet_store.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::{FleetOrder, FleetTable, ServerRecord, StoreError, TableBatch};
+use crate::{FleetOrder, FleetTable, ServerRecord, StoreError, TableBatch, VersionStatus};
 
 /// Future returned by the object-safe asynchronous interfaces.
 pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
@@ -25,6 +25,17 @@
     /// Writes the registration of a VM.
     fn write_vm(&self, name: &str, value: Bytes) -> BoxFuture<'_, Result<(), StoreError>>;
 
+    /// Writes the status of a move to another version, if the table of statuses ends at offset
+    /// `at`; otherwise fails with [`StoreError::Conflict`].
+    fn write_status(
+        &self,
+        status: &VersionStatus,
+        at: u64,
+    ) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// Decodes a record of the table of statuses. `Ok(None)` stands for one of another kind.
+    fn decode_status(&self, key: &str, value: &Bytes) -> Result<Option<VersionStatus>, StoreError>;
+
     /// Decodes a record of the operators' table. `Ok(None)` stands for a key that isn't known.
     fn decode_order(&self, key: &str, value: &Bytes) -> Result<Option<FleetOrder>, StoreError>;
 
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -11,8 +11,9 @@
 
 use crate::{
     EngineShape, FleetOrder, GenerationPace, Placement, RetryWindow, RoutePlan, ServerKey,
-    ServerLoad, ServerRecord, ServerScore, ServerState, VmSettings, WorkDemand, WorkQuery,
-    ZoneReach, server_score::copy_factor,
+    ServerLoad, ServerRecord, ServerScore, ServerState, VersionMove, VersionOrder, VersionPhase,
+    VersionSide, VersionStatus, VmSettings, WorkDemand, WorkQuery, ZoneReach,
+    server_score::copy_factor,
 };
 
 /// Time for which a registration that vanished after an outage of the store may come back.
@@ -39,6 +40,7 @@
     evacuated: BTreeMap<String, MonoTime>,
     retries: BTreeMap<String, RetryWindow>,
     paces: BTreeMap<String, GenerationPace>,
+    moves: BTreeMap<String, VersionMove>,
     parts: BTreeMap<ServerKey, BTreeMap<u64, MonoTime>>,
     /// Number of VMs that are known to run, this one included.
     pub vm_count: usize,
@@ -58,6 +60,7 @@
             evacuated: BTreeMap::new(),
             retries: BTreeMap::new(),
             paces: BTreeMap::new(),
+            moves: BTreeMap::new(),
             parts: BTreeMap::new(),
             vm_count: 1,
             store_failed_at: None,
@@ -102,7 +105,85 @@
                 true
             }
             FleetOrder::EvacuateZone { zone } => self.evacuated.insert(zone, now).is_none(),
-            FleetOrder::MoveVersion { .. } => false,
+            FleetOrder::MoveVersion(_) => false,
+        }
+    }
+
+    /// Takes an order to move a service to another version, which stands at offset `number`.
+    /// Returns whether it is new.
+    pub fn start_version_move(
+        &mut self,
+        order: VersionOrder,
+        number: u64,
+        now: MonoTime,
+        now_ms: u64,
+    ) -> bool {
+        let known = self.moves.get(&order.service);
+        if known.is_some_and(|known| known.number() >= number) {
+            return false;
+        }
+        let service = order.service.clone();
+        self.moves.insert(service, VersionMove::new(order, number, now, now_ms));
+        true
+    }
+
+    /// Returns the services whose move to another version has no final status in the store.
+    pub fn open_moves(&self) -> Vec<String> {
+        self.open_version_moves().map(|open| open.order().service.clone()).collect()
+    }
+
+    /// Returns the moves to other versions that have no final status in the store.
+    pub fn open_version_moves(&self) -> impl Iterator<Item = &VersionMove> {
+        self.moves.values().filter(|found| !found.is_confirmed())
+    }
+
+    /// Returns the newest move of a service.
+    pub fn version_move(&self, service: &str) -> Option<&VersionMove> {
+        self.moves.get(service)
+    }
+
+    /// Returns a service's move by the order at offset `number`, for changes.
+    pub fn version_move_mut(&mut self, service: &str, number: u64) -> Option<&mut VersionMove> {
+        self.moves.get_mut(service).filter(|found| found.number() == number)
+    }
+
+    /// Takes a status from the store. Returns whether a phase changed.
+    pub fn note_version_status(
+        &mut self,
+        status: &VersionStatus,
+        now: MonoTime,
+        now_ms: u64,
+    ) -> bool {
+        let found = self.moves.get_mut(&status.service);
+        found.is_some_and(|found| found.note_status(status, now, now_ms))
+    }
+
+    /// Takes that the statuses of moves were read.
+    pub fn note_statuses_read(&mut self) {
+        for found in self.moves.values_mut() {
+            found.note_statuses_read();
+        }
+    }
+
+    /// Decides on a service's move. Returns the phase if it changed.
+    pub fn decide_version(&mut self, service: &str, now: MonoTime) -> Option<VersionPhase> {
+        let found = self.moves.get(service)?;
+        let is_old_idle = self.servers.values().all(|state| {
+            state.record.service != service
+                || found.side(&state.record.version) == VersionSide::New
+                || state.total_load(now).requests == 0
+        });
+        let found = self.moves.get_mut(service)?;
+        found.decide(is_old_idle, now).then(|| found.phase())
+    }
+
+    /// Takes the result of a request that a server answered or lost.
+    pub fn note_result(&mut self, key: ServerKey, route: &str, is_failure: bool, time: Duration) {
+        let Some(state) = self.servers.get_mut(key) else { return };
+        state.note_answer(is_failure, time);
+        if let Some(found) = self.moves.get_mut(&state.record.service) {
+            let side = found.side(&state.record.version);
+            found.note_result(route, side, is_failure, time);
         }
     }
 
@@ -275,7 +356,9 @@
 
     /// Returns whether the work on a server should go elsewhere.
     pub fn is_leaving(&self, key: ServerKey) -> bool {
-        self.servers.get(key).is_none_or(|state| state.leaving_since.is_some())
+        self.servers
+            .get(key)
+            .is_none_or(|state| state.leaving_since.is_some() || self.is_outgoing(state))
     }
 
     /// Returns the pace of a service's generations for changes.
@@ -291,6 +374,12 @@
         expected.is_none_or(|expected| expected <= time)
     }
 
+    /// Returns whether a server is of the version that a move leaves.
+    fn is_outgoing(&self, state: &ServerState) -> bool {
+        let found = self.moves.get(&state.record.service);
+        found.is_some_and(|found| found.is_outgoing(found.side(&state.record.version)))
+    }
+
     /// Counts a caller's request for a service.
     pub fn note_request(&mut self, service: &str, now: MonoTime) {
         self.retry_window(service).note_request(now);
@@ -327,7 +416,10 @@
     pub fn place(&mut self, query: &WorkQuery<'_>, now: MonoTime) -> Result<Placement, ErrorKind> {
         let limit = if query.near_zone.is_some() { MOVE_FILL } else { RUN_FILL };
         let fill_limit = self.engine_shape(query.service).map(|_| limit);
-        let key = self.choose(query, fill_limit, now)?;
+        let key = self.choose_side(query, fill_limit, now)?;
+        if let Some(found) = self.moves.get_mut(query.service) {
+            found.note_sent(found.side(&self.servers[key].record.version));
+        }
         self.zone_reach.note_tried(&self.servers[key].record.zone, now);
         Ok(self.reserve_work(key, query, now))
     }
@@ -343,24 +435,66 @@
         query: &WorkQuery<'_>,
         now: MonoTime,
     ) -> Result<Placement, ErrorKind> {
-        let key = self.choose(query, Some(COPY_FILL), now)?;
+        let key = self.choose_side(query, Some(COPY_FILL), now)?;
         let tokens = query.demand.reserved_tokens();
         Ok(self.reserve(key, ServerLoad { copy_tokens: tokens, ..ServerLoad::default() }, now))
     }
 
+    /// Chooses among the servers of one version while a move to another one is known.
+    fn choose_side(
+        &self,
+        query: &WorkQuery<'_>,
+        fill_limit: Option<f64>,
+        now: MonoTime,
+    ) -> Result<ServerKey, ErrorKind> {
+        let Some(found) = self.moves.get(query.service) else {
+            return self.choose(query, None, fill_limit, now);
+        };
+        let side = found.next_side(self.settings.exposure, self.vm_count);
+        let result = self.choose(query, Some(side), fill_limit, now);
+        if result.is_ok() || found.phase().is_final() {
+            return result;
+        }
+        match side {
+            VersionSide::New => self.choose(query, Some(VersionSide::Old), fill_limit, now),
+            // A VM that started after the move was completed may not know so yet.
+            VersionSide::Old if !self.has_side(query.service, VersionSide::Old) => {
+                self.choose(query, Some(VersionSide::New), fill_limit, now)
+            }
+            VersionSide::Old => result,
+        }
+    }
+
+    /// Returns whether a service has servers of a version that don't leave.
+    fn has_side(&self, service: &str, side: VersionSide) -> bool {
+        let Some(found) = self.moves.get(service) else { return false };
+        self.servers.values().any(|state| {
+            state.record.service == service
+                && state.leaving_since.is_none()
+                && found.side(&state.record.version) == side
+        })
+    }
+
     /// Returns the usable server with the lowest score whose memory is not filled beyond
     /// `fill_limit` by the request.
     fn choose(
         &self,
         query: &WorkQuery<'_>,
+        side: Option<VersionSide>,
         fill_limit: Option<f64>,
         now: MonoTime,
     ) -> Result<ServerKey, ErrorKind> {
+        let found = self.moves.get(query.service);
         let mut best: Option<(f64, ServerKey)> = None;
         let mut is_full = false;
         let cut_off = self.zone_reach.cut_off(now);
         for (key, state) in &self.servers {
-            if !self.is_usable(key, state, query, now)
+            let is_other_side = match (found, side) {
+                (Some(found), Some(side)) => found.side(&state.record.version) != side,
+                _ => false,
+            };
+            if is_other_side
+                || !self.is_usable(key, state, query, now)
                 || cut_off.contains(state.record.zone.as_str())
             {
                 continue;
@@ -420,7 +554,10 @@
         now: MonoTime,
     ) -> Option<Placement> {
         let state = self.servers.get(key)?;
-        if !state.takes_work(now) || self.evacuated.contains_key(&state.record.zone) {
+        if !state.takes_work(now)
+            || self.evacuated.contains_key(&state.record.zone)
+            || self.is_outgoing(state)
+        {
             return None;
         }
         Some(self.reserve_work(key, query, now))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     FleetTable, GatewayContext, PeerHub, ReadPace, StopPhase, caller_front, feed_client,
-    feed_server, return_checker, server_follower, status_front, table_follower,
+    feed_server, return_checker, server_follower, status_front, table_follower, version_keeper,
 };
 
 /// Pace of reading orders. They are to be in force within two seconds, and a read that waits may
@@ -23,6 +23,10 @@
 const SERVERS_PACE: ReadPace =
     ReadPace { wait: Duration::from_millis(500), spacing: Duration::from_millis(200) };
 
+/// Pace of reading statuses of moves to other versions. They are read while a move is open.
+const STATUSES_PACE: ReadPace =
+    ReadPace { wait: Duration::from_millis(600), spacing: Duration::from_millis(200) };
+
 /// Time after the start of a planned stop in which new requests are still served: the balancer
 /// asks once a second and takes a VM out after two answers.
 const LEAVE_TIME: Duration = Duration::from_millis(3_200);
@@ -78,6 +82,12 @@
             SERVERS_PACE,
         ));
         tokio::spawn(server_follower::expire(Arc::clone(&context)));
+        tokio::spawn(table_follower::follow(
+            Arc::clone(&context),
+            FleetTable::Statuses,
+            STATUSES_PACE,
+        ));
+        tokio::spawn(version_keeper::keep(Arc::clone(&context)));
         tokio::spawn(return_checker::check(Arc::clone(&context)));
         tokio::spawn(feed_server::serve(Arc::clone(&context), self.feed_listener));
         tokio::spawn(feed_client::follow(Arc::clone(&context)));
--- a/crates/gateway/src/gateway_clock.rs
+++ b/crates/gateway/src/gateway_clock.rs
@@ -28,8 +28,10 @@
         MonoTime::from_millis(60_000) + instant.saturating_duration_since(self.start)
     }
 
-    /// Returns the time of day since the Unix epoch.
-    pub fn unix_time() -> Duration {
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    /// Returns the time of day in Unix milliseconds.
+    pub fn unix_ms() -> u64 {
+        let since_epoch: Duration =
+            SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        since_epoch.as_millis() as u64
     }
 }
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -64,6 +64,8 @@
     sender: PieceSender,
     splitter: EventSplitter,
     events: u64,
+    /// Time from the arrival to the first event.
+    first_event_time: Option<Duration>,
     /// Time of the event after which the pace is measured.
     paced_since: Instant,
     last_event_at: Instant,
@@ -92,6 +94,7 @@
             sender,
             splitter: EventSplitter::default(),
             events: 0,
+            first_event_time: None,
             paced_since: Instant::now(),
             last_event_at: Instant::now(),
             silent_since: Instant::now(),
@@ -224,6 +227,7 @@
             let time = self.request.arrived.elapsed();
             self.source.seat.engine.note_started();
             self.context.metrics.count_first_event(time);
+            self.first_event_time = Some(time);
             self.context.view().pace_mut(service).note_first_event(time);
             self.paced_since = now;
         } else {
@@ -247,9 +251,9 @@
         log_end(&self.context, &self.request, outcome, self.events, self.longest_pause_ms);
         let is_failure = matches!(end, RelayEnd::Broken | RelayEnd::Gap | RelayEnd::Silent);
         let RelaySource { seat, channel, .. } = self.source;
-        if let Some(state) = self.context.view().server_mut(seat.engine.server()) {
-            state.note_answer(is_failure, self.request.arrived.elapsed());
-        }
+        let time = self.first_event_time.unwrap_or_else(|| self.request.arrived.elapsed());
+        let route = &self.request.route.name;
+        self.context.view().note_result(seat.engine.server(), route, is_failure, time);
         if end == RelayEnd::Complete {
             self.context.pool.put_back(seat.engine.address(), channel);
         } else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -73,6 +73,13 @@
 mod table_follower;
 mod table_mirror;
 mod table_record;
+mod version_evidence;
+mod version_follower;
+mod version_keeper;
+mod version_move;
+mod version_order;
+mod version_phase;
+mod version_status;
 mod vm_record;
 mod vm_settings;
 mod waiting_line;
@@ -117,7 +124,7 @@
     move_follower::MoveFollower,
     move_schedule::{MoveSchedule, MoveTurn},
     peer_hub::PeerHub,
-    peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport},
+    peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, VersionEntry},
     peer_table::PeerTable,
     placement::Placement,
     planned_route::PlannedRoute,
@@ -141,6 +148,11 @@
     table_follower::ReadPace,
     table_mirror::TableMirror,
     table_record::{FleetTable, TableBatch, TableRecord},
+    version_evidence::{ResultCounts, RouteResults, VersionEvidence, VersionSide},
+    version_move::{ExposureLimit, VersionMove},
+    version_order::VersionOrder,
+    version_phase::VersionPhase,
+    version_status::VersionStatus,
     vm_record::VmRecord,
     vm_settings::VmSettings,
     waiting_line::{WaiterId, WaitingLine},
--- a/crates/gateway/src/order_follower.rs
+++ b/crates/gateway/src/order_follower.rs
@@ -2,7 +2,7 @@
 
 use tracing::{info, warn};
 
-use crate::{GatewayContext, StoreError, TableBatch, TableRecord};
+use crate::{FleetOrder, GatewayClock, GatewayContext, StoreError, TableBatch, TableRecord};
 
 /// Applies new records of the table.
 pub fn apply(context: &GatewayContext, batch: &TableBatch) {
@@ -28,6 +28,14 @@
         return Ok(ended.is_some_and(|zone| context.view().end_evacuation(&zone)));
     };
     let Some(order) = context.store.decode_order(&record.key, value)? else { return Ok(false) };
+    if let FleetOrder::MoveVersion(order) = order {
+        let (service, target) = (order.service.clone(), order.target.clone());
+        let time_limit_ms = order.time_limit.as_millis() as u64;
+        let now_ms = GatewayClock::unix_ms();
+        let is_new = context.view().start_version_move(order, record.offset, now, now_ms);
+        info!(service, target, time_limit_ms, order = record.offset, is_new, "versions: ordered");
+        return Ok(is_new);
+    }
     let changed = context.view().apply_order(order, now);
     let version = context.view().plan().map_or(0, |plan| plan.version);
     context.metrics.plan_version.set(version as i64);
--- a/crates/gateway/src/peer_hub.rs
+++ b/crates/gateway/src/peer_hub.rs
@@ -8,7 +8,8 @@
 use tracing::{info, warn};
 
 use crate::{
-    FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ServerLoad,
+    FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ResultCounts,
+    RouteEntry, RouteResults, ServerLoad, VersionEntry, VersionEvidence, VersionMove, VersionPhase,
     VmRecord,
 };
 
@@ -91,9 +92,9 @@
             return;
         }
         self.take_peers(&report);
-        let mut changed = false;
         let mut view = self.context.view();
         take_loads(&mut view, &report, now);
+        let mut changed = take_versions(&mut view, &report, now);
         for entry in &report.leaving {
             if view.note_leaving(&entry.server, entry.started_at_ms, now) {
                 info!(server = entry.server, peer = report.name, "servers: leaving, says a peer");
@@ -162,6 +163,8 @@
             peers,
             ..PeerReport::default()
         };
+        report.versions =
+            view.open_version_moves().map(|found| version_entry(found, now)).collect();
         for (_, state) in view.servers() {
             let lost = state.losses.own(now);
             if state.own_load != ServerLoad::default() || lost > 0 {
@@ -203,6 +206,53 @@
     view.clear_peer_loads(report.boot, &named);
 }
 
+/// Takes what a peer says of moves to other versions. Returns whether a phase changed.
+fn take_versions(
+    view: &mut FleetView,
+    report: &PeerReport,
+    now: dragonflycart_core::MonoTime,
+) -> bool {
+    let mut changed = false;
+    for entry in &report.versions {
+        let Some(phase) = VersionPhase::from_repr(entry.phase) else { continue };
+        let Some(known) = view.version_move_mut(&entry.service, entry.number) else { continue };
+        let mut results = RouteResults::new();
+        for route in &entry.routes {
+            let old = ResultCounts { good: route.old_good, bad: route.old_bad };
+            let new = ResultCounts { good: route.new_good, bad: route.new_bad };
+            results.insert(route.route.clone(), [old, new]);
+        }
+        known.note_elapsed(Duration::from_millis(entry.elapsed_ms), now);
+        let evidence = VersionEvidence::from_results(results);
+        if known.note_peer(report.boot, evidence, phase, now) {
+            info!(service = entry.service, %phase, peer = report.name, "versions: phase of a peer");
+            changed = true;
+        }
+    }
+    changed
+}
+
+/// Returns what peers are told of an open move.
+fn version_entry(found: &VersionMove, now: dragonflycart_core::MonoTime) -> VersionEntry {
+    let mut routes = Vec::new();
+    for (route, [old, new]) in found.own_evidence().results() {
+        routes.push(RouteEntry {
+            route: route.clone(),
+            old_good: old.good,
+            old_bad: old.bad,
+            new_good: new.good,
+            new_bad: new.bad,
+        });
+    }
+    VersionEntry {
+        service: found.order().service.clone(),
+        number: found.number(),
+        phase: found.phase() as u32,
+        elapsed_ms: found.elapsed(now).as_millis() as u64,
+        routes,
+    }
+}
+
 /// Registers this VM in the store.
 async fn register(context: &GatewayContext) {
     let address = SocketAddr::new(context.settings.ip, context.settings.peer_port);
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -50,6 +50,46 @@
     pub address: String,
 }
 
+/// Answers on one route during a move to another version.
+#[derive(Clone, PartialEq, Message)]
+pub struct RouteEntry {
+    /// Name of the route.
+    #[prost(string, tag = "1")]
+    pub route: String,
+    /// Answers of the old version without a fault.
+    #[prost(uint64, tag = "2")]
+    pub old_good: u64,
+    /// Bad answers of the old version.
+    #[prost(uint64, tag = "3")]
+    pub old_bad: u64,
+    /// Answers of the new version without a fault.
+    #[prost(uint64, tag = "4")]
+    pub new_good: u64,
+    /// Bad answers of the new version.
+    #[prost(uint64, tag = "5")]
+    pub new_bad: u64,
+}
+
+/// Move to another version, as the VM sees it.
+#[derive(Clone, PartialEq, Message)]
+pub struct VersionEntry {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Offset of the order in the operators' table.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Phase.
+    #[prost(uint32, tag = "3")]
+    pub phase: u32,
+    /// Milliseconds since the order was first seen.
+    #[prost(uint64, tag = "4")]
+    pub elapsed_ms: u64,
+    /// All results so far.
+    #[prost(message, repeated, tag = "5")]
+    pub routes: Vec<RouteEntry>,
+}
+
 /// State of a VM, sent to each peer in one datagram. A report replaces the one before, so that a
 /// lost datagram needs no repair.
 #[derive(Clone, PartialEq, Message)]
@@ -84,4 +124,7 @@
     /// Some VMs that run, so that those which missed each other at the store meet.
     #[prost(message, repeated, tag = "10")]
     pub peers: Vec<PeerEntry>,
+    /// Moves to other versions.
+    #[prost(message, repeated, tag = "11")]
+    pub versions: Vec<VersionEntry>,
 }
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -60,8 +60,10 @@
     let exchange = channel.exchange(&head, &request.body, Some(echo));
     let answer = match tokio::time::timeout_at(request.deadline, exchange).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => return lost(context, ticket, channel, error, started),
-        Err(_) => return lost(context, ticket, channel, ChannelError::TimedOut, started),
+        Ok(Err(error)) => return lost(context, request, ticket, channel, error, started),
+        Err(_) => {
+            return lost(context, request, ticket, channel, ChannelError::TimedOut, started);
+        }
     };
     note_load(context, ticket, &answer);
     let status = answer.status.as_u16();
@@ -75,23 +77,31 @@
 
 fn lost(
     context: &GatewayContext,
+    request: &CallerRequest,
     ticket: &WorkTicket,
     channel: ServerChannel,
     error: ChannelError,
     started: Instant,
 ) -> AttemptOutcome {
     channel.close();
-    note_lost(context, ticket, started.elapsed());
+    note_lost(context, request, ticket, started.elapsed());
     AttemptOutcome::Lost(error)
 }
 
 /// Takes that a response was lost, and tells the peers at once.
-pub fn note_lost(context: &GatewayContext, ticket: &WorkTicket, time: Duration) {
+pub fn note_lost(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    ticket: &WorkTicket,
+    time: Duration,
+) {
     let now = context.clock.now();
-    if let Some(state) = context.view().server_mut(ticket.server()) {
-        state.note_answer(true, time);
+    let mut view = context.view();
+    view.note_result(ticket.server(), &request.route.name, true, time);
+    if let Some(state) = view.server_mut(ticket.server()) {
         state.losses.note_own(now);
     }
+    drop(view);
     context.load_changes.notify_one();
 }
 
--- a/crates/gateway/src/table_follower.rs
+++ b/crates/gateway/src/table_follower.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use tracing::{info, warn};
 
-use crate::{FleetTable, GatewayContext, StoreError, TableBatch, order_follower, server_follower};
+use crate::{
+    FleetTable, GatewayContext, StoreError, TableBatch, order_follower, server_follower,
+    version_follower,
+};
 
 /// Age of a table beyond which a VM reads it itself although a peer should pass it on. The bound
 /// on orders is two seconds.
@@ -33,6 +36,10 @@
     let mut failures = 0;
     let mut must_reread = false;
     loop {
+        if table == FleetTable::Statuses && context.view().open_moves().is_empty() {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            continue;
+        }
         if !must_reread && is_passed_on(&context, table) {
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
@@ -119,6 +126,7 @@
     match table {
         FleetTable::Orders => order_follower::apply(context, &news),
         FleetTable::Servers => server_follower::apply(context, &news),
+        FleetTable::Statuses => version_follower::apply(context, &news),
         FleetTable::Vms => {}
     }
 }
--- a/crates/gateway/src/table_record.rs
+++ b/crates/gateway/src/table_record.rs
@@ -13,6 +13,8 @@
     Servers,
     /// Registrations of VMs of the system.
     Vms,
+    /// Statuses of moves to other versions.
+    Statuses,
 }
 
 /// Newest value of a key at some offset of a table.
--- /dev/null
+++ b/crates/gateway/src/version_evidence.rs
@@ -0,0 +1,125 @@
+//! Results of the old and of the new version of a service.
+
+use std::{collections::BTreeMap, time::Duration};
+
+/// Multiple of the old version's average time above which an answer counts as bad.
+const SLOW_FACTOR: f64 = 3.0;
+/// Time that an answer may take beyond that, in milliseconds; short answers vary by this much.
+const SLOW_MARGIN_MS: f64 = 30.0;
+/// Weight of the newest answer in the average time.
+const AVERAGE_WEIGHT: f64 = 0.1;
+/// Difference in the share of bad answers that a bad version is expected to show.
+const BAD_DIFFERENCE: f64 = 0.2;
+/// Lowest share of bad answers that is assumed of a good version: servers of any version crash.
+const LEAST_BAD_SHARE: f64 = 0.02;
+/// Highest such share.
+const MOST_BAD_SHARE: f64 = 0.6;
+/// Logarithm of the likelihood ratio from which the new version counts as bad. A good version
+/// passes it with a probability of 1 in 400.
+const BAD_EVIDENCE: f64 = 6.0;
+
+/// Version of a server with respect to a move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionSide {
+    /// Any version but the target.
+    Old,
+    /// The target.
+    New,
+}
+
+/// Answers of one version on one route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ResultCounts {
+    /// Answers without a fault.
+    pub good: u64,
+    /// Failures, lost answers and answers that came several times slower than the old version's.
+    pub bad: u64,
+}
+
+impl ResultCounts {
+    /// Returns the number of answers.
+    pub fn total(self) -> u64 {
+        self.good + self.bad
+    }
+
+    fn add(&mut self, other: ResultCounts) {
+        self.good += other.good;
+        self.bad += other.bad;
+    }
+}
+
+/// Counts of the old and of the new version by route.
+pub type RouteResults = BTreeMap<String, [ResultCounts; 2]>;
+
+/// Results that one VM saw, or the sum over VMs.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct VersionEvidence {
+    results: RouteResults,
+    old_times_ms: BTreeMap<String, f64>,
+}
+
+impl VersionEvidence {
+    /// Builds the evidence that another VM reported.
+    pub fn from_results(results: RouteResults) -> VersionEvidence {
+        VersionEvidence { results, old_times_ms: BTreeMap::new() }
+    }
+
+    /// Returns the counts by route.
+    pub fn results(&self) -> &RouteResults {
+        &self.results
+    }
+
+    /// Takes an answer.
+    pub fn note(&mut self, route: &str, side: VersionSide, is_failure: bool, time: Duration) {
+        let time_ms = time.as_secs_f64() * 1_000.0;
+        let usual_ms = self.old_times_ms.get(route).copied();
+        if side == VersionSide::Old && !is_failure {
+            let average_ms = self.old_times_ms.entry(route.to_owned()).or_insert(time_ms);
+            *average_ms += AVERAGE_WEIGHT * (time_ms - *average_ms);
+        }
+        let is_slow =
+            usual_ms.is_some_and(|usual_ms| time_ms > SLOW_FACTOR * usual_ms + SLOW_MARGIN_MS);
+        let counts = &mut self.results.entry(route.to_owned()).or_default()[side as usize];
+        if is_failure || is_slow {
+            counts.bad += 1;
+        } else {
+            counts.good += 1;
+        }
+    }
+
+    /// Adds the results of another VM.
+    pub fn add(&mut self, other: &VersionEvidence) {
+        for (route, sides) in &other.results {
+            let sums = self.results.entry(route.clone()).or_default();
+            for (sum, counts) in sums.iter_mut().zip(sides) {
+                sum.add(*counts);
+            }
+        }
+    }
+
+    /// Returns the number of answers of a version.
+    pub fn total(&self, side: VersionSide) -> u64 {
+        self.results.values().map(|sides| sides[side as usize].total()).sum()
+    }
+
+    /// Returns whether the new version is worse than the old one, on all routes together or on one.
+    pub fn is_bad(&self) -> bool {
+        let mut sum = 0.0;
+        for sides in self.results.values() {
+            let evidence = route_evidence(sides);
+            if evidence >= BAD_EVIDENCE {
+                return true;
+            }
+            sum += evidence;
+        }
+        sum >= BAD_EVIDENCE
+    }
+}
+
+/// Returns the logarithm of how much more likely the new version's answers are if it is bad.
+fn route_evidence([old, new]: &[ResultCounts; 2]) -> f64 {
+    let usual = (old.bad as f64 + 0.5) / (old.total() as f64 + 1.0);
+    let usual = usual.clamp(LEAST_BAD_SHARE, MOST_BAD_SHARE);
+    let raised = usual + BAD_DIFFERENCE;
+    new.bad as f64 * (raised / usual).ln() + new.good as f64 * ((1.0 - raised) / (1.0 - usual)).ln()
+}
--- /dev/null
+++ b/crates/gateway/src/version_keeper.rs
@@ -0,0 +1,77 @@
+//! Judges moves to other versions where this VM reads the store for all.
+
+use std::{sync::Arc, time::Duration};
+
+use tracing::{info, warn};
+
+use crate::{FleetTable, GatewayContext, StoreError, VersionSide, VersionStatus};
+
+/// Time between decisions. A bad version is to get nothing five seconds after it was seen.
+const DECIDE_INTERVAL: Duration = Duration::from_millis(150);
+/// Age of the statuses up to which this VM knows whether another one decided.
+const STATUS_AGE: Duration = Duration::from_millis(2_000);
+
+/// Decides on the moves that are open, for the lifetime of the process.
+pub async fn keep(context: Arc<GatewayContext>) {
+    let mut written: Option<VersionStatus> = None;
+    loop {
+        tokio::time::sleep(DECIDE_INTERVAL).await;
+        let now = context.clock.now();
+        if context.peers().reader(now).is_some() || !context.peers().can_read(now) {
+            continue;
+        }
+        let services = context.view().open_moves();
+        for service in services {
+            decide(&context, &service);
+            let status = context.view().version_move(&service).map(|found| found.status());
+            let Some(status) = status else { continue };
+            if written.as_ref() == Some(&status) && !status.phase.is_final() {
+                continue;
+            }
+            if write(&context, &status).await {
+                written = Some(status);
+            }
+        }
+    }
+}
+
+fn decide(context: &GatewayContext, service: &str) {
+    let now = context.clock.now();
+    let mut view = context.view();
+    let Some(phase) = view.decide_version(service, now) else { return };
+    let Some(found) = view.version_move(service) else { return };
+    let evidence = found.evidence();
+    info!(
+        service,
+        target = found.order().target,
+        order = found.number(),
+        %phase,
+        elapsed_ms = found.elapsed(now).as_millis() as u64,
+        old_results = evidence.total(VersionSide::Old),
+        new_results = evidence.total(VersionSide::New),
+        results = ?evidence.results(),
+        "versions: decided"
+    );
+    drop(view);
+    context.announce_change();
+    context.load_changes.notify_one();
+}
+
+/// Writes a status unless the store has one that this VM doesn't know. Returns whether it did; a
+/// final one counts once it is read back.
+async fn write(context: &GatewayContext, status: &VersionStatus) -> bool {
+    let is_current = context.tables.age(FleetTable::Statuses).is_some_and(|age| age < STATUS_AGE);
+    let Some(at) = context.tables.next(FleetTable::Statuses).filter(|_| is_current) else {
+        return false;
+    };
+    let result = context.store.write_status(status, at).await;
+    let service = &status.service;
+    match &result {
+        Ok(()) => info!(service, phase = %status.phase, at, "versions: status written"),
+        Err(StoreError::Conflict) => {
+            info!(service, phase = %status.phase, at, "versions: another status came first");
+        }
+        Err(error) => warn!(service, phase = %status.phase, %error, "versions: status not written"),
+    }
+    result.is_ok()
+}
--- /dev/null
+++ b/crates/gateway/src/version_move.rs
@@ -0,0 +1,271 @@
+//! Move of a service to another version, as one VM sees it.
+//!
+//! A bad version may show it late, under load, or on one route only, so it gets a small share until
+//! shortly before the time limit. Each VM keeps the share by itself: the sum over all VMs holds
+//! whether they are in touch or not. Then all requests go to it, the old version finishes what it
+//! has, and the move is completed. The VM that reads the store for all judges, on the results of
+//! all; the store accepts one final phase only.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use dragonflycart_core::MonoTime;
+
+use crate::{VersionEvidence, VersionOrder, VersionPhase, VersionSide, VersionStatus};
+
+/// Part of the allowed share that a version gets while it is watched; the rest is for the requests
+/// that it gets before a fault that shows under full load is seen.
+const WATCHED_PART: f64 = 0.5;
+/// Part of the fixed allowance that is spread over the VMs while a version is watched.
+const WATCHED_ALLOWANCE: f64 = 0.2;
+/// Part of the time limit for which a version gets all requests before the move is completed.
+const SWITCH_PART: f64 = 0.04;
+/// Requests that it gets in that time beyond that part of them.
+const SWITCH_REQUESTS: f64 = 30.0;
+/// Longest such time, as a part of the time limit.
+const SWITCH_PART_MAX: f64 = 0.25;
+/// Shortest such time.
+const SWITCH_MIN: Duration = Duration::from_millis(1_200);
+/// Time before the limit that is kept for writing the result.
+const WRITE_TIME: Duration = Duration::from_millis(600);
+/// Time for which all requests go to the new version before the move may be completed early.
+const SWITCH_SETTLED: Duration = Duration::from_millis(1_000);
+/// Answers of the new version without which a move is not completed.
+const LEAST_RESULTS: u64 = 5;
+
+/// Limits of what a new version may get before it is known to be good.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ExposureLimit {
+    /// Share of the service's requests, over all VMs.
+    pub share: f64,
+    /// Requests beyond the share, over all VMs.
+    pub allowance: f64,
+}
+
+/// Move of one service.
+#[derive(Debug, Clone)]
+pub struct VersionMove {
+    order: VersionOrder,
+    number: u64,
+    began: MonoTime,
+    began_at_ms: u64,
+    phase: VersionPhase,
+    switched: Option<MonoTime>,
+    is_confirmed: bool,
+    has_read_statuses: bool,
+    own: VersionEvidence,
+    peers: BTreeMap<u64, VersionEvidence>,
+    sent: [u64; 2],
+}
+
+impl VersionMove {
+    /// Builds a move that was just ordered by the record at offset `number`.
+    pub fn new(order: VersionOrder, number: u64, now: MonoTime, now_ms: u64) -> VersionMove {
+        VersionMove {
+            order,
+            number,
+            began: now,
+            began_at_ms: now_ms,
+            phase: VersionPhase::Watching,
+            switched: None,
+            is_confirmed: false,
+            has_read_statuses: false,
+            own: VersionEvidence::default(),
+            peers: BTreeMap::new(),
+            sent: [0; 2],
+        }
+    }
+
+    /// Returns the order.
+    pub fn order(&self) -> &VersionOrder {
+        &self.order
+    }
+
+    /// Returns the offset of the order.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns the phase.
+    pub fn phase(&self) -> VersionPhase {
+        self.phase
+    }
+
+    /// Returns whether the store holds the final phase.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
+    /// Returns the results that this VM saw.
+    pub fn own_evidence(&self) -> &VersionEvidence {
+        &self.own
+    }
+
+    /// Returns the status to write.
+    pub fn status(&self) -> VersionStatus {
+        VersionStatus {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            phase: self.phase,
+            order: self.number,
+            began_at_ms: self.began_at_ms,
+        }
+    }
+
+    /// Returns the time since the order was first seen.
+    pub fn elapsed(&self, now: MonoTime) -> Duration {
+        now.since(self.began)
+    }
+
+    /// Takes that another VM has known the order for `elapsed`.
+    pub fn note_elapsed(&mut self, elapsed: Duration, now: MonoTime) {
+        self.began = self.began.min(now - elapsed);
+    }
+
+    /// Returns the side of a server with this version.
+    pub fn side(&self, version: &str) -> VersionSide {
+        if version == self.order.target { VersionSide::New } else { VersionSide::Old }
+    }
+
+    /// Returns the side to which the next request goes.
+    pub fn next_side(&self, limit: ExposureLimit, vm_count: usize) -> VersionSide {
+        match self.phase {
+            // The move may be over: a VM that has just started doesn't know yet.
+            VersionPhase::Watching if !self.has_read_statuses => VersionSide::Old,
+            VersionPhase::Watching => {
+                let [old, new] = self.sent;
+                let share = limit.share * WATCHED_PART * (old + new + 1) as f64;
+                let allowance = limit.allowance * WATCHED_ALLOWANCE / vm_count.max(1) as f64;
+                if (new + 1) as f64 <= share + allowance {
+                    VersionSide::New
+                } else {
+                    VersionSide::Old
+                }
+            }
+            VersionPhase::Switching | VersionPhase::Completed => VersionSide::New,
+            VersionPhase::RolledBack => VersionSide::Old,
+        }
+    }
+
+    /// Returns whether work on a side goes elsewhere.
+    pub fn is_outgoing(&self, side: VersionSide) -> bool {
+        match side {
+            VersionSide::Old => {
+                matches!(self.phase, VersionPhase::Switching | VersionPhase::Completed)
+            }
+            VersionSide::New => self.phase == VersionPhase::RolledBack,
+        }
+    }
+
+    /// Takes that a request was sent to a side.
+    pub fn note_sent(&mut self, side: VersionSide) {
+        self.sent[side as usize] += 1;
+    }
+
+    /// Takes an answer.
+    pub fn note_result(
+        &mut self,
+        route: &str,
+        side: VersionSide,
+        is_failure: bool,
+        time: Duration,
+    ) {
+        self.own.note(route, side, is_failure, time);
+    }
+
+    /// Takes what another VM says: all its results so far, and its phase. A completion binds only
+    /// if the store holds it.
+    pub fn note_peer(
+        &mut self,
+        boot: u64,
+        evidence: VersionEvidence,
+        phase: VersionPhase,
+        now: MonoTime,
+    ) -> bool {
+        self.peers.insert(boot, evidence);
+        if phase == VersionPhase::Completed {
+            return false;
+        }
+        self.advance(phase, now)
+    }
+
+    /// Takes that the statuses were read since the order was seen.
+    pub fn note_statuses_read(&mut self) {
+        self.has_read_statuses = true;
+    }
+
+    /// Takes a status from the store. Returns whether the phase changed.
+    pub fn note_status(&mut self, status: &VersionStatus, now: MonoTime, now_ms: u64) -> bool {
+        if status.order != self.number || status.target != self.order.target {
+            return false;
+        }
+        let elapsed_ms = now_ms.saturating_sub(status.began_at_ms);
+        let elapsed = Duration::from_millis(elapsed_ms).min(self.order.time_limit);
+        self.note_elapsed(elapsed, now);
+        if !status.phase.is_final() || self.is_confirmed {
+            return false;
+        }
+        self.is_confirmed = true;
+        let changed = self.phase != status.phase;
+        self.phase = status.phase;
+        changed
+    }
+
+    /// Decides whether the move goes on to another phase. Called on the VM that judges. Returns
+    /// whether it does. `is_old_idle` tells that no server of the old version has work.
+    pub fn decide(&mut self, is_old_idle: bool, now: MonoTime) -> bool {
+        let next = match self.phase {
+            VersionPhase::Completed | VersionPhase::RolledBack => return false,
+            _ if self.evidence().is_bad() => VersionPhase::RolledBack,
+            VersionPhase::Watching if self.elapsed(now) >= self.switch_at(now) => {
+                VersionPhase::Switching
+            }
+            VersionPhase::Switching if self.may_complete(is_old_idle, now) => {
+                if self.evidence().total(VersionSide::New) >= LEAST_RESULTS {
+                    VersionPhase::Completed
+                } else {
+                    VersionPhase::RolledBack
+                }
+            }
+            VersionPhase::Watching | VersionPhase::Switching => return false,
+        };
+        self.advance(next, now)
+    }
+
+    fn advance(&mut self, phase: VersionPhase, now: MonoTime) -> bool {
+        if self.is_confirmed || phase <= self.phase {
+            return false;
+        }
+        if phase == VersionPhase::Switching {
+            self.switched = Some(now);
+        }
+        self.phase = phase;
+        true
+    }
+
+    /// Returns the results of all VMs.
+    pub fn evidence(&self) -> VersionEvidence {
+        let mut sum = self.own.clone();
+        for evidence in self.peers.values() {
+            sum.add(evidence);
+        }
+        sum
+    }
+
+    /// Returns the time after the order at which the new version gets all requests. Those that
+    /// reach it by then and after it stay within the limit even if it turns out to be bad.
+    fn switch_at(&self, now: MonoTime) -> Duration {
+        let limit = self.order.time_limit;
+        let evidence = self.evidence();
+        let results = evidence.total(VersionSide::Old) + evidence.total(VersionSide::New);
+        let rate = (results as f64 / self.elapsed(now).as_secs_f64().max(1.0)).max(1.0);
+        let time = limit.mul_f64(SWITCH_PART) + Duration::from_secs_f64(SWITCH_REQUESTS / rate);
+        let time = time.min(limit.mul_f64(SWITCH_PART_MAX)).max(SWITCH_MIN);
+        limit.saturating_sub(time + WRITE_TIME)
+    }
+
+    fn may_complete(&self, is_old_idle: bool, now: MonoTime) -> bool {
+        let is_due = self.elapsed(now) + WRITE_TIME >= self.order.time_limit;
+        let is_settled = self.switched.is_some_and(|at| now.since(at) >= SWITCH_SETTLED);
+        is_due || (is_old_idle && is_settled)
+    }
+}
--- a/crates/gateway/src/vm_settings.rs
+++ b/crates/gateway/src/vm_settings.rs
@@ -5,6 +5,8 @@
     time::Duration,
 };
 
+use crate::ExposureLimit;
+
 /// Settings that the deployment gives a VM.
 #[derive(Debug, Clone, PartialEq)]
 pub struct VmSettings {
@@ -28,6 +30,8 @@
     pub retry_ratio: f64,
     /// Repeats allowed in a window beyond the ratio, over all VMs.
     pub retry_allowance: f64,
+    /// What a version may get before it is known to be good.
+    pub exposure: ExposureLimit,
     /// Length of the window of the retry budget.
     pub retry_window: Duration,
 }
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -4,8 +4,8 @@
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_gateway::{
-    CallerLimits, EngineShape, FleetOrder, FleetView, PlannedRoute, PlannedService, PlannedTeam,
-    RouteKind, RoutePlan, ServerKey, ServerRecord, VmSettings, WorkDemand, WorkQuery,
+    CallerLimits, EngineShape, ExposureLimit, FleetOrder, FleetView, PlannedRoute, PlannedService,
+    PlannedTeam, RouteKind, RoutePlan, ServerKey, ServerRecord, VmSettings, WorkDemand, WorkQuery,
 };
 
 /// Service of engines.
@@ -31,6 +31,7 @@
         stop_grace: Duration::from_secs(8),
         retry_ratio: 0.2,
         retry_allowance: 58.0,
+        exposure: ExposureLimit { share: 0.1, allowance: 50.0 },
         retry_window: Duration::from_secs(10),
     }
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod server_channels;
 mod splitting;
 mod tables;
+mod versions;
--- /dev/null
+++ b/crates/gateway/tests/all/versions.rs
@@ -0,0 +1,334 @@
+//! Moves of a service to another version: the judge as a state machine, under all orders of loss,
+//! delay, pause, restart and partition that the seeds draw.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use dragonflycart_core::MonoTime;
+use dragonflycart_gateway::{
+    ExposureLimit, VersionEvidence, VersionMove, VersionOrder, VersionPhase, VersionSide,
+    VersionStatus, WorkDemand,
+};
+use proptest::prelude::*;
+
+use crate::fixtures::{ENGINES, at, key_of, query, record, report, view};
+
+const LIMIT: ExposureLimit = ExposureLimit { share: 0.1, allowance: 50.0 };
+const TIME_LIMIT: Duration = Duration::from_secs(12);
+const VMS: usize = 4;
+/// Offset of the order.
+const ORDER: u64 = 3;
+/// Time of an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(30);
+
+fn order() -> VersionOrder {
+    VersionOrder { service: "desk".to_owned(), target: "v2".to_owned(), time_limit: TIME_LIMIT }
+}
+
+fn new_move(now_ms: u64) -> VersionMove {
+    VersionMove::new(order(), ORDER, at(now_ms), now_ms)
+}
+
+/// Returns a move with answers of both versions, of which some of a hundred are bad.
+fn watched(old_bad: u64, new_bad: u64, count: u64) -> VersionMove {
+    let mut found = new_move(0);
+    for index in 0..count {
+        found.note_result("book", VersionSide::Old, index % 100 < old_bad, ANSWER_TIME);
+        found.note_result("book", VersionSide::New, index % 100 < new_bad, ANSWER_TIME);
+    }
+    found
+}
+
+#[test]
+fn version_that_fails_more_often_is_rolled_back() {
+    assert!(watched(2, 40, 60).decide(false, at(1_000)));
+    assert!(!watched(8, 8, 400).decide(false, at(1_000)));
+}
+
+/// About eight in a hundred look-ups fail at every server; that must not count against a version.
+#[test]
+fn failures_of_both_versions_are_no_evidence() {
+    let mut found = watched(40, 40, 300);
+
+    assert!(!found.decide(false, at(1_000)));
+    assert_eq!(found.phase(), VersionPhase::Watching);
+}
+
+/// A version may be bad on one route only, which others would hide.
+#[test]
+fn version_that_is_bad_on_one_route_is_rolled_back() {
+    let mut found = watched(0, 0, 400);
+    for index in 0..20 {
+        found.note_result("look", VersionSide::Old, false, ANSWER_TIME);
+        found.note_result("look", VersionSide::New, index % 2 == 0, ANSWER_TIME);
+    }
+
+    assert!(found.decide(false, at(1_000)));
+    assert_eq!(found.phase(), VersionPhase::RolledBack);
+}
+
+/// A version may fail nothing and take several times as long.
+#[test]
+fn slow_version_is_rolled_back() {
+    let mut found = new_move(0);
+    for index in 0..40 {
+        found.note_result("book", VersionSide::Old, false, ANSWER_TIME);
+        let time = if index % 3 == 0 { ANSWER_TIME * 6 } else { ANSWER_TIME };
+        found.note_result("book", VersionSide::New, false, time);
+    }
+
+    assert!(found.decide(false, at(1_000)));
+}
+
+/// A move that is judged on nothing must not be completed.
+#[test]
+fn version_without_answers_is_rolled_back_at_the_time_limit() {
+    let mut found = new_move(0);
+
+    assert!(found.decide(false, at(11_000)), "it switches");
+    assert!(found.decide(false, at(11_500)));
+
+    assert_eq!(found.phase(), VersionPhase::RolledBack);
+}
+
+/// A VM that was cut off decided otherwise than the others, and must follow the store.
+#[test]
+fn final_status_of_the_store_stands_above_what_vms_decided() {
+    let mut found = watched(2, 60, 60);
+    found.decide(false, at(1_000));
+    assert_eq!(found.phase(), VersionPhase::RolledBack);
+    let status = VersionStatus { phase: VersionPhase::Completed, ..found.status() };
+
+    assert!(found.note_status(&status, at(2_000), 2_000));
+    found.note_peer(9, VersionEvidence::default(), VersionPhase::RolledBack, at(2_100));
+
+    assert_eq!(found.phase(), VersionPhase::Completed);
+    assert!(found.is_confirmed());
+}
+
+/// The service may be moved to the same version again after a roll-back.
+#[test]
+fn status_of_an_earlier_order_is_ignored() {
+    let mut found = new_move(0);
+    let earlier =
+        VersionStatus { phase: VersionPhase::RolledBack, order: ORDER - 1, ..found.status() };
+
+    assert!(!found.note_status(&earlier, at(10), 10));
+    assert_eq!(found.phase(), VersionPhase::Watching);
+}
+
+/// A VM that restarts would begin the time limit anew.
+#[test]
+fn restarted_vm_learns_when_the_order_came() {
+    let mut found = new_move(9_000);
+    let running = VersionStatus { began_at_ms: 0, ..found.status() };
+
+    found.note_status(&running, at(9_100), 9_100);
+
+    assert_eq!(found.elapsed(at(9_100)), Duration::from_millis(9_100));
+}
+
+/// A VM that starts after a roll-back would try the bad version again before it knows.
+#[test]
+fn vm_that_has_read_no_status_sends_nothing_to_the_new_version() {
+    let mut found = new_move(0);
+    assert_eq!(found.next_side(LIMIT, 1), VersionSide::Old);
+
+    found.note_statuses_read();
+
+    assert_eq!(found.next_side(LIMIT, 1), VersionSide::New);
+}
+
+/// One VM of the model: its move, and the end of the table of statuses as far as it read it.
+struct ModelVm {
+    found: VersionMove,
+    known_end: Option<u64>,
+}
+
+/// The store of the model: the statuses in order.
+#[derive(Default)]
+struct ModelStore {
+    statuses: Vec<VersionStatus>,
+}
+
+impl ModelStore {
+    fn final_phase(&self) -> Option<VersionPhase> {
+        self.statuses.iter().map(|status| status.phase).find(|phase| phase.is_final())
+    }
+
+    /// Appends a status if the table ends where the writer thinks.
+    fn append(&mut self, status: VersionStatus, at: u64) {
+        if self.statuses.len() as u64 == at {
+            self.statuses.push(status);
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum ModelStep {
+    /// A VM serves some requests.
+    Serve { vm: usize, count: usize },
+    /// A report of one VM reaches another.
+    Report { from: usize, to: usize },
+    /// A VM judges, whether or not others do so too, and writes what it decided.
+    Judge { vm: usize },
+    /// A VM reads the statuses.
+    Read { vm: usize },
+    /// A VM loses what it knows.
+    Restart { vm: usize },
+    /// Time passes.
+    Wait { millis: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<ModelStep>> {
+    let vm = 0..VMS;
+    let step = prop_oneof![
+        6 => (vm.clone(), 1..30_usize).prop_map(|(vm, count)| ModelStep::Serve { vm, count }),
+        6 => (vm.clone(), vm.clone()).prop_map(|(from, to)| ModelStep::Report { from, to }),
+        4 => vm.clone().prop_map(|vm| ModelStep::Judge { vm }),
+        4 => vm.clone().prop_map(|vm| ModelStep::Read { vm }),
+        1 => vm.prop_map(|vm| ModelStep::Restart { vm }),
+        4 => (20..600_u64).prop_map(|millis| ModelStep::Wait { millis }),
+    ];
+    prop::collection::vec(step, 1..220)
+}
+
+/// What a run of the model counted.
+struct ModelRun {
+    store: ModelStore,
+    vms: Vec<ModelVm>,
+    sent: [u64; 2],
+    /// Requests sent to the new version before any VM sent all requests there.
+    sent_new_watching: u64,
+    restarts: u64,
+}
+
+/// Plays steps with a version of whose answers some of a hundred are bad.
+fn play(steps: &[ModelStep], new_bad: u64) -> ModelRun {
+    let mut run = ModelRun {
+        store: ModelStore::default(),
+        vms: (0..VMS).map(|_| ModelVm { found: new_move(0), known_end: None }).collect(),
+        sent: [0; 2],
+        sent_new_watching: 0,
+        restarts: 0,
+    };
+    let mut now_ms = 0;
+    for step in steps {
+        let now: MonoTime = at(now_ms);
+        match *step {
+            ModelStep::Serve { vm, count } => {
+                for _ in 0..count {
+                    let found = &mut run.vms[vm].found;
+                    let side = found.next_side(LIMIT, VMS);
+                    found.note_sent(side);
+                    run.sent[side as usize] += 1;
+                    if side == VersionSide::New && found.phase() == VersionPhase::Watching {
+                        run.sent_new_watching += 1;
+                    }
+                    let number = run.sent[side as usize] * 37;
+                    let is_bad = side == VersionSide::New && number % 100 < new_bad;
+                    found.note_result("book", side, is_bad, ANSWER_TIME);
+                }
+            }
+            ModelStep::Report { from, to } if from != to => {
+                let evidence = run.vms[from].found.own_evidence().clone();
+                let phase = run.vms[from].found.phase();
+                run.vms[to].found.note_peer(from as u64, evidence, phase, now);
+            }
+            ModelStep::Report { .. } => {}
+            ModelStep::Judge { vm } => {
+                let ModelVm { found, known_end } = &mut run.vms[vm];
+                found.decide(false, now);
+                if let Some(end) = known_end.filter(|_| !found.is_confirmed()) {
+                    run.store.append(found.status(), end);
+                }
+            }
+            ModelStep::Read { vm } => {
+                let ModelVm { found, known_end } = &mut run.vms[vm];
+                *known_end = Some(run.store.statuses.len() as u64);
+                found.note_statuses_read();
+                for status in &run.store.statuses {
+                    found.note_status(status, now, now_ms);
+                }
+            }
+            ModelStep::Restart { vm } => {
+                run.restarts += 1;
+                run.vms[vm] = ModelVm { found: new_move(now_ms), known_end: None };
+            }
+            ModelStep::Wait { millis } => now_ms += millis,
+        }
+    }
+    run
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Two judges that don't know of each other would leave both a completion and a roll-back.
+    #[test]
+    fn store_never_holds_two_final_phases(steps in steps(), new_bad in 0..60_u64) {
+        let run = play(&steps, new_bad);
+
+        let finals: Vec<_> =
+            run.store.statuses.iter().filter(|status| status.phase.is_final()).collect();
+        prop_assert!(finals.iter().all(|status| status.phase == finals[0].phase), "{finals:?}");
+    }
+
+    /// A VM that was cut off, paused or restarted must not undo what the store holds.
+    #[test]
+    fn vm_that_read_the_result_follows_it(steps in steps(), new_bad in 0..60_u64) {
+        let mut run = play(&steps, new_bad);
+
+        let Some(phase) = run.store.final_phase() else { return Ok(()) };
+        for vm in &mut run.vms {
+            for status in &run.store.statuses {
+                vm.found.note_status(status, at(60_000), 60_000);
+            }
+            prop_assert_eq!(vm.found.phase(), phase);
+            let side = vm.found.next_side(LIMIT, VMS);
+            prop_assert_eq!(side == VersionSide::New, phase == VersionPhase::Completed);
+        }
+    }
+
+    /// The share that a watched version gets must hold in sum although no VM knows of the others.
+    #[test]
+    fn watched_version_gets_its_share_in_sum(steps in steps(), new_bad in 0..60_u64) {
+        let run = play(&steps, new_bad);
+
+        let total = (run.sent[0] + run.sent[1]) as f64;
+        let per_vm = 0.2 * LIMIT.allowance / VMS as f64;
+        let starts = (VMS as u64 + run.restarts) as f64;
+        let limit = 0.5 * LIMIT.share * total + per_vm * starts + starts;
+        let sent = run.sent_new_watching as f64;
+        prop_assert!(sent <= limit, "{sent} of {total}, limit {limit}");
+    }
+}
+
+/// Servers of the new version register like any others, and got requests in proportion.
+#[test]
+fn requests_go_to_the_new_version_only_within_its_share() {
+    let mut view = view(&["a", "a"]);
+    let mut new_version = record(ENGINES, "a", 8_001);
+    new_version.version = "v2".to_owned();
+    view.apply_server("e1", new_version, 9, at(0));
+    let order = VersionOrder { service: ENGINES.to_owned(), ..order() };
+    assert!(view.start_version_move(order.clone(), ORDER, at(0), 0));
+    assert!(!view.start_version_move(order, ORDER, at(5), 5), "the same record again");
+    view.note_statuses_read();
+    let excluded = BTreeSet::new();
+
+    let mut at_new = 0;
+    for _ in 0..400 {
+        let placement = view.place(&query(WorkDemand::default(), &excluded), at(10)).unwrap();
+        at_new += u64::from(placement.id == "e1");
+        view.release(placement.server, placement.load);
+    }
+
+    assert_eq!(at_new, 30, "a twentieth of 400, and 10");
+    let status = VersionStatus {
+        phase: VersionPhase::Completed,
+        ..view.version_move(ENGINES).unwrap().status()
+    };
+    view.note_version_status(&status, at(20), 20);
+    assert!(view.is_leaving(key_of(&view, "e0")), "generations of the old version move");
+    assert_eq!(view.place(&query(report(), &excluded), at(30)).unwrap().id, "e1");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod stops;
 mod streams;
 mod support;
+mod versions;
--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -137,6 +137,8 @@
             service: if kind == RunnerKind::Engine { "engines" } else { "desk" }.to_owned(),
             zone: zone.to_owned(),
             lost_in_100: self.lost_in_100,
+            version: "v1".to_owned(),
+            failing_in_100: 0,
         };
         let runner = RunnerStandin::start(options, &self.log, self.next_runner).await;
         let relay = FaultRelay::start(runner.address()).await.expect("a loopback port is free");
