Take no request late in a planned stop; explain requests from logs; count lost log lines

Requests are excused up to three seconds after the stop, so they are taken for 2.7 s; the balancer takes a VM out after two at most.

dragonflycartctl explain ID FILE... puts the lines of one request from several logs in order, with those about its servers and VM, and names the cause. Lines that a stalled reader costs are counted, and a test shows that no request fails meanwhile.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,8 +28,9 @@
     ReadPace { wait: Duration::from_millis(600), spacing: Duration::from_millis(200) };
 
 /// Time after the start of a planned stop in which new requests are still served: the balancer
-/// asks once a second and takes a VM out after two answers.
-const LEAVE_TIME: Duration = Duration::from_millis(3_200);
+/// asks once a second and takes a VM out after two answers. A request that is taken more than three
+/// seconds after the start must not be cut.
+const LEAVE_TIME: Duration = Duration::from_millis(2_700);
 /// Time before the end of the grace period at which the process gives up open requests.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -45,6 +45,8 @@
     pub servers: Gauge,
     /// VMs that are known to run.
     pub vms: Gauge,
+    /// Log lines that were dropped since their reader stalled.
+    pub log_lines_lost: Gauge,
 }
 
 impl GatewayMetrics {
@@ -62,6 +64,7 @@
             plan_version: Gauge::default(),
             servers: Gauge::default(),
             vms: Gauge::default(),
+            log_lines_lost: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -86,6 +89,11 @@
         );
         registry.register("servers", "Servers that take work", self.servers.clone());
         registry.register("vms", "VMs that are known to run", self.vms.clone());
+        registry.register(
+            "log_lines_lost",
+            "Log lines dropped since their reader stalled",
+            self.log_lines_lost.clone(),
+        );
     }
 
     /// Counts the end of a request.
--- /dev/null
+++ b/crates/gateway/tests/all/log_lines.rs
@@ -0,0 +1,48 @@
+//! The lines that the gateway writes and the page that explains them.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+/// Beginnings of all lines.
+const TOPICS: [&str; 13] = [
+    "call", "feed", "front", "gateway", "move", "orders", "peers", "request", "server", "servers",
+    "status", "store", "stream",
+];
+/// Beginning that was added with the moves to other versions.
+const VERSIONS: &str = "versions";
+
+fn read(path: &Path) -> String {
+    fs::read_to_string(path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+}
+
+/// Returns the texts between `quote`s that are events.
+fn events(text: &str, quote: char) -> BTreeSet<String> {
+    let mut events = BTreeSet::new();
+    for part in text.split(quote) {
+        let Some((topic, rest)) = part.split_once(": ") else { continue };
+        let is_topic = TOPICS.contains(&topic) || topic == VERSIONS;
+        if is_topic && !rest.is_empty() && !part.contains('\n') {
+            events.insert(part.to_owned());
+        }
+    }
+    events
+}
+
+/// On-call engineers have the page only: a line that it doesn't name explains nothing, and one
+/// that is named and no longer written is waited for in vain.
+#[test]
+fn page_names_each_line_that_is_written_and_no_other() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut written = BTreeSet::new();
+    for directory in ["crates/gateway/src", "platform/src"] {
+        for entry in fs::read_dir(root.join(directory)).unwrap() {
+            written.extend(events(&read(&entry.unwrap().path()), '"'));
+        }
+    }
+
+    let named = events(&read(&root.join("docs/OPERATIONS.md")), '`');
+
+    let missing: Vec<_> = written.difference(&named).collect();
+    let stale: Vec<_> = named.difference(&written).collect();
+    assert!(missing.is_empty(), "not on the page: {missing:#?}");
+    assert!(stale.is_empty(), "on the page and not written: {stale:#?}");
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod fixtures;
 mod limits;
 mod loads;
+mod log_lines;
 mod memberships;
 mod moves;
 mod paces;
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -29,6 +29,7 @@
         .subcommand(Command::new("status").about("Shows what one VM knows"))
         .subcommand(moves_command())
         .subcommand(burn_command())
+        .subcommand(explain_command())
 }
 
 fn global_args() -> [Arg; 5] {
@@ -69,6 +70,21 @@
     ]
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Shows what the logs of VMs say of one request, and what became of it")
+        .arg(Arg::new("id").value_name("ID").help("Identity of the attempt").required(true))
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .help("Log of a VM, one for each")
+                .required(true)
+                .action(ArgAction::Append)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
 fn file_arg() -> Arg {
     Arg::new("file")
         .value_name("FILE")
--- a/crates/operator/src/command_runner.rs
+++ b/crates/operator/src/command_runner.rs
@@ -8,6 +8,7 @@
 use crate::{
     AdminClient, Console, ExitStatus, OperatorCredential, Surroundings, build_command,
     burn_command::run_burn,
+    explain_command::explain,
     moves_command::{follow_moves, list_moves},
     plan_command::PlanCommand,
     status_command::show_status,
@@ -55,8 +56,11 @@
         self.dispatch(&mut console, client).await
     }
 
-    /// Only the check of a plan file works without a server.
+    /// Only the check of a plan file and the reading of logs work without a server.
     fn needs_client(&self) -> bool {
+        if self.matches.subcommand_name() == Some("explain") {
+            return false;
+        }
         let plan = self.matches.subcommand_matches("plan");
         let offline = plan.is_some_and(|plan| plan.subcommand_name() == Some("check"));
         !offline || self.servers().next().is_some()
@@ -98,6 +102,12 @@
             let plan = PlanCommand { client, file: file.unwrap_or_default(), base, patience, now };
             return plan.run(command, console).await;
         }
+        if group == "explain" {
+            let id = matches.get_one::<String>("id").map_or("", String::as_str);
+            let files: Vec<PathBuf> =
+                matches.get_many("logs").into_iter().flatten().cloned().collect();
+            return explain(console, id, &files);
+        }
         let Some(client) = client else { return ExitStatus::Usage };
         match (group, command) {
             ("zone", _) => {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -15,6 +15,7 @@
 mod credential_error;
 mod entry_point;
 mod exit_status;
+mod explain_command;
 mod moves_command;
 mod objective_report;
 mod operator_credential;
@@ -22,6 +23,7 @@
 mod plan_difference;
 mod plan_sheet;
 mod plan_submission;
+mod request_story;
 mod row_kind;
 mod sheet_checker;
 mod sheet_column;
@@ -54,6 +56,7 @@
     plan_difference::PlanDifference,
     plan_sheet::PlanSheet,
     plan_submission::PlanSubmission,
+    request_story::{LogLine, RequestStory},
     row_kind::RowKind,
     sheet_checker::SheetChecker,
     sheet_column::SheetColumn,
--- /dev/null
+++ b/crates/operator/src/request_story.rs
@@ -0,0 +1,162 @@
+//! What the logs of several VMs say of one request.
+
+use std::collections::BTreeSet;
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+use time::{Duration, OffsetDateTime, format_description::well_known::Rfc3339};
+
+/// Time before a request in which beliefs about its servers and the state of its VM matter.
+const TIME_BEFORE: Duration = Duration::seconds(10);
+/// Time after its last line.
+const TIME_AFTER: Duration = Duration::seconds(1);
+/// Fields whose value names a server.
+const SERVER_FIELDS: [&str; 5] = ["server", "source", "target", "backup", "engine"];
+/// Beginnings of lines about a VM as a whole.
+const VM_LINES: [&str; 4] = ["gateway: ", "store: ", "feed: ", "orders: "];
+
+/// One line of a VM's log.
+#[derive(Debug, Clone, Serialize)]
+pub struct LogLine {
+    /// Time at which it was written.
+    #[serde(skip)]
+    pub time: OffsetDateTime,
+    /// The same as text.
+    pub timestamp: String,
+    /// Log that it stands in.
+    pub log: String,
+    /// Event.
+    pub message: String,
+    /// All other fields.
+    pub fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Parses a line, which may have something before its JSON object. Returns `None` for a line
+    /// of another kind.
+    pub fn parse(log: &str, line: &str) -> Option<LogLine> {
+        let mut fields: Map<String, Value> = serde_json::from_str(&line[line.find('{')?..]).ok()?;
+        let timestamp = fields.remove("timestamp")?.as_str()?.to_owned();
+        let time = OffsetDateTime::parse(&timestamp, &Rfc3339).ok()?;
+        let message = fields.remove("message")?.as_str()?.to_owned();
+        fields.remove("level");
+        Some(LogLine { time, timestamp, log: log.to_owned(), message, fields })
+    }
+
+    /// Returns a field's text.
+    pub fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+}
+
+/// Lines of one request in order, those that bear on it, and what became of it.
+#[derive(Debug, Clone, Serialize)]
+pub struct RequestStory {
+    /// Lines with the identity of the request, and lines about its servers and VMs.
+    pub lines: Vec<LogLine>,
+    /// What became of the request, in words.
+    pub cause: String,
+}
+
+impl RequestStory {
+    /// Finds the lines that bear on the request `id`, or returns `None` if no line names it.
+    pub fn find(id: &str, all: &[LogLine]) -> Option<RequestStory> {
+        let own: Vec<&LogLine> = all.iter().filter(|line| line.text("id") == Some(id)).collect();
+        let first = own.iter().map(|line| line.time).min()?;
+        let last = own.iter().map(|line| line.time).max()?;
+        let mut servers = BTreeSet::new();
+        for line in &own {
+            servers.extend(SERVER_FIELDS.iter().filter_map(|field| line.text(field)));
+        }
+        let logs: BTreeSet<&str> = own.iter().map(|line| line.log.as_str()).collect();
+        let span = first - TIME_BEFORE..=last + TIME_AFTER;
+        let mut lines = Vec::new();
+        for line in all {
+            let is_own = line.text("id") == Some(id);
+            let is_near = span.contains(&line.time) && logs.contains(line.log.as_str());
+            let is_of_server = line.message.starts_with("server")
+                && line.text("server").is_some_and(|server| servers.contains(server));
+            let is_of_vm = VM_LINES.iter().any(|start| line.message.starts_with(start));
+            if is_own || (is_near && (is_of_server || is_of_vm)) {
+                lines.push(line.clone());
+            }
+        }
+        lines.sort_by_key(|line| line.time);
+        Some(RequestStory { cause: find_cause(&own, &lines), lines })
+    }
+}
+
+fn find_cause(own: &[&LogLine], lines: &[LogLine]) -> String {
+    let find = |message: &str| own.iter().rev().find(|line| line.message == message);
+    if let Some(failed) = find("request: failed") {
+        return failure_cause(failed);
+    }
+    if let Some(ended) = find("stream: ended") {
+        return stream_cause(ended, own, lines);
+    }
+    let answered = own.iter().any(|line| line.text("outcome") == Some("answered"));
+    match (answered, find("stream: offered").is_some()) {
+        (true, true) => "the stream has no end: its VM ended, or the log does".to_owned(),
+        (true, false) => "the request was answered".to_owned(),
+        (false, _) => "the logs hold no outcome".to_owned(),
+    }
+}
+
+fn failure_cause(failed: &LogLine) -> String {
+    let error = failed.text("error").unwrap_or("unknown");
+    let cause = failed.text("cause").unwrap_or("no cause is given");
+    let mut text = format!("the VM answered with a failure ({error}): {cause}");
+    if let Some(retry_ms) = failed.fields.get("retry_after_ms").and_then(Value::as_u64) {
+        text.push_str(&format!("; the caller may come back after {retry_ms} ms"));
+    }
+    text
+}
+
+fn stream_cause(ended: &LogLine, own: &[&LogLine], lines: &[LogLine]) -> String {
+    let outcome = ended.text("outcome").unwrap_or("unknown");
+    match outcome {
+        "complete" => {
+            let pause_ms = ended.fields.get("longest_pause_ms").and_then(Value::as_u64);
+            format!("the stream is complete; its longest pause took {} ms", pause_ms.unwrap_or(0))
+        }
+        "caller_left" => "the caller left, or its connection broke".to_owned(),
+        "timed_out" => "the time limit passed while the stream ran".to_owned(),
+        "broken" | "silent" => {
+            let engine = own
+                .iter()
+                .rev()
+                .find(|line| line.message == "stream: engine lost")
+                .and_then(|line| line.text("server"))
+                .unwrap_or("unknown");
+            format!("engine {engine} was lost ({outcome}): {}", loss_cause(engine, own, lines))
+        }
+        other => format!("the stream ended: {other}"),
+    }
+}
+
+/// Says why a generation did not go on after its engine was lost.
+fn loss_cause(engine: &str, own: &[&LogLine], lines: &[LogLine]) -> &'static str {
+    let has = |message: &str| own.iter().any(|line| line.message == message);
+    let is_move = |reason: &str| {
+        own.iter().any(|line| line.message == "move: ended" && line.text("reason") == Some(reason))
+    };
+    let last_turn = own.iter().rev().find(|line| line.message == "move: planned");
+    let has_no_time = last_turn.and_then(|line| line.text("turn")) == Some("NoTime");
+    if has_no_time || has("move: no time for the copy") {
+        return "it left, and its notice was too short to copy all its generations";
+    }
+    if is_move("leaving") {
+        return "it left before the copy of the generation was complete";
+    }
+    if is_move("broken") {
+        return "it ended without notice, and the engine with the copies did not go on";
+    }
+    let is_leaving = lines
+        .iter()
+        .any(|line| line.message.starts_with("servers: ") && line.text("server") == Some(engine));
+    if is_leaving {
+        "it left, and no move was started"
+    } else {
+        "it ended without notice, and nothing had been copied ahead"
+    }
+}
--- /dev/null
+++ b/tests/all/gateway_stops.rs
@@ -0,0 +1,81 @@
+//! Planned stops and logs of the gateway, as real processes.
+
+use std::{
+    io::Read,
+    process::{Command, Stdio},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::support::GatewayFleet;
+
+/// Returns the requests that ran, at any version.
+fn runs(fleet: &GatewayFleet) -> usize {
+    let (old, new) = fleet.runs();
+    old + new
+}
+
+/// Requests that arrive later than three seconds after SIGTERM may not be given up any more, and a
+/// long one can't end within the grace period: one that arrived after 3.17 seconds was cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_three_seconds_after_the_stop_is_not_taken() {
+    let mut fleet = GatewayFleet::start("late-request", 0).await;
+    fleet.start_gateways().await;
+    fleet.send_request();
+    fleet.send_request();
+    assert_eq!(fleet.served().await, 1.0, "both gateways serve");
+    let before = runs(&fleet);
+    let stopped = Instant::now();
+    for gateway in &mut fleet.gateways {
+        gateway.process.terminate().unwrap();
+    }
+
+    tokio::time::sleep_until(stopped + Duration::from_millis(1_500)).await;
+    fleet.send_request();
+    fleet.served().await;
+    let early = runs(&fleet);
+    tokio::time::sleep_until(stopped + Duration::from_millis(3_020)).await;
+    fleet.send_request();
+    fleet.send_request();
+    fleet.served().await;
+
+    assert_eq!(early, before + 1, "requests are served until the balancer has noticed");
+    assert_eq!(runs(&fleet), early, "a request was taken after three seconds");
+    fleet.close();
+}
+
+/// Whoever reads the log may stall; that costs lines, never a request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reader_of_the_log_that_stalls_costs_no_request() {
+    let mut fleet = GatewayFleet::start("stalled-reader", 0).await;
+    fleet.start_gateways().await;
+    let gateway = &mut fleet.gateways[0];
+    gateway.process.kill().unwrap();
+    let mut stalled = Command::new(env!("CARGO_BIN_EXE_dragonflycartd"))
+        .args(["gateway".as_ref(), gateway.settings.as_os_str()])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = stalled.stdout.take().unwrap();
+    log.read_exact(&mut [0]).unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    let ready = fleet.gateways[0].ready;
+    let mut lost = 0.0;
+    for _ in 0..400 {
+        for _ in 0..60 {
+            fleet.send_request_to(0);
+        }
+        assert_eq!(fleet.served().await, 1.0, "a request failed while the reader stalled");
+        lost = fleet.metric(ready, "dragonflycart_gateway_log_lines_lost").await;
+        if lost > 0.0 {
+            break;
+        }
+    }
+
+    assert!(lost > 0.0, "the queue of lines never filled, so that the test shows nothing");
+    stalled.kill().unwrap();
+    stalled.wait().unwrap();
+    fleet.close();
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod chaos;
 mod faults;
+mod gateway_stops;
 mod jobs;
 mod matrix;
 mod moves;
--- /dev/null
+++ b/tests/all/support/gateway_fleet.rs
@@ -0,0 +1,236 @@
+//! Fixture: gateways as real processes, with the store and runners as stand-ins.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dragonflycart_standins::{
+    CallerAnswer, CallerRequest, PlanText, READY_PATH, RunLog, RunnerKind, RunnerOptions,
+    RunnerStandin, StoreStandin, send, settings_text,
+};
+use dragonflycart_testkit::ChildProcess;
+use serde_json::json;
+use tokio::{task::JoinSet, time::Instant};
+
+use super::port_pool::free_address;
+
+/// Time limit of an order to move to another version.
+pub(crate) const TIME_LIMIT: Duration = Duration::from_secs(7);
+/// Pause between requests.
+const REQUEST_PAUSE: Duration = Duration::from_millis(8);
+/// Interval at which runners renew their registration.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Time for the gateways to be ready.
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// Seconds between SIGTERM and SIGKILL, as on the users' platform.
+const GRACE_S: u64 = 8;
+
+/// One gateway.
+pub(crate) struct GatewayUnderTest {
+    pub(crate) process: ChildProcess,
+    pub(crate) front: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) settings: PathBuf,
+}
+
+impl GatewayUnderTest {
+    /// Starts a process with a settings file.
+    pub(crate) fn start_process(settings: &Path) -> ChildProcess {
+        let program = Path::new(env!("CARGO_BIN_EXE_dragonflycartd"));
+        ChildProcess::start(program, [Path::new("gateway"), settings]).unwrap()
+    }
+}
+
+/// Two gateways, two desks of each version, and callers.
+pub(crate) struct GatewayFleet {
+    directory: PathBuf,
+    pub(crate) store: StoreStandin,
+    runners: Vec<RunnerStandin>,
+    pub(crate) gateways: Vec<GatewayUnderTest>,
+    log: RunLog,
+    sequence: u64,
+    calls: u64,
+    answers: Arc<Mutex<Vec<CallerAnswer>>>,
+    open: JoinSet<()>,
+}
+
+impl GatewayFleet {
+    /// Starts the fleet; the desks of the new version fail some requests of a hundred.
+    pub(crate) async fn start(name: &str, failing_in_100: u64) -> GatewayFleet {
+        let directory =
+            std::env::temp_dir().join(format!("dragonflycart-{name}-{}", std::process::id()));
+        fs::create_dir_all(&directory).unwrap();
+        let store = StoreStandin::start().await;
+        let plan = PlanText { version: 1, extra_routes: 0, keys: vec!["key".to_owned()] };
+        store.put_order("config", &plan.value());
+        let mut fleet = GatewayFleet {
+            directory,
+            store,
+            runners: Vec::new(),
+            gateways: Vec::new(),
+            log: RunLog::default(),
+            sequence: 0,
+            calls: 0,
+            answers: Arc::default(),
+            open: JoinSet::new(),
+        };
+        for number in 0..4 {
+            let is_new = number >= 2;
+            let options = RunnerOptions {
+                id: format!("i-{}-{number}", if is_new { "new" } else { "old" }),
+                kind: RunnerKind::Desk,
+                service: "desk".to_owned(),
+                zone: "a".to_owned(),
+                lost_in_100: 0,
+                version: if is_new { "v2" } else { "v1" }.to_owned(),
+                failing_in_100: if is_new { failing_in_100 } else { 0 },
+            };
+            fleet.runners.push(RunnerStandin::start(options, &fleet.log, number + 1).await);
+        }
+        fleet.heartbeat();
+        fleet
+    }
+
+    /// Starts the gateways and waits until they are ready.
+    pub(crate) async fn start_gateways(&mut self) {
+        let peer_port = free_address().port();
+        for number in 0..2 {
+            let ip = format!("127.0.{}.{}", 220 + number, 1 + std::process::id() % 250);
+            let address = |port: u16| format!("{ip}:{port}").parse::<SocketAddr>().unwrap();
+            let (front, ready) = (address(free_address().port()), address(free_address().port()));
+            let name = format!("vm-{number}");
+            let store = self.store.address();
+            let text = settings_text(&name, "a", front, ready, peer_port, store)
+                .replace("\"grace_s\":6", &format!("\"grace_s\":{GRACE_S}"));
+            let settings = self.directory.join(format!("{name}.json"));
+            fs::write(&settings, text).unwrap();
+            let process = GatewayUnderTest::start_process(&settings);
+            self.gateways.push(GatewayUnderTest { process, front, ready, settings });
+            let deadline = Instant::now() + START_LIMIT;
+            while !is_ready(ready).await {
+                assert!(Instant::now() < deadline, "gateway {number} is not ready in time");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                self.heartbeat();
+            }
+        }
+    }
+
+    fn heartbeat(&mut self) {
+        self.sequence += 1;
+        for runner in &self.runners {
+            self.store.put_server(runner.id(), &runner.registration(self.sequence));
+        }
+    }
+
+    pub(crate) fn order_move(&self) {
+        let order =
+            json!({"service": "desk", "target": "v2", "duration_s": TIME_LIMIT.as_secs_f64()});
+        self.store.put_order("rollout/desk", &order);
+    }
+
+    /// Sends requests for a while, or until the move is over.
+    pub(crate) async fn play(&mut self, time: Duration) -> Option<Duration> {
+        let start = Instant::now();
+        let mut next_heartbeat = start;
+        while start.elapsed() < time {
+            if Instant::now() >= next_heartbeat {
+                self.heartbeat();
+                next_heartbeat = Instant::now() + HEARTBEAT;
+            }
+            self.send_request();
+            tokio::time::sleep(REQUEST_PAUSE).await;
+            if self.state().is_some_and(|state| state != "in_progress") {
+                return Some(start.elapsed());
+            }
+        }
+        None
+    }
+
+    pub(crate) fn state(&self) -> Option<String> {
+        let status = self.store.status("rollout/desk")?;
+        assert_eq!(status["target"], "v2");
+        status["state"].as_str().map(str::to_owned)
+    }
+
+    /// Sends a request to the gateways by turns.
+    pub(crate) fn send_request(&mut self) {
+        let index = self.calls as usize % self.gateways.len();
+        self.send_request_to(index);
+    }
+
+    /// Sends a request to one gateway.
+    pub(crate) fn send_request_to(&mut self, index: usize) {
+        self.calls += 1;
+        let request = CallerRequest {
+            id: format!("c-{}", self.calls),
+            method: "POST",
+            path: "/book/b".to_owned(),
+            key: "key".to_owned(),
+            tokens: None,
+            body: Bytes::from_static(b"booking"),
+            time_limit: Duration::from_secs(4),
+        };
+        let front = self.gateways[index].front;
+        let answers = Arc::clone(&self.answers);
+        self.open.spawn(async move {
+            let answer = send(front, &request).await;
+            answers.lock().unwrap().push(answer);
+        });
+    }
+
+    /// Returns the requests that ran at old and at new runners.
+    pub(crate) fn runs(&self) -> (usize, usize) {
+        let (mut old, mut new) = (0, 0);
+        for id in self.log.ids() {
+            for part in self.log.parts(&id) {
+                if part.runner.starts_with("i-new") { new += 1 } else { old += 1 }
+            }
+        }
+        (old, new)
+    }
+
+    /// Waits for open requests and returns the shares of answers with status 200.
+    pub(crate) async fn served(&mut self) -> f64 {
+        while self.open.join_next().await.is_some() {}
+        let answers = self.answers.lock().unwrap();
+        let good = answers.iter().filter(|answer| answer.status == Some(200)).count();
+        good as f64 / answers.len() as f64
+    }
+
+    /// Returns the value of a metric at a status address.
+    pub(crate) async fn metric(&self, address: SocketAddr, name: &str) -> f64 {
+        let request = CallerRequest { path: "/metrics".to_owned(), ..ready_request() };
+        let answer = send(address, &request).await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let line = text.lines().find(|line| line.starts_with(name));
+        let line = line.unwrap_or_else(|| panic!("no metric {name}: {text}"));
+        line.rsplit(' ').next().and_then(|value| value.parse().ok()).unwrap()
+    }
+
+    pub(crate) fn close(mut self) {
+        self.gateways.clear();
+        // A file that stays behind is no failure of the test.
+        drop(fs::remove_dir_all(&self.directory));
+    }
+}
+
+fn ready_request() -> CallerRequest {
+    CallerRequest {
+        id: "ready".to_owned(),
+        method: "GET",
+        path: READY_PATH.to_owned(),
+        key: String::new(),
+        tokens: None,
+        body: Bytes::new(),
+        time_limit: Duration::from_millis(500),
+    }
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    send(address, &ready_request()).await.status == Some(200)
+}
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod deployment;
 mod deployment_spec;
+mod gateway_fleet;
 mod operator;
 pub(crate) mod port_pool;
 mod traffic;
@@ -13,6 +14,7 @@
     caller::{Caller, HttpAnswer, StreamedAnswer},
     deployment::{Deployment, zone_name},
     deployment_spec::{DeploymentSpec, loaded},
+    gateway_fleet::{GatewayFleet, GatewayUnderTest, TIME_LIMIT},
     operator::{Operator, submit_answer},
     traffic::{Traffic, TrafficReport},
     vm_process::VmProcess,
