--- a/tests/all/gateway_stops.rs
+++ b/tests/all/gateway_stops.rs
@@ -6,7 +6,8 @@
     time::Duration,
 };
 
-use tokio::time::Instant;
+use dragonflycart_standins::send;
+use tokio::{task::JoinSet, time::Instant};
 
 use crate::support::GatewayFleet;
 
@@ -45,6 +46,50 @@
     fleet.close();
 }
 
+/// Streams that were open when the stop began are cut by a VM that ends at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn open_streams_end_whole_in_a_planned_stop() {
+    let mut fleet = GatewayFleet::start("open-streams", 0).await;
+    fleet.start_gateways().await;
+    let front = fleet.gateways[0].front;
+    let mut streams = JoinSet::new();
+    for _ in 0..6 {
+        // Six seconds, of the grace period of eight.
+        let request = fleet.stream_request(3_000);
+        streams.spawn(async move { send(front, &request).await });
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    fleet.gateways[0].process.terminate().unwrap();
+    let answers = streams.join_all().await;
+
+    for answer in answers {
+        assert!(answer.is_complete, "cut after {} bytes", answer.body.len());
+        assert!(String::from_utf8_lossy(&answer.body).contains("id: 749\n"));
+    }
+    fleet.close();
+}
+
+/// An engine that works for a caller who left is lost to those who wait.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn generation_ends_soon_after_its_caller_left() {
+    let mut fleet = GatewayFleet::start("caller-leaves", 0).await;
+    fleet.start_gateways().await;
+    let front = fleet.gateways[0].front;
+    let request = fleet.stream_request(4_000);
+    let id = request.id.clone();
+
+    let left = tokio::time::timeout(Duration::from_millis(400), send(front, &request)).await;
+    assert!(left.is_err(), "the stream takes eight seconds");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let soon = fleet.log.events(&id);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    assert!(soon > 0, "it had begun");
+    assert_eq!(fleet.log.events(&id), soon, "the engine works on half a second later");
+    fleet.close();
+}
+
 /// Whoever reads the log may stall; that costs lines, never a request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reader_of_the_log_that_stalls_costs_no_request() {
--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -52,7 +52,7 @@
     pub(crate) store: StoreStandin,
     runners: Vec<RunnerStandin>,
     pub(crate) gateways: Vec<GatewayUnderTest>,
-    log: RunLog,
+    pub(crate) log: RunLog,
     sequence: u64,
     calls: u64,
     answers: Arc<Mutex<Vec<CallerAnswer>>>,
@@ -92,6 +92,16 @@
             };
             fleet.runners.push(RunnerStandin::start(options, &fleet.log, number + 1).await);
         }
+        let engine = RunnerOptions {
+            id: "i-engine".to_owned(),
+            kind: RunnerKind::Engine,
+            service: "engines".to_owned(),
+            zone: "a".to_owned(),
+            lost_in_100: 0,
+            version: "v1".to_owned(),
+            failing_in_100: 0,
+        };
+        fleet.runners.push(RunnerStandin::start(engine, &fleet.log, 9).await);
         fleet.heartbeat();
         fleet
     }
@@ -183,6 +193,20 @@
         });
     }
 
+    /// Returns a stream request of some output tokens; the engine makes four in 8 ms.
+    pub(crate) fn stream_request(&mut self, output_tokens: u64) -> CallerRequest {
+        self.calls += 1;
+        CallerRequest {
+            id: format!("s-{}", self.calls),
+            method: "POST",
+            path: "/reports/r".to_owned(),
+            key: "key".to_owned(),
+            tokens: Some((900, output_tokens)),
+            body: Bytes::from_static(b"report"),
+            time_limit: Duration::from_secs(20),
+        }
+    }
+
     /// Returns the requests that ran at old and at new runners.
     pub(crate) fn runs(&self) -> (usize, usize) {
         let (mut old, mut new) = (0, 0);
