--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -293,6 +293,7 @@
         if !has_time {
             info!(
                 id = self.request.attempt,
+                source = self.source_id,
                 target = target.id(),
                 time_ms = time.as_millis() as u64,
                 left_ms = left.as_millis() as u64,
--- a/crates/operator/src/request_story.rs
+++ b/crates/operator/src/request_story.rs
@@ -136,11 +136,14 @@
 
 /// Says why a generation did not go on after its engine was lost.
 fn loss_cause(engine: &str, own: &[&LogLine], lines: &[LogLine]) -> &'static str {
-    let has = |message: &str| own.iter().any(|line| line.message == message);
+    let moves: Vec<_> = own.iter().filter(|line| line.text("source") == Some(engine)).collect();
+    let has = |message: &str| moves.iter().any(|line| line.message == message);
     let is_move = |reason: &str| {
-        own.iter().any(|line| line.message == "move: ended" && line.text("reason") == Some(reason))
+        moves
+            .iter()
+            .any(|line| line.message == "move: ended" && line.text("reason") == Some(reason))
     };
-    let last_turn = own.iter().rev().find(|line| line.message == "move: planned");
+    let last_turn = moves.iter().rev().find(|line| line.message == "move: planned");
     let has_no_time = last_turn.and_then(|line| line.text("turn")) == Some("NoTime");
     if has_no_time || has("move: no time for the copy") {
         return "it left, and its notice was too short to copy all its generations";
--- a/crates/operator/tests/explain.rs
+++ b/crates/operator/tests/explain.rs
@@ -76,6 +76,23 @@
     );
 }
 
+/// A generation was moved, and the engine to which it was moved was lost later: the first move was
+/// named as the cause.
+#[test]
+fn cause_rests_on_moves_from_the_engine_that_was_lost() {
+    let moved = FIRST_VM
+        .replace(r#""turn":"NoTime""#, r#""turn":"After(0ns)""#)
+        .replace(r#""result":"stays""#, r#""result":"resumed""#)
+        .replace(r#""server":"e1","cause":"broken""#, r#""server":"e2","cause":"broken""#);
+
+    let story = RequestStory::find("a1", &lines("vm-1", &moved)).unwrap();
+
+    assert_eq!(
+        story.cause,
+        "engine e2 was lost (broken): it ended without notice, and nothing had been copied ahead"
+    );
+}
+
 /// A VM that is killed writes no end of its streams.
 #[test]
 fn stream_without_an_end_is_told_apart() {
