Wait for the end of the notice with last copies where all copies fit

They follow at once only where the schedule has no room for some generation.

Ruled out: the link of the engine that leaves, which was free in the cases that were looked at.

--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -84,7 +84,7 @@
     tried: BTreeSet<ServerKey>,
     calls: u32,
     leave: LeaveTime,
-    /// Time at which the turn of the next generation begins.
+    /// Time at which the turn of the next generation begins, where the time is short.
     turn_ends: Option<Instant>,
 }
 
@@ -256,7 +256,10 @@
             MoveTurn::After(delay) => MoveTurn::After(delay.saturating_sub(elapsed)),
             turn => turn,
         };
-        if let MoveTurn::After(delay) = turn {
+        self.turn_ends = None;
+        if let MoveTurn::After(delay) = turn
+            && schedule.is_tight()
+        {
             let copy_time = schedule.copy_time(self.memory_tokens());
             self.turn_ends = Some(Instant::now() + delay + copy_time + TURN_OVERHEAD);
         }
@@ -304,7 +307,8 @@
     }
 
     /// Waits until the last copy is not held up by first copies, while its generation stands still.
-    /// Within its turn that is at once; later, it is when no first copy is made any more.
+    /// Where the time is short, that is at once within its turn, so that no late first copy of
+    /// another one can cost the generation; otherwise it is when no first copy is made any more.
     async fn await_free_link(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) {
         if self.turn_ends.is_some_and(|end| Instant::now() <= end) {
             return;
--- a/crates/gateway/src/move_schedule.rs
+++ b/crates/gateway/src/move_schedule.rs
@@ -42,6 +42,11 @@
         self.token_time.saturating_mul(u32::try_from(tokens).unwrap_or(u32::MAX))
     }
 
+    /// Returns whether there is no time for the copies of some generations.
+    pub fn is_tight(&self) -> bool {
+        self.runs.iter().any(|run| self.turn(&run.attempt) == MoveTurn::NoTime)
+    }
+
     /// Returns the turn of a generation. Those that made most come first, since the least work is
     /// left for them; one that doesn't fit leaves its time to those after it. One that the engine
     /// doesn't list has made nothing and comes last.
--- a/crates/gateway/tests/all/moves.rs
+++ b/crates/gateway/tests/all/moves.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// On calm days all copies fit, and last copies that were made at once queued on the links of
+/// targets behind first copies from other engines: 20 streams paused for more than 180 ms.
+#[test]
+fn schedule_is_tight_only_if_some_generation_has_no_time() {
+    let runs: Vec<_> = (0..6).map(|index| run(&format!("g{index}"), 50)).collect();
+
+    assert!(!schedule(&runs, 1_250).is_tight());
+    assert!(schedule(&runs, 900).is_tight());
+}
+
 /// The VMs that relay the generations of an engine don't talk to each other about them: each must
 /// come to the same order from the same list, in whatever order it stands.
 #[test]
