Bound the time for which a withdrawn API key is accepted

Cause: no code read strict_revocation. A VM whose way to the store was gone honoured withdrawn keys as long as the cut lasted.

Change: each VM knows up to which moment its plan is confirmed as the newest (revocation::PlanFreshness): the beginning of a complete read of the store, or a numbered probe to the peer that forwards the tables, less the age that the peer states. The boot-time clock counts suspensions. Keys are checked on arrival, while a stream waits for an engine and before each offer. A VM past the bound rejects requests that need a key as not run, and is not ready. A peer whose feed fails is not chosen again for two seconds.

Ruled out: Instant for the age (it stops in suspensions); the feed's age_ms (it counts from the receipt, so bytes held up by a partition look fresh).

The model (80 runs of a minute) has no violation and shows each of six deliberate faults: no transport margin, a peer's age dropped, the time on the way dropped, a read that counts from its response, a check at arrival only, a clock that stops in suspension.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -71,6 +71,14 @@
                 server_attempt::offer(&self.context, &self.request, &reservation, fields).await;
             match outcome {
                 AttemptOutcome::NotSent(error) => self.log_offer(&reservation, error.into()),
+                AttemptOutcome::Withheld(rejection) => {
+                    self.log_offer(&reservation, "withheld");
+                    reservation.close();
+                    if self.runs == 0 {
+                        failure = rejection;
+                    }
+                    break;
+                }
                 AttemptOutcome::Refused { .. } => {
                     self.arrivals += 1;
                     self.log_offer(&reservation, "refused");
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -6,7 +6,10 @@
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
 
-use crate::{BodyReservation, HeaderNames, PlacementQuery, PlannedRoute, ServerKey, TokenDemand};
+use crate::{
+    BodyReservation, CallerCredential, HeaderNames, PlacementQuery, PlannedRoute, ServerKey,
+    TokenDemand,
+};
 
 /// Largest value of the urgency header, which is the least urgent.
 const URGENCY_LIMIT: u8 = 9;
@@ -29,6 +32,9 @@
     pub service: String,
     /// Team of the caller.
     pub team: Option<String>,
+    /// Key to check again before each offer to a server, if the deployment bounds the time for
+    /// which a withdrawn key is accepted.
+    pub credential: Option<CallerCredential>,
     /// Priority of the team; 0 is the most important.
     pub team_priority: u8,
     /// Method.
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -5,9 +5,13 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use dragonflycart_core::ErrorKind;
 use tracing::info;
 
-use crate::{CallerRequest, GatewayContext, GenerationReservation, ServerKey, WaiterId};
+use crate::{
+    CallerRequest, GatewayContext, GatewayFailure, GenerationReservation, ServerKey, WaiterId,
+    revocation::key_check,
+};
 
 /// Time between attempts to find an engine.
 const TRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -28,12 +32,17 @@
     }
 }
 
-/// Reserves an engine as soon as one has capacity. Returns `None` if none has in time.
+/// Reserves an engine as soon as one has capacity.
+///
+/// # Errors
+///
+/// Returns the failure to report if no engine has capacity in time, or if the request's key is no
+/// longer accepted.
 pub async fn reserve_engine(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
     excluded: &BTreeSet<ServerKey>,
-) -> Option<GenerationReservation> {
+) -> Result<GenerationReservation, GatewayFailure> {
     let target = request.route.latency_target;
     let late_at = context.clock.at(request.arrived) + target;
     let id = context.wait_queue().enqueue(&request.service, request.rank(), late_at);
@@ -41,17 +50,24 @@
     let give_up_at = (request.arrived + target.mul_f64(WAIT_TARGETS)).min(request.deadline);
     let mut tries = 0_u32;
     loop {
+        key_check::check_request(context, request)?;
         if context.wait_queue().is_first(entry.id, context.clock.now()) {
             tries += 1;
             if let Some(reservation) = GenerationReservation::take(context, request, excluded) {
-                return Some(reservation);
+                return Ok(reservation);
             }
         }
         if tokio::time::Instant::now() >= give_up_at {
             let waiting = context.wait_queue().count(&request.service);
             info!(id = request.attempt, tries, waiting, "stream: no engine had room in time");
-            return None;
+            return Err(no_room(request));
         }
         tokio::time::sleep(TRY_INTERVAL).await;
     }
 }
+
+/// Returns the failure of a request that was not sent because no engine had capacity.
+fn no_room(request: &CallerRequest) -> GatewayFailure {
+    GatewayFailure::new(ErrorKind::Overloaded, "no engine had room")
+        .with_retry_after(request.route.latency_target)
+}
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -10,8 +10,8 @@
 use tracing::info;
 
 use crate::{
-    FeedRequest, FeedUpdate, FleetTable, GatewayContext, TableBatch, TableRecord, TableUpdate,
-    server_connection, table_sync,
+    BootTime, FeedProbe, FeedProbes, FeedRequest, FeedUpdate, FleetTable, GatewayContext,
+    TableBatch, TableRecord, TableUpdate, server_connection, table_sync,
 };
 
 /// Interval at which to check which peer reads the store.
@@ -21,6 +21,12 @@
 /// Time without a message after which the connection is closed.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Maximum time to send a probe.
+const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Reason for which a working feed is left.
+const ANOTHER_READER: &str = "another reader";
+
 /// Subscribes to the peer that reads the store, for the lifetime of the process.
 pub async fn follow(context: Arc<GatewayContext>) {
     loop {
@@ -30,6 +36,9 @@
             Some(address) => {
                 let reason = follow_peer(&context, address).await;
                 info!(%address, reason, "feed: lost");
+                if reason != ANOTHER_READER {
+                    context.peers().note_feed_failure(address, context.clock.now());
+                }
                 tokio::time::sleep(CHECK_INTERVAL).await;
             }
         }
@@ -45,10 +54,13 @@
         info!(%error, "feed: can't set socket options");
     }
     let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+    let is_bounded = context.freshness().is_bounded();
+    let mut probes = FeedProbes::default();
     let request = FeedRequest {
         orders_from: context.tables.next(FleetTable::Orders),
         servers_from: context.tables.next(FleetTable::Servers),
         statuses_from: context.tables.next(FleetTable::Statuses),
+        probe: is_bounded.then(|| probes.next(BootTime::now())),
     };
     if frames.send(Bytes::from(request.encode_to_vec())).await.is_err() {
         return "closed";
@@ -65,8 +77,22 @@
         apply_table(context, FleetTable::Orders, update.orders);
         apply_table(context, FleetTable::Servers, update.servers);
         apply_table(context, FleetTable::Statuses, update.statuses);
+        if let Some(confirmation) = update.confirmation
+            && let Some(asked_at) = probes.sent_at(confirmation.probe)
+        {
+            let age = Duration::from_millis(confirmation.age_ms);
+            context.freshness().note_peer_age(asked_at, age);
+        }
+        let now = BootTime::now();
+        if is_bounded && probes.is_due(now) {
+            let probe = FeedProbe { number: probes.next(now) };
+            let sending = frames.send(Bytes::from(probe.encode_to_vec()));
+            if !matches!(tokio::time::timeout(SEND_TIMEOUT, sending).await, Ok(Ok(()))) {
+                return "closed";
+            }
+        }
         if context.peers().store_reader(context.clock.now()) != Some(address) {
-            return "another reader";
+            return ANOTHER_READER;
         }
     }
 }
--- a/crates/gateway/src/feed_message.rs
+++ b/crates/gateway/src/feed_message.rs
@@ -14,6 +14,28 @@
     /// Offset of the first status to send; none for all.
     #[prost(uint64, optional, tag = "3")]
     pub statuses_from: Option<u64>,
+    /// Number of the first probe; none if the subscriber needs no confirmations of the plan.
+    #[prost(uint64, optional, tag = "4")]
+    pub probe: Option<u64>,
+}
+
+/// Probe of a subscriber, which the sender of the updates answers at once.
+#[derive(Clone, PartialEq, Message)]
+pub struct FeedProbe {
+    /// Number of the probe. Numbers increase on a connection.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+}
+
+/// Statement that a plan was the newest one a given time ago.
+#[derive(Clone, PartialEq, Message)]
+pub struct PlanConfirmation {
+    /// Number of the newest probe that the sender had received.
+    #[prost(uint64, tag = "1")]
+    pub probe: u64,
+    /// Milliseconds since the orders known to the sender were known to be the newest.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// Record of a table.
@@ -59,4 +81,7 @@
     /// Statuses of version moves; none if the sender has none yet.
     #[prost(message, optional, tag = "3")]
     pub statuses: Option<TableUpdate>,
+    /// Confirmation of the plan; none if the subscriber sent no probe, or if the sender can't tell.
+    #[prost(message, optional, tag = "4")]
+    pub confirmation: Option<PlanConfirmation>,
 }
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -10,8 +10,8 @@
 use tracing::{info, warn};
 
 use crate::{
-    FeedRecord, FeedRequest, FeedUpdate, FleetTable, GatewayContext, TableRecord, TableUpdate,
-    server_connection,
+    BootTime, FeedProbe, FeedRecord, FeedRequest, FeedUpdate, FleetTable, GatewayContext,
+    PlanConfirmation, TableRecord, TableUpdate, server_connection,
 };
 
 /// Interval of messages without new records. A subscriber that no longer receives messages soon
@@ -55,12 +55,14 @@
     let mut orders_from = request.orders_from;
     let mut servers_from = request.servers_from;
     let mut statuses_from = request.statuses_from;
+    let mut probe = request.probe;
     loop {
         changes.mark_unchanged();
         let update = FeedUpdate {
             orders: read_table(&context, FleetTable::Orders, &mut orders_from),
             servers: read_table(&context, FleetTable::Servers, &mut servers_from),
             statuses: read_table(&context, FleetTable::Statuses, &mut statuses_from),
+            confirmation: probe.and_then(|probe| confirm_plan(&context, probe)),
         };
         let sent = frames.send(Bytes::from(update.encode_to_vec()));
         if !matches!(tokio::time::timeout(SEND_TIMEOUT, sent).await, Ok(Ok(()))) {
@@ -69,13 +71,26 @@
         tokio::select! {
             _ = changes.changed() => {}
             () = tokio::time::sleep(TICK) => {}
-            // Subscribers send nothing after their request, so this means that the connection
-            // closed.
-            _ = frames.next() => return,
+            frame = frames.next() => {
+                let Some(Ok(bytes)) = frame else { return };
+                match FeedProbe::decode(bytes) {
+                    Ok(next) => probe = Some(next.number),
+                    Err(error) => {
+                        info!(%error, "feed: probe not understood");
+                        return;
+                    }
+                }
+            }
         }
     }
 }
 
+fn confirm_plan(context: &GatewayContext, probe: u64) -> Option<PlanConfirmation> {
+    let age = context.freshness().age(BootTime::now())?;
+    // Rounded up, since a plan must not look younger than it is.
+    Some(PlanConfirmation { probe, age_ms: age.as_millis() as u64 + 1 })
+}
+
 fn read_table(
     context: &GatewayContext,
     table: FleetTable,
--- a/crates/gateway/src/fleet_store.rs
+++ b/crates/gateway/src/fleet_store.rs
@@ -14,7 +14,7 @@
     /// Reads a snapshot of a table: the newest record of each key.
     fn read_newest(&self, table: FleetTable) -> BoxFuture<'_, Result<TableBatch, StoreError>>;
 
-    /// Reads records starting at offset `from`. Waits up to `wait` if there are none yet.
+    /// Reads all records starting at offset `from`. Waits up to `wait` if there are none yet.
     fn read_from(
         &self,
         table: FleetTable,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     FleetTable, GatewayContext, PeerExchange, PollTiming, StopPhase, caller_server, feed_client,
-    feed_server, server_recovery, server_updates, status_server, table_sync,
-    version_move_controller,
+    feed_server, revocation::freshness_watch, server_recovery, server_updates, status_server,
+    table_sync, version_move_controller,
 };
 
 /// Polling of orders. They must take effect within two seconds, and a long poll may miss a record
@@ -81,6 +81,7 @@
         tokio::spawn(table_sync::follow(Arc::clone(&context), FleetTable::Servers, SERVERS_POLL));
         tokio::spawn(server_updates::expire(Arc::clone(&context)));
         tokio::spawn(table_sync::follow(Arc::clone(&context), FleetTable::Statuses, STATUSES_POLL));
+        tokio::spawn(freshness_watch::run(Arc::clone(&context)));
         tokio::spawn(version_move_controller::run(Arc::clone(&context)));
         tokio::spawn(server_recovery::check(Arc::clone(&context)));
         tokio::spawn(feed_server::serve(Arc::clone(&context), self.feed_listener));
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     BodyBudget, ConnectionPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock,
-    GatewayMetrics, HeaderNames, PeerTable, StopPhase, VmSettings, WaitQueue,
+    GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, StopPhase, VmSettings, WaitQueue,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -39,6 +39,7 @@
     pub tables: FleetTables,
     view: Mutex<FleetView>,
     peers: Mutex<PeerTable>,
+    freshness: Mutex<PlanFreshness>,
     wait_queue: Mutex<WaitQueue>,
     /// Makes the peer exchange send a report at once, after a change of load.
     pub load_changes: Notify,
@@ -61,6 +62,7 @@
             tables: FleetTables::default(),
             view: Mutex::new(FleetView::new(Arc::clone(&settings))),
             peers: Mutex::new(PeerTable::new(&settings.name, &settings.zone)),
+            freshness: Mutex::new(PlanFreshness::new(settings.revocation_time)),
             wait_queue: Mutex::default(),
             load_changes: Notify::new(),
             bodies: BodyBudget::new(settings.memory_bytes),
@@ -88,6 +90,11 @@
         self.peers.lock().expect("no holder of the peers' lock panics")
     }
 
+    /// Locks the knowledge of the plan's age. Hold the lock for a single decision only.
+    pub fn freshness(&self) -> MutexGuard<'_, PlanFreshness> {
+        self.freshness.lock().expect("no holder of the freshness lock panics")
+    }
+
     /// Locks the queue of waiting requests. Hold the lock for a single decision only.
     pub fn wait_queue(&self) -> MutexGuard<'_, WaitQueue> {
         self.wait_queue.lock().expect("no holder of the wait queue's lock panics")
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -42,6 +42,9 @@
     pub connections: Counter,
     /// Version of the route plan in effect.
     pub plan_version: Gauge,
+    /// Milliseconds since the plan was last known to be the newest one; -1 if it never was. Zero if
+    /// the deployment does not bound it.
+    pub plan_age_ms: Gauge,
     /// Number of servers that accept requests.
     pub servers: Gauge,
     /// Number of running VMs known, including this one.
@@ -63,6 +66,7 @@
             store_calls: Family::default(),
             connections: Counter::default(),
             plan_version: Gauge::default(),
+            plan_age_ms: Gauge::default(),
             servers: Gauge::default(),
             vms: Gauge::default(),
             log_lines_lost: Gauge::default(),
@@ -88,6 +92,11 @@
             "Version of the plan in force",
             self.plan_version.clone(),
         );
+        registry.register(
+            "plan_age_milliseconds",
+            "Time since the plan was last known to be the newest",
+            self.plan_age_ms.clone(),
+        );
         registry.register("servers", "Servers that take work", self.servers.clone());
         registry.register("vms", "VMs that are known to run", self.vms.clone());
         registry.register(
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -68,6 +68,7 @@
             ("failed", true)
         }
         AttemptOutcome::NotSent(error) => (error.into(), false),
+        AttemptOutcome::Withheld(_) => ("withheld", false),
         AttemptOutcome::Refused { .. } => ("refused", false),
         AttemptOutcome::Lost(error) => (error.into(), true),
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,7 @@
 mod response_head;
 mod response_relay;
 mod retry_budget;
+mod revocation;
 mod route_kind;
 mod route_plan;
 mod server_attempt;
@@ -103,7 +104,7 @@
     engine_spec::EngineSpec,
     engine_watcher::EngineWatcher,
     event_splitter::{EventSplitter, StreamEvent},
-    feed_message::{FeedRecord, FeedRequest, FeedUpdate, TableUpdate},
+    feed_message::{FeedProbe, FeedRecord, FeedRequest, FeedUpdate, PlanConfirmation, TableUpdate},
     fleet_order::FleetOrder,
     fleet_store::{BoxFuture, FleetStore},
     fleet_tables::FleetTables,
@@ -134,6 +135,7 @@
     response_body::{BodyError, BodySender, ResponseBody},
     response_head::ResponseHead,
     retry_budget::RetryBudget,
+    revocation::{BootTime, CallerCredential, FeedProbes, PlanFreshness},
     route_kind::RouteKind,
     route_plan::RoutePlan,
     server_attempt::{AttemptOutcome, OpenResponse},
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -24,6 +24,9 @@
 const READER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time after a failed read in which a VM does not read the store for others.
 const FAILED_TIME: Duration = Duration::from_secs(4);
+/// Time after a lost feed in which the tables are not taken from that VM. Its reports may still
+/// arrive, for example through a partition in one direction.
+const FEED_FAILED_TIME: Duration = Duration::from_secs(2);
 
 /// State of one VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +39,7 @@
     heard_at: Option<MonoTime>,
     sent_at: Option<MonoTime>,
     can_read: bool,
+    feed_failed_at: Option<MonoTime>,
 }
 
 /// Other VMs by address.
@@ -86,6 +90,13 @@
         self.store_failed_at = None;
     }
 
+    /// Records that the feed of the VM at `address` was lost or could not be established.
+    pub fn note_feed_failure(&mut self, address: SocketAddr, now: MonoTime) {
+        if let Some(state) = self.peers.get_mut(&address) {
+            state.feed_failed_at = Some(now);
+        }
+    }
+
     /// Returns whether this VM can read the store for others.
     pub fn can_read(&self, now: MonoTime) -> bool {
         self.store_failed_at.is_none_or(|failed| now.since(failed) > FAILED_TIME)
@@ -110,7 +121,13 @@
         let mut first: Option<(&str, SocketAddr)> = None;
         for (address, state) in &self.peers {
             let is_heard = state.heard_at.is_some_and(|at| now.since(at) <= timeout);
-            if !is_heard || !state.can_read || (is_in_zone && state.zone != self.own_zone) {
+            let has_failed =
+                state.feed_failed_at.is_some_and(|at| now.since(at) <= FEED_FAILED_TIME);
+            if !is_heard
+                || has_failed
+                || !state.can_read
+                || (is_in_zone && state.zone != self.own_zone)
+            {
                 continue;
             }
             if first.is_none_or(|(name, _)| state.name.as_str() < name) {
@@ -133,6 +150,7 @@
             heard_at: None,
             sent_at: None,
             can_read: false,
+            feed_failed_at: None,
         });
     }
 
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -11,9 +11,9 @@
 use tracing::info;
 
 use crate::{
-    BodyReservation, CallForwarder, CallerRequest, GatewayContext, GatewayFailure, HeaderNames,
-    PlannedRoute, PlannedTeam, ResponseBody, RouteKind, RoutePlan, StopPhase, StreamForwarder,
-    TokenDemand, response_relay,
+    BodyReservation, CallForwarder, CallerCredential, CallerRequest, GatewayContext,
+    GatewayFailure, HeaderNames, PlannedRoute, PlannedTeam, ResponseBody, RouteKind, RoutePlan,
+    StopPhase, StreamForwarder, TokenDemand, response_relay, revocation::key_check,
 };
 
 /// `Retry-After` time while this VM does not know the route plan yet.
@@ -108,7 +108,11 @@
         .find_route(host, parts.uri.path())
         .ok_or_else(|| GatewayFailure::new(ErrorKind::NotFound, "no route matches"))?
         .clone();
-    let team = find_team(&plan, &route, &context.names, &parts.headers)?;
+    let presented = presented_key(&context.names, &parts.headers);
+    let team = find_team(context, &plan, &route, presented)?;
+    let credential = presented
+        .filter(|_| team.is_some() && context.settings.revocation_time.is_some())
+        .map(CallerCredential::new);
     if *context.stop.borrow() >= StopPhase::Ending {
         return Err(GatewayFailure::new(ErrorKind::Draining, "this VM stops"));
     }
@@ -133,6 +137,7 @@
         service,
         team_priority: team.map_or(0, |team| team.priority),
         team: team.map(|team| team.name.clone()),
+        credential,
         method: parts.method,
         target: parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned(),
         last_event: header_text(&parts.headers, "last-event-id").and_then(|text| text.parse().ok()),
@@ -148,21 +153,24 @@
     })
 }
 
+/// Returns the API key that a request presents.
+fn presented_key<'a>(names: &HeaderNames, headers: &'a HeaderMap) -> Option<&'a str> {
+    let (scheme, key) = header_text(headers, "authorization")?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case(names.auth_scheme).then(|| key.trim())
+}
+
 /// Returns the team whose API key a request presents, or `None` if the route needs no credential.
 fn find_team<'a>(
+    context: &GatewayContext,
     plan: &'a RoutePlan,
     route: &PlannedRoute,
-    names: &HeaderNames,
-    headers: &HeaderMap,
+    presented: Option<&str>,
 ) -> Result<Option<&'a PlannedTeam>, GatewayFailure> {
     if route.is_public || !plan.has_teams() {
         return Ok(None);
     }
-    let key = header_text(headers, "authorization")
-        .and_then(|text| text.split_once(' '))
-        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(names.auth_scheme))
-        .map(|(_, key)| key.trim());
-    let team = key.and_then(|key| plan.find_team(key));
+    key_check::check_plan(context)?;
+    let team = presented.and_then(|key| plan.find_team(key));
     team.map(Some).ok_or_else(|| GatewayFailure::new(ErrorKind::Unauthorized, "the key is unknown"))
 }
 
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     CallerRequest, ConnectionError, GatewayContext, GatewayFailure, ResponseHead, ServerConnection,
-    ServerReservation, SystemHeaders,
+    ServerReservation, SystemHeaders, revocation::key_check,
 };
 
 /// Time for which this VM sends no new requests to a server that refused one.
@@ -28,6 +28,8 @@
     Answered(Box<OpenResponse>),
     /// Nothing was sent to the server.
     NotSent(ConnectionError),
+    /// Nothing was sent to the server, because the request's key is no longer accepted.
+    Withheld(GatewayFailure),
     /// The server responded that it did not run the request.
     Refused {
         /// HTTP status code.
@@ -55,6 +57,13 @@
     if !connection.is_reused() {
         context.metrics.connections.inc();
     }
+    // A generation that goes on at another engine was admitted before.
+    if fields.resume_from.is_none()
+        && let Err(failure) = key_check::check_request(context, request)
+    {
+        context.pool.put_back(reservation.address(), connection);
+        return AttemptOutcome::Withheld(failure);
+    }
     let head = request.encode_head(&context.names, fields);
     let echo = (context.names.attempt, request.attempt.as_str());
     let exchange = connection.exchange(&head, &request.body, Some(echo));
--- a/crates/gateway/src/status_server.rs
+++ b/crates/gateway/src/status_server.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tracing::warn;
 
-use crate::{GatewayContext, ResponseBody, response_body};
+use crate::{BootTime, GatewayContext, ResponseBody, response_body};
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -44,7 +44,7 @@
     if path == METRICS_PATH {
         return Response::new(response_body::full(Bytes::from(context.metrics.encode())));
     }
-    let is_ready = !context.is_stopping() && context.view().is_complete();
+    let is_ready = !context.is_stopping() && context.view().is_complete() && accepts_keys(context);
     let status = match (path == ready_path, is_ready) {
         (true, true) => StatusCode::OK,
         (true, false) => StatusCode::SERVICE_UNAVAILABLE,
@@ -54,3 +54,9 @@
     *response.status_mut() = status;
     response
 }
+
+/// Returns whether requests that present an API key are served, or none needs to.
+fn accepts_keys(context: &GatewayContext) -> bool {
+    let needs_keys = context.view().plan().is_some_and(|plan| plan.has_teams());
+    !needs_keys || context.freshness().allows_keys(BootTime::now())
+}
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -64,18 +64,19 @@
             if self.arrivals > 0 && !self.context.view().take_retry(&self.request.service, now) {
                 break;
             }
-            let Some(reservation) =
-                engine_wait::reserve_engine(&self.context, &self.request, &self.excluded).await
-            else {
-                failure = no_room(&self.request);
-                break;
-            };
+            let waiting = engine_wait::reserve_engine(&self.context, &self.request, &self.excluded);
+            let reservation = waiting.await?;
             self.queued_ms = self.request.arrived.elapsed().as_millis() as u64;
             self.excluded.insert(reservation.engine.server());
             let mut watcher = EngineWatcher::new(&self.context);
             let (reservation, outcome) = self.offer_and_watch(reservation, &mut watcher).await;
             match outcome {
                 AttemptOutcome::NotSent(error) => self.log_offer(&reservation, error.into()),
+                AttemptOutcome::Withheld(rejection) => {
+                    self.log_offer(&reservation, "withheld");
+                    reservation.close();
+                    return Err(rejection);
+                }
                 AttemptOutcome::Refused { .. } => {
                     self.arrivals += 1;
                     self.log_offer(&reservation, "refused");
@@ -205,12 +206,6 @@
     }
 }
 
-/// Returns the failure of a request that was not sent because no engine had capacity.
-fn no_room(request: &CallerRequest) -> GatewayFailure {
-    GatewayFailure::new(ErrorKind::Overloaded, "no engine had room")
-        .with_retry_after(request.route.latency_target)
-}
-
 fn lost_failure(error: ConnectionError) -> GatewayFailure {
     match error {
         ConnectionError::TimedOut => {
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -6,7 +6,7 @@
 use tracing::{info, warn};
 
 use crate::{
-    FleetTable, GatewayContext, StoreError, TableBatch, order_updates, server_updates,
+    BootTime, FleetTable, GatewayContext, StoreError, TableBatch, order_updates, server_updates,
     version_move_updates,
 };
 
@@ -44,6 +44,7 @@
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
+        let began_at = BootTime::now();
         let next = context.tables.next(table).filter(|_| !must_reread);
         let result = match next {
             None => context.store.read_newest(table).await,
@@ -60,6 +61,9 @@
                 failures = 0;
                 must_reread = false;
                 apply(&context, table, batch, next.is_none(), Duration::ZERO);
+                if table == FleetTable::Orders {
+                    context.freshness().note_store_read(began_at);
+                }
                 tokio::time::sleep(timing.interval).await;
             }
             Err(StoreError::Expired) => {
@@ -87,7 +91,9 @@
 /// Returns whether another VM reads the table and forwards it in time.
 fn is_forwarded(context: &GatewayContext, table: FleetTable) -> bool {
     let is_fresh = context.tables.age(table).is_some_and(|age| age < FRESH_LIMIT);
-    is_fresh && context.peers().store_reader(context.clock.now()).is_some()
+    let is_confirmed =
+        table != FleetTable::Orders || !context.freshness().needs_refresh(BootTime::now());
+    is_fresh && is_confirmed && context.peers().store_reader(context.clock.now()).is_some()
 }
 
 fn note_failure(context: &GatewayContext, table: FleetTable, error: &StoreError, failures: u32) {
--- a/crates/gateway/src/vm_settings.rs
+++ b/crates/gateway/src/vm_settings.rs
@@ -32,6 +32,9 @@
     pub retry_allowance: f64,
     /// Limits on the requests that a new version may get before it is known to be good.
     pub exposure: ExposureLimit,
+    /// Time after the withdrawal of an API key from which no VM may accept it, whether the
+    /// withdrawal has reached it or not. `None` if the deployment sets none.
+    pub revocation_time: Option<Duration>,
     /// Length of the window of the retry budget.
     pub retry_window: Duration,
 }
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -33,6 +33,7 @@
         retry_ratio: 0.2,
         retry_allowance: 58.0,
         exposure: ExposureLimit { share: 0.1, allowance: 50.0 },
+        revocation_time: None,
         retry_window: Duration::from_secs(10),
     }
 }
--- a/crates/gateway/tests/all/log_lines.rs
+++ b/crates/gateway/tests/all/log_lines.rs
@@ -1,11 +1,15 @@
 //! The gateway's log messages and the page that documents them.
 
-use std::{collections::BTreeSet, fs, path::Path};
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
 
 /// Topics, with which the log messages begin.
-const TOPICS: [&str; 13] = [
-    "call", "feed", "front", "gateway", "move", "orders", "peers", "request", "server", "servers",
-    "status", "store", "stream",
+const TOPICS: [&str; 14] = [
+    "call", "feed", "front", "gateway", "keys", "move", "orders", "peers", "request", "server",
+    "servers", "status", "store", "stream",
 ];
 /// Topic that was added with version moves.
 const VERSIONS: &str = "versions";
@@ -27,6 +31,20 @@
     events
 }
 
+/// Returns the files in a directory and its subdirectories.
+fn source_files(directory: &Path) -> Vec<PathBuf> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            files.extend(source_files(&path));
+        } else {
+            files.push(path);
+        }
+    }
+    files
+}
+
 /// On-call engineers rely on the page alone. A message that it does not document can't be
 /// interpreted, and a documented message that is no longer written is misleading.
 #[test]
@@ -34,8 +52,8 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let mut written = BTreeSet::new();
     for directory in ["crates/gateway/src", "platform/src"] {
-        for entry in fs::read_dir(root.join(directory)).unwrap() {
-            written.extend(events(&read(&entry.unwrap().path()), '"'));
+        for file in source_files(&root.join(directory)) {
+            written.extend(events(&read(&file), '"'));
         }
     }
 
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -9,6 +9,8 @@
 mod peer_tables;
 mod placements;
 mod response_heads;
+mod revocation;
+mod revocation_model;
 mod routes;
 mod server_connections;
 mod server_states;
--- a/crates/operator/src/request_explanation.rs
+++ b/crates/operator/src/request_explanation.rs
@@ -14,7 +14,7 @@
 /// Fields whose value is the name of a server.
 const SERVER_FIELDS: [&str; 5] = ["server", "source", "target", "backup", "engine"];
 /// Message prefixes of lines about a VM as a whole.
-const VM_MESSAGE_PREFIXES: [&str; 4] = ["gateway: ", "store: ", "feed: ", "orders: "];
+const VM_MESSAGE_PREFIXES: [&str; 5] = ["gateway: ", "store: ", "feed: ", "orders: ", "keys: "];
 
 /// One line of a VM's log.
 #[derive(Debug, Clone, Serialize)]
--- a/crates/operator/tests/explain.rs
+++ b/crates/operator/tests/explain.rs
@@ -76,6 +76,24 @@
     );
 }
 
+/// A request that is rejected because its VM can't confirm the plan is explained by what that VM
+/// lost before.
+#[test]
+fn cause_of_a_rejected_key_shows_when_the_plan_became_outdated() {
+    let log = r#"{"timestamp":"2026-07-26T10:00:00.000000Z","message":"store: lost","table":"orders"}
+{"timestamp":"2026-07-26T10:00:04.700000Z","message":"keys: rejected, the plan may be outdated","age_ms":4726}
+{"timestamp":"2026-07-26T10:00:05.000000Z","message":"request: failed","id":"a4","error":"log_unavailable","cause":"the keys may be outdated","retry_after_ms":100}"#;
+
+    let explanation = RequestExplanation::find("a4", &lines("vm-1", log)).unwrap();
+
+    let messages: Vec<_> = explanation.lines.iter().map(|line| line.message.as_str()).collect();
+    assert_eq!(
+        messages,
+        ["store: lost", "keys: rejected, the plan may be outdated", "request: failed"]
+    );
+    assert!(explanation.cause.contains("the keys may be outdated"), "{}", explanation.cause);
+}
+
 /// Guards against naming an earlier, successful move as the cause if the engine to which the
 /// generation was moved is lost later.
 #[test]
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod gateway_stops;
 mod jobs;
+mod keys;
 mod matrix;
 mod moves;
 mod plans;
--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -110,16 +110,34 @@
 
     /// Starts the gateways and waits until they are ready.
     pub(crate) async fn start_gateways(&mut self) {
+        let store = self.store.address();
+        self.start_gateways_at([store, store], None).await;
+    }
+
+    /// Starts the gateways with an address of the store for each, and waits until they are ready.
+    /// With a revocation time, VMs that can't confirm their plan must stop accepting keys.
+    pub(crate) async fn start_gateways_at(
+        &mut self,
+        stores: [SocketAddr; 2],
+        revocation_time: Option<Duration>,
+    ) {
         let peer_port = free_address().port();
-        for number in 0..2 {
+        for (number, store) in stores.into_iter().enumerate() {
             let ip = format!("127.0.{}.{}", 220 + number, 1 + std::process::id() % 250);
             let address = |port: u16| format!("{ip}:{port}").parse::<SocketAddr>().unwrap();
             let (http_address, status_address) =
                 (address(free_address().port()), address(free_address().port()));
             let name = format!("vm-{number}");
-            let store = self.store.address();
-            let text = settings_text(&name, "a", http_address, status_address, peer_port, store)
-                .replace("\"grace_s\":6", &format!("\"grace_s\":{GRACE_S}"));
+            let mut text =
+                settings_text(&name, "a", http_address, status_address, peer_port, store)
+                    .replace("\"grace_s\":6", &format!("\"grace_s\":{GRACE_S}"));
+            if let Some(time) = revocation_time {
+                let strict = format!(
+                    "\"strict_revocation\":true,\"revoke_ms\":{},\"grace_s\":",
+                    time.as_millis()
+                );
+                text = text.replace("\"grace_s\":", &strict);
+            }
             let settings = self.directory.join(format!("{name}.json"));
             fs::write(&settings, text).unwrap();
             let process = GatewayUnderTest::start_process(&settings);
@@ -138,7 +156,27 @@
         }
     }
 
-    fn heartbeat(&mut self) {
+    /// Returns whether the load balancer would send callers to a gateway.
+    pub(crate) async fn is_ready(&self, index: usize) -> bool {
+        is_ready(self.gateways[index].status_address).await
+    }
+
+    /// Sends a request with `key` to one gateway and returns the status of the response.
+    pub(crate) async fn status_of_request(&mut self, index: usize, key: &str) -> Option<u16> {
+        self.requests_sent += 1;
+        let request = CallerRequest {
+            id: format!("k-{}", self.requests_sent),
+            key: key.to_owned(),
+            path: "/book/b".to_owned(),
+            method: "POST",
+            body: Bytes::from_static(b"booking"),
+            time_limit: Duration::from_secs(2),
+            ..ready_request()
+        };
+        send(self.gateways[index].http_address, &request).await.status
+    }
+
+    pub(crate) fn heartbeat(&mut self) {
         self.sequence += 1;
         for runner in &self.runners {
             self.store.put_server(runner.id(), &runner.registration(self.sequence));
