Keep long generations in the zone of their VM while its engines are not much busier

Change: a generation of 120 expected tokens or more goes to another zone only if the own zone's engines are busier by a score of 0.4 instead of 0.08; short ones, which have ended when a cut is noticed, still even out the load.

--- a/crates/gateway/src/server_score.rs
+++ b/crates/gateway/src/server_score.rs
@@ -13,6 +13,11 @@
 const PENDING_PROMPT_TOKENS: f64 = 2_000.0;
 /// Score added for a server in another zone. A server with all its slots in use has a score of 1.
 const ZONE_PENALTY: f64 = 0.08;
+/// The same for a long generation, which a partition of the zones would break off, and whose events
+/// all cross the zones.
+const LONG_ZONE_PENALTY: f64 = 0.4;
+/// Expected output, in tokens, from which a generation is long.
+const LONG_OUTPUT_TOKENS: u64 = 120;
 /// The same if this VM's zone has many servers of the service. In a large fleet, VMs of other zones
 /// report their load late.
 const LARGE_ZONE_PENALTY: f64 = 0.5;
@@ -100,6 +105,7 @@
             Some(near) if zone != near && query.moved_tokens == 0 => COPY_ZONE_PENALTY,
             None if zone == self.own_zone => 0.0,
             None if self.local_servers >= LARGE_ZONE => LARGE_ZONE_PENALTY,
+            None if query.demand.output_tokens >= LONG_OUTPUT_TOKENS => LONG_ZONE_PENALTY,
             None => ZONE_PENALTY,
             _ => 0.0,
         }
--- a/crates/gateway/tests/all/placements.rs
+++ b/crates/gateway/tests/all/placements.rs
@@ -251,3 +251,40 @@
         view.release(placement.server, placement.load);
     }
 }
+
+/// Starts `count` generations one after another, each after the prompt of the previous one was
+/// read, and returns how many went to each engine.
+fn place_in_turn(demand: TokenDemand, count: u64) -> BTreeMap<String, u64> {
+    let mut view = view(&["a", "b"]);
+    let excluded = BTreeSet::new();
+    let mut counts = BTreeMap::new();
+    for index in 0..count {
+        let placement = view.place(&query(demand, &excluded), at(index)).unwrap();
+        let started = ServerLoad { pending_prompt_tokens: 0, ..placement.load };
+        view.replace_load(placement.server, placement.load, started);
+        *counts.entry(placement.id).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// Pattern: zones are cut off from each other while long streams run. Streams of engines in the
+/// VM's own zone go on.
+#[test]
+fn long_generation_stays_in_the_zone_while_its_engines_are_not_much_busier() {
+    let few = place_in_turn(report(), 3);
+    let many = place_in_turn(report(), 10);
+
+    assert_eq!(few, BTreeMap::from([("e0".to_owned(), 3)]));
+    assert!(many.contains_key("e1"), "the zone's engines fill while others are idle: {many:?}");
+}
+
+/// Pattern: the same. Short generations have ended when the partition is noticed, so they even out
+/// the load that long ones leave uneven.
+#[test]
+fn short_generations_even_out_the_load_of_zones() {
+    let verdict = TokenDemand::estimate(2_200, 40, Some(12));
+
+    let counts = place_in_turn(verdict, 10);
+
+    assert!(counts["e0"].abs_diff(counts["e1"]) <= 2, "{counts:?}");
+}
