Relay reports between zones, and sample engines of other zones in large fleets

Change: one VM of each other zone gets a report and relays it in its zone, a different one each time. A request is compared with the engines of its VM's zone and a random sample of three others, with all only if those have no room.

The sample's burst test: without it 300 of 300 prompts met another one.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -53,6 +53,8 @@
     pub arrived: Instant,
     /// Earlier of the caller's and the route's deadline.
     pub deadline: Instant,
+    /// Seed of the random part of the choice of a server.
+    pub sample_seed: u64,
     /// Tokens that the request needs in an engine's memory.
     pub demand: TokenDemand,
     /// ID of the longest prompt prefix that other requests share.
@@ -106,6 +108,7 @@
             preferred_zone: None,
             moved_tokens: 0,
             spread_seed: None,
+            sample_seed: self.sample_seed,
             excluded,
         }
     }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -13,7 +13,9 @@
     EngineSpec, FleetOrder, GenerationTiming, Placement, PlacementQuery, RetryBudget, RoutePlan,
     ServerKey, ServerLoad, ServerRecord, ServerScore, ServerState, TokenDemand, VersionMove,
     VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole, VmSettings,
-    ZoneReachability, server_score::copy_factor,
+    ZoneReachability,
+    peer_table::SMALL_FLEET,
+    server_score::{copy_factor, spread},
 };
 
 /// Time in which a registration that disappeared after a store outage may reappear.
@@ -28,6 +30,10 @@
 /// The same for backup copies of other engines' generations. The rest of the memory is left to the
 /// engine's own generations.
 const COPY_FILL_LIMIT: f64 = 0.20;
+/// Number of servers in other zones among which a VM of a large fleet chooses.
+const REMOTE_SAMPLE: f64 = 3.0;
+/// Minimum number of usable servers in a VM's zone for choosing among a sample of the others.
+const MIN_LOCAL_SERVERS: u32 = 4;
 /// Maximum number of prompt prefixes remembered per server.
 const PREFIXES_REMEMBERED: usize = 256;
 
@@ -505,9 +511,45 @@
         role: Option<VersionRole>,
         fill_limit: Option<f64>,
         now: MonoTime,
+    ) -> Result<ServerKey, ErrorKind> {
+        if let Some(share) = self.remote_share(query, now) {
+            let result = self.choose_among(query, role, fill_limit, share, now);
+            if result.is_ok() {
+                return result;
+            }
+        }
+        self.choose_among(query, role, fill_limit, 1.0, now)
+    }
+
+    /// Returns the share of the servers in other zones to choose among, or `None` for all.
+    ///
+    /// In a large fleet, VMs of other zones report their load late. If each VM compared all servers,
+    /// many would choose the same one before they see each other's requests; a small random sample
+    /// differs between requests.
+    fn remote_share(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Option<f64> {
+        if self.vm_count <= SMALL_FLEET || query.preferred_zone.is_some() {
+            return None;
+        }
+        let (mut local, mut remote) = (0, 0);
+        for state in self.servers.values() {
+            if state.record.service != query.service || !state.accepts_requests(now) {
+                continue;
+            }
+            if state.record.zone == self.settings.zone { local += 1 } else { remote += 1 }
+        }
+        (local >= MIN_LOCAL_SERVERS).then(|| REMOTE_SAMPLE / f64::from(remote.max(1)))
+    }
+
+    /// Chooses among the servers of this VM's zone and a share of the others.
+    fn choose_among(
+        &self,
+        query: &PlacementQuery<'_>,
+        role: Option<VersionRole>,
+        fill_limit: Option<f64>,
+        remote_share: f64,
+        now: MonoTime,
     ) -> Result<ServerKey, ErrorKind> {
         let version_move = self.version_moves.get(query.service);
-        let local_servers = self.local_servers(query.service, now);
         let mut best: Option<(f64, ServerKey)> = None;
         let mut is_full = false;
         let unreachable_zones = self.zone_reachability.unreachable_zones(now);
@@ -518,7 +560,10 @@
                 }
                 _ => false,
             };
+            let is_left_out = state.record.zone != self.settings.zone
+                && spread(query.sample_seed, key) > remote_share;
             if has_other_role
+                || is_left_out
                 || !self.is_usable(key, state, query, now)
                 || unreachable_zones.contains(state.record.zone.as_str())
             {
@@ -528,7 +573,7 @@
                 is_full = true;
                 continue;
             }
-            let score = self.score((key, state), query, local_servers, now);
+            let score = self.score((key, state), query, now);
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, key));
             }
@@ -691,22 +736,10 @@
         true
     }
 
-    /// Returns the number of a service's servers in this VM's zone that accept requests.
-    fn local_servers(&self, service: &str, now: MonoTime) -> usize {
-        let zone = &self.settings.zone;
-        let near = self.servers.values().filter(|state| {
-            state.record.service == service
-                && state.record.zone == *zone
-                && state.accepts_requests(now)
-        });
-        near.count()
-    }
-
     fn score(
         &self,
         (key, state): (ServerKey, &ServerState),
         query: &PlacementQuery<'_>,
-        local_servers: usize,
         now: MonoTime,
     ) -> f64 {
         let holds_prefix = query.shared_prefix.is_some_and(|prefix| {
@@ -718,7 +751,6 @@
             engine: self.engine_spec(query.service),
             holds_prefix,
             own_zone: &self.settings.zone,
-            local_servers,
         };
         score.value(query, now)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod header_names;
 mod http_call;
 mod lost_responses;
+mod membership;
 mod move_schedule;
 mod order_updates;
 mod peer_exchange;
@@ -122,6 +123,7 @@
     header_names::HeaderNames,
     http_call::HttpCall,
     lost_responses::LostResponses,
+    membership::ReportRecipients,
     move_schedule::{CopyStart, MoveSchedule},
     peer_exchange::PeerExchange,
     peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, VersionMoveEntry},
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -8,9 +8,9 @@
 use tracing::{info, warn};
 
 use crate::{
-    FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ResultCounts,
-    RouteEntry, RouteResults, ServerLoad, VersionMove, VersionMoveEntry, VersionMoveEvidence,
-    VersionMovePhase, VmRecord,
+    FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ReportRecipients,
+    ResultCounts, RouteEntry, RouteResults, ServerLoad, VersionMove, VersionMoveEntry,
+    VersionMoveEvidence, VersionMovePhase, VmRecord,
 };
 
 /// Minimum time between two reports sent because of a change.
@@ -62,7 +62,11 @@
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((length, sender)) => self.apply_report(&buffer[..length], sender),
+                    Ok((length, sender)) => {
+                        if let Some(relayed) = self.apply_report(&buffer[..length], sender) {
+                            self.relay(relayed).await;
+                        }
+                    }
                     Err(error) => info!(%error, "peers: receive failed"),
                 },
                 Some((name, address)) = registrations.recv() => {
@@ -88,19 +92,30 @@
         }
     }
 
-    fn apply_report(&mut self, bytes: &[u8], sender: SocketAddr) {
+    /// Applies a report. Returns it with its origin if it is to be relayed within the zone.
+    fn apply_report(&mut self, bytes: &[u8], sender: SocketAddr) -> Option<PeerReport> {
         let report = match PeerReport::decode(bytes) {
             Ok(report) => report,
             Err(error) => {
                 info!(%sender, %error, "peers: report not understood");
-                return;
+                return None;
             }
         };
+        let origin = match report.origin.as_str() {
+            "" => sender,
+            text => match text.parse() {
+                Ok(origin) => origin,
+                Err(_) => {
+                    info!(peer = report.name, "peers: address not understood");
+                    return None;
+                }
+            },
+        };
         let now = self.context.clock.now();
         if report.boot == self.context.boot
-            || !self.context.peers().note_report(&report, sender, now)
+            || !self.context.peers().note_report(&report, origin, now)
         {
-            return;
+            return None;
         }
         self.apply_peers(&report);
         let mut view = self.context.view();
@@ -116,6 +131,22 @@
         if changed {
             self.context.announce_change();
         }
+        let is_relayed = report.is_for_zone && report.zone != self.context.settings.zone;
+        is_relayed.then(|| PeerReport { is_for_zone: false, origin: origin.to_string(), ..report })
+    }
+
+    /// Sends a report of another zone to the VMs of this one.
+    async fn relay(&self, report: PeerReport) {
+        let recipients = self.context.peers().zone_recipients(self.context.clock.now());
+        self.send_to(&encode_report(report), &recipients).await;
+    }
+
+    async fn send_to(&self, bytes: &[u8], recipients: &[SocketAddr]) {
+        for address in recipients {
+            if let Err(error) = self.socket.send_to(bytes, address).await {
+                tracing::debug!(%address, %error, "peers: report not sent");
+            }
+        }
     }
 
     fn apply_peers(&self, report: &PeerReport) {
@@ -136,23 +167,23 @@
         self.sequence += 1;
         let (mut running, known, recipients) = {
             let mut peers = self.context.peers();
-            let recipients =
-                if is_change { peers.local_recipients(now) } else { peers.recipients(now) };
+            let recipients = if is_change {
+                let direct = peers.local_recipients(now);
+                ReportRecipients { direct, ..ReportRecipients::default() }
+            } else {
+                peers.report_recipients(self.sequence, now)
+            };
             (peers.running_count(now), peers.known_count(), recipients)
         };
         if self.started.elapsed() < SETTLING_TIME {
             running = running.max(known);
         }
         let report = self.build_report(running);
-        let mut bytes = report.encode_to_vec();
-        if bytes.len() > DATAGRAM_BYTES {
-            bytes = PeerReport { leaving: Vec::new(), ..report }.encode_to_vec();
-        }
-        for address in recipients {
-            if let Err(error) = self.socket.send_to(&bytes, address).await {
-                tracing::debug!(%address, %error, "peers: report not sent");
-            }
+        if !recipients.relays.is_empty() {
+            let relayed = PeerReport { is_for_zone: true, ..report.clone() };
+            self.send_to(&encode_report(relayed), &recipients.relays).await;
         }
+        self.send_to(&encode_report(report), &recipients.direct).await;
     }
 
     fn build_report(&self, running: usize) -> PeerReport {
@@ -208,6 +239,15 @@
     }
 }
 
+/// Encodes a report. Leaves out the leaving servers if it does not fit into a datagram otherwise.
+fn encode_report(report: PeerReport) -> Vec<u8> {
+    let bytes = report.encode_to_vec();
+    if bytes.len() <= DATAGRAM_BYTES {
+        return bytes;
+    }
+    PeerReport { leaving: Vec::new(), ..report }.encode_to_vec()
+}
+
 fn apply_loads(view: &mut FleetView, report: &PeerReport, now: dragonflycart_core::MonoTime) {
     let mut named = BTreeSet::new();
     for entry in &report.loads {
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -128,4 +128,11 @@
     /// Open version moves.
     #[prost(message, repeated, tag = "11")]
     pub versions: Vec<VersionMoveEntry>,
+    /// Whether the receiver should relay the report to the VMs of its zone.
+    #[prost(bool, tag = "12")]
+    pub is_for_zone: bool,
+    /// Address of the VM, as `ip:port`, if the report was relayed; empty if the sender of the
+    /// datagram is the VM itself.
+    #[prost(string, tag = "13")]
+    pub origin: String,
 }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -1,10 +1,14 @@
 //! Table of the other VMs known to this one.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use dragonflycart_core::MonoTime;
 
-use crate::{PeerEntry, PeerReport};
+use crate::{PeerEntry, PeerReport, ReportRecipients};
 
 /// Interval of reports without a change in a small fleet.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -16,7 +20,7 @@
 /// Number of other VMs from which the fleet counts as large. In smaller fleets, each VM reports
 /// every change to all others at once; the number of these messages grows with the square of the
 /// number of VMs.
-const SMALL_FLEET: usize = 64;
+pub(crate) const SMALL_FLEET: usize = 64;
 /// Number of report intervals without a report after which a VM of a large fleet no longer counts
 /// as running.
 const TIMEOUT_INTERVALS: f64 = 2.5;
@@ -177,6 +181,37 @@
         true
     }
 
+    /// Returns the addresses to send a report to that is the same for all VMs. In a large fleet, only
+    /// one VM of each other zone gets it, which relays it within its zone: the traffic between zones
+    /// then grows with the number of VMs and not with its square. Consecutive values of `turn`
+    /// select different relays, so that one that has stopped costs a single report.
+    pub fn report_recipients(&mut self, turn: u64, now: MonoTime) -> ReportRecipients {
+        let mut direct = self.recipients(now);
+        if !self.is_large() {
+            return ReportRecipients { direct, relays: Vec::new() };
+        }
+        let mut remote: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
+        for (address, state) in &self.peers {
+            if state.zone != self.own_zone && self.is_running(state, now) {
+                remote.entry(&state.zone).or_default().push(*address);
+            }
+        }
+        let mut relays = Vec::new();
+        for addresses in remote.values() {
+            relays.push(addresses[turn as usize % addresses.len()]);
+        }
+        let relayed: BTreeSet<SocketAddr> = remote.into_values().flatten().collect();
+        direct.retain(|address| !relayed.contains(address));
+        ReportRecipients { direct, relays }
+    }
+
+    /// Returns the addresses to relay a report of another zone to: those of the running VMs in this
+    /// VM's zone.
+    pub fn zone_recipients(&self, now: MonoTime) -> Vec<SocketAddr> {
+        let near = self.peers.iter().filter(|(_, state)| state.zone == self.own_zone);
+        near.filter(|(_, state)| self.is_running(state, now)).map(|(address, _)| *address).collect()
+    }
+
     /// Returns the addresses to send a report to: those of running VMs and, at a longer interval,
     /// those of unresponsive ones.
     pub fn recipients(&mut self, now: MonoTime) -> Vec<SocketAddr> {
@@ -200,8 +235,7 @@
         if !self.is_large() {
             return self.recipients(now);
         }
-        let near = self.peers.iter().filter(|(_, state)| state.zone == self.own_zone);
-        near.filter(|(_, state)| self.is_running(state, now)).map(|(address, _)| *address).collect()
+        self.zone_recipients(now)
     }
 
     /// Returns up to `count` running VMs. Consecutive values of `turn` select different ones.
--- a/crates/gateway/src/placement_query.rs
+++ b/crates/gateway/src/placement_query.rs
@@ -19,6 +19,8 @@
     pub moved_tokens: u64,
     /// Seed of a random score component, for cases in which many VMs choose at the same time.
     pub spread_seed: Option<u64>,
+    /// Seed of the sample of servers in other zones from which a VM of a large fleet chooses.
+    pub sample_seed: u64,
     /// Servers that must not be used.
     pub excluded: &'a BTreeSet<ServerKey>,
 }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -147,6 +147,7 @@
         has_body,
         arrived,
         deadline,
+        sample_seed: rand::random(),
         demand,
         shared_prefix,
         route,
--- a/crates/gateway/src/server_score.rs
+++ b/crates/gateway/src/server_score.rs
@@ -18,11 +18,6 @@
 const LONG_ZONE_PENALTY: f64 = 0.4;
 /// Expected output, in tokens, from which a generation is long.
 const LONG_OUTPUT_TOKENS: u64 = 120;
-/// The same if this VM's zone has many servers of the service. In a large fleet, VMs of other zones
-/// report their load late.
-const LARGE_ZONE_PENALTY: f64 = 0.5;
-/// Number of a service's servers in a zone from which [`LARGE_ZONE_PENALTY`] applies.
-const LARGE_ZONE: usize = 24;
 /// Score added for a backup engine in another zone than the engine that it backs up.
 const COPY_ZONE_PENALTY: f64 = 1.5;
 /// Score added per second of copying until a moved generation's memory has arrived. Time is short
@@ -55,8 +50,6 @@
     pub holds_prefix: bool,
     /// Zone of this VM.
     pub own_zone: &'a str,
-    /// Number of the service's servers in that zone that accept requests.
-    pub local_servers: usize,
 }
 
 impl ServerScore<'_> {
@@ -104,7 +97,6 @@
         match query.preferred_zone {
             Some(near) if zone != near && query.moved_tokens == 0 => COPY_ZONE_PENALTY,
             None if zone == self.own_zone => 0.0,
-            None if self.local_servers >= LARGE_ZONE => LARGE_ZONE_PENALTY,
             None if query.demand.output_tokens >= LONG_OUTPUT_TOKENS => LONG_ZONE_PENALTY,
             None => ZONE_PENALTY,
             _ => 0.0,
@@ -118,7 +110,7 @@
 }
 
 /// Returns a pseudorandom number from 0 to 1 that is determined by a seed and a server.
-fn spread(seed: u64, key: ServerKey) -> f64 {
+pub fn spread(seed: u64, key: ServerKey) -> f64 {
     let mut hasher = DefaultHasher::new();
     (seed, key).hash(&mut hasher);
     hasher.finish() as f64 / u64::MAX as f64
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -108,7 +108,12 @@
 
 /// Returns a view with the plan and one engine per given zone, named `e0`, `e1` and so on.
 pub(crate) fn view(zones: &[&str]) -> FleetView {
-    let mut view = FleetView::new(Arc::new(settings()));
+    view_of(settings(), zones)
+}
+
+/// Returns the same view of a VM with other settings.
+pub(crate) fn view_of(settings: VmSettings, zones: &[&str]) -> FleetView {
+    let mut view = FleetView::new(Arc::new(settings));
     view.apply_order(FleetOrder::Plan(Arc::new(plan(1))), at(0));
     for (index, zone) in zones.iter().enumerate() {
         let port = 8_000 + index as u16;
@@ -133,6 +138,7 @@
         preferred_zone: None,
         moved_tokens: 0,
         spread_seed: None,
+        sample_seed: 0,
         excluded,
     }
 }
--- a/crates/gateway/tests/all/peer_tables.rs
+++ b/crates/gateway/tests/all/peer_tables.rs
@@ -1,6 +1,6 @@
 //! The table of VMs and the choice of the VM that reads the store.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use dragonflycart_gateway::{PeerReport, PeerTable};
 
@@ -170,3 +170,73 @@
     assert_eq!(table.running_count(at(4_000)), 400);
     assert_eq!(table.running_count(at(5_500)), 0);
 }
+
+/// Returns the zone of the VM `index`.
+fn zone_of(index: u16) -> &'static str {
+    ["a", "b", "c", "d"][usize::from(index % 4)]
+}
+
+fn vm_address(index: u16) -> SocketAddr {
+    format!("10.2.{}.{}:7200", index / 200, 1 + index % 200).parse().unwrap()
+}
+
+/// Table of the VM `own` in a fleet of `count` VMs, all of which have just reported.
+fn fleet_table(own: u16, count: u16) -> PeerTable {
+    let mut table = PeerTable::new(&format!("vm-{own}"), zone_of(own));
+    for index in (0..count).filter(|index| *index != own) {
+        let zone = zone_of(index).to_owned();
+        let report = PeerReport { zone, ..report(&format!("vm-{index}"), 1, 1) };
+        table.note_report(&report, vm_address(index), at(0));
+    }
+    table
+}
+
+/// Pattern: many VMs in several zones. When each VM sent its report to all others, the traffic
+/// between zones grew with the square of their number.
+#[test]
+fn report_crosses_to_each_other_zone_once_and_reaches_all() {
+    for count in [200, 400] {
+        let recipients = fleet_table(0, count).report_recipients(7, at(10));
+
+        assert_eq!(recipients.relays.len(), 3, "{count} VMs");
+        let mut reached: BTreeSet<SocketAddr> = recipients.direct.iter().copied().collect();
+        for relay in recipients.relays {
+            let index = (0..count).find(|index| vm_address(*index) == relay).unwrap();
+            reached.insert(relay);
+            reached.extend(fleet_table(index, count).zone_recipients(at(10)));
+        }
+        let all: BTreeSet<SocketAddr> = (1..count).map(vm_address).collect();
+        assert_eq!(reached, all, "{count} VMs");
+    }
+}
+
+/// Pattern: a relay is killed. Until it is known to have stopped, it may cost single reports only.
+#[test]
+fn consecutive_reports_take_different_relays() {
+    let mut table = fleet_table(0, 200);
+
+    let first = table.report_recipients(7, at(10)).relays;
+    let second = table.report_recipients(8, at(20)).relays;
+
+    assert!(first.iter().all(|relay| !second.contains(relay)), "{first:?} {second:?}");
+}
+
+/// A zone of which no VM was heard, for example after a partition, is tried directly.
+#[test]
+fn unresponsive_zone_is_tried_without_a_relay() {
+    let mut table = fleet_table(0, 200);
+    table.report_recipients(1, at(10));
+
+    let recipients = table.report_recipients(2, at(20_000));
+
+    assert!(recipients.relays.is_empty());
+    assert_eq!(recipients.direct.len(), 199);
+}
+
+#[test]
+fn small_fleet_needs_no_relays() {
+    let recipients = fleet_table(0, 40).report_recipients(1, at(10));
+
+    assert!(recipients.relays.is_empty());
+    assert_eq!(recipients.direct.len(), 39);
+}
--- a/crates/gateway/tests/all/placements.rs
+++ b/crates/gateway/tests/all/placements.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dragonflycart_core::ErrorKind;
-use dragonflycart_gateway::{PlacementQuery, ServerLoad, TokenDemand, WaitQueue};
+use dragonflycart_gateway::{PlacementQuery, ServerLoad, TokenDemand, VmSettings, WaitQueue};
 
-use crate::fixtures::{MEMORY_TOKENS, at, key_of, query, report, view};
+use crate::fixtures::{MEMORY_TOKENS, at, key_of, query, report, settings, view, view_of};
 
 /// Pattern: long generations fill the memory of all engines. One more would be started and
 /// preempted again, or wait in the queue of an engine that may shut down.
@@ -288,3 +288,62 @@
 
     assert!(counts["e0"].abs_diff(counts["e1"]) <= 2, "{counts:?}");
 }
+
+/// Runs a burst of one prompt for each of three zones whose engines all have a prompt waiting, while
+/// those of zone `a` look idle. VMs of different zones don't see each other's requests in time.
+/// Returns the number of prompts that went to the same engine as another one.
+fn prompts_that_meet(vm_count: usize, seed: u64) -> usize {
+    let zones = ["a", "b", "c", "d"];
+    let engine_zones: Vec<&str> = (0..40).map(|index| zones[index % 4]).collect();
+    let verdict = TokenDemand::estimate(2_200, 40, Some(12));
+    let busy = ServerLoad { requests: 1, pending_prompt_tokens: 2_200, ..ServerLoad::default() };
+    let excluded = BTreeSet::new();
+    let mut counts = BTreeMap::<String, usize>::new();
+    for (index, zone) in ["b", "c", "d"].into_iter().enumerate() {
+        let mut view = view_of(VmSettings { zone: zone.to_owned(), ..settings() }, &engine_zones);
+        view.vm_count = vm_count;
+        for number in (0..40).filter(|number| number % 4 != 0) {
+            view.note_peer_load(1, &format!("e{number}"), busy, at(0));
+        }
+        let sample_seed = 3 * seed + index as u64;
+        let query = PlacementQuery { sample_seed, ..query(verdict, &excluded) };
+        let placement = view.place(&query, at(10)).unwrap();
+        *counts.entry(placement.id).or_default() += 1;
+    }
+    counts.into_values().filter(|count| *count > 1).sum()
+}
+
+/// Pattern: 200 or 400 VMs choose among the same engines at the same moment, on reports of other
+/// zones that are as old as the interval of reports. All of them chose the first idle engine; most
+/// prompts must get an engine for themselves, since there are enough.
+#[test]
+fn requests_of_a_large_fleet_do_not_meet_at_the_same_engines() {
+    for vm_count in [200, 400] {
+        let bursts = 100;
+        let meeting: usize = (0..bursts).map(|seed| prompts_that_meet(vm_count, seed)).sum();
+
+        assert!(2 * meeting < 3 * bursts as usize, "{vm_count} VMs: {meeting} prompts met");
+    }
+}
+
+/// Pattern: the engines of the VM's zone are full. Engines of other zones that are not in the
+/// sample must not be overlooked.
+#[test]
+fn request_of_a_large_fleet_finds_the_only_engine_with_room() {
+    let zones: Vec<&str> = (0..40).map(|index| ["a", "b", "c", "d"][index % 4]).collect();
+    let mut view = view(&zones);
+    view.vm_count = 200;
+    for index in 0..39 {
+        let load = ServerLoad { requests: 8, tokens: MEMORY_TOKENS, ..ServerLoad::default() };
+        view.note_peer_load(1, &format!("e{index}"), load, at(0));
+    }
+    let excluded = BTreeSet::new();
+
+    for sample_seed in 0..50 {
+        let query = PlacementQuery { sample_seed, ..query(report(), &excluded) };
+        let placement = view.place(&query, at(10)).unwrap();
+        view.release(placement.server, placement.load);
+
+        assert_eq!(placement.id, "e39");
+    }
+}
