End stalled streams and endless responses, one connection per call

Causes: (1) a pooled connection took the first response to a call that echoes no ID, so a late second copy of an earlier status read, move or copy answered the next one; a call to the store could have been answered with records of another offset. (2) Informational responses, the body of a foreign response and a head that never ends were read until the request's deadline. (3) A comment or a byte now and then kept a stream without copies alive until its time limit. A response without a signature was put back into the pool.

Changes: each call to the store or to an engine has its own connection. Skipped bodies, informational responses and heads have limits in bytes, number or time; what exceeds one is logged. A stream without a numbered event for as long as its callers have patience (two seconds, four latency targets, eight pause targets, the longest) is ended as incomplete. A denied retry is logged.

Tests: bytes_without_end_before_the_response_are_given_up failed on the code before (20 s and still held). A late response of 400 kB is still skipped, and a stream with pauses of 2.2 s arrives whole.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -143,7 +143,12 @@
         if self.runs >= self.request.route.max_attempts {
             return false;
         }
-        self.context.view().take_retry(&self.request.service, self.context.clock.now())
+        let has_budget =
+            self.context.view().take_retry(&self.request.service, self.context.clock.now());
+        if !has_budget {
+            info!(id = self.request.attempt, service = self.request.service, "call: no retry left");
+        }
+        has_budget
     }
 
     fn place(&mut self) -> Option<ServerReservation> {
@@ -176,8 +181,12 @@
                 ));
             }
         };
-        self.context.pool.put_back(reservation.address(), connection);
         let is_genuine = response_relay::is_genuine(&self.context.names, &head);
+        if is_genuine {
+            self.context.pool.put_back(reservation.address(), connection);
+        } else {
+            connection.close();
+        }
         let is_failure = !is_genuine || head.status.is_server_error();
         self.note_response(reservation, is_failure, started);
         if !is_genuine {
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -337,7 +337,7 @@
     /// Requests the engine's report, and updates the time of its shutdown if the report states it.
     async fn ask_report(&mut self) -> Option<EngineReport> {
         let call = self.context.engine_protocol.report_call();
-        let response = call.send(&self.context.pool, self.source, REPORT_TIMEOUT).await;
+        let response = call.send(self.source, REPORT_TIMEOUT).await;
         let report = match response {
             Ok((200, body)) => self.context.engine_protocol.decode_report(&body)?,
             Ok(_) | Err(_) => return None,
@@ -415,7 +415,7 @@
                 is_final,
             );
             let asked_at = Instant::now();
-            let response = call.send(&self.context.pool, self.source, COPY_TIMEOUT).await;
+            let response = call.send(self.source, COPY_TIMEOUT).await;
             let took_ms = asked_at.elapsed().as_millis() as u64;
             let copy = match &response {
                 Ok((status, body)) => self.context.engine_protocol.decode_copy(*status, body),
@@ -444,7 +444,7 @@
 
     async fn release(&self, handle: &str) {
         let call = self.context.engine_protocol.release_call(handle);
-        if let Err(error) = call.send(&self.context.pool, self.source, COPY_TIMEOUT).await {
+        if let Err(error) = call.send(self.source, COPY_TIMEOUT).await {
             info!(
                 id = self.request.attempt,
                 handle,
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     BodyError, BodySender, CallerRequest, ConnectionError, EngineWatcher, EventSplitter,
-    GatewayContext, GenerationReservation, MoveOutcome, ResumedGeneration, ServerConnection,
-    StreamEvent, StreamProgress,
+    GatewayContext, GenerationReservation, MoveOutcome, PlannedRoute, ResumedGeneration,
+    ServerConnection, StreamEvent, StreamProgress,
 };
 
 /// Multiple of the route's pause target after which a stalled stream is resumed on another engine.
@@ -18,6 +18,13 @@
 /// Time after which a stalled stream is resumed on another engine if the route has no pause target.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Minimum time without progress after which callers abandon a stream, also before its first event.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+/// The same as a multiple of the route's latency target.
+const PATIENCE_TARGETS: u32 = 4;
+/// The same as a multiple of the route's pause target.
+const PATIENCE_PAUSES: u32 = 8;
+
 /// Number of events between updates of a generation's reserved memory and its service's timing.
 const RESIZE_EVENTS: u64 = 16;
 
@@ -71,6 +78,8 @@
     last_event_at: Instant,
     /// Time of the last event or, if later, of the switch to another engine.
     stalled_since: Instant,
+    /// Time of the last event that advances the stream.
+    progress_at: Instant,
     longest_pause_ms: u64,
     tokens_per_event: u64,
 }
@@ -98,6 +107,7 @@
             timed_since: Instant::now(),
             last_event_at: Instant::now(),
             stalled_since: Instant::now(),
+            progress_at: Instant::now(),
             longest_pause_ms: 0,
             tokens_per_event,
         }
@@ -120,6 +130,7 @@
         let pause = self.request.route.pause_target;
         let limit = pause.map_or(DEFAULT_STALL_TIMEOUT, |pause| pause * STALL_PAUSES);
         let stall_deadline = self.stalled_since + limit;
+        let patience = stream_patience(&self.request.route);
         let can_recover = self.events > 0 && reservation.backup.is_some();
         tokio::select! {
             biased;
@@ -133,6 +144,9 @@
             () = tokio::time::sleep_until(stall_deadline), if can_recover => {
                 self.recover(RelayEnd::Silent).await
             }
+            () = tokio::time::sleep_until(self.progress_at + patience) => {
+                StepOutcome::End(RelayEnd::Silent)
+            }
             () = tokio::time::sleep_until(self.request.deadline) => {
                 StepOutcome::End(RelayEnd::TimedOut)
             }
@@ -211,10 +225,11 @@
                 return Some(RelayEnd::Gap);
             }
         }
+        // An event without an ID, such as a comment, does not show that the generation proceeds.
         if let Some(id) = event.id {
             self.progress.advance(id);
+            self.note_event();
         }
-        self.note_event();
         match self.sender.send(Ok(event.bytes)).await {
             Ok(()) => None,
             Err(_) => Some(RelayEnd::CallerLeft),
@@ -245,6 +260,7 @@
         }
         self.last_event_at = now;
         self.stalled_since = self.last_event_at;
+        self.progress_at = self.last_event_at;
     }
 
     async fn finish(self, end: RelayEnd) {
@@ -268,6 +284,13 @@
     }
 }
 
+/// Returns the time without progress after which a stream is ended, because its caller has left or
+/// will find it useless. A slow stream is only ended after this time.
+pub fn stream_patience(route: &PlannedRoute) -> Duration {
+    let pause = route.pause_target.unwrap_or_default();
+    LEAST_PATIENCE.max(route.latency_target * PATIENCE_TARGETS).max(pause * PATIENCE_PAUSES)
+}
+
 fn log_end(
     context: &GatewayContext,
     request: &CallerRequest,
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::{ConnectionError, ConnectionPool, ResponseHead};
+use crate::{ConnectionError, ResponseHead, ServerConnection};
 
 /// Maximum size of a response, in bytes.
 const RESPONSE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
@@ -42,31 +42,31 @@
     /// executed then, unless the error is [`ConnectionError::Unreachable`].
     pub async fn send(
         &self,
-        pool: &ConnectionPool,
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<(u16, Bytes), ConnectionError> {
-        let (head, body) = self.send_for_head(pool, address, timeout).await?;
+        let (head, body) = self.send_for_head(address, timeout).await?;
         Ok((head.status.as_u16(), body))
     }
 
-    /// Sends the call and returns the head and body of the response.
+    /// Sends the call and returns the head and body of the response. Each call has a connection of
+    /// its own: responses to calls echo no ID, so on a used connection a second copy of an earlier
+    /// response would be taken for this one.
     ///
     /// # Errors
     ///
     /// As for [`HttpCall::send`].
     pub async fn send_for_head(
         &self,
-        pool: &ConnectionPool,
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<(ResponseHead, Bytes), ConnectionError> {
         let exchange = async {
-            let mut connection = pool.acquire(address).await?;
+            let mut connection = ServerConnection::connect(address).await?;
             let head = self.encode_head(address);
             let response = connection.exchange(&head, &self.body, None).await?;
             let body = connection.read_body(RESPONSE_LIMIT_BYTES).await?;
-            pool.put_back(address, connection);
+            connection.close();
             Ok((response, body))
         };
         tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(ConnectionError::TimedOut))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -116,7 +116,7 @@
     gateway_failure::GatewayFailure,
     gateway_metrics::GatewayMetrics,
     generation_mover::{GenerationMover, MoveOutcome, MoveReason},
-    generation_relay::{GenerationRelay, RelaySource},
+    generation_relay::{GenerationRelay, RelaySource, stream_patience},
     generation_reservation::GenerationReservation,
     generation_resumer::{ResumeResult, ResumedGeneration},
     generation_timing::GenerationTiming,
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -15,6 +15,7 @@
     net::TcpStream,
     time::Instant,
 };
+use tracing::info;
 
 use crate::{BodyFraming, ChunkDecoder, ConnectionError, DecodedChunk, ResponseHead};
 
@@ -33,6 +34,14 @@
 const IDLE_FRACTION: f64 = 0.6;
 /// Maximum number of late responses to earlier requests that are skipped.
 const SKIP_LIMIT: u32 = 3;
+/// Maximum size of the bodies of these responses, in bytes. A whole stream fits.
+const SKIP_LIMIT_BYTES: usize = 1024 * 1024;
+/// Maximum time in which they are skipped.
+const SKIP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of informational responses before the final one.
+const INFORMATIONAL_LIMIT: u32 = 64;
+/// Maximum time from the first byte of a response head to its last one.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
 enum BodyState {
     Idle,
@@ -114,9 +123,15 @@
         request.extend_from_slice(body);
         let mut sent = 0;
         let mut skipped = 0;
+        let mut informational = 0;
         loop {
             let response = self.next_head(&request, &mut sent).await?;
             if response.status.is_informational() {
+                informational += 1;
+                if informational > INFORMATIONAL_LIMIT {
+                    self.log_excess("informational responses", INFORMATIONAL_LIMIT as usize);
+                    return Err(ConnectionError::Malformed);
+                }
                 continue;
             }
             let is_ours = echo.is_none_or(|(name, attempt)| match response.text(name) {
@@ -132,10 +147,31 @@
             if skipped > SKIP_LIMIT || response.framing == BodyFraming::UntilClose {
                 return Err(ConnectionError::Mismatched);
             }
-            while self.next_data().await?.is_some() {}
+            self.skip_body().await?;
+        }
+    }
+
+    /// Reads the body of a response to an earlier request.
+    async fn skip_body(&mut self) -> Result<(), ConnectionError> {
+        let body = self.read_body(SKIP_LIMIT_BYTES);
+        match tokio::time::timeout(SKIP_TIMEOUT, body).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(error)) => Err(error),
+            Err(_) => {
+                self.log_excess(
+                    "milliseconds of another response",
+                    SKIP_TIMEOUT.as_millis() as usize,
+                );
+                Err(ConnectionError::Mismatched)
+            }
         }
     }
 
+    fn log_excess(&self, unit: &'static str, limit: usize) {
+        let address = self.stream.peer_addr().ok().map(|address| address.to_string());
+        info!(address, unit, limit, "server: response exceeds a limit");
+    }
+
     fn note_idle_limit(&mut self, response: &ResponseHead) {
         if let Some(limit) = response.idle_limit() {
             self.idle_limit = limit.mul_f64(IDLE_FRACTION);
@@ -148,6 +184,7 @@
         request: &[u8],
         sent: &mut usize,
     ) -> Result<ResponseHead, ConnectionError> {
+        let mut head_deadline = None;
         loop {
             if let Some((head, length)) = ResponseHead::parse(&self.buffer)? {
                 let _ = self.buffer.split_to(length);
@@ -159,6 +196,9 @@
                 };
                 return Ok(head);
             }
+            if !self.buffer.is_empty() {
+                head_deadline.get_or_insert_with(|| Instant::now() + HEAD_TIMEOUT);
+            }
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
                 biased;
@@ -174,6 +214,10 @@
                         return Err(ConnectionError::Closed);
                     }
                 }
+                () = sleep_until(head_deadline), if head_deadline.is_some() => {
+                    self.log_excess("milliseconds of a head", HEAD_TIMEOUT.as_millis() as usize);
+                    return Err(ConnectionError::Malformed);
+                }
             }
         }
     }
@@ -247,6 +291,7 @@
         let mut body = BytesMut::new();
         while let Some(piece) = self.next_data().await? {
             if body.len() + piece.len() > limit {
+                self.log_excess("bytes of a body", limit);
                 return Err(ConnectionError::Malformed);
             }
             body.extend_from_slice(&piece);
@@ -265,6 +310,12 @@
     }
 }
 
+async fn sleep_until(deadline: Option<Instant>) {
+    if let Some(deadline) = deadline {
+        tokio::time::sleep_until(deadline).await;
+    }
+}
+
 /// Sets socket options that detect dead connections.
 pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -62,6 +62,11 @@
             }
             let now = self.context.clock.now();
             if self.arrivals > 0 && !self.context.view().take_retry(&self.request.service, now) {
+                info!(
+                    id = self.request.attempt,
+                    service = self.request.service,
+                    "stream: no retry left"
+                );
                 break;
             }
             let waiting = engine_wait::reserve_engine(&self.context, &self.request, &self.excluded);
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use dragonflycart_gateway::{ConnectionError, ConnectionPool, ServerConnection};
+use dragonflycart_gateway::{ConnectionError, ConnectionPool, HttpCall, ServerConnection};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -159,3 +159,110 @@
 
     assert!(!reused.is_reusable(), "the server closed it");
 }
+
+/// Starts a server that sends `head` on each connection and then `piece` again and again, until the
+/// connection is closed.
+async fn endless(head: &'static str, piece: &'static str, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                if stream.write_all(head.as_bytes()).await.is_err() {
+                    return;
+                }
+                while stream.write_all(piece.as_bytes()).await.is_ok() {
+                    tokio::time::sleep(pause).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Returns the result of an exchange that must end long before the deadline of a request.
+async fn exchange_with(address: SocketAddr) -> Result<(), ConnectionError> {
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    let body = Bytes::new();
+    let exchange = connection.exchange(REQUEST, &body, echo("a1"));
+    let result = tokio::time::timeout(Duration::from_secs(20), exchange).await;
+    result.expect("the server holds the request").map(|_| ())
+}
+
+/// Guards against a server that holds a request, and the place of its caller, with bytes that are
+/// no response to it.
+#[tokio::test]
+async fn bytes_without_end_before_the_response_are_given_up() {
+    const NO_PAUSE: Duration = Duration::from_millis(0);
+    const PAUSE: Duration = Duration::from_millis(100);
+    let foreign = "HTTP/1.1 200 OK\r\necho-id: a0\r\ncontent-length: 900000000\r\n\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\necho-id: a0\r\ntransfer-encoding: chunked\r\n\r\n";
+    let scripts = [
+        ("", "HTTP/1.1 100 Continue\r\n\r\n", NO_PAUSE),
+        ("HTTP/1.1 200 OK\r\nx: ", "yyyyyyyyyyyyyyyy", NO_PAUSE),
+        ("HTTP/1.1 200 OK\r\nx: ", "y", PAUSE),
+        (foreign, "zzzzzzzzzzzzzzzz", NO_PAUSE),
+        (foreign, "z", PAUSE),
+        (chunked, "1\r\nz\r\n", PAUSE),
+    ];
+    let mut exchanges = tokio::task::JoinSet::new();
+    for (head, piece, pause) in scripts {
+        exchanges.spawn(async move {
+            let address = endless(head, piece, pause).await;
+            (head, piece, exchange_with(address).await)
+        });
+    }
+
+    for (head, piece, result) in exchanges.join_all().await {
+        assert!(result.is_err(), "{head:?} {piece:?}");
+    }
+}
+
+/// A bound on skipped bytes must not cost the response that follows a long late one.
+#[tokio::test]
+async fn response_after_a_long_late_one_is_found() {
+    let length = 400_000;
+    let late = format!("HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: {length}\r\n\r\n");
+    let script = format!("{late}{}{SECOND}", "x".repeat(length)).leak();
+    let address = scripted(vec![FIRST, script]).await;
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    connection.read_body(100).await.unwrap();
+
+    connection.exchange(REQUEST, &Bytes::new(), echo("a2")).await.unwrap();
+
+    assert_eq!(&connection.read_body(100).await.unwrap()[..], b"yes");
+}
+
+/// Status reads, copies and calls to the store have no ID that their responses echo. A second copy
+/// of an earlier response, sent late, must not answer the next call.
+#[tokio::test]
+async fn second_copy_of_a_response_does_not_answer_the_next_call() {
+    const COPY: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut buffer = [0; 4_096];
+        let (mut first, _) = listener.accept().await.unwrap();
+        let _read = first.read(&mut buffer).await.unwrap();
+        first.write_all(COPY.as_bytes()).await.unwrap();
+        // The copy is sent once the connection is used again, or by then was closed.
+        tokio::spawn(async move {
+            let mut buffer = [0; 4_096];
+            if first.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+                first.write_all(COPY.as_bytes()).await.unwrap();
+                tokio::time::sleep(Duration::from_secs(2)).await;
+            }
+        });
+        let (mut second, _) = listener.accept().await.unwrap();
+        let _read = second.read(&mut buffer).await.unwrap();
+        let own = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond";
+        second.write_all(own.as_bytes()).await.unwrap();
+    });
+    let timeout = Duration::from_secs(2);
+
+    let first = HttpCall::get("/a".to_owned()).send(address, timeout).await.unwrap();
+    let second = HttpCall::get("/b".to_owned()).send(address, timeout).await.unwrap();
+
+    assert_eq!((&first.1[..], &second.1[..]), (&b"first"[..], &b"second"[..]));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod moves;
 mod plans;
 mod soak;
+mod stalls;
 mod stops;
 mod streams;
 mod support;
