--- a/tests/all/stalls.rs
+++ b/tests/all/stalls.rs
@@ -1,13 +1,8 @@
 //! Tests of real gateway processes with engines whose streams are slow or stall.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
-use dragonflycart_standins::{CallerResponse, ManifestSpec, send};
-use serde_json::{Value, json};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-};
+use dragonflycart_standins::{CallerResponse, EngineScript, ManifestSpec, ScriptedEngine, send};
 
 use crate::support::GatewayFleet;
 
@@ -17,86 +12,14 @@
 /// event on the route, whose time limit is 20 s.
 const STALL_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// What an engine sends after the response head.
-#[derive(Debug, Clone, Copy)]
-enum EngineScript {
-    /// This many events, each after a pause, and the end of the stream.
-    Events(u64, Duration),
-    /// One event, then comments without end.
-    Comments(Duration),
-    /// One event, then single bytes of another one without end.
-    Bytes(Duration),
-    /// No event, but comments without end.
-    OnlyComments(Duration),
-}
-
-async fn start_engine(script: EngineScript) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(run_script(stream, script));
-        }
-    });
-    address
-}
-
-async fn send_chunk(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
-    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
-}
-
-async fn run_script(mut stream: TcpStream, script: EngineScript) -> std::io::Result<()> {
-    let mut request = Vec::new();
-    while !request.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
-        if stream.read_buf(&mut request).await? == 0 {
-            return Ok(());
-        }
-    }
-    let text = String::from_utf8_lossy(&request).into_owned();
-    let attempt =
-        text.lines().find_map(|line| line.strip_prefix("attempt-id: ")).unwrap_or_default();
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    if matches!(script, EngineScript::Comments(_) | EngineScript::Bytes(_)) {
-        send_chunk(&mut stream, "id: 0\ndata: x\n\n").await?;
-    }
-    match script {
-        EngineScript::Events(count, pause) => {
-            for id in 0..count {
-                tokio::time::sleep(pause).await;
-                send_chunk(&mut stream, &format!("id: {id}\ndata: x\n\n")).await?;
-            }
-            stream.write_all(b"0\r\n\r\n").await
-        }
-        EngineScript::Comments(pause) | EngineScript::OnlyComments(pause) => loop {
-            tokio::time::sleep(pause).await;
-            send_chunk(&mut stream, ": wait\n\n").await?;
-        },
-        EngineScript::Bytes(pause) => loop {
-            tokio::time::sleep(pause).await;
-            send_chunk(&mut stream, "y").await?;
-        },
-    }
-}
-
-fn registration(address: SocketAddr) -> Value {
-    json!({
-        "service": SERVICE, "address": address.to_string(), "zone": "a", "version": "v1",
-        "slots": 24, "state": "ready", "cold_remaining_ms": 0, "born": 1, "sequence": 1,
-    })
-}
-
 /// Sends a request for a stream to an engine that follows `script`.
 async fn stream_from(name: &str, script: EngineScript) -> CallerResponse {
     let mut fleet = GatewayFleet::start(name, 0).await;
-    let address = start_engine(script).await;
+    let engine = ScriptedEngine::start(script).await;
     let plan = ManifestSpec { version: 2, extra_routes: 0, keys: vec!["key".to_owned()] };
     let plan = plan.to_json().to_string().replace("\"engines\"", &format!("\"{SERVICE}\""));
     fleet.store.put_order("config", &serde_json::from_str(&plan).unwrap());
-    fleet.store.put_server("i-scripted", &registration(address));
+    fleet.store.put_server("i-scripted", &engine.registration(SERVICE));
     fleet.start_gateways().await;
     let request = fleet.stream_request(40);
     let response =
@@ -104,6 +27,7 @@
             .await
             .unwrap_or_else(|_| panic!("{script:?}: the stream never ends"));
     fleet.close();
+    engine.close();
     response
 }
 
