--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod header_names;
 mod http_call;
 mod lost_responses;
+mod membership;
 mod move_schedule;
 mod order_updates;
 mod peer_exchange;
@@ -115,13 +116,14 @@
     gateway_failure::GatewayFailure,
     gateway_metrics::GatewayMetrics,
     generation_mover::{GenerationMover, MoveOutcome, MoveReason},
-    generation_relay::{GenerationRelay, RelaySource},
+    generation_relay::{GenerationRelay, RelaySource, stream_patience},
     generation_reservation::GenerationReservation,
     generation_resumer::{ResumeResult, ResumedGeneration},
     generation_timing::GenerationTiming,
     header_names::HeaderNames,
     http_call::HttpCall,
     lost_responses::LostResponses,
+    membership::ReportRecipients,
     move_schedule::{CopyStart, MoveSchedule},
     peer_exchange::PeerExchange,
     peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, VersionMoveEntry},
