Ask engines whether they leave while their registrations can't be read

Change: while the table of servers is older than 1.5 s, a VM asks the engines that hold its generations for their report every 0.4 s. One that says it is leaving, under the start time of its registration, is treated like a draining one, and peers are told.

--- a/crates/gateway/src/engine_report.rs
+++ b/crates/gateway/src/engine_report.rs
@@ -16,6 +16,10 @@
 /// State of an engine. It is some hundred milliseconds old.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct EngineReport {
+    /// Whether the engine is going to shut down.
+    pub is_leaving: bool,
+    /// Start time of its process, in Unix milliseconds.
+    pub started_at_ms: Option<u64>,
     /// Time until the engine shuts down, if known.
     pub leaves_in: Option<Duration>,
     /// Running generations.
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     EngineSpec, FleetOrder, GenerationTiming, Placement, PlacementQuery, RetryBudget, RoutePlan,
-    ServerKey, ServerLoad, ServerRecord, ServerScore, ServerState, TokenDemand, VersionMove,
-    VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole, VmSettings,
+    ServerKey, ServerLoad, ServerRecord, ServerScore, ServerState, SurveyedEngine, TokenDemand,
+    VersionMove, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole, VmSettings,
     ZoneReachability,
     peer_table::SMALL_FLEET,
     server_score::{copy_factor, spread},
@@ -365,6 +365,26 @@
         returned.copied().collect()
     }
 
+    /// Returns the engines that this VM uses and that are not known to be leaving. Only generations
+    /// that can be moved depend on a notice.
+    pub fn engines_in_use(&self) -> Vec<SurveyedEngine> {
+        let mut engines = Vec::new();
+        for (key, state) in &self.servers {
+            let can_move =
+                self.engine_spec(&state.record.service).is_some_and(|engine| engine.can_move);
+            if !can_move || state.leaving_since.is_some() || state.own_load.requests == 0 {
+                continue;
+            }
+            engines.push(SurveyedEngine {
+                key,
+                id: state.id.clone(),
+                address: state.record.address,
+                started_at_ms: state.record.started_at_ms,
+            });
+        }
+        engines
+    }
+
     /// Returns the mutable state of a server.
     pub fn server_mut(&mut self, key: ServerKey) -> Option<&mut ServerState> {
         self.servers.get_mut(key)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -123,7 +123,7 @@
     header_names::HeaderNames,
     http_call::HttpCall,
     lost_responses::LostResponses,
-    membership::ReportRecipients,
+    membership::{ReportRecipients, SurveyedEngine},
     move_schedule::{CopyStart, MoveSchedule},
     peer_exchange::PeerExchange,
     peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, VersionMoveEntry},
--- a/crates/gateway/tests/all/server_states.rs
+++ b/crates/gateway/tests/all/server_states.rs
@@ -212,3 +212,19 @@
     assert!(view.recovery_candidates(at(900)).is_empty());
     assert_eq!(view.recovery_candidates(at(1_100)).len(), 1);
 }
+
+/// Pattern: engines are reclaimed while the store is away. Only engines that hold this VM's
+/// generations and are not known to leave are worth a question.
+#[test]
+fn engines_in_use_are_asked_while_the_store_is_away() {
+    let mut view = view(&["a", "a", "b"]);
+    let excluded = BTreeSet::new();
+    let used = view.place(&query(report(), &excluded), at(0)).unwrap();
+    let leaving = view.place(&query(report(), &excluded), at(1)).unwrap();
+    view.note_leaving(&leaving.id, Some(1), at(2));
+
+    let asked: Vec<_> = view.engines_in_use().into_iter().map(|engine| engine.id).collect();
+
+    assert_ne!(used.id, leaving.id);
+    assert_eq!(asked, [used.id]);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod matrix;
 mod moves;
 mod plans;
+mod reclaims;
 mod soak;
 mod stalls;
 mod stops;
--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -94,8 +94,14 @@
             };
             fleet.runners.push(FakeRunner::start(options, &fleet.log, number + 1).await);
         }
+        fleet.add_engine("i-engine").await;
+        fleet
+    }
+
+    /// Starts another engine.
+    pub(crate) async fn add_engine(&mut self, id: &str) {
         let engine = RunnerOptions {
-            id: "i-engine".to_owned(),
+            id: id.to_owned(),
             kind: RunnerKind::Engine,
             service: "engines".to_owned(),
             zone: "a".to_owned(),
@@ -103,9 +109,14 @@
             version: "v1".to_owned(),
             failure_percent: 0,
         };
-        fleet.runners.push(FakeRunner::start(engine, &fleet.log, 9).await);
-        fleet.heartbeat();
-        fleet
+        self.runners.push(FakeRunner::start(engine, &self.log, 9).await);
+        self.heartbeat();
+    }
+
+    /// Lets a runner announce that it is going to exit.
+    pub(crate) fn drain(&self, id: &str) {
+        let runner = self.runners.iter().find(|runner| runner.id() == id);
+        runner.expect("a runner of this name").drain();
     }
 
     /// Starts the gateways and waits until they are ready.
