Read a failing store at a rate that does not grow with the fleet, and pass on announced shutdowns

Changes: pauses after a failed read spread over 16 ms for each VM of a large fleet. About two of the VMs that use an engine ask it, and announcements pass from VM to VM, so that such an engine is not asked whether it is back. The reader of a large fleet sends its heartbeat at each read.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -326,11 +326,23 @@
         }
     }
 
-    /// Records that a peer reports a server as leaving. Returns whether this is new.
-    pub fn note_leaving(&mut self, id: &str, started_at_ms: Option<u64>, now: MonoTime) -> bool {
+    /// Records that a server is leaving, according to a peer or to the server itself.
+    /// `is_announced` is whether the server announced its shutdown itself. Returns whether it was
+    /// not known to be leaving.
+    pub fn note_leaving(
+        &mut self,
+        id: &str,
+        started_at_ms: Option<u64>,
+        is_announced: bool,
+        now: MonoTime,
+    ) -> bool {
         let Some(key) = self.by_id.get(id).copied() else { return false };
         let state = &mut self.servers[key];
-        if state.record.started_at_ms != started_at_ms || state.leaving_since.is_some() {
+        if state.record.started_at_ms != started_at_ms {
+            return false;
+        }
+        state.has_drained |= is_announced;
+        if state.leaving_since.is_some() {
             return false;
         }
         state.leaving_since = Some(now);
@@ -367,7 +379,7 @@
 
     /// Returns the engines that this VM uses and that are not known to be leaving. Only generations
     /// that can be moved depend on a notice.
-    pub fn engines_in_use(&self) -> Vec<SurveyedEngine> {
+    pub fn engines_in_use(&self, now: MonoTime) -> Vec<SurveyedEngine> {
         let mut engines = Vec::new();
         for (key, state) in &self.servers {
             let can_move =
@@ -380,6 +392,7 @@
                 id: state.id.clone(),
                 address: state.record.address,
                 started_at_ms: state.record.started_at_ms,
+                user_count: state.user_count(now),
             });
         }
         engines
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -154,7 +154,7 @@
     stream_progress::StreamProgress,
     table_mirror::TableMirror,
     table_record::{FleetTable, TableBatch, TableRecord},
-    table_sync::PollTiming,
+    table_sync::{PollTiming, retry_pause},
     token_demand::TokenDemand,
     version_move::{ExposureLimit, VersionMove},
     version_move_evidence::{ResultCounts, RouteResults, VersionMoveEvidence, VersionRole},
--- a/crates/gateway/src/membership/leave_survey.rs
+++ b/crates/gateway/src/membership/leave_survey.rs
@@ -12,7 +12,9 @@
 /// Interval between two surveys.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(400);
 /// Age of the table of servers from which engines are asked.
-const OUTDATED_AGE: Duration = Duration::from_millis(1_500);
+const OUTDATED_AGE: Duration = Duration::from_millis(2_000);
+/// Mean number of VMs that ask an engine in one survey.
+const ASKING_VMS: f64 = 2.0;
 /// Timeout of a request for an engine's report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -27,6 +29,17 @@
     pub address: SocketAddr,
     /// Start time of the registered process, in Unix milliseconds.
     pub started_at_ms: Option<u64>,
+    /// Number of VMs that have generations on it.
+    pub user_count: usize,
+}
+
+impl SurveyedEngine {
+    /// Returns whether this VM asks the engine in the current survey. The VMs that use an engine
+    /// tell each other that it is leaving, so a few of them are enough; `random`, from 0 to 1,
+    /// selects them.
+    pub fn is_asked(&self, random: f64) -> bool {
+        random * self.user_count as f64 <= ASKING_VMS
+    }
 }
 
 /// Surveys engines for the lifetime of the process.
@@ -37,8 +50,11 @@
         if age.is_none_or(|age| age < OUTDATED_AGE) {
             continue;
         }
-        let engines = context.view().engines_in_use();
+        let engines = context.view().engines_in_use(context.clock.now());
         for engine in engines {
+            if !engine.is_asked(rand::random()) {
+                continue;
+            }
             tokio::spawn(ask(Arc::clone(&context), engine));
         }
     }
@@ -59,7 +75,7 @@
         return;
     }
     let now = context.clock.now();
-    if !context.view().note_leaving(&engine.id, engine.started_at_ms, now) {
+    if !context.view().note_leaving(&engine.id, engine.started_at_ms, true, now) {
         return;
     }
     info!(
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -122,7 +122,7 @@
         apply_loads(&mut view, &report, now);
         let mut changed = apply_version_moves(&mut view, &report, now);
         for entry in &report.leaving {
-            if view.note_leaving(&entry.server, entry.started_at_ms, now) {
+            if view.note_leaving(&entry.server, entry.started_at_ms, entry.is_announced, now) {
                 info!(server = entry.server, peer = report.name, "servers: leaving, says a peer");
                 changed = true;
             }
@@ -232,6 +232,7 @@
                 report.leaving.push(LeavingEntry {
                     server: state.id.clone(),
                     started_at_ms: state.record.started_at_ms,
+                    is_announced: state.has_drained,
                 });
             }
         }
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -37,6 +37,9 @@
     /// Start time of its process, in Unix milliseconds.
     #[prost(uint64, optional, tag = "2")]
     pub started_at_ms: Option<u64>,
+    /// Whether the server announced its shutdown itself, so that it will not recover.
+    #[prost(bool, tag = "3")]
+    pub is_announced: bool,
 }
 
 /// Another VM from which the sender recently received a report.
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -138,6 +138,13 @@
         total
     }
 
+    /// Returns the number of VMs that have load on the server, including this one.
+    pub fn user_count(&self, now: MonoTime) -> usize {
+        let recent =
+            self.peer_loads.values().filter(|(heard_at, _)| now.since(*heard_at) <= PEER_LOAD_AGE);
+        1 + recent.count()
+    }
+
     /// Records a peer's reported load on the server.
     pub fn note_peer_load(&mut self, peer: u64, load: ServerLoad, now: MonoTime) {
         self.peer_loads.insert(peer, (now, load));
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -6,8 +6,8 @@
 use tracing::{info, warn};
 
 use crate::{
-    BootTime, FleetTable, GatewayContext, StoreError, TableBatch, order_updates, server_updates,
-    version_move_updates,
+    BootTime, FleetTable, GatewayContext, StoreError, TableBatch, order_updates,
+    peer_table::SMALL_FLEET, server_updates, version_move_updates,
 };
 
 /// Age of a table from which a VM reads it itself although a peer should forward it. Orders must
@@ -22,6 +22,9 @@
 /// Number of VMs by which the maximum pause grows by one [`RETRY_MAX`].
 const VMS_AT_RETRY_MAX: u32 = 10;
 
+/// Mean interval between the reads of a table by all VMs of a large fleet while the store fails.
+const FLEET_RETRY_INTERVAL: Duration = Duration::from_millis(16);
+
 /// Polling of a table.
 #[derive(Debug, Clone, Copy)]
 pub struct PollTiming {
@@ -60,6 +63,8 @@
                 }
                 failures = 0;
                 must_reread = false;
+                // In a large fleet, the tables take two hops, so none may wait for the next heartbeat.
+                context.tables.set_wake_on_every_batch(context.peers().is_large());
                 apply(&context, table, batch, next.is_none(), Duration::ZERO);
                 if table == FleetTable::Orders {
                     context.freshness().note_store_read(began_at);
@@ -73,19 +78,28 @@
             }
             Err(error) => {
                 note_failure(&context, table, &error, failures);
-                let pause = RETRY_MIN * 2_u32.saturating_pow(failures.min(4));
+                let pause = retry_pause(failures, context.view().vm_count, rand::random());
                 failures += 1;
-                tokio::time::sleep(pause.min(longest_pause(&context))).await;
+                tokio::time::sleep(pause).await;
             }
         }
     }
 }
 
-/// Returns the maximum pause after a failed read. In a large fleet, it is sufficient if any VM soon
-/// notices that the store is available again, since it forwards the tables.
-fn longest_pause(context: &GatewayContext) -> Duration {
-    let vm_count = u32::try_from(context.view().vm_count).unwrap_or(u32::MAX);
-    RETRY_MAX * (vm_count / VMS_AT_RETRY_MAX).max(1)
+/// Returns the pause after a failed read that follows `failures` others, in a fleet of `vm_count`
+/// VMs. In a large fleet, it is sufficient if any VM soon notices that the store is available again,
+/// since it forwards the tables. `random`, from 0 to 1, spreads the VMs' reads.
+pub fn retry_pause(failures: u32, vm_count: usize, random: f64) -> Duration {
+    let vms = u32::try_from(vm_count).unwrap_or(u32::MAX);
+    let longest = RETRY_MAX * (vms / VMS_AT_RETRY_MAX).max(1);
+    let pause = (RETRY_MIN * 2_u32.saturating_pow(failures.min(4))).min(longest);
+    if vm_count <= SMALL_FLEET {
+        return pause;
+    }
+    let spread = FLEET_RETRY_INTERVAL * vms;
+    // All VMs lose the store at the same moment, so the first pauses spread from zero on.
+    let share = if failures == 0 { random } else { 0.5 + random };
+    pause.max(spread.mul_f64(share))
 }
 
 /// Returns whether another VM reads the table and forwards it in time.
--- a/crates/gateway/tests/all/server_states.rs
+++ b/crates/gateway/tests/all/server_states.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use dragonflycart_gateway::ZoneReachability;
+use dragonflycart_gateway::{ServerLoad, ZoneReachability};
 
 use crate::fixtures::{ENGINES, at, key_of, query, record, report, view};
 
@@ -76,8 +76,8 @@
 fn peer_that_saw_a_server_leave_is_believed_for_that_incarnation() {
     let mut view = view(&["a"]);
 
-    assert!(!view.note_leaving("e0", Some(9), at(1)));
-    assert!(view.note_leaving("e0", Some(1), at(2)));
+    assert!(!view.note_leaving("e0", Some(9), false, at(1)));
+    assert!(view.note_leaving("e0", Some(1), false, at(2)));
     assert!(view.is_leaving(key_of(&view, "e0")));
 }
 
@@ -207,7 +207,7 @@
 #[test]
 fn server_is_not_asked_at_once_whether_it_is_back() {
     let mut view = view(&["a"]);
-    view.note_leaving("e0", Some(1), at(0));
+    view.note_leaving("e0", Some(1), false, at(0));
 
     assert!(view.recovery_candidates(at(900)).is_empty());
     assert_eq!(view.recovery_candidates(at(1_100)).len(), 1);
@@ -221,10 +221,59 @@
     let excluded = BTreeSet::new();
     let used = view.place(&query(report(), &excluded), at(0)).unwrap();
     let leaving = view.place(&query(report(), &excluded), at(1)).unwrap();
-    view.note_leaving(&leaving.id, Some(1), at(2));
+    view.note_leaving(&leaving.id, Some(1), false, at(2));
 
-    let asked: Vec<_> = view.engines_in_use().into_iter().map(|engine| engine.id).collect();
+    let asked: Vec<_> = view.engines_in_use(at(3)).into_iter().map(|engine| engine.id).collect();
 
     assert_ne!(used.id, leaving.id);
     assert_eq!(asked, [used.id]);
 }
+
+/// Pattern: the same in a large fleet. The reports of an engine are priced, and 200 or 400 VMs that
+/// use it must not all ask for them.
+#[test]
+fn few_of_the_vms_that_use_an_engine_ask_it() {
+    for vm_count in [200, 400_u64] {
+        let mut view = view(&["a"]);
+        let excluded = BTreeSet::new();
+        view.place(&query(report(), &excluded), at(0)).unwrap();
+        for peer in 1..vm_count {
+            view.note_peer_load(
+                peer,
+                "e0",
+                ServerLoad { requests: 1, ..ServerLoad::default() },
+                at(0),
+            );
+        }
+        let engine = view.engines_in_use(at(1)).remove(0);
+
+        let asking =
+            (0..vm_count).filter(|vm| engine.is_asked((*vm as f64 + 0.5) / vm_count as f64));
+
+        assert_eq!(asking.count(), 2, "{vm_count} VMs");
+    }
+}
+
+#[test]
+fn only_user_of_an_engine_always_asks_it() {
+    let mut view = view(&["a"]);
+    let excluded = BTreeSet::new();
+    view.place(&query(report(), &excluded), at(0)).unwrap();
+
+    let engine = view.engines_in_use(at(1)).remove(0);
+
+    assert!(engine.is_asked(0.999));
+}
+
+/// Pattern: many engines are reclaimed while the store is away, so their registrations stay. All
+/// VMs of a large fleet asked each of them once a second whether it was back.
+#[test]
+fn server_that_announced_its_shutdown_is_not_asked_whether_it_is_back() {
+    let mut view = view(&["a", "b"]);
+
+    view.note_leaving("e0", Some(1), true, at(0));
+    view.note_leaving("e1", Some(1), false, at(0));
+
+    let candidates = view.recovery_candidates(at(2_000));
+    assert_eq!(candidates, [key_of(&view, "e1")]);
+}
--- a/crates/gateway/tests/all/tables.rs
+++ b/crates/gateway/tests/all/tables.rs
@@ -1,7 +1,9 @@
 //! Local copies of the store's tables.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use dragonflycart_gateway::{TableBatch, TableMirror, TableRecord};
+use dragonflycart_gateway::{TableBatch, TableMirror, TableRecord, retry_pause};
 use proptest::prelude::*;
 
 fn record(offset: u64, key: &str, value: Option<&'static str>) -> TableRecord {
@@ -128,3 +130,43 @@
         }
     }
 }
+
+/// Returns the times at which the VMs of a fleet read the store while it fails for ten seconds.
+fn reads_of_a_failing_store(vm_count: usize) -> Vec<Duration> {
+    let mut reads = Vec::new();
+    for vm in 0..vm_count {
+        let mut time = Duration::ZERO;
+        let mut failures = 0;
+        while time < Duration::from_secs(10) {
+            reads.push(time);
+            // Evenly distributed, and different for each VM and read.
+            let random = ((vm * 37 + failures as usize * 61) % 101) as f64 / 101.0;
+            time += retry_pause(failures, vm_count, random);
+            failures += 1;
+        }
+    }
+    reads.sort();
+    reads
+}
+
+/// Pattern: the store fails for all VMs of a large fleet. Calls are priced and limited in sum, so
+/// after the first one of each VM their rate must not grow with the fleet; yet one of the VMs must
+/// notice within a second that the store is available again.
+#[test]
+fn reads_of_a_failing_store_do_not_grow_with_the_fleet() {
+    for vm_count in [200, 400] {
+        let reads = reads_of_a_failing_store(vm_count);
+
+        let later = reads.iter().filter(|time| **time > Duration::from_secs(2)).count();
+        assert!(later < 8 * 100, "{vm_count} VMs: {later} reads in eight seconds");
+        for pair in reads.windows(2) {
+            assert!(pair[1] - pair[0] < Duration::from_secs(1), "{vm_count} VMs: {pair:?}");
+        }
+    }
+}
+
+#[test]
+fn small_fleet_soon_reads_a_store_that_failed() {
+    assert_eq!(retry_pause(0, 9, 0.7), Duration::from_millis(150));
+    assert_eq!(retry_pause(9, 9, 0.7), Duration::from_millis(800));
+}
