Never make a confirmed plan younger on a VM that has just booted

Found in reading the change: an age larger than the time since the boot was cut off at the boot, so a VM that had booted a second ago took a plan of 4.6 s for one of 1.2 s.

--- a/crates/gateway/src/revocation/boot_time.rs
+++ b/crates/gateway/src/revocation/boot_time.rs
@@ -30,8 +30,8 @@
         self.0.saturating_sub(earlier.0)
     }
 
-    /// Returns the point in time `span` before this one, at the earliest the boot.
-    pub fn before(self, span: Duration) -> BootTime {
-        BootTime(self.0.saturating_sub(span))
+    /// Returns the point in time `span` before this one, or `None` if that is before the boot.
+    pub fn before(self, span: Duration) -> Option<BootTime> {
+        self.0.checked_sub(span).map(BootTime)
     }
 }
--- a/crates/gateway/src/revocation/plan_freshness.rs
+++ b/crates/gateway/src/revocation/plan_freshness.rs
@@ -48,7 +48,10 @@
     /// Records that a peer stated the age of its plan in response to a probe that was sent at
     /// `asked_at`. The records that the peer knew by then must have been applied.
     pub fn note_peer_age(&mut self, asked_at: BootTime, age: Duration) {
-        self.note_confirmed(asked_at.before(age));
+        // A time before the boot can't be expressed, and a later one would make the plan younger.
+        if let Some(at) = asked_at.before(age) {
+            self.note_confirmed(at);
+        }
     }
 
     fn note_confirmed(&mut self, at: BootTime) {
--- a/crates/gateway/tests/all/revocation.rs
+++ b/crates/gateway/tests/all/revocation.rs
@@ -52,6 +52,17 @@
     assert_eq!(freshness.age(boot(3_200)), Some(Duration::from_millis(2_700)));
 }
 
+/// A VM that booted a moment ago follows a peer whose plan is older than that.
+#[test]
+fn confirmation_from_before_the_boot_is_not_made_younger() {
+    let booted = |millis| BootTime::from_boot(Duration::from_millis(millis));
+    let mut freshness = strict();
+
+    freshness.note_peer_age(booted(1_000), Duration::from_millis(4_600));
+
+    assert!(!freshness.allows_keys(booted(1_200)), "{:?}", freshness.age(booted(1_200)));
+}
+
 #[test]
 fn older_confirmation_changes_nothing() {
     let mut freshness = strict();
--- a/crates/gateway/tests/all/revocation_model.rs
+++ b/crates/gateway/tests/all/revocation_model.rs
@@ -152,7 +152,8 @@
                 connection: 0,
                 reader: (index + 1) % vm_count,
                 boot: 0,
-                clock_offset: Duration::from_secs(random.random_range(0..100_000)),
+                // Some machines have just booted.
+                clock_offset: Duration::from_secs(random.random_range(0..20)),
                 clock_rate: 1.0 + random.random_range(-0.004..0.004),
                 suspended_steps: 0,
                 frozen_until: 0,
