Don't let a peer's older report undo the recovery of a server

Peers of a large fleet repeat for 1.4 s that a server is leaving, and a VM asks it after 1 s whether it is back; a report from before the answer marked the server as leaving again, and was itself repeated.

Change: for five seconds after a server's own answer, only an announcement of the server marks it as leaving on the word of a peer.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -342,7 +342,8 @@
             return false;
         }
         state.has_drained |= is_announced;
-        if state.leaving_since.is_some() {
+        let is_outdated = !is_announced && state.has_just_recovered(now);
+        if state.leaving_since.is_some() || is_outdated {
             return false;
         }
         state.leaving_since = Some(now);
--- a/crates/gateway/src/server_recovery.rs
+++ b/crates/gateway/src/server_recovery.rs
@@ -84,7 +84,7 @@
     let Some(state) = view.server_mut(check.key) else { return };
     // The server may have been removed or started to drain during the check.
     if state.may_have_recovered(now) {
-        state.note_recovered();
+        state.note_recovered(now);
         drop(view);
         context.announce_change();
     }
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -16,6 +16,9 @@
 /// Minimum time for which a server counts as leaving before its recovery is checked. Peers keep
 /// reporting a server as leaving for 800 ms.
 const RETURN_DELAY: Duration = Duration::from_millis(1_000);
+/// Time for which a server's own answer counts more than a peer's report that it is leaving. Peers
+/// of a large fleet repeat such a report for more than a second.
+const RECOVERY_TRUST: Duration = Duration::from_secs(5);
 /// Maximum age of a load that a peer reported.
 const PEER_LOAD_AGE: Duration = Duration::from_secs(3);
 /// Maximum age of a load that the server itself reported.
@@ -36,6 +39,8 @@
     pub is_registered: bool,
     /// Whether it announced its shutdown itself.
     pub has_drained: bool,
+    /// Time at which it last confirmed that it is not leaving.
+    pub recovered_at: Option<MonoTime>,
     /// Time at which its registration disappeared after a store outage.
     pub expired_at: Option<MonoTime>,
     /// Time at which its warm-up phase ends.
@@ -66,6 +71,7 @@
             record,
             offset,
             leaving_since,
+            recovered_at: None,
             expired_at: None,
             cold_limiter: RateLimiter::default(),
             own_load: ServerLoad::default(),
@@ -110,12 +116,19 @@
     }
 
     /// Records that the server confirmed that it is not leaving.
-    pub fn note_recovered(&mut self) {
+    pub fn note_recovered(&mut self, now: MonoTime) {
         self.leaving_since = None;
+        self.recovered_at = Some(now);
         self.paused_until = MonoTime::default();
         self.connect_failures = 0;
     }
 
+    /// Returns whether the server confirmed so recently that it is not leaving that a peer's report
+    /// of the contrary may be older.
+    pub fn has_just_recovered(&self, now: MonoTime) -> bool {
+        self.recovered_at.is_some_and(|at| now.since(at) < RECOVERY_TRUST)
+    }
+
     /// Returns whether the server is still in its warm-up phase.
     pub fn is_cold(&self, now: MonoTime) -> bool {
         now < self.cold_until
--- a/crates/gateway/tests/all/server_states.rs
+++ b/crates/gateway/tests/all/server_states.rs
@@ -183,7 +183,7 @@
     view.apply_server("e0", record(ENGINES, "a", 8_000), 10, at(3_000));
     assert_eq!(view.recovery_candidates(at(3_000)), [key]);
     assert!(view.is_leaving(key), "its last registration may have come late");
-    view.server_mut(key).unwrap().note_recovered();
+    view.server_mut(key).unwrap().note_recovered(at(3_000));
 
     assert!(view.place(&query(report(), &excluded), at(3_001)).is_ok());
     assert!(view.recovery_candidates(at(3_001)).is_empty());
@@ -277,3 +277,30 @@
     let candidates = view.recovery_candidates(at(2_000));
     assert_eq!(candidates, [key_of(&view, "e1")]);
 }
+
+/// Pattern: the registrations of all servers lapse and return in a large fleet. VMs ask the servers
+/// at different times and repeat for more than a second what they believed before. Each report of a
+/// peer undid the recovery and was itself repeated, so that no server ever came back.
+#[test]
+fn report_from_before_a_recovery_does_not_undo_it() {
+    let mut view = view(&["a"]);
+    view.note_leaving("e0", Some(1), false, at(0));
+    let key = key_of(&view, "e0");
+    view.server_mut(key).unwrap().note_recovered(at(1_100));
+
+    let is_older_taken = view.note_leaving("e0", Some(1), false, at(1_200));
+    let is_later_taken = view.note_leaving("e0", Some(1), false, at(7_000));
+
+    assert!(!is_older_taken);
+    assert!(is_later_taken, "the peer can't still repeat what it believed before");
+}
+
+/// A server that announced its shutdown after it had recovered is leaving.
+#[test]
+fn announcement_after_a_recovery_counts_at_once() {
+    let mut view = view(&["a"]);
+    let key = key_of(&view, "e0");
+    view.server_mut(key).unwrap().note_recovered(at(1_100));
+
+    assert!(view.note_leaving("e0", Some(1), true, at(1_200)));
+}
