--- a/crates/gateway/src/membership/leave_survey.rs
+++ b/crates/gateway/src/membership/leave_survey.rs
@@ -62,13 +62,10 @@
 
 async fn ask(context: Arc<GatewayContext>, engine: SurveyedEngine) {
     let call = context.engine_protocol.report_call();
-    let body = match call.send(engine.address, REPORT_TIMEOUT).await {
-        Ok((200, body)) => body,
+    let Ok((200, body)) = call.send(engine.address, REPORT_TIMEOUT).await else {
         // An engine that can't be reached is noticed by its connections.
-        Ok(_) | Err(_) => {
-            tracing::debug!(server = engine.id, "servers: report not received");
-            return;
-        }
+        tracing::debug!(server = engine.id, "servers: report not received");
+        return;
     };
     let Some(report) = context.engine_protocol.decode_report(&body) else {
         info!(server = engine.id, "servers: report not understood");
