Show with tests that failed streams do not count against a version

Engines of the new version fail half of their streams, in five ways: by an error, by a response without a signature, by silence, by a lost connection, by slowness.

--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use dragonflycart_standins::{
-    CallerRequest, FakeRunner, FakeStore, ManifestSpec, READY_PATH, RunLog, RunnerKind,
-    RunnerOptions, StoreMode, send, settings_text,
+    CallerRequest, FakeRunner, FakeStore, ManifestSpec, READY_PATH, RunLog, RunnerFailure,
+    RunnerKind, RunnerOptions, StoreMode, send, settings_text,
 };
 use dragonflycart_testkit::{ChildProcess, FaultRelay, RelayCommand, RelayMode, RelayScope};
 use serde_json::json;
@@ -139,6 +139,7 @@
             lost_response_percent: self.lost_response_percent,
             version: "v1".to_owned(),
             failure_percent: 0,
+            failure: RunnerFailure::Error,
             crashes_on: None,
         };
         let runner = FakeRunner::start(options, &self.log, self.next_runner).await;
--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use dragonflycart_standins::{
     CallerRequest, CallerResponse, FakeRunner, FakeStore, ManifestSpec, READY_PATH, RunLog,
-    RunnerKind, RunnerOptions, send, settings_text,
+    RunnerFailure, RunnerKind, RunnerOptions, send, settings_text,
 };
 use dragonflycart_testkit::ChildProcess;
 use serde_json::json;
@@ -23,6 +23,12 @@
 pub(crate) const MOVE_TIME_LIMIT: Duration = Duration::from_secs(7);
 /// Pause between requests.
 const REQUEST_PAUSE: Duration = Duration::from_millis(8);
+/// Pause between requests for streams.
+const STREAM_PAUSE: Duration = Duration::from_millis(25);
+/// Output of a stream, which an engine generates in about 100 ms.
+const STREAM_TOKENS: u64 = 40;
+/// Time after which the caller of a stream leaves.
+const STREAM_TIME_LIMIT: Duration = Duration::from_millis(1_200);
 /// Interval at which runners renew their registration.
 const HEARTBEAT: Duration = Duration::from_millis(300);
 /// Time for the gateways to be ready.
@@ -91,6 +97,7 @@
                 lost_response_percent: 0,
                 version: if is_new { "v2" } else { "v1" }.to_owned(),
                 failure_percent: if is_new { failure_percent } else { 0 },
+                failure: RunnerFailure::Error,
                 crashes_on: None,
             };
             fleet.runners.push(FakeRunner::start(options, &fleet.log, number + 1).await);
@@ -104,6 +111,33 @@
         self.add_engine_that_crashes_on(id, None).await;
     }
 
+    /// Replaces the engine by two of the old version and two of the new one, which fail
+    /// `failure_percent` of the streams.
+    pub(crate) async fn use_engine_versions(
+        &mut self,
+        failure: RunnerFailure,
+        failure_percent: u64,
+    ) {
+        self.crash("i-engine");
+        self.store.remove_server("i-engine");
+        for number in 0..4 {
+            let is_new = number >= 2;
+            let engine = RunnerOptions {
+                id: format!("i-{}-engine-{number}", if is_new { "new" } else { "old" }),
+                kind: RunnerKind::Engine,
+                service: "engines".to_owned(),
+                zone: "a".to_owned(),
+                lost_response_percent: 0,
+                version: if is_new { "v2" } else { "v1" }.to_owned(),
+                failure_percent: if is_new { failure_percent } else { 0 },
+                failure,
+                crashes_on: None,
+            };
+            self.runners.push(FakeRunner::start(engine, &self.log, number + 1).await);
+        }
+        self.heartbeat();
+    }
+
     /// Starts another engine, which crashes on prompts with the given part.
     pub(crate) async fn add_engine_that_crashes_on(&mut self, id: &str, part: Option<&str>) {
         let engine = RunnerOptions {
@@ -114,6 +148,7 @@
             lost_response_percent: 0,
             version: "v1".to_owned(),
             failure_percent: 0,
+            failure: RunnerFailure::Error,
             crashes_on: part.map(str::to_owned),
         };
         self.runners.push(FakeRunner::start(engine, &self.log, 9).await);
@@ -229,9 +264,13 @@
     }
 
     pub(crate) fn start_version_move(&self) {
-        let order =
-            json!({"service": "desk", "target": "v2", "duration_s": MOVE_TIME_LIMIT.as_secs_f64()});
-        self.store.put_order("rollout/desk", &order);
+        self.start_version_move_of("desk");
+    }
+
+    pub(crate) fn start_version_move_of(&self, service: &str) {
+        let duration_s = MOVE_TIME_LIMIT.as_secs_f64();
+        let order = json!({"service": service, "target": "v2", "duration_s": duration_s});
+        self.store.put_order(&format!("rollout/{service}"), &order);
     }
 
     /// Sends requests for `time`, or until the version move ends; returns when it ended.
@@ -252,8 +291,44 @@
         None
     }
 
+    /// Sends streams for `time`, or until the version move of the engines ends; returns when it
+    /// ended.
+    pub(crate) async fn stream_until_move_ends(&mut self, time: Duration) -> Option<Duration> {
+        let start = Instant::now();
+        let mut next_heartbeat = start;
+        while start.elapsed() < time {
+            if Instant::now() >= next_heartbeat {
+                self.heartbeat();
+                next_heartbeat = Instant::now() + HEARTBEAT;
+            }
+            self.send_stream();
+            tokio::time::sleep(STREAM_PAUSE).await;
+            if self.move_state_of("engines").is_some_and(|state| state != "in_progress") {
+                return Some(start.elapsed());
+            }
+        }
+        None
+    }
+
+    /// Sends a request for a stream to the next gateway in turn.
+    pub(crate) fn send_stream(&mut self) {
+        let request =
+            CallerRequest { time_limit: STREAM_TIME_LIMIT, ..self.stream_request(STREAM_TOKENS) };
+        let index = self.requests_sent as usize % self.gateways.len();
+        let http_address = self.gateways[index].http_address;
+        let responses = Arc::clone(&self.responses);
+        self.in_flight.spawn(async move {
+            let response = send(http_address, &request).await;
+            responses.lock().unwrap().push(response);
+        });
+    }
+
     pub(crate) fn move_state(&self) -> Option<String> {
-        let status = self.store.status("rollout/desk")?;
+        self.move_state_of("desk")
+    }
+
+    pub(crate) fn move_state_of(&self, service: &str) -> Option<String> {
+        let status = self.store.status(&format!("rollout/{service}"))?;
         assert_eq!(status["target"], "v2");
         status["state"].as_str().map(str::to_owned)
     }
--- a/tests/all/versions.rs
+++ b/tests/all/versions.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use dragonflycart_standins::StoreMode;
+use dragonflycart_standins::{RunnerFailure, StoreMode};
 use tokio::time::Instant;
 
 use crate::support::{GatewayFleet, GatewayUnderTest, MOVE_TIME_LIMIT};
@@ -88,3 +88,63 @@
     fleet.success_share().await;
     fleet.close();
 }
+
+/// Moves the engines to a version that fails half of its streams, and checks that it is rolled back
+/// before it got many requests.
+async fn assert_bad_engines_are_rolled_back(name: &str, failure: RunnerFailure) {
+    let mut fleet = GatewayFleet::start(name, 0).await;
+    fleet.use_engine_versions(failure, 50).await;
+    fleet.start_gateways().await;
+    for _ in 0..20 {
+        fleet.send_stream();
+    }
+    fleet.success_share().await;
+    fleet.start_version_move_of("engines");
+
+    let ended = fleet.stream_until_move_ends(MOVE_TIME_LIMIT).await;
+    let (_, new_before) = fleet.runs_by_version();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for _ in 0..20 {
+        fleet.send_stream();
+    }
+    fleet.success_share().await;
+
+    assert!(ended.is_some(), "no result within the time limit");
+    assert_eq!(fleet.move_state_of("engines").as_deref(), Some("rolled_back"));
+    let (old, new) = fleet.runs_by_version();
+    assert_eq!(new, new_before, "the bad version got requests after the result");
+    let limit = EXPOSURE_SHARE * (old + new) as f64 + EXPOSURE_SLACK;
+    assert!((new as f64) <= limit, "{new} requests at the new version, {old} at the old one");
+    fleet.close();
+}
+
+/// Guards against streams that an engine fails before their first event and that do not count, so
+/// that a version which fails half of them is completed (EXPOSURE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_whose_streams_fail_is_rolled_back() {
+    assert_bad_engines_are_rolled_back("streams-fail", RunnerFailure::Error).await;
+}
+
+/// Guards against the same with responses that lack the signature.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_whose_streams_are_not_genuine_is_rolled_back() {
+    assert_bad_engines_are_rolled_back("streams-unsigned", RunnerFailure::Unsigned).await;
+}
+
+/// Guards against the same with streams that never start and whose callers leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_whose_streams_never_start_is_rolled_back() {
+    assert_bad_engines_are_rolled_back("streams-silent", RunnerFailure::Silent).await;
+}
+
+/// Guards against the same with connections that close without a response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_whose_streams_are_lost_is_rolled_back() {
+    assert_bad_engines_are_rolled_back("streams-lost", RunnerFailure::Reset).await;
+}
+
+/// Guards against the same with streams that start several times later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_whose_streams_are_slow_is_rolled_back() {
+    assert_bad_engines_are_rolled_back("streams-slow", RunnerFailure::Slow).await;
+}
