Count the result of every request at the place where it is sent

Cause: results were recorded where a response was handled well, so every other end was left out: an error of an engine before its stream, a response that is not genuine, a caller that leaves while the head is due, a generation that breaks and is resumed, a resumption that fails. The class of fault is an error path that skips the accounting.

server_attempt::offer is the only function that sends a request to a server, for first offers, queued requests, resumptions and moves. It now starts a RequestRun, which counts the result when it is closed and, if it is dropped, counts a response that was overdue. Responses that are overdue count while the request is still open, and a stream counts as slow by its first pauses too. Times are measured from the send, not from the arrival at the VM, and slowness is judged by medians.

Ruled out: that good results outweighed the bad ones (none was counted), and that the decision did not reach the VMs (they followed within 20 ms).

Logs: 'servers: changed' names the version; 'versions: responses overdue' is new.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -5,12 +5,11 @@
 use bytes::Bytes;
 use dragonflycart_core::ErrorKind;
 use hyper::{Response, StatusCode};
-use tokio::time::Instant;
 use tracing::info;
 
 use crate::{
     AttemptOutcome, CallerRequest, ConnectionError, GatewayContext, GatewayFailure, OpenResponse,
-    ResponseBody, ResponseHead, ServerConnection, ServerReservation, SystemHeaders, response_body,
+    ResponseBody, ResponseHead, RunEnd, ServerReservation, SystemHeaders, response_body,
     response_relay, server_attempt,
 };
 
@@ -65,7 +64,6 @@
             }
             let Some(reservation) = self.place() else { break };
             self.excluded.insert(reservation.server());
-            let started = Instant::now();
             let fields = SystemHeaders { server_id: reservation.id(), ..SystemHeaders::default() };
             let outcome =
                 server_attempt::offer(&self.context, &self.request, &reservation, fields).await;
@@ -93,7 +91,7 @@
                 AttemptOutcome::Answered(response) => {
                     self.arrivals += 1;
                     self.runs += 1;
-                    match self.collect(&reservation, *response, started).await {
+                    match self.collect(&reservation, *response).await {
                         Ok(response) => return Ok(response),
                         Err(reason) => failure = reason,
                     }
@@ -163,22 +161,17 @@
         &mut self,
         reservation: &ServerReservation,
         response: OpenResponse,
-        started: Instant,
     ) -> Result<Response<ResponseBody>, GatewayFailure> {
-        let OpenResponse { head, mut connection } = response;
+        let OpenResponse { head, mut connection, run } = response;
         let body = connection.read_body(RESPONSE_LIMIT_BYTES);
-        let body = match tokio::time::timeout_at(self.request.deadline, body).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(error)) => {
-                return Err(self.record_lost_response(reservation, connection, error, started));
-            }
-            Err(_) => {
-                return Err(self.record_lost_response(
-                    reservation,
-                    connection,
-                    ConnectionError::TimedOut,
-                    started,
-                ));
+        let body = tokio::time::timeout_at(self.request.deadline, body).await;
+        let body = match body.unwrap_or(Err(ConnectionError::TimedOut)) {
+            Ok(body) => body,
+            Err(error) => {
+                connection.close();
+                server_attempt::note_lost(&self.context, &self.request, reservation, run);
+                self.log_offer(reservation, error.into());
+                return Err(self.lost_failure(error));
             }
         };
         let is_genuine = response_relay::is_genuine(&self.context.names, &head);
@@ -188,7 +181,7 @@
             connection.close();
         }
         let is_failure = !is_genuine || head.status.is_server_error();
-        self.note_response(reservation, is_failure, started);
+        run.close(if is_failure { RunEnd::Failed } else { RunEnd::Good });
         if !is_genuine {
             self.log_offer(reservation, "not_genuine");
             return Err(GatewayFailure::new(ErrorKind::Interrupted, "the answer isn't genuine"));
@@ -210,29 +203,6 @@
         Err(GatewayFailure::new(ErrorKind::BackendFailed, "the server failed"))
     }
 
-    fn record_lost_response(
-        &self,
-        reservation: &ServerReservation,
-        connection: ServerConnection,
-        error: ConnectionError,
-        started: Instant,
-    ) -> GatewayFailure {
-        connection.close();
-        server_attempt::note_lost(&self.context, &self.request, reservation, started.elapsed());
-        self.log_offer(reservation, error.into());
-        self.lost_failure(error)
-    }
-
-    fn note_response(&self, reservation: &ServerReservation, is_failure: bool, started: Instant) {
-        let mut view = self.context.view();
-        view.note_result(
-            reservation.server(),
-            &self.request.route.name,
-            is_failure,
-            started.elapsed(),
-        );
-    }
-
     fn log_offer(&self, reservation: &ServerReservation, outcome: &'static str) {
         info!(
             id = self.request.attempt,
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -10,9 +10,10 @@
 
 use crate::{
     BodyError, BodySender, CallerRequest, ConnectionError, EngineWatcher, EventSplitter,
-    GatewayContext, GenerationReservation, MoveOutcome, PlannedRoute, ResumedGeneration,
+    GatewayContext, GenerationReservation, MoveOutcome, PlannedRoute, ResumedGeneration, RunEnd,
     ServerConnection, StreamEvent, StreamProgress,
     containment::{self, run_check},
+    versions::RequestRun,
 };
 
 /// Multiple of the route's pause target after which a stalled stream is resumed on another engine.
@@ -30,6 +31,8 @@
 
 /// Number of events between updates of a generation's reserved memory and its service's timing.
 const RESIZE_EVENTS: u64 = 16;
+/// Number of pauses between the first events of an engine that tell how fast it writes.
+const PACE_PAUSES: u32 = 12;
 
 /// How a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -63,6 +66,8 @@
     pub watcher: EngineWatcher,
     /// Connection from which the events are read.
     pub connection: ServerConnection,
+    /// Records the result at the engine.
+    pub(crate) run: RequestRun,
 }
 
 /// Relay of one generation. Each event is forwarded exactly once, in order and complete.
@@ -74,10 +79,10 @@
     sender: BodySender,
     splitter: EventSplitter,
     events: u64,
-    /// Time from the arrival to the first event.
-    first_event_time: Option<Duration>,
     /// Time since which the current engine has been writing the response.
     writing_since: Instant,
+    /// Time of the first event of the current engine, and the number of events since.
+    pace: Option<(Instant, u32)>,
     /// Whether the prompt was seen not to crash its engine.
     is_proven: bool,
     /// Time from which the next timing sample is measured.
@@ -110,8 +115,8 @@
             sender,
             splitter: EventSplitter::default(),
             events: 0,
-            first_event_time: None,
             writing_since: Instant::now(),
+            pace: None,
             is_proven: false,
             timed_since: Instant::now(),
             last_event_at: Instant::now(),
@@ -135,7 +140,7 @@
     }
 
     async fn step(&mut self) -> StepOutcome {
-        let RelaySource { reservation, watcher, connection } = &mut self.source;
+        let RelaySource { reservation, watcher, connection, .. } = &mut self.source;
         let pause = self.request.route.pause_target;
         let limit = pause.map_or(DEFAULT_STALL_TIMEOUT, |pause| pause * STALL_PAUSES);
         let stall_deadline = self.stalled_since + limit;
@@ -217,12 +222,16 @@
             "stream: engine lost"
         );
         if end == RelayEnd::Broken {
+            self.source.run.note_failure();
             self.note_broken();
             run_check::start(&self.context, &self.source.reservation.engine);
         }
-        let RelaySource { reservation, watcher, .. } = &mut self.source;
+        let RelaySource { reservation, watcher, run, .. } = &mut self.source;
         match watcher.recover(&self.request, reservation, &self.progress).await {
-            MoveOutcome::Resumed(resumed) => StepOutcome::Resumed(resumed),
+            MoveOutcome::Resumed(resumed) => {
+                run.note_failure();
+                StepOutcome::Resumed(resumed)
+            }
             // The engine may only be slow, and its response is still open.
             MoveOutcome::Stays if end == RelayEnd::Silent => {
                 self.stalled_since = Instant::now();
@@ -239,12 +248,15 @@
             reservation: resumed.reservation,
             watcher: EngineWatcher::new(&self.context),
             connection: resumed.response.connection,
+            run: resumed.response.run,
         };
         let old = std::mem::replace(&mut self.source, source);
         old.connection.close();
+        old.run.close(RunEnd::Abandoned);
         old.reservation.close();
         self.source.reservation.engine.note_started();
         self.splitter = EventSplitter::default();
+        self.pace = None;
         self.writing_since = Instant::now();
         self.stalled_since = self.writing_since;
     }
@@ -285,13 +297,12 @@
 
     fn note_event(&mut self) {
         let now = Instant::now();
+        self.note_pace(now);
         let service = &self.request.service;
         if self.events == 0 {
             let time = self.request.arrived.elapsed();
             self.source.reservation.engine.note_started();
             self.context.metrics.count_first_event(time);
-            self.first_event_time = Some(time);
-            self.note_first_result(time);
             self.context.view().timing_mut(service).note_first_event(time);
             self.timed_since = now;
         } else {
@@ -314,23 +325,29 @@
         }
     }
 
-    /// Records the time to the first event at once: a slow version's streams would end too late to
-    /// be compared.
-    fn note_first_result(&self, time: Duration) {
-        let server = self.source.reservation.engine.server();
-        self.context.view().note_result(server, &self.request.route.name, false, time);
+    /// Records the time to the engine's first event at once, and then how fast it writes: a slow
+    /// version's streams would end too late to be compared.
+    fn note_pace(&mut self, now: Instant) {
+        let Some((first_at, pauses)) = &mut self.pace else {
+            self.source.run.note_started();
+            self.pace = Some((now, 0));
+            return;
+        };
+        *pauses += 1;
+        if *pauses == PACE_PAUSES {
+            self.source.run.note_pace((now - *first_at) / PACE_PAUSES);
+        }
     }
 
     async fn finish(self, end: RelayEnd) {
         let outcome = <&str>::from(end);
         log_end(&self.context, &self.request, outcome, self.events, self.longest_pause_ms);
-        let is_failure = matches!(end, RelayEnd::Broken | RelayEnd::Gap | RelayEnd::Silent);
-        let RelaySource { reservation, connection, .. } = self.source;
-        if is_failure || self.first_event_time.is_none() {
-            let time = self.first_event_time.unwrap_or_else(|| self.request.arrived.elapsed());
-            let route = &self.request.route.name;
-            self.context.view().note_result(reservation.engine.server(), route, is_failure, time);
-        }
+        let RelaySource { reservation, connection, run, .. } = self.source;
+        run.close(match end {
+            RelayEnd::Complete => RunEnd::Good,
+            RelayEnd::Broken | RelayEnd::Gap | RelayEnd::Silent => RunEnd::Failed,
+            RelayEnd::CallerLeft | RelayEnd::TimedOut => RunEnd::Abandoned,
+        });
         if end == RelayEnd::Complete {
             self.context.pool.put_back(reservation.engine.address(), connection);
         } else {
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -5,7 +5,7 @@
 use tracing::info;
 
 use crate::{
-    AttemptOutcome, CallerRequest, GatewayContext, GenerationReservation, OpenResponse,
+    AttemptOutcome, CallerRequest, GatewayContext, GenerationReservation, OpenResponse, RunEnd,
     ServerReservation, StreamProgress, SystemHeaders, response_relay, server_attempt,
 };
 
@@ -64,6 +64,7 @@
             }));
         }
         AttemptOutcome::Answered(response) => {
+            response.run.close(RunEnd::Failed);
             response.connection.close();
             ("failed", true)
         }
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -3,14 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use dragonflycart_core::ErrorKind;
-use tokio::time::Instant;
 use tracing::info;
 
 use crate::{
     CallerRequest, ConnectionError, GatewayContext, GatewayFailure, ResponseHead, RouteKind,
-    ServerConnection, ServerReservation, SystemHeaders,
+    RunEnd, ServerConnection, ServerReservation, SystemHeaders,
     containment::{prompt_check, run_check},
     revocation::key_check,
+    versions::RequestRun,
 };
 
 /// Time for which this VM sends no new requests to a server that refused one.
@@ -22,6 +22,8 @@
     pub head: ResponseHead,
     /// Connection to read the body from.
     pub connection: ServerConnection,
+    /// Records the result.
+    pub(crate) run: RequestRun,
 }
 
 /// Outcome of offering a request to a server.
@@ -49,7 +51,6 @@
     reservation: &ServerReservation,
     fields: SystemHeaders<'_>,
 ) -> AttemptOutcome {
-    let started = Instant::now();
     let mut connection = match context.pool.acquire(reservation.address()).await {
         Ok(connection) => connection,
         Err(error) => {
@@ -66,29 +67,26 @@
     }
     let head = request.encode_head(&context.names, fields);
     let echo = (context.names.attempt, request.attempt.as_str());
+    let run = RequestRun::start(context, reservation.server(), &request.route.name);
     let exchange = connection.exchange(&head, &request.body, Some(echo));
-    let response = match tokio::time::timeout_at(request.deadline, exchange).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => return lost(context, request, reservation, connection, error, started),
-        Err(_) => {
-            return lost(
-                context,
-                request,
-                reservation,
-                connection,
-                ConnectionError::TimedOut,
-                started,
-            );
+    let result = tokio::time::timeout_at(request.deadline, exchange).await;
+    let response = match result.unwrap_or(Err(ConnectionError::TimedOut)) {
+        Ok(response) => response,
+        Err(error) => {
+            connection.close();
+            note_lost(context, request, reservation, run);
+            return AttemptOutcome::Lost(error);
         }
     };
     note_load(context, reservation, &response);
     let status = response.status.as_u16();
     if status == 421 || response.headers.contains_key(context.names.not_run) {
         note_refusal(context, reservation, status);
+        run.close(RunEnd::NotRun);
         context.pool.put_back_after_body(reservation.address(), connection);
         return AttemptOutcome::Refused { status };
     }
-    AttemptOutcome::Answered(Box::new(OpenResponse { head: response, connection }))
+    AttemptOutcome::Answered(Box::new(OpenResponse { head: response, connection, run }))
 }
 
 /// Checks that a request may still be sent.
@@ -104,29 +102,16 @@
     prompt_check::check_request(context, request)
 }
 
-fn lost(
-    context: &Arc<GatewayContext>,
-    request: &CallerRequest,
-    reservation: &ServerReservation,
-    connection: ServerConnection,
-    error: ConnectionError,
-    started: Instant,
-) -> AttemptOutcome {
-    connection.close();
-    note_lost(context, request, reservation, started.elapsed());
-    AttemptOutcome::Lost(error)
-}
-
 /// Records that a response was lost, and reports it to the peers at once.
-pub fn note_lost(
+pub(crate) fn note_lost(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
     reservation: &ServerReservation,
-    time: Duration,
+    run: RequestRun,
 ) {
+    run.close(RunEnd::Failed);
     let now = context.clock.now();
     let mut view = context.view();
-    view.note_result(reservation.server(), &request.route.name, true, time);
     if let Some(state) = view.server_mut(reservation.server()) {
         state.losses.note_own(now);
     }
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -188,6 +188,11 @@
         *average_ms += AVERAGE_WEIGHT * (sample_ms - *average_ms);
     }
 
+    /// Records that a request failed after its response had started.
+    pub fn note_failure(&mut self) {
+        self.failure_share += AVERAGE_WEIGHT * (1.0 - self.failure_share);
+    }
+
     /// Records that connecting to the server failed.
     pub fn note_unreachable(&mut self, now: MonoTime) {
         let pause = CONNECT_PAUSE * 2_u32.saturating_pow(self.connect_failures.min(4));
--- a/crates/gateway/src/server_updates.rs
+++ b/crates/gateway/src/server_updates.rs
@@ -53,10 +53,18 @@
         }
     };
     let draining = server.is_draining;
+    let version = server.version.clone();
     let cold_ms = server.cold_left.as_millis() as u64;
     let changed = context.view().apply_server(&record.key, server, record.offset, now);
     if changed {
-        info!(server = record.key, offset = record.offset, draining, cold_ms, "servers: changed");
+        info!(
+            server = record.key,
+            offset = record.offset,
+            version,
+            draining,
+            cold_ms,
+            "servers: changed"
+        );
     }
     changed
 }
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -9,8 +9,8 @@
 use crate::{
     AttemptOutcome, CallerRequest, ConnectionError, EngineWatcher, GatewayContext, GatewayFailure,
     GenerationRelay, GenerationReservation, MoveOutcome, OpenResponse, RelaySource, ResponseBody,
-    ServerKey, ServerReservation, StreamProgress, SystemHeaders, engine_wait, response_body,
-    response_relay, server_attempt,
+    RunEnd, ServerKey, ServerReservation, StreamProgress, SystemHeaders, engine_wait,
+    response_body, response_relay, server_attempt,
 };
 
 /// Maximum number of servers tried while none has run the request.
@@ -162,15 +162,18 @@
         watcher: EngineWatcher,
         response: OpenResponse,
     ) -> Result<Response<ResponseBody>, GatewayFailure> {
-        let OpenResponse { head, mut connection } = response;
+        let OpenResponse { head, mut connection, run } = response;
         let names = self.context.names;
         if !response_relay::is_genuine(&names, &head) {
             self.log_offer(&reservation, "not_genuine");
+            run.close(RunEnd::Failed);
             connection.close();
             return Err(GatewayFailure::new(ErrorKind::Interrupted, "the answer isn't genuine"));
         }
         if !head.status.is_success() {
             self.log_offer(&reservation, "failed");
+            let is_failure = head.status.is_server_error();
+            run.close(if is_failure { RunEnd::Failed } else { RunEnd::Good });
             let body = connection.read_body(FAILURE_LIMIT_BYTES);
             let body = tokio::time::timeout_at(self.request.deadline, body).await;
             let Ok(Ok(body)) = body else {
@@ -188,7 +191,7 @@
         self.log_offer(&reservation, "answered");
         let (sender, body) = response_body::channel(EVENTS_BUFFERED);
         let response = response_relay::build(&names, &head, body);
-        let source = RelaySource { reservation, watcher, connection };
+        let source = RelaySource { reservation, watcher, connection, run };
         let relay =
             GenerationRelay::new(&self.context, self.request, source, self.progress, sender);
         tokio::spawn(relay.run());
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -12,7 +12,7 @@
 use dragonflycart_core::MonoTime;
 
 use crate::{
-    RouteLatencies, VersionMoveEvidence, VersionMovePhase, VersionMoveRecord, VersionMoveSpec,
+    RouteBaselines, VersionMoveEvidence, VersionMovePhase, VersionMoveRecord, VersionMoveSpec,
     VersionRole,
 };
 
@@ -63,12 +63,13 @@
     own: VersionMoveEvidence,
     peers: BTreeMap<u64, VersionMoveEvidence>,
     sent: [u64; 2],
+    baselines: RouteBaselines,
 }
 
 impl VersionMove {
-    /// Sets the average latency of each route before the version move.
-    pub fn with_latencies(self, latencies: &RouteLatencies) -> VersionMove {
-        VersionMove { own: VersionMoveEvidence::with_latencies(latencies), ..self }
+    /// Sets the usual results of each route before the version move.
+    pub fn with_baselines(self, baselines: &RouteBaselines) -> VersionMove {
+        VersionMove { baselines: baselines.clone(), ..self }
     }
 
     /// Builds a version move that was ordered by the record at offset `order_offset`.
@@ -90,6 +91,7 @@
             own: VersionMoveEvidence::default(),
             peers: BTreeMap::new(),
             sent: [0; 2],
+            baselines: RouteBaselines::default(),
         }
     }
 
@@ -181,15 +183,42 @@
         self.sent[role as usize] += 1;
     }
 
-    /// Records the result of a request.
+    /// Records the result of a request. `time` is the time to the response or, if it failed, to the
+    /// failure. Returns whether the result is bad.
     pub fn note_result(
         &mut self,
         route: &str,
         role: VersionRole,
         is_failure: bool,
         time: Duration,
-    ) {
-        self.own.note(route, role, is_failure, time);
+    ) -> bool {
+        let time_ms = time.as_secs_f64() * 1_000.0;
+        let is_bad = is_failure || self.is_slow(route, time);
+        self.own.note(route, role, is_bad);
+        let baseline = self.baselines.route_mut(route);
+        if role == VersionRole::Old && !baseline.is_settled() {
+            baseline.note_result(is_bad);
+            if !is_failure {
+                baseline.note_time(time_ms);
+            }
+        }
+        is_bad
+    }
+
+    /// Records a bad result of a request that was counted as a good one before.
+    pub fn note_late_failure(&mut self, route: &str, role: VersionRole) {
+        self.own.note(route, role, true);
+    }
+
+    /// Returns whether a response that takes this long is slow.
+    pub fn is_slow(&self, route: &str, time: Duration) -> bool {
+        self.baselines.is_slow_time(route, time.as_secs_f64() * 1_000.0)
+    }
+
+    /// Returns whether a stream whose first events have this average pause is slow.
+    pub fn is_slow_pace(&self, route: &str, pause: Duration) -> bool {
+        let pause_ms = pause.as_secs_f64() * 1_000.0;
+        self.baselines.route(route).is_some_and(|baseline| baseline.is_slow_pace(pause_ms))
     }
 
     /// Applies the report of another VM: all its results so far and its phase. Returns whether the
--- a/crates/gateway/src/version_move_controller.rs
+++ b/crates/gateway/src/version_move_controller.rs
@@ -19,6 +19,10 @@
     loop {
         tokio::time::sleep(DECIDE_INTERVAL).await;
         let now = context.clock.now();
+        let overdue = context.view().count_overdue_runs(now);
+        if overdue > 0 {
+            info!(overdue, "versions: responses overdue");
+        }
         if context.peers().store_reader(now).is_some() || !context.peers().can_read(now) {
             continue;
         }
--- a/crates/gateway/src/version_move_evidence.rs
+++ b/crates/gateway/src/version_move_evidence.rs
@@ -1,13 +1,7 @@
 //! Request results of the old and the new version of a service.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
-use crate::versions::RouteLatencies;
-
-/// Multiple of the old version's average latency above which a response counts as bad.
-const SLOW_FACTOR: f64 = 3.0;
-/// Additional latency allowed, in milliseconds. Latencies of fast responses vary by this much.
-const SLOW_MARGIN_MS: f64 = 30.0;
 /// Assumed increase of the bad share in a bad version.
 const BAD_DIFFERENCE: f64 = 0.2;
 /// Minimum bad share assumed for a good version, since servers of any version may crash.
@@ -58,18 +52,12 @@
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct VersionMoveEvidence {
     results: RouteResults,
-    old_latencies: RouteLatencies,
 }
 
 impl VersionMoveEvidence {
-    /// Builds empty evidence from the average latency of each route before the version move.
-    pub fn with_latencies(latencies: &RouteLatencies) -> VersionMoveEvidence {
-        VersionMoveEvidence { results: RouteResults::new(), old_latencies: latencies.clone() }
-    }
-
     /// Builds the evidence from the counts that another VM reported.
     pub fn from_results(results: RouteResults) -> VersionMoveEvidence {
-        VersionMoveEvidence { results, old_latencies: RouteLatencies::default() }
+        VersionMoveEvidence { results }
     }
 
     /// Returns the counts by route.
@@ -78,16 +66,9 @@
     }
 
     /// Records the result of a request.
-    pub fn note(&mut self, route: &str, role: VersionRole, is_failure: bool, time: Duration) {
-        let time_ms = time.as_secs_f64() * 1_000.0;
-        let usual_ms = self.old_latencies.average_ms(route);
-        if role == VersionRole::Old && !is_failure {
-            self.old_latencies.note(route, time_ms);
-        }
-        let is_slow =
-            usual_ms.is_some_and(|usual_ms| time_ms > SLOW_FACTOR * usual_ms + SLOW_MARGIN_MS);
+    pub fn note(&mut self, route: &str, role: VersionRole, is_bad: bool) {
         let counts = &mut self.results.entry(route.to_owned()).or_default()[role as usize];
-        if is_failure || is_slow {
+        if is_bad {
             counts.bad += 1;
         } else {
             counts.good += 1;
--- a/crates/gateway/src/versions/mod.rs
+++ b/crates/gateway/src/versions/mod.rs
@@ -1,5 +1,13 @@
 //! Comparison of versions of a service.
 
-mod route_latencies;
+mod open_run;
+mod request_run;
+mod route_baseline;
+mod route_baselines;
+mod run_end;
 
-pub use self::route_latencies::RouteLatencies;
+pub(crate) use self::{open_run::OpenRun, request_run::RequestRun};
+pub use self::{
+    open_run::RunKey, route_baseline::RouteBaseline, route_baselines::RouteBaselines,
+    run_end::RunEnd,
+};
