Judge a new version by sums that good results don't outweigh

Faults: good results from before a version turned bad outweighed the bad ones after it (the evidence was one sum over the whole version move), and a bad version looked no worse than an old one whose servers failed or were slow at the same time.

The evidence is now a cumulative sum that does not fall below zero (CUSUM), by route and over all, against the old version's share and its share before the move; a second sum counts bad results beyond those usual before the move, whatever the old version does now. Slowness is judged by the medians from before the move, so slow old servers don't make it usual.

Tests, without network: version_faults.

--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     RouteBaselines, VersionMoveEvidence, VersionMovePhase, VersionMoveRecord, VersionMoveSpec,
-    VersionRole,
+    VersionRole, versions::SuspicionLevel,
 };
 
 /// Fraction of the allowed share that a new version gets as a canary. The rest is reserved for the
@@ -64,6 +64,7 @@
     peers: BTreeMap<u64, VersionMoveEvidence>,
     sent: [u64; 2],
     baselines: RouteBaselines,
+    suspicion: SuspicionLevel,
 }
 
 impl VersionMove {
@@ -92,6 +93,7 @@
             peers: BTreeMap::new(),
             sent: [0; 2],
             baselines: RouteBaselines::default(),
+            suspicion: SuspicionLevel::default(),
         }
     }
 
@@ -264,19 +266,19 @@
     /// on the VM that controls version moves. `is_old_idle` states whether no server of the old
     /// version has open requests.
     pub fn decide(&mut self, is_old_idle: bool, now: MonoTime) -> bool {
-        let evidence = self.evidence();
+        self.update_suspicion();
         let is_due = self.elapsed(now) + WRITE_TIME >= self.order.time_limit;
         let next = match self.phase {
             VersionMovePhase::Completed | VersionMovePhase::RolledBack => return false,
-            _ if evidence.is_bad() => VersionMovePhase::RolledBack,
+            _ if self.suspicion.is_bad() => VersionMovePhase::RolledBack,
             // Further results may still decide about a doubtful version until the time limit.
-            _ if evidence.is_doubtful() && is_due => VersionMovePhase::RolledBack,
-            _ if evidence.is_doubtful() => return false,
+            _ if self.suspicion.is_doubtful() && is_due => VersionMovePhase::RolledBack,
+            _ if self.suspicion.is_doubtful() => return false,
             VersionMovePhase::Watching if self.elapsed(now) >= self.switch_at(now) => {
                 VersionMovePhase::Switching
             }
             VersionMovePhase::Switching if is_due || self.may_complete_early(is_old_idle, now) => {
-                if evidence.total(VersionRole::New) >= MIN_RESULTS {
+                if self.evidence().total(VersionRole::New) >= MIN_RESULTS {
                     VersionMovePhase::Completed
                 } else {
                     VersionMovePhase::RolledBack
@@ -298,6 +300,11 @@
         true
     }
 
+    fn update_suspicion(&mut self) {
+        let evidence = self.evidence();
+        self.suspicion.update(evidence.results(), &self.baselines);
+    }
+
     /// Returns the sum of the results of all VMs.
     pub fn evidence(&self) -> VersionMoveEvidence {
         let mut sum = self.own.clone();
--- a/crates/gateway/src/version_move_evidence.rs
+++ b/crates/gateway/src/version_move_evidence.rs
@@ -2,18 +2,6 @@
 
 use std::collections::BTreeMap;
 
-/// Assumed increase of the bad share in a bad version.
-const BAD_DIFFERENCE: f64 = 0.2;
-/// Minimum bad share assumed for a good version, since servers of any version may crash.
-const MIN_BAD_SHARE: f64 = 0.02;
-/// Maximum bad share assumed for a good version.
-const MAX_BAD_SHARE: f64 = 0.6;
-/// Log-likelihood ratio from which the new version counts as bad. A good version exceeds it with a
-/// probability of 1 in 400.
-const BAD_EVIDENCE: f64 = 6.0;
-/// Log-likelihood ratio from which the new version is too doubtful to get all requests.
-const DOUBTFUL_EVIDENCE: f64 = 2.0;
-
 /// Role of a server's version in a version move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionRole {
@@ -39,6 +27,14 @@
         self.good + self.bad
     }
 
+    /// Returns the results that were added since `earlier`.
+    pub fn since(self, earlier: ResultCounts) -> ResultCounts {
+        ResultCounts {
+            good: self.good.saturating_sub(earlier.good),
+            bad: self.bad.saturating_sub(earlier.bad),
+        }
+    }
+
     fn add(&mut self, other: ResultCounts) {
         self.good += other.good;
         self.bad += other.bad;
@@ -89,37 +85,4 @@
     pub fn total(&self, role: VersionRole) -> u64 {
         self.results.values().map(|results| results[role as usize].total()).sum()
     }
-
-    /// Returns whether the new version is significantly worse than the old one, on all routes
-    /// together or on any single route.
-    pub fn is_bad(&self) -> bool {
-        self.strongest_evidence() >= BAD_EVIDENCE
-    }
-
-    /// Returns whether the results speak against the new version, but may be too few to prove that
-    /// it is bad.
-    pub fn is_doubtful(&self) -> bool {
-        self.strongest_evidence() >= DOUBTFUL_EVIDENCE
-    }
-
-    /// Returns the highest log-likelihood ratio, of a single route or of all together.
-    fn strongest_evidence(&self) -> f64 {
-        let mut sum = 0.0;
-        let mut strongest = f64::NEG_INFINITY;
-        for results in self.results.values() {
-            let evidence = route_evidence(results);
-            strongest = strongest.max(evidence);
-            sum += evidence;
-        }
-        strongest.max(sum)
-    }
-}
-
-/// Returns the log-likelihood ratio of the new version's results: the hypothesis that the version
-/// is bad against the hypothesis that it is good.
-fn route_evidence([old, new]: &[ResultCounts; 2]) -> f64 {
-    let usual = (old.bad as f64 + 0.5) / (old.total() as f64 + 1.0);
-    let usual = usual.clamp(MIN_BAD_SHARE, MAX_BAD_SHARE);
-    let raised = usual + BAD_DIFFERENCE;
-    new.bad as f64 * (raised / usual).ln() + new.good as f64 * ((1.0 - raised) / (1.0 - usual)).ln()
 }
--- a/crates/gateway/src/versions/mod.rs
+++ b/crates/gateway/src/versions/mod.rs
@@ -5,8 +5,11 @@
 mod route_baseline;
 mod route_baselines;
 mod run_end;
+mod suspicion_level;
 
-pub(crate) use self::{open_run::OpenRun, request_run::RequestRun};
+pub(crate) use self::{
+    open_run::OpenRun, request_run::RequestRun, suspicion_level::SuspicionLevel,
+};
 pub use self::{
     open_run::RunKey, route_baseline::RouteBaseline, route_baselines::RouteBaselines,
     run_end::RunEnd,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -17,4 +17,5 @@
 mod server_states;
 mod splitting;
 mod tables;
+mod version_faults;
 mod version_moves;
--- /dev/null
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -0,0 +1,131 @@
+//! Version moves beside other trouble: versions that turn bad late, and old servers that fail, are
+//! slow or are lost.
+
+use std::time::Duration;
+
+use dragonflycart_gateway::{
+    RouteBaselines, VersionMove, VersionMovePhase, VersionMoveSpec, VersionRole,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::fixtures::{ENGINES, at};
+
+/// Number of bad results after which a bad version must get no more requests.
+const BAD_RESULTS_ALLOWED: usize = 50;
+/// Latency of a response.
+const RESPONSE_TIME: Duration = Duration::from_millis(300);
+/// Latency of a response of a server that works eight times slower.
+const SLOW_TIME: Duration = Duration::from_millis(2_400);
+/// Share of the moves to a sound version that must be completed.
+const COMPLETED_SHARE: f64 = 0.99;
+/// Number of version moves in a random experiment.
+const MOVES: u64 = 200;
+
+fn order() -> VersionMoveSpec {
+    VersionMoveSpec {
+        service: ENGINES.to_owned(),
+        target: "v2".to_owned(),
+        time_limit: Duration::from_secs(18),
+    }
+}
+
+/// Returns baselines of a route that fails `percent` of its requests.
+fn baselines(percent: u64) -> RouteBaselines {
+    let mut baselines = RouteBaselines::default();
+    for index in 0..100 {
+        let baseline = baselines.route_mut("reports");
+        baseline.note_time(RESPONSE_TIME.as_secs_f64() * 1_000.0);
+        baseline.note_result(index % 100 * 37 % 100 < percent);
+    }
+    baselines
+}
+
+fn new_move(baselines: &RouteBaselines) -> VersionMove {
+    VersionMove::new(order(), 3, at(0), 0).with_baselines(baselines)
+}
+
+/// Records results of the new version, of which every second is bad, until the version move ends.
+/// `old` are the results of the old version that come with each of them. Returns the number of bad
+/// results.
+fn count_bad_until_rollback(
+    version_move: &mut VersionMove,
+    old: &[(bool, Duration)],
+    bad: (bool, Duration),
+) -> usize {
+    let mut count = 0;
+    for index in 0..4 * BAD_RESULTS_ALLOWED {
+        for (is_failure, time) in old {
+            version_move.note_result("reports", VersionRole::Old, *is_failure, *time);
+        }
+        let (is_failure, time) = if index % 2 == 0 { bad } else { (false, RESPONSE_TIME) };
+        version_move.note_result("reports", VersionRole::New, is_failure, time);
+        count += usize::from(index % 2 == 0);
+        if version_move.decide(false, at(1_000)) {
+            assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
+            return count;
+        }
+    }
+    count
+}
+
+/// Guards against good results from before a version turned bad that outweigh the bad ones.
+#[test]
+fn version_that_turns_bad_after_many_good_results_is_rolled_back() {
+    let mut version_move = new_move(&baselines(0));
+    for _ in 0..1_000 {
+        version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
+        version_move.note_result("reports", VersionRole::New, false, RESPONSE_TIME);
+        version_move.decide(false, at(500));
+    }
+
+    let old = [(false, RESPONSE_TIME)];
+    let bad = count_bad_until_rollback(&mut version_move, &old, (true, RESPONSE_TIME));
+
+    assert!(bad <= BAD_RESULTS_ALLOWED / 2, "{bad} bad results");
+}
+
+/// Guards against a bad version that looks no worse than the old one, because servers of the old
+/// version fail at the same time.
+#[test]
+fn failing_old_servers_do_not_excuse_a_bad_version() {
+    let mut version_move = new_move(&baselines(0));
+
+    let old = [(true, RESPONSE_TIME), (false, RESPONSE_TIME)];
+    let bad = count_bad_until_rollback(&mut version_move, &old, (true, RESPONSE_TIME));
+
+    assert!(bad < BAD_RESULTS_ALLOWED, "{bad} bad results");
+}
+
+/// Guards against the same with slow servers of the old version, which also must not make slowness
+/// usual.
+#[test]
+fn slow_old_servers_do_not_excuse_a_slow_version() {
+    let mut version_move = new_move(&baselines(0));
+
+    let old = [(false, SLOW_TIME)];
+    let bad = count_bad_until_rollback(&mut version_move, &old, (false, SLOW_TIME));
+
+    assert!(bad < BAD_RESULTS_ALLOWED, "{bad} bad results");
+}
+
+/// Guards against sound versions that are rolled back by chance: evidence that never falls below
+/// zero grows at random. Pattern: eight in a hundred requests fail on every server.
+#[test]
+fn sound_version_is_rarely_rolled_back_by_chance() {
+    let mut rolled_back = 0;
+    for seed in 0..MOVES {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut version_move = new_move(&baselines(8));
+        for _ in 0..300 {
+            for role in [VersionRole::Old, VersionRole::New] {
+                let is_failure = random.random_bool(0.08);
+                version_move.note_result("reports", role, is_failure, RESPONSE_TIME);
+            }
+            version_move.decide(false, at(1_000));
+        }
+        rolled_back += u64::from(version_move.phase() == VersionMovePhase::RolledBack);
+    }
+
+    let allowed = (1.0 - COMPLETED_SHARE) * MOVES as f64;
+    assert!(rolled_back as f64 <= allowed, "{rolled_back} of {MOVES}");
+}
