Let every VM stop sending requests to a bad version

Fault: only the VM that reads the store for the others rolled a version move back, so a bad version kept its share while that VM was frozen or cut off, until another one took over, and while none could read the store.

Every VM judges the results of all VMs and rolls back by itself; its reports carry the phase to the others, and the store's final status still stands above it. The VM that wakes from a freeze decides nothing until it could hear the others.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -185,6 +185,13 @@
         }
     }
 
+    /// Rolls a service's version move back if its results show that the new version is bad. Returns
+    /// the phase if it changed.
+    pub fn roll_back_if_bad(&mut self, service: &str, now: MonoTime) -> Option<VersionMovePhase> {
+        let version_move = self.version_moves.get_mut(service)?;
+        version_move.roll_back_if_bad(now).then(|| version_move.phase())
+    }
+
     /// Advances a service's version move if its results allow or require it. Returns the phase if
     /// it changed.
     pub fn decide_version_move(
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -262,6 +262,16 @@
         changed
     }
 
+    /// Rolls the version move back if the results of all VMs show that the new version is bad.
+    /// Returns whether it does. Called on every VM, since a VM that can't write the result to the
+    /// store can still stop sending requests to the version.
+    pub fn roll_back_if_bad(&mut self, now: MonoTime) -> bool {
+        self.update_suspicion();
+        !self.phase.is_final()
+            && self.suspicion.is_bad()
+            && self.advance(VersionMovePhase::RolledBack, now)
+    }
+
     /// Decides whether the version move enters another phase, and returns whether it does. Called
     /// on the VM that controls version moves. `is_old_idle` states whether no server of the old
     /// version has open requests.
--- a/crates/gateway/src/version_move_controller.rs
+++ b/crates/gateway/src/version_move_controller.rs
@@ -1,10 +1,13 @@
-//! Controls version moves while this VM is the one that reads the store for the others.
+//! Controls version moves. Every VM stops sending requests to a version that is bad; the VM that
+//! reads the store for the others decides on the rest and writes the statuses.
 
 use std::{sync::Arc, time::Duration};
 
 use tracing::{info, warn};
 
-use crate::{FleetTable, GatewayContext, StoreError, VersionMoveRecord, VersionRole};
+use crate::{
+    BootTime, FleetTable, GatewayContext, PauseGuard, StoreError, VersionMoveRecord, VersionRole,
+};
 
 /// Interval between decisions. A bad version must get no more requests five seconds after it was
 /// detected.
@@ -16,22 +19,25 @@
 /// Decides on open version moves and writes their statuses, for the lifetime of the process.
 pub async fn run(context: Arc<GatewayContext>) {
     let mut written: Option<VersionMoveRecord> = None;
+    let mut guard = PauseGuard::default();
     loop {
         tokio::time::sleep(DECIDE_INTERVAL).await;
+        let is_current = guard.is_current(BootTime::now());
         let now = context.clock.now();
         let overdue = context.view().count_overdue_runs(now);
         if overdue > 0 {
             info!(overdue, "versions: responses overdue");
         }
-        if context.peers().store_reader(now).is_some() || !context.peers().can_read(now) {
-            continue;
-        }
+        let is_deciding = {
+            let peers = context.peers();
+            is_current && peers.store_reader(now).is_none() && peers.can_read(now)
+        };
         let services = context.view().services_with_open_move();
         for service in services {
-            decide(&context, &service);
+            decide(&context, &service, is_deciding);
             let status =
                 context.view().version_move(&service).map(|version_move| version_move.status());
-            let Some(status) = status else { continue };
+            let Some(status) = status.filter(|_| is_deciding) else { continue };
             if written.as_ref() == Some(&status) && !status.phase.is_final() {
                 continue;
             }
@@ -42,10 +48,15 @@
     }
 }
 
-fn decide(context: &GatewayContext, service: &str) {
+fn decide(context: &GatewayContext, service: &str, is_deciding: bool) {
     let now = context.clock.now();
     let mut view = context.view();
-    let Some(phase) = view.decide_version_move(service, now) else { return };
+    let phase = if is_deciding {
+        view.decide_version_move(service, now)
+    } else {
+        view.roll_back_if_bad(service, now)
+    };
+    let Some(phase) = phase else { return };
     let Some(version_move) = view.version_move(service) else { return };
     let evidence = version_move.evidence();
     info!(
@@ -53,6 +64,7 @@
         target = version_move.order().target,
         order = version_move.order_offset(),
         %phase,
+        is_deciding,
         elapsed_ms = version_move.elapsed(now).as_millis() as u64,
         old_results = evidence.total(VersionRole::Old),
         new_results = evidence.total(VersionRole::New),
--- a/crates/gateway/src/versions/mod.rs
+++ b/crates/gateway/src/versions/mod.rs
@@ -1,6 +1,7 @@
 //! Comparison of versions of a service.
 
 mod open_run;
+mod pause_guard;
 mod request_run;
 mod route_baseline;
 mod route_baselines;
@@ -11,6 +12,6 @@
     open_run::OpenRun, request_run::RequestRun, suspicion_level::SuspicionLevel,
 };
 pub use self::{
-    open_run::RunKey, route_baseline::RouteBaseline, route_baselines::RouteBaselines,
-    run_end::RunEnd,
+    open_run::RunKey, pause_guard::PauseGuard, route_baseline::RouteBaseline,
+    route_baselines::RouteBaselines, run_end::RunEnd,
 };
--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use dragonflycart_gateway::{
-    RouteBaselines, VersionMove, VersionMovePhase, VersionMoveSpec, VersionRole,
+    BootTime, PauseGuard, RouteBaselines, VersionMove, VersionMovePhase, VersionMoveSpec,
+    VersionRole,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -129,3 +130,42 @@
     let allowed = (1.0 - COMPLETED_SHARE) * MOVES as f64;
     assert!(rolled_back as f64 <= allowed, "{rolled_back} of {MOVES}");
 }
+
+/// Guards against a bad version that goes on getting requests because the VM that decides is frozen
+/// or no VM can read the store.
+#[test]
+fn vm_that_does_not_decide_still_rolls_back_a_bad_version() {
+    let mut version_move = new_move(&baselines(0));
+    version_move.note_statuses_read();
+    for _ in 0..20 {
+        version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
+    }
+    assert!(!version_move.roll_back_if_bad(at(1_000)));
+    for index in 0..20 {
+        version_move.note_result("reports", VersionRole::New, index % 2 == 0, RESPONSE_TIME);
+    }
+
+    assert!(version_move.roll_back_if_bad(at(1_100)));
+
+    assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
+}
+
+/// Guards against a VM that wakes from a freeze and completes a version move on what it knew before,
+/// while the others have found the version bad.
+#[test]
+fn vm_that_was_frozen_decides_only_after_it_could_hear_the_others() {
+    let boot_ms = |millis| BootTime::from_boot(Duration::from_millis(millis));
+    let mut guard = PauseGuard::default();
+    for time_ms in (0..=2_000).step_by(150) {
+        guard.is_current(boot_ms(time_ms));
+    }
+    assert!(guard.is_current(boot_ms(2_100)));
+
+    assert!(!guard.is_current(boot_ms(6_000)), "right after the freeze");
+    assert!(!guard.is_current(boot_ms(6_150)));
+
+    for time_ms in (6_300..7_000).step_by(150) {
+        guard.is_current(boot_ms(time_ms));
+    }
+    assert!(guard.is_current(boot_ms(7_050)));
+}
--- a/tests/all/versions.rs
+++ b/tests/all/versions.rs
@@ -148,3 +148,28 @@
 async fn version_whose_streams_are_slow_is_rolled_back() {
     assert_bad_engines_are_rolled_back("streams-slow", RunnerFailure::Slow).await;
 }
+
+/// Guards against a bad version that keeps its share of the requests while no VM can read the store,
+/// because only the VM that does decided on it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_version_gets_no_more_requests_while_the_store_is_away() {
+    let mut fleet = GatewayFleet::start("bad-without-store", 50).await;
+    fleet.start_gateways().await;
+    fleet.send_until_move_ends(Duration::from_millis(400)).await;
+    fleet.start_version_move();
+    while fleet.move_state().is_none() {
+        fleet.send_until_move_ends(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    fleet.store.set_mode(StoreMode::Silent);
+    fleet.send_until_move_ends(Duration::from_millis(2_500)).await;
+    let (_, new_before) = fleet.runs_by_version();
+    fleet.send_until_move_ends(Duration::from_millis(1_500)).await;
+    fleet.success_share().await;
+
+    let (old, new) = fleet.runs_by_version();
+    assert!(new > 0 && old > 0, "{new} requests at the new version, {old} at the old one");
+    assert_eq!(new, new_before, "the bad version went on getting requests");
+    fleet.close();
+}
