Keep statuses that are read before their order

Fault: a VM that starts reads the tables in any order. A final status that it read before the order was dropped, the next reads brought nothing new, and the VM took the version move for open and began the canary of a version that had been rolled back.

Test without network: status_that_is_read_before_its_order_counts, which fails without the change (the phase is watching).

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -49,6 +49,8 @@
     retry_budgets: BTreeMap<String, RetryBudget>,
     timings: BTreeMap<String, GenerationTiming>,
     version_moves: BTreeMap<String, VersionMove>,
+    /// Latest status of each service's version move in the store.
+    move_statuses: BTreeMap<String, VersionMoveRecord>,
     prefixes: BTreeMap<ServerKey, BTreeMap<PromptPart, MonoTime>>,
     baselines: RouteBaselines,
     runs: SlotMap<RunKey, OpenRun>,
@@ -71,6 +73,7 @@
             retry_budgets: BTreeMap::new(),
             timings: BTreeMap::new(),
             version_moves: BTreeMap::new(),
+            move_statuses: BTreeMap::new(),
             prefixes: BTreeMap::new(),
             baselines: RouteBaselines::default(),
             runs: SlotMap::with_key(),
@@ -136,8 +139,13 @@
             return false;
         }
         let service = order.service.clone();
-        let version_move = VersionMove::new(order, order_offset, now, now_ms);
-        self.version_moves.insert(service, version_move.with_baselines(&self.baselines));
+        let mut version_move =
+            VersionMove::new(order, order_offset, now, now_ms).with_baselines(&self.baselines);
+        // The status may have been read before the order.
+        if let Some(status) = self.move_statuses.get(&service) {
+            version_move.note_status(status, now, now_ms);
+        }
+        self.version_moves.insert(service, version_move);
         true
     }
 
@@ -174,6 +182,7 @@
         now: MonoTime,
         now_ms: u64,
     ) -> bool {
+        self.move_statuses.insert(status.service.clone(), status.clone());
         let version_move = self.version_moves.get_mut(&status.service);
         version_move.is_some_and(|version_move| version_move.note_status(status, now, now_ms))
     }
--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use dragonflycart_gateway::{
-    BootTime, PauseGuard, RouteBaselines, VersionMove, VersionMovePhase, VersionMoveSpec,
-    VersionRole,
+    BootTime, PauseGuard, RouteBaselines, VersionMove, VersionMovePhase, VersionMoveRecord,
+    VersionMoveSpec, VersionRole,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use crate::fixtures::{ENGINES, at};
+use crate::fixtures::{ENGINES, at, view};
 
 /// Number of bad results after which a bad version must get no more requests.
 const BAD_RESULTS_ALLOWED: usize = 50;
@@ -169,3 +169,22 @@
     }
     assert!(guard.is_current(boot_ms(7_050)));
 }
+
+/// Guards against a VM that starts after a rollback, reads the status before the order and begins
+/// the canary again.
+#[test]
+fn status_that_is_read_before_its_order_counts() {
+    let status = VersionMoveRecord {
+        phase: VersionMovePhase::RolledBack,
+        ..new_move(&baselines(0)).status()
+    };
+    let mut fleet = view(&["a", "b"]);
+
+    fleet.note_version_move_status(&status, at(0), 0);
+    fleet.note_statuses_read();
+    fleet.start_version_move(order(), 3, at(0), 0);
+
+    let version_move = fleet.version_move(ENGINES).unwrap();
+    assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
+    assert!(version_move.is_confirmed());
+}
