Keep the evidence against a version when all VMs are killed

Fault: the evidence was only in the memory of the VMs. A bad version that was not yet found out got as many bad results again after each kill of all VMs.

The deciding VM writes the highest evidence so far, in coarse steps, into the status that it writes anyway; a VM that starts goes on from there.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -163,7 +163,7 @@
     version_move_phase::VersionMovePhase,
     version_move_record::VersionMoveRecord,
     version_move_spec::VersionMoveSpec,
-    versions::{PauseGuard, RouteBaseline, RouteBaselines, RunEnd, RunKey},
+    versions::{PauseGuard, RouteBaseline, RouteBaselines, RunEnd, RunKey, SuspicionRecord},
     vm_record::VmRecord,
     vm_settings::VmSettings,
     wait_queue::{WaitQueue, WaiterId},
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -130,6 +130,7 @@
             phase: self.phase,
             order: self.order_offset,
             began_at_ms: self.began_at_ms,
+            suspicion: self.suspicion.highest(),
         }
     }
 
@@ -253,6 +254,9 @@
         let elapsed_ms = now_ms.saturating_sub(status.began_at_ms);
         let elapsed = Duration::from_millis(elapsed_ms).min(self.order.time_limit);
         self.note_elapsed(elapsed, now);
+        if !self.has_read_statuses {
+            self.suspicion.raise(status.suspicion);
+        }
         if !status.phase.is_final() || self.is_confirmed {
             return false;
         }
--- a/crates/gateway/src/version_move_record.rs
+++ b/crates/gateway/src/version_move_record.rs
@@ -1,6 +1,6 @@
 //! Status of a version move in the store.
 
-use crate::VersionMovePhase;
+use crate::{SuspicionRecord, VersionMovePhase};
 
 /// Status of one version move. Only a status with a final phase is binding. A status is written
 /// only if its writer has read all earlier ones.
@@ -16,4 +16,7 @@
     pub order: u64,
     /// Time at which the order was first seen, in Unix milliseconds.
     pub began_at_ms: u64,
+    /// Evidence against the new version so far, for VMs that know none because they have just
+    /// started.
+    pub suspicion: SuspicionRecord,
 }
--- a/crates/gateway/src/versions/mod.rs
+++ b/crates/gateway/src/versions/mod.rs
@@ -7,11 +7,12 @@
 mod route_baselines;
 mod run_end;
 mod suspicion_level;
+mod suspicion_record;
 
 pub(crate) use self::{
     open_run::OpenRun, request_run::RequestRun, suspicion_level::SuspicionLevel,
 };
 pub use self::{
     open_run::RunKey, pause_guard::PauseGuard, route_baseline::RouteBaseline,
-    route_baselines::RouteBaselines, run_end::RunEnd,
+    route_baselines::RouteBaselines, run_end::RunEnd, suspicion_record::SuspicionRecord,
 };
--- a/crates/gateway/src/versions/suspicion_level.rs
+++ b/crates/gateway/src/versions/suspicion_level.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{ResultCounts, RouteBaselines, RouteResults};
+use crate::{ResultCounts, RouteBaselines, RouteResults, SuspicionRecord};
 
 /// Assumed increase of the bad share in a bad version.
 const BAD_DIFFERENCE: f64 = 0.2;
@@ -22,6 +22,10 @@
 /// Number of bad results beyond the usual ones from which the new version counts as bad, even if the
 /// old version has as many now. A bad version must get no requests after fifty bad results.
 const BAD_EXCESS: f64 = 20.0;
+/// Step in which the log-likelihood ratio is recorded.
+const EVIDENCE_STEP: u32 = 3;
+/// Step in which the number of bad results beyond the usual ones is recorded.
+const EXCESS_STEP: u32 = 5;
 /// Multiple of the usual bad share that counts as usual.
 const USUAL_FACTOR: f64 = 1.5;
 /// Bad share that counts as usual in addition.
@@ -39,6 +43,7 @@
     total: f64,
     /// Bad results beyond those that were usual before the version move.
     excess: f64,
+    highest: SuspicionRecord,
 }
 
 impl SuspicionLevel {
@@ -61,6 +66,23 @@
         self.total = (self.total + total).max(0.0);
         self.excess = self.excess.max(0.0);
         self.counted.clone_from(results);
+        let evidence = self.evidence() as u32 / EVIDENCE_STEP * EVIDENCE_STEP;
+        let excess = self.excess as u32 / EXCESS_STEP * EXCESS_STEP;
+        self.highest.evidence = self.highest.evidence.max(evidence);
+        self.highest.excess = self.highest.excess.max(excess);
+    }
+
+    /// Returns the highest sums so far, to be written to the store.
+    pub(crate) fn highest(&self) -> SuspicionRecord {
+        self.highest
+    }
+
+    /// Raises the sums to those that VMs recorded which may have ended since.
+    pub(crate) fn raise(&mut self, recorded: SuspicionRecord) {
+        self.total = self.total.max(f64::from(recorded.evidence));
+        self.excess = self.excess.max(f64::from(recorded.excess));
+        self.highest.evidence = self.highest.evidence.max(recorded.evidence);
+        self.highest.excess = self.highest.excess.max(recorded.excess);
     }
 
     /// Returns the highest log-likelihood ratio, of a single route or of all together.
--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -170,6 +170,31 @@
     assert!(guard.is_current(boot_ms(7_050)));
 }
 
+/// Guards against a bad version that gets a new allowance of bad results each time that all VMs are
+/// killed and forget the evidence.
+#[test]
+fn evidence_survives_restarts_of_all_vms() {
+    let known = baselines(0);
+    let mut status = new_move(&known).status();
+    let mut bad = 0;
+    for _ in 0..8 * BAD_RESULTS_ALLOWED {
+        let mut version_move = new_move(&known);
+        version_move.note_status(&status, at(1_000), 1_000);
+        version_move.note_statuses_read();
+        for is_failure in [true, false, true, false] {
+            version_move.note_result("reports", VersionRole::New, is_failure, RESPONSE_TIME);
+            bad += usize::from(is_failure);
+        }
+        version_move.decide(false, at(1_000));
+        if version_move.phase() == VersionMovePhase::RolledBack {
+            break;
+        }
+        status = version_move.status();
+    }
+
+    assert!(bad <= BAD_RESULTS_ALLOWED / 2, "{bad} bad results");
+}
+
 /// Guards against a VM that starts after a rollback, reads the status before the order and begins
 /// the canary again.
 #[test]
