Switch to a version only on evidence that trouble of the old one can't blur

Causes and changes: - The results were compared with those of the old version only. They are now also compared with the results before the version move, for the switch and, more strictly, after it. - A VM of a small site has two or three results of a route before the move, so the slowness of old servers became usual. VMs share their usual results in their reports. - Running generations left the old version at the switch. They leave it at half of the time that is left then, when results of the switch are known. - A generation that is moved ends its response at the source; that no longer counts as a failure of the source's version.

--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -28,6 +28,11 @@
         EngineWatcher { context: Arc::clone(context), changes, moving: None, started: 0 }
     }
 
+    /// Returns whether the generation is being moved.
+    pub fn is_moving(&self) -> bool {
+        self.moving.is_some()
+    }
+
     /// Waits until the engine is leaving, starts a move and waits for its outcome. This method is
     /// cancel safe: the returned future can be dropped and the method called again.
     pub async fn next(
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -139,8 +139,10 @@
             return false;
         }
         let service = order.service.clone();
-        let mut version_move =
-            VersionMove::new(order, order_offset, now, now_ms).with_baselines(&self.baselines);
+        let plan = self.plan.as_ref();
+        let uses = |route: &str| plan.is_some_and(|plan| plan.route_uses(route, &service));
+        let usual = self.baselines.usual_of(uses);
+        let mut version_move = VersionMove::new(order, order_offset, now, now_ms).with_usual(usual);
         // The status may have been read before the order.
         if let Some(status) = self.move_statuses.get(&service) {
             version_move.note_status(status, now, now_ms);
@@ -201,6 +203,13 @@
         version_move.roll_back_if_bad(now).then(|| version_move.phase())
     }
 
+    /// Lets running requests leave the old version of a service if it is time. Returns whether this
+    /// changed.
+    pub fn release_old_version(&mut self, service: &str, now: MonoTime) -> bool {
+        let version_move = self.version_moves.get_mut(service);
+        version_move.is_some_and(|version_move| version_move.release_old(now))
+    }
+
     /// Advances a service's version move if its results allow or require it. Returns the phase if
     /// it changed.
     pub fn decide_version_move(
@@ -235,7 +244,7 @@
                 let role = version_move.role_of(&state.record.version);
                 version_move.note_result(route, role, is_failure, time)
             }
-            None => is_failure || self.baselines.is_slow_time(route, time_ms),
+            None => is_failure || self.baselines.usual(route).is_slow_time(time_ms),
         };
         let baseline = self.baselines.route_mut(route);
         baseline.note_result(is_bad);
@@ -257,15 +266,15 @@
     }
 
     /// Records the average pause between the first events of a stream.
-    pub fn note_run_pace(&mut self, key: RunKey, pause: Duration) {
+    pub fn note_run_pause(&mut self, key: RunKey, pause: Duration) {
         let Some(run) = self.runs.get(key) else { return };
         let route = run.route.clone();
         let Some(state) = self.servers.get(run.server) else { return };
         let is_slow = match self.version_moves.get(&state.record.service) {
-            Some(version_move) => version_move.is_slow_pace(&route, pause),
+            Some(version_move) => version_move.is_slow_pause(&route, pause),
             None => false,
         };
-        self.baselines.route_mut(&route).note_pace(pause.as_secs_f64() * 1_000.0);
+        self.baselines.route_mut(&route).note_pause(pause.as_secs_f64() * 1_000.0);
         if is_slow {
             self.note_late_failure(key);
         }
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -221,15 +221,21 @@
             events = self.events,
             "stream: engine lost"
         );
+        // The engine ends the response of a generation that is being moved.
+        let is_failure = !self.source.watcher.is_moving();
         if end == RelayEnd::Broken {
-            self.source.run.note_failure();
+            if is_failure {
+                self.source.run.note_failure();
+            }
             self.note_broken();
             run_check::start(&self.context, &self.source.reservation.engine);
         }
         let RelaySource { reservation, watcher, run, .. } = &mut self.source;
         match watcher.recover(&self.request, reservation, &self.progress).await {
             MoveOutcome::Resumed(resumed) => {
-                run.note_failure();
+                if is_failure {
+                    run.note_failure();
+                }
                 StepOutcome::Resumed(resumed)
             }
             // The engine may only be slow, and its response is still open.
@@ -335,7 +341,7 @@
         };
         *pauses += 1;
         if *pauses == PACE_PAUSES {
-            self.source.run.note_pace((now - *first_at) / PACE_PAUSES);
+            self.source.run.note_pause((now - *first_at) / PACE_PAUSES);
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -163,7 +163,9 @@
     version_move_phase::VersionMovePhase,
     version_move_record::VersionMoveRecord,
     version_move_spec::VersionMoveSpec,
-    versions::{PauseGuard, RouteBaseline, RouteBaselines, RunEnd, RunKey, SuspicionRecord},
+    versions::{
+        PauseGuard, RouteBaseline, RouteBaselines, RunEnd, RunKey, SuspicionRecord, UsualResults,
+    },
     vm_record::VmRecord,
     vm_settings::VmSettings,
     wait_queue::{WaitQueue, WaiterId},
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -1,6 +1,11 @@
 //! Exchanges load and state reports with the other VMs.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use prost::Message;
@@ -9,8 +14,8 @@
 
 use crate::{
     FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ReportRecipients,
-    ResultCounts, RouteEntry, RouteResults, ServerLoad, VersionMove, VersionMoveEntry,
-    VersionMoveEvidence, VersionMovePhase, VmRecord,
+    ResultCounts, RouteEntry, RouteResults, ServerLoad, UsualResults, VersionMove,
+    VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
     containment::evidence_exchange::EvidenceExchange,
 };
 
@@ -297,13 +302,21 @@
         let Some(phase) = VersionMovePhase::from_repr(entry.phase) else { continue };
         let Some(known) = view.version_move_mut(&entry.service, entry.number) else { continue };
         let mut results = RouteResults::new();
+        let mut usual = BTreeMap::new();
         for route in &entry.routes {
             let old = ResultCounts { good: route.old_good, bad: route.old_bad };
             let new = ResultCounts { good: route.new_good, bad: route.new_bad };
             results.insert(route.route.clone(), [old, new]);
+            let before = UsualResults {
+                time_ms: route.usual_time_ms,
+                pause_ms: route.usual_pause_ms,
+                bad: route.usual_bad,
+                total: route.usual_total,
+            };
+            usual.insert(route.route.clone(), before);
         }
         known.note_elapsed(Duration::from_millis(entry.elapsed_ms), now);
-        let evidence = VersionMoveEvidence::from_results(results);
+        let evidence = VersionMoveEvidence::from_results(results, usual);
         if known.note_peer(report.boot, evidence, phase, now) {
             info!(service = entry.service, %phase, peer = report.name, "versions: phase of a peer");
             changed = true;
@@ -318,13 +331,22 @@
     now: dragonflycart_core::MonoTime,
 ) -> VersionMoveEntry {
     let mut routes = Vec::new();
-    for (route, [old, new]) in version_move.own_evidence().results() {
+    let (results, usual) =
+        (version_move.own_evidence().results(), version_move.own_evidence().usual());
+    let names: BTreeSet<&String> = results.keys().chain(usual.keys()).collect();
+    for route in names {
+        let [old, new] = results.get(route).copied().unwrap_or_default();
+        let before = usual.get(route).copied().unwrap_or_default();
         routes.push(RouteEntry {
             route: route.clone(),
             old_good: old.good,
             old_bad: old.bad,
             new_good: new.good,
             new_bad: new.bad,
+            usual_time_ms: before.time_ms,
+            usual_pause_ms: before.pause_ms,
+            usual_bad: before.bad,
+            usual_total: before.total,
         });
     }
     VersionMoveEntry {
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -71,6 +71,19 @@
     /// Bad results of the new version.
     #[prost(uint64, tag = "5")]
     pub new_bad: u64,
+    /// Median time to a response before the version move, in milliseconds; zero if unknown.
+    #[prost(double, tag = "6")]
+    pub usual_time_ms: f64,
+    /// Median pause between the first events of a stream before the version move, in milliseconds;
+    /// zero if unknown.
+    #[prost(double, tag = "7")]
+    pub usual_pause_ms: f64,
+    /// Bad results before the version move.
+    #[prost(uint64, tag = "8")]
+    pub usual_bad: u64,
+    /// Results before the version move.
+    #[prost(uint64, tag = "9")]
+    pub usual_total: u64,
 }
 
 /// State of a version move on the sending VM.
--- a/crates/gateway/src/route_plan.rs
+++ b/crates/gateway/src/route_plan.rs
@@ -55,6 +55,12 @@
         self.routes.values().flatten().any(|route| route.name == name)
     }
 
+    /// Returns whether the route of this name uses a service.
+    pub fn route_uses(&self, name: &str, service: &str) -> bool {
+        let uses = |route: &PlannedRoute| route.services.iter().any(|(used, _)| used == service);
+        self.routes.values().flatten().any(|route| route.name == name && uses(route))
+    }
+
     /// Returns whether non-public routes require a credential.
     pub fn has_teams(&self) -> bool {
         self.teams.is_some()
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -12,8 +12,8 @@
 use dragonflycart_core::MonoTime;
 
 use crate::{
-    RouteBaselines, VersionMoveEvidence, VersionMovePhase, VersionMoveRecord, VersionMoveSpec,
-    VersionRole, versions::SuspicionLevel,
+    RouteBaselines, UsualResults, VersionMoveEvidence, VersionMovePhase, VersionMoveRecord,
+    VersionMoveSpec, VersionRole, versions::SuspicionLevel,
 };
 
 /// Fraction of the allowed share that a new version gets as a canary. The rest is reserved for the
@@ -37,6 +37,9 @@
 /// Minimum time for which all requests go to the new version before the version move may be
 /// completed early.
 const SWITCH_SETTLED: Duration = Duration::from_millis(1_000);
+/// Fraction of the time between the switch and the time limit after which running requests leave the
+/// old version. The results of the first requests that the new version gets are known by then.
+const RELEASE_FRACTION: f64 = 0.5;
 /// Minimum number of results of the new version to complete a version move.
 const MIN_RESULTS: u64 = 5;
 
@@ -58,19 +61,25 @@
     began_at_ms: u64,
     phase: VersionMovePhase,
     switched_at: Option<MonoTime>,
+    /// Whether running requests leave the old version.
+    releases_old: bool,
     is_confirmed: bool,
     has_read_statuses: bool,
     own: VersionMoveEvidence,
     peers: BTreeMap<u64, VersionMoveEvidence>,
     sent: [u64; 2],
+    /// Usual results of all VMs before the version move, by route.
+    usual: BTreeMap<String, UsualResults>,
+    /// Results of the old version since, for routes without usual results.
     baselines: RouteBaselines,
     suspicion: SuspicionLevel,
 }
 
 impl VersionMove {
-    /// Sets the usual results of each route before the version move.
-    pub fn with_baselines(self, baselines: &RouteBaselines) -> VersionMove {
-        VersionMove { baselines: baselines.clone(), ..self }
+    /// Sets the usual results of this VM before the version move, by route.
+    pub fn with_usual(self, usual: BTreeMap<String, UsualResults>) -> VersionMove {
+        let own = VersionMoveEvidence::with_usual(usual.clone());
+        VersionMove { own, usual, ..self }
     }
 
     /// Builds a version move that was ordered by the record at offset `order_offset`.
@@ -87,11 +96,13 @@
             began_at_ms: now_ms,
             phase: VersionMovePhase::Watching,
             switched_at: None,
+            releases_old: false,
             is_confirmed: false,
             has_read_statuses: false,
             own: VersionMoveEvidence::default(),
             peers: BTreeMap::new(),
             sent: [0; 2],
+            usual: BTreeMap::new(),
             baselines: RouteBaselines::default(),
             suspicion: SuspicionLevel::default(),
         }
@@ -174,9 +185,10 @@
     /// Returns whether requests on servers with this role move to the others.
     pub fn is_outgoing(&self, role: VersionRole) -> bool {
         match role {
-            VersionRole::Old => {
-                matches!(self.phase, VersionMovePhase::Switching | VersionMovePhase::Completed)
-            }
+            VersionRole::Old => match self.phase {
+                VersionMovePhase::Switching => self.releases_old,
+                phase => phase == VersionMovePhase::Completed,
+            },
             VersionRole::New => self.phase == VersionMovePhase::RolledBack,
         }
     }
@@ -198,8 +210,8 @@
         let time_ms = time.as_secs_f64() * 1_000.0;
         let is_bad = is_failure || self.is_slow(route, time);
         self.own.note(route, role, is_bad);
-        let baseline = self.baselines.route_mut(route);
-        if role == VersionRole::Old && !baseline.is_settled() {
+        if role == VersionRole::Old {
+            let baseline = self.baselines.route_mut(route);
             baseline.note_result(is_bad);
             if !is_failure {
                 baseline.note_time(time_ms);
@@ -215,13 +227,17 @@
 
     /// Returns whether a response that takes this long is slow.
     pub fn is_slow(&self, route: &str, time: Duration) -> bool {
-        self.baselines.is_slow_time(route, time.as_secs_f64() * 1_000.0)
+        self.usual(route).is_slow_time(time.as_secs_f64() * 1_000.0)
     }
 
     /// Returns whether a stream whose first events have this average pause is slow.
-    pub fn is_slow_pace(&self, route: &str, pause: Duration) -> bool {
-        let pause_ms = pause.as_secs_f64() * 1_000.0;
-        self.baselines.route(route).is_some_and(|baseline| baseline.is_slow_pace(pause_ms))
+    pub fn is_slow_pause(&self, route: &str, pause: Duration) -> bool {
+        self.usual(route).is_slow_pause(pause.as_secs_f64() * 1_000.0)
+    }
+
+    fn usual(&self, route: &str) -> UsualResults {
+        let usual = self.usual.get(route).copied().filter(|usual| usual.time_ms > 0.0);
+        usual.unwrap_or_else(|| self.baselines.usual(route))
     }
 
     /// Applies the report of another VM: all its results so far and its phase. Returns whether the
@@ -271,9 +287,26 @@
     /// store can still stop sending requests to the version.
     pub fn roll_back_if_bad(&mut self, now: MonoTime) -> bool {
         self.update_suspicion();
-        !self.phase.is_final()
-            && self.suspicion.is_bad()
-            && self.advance(VersionMovePhase::RolledBack, now)
+        !self.phase.is_final() && self.is_bad() && self.advance(VersionMovePhase::RolledBack, now)
+    }
+
+    fn is_bad(&self) -> bool {
+        match self.phase {
+            VersionMovePhase::Switching => self.suspicion.is_bad_after_switch(),
+            _ => self.suspicion.is_bad(),
+        }
+    }
+
+    /// Lets running requests leave the old version once the new one has got new requests for long
+    /// enough. Returns whether this changed. If they all moved at the switch, a version that turns
+    /// bad with it would get them all before its first result is known.
+    pub fn release_old(&mut self, now: MonoTime) -> bool {
+        let Some(at) = self.switched_at.filter(|_| !self.releases_old) else { return false };
+        let left = self.order.time_limit.saturating_sub(self.elapsed(now));
+        let since = now.since(at);
+        self.releases_old =
+            !self.suspicion.is_doubtful() && since >= (since + left).mul_f64(RELEASE_FRACTION);
+        self.releases_old
     }
 
     /// Decides whether the version move enters another phase, and returns whether it does. Called
@@ -284,7 +317,7 @@
         let is_due = self.elapsed(now) + WRITE_TIME >= self.order.time_limit;
         let next = match self.phase {
             VersionMovePhase::Completed | VersionMovePhase::RolledBack => return false,
-            _ if self.suspicion.is_bad() => VersionMovePhase::RolledBack,
+            _ if self.is_bad() => VersionMovePhase::RolledBack,
             // Further results may still decide about a doubtful version until the time limit.
             _ if self.suspicion.is_doubtful() && is_due => VersionMovePhase::RolledBack,
             _ if self.suspicion.is_doubtful() => return false,
@@ -316,7 +349,8 @@
 
     fn update_suspicion(&mut self) {
         let evidence = self.evidence();
-        self.suspicion.update(evidence.results(), &self.baselines);
+        self.usual = evidence.usual();
+        self.suspicion.update(evidence.results(), &self.usual);
     }
 
     /// Returns the sum of the results of all VMs.
--- a/crates/gateway/src/version_move_controller.rs
+++ b/crates/gateway/src/version_move_controller.rs
@@ -35,6 +35,10 @@
         let services = context.view().services_with_open_move();
         for service in services {
             decide(&context, &service, is_deciding);
+            if context.view().release_old_version(&service, now) {
+                info!(service, "versions: running requests leave the old version");
+                context.announce_change();
+            }
             let status =
                 context.view().version_move(&service).map(|version_move| version_move.status());
             let Some(status) = status.filter(|_| is_deciding) else { continue };
--- a/crates/gateway/src/version_move_evidence.rs
+++ b/crates/gateway/src/version_move_evidence.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::UsualResults;
+
 /// Role of a server's version in a version move.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionRole {
@@ -48,12 +50,23 @@
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct VersionMoveEvidence {
     results: RouteResults,
+    /// Usual results of each VM before the version move, by route.
+    usual: BTreeMap<String, Vec<UsualResults>>,
 }
 
 impl VersionMoveEvidence {
-    /// Builds the evidence from the counts that another VM reported.
-    pub fn from_results(results: RouteResults) -> VersionMoveEvidence {
-        VersionMoveEvidence { results }
+    /// Builds the evidence of a VM without results from its usual results before the version move.
+    pub fn with_usual(usual: BTreeMap<String, UsualResults>) -> VersionMoveEvidence {
+        VersionMoveEvidence::from_results(RouteResults::new(), usual)
+    }
+
+    /// Builds the evidence from what a VM reported.
+    pub fn from_results(
+        results: RouteResults,
+        usual: BTreeMap<String, UsualResults>,
+    ) -> VersionMoveEvidence {
+        let usual = usual.into_iter().map(|(route, usual)| (route, vec![usual])).collect();
+        VersionMoveEvidence { results, usual }
     }
 
     /// Returns the counts by route.
@@ -71,8 +84,19 @@
         }
     }
 
+    /// Returns the usual results of all VMs before the version move, by route.
+    pub fn usual(&self) -> BTreeMap<String, UsualResults> {
+        let combine = |(route, parts): (&String, &Vec<UsualResults>)| {
+            (route.clone(), UsualResults::combine(parts))
+        };
+        self.usual.iter().map(combine).collect()
+    }
+
     /// Adds the results of another VM.
     pub fn add(&mut self, other: &VersionMoveEvidence) {
+        for (route, parts) in &other.usual {
+            self.usual.entry(route.clone()).or_default().extend(parts);
+        }
         for (route, results) in &other.results {
             let sums = self.results.entry(route.clone()).or_default();
             for (sum, counts) in sums.iter_mut().zip(results) {
--- a/crates/gateway/src/versions/mod.rs
+++ b/crates/gateway/src/versions/mod.rs
@@ -8,6 +8,7 @@
 mod run_end;
 mod suspicion_level;
 mod suspicion_record;
+mod usual_results;
 
 pub(crate) use self::{
     open_run::OpenRun, request_run::RequestRun, suspicion_level::SuspicionLevel,
@@ -15,4 +16,5 @@
 pub use self::{
     open_run::RunKey, pause_guard::PauseGuard, route_baseline::RouteBaseline,
     route_baselines::RouteBaselines, run_end::RunEnd, suspicion_record::SuspicionRecord,
+    usual_results::UsualResults,
 };
--- a/crates/gateway/src/versions/request_run.rs
+++ b/crates/gateway/src/versions/request_run.rs
@@ -32,8 +32,8 @@
     }
 
     /// Records the average pause between the first events of a stream.
-    pub(crate) fn note_pace(&self, pause: Duration) {
-        self.context.view().note_run_pace(self.key, pause);
+    pub(crate) fn note_pause(&self, pause: Duration) {
+        self.context.view().note_run_pause(self.key, pause);
     }
 
     /// Records that the run failed, although the request may go on elsewhere.
--- a/crates/gateway/src/versions/route_baselines.rs
+++ b/crates/gateway/src/versions/route_baselines.rs
@@ -1,8 +1,8 @@
-//! Usual results of all routes.
+//! Recent results of all routes.
 
 use std::collections::BTreeMap;
 
-use crate::RouteBaseline;
+use crate::{RouteBaseline, UsualResults};
 
 /// Recent results by route.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -11,9 +11,20 @@
 }
 
 impl RouteBaselines {
-    /// Returns the baseline of a route, if it had a response.
-    pub fn route(&self, route: &str) -> Option<&RouteBaseline> {
-        self.routes.get(route)
+    /// Returns the usual results of a route.
+    pub fn usual(&self, route: &str) -> UsualResults {
+        self.routes.get(route).map(RouteBaseline::usual).unwrap_or_default()
+    }
+
+    /// Returns the usual results of the routes for which `is_used` returns true.
+    pub fn usual_of(&self, is_used: impl Fn(&str) -> bool) -> BTreeMap<String, UsualResults> {
+        let mut usual = BTreeMap::new();
+        for (route, baseline) in &self.routes {
+            if is_used(route) {
+                usual.insert(route.clone(), baseline.usual());
+            }
+        }
+        usual
     }
 
     /// Returns the mutable baseline of a route.
@@ -21,11 +32,6 @@
         self.routes.entry(route.to_owned()).or_default()
     }
 
-    /// Returns whether a response of a route is slow if it takes this long, in milliseconds.
-    pub fn is_slow_time(&self, route: &str, time_ms: f64) -> bool {
-        self.route(route).is_some_and(|baseline| baseline.is_slow_time(time_ms))
-    }
-
     /// Drops the routes for which `is_kept` returns false.
     pub fn retain(&mut self, is_kept: impl Fn(&str) -> bool) {
         self.routes.retain(|route, _| is_kept(route));
--- a/crates/gateway/src/versions/suspicion_level.rs
+++ b/crates/gateway/src/versions/suspicion_level.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{ResultCounts, RouteBaselines, RouteResults, SuspicionRecord};
+use crate::{ResultCounts, RouteResults, SuspicionRecord, UsualResults};
 
 /// Assumed increase of the bad share in a bad version.
 const BAD_DIFFERENCE: f64 = 0.2;
@@ -19,6 +19,11 @@
 const BAD_EVIDENCE: f64 = 10.0;
 /// Cumulative log-likelihood ratio from which the new version is too doubtful to get all requests.
 const DOUBTFUL_EVIDENCE: f64 = 2.0;
+/// The same against the baseline, while the old version is in trouble.
+const DOUBTFUL_EVIDENCE_IN_TROUBLE: f64 = 1.0;
+/// The same against the baseline, while all requests go to the new version. It is lower, since few
+/// more requests may reach a bad version by then.
+const BAD_EVIDENCE_AFTER_SWITCH: f64 = 5.0;
 /// Number of bad results beyond the usual ones from which the new version counts as bad, even if the
 /// old version has as many now. A bad version must get no requests after fifty bad results.
 const BAD_EXCESS: f64 = 20.0;
@@ -41,30 +46,44 @@
     routes: BTreeMap<String, f64>,
     /// The same over all routes.
     total: f64,
+    /// Log-likelihood ratio against the results before the version move, over all routes.
+    against_baseline: f64,
+    /// Whether the old version has more bad results than usual.
+    is_old_in_trouble: bool,
     /// Bad results beyond those that were usual before the version move.
     excess: f64,
     highest: SuspicionRecord,
 }
 
 impl SuspicionLevel {
-    /// Adds the results since the last call. `results` are the results of all VMs so far.
-    pub(crate) fn update(&mut self, results: &RouteResults, baselines: &RouteBaselines) {
-        let mut total = 0.0;
+    /// Adds the results since the last call. `results` are the results of all VMs so far, and `usual`
+    /// those before the version move.
+    pub(crate) fn update(
+        &mut self,
+        results: &RouteResults,
+        usual: &BTreeMap<String, UsualResults>,
+    ) {
+        let (mut total, mut against_baseline, mut old_excess) = (0.0, 0.0, 0.0);
         for (route, [old, new]) in results {
             let [_, counted] = self.counted.get(route).copied().unwrap_or_default();
             let added = new.since(counted);
-            let usual = baselines.route(route).and_then(|baseline| baseline.bad_share());
+            let usual = usual.get(route).filter(|usual| usual.is_known());
+            let usual = usual.map(UsualResults::bad_share);
             let evidence = added_evidence(*old, added, usual);
+            against_baseline += added_evidence(ResultCounts::default(), added, usual);
             total += evidence;
             let level = self.routes.entry(route.clone()).or_default();
             *level = (*level + evidence).max(0.0);
             if let Some(usual) = usual {
                 let allowed = USUAL_FACTOR * usual + USUAL_MARGIN;
+                old_excess += old.bad as f64 - allowed * old.total() as f64;
                 self.excess += added.bad as f64 - allowed * added.total() as f64;
             }
         }
         self.total = (self.total + total).max(0.0);
+        self.against_baseline = (self.against_baseline + against_baseline).max(0.0);
         self.excess = self.excess.max(0.0);
+        self.is_old_in_trouble = old_excess > 0.0;
         self.counted.clone_from(results);
         let evidence = self.evidence() as u32 / EVIDENCE_STEP * EVIDENCE_STEP;
         let excess = self.excess as u32 / EXCESS_STEP * EXCESS_STEP;
@@ -96,10 +115,20 @@
         self.evidence() >= BAD_EVIDENCE || self.excess >= BAD_EXCESS
     }
 
+    /// Returns whether the new version, which gets all requests, is worse than usual. The old version
+    /// gets no requests to compare it with.
+    pub(crate) fn is_bad_after_switch(&self) -> bool {
+        self.is_bad() || self.against_baseline >= BAD_EVIDENCE_AFTER_SWITCH
+    }
+
     /// Returns whether the results speak against the new version, but may be too few to prove that
-    /// it is bad.
+    /// it is bad. An old version in trouble is no excuse, since the two can't be told apart then.
     pub(crate) fn is_doubtful(&self) -> bool {
-        self.evidence() >= DOUBTFUL_EVIDENCE
+        let limit = match self.is_old_in_trouble {
+            true => DOUBTFUL_EVIDENCE_IN_TROUBLE,
+            false => DOUBTFUL_EVIDENCE,
+        };
+        self.evidence() >= DOUBTFUL_EVIDENCE || self.against_baseline >= limit
     }
 }
 
--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -1,11 +1,11 @@
 //! Version moves beside other trouble: versions that turn bad late, and old servers that fail, are
 //! slow or are lost.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use dragonflycart_gateway::{
-    BootTime, PauseGuard, RouteBaselines, VersionMove, VersionMovePhase, VersionMoveRecord,
-    VersionMoveSpec, VersionRole,
+    BootTime, PauseGuard, UsualResults, VersionMove, VersionMoveEvidence, VersionMovePhase,
+    VersionMoveRecord, VersionMoveSpec, VersionRole,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -30,19 +30,15 @@
     }
 }
 
-/// Returns baselines of a route that fails `percent` of its requests.
-fn baselines(percent: u64) -> RouteBaselines {
-    let mut baselines = RouteBaselines::default();
-    for index in 0..100 {
-        let baseline = baselines.route_mut("reports");
-        baseline.note_time(RESPONSE_TIME.as_secs_f64() * 1_000.0);
-        baseline.note_result(index % 100 * 37 % 100 < percent);
-    }
-    baselines
+/// Returns the usual results of a route that fails `percent` of its requests.
+fn usual(percent: u64) -> UsualResults {
+    let time_ms = RESPONSE_TIME.as_secs_f64() * 1_000.0;
+    UsualResults { time_ms, pause_ms: 0.0, bad: percent, total: 100 }
 }
 
-fn new_move(baselines: &RouteBaselines) -> VersionMove {
-    VersionMove::new(order(), 3, at(0), 0).with_baselines(baselines)
+fn new_move(usual: UsualResults) -> VersionMove {
+    let usual = BTreeMap::from([("reports".to_owned(), usual)]);
+    VersionMove::new(order(), 3, at(0), 0).with_usual(usual)
 }
 
 /// Records results of the new version, of which every second is bad, until the version move ends.
@@ -72,7 +68,7 @@
 /// Guards against good results from before a version turned bad that outweigh the bad ones.
 #[test]
 fn version_that_turns_bad_after_many_good_results_is_rolled_back() {
-    let mut version_move = new_move(&baselines(0));
+    let mut version_move = new_move(usual(0));
     for _ in 0..1_000 {
         version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
         version_move.note_result("reports", VersionRole::New, false, RESPONSE_TIME);
@@ -89,7 +85,7 @@
 /// version fail at the same time.
 #[test]
 fn failing_old_servers_do_not_excuse_a_bad_version() {
-    let mut version_move = new_move(&baselines(0));
+    let mut version_move = new_move(usual(0));
 
     let old = [(true, RESPONSE_TIME), (false, RESPONSE_TIME)];
     let bad = count_bad_until_rollback(&mut version_move, &old, (true, RESPONSE_TIME));
@@ -101,7 +97,7 @@
 /// usual.
 #[test]
 fn slow_old_servers_do_not_excuse_a_slow_version() {
-    let mut version_move = new_move(&baselines(0));
+    let mut version_move = new_move(usual(0));
 
     let old = [(false, SLOW_TIME)];
     let bad = count_bad_until_rollback(&mut version_move, &old, (false, SLOW_TIME));
@@ -116,7 +112,7 @@
     let mut rolled_back = 0;
     for seed in 0..MOVES {
         let mut random = StdRng::seed_from_u64(seed);
-        let mut version_move = new_move(&baselines(8));
+        let mut version_move = new_move(usual(8));
         for _ in 0..300 {
             for role in [VersionRole::Old, VersionRole::New] {
                 let is_failure = random.random_bool(0.08);
@@ -135,7 +131,7 @@
 /// or no VM can read the store.
 #[test]
 fn vm_that_does_not_decide_still_rolls_back_a_bad_version() {
-    let mut version_move = new_move(&baselines(0));
+    let mut version_move = new_move(usual(0));
     version_move.note_statuses_read();
     for _ in 0..20 {
         version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
@@ -174,11 +170,11 @@
 /// killed and forget the evidence.
 #[test]
 fn evidence_survives_restarts_of_all_vms() {
-    let known = baselines(0);
-    let mut status = new_move(&known).status();
+    let known = usual(0);
+    let mut status = new_move(known).status();
     let mut bad = 0;
     for _ in 0..8 * BAD_RESULTS_ALLOWED {
-        let mut version_move = new_move(&known);
+        let mut version_move = new_move(known);
         version_move.note_status(&status, at(1_000), 1_000);
         version_move.note_statuses_read();
         for is_failure in [true, false, true, false] {
@@ -199,10 +195,8 @@
 /// the canary again.
 #[test]
 fn status_that_is_read_before_its_order_counts() {
-    let status = VersionMoveRecord {
-        phase: VersionMovePhase::RolledBack,
-        ..new_move(&baselines(0)).status()
-    };
+    let status =
+        VersionMoveRecord { phase: VersionMovePhase::RolledBack, ..new_move(usual(0)).status() };
     let mut fleet = view(&["a", "b"]);
 
     fleet.note_version_move_status(&status, at(0), 0);
@@ -213,3 +207,57 @@
     assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
     assert!(version_move.is_confirmed());
 }
+
+/// Guards against a switch to a version that does no better than old servers in trouble, after which
+/// it gets all requests. Pattern: engines with a low rate of requests, of which the canary gets
+/// eleven.
+#[test]
+fn version_that_is_as_bad_as_old_servers_in_trouble_is_not_switched_to() {
+    let mut version_move = new_move(usual(0));
+    for index in 0..149 {
+        version_move.note_result("reports", VersionRole::Old, index % 4 == 0, RESPONSE_TIME);
+    }
+    for index in 0..11 {
+        version_move.note_result("reports", VersionRole::New, index % 5 == 4, RESPONSE_TIME);
+    }
+
+    assert!(!version_move.decide(false, at(15_000)), "{}", version_move.phase());
+    assert!(version_move.decide(false, at(17_500)));
+
+    assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
+}
+
+/// Guards against all running generations moving to the new version at the switch, before the first
+/// result of a version that is bad only under load is known.
+#[test]
+fn running_requests_stay_on_the_old_version_until_results_after_the_switch_are_known() {
+    let mut version_move = new_move(usual(0));
+    for _ in 0..60 {
+        version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
+        version_move.note_result("reports", VersionRole::New, false, RESPONSE_TIME);
+    }
+    assert!(version_move.decide(false, at(15_000)), "it switches");
+
+    version_move.release_old(at(15_200));
+    let at_switch = version_move.is_outgoing(VersionRole::Old);
+    let changed = version_move.release_old(at(16_600));
+
+    assert!(!at_switch);
+    assert!(changed && version_move.is_outgoing(VersionRole::Old));
+}
+
+/// Guards against VMs that saw few requests before the version move, and for which the slowness of
+/// old servers becomes usual. Pattern: engines with a low rate of requests.
+#[test]
+fn vm_without_usual_results_takes_those_of_its_peers() {
+    let known = BTreeMap::from([("reports".to_owned(), usual(0))]);
+    let mut version_move = VersionMove::new(order(), 3, at(0), 0);
+    let evidence = VersionMoveEvidence::with_usual(known);
+    version_move.note_peer(9, evidence, VersionMovePhase::Watching, at(0));
+    version_move.decide(false, at(100));
+
+    let old = [(false, SLOW_TIME)];
+    let bad = count_bad_until_rollback(&mut version_move, &old, (false, SLOW_TIME));
+
+    assert!(bad < BAD_RESULTS_ALLOWED, "{bad} bad results");
+}
