Hold the limit of a new version on every path to a server

Fault: the limit on the requests of an unproven version was checked when a new request was placed and nowhere else. Copies of a generation could lie on the new version, where it was then resumed; resumptions did not count; when the old servers were lost, all requests went to the new version; a request that was reserved before a rollback was sent after it.

Each reservation of work counts for the share now. Copies stay on the version of their generation. Without old servers, an unproven version keeps to its share; only a VM that could not read the statuses for three seconds takes the move for completed. A send checks that the version was not rolled back since.

Tests without network: unproven_version_gets_no_more_than_its_share_when_old_servers_are_lost, version_whose_move_may_have_ended_gets_requests, copies_of_a_generation_stay_on_its_version, resumed_generations_count_for_the_share, server_of_a_version_that_was_rolled_back_is_known.

A service whose old servers are all lost during the canary rejects most requests until they are back: the bound on a bad version goes before.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -569,6 +569,16 @@
         expected.is_none_or(|expected| expected <= time)
     }
 
+    /// Returns whether a server runs a version that was rolled back.
+    pub fn is_rolled_back(&self, key: ServerKey) -> bool {
+        let Some(state) = self.servers.get(key) else { return false };
+        let version_move = self.version_moves.get(&state.record.service);
+        version_move.is_some_and(|version_move| {
+            version_move.phase() == VersionMovePhase::RolledBack
+                && version_move.role_of(&state.record.version) == VersionRole::New
+        })
+    }
+
     /// Returns whether a server runs the version that its service's version move takes out of use.
     fn is_outgoing(&self, state: &ServerState) -> bool {
         let version_move = self.version_moves.get(&state.record.service);
@@ -618,14 +628,13 @@
         let limit = if query.preferred_zone.is_some() { MOVE_FILL_LIMIT } else { RUN_FILL_LIMIT };
         let fill_limit = self.engine_spec(query.service).map(|_| limit);
         let key = self.choose_for_version_move(query, fill_limit, now)?;
-        if let Some(version_move) = self.version_moves.get_mut(query.service) {
-            version_move.note_sent(version_move.role_of(&self.servers[key].record.version));
-        }
         self.zone_reachability.note_tried(&self.servers[key].record.zone, now);
         Ok(self.reserve_work(key, query, now))
     }
 
-    /// Chooses an engine for backup copies of a generation's memory, and reserves memory on it.
+    /// Chooses an engine for backup copies of the memory of a generation on the server `source`, and
+    /// reserves memory on it. The engine has the same version, unless that one is taken out of use:
+    /// a generation that is resumed must not get past the limits of a version move.
     ///
     /// # Errors
     ///
@@ -634,9 +643,21 @@
     pub fn place_copy(
         &mut self,
         query: &PlacementQuery<'_>,
+        source: ServerKey,
         now: MonoTime,
     ) -> Result<Placement, ErrorKind> {
-        let key = self.choose_for_version_move(query, Some(COPY_FILL_LIMIT), now)?;
+        let version_move = self.version_moves.get(query.service);
+        let source = self.servers.get(source).filter(|source| !self.is_outgoing(source));
+        let role = match (version_move, source) {
+            (Some(version_move), Some(source)) => {
+                Some(version_move.role_of(&source.record.version))
+            }
+            (Some(version_move), None) => {
+                Some(version_move.next_role(self.settings.exposure, self.vm_count))
+            }
+            (None, _) => None,
+        };
+        let key = self.choose(query, role, Some(COPY_FILL_LIMIT), now)?;
         let tokens = query.demand.reserved_tokens();
         Ok(self.reserve(key, ServerLoad { copy_tokens: tokens, ..ServerLoad::default() }, now))
     }
@@ -659,7 +680,10 @@
         match role {
             VersionRole::New => self.choose(query, Some(VersionRole::Old), fill_limit, now),
             // A VM that started after the version move was completed may not know its status yet.
-            VersionRole::Old if !self.has_servers_with_role(query.service, VersionRole::Old) => {
+            VersionRole::Old
+                if version_move.may_have_ended(now)
+                    && !self.has_servers_with_role(query.service, VersionRole::Old) =>
+            {
                 self.choose(query, Some(VersionRole::New), fill_limit, now)
             }
             VersionRole::Old => result,
@@ -823,6 +847,9 @@
         query: &PlacementQuery<'_>,
         now: MonoTime,
     ) -> Placement {
+        if let Some(version_move) = self.version_moves.get_mut(query.service) {
+            version_move.note_sent(version_move.role_of(&self.servers[key].record.version));
+        }
         let cold_rate = self.cold_rate(query.service);
         let state = &mut self.servers[key];
         if cold_rate > 0.0 && state.is_cold(now) {
--- a/crates/gateway/src/generation_reservation.rs
+++ b/crates/gateway/src/generation_reservation.rs
@@ -50,7 +50,7 @@
         let zone = context.view().server(engine.server()).map(|state| state.record.zone.clone());
         let mut query = request.query(&excluded);
         query.preferred_zone = zone.as_deref();
-        let placement = context.view().place_copy(&query, now);
+        let placement = context.view().place_copy(&query, engine.server(), now);
         let backup = placement.ok().map(|placement| ServerReservation::new(context, placement));
         if backup.is_none() {
             info!(id = request.attempt, engine = engine.id(), "stream: no engine for copies");
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -35,6 +35,8 @@
     /// Nothing was sent to the server, because the request's key is no longer accepted or a part of
     /// its prompt is contained.
     Withheld(GatewayFailure),
+    /// Nothing was sent to the server, because its version was rolled back since it was reserved.
+    RolledBack,
     /// The server responded that it did not run the request.
     Refused {
         /// HTTP status code.
@@ -65,6 +67,11 @@
         context.pool.put_back(reservation.address(), connection);
         return AttemptOutcome::Withheld(failure);
     }
+    // A generation whose memory is on the server can go on only there.
+    if fields.resume_from.is_none() && context.view().is_rolled_back(reservation.server()) {
+        context.pool.put_back(reservation.address(), connection);
+        return AttemptOutcome::RolledBack;
+    }
     let head = request.encode_head(&context.names, fields);
     let echo = (context.names.attempt, request.attempt.as_str());
     let run = RequestRun::start(context, reservation.server(), &request.route.name);
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -40,6 +40,9 @@
 /// Fraction of the time between the switch and the time limit after which running requests leave the
 /// old version. The results of the first requests that the new version gets are known by then.
 const RELEASE_FRACTION: f64 = 0.5;
+/// Time without an answer of the store after which a version move whose old servers are gone is taken
+/// to be completed.
+const STATUS_WAIT: Duration = Duration::from_secs(3);
 /// Minimum number of results of the new version to complete a version move.
 const MIN_RESULTS: u64 = 5;
 
@@ -57,6 +60,7 @@
 pub struct VersionMove {
     order: VersionMoveSpec,
     order_offset: u64,
+    known_at: MonoTime,
     began: MonoTime,
     began_at_ms: u64,
     phase: VersionMovePhase,
@@ -92,6 +96,7 @@
         VersionMove {
             order,
             order_offset,
+            known_at: now,
             began: now,
             began_at_ms: now_ms,
             phase: VersionMovePhase::Watching,
@@ -193,6 +198,12 @@
         }
     }
 
+    /// Returns whether the version move may have ended without this VM's knowledge, because it could
+    /// not read the statuses for long.
+    pub fn may_have_ended(&self, now: MonoTime) -> bool {
+        !self.has_read_statuses && now.since(self.known_at) >= STATUS_WAIT
+    }
+
     /// Records that a request was sent to a server with this role.
     pub fn note_sent(&mut self, role: VersionRole) {
         self.sent[role as usize] += 1;
--- a/crates/gateway/tests/all/placements.rs
+++ b/crates/gateway/tests/all/placements.rs
@@ -130,8 +130,9 @@
     let mut view = view(&["a"]);
     let excluded = BTreeSet::new();
 
+    let source = key_of(&view, "e0");
     let mut copies = 0;
-    while view.place_copy(&query(report(), &excluded), at(copies)).is_ok() {
+    while view.place_copy(&query(report(), &excluded), source, at(copies)).is_ok() {
         copies += 1;
     }
 
--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -1,15 +1,18 @@
 //! Version moves beside other trouble: versions that turn bad late, and old servers that fail, are
 //! slow or are lost.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use dragonflycart_gateway::{
-    BootTime, PauseGuard, UsualResults, VersionMove, VersionMoveEvidence, VersionMovePhase,
-    VersionMoveRecord, VersionMoveSpec, VersionRole,
+    BootTime, FleetView, PauseGuard, ServerRecord, TokenDemand, UsualResults, VersionMove,
+    VersionMoveEvidence, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use crate::fixtures::{ENGINES, at, view};
+use crate::fixtures::{ENGINES, at, key_of, query, record, report, view};
 
 /// Number of bad results after which a bad version must get no more requests.
 const BAD_RESULTS_ALLOWED: usize = 50;
@@ -41,6 +44,19 @@
     VersionMove::new(order(), 3, at(0), 0).with_usual(usual)
 }
 
+/// Returns a view with two engines of the old version, `e0` and `e1`, two of the new one, `n0` and
+/// `n1`, and a version move whose status is known.
+fn moving_fleet() -> FleetView {
+    let mut fleet = view(&["a", "a"]);
+    for index in 0..2 {
+        let new = ServerRecord { version: "v2".to_owned(), ..record(ENGINES, "a", 8_010 + index) };
+        fleet.apply_server(&format!("n{index}"), new, 10 + u64::from(index), at(0));
+    }
+    fleet.start_version_move(order(), 3, at(0), 0);
+    fleet.note_statuses_read();
+    fleet
+}
+
 /// Records results of the new version, of which every second is bad, until the version move ends.
 /// `old` are the results of the old version that come with each of them. Returns the number of bad
 /// results.
@@ -261,3 +277,98 @@
 
     assert!(bad < BAD_RESULTS_ALLOWED, "{bad} bad results");
 }
+
+/// Guards against an unproven version that gets all requests because no server of the old one is
+/// left. Pattern: all servers of the old version crash during the canary.
+#[test]
+fn unproven_version_gets_no_more_than_its_share_when_old_servers_are_lost() {
+    let mut fleet = moving_fleet();
+    let excluded = BTreeSet::new();
+    fleet.remove_server("e0", at(10));
+    fleet.remove_server("e1", at(10));
+
+    let mut placed = 0;
+    for _ in 0..200 {
+        let Ok(placement) = fleet.place(&query(TokenDemand::default(), &excluded), at(20)) else {
+            continue;
+        };
+        placed += 1;
+        fleet.release(placement.server, placement.load);
+    }
+
+    assert!(placed > 0 && placed <= 20, "{placed} of 200");
+}
+
+/// Guards against a VM that can't read the status of a version move that was completed, and that
+/// rejects all requests because the old version is gone.
+#[test]
+fn version_whose_move_may_have_ended_gets_requests() {
+    let mut fleet = view(&["a"]);
+    let new = ServerRecord { version: "v2".to_owned(), ..record(ENGINES, "a", 8_010) };
+    fleet.apply_server("n0", new, 10, at(0));
+    fleet.start_version_move(order(), 3, at(0), 0);
+    fleet.remove_server("e0", at(10));
+    let excluded = BTreeSet::new();
+
+    let at_once = fleet.place(&query(TokenDemand::default(), &excluded), at(500)).is_ok();
+    let later = fleet.place(&query(TokenDemand::default(), &excluded), at(3_500)).is_ok();
+
+    assert!(!at_once && later);
+}
+
+/// Guards against generations of the old version that are resumed on the new one, past its share.
+#[test]
+fn copies_of_a_generation_stay_on_its_version() {
+    let mut fleet = moving_fleet();
+    let source = key_of(&fleet, "e0");
+    let excluded = BTreeSet::from([source]);
+
+    let mut versions = BTreeSet::new();
+    for time_ms in 0..40 {
+        let copy = fleet.place_copy(&query(report(), &excluded), source, at(time_ms));
+        let Ok(copy) = copy else { continue };
+        versions.insert(fleet.server(copy.server).unwrap().record.version.clone());
+        fleet.release(copy.server, copy.load);
+    }
+
+    assert_eq!(versions, BTreeSet::from(["v1".to_owned()]));
+}
+
+/// Guards against resumptions that do not count for the share of the new version.
+#[test]
+fn resumed_generations_count_for_the_share() {
+    let mut fleet = moving_fleet();
+    let excluded = BTreeSet::new();
+    let target = key_of(&fleet, "n0");
+    for _ in 0..100 {
+        let placement = fleet.place_at(target, &query(report(), &excluded), at(10)).unwrap();
+        fleet.release(placement.server, placement.load);
+    }
+
+    let mut placed = BTreeSet::new();
+    for _ in 0..100 {
+        let placement = fleet.place(&query(report(), &excluded), at(20)).unwrap();
+        placed.insert(placement.id.clone());
+        fleet.release(placement.server, placement.load);
+    }
+
+    assert!(placed.iter().all(|id| id.starts_with('e')), "{placed:?}");
+}
+
+/// Guards against requests that were reserved on the new version before a rollback and are sent to
+/// it after.
+#[test]
+fn server_of_a_version_that_was_rolled_back_is_known() {
+    let mut fleet = moving_fleet();
+    let status = VersionMoveRecord {
+        phase: VersionMovePhase::RolledBack,
+        ..fleet.version_move(ENGINES).unwrap().status()
+    };
+
+    let before = fleet.is_rolled_back(key_of(&fleet, "n0"));
+    fleet.note_version_move_status(&status, at(10), 10);
+
+    assert!(!before);
+    assert!(fleet.is_rolled_back(key_of(&fleet, "n0")));
+    assert!(!fleet.is_rolled_back(key_of(&fleet, "e0")));
+}
