Resume no stream before its first event

Cause: a stream whose engine was lost or left before the first event was resumed at its backup engine. Nothing shows by then that a copy of the memory exists. A sound engine without the copy rejects the request; a faulty one ran it, or failed it after it ran.

Now a stream is resumed at its backup engine only after an event, and not again after a resumption that failed. Copies that its engine makes on request, whose end it confirms, are as before.

reclaims::stream_without_an_event_is_not_resumed failed before: each of four streams ran at two engines.

--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -154,8 +154,12 @@
         self.try_targets(sender).await
     }
 
-    /// Resumes the generation on its backup engine, unless that one is leaving too.
+    /// Resumes the generation on its backup engine, unless that one is leaving too. Without an event,
+    /// nothing shows that the generation has started and that a copy of its memory exists.
     async fn resume_at_backup(&mut self) -> ResumeResult {
+        if self.progress.last_event() == self.request.last_event {
+            return ResumeResult::NotRun;
+        }
         let (Some(address), Some(key)) = (self.backup, self.backup_key) else {
             return ResumeResult::NotRun;
         };
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -129,11 +129,11 @@
             loop {
                 tokio::select! {
                     biased;
-                    outcome = &mut offer => break Err(outcome),
+                    outcome = &mut offer => break Err((outcome, true)),
                     moved = watcher.next(&self.request, &reservation, &self.progress) => match moved {
                         MoveOutcome::Stays => {}
                         MoveOutcome::Gone => {
-                            break Err(AttemptOutcome::Lost(ConnectionError::Closed));
+                            break Err((AttemptOutcome::Lost(ConnectionError::Closed), false));
                         }
                         MoveOutcome::Resumed(resumed) => break Ok(resumed),
                     }
@@ -142,7 +142,8 @@
         };
         let resumed = match outcome {
             Ok(resumed) => resumed,
-            Err(AttemptOutcome::Lost(error)) if error != ConnectionError::TimedOut => {
+            // A generation that could not be resumed must not be resumed again.
+            Err((AttemptOutcome::Lost(error), true)) if error != ConnectionError::TimedOut => {
                 match watcher.recover(&self.request, &reservation, &self.progress).await {
                     MoveOutcome::Resumed(resumed) => resumed,
                     MoveOutcome::Stays | MoveOutcome::Gone => {
@@ -150,7 +151,7 @@
                     }
                 }
             }
-            Err(outcome) => return (reservation, outcome),
+            Err((outcome, _)) => return (reservation, outcome),
         };
         reservation.close();
         *watcher = EngineWatcher::new(&self.context);
--- a/tests/all/reclaims.rs
+++ b/tests/all/reclaims.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dragonflycart_standins::{StoreMode, send};
+use dragonflycart_standins::{RunnerFailure, StoreMode, send};
 
 use crate::support::GatewayFleet;
 
@@ -38,3 +38,28 @@
     assert!(stream.await.unwrap().is_complete);
     fleet.close();
 }
+
+/// Guards against a stream that is resumed although no event has arrived, so that nothing shows that
+/// a copy of its memory exists: an engine that does not check this runs it a second time (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_without_an_event_is_not_resumed() {
+    let mut fleet = GatewayFleet::start("not-resumed", 0).await;
+    fleet.use_engine_versions(RunnerFailure::Reset, 100).await;
+    for id in ["i-old-engine-0", "i-old-engine-1"] {
+        fleet.crash(id);
+        fleet.store.remove_server(id);
+    }
+    fleet.start_gateways().await;
+    let address = fleet.gateways[0].http_address;
+
+    let mut runs = Vec::new();
+    for _ in 0..4 {
+        let request = fleet.stream_request(400);
+        let response = send(address, &request).await;
+        assert_eq!(response.status, Some(502), "{response:?}");
+        runs.push(fleet.log.parts(&request.id));
+    }
+
+    assert!(runs.iter().all(|parts| parts.len() == 1), "{runs:?}");
+    fleet.close();
+}
