Count hung and lost generations against their version in the daemon

A version whose generations hang after two tokens was rolled back only because it was not proven good by the deadline, 100 s later.

Every end of an attempt is reported now, with the pace of the attempt, and end_attempt is the one place that counts. Open generations whose next tokens are overdue count as slow, not only those without a first one; while a generation is queued again, nothing is due.

--- a/crates/node/src/call/call_runner.rs
+++ b/crates/node/src/call/call_runner.rs
@@ -18,8 +18,8 @@
 use crate::{
     call::{CallMessage, CallSpec, ClaimDecision, ClaimRequest},
     control::{
-        AttemptReport, CallPlacementRequest, ControlHandle, ControlMessage, PlacementGrant,
-        PlacementNotice, PlacementTicket,
+        AttemptPace, AttemptReport, CallPlacementRequest, ControlHandle, ControlMessage,
+        PlacementGrant, PlacementNotice, PlacementTicket,
     },
     generation::RunnerContext,
     node_clock::NodeClock,
@@ -138,7 +138,7 @@
     }
 
     async fn report_success(&self, ticket: &PlacementTicket) {
-        let report = AttemptReport::Finished { tokens: 0, first_token: None, token_gap: None };
+        let report = AttemptReport::Finished { tokens: 0, pace: AttemptPace::default() };
         self.control().report_attempt(ticket.ticket, report).await;
     }
 
@@ -148,8 +148,7 @@
             CallFailure::MaybeSent => AttemptFailure::ServerLost,
             CallFailure::MismatchedResponse => AttemptFailure::Failed,
         };
-        let report = AttemptReport::Failed { failure, version_at_fault: false };
-        self.control().report_attempt(ticket.ticket, report).await;
+        self.control().report_attempt(ticket.ticket, AttemptReport::Failed(failure)).await;
     }
 
     async fn run_at_most_once(
@@ -207,7 +206,8 @@
                 .await
                 .map_err(|error| spec.refusal(error))?;
             let Some(permit) = permit else {
-                self.control().report_attempt(ticket.ticket, AttemptReport::Cancelled).await;
+                let report = AttemptReport::Cancelled(AttemptPace::default());
+                self.control().report_attempt(ticket.ticket, report).await;
                 return self.give_up(spec, claim_id, ErrorKind::DeadlineNotStarted).await;
             };
             match self.send(spec, &grant).await {
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -112,8 +112,8 @@
     /// Time of the last dispatch. Waiting for a server before it does not count against the
     /// version.
     sent_at: Option<WallTime>,
-    /// Whether a token has arrived since the last dispatch.
-    has_token: bool,
+    /// Time of the last report of tokens since then.
+    progress_at: Option<WallTime>,
     /// Whether the request has been counted.
     counted: bool,
 }
@@ -237,7 +237,7 @@
             }
             ControlMessage::Progress(progress) => {
                 if let Some(tracked) = self.running.get_mut(&progress.ticket) {
-                    tracked.has_token = true;
+                    tracked.progress_at = Some(self.clock.wall());
                 }
                 self.placement.progress(now, progress);
             }
--- a/crates/node/src/control/control_loop/request_placement.rs
+++ b/crates/node/src/control/control_loop/request_placement.rs
@@ -2,12 +2,12 @@
 
 use dragonflycart_core::{ErrorKind, MonoTime, ServiceError, TeamName, VersionName, WallTime};
 use dragonflycart_policy::{
-    MoveCounts, PlacementRequest, PriorityClass, RequestTicket, ServerPool,
+    AttemptFailure, MoveCounts, PlacementRequest, PriorityClass, RequestTicket, ServerPool,
 };
 
 use super::{ControlLoop, SLOW_FIRST_TOKEN, SLOW_TOKEN_GAP, TrackedRequest, UNANSWERED_LIMIT};
 use crate::control::{
-    AttemptReport, CallPlacementRequest, GenerationPlacementRequest, LoadPollResult,
+    AttemptPace, AttemptReport, CallPlacementRequest, GenerationPlacementRequest, LoadPollResult,
     PlacedGeneration, PlacementTicket,
 };
 
@@ -48,7 +48,7 @@
             version: version.clone(),
             route: ask.route,
             sent_at: None,
-            has_token: false,
+            progress_at: None,
             counted: false,
         };
         self.running.insert(ticket, tracked);
@@ -81,12 +81,12 @@
     /// Passes on the placement decisions that are due.
     pub(super) fn run_placement(&mut self, now: MonoTime) {
         let wall = self.clock.wall();
-        for ticket in self.placement.tick(now) {
+        for (ticket, is_granted) in self.placement.tick(now) {
             let Some(tracked) = self.running.get_mut(&ticket) else {
                 continue;
             };
-            tracked.sent_at = Some(wall);
-            tracked.has_token = false;
+            tracked.sent_at = is_granted.then_some(wall);
+            tracked.progress_at = None;
         }
     }
 
@@ -97,13 +97,14 @@
         self.placement.apply_load_poll(now, poll);
     }
 
-    /// Counts open requests without a token as slow, so that a version that never produces one is
-    /// detected.
+    /// Counts open requests as slow whose next tokens are overdue, so that a version that stops
+    /// producing them is detected.
     pub(super) fn count_unanswered(&mut self, wall: WallTime) {
         let mut slow = Vec::new();
         for (ticket, tracked) in &self.running {
-            let overdue = tracked.sent_at.is_some_and(|at| wall.since(at) > UNANSWERED_LIMIT);
-            if overdue && !tracked.has_token && !tracked.counted {
+            let last_sign = tracked.progress_at.or(tracked.sent_at);
+            let overdue = last_sign.is_some_and(|at| wall.since(at) > UNANSWERED_LIMIT);
+            if overdue && !tracked.counted {
                 slow.push(*ticket);
             }
         }
@@ -124,27 +125,42 @@
     pub(super) fn end_attempt(&mut self, ticket: RequestTicket, report: AttemptReport) {
         let now = self.clock.now();
         match report {
-            AttemptReport::Finished { tokens, first_token, token_gap } => {
+            AttemptReport::Finished { tokens, pace } => {
                 self.placement.finished(now, ticket, tokens);
-                let slow = first_token.is_some_and(|span| span > SLOW_FIRST_TOKEN)
-                    || token_gap.is_some_and(|span| span > SLOW_TOKEN_GAP);
-                let counts = MoveCounts { finished: 1, failed: 0, slow: u64::from(slow) };
-                self.count_version(ticket, counts);
+                let slow = u64::from(is_slow(pace));
+                self.count_version(ticket, MoveCounts { finished: 1, failed: 0, slow });
                 self.running.remove(&ticket);
             }
-            AttemptReport::Failed { failure, version_at_fault } => {
+            AttemptReport::Failed(failure) => {
                 self.placement.failed(now, ticket, failure);
-                if version_at_fault {
+                if matches!(failure, AttemptFailure::Failed | AttemptFailure::ServerLost) {
                     self.count_version(ticket, MoveCounts { finished: 0, failed: 1, slow: 0 });
                 }
+                if let Some(tracked) = self.running.get_mut(&ticket) {
+                    tracked.sent_at = None;
+                    tracked.progress_at = None;
+                }
             }
-            AttemptReport::Cancelled => {
+            AttemptReport::Cancelled(pace) => {
                 self.placement.cancel(now, ticket);
+                if is_slow(pace) || self.has_waited_long(ticket) {
+                    self.count_version(ticket, MoveCounts { finished: 1, failed: 0, slow: 1 });
+                }
                 self.running.remove(&ticket);
             }
         }
     }
 
+    /// Returns whether a request has no token although its first one would be slow by now.
+    fn has_waited_long(&self, ticket: RequestTicket) -> bool {
+        let Some(tracked) = self.running.get(&ticket) else {
+            return false;
+        };
+        let wall = self.clock.wall();
+        let sent_at = tracked.sent_at.filter(|_| tracked.progress_at.is_none());
+        sent_at.is_some_and(|at| wall.since(at) > SLOW_FIRST_TOKEN)
+    }
+
     fn count_version(&mut self, ticket: RequestTicket, counts: MoveCounts) {
         let wall = self.clock.wall();
         let Some(tracked) = self.running.get_mut(&ticket) else {
@@ -160,3 +176,8 @@
         self.versions.count(&tracked.model, &tracked.version, &tracked.route, counts, times);
     }
 }
+
+fn is_slow(pace: AttemptPace) -> bool {
+    pace.first_token.is_some_and(|span| span > SLOW_FIRST_TOKEN)
+        || pace.token_gap.is_some_and(|span| span > SLOW_TOKEN_GAP)
+}
--- a/crates/node/src/control/control_message.rs
+++ b/crates/node/src/control/control_message.rs
@@ -73,6 +73,15 @@
     pub(crate) deadline: MonoTime,
 }
 
+/// How fast a backend server produced the output of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct AttemptPace {
+    /// Time from the dispatch to the first token of this attempt.
+    pub(crate) first_token: Option<Duration>,
+    /// Mean time between tokens of this attempt.
+    pub(crate) token_gap: Option<Duration>,
+}
+
 /// Result of an attempt on a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptReport {
@@ -80,20 +89,13 @@
     Finished {
         /// Number of tokens of the whole output.
         tokens: u32,
-        /// Time from the dispatch to the first token of this attempt.
-        first_token: Option<Duration>,
-        /// Mean time between tokens of this attempt.
-        token_gap: Option<Duration>,
+        /// Pace of this attempt.
+        pace: AttemptPace,
     },
     /// The attempt failed.
-    Failed {
-        /// Kind of the failure.
-        failure: AttemptFailure,
-        /// Whether the failure counts against the model version.
-        version_at_fault: bool,
-    },
-    /// The caller no longer wants the request.
-    Cancelled,
+    Failed(AttemptFailure),
+    /// The request was given up or preempted.
+    Cancelled(AttemptPace),
 }
 
 /// Result of polling a backend server for its load report.
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -26,8 +26,8 @@
     control_handle::ControlHandle,
     control_loop::ControlContext,
     control_message::{
-        AttemptReport, CallPlacementRequest, ControlMessage, GenerationPlacementRequest,
-        LoadPollResult,
+        AttemptPace, AttemptReport, CallPlacementRequest, ControlMessage,
+        GenerationPlacementRequest, LoadPollResult,
     },
     control_setup::{policy_settings, vm_position},
     control_thread::ControlThread,
--- a/crates/node/src/control/placement_control.rs
+++ b/crates/node/src/control/placement_control.rs
@@ -134,23 +134,24 @@
     }
 
     /// Passes the scheduler's decisions to the waiting requests. Returns the requests that were
-    /// granted a server.
-    pub(crate) fn tick(&mut self, now: MonoTime) -> Vec<RequestTicket> {
-        let mut granted = Vec::new();
+    /// granted a server (true) or were preempted (false), in order.
+    pub(crate) fn tick(&mut self, now: MonoTime) -> Vec<(RequestTicket, bool)> {
+        let mut changed = Vec::new();
         for decision in self.scheduler.tick(now) {
             match decision {
                 PlacementDecision::Dispatch { ticket, server, instance, .. } => {
-                    granted.push(ticket);
+                    changed.push((ticket, true));
                     self.grant(now, ticket, server, instance);
                 }
                 PlacementDecision::Reject { ticket, kind } => self.end(ticket, kind, false),
                 PlacementDecision::Cancel { ticket, kind, .. } => self.end(ticket, kind, true),
                 PlacementDecision::Preempt { ticket, .. } => {
+                    changed.push((ticket, false));
                     self.notify(ticket, PlacementNotice::Preempted);
                 }
             }
         }
-        granted
+        changed
     }
 
     /// Applies a restart of a server that was noticed on a connection before a load report.
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -21,8 +21,8 @@
 use crate::{
     containment::CrashWatch,
     control::{
-        AttemptReport, ControlHandle, ControlMessage, PlacedGeneration, PlacementGrant,
-        PlacementNotice,
+        AttemptPace, AttemptReport, ControlHandle, ControlMessage, PlacedGeneration,
+        PlacementGrant, PlacementNotice,
     },
     generation::{GenerationBuffer, GenerationEnd, GenerationSpec},
     node_metrics::NodeMetrics,
@@ -105,6 +105,8 @@
     /// Parts of the prompt, and the contained one for whose trial the generation was admitted.
     parts: Vec<PromptPart>,
     trial: Option<PromptPart>,
+    /// Start of the current attempt, and the index of its first token.
+    attempt: Option<(Instant, u64)>,
     /// Time of the first token on the current engine.
     writing_since: Option<Instant>,
     /// Whether the prompt was seen not to crash its engine.
@@ -139,6 +141,7 @@
             accepted_at: now,
             parts,
             trial: None,
+            attempt: None,
             writing_since: None,
             is_proven: false,
             engine_ended: false,
@@ -178,8 +181,7 @@
         if let Some(engine) = self.context.servers.engine(location.server()) {
             self.cancel(&*engine, &location).await;
         }
-        let ticket = self.placed.ticket.ticket;
-        self.context.control.report_attempt(ticket, AttemptReport::Cancelled).await;
+        self.report_cancelled().await;
     }
 
     async fn run_attempts(&mut self) -> Result<FinishReason, ServiceError> {
@@ -194,10 +196,9 @@
             } else {
                 self.next_epoch(&message).await?
             };
-            let started_at = Instant::now();
-            let first_index = self.buffer.next_index();
+            self.attempt = Some((Instant::now(), self.buffer.next_index()));
             let end = self.run_attempt(&grant, prefix).await;
-            self.report(&end, started_at, first_index).await;
+            self.report(&end).await;
             self.note_prompt(&end, &grant);
             message = match end {
                 AttemptEnd::Finished(reason) => return Ok(reason),
@@ -233,8 +234,7 @@
             // The generation has run on another engine.
             Err(error) if !is_first => self.give_up(&error.to_string()).await,
             Err(error) => {
-                let ticket = self.placed.ticket.ticket;
-                self.context.control.report_attempt(ticket, AttemptReport::Cancelled).await;
+                self.report_cancelled().await;
                 Err(error)
             }
         }
@@ -299,34 +299,43 @@
     }
 
     async fn give_up<T>(&self, message: &str) -> Result<T, ServiceError> {
-        let ticket = self.placed.ticket.ticket;
-        self.context.control.report_attempt(ticket, AttemptReport::Cancelled).await;
+        self.report_cancelled().await;
         Err(ServiceError::new(ErrorKind::Interrupted, message))
     }
 
-    async fn report(&self, end: &AttemptEnd, started_at: Instant, first_index: u64) {
-        let failed =
-            |failure, version_at_fault| AttemptReport::Failed { failure, version_at_fault };
+    /// Reports the end of an attempt. Each end is reported, so that each one that the version may be
+    /// the cause of counts.
+    async fn report(&self, end: &AttemptEnd) {
         let report = match end {
-            AttemptEnd::Finished(_) => self.finished_report(started_at, first_index),
-            AttemptEnd::EngineLost => failed(AttemptFailure::ServerLost, false),
-            AttemptEnd::NotSent => failed(AttemptFailure::NotSent, false),
-            AttemptEnd::EngineFailed(_) => failed(AttemptFailure::Failed, true),
-            AttemptEnd::Stalled => failed(AttemptFailure::Failed, false),
-            AttemptEnd::Refused(_) => failed(AttemptFailure::Refused, false),
-            // The placement already knows of these.
-            AttemptEnd::Preempted | AttemptEnd::Cancelled(_) | AttemptEnd::Stopping => return,
+            AttemptEnd::Finished(_) => AttemptReport::Finished {
+                tokens: self.buffer.next_index() as u32,
+                pace: self.pace(),
+            },
+            AttemptEnd::EngineLost => AttemptReport::Failed(AttemptFailure::ServerLost),
+            AttemptEnd::NotSent => AttemptReport::Failed(AttemptFailure::NotSent),
+            AttemptEnd::EngineFailed(_) | AttemptEnd::Stalled => {
+                AttemptReport::Failed(AttemptFailure::Failed)
+            }
+            AttemptEnd::Refused(_) => AttemptReport::Failed(AttemptFailure::Refused),
+            AttemptEnd::Cancelled(_) => AttemptReport::Cancelled(self.pace()),
+            // The request goes on, here or at another VM.
+            AttemptEnd::Preempted | AttemptEnd::Stopping => return,
         };
         self.context.control.report_attempt(self.placed.ticket.ticket, report).await;
     }
 
-    fn finished_report(&self, started_at: Instant, first_index: u64) -> AttemptReport {
-        let next = self.buffer.next_index();
-        let gaps = (next - first_index) as u32;
+    async fn report_cancelled(&self) {
+        let report = AttemptReport::Cancelled(self.pace());
+        self.context.control.report_attempt(self.placed.ticket.ticket, report).await;
+    }
+
+    /// Returns the pace of the current attempt.
+    fn pace(&self) -> AttemptPace {
+        let Some((started_at, first_index)) = self.attempt else { return AttemptPace::default() };
+        let gaps = (self.buffer.next_index() - first_index) as u32;
         let first_token = self.buffer.first_token_at().filter(|at| *at >= started_at);
         let begin = first_token.unwrap_or(started_at);
-        AttemptReport::Finished {
-            tokens: next as u32,
+        AttemptPace {
             first_token: first_token.map(|at| at - started_at),
             token_gap: (gaps > 1).then(|| (self.last_token_at - begin) / (gaps - 1)),
         }
--- a/crates/testkit/src/bad_version.rs
+++ b/crates/testkit/src/bad_version.rs
@@ -15,6 +15,11 @@
         /// Steps per token.
         factor: u32,
     },
+    /// Generations stop after some tokens without an end.
+    Hang {
+        /// Number of tokens before.
+        after_tokens: u64,
+    },
 }
 
 /// Rule that makes a version bad: its conditions and its effect.
--- a/crates/testkit/src/engine_core.rs
+++ b/crates/testkit/src/engine_core.rs
@@ -348,6 +348,9 @@
                     record.steps_waited += 1;
                     continue;
                 }
+                Some(BadEffect::Hang { after_tokens }) if record.token_count() >= after_tokens => {
+                    continue;
+                }
                 _ => {}
             }
             record.steps_waited = 0;
--- a/tests/all/moves.rs
+++ b/tests/all/moves.rs
@@ -153,6 +153,24 @@
     assert!(served <= MAX_BAD_ATTEMPTS, "{served} requests on the bad version");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn version_whose_generations_hang_is_rolled_back() {
+    // Guards against generations that stall after their first tokens and that do not count against
+    // their version, so that it keeps getting requests until the deadline (EXPOSURE).
+    let mut deployment = Deployment::start(spec(false)).await;
+    set_bad_versions(&deployment, &[bad_version(BadEffect::Hang { after_tokens: 2 }, 0, None)]);
+    let traffic = start_move(&mut deployment).await;
+
+    assert_rolled_back(&deployment, &[0, 1, 2]).await;
+    let reason = move_status(&deployment, 0).await.unwrap().reason.unwrap_or_default();
+    traffic.stop().await;
+
+    assert!(reason.starts_with("the new version is worse"), "{reason}");
+
+    let served = deployment.accepted_generations("v2");
+    assert!(served <= MAX_BAD_ATTEMPTS, "{served} requests on the bad version");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn version_that_is_bad_on_one_route_is_rolled_back() {
     // Guards against failures on one route that are outweighed by good results on the others.
