--- a/crates/core/src/mono_time.rs
+++ b/crates/core/src/mono_time.rs
@@ -40,7 +40,7 @@
     type Output = MonoTime;
 
     fn add(self, span: Duration) -> MonoTime {
-        MonoTime(self.0.saturating_add(span.as_micros() as u64))
+        MonoTime(self.0.saturating_add(whole_micros(span)))
     }
 }
 
@@ -48,6 +48,10 @@
     type Output = MonoTime;
 
     fn sub(self, span: Duration) -> MonoTime {
-        MonoTime(self.0.saturating_sub(span.as_micros() as u64))
+        MonoTime(self.0.saturating_sub(whole_micros(span)))
     }
 }
+
+fn whole_micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
