Send no attempt twice on one connection

From the reports of other operators: a faulty runner writes an earlier refusal once more on a kept connection. Responses are matched by the attempt's identity, so a refusal of another attempt is skipped; but a generation that was refused by its backup engine could be offered there again by a later move, on the same connection and under the same identity, and the repeated refusal would be taken for the response while the engine ran the request.

A connection remembers the identities that it served, and is not used for them again. connection_that_refused_a_request_is_not_used_for_it_again needs the new acquire_for, so it could not be run before.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -39,6 +39,25 @@
         ServerConnection::connect(address).await
     }
 
+    /// Returns a connection on which the request with this identity was not sent before.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ConnectionPool::acquire`].
+    pub async fn acquire_for(
+        &self,
+        address: SocketAddr,
+        identity: &str,
+    ) -> Result<ServerConnection, ConnectionError> {
+        loop {
+            let connection = self.acquire(address).await?;
+            if !connection.has_served(identity) {
+                return Ok(connection);
+            }
+            connection.close();
+        }
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<ServerConnection> {
         self.idle.lock().expect("the pool's lock is never poisoned").get_mut(&address)?.pop()
     }
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -53,13 +53,14 @@
     reservation: &ServerReservation,
     fields: SystemHeaders<'_>,
 ) -> AttemptOutcome {
-    let mut connection = match context.pool.acquire(reservation.address()).await {
-        Ok(connection) => connection,
-        Err(error) => {
-            note_unreachable(context, request, reservation, error);
-            return AttemptOutcome::NotSent(error);
-        }
-    };
+    let mut connection =
+        match context.pool.acquire_for(reservation.address(), &request.attempt).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                note_unreachable(context, request, reservation, error);
+                return AttemptOutcome::NotSent(error);
+            }
+        };
     if !connection.is_reused() {
         context.metrics.connections.inc();
     }
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -6,7 +6,7 @@
 //! sent, the connection must not be reused, since the server would take the rest of the body for
 //! another request.
 
-use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{collections::VecDeque, io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
@@ -43,6 +43,10 @@
 /// Maximum time from the first byte of a response head to its last one.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Number of requests whose identities a connection remembers. Attempts of one request follow each
+/// other closely.
+const IDENTITIES_KEPT: usize = 16;
+
 enum BodyState {
     Idle,
     Length(u64),
@@ -56,6 +60,8 @@
     buffer: BytesMut,
     body: BodyState,
     was_used: bool,
+    /// Identities of the latest requests, oldest first.
+    served: VecDeque<String>,
     must_close: bool,
     was_closed: bool,
     idle_limit: Duration,
@@ -83,6 +89,7 @@
             buffer: BytesMut::new(),
             body: BodyState::Idle,
             was_used: false,
+            served: VecDeque::new(),
             must_close: false,
             was_closed: false,
             idle_limit: DEFAULT_IDLE_LIMIT,
@@ -95,6 +102,12 @@
         self.was_used
     }
 
+    /// Returns whether the request with this identity was sent on the connection before. The server
+    /// may repeat its response, which could not be told from the response to a new attempt.
+    pub fn has_served(&self, identity: &str) -> bool {
+        self.served.iter().any(|served| served == identity)
+    }
+
     /// Returns whether the connection can be reused: the last response was read completely, no
     /// bytes followed it, the server has not closed the connection, and its idle limit is not near.
     pub fn is_reusable(&mut self) -> bool {
@@ -124,6 +137,12 @@
     ) -> Result<ResponseHead, ConnectionError> {
         let is_reused = std::mem::replace(&mut self.was_used, true);
         self.must_close = true;
+        if let Some((_, identity)) = echo {
+            if self.served.len() == IDENTITIES_KEPT {
+                self.served.pop_front();
+            }
+            self.served.push_back(identity.to_owned());
+        }
         let mut request = BytesMut::with_capacity(head.len() + body.len());
         request.extend_from_slice(head);
         request.extend_from_slice(body);
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -282,3 +282,51 @@
     assert_eq!(while_it_listens, Ok(()));
     assert_eq!(after_its_end, Err(ConnectionError::NotListening));
 }
+
+/// Guards against a response head that breaks off and counts as a whole response with an empty body
+/// (MIXED), wherever it breaks off.
+#[tokio::test]
+async fn head_that_breaks_off_is_no_response() {
+    let head = "HTTP/1.1 200 OK\r\necho-id: a1\r\nresponse-signature: s\r\n\r\n";
+    for length in 1..head.len() {
+        let address = scripted(vec![&head[..length]]).await;
+        let mut connection = ServerConnection::connect(address).await.unwrap();
+
+        let result = connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await;
+
+        assert!(result.is_err(), "{:?}", &head[..length]);
+    }
+}
+
+/// Guards against a refusal that a faulty server repeats on a kept connection and that is taken for
+/// the response to a later attempt of the same request, which the server runs (REFUSED, TWICE).
+#[tokio::test]
+async fn connection_that_refused_a_request_is_not_used_for_it_again() {
+    let refusal = "HTTP/1.1 503 Busy\r\necho-id: a1\r\ncontent-length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let mut buffer = [0; 4_096];
+                while stream.read(&mut buffer).await.unwrap() > 0 {
+                    stream.write_all(refusal.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    let pool = ConnectionPool::default();
+    let mut connection = pool.acquire_for(address, "a1").await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    pool.put_back(address, connection);
+
+    let same = pool.acquire_for(address, "a1").await.unwrap();
+    let mut other = ServerConnection::connect(address).await.unwrap();
+    other.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    pool.put_back(address, other);
+    let another = pool.acquire_for(address, "a2").await.unwrap();
+
+    assert!(!same.is_reused());
+    assert!(another.is_reused());
+}
