Obey what servers say in their responses: Server-Leaving and Retry-After

A response with Server-Leaving marks the server as leaving at once, whatever its registration says, and its generations move. After a 503 with Retry-After, the server gets no request until the pause is over; requests that were reserved before are placed again. A pause is limited to ten minutes.

Tests without network: server_that_announces_its_shutdown_in_a_response_gets_no_work, server_that_wants_a_pause_gets_nothing_until_its_end, pause_that_a_server_wants_is_in_seconds.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -490,6 +490,16 @@
         true
     }
 
+    /// Records that a server announced its shutdown in a response. Returns whether it was not known
+    /// to be leaving.
+    pub fn note_announced_leaving(&mut self, key: ServerKey, now: MonoTime) -> bool {
+        let Some(state) = self.servers.get_mut(key) else { return false };
+        state.has_drained = true;
+        let is_new = state.leaving_since.is_none();
+        state.leaving_since.get_or_insert(now);
+        is_new
+    }
+
     /// Records that connecting to a server failed.
     pub fn note_unreachable(&mut self, key: ServerKey, now: MonoTime) {
         let Some(state) = self.servers.get_mut(key) else { return };
@@ -569,9 +579,13 @@
         expected.is_none_or(|expected| expected <= time)
     }
 
-    /// Returns whether a server runs a version that was rolled back.
-    pub fn is_rolled_back(&self, key: ServerKey) -> bool {
+    /// Returns whether a server must get no request that was reserved for it before: it asked for a
+    /// pause since, or its version was rolled back.
+    pub fn is_withdrawn(&self, key: ServerKey, now: MonoTime) -> bool {
         let Some(state) = self.servers.get(key) else { return false };
+        if state.declines_requests(now) {
+            return true;
+        }
         let version_move = self.version_moves.get(&state.record.service);
         version_move.is_some_and(|version_move| {
             version_move.phase() == VersionMovePhase::RolledBack
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -21,6 +21,8 @@
     pub not_run: &'static str,
     /// Number of running requests, waiting requests and slots of a server, separated by commas.
     pub load: &'static str,
+    /// Present if the server is going to shut down.
+    pub leaving: &'static str,
     /// Milliseconds until a server's warm-up phase ends.
     pub cold_left: &'static str,
     /// Number of prompt tokens and maximum number of output tokens, separated by a comma.
--- a/crates/gateway/src/response_head.rs
+++ b/crates/gateway/src/response_head.rs
@@ -8,6 +8,8 @@
 
 /// Maximum size of a response's header section, in bytes.
 pub const HEAD_LIMIT_BYTES: usize = 32 * 1024;
+/// Longest time without requests that a server may ask for.
+const LONGEST_PAUSE: Duration = Duration::from_secs(600);
 /// Maximum number of headers in a response.
 const HEADER_LIMIT: usize = 100;
 
@@ -61,6 +63,13 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// Returns for how long the server wants no more requests, if its `Retry-After` header states it
+    /// in seconds.
+    pub fn retry_after(&self) -> Option<Duration> {
+        let seconds: f64 = self.text("retry-after")?.trim().parse().ok()?;
+        Duration::try_from_secs_f64(seconds).ok().map(|time| time.min(LONGEST_PAUSE))
+    }
+
     /// Returns how long the server keeps an idle connection open, if its `Keep-Alive` header states
     /// it.
     pub fn idle_limit(&self) -> Option<Duration> {
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use dragonflycart_core::ErrorKind;
+use hyper::StatusCode;
 use tracing::info;
 
 use crate::{
@@ -35,8 +36,8 @@
     /// Nothing was sent to the server, because the request's key is no longer accepted or a part of
     /// its prompt is contained.
     Withheld(GatewayFailure),
-    /// Nothing was sent to the server, because its version was rolled back since it was reserved.
-    RolledBack,
+    /// Nothing was sent to the server, because it was withdrawn since it was reserved.
+    Withdrawn,
     /// The server responded that it did not run the request.
     Refused {
         /// HTTP status code.
@@ -69,9 +70,10 @@
         return AttemptOutcome::Withheld(failure);
     }
     // A generation whose memory is on the server can go on only there.
-    if fields.resume_from.is_none() && context.view().is_rolled_back(reservation.server()) {
+    let now = context.clock.now();
+    if fields.resume_from.is_none() && context.view().is_withdrawn(reservation.server(), now) {
         context.pool.put_back(reservation.address(), connection);
-        return AttemptOutcome::RolledBack;
+        return AttemptOutcome::Withdrawn;
     }
     let head = request.encode_head(&context.names, fields);
     let echo = (context.names.attempt, request.attempt.as_str());
@@ -87,6 +89,7 @@
         }
     };
     note_load(context, reservation, &response);
+    note_announcements(context, reservation, &response);
     let status = response.status.as_u16();
     if status == 421 || response.headers.contains_key(context.names.not_run) {
         note_refusal(context, reservation, status);
@@ -156,6 +159,34 @@
     }
 }
 
+/// Records that the server is going to shut down, or wants no requests for some time.
+fn note_announcements(
+    context: &GatewayContext,
+    reservation: &ServerReservation,
+    response: &ResponseHead,
+) {
+    let (now, server) = (context.clock.now(), reservation.server());
+    if response.headers.contains_key(context.names.leaving)
+        && context.view().note_announced_leaving(server, now)
+    {
+        info!(server = reservation.id(), "server: announces its shutdown");
+        context.announce_change();
+        context.load_changes.notify_one();
+    }
+    if response.status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(pause) = response.retry_after()
+    {
+        info!(
+            server = reservation.id(),
+            pause_ms = pause.as_millis() as u64,
+            "server: wants a pause"
+        );
+        if let Some(state) = context.view().server_mut(server) {
+            state.note_declined(pause, now);
+        }
+    }
+}
+
 /// Updates the server's load and warm-up state from the headers of its response.
 fn note_load(context: &GatewayContext, reservation: &ServerReservation, response: &ResponseHead) {
     let now = context.clock.now();
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -56,6 +56,8 @@
     peer_loads: BTreeMap<u64, (MonoTime, ServerLoad)>,
     reported_requests: Option<(MonoTime, u32)>,
     paused_until: MonoTime,
+    /// Time until which the server itself wants no requests of this VM.
+    declined_until: MonoTime,
     connect_failures: u32,
     /// Recently lost responses.
     pub losses: LostResponses,
@@ -84,6 +86,7 @@
             peer_loads: BTreeMap::new(),
             reported_requests: None,
             paused_until: MonoTime::default(),
+            declined_until: MonoTime::default(),
             connect_failures: 0,
             losses: LostResponses::default(),
             failure_share: 0.0,
@@ -108,7 +111,12 @@
 
     /// Returns whether new requests may be sent to the server.
     pub fn accepts_requests(&self, now: MonoTime) -> bool {
-        self.leaving_since.is_none() && now >= self.paused_until
+        self.leaving_since.is_none() && now >= self.paused_until && !self.declines_requests(now)
+    }
+
+    /// Returns whether the server itself asked for a pause that has not ended.
+    pub fn declines_requests(&self, now: MonoTime) -> bool {
+        now < self.declined_until
     }
 
     /// Returns whether the server counts as leaving although it is registered and did not announce
@@ -211,6 +219,11 @@
         self.paused_until = self.paused_until.max(now + pause);
     }
 
+    /// Records that the server asked for a pause.
+    pub fn note_declined(&mut self, pause: Duration, now: MonoTime) {
+        self.declined_until = self.declined_until.max(now + pause);
+    }
+
     /// Returns the fraction of recent requests that failed, from 0 to 1.
     pub fn failure_share(&self) -> f64 {
         self.failure_share
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -82,7 +82,7 @@
                     reservation.close();
                     return Err(rejection);
                 }
-                AttemptOutcome::RolledBack => self.log_offer(&reservation, "rolled_back"),
+                AttemptOutcome::Withdrawn => self.log_offer(&reservation, "withdrawn"),
                 AttemptOutcome::Refused { .. } => {
                     self.arrivals += 1;
                     self.log_offer(&reservation, "refused");
--- a/crates/gateway/tests/all/response_heads.rs
+++ b/crates/gateway/tests/all/response_heads.rs
@@ -1,5 +1,7 @@
 //! Parsing of response heads.
 
+use std::time::Duration;
+
 use dragonflycart_gateway::{BodyFraming, ConnectionError, ResponseHead};
 
 fn parse(text: &str) -> Result<Option<(ResponseHead, usize)>, ConnectionError> {
@@ -60,3 +62,20 @@
 
     assert_eq!(head.idle_limit(), Some(std::time::Duration::from_secs(7)));
 }
+
+#[test]
+fn pause_that_a_server_wants_is_in_seconds() {
+    let cases = [
+        ("retry-after: 2", Some(Duration::from_secs(2))),
+        ("retry-after: 0.25", Some(Duration::from_millis(250))),
+        ("retry-after: 1e30", None),
+        ("retry-after: -1", None),
+        ("retry-after: Fri, 31 Dec 1999 23:59:59 GMT", None),
+        ("retry-after: 100000", Some(Duration::from_secs(600))),
+        ("x: y", None),
+    ];
+    for (header, pause) in cases {
+        let (head, _) = parse(&format!("HTTP/1.1 503 Busy\r\n{header}\r\n\r\n")).unwrap().unwrap();
+        assert_eq!(head.retry_after(), pause, "{header}");
+    }
+}
--- a/crates/gateway/tests/all/server_states.rs
+++ b/crates/gateway/tests/all/server_states.rs
@@ -304,3 +304,38 @@
 
     assert!(view.note_leaving("e0", Some(1), true, at(1_200)));
 }
+
+/// Guards against requests that go on to a server after it announced its shutdown in a response,
+/// while its registration still says otherwise (DRAIN).
+#[test]
+fn server_that_announces_its_shutdown_in_a_response_gets_no_work() {
+    let mut view = view(&["a", "b"]);
+    let excluded = BTreeSet::new();
+    let leaving = key_of(&view, "e0");
+
+    let is_new = view.note_announced_leaving(leaving, at(5));
+    view.apply_server("e0", record(ENGINES, "a", 8_000), 10, at(6));
+
+    assert!(is_new && !view.note_announced_leaving(leaving, at(7)));
+    assert!(view.is_leaving(leaving));
+    assert_eq!(view.place(&query(report(), &excluded), at(8)).unwrap().id, "e1");
+    assert!(view.recovery_candidates(at(60_000)).is_empty());
+}
+
+/// Guards against requests to a server that asked for a pause, new ones and those that were reserved
+/// before (BUDGET).
+#[test]
+fn server_that_wants_a_pause_gets_nothing_until_its_end() {
+    let mut view = view(&["a"]);
+    let excluded = BTreeSet::new();
+    let server = key_of(&view, "e0");
+
+    view.server_mut(server).unwrap().note_declined(Duration::from_secs(4), at(0));
+    view.server_mut(server).unwrap().note_recovered(at(10));
+
+    assert!(view.place(&query(report(), &excluded), at(3_900)).is_err());
+    assert!(view.place_at(server, &query(report(), &excluded), at(3_900)).is_none());
+    assert!(view.is_withdrawn(server, at(3_900)));
+    assert!(!view.is_withdrawn(server, at(4_100)));
+    assert!(view.place(&query(report(), &excluded), at(4_100)).is_ok());
+}
--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -365,10 +365,10 @@
         ..fleet.version_move(ENGINES).unwrap().status()
     };
 
-    let before = fleet.is_rolled_back(key_of(&fleet, "n0"));
+    let before = fleet.is_withdrawn(key_of(&fleet, "n0"), at(10));
     fleet.note_version_move_status(&status, at(10), 10);
 
     assert!(!before);
-    assert!(fleet.is_rolled_back(key_of(&fleet, "n0")));
-    assert!(!fleet.is_rolled_back(key_of(&fleet, "e0")));
+    assert!(fleet.is_withdrawn(key_of(&fleet, "n0"), at(10)));
+    assert!(!fleet.is_withdrawn(key_of(&fleet, "e0"), at(10)));
 }
