--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -1,5 +1,7 @@
 //! A VM's view of the fleet, and the placement of requests on servers.
 
+mod run_results;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -11,7 +13,7 @@
 
 use crate::{
     EngineSpec, FleetOrder, GenerationTiming, Placement, PlacementQuery, RetryBudget,
-    RouteBaselines, RoutePlan, RunEnd, RunKey, ServerKey, ServerLoad, ServerRecord, ServerScore,
+    RouteBaselines, RoutePlan, RunKey, ServerKey, ServerLoad, ServerRecord, ServerScore,
     ServerState, SurveyedEngine, TokenDemand, VersionMove, VersionMovePhase, VersionMoveRecord,
     VersionMoveSpec, VersionRole, VmSettings, ZoneReachability,
     peer_table::SMALL_FLEET,
@@ -227,124 +229,6 @@
         version_move.decide(is_old_idle, now).then(|| version_move.phase())
     }
 
-    /// Records the result of a request that a server answered or whose response was lost. Returns
-    /// whether it is bad.
-    pub fn note_result(
-        &mut self,
-        key: ServerKey,
-        route: &str,
-        is_failure: bool,
-        time: Duration,
-    ) -> bool {
-        let Some(state) = self.servers.get_mut(key) else { return is_failure };
-        state.note_response(is_failure, time);
-        let time_ms = time.as_secs_f64() * 1_000.0;
-        let is_bad = match self.version_moves.get_mut(&state.record.service) {
-            Some(version_move) => {
-                let role = version_move.role_of(&state.record.version);
-                version_move.note_result(route, role, is_failure, time)
-            }
-            None => is_failure || self.baselines.usual(route).is_slow_time(time_ms),
-        };
-        let baseline = self.baselines.route_mut(route);
-        baseline.note_result(is_bad);
-        if !is_failure {
-            baseline.note_time(time_ms);
-        }
-        is_bad
-    }
-
-    /// Records that a request is sent to a server.
-    pub fn start_run(&mut self, server: ServerKey, route: &str, now: MonoTime) -> RunKey {
-        let route = route.to_owned();
-        self.runs.insert(OpenRun { server, route, sent_at: now, counted: None })
-    }
-
-    /// Records that the response to a request has started.
-    pub fn note_run_started(&mut self, key: RunKey, now: MonoTime) {
-        self.count_run(key, false, now);
-    }
-
-    /// Records the average pause between the first events of a stream.
-    pub fn note_run_pause(&mut self, key: RunKey, pause: Duration) {
-        let Some(run) = self.runs.get(key) else { return };
-        let route = run.route.clone();
-        let Some(state) = self.servers.get(run.server) else { return };
-        let is_slow = match self.version_moves.get(&state.record.service) {
-            Some(version_move) => version_move.is_slow_pause(&route, pause),
-            None => false,
-        };
-        self.baselines.route_mut(&route).note_pause(pause.as_secs_f64() * 1_000.0);
-        if is_slow {
-            self.note_late_failure(key);
-        }
-    }
-
-    /// Records that a request failed at a server.
-    pub fn note_run_failure(&mut self, key: RunKey, now: MonoTime) {
-        match self.runs.get(key).and_then(|run| run.counted) {
-            None => self.count_run(key, true, now),
-            Some(false) => self.note_late_failure(key),
-            Some(true) => {}
-        }
-    }
-
-    /// Ends a request at a server.
-    pub fn end_run(&mut self, key: RunKey, end: RunEnd, now: MonoTime) {
-        match end {
-            RunEnd::Good => self.count_run(key, false, now),
-            RunEnd::Failed => self.note_run_failure(key, now),
-            RunEnd::Abandoned if self.is_run_overdue(key, now) => self.count_run(key, false, now),
-            RunEnd::Abandoned | RunEnd::NotRun => {}
-        }
-        self.runs.remove(key);
-    }
-
-    /// Counts open requests as slow whose response is overdue, so that a version that never responds
-    /// is detected. Returns their number.
-    pub fn count_overdue_runs(&mut self, now: MonoTime) -> usize {
-        let mut overdue: Vec<RunKey> = self.runs.keys().collect();
-        overdue.retain(|key| self.is_run_overdue(*key, now));
-        for key in &overdue {
-            self.count_run(*key, false, now);
-        }
-        overdue.len()
-    }
-
-    /// Returns whether a request in a version move has waited so long that its response will be
-    /// slow.
-    fn is_run_overdue(&self, key: RunKey, now: MonoTime) -> bool {
-        let Some(run) = self.runs.get(key).filter(|run| run.counted.is_none()) else {
-            return false;
-        };
-        let Some(state) = self.servers.get(run.server) else { return false };
-        let version_move = self.version_moves.get(&state.record.service);
-        version_move
-            .is_some_and(|version_move| version_move.is_slow(&run.route, now.since(run.sent_at)))
-    }
-
-    /// Counts the result of a request, unless it was counted before.
-    fn count_run(&mut self, key: RunKey, is_failure: bool, now: MonoTime) {
-        let Some(run) = self.runs.get(key).filter(|run| run.counted.is_none()) else { return };
-        let (server, route, time) = (run.server, run.route.clone(), now.since(run.sent_at));
-        let is_bad = self.note_result(server, &route, is_failure, time);
-        self.runs[key].counted = Some(is_bad);
-    }
-
-    /// Counts a bad result of a request whose response had started in time.
-    fn note_late_failure(&mut self, key: RunKey) {
-        let Some(run) = self.runs.get_mut(key).filter(|run| run.counted == Some(false)) else {
-            return;
-        };
-        run.counted = Some(true);
-        let Some(state) = self.servers.get_mut(run.server) else { return };
-        state.note_failure();
-        if let Some(version_move) = self.version_moves.get_mut(&state.record.service) {
-            let role = version_move.role_of(&state.record.version);
-            version_move.note_late_failure(&run.route, role);
-        }
-    }
-
     /// Ends the evacuation of a zone. Returns whether the zone was evacuated.
     pub fn end_evacuation(&mut self, zone: &str) -> bool {
         self.evacuated.remove(zone).is_some()
