Count refusals against a version

Listed as only suspected in the postmortem: a version that refuses requests was not found out by its refusals, since another server takes each of them. A refusal now counts for the version, old or new, and before the version move; it does not count against the server, which may only be full, and a server that was replaced at its address counts nothing.

versions::version_that_refuses_streams_is_rolled_back is new.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -77,7 +77,7 @@
                     }
                     break;
                 }
-                AttemptOutcome::Withdrawn => self.log_offer(&reservation, "withdrawn"),
+                AttemptOutcome::ServerWithdrawn => self.log_offer(&reservation, "withdrawn"),
                 AttemptOutcome::Refused { .. } => {
                     self.arrivals += 1;
                     self.log_offer(&reservation, "refused");
--- a/crates/gateway/src/fleet_view/run_results.rs
+++ b/crates/gateway/src/fleet_view/run_results.rs
@@ -97,7 +97,8 @@
             RunEnd::Good => self.count_run(key, false, now),
             RunEnd::Failed => self.note_run_failure(key, now),
             RunEnd::Abandoned if self.is_run_overdue(key, now) => self.count_run(key, false, now),
-            RunEnd::Abandoned | RunEnd::NotRun => {}
+            RunEnd::Refused => self.count_refusal(key),
+            RunEnd::Abandoned | RunEnd::Replaced => {}
         }
         self.runs.remove(key);
     }
@@ -138,6 +139,13 @@
         self.runs[key].counted = Some(is_bad);
     }
 
+    /// Counts a bad result of a request that was refused.
+    fn count_refusal(&mut self, key: RunKey) {
+        let Some(run) = self.runs.get(key).filter(|run| run.counted.is_none()) else { return };
+        let (server, route) = (run.server, run.route.clone());
+        self.count_bad(server, &route);
+    }
+
     /// Counts a bad result of a request whose response had started in time.
     fn note_late_failure(&mut self, key: RunKey) {
         let Some(run) = self.runs.get_mut(key).filter(|run| run.counted == Some(false)) else {
@@ -147,11 +155,16 @@
         let (server, route) = (run.server, run.route.clone());
         let Some(state) = self.servers.get_mut(server) else { return };
         state.note_failure();
+        self.count_bad(server, &route);
+    }
+
+    /// Counts a bad result without a time.
+    fn count_bad(&mut self, server: ServerKey, route: &str) {
         if let Some((version_move, role)) = self.open_move_of(server) {
-            version_move.note_late_failure(&route, role);
+            version_move.note_bad(route, role);
         }
         if !self.is_unproven(server) {
-            self.baselines.route_mut(&route).note_result(true);
+            self.baselines.route_mut(route).note_result(true);
         }
     }
 }
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -70,7 +70,7 @@
         }
         AttemptOutcome::NotSent(error) => (error.into(), false),
         AttemptOutcome::Withheld(_) => ("withheld", false),
-        AttemptOutcome::Withdrawn => ("withdrawn", false),
+        AttemptOutcome::ServerWithdrawn => ("withdrawn", false),
         AttemptOutcome::Refused { .. } => ("refused", false),
         AttemptOutcome::Lost(error) => (error.into(), true),
     };
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -331,8 +331,8 @@
     now: dragonflycart_core::MonoTime,
 ) -> VersionMoveEntry {
     let mut routes = Vec::new();
-    let (results, usual) =
-        (version_move.own_evidence().results(), version_move.own_evidence().usual());
+    let own = version_move.own_evidence();
+    let (results, usual) = (own.results(), own.usual());
     let names: BTreeSet<&String> = results.keys().chain(usual.keys()).collect();
     for route in names {
         let [old, new] = results.get(route).copied().unwrap_or_default();
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -37,7 +37,7 @@
     /// its prompt is contained.
     Withheld(GatewayFailure),
     /// Nothing was sent to the server, because it was withdrawn since it was reserved.
-    Withdrawn,
+    ServerWithdrawn,
     /// The server responded that it did not run the request.
     Refused {
         /// HTTP status code.
@@ -73,7 +73,7 @@
     let now = context.clock.now();
     if fields.resume_from.is_none() && context.view().is_withdrawn(reservation.server(), now) {
         context.pool.put_back(reservation.address(), connection);
-        return AttemptOutcome::Withdrawn;
+        return AttemptOutcome::ServerWithdrawn;
     }
     let head = request.encode_head(&context.names, fields);
     let echo = (context.names.attempt, request.attempt.as_str());
@@ -93,7 +93,7 @@
     let status = response.status.as_u16();
     if status == 421 || response.headers.contains_key(context.names.not_run) {
         note_refusal(context, reservation, status);
-        run.close(RunEnd::NotRun);
+        run.close(if status == 421 { RunEnd::Replaced } else { RunEnd::Refused });
         context.pool.put_back_after_body(reservation.address(), connection);
         return AttemptOutcome::Refused { status };
     }
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -82,7 +82,7 @@
                     reservation.close();
                     return Err(rejection);
                 }
-                AttemptOutcome::Withdrawn => self.log_offer(&reservation, "withdrawn"),
+                AttemptOutcome::ServerWithdrawn => self.log_offer(&reservation, "withdrawn"),
                 AttemptOutcome::Refused { .. } => {
                     self.arrivals += 1;
                     self.log_offer(&reservation, "refused");
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -231,8 +231,9 @@
         is_bad
     }
 
-    /// Records a bad result of a request that was counted as a good one before.
-    pub fn note_late_failure(&mut self, route: &str, role: VersionRole) {
+    /// Records a bad result without a time: of a request that was refused, or that was counted as a
+    /// good one before.
+    pub fn note_bad(&mut self, route: &str, role: VersionRole) {
         self.own.note(route, role, true);
         if role == VersionRole::Old {
             self.baselines.route_mut(route).note_result(true);
--- a/crates/gateway/src/versions/run_end.rs
+++ b/crates/gateway/src/versions/run_end.rs
@@ -10,8 +10,11 @@
     Good,
     /// The server responded with an error or not correctly, or its response was lost.
     Failed,
-    /// The server stated that it did not run the request.
-    NotRun,
+    /// The server refused the request without running it. This counts against its version, but not
+    /// against the server, which may only be full.
+    Refused,
+    /// Another server responded at the address.
+    Replaced,
     /// The request was given up or moved before the server had responded completely. It counts
     /// against the server's version only if the response was overdue.
     Abandoned,
--- a/crates/node/src/control/control_message.rs
+++ b/crates/node/src/control/control_message.rs
@@ -94,7 +94,7 @@
     },
     /// The attempt failed.
     Failed(AttemptFailure),
-    /// The request was given up or preempted.
+    /// The request was given up.
     Cancelled(AttemptPace),
 }
 
--- a/tests/all/versions.rs
+++ b/tests/all/versions.rs
@@ -131,6 +131,13 @@
     assert_bad_engines_are_rolled_back("streams-unsigned", RunnerFailure::Unsigned).await;
 }
 
+/// Guards against the same with streams that are refused: another engine takes them, and the version
+/// looked as if it had got none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_that_refuses_streams_is_rolled_back() {
+    assert_bad_engines_are_rolled_back("streams-refused", RunnerFailure::Refusal).await;
+}
+
 /// Guards against the same with streams that never start and whose callers leave.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn version_whose_streams_never_start_is_rolled_back() {
