--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -456,3 +456,50 @@
     let allowed = (1.0 - COMPLETED_SHARE) * MOVES as f64;
     assert!(rolled_back as f64 <= allowed, "{rolled_back} of {MOVES}");
 }
+
+/// Guards against a version whose streams start in time and then write several times slower.
+#[test]
+fn stream_with_slow_pauses_counts_against_its_version() {
+    let mut fleet = view(&["a", "b"]);
+    let old = key_of(&fleet, "e0");
+    let pause = Duration::from_millis(40);
+    for _ in 0..20 {
+        let run = fleet.start_run(old, "reports", at(0));
+        fleet.note_run_started(run, at(300));
+        fleet.note_run_pause(run, pause);
+        fleet.end_run(run, RunEnd::Good, at(900));
+    }
+    let new = ServerRecord { version: "v2".to_owned(), ..record(ENGINES, "a", 8_010) };
+    fleet.apply_server("n0", new, 10, at(0));
+    fleet.start_version_move(order(), 3, at(1_000), 1_000);
+
+    for factor in [1, 6] {
+        let run = fleet.start_run(key_of(&fleet, "n0"), "reports", at(1_000));
+        fleet.note_run_started(run, at(1_300));
+        fleet.note_run_pause(run, pause * factor);
+        fleet.end_run(run, RunEnd::Good, at(1_900));
+    }
+
+    let [_, new] = fleet.version_move(ENGINES).unwrap().own_evidence().results()["reports"];
+    assert_eq!((new.good, new.bad), (2, 1), "the second stream started well and then was slow");
+}
+
+/// Guards against requests whose callers leave and that count as bad although their response was
+/// not overdue, or don't count although it was.
+#[test]
+fn abandoned_request_counts_only_if_its_response_was_overdue() {
+    let mut fleet = view(&["a", "b"]);
+    let old = key_of(&fleet, "e0");
+    for _ in 0..20 {
+        fleet.note_result(old, "reports", false, RESPONSE_TIME);
+    }
+    fleet.start_version_move(order(), 3, at(0), 0);
+
+    for left_ms in [400, 2_400] {
+        let run = fleet.start_run(old, "reports", at(0));
+        fleet.end_run(run, RunEnd::Abandoned, at(left_ms));
+    }
+
+    let [old, _] = fleet.version_move(ENGINES).unwrap().own_evidence().results()["reports"];
+    assert_eq!((old.good, old.bad), (0, 1));
+}
