--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -97,6 +97,23 @@
     assert!(bad <= BAD_RESULTS_ALLOWED / 2, "{bad} bad results");
 }
 
+/// Guards against the same where nothing is known from before the version move, so that only the
+/// comparison with the old version can tell.
+#[test]
+fn version_that_turns_bad_late_is_rolled_back_without_usual_results() {
+    let mut version_move = VersionMove::new(order(), 3, at(0), 0);
+    for _ in 0..1_000 {
+        version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
+        version_move.note_result("reports", VersionRole::New, false, RESPONSE_TIME);
+        version_move.decide(false, at(500));
+    }
+
+    let old = [(false, RESPONSE_TIME)];
+    let bad = count_bad_until_rollback(&mut version_move, &old, (true, RESPONSE_TIME));
+
+    assert!(bad <= BAD_RESULTS_ALLOWED / 2, "{bad} bad results");
+}
+
 /// Guards against a bad version that looks no worse than the old one, because servers of the old
 /// version fail at the same time.
 #[test]
