Share the fixtures of version moves of calls and streams

The fixture had two copies of the loop that sends until a version move ends, of the sender and of the runners of both versions.

--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -87,21 +87,7 @@
             responses: Arc::default(),
             in_flight: JoinSet::new(),
         };
-        for number in 0..4 {
-            let is_new = number >= 2;
-            let options = RunnerOptions {
-                id: format!("i-{}-{number}", if is_new { "new" } else { "old" }),
-                kind: RunnerKind::PlainService,
-                service: "desk".to_owned(),
-                zone: "a".to_owned(),
-                lost_response_percent: 0,
-                version: if is_new { "v2" } else { "v1" }.to_owned(),
-                failure_percent: if is_new { failure_percent } else { 0 },
-                failure: RunnerFailure::Error,
-                crashes_on: None,
-            };
-            fleet.runners.push(FakeRunner::start(options, &fleet.log, number + 1).await);
-        }
+        fleet.add_versions(RunnerKind::PlainService, RunnerFailure::Error, failure_percent).await;
         fleet.add_engine("i-engine").await;
         fleet
     }
@@ -120,12 +106,28 @@
     ) {
         self.crash("i-engine");
         self.store.remove_server("i-engine");
+        self.add_versions(RunnerKind::Engine, failure, failure_percent).await;
+        self.heartbeat();
+    }
+
+    /// Starts two runners of the old version and two of the new one, which fail `failure_percent` of
+    /// the requests.
+    async fn add_versions(
+        &mut self,
+        kind: RunnerKind,
+        failure: RunnerFailure,
+        failure_percent: u64,
+    ) {
+        let (service, suffix) = match kind {
+            RunnerKind::PlainService => ("desk", ""),
+            RunnerKind::Engine => ("engines", "-engine"),
+        };
         for number in 0..4 {
             let is_new = number >= 2;
-            let engine = RunnerOptions {
-                id: format!("i-{}-engine-{number}", if is_new { "new" } else { "old" }),
-                kind: RunnerKind::Engine,
-                service: "engines".to_owned(),
+            let options = RunnerOptions {
+                id: format!("i-{}{suffix}-{number}", if is_new { "new" } else { "old" }),
+                kind,
+                service: service.to_owned(),
                 zone: "a".to_owned(),
                 lost_response_percent: 0,
                 version: if is_new { "v2" } else { "v1" }.to_owned(),
@@ -133,9 +135,8 @@
                 failure,
                 crashes_on: None,
             };
-            self.runners.push(FakeRunner::start(engine, &self.log, number + 1).await);
+            self.runners.push(FakeRunner::start(options, &self.log, number + 1).await);
         }
-        self.heartbeat();
     }
 
     /// Starts another engine, which crashes on prompts with the given part.
@@ -275,25 +276,22 @@
 
     /// Sends requests for `time`, or until the version move ends; returns when it ended.
     pub(crate) async fn send_until_move_ends(&mut self, time: Duration) -> Option<Duration> {
-        let start = Instant::now();
-        let mut next_heartbeat = start;
-        while start.elapsed() < time {
-            if Instant::now() >= next_heartbeat {
-                self.heartbeat();
-                next_heartbeat = Instant::now() + HEARTBEAT;
-            }
-            self.send_request();
-            tokio::time::sleep(REQUEST_PAUSE).await;
-            if self.move_state().is_some_and(|state| state != "in_progress") {
-                return Some(start.elapsed());
-            }
-        }
-        None
+        self.send_until_end(time, "desk", REQUEST_PAUSE, GatewayFleet::send_request).await
     }
 
     /// Sends streams for `time`, or until the version move of the engines ends; returns when it
     /// ended.
     pub(crate) async fn stream_until_move_ends(&mut self, time: Duration) -> Option<Duration> {
+        self.send_until_end(time, "engines", STREAM_PAUSE, GatewayFleet::send_stream).await
+    }
+
+    async fn send_until_end(
+        &mut self,
+        time: Duration,
+        service: &str,
+        pause: Duration,
+        send_one: fn(&mut GatewayFleet),
+    ) -> Option<Duration> {
         let start = Instant::now();
         let mut next_heartbeat = start;
         while start.elapsed() < time {
@@ -301,9 +299,9 @@
                 self.heartbeat();
                 next_heartbeat = Instant::now() + HEARTBEAT;
             }
-            self.send_stream();
-            tokio::time::sleep(STREAM_PAUSE).await;
-            if self.move_state_of("engines").is_some_and(|state| state != "in_progress") {
+            send_one(self);
+            tokio::time::sleep(pause).await;
+            if self.move_state_of(service).is_some_and(|state| state != "in_progress") {
                 return Some(start.elapsed());
             }
         }
@@ -315,6 +313,11 @@
         let request =
             CallerRequest { time_limit: STREAM_TIME_LIMIT, ..self.stream_request(STREAM_TOKENS) };
         let index = self.requests_sent as usize % self.gateways.len();
+        self.send_in_background(index, request);
+    }
+
+    /// Sends a request to one gateway and keeps the response.
+    fn send_in_background(&mut self, index: usize, request: CallerRequest) {
         let http_address = self.gateways[index].http_address;
         let responses = Arc::clone(&self.responses);
         self.in_flight.spawn(async move {
@@ -352,12 +355,7 @@
             body: Bytes::from_static(b"booking"),
             time_limit: Duration::from_secs(4),
         };
-        let http_address = self.gateways[index].http_address;
-        let responses = Arc::clone(&self.responses);
-        self.in_flight.spawn(async move {
-            let response = send(http_address, &request).await;
-            responses.lock().unwrap().push(response);
-        });
+        self.send_in_background(index, request);
     }
 
     /// Builds a request for a stream of `output_tokens` tokens; the engine generates four in 8 ms.
