--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -159,7 +159,7 @@
         };
         self.context.metrics.count_move(result);
         info!(id = self.request.attempt, source = self.source_id, reason = %self.reason, result,
-            calls = self.calls, "move: ended");
+            calls = self.calls, is_wanted = !sender.is_closed(), "move: ended");
         let still_runs = matches!(outcome, MoveOutcome::Resumed(_)) && !self.stop.is_open();
         // If the receiver was dropped, nobody needs the events any more. Dropping a resumed
         // response closes its connection, which ends the generation.
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -249,6 +249,11 @@
             run,
         };
         let old = std::mem::replace(&mut self.source, source);
+        info!(
+            id = self.request.attempt,
+            server = old.reservation.engine.id(),
+            "stream: engine before closed"
+        );
         old.connection.close();
         old.run.close(RunEnd::Abandoned);
         old.reservation.close();
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
+use tokio::time::Instant;
 use tracing::info;
 
 use crate::{
@@ -48,7 +49,10 @@
         last_event,
         is_return: permit.is_return(),
     };
+    let sent_at = Instant::now();
+    info!(id = request.attempt, server = reservation.engine.id(), last_event, "stream: resuming");
     let outcome = server_attempt::offer(context, request, &reservation.engine, fields).await;
+    let waited_ms = sent_at.elapsed().as_millis() as u64;
     let (result, is_run) = match outcome {
         AttemptOutcome::Answered(response)
             if response.head.status.is_success()
@@ -58,6 +62,7 @@
                 id = request.attempt,
                 server = reservation.engine.id(),
                 last_event,
+                waited_ms,
                 "stream: resumed"
             );
             return ResumeResult::Resumed(Box::new(ResumedGeneration {
@@ -76,7 +81,13 @@
         AttemptOutcome::Refused { .. } => ("refused", false),
         AttemptOutcome::Lost(error) => (error.into(), true),
     };
-    info!(id = request.attempt, server = reservation.engine.id(), result, "stream: not resumed");
+    info!(
+        id = request.attempt,
+        server = reservation.engine.id(),
+        result,
+        waited_ms,
+        "stream: not resumed"
+    );
     reservation.close();
     if is_run { ResumeResult::Failed } else { ResumeResult::NotRun }
 }
--- a/tests/all/gateway_stops.rs
+++ b/tests/all/gateway_stops.rs
@@ -1,7 +1,7 @@
 //! Tests of real gateway processes: planned stops, abandoned streams and a log that nobody reads.
 
 use std::{
-    io::Read,
+    io::{BufRead, BufReader, Read},
     process::{Command, Stdio},
     time::Duration,
 };
@@ -107,7 +107,11 @@
     fleet.close();
 }
 
-/// Guards against requests that fail because the reader of the log stalls. Log lines may be lost.
+/// Time in which a log whose reader goes on shows that lines were lost.
+const LOG_GAP_TIME: Duration = Duration::from_secs(10);
+
+/// Guards against requests that fail because the reader of the log stalls. Log lines may be lost, which
+/// the log shows once the reader goes on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reader_of_the_log_that_stalls_costs_no_request() {
     let mut fleet = GatewayFleet::start("stalled-reader", 0).await;
@@ -136,9 +140,15 @@
         }
     }
 
-    assert!(lost > 0.0, "the queue of log lines never filled up, so the test proves nothing");
+    let shows_gap = tokio::task::spawn_blocking(move || {
+        let mut lines = BufReader::new(log).lines().map_while(Result::ok);
+        lines.any(|line| line.contains("gateway: log lines lost"))
+    });
+    let shows_gap = tokio::time::timeout(LOG_GAP_TIME, shows_gap).await;
     stalled.kill().unwrap();
     stalled.wait().unwrap();
+    assert!(lost > 0.0, "the queue of log lines never filled up, so the test proves nothing");
+    assert!(matches!(shows_gap, Ok(Ok(true))), "the log does not show that lines are missing");
     fleet.close();
 }
 
