tests: reproduce generations that run at two engines at once

Real gateway processes, with engines that work on a request until they are told to stop it or exit.

The stand-in could not show an engine that works on a generation although the gateway gets nothing from it: a resumed generation always sent its head at once, and an engine's streams ended only with its exit. It can now send the head of a resumed generation late or cut its connection before the head, cut its streams inside an event, hold them back for a time, and begin to hold backup copies later.

UnframedFleet moves to tests/all/support, so that another module can use it.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod plans;
 mod reclaims;
 mod repeats;
+mod resumptions;
 mod soak;
 mod stalls;
 mod stops;
--- /dev/null
+++ b/tests/all/resumptions.rs
@@ -0,0 +1,216 @@
+//! Tests of real gateway processes with generations that go on at another engine, while the engine
+//! before works until it is told to stop or exits.
+
+use std::time::{Duration, Instant};
+
+use dragonflycart_standins::{CallerResponse, FinalCopy, ResumptionFault, UnframedOptions};
+
+use crate::support::unframed_fleet::{
+    LAST_EVENT, NOTICE, OVERLAP_ALLOWED, UnframedFleet, event_ids,
+};
+
+/// Fault of an engine that begins at once and sends its head late.
+const LATE_HEAD: ResumptionFault = ResumptionFault::LateHead(Duration::from_millis(1_500));
+/// Fault of an engine that begins at once and loses the connection before the head.
+const EARLY_CUT: ResumptionFault = ResumptionFault::Cut(Duration::from_millis(100));
+/// Time from the start of a resumption to the caller's leaving.
+const LEAVE_DELAY: Duration = Duration::from_millis(200);
+/// Time for which an engine can't be reached.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(1_500);
+/// Silence for which the engine counts as lost: more than four times the route's pause target.
+const SHORT_SILENCE: Duration = Duration::from_millis(1_200);
+/// Silence that outlasts all streams.
+const LASTING_SILENCE: Duration = Duration::from_secs(60);
+
+/// Starts engines that hold no backup copies and go on to work on requests whose connection closes.
+async fn start_without_backups(name: &str, final_copy: FinalCopy) -> UnframedFleet {
+    let options = UnframedOptions {
+        final_copy,
+        keeps_backups: false,
+        drops_requests: false,
+        resumption_fault: ResumptionFault::None,
+    };
+    UnframedFleet::start_with(name, options, 3, 0.0).await
+}
+
+fn assert_overlap_allowed(unframed: &UnframedFleet, since: Instant) {
+    let overlap = unframed.overlap_since(since);
+    println!("both engines worked for {overlap:?}");
+    assert!(overlap <= OVERLAP_ALLOWED, "both engines worked for {overlap:?}");
+}
+
+fn assert_whole(response: &CallerResponse) {
+    assert!(response.is_complete, "{} events", event_ids(response).len());
+    assert_eq!(event_ids(response), (0..=LAST_EVENT).collect::<Vec<_>>());
+}
+
+/// Guards against an engine that drains and works on until the head of the engine that goes on comes,
+/// which has begun long before (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_engine_stops_before_a_late_head() {
+    let start = Instant::now();
+    let mut unframed = UnframedFleet::start_with_backups("resumed-late", LATE_HEAD).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.drain_until_exit(source).await;
+    let response = unframed.wait_end(response).await;
+
+    assert_overlap_allowed(&unframed, start);
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against an engine that drains and is never told to stop, because the engine that goes on
+/// has begun but its connection was lost before the head (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_engine_stops_if_the_resumption_is_cut() {
+    let start = Instant::now();
+    let mut unframed = UnframedFleet::start_with_backups("resumed-cut", EARLY_CUT).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.drain_until_exit(source).await;
+    unframed.wait_end(response).await;
+    unframed.wait_idle().await;
+
+    assert_overlap_allowed(&unframed, start);
+    unframed.close();
+}
+
+/// Guards against an engine that drains and works on while the engine that goes on has begun, because
+/// the caller left before its head (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_engine_stops_if_the_caller_leaves_before_a_late_head() {
+    let start = Instant::now();
+    let mut unframed = UnframedFleet::start_with_backups("resumed-left", LATE_HEAD).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.engines[source].drain(NOTICE);
+    unframed.wait_until(|engines| engines.iter().any(|engine| !engine.resumed().is_empty())).await;
+    tokio::time::sleep(LEAVE_DELAY).await;
+    response.abort();
+    unframed.wait(NOTICE).await;
+    unframed.engines[source].exit();
+    unframed.wait_idle().await;
+
+    assert_overlap_allowed(&unframed, start);
+    unframed.close();
+}
+
+/// Guards against an engine that works on a generation whose connection was cut, until the head of
+/// the engine that goes on comes (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_of_a_cut_stream_stops_before_a_late_head() {
+    let start = Instant::now();
+    let mut unframed = UnframedFleet::start_with_backups("resumed-broken", LATE_HEAD).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.engines[source].cut_streams();
+    let response = unframed.wait_end(response).await;
+    unframed.wait_idle().await;
+
+    assert_overlap_allowed(&unframed, start);
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against an engine that works on a generation whose stream is silent, until the head of the
+/// engine that goes on comes (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_of_a_silent_stream_stops_before_a_late_head() {
+    let start = Instant::now();
+    let mut unframed = UnframedFleet::start_with_backups("resumed-silent", LATE_HEAD).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.engines[source].silence_streams(LASTING_SILENCE);
+    let response = unframed.wait_end(response).await;
+    unframed.wait_idle().await;
+
+    assert_overlap_allowed(&unframed, start);
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against two engines that work on a generation, because the response to its final copy was
+/// lost and it then goes on at its backup (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn generation_whose_final_copy_is_lost_goes_on_at_its_backup_alone() {
+    let start = Instant::now();
+    let mut unframed = start_without_backups("resumed-lost", FinalCopy::Lost).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.engines[source].drain(NOTICE);
+    unframed.wait_until(|engines| !engines[source].copied_to().is_empty()).await;
+    for engine in &unframed.engines {
+        engine.keep_backups();
+    }
+    let response = unframed.wait_end(response).await;
+    unframed.wait_idle().await;
+
+    assert_overlap_allowed(&unframed, start);
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against an engine that works on a generation which goes on elsewhere, because it couldn't
+/// be told to stop at once and isn't told when it can be reached again (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_that_can_be_reached_again_stops() {
+    let mut unframed =
+        UnframedFleet::start_behind_relays("resumed-apart", ResumptionFault::None).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.set_reachable(source, false);
+    unframed.engines[source].cut_streams();
+    unframed.wait(UNREACHABLE_TIME).await;
+    unframed.set_reachable(source, true);
+    let reachable_at = Instant::now();
+    let response = unframed.wait_end(response).await;
+    unframed.wait_idle().await;
+
+    assert_overlap_allowed(&unframed, reachable_at);
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against a stream that is lost because its engine was stopped for a backup copy that is then
+/// refused, although the engine drains and can still copy the memory (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_at_a_draining_engine_is_whole_if_its_backup_is_refused() {
+    let mut unframed = start_without_backups("refused-drain", FinalCopy::Copied).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.drain_until_exit(source).await;
+    let response = unframed.wait_end(response).await;
+
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against a stream that is lost because its engine was stopped after a short silence for a
+/// backup copy that is then refused (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_that_is_silent_for_a_short_time_is_whole_if_its_backup_is_refused() {
+    let mut unframed = start_without_backups("refused-silent", FinalCopy::Copied).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.engines[source].silence_streams(SHORT_SILENCE);
+    let response = unframed.wait_end(response).await;
+
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against a stream that is lost because its engine, which has exited, can't be told to stop
+/// it before it goes on at its backup (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_whose_engine_has_exited_goes_on_at_its_backup() {
+    let mut unframed =
+        UnframedFleet::start_with_backups("exited-backup", ResumptionFault::None).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.engines[source].exit();
+    let response = unframed.wait_end(response).await;
+
+    assert_whole(&response);
+    unframed.close();
+}
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -7,6 +7,7 @@
 mod operator;
 pub(crate) mod port_pool;
 mod traffic;
+pub(crate) mod unframed_fleet;
 mod vm_process;
 mod wait;
 
--- a/tests/all/unframed.rs
+++ b/tests/all/unframed.rs
@@ -2,122 +2,11 @@
 
 use std::time::Duration;
 
-use dragonflycart_standins::{
-    CallerResponse, FinalCopy, ManifestSpec, UnframedEngine, UnframedOptions, send,
-};
-use tokio::task::JoinHandle;
-
-use crate::support::GatewayFleet;
-
-/// Service of the engines.
-const SERVICE: &str = "unframed";
-/// Interval at which the engines renew their registrations.
-const HEARTBEAT: Duration = Duration::from_millis(300);
-/// Time from the announcement of an engine's exit to the exit.
-const NOTICE: Duration = Duration::from_millis(2_000);
-/// Output of a stream, which an engine generates in four seconds.
-const OUTPUT_TOKENS: u64 = 1_600;
-/// ID of the last event of a stream.
-const LAST_EVENT: u64 = 399;
-/// Time for which two engines may work on a request.
-const OVERLAP_ALLOWED: Duration = Duration::from_millis(400);
-/// Time by which a stream has begun.
-const START_TIME: Duration = Duration::from_millis(500);
-
-/// Gateways with engines: one that runs a stream, one that is chosen for its backup copy, and one or
-/// more to which the stream can be moved.
-struct UnframedFleet {
-    fleet: GatewayFleet,
-    engines: Vec<UnframedEngine>,
-    sequence: u64,
-}
-
-impl UnframedFleet {
-    /// Starts engines that hold no backup copies.
-    async fn start(name: &str, final_copy: FinalCopy) -> UnframedFleet {
-        let options = UnframedOptions { final_copy, keeps_backups: false, drops_requests: true };
-        UnframedFleet::start_with(name, options, 3, 0.0).await
-    }
-
-    /// Starts some engines, of which cold ones may get `cold_rate` requests per second.
-    async fn start_with(
-        name: &str,
-        options: UnframedOptions,
-        engine_count: usize,
-        cold_rate: f64,
-    ) -> UnframedFleet {
-        let fleet = GatewayFleet::start(name, 0).await;
-        let mut engines = Vec::new();
-        for _ in 0..engine_count {
-            engines.push(UnframedEngine::start(options).await);
-        }
-        let plan = ManifestSpec { version: 2, extra_routes: 0, keys: vec!["key".to_owned()] };
-        let plan = plan.to_json().to_string().replace("\"engines\"", &format!("\"{SERVICE}\""));
-        let plan = plan.replace("\"cold_per_s\":0.0", &format!("\"cold_per_s\":{cold_rate}"));
-        // Room for the backup copies of all streams.
-        let plan = plan.replace("\"kv_capacity_tokens\":100000", "\"kv_capacity_tokens\":1000000");
-        fleet.store.put_order("config", &serde_json::from_str(&plan).unwrap());
-        let mut unframed = UnframedFleet { fleet, engines, sequence: 0 };
-        unframed.heartbeat();
-        unframed.fleet.start_gateways().await;
-        unframed.heartbeat();
-        unframed
-    }
-
-    fn heartbeat(&mut self) {
-        self.sequence += 1;
-        for (number, engine) in self.engines.iter().enumerate() {
-            let registration = engine.registration(SERVICE, self.sequence);
-            self.fleet.store.put_server(&format!("i-{number}"), &registration);
-        }
-    }
-
-    /// Starts a stream. Returns the index of the engine that runs it, and the response.
-    async fn start_stream(&mut self) -> (usize, JoinHandle<CallerResponse>) {
-        self.start_stream_of(OUTPUT_TOKENS).await
-    }
+use dragonflycart_standins::{FinalCopy, ResumptionFault, UnframedOptions};
 
-    async fn start_stream_of(&mut self, tokens: u64) -> (usize, JoinHandle<CallerResponse>) {
-        let response = self.send_stream(tokens, 0);
-        tokio::time::sleep(START_TIME).await;
-        let source = self.engines.iter().position(|engine| engine.run_count() > 0);
-        (source.expect("an engine runs the stream"), response)
-    }
-
-    /// Sends a request for a stream to a gateway.
-    fn send_stream(&mut self, tokens: u64, gateway: usize) -> JoinHandle<CallerResponse> {
-        let request = self.fleet.stream_request(tokens);
-        let address = self.fleet.gateways[gateway].http_address;
-        tokio::spawn(async move { send(address, &request).await })
-    }
-
-    /// Lets the engines renew their registrations for some time.
-    async fn wait(&mut self, time: Duration) {
-        let end = tokio::time::Instant::now() + time;
-        while tokio::time::Instant::now() < end {
-            self.heartbeat();
-            tokio::time::sleep(HEARTBEAT).await;
-        }
-    }
-
-    /// Waits for the end of a response while the engines renew their registrations.
-    async fn wait_end(&mut self, response: JoinHandle<CallerResponse>) -> CallerResponse {
-        while !response.is_finished() {
-            self.heartbeat();
-            tokio::time::sleep(HEARTBEAT).await;
-        }
-        response.await.unwrap()
-    }
-
-    fn close(self) {
-        self.fleet.close();
-    }
-}
-
-fn event_ids(response: &CallerResponse) -> Vec<u64> {
-    let text = String::from_utf8_lossy(&response.body).into_owned();
-    text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
-}
+use crate::support::unframed_fleet::{
+    LAST_EVENT, NOTICE, OUTPUT_TOKENS, OVERLAP_ALLOWED, UnframedFleet, event_ids,
+};
 
 /// Guards against a stream that ends as complete in the middle, because its engine was asked to stop
 /// it for the final copy, and then closed the connection (ORDER).
@@ -175,6 +64,7 @@
         final_copy: FinalCopy::Copied,
         keeps_backups: true,
         drops_requests: false,
+        resumption_fault: ResumptionFault::None,
     };
     let mut unframed = UnframedFleet::start_with("unframed-backup", options, 3, 0.0).await;
     let (source, response) = unframed.start_stream().await;
@@ -203,6 +93,7 @@
         final_copy: FinalCopy::Copied,
         keeps_backups: false,
         drops_requests: true,
+        resumption_fault: ResumptionFault::None,
     };
     let mut unframed = UnframedFleet::start_with("unframed-drain", options, 4, 0.0).await;
     let (source, response) = unframed.start_stream_of(2 * OUTPUT_TOKENS).await;
@@ -238,6 +129,7 @@
         final_copy: FinalCopy::Copied,
         keeps_backups: true,
         drops_requests: true,
+        resumption_fault: ResumptionFault::None,
     };
     let mut unframed = UnframedFleet::start_with("unframed-cold", options, 2, COLD_RATE).await;
     let mut responses = Vec::new();
