Stop a generation at its engine before it goes on elsewhere

A generation with a backup copy was resumed first, and its engine was told to stop only after the new response head had come, once, and only if the resumption succeeded. Both engines worked until then: for the time to the new head, or until the old engine exited if the resumption failed, the caller left or the one call was lost.

Each resumption now needs a StoppedSource: the engine has stopped the generation, does not run it, has exited, or could not be reached for 250 ms. generation_resumer::resume takes the proof, so no way to it can go around the stop. An engine that can't be reached is told again every 200 ms at most, until it answers or the request's deadline has passed.

Only the final copy stops a generation and lets its engine retain the memory, so a stream whose copy is refused goes back. An engine that is leaving therefore always moves its generations by first and final copy; backup copies serve for engines that were lost. A move that has not asked for the final copy ends at once when the response is lost. The end of a response at an engine that exits as announced is no failure of its version.

Engines of a service without kv-move can only be told by closing the connection; no deployment in force has backup copies without moves.

--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     CallerRequest, GatewayContext, GenerationMover, GenerationReservation, MoveOutcome, MoveReason,
-    StreamProgress, moves::StopRequest,
+    StreamProgress,
+    moves::{MoveSignals, StopRequest},
 };
 
 /// Maximum number of moves started for one generation while it stays on the same engine.
@@ -19,6 +20,8 @@
     moving: Option<oneshot::Receiver<MoveOutcome>>,
     started: u32,
     stop: StopRequest,
+    /// Whether the engine's response was lost.
+    is_lost: watch::Sender<bool>,
 }
 
 impl EngineWatcher {
@@ -32,6 +35,7 @@
             moving: None,
             started: 0,
             stop: StopRequest::default(),
+            is_lost: watch::Sender::new(false),
         }
     }
 
@@ -72,7 +76,8 @@
     }
 
     /// Tries to recover a generation whose response was cut off or stalled. Returns the outcome of
-    /// the move in progress if it is final, otherwise that of a new move to the backup engine.
+    /// the move in progress if it is final, otherwise that of a new move to the backup engine. A move
+    /// that has not asked the engine to stop the generation yet ends at once.
     pub async fn recover(
         &mut self,
         request: &CallerRequest,
@@ -80,7 +85,9 @@
         progress: &Arc<StreamProgress>,
     ) -> MoveOutcome {
         if self.moving.is_some() {
+            self.is_lost.send_replace(true);
             let outcome = self.outcome().await;
+            self.is_lost.send_replace(false);
             if !matches!(outcome, MoveOutcome::Stays) {
                 return outcome;
             }
@@ -100,8 +107,9 @@
         reason: MoveReason,
     ) {
         self.started += 1;
+        let signals = MoveSignals::new(&self.stop, self.is_lost.subscribe());
         let mover =
-            GenerationMover::new(&self.context, request, reservation, progress, reason, &self.stop);
+            GenerationMover::new(&self.context, request, reservation, progress, reason, signals);
         self.moving = Some(mover.start());
     }
 
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -37,6 +37,7 @@
     latency: Histogram,
     first_event: Histogram,
     moves: Family<ResultLabels, Counter>,
+    sources: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     /// Number of connections opened to servers.
     pub connections: Counter,
@@ -71,6 +72,7 @@
             latency: Histogram::new(buckets()),
             first_event: Histogram::new(buckets()),
             moves: Family::default(),
+            sources: Family::default(),
             store_calls: Family::default(),
             connections: Counter::default(),
             engine_crashes: Counter::default(),
@@ -97,6 +99,11 @@
             self.first_event.clone(),
         );
         registry.register("moves", "Moves of generations by result", self.moves.clone());
+        registry.register(
+            "resumption_sources",
+            "Engines whose generation was about to go on elsewhere, by what was known of it there",
+            self.sources.clone(),
+        );
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
         registry.register("connections", "Connections opened to servers", self.connections.clone());
         registry.register(
@@ -154,6 +161,11 @@
         self.moves.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts an engine whose generation was about to go on elsewhere, by what was known of it there.
+    pub fn count_source(&self, result: &'static str) {
+        self.sources.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.get_or_create(&ResultLabels { result }).inc();
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -1,9 +1,12 @@
 //! Moves a running generation to another engine.
 //!
-//! If a backup engine holds an up-to-date copy of the memory, the generation resumes there at once.
-//! Otherwise the memory is copied in two passes, as in pre-copy live migration: the first pass
-//! copies most of it while the generation keeps running, and the final pass copies what was added
-//! since, after the generation has stopped. Only the final copy pauses the stream.
+//! A generation whose engine is leaving is copied in two passes, as in pre-copy live migration: the
+//! first pass copies most of its memory while the generation keeps running, and the final pass copies
+//! what was added since, after the generation has stopped. Only the final copy pauses the stream.
+//!
+//! A generation whose engine's response was lost resumes from its backup copy, after the engine was
+//! told to stop it. Backup copies serve for this only: an engine that works stops a generation but for
+//! the final copy, so that it retains the memory until the generation goes on.
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -15,7 +18,7 @@
     MoveSchedule, Placement, PlacementQuery, ResumeResult, ResumedGeneration, ServerKey,
     ServerReservation, StreamProgress, generation_resumer,
     move_schedule::COPY_SLOT_OVERHEAD,
-    moves::{ResumePermit, StopRequest},
+    moves::{self, MoveSignals, ResumePermit, ResumeSource, SourceStop, StoppedSource},
 };
 
 /// Timeout of one copy. Engines announce their shutdown about two seconds ahead.
@@ -31,11 +34,6 @@
 const TARGET_LIMIT: u32 = 8;
 /// Pause before the next attempt if no target was found or the target had no free memory.
 const TARGET_PAUSE: Duration = Duration::from_millis(30);
-/// Pause before an engine is told to stop a generation that went on elsewhere. Most engines stop it
-/// by themselves when its connection closes.
-const STOP_PAUSE: Duration = Duration::from_millis(20);
-/// Maximum number of calls that tell it.
-const STOP_CALL_LIMIT: u32 = 5;
 /// Maximum time for which a generation whose engine was lost waits until its cold backup engine
 /// tolerates another request.
 const COLD_WAIT: Duration = Duration::from_millis(1_000);
@@ -103,19 +101,18 @@
     /// End of the time slot of this generation's copy, if there is not enough time to copy all
     /// generations.
     copy_slot_end: Option<Instant>,
-    stop: StopRequest,
+    signals: MoveSignals,
 }
 
 impl GenerationMover {
-    /// Builds the move of a generation from its reserved engine. `stop` tells its relay when the
-    /// engine is asked to stop it.
+    /// Builds the move of a generation from its reserved engine.
     pub(crate) fn new(
         context: &Arc<GatewayContext>,
         request: &CallerRequest,
         reservation: &GenerationReservation,
         progress: &Arc<StreamProgress>,
         reason: MoveReason,
-        stop: &StopRequest,
+        signals: MoveSignals,
     ) -> GenerationMover {
         let server = reservation.engine.server();
         let zone = context.view().server(server).map(|state| state.record.zone.clone());
@@ -138,7 +135,7 @@
             calls: 0,
             leave,
             copy_slot_end: None,
-            stop: stop.clone(),
+            signals,
         }
     }
 
@@ -160,91 +157,95 @@
         self.context.metrics.count_move(result);
         info!(id = self.request.attempt, source = self.source_id, reason = %self.reason, result,
             calls = self.calls, is_wanted = !sender.is_closed(), "move: ended");
-        let still_runs = matches!(outcome, MoveOutcome::Resumed(_)) && !self.stop.is_open();
         // If the receiver was dropped, nobody needs the events any more. Dropping a resumed
         // response closes its connection, which ends the generation.
         drop(sender.send(outcome));
-        if still_runs && self.context.can_move(&self.request.service) {
-            self.stop_source().await;
-        }
-    }
-
-    /// Stops a generation on its source after it was resumed on its backup engine. An engine that does
-    /// not notice the closed connection would go on to work on it until it exits.
-    async fn stop_source(&self) {
-        let Some(backup) = self.backup else { return };
-        let protocol = &self.context.engine_protocol;
-        // Engines have no other call that stops a generation; the copy is not needed.
-        let call = protocol.copy_call(&self.request.attempt, backup, true);
-        tokio::time::sleep(STOP_PAUSE).await;
-        for _ in 0..STOP_CALL_LIMIT {
-            let response = call.send(self.source, COPY_TIMEOUT).await;
-            let copy = match &response {
-                Ok((status, body)) => protocol.decode_copy(*status, body),
-                Err(_) => None,
-            };
-            info!(
-                id = self.request.attempt,
-                source = self.source_id,
-                ?copy,
-                error = response.err().map(<&str>::from),
-                "move: source told to stop"
-            );
-            match copy {
-                Some(CopyResponse::Busy) => tokio::time::sleep(BUSY_PAUSE).await,
-                Some(
-                    CopyResponse::Copied { handle } | CopyResponse::NoRoom { handle: Some(handle) },
-                ) => return self.release(&handle).await,
-                Some(CopyResponse::Unknown | CopyResponse::NoRoom { handle: None }) | None => {
-                    return;
-                }
-            }
-        }
     }
 
     async fn find_outcome(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
-        match self.resume_at_backup().await {
-            ResumeResult::Resumed(resumed) => return MoveOutcome::Resumed(resumed),
-            ResumeResult::Failed => return MoveOutcome::Gone,
-            ResumeResult::NotRun => {}
-        }
-        if self.reason == MoveReason::Broken || !self.context.can_move(&self.request.service) {
-            return MoveOutcome::Stays;
+        match self.reason {
+            MoveReason::Broken => self.resume_at_backup(sender).await,
+            MoveReason::Leaving if self.context.can_move(&self.request.service) => {
+                self.try_targets(sender).await
+            }
+            MoveReason::Leaving => MoveOutcome::Stays,
         }
-        self.try_targets(sender).await
     }
 
-    /// Resumes the generation on its backup engine, unless that one is leaving too. Without an event,
-    /// nothing shows that the generation has started and that a copy of its memory exists.
-    async fn resume_at_backup(&mut self) -> ResumeResult {
+    /// Resumes the generation on its backup engine, unless that one is leaving too, after the source
+    /// was told to stop it. Without an event, nothing shows that the generation has started and that
+    /// a copy of its memory exists.
+    async fn resume_at_backup(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
         if self.progress.last_event() == self.request.last_event {
-            return ResumeResult::NotRun;
+            return MoveOutcome::Stays;
         }
         let (Some(address), Some(key)) = (self.backup, self.backup_key) else {
-            return ResumeResult::NotRun;
+            return MoveOutcome::Stays;
         };
         self.tried.insert(key);
         let Some(placement) = self.place_at_backup(key).await else {
-            return ResumeResult::NotRun;
+            return MoveOutcome::Stays;
         };
         let reservation = ServerReservation::new(&self.context, placement);
         let Some(permit) = ResumePermit::take(&self.context, &self.request) else {
-            return ResumeResult::NotRun;
+            return MoveOutcome::Stays;
         };
+        let stop = tokio::select! {
+            stop = self.stop_source(address) => stop,
+            () = sender.closed() => None,
+        };
+        let Some((stopped, copy)) = stop else { return MoveOutcome::Stays };
+        if let Some(CopyResponse::Copied { handle }) = &copy {
+            return self.resume(Some(reservation), handle, Some(permit), stopped).await;
+        }
         let resume_from = self.context.engine_protocol.resume_value(address, &self.request.attempt);
-        generation_resumer::resume(
+        let source = ResumeSource { resume_from: &resume_from, stopped };
+        let result = generation_resumer::resume(
             &self.context,
             &self.request,
             reservation,
-            &resume_from,
+            source,
             &self.progress,
             permit,
         )
-        .await
+        .await;
+        match (result, copy) {
+            (ResumeResult::Resumed(resumed), _) => MoveOutcome::Resumed(resumed),
+            (ResumeResult::Failed, _) => MoveOutcome::Gone,
+            // The backup engine has no copy, but the source retains the memory.
+            (ResumeResult::NotRun, Some(CopyResponse::NoRoom { handle: Some(handle) })) => {
+                self.resume(None, &handle, None, stopped).await
+            }
+            (ResumeResult::NotRun, _) => MoveOutcome::Stays,
+        }
+    }
+
+    /// Tells the source to stop the generation. Returns `None` if it may go on to work on it.
+    async fn stop_source(
+        &self,
+        target: SocketAddr,
+    ) -> Option<(StoppedSource, Option<CopyResponse>)> {
+        if !self.context.can_move(&self.request.service) {
+            return Some((StoppedSource::without_call(&self.context), None));
+        }
+        self.signals.stop.note_asked();
+        let stop = SourceStop {
+            context: Arc::clone(&self.context),
+            attempt: self.request.attempt.clone(),
+            source: self.source,
+            source_id: self.source_id.clone(),
+            target,
+            deadline: self.request.deadline,
+        };
+        let stopped = stop.start().wait().await;
+        if matches!(stopped, Some((_, Some(CopyResponse::Unknown)))) {
+            self.signals.stop.note_ended_before();
+        }
+        stopped
     }
 
-    /// Reserves the backup engine. If it is cold and has got enough requests for now, a generation
-    /// whose engine still works is copied elsewhere, and one whose engine was lost waits.
+    /// Reserves the backup engine. If it is cold and has got enough requests for now, the generation
+    /// waits.
     async fn place_at_backup(&self, key: ServerKey) -> Option<Placement> {
         let query = self.request.query(&self.tried);
         let give_up_at = Instant::now() + COLD_WAIT;
@@ -253,8 +254,8 @@
                 let now = self.context.clock.now();
                 let mut view = self.context.view();
                 let placement = view.place_at(key, &query, now);
-                let may_wait = self.reason == MoveReason::Broken && Instant::now() < give_up_at;
-                if placement.is_some() || !may_wait || !view.is_cold_limited(key, now) {
+                let may_wait = Instant::now() < give_up_at && view.is_cold_limited(key, now);
+                if placement.is_some() || !may_wait {
                     return placement;
                 }
             }
@@ -263,8 +264,10 @@
     }
 
     async fn try_targets(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
+        let signals = self.signals.clone();
         let has_time = tokio::select! {
             () = sender.closed() => false,
+            () = signals.engine_lost() => false,
             has_time = self.await_copy_start() => has_time,
         };
         if !has_time {
@@ -280,7 +283,11 @@
             if !self.has_time_for(&target).await {
                 return MoveOutcome::Stays;
             }
-            let first_copy = match self.copy(&target, false, sender).await {
+            let copy = tokio::select! {
+                copy = self.copy(&target, false, sender) => copy,
+                () = signals.engine_lost() => return MoveOutcome::Stays,
+            };
+            let first_copy = match copy {
                 Some(CopyResponse::Copied { handle }) => {
                     target.note_arrived();
                     if sender.is_closed() {
@@ -297,7 +304,13 @@
                     return MoveOutcome::Stays;
                 }
             };
-            let is_open = self.await_free_link(&target, sender).await;
+            let is_open = tokio::select! {
+                is_open = self.await_free_link(&target, sender) => is_open,
+                () = signals.engine_lost() => {
+                    self.release_later(first_copy);
+                    return MoveOutcome::Stays;
+                }
+            };
             if !is_open || (!was_cold && self.is_cold(&target)) {
                 info!(
                     id = self.request.attempt,
@@ -308,16 +321,23 @@
                 self.release(&first_copy).await;
                 continue;
             }
+            if sender.is_closed() {
+                self.release(&first_copy).await;
+                return MoveOutcome::Stays;
+            }
             let Some(permit) = ResumePermit::take(&self.context, &self.request) else {
                 self.release(&first_copy).await;
                 return MoveOutcome::Stays;
             };
-            return match self.copy(&target, true, sender).await {
-                Some(CopyResponse::Copied { handle }) => {
-                    self.resume(Some(target), &handle, permit).await
+            let copy = self.copy(&target, true, sender).await;
+            let stopped =
+                copy.as_ref().and_then(|copy| StoppedSource::after_final_copy(&self.context, copy));
+            return match (copy, stopped) {
+                (Some(CopyResponse::Copied { handle }), Some(stopped)) => {
+                    self.resume(Some(target), &handle, Some(permit), stopped).await
                 }
-                Some(CopyResponse::NoRoom { handle: Some(handle) }) => {
-                    self.resume(None, &handle, permit).await
+                (Some(CopyResponse::NoRoom { handle: Some(handle) }), Some(stopped)) => {
+                    self.resume(None, &handle, Some(permit), stopped).await
                 }
                 _ => MoveOutcome::Stays,
             };
@@ -480,9 +500,9 @@
         &mut self,
         target: Option<ServerReservation>,
         handle: &str,
-        permit: ResumePermit,
+        mut unused: Option<ResumePermit>,
+        stopped: StoppedSource,
     ) -> MoveOutcome {
-        let mut unused = Some(permit);
         let resume_from = self.context.engine_protocol.resume_value(self.source, handle);
         let excluded = BTreeSet::new();
         let now = self.context.clock.now();
@@ -504,7 +524,7 @@
                 &self.context,
                 &self.request,
                 reservation,
-                &resume_from,
+                ResumeSource { resume_from: &resume_from, stopped },
                 &self.progress,
                 permit,
             )
@@ -557,7 +577,7 @@
                 is_final,
             );
             if is_final {
-                self.stop.note_asked();
+                self.signals.stop.note_asked();
             }
             let asked_at = Instant::now();
             let response = call.send(self.source, COPY_TIMEOUT).await;
@@ -576,7 +596,7 @@
                 "move: copied"
             );
             if is_final && copy == Some(CopyResponse::Unknown) {
-                self.stop.note_ended_before();
+                self.signals.stop.note_ended_before();
             }
             let pause = match copy {
                 Some(CopyResponse::Busy) => BUSY_PAUSE,
@@ -591,14 +611,12 @@
     }
 
     async fn release(&self, handle: &str) {
-        let call = self.context.engine_protocol.release_call(handle);
-        if let Err(error) = call.send(self.source, COPY_TIMEOUT).await {
-            info!(
-                id = self.request.attempt,
-                handle,
-                error = <&str>::from(error),
-                "move: copy not freed"
-            );
-        }
+        moves::release(&self.context, handle, self.source).await;
+    }
+
+    /// Frees a copy without waiting for the engine, which may not answer.
+    fn release_later(&self, handle: String) {
+        let (context, source) = (Arc::clone(&self.context), self.source);
+        tokio::spawn(async move { moves::release(&context, &handle, source).await });
     }
 }
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -212,8 +212,10 @@
             events = self.events,
             "stream: engine lost"
         );
-        // The engine ends the response of a generation that is being moved.
-        let is_failure = !self.source.watcher.is_moving();
+        // The engine ends the response of a generation that is being moved, and all responses when it
+        // exits as announced.
+        let is_leaving = self.context.view().is_leaving(self.source.reservation.engine.server());
+        let is_failure = !self.source.watcher.is_moving() && !is_leaving;
         if end == RelayEnd::Broken {
             if is_failure {
                 self.source.run.note_failure();
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -7,8 +7,9 @@
 
 use crate::{
     AttemptOutcome, CallerRequest, GatewayContext, GenerationReservation, OpenResponse, RunEnd,
-    ServerReservation, StreamProgress, SystemHeaders, moves::ResumePermit, response_relay,
-    server_attempt,
+    ServerReservation, StreamProgress, SystemHeaders,
+    moves::{ResumePermit, ResumeSource},
+    response_relay, server_attempt,
 };
 
 /// Resumed generation: its engine and the response from there.
@@ -29,12 +30,12 @@
     Failed,
 }
 
-/// Asks a reserved engine to resume from the memory that `resume_from` names.
+/// Asks a reserved engine to resume a generation from `source`.
 pub async fn resume(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
     engine: ServerReservation,
-    resume_from: &str,
+    source: ResumeSource<'_>,
     progress: &StreamProgress,
     permit: ResumePermit,
 ) -> ResumeResult {
@@ -44,13 +45,19 @@
     let last_event = progress.last_event();
     let fields = SystemHeaders {
         server_id: reservation.engine.id(),
-        resume_from: Some(resume_from),
+        resume_from: Some(source.resume_from),
         backup_at: backup_at.as_deref(),
         last_event,
         is_return: permit.is_return(),
     };
     let sent_at = Instant::now();
-    info!(id = request.attempt, server = reservation.engine.id(), last_event, "stream: resuming");
+    info!(
+        id = request.attempt,
+        server = reservation.engine.id(),
+        last_event,
+        source = <&str>::from(source.stopped.state()),
+        "stream: resuming"
+    );
     let outcome = server_attempt::offer(context, request, &reservation.engine, fields).await;
     let waited_ms = sent_at.elapsed().as_millis() as u64;
     let (result, is_run) = match outcome {
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -50,6 +50,28 @@
         Ok((head.status.as_u16(), body))
     }
 
+    /// Sends the call like [`HttpCall::send`], with a timeout of its own for the connection.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HttpCall::send`].
+    pub async fn send_within(
+        &self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+        timeout: Duration,
+    ) -> Result<(u16, Bytes), ConnectionError> {
+        let connecting = ServerConnection::connect(address);
+        let connection = tokio::time::timeout(connect_timeout, connecting)
+            .await
+            .unwrap_or(Err(ConnectionError::Unreachable))?;
+        let exchange = self.exchange(connection, address);
+        let (head, body) = tokio::time::timeout(timeout, exchange)
+            .await
+            .unwrap_or(Err(ConnectionError::TimedOut))?;
+        Ok((head.status.as_u16(), body))
+    }
+
     /// Sends the call and returns the head and body of the response. Each call has a connection of
     /// its own: responses to calls echo no ID, so on a used connection a second copy of an earlier
     /// response would be taken for this one.
@@ -63,16 +85,24 @@
         timeout: Duration,
     ) -> Result<(ResponseHead, Bytes), ConnectionError> {
         let exchange = async {
-            let mut connection = ServerConnection::connect(address).await?;
-            let head = self.encode_head(address);
-            let response = connection.exchange(&head, &self.body, None).await?;
-            let body = connection.read_body(RESPONSE_LIMIT_BYTES).await?;
-            connection.close();
-            Ok((response, body))
+            let connection = ServerConnection::connect(address).await?;
+            self.exchange(connection, address).await
         };
         tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(ConnectionError::TimedOut))
     }
 
+    async fn exchange(
+        &self,
+        mut connection: ServerConnection,
+        address: SocketAddr,
+    ) -> Result<(ResponseHead, Bytes), ConnectionError> {
+        let head = self.encode_head(address);
+        let response = connection.exchange(&head, &self.body, None).await?;
+        let body = connection.read_body(RESPONSE_LIMIT_BYTES).await?;
+        connection.close();
+        Ok((response, body))
+    }
+
     fn encode_head(&self, address: SocketAddr) -> Vec<u8> {
         let mut head = format!("{} {} HTTP/1.1\r\nhost: {address}\r\n", self.method, self.path);
         if self.method == "POST" {
--- /dev/null
+++ b/crates/gateway/src/moves/move_signals.rs
@@ -0,0 +1,28 @@
+//! Signals between a stream and a move of its generation.
+
+use tokio::sync::watch;
+
+use crate::moves::StopRequest;
+
+/// Signals between a stream's relay and a move of its generation.
+#[derive(Debug, Clone)]
+pub(crate) struct MoveSignals {
+    /// Tells the relay that the engine is asked to stop the generation.
+    pub(crate) stop: StopRequest,
+    is_lost: watch::Receiver<bool>,
+}
+
+impl MoveSignals {
+    /// Builds the signals of a move. `is_lost` tells the move whether the engine's response was lost.
+    pub(crate) fn new(stop: &StopRequest, is_lost: watch::Receiver<bool>) -> MoveSignals {
+        MoveSignals { stop: stop.clone(), is_lost }
+    }
+
+    /// Waits until the engine's response was lost.
+    pub(crate) async fn engine_lost(&self) {
+        // The sender is dropped if the stream has ended, which the move learns in other ways.
+        if self.is_lost.clone().wait_for(|is_lost| *is_lost).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/moves/source_state.rs
@@ -0,0 +1,32 @@
+//! What is known of a generation at the engine before.
+
+use crate::CopyResponse;
+
+/// What is known of a generation at its engine when it is about to go on elsewhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum SourceState {
+    /// The engine has stopped it and retains its memory.
+    Stopped,
+    /// The engine has stated that it does not run it.
+    NotRunning,
+    /// Nothing listens at the engine's address, so the process has ended.
+    Exited,
+    /// The engine did not answer. It is told to stop until it does.
+    Unreached,
+    /// Engines of the service have no call that stops a generation, only closed connections.
+    NotTold,
+}
+
+impl SourceState {
+    /// Returns the state that the response to a final copy shows, if it does.
+    pub(crate) fn after_final_copy(response: &CopyResponse) -> Option<SourceState> {
+        match response {
+            CopyResponse::Copied { .. } | CopyResponse::NoRoom { handle: Some(_) } => {
+                Some(SourceState::Stopped)
+            }
+            CopyResponse::Unknown => Some(SourceState::NotRunning),
+            CopyResponse::Busy | CopyResponse::NoRoom { handle: None } => None,
+        }
+    }
+}
