Split the times of copies from the generation mover

The engine's notice, the schedule of first copies and the wait before the final one move to moves::CopyTiming, the source's key, ID, address and zone to moves::MoveSource. No decision changes.

--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -14,11 +14,13 @@
 use tracing::info;
 
 use crate::{
-    CallerRequest, CopyResponse, CopyStart, EngineReport, GatewayContext, GenerationReservation,
-    MoveSchedule, Placement, PlacementQuery, ResumeResult, ResumedGeneration, ServerKey,
-    ServerReservation, StreamProgress, generation_resumer,
-    move_schedule::COPY_SLOT_OVERHEAD,
-    moves::{self, MoveSignals, ResumePermit, ResumeSource, SourceStop, StoppedSource},
+    CallerRequest, CopyResponse, GatewayContext, GenerationReservation, Placement, PlacementQuery,
+    ResumeResult, ResumedGeneration, ServerKey, ServerReservation, StreamProgress,
+    generation_resumer,
+    moves::{
+        self, CopyTiming, MoveSignals, MoveSource, ResumePermit, ResumeSource, SourceStop,
+        StoppedSource,
+    },
 };
 
 /// Timeout of one copy. Engines announce their shutdown about two seconds ahead.
@@ -27,9 +29,6 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 /// Pause before a copy is requested again if the generation has not started.
 const UNSTARTED_PAUSE: Duration = Duration::from_millis(80);
-/// Time over which VMs spread the start of their moves from an engine whose report is not
-/// available.
-const START_SPREAD: Duration = Duration::from_millis(160);
 /// Maximum number of attempts to find a target.
 const TARGET_LIMIT: u32 = 8;
 /// Pause before the next attempt if no target was found or the target had no free memory.
@@ -44,16 +43,6 @@
 const RETURN_TIME: Duration = Duration::from_millis(1_900);
 /// Maximum number of copy calls, over all targets.
 const CALL_LIMIT: u32 = 40;
-/// Assumed age of an engine's report.
-const REPORT_LAG: Duration = Duration::from_millis(600);
-/// Time before an engine's shutdown that is reserved for the final copies of all its generations.
-const LAST_COPIES_TIME: Duration = Duration::from_millis(300);
-/// Shortest time between the announcement and the shutdown of an engine.
-const SHORTEST_NOTICE: Duration = Duration::from_millis(1_500);
-/// Pause before an engine is asked again when it shuts down.
-const ASK_PAUSE: Duration = Duration::from_millis(120);
-/// Timeout of a request for an engine's report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Why a generation is moved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
@@ -75,32 +64,18 @@
     Gone,
 }
 
-/// Time at which the engine shuts down.
-#[derive(Debug, Clone, Copy)]
-struct LeaveTime {
-    at: Instant,
-    /// Whether the engine reported the time; otherwise it is estimated from the shortest notice.
-    is_known: bool,
-}
-
 /// Move of one generation.
 pub struct GenerationMover {
     context: Arc<GatewayContext>,
     request: CallerRequest,
     progress: Arc<StreamProgress>,
     reason: MoveReason,
-    source: SocketAddr,
-    source_id: String,
-    source_key: ServerKey,
-    source_zone: String,
+    source: MoveSource,
     backup: Option<SocketAddr>,
     backup_key: Option<ServerKey>,
     tried: BTreeSet<ServerKey>,
     calls: u32,
-    leave: LeaveTime,
-    /// End of the time slot of this generation's copy, if there is not enough time to copy all
-    /// generations.
-    copy_slot_end: Option<Instant>,
+    timing: CopyTiming,
     signals: MoveSignals,
 }
 
@@ -114,27 +89,18 @@
         reason: MoveReason,
         signals: MoveSignals,
     ) -> GenerationMover {
-        let server = reservation.engine.server();
-        let zone = context.view().server(server).map(|state| state.record.zone.clone());
-        let now = context.clock.now();
-        let elapsed = context.view().leaving_for(server, now).unwrap_or_default();
-        let left = SHORTEST_NOTICE.saturating_sub(elapsed);
-        let leave = LeaveTime { at: Instant::now() + left, is_known: false };
+        let source = MoveSource::new(context, &reservation.engine);
         GenerationMover {
             context: Arc::clone(context),
             request: request.clone(),
             progress: Arc::clone(progress),
             reason,
-            source: reservation.engine.address(),
-            source_id: reservation.engine.id().to_owned(),
-            source_key: server,
-            source_zone: zone.unwrap_or_default(),
             backup: reservation.backup.as_ref().map(ServerReservation::address),
             backup_key: reservation.backup.as_ref().map(ServerReservation::server),
-            tried: BTreeSet::from([server]),
+            tried: BTreeSet::from([source.server]),
             calls: 0,
-            leave,
-            copy_slot_end: None,
+            timing: CopyTiming::new(context, request, progress, &source),
+            source,
             signals,
         }
     }
@@ -155,7 +121,7 @@
             MoveOutcome::Gone => "gone",
         };
         self.context.metrics.count_move(result);
-        info!(id = self.request.attempt, source = self.source_id, reason = %self.reason, result,
+        info!(id = self.request.attempt, source = self.source.id, reason = %self.reason, result,
             calls = self.calls, is_wanted = !sender.is_closed(), "move: ended");
         // If the receiver was dropped, nobody needs the events any more. Dropping a resumed
         // response closes its connection, which ends the generation.
@@ -232,8 +198,8 @@
         let stop = SourceStop {
             context: Arc::clone(&self.context),
             attempt: self.request.attempt.clone(),
-            source: self.source,
-            source_id: self.source_id.clone(),
+            source: self.source.address,
+            source_id: self.source.id.clone(),
             target,
             deadline: self.request.deadline,
         };
@@ -268,7 +234,7 @@
         let has_time = tokio::select! {
             () = sender.closed() => false,
             () = signals.engine_lost() => false,
-            has_time = self.await_copy_start() => has_time,
+            has_time = self.timing.await_copy_start() => has_time,
         };
         if !has_time {
             return MoveOutcome::Stays;
@@ -280,7 +246,7 @@
             };
             self.tried.insert(target.server());
             let was_cold = self.is_cold(&target);
-            if !self.has_time_for(&target).await {
+            if !self.timing.has_time_for(&target).await {
                 return MoveOutcome::Stays;
             }
             let copy = tokio::select! {
@@ -345,95 +311,6 @@
         MoveOutcome::Stays
     }
 
-    /// Waits until the first copy should start. Returns whether there is time for it.
-    async fn await_copy_start(&mut self) -> bool {
-        loop {
-            match self.find_copy_start().await {
-                CopyStart::After(delay) => {
-                    tokio::time::sleep(delay).await;
-                    return true;
-                }
-                CopyStart::NoTime if self.leave.is_known || self.first_copies_time().is_zero() => {
-                    return false;
-                }
-                CopyStart::NoTime => tokio::time::sleep(ASK_PAUSE).await,
-            }
-        }
-    }
-
-    /// Determines when the first copy should start.
-    async fn find_copy_start(&mut self) -> CopyStart {
-        let engine = self.context.view().engine_spec(&self.request.service);
-        let (Some(report), Some(engine)) = (self.ask_report().await, engine) else {
-            // A random delay lets each VM see the choices of those that started earlier.
-            return CopyStart::After(START_SPREAD.mul_f64(rand::random()));
-        };
-        let now = self.context.clock.now();
-        let (elapsed, near) = {
-            let view = self.context.view();
-            let near = view.fraction_fitting_in_zone(&self.request.service, &self.source_zone, now);
-            (view.leaving_for(self.source_key, now).unwrap_or_default(), near)
-        };
-        let schedule = MoveSchedule {
-            generations: &report.generations,
-            // Copies to other zones take twice as long.
-            token_time: engine.token_copy_time.mul_f64(2.0 - near),
-            time: elapsed + self.first_copies_time(),
-        };
-        let start = match schedule.copy_start(&self.request.attempt) {
-            CopyStart::After(delay) => CopyStart::After(delay.saturating_sub(elapsed)),
-            start => start,
-        };
-        self.copy_slot_end = None;
-        if let CopyStart::After(delay) = start
-            && schedule.is_tight()
-        {
-            let copy_time = schedule.copy_time(self.memory_tokens());
-            self.copy_slot_end = Some(Instant::now() + delay + copy_time + COPY_SLOT_OVERHEAD);
-        }
-        info!(
-            id = self.request.attempt,
-            source = self.source_id,
-            left_ms = (self.leave.at - Instant::now()).as_millis() as u64,
-            is_known = self.leave.is_known,
-            runs = report.generations.len(),
-            tokens = report.generations.iter().map(|run| run.tokens).sum::<u64>(),
-            near,
-            turn = ?start,
-            "move: planned"
-        );
-        start
-    }
-
-    /// Returns the time left for first copies. A first copy that ends later would delay the final
-    /// copies of other generations past the engine's shutdown.
-    fn first_copies_time(&self) -> Duration {
-        (self.leave.at - Instant::now()).saturating_sub(LAST_COPIES_TIME)
-    }
-
-    /// Returns whether the memory can be copied to a target in time.
-    async fn has_time_for(&mut self, target: &ServerReservation) -> bool {
-        let engine = self.context.view().engine_spec(&self.request.service);
-        let token_time = engine.map_or(Duration::ZERO, |engine| engine.token_copy_time);
-        let time = token_time.mul_f64(target.arriving_tokens() as f64);
-        if time > self.first_copies_time() && !self.leave.is_known {
-            self.ask_report().await;
-        }
-        let left = self.first_copies_time();
-        let has_time = time <= left;
-        if !has_time {
-            info!(
-                id = self.request.attempt,
-                source = self.source_id,
-                target = target.id(),
-                time_ms = time.as_millis() as u64,
-                left_ms = left.as_millis() as u64,
-                "move: no time for the copy"
-            );
-        }
-        has_time
-    }
-
     /// Waits until the final copy, during which the generation is stopped, will not be delayed by
     /// first copies of other generations. If there is not enough time for all generations, a final
     /// copy within its time slot starts at once, since a late first copy of another generation
@@ -447,18 +324,9 @@
         sender: &mut oneshot::Sender<MoveOutcome>,
     ) -> bool {
         let mut changes = self.context.changes.subscribe();
-        if self.copy_slot_end.is_some_and(|end| Instant::now() <= end) {
+        let Some(wait) = self.timing.final_copy_wait().await else {
             return !self.context.view().is_closed(target.server());
-        }
-        if !self.leave.is_known {
-            self.ask_report().await;
-        }
-        let wait = self.first_copies_time();
-        info!(
-            id = self.request.attempt,
-            wait_ms = wait.as_millis() as u64,
-            "move: waits for the last copy"
-        );
+        };
         let wait_end = Instant::now() + wait;
         while !self.context.view().is_closed(target.server()) {
             tokio::select! {
@@ -479,21 +347,6 @@
         self.context.view().server(target.server()).is_some_and(|state| state.is_cold(now))
     }
 
-    /// Requests the engine's report, and updates the time of its shutdown if the report states it.
-    async fn ask_report(&mut self) -> Option<EngineReport> {
-        let call = self.context.engine_protocol.report_call();
-        let response = call.send(self.source, REPORT_TIMEOUT).await;
-        let report = match response {
-            Ok((200, body)) => self.context.engine_protocol.decode_report(&body)?,
-            Ok(_) | Err(_) => return None,
-        };
-        if let Some(left) = report.leaves_in {
-            let at = Instant::now() + left.saturating_sub(REPORT_LAG);
-            self.leave = LeaveTime { at, is_known: true };
-        }
-        Some(report)
-    }
-
     /// Resumes a stopped generation on the target or, failing that, on the source, which still
     /// holds the memory.
     async fn resume(
@@ -503,21 +356,21 @@
         mut unused: Option<ResumePermit>,
         stopped: StoppedSource,
     ) -> MoveOutcome {
-        let resume_from = self.context.engine_protocol.resume_value(self.source, handle);
+        let resume_from = self.context.engine_protocol.resume_value(self.source.address, handle);
         let excluded = BTreeSet::new();
         let now = self.context.clock.now();
         let query = self.request.query(&excluded);
         let source = {
             let mut view = self.context.view();
             let may_return =
-                view.leaving_for(self.source_key, now).is_none_or(|time| time < RETURN_TIME);
-            may_return.then(|| view.reserve_leaving(self.source_key, &query, now)).flatten()
+                view.leaving_for(self.source.server, now).is_none_or(|time| time < RETURN_TIME);
+            may_return.then(|| view.reserve_leaving(self.source.server, &query, now)).flatten()
         };
         let source = source.map(|placement| ServerReservation::new(&self.context, placement));
         for reservation in [target, source].into_iter().flatten() {
             let permit = unused.take().or_else(|| ResumePermit::take(&self.context, &self.request));
             let Some(mut permit) = permit else { break };
-            if reservation.server() == self.source_key {
+            if reservation.server() == self.source.server {
                 permit = permit.for_return();
             }
             let result = generation_resumer::resume(
@@ -538,19 +391,11 @@
         MoveOutcome::Gone
     }
 
-    /// Returns the number of tokens in the generation's memory.
-    fn memory_tokens(&self) -> u64 {
-        let engine = self.context.view().engine_spec(&self.request.service);
-        let per_event = engine.map_or(1, |engine| u64::from(engine.tokens_per_event));
-        let events = self.progress.last_event().map_or(0, |last| last + 1);
-        self.request.demand.prompt_tokens + events * per_event
-    }
-
     fn place(&self) -> Option<ServerReservation> {
         let now = self.context.clock.now();
         let query = PlacementQuery {
-            preferred_zone: Some(&self.source_zone),
-            moved_tokens: self.memory_tokens(),
+            preferred_zone: Some(&self.source.zone),
+            moved_tokens: self.timing.memory_tokens(),
             spread_seed: Some(rand::random()),
             ..self.request.query(&self.tried)
         };
@@ -580,7 +425,7 @@
                 self.signals.stop.note_asked();
             }
             let asked_at = Instant::now();
-            let response = call.send(self.source, COPY_TIMEOUT).await;
+            let response = call.send(self.source.address, COPY_TIMEOUT).await;
             let took_ms = asked_at.elapsed().as_millis() as u64;
             let copy = match &response {
                 Ok((status, body)) => self.context.engine_protocol.decode_copy(*status, body),
@@ -604,19 +449,19 @@
                 other => return other,
             };
             tokio::time::sleep(pause).await;
-            if !is_final && !self.has_time_for(target).await {
+            if !is_final && !self.timing.has_time_for(target).await {
                 return None;
             }
         }
     }
 
     async fn release(&self, handle: &str) {
-        moves::release(&self.context, handle, self.source).await;
+        moves::release(&self.context, handle, self.source.address).await;
     }
 
     /// Frees a copy without waiting for the engine, which may not answer.
     fn release_later(&self, handle: String) {
-        let (context, source) = (Arc::clone(&self.context), self.source);
+        let (context, source) = (Arc::clone(&self.context), self.source.address);
         tokio::spawn(async move { moves::release(&context, &handle, source).await });
     }
 }
--- a/crates/gateway/src/moves/mod.rs
+++ b/crates/gateway/src/moves/mod.rs
@@ -1,6 +1,8 @@
 //! Moves of running generations between engines.
 
+mod copy_timing;
 mod move_signals;
+mod move_source;
 mod resume_permit;
 mod resume_source;
 mod source_state;
@@ -9,7 +11,9 @@
 mod stopped_source;
 
 pub(crate) use self::{
+    copy_timing::CopyTiming,
     move_signals::MoveSignals,
+    move_source::MoveSource,
     resume_permit::ResumePermit,
     resume_source::ResumeSource,
     source_state::SourceState,
