Bound the calls and log lines of a stop that is not answered

An engine out of reach was called every 50 ms (200 ms if its packets are lost) for each of its generations, with a log line each. The pause doubles up to 200 ms now, so that an engine which can be reached again is still told within the 400 ms of the rule, and only the first call and the answered one are logged. move: copy not freed names its request again.

--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -456,12 +456,14 @@
     }
 
     async fn release(&self, handle: &str) {
-        moves::release(&self.context, handle, self.source.address).await;
+        let attempt = &self.request.attempt;
+        moves::release(&self.context, attempt, handle, self.source.address).await;
     }
 
     /// Frees a copy without waiting for the engine, which may not answer.
     fn release_later(&self, handle: String) {
         let (context, source) = (Arc::clone(&self.context), self.source.address);
-        tokio::spawn(async move { moves::release(&context, &handle, source).await });
+        let attempt = self.request.attempt.clone();
+        tokio::spawn(async move { moves::release(&context, &attempt, &handle, source).await });
     }
 }
--- a/crates/gateway/src/moves/source_stop.rs
+++ b/crates/gateway/src/moves/source_stop.rs
@@ -31,8 +31,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of one call. The answer comes when the memory is copied.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_800);
-/// Pause between two calls.
-const CALL_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after the first call. It doubles with each further one.
+const FIRST_CALL_PAUSE: Duration = Duration::from_millis(25);
+/// Longest pause between two calls.
+const LONGEST_CALL_PAUSE: Duration = Duration::from_millis(200);
 
 /// Stop of a generation at its engine.
 pub(crate) struct SourceStop {
@@ -86,24 +88,28 @@
     }
 
     async fn run(self, sender: oneshot::Sender<StopAnswer>, has_answered: Arc<AtomicBool>) {
+        let mut pause = FIRST_CALL_PAUSE;
+        let mut calls = 0;
         while Instant::now() < self.deadline {
-            let Some(answer) = self.call(&has_answered).await else {
-                tokio::time::sleep(CALL_PAUSE).await;
+            calls += 1;
+            let Some(answer) = self.call(calls, &has_answered).await else {
+                tokio::time::sleep(pause).await;
+                pause = LONGEST_CALL_PAUSE.min(pause * 2);
                 continue;
             };
             // If nobody waits any more, the generation went on without the copy.
             if let Err(answer) = sender.send(answer)
                 && let Some(handle) = answer.handle()
             {
-                release(&self.context, &handle, self.source).await;
+                release(&self.context, &self.attempt, &handle, self.source).await;
             }
             return;
         }
-        info!(id = self.attempt, source = self.source_id, "move: source never told");
+        info!(id = self.attempt, source = self.source_id, calls, "move: source never told");
     }
 
     /// Tells the engine once. Returns its answer if it shows that the generation does not run there.
-    async fn call(&self, has_answered: &AtomicBool) -> Option<StopAnswer> {
+    async fn call(&self, number: u32, has_answered: &AtomicBool) -> Option<StopAnswer> {
         let protocol = &self.context.engine_protocol;
         let call = protocol.copy_call(&self.attempt, self.target, true);
         let response = call.send_within(self.source, CONNECT_TIMEOUT, CALL_TIMEOUT).await;
@@ -114,18 +120,23 @@
             }
             Err(error) => (None, Some(error)),
         };
-        info!(
-            id = self.attempt,
-            source = self.source_id,
-            ?copy,
-            error = error.map(<&str>::from),
-            "move: source told to stop"
-        );
         let state = match (&copy, error) {
-            (_, Some(ConnectionError::NotListening)) => SourceState::Exited,
-            (Some(copy), _) => SourceState::after_final_copy(copy)?,
-            (None, _) => return None,
+            (_, Some(ConnectionError::NotListening)) => Some(SourceState::Exited),
+            (Some(copy), _) => SourceState::after_final_copy(copy),
+            (None, _) => None,
         };
+        // An engine that stays out of reach is called for as long as the request may run.
+        if state.is_some() || number == 1 {
+            info!(
+                id = self.attempt,
+                source = self.source_id,
+                number,
+                ?copy,
+                error = error.map(<&str>::from),
+                "move: source told to stop"
+            );
+        }
+        let state = state?;
         Some(StopAnswer { state, copy })
     }
 }
@@ -148,10 +159,15 @@
     }
 }
 
-/// Frees a copy at the engine that made it.
-pub(crate) async fn release(context: &GatewayContext, handle: &str, source: SocketAddr) {
+/// Frees a copy of a generation's memory at the engine that made it.
+pub(crate) async fn release(
+    context: &GatewayContext,
+    attempt: &str,
+    handle: &str,
+    source: SocketAddr,
+) {
     let call = context.engine_protocol.release_call(handle);
     if let Err(error) = call.send(source, CALL_TIMEOUT).await {
-        info!(handle, error = <&str>::from(error), "move: copy not freed");
+        info!(id = attempt, handle, error = <&str>::from(error), "move: copy not freed");
     }
 }
