tests: reproduce streams that a stop without an answer ends or cuts

An engine is told to stop a generation before it is known whether the backup copy holds, and is told on after the stream has stayed with it.

The stand-in can take longer for copies, and its relays can hold or discard the bytes of all connections. No check or bound of another test changes.

--- a/tests/all/resumptions.rs
+++ b/tests/all/resumptions.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dragonflycart_standins::{CallerResponse, FinalCopy, ResumptionFault, UnframedOptions};
+use dragonflycart_testkit::RelayMode;
 
 use crate::support::unframed_fleet::{
     LAST_EVENT, NOTICE, OVERLAP_ALLOWED, UnframedFleet, event_ids,
@@ -19,6 +20,10 @@
 const UNREACHABLE_TIME: Duration = Duration::from_millis(1_500);
 /// Silence for which the engine counts as lost: more than four times the route's pause target.
 const SHORT_SILENCE: Duration = Duration::from_millis(1_200);
+/// Duration of a copy for which a generation does not wait.
+const SLOW_COPY: Duration = Duration::from_millis(500);
+/// Time for which an engine drops what it is sent.
+const DARK_TIME: Duration = Duration::from_millis(1_000);
 /// Silence that outlasts all streams.
 const LASTING_SILENCE: Duration = Duration::from_secs(60);
 
@@ -214,3 +219,72 @@
     assert_whole(&response);
     unframed.close();
 }
+
+/// Guards against a stream whose engine was stopped without an answer, whose backup copy is refused,
+/// and which then ends as if it were complete (ORDER).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_whose_engine_stops_without_an_answer_does_not_end_as_complete() {
+    let mut unframed = start_without_backups("stopped-lost", FinalCopy::Lost).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.engines[source].silence_streams(SHORT_SILENCE);
+    let response = unframed.wait_end(response).await;
+
+    let count = event_ids(&response).len() as u64;
+    println!("{count} events, complete: {}", response.is_complete);
+    assert!(!response.is_complete || count == LAST_EVENT + 1, "{count} events look complete");
+    unframed.close();
+}
+
+/// Guards against a stream that is lost because its engine was silent for a short time and is still
+/// told to stop it after its backup copy was refused (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_of_an_engine_that_halts_for_a_short_time_is_whole_if_its_backup_is_refused() {
+    let mut unframed = UnframedFleet::start_without_backups_behind_relays("refused-halted").await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.set_mode(source, RelayMode::Stall);
+    unframed.wait(SHORT_SILENCE).await;
+    unframed.set_mode(source, RelayMode::Pass);
+    let response = unframed.wait_end(response).await;
+
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against a stream that is lost because its engine was silent for a short time, its backup
+/// copy was refused, and the copy that its engine retains was freed as it took long (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_whose_final_copy_is_slow_is_whole_if_its_backup_is_refused() {
+    let mut unframed = start_without_backups("refused-slow", FinalCopy::Copied).await;
+    let (source, response) = unframed.start_stream().await;
+
+    for engine in &unframed.engines {
+        engine.slow_copies(SLOW_COPY);
+    }
+    unframed.engines[source].silence_streams(SHORT_SILENCE);
+    let response = unframed.wait_end(response).await;
+
+    assert_whole(&response);
+    unframed.close();
+}
+
+/// Guards against an engine that works on a generation which goes on elsewhere, because the call
+/// that tells it to stop is still waited for when the engine can be reached again (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_that_drops_the_stop_call_is_told_when_it_can_be_reached_again() {
+    let mut unframed =
+        UnframedFleet::start_behind_relays("resumed-dark", ResumptionFault::None).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.set_mode(source, RelayMode::Discard);
+    unframed.wait_until(|engines| engines.iter().any(|engine| !engine.resumed().is_empty())).await;
+    tokio::time::sleep(DARK_TIME).await;
+    unframed.set_mode(source, RelayMode::Pass);
+    let reachable_at = Instant::now();
+    unframed.wait_end(response).await;
+    unframed.wait_idle().await;
+
+    assert_overlap_allowed(&unframed, reachable_at);
+    unframed.close();
+}
--- a/tests/all/support/unframed_fleet.rs
+++ b/tests/all/support/unframed_fleet.rs
@@ -63,6 +63,13 @@
         UnframedFleet::start_all(name, backup_options(fault), 3, 0.0, true).await
     }
 
+    /// Starts three engines that hold no backup copies, with a relay before each one.
+    pub(crate) async fn start_without_backups_behind_relays(name: &str) -> UnframedFleet {
+        let options =
+            UnframedOptions { keeps_backups: false, ..backup_options(ResumptionFault::None) };
+        UnframedFleet::start_all(name, options, 3, 0.0, true).await
+    }
+
     /// Starts some engines, of which cold ones may get `cold_rate` requests per second.
     pub(crate) async fn start_with(
         name: &str,
@@ -192,6 +199,11 @@
         self.relays[index].apply(RelayCommand { scope: RelayScope::New, mode });
     }
 
+    /// Changes what happens to the bytes of all connections to an engine.
+    pub(crate) fn set_mode(&self, index: usize, mode: RelayMode) {
+        self.relays[index].apply(RelayCommand { scope: RelayScope::All, mode });
+    }
+
     /// Returns the longest time after `since` for which two engines worked on the generation that was
     /// resumed.
     pub(crate) fn overlap_since(&self, since: Instant) -> Duration {
