Keep the memory of a stopped generation until it has gone on

A stop was begun without knowing whether the backup copy holds.

The stop now belongs to the stream's watcher (SourceStop), and its calls run beside each other, a new one at most 200 ms after the last. The memory is freed only when the stream has ended or gone on elsewhere; a generation whose backup is refused waits for open calls and returns to its source. A stop is suspended while the stream stays, and ends when the engine is no longer registered. Only a 404 to the first call ever made shows that the generation had ended before.

A fifth test guards the end of a move whose response was lost while it waited for its turn; the line had no test.

--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -1,13 +1,13 @@
 //! Watches the engine of a running generation and moves the generation when the engine leaves.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use tokio::sync::{oneshot, watch};
 
 use crate::{
     CallerRequest, GatewayContext, GenerationMover, GenerationReservation, MoveOutcome, MoveReason,
     StreamProgress,
-    moves::{MoveSignals, StopRequest},
+    moves::{MoveSignals, SourceStop, StopRequest},
 };
 
 /// Maximum number of moves started for one generation while it stays on the same engine.
@@ -20,6 +20,7 @@
     moving: Option<oneshot::Receiver<MoveOutcome>>,
     started: u32,
     stop: StopRequest,
+    source_stop: Arc<OnceLock<SourceStop>>,
     /// Whether the engine's response was lost.
     is_lost: watch::Sender<bool>,
 }
@@ -35,6 +36,7 @@
             moving: None,
             started: 0,
             stop: StopRequest::default(),
+            source_stop: Arc::default(),
             is_lost: watch::Sender::new(false),
         }
     }
@@ -107,7 +109,7 @@
         reason: MoveReason,
     ) {
         self.started += 1;
-        let signals = MoveSignals::new(&self.stop, self.is_lost.subscribe());
+        let signals = MoveSignals::new(&self.stop, &self.source_stop, self.is_lost.subscribe());
         let mover =
             GenerationMover::new(&self.context, request, reservation, progress, reason, signals);
         self.moving = Some(mover.start());
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -19,7 +19,7 @@
     generation_resumer,
     moves::{
         self, CopyTiming, MoveSignals, MoveSource, ResumePermit, ResumeSource, SourceStop,
-        StoppedSource,
+        StopCalls, StoppedSource,
     },
 };
 
@@ -140,7 +140,8 @@
 
     /// Resumes the generation on its backup engine, unless that one is leaving too, after the source
     /// was told to stop it. Without an event, nothing shows that the generation has started and that
-    /// a copy of its memory exists.
+    /// a copy of its memory exists. If the backup engine has none, the generation returns to the
+    /// source with the memory that this one retains.
     async fn resume_at_backup(&mut self, sender: &mut oneshot::Sender<MoveOutcome>) -> MoveOutcome {
         if self.progress.last_event() == self.request.last_event {
             return MoveOutcome::Stays;
@@ -150,19 +151,20 @@
         };
         self.tried.insert(key);
         let Some(placement) = self.place_at_backup(key).await else {
-            return MoveOutcome::Stays;
+            return self.return_to_source().await;
         };
         let reservation = ServerReservation::new(&self.context, placement);
         let Some(permit) = ResumePermit::take(&self.context, &self.request) else {
             return MoveOutcome::Stays;
         };
-        let stop = tokio::select! {
-            stop = self.stop_source(address) => stop,
-            () = sender.closed() => None,
+        let stopped = tokio::select! {
+            stopped = self.stop_source(address) => stopped,
+            () = sender.closed() => return MoveOutcome::Stays,
         };
-        let Some((stopped, copy)) = stop else { return MoveOutcome::Stays };
-        if let Some(CopyResponse::Copied { handle }) = &copy {
-            return self.resume(Some(reservation), handle, Some(permit), stopped).await;
+        let Some(stopped) = stopped else { return self.stay() };
+        let retained = self.signals.source_stop.get().and_then(SourceStop::answer);
+        if let Some(CopyResponse::Copied { handle }) = retained.and_then(|answer| answer.copy) {
+            return self.resume_retained(Some(reservation), &handle, Some(permit), stopped).await;
         }
         let resume_from = self.context.engine_protocol.resume_value(address, &self.request.attempt);
         let source = ResumeSource { resume_from: &resume_from, stopped };
@@ -175,41 +177,74 @@
             permit,
         )
         .await;
-        match (result, copy) {
-            (ResumeResult::Resumed(resumed), _) => MoveOutcome::Resumed(resumed),
-            (ResumeResult::Failed, _) => MoveOutcome::Gone,
-            // The backup engine has no copy, but the source retains the memory.
-            (ResumeResult::NotRun, Some(CopyResponse::NoRoom { handle: Some(handle) })) => {
-                self.resume(None, &handle, None, stopped).await
-            }
-            (ResumeResult::NotRun, _) => MoveOutcome::Stays,
+        match result {
+            ResumeResult::Resumed(resumed) => MoveOutcome::Resumed(resumed),
+            ResumeResult::Failed => MoveOutcome::Gone,
+            ResumeResult::NotRun => self.return_to_source().await,
         }
     }
 
     /// Tells the source to stop the generation. Returns `None` if it may go on to work on it.
-    async fn stop_source(
-        &self,
-        target: SocketAddr,
-    ) -> Option<(StoppedSource, Option<CopyResponse>)> {
+    async fn stop_source(&self, target: SocketAddr) -> Option<StoppedSource> {
         if !self.context.can_move(&self.request.service) {
-            return Some((StoppedSource::without_call(&self.context), None));
+            return Some(StoppedSource::without_call(&self.context));
         }
+        let was_asked = self.signals.stop.is_open();
         self.signals.stop.note_asked();
-        let stop = SourceStop {
-            context: Arc::clone(&self.context),
-            attempt: self.request.attempt.clone(),
-            source: self.source.address,
-            source_id: self.source.id.clone(),
-            target,
-            deadline: self.request.deadline,
-        };
-        let stopped = stop.start().wait().await;
-        if matches!(stopped, Some((_, Some(CopyResponse::Unknown)))) {
+        let stop = self.signals.source_stop.get_or_init(|| {
+            SourceStop::start(StopCalls {
+                context: Arc::clone(&self.context),
+                attempt: self.request.attempt.clone(),
+                server: self.source.server,
+                source_id: self.source.id.clone(),
+                source: self.source.address,
+                target,
+                deadline: self.request.deadline,
+            })
+        });
+        let stopped = stop.wait_stopped(&self.context).await;
+        let ended_before = stop
+            .answer()
+            .is_some_and(|answer| answer.is_first && answer.copy == Some(CopyResponse::Unknown));
+        if ended_before && !was_asked {
             self.signals.stop.note_ended_before();
         }
         stopped
     }
 
+    /// Returns a generation to its source, if that one has stopped it and retains its memory.
+    async fn return_to_source(&mut self) -> MoveOutcome {
+        let Some(stop) = self.signals.source_stop.get().cloned() else { return MoveOutcome::Stays };
+        let Some(handle) = stop.wait_retained().await else { return self.stay() };
+        let stopped = StoppedSource::after_retention(&self.context);
+        self.resume_retained(None, &handle, None, stopped).await
+    }
+
+    /// Resumes a generation from memory that its source retains after a stop.
+    async fn resume_retained(
+        &mut self,
+        target: Option<ServerReservation>,
+        handle: &str,
+        permit: Option<ResumePermit>,
+        stopped: StoppedSource,
+    ) -> MoveOutcome {
+        let outcome = self.resume(target, handle, permit, stopped).await;
+        if matches!(outcome, MoveOutcome::Resumed(_))
+            && let Some(stop) = self.signals.source_stop.get()
+        {
+            stop.note_used();
+        }
+        outcome
+    }
+
+    /// Leaves the generation at its source. A stop that was begun is not repeated for now.
+    fn stay(&self) -> MoveOutcome {
+        if let Some(stop) = self.signals.source_stop.get() {
+            stop.suspend();
+        }
+        MoveOutcome::Stays
+    }
+
     /// Reserves the backup engine. If it is cold and has got enough requests for now, the generation
     /// waits.
     async fn place_at_backup(&self, key: ServerKey) -> Option<Placement> {
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -50,21 +50,18 @@
         Ok((head.status.as_u16(), body))
     }
 
-    /// Sends the call like [`HttpCall::send`], with a timeout of its own for the connection.
+    /// Sends the call on a new connection to `address` and returns the status and body of the
+    /// response.
     ///
     /// # Errors
     ///
     /// As for [`HttpCall::send`].
-    pub async fn send_within(
+    pub async fn send_on(
         &self,
+        connection: ServerConnection,
         address: SocketAddr,
-        connect_timeout: Duration,
         timeout: Duration,
     ) -> Result<(u16, Bytes), ConnectionError> {
-        let connecting = ServerConnection::connect(address);
-        let connection = tokio::time::timeout(connect_timeout, connecting)
-            .await
-            .unwrap_or(Err(ConnectionError::Unreachable))?;
         let exchange = self.exchange(connection, address);
         let (head, body) = tokio::time::timeout(timeout, exchange)
             .await
--- a/crates/gateway/src/moves/mod.rs
+++ b/crates/gateway/src/moves/mod.rs
@@ -7,6 +7,7 @@
 mod resume_source;
 mod source_state;
 mod source_stop;
+mod stop_progress;
 mod stop_request;
 mod stopped_source;
 
@@ -17,7 +18,8 @@
     resume_permit::ResumePermit,
     resume_source::ResumeSource,
     source_state::SourceState,
-    source_stop::{SourceStop, release},
+    source_stop::{SourceStop, StopCalls, release},
+    stop_progress::{StopAnswer, StopProgress},
     stop_request::StopRequest,
     stopped_source::StoppedSource,
 };
--- a/crates/gateway/src/moves/move_signals.rs
+++ b/crates/gateway/src/moves/move_signals.rs
@@ -1,21 +1,30 @@
 //! Signals between a stream and a move of its generation.
 
+use std::sync::{Arc, OnceLock};
+
 use tokio::sync::watch;
 
-use crate::moves::StopRequest;
+use crate::moves::{SourceStop, StopRequest};
 
 /// Signals between a stream's relay and a move of its generation.
 #[derive(Debug, Clone)]
 pub(crate) struct MoveSignals {
     /// Tells the relay that the engine is asked to stop the generation.
     pub(crate) stop: StopRequest,
+    /// Stop of a generation whose response was lost, once it was begun. A stream that stays at its
+    /// engine may need its outcome later.
+    pub(crate) source_stop: Arc<OnceLock<SourceStop>>,
     is_lost: watch::Receiver<bool>,
 }
 
 impl MoveSignals {
     /// Builds the signals of a move. `is_lost` tells the move whether the engine's response was lost.
-    pub(crate) fn new(stop: &StopRequest, is_lost: watch::Receiver<bool>) -> MoveSignals {
-        MoveSignals { stop: stop.clone(), is_lost }
+    pub(crate) fn new(
+        stop: &StopRequest,
+        source_stop: &Arc<OnceLock<SourceStop>>,
+        is_lost: watch::Receiver<bool>,
+    ) -> MoveSignals {
+        MoveSignals { stop: stop.clone(), source_stop: Arc::clone(source_stop), is_lost }
     }
 
     /// Waits until the engine's response was lost.
--- a/crates/gateway/src/moves/stopped_source.rs
+++ b/crates/gateway/src/moves/stopped_source.rs
@@ -23,6 +23,11 @@
         StoppedSource::new(context, SourceState::NotTold)
     }
 
+    /// Returns the proof for a generation whose memory its engine retains after it was stopped.
+    pub(crate) fn after_retention(context: &GatewayContext) -> StoppedSource {
+        StoppedSource::new(context, SourceState::Stopped)
+    }
+
     pub(super) fn new(context: &GatewayContext, state: SourceState) -> StoppedSource {
         context.metrics.count_source(state.into());
         StoppedSource { state }
--- a/tests/all/resumptions.rs
+++ b/tests/all/resumptions.rs
@@ -24,6 +24,12 @@
 const SLOW_COPY: Duration = Duration::from_millis(500);
 /// Time for which an engine drops what it is sent.
 const DARK_TIME: Duration = Duration::from_millis(1_000);
+/// Notice of an engine whose moves wait longer than a stream takes.
+const LONG_NOTICE: Duration = Duration::from_secs(8);
+/// Time after which a first copy is complete.
+const FIRST_COPY_TIME: Duration = Duration::from_millis(300);
+/// Time after which callers abandon a stream without progress.
+const PATIENCE: Duration = Duration::from_secs(2);
 /// Silence that outlasts all streams.
 const LASTING_SILENCE: Duration = Duration::from_secs(60);
 
@@ -288,3 +294,26 @@
     assert_overlap_allowed(&unframed, reachable_at);
     unframed.close();
 }
+
+/// Guards against a stream that ends its move only when its turn has come, long after its response was
+/// lost, and goes on too late for its caller (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_that_breaks_while_its_move_waits_goes_on_at_its_backup() {
+    let mut unframed =
+        UnframedFleet::start_with_backups("broken-move", ResumptionFault::None).await;
+    let (source, response) = unframed.start_stream().await;
+
+    unframed.engines[source].drain(LONG_NOTICE);
+    unframed.wait_until(|engines| !engines[source].copied_to().is_empty()).await;
+    unframed.wait(FIRST_COPY_TIME).await;
+    let cut_at = Instant::now();
+    unframed.engines[source].cut_streams();
+    let response = unframed.wait_end(response).await;
+
+    assert_whole(&response);
+    let resumed: Vec<_> = unframed.engines.iter().flat_map(|engine| engine.resumed_at()).collect();
+    assert_eq!(resumed.len(), 1, "resumptions");
+    let wait = resumed[0].saturating_duration_since(cut_at);
+    assert!(wait <= PATIENCE, "the stream goes on after {wait:?}");
+    unframed.close();
+}
