Keep outcomes of calls that outlast the shutdown timeout

Callers got 200 for a booking that outlasted `shutdown_timeout`, and outcome_unknown when they asked again at another VM. If the caller had left, the process ended while the booking was at its server.

The way out of `Draining` asks the control thread whether a call is open or a record is not in the log yet. The way by the time limit skipped the question: it waited for open connections only and ended the control thread with the outcome in its buffer.

The daemon asks once more after the callers' connections have closed, on both ways, for at most twice the sum of `call_deadline` and `log_append`, the time within which a call, its lookup and the append end.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -6,7 +6,7 @@
 use dragonflycart_core::Incarnation;
 use dragonflycart_policy::UnknownPolicy;
 use dragonflycart_settings::Config;
-use log::info;
+use log::{info, warn};
 use statig::blocking::IntoStateMachineExt;
 use thiserror::Error;
 use tokio::{
@@ -143,8 +143,10 @@
             config: Arc::clone(&self.config),
         };
         let plugins = RunningPlugins::start(&context, close);
+        let timeouts = &self.config.timeouts;
+        let record_limit = 2 * (timeouts.call_deadline + timeouts.log_append);
         let driver = LifecycleDriver {
-            config: self.config,
+            config: Arc::clone(&self.config),
             control: thread.handle(),
             store,
             phase,
@@ -152,6 +154,7 @@
         };
         driver.run(preparing, stop).await;
         plugins.close().await;
+        wait_recorded(&thread.handle(), record_limit).await;
         thread.close().await;
         Ok(())
     }
@@ -166,6 +169,19 @@
     }
 }
 
+/// Waits until the last calls have ended and their outcomes are in the log, for at most `limit`: a
+/// call and its lookup end by the deadline of calls, while the log may stay unreachable.
+async fn wait_recorded(control: &ControlHandle, limit: Duration) {
+    let started = tokio::time::Instant::now();
+    while !control.ask(ControlMessage::IsIdle).await.unwrap_or(true) {
+        if started.elapsed() >= limit {
+            warn!("daemon: ended before all records were in the log");
+            return;
+        }
+        tokio::time::sleep(DRAIN_PERIOD).await;
+    }
+}
+
 fn runner_context(
     config: &Config,
     control: ControlHandle,
