Reject requests whose bodies are incomplete when the VM stops

A caller that sent a part of its body and no more kept a stopping daemon alive: without any other work the process still ran 30 s after SIGTERM, until something kills it.

The server waits for open requests before it ends, and nothing bounded the time of a body. Bodies are no longer read 2 s after the VM stopped accepting work. All handlers read bodies through CallerApi::read_body, and such a request would be rejected after its body as well, so nothing is lost. The 2 s let a caller that is still sending finish and read the response.

--- a/crates/node/src/http/caller_api.rs
+++ b/crates/node/src/http/caller_api.rs
@@ -21,6 +21,10 @@
     node_lifecycle::LifecyclePhase,
 };
 
+/// Time for which the body of a request is still read after the VM stopped accepting work. The
+/// request is rejected in any case; a caller that is still sending might not read the response.
+const LATE_BODY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// State shared by the handlers of the HTTP API for callers.
 #[derive(Clone)]
 pub(crate) struct CallerApi {
@@ -73,10 +77,18 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::TooLarge`], or [`ErrorKind::BadRequest`] if the connection breaks.
+    /// [`ErrorKind::TooLarge`], [`ErrorKind::BadRequest`] if the connection breaks, or
+    /// [`ErrorKind::Draining`] if the body is incomplete although the VM accepts no work any more.
     pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, ServiceError> {
         let limit = self.config.limits.body;
-        to_bytes(body, limit).await.map_err(|error| {
+        let read = tokio::select! {
+            read = to_bytes(body, limit) => read,
+            () = self.late_body_timeout() => {
+                let message = "the VM stops; the body did not arrive in time";
+                return Err(ServiceError::new(ErrorKind::Draining, message));
+            }
+        };
+        read.map_err(|error| {
             let source = std::error::Error::source(&error);
             if source.is_some_and(|source| source.to_string().contains("length limit")) {
                 let message = format!("body: at most {limit} bytes are allowed");
@@ -86,6 +98,14 @@
         })
     }
 
+    /// Waits until bodies are no longer read because the VM stops.
+    async fn late_body_timeout(&self) {
+        let mut phase = self.phase.clone();
+        // The sender is dropped only after it has published the last phase.
+        let _ = phase.wait_for(|phase| phase.is_stopping()).await;
+        tokio::time::sleep(LATE_BODY_TIMEOUT).await;
+    }
+
     /// Returns the deadline of a request: `asked` from now, or `default` if the caller set none.
     pub(crate) fn deadline(&self, asked: Option<Duration>, default: Duration) -> MonoTime {
         self.clock.now() + asked.unwrap_or(default)
--- a/crates/node/src/http/job_handler.rs
+++ b/crates/node/src/http/job_handler.rs
@@ -36,7 +36,8 @@
         let message = "idempotency-key: required for a job";
         return Err(ServiceError::new(ErrorKind::BadRequest, message));
     };
-    let body = api.read_body(body).await?;
+    let body = api.read_body(body).await;
+    let body = body.map_err(|error| refusal_of_attempt(error, caller.attempt))?;
     let request = CompletionRequest::parse(&body, api.config.limits.prompt)?;
     generation_handler::check_model(api, &request.model, &caller)?;
     api.check_phase().map_err(|error| refusal_of_attempt(error, caller.attempt))?;
--- a/crates/node/src/http/service_handler.rs
+++ b/crates/node/src/http/service_handler.rs
@@ -34,8 +34,15 @@
     body: Body,
 ) -> Result<Response, ServiceError> {
     let caller = CallerContext::from_headers(headers, &api.config)?;
-    let body = api.read_body(body).await?;
+    let (body, refusal) = match api.read_body(body).await {
+        Ok(body) => (body, None),
+        Err(error) if error.kind() == ErrorKind::Draining => (Bytes::new(), Some(error)),
+        Err(error) => return Err(error),
+    };
     let spec = call_spec(api, service, operation, caller, body)?;
+    if let Some(error) = refusal {
+        return Err(spec.refusal(error));
+    }
     api.check_phase().map_err(|error| spec.refusal(error))?;
     api.runner.metrics.calls.inc();
     let response = CallRunner::new(api.runner.clone(), api.clock).run(spec).await?;
--- a/crates/node/src/node_lifecycle.rs
+++ b/crates/node/src/node_lifecycle.rs
@@ -47,6 +47,11 @@
     pub(crate) fn accepts_work(self) -> bool {
         matches!(self, LifecyclePhase::Ready | LifecyclePhase::Leaving)
     }
+
+    /// Returns whether new work will not be accepted any more.
+    pub(crate) fn is_stopping(self) -> bool {
+        matches!(self, LifecyclePhase::Draining | LifecyclePhase::Stopped)
+    }
 }
 
 /// State machine behind [`LifecyclePhase`].
