Send nothing after the shutdown timeout

With `shutdown_timeout = 1s`, a booking that waited in the queue was sent 3 s after SIGTERM, and a waiting generation was sent to an engine after its reader had been told to go to another VM. A platform that ends the process soon after the limit cuts such requests.

Draining keeps new requests out of the queue, but nothing closed the queue at the time limit, neither for waiting requests nor for those that are to be retried after a failed attempt.

At the limit the scheduler now rejects waiting requests in the pass through which every placement goes, also those that come to wait later. They are rejected as `draining`, a true "not run", unless a server may have run them. Readers are told to reconnect after that.

--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -278,10 +278,12 @@
                     self.burn.record(wall, event);
                 }
             }
-            ControlMessage::Drain => {
-                self.placement.scheduler_mut().set_draining(true);
-                self.peers.set_draining();
-                self.jobs.set_draining();
+            ControlMessage::Drain => self.begin_draining(),
+            ControlMessage::StopLimit(reply) => {
+                self.begin_draining();
+                self.placement.scheduler_mut().close_queues();
+                self.run_placement(now);
+                let _ = reply.send(());
             }
             // Handled by the loop.
             ControlMessage::Stop => {}
@@ -292,6 +294,12 @@
         false
     }
 
+    fn begin_draining(&mut self) {
+        self.placement.scheduler_mut().set_draining(true);
+        self.peers.set_draining();
+        self.jobs.set_draining();
+    }
+
     /// Publishes that the VM is prepared to serve. Without load reports no request can be placed,
     /// so the VM waits for them before it reports ready to the load balancer.
     fn publish_prepared(&self) {
--- a/crates/node/src/control/control_message.rs
+++ b/crates/node/src/control/control_message.rs
@@ -147,6 +147,9 @@
     Burn(Vec<SliEvent>),
     /// The VM stops accepting new work.
     Drain,
+    /// The time limit of a planned stop has passed: nothing more is sent to backend servers. The
+    /// reply follows once all waiting requests are rejected.
+    StopLimit(oneshot::Sender<()>),
     /// Ask whether all work that must finish before the process exits is done.
     IsIdle(oneshot::Sender<bool>),
     /// End the thread.
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -255,6 +255,8 @@
                 event = Some(LifecycleEvent::BalancerNoticed);
             } else if limit.is_some_and(|limit| elapsed >= limit) {
                 info!("daemon: shutdown timeout reached; handing streams over to other VMs");
+                // Fails only if the control thread has ended, and then nothing is sent either.
+                let _ = self.control.ask(ControlMessage::StopLimit).await;
                 self.handover.send_replace(true);
                 event = Some(LifecycleEvent::StopLimitReached);
             } else if *self.phase.borrow() == LifecyclePhase::Draining && self.is_idle().await {
--- a/crates/policy/src/request_scheduler.rs
+++ b/crates/policy/src/request_scheduler.rs
@@ -52,6 +52,8 @@
     last_pass: MonoTime,
     /// Pools whose queues were not empty after the last pass.
     left_waiting: BTreeSet<PoolKey>,
+    /// Whether no further request is placed because the time limit of a planned stop has passed.
+    is_closed: bool,
     /// Moving average of the share of time in which requests wait, per pool.
     contention: BTreeMap<PoolKey, f64>,
 }
@@ -85,6 +87,7 @@
             changed: true,
             last_pass: now,
             left_waiting: BTreeSet::new(),
+            is_closed: false,
             contention: BTreeMap::new(),
             placer: RequestPlacer::new(settings, position, now)?,
         })
@@ -145,6 +148,13 @@
         self.admission.set_draining(draining);
     }
 
+    /// Places no further request: those that wait now or later, for example after a failed attempt,
+    /// are rejected. Running requests continue.
+    pub fn close_queues(&mut self) {
+        self.admission.set_draining(true);
+        self.is_closed = true;
+    }
+
     /// Applies a load report.
     pub fn report(&mut self, now: MonoTime, server: ServerKey, report: ServerReport) {
         self.placer.report(server, report, now);
@@ -181,6 +191,11 @@
             self.statistics_at = now;
             self.placer.refresh_residuals();
         }
+        if self.is_closed {
+            self.reject_waiting();
+            self.expire_running(now);
+            return std::mem::take(&mut self.outbox);
+        }
         self.release_retries(now);
         self.expire_waiting(now);
         self.expire_running(now);
@@ -189,6 +204,28 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// Rejects all waiting requests, as not run only those that no server may have run.
+    fn reject_waiting(&mut self) {
+        self.retries.clear();
+        let mut waiting = Vec::new();
+        for (ticket, entry) in &self.requests {
+            if entry.server.is_none() {
+                let kind = match (entry.tokens, entry.may_have_run_on.is_empty()) {
+                    (0, true) => ErrorKind::Draining,
+                    (0, false) => ErrorKind::BackendFailed,
+                    _ => ErrorKind::Interrupted,
+                };
+                waiting.push((*ticket, entry.pool, kind));
+            }
+        }
+        for (ticket, pool, kind) in waiting {
+            if let Some(queue) = self.queues.get_mut(&pool) {
+                queue.remove(ticket);
+            }
+            self.reject(ticket, kind);
+        }
+    }
+
     fn reject(&mut self, ticket: RequestTicket, kind: ErrorKind) {
         self.requests.remove(&ticket);
         self.outbox.push(PlacementDecision::Reject { ticket, kind });
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -299,3 +299,30 @@
     assert!(!scheduler.servers().get(keys[1]).is_frozen());
     assert!((10..=32).contains(&sent), "{sent} of 40 requests to the frozen server");
 }
+
+/// Guards against a request that is sent after the time limit of a planned stop, and against "not
+/// run" for one whose server was lost.
+#[test]
+fn closed_queues_reject_waiting_and_failed_requests() {
+    let mut settings = settings(1);
+    settings.zone_ramp = seconds(0);
+    let (mut scheduler, keys) = single_vm(settings, 1);
+    scheduler.set_zone(at(0), &zone(), true, 2);
+    scheduler.report(at(0), keys[0], report(at(0)));
+    let running: Vec<_> = (0..2).map(|_| scheduler.submit(at(0), request("a"))).collect();
+    let waiting = scheduler.submit(at(0), request("a"));
+    assert_eq!(dispatches(&scheduler.tick(at(0))).len(), 2);
+
+    scheduler.close_queues();
+    let rejected = scheduler.tick(at(10));
+    scheduler.failed(at(20), running[0], AttemptFailure::ServerLost);
+    scheduler.failed(at(20), running[1], AttemptFailure::NotSent);
+    let mut failed = scheduler.tick(at(20));
+    failed.extend(scheduler.tick(at(1_000)));
+
+    let reject = |ticket, kind| PlacementDecision::Reject { ticket, kind };
+    assert_eq!(rejected, [reject(waiting, ErrorKind::Draining)]);
+    let expected =
+        [reject(running[0], ErrorKind::BackendFailed), reject(running[1], ErrorKind::Draining)];
+    assert_eq!(failed, expected);
+}
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use dragonflycart_testkit::{ServiceCommand, ServiceConfig, TokenSource};
+use dragonflycart_testkit::{EngineCommand, ServiceCommand, ServiceConfig, TokenSource};
 use hyper::Method;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -211,6 +211,42 @@
     assert_eq!(deployment.executions("waiting"), 0);
 }
 
+/// Guards against a generation that waits for an engine and is sent after its reader was told to go
+/// to another VM, so that the engine works for nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_waits_at_the_shutdown_timeout_is_not_sent() {
+    let drain = SHORT_STOP.to_owned();
+    let spec = DeploymentSpec { zones: 1, drain, ..DeploymentSpec::default() };
+    let mut deployment = Deployment::start(spec).await;
+    let address = deployment.vms[0].http;
+    // Not handed over, so it keeps the process alive for 3 s.
+    let running =
+        tokio::spawn(async move { Caller::new("reports").complete(address, "text", 300).await });
+    wait_running(&deployment).await;
+    deployment.engines[0].command(EngineCommand::Leaving { leaving: true });
+    // The VM reads the load report every 200 ms.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let waiting = tokio::spawn(async move {
+        Caller::new("reports").stream(address, "a long report", 300, |_| {}).await
+    });
+    wait_for("the stream to wait", || async {
+        let queued = deployment.metric(0, "dragonflycart_queued_requests").await?;
+        (queued == 1.0).then_some(())
+    })
+    .await;
+
+    deployment.vms[0].process().terminate().unwrap();
+    let waiting = waiting.await.unwrap().unwrap_err();
+    deployment.engines[0].command(EngineCommand::Leaving { leaving: false });
+    let running = running.await.unwrap().unwrap();
+    wait_ended(&mut deployment).await;
+
+    assert_eq!(running.status, 200, "{:?}", running.body);
+    let is_rejected = waiting.error.as_ref().is_some_and(|error| error.contains("\"not_run\""));
+    assert!(is_rejected || waiting.reconnect, "{waiting:?}");
+    assert_eq!(deployment.accepted_generations("v1"), 1);
+}
+
 /// Guards against a caller that never completes its body and so keeps a stopping process alive until
 /// it is killed. A repeat is not told "not run", since the attempt before may have run.
 #[tokio::test(flavor = "multi_thread")]
