--- a/crates/testkit/src/engine_command.rs
+++ b/crates/testkit/src/engine_command.rs
@@ -36,6 +36,11 @@
         /// Whether processing is stopped.
         stalled: bool,
     },
+    /// Changes the time that passes before a generation is accepted or refused.
+    DelayStarts {
+        /// Milliseconds; 0 ends it.
+        ms: u64,
+    },
     /// Changes the time per step of the batch.
     Pace {
         /// Milliseconds per step.
--- a/crates/testkit/src/engine_config.rs
+++ b/crates/testkit/src/engine_config.rs
@@ -35,6 +35,9 @@
     pub retain_ms: u64,
     /// Milliseconds without another event after which a heartbeat is sent.
     pub heartbeat_ms: u64,
+    /// Milliseconds that pass before a generation is accepted or refused, also if its connection
+    /// closes meanwhile.
+    pub start_delay_ms: u64,
     /// Whether orders with a fence lower than the highest one so far are rejected.
     pub check_fence: bool,
     /// Milliseconds that loading a version takes.
@@ -68,6 +71,7 @@
             drop_cache_event: 0,
             retain_ms: 120_000,
             heartbeat_ms: 500,
+            start_delay_ms: 0,
             check_fence: true,
             load_ms: 0,
             loaded: Vec::new(),
--- a/crates/testkit/src/engine_core.rs
+++ b/crates/testkit/src/engine_core.rs
@@ -113,6 +113,7 @@
             }
             EngineCommand::Leaving { leaving } => self.leaving = leaving,
             EngineCommand::Stall { stalled } => self.stalled = stalled,
+            EngineCommand::DelayStarts { ms } => self.config.start_delay_ms = ms,
             EngineCommand::Pace { ms } => self.config.pace_ms = ms,
         }
     }
@@ -268,6 +269,11 @@
         self.records.open().filter(|record| record.is_running()).count() as u32
     }
 
+    /// Returns the number of generations that have arrived and not ended.
+    pub(crate) fn open_count(&self) -> usize {
+        self.records.open().filter(|record| record.is_open()).count()
+    }
+
     fn memory_used(&self) -> u64 {
         let running = self.records.open().filter(|record| record.is_running());
         self.occupied_tokens + running.map(GenerationRecord::memory_tokens).sum::<u64>()
--- a/crates/testkit/src/fake_engine.rs
+++ b/crates/testkit/src/fake_engine.rs
@@ -138,6 +138,11 @@
         self.shared.core().running()
     }
 
+    /// Returns the number of generations that have arrived and not ended.
+    pub fn open_count(&self) -> usize {
+        self.shared.core().open_count()
+    }
+
     /// Stops the engine.
     pub async fn close(self) {
         self.server.close().await;
@@ -192,8 +197,22 @@
 ) -> Response {
     let generation = request.generation.clone();
     let from = request.forced_prefix.len() as u64;
-    let now_ms = shared.now_ms();
-    let started = shared.core().start(request, now_ms);
+    let delay = Duration::from_millis(shared.core().config().start_delay_ms);
+    let starter = Arc::clone(&shared);
+    let start = async move {
+        tokio::time::sleep(delay).await;
+        let now_ms = starter.now_ms();
+        starter.core().start(request, now_ms)
+    };
+    let started = if delay.is_zero() {
+        start.await
+    } else {
+        // Spawned, so that the generation is accepted even if the client closes its connection.
+        match tokio::spawn(start).await {
+            Ok(started) => started,
+            Err(_) => return StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        }
+    };
     match started {
         Ok(()) => stream_response(shared, generation, from),
         Err(StartRefusal::Leaving) => {
