Stop the engine before a generation goes on elsewhere, and until it confirms

When a generation of the daemon went on at another engine, the engine before could work on it to the end of the output. Callers got each token once, since tokens of an old epoch are not accepted; the work was for nobody.

The cancel was sent once, with its result ignored: an engine that could not be reached then was never told. After a start without a response whose generation the engine did not know yet, no cancel was sent, so an engine that began it later was not told either. Each way out of an attempt decided by itself.

GenerationRunner now notes what is known of the generation at its engine, and each end of an attempt passes GenerationRunner::stop_attempt before another engine is asked for. One request is awaited, at most for engine_silence as before, so a stream is not held up by an engine that can't be reached. If the answer is not conclusive, the request is repeated every 200 ms: for stream_retention without a response, and for `order` while an engine does not know a generation whose start got no response. EngineClient::cancel says which of the two an engine answered.

--- a/crates/engine/src/engine_client.rs
+++ b/crates/engine/src/engine_client.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{BoxFuture, CacheEvent, GenerationRequest, LoadReport, TokenStream};
+use crate::{BoxFuture, CacheEvent, CancelOutcome, GenerationRequest, LoadReport, TokenStream};
 
 /// Failure of an operation on an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -77,12 +77,12 @@
         next_index: u64,
     ) -> BoxFuture<'_, Result<TokenStream, EngineError>>;
 
-    /// Cancels a generation; unknown generations are ignored.
+    /// Cancels a generation.
     ///
     /// # Errors
     ///
     /// Any transport failure; the generation may then still be running.
-    fn cancel(&self, generation: &str) -> BoxFuture<'_, Result<(), EngineError>>;
+    fn cancel(&self, generation: &str) -> BoxFuture<'_, Result<CancelOutcome, EngineError>>;
 
     /// Reads the engine's load report.
     ///
--- a/crates/engine/src/http_engine_client.rs
+++ b/crates/engine/src/http_engine_client.rs
@@ -11,8 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    BoxFuture, CacheEvent, CallFailure, EngineClient, EngineError, EngineOrder, GenerationRequest,
-    LoadReport, OrderOutcome, StreamEvent, TokenStream,
+    BoxFuture, CacheEvent, CallFailure, CancelOutcome, EngineClient, EngineError, EngineOrder,
+    GenerationRequest, LoadReport, OrderOutcome, StreamEvent, TokenStream,
     event_size_limit::{EventSizeLimit, EventSourceError},
     event_validator::EventValidator,
     http_client::{
@@ -107,11 +107,12 @@
         self.open_stream(outgoing, validator).await
     }
 
-    async fn cancel_generation(&self, generation: &str) -> Result<(), EngineError> {
+    async fn cancel_generation(&self, generation: &str) -> Result<CancelOutcome, EngineError> {
         let path = generation_path(generation);
         let outgoing = OutgoingRequest::new(Method::DELETE, path, Bytes::new());
         match self.send_request(&self.request_client, outgoing).await {
-            Ok(_) | Err(EngineError::UnknownGeneration) => Ok(()),
+            Ok(_) => Ok(CancelOutcome::Cancelled),
+            Err(EngineError::UnknownGeneration) => Ok(CancelOutcome::Unknown),
             Err(error) => Err(error),
         }
     }
@@ -177,7 +178,7 @@
         Box::pin(async move { self.resume_generation(&generation, next_index).await })
     }
 
-    fn cancel(&self, generation: &str) -> BoxFuture<'_, Result<(), EngineError>> {
+    fn cancel(&self, generation: &str) -> BoxFuture<'_, Result<CancelOutcome, EngineError>> {
         let generation = generation.to_owned();
         Box::pin(async move { self.cancel_generation(&generation).await })
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod cache_event;
 mod call_failure;
+mod cancel_outcome;
 mod engine_client;
 mod event_size_limit;
 mod event_validator;
@@ -23,6 +24,7 @@
 pub use crate::{
     cache_event::{CacheEvent, PREFIX_BYTES, prefix_digest, prompt_digest},
     call_failure::CallFailure,
+    cancel_outcome::CancelOutcome,
     engine_client::{EngineClient, EngineError, EngineOrder, OrderOutcome},
     generation_request::GenerationRequest,
     http_engine_client::HttpEngineClient,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -20,7 +20,7 @@
         ControlContext, ControlHandle, ControlMessage, ControlThread, PlacementControl,
         policy_settings, vm_position,
     },
-    generation::{GenerationStore, RunnerContext, RunnerLimits},
+    generation::{GenerationStore, RunnerContext, RunnerLimits, StopLimits},
     node_clock::NodeClock,
     node_lifecycle::{LifecycleEvent, LifecyclePhase, NodeLifecycle},
     node_metrics::NodeMetrics,
@@ -192,6 +192,11 @@
         idle_timeout: config.timeouts.engine_silence,
         progress_timeout: config.timeouts.engine_progress,
         max_reconnects: MAX_RECONNECTS,
+        stop: StopLimits {
+            request: config.timeouts.engine_silence,
+            start: config.timeouts.order,
+            engine: config.timeouts.stream_retention,
+        },
     };
     RunnerContext {
         control,
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -5,10 +5,12 @@
 //! continues it in a higher epoch, with the received tokens as a forced prefix. Tokens of an old
 //! epoch or with an unexpected index are not added to the buffer.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use dragonflycart_containment::WRITING_PROOF;
-use dragonflycart_core::{ErrorKind, GenerationId, PromptPart, ServerInstance, ServiceError};
+use dragonflycart_core::{
+    ErrorKind, GenerationId, PromptPart, ServerInstance, ServerName, ServiceError,
+};
 use dragonflycart_engine::{
     EngineClient, EngineError, FinishReason, GenerationRequest, StreamEvent, TokenStream,
 };
@@ -24,7 +26,10 @@
         AttemptPace, AttemptReport, ControlHandle, ControlMessage, PlacedGeneration,
         PlacementGrant, PlacementNotice,
     },
-    generation::{GenerationBuffer, GenerationEnd, GenerationSpec},
+    generation::{
+        GenerationBuffer, GenerationEnd, GenerationSpec, StopLimits,
+        attempt_stop::{AttemptStop, EngineHold, StopTask},
+    },
     node_metrics::NodeMetrics,
     server_directory::ServerDirectory,
     slo_events::SloEvents,
@@ -44,6 +49,8 @@
     pub(crate) progress_timeout: Duration,
     /// Maximum number of reconnections to one engine without a token in between.
     pub(crate) max_reconnects: u32,
+    /// Limits of the requests that stop a generation at an engine.
+    pub(crate) stop: StopLimits,
 }
 
 /// Shared state that generations and calls run with.
@@ -113,6 +120,10 @@
     is_proven: bool,
     /// Whether the engine of the current attempt has ended or restarted.
     engine_ended: bool,
+    /// What is known about the generation at the engine of the current attempt.
+    hold: EngineHold,
+    /// Engines of earlier attempts that may still work on the generation.
+    stops: BTreeMap<ServerName, StopTask>,
 }
 
 impl GenerationRunner {
@@ -145,6 +156,8 @@
             writing_since: None,
             is_proven: false,
             engine_ended: false,
+            hold: EngineHold::Absent,
+            stops: BTreeMap::new(),
         }
     }
 
@@ -176,12 +189,27 @@
     }
 
     /// Cancels an abandoned generation at the engine and in the placement.
-    async fn release_engine(&self) {
+    async fn release_engine(&mut self) {
+        self.stop_attempt().await;
+        self.report_cancelled().await;
+    }
+
+    /// Stops the generation at the engine of the current attempt. All ways to another engine pass
+    /// here first; an engine that can't be told now is told again in the background.
+    async fn stop_attempt(&mut self) {
         let location = self.buffer.location();
-        if let Some(engine) = self.context.servers.engine(location.server()) {
-            self.cancel(&*engine, &location).await;
+        if self.hold == EngineHold::Absent {
+            return;
         }
-        self.report_cancelled().await;
+        let Some(engine) = self.context.servers.engine(location.server()) else {
+            return;
+        };
+        let server = location.server().clone();
+        let stop = AttemptStop::new(engine, location, self.hold, self.context.limits.stop);
+        if let Some(task) = stop.run().await {
+            self.stops.insert(server, task);
+        }
+        self.hold = EngineHold::Absent;
     }
 
     async fn run_attempts(&mut self) -> Result<FinishReason, ServiceError> {
@@ -197,7 +225,13 @@
                 self.next_epoch(&message).await?
             };
             self.attempt = Some((Instant::now(), self.buffer.next_index()));
+            if let Some(task) = self.stops.remove(&grant.server) {
+                task.close().await;
+            }
             let end = self.run_attempt(&grant, prefix).await;
+            if !matches!(end, AttemptEnd::Finished(_) | AttemptEnd::Stopping) {
+                self.stop_attempt().await;
+            }
             self.report(&end).await;
             self.note_prompt(&end, &grant);
             message = match end {
@@ -353,14 +387,21 @@
         self.last_token_at = Instant::now();
         self.writing_since = None;
         self.engine_ended = false;
+        self.hold = EngineHold::MayStart;
         let request = self.request(grant, &location, prefix);
         let start =
             tokio::time::timeout(self.context.limits.idle_timeout, engine.start(request)).await;
+        match &start {
+            Ok(Ok(_)) => self.hold = EngineHold::Started,
+            Ok(Err(EngineError::Refused(_) | EngineError::Failed(_) | EngineError::NotSent)) => {
+                self.hold = EngineHold::Absent;
+            }
+            Ok(Err(_)) | Err(_) => {}
+        }
         let mut stream = match start {
             Ok(Ok(stream)) if self.is_other_instance(grant, stream.instance()) => {
                 // The server has restarted and is cold, and this request did not take one of the
                 // slots that limit requests to a cold server.
-                self.cancel(&*engine, &location).await;
                 let message = ControlMessage::InstanceChanged(grant.server.clone());
                 self.context.control.send(message).await;
                 return AttemptEnd::Refused("the backend server was restarted".to_owned());
@@ -376,9 +417,6 @@
             if let Some(open) = stream.take() {
                 let before = self.buffer.next_index();
                 if let ReadEnd::Attempt(end) = self.read_stream(&location, open).await {
-                    if !matches!(end, AttemptEnd::Finished(_) | AttemptEnd::Stopping) {
-                        self.cancel(&*engine, &location).await;
-                    }
                     return end;
                 }
                 if self.buffer.next_index() > before {
@@ -386,15 +424,20 @@
                 }
             }
             if reconnects >= self.context.limits.max_reconnects {
-                self.cancel(&*engine, &location).await;
                 return AttemptEnd::EngineLost;
             }
             reconnects += 1;
             tokio::time::sleep(RECONNECT_DELAY).await;
             match self.reconnect(&*engine, &location).await {
-                Ok(open) => stream = Some(open),
+                Ok(open) => {
+                    self.hold = EngineHold::Started;
+                    stream = Some(open);
+                }
                 Err(EngineError::UnknownGeneration) => {
                     self.engine_ended = true;
+                    if self.hold == EngineHold::Started {
+                        self.hold = EngineHold::Absent;
+                    }
                     return AttemptEnd::EngineLost;
                 }
                 Err(error) => self.engine_ended |= error == EngineError::NotSent,
@@ -406,14 +449,6 @@
         found.is_some_and(|instance| instance != grant.instance)
     }
 
-    /// Cancels a generation at an engine to free its resources. A failure is ignored: the epoch
-    /// check discards late tokens, and the engine may be unreachable anyway.
-    async fn cancel(&self, engine: &dyn EngineClient, location: &GenerationId) {
-        let generation = location.to_string();
-        let idle_timeout = self.context.limits.idle_timeout;
-        let _ = tokio::time::timeout(idle_timeout, engine.cancel(&generation)).await;
-    }
-
     async fn reconnect(
         &self,
         engine: &dyn EngineClient,
