Stop a running job at its engine when its VM ends

A job that ran when `shutdown_timeout` passed was left at its engine, which worked on it to the end of the output while another VM ran the job anew.

At the time limit engines go on because callers resume their streams at other VMs. A job has no such caller, and no other VM knows its generation. The worker of jobs ended with the process.

The worker is now a plug-in that the stop waits for. It abandons the attempts that still run, which stops them at their engines through GenerationRunner::stop_attempt, within engine_silence.

engine_stops_a_job_that_outlasts_the_shutdown_timeout failed before (the engine still had the job after the process had ended) and passes. The other tests of jobs.rs and stops.rs pass.

--- a/crates/node/src/job/job_worker.rs
+++ b/crates/node/src/job/job_worker.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use dragonflycart_core::{ErrorKind, GenerationId, RequestKey, ServerName, ServiceError};
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinSet,
+};
 
 use crate::{
     control::{ControlMessage, GenerationPlacementRequest},
@@ -20,22 +23,34 @@
 /// Time limit of one attempt. The longest output, 100,000 tokens at 72 ms each, takes two hours.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(4 * 3_600);
 
-/// Runs the attempts that the control thread requests.
+/// Runs the attempts that the control thread requests, until `closing` becomes true. Attempts that
+/// still run are then stopped at their engines, because another VM will run the jobs anew.
 pub(crate) async fn run_worker(
     context: RunnerContext,
     store: Arc<GenerationStore>,
     clock: NodeClock,
     mut attempts: mpsc::UnboundedReceiver<JobAttempt>,
+    closing: watch::Receiver<bool>,
 ) {
-    while let Some(attempt) = attempts.recv().await {
+    let mut running = JoinSet::new();
+    let mut stop = closing.clone();
+    loop {
+        let attempt = tokio::select! {
+            attempt = attempts.recv() => attempt,
+            Some(_) = running.join_next() => continue,
+            _ = stop.wait_for(|closing| *closing) => break,
+        };
+        let Some(attempt) = attempt else { break };
+        let closing = closing.clone();
         let context = context.clone();
         let store = Arc::clone(&store);
-        tokio::spawn(async move {
-            let result = run_attempt(&context, &store, clock, &attempt).await;
+        running.spawn(async move {
+            let result = run_attempt(&context, &store, clock, &attempt, closing).await;
             let message = JobMessage::Ended(attempt.key, attempt.attempt, result);
             context.control.send(ControlMessage::Job(message)).await;
         });
     }
+    while running.join_next().await.is_some() {}
 }
 
 async fn run_attempt(
@@ -43,6 +58,7 @@
     store: &GenerationStore,
     clock: NodeClock,
     attempt: &JobAttempt,
+    mut closing: watch::Receiver<bool>,
 ) -> Result<Bytes, ServiceError> {
     let internal = |message: String| ServiceError::new(ErrorKind::Internal, message);
     let request: JobRequest = serde_json::from_slice(&attempt.request)
@@ -73,7 +89,17 @@
     let model = spec.model.clone();
     // The guard keeps the generation from being abandoned, since no caller reads a job's tokens.
     let _reader = ReaderGuard::new(Arc::clone(&buffer));
-    GenerationRunner::new(context.clone(), Arc::clone(&buffer), spec, placed).run().await;
+    let run = GenerationRunner::new(context.clone(), Arc::clone(&buffer), spec, placed).run();
+    let abandon = async {
+        // The sender is dropped only after it has sent true.
+        let _ = closing.wait_for(|closing| *closing).await;
+        buffer.abandon();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        () = run => {}
+        () = abandon => {}
+    }
     store.remove(&id);
     match buffer.end() {
         Some(GenerationEnd::Finished { reason }) => {
--- a/crates/node/src/plugins/job_plugin.rs
+++ b/crates/node/src/plugins/job_plugin.rs
@@ -20,8 +20,9 @@
     fn start(&self, context: &PluginContext) -> Option<JoinHandle<()>> {
         let attempts = context.endpoints.jobs.take()?;
         let store = Arc::clone(&context.store);
-        tokio::spawn(run_worker(context.runner.clone(), store, context.clock, attempts));
-        None
+        let closing = context.closing.clone();
+        let worker = run_worker(context.runner.clone(), store, context.clock, attempts, closing);
+        Some(tokio::spawn(worker))
     }
 }
 
--- a/tests/all/jobs.rs
+++ b/tests/all/jobs.rs
@@ -142,3 +142,33 @@
     assert_eq!(accepted.status, 202, "{:?}", accepted.body);
     assert_eq!(text, TokenSource::expected_text(20));
 }
+
+/// Guards against an engine that works on a job whose VM has ended at the shutdown timeout, while
+/// another VM runs the job anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_stops_a_job_that_outlasts_the_shutdown_timeout() {
+    let drain = "balancer_lag = 100ms\nshutdown_timeout = 1s".to_owned();
+    let spec = DeploymentSpec { zones: 1, drain, ..DeploymentSpec::default() };
+    let mut deployment = Deployment::start(spec).await;
+    let accepted = post_job(&deployment, 0, "night-6", 600).await;
+    wait_for("the job to run", || async {
+        let tokens = deployment.metric(0, "dragonflycart_tokens_total").await?;
+        (tokens >= 5.0).then_some(())
+    })
+    .await;
+
+    deployment.vms[0].process().terminate().unwrap();
+    wait_for("the VM to end", || {
+        let has_ended = deployment.vms[0].process().has_ended().unwrap();
+        async move { has_ended.then_some(()) }
+    })
+    .await;
+    let open = deployment.engines[0].open_count();
+    deployment.vms[0].start();
+    deployment.wait_ready(0).await;
+    let text = wait_result(&deployment, 0, "night-6").await;
+
+    assert_eq!(accepted.status, 202, "{:?}", accepted.body);
+    assert_eq!(text, TokenSource::expected_text(600));
+    assert_eq!(open, 0, "the engine works on");
+}
