Show that buffered responses exceed the VM's memory

New module tests/all/endless.rs with a stand-in for servers whose responses have no end or are large, and a caller that counts what it receives. A gateway process with 60 calls at once must stay within memory_mb of its settings (110 MB, for all processes of the VM), and answer the calls of another service meanwhile.

The tests of streams prove little yet: the gateway reads large bodies some hundred bytes at a time, so in five seconds little accumulates.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod chaos;
 mod crashes;
+mod endless;
 mod faults;
 mod gateway_stops;
 mod jobs;
