Read large bodies in large pieces

The gateway read each body 64 bytes at a time: BytesMut::new() has no capacity to go back to, so each read got the least that read_buf reserves. A body of 1 MiB came in 16,385 pieces, each of them a system call. The buffer's free space now doubles when a read fills it, from 1 to 16 KiB, and is freed while the connection is idle. large_body_is_read_in_large_pieces failed before.

A large event cost two comparisons of slices for each byte.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -53,14 +53,14 @@
     }
 
     fn find_end(&mut self) -> Option<usize> {
-        let start = self.searched.saturating_sub(3);
-        for index in start..self.buffer.len() {
-            let tail = &self.buffer[index..];
-            if tail.starts_with(b"\n\n") {
-                return Some(index + 2);
+        let bytes = &self.buffer[..];
+        for (offset, byte) in bytes[self.searched..].iter().enumerate() {
+            if *byte != b'\n' {
+                continue;
             }
-            if tail.starts_with(b"\r\n\r\n") {
-                return Some(index + 4);
+            let end = self.searched + offset + 1;
+            if bytes[..end].ends_with(b"\n\n") || bytes[..end].ends_with(b"\r\n\r\n") {
+                return Some(end);
             }
         }
         self.searched = self.buffer.len();
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -43,6 +43,11 @@
 /// Maximum time from the first byte of a response head to its last one.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Free space in the buffer for the first read of a body, in bytes, and its maximum. It doubles each
+/// time that a read fills it, so that only connections with large bodies have large buffers.
+const FIRST_READ_BYTES: usize = 1024;
+const LARGEST_READ_BYTES: usize = 16 * 1024;
+
 /// Number of requests whose identities a connection remembers. Attempts of one request follow each
 /// other closely.
 const IDENTITIES_KEPT: usize = 16;
@@ -58,6 +63,8 @@
 pub struct ServerConnection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Free space in the buffer for the next read of a body, in bytes.
+    read_bytes: usize,
     body: BodyState,
     was_used: bool,
     /// Identities of the latest requests, oldest first.
@@ -87,6 +94,7 @@
         Ok(ServerConnection {
             stream,
             buffer: BytesMut::new(),
+            read_bytes: FIRST_READ_BYTES,
             body: BodyState::Idle,
             was_used: false,
             served: VecDeque::new(),
@@ -258,11 +266,7 @@
                 return Ok(piece);
             }
             let is_open_ended = matches!(self.body, BodyState::UntilClose);
-            let count = self
-                .stream
-                .read_buf(&mut self.buffer)
-                .await
-                .map_err(|_| ConnectionError::Closed)?;
+            let count = self.read_more().await.map_err(|_| ConnectionError::Closed)?;
             if count == 0 {
                 self.must_close = true;
                 self.was_closed = true;
@@ -275,6 +279,17 @@
         }
     }
 
+    /// Reads into the buffer. Returns the number of bytes read.
+    async fn read_more(&mut self) -> std::io::Result<usize> {
+        self.buffer.reserve(self.read_bytes);
+        let space = self.buffer.capacity() - self.buffer.len();
+        let count = self.stream.read_buf(&mut self.buffer).await?;
+        if count == space {
+            self.read_bytes = (self.read_bytes * 2).min(LARGEST_READ_BYTES);
+        }
+        Ok(count)
+    }
+
     /// Takes body data from the buffer. Returns `Some(None)` at the end of the body, and `None` if
     /// more bytes are needed.
     fn buffered_data(&mut self) -> Result<Option<Option<Bytes>>, ConnectionError> {
@@ -334,6 +349,10 @@
     /// Marks the connection as idle from now on.
     pub fn start_idle(&mut self) {
         self.idle_since = Instant::now();
+        self.read_bytes = FIRST_READ_BYTES;
+        if self.buffer.is_empty() && self.buffer.capacity() > FIRST_READ_BYTES {
+            self.buffer = BytesMut::new();
+        }
     }
 
     /// Closes the connection.
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -330,3 +330,23 @@
     assert!(!same.is_reused());
     assert!(another.is_reused());
 }
+
+/// Guards against a large body that is read some hundred bytes at a time, the size of the head of
+/// its response, which costs a system call each.
+#[tokio::test]
+async fn large_body_is_read_in_large_pieces() {
+    let length = 1024 * 1024;
+    let head = format!("HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: {length}\r\n\r\n");
+    let address = scripted(vec![format!("{head}{}", "x".repeat(length)).leak()]).await;
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+
+    let (mut pieces, mut bytes) = (0, 0);
+    while let Some(piece) = connection.next_data().await.unwrap() {
+        pieces += 1;
+        bytes += piece.len();
+    }
+
+    assert_eq!(bytes, length);
+    assert!(bytes / pieces >= 4_096, "{pieces} pieces");
+}
--- a/tests/all/endless.rs
+++ b/tests/all/endless.rs
@@ -7,7 +7,7 @@
     BulkReceipt, BulkResponse, BulkServer, CallerRequest, ManifestSpec, send, send_and_count,
 };
 use serde_json::json;
-use tokio::task::JoinSet;
+use tokio::{io::AsyncWriteExt, net::TcpSocket, task::JoinSet};
 
 use crate::support::GatewayFleet;
 
@@ -17,6 +17,10 @@
 const VM_MEMORY_KB: u64 = 110 * 1024;
 /// Requests at once at one gateway.
 const CALLS: usize = 60;
+/// Streams at once at one gateway.
+const STREAMS: usize = 120;
+/// Time for which their callers read nothing. A gateway closes a connection after 8 s without.
+const STREAM_TIME: Duration = Duration::from_secs(7);
 /// Number of servers of the service.
 const SERVERS: usize = 3;
 /// Time for which callers wait.
@@ -28,6 +32,8 @@
 /// Size of the body of a usual response, in bytes. The largest of a plain service in the given sites
 /// has 4,800.
 const USUAL_BYTES: usize = 4_800;
+/// Size of the receive buffer of a caller's socket, in bytes.
+const CALLER_BUFFER_BYTES: u32 = 8 * 1024;
 /// Size of an event just below the largest that is passed on.
 const EVENT_BYTES: usize = 200 * 1024;
 
@@ -168,11 +174,13 @@
 /// Sends a request for a stream on a connection of its own and reads nothing of the response for
 /// `time`.
 async fn open_stream(address: SocketAddr, request: &CallerRequest, time: Duration) {
-    use tokio::io::AsyncWriteExt;
     let head = String::from_utf8(dragonflycart_standins::request_bytes(request)).unwrap();
     let prompt = "token-usage: 900,40\r\nmodel: m\r\nprompt-prefix: 5c:800,1:900\r\n";
     let head = head.replace("Content-Length", &format!("{prompt}Content-Length"));
-    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let socket = TcpSocket::new_v4().unwrap();
+    // Otherwise, megabytes wait in the caller's socket and not in the gateway.
+    socket.set_recv_buffer_size(CALLER_BUFFER_BYTES).unwrap();
+    let mut stream = socket.connect(address).await.unwrap();
     stream.write_all(head.as_bytes()).await.unwrap();
     tokio::time::sleep(time).await;
 }
@@ -222,12 +230,12 @@
 async fn check_endless_streams(name: &str, response: BulkResponse) {
     let mut bulk = BulkFleet::start_streams(name, response).await;
 
-    let mut calls = bulk.stream(CALLS, TIME_LIMIT);
+    let mut calls = bulk.stream(STREAMS, STREAM_TIME);
     let (sent, answered) = bulk.call_sound(&mut calls).await;
 
     let peak_kb = bulk.peak_kb();
     println!("{response:?}: peak {peak_kb} KiB, sound requests answered: {answered} of {sent}");
-    assert!(bulk.request_count() >= CALLS, "only {} streams ran", bulk.request_count());
+    assert!(bulk.request_count() >= STREAMS, "only {} streams ran", bulk.request_count());
     assert!(peak_kb <= VM_MEMORY_KB, "{peak_kb} KiB of {VM_MEMORY_KB} at {response:?}");
     assert_eq!(answered, sent);
     bulk.close();
