Bound the memory of buffered responses

What operators saw: a faulty server sends a body without end, the machine that called it runs out of memory, and the requests of other clients end with it.

Cause: a response had a limit of its own (4 MiB), and their sum had none, nor had complete bodies and events that wait for slow callers. Only request bodies had a budget.

ResponseMemory holds three budgets: for bodies that state their length, for those of unknown length, which may have no end, and for events. A buffer has 16 KiB without them, so usual responses never wait. Beyond that it reserves as it grows, and its server is not read while there is no memory. Buffers that together hold a whole budget can't wait for each other for good: one at a time grows without it, up to its own limit. A body of unknown length gives up after two seconds, one of known length at its deadline; the caller gets 502 (or 504 at the deadline as before), never a status that denies the run, and the server is not blamed. Bytes keep their reservation until hyper has written them. A length above the limit is refused without reading.

A stream's events wait for its caller within 16 KiB of its own, or 512 KiB within the budget; the engine is not read meanwhile. An incomplete event reserves as it grows; it ends its stream as incomplete after the time for which a caller would wait without progress.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -9,8 +9,8 @@
 
 use crate::{
     AttemptOutcome, CallerRequest, ConnectionError, GatewayContext, GatewayFailure, OpenResponse,
-    ResponseBody, ResponseHead, RunEnd, ServerReservation, SystemHeaders, response_body,
-    response_relay, server_attempt,
+    ResponseBody, ResponseHead, RunEnd, ServerReservation, SystemHeaders, memory::ReservedBytes,
+    response_body, response_relay, server_attempt,
 };
 
 /// Maximum response size of a plain service, in bytes. Responses are buffered whole, so that a
@@ -164,15 +164,32 @@
         response: OpenResponse,
     ) -> Result<Response<ResponseBody>, GatewayFailure> {
         let OpenResponse { head, mut connection, run } = response;
-        let body = connection.read_body(RESPONSE_LIMIT_BYTES);
-        let body = match server_attempt::await_server(&self.context, &self.request, body).await {
-            Ok(body) => body,
+        let mut memory = self.context.responses.body(connection.has_known_length());
+        let body = connection.read_reserved_body(RESPONSE_LIMIT_BYTES, &mut memory);
+        let body = server_attempt::await_server(&self.context, &self.request, body).await;
+        let body = match body {
+            Ok(body) => ReservedBytes::body(body.into(), memory),
             Err(ConnectionError::Stopping) => {
                 connection.close();
                 run.close(RunEnd::Abandoned);
                 self.log_offer(reservation, ConnectionError::Stopping.into());
                 return Err(self.lost_failure(ConnectionError::Stopping));
             }
+            // Other responses may use the memory, so this says nothing of the server.
+            Err(_) if memory.is_waiting() => {
+                connection.close();
+                run.close(RunEnd::Abandoned);
+                self.context.metrics.responses_without_memory.inc();
+                info!(
+                    id = self.request.attempt,
+                    server = reservation.id(),
+                    bytes = memory.bytes(),
+                    limit = RESPONSE_LIMIT_BYTES,
+                    "call: no memory for the response"
+                );
+                self.log_offer(reservation, ConnectionError::NoMemory.into());
+                return Err(self.lost_failure(ConnectionError::NoMemory));
+            }
             Err(error) => {
                 connection.close();
                 server_attempt::note_lost(&self.context, &self.request, reservation, run);
--- a/crates/gateway/src/connection_error.rs
+++ b/crates/gateway/src/connection_error.rs
@@ -22,4 +22,6 @@
     TimedOut,
     /// a planned stop of this VM can't wait longer
     Stopping,
+    /// there is no memory for the response
+    NoMemory,
 }
--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -47,6 +47,11 @@
         Ok(Some(StreamEvent { id: event_id(&bytes), bytes }))
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer contains an incomplete event.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     BodyBudget, ConnectionPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock,
-    GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, StopPhase, VmSettings, WaitQueue,
+    GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, ResponseMemory, StopPhase, VmSettings,
+    WaitQueue,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -28,6 +29,8 @@
     pub engine_protocol: Arc<dyn EngineProtocol>,
     /// Memory budget for request bodies.
     pub bodies: BodyBudget,
+    /// Memory budgets for responses.
+    pub responses: ResponseMemory,
     /// Idle connections to servers.
     pub pool: Arc<ConnectionPool>,
     /// Clock.
@@ -76,6 +79,7 @@
             evidence_changes: Notify::new(),
             load_changes: Notify::new(),
             bodies: BodyBudget::new(settings.memory_bytes),
+            responses: ResponseMemory::new(settings.memory_bytes),
             settings,
             names,
             store,
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -40,6 +40,8 @@
     store_calls: Family<ResultLabels, Counter>,
     /// Number of connections opened to servers.
     pub connections: Counter,
+    /// Number of responses given up because there was no memory for them.
+    pub responses_without_memory: Counter,
     /// Number of engines found to have ended without notice.
     pub engine_crashes: Counter,
     /// Number of requests refused because a part of their prompt crashes engines.
@@ -73,6 +75,7 @@
             moves: Family::default(),
             store_calls: Family::default(),
             connections: Counter::default(),
+            responses_without_memory: Counter::default(),
             engine_crashes: Counter::default(),
             contained_requests: Counter::default(),
             contained_parts: Gauge::default(),
@@ -99,6 +102,11 @@
         registry.register("moves", "Moves of generations by result", self.moves.clone());
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
         registry.register("connections", "Connections opened to servers", self.connections.clone());
+        registry.register(
+            "responses_without_memory",
+            "Responses given up because there was no memory for them",
+            self.responses_without_memory.clone(),
+        );
         registry.register(
             "engine_crashes",
             "Engines found to have ended without notice",
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -10,7 +10,7 @@
 use crate::{
     BodyError, BodySender, CallerRequest, ConnectionError, EngineWatcher, EventSplitter,
     GatewayContext, GenerationReservation, MoveOutcome, PlannedRoute, ResumedGeneration, RunEnd,
-    ServerConnection, StreamEvent, StreamProgress,
+    ServerConnection, StreamEvent, StreamMemory, StreamProgress,
     containment::{RunState, run_check},
     versions::RequestRun,
 };
@@ -49,6 +49,8 @@
     Gap,
     /// The request's deadline passed.
     TimedOut,
+    /// There was no memory for an event.
+    NoMemory,
 }
 
 enum StepOutcome {
@@ -77,6 +79,7 @@
     progress: Arc<StreamProgress>,
     sender: BodySender,
     splitter: EventSplitter,
+    memory: StreamMemory,
     events: u64,
     /// Time since which the current engine has been writing the response.
     writing_since: Instant,
@@ -111,6 +114,7 @@
             progress,
             sender,
             splitter: EventSplitter::default(),
+            memory: context.responses.stream(),
             events: 0,
             writing_since: Instant::now(),
             pace: None,
@@ -166,6 +170,9 @@
     async fn take_data(&mut self, piece: Result<Option<Bytes>, ConnectionError>) -> StepOutcome {
         match piece {
             Ok(Some(bytes)) => {
+                if let Some(end) = self.reserve(bytes.len()).await {
+                    return StepOutcome::End(end);
+                }
                 self.splitter.push(&bytes);
                 self.forward_events().await
             }
@@ -264,6 +271,31 @@
         self.stalled_since = self.writing_since;
     }
 
+    /// Waits for memory for more bytes of events. Returns the end of the stream if there is none for
+    /// as long as its caller would wait.
+    async fn reserve(&mut self, bytes: usize) -> Option<RelayEnd> {
+        let bytes = self.splitter.buffered() + bytes;
+        let patience = Instant::now() + stream_patience(&self.request.route);
+        tokio::select! {
+            biased;
+            result = self.memory.receive(bytes) => {
+                if result.is_ok() {
+                    return None;
+                }
+            }
+            () = self.sender.closed() => return Some(RelayEnd::CallerLeft),
+            () = tokio::time::sleep_until(patience.min(self.request.deadline)) => {}
+        }
+        self.context.metrics.responses_without_memory.inc();
+        info!(
+            id = self.request.attempt,
+            server = self.source.reservation.engine.id(),
+            bytes,
+            "stream: no memory for an event"
+        );
+        Some(RelayEnd::NoMemory)
+    }
+
     async fn forward_events(&mut self) -> StepOutcome {
         loop {
             match self.splitter.next_event() {
@@ -292,7 +324,8 @@
             self.progress.advance(id);
             self.note_event();
         }
-        match self.sender.send(Ok(event.bytes)).await {
+        let bytes = self.memory.keep(&event.bytes).await;
+        match self.sender.send(Ok(bytes)).await {
             Ok(()) => None,
             Err(_) => Some(RelayEnd::CallerLeft),
         }
@@ -347,7 +380,7 @@
         run.close(match end {
             RelayEnd::Complete => RunEnd::Good,
             RelayEnd::Broken | RelayEnd::Gap | RelayEnd::Silent => RunEnd::Failed,
-            RelayEnd::CallerLeft | RelayEnd::TimedOut => RunEnd::Abandoned,
+            RelayEnd::CallerLeft | RelayEnd::TimedOut | RelayEnd::NoMemory => RunEnd::Abandoned,
         });
         if end == RelayEnd::Complete {
             self.context.pool.put_back(reservation.engine.address(), connection);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod http_call;
 mod lost_responses;
 mod membership;
+mod memory;
 mod move_schedule;
 mod moves;
 mod order_updates;
@@ -128,6 +129,7 @@
     http_call::HttpCall,
     lost_responses::LostResponses,
     membership::{ReportRecipients, SurveyedEngine},
+    memory::{MemoryBudget, MemoryReservation, ResponseMemory, StreamMemory},
     move_schedule::{CopyStart, MoveSchedule},
     peer_exchange::PeerExchange,
     peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, VersionMoveEntry},
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -17,7 +17,9 @@
 };
 use tracing::info;
 
-use crate::{BodyFraming, ChunkDecoder, ConnectionError, DecodedChunk, ResponseHead};
+use crate::{
+    BodyFraming, ChunkDecoder, ConnectionError, DecodedChunk, MemoryReservation, ResponseHead,
+};
 
 /// Maximum time to establish a connection. The latency between zones is some milliseconds. A lost
 /// SYN packet is resent after one second, which is too late for plain requests.
@@ -340,6 +342,48 @@
         Ok(body.freeze())
     }
 
+    /// Returns whether the response states the length of its body.
+    pub fn has_known_length(&self) -> bool {
+        matches!(self.body, BodyState::Idle | BodyState::Length(_))
+    }
+
+    /// Reads the rest of the body into memory that is reserved as it grows. The body is not read
+    /// while there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is cut off or exceeds `limit` bytes, and
+    /// [`ConnectionError::NoMemory`] if there is no memory for it.
+    pub async fn read_reserved_body(
+        &mut self,
+        limit: usize,
+        reservation: &mut MemoryReservation,
+    ) -> Result<Vec<u8>, ConnectionError> {
+        let largest = match self.body {
+            BodyState::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            _ => limit,
+        };
+        if largest > limit {
+            self.log_excess("bytes of a body", limit);
+            return Err(ConnectionError::Malformed);
+        }
+        let mut body = Vec::new();
+        while let Some(piece) = self.next_data().await? {
+            let length = body.len() + piece.len();
+            if length > limit {
+                self.log_excess("bytes of a body", limit);
+                return Err(ConnectionError::Malformed);
+            }
+            if length > body.capacity() {
+                let capacity = length.next_power_of_two().min(largest);
+                reservation.grow_to(capacity).await?;
+                body.reserve_exact(capacity - body.len());
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body)
+    }
+
     /// Returns whether the last body was ended by the server's closing the connection, not by a
     /// length or a last chunk.
     pub fn ended_by_close(&self) -> bool {
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -10,7 +10,7 @@
     AttemptOutcome, CallerRequest, ConnectionError, EngineWatcher, GatewayContext, GatewayFailure,
     GenerationRelay, GenerationReservation, MoveOutcome, OpenResponse, RelaySource, ResponseBody,
     RunEnd, ServerKey, ServerReservation, StreamProgress, SystemHeaders, engine_wait,
-    response_body, response_relay, server_attempt,
+    memory::ReservedBytes, response_body, response_relay, server_attempt,
 };
 
 /// Maximum number of servers tried while none has run the request.
@@ -179,7 +179,8 @@
             let denies_run = response_relay::denies_run(head.status);
             let is_failure = denies_run || head.status.is_server_error();
             run.close(if is_failure { RunEnd::Failed } else { RunEnd::Good });
-            let body = connection.read_body(FAILURE_LIMIT_BYTES);
+            let mut memory = self.context.responses.body(connection.has_known_length());
+            let body = connection.read_reserved_body(FAILURE_LIMIT_BYTES, &mut memory);
             let body = server_attempt::await_server(&self.context, &self.request, body).await;
             let Ok(body) = body else {
                 connection.close();
@@ -189,6 +190,7 @@
             if denies_run {
                 return Err(GatewayFailure::new(ErrorKind::BackendFailed, "the engine failed"));
             }
+            let body = ReservedBytes::body(body.into(), memory);
             return Ok(response_relay::build(&names, &head, response_body::full(body)));
         }
         self.log_offer(&reservation, "answered");
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod generation_timings;
 mod limits;
 mod log_lines;
+mod memory;
 mod moves;
 mod peer_tables;
 mod placements;
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use dragonflycart_gateway::{ConnectionError, ConnectionPool, HttpCall, ServerConnection};
+use dragonflycart_gateway::{
+    ConnectionError, ConnectionPool, HttpCall, MemoryBudget, ServerConnection,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -350,3 +352,41 @@
     assert_eq!(bytes, length);
     assert!(bytes / pieces >= 4_096, "{pieces} pieces");
 }
+
+/// Guards against a body that is read, and takes memory, although it states that it is too large.
+#[tokio::test]
+async fn body_that_states_too_large_a_length_is_not_read() {
+    let address =
+        scripted(vec!["HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: 200\r\n\r\n"]).await;
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    let budget = MemoryBudget::new(1_000, None);
+
+    let result = connection.read_reserved_body(100, &mut budget.reservation(0)).await;
+
+    assert_eq!(result, Err(ConnectionError::Malformed));
+}
+
+/// Guards against a body that is read faster than there is memory for it.
+#[tokio::test]
+async fn body_is_not_read_while_there_is_no_memory_for_it() {
+    let length = 100_000;
+    let head = format!("HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: {length}\r\n\r\n");
+    let address = scripted(vec![format!("{head}{}", "x".repeat(length)).leak()]).await;
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    let budget = MemoryBudget::new(length, None);
+    let mut other = budget.reservation(0);
+    other.grow_to(length).await.unwrap();
+    other.grow_to(2 * length).await.unwrap();
+    let mut memory = budget.reservation(0);
+
+    let wait = Duration::from_millis(100);
+    let early = tokio::time::timeout(wait, connection.read_reserved_body(length, &mut memory));
+    assert!(early.await.is_err());
+    assert!(memory.is_waiting());
+
+    assert_eq!(budget.free_bytes(), 0);
+    drop(other);
+    assert_eq!(budget.free_bytes(), length);
+}
