Limit responses of servers to calls, and discard those that are skipped

An engine's report, its answer to a copy, and a health check could take 8 MiB each, the limit that the store's tables need; the response to an earlier request was kept, up to 1 MiB, while it was skipped.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -87,9 +87,9 @@
         tokio::spawn(async move {
             let mut connection = connection;
             let body =
-                tokio::time::timeout(DISCARD_TIMEOUT, connection.read_body(DISCARD_BYTES)).await;
+                tokio::time::timeout(DISCARD_TIMEOUT, connection.discard_body(DISCARD_BYTES)).await;
             match body {
-                Ok(Ok(_)) => pool.put_back(address, connection),
+                Ok(Ok(())) => pool.put_back(address, connection),
                 Ok(Err(_)) | Err(_) => connection.close(),
             }
         });
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -6,8 +6,9 @@
 
 use crate::{ConnectionError, ResponseHead, ServerConnection};
 
-/// Maximum size of a response, in bytes.
-const RESPONSE_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of a response, in bytes. A server's report names its running generations, with some
+/// hundred bytes each.
+const RESPONSE_LIMIT_BYTES: usize = 256 * 1024;
 
 /// Method, path and body of a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -16,22 +17,38 @@
     path: String,
     content_type: &'static str,
     body: Bytes,
+    /// Maximum size of the response, in bytes.
+    response_limit: usize,
 }
 
 impl HttpCall {
     /// Builds a `GET` of `path`, which may include a query.
     pub fn get(path: String) -> HttpCall {
-        HttpCall { method: "GET", path, content_type: "", body: Bytes::new() }
+        HttpCall::new("GET", path, "", Bytes::new())
     }
 
     /// Builds a `DELETE` of `path`.
     pub fn delete(path: String) -> HttpCall {
-        HttpCall { method: "DELETE", path, content_type: "", body: Bytes::new() }
+        HttpCall::new("DELETE", path, "", Bytes::new())
     }
 
     /// Builds a `POST` of a body.
     pub fn post(path: String, content_type: &'static str, body: Bytes) -> HttpCall {
-        HttpCall { method: "POST", path, content_type, body }
+        HttpCall::new("POST", path, content_type, body)
+    }
+
+    fn new(
+        method: &'static str,
+        path: String,
+        content_type: &'static str,
+        body: Bytes,
+    ) -> HttpCall {
+        HttpCall { method, path, content_type, body, response_limit: RESPONSE_LIMIT_BYTES }
+    }
+
+    /// Accepts a response of up to `bytes`.
+    pub fn with_response_limit(self, bytes: usize) -> HttpCall {
+        HttpCall { response_limit: bytes, ..self }
     }
 
     /// Sends the call and returns the status and body of the response.
@@ -66,7 +83,7 @@
             let mut connection = ServerConnection::connect(address).await?;
             let head = self.encode_head(address);
             let response = connection.exchange(&head, &self.body, None).await?;
-            let body = connection.read_body(RESPONSE_LIMIT_BYTES).await?;
+            let body = connection.read_body(self.response_limit).await?;
             connection.close();
             Ok((response, body))
         };
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -188,10 +188,9 @@
 
     /// Reads the body of a response to an earlier request.
     async fn skip_body(&mut self) -> Result<(), ConnectionError> {
-        let body = self.read_body(SKIP_LIMIT_BYTES);
+        let body = self.discard_body(SKIP_LIMIT_BYTES);
         match tokio::time::timeout(SKIP_TIMEOUT, body).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(error)) => Err(error),
+            Ok(result) => result,
             Err(_) => {
                 self.log_excess(
                     "milliseconds of another response",
@@ -342,6 +341,23 @@
         Ok(body.freeze())
     }
 
+    /// Reads the rest of an unneeded body, without keeping it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ServerConnection::read_body`].
+    pub async fn discard_body(&mut self, limit: usize) -> Result<(), ConnectionError> {
+        let mut length = 0;
+        while let Some(piece) = self.next_data().await? {
+            length += piece.len();
+            if length > limit {
+                self.log_excess("bytes of a body", limit);
+                return Err(ConnectionError::Malformed);
+            }
+        }
+        Ok(())
+    }
+
     /// Returns whether the response states the length of its body.
     pub fn has_known_length(&self) -> bool {
         matches!(self.body, BodyState::Idle | BodyState::Length(_))
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -390,3 +390,21 @@
     drop(other);
     assert_eq!(budget.free_bytes(), length);
 }
+
+/// Guards against a server whose report has no end and takes megabytes for each call, while the store
+/// needs large responses.
+#[tokio::test]
+async fn response_to_a_call_is_limited_by_what_the_call_needs() {
+    let length = 1024 * 1024;
+    let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    let script = &*format!("{response}{}", "x".repeat(length)).leak();
+    let timeout = Duration::from_secs(5);
+
+    let report = HttpCall::get("/report".to_owned());
+    let report = report.send(scripted(vec![script]).await, timeout).await;
+    let table = HttpCall::get("/table".to_owned()).with_response_limit(8 * 1024 * 1024);
+    let table = table.send(scripted(vec![script]).await, timeout).await;
+
+    assert_eq!(report, Err(ConnectionError::Malformed));
+    assert_eq!(table.unwrap().1.len(), length);
+}
