Limit the platform's responses to the own daemon

HttpTransport collected responses of the log, the VM list and the weight store without a limit, so one that does not end takes memory until its timeout. They are limited to 16 MiB, as those of engines to the same daemon.

--- a/crates/interfaces/src/http_transport.rs
+++ b/crates/interfaces/src/http_transport.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -12,6 +12,9 @@
 
 /// Timeout for a TCP connection to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of a response, in bytes. It limits the memory that a response without an end takes
+/// until its timeout.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Failure of a request, by whether it may have been received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,8 +61,8 @@
                 if error.is_connect() { TransportError::NotSent } else { TransportError::MaybeSent }
             })?;
             let status = response.status();
-            let body =
-                response.into_body().collect().await.map_err(|_| TransportError::MaybeSent)?;
+            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+            let body = body.map_err(|_| TransportError::MaybeSent)?;
             Ok((status, body.to_bytes()))
         };
         match tokio::time::timeout(timeout, response).await {
--- /dev/null
+++ b/crates/interfaces/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the platform's clients against scripted servers.
+
+mod responses;
