--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -17,7 +17,9 @@
 };
 use tracing::info;
 
-use crate::{BodyFraming, ChunkDecoder, ConnectionError, DecodedChunk, ResponseHead};
+use crate::{
+    BodyFraming, ChunkDecoder, ConnectionError, DecodedChunk, MemoryReservation, ResponseHead,
+};
 
 /// Maximum time to establish a connection. The latency between zones is some milliseconds. A lost
 /// SYN packet is resent after one second, which is too late for plain requests.
@@ -43,6 +45,11 @@
 /// Maximum time from the first byte of a response head to its last one.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Free space in the buffer for the first read of a body, in bytes, and its maximum. It doubles each
+/// time that a read fills it, so that only connections with large bodies have large buffers.
+const FIRST_READ_BYTES: usize = 1024;
+const LARGEST_READ_BYTES: usize = 16 * 1024;
+
 /// Number of requests whose identities a connection remembers. Attempts of one request follow each
 /// other closely.
 const IDENTITIES_KEPT: usize = 16;
@@ -58,6 +65,8 @@
 pub struct ServerConnection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Free space in the buffer for the next read of a body, in bytes.
+    read_bytes: usize,
     body: BodyState,
     was_used: bool,
     /// Identities of the latest requests, oldest first.
@@ -87,6 +96,7 @@
         Ok(ServerConnection {
             stream,
             buffer: BytesMut::new(),
+            read_bytes: FIRST_READ_BYTES,
             body: BodyState::Idle,
             was_used: false,
             served: VecDeque::new(),
@@ -178,10 +188,9 @@
 
     /// Reads the body of a response to an earlier request.
     async fn skip_body(&mut self) -> Result<(), ConnectionError> {
-        let body = self.read_body(SKIP_LIMIT_BYTES);
+        let body = self.discard_body(SKIP_LIMIT_BYTES);
         match tokio::time::timeout(SKIP_TIMEOUT, body).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(error)) => Err(error),
+            Ok(result) => result,
             Err(_) => {
                 self.log_excess(
                     "milliseconds of another response",
@@ -258,11 +267,7 @@
                 return Ok(piece);
             }
             let is_open_ended = matches!(self.body, BodyState::UntilClose);
-            let count = self
-                .stream
-                .read_buf(&mut self.buffer)
-                .await
-                .map_err(|_| ConnectionError::Closed)?;
+            let count = self.read_more().await.map_err(|_| ConnectionError::Closed)?;
             if count == 0 {
                 self.must_close = true;
                 self.was_closed = true;
@@ -275,6 +280,17 @@
         }
     }
 
+    /// Reads into the buffer. Returns the number of bytes read.
+    async fn read_more(&mut self) -> std::io::Result<usize> {
+        self.buffer.reserve(self.read_bytes);
+        let space = self.buffer.capacity() - self.buffer.len();
+        let count = self.stream.read_buf(&mut self.buffer).await?;
+        if count == space {
+            self.read_bytes = (self.read_bytes * 2).min(LARGEST_READ_BYTES);
+        }
+        Ok(count)
+    }
+
     /// Takes body data from the buffer. Returns `Some(None)` at the end of the body, and `None` if
     /// more bytes are needed.
     fn buffered_data(&mut self) -> Result<Option<Option<Bytes>>, ConnectionError> {
@@ -325,6 +341,65 @@
         Ok(body.freeze())
     }
 
+    /// Reads the rest of an unneeded body, without keeping it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ServerConnection::read_body`].
+    pub async fn discard_body(&mut self, limit: usize) -> Result<(), ConnectionError> {
+        let mut length = 0;
+        while let Some(piece) = self.next_data().await? {
+            length += piece.len();
+            if length > limit {
+                self.log_excess("bytes of a body", limit);
+                return Err(ConnectionError::Malformed);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether the response states the length of its body.
+    pub fn has_known_length(&self) -> bool {
+        matches!(self.body, BodyState::Idle | BodyState::Length(_))
+    }
+
+    /// Reads the rest of the body into memory that is reserved as it grows. The body is not read
+    /// while there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is cut off or exceeds `limit` bytes, and
+    /// [`ConnectionError::NoMemory`] if there is no memory for it.
+    pub async fn read_reserved_body(
+        &mut self,
+        limit: usize,
+        reservation: &mut MemoryReservation,
+    ) -> Result<Vec<u8>, ConnectionError> {
+        let largest = match self.body {
+            BodyState::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+            _ => limit,
+        };
+        if largest > limit {
+            self.log_excess("bytes of a body", limit);
+            return Err(ConnectionError::Malformed);
+        }
+        let mut body = Vec::new();
+        while let Some(piece) = self.next_data().await? {
+            let length = body.len() + piece.len();
+            if length > limit {
+                self.log_excess("bytes of a body", limit);
+                return Err(ConnectionError::Malformed);
+            }
+            if length > body.capacity() {
+                let capacity = length.next_power_of_two().min(largest);
+                reservation.grow_to(capacity).await?;
+                body.reserve_exact(capacity - body.len());
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body)
+    }
+
     /// Returns whether the last body was ended by the server's closing the connection, not by a
     /// length or a last chunk.
     pub fn ended_by_close(&self) -> bool {
@@ -334,6 +409,10 @@
     /// Marks the connection as idle from now on.
     pub fn start_idle(&mut self) {
         self.idle_since = Instant::now();
+        self.read_bytes = FIRST_READ_BYTES;
+        if self.buffer.is_empty() && self.buffer.capacity() > FIRST_READ_BYTES {
+            self.buffer = BytesMut::new();
+        }
     }
 
     /// Closes the connection.
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use dragonflycart_gateway::{ConnectionError, ConnectionPool, HttpCall, ServerConnection};
+use dragonflycart_gateway::{
+    ConnectionError, ConnectionPool, HttpCall, MemoryBudget, ServerConnection,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -330,3 +332,79 @@
     assert!(!same.is_reused());
     assert!(another.is_reused());
 }
+
+/// Guards against a large body that is read some hundred bytes at a time, the size of the head of
+/// its response, which costs a system call each.
+#[tokio::test]
+async fn large_body_is_read_in_large_pieces() {
+    let length = 1024 * 1024;
+    let head = format!("HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: {length}\r\n\r\n");
+    let address = scripted(vec![format!("{head}{}", "x".repeat(length)).leak()]).await;
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+
+    let (mut pieces, mut bytes) = (0, 0);
+    while let Some(piece) = connection.next_data().await.unwrap() {
+        pieces += 1;
+        bytes += piece.len();
+    }
+
+    assert_eq!(bytes, length);
+    assert!(bytes / pieces >= 4_096, "{pieces} pieces");
+}
+
+/// Guards against a body that is read, and takes memory, although it states that it is too large.
+#[tokio::test]
+async fn body_that_states_too_large_a_length_is_not_read() {
+    let address =
+        scripted(vec!["HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: 200\r\n\r\n"]).await;
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    let budget = MemoryBudget::new(1_000, None);
+
+    let result = connection.read_reserved_body(100, &mut budget.reservation(0)).await;
+
+    assert_eq!(result, Err(ConnectionError::Malformed));
+}
+
+/// Guards against a body that is read faster than there is memory for it.
+#[tokio::test]
+async fn body_is_not_read_while_there_is_no_memory_for_it() {
+    let length = 100_000;
+    let head = format!("HTTP/1.1 200 OK\r\necho-id: a1\r\ncontent-length: {length}\r\n\r\n");
+    let address = scripted(vec![format!("{head}{}", "x".repeat(length)).leak()]).await;
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    let budget = MemoryBudget::new(length, None);
+    let mut other = budget.reservation(0);
+    other.grow_to(length).await.unwrap();
+    other.grow_to(2 * length).await.unwrap();
+    let mut memory = budget.reservation(0);
+
+    let wait = Duration::from_millis(100);
+    let early = tokio::time::timeout(wait, connection.read_reserved_body(length, &mut memory));
+    assert!(early.await.is_err());
+    assert!(memory.is_waiting());
+
+    assert_eq!(budget.free_bytes(), 0);
+    drop(other);
+    assert_eq!(budget.free_bytes(), length);
+}
+
+/// Guards against a server whose report has no end and takes megabytes for each call, while the store
+/// needs large responses.
+#[tokio::test]
+async fn response_to_a_call_is_limited_by_what_the_call_needs() {
+    let length = 1024 * 1024;
+    let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    let script = &*format!("{response}{}", "x".repeat(length)).leak();
+    let timeout = Duration::from_secs(5);
+
+    let report = HttpCall::get("/report".to_owned());
+    let report = report.send(scripted(vec![script]).await, timeout).await;
+    let table = HttpCall::get("/table".to_owned()).with_response_limit(8 * 1024 * 1024);
+    let table = table.send(scripted(vec![script]).await, timeout).await;
+
+    assert_eq!(report, Err(ConnectionError::Malformed));
+    assert_eq!(table.unwrap().1.len(), length);
+}
