tests: check in the soak that no generation runs at two engines

The soak ran streams with backup copies, but could not show that a generation ran at two engines at once (TWICE): the fake engines stopped at every closed connection, had no kv-move, sent the head of a resumed generation when they began, and their log had no times.

The fake engine now copies generations on request (the final copy stops the generation first, closes its stream without its end and keeps the memory), lists them in its report, works on without its connection if told so, and can send heads of resumed generations late and hold streams back. The run log records the span of work of each run. Without these options an engine behaves as before; the tests that use it are unchanged.

In the soak half of the runners drop requests whose connection closes, 40 % of resumed generations send their head up to 1.5 s late, and 5 % of streams are silent for 1.5 s. Runners leave after 1.2 to 2.5 s instead of always 1.2 s, so that some can move their generations. A new fault closes all connections to a runner, also new ones; it has a random sequence of its own, so that the faults of earlier seeds stay. No check was changed or removed.

The new check compares all runs of a generation. It excuses only a gateway that was killed or frozen, or an engine to which no connection was possible, in the 3 s before. Faults of open connections, of the store, and planned stops excuse nothing. It demands the stop again once an excuse is over. Two tests cover it.

--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -3,18 +3,36 @@
 //!
 //! `SOAK_SEEDS=FIRST..LAST` runs further seeds; `SOAK_SECONDS` sets the duration of each run.
 
+mod overlap_check;
+mod soak_disruptions;
 mod soak_fleet;
 mod soak_outcome;
 mod soak_schedule;
 
-use std::{ops::Range, time::Duration};
+use std::{
+    ops::Range,
+    time::{Duration, Instant},
+};
 
-use self::{soak_fleet::SoakFleet, soak_outcome::SoakOutcome, soak_schedule::SoakSchedule};
+use dragonflycart_standins::{RunPart, WorkSpan};
+
+use self::{
+    overlap_check::{OverlapExcuses, find_overlap},
+    soak_fleet::{RunnerFaults, SoakFleet},
+    soak_outcome::SoakOutcome,
+    soak_schedule::SoakSchedule,
+};
 
 /// Seeds that run every time. Add a seed that failed here, with a line on its cause.
-const REGRESSION_SEEDS: [u64; 3] = [1, 2, 3];
-/// Percentage of requests whose response runners drop, besides the faults of the schedule.
-const LOST_RESPONSE_PERCENT: u64 = 3;
+const REGRESSION_SEEDS: [u64; 4] = [
+    // A cut stream goes on at an engine whose head comes late, while the engine before works on.
+    1, // The same with a silent stream.
+    2, 3, // The same with an engine that drains.
+    92_004,
+];
+/// Faults of runners, besides those of the schedule.
+const RUNNER_FAULTS: RunnerFaults =
+    RunnerFaults { lost_response_percent: 3, late_head_percent: 40, silent_percent: 5 };
 /// Duration of a run in CI, which doesn't set `SOAK_SECONDS`.
 const DEFAULT_SECONDS: u64 = 8;
 
@@ -32,12 +50,27 @@
     }
 }
 
+/// Builds a part of a generation that worked from `start_ms` to `end_ms` after `base`.
+fn part(base: Instant, runner: &str, is_resumed: bool, start_ms: u64, end_ms: u64) -> RunPart {
+    RunPart { runner: runner.to_owned(), is_resumed, work: span(base, start_ms, end_ms) }
+}
+
+fn span(base: Instant, start_ms: u64, end_ms: u64) -> WorkSpan {
+    WorkSpan {
+        start: base + Duration::from_millis(start_ms),
+        end: base + Duration::from_millis(end_ms),
+    }
+}
+
 async fn run_seed(seed: u64) -> SoakOutcome {
     let schedule = SoakSchedule::new(seed, Duration::from_secs(seconds()));
-    let mut fleet = SoakFleet::start(seed, LOST_RESPONSE_PERCENT).await;
+    let mut fleet = SoakFleet::start(seed, RUNNER_FAULTS).await;
     fleet.run(&schedule).await;
     let outcome = fleet.close().await;
     println!("seed {seed}: {outcome}");
+    for violation in &outcome.violations {
+        println!("seed {seed}: {violation}");
+    }
     outcome
 }
 
@@ -63,7 +96,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn everything_is_served_without_faults() {
     let schedule = SoakSchedule::without_faults(Duration::from_secs(4));
-    let mut fleet = SoakFleet::start(0, 0).await;
+    let mut fleet = SoakFleet::start(0, RunnerFaults::default()).await;
 
     fleet.run(&schedule).await;
     let outcome = fleet.close().await;
@@ -71,3 +104,48 @@
     assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
     assert_eq!(outcome.served, outcome.sent, "{outcome}");
 }
+
+/// Guards against a check that misses two runners at work on a generation, or counts those that work
+/// together for the 400 ms allowed.
+#[test]
+fn overlap_beyond_the_time_allowed_is_found() {
+    let base = Instant::now();
+    let none = OverlapExcuses::default();
+    let overlapping = |end_ms| [part(base, "a", false, 0, end_ms), part(base, "b", true, 500, 600)];
+
+    assert_eq!(find_overlap(&overlapping(900), none), None);
+    assert!(find_overlap(&overlapping(901), none).is_some());
+    // A runner doesn't overlap with itself, and not only the one just before counts.
+    let [first, second] = overlapping(1_500);
+    let third = part(base, "a", true, 700, 1_500);
+    assert_eq!(find_overlap(&[first.clone(), third], none), None);
+    let short = part(base, "b", true, 500, 600);
+    let later = part(base, "c", true, 650, 1_500);
+    assert!(find_overlap(&[part(base, "a", false, 0, 1_100), short, later], none).is_some());
+    assert!(find_overlap(&[first, second], none).is_some());
+}
+
+/// Guards against a check that excuses more than a gateway or runner that could not be reached in the
+/// `contact_ms` before the moment, such as another runner or a disruption that begins later.
+#[test]
+fn overlap_is_excused_only_while_the_runner_before_cannot_be_told() {
+    let base = Instant::now();
+    let parts = [part(base, "a", false, 0, 9_000), part(base, "b", true, 4_000, 9_000)];
+    let find = |gateway: &[WorkSpan], unreachable: &[(String, WorkSpan)]| {
+        find_overlap(&parts, OverlapExcuses { gateway, unreachable })
+    };
+    let runner = |id: &str, start_ms, end_ms| [(id.to_owned(), span(base, start_ms, end_ms))];
+
+    // Until 9 s, also by two disruptions that overlap with the time after each other.
+    assert_eq!(find(&[span(base, 4_000, 6_000)], &[]), None);
+    assert_eq!(find(&[], &runner("a", 4_000, 6_000)), None);
+    assert_eq!(find(&[span(base, 1_000, 2_000)], &runner("a", 4_900, 6_000)), None);
+
+    // It works on when it can be reached again.
+    assert!(find(&[span(base, 4_000, 5_999)], &[]).is_some());
+    assert!(find(&[], &runner("a", 4_000, 5_999)).is_some());
+    // Another runner, over before, or begun later.
+    assert!(find(&[], &runner("b", 4_000, 6_000)).is_some());
+    assert!(find(&[span(base, 1_000, 1_399)], &[]).is_some());
+    assert!(find(&[], &runner("a", 4_401, 6_000)).is_some());
+}
--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -10,14 +10,15 @@
 
 use bytes::Bytes;
 use dragonflycart_standins::{
-    CallerRequest, CrashPoint, FakeRunner, FakeStore, ManifestSpec, READY_PATH, RunLog,
-    RunnerFailure, RunnerKind, RunnerOptions, StoreMode, send, settings_text,
+    CallerRequest, CrashPoint, FakeRunner, FakeStore, GenerationOptions, ManifestSpec, READY_PATH,
+    RunLog, RunnerFailure, RunnerKind, RunnerOptions, StoreMode, send, settings_text,
 };
 use dragonflycart_testkit::{ChildProcess, FaultRelay, RelayCommand, RelayMode, RelayScope};
 use serde_json::json;
 use tokio::{task::JoinSet, time::Instant};
 
 use super::{
+    soak_disruptions::SoakDisruptions,
     soak_outcome::{RequestKind, SoakCall, SoakOutcome},
     soak_schedule::{SoakFault, SoakSchedule, TimedFault},
 };
@@ -33,8 +34,9 @@
 const REQUEST_PAUSE: Duration = Duration::from_millis(12);
 /// Interval at which runners renew their registration.
 const HEARTBEAT: Duration = Duration::from_millis(300);
-/// Time between the notice of a runner that leaves and its removal.
-const DRAIN_NOTICE: Duration = Duration::from_millis(1_200);
+/// Shortest time between the notice of a runner that leaves and its removal. Generations can be moved
+/// in time only if it is longer.
+const LEAST_DRAIN_NOTICE: Duration = Duration::from_millis(1_200);
 /// Time for the gateways to be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for requests in flight to end after the run.
@@ -51,6 +53,19 @@
     restarts_at: Option<Instant>,
     /// Time at which a paused process is resumed.
     resumes_at: Option<Instant>,
+    /// Time since which the process is killed or paused.
+    disrupted_since: Option<Instant>,
+}
+
+/// Faults of runners besides those of the schedule.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RunnerFaults {
+    /// Percentage of requests whose response is dropped.
+    pub(crate) lost_response_percent: u64,
+    /// Percentage of resumed generations whose response head comes late.
+    pub(crate) late_head_percent: u64,
+    /// Percentage of generations whose stream is silent for a time.
+    pub(crate) silent_percent: u64,
 }
 
 struct RunnerSlot {
@@ -60,6 +75,8 @@
     removed_at: Option<Instant>,
     /// Time at which the relay passes bytes again.
     heals_at: Option<Instant>,
+    /// Times from and until which no connection to the runner is possible.
+    unreachable: Option<(Instant, Instant)>,
 }
 
 /// Processes, fakes and requests of one run.
@@ -78,14 +95,13 @@
     next_runner: u64,
     manifest_version: u64,
     sequence: u64,
-    /// Percentage of requests whose response runners drop.
-    lost_response_percent: u64,
+    runner_faults: RunnerFaults,
+    disruptions: SoakDisruptions,
 }
 
 impl SoakFleet {
-    /// Starts all processes and waits until they are ready. Runners drop the responses of
-    /// `lost_response_percent` of 100 requests.
-    pub(crate) async fn start(seed: u64, lost_response_percent: u64) -> SoakFleet {
+    /// Starts all processes and waits until they are ready.
+    pub(crate) async fn start(seed: u64, runner_faults: RunnerFaults) -> SoakFleet {
         let directory =
             std::env::temp_dir().join(format!("dragonflycart-soak-{}-{seed}", std::process::id()));
         fs::create_dir_all(&directory).expect("the temporary directory is writable");
@@ -104,7 +120,8 @@
             next_runner: 0,
             manifest_version: 0,
             sequence: 0,
-            lost_response_percent,
+            runner_faults,
+            disruptions: SoakDisruptions::default(),
         };
         fleet.publish_manifest();
         for number in 0..RUNNER_COUNT {
@@ -131,22 +148,36 @@
 
     async fn add_runner(&mut self, kind: RunnerKind, zone: &str) {
         self.next_runner += 1;
+        let generations = GenerationOptions {
+            has_moves: true,
+            // Most runners drop a request whose connection closes, but some work on.
+            drops_requests: (self.next_runner / 4).is_multiple_of(2),
+            late_head_percent: self.runner_faults.late_head_percent,
+            silent_percent: self.runner_faults.silent_percent,
+        };
         let options = RunnerOptions {
             id: format!("i-{}", self.next_runner),
             kind,
             service: if kind == RunnerKind::Engine { "engines" } else { "desk" }.to_owned(),
             zone: zone.to_owned(),
-            lost_response_percent: self.lost_response_percent,
+            lost_response_percent: self.runner_faults.lost_response_percent,
             version: "v1".to_owned(),
             failure_percent: 0,
             failure: RunnerFailure::Error,
             crashes_on: None,
             crash_point: CrashPoint::AfterEvents,
+            generations,
         };
         let runner = FakeRunner::start(options, &self.log, self.next_runner).await;
         let relay = FaultRelay::start(runner.address()).await.expect("a loopback port is free");
         runner.set_public_address(relay.address());
-        self.runners.push(RunnerSlot { runner, relay, removed_at: None, heals_at: None });
+        self.runners.push(RunnerSlot {
+            runner,
+            relay,
+            removed_at: None,
+            heals_at: None,
+            unreachable: None,
+        });
         self.heartbeat();
     }
 
@@ -176,6 +207,7 @@
             child,
             restarts_at: None,
             resumes_at: None,
+            disrupted_since: None,
         });
     }
 
@@ -221,16 +253,14 @@
     fn send_request(&mut self) {
         let number = self.next_request;
         self.next_request += 1;
-        let running: Vec<SocketAddr> = self
-            .gateways
-            .iter()
-            .filter(|gateway| gateway.child.is_some())
-            .map(|g| g.http_address)
+        let running: Vec<usize> = (0..self.gateways.len())
+            .filter(|index| self.gateways[*index].child.is_some())
             .collect();
         if running.is_empty() {
             return;
         }
-        let address = running[number as usize % running.len()];
+        let gateway = running[number as usize % running.len()];
+        let address = self.gateways[gateway].http_address;
         let (kind, method, path, tokens) = match number % 8 {
             // Every third stream is too short for a backup copy.
             0 if number.is_multiple_of(3) => {
@@ -254,7 +284,12 @@
         let calls = Arc::clone(&self.calls);
         self.in_flight.spawn(async move {
             let response = send(address, &request).await;
-            calls.lock().expect("no holder panics").push(SoakCall { kind, request, response });
+            calls.lock().expect("no holder panics").push(SoakCall {
+                kind,
+                request,
+                gateway,
+                response,
+            });
         });
     }
 
@@ -275,7 +310,8 @@
             SoakFault::RunnerUnresponsive => self.set_runner_relay(timed, RelayMode::Discard, None),
             SoakFault::RunnerStall => self.set_runner_relay(timed, RelayMode::Stall, Some(until)),
             SoakFault::RunnerCrash => self.replace_runner(timed.target).await,
-            SoakFault::RunnerDrained => self.drain_runner(timed.target).await,
+            SoakFault::RunnerDrained => self.drain_runner(timed).await,
+            SoakFault::RunnerUnreachable => self.close_runner(timed.target, until),
             SoakFault::NewManifest => self.publish_manifest(),
             SoakFault::Evacuation => {
                 self.store.put_order("evacuate/b", &json!({}));
@@ -294,11 +330,13 @@
         let Some(child) = &mut gateway.child else { return };
         match timed.fault {
             SoakFault::Kill => {
+                gateway.disrupted_since.get_or_insert_with(Instant::now);
                 child.kill().expect("the process is ours");
                 gateway.child = None;
                 gateway.restarts_at = Some(until);
             }
             SoakFault::Pause => {
+                gateway.disrupted_since.get_or_insert_with(Instant::now);
                 child.pause().expect("the process is ours");
                 gateway.resumes_at = Some(until);
             }
@@ -319,24 +357,37 @@
         }
     }
 
+    /// Closes all connections to a runner, also new ones, for a while.
+    fn close_runner(&mut self, target: usize, until: Instant) {
+        let index = target % self.runners.len();
+        let slot = &mut self.runners[index];
+        slot.relay.apply(RelayCommand { scope: RelayScope::All, mode: RelayMode::Cut });
+        let since = slot.unreachable.map_or_else(Instant::now, |(since, _)| since);
+        slot.unreachable = Some((since, until));
+    }
+
     async fn replace_runner(&mut self, target: usize) {
         let index = target % self.runners.len();
         let slot = self.runners.remove(index);
         self.store.remove_server(slot.runner.id());
+        if let Some((since, _)) = slot.unreachable {
+            self.disruptions.note_unreachable(slot.runner.id(), since);
+        }
         let kind = runner_kind(&slot.runner);
         slot.runner.close();
         slot.relay.close().await;
         self.add_runner(kind, ZONES[target % ZONES.len()]).await;
     }
 
-    async fn drain_runner(&mut self, target: usize) {
+    async fn drain_runner(&mut self, timed: TimedFault) {
+        let (target, notice) = (timed.target, timed.duration.max(LEAST_DRAIN_NOTICE));
         let index = target % self.runners.len();
         let slot = &mut self.runners[index];
         if slot.removed_at.is_some() {
             return;
         }
-        slot.runner.drain();
-        slot.removed_at = Some(Instant::now() + DRAIN_NOTICE);
+        slot.runner.drain_within(notice);
+        slot.removed_at = Some(Instant::now() + notice);
         let kind = runner_kind(&slot.runner);
         self.heartbeat();
         self.add_runner(kind, ZONES[target % ZONES.len()]).await;
@@ -354,14 +405,22 @@
             self.store.remove_order("evacuate/b");
             self.evacuation_ends_at = None;
         }
-        for gateway in &mut self.gateways {
+        for (index, gateway) in self.gateways.iter_mut().enumerate() {
             heal_gateway(gateway, &is_due);
+            let is_disrupted = gateway.resumes_at.is_some() || gateway.child.is_none();
+            if let Some(since) = gateway.disrupted_since.take_if(|_| !is_disrupted) {
+                self.disruptions.note_gateway(index, since);
+            }
         }
         for slot in &mut self.runners {
             if is_due(&slot.heals_at) {
                 slot.relay.apply(RelayCommand { scope: RelayScope::Open, mode: RelayMode::Pass });
                 slot.heals_at = None;
             }
+            if let Some((since, _)) = slot.unreachable.take_if(|(_, until)| is_due(&Some(*until))) {
+                slot.relay.apply(RelayCommand { scope: RelayScope::All, mode: RelayMode::Pass });
+                self.disruptions.note_unreachable(slot.runner.id(), since);
+            }
         }
         let mut index = 0;
         while index < self.runners.len() {
@@ -371,6 +430,9 @@
             }
             let slot = self.runners.remove(index);
             self.store.remove_server(slot.runner.id());
+            if let Some((since, _)) = slot.unreachable {
+                self.disruptions.note_unreachable(slot.runner.id(), since);
+            }
             slot.runner.close();
         }
     }
@@ -390,7 +452,7 @@
         // A directory that can't be removed doesn't fail the run.
         drop(fs::remove_dir_all(&self.directory));
         let calls = std::mem::take(&mut *self.calls.lock().expect("no holder panics"));
-        SoakOutcome::check(&calls, &self.log)
+        SoakOutcome::check(&calls, &self.log, &self.disruptions)
     }
 }
 
--- a/tests/all/soak/soak_outcome.rs
+++ b/tests/all/soak/soak_outcome.rs
@@ -4,6 +4,11 @@
 
 use dragonflycart_standins::{CallerRequest, CallerResponse, RunLog};
 
+use super::{
+    overlap_check::{OverlapExcuses, find_overlap},
+    soak_disruptions::SoakDisruptions,
+};
+
 /// Kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RequestKind {
@@ -22,6 +27,8 @@
     pub(crate) kind: RequestKind,
     /// Request.
     pub(crate) request: CallerRequest,
+    /// Index of the gateway that it was sent to.
+    pub(crate) gateway: usize,
     /// Response.
     pub(crate) response: CallerResponse,
 }
@@ -37,6 +44,8 @@
     pub(crate) refused: usize,
     /// Requests that were resumed at another runner.
     pub(crate) resumed: usize,
+    /// Generations on which two runners worked for too long, but which a disruption excuses.
+    pub(crate) excused: usize,
     /// Broken guarantees.
     pub(crate) violations: Vec<String>,
 }
@@ -45,11 +54,12 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "sent {}, served {}, refused {}, resumed {}, violations {}",
+            "sent {}, served {}, refused {}, resumed {}, excused {}, violations {}",
             self.sent,
             self.served,
             self.refused,
             self.resumed,
+            self.excused,
             self.violations.len()
         )
     }
@@ -57,10 +67,14 @@
 
 impl SoakOutcome {
     /// Checks all requests of a run against what runners executed.
-    pub(crate) fn check(calls: &[SoakCall], log: &RunLog) -> SoakOutcome {
+    pub(crate) fn check(
+        calls: &[SoakCall],
+        log: &RunLog,
+        disruptions: &SoakDisruptions,
+    ) -> SoakOutcome {
         let mut outcome = SoakOutcome { sent: calls.len(), ..SoakOutcome::default() };
         for call in calls {
-            outcome.check_call(call, log);
+            outcome.check_call(call, log, disruptions);
         }
         for id in log.ids() {
             if !calls.iter().any(|call| call.request.id == id) {
@@ -70,8 +84,18 @@
         outcome
     }
 
-    fn check_call(&mut self, call: &SoakCall, log: &RunLog) {
+    fn check_call(&mut self, call: &SoakCall, log: &RunLog, disruptions: &SoakDisruptions) {
         let id = &call.request.id;
+        let excuses = OverlapExcuses {
+            gateway: disruptions.of_gateway(call.gateway),
+            unreachable: disruptions.unreachable(),
+        };
+        let parts = log.parts(id);
+        if let Some(overlap) = find_overlap(&parts, excuses) {
+            self.violations.push(format!("{id}, sent to gateway {}: {overlap}", call.gateway));
+        } else if find_overlap(&parts, OverlapExcuses::default()).is_some() {
+            self.excused += 1;
+        }
         let starts = log.starts(id);
         if call.kind != RequestKind::Lookup && starts > 1 {
             self.violations.push(format!("{id}: executed {starts} times: {:?}", log.parts(id)));
--- a/tests/all/soak/soak_schedule.rs
+++ b/tests/all/soak/soak_schedule.rs
@@ -10,6 +10,9 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..2_500;
 
+/// Time between two runners that can't be reached, in milliseconds.
+const UNREACHABLE_PAUSE_MS: std::ops::Range<u64> = 2_000..8_000;
+
 /// One kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SoakFault {
@@ -45,8 +48,12 @@
     NewManifest,
     /// A zone is evacuated, and gets work again later.
     Evacuation,
+    /// All connections to a runner are closed, also new ones, for a while.
+    RunnerUnreachable,
 }
 
+/// Faults of the main sequence. [`SoakFault::RunnerUnreachable`] has a sequence of its own, so that the
+/// main sequences of earlier seeds stay as they are.
 const FAULTS: [SoakFault; 16] = [
     SoakFault::Kill,
     SoakFault::Pause,
@@ -103,6 +110,18 @@
             });
             at += Duration::from_millis(rng.random_range(FAULT_PAUSE_MS));
         }
+        rng.set_stream(1);
+        let mut at = Duration::from_millis(rng.random_range(UNREACHABLE_PAUSE_MS));
+        while at < duration {
+            faults.push(TimedFault {
+                at,
+                duration: Duration::from_millis(rng.random_range(FAULT_DURATION_MS)),
+                fault: SoakFault::RunnerUnreachable,
+                target: rng.random_range(0..1_000),
+            });
+            at += Duration::from_millis(rng.random_range(UNREACHABLE_PAUSE_MS));
+        }
+        faults.sort_by_key(|fault| fault.at);
         SoakSchedule { duration, faults }
     }
 
--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -10,8 +10,9 @@
 
 use bytes::Bytes;
 use dragonflycart_standins::{
-    CallerRequest, CallerResponse, CrashPoint, FakeRunner, FakeStore, ManifestSpec, READY_PATH,
-    RunLog, RunnerFailure, RunnerKind, RunnerOptions, send, settings_text,
+    CallerRequest, CallerResponse, CrashPoint, FakeRunner, FakeStore, GenerationOptions,
+    ManifestSpec, READY_PATH, RunLog, RunnerFailure, RunnerKind, RunnerOptions, send,
+    settings_text,
 };
 use dragonflycart_testkit::ChildProcess;
 use serde_json::json;
@@ -156,6 +157,7 @@
                 failure,
                 crashes_on: None,
                 crash_point: CrashPoint::AfterEvents,
+                generations: GenerationOptions::default(),
             };
             self.runners.push(FakeRunner::start(options, &self.log, number + 1).await);
         }
@@ -179,6 +181,7 @@
             failure: RunnerFailure::Error,
             crashes_on: part.map(str::to_owned),
             crash_point,
+            generations: GenerationOptions::default(),
         };
         self.runners.push(FakeRunner::start(engine, &self.log, 9).await);
         self.heartbeat();
