Give each type of a stop its file, and tell unregistered engines, too

The calls of a stop, their events, answers and progress had shared a file. MoveSource frees the copies that its engine made. An engine whose registration was removed serves on for some seconds, so it is called for ten seconds before the registration counts; since it would not have been called at all.

--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -18,8 +18,8 @@
     ResumeResult, ResumedGeneration, ServerKey, ServerReservation, StreamProgress,
     generation_resumer,
     moves::{
-        self, CopyTiming, MoveSignals, MoveSource, ResumePermit, ResumeSource, SourceStop,
-        StopCalls, StoppedSource,
+        CopyTiming, MoveSignals, MoveSource, ResumePermit, ResumeSource, SourceStop, StopCalls,
+        StoppedSource,
     },
 };
 
@@ -195,9 +195,7 @@
             SourceStop::start(StopCalls {
                 context: Arc::clone(&self.context),
                 attempt: self.request.attempt.clone(),
-                server: self.source.server,
-                source_id: self.source.id.clone(),
-                source: self.source.address,
+                source: self.source.clone(),
                 target,
                 deadline: self.request.deadline,
             })
@@ -491,14 +489,13 @@
     }
 
     async fn release(&self, handle: &str) {
-        let attempt = &self.request.attempt;
-        moves::release(&self.context, attempt, handle, self.source.address).await;
+        self.source.release(&self.context, &self.request.attempt, handle).await;
     }
 
     /// Frees a copy without waiting for the engine, which may not answer.
     fn release_later(&self, handle: String) {
-        let (context, source) = (Arc::clone(&self.context), self.source.address);
+        let (context, source) = (Arc::clone(&self.context), self.source.clone());
         let attempt = self.request.attempt.clone();
-        tokio::spawn(async move { moves::release(&context, &attempt, &handle, source).await });
+        tokio::spawn(async move { source.release(&context, &attempt, &handle).await });
     }
 }
--- a/crates/gateway/src/moves/mod.rs
+++ b/crates/gateway/src/moves/mod.rs
@@ -1,5 +1,6 @@
 //! Moves of running generations between engines.
 
+mod call_event;
 mod copy_timing;
 mod move_signals;
 mod move_source;
@@ -7,19 +8,16 @@
 mod resume_source;
 mod source_state;
 mod source_stop;
+mod stop_answer;
+mod stop_calls;
 mod stop_progress;
 mod stop_request;
 mod stopped_source;
 
+use self::call_event::CallEvent;
 pub(crate) use self::{
-    copy_timing::CopyTiming,
-    move_signals::MoveSignals,
-    move_source::MoveSource,
-    resume_permit::ResumePermit,
-    resume_source::ResumeSource,
-    source_state::SourceState,
-    source_stop::{SourceStop, StopCalls, release},
-    stop_progress::{StopAnswer, StopProgress},
-    stop_request::StopRequest,
-    stopped_source::StoppedSource,
+    copy_timing::CopyTiming, move_signals::MoveSignals, move_source::MoveSource,
+    resume_permit::ResumePermit, resume_source::ResumeSource, source_state::SourceState,
+    source_stop::SourceStop, stop_answer::StopAnswer, stop_calls::StopCalls,
+    stop_progress::StopProgress, stop_request::StopRequest, stopped_source::StoppedSource,
 };
--- a/crates/gateway/src/moves/move_source.rs
+++ b/crates/gateway/src/moves/move_source.rs
@@ -1,9 +1,14 @@
 //! Engine from which a generation moves.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
+
+use tracing::info;
 
 use crate::{GatewayContext, ServerKey, ServerReservation};
 
+/// Timeout of the call that frees a copy.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_800);
+
 /// Engine from which a generation moves.
 #[derive(Debug, Clone)]
 pub(crate) struct MoveSource {
@@ -29,4 +34,12 @@
             zone: zone.unwrap_or_default(),
         }
     }
+
+    /// Frees a copy of a generation's memory that the engine made.
+    pub(crate) async fn release(&self, context: &GatewayContext, attempt: &str, handle: &str) {
+        let call = context.engine_protocol.release_call(handle);
+        if let Err(error) = call.send(self.address, RELEASE_TIMEOUT).await {
+            info!(id = attempt, handle, error = <&str>::from(error), "move: copy not freed");
+        }
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/moves/stop_calls.rs
@@ -0,0 +1,161 @@
+//! Calls that tell an engine to stop a generation.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
+use tracing::info;
+
+use crate::{
+    ConnectionError, GatewayContext, ServerConnection,
+    moves::{CallEvent, MoveSource, SourceState, StopAnswer, StopProgress},
+};
+
+/// Timeout of the connection for one call.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout of one call. The answer comes when the memory is copied.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Time from the first call to the second one. It doubles with each further call.
+const FIRST_CALL_PAUSE: Duration = Duration::from_millis(25);
+/// Longest time between two calls: an engine that can be reached again must be told within the
+/// 400 ms for which two engines may work on a generation, even if earlier calls are lost on their
+/// connections.
+const LONGEST_CALL_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which an engine is called although it is not registered any more. Some engines serve on
+/// for many seconds after their registration was removed.
+const UNREGISTERED_TIME: Duration = Duration::from_secs(10);
+/// Number of calls that may be waited for at the same time.
+const OPEN_CALLS: usize = 16;
+
+/// Calls that tell an engine to stop a generation.
+pub(crate) struct StopCalls {
+    /// Shared state of the gateway.
+    pub(crate) context: Arc<GatewayContext>,
+    /// Attempt of the generation.
+    pub(crate) attempt: String,
+    /// Engine that is told to stop.
+    pub(crate) source: MoveSource,
+    /// Engine to which the memory is copied.
+    pub(crate) target: SocketAddr,
+    /// Time at which the engine ends the generation by itself.
+    pub(crate) deadline: Instant,
+}
+
+impl StopCalls {
+    /// Calls the engine until an answer shows that the generation does not run there.
+    pub(super) async fn run(&self, progress: &watch::Sender<StopProgress>, is_wanted: &AtomicBool) {
+        let (sender, mut events) = mpsc::channel(OPEN_CALLS);
+        let mut number = 0;
+        let mut pause = FIRST_CALL_PAUSE;
+        let started_at = Instant::now();
+        let mut next_call = started_at;
+        loop {
+            let is_answered = progress.borrow().answer.is_some();
+            if is_answered && progress.borrow().is_settled() {
+                return;
+            }
+            tokio::select! {
+                Some(event) = events.recv() => {
+                    progress.send_modify(|progress| progress.note_event(event));
+                }
+                () = tokio::time::sleep_until(next_call) => {
+                    next_call = Instant::now() + pause;
+                    pause = LONGEST_CALL_PAUSE.min(pause * 2);
+                    let is_wanted = is_wanted.load(Ordering::Acquire);
+                    if !is_wanted && progress.is_closed() {
+                        return;
+                    }
+                    if is_answered || !is_wanted || sender.strong_count() > OPEN_CALLS {
+                        continue;
+                    }
+                    let is_gone = started_at.elapsed() > UNREGISTERED_TIME && !self.is_registered();
+                    if is_gone || Instant::now() >= self.deadline {
+                        info!(
+                            id = self.attempt,
+                            source = self.source.id,
+                            number,
+                            "move: source never told"
+                        );
+                        return;
+                    }
+                    number += 1;
+                    self.spawn_call(number, sender.clone());
+                }
+            }
+        }
+    }
+
+    fn is_registered(&self) -> bool {
+        self.context.view().server(self.source.server).is_some()
+    }
+
+    fn spawn_call(&self, number: u32, events: mpsc::Sender<CallEvent>) {
+        let protocol = &self.context.engine_protocol;
+        let call = protocol.copy_call(&self.attempt, self.target, true);
+        let (context, attempt) = (Arc::clone(&self.context), self.attempt.clone());
+        let source = self.source.clone();
+        tokio::spawn(async move {
+            let (copy, error, was_connected) = match connect(&context, source.address).await {
+                Ok(connection) => {
+                    // The receiver ends only after all calls or with an answer.
+                    drop(events.send(CallEvent::Connected).await);
+                    let response = call.send_on(connection, source.address, CALL_TIMEOUT).await;
+                    let copy = response
+                        .as_ref()
+                        .map(|(status, body)| context.engine_protocol.decode_copy(*status, body));
+                    match copy {
+                        Ok(copy) => (copy, None, true),
+                        Err(error) => (None, Some(*error), true),
+                    }
+                }
+                Err(error) => (None, Some(error), false),
+            };
+            let state = match (&copy, error) {
+                (_, Some(ConnectionError::NotListening)) => Some(SourceState::Exited),
+                (Some(copy), _) => SourceState::after_final_copy(copy),
+                (None, _) => None,
+            };
+            // An engine that stays out of reach is called as long as the request may run.
+            if state.is_some() || number == 1 {
+                info!(
+                    id = attempt,
+                    source = source.id,
+                    number,
+                    ?copy,
+                    error = error.map(<&str>::from),
+                    "move: source told to stop"
+                );
+            }
+            let is_unclear = state.is_none() && error.is_none();
+            let answer = state.map(|state| StopAnswer { state, copy, is_first: number == 1 });
+            let handle = answer.as_ref().and_then(StopAnswer::handle).map(str::to_owned);
+            let event = CallEvent::Ended { was_connected, is_unclear, answer };
+            if events.send(event).await.is_err()
+                && let Some(handle) = handle
+            {
+                source.release(&context, &attempt, &handle).await;
+            }
+        });
+    }
+}
+
+async fn connect(
+    context: &GatewayContext,
+    source: SocketAddr,
+) -> Result<ServerConnection, ConnectionError> {
+    let connecting = ServerConnection::connect(source);
+    let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .unwrap_or(Err(ConnectionError::Unreachable))?;
+    context.metrics.connections.inc();
+    Ok(connection)
+}
--- a/crates/gateway/src/moves/stop_progress.rs
+++ b/crates/gateway/src/moves/stop_progress.rs
@@ -1,31 +1,6 @@
 //! Progress of the calls that stop a generation at its engine.
 
-use crate::{CopyResponse, moves::SourceState};
-
-/// Answer that shows that a generation does not run at its engine.
-#[derive(Debug, Clone)]
-pub(crate) struct StopAnswer {
-    /// What the answer shows.
-    pub(crate) state: SourceState,
-    /// Response to the final copy; `None` if nothing listens at the engine's address.
-    pub(crate) copy: Option<CopyResponse>,
-    /// Whether it answers the first call, so that no earlier call can have stopped the generation.
-    pub(crate) is_first: bool,
-}
-
-impl StopAnswer {
-    /// Returns the handle of the memory that the engine retains.
-    pub(crate) fn handle(&self) -> Option<&str> {
-        match self.copy.as_ref()? {
-            CopyResponse::Copied { handle } | CopyResponse::NoRoom { handle: Some(handle) } => {
-                Some(handle)
-            }
-            CopyResponse::NoRoom { handle: None } | CopyResponse::Unknown | CopyResponse::Busy => {
-                None
-            }
-        }
-    }
-}
+use crate::moves::{CallEvent, StopAnswer};
 
 /// Progress of the calls.
 #[derive(Debug, Clone, Default)]
@@ -39,8 +14,22 @@
 }
 
 impl StopProgress {
+    /// Records what happened in a call.
+    pub(super) fn note_event(&mut self, event: CallEvent) {
+        match event {
+            CallEvent::Connected => self.open += 1,
+            CallEvent::Ended { was_connected, is_unclear, answer } => {
+                self.open -= u32::from(was_connected);
+                self.is_unclear = is_unclear;
+                if let Some(answer) = answer {
+                    self.note_answer(answer);
+                }
+            }
+        }
+    }
+
     /// Records an answer. One with retained memory replaces one without.
-    pub(crate) fn note_answer(&mut self, answer: StopAnswer) {
+    fn note_answer(&mut self, answer: StopAnswer) {
         if self.retained().is_none() {
             self.answer = Some(answer);
         }
