tests: send the soak's streams to all gateways

Request numbers of streams are multiples of eight, and the gateway was chosen by the number modulo the gateways that run. So while all four ran, each stream was sent to the first one, and the soak never had two gateways with streams at one engine that drains, is cut or can't be reached.

Seeds given by SOAK_SEEDS and one regression run spread the streams now. The four regression seeds keep their choice of the gateway, since another one would change what they guard against. A run prints each overlap of two engines that is excused, and by what.

--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -1,8 +1,9 @@
 //! Soak test: real gateway processes under random faults, checked by comparing what callers
 //! received with what runners executed.
 //!
-//! `SOAK_SEEDS=FIRST..LAST` runs further seeds; `SOAK_SECONDS` sets the duration of each run.
+//! `SOAK_SEEDS=FIRST..LAST` runs further seeds, with streams at all gateways; `SOAK_SECONDS` sets the duration of each run.
 
+mod gateway_choice;
 mod overlap_check;
 mod soak_disruptions;
 mod soak_fleet;
@@ -17,18 +18,27 @@
 use dragonflycart_standins::{RunPart, WorkSpan};
 
 use self::{
+    gateway_choice::GatewayChoice,
     overlap_check::{OverlapExcuses, find_overlap},
     soak_fleet::{RunnerFaults, SoakFleet},
     soak_outcome::SoakOutcome,
     soak_schedule::SoakSchedule,
 };
 
-/// Seeds that run every time. Add a seed that failed here, with a line on its cause.
+/// Seeds that run every time, and the choice of the gateway with which they do. Add a seed that failed
+/// here, with a line on its cause.
 ///
 /// - 1: a cut stream goes on at an engine whose head comes late, while the engine before works on.
 /// - 2, 3: the same with a silent stream.
 /// - 92004: the same with an engine that drains.
-const REGRESSION_SEEDS: [u64; 4] = [1, 2, 3, 92_004];
+/// - 1, spread: streams at all gateways.
+const REGRESSION_RUNS: [(u64, GatewayChoice); 5] = [
+    (1, GatewayChoice::ByNumber),
+    (2, GatewayChoice::ByNumber),
+    (3, GatewayChoice::ByNumber),
+    (92_004, GatewayChoice::ByNumber),
+    (1, GatewayChoice::Spread),
+];
 /// Faults of runners, besides those of the schedule.
 const RUNNER_FAULTS: RunnerFaults =
     RunnerFaults { lost_response_percent: 3, late_head_percent: 40, silent_percent: 5 };
@@ -61,14 +71,14 @@
     }
 }
 
-async fn run_seed(seed: u64) -> SoakOutcome {
+async fn run_seed(seed: u64, choice: GatewayChoice) -> SoakOutcome {
     let schedule = SoakSchedule::new(seed, Duration::from_secs(seconds()));
-    let mut fleet = SoakFleet::start(seed, RUNNER_FAULTS).await;
+    let mut fleet = SoakFleet::start(seed, RUNNER_FAULTS, choice).await;
     fleet.run(&schedule).await;
     let outcome = fleet.close().await;
-    println!("seed {seed}: {outcome}");
-    for violation in &outcome.violations {
-        println!("seed {seed}: {violation}");
+    println!("seed {seed}, {choice:?}: {outcome}");
+    for line in outcome.violations.iter().chain(&outcome.excused) {
+        println!("seed {seed}: {line}");
     }
     outcome
 }
@@ -79,8 +89,9 @@
 async fn promises_hold_under_random_faults() {
     let mut failures = Vec::new();
 
-    for seed in REGRESSION_SEEDS.into_iter().chain(extra_seeds()) {
-        let outcome = run_seed(seed).await;
+    let extra = extra_seeds().map(|seed| (seed, GatewayChoice::Spread));
+    for (seed, choice) in REGRESSION_RUNS.into_iter().chain(extra) {
+        let outcome = run_seed(seed, choice).await;
         if !outcome.violations.is_empty() {
             failures.push(format!("seed {seed}: {:?}", outcome.violations));
         }
@@ -95,7 +106,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn everything_is_served_without_faults() {
     let schedule = SoakSchedule::without_faults(Duration::from_secs(4));
-    let mut fleet = SoakFleet::start(0, RunnerFaults::default()).await;
+    let mut fleet = SoakFleet::start(0, RunnerFaults::default(), GatewayChoice::Spread).await;
 
     fleet.run(&schedule).await;
     let outcome = fleet.close().await;
--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -18,6 +18,7 @@
 use tokio::{task::JoinSet, time::Instant};
 
 use super::{
+    gateway_choice::GatewayChoice,
     soak_disruptions::SoakDisruptions,
     soak_outcome::{RequestKind, SoakCall, SoakOutcome},
     soak_schedule::{SoakFault, SoakSchedule, TimedFault},
@@ -96,12 +97,17 @@
     manifest_version: u64,
     sequence: u64,
     runner_faults: RunnerFaults,
+    gateway_choice: GatewayChoice,
     disruptions: SoakDisruptions,
 }
 
 impl SoakFleet {
     /// Starts all processes and waits until they are ready.
-    pub(crate) async fn start(seed: u64, runner_faults: RunnerFaults) -> SoakFleet {
+    pub(crate) async fn start(
+        seed: u64,
+        runner_faults: RunnerFaults,
+        gateway_choice: GatewayChoice,
+    ) -> SoakFleet {
         let directory =
             std::env::temp_dir().join(format!("dragonflycart-soak-{}-{seed}", std::process::id()));
         fs::create_dir_all(&directory).expect("the temporary directory is writable");
@@ -121,6 +127,7 @@
             manifest_version: 0,
             sequence: 0,
             runner_faults,
+            gateway_choice,
             disruptions: SoakDisruptions::default(),
         };
         fleet.publish_manifest();
@@ -259,7 +266,7 @@
         if running.is_empty() {
             return;
         }
-        let gateway = running[number as usize % running.len()];
+        let gateway = running[self.gateway_choice.index(number, running.len())];
         let address = self.gateways[gateway].http_address;
         let (kind, method, path, tokens) = match number % 8 {
             // Every third stream is too short for a backup copy.
--- a/tests/all/soak/soak_outcome.rs
+++ b/tests/all/soak/soak_outcome.rs
@@ -44,8 +44,9 @@
     pub(crate) refused: usize,
     /// Requests that were resumed at another runner.
     pub(crate) resumed: usize,
-    /// Generations on which two runners worked for too long, but which a disruption excuses.
-    pub(crate) excused: usize,
+    /// Generations on which two runners worked for too long, but which a disruption excuses, each with
+    /// what overlaps and what excuses it.
+    pub(crate) excused: Vec<String>,
     /// Broken guarantees.
     pub(crate) violations: Vec<String>,
 }
@@ -59,7 +60,7 @@
             self.served,
             self.refused,
             self.resumed,
-            self.excused,
+            self.excused.len(),
             self.violations.len()
         )
     }
@@ -93,8 +94,13 @@
         let parts = log.parts(id);
         if let Some(overlap) = find_overlap(&parts, excuses) {
             self.violations.push(format!("{id}, sent to gateway {}: {overlap}", call.gateway));
-        } else if find_overlap(&parts, OverlapExcuses::default()).is_some() {
-            self.excused += 1;
+        } else if let Some(overlap) = find_overlap(&parts, OverlapExcuses::default()) {
+            let without_runners = OverlapExcuses { unreachable: &[], ..excuses };
+            let is_gateway = find_overlap(&parts, without_runners).is_none();
+            let cause = if is_gateway { "its disruptions" } else { "unreachable runners" };
+            let line =
+                format!("{id}, sent to gateway {}, excused by {cause}: {overlap}", call.gateway);
+            self.excused.push(line);
         }
         let starts = log.starts(id);
         if call.kind != RequestKind::Lookup && starts > 1 {
