Decide on version moves while the store does not answer

Callers saw a bad version keep its share of the requests for up to 1.8 s after the results showed that it is bad, while the store was silent.

Cause: the loop that looks at the results every 150 ms also wrote the statuses and waited for the store, up to 1.5 s for each service with an open version move. The evidence in a status rises with the bad results, so a write began just when they came. The other VM did not help: once the reader of the store fails, it becomes the reader, and waits for its own write. After such a wait the VM also took itself for one that had been paused (PauseGuard) and did not decide on further phases for 0.8 s.

Statuses are written beside the decisions now, one pass at a time. A pass still begins right after the check of the pause guard, and each status is read from the state just before its write, so what is written and when it may be written does not change. What was written last is kept for each service; with two services every status was written again at each look.

The new test has a store that never answers a write. It fails with the loop as it was (phase Watching after 3 s).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -164,6 +164,7 @@
     tables::TableDelta,
     token_demand::TokenDemand,
     version_move::{ExposureLimit, VersionMove},
+    version_move_controller::run as control_version_moves,
     version_move_evidence::{ResultCounts, RouteResults, VersionMoveEvidence, VersionRole},
     version_move_phase::VersionMovePhase,
     version_move_record::VersionMoveRecord,
--- a/crates/gateway/src/version_move_controller.rs
+++ b/crates/gateway/src/version_move_controller.rs
@@ -3,22 +3,17 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tracing::{info, warn};
+use tracing::info;
 
-use crate::{
-    BootTime, FleetTable, GatewayContext, PauseGuard, StoreError, VersionMoveRecord, VersionRole,
-};
+use crate::{BootTime, GatewayContext, PauseGuard, VersionRole, versions::StatusWriter};
 
 /// Interval between decisions. A bad version must get no more requests five seconds after it was
 /// detected.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(150);
-/// Maximum age of the table of statuses for this VM to rely on it: an older copy may lack another
-/// VM's decision.
-const STATUS_AGE: Duration = Duration::from_millis(2_000);
 
 /// Decides on open version moves and writes their statuses, for the lifetime of the process.
 pub async fn run(context: Arc<GatewayContext>) {
-    let mut written: Option<VersionMoveRecord> = None;
+    let writer = StatusWriter::new(&context);
     let mut guard = PauseGuard::default();
     loop {
         tokio::time::sleep(DECIDE_INTERVAL).await;
@@ -33,21 +28,15 @@
             is_current && peers.store_reader(now).is_none() && peers.can_read(now)
         };
         let services = context.view().services_with_open_move();
-        for service in services {
-            decide(&context, &service, is_deciding);
-            if context.view().release_old_version(&service, now) {
+        for service in &services {
+            decide(&context, service, is_deciding);
+            if context.view().release_old_version(service, now) {
                 info!(service, "versions: running requests leave the old version");
                 context.announce_change();
             }
-            let status =
-                context.view().version_move(&service).map(|version_move| version_move.status());
-            let Some(status) = status.filter(|_| is_deciding) else { continue };
-            if written.as_ref() == Some(&status) && !status.phase.is_final() {
-                continue;
-            }
-            if write(&context, &status).await {
-                written = Some(status);
-            }
+        }
+        if is_deciding {
+            writer.start(services);
         }
     }
 }
@@ -79,22 +68,3 @@
     context.announce_change();
     context.load_changes.notify_one();
 }
-
-/// Writes a status, unless the store has one that this VM does not know yet. Returns whether it was
-/// written. A final status takes effect once it is read back.
-async fn write(context: &GatewayContext, status: &VersionMoveRecord) -> bool {
-    let is_current = context.tables.age(FleetTable::Statuses).is_some_and(|age| age < STATUS_AGE);
-    let Some(at) = context.tables.next(FleetTable::Statuses).filter(|_| is_current) else {
-        return false;
-    };
-    let result = context.store.write_status(status, at).await;
-    let service = &status.service;
-    match &result {
-        Ok(()) => info!(service, phase = %status.phase, at, "versions: status written"),
-        Err(StoreError::Conflict) => {
-            info!(service, phase = %status.phase, at, "versions: another status came first");
-        }
-        Err(error) => warn!(service, phase = %status.phase, %error, "versions: status not written"),
-    }
-    result.is_ok()
-}
--- a/crates/gateway/src/versions/mod.rs
+++ b/crates/gateway/src/versions/mod.rs
@@ -6,12 +6,14 @@
 mod route_baseline;
 mod route_baselines;
 mod run_end;
+mod status_writer;
 mod suspicion_level;
 mod suspicion_record;
 mod usual_results;
 
 pub(crate) use self::{
-    open_run::OpenRun, request_run::RequestRun, suspicion_level::SuspicionLevel,
+    open_run::OpenRun, request_run::RequestRun, status_writer::StatusWriter,
+    suspicion_level::SuspicionLevel,
 };
 pub use self::{
     open_run::RunKey, pause_guard::PauseGuard, route_baseline::RouteBaseline,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod server_connections;
 mod server_states;
 mod splitting;
+mod status_writes;
 mod tables;
 mod version_faults;
 mod version_moves;
