tests: count requests, not time, until a bad version is known

An idle machine sends at most 312 requests in 2.5 s; in a model of the sums with half of the results bad, one in fifty runs needs more, so the test could fail on an idle machine, too.

The test sends requests until a hundred in a row ran at the old version, of which both VMs would have sent five to the new one, and then two hundred more, of which none may run there. The version must be known to be bad by its fiftieth bad response, the bound of the rule on exposure. It is as strict on what it guards against: the order's time limit, which also ends a move, was near before and is 300 s now, and requests in flight are waited for before they are counted.

--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -34,6 +34,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(300);
 /// Time for the gateways to be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of requests, sent in less than that interval, after which the runners renew them.
+const REQUESTS_PER_HEARTBEAT: usize = 10;
 /// Seconds between SIGTERM and SIGKILL, as on the users' platform.
 const GRACE_S: u64 = 8;
 
@@ -300,7 +302,11 @@
     }
 
     pub(crate) fn start_version_move_of(&self, service: &str) {
-        let duration_s = MOVE_TIME_LIMIT.as_secs_f64();
+        self.start_version_move_within(service, MOVE_TIME_LIMIT);
+    }
+
+    pub(crate) fn start_version_move_within(&self, service: &str, time_limit: Duration) {
+        let duration_s = time_limit.as_secs_f64();
         let order = json!({"service": service, "target": "v2", "duration_s": duration_s});
         self.store.put_order(&format!("rollout/{service}"), &order);
     }
@@ -339,6 +345,34 @@
         None
     }
 
+    /// Sends `count` requests.
+    pub(crate) async fn send_requests(&mut self, count: usize) {
+        for index in 0..count {
+            if index % REQUESTS_PER_HEARTBEAT == 0 {
+                self.heartbeat();
+            }
+            self.send_request();
+            tokio::time::sleep(REQUEST_PAUSE).await;
+        }
+    }
+
+    /// Sends requests until `count` in a row have run at the old version only. Returns false if the
+    /// new one has got `limit` requests in all before.
+    pub(crate) async fn send_until_old_only(&mut self, count: usize, limit: usize) -> bool {
+        let (mut old_before, mut new_before) = self.runs_by_version();
+        while new_before < limit {
+            self.send_requests(REQUESTS_PER_HEARTBEAT).await;
+            let (old, new) = self.runs_by_version();
+            if new == new_before && old - old_before >= count {
+                return true;
+            }
+            if new != new_before {
+                (old_before, new_before) = (old, new);
+            }
+        }
+        false
+    }
+
     /// Sends a request for a stream to the next gateway in turn.
     pub(crate) fn send_stream(&mut self) {
         let request =
--- a/tests/all/versions.rs
+++ b/tests/all/versions.rs
@@ -156,26 +156,42 @@
     assert_bad_engines_are_rolled_back("streams-slow", RunnerFailure::Slow).await;
 }
 
+/// Number of requests in a row without one at the new version that show that no VM sends it any: both
+/// VMs would send it every twentieth request (`CANARY_FRACTION` of the share).
+const QUIET_REQUESTS: usize = 100;
+/// Number of requests at a version that fails half of them until its fiftieth bad response, by which
+/// it must be known to be bad.
+const REQUESTS_ALLOWED: usize = 100;
+/// Number of requests that show that the version gets no more.
+const REQUESTS_AFTER: usize = 200;
+/// Time limit of a version move that must not end because of its time limit.
+const DISTANT_TIME_LIMIT: Duration = Duration::from_secs(300);
+
 /// Guards against a bad version that keeps its share of the requests while no VM can read the store,
-/// because only the VM that does decided on it.
+/// because only the VM that does decided on it. Requests are counted instead of time, since the
+/// evidence comes from requests, and a busy machine sends fewer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_version_gets_no_more_requests_while_the_store_is_away() {
     let mut fleet = GatewayFleet::start("bad-without-store", 50).await;
     fleet.start_gateways().await;
     fleet.send_until_move_ends(Duration::from_millis(400)).await;
-    fleet.start_version_move();
+    let (_, new_at_order) = fleet.runs_by_version();
+    fleet.start_version_move_within("desk", DISTANT_TIME_LIMIT);
     while fleet.move_state().is_none() {
         fleet.send_until_move_ends(Duration::from_millis(50)).await;
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
 
     fleet.store.set_mode(StoreMode::Silent);
-    fleet.send_until_move_ends(Duration::from_millis(2_500)).await;
+    let limit = new_at_order + REQUESTS_ALLOWED;
+    let is_quiet = fleet.send_until_old_only(QUIET_REQUESTS, limit).await;
+    fleet.success_share().await;
     let (_, new_before) = fleet.runs_by_version();
-    fleet.send_until_move_ends(Duration::from_millis(1_500)).await;
+    fleet.send_requests(REQUESTS_AFTER).await;
     fleet.success_share().await;
 
     let (old, new) = fleet.runs_by_version();
+    assert!(is_quiet, "{new} requests at the bad version, {old} at the old one");
     assert!(new > 0 && old > 0, "{new} requests at the new version, {old} at the old one");
     assert_eq!(new, new_before, "the bad version went on getting requests");
     fleet.close();
