tests: wait until an engine runs the stream

Nobody outside the tests was affected: start_stream of the fixture looked for the engine 0.5 s after the request was sent, whether one had got it or not. Beside twelve busy processes (load average 55 to 62), eight copies of unframed::stream_ that_is_stopped_for_its_final_copy_goes_on at once, 2 of 32 failed with "an engine runs the stream". It now waits for the run first and then as long as before; what the tests ask of a stream is unchanged.

--- a/tests/all/support/unframed_fleet.rs
+++ b/tests/all/support/unframed_fleet.rs
@@ -27,7 +27,7 @@
 pub(crate) const LAST_EVENT: u64 = 399;
 /// Time for which two engines may work on a request.
 pub(crate) const OVERLAP_ALLOWED: Duration = Duration::from_millis(400);
-/// Time by which a stream has begun.
+/// Time by which a stream that an engine runs has begun.
 const START_TIME: Duration = Duration::from_millis(500);
 
 /// Gateways with engines: one that runs a stream, one that is chosen for its backup copy, and one or
@@ -130,6 +130,7 @@
         tokens: u64,
     ) -> (usize, JoinHandle<CallerResponse>) {
         let response = self.send_stream(tokens, 0);
+        self.wait_until(|engines| engines.iter().any(|engine| engine.run_count() > 0)).await;
         tokio::time::sleep(START_TIME).await;
         let source = self.engines.iter().position(|engine| engine.run_count() > 0);
         (source.expect("an engine runs the stream"), response)
