gateway: apply batches of a table to the view in their order

While the VM that reads the store changes, a VM reads the tables itself and still gets them from the feed of the last reader. The tables are merged by offset under a lock, but the view was changed after that lock was released: on a runtime with several threads, an older batch could change the view after a newer one. Callers would have seen a server in use that had left, or operators a zone that stays out after its evacuation was ended, until the next record of that key.

The shipped gateway runs on a single thread and does not yield between the two steps, so it was not affected; nothing in the crate says that it must not run on several threads. The order of batches is now locked over both steps.

Both tests decode the older record slowly and apply the newer one meanwhile.

--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -106,5 +106,5 @@
         .collect();
     let batch = TableBatch { records, next: update.next };
     let age = Duration::from_millis(update.age_ms);
-    table_sync::apply(context, table, batch, update.is_whole, age);
+    table_sync::apply_batch(context, table, batch, update.is_whole, age);
 }
--- a/crates/gateway/src/fleet_tables.rs
+++ b/crates/gateway/src/fleet_tables.rs
@@ -25,6 +25,7 @@
 #[derive(Debug, Default)]
 pub struct FleetTables {
     tables: Mutex<BTreeMap<FleetTable, TableState>>,
+    order: Mutex<()>,
     changes: watch::Sender<u64>,
     wakes_on_every_batch: AtomicBool,
 }
@@ -34,6 +35,13 @@
         self.tables.lock().expect("no holder of the tables' lock panics")
     }
 
+    /// Locks the order of batches. Hold the lock from the change of a table until what depends on it
+    /// has changed as well: records that are read from the store and others that a peer forwards
+    /// arrive in parallel, and an older one must not take effect after a newer one.
+    pub fn lock_order(&self) -> MutexGuard<'_, ()> {
+        self.order.lock().expect("no holder of the order's lock panics")
+    }
+
     /// Applies records that were current `age` ago. Returns those that are new and not renewals.
     pub fn apply(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -160,7 +160,7 @@
     stream_progress::StreamProgress,
     table_mirror::TableMirror,
     table_record::{FleetTable, TableBatch, TableRecord},
-    table_sync::{PollTiming, retry_pause},
+    table_sync::{PollTiming, apply_batch, retry_pause},
     tables::TableDelta,
     token_demand::TokenDemand,
     version_move::{ExposureLimit, VersionMove},
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -65,7 +65,7 @@
                 must_reread = false;
                 // In a large fleet, the tables take two hops, so none may wait for the next heartbeat.
                 context.tables.set_wake_on_every_batch(context.peers().is_large());
-                apply(&context, table, batch, next.is_none(), Duration::ZERO);
+                apply_batch(&context, table, batch, next.is_none(), Duration::ZERO);
                 if table == FleetTable::Orders {
                     context.freshness().note_store_read(began_at);
                 }
@@ -132,14 +132,15 @@
     matches!((decode(before), decode(now)), (Ok(before), Ok(now)) if before == now)
 }
 
-/// Applies records of a table from the store or from a peer.
-pub fn apply(
+/// Applies records of a table from the store or from a peer, to the table and to the view.
+pub fn apply_batch(
     context: &GatewayContext,
     table: FleetTable,
     batch: TableBatch,
     is_snapshot: bool,
     age: Duration,
 ) {
+    let _order = context.tables.lock_order();
     let delta = context.tables.apply(table, batch, is_snapshot, age, |before, now| {
         is_renewal(context, table, before, now)
     });
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -4,11 +4,13 @@
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_gateway::{
-    CallerLimits, EngineSpec, ExposureLimit, FleetOrder, FleetView, PlacementQuery, PlannedRoute,
-    PlannedService, PlannedTeam, RouteKind, RoutePlan, ServerKey, ServerRecord, TokenDemand,
-    VmSettings,
+    CallerLimits, EngineSpec, ExposureLimit, FleetOrder, FleetStore, FleetView, GatewayContext,
+    HeaderNames, PlacementQuery, PlannedRoute, PlannedService, PlannedTeam, RouteKind, RoutePlan,
+    ServerKey, ServerRecord, TokenDemand, VmSettings,
 };
 
+use crate::stub_protocol::StubProtocol;
+
 /// Service of engines.
 pub(crate) const ENGINES: &str = "assistant";
 /// Plain service.
@@ -148,3 +150,38 @@
 pub(crate) fn key_of(view: &FleetView, id: &str) -> ServerKey {
     view.servers().find(|(_, state)| state.id == id).map(|(key, _)| key).unwrap()
 }
+
+/// Header names of the tests.
+pub(crate) const NAMES: HeaderNames = HeaderNames {
+    attempt: "echo-id",
+    time_left: "time-left",
+    expected_server: "expected-server",
+    server_id: "server-id",
+    team: "team",
+    auth_scheme: "Key",
+    signature: "signature",
+    not_run: "not-run",
+    load: "load",
+    leaving: "leaving",
+    cold_left: "cold-left",
+    token_counts: "token-counts",
+    length_hint: "length-hint",
+    prompt_prefixes: "prompt-prefixes",
+    urgency: "urgency",
+    resume_from: "resume-from",
+    backup_at: "backup-at",
+    reserved: &[],
+    internal: &[],
+};
+
+/// Returns the context of the only VM, with the plan and no servers.
+pub(crate) fn context(store: Arc<dyn FleetStore>) -> Arc<GatewayContext> {
+    let context = GatewayContext::new(Arc::new(settings()), NAMES, store, Arc::new(StubProtocol));
+    {
+        let mut view = context.view();
+        view.sharing_vms = 1;
+        view.apply_order(FleetOrder::Plan(Arc::new(plan(1))), context.clock.now());
+        view.note_servers_known();
+    }
+    Arc::new(context)
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod clocks;
 mod fixtures;
 mod generation_timings;
+mod hand_overs;
 mod limits;
 mod log_lines;
 mod memory;
@@ -17,6 +18,8 @@
 mod server_connections;
 mod server_states;
 mod splitting;
+mod stub_protocol;
+mod stub_store;
 mod tables;
 mod version_faults;
 mod version_moves;
