gateway: decide on further offers of a request without its connections

Two changes of the forwarder passed all tests of the gateway: to report "not run" (503) although an earlier offer may have run, and to offer a request of a route that is not idempotent again after it may have run. Callers would have repeated a booking that ran, or the gateway would have. The decisions stood among the offers themselves, so only processes could show them.

OfferHistory holds what is known of the offers and takes both decisions. The behaviour is the same. Six tests, four of which need no network, guard it and its use by the forwarder.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -8,9 +8,9 @@
 use tracing::info;
 
 use crate::{
-    AttemptOutcome, CallerRequest, ConnectionError, GatewayContext, GatewayFailure, OpenResponse,
-    ResponseBody, ResponseHead, RunEnd, ServerReservation, SystemHeaders, memory::ReservedBytes,
-    response_body, response_relay, server_attempt,
+    AttemptOutcome, CallerRequest, ConnectionError, GatewayContext, GatewayFailure, OfferHistory,
+    OpenResponse, ResponseBody, ResponseHead, RunEnd, ServerReservation, SystemHeaders,
+    memory::ReservedBytes, response_body, response_relay, server_attempt,
 };
 
 /// Maximum response size of a plain service, in bytes. Responses are buffered whole, so that a
@@ -27,10 +27,7 @@
     context: Arc<GatewayContext>,
     request: CallerRequest,
     excluded: BTreeSet<crate::ServerKey>,
-    /// Offers that reached a server.
-    arrivals: u32,
-    /// Offers that may have run.
-    runs: u32,
+    offers: OfferHistory,
     last_failure: Option<(ResponseHead, Bytes)>,
 }
 
@@ -41,8 +38,7 @@
             context: Arc::clone(context),
             request,
             excluded: BTreeSet::new(),
-            arrivals: 0,
-            runs: 0,
+            offers: OfferHistory::default(),
             last_failure: None,
         }
     }
@@ -59,7 +55,7 @@
                 failure = self.too_late();
                 break;
             }
-            if self.arrivals > 0 && !self.may_retry() {
+            if self.offers.arrivals() > 0 && !self.may_retry() {
                 break;
             }
             let Some(reservation) = self.place() else { break };
@@ -72,26 +68,24 @@
                 AttemptOutcome::Withheld(rejection) => {
                     self.log_offer(&reservation, "withheld");
                     reservation.close();
-                    if self.runs == 0 {
+                    if !self.offers.may_have_run() {
                         failure = rejection;
                     }
                     break;
                 }
                 AttemptOutcome::ServerWithdrawn => self.log_offer(&reservation, "withdrawn"),
                 AttemptOutcome::Refused { .. } => {
-                    self.arrivals += 1;
+                    self.offers.note_refused();
                     self.log_offer(&reservation, "refused");
                     failure = GatewayFailure::new(ErrorKind::Overloaded, "all servers refused");
                 }
                 AttemptOutcome::Lost(error) => {
-                    self.arrivals += 1;
-                    self.runs += 1;
+                    self.offers.note_possible_run();
                     self.log_offer(&reservation, error.into());
                     failure = self.lost_failure(error);
                 }
                 AttemptOutcome::Answered(response) => {
-                    self.arrivals += 1;
-                    self.runs += 1;
+                    self.offers.note_possible_run();
                     match self.collect(&reservation, *response).await {
                         Ok(response) => return Ok(response),
                         Err(reason) => failure = reason,
@@ -110,18 +104,15 @@
             Some((head, body)) => {
                 Ok(response_relay::build(&self.context.names, &head, response_body::full(body)))
             }
-            None if self.runs > 0 && failure.kind.status() == 503 => {
-                Err(GatewayFailure::new(ErrorKind::Interrupted, "an earlier offer may have run"))
-            }
-            None => Err(failure),
+            None => Err(self.offers.reported_failure(failure)),
         }
     }
 
     fn too_late(&self) -> GatewayFailure {
-        if self.runs == 0 {
-            GatewayFailure::new(ErrorKind::DeadlineNotStarted, "no time left")
-        } else {
+        if self.offers.may_have_run() {
             GatewayFailure::new(ErrorKind::DeadlineExceeded, "no time left to repeat")
+        } else {
+            GatewayFailure::new(ErrorKind::DeadlineNotStarted, "no time left")
         }
     }
 
@@ -136,10 +127,7 @@
 
     /// Returns whether the request may be retried. Takes the retry from the budget.
     fn may_retry(&self) -> bool {
-        if self.runs > 0 && !self.request.route.kind.is_retryable() {
-            return false;
-        }
-        if self.runs >= self.request.route.max_attempts {
+        if !self.offers.allows_offer(&self.request.route) {
             return false;
         }
         let has_budget =
@@ -230,7 +218,7 @@
             id = self.request.attempt,
             server = reservation.id(),
             outcome,
-            arrivals = self.arrivals,
+            arrivals = self.offers.arrivals(),
             left_ms = self.request.time_left().as_millis() as u64,
             "call: offered"
         );
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -142,7 +142,7 @@
     rate_limiter::RateLimiter,
     response_body::{BodyError, BodySender, ResponseBody},
     response_head::ResponseHead,
-    retries::{RetryBudget, RetryLimit},
+    retries::{OfferHistory, RetryBudget, RetryLimit},
     revocation::{BootTime, CallerCredential, FeedProbes, PlanFreshness},
     route_kind::RouteKind,
     route_plan::RoutePlan,
--- /dev/null
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -0,0 +1,168 @@
+//! Requests to plain services that are offered more than once.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use dragonflycart_core::ErrorKind;
+use dragonflycart_gateway::{
+    CallForwarder, GatewayContext, GatewayFailure, OfferHistory, RouteKind, ServerRecord,
+    TokenDemand,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+use crate::{
+    fixtures::{DESK, caller_request, context, record, route},
+    stub_store::StubStore,
+};
+
+/// Requests from which the budget allows some retries.
+const BUDGET_REQUESTS: u32 = 40;
+
+const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\necho-id: a1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const ANSWER: &str =
+    "HTTP/1.1 200 OK\r\necho-id: a1\r\nsignature: s\r\ncontent-length: 2\r\n\r\nok";
+
+fn refused() -> GatewayFailure {
+    GatewayFailure::new(ErrorKind::Overloaded, "all servers refused")
+}
+
+/// Guards against a caller that is told "not run" because the last server refused its request,
+/// although an earlier one may have run it (REFUSED).
+#[test]
+fn refusal_after_a_possible_run_is_not_reported() {
+    let mut history = OfferHistory::default();
+    history.note_possible_run();
+    history.note_refused();
+
+    assert_eq!(history.reported_failure(refused()).kind, ErrorKind::Interrupted);
+    let unplaced = GatewayFailure::new(ErrorKind::NoBackend, "no server takes work");
+    assert_eq!(history.reported_failure(unplaced).kind, ErrorKind::Interrupted);
+}
+
+/// Guards against hiding from a caller that its request did not run, and may be sent again.
+#[test]
+fn refusal_by_all_servers_is_reported() {
+    let mut history = OfferHistory::default();
+    history.note_refused();
+    history.note_refused();
+
+    assert_eq!(history.reported_failure(refused()), refused());
+}
+
+/// Guards against a booking that is offered to a second server after the first one may have run it
+/// (TWICE).
+#[test]
+fn request_that_may_have_run_is_offered_again_only_if_its_route_allows_it() {
+    for (kind, is_allowed) in [
+        (RouteKind::Idempotent, true),
+        (RouteKind::NonIdempotent, false),
+        (RouteKind::Stream, false),
+    ] {
+        let route = route("any", "/any/", kind, DESK);
+        let mut history = OfferHistory::default();
+        history.note_refused();
+        assert!(history.allows_offer(&route), "{kind}: it was refused");
+
+        history.note_possible_run();
+
+        assert_eq!(history.allows_offer(&route), is_allowed, "{kind}");
+    }
+}
+
+/// Guards against more runs than the route's maximum number of attempts.
+#[test]
+fn request_is_run_no_more_often_than_its_route_allows() {
+    let route = route("any", "/any/", RouteKind::Idempotent, DESK);
+    let mut history = OfferHistory::default();
+
+    for _ in 0..route.max_attempts {
+        assert!(history.allows_offer(&route));
+        history.note_possible_run();
+    }
+
+    assert!(!history.allows_offer(&route));
+}
+
+/// Scripted servers, and the number of requests that reached them.
+struct ScriptedServers {
+    addresses: Vec<SocketAddr>,
+    requests: Arc<AtomicU32>,
+}
+
+/// Starts as many servers as there are scripts. The n-th request, at whichever server, gets the n-th
+/// script, and the connection is closed after it.
+async fn scripted_servers(scripts: &'static [&'static str]) -> ScriptedServers {
+    let requests = Arc::new(AtomicU32::new(0));
+    let mut addresses = Vec::new();
+    for _ in scripts {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        addresses.push(listener.local_addr().unwrap());
+        let requests = Arc::clone(&requests);
+        tokio::spawn(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut buffer = [0; 4_096];
+                if stream.read(&mut buffer).await.unwrap() == 0 {
+                    continue;
+                }
+                let number = requests.fetch_add(1, Ordering::Relaxed) as usize;
+                let script = scripts.get(number).copied().unwrap_or_default();
+                stream.write_all(script.as_bytes()).await.unwrap();
+            }
+        });
+    }
+    ScriptedServers { addresses, requests }
+}
+
+/// Returns a context that knows the servers and has retries left.
+fn context_with(servers: &ScriptedServers) -> Arc<GatewayContext> {
+    let context = context(Arc::new(StubStore::default()));
+    let now = context.clock.now();
+    let mut view = context.view();
+    for (index, address) in servers.addresses.iter().enumerate() {
+        let record = ServerRecord { address: *address, ..record(DESK, "a", 8_000) };
+        view.apply_server(&format!("d{index}"), record, index as u64, now);
+    }
+    for _ in 0..BUDGET_REQUESTS {
+        view.note_request(DESK, now);
+    }
+    drop(view);
+    context
+}
+
+/// Guards against the same false "not run", where the forwarder does not use the history.
+#[tokio::test]
+async fn forwarder_does_not_deny_a_run_after_a_lost_response() {
+    let servers = scripted_servers(&["", REFUSAL]).await;
+    let context = context_with(&servers);
+    let route = route("desk", "/desk/", RouteKind::Idempotent, DESK);
+    let request = caller_request(&context, route, TokenDemand::default());
+
+    let result = CallForwarder::new(&context, request).run().await;
+
+    assert_eq!(servers.requests.load(Ordering::Relaxed), 2, "it was not offered again");
+    assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::Interrupted));
+}
+
+/// Guards against the same second run of a booking, where the forwarder does not use the history.
+#[tokio::test]
+async fn forwarder_does_not_repeat_a_booking_after_a_lost_response() {
+    let servers = scripted_servers(&["", ANSWER]).await;
+    let context = context_with(&servers);
+    let route = route("desk", "/desk/", RouteKind::NonIdempotent, DESK);
+    let request = caller_request(&context, route, TokenDemand::default());
+
+    let result = CallForwarder::new(&context, request).run().await;
+
+    assert_eq!(servers.requests.load(Ordering::Relaxed), 1, "it was offered again");
+    assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::Interrupted));
+}
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -2,13 +2,17 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use dragonflycart_core::MonoTime;
 use dragonflycart_gateway::{
-    CallerLimits, EngineSpec, ExposureLimit, FleetOrder, FleetStore, FleetView, GatewayContext,
-    HeaderNames, PlacementQuery, PlannedRoute, PlannedService, PlannedTeam, RouteKind, RoutePlan,
-    ServerKey, ServerRecord, TokenDemand, VmSettings,
+    CallerLimits, CallerRequest, EngineSpec, ExposureLimit, FleetOrder, FleetStore, FleetView,
+    GatewayContext, HeaderNames, PlacementQuery, PlannedRoute, PlannedService, PlannedTeam,
+    RouteKind, RoutePlan, ServerKey, ServerRecord, TokenDemand, VmSettings,
 };
 
+use hyper::{HeaderMap, Method};
+use tokio::time::Instant;
+
 use crate::stub_protocol::StubProtocol;
 
 /// Service of engines.
@@ -185,3 +189,33 @@
     }
     Arc::new(context)
 }
+
+/// Returns a request `a1` of a route's service, with the time limit of the route.
+pub(crate) fn caller_request(
+    context: &GatewayContext,
+    route: PlannedRoute,
+    demand: TokenDemand,
+) -> CallerRequest {
+    let arrived = Instant::now();
+    CallerRequest {
+        attempt: "a1".to_owned(),
+        service: route.services[0].0.clone(),
+        deadline: arrived + route.time_limit,
+        route,
+        team: None,
+        credential: None,
+        team_priority: 0,
+        method: Method::GET,
+        target: "/any/1".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        body_reservation: Arc::new(context.bodies.empty_reservation()),
+        has_body: false,
+        arrived,
+        sample_seed: 1,
+        demand,
+        prompt_parts: Vec::new(),
+        trial_part: None,
+        last_event: None,
+    }
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions without network, and of its connections on the loopback
 //! interface.
 
+mod call_forwarding;
 mod clocks;
 mod fixtures;
 mod generation_timings;
