gateway: test that a completion counts only through the store

VersionMove::note_peer ignores a peer's completion, since the store may hold a rollback; a VM that took it would move running requests to the new version and could not roll it back any more. Two tests now fail without it (completion_of_a_peer_takes_effect_only_through_the_store, vm_rolls_back_although_a_peer_has_decided_to_complete).

A third test shows that a second judge is harmless: when the VM that decides is replaced while it still acts, both come to opposite decisions and write them at the same time and again, in either order; the store holds the first one, and both follow it and decide nothing more.

--- a/crates/gateway/tests/all/version_moves.rs
+++ b/crates/gateway/tests/all/version_moves.rs
@@ -169,6 +169,81 @@
     assert!(version_move.is_confirmed());
 }
 
+/// Guards against a completion that another VM decided on and that takes effect before the store has
+/// it. The store may hold a rollback instead.
+#[test]
+fn completion_of_a_peer_takes_effect_only_through_the_store() {
+    let mut version_move = new_move(0);
+    version_move.note_statuses_read();
+    version_move.note_peer(9, VersionMoveEvidence::default(), VersionMovePhase::Switching, at(900));
+    let completed = VersionMovePhase::Completed;
+
+    let changed = version_move.note_peer(9, VersionMoveEvidence::default(), completed, at(1_000));
+
+    assert!(!changed);
+    assert_eq!(version_move.phase(), VersionMovePhase::Switching);
+    assert!(!version_move.is_outgoing(VersionRole::Old), "requests leave the old version");
+    let status = VersionMoveRecord { phase: completed, ..version_move.status() };
+    assert!(version_move.note_status(&status, at(1_100), 1_100));
+    assert_eq!(version_move.phase(), completed);
+}
+
+/// Guards against a bad version that keeps all requests at a VM, because a peer decided to complete
+/// the version move and could not write it.
+#[test]
+fn vm_rolls_back_although_a_peer_has_decided_to_complete() {
+    let mut version_move = watched(2, 60, 60);
+    version_move.note_statuses_read();
+    let completed = VersionMovePhase::Completed;
+    version_move.note_peer(9, VersionMoveEvidence::default(), completed, at(900));
+
+    assert!(version_move.roll_back_if_bad(at(1_000)));
+
+    assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
+    assert_eq!(version_move.next_role(LIMIT, VMS), VersionRole::Old);
+}
+
+/// Returns two judges that have read the same statuses and come to opposite decisions, the first one
+/// to a rollback.
+fn opposite_judges() -> [VersionMove; 2] {
+    let mut judges = [watched(2, 60, 60), watched(2, 2, 60)];
+    let switch_end = TIME_LIMIT.as_millis() as u64;
+    for judge in &mut judges {
+        judge.note_statuses_read();
+        judge.note_peer(9, VersionMoveEvidence::default(), VersionMovePhase::Switching, at(100));
+        judge.decide(false, at(switch_end));
+    }
+    judges
+}
+
+/// Guards against two final statuses, or VMs that follow different ones, when the VM that decides is
+/// replaced while it still acts: both write at the same time, in either order, and again.
+#[test]
+fn second_judge_follows_the_first_one_that_wrote() {
+    for order in [[0, 1], [1, 0]] {
+        let mut judges = opposite_judges();
+        let phases = [judges[0].phase(), judges[1].phase()];
+        assert_eq!(phases, [VersionMovePhase::RolledBack, VersionMovePhase::Completed]);
+        let mut store = ModelStore::default();
+        for index in [order[0], order[1], order[0], order[1]] {
+            store.append(judges[index].status(), 0);
+        }
+
+        for judge in &mut judges {
+            judge.note_status(&store.statuses[0], at(60_000), 60_000);
+        }
+        let [first, second] = &mut judges;
+        first.note_peer(1, second.own_evidence().clone(), phases[1], at(60_100));
+        second.note_peer(0, first.own_evidence().clone(), phases[0], at(60_100));
+
+        assert_eq!(store.statuses.len(), 1, "{:?}", store.statuses);
+        for judge in &mut judges {
+            assert!(!judge.decide(true, at(60_200)), "a judge decides again");
+            assert_eq!(judge.phase(), phases[order[0]]);
+        }
+    }
+}
+
 /// After a rollback, the same version may be the target of a move again.
 #[test]
 fn status_of_an_earlier_order_is_ignored() {
