interfaces: send each request to the platform on its own connection

A late second copy of a response on a kept connection was taken for the response to the next request: an append to the log counted as written, at an offset that it does not have, although the log may have refused it, and a read could return the records of another topic. Callers could have seen a call that counts as claimed without a record, or a plan that is missed.

Responses of the platform repeat no ID by which such a copy could be told, so connections are not reused any more, as for calls to plain services.

The test's log sends each response once more before the next one on the same connection.

--- a/crates/interfaces/src/http_transport.rs
+++ b/crates/interfaces/src/http_transport.rs
@@ -36,9 +36,13 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
-        // A retried append could be written twice, so the caller decides whether to retry.
-        let client =
-            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
+        // A retried append could be written twice, so the caller decides whether to retry. Each request
+        // has a connection of its own: responses repeat no ID, so on a used connection a second copy
+        // of an earlier response would be taken for this one.
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
         HttpTransport { address, client }
     }
 
--- a/crates/interfaces/tests/all/main.rs
+++ b/crates/interfaces/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the platform's clients against scripted servers.
 
+mod late_responses;
 mod responses;
