gateway: test stops and moves of generations at scripted engines

Faults in the code that stops a generation at its engine before it goes on elsewhere, and in what follows, could be shown by gateway processes only. Eight tests use the watcher of a stream with two scripted engines on the loopback interface. Two of them show that a second move of a generation is harmless when its stream is cut while the final copy is requested.

Another test, of the stream's forwarder, fails if it offers a stream again after a lost response (forwarder_does_not_repeat_a_stream_after_a_lost_response).

--- a/crates/gateway/tests/all/call_forwarding.rs
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -1,4 +1,4 @@
-//! Requests to plain services that are offered more than once.
+//! Requests that are offered more than once.
 
 use std::{
     net::SocketAddr,
@@ -11,7 +11,7 @@
 use dragonflycart_core::ErrorKind;
 use dragonflycart_gateway::{
     CallForwarder, GatewayContext, GatewayFailure, OfferHistory, RouteKind, ServerRecord,
-    TokenDemand,
+    StreamForwarder, TokenDemand,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    fixtures::{DESK, caller_request, context, record, route},
+    fixtures::{DESK, ENGINES, caller_request, context, record, report, route},
     stub_store::StubStore,
 };
 
@@ -124,16 +124,16 @@
 }
 
 /// Returns a context that knows the servers and has retries left.
-fn context_with(servers: &ScriptedServers) -> Arc<GatewayContext> {
+fn context_with(servers: &ScriptedServers, service: &str) -> Arc<GatewayContext> {
     let context = context(Arc::new(StubStore::default()));
     let now = context.clock.now();
     let mut view = context.view();
     for (index, address) in servers.addresses.iter().enumerate() {
-        let record = ServerRecord { address: *address, ..record(DESK, "a", 8_000) };
-        view.apply_server(&format!("d{index}"), record, index as u64, now);
+        let record = ServerRecord { address: *address, ..record(service, "a", 8_000) };
+        view.apply_server(&format!("s{index}"), record, index as u64, now);
     }
     for _ in 0..BUDGET_REQUESTS {
-        view.note_request(DESK, now);
+        view.note_request(service, now);
     }
     drop(view);
     context
@@ -143,7 +143,7 @@
 #[tokio::test]
 async fn forwarder_does_not_deny_a_run_after_a_lost_response() {
     let servers = scripted_servers(&["", REFUSAL]).await;
-    let context = context_with(&servers);
+    let context = context_with(&servers, DESK);
     let route = route("desk", "/desk/", RouteKind::Idempotent, DESK);
     let request = caller_request(&context, route, TokenDemand::default());
 
@@ -157,7 +157,7 @@
 #[tokio::test]
 async fn forwarder_does_not_repeat_a_booking_after_a_lost_response() {
     let servers = scripted_servers(&["", ANSWER]).await;
-    let context = context_with(&servers);
+    let context = context_with(&servers, DESK);
     let route = route("desk", "/desk/", RouteKind::NonIdempotent, DESK);
     let request = caller_request(&context, route, TokenDemand::default());
 
@@ -166,3 +166,18 @@
     assert_eq!(servers.requests.load(Ordering::Relaxed), 1, "it was offered again");
     assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::Interrupted));
 }
+
+/// Guards against a generation that is started a second time after the response to its first offer
+/// was lost (TWICE).
+#[tokio::test]
+async fn forwarder_does_not_repeat_a_stream_after_a_lost_response() {
+    let servers = scripted_servers(&["", ANSWER]).await;
+    let context = context_with(&servers, ENGINES);
+    let route = route("reports", "/reports/", RouteKind::Stream, ENGINES);
+    let request = caller_request(&context, route, report());
+
+    let result = StreamForwarder::new(&context, request).run().await;
+
+    assert_eq!(servers.requests.load(Ordering::Relaxed), 1, "it was offered again");
+    assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::Interrupted));
+}
--- /dev/null
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -0,0 +1,201 @@
+//! Generations that go on elsewhere after their engine was told to stop them, with scripted engines
+//! on the loopback interface.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use dragonflycart_gateway::{
+    CallerRequest, EngineWatcher, GatewayContext, GenerationReservation, MoveOutcome, RouteKind,
+    ServerRecord, StreamProgress,
+};
+
+use crate::{
+    fixtures::{ENGINES, caller_request, context, record, report, route},
+    scripted_engine::{EngineAnswer, EngineScript, ScriptedEngine},
+    stub_store::StubStore,
+};
+
+/// Time in which memory that is not used any more is freed.
+const RELEASE_TIME: Duration = Duration::from_millis(600);
+/// Last event that was forwarded.
+const LAST_EVENT: u64 = 3;
+
+/// Stream whose engine's response was lost, and the engines.
+struct LostStream {
+    context: Arc<GatewayContext>,
+    request: CallerRequest,
+    reservation: GenerationReservation,
+    progress: Arc<StreamProgress>,
+    source: ScriptedEngine,
+    backup: ScriptedEngine,
+}
+
+impl LostStream {
+    /// Starts the engines, each of which may be the source.
+    async fn start(script: EngineScript) -> LostStream {
+        let context = context(Arc::new(StubStore::default()));
+        let mut engines = Vec::new();
+        for index in 0..2 {
+            let engine = ScriptedEngine::start(script).await;
+            let record = ServerRecord { address: engine.address, ..record(ENGINES, "a", 8_000) };
+            let now = context.clock.now();
+            context.view().apply_server(&format!("e{index}"), record, index, now);
+            engines.push(engine);
+        }
+        let route = route("reports", "/reports/", RouteKind::Stream, ENGINES);
+        let request = caller_request(&context, route, report());
+        let reservation = GenerationReservation::take(&context, &request, &BTreeSet::new());
+        let reservation = reservation.expect("an engine has room");
+        assert!(reservation.backup.is_some(), "no engine for copies");
+        if engines[0].address != reservation.engine.address() {
+            engines.reverse();
+        }
+        let progress = Arc::new(StreamProgress::new(None));
+        progress.advance(LAST_EVENT);
+        let (backup, source) = (engines.pop().unwrap(), engines.pop().unwrap());
+        LostStream { context, request, reservation, progress, source, backup }
+    }
+
+    async fn recover(&self, watcher: &mut EngineWatcher) -> MoveOutcome {
+        watcher.recover(&self.request, &self.reservation, &self.progress).await
+    }
+
+    fn resumption_count(&self) -> usize {
+        self.source.calls().resumptions.len() + self.backup.calls().resumptions.len()
+    }
+}
+
+fn script(
+    final_copies: &'static [EngineAnswer],
+    resumptions: &'static [EngineAnswer],
+) -> EngineScript {
+    EngineScript { final_copies, resumptions }
+}
+
+/// Guards against a second engine that works on a generation which its first one goes on to run,
+/// because that one answers that it is busy with another copy (TWICE).
+#[tokio::test]
+async fn generation_stays_at_an_engine_that_is_busy() {
+    let stream = LostStream::start(script(&[EngineAnswer::BUSY], &[EngineAnswer::RESUMED])).await;
+
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+
+    assert!(matches!(outcome, MoveOutcome::Stays));
+    assert_eq!(stream.resumption_count(), 0, "resumed while the engine may run it");
+}
+
+/// Guards against the same where the engine is reached, but its answer is not understood.
+#[tokio::test]
+async fn generation_stays_at_an_engine_whose_answer_is_unclear() {
+    const UNCLEAR: EngineAnswer = EngineAnswer { status: Some(500), ..EngineAnswer::BUSY };
+    let stream = LostStream::start(script(&[UNCLEAR], &[EngineAnswer::RESUMED])).await;
+
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+
+    assert!(matches!(outcome, MoveOutcome::Stays));
+    assert_eq!(stream.resumption_count(), 0, "resumed while the engine may run it");
+}
+
+/// Guards against memory that is freed while the generation goes on from it.
+#[tokio::test]
+async fn retained_memory_is_kept_for_the_generation_that_goes_on_from_it() {
+    let stream = LostStream::start(script(&[EngineAnswer::COPIED], &[EngineAnswer::RESUMED])).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    let outcome = stream.recover(&mut watcher).await;
+    drop(watcher);
+    tokio::time::sleep(RELEASE_TIME).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+    let from = format!("{}/h1", stream.source.address);
+    assert_eq!(stream.backup.calls().resumptions, [from]);
+    assert!(stream.source.calls().releases.is_empty(), "the memory is in use");
+}
+
+/// Guards against a generation that is lost although its engine retains its memory: the engine
+/// answers a later call first, that it does not run the generation, and the one that stopped it last.
+#[tokio::test]
+async fn memory_retained_by_an_earlier_call_is_used_after_the_backup_refused() {
+    const COPIED_LATE: EngineAnswer = EngineAnswer::COPIED.after(Duration::from_millis(200));
+    let copies = &[COPIED_LATE, EngineAnswer::UNKNOWN];
+    let stream = LostStream::start(script(copies, &[EngineAnswer::REFUSED])).await;
+
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+
+    assert!(matches!(outcome, MoveOutcome::Gone));
+    assert_eq!(stream.backup.calls().resumptions, [format!("{}/a1", stream.backup.address)]);
+    assert_eq!(stream.source.calls().resumptions, [format!("{}/h1", stream.source.address)]);
+}
+
+/// Guards against memory that an engine retains for good after the generation could not go on.
+#[tokio::test]
+async fn retained_memory_is_freed_if_the_generation_can_not_go_on() {
+    let stream = LostStream::start(script(&[EngineAnswer::COPIED], &[EngineAnswer::REFUSED])).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    let outcome = stream.recover(&mut watcher).await;
+    drop(watcher);
+    tokio::time::sleep(RELEASE_TIME).await;
+
+    assert!(matches!(outcome, MoveOutcome::Gone));
+    assert_eq!(stream.source.calls().releases, ["h1"]);
+}
+
+/// Guards against a generation that is resumed at its first engine although the second one may have
+/// resumed it, because the response from there was lost (TWICE).
+#[tokio::test]
+async fn generation_whose_resumption_was_lost_is_not_resumed_again() {
+    let stream = LostStream::start(script(&[EngineAnswer::COPIED], &[EngineAnswer::LOST])).await;
+
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+
+    assert!(matches!(outcome, MoveOutcome::Gone));
+    assert_eq!(stream.resumption_count(), 1, "resumed twice");
+}
+
+/// Starts the move of a stream whose engine announces its shutdown, and waits until its final copy
+/// is requested.
+async fn start_final_copy(stream: &LostStream, watcher: &mut EngineWatcher) {
+    let now = stream.context.clock.now();
+    stream.context.view().note_announced_leaving(stream.reservation.engine.server(), now);
+    while stream.source.calls().final_copies == 0 {
+        let next = watcher.next(&stream.request, &stream.reservation, &stream.progress);
+        let outcome = tokio::time::timeout(Duration::from_millis(20), next).await;
+        assert!(outcome.is_err(), "the move ended before its final copy");
+    }
+}
+
+/// Guards against a generation that is resumed twice while two moves of it act at the same time: one
+/// from a draining engine, which has asked for the final copy and got no answer, and one to the
+/// backup after the stream was cut (TWICE).
+#[tokio::test]
+async fn two_moves_of_a_generation_resume_it_once() {
+    const LOST_LATE: EngineAnswer = EngineAnswer::LOST.after(Duration::from_millis(200));
+    let copies = &[LOST_LATE, EngineAnswer::UNKNOWN];
+    let stream = LostStream::start(script(copies, &[EngineAnswer::RESUMED])).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    start_final_copy(&stream, &mut watcher).await;
+    let outcome = stream.recover(&mut watcher).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+    assert!(stream.source.calls().final_copies > 1, "only one of the moves acted");
+    assert_eq!(stream.backup.calls().resumptions, [format!("{}/a1", stream.backup.address)]);
+    assert_eq!(stream.resumption_count(), 1, "resumed twice");
+}
+
+/// Guards against the same where the final copy is answered after the stream was cut (TWICE).
+#[tokio::test]
+async fn stream_that_is_cut_during_its_final_copy_is_resumed_once() {
+    const COPIED_LATE: EngineAnswer = EngineAnswer::COPIED.after(Duration::from_millis(200));
+    let copies = &[COPIED_LATE, EngineAnswer::UNKNOWN];
+    let stream = LostStream::start(script(copies, &[EngineAnswer::RESUMED])).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    start_final_copy(&stream, &mut watcher).await;
+    let outcome = stream.recover(&mut watcher).await;
+    tokio::time::sleep(RELEASE_TIME).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+    assert_eq!(stream.backup.calls().resumptions, [format!("{}/h1", stream.source.address)]);
+    assert_eq!(stream.resumption_count(), 1, "resumed twice");
+}
