gateway: test the memory of events and responses that wait for callers

Four changes of the code of memory budgets passed all tests of the gateway in trials on a scratch copy: to keep the memory of a large event that is not forwarded, to free that of a response before it was sent, to keep the whole receive buffer for a small event, and to take no memory of the budget for small events beyond a stream's own share. Each could use up the memory of a VM, or hold up other streams; the first one was not shown by any test, the others at most by processes. Four tests now fail with one change each; they passed at once on the code as it is.

--- a/crates/gateway/tests/all/call_forwarding.rs
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use dragonflycart_core::ErrorKind;
@@ -26,6 +27,11 @@
 /// Requests from which the budget allows some retries.
 const BUDGET_REQUESTS: u32 = 40;
 
+/// Size of a response, of which two leave no memory for a third one.
+const LARGE_BYTES: usize = 4 * 1024 * 1024;
+/// Time after which a test takes a wait for endless.
+const WAIT_TIME: Duration = Duration::from_millis(300);
+
 const REFUSAL: &str =
     "HTTP/1.1 503 Service Unavailable\r\necho-id: a1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 const ANSWER: &str =
@@ -139,6 +145,27 @@
     context
 }
 
+/// Starts a server that answers each connection's first request with [`LARGE_BYTES`].
+async fn large_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4_096];
+            if stream.read(&mut buffer).await.unwrap() == 0 {
+                continue;
+            }
+            let head = format!(
+                "HTTP/1.1 200 OK\r\necho-id: a1\r\nsignature: s\r\ncontent-length: {LARGE_BYTES}\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&vec![b'x'; LARGE_BYTES]).await.unwrap();
+        }
+    });
+    address
+}
+
 /// Guards against the same false "not run", where the forwarder does not use the history.
 #[tokio::test]
 async fn forwarder_does_not_deny_a_run_after_a_lost_response() {
@@ -181,3 +208,30 @@
     assert_eq!(servers.requests.load(Ordering::Relaxed), 1, "it was offered again");
     assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::Interrupted));
 }
+
+/// Guards against responses that wait for slow callers and whose memory counts as free, so that
+/// further ones are received without a limit.
+#[tokio::test]
+async fn response_keeps_its_memory_until_it_was_sent() {
+    let context = context(Arc::new(StubStore::default()));
+    let address = large_server().await;
+    let record = ServerRecord { address, ..record(DESK, "a", 8_000) };
+    context.view().apply_server("s0", record, 0, context.clock.now());
+    let mut responses = Vec::new();
+    for _ in 0..2 {
+        let route = route("desk", "/desk/", RouteKind::Idempotent, DESK);
+        let request = caller_request(&context, route, TokenDemand::default());
+        responses.push(CallForwarder::new(&context, request).run().await.ok().unwrap());
+    }
+    // One response at a time may grow beyond the budget.
+    let mut growing = context.responses.body(true);
+    growing.grow_to(LARGE_BYTES).await.unwrap();
+    let mut further = context.responses.body(true);
+
+    let early = tokio::time::timeout(WAIT_TIME, further.grow_to(LARGE_BYTES)).await;
+    drop(responses);
+    let late = tokio::time::timeout(WAIT_TIME, further.grow_to(LARGE_BYTES)).await;
+
+    assert!(early.is_err(), "the memory of the responses was free");
+    assert!(late.is_ok(), "the memory of the responses is still in use");
+}
--- a/crates/gateway/tests/all/memory.rs
+++ b/crates/gateway/tests/all/memory.rs
@@ -149,6 +149,53 @@
     assert_eq!(budget.free_bytes(), MIB);
 }
 
+/// Guards against memory that stays reserved for a large event that is not forwarded, for example
+/// because the caller has it already.
+#[tokio::test(start_paused = true)]
+async fn memory_of_an_event_that_is_not_kept_is_released() {
+    let budget = MemoryBudget::new(MIB, None);
+    let mut stream = StreamMemory::new(&budget);
+    stream.receive(100 * 1024).await.unwrap();
+    assert!(budget.free_bytes() < MIB);
+
+    stream.receive(2_000).await.unwrap();
+
+    assert_eq!(budget.free_bytes(), MIB);
+}
+
+/// Guards against a small event that keeps the whole buffer into which it was received.
+#[tokio::test(start_paused = true)]
+async fn event_that_waits_does_not_keep_the_receive_buffer() {
+    let budget = MemoryBudget::new(MIB, None);
+    let mut stream = StreamMemory::new(&budget);
+    let buffer = event(64 * 1024);
+    let small = buffer.slice(..100);
+
+    let kept = stream.keep(&small).await;
+    drop(small);
+
+    assert!(buffer.is_unique(), "the event holds the buffer");
+    assert_eq!(kept.len(), 100);
+}
+
+/// Guards against small events of slow callers that take memory outside the budget, without a limit
+/// over all streams.
+#[tokio::test(start_paused = true)]
+async fn small_events_beyond_the_share_of_a_stream_use_the_budget() {
+    let budget = MemoryBudget::new(MIB, None);
+    let mut stream = StreamMemory::new(&budget);
+    let small = event(2_000);
+    let mut waiting = Vec::new();
+
+    for _ in 0..20 {
+        waiting.push(stream.keep(&small).await);
+    }
+
+    assert!(MIB - budget.free_bytes() >= 20_000, "{} bytes free", budget.free_bytes());
+    drop(waiting);
+    assert_eq!(budget.free_bytes(), MIB);
+}
+
 /// Guards against a stream of small events that waits for the callers of other streams.
 #[tokio::test(start_paused = true)]
 async fn small_events_do_not_wait_for_other_streams() {
