gateway: ask the socket whether a kept connection was closed

Whether a kept connection can be used again was read from what the event loop last knew of its socket. After a halt of the process, or in a long turn of the event loop, a connection that the server had closed meanwhile still looked usable. A request sent on it lost its response: callers got 502 for a booking that did not run, and the server counted a loss.

The check now peeks at the socket itself, without the event loop.

The test's server closes the connection while the only thread of the event loop is blocked.

--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -6,7 +6,9 @@
 //! sent, the connection must not be reused, since the server would take the rest of the body for
 //! another request.
 
-use std::{collections::VecDeque, io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{
+    collections::VecDeque, io::ErrorKind, mem::MaybeUninit, net::SocketAddr, time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
@@ -128,8 +130,9 @@
         {
             return false;
         }
-        let mut probe = [0_u8; 1];
-        let pending = self.stream.try_read(&mut probe);
+        // Asks the socket itself: the event loop may not know yet that the server has closed it.
+        let mut probe = [MaybeUninit::uninit(); 1];
+        let pending = SockRef::from(&self.stream).peek(&mut probe);
         matches!(pending, Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -1,6 +1,11 @@
 //! Connections to servers, tested against a scripted server on the loopback interface.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::SocketAddr,
+    sync::mpsc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use dragonflycart_gateway::{
@@ -162,6 +167,39 @@
     assert!(!reused.is_reusable(), "the server closed it");
 }
 
+/// Starts a server on a thread of its own that answers one request and closes the connection when it
+/// is told to. The thread ends after that.
+fn threaded() -> (SocketAddr, mpsc::Sender<()>, std::thread::JoinHandle<()>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (close, is_told) = mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 4_096];
+        assert!(stream.read(&mut buffer).unwrap() > 0);
+        stream.write_all(FIRST.as_bytes()).unwrap();
+        is_told.recv().unwrap();
+    });
+    (address, close, thread)
+}
+
+/// Guards against a request that is sent on a connection which its server closed while this process
+/// was halted, before the event loop was told. Its response would be lost.
+#[tokio::test]
+async fn connection_that_was_closed_during_a_halt_is_not_used_again() {
+    let (address, close, server) = threaded();
+    let mut connection = ServerConnection::connect(address).await.unwrap();
+    connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+    connection.read_body(100).await.unwrap();
+    assert!(connection.is_reusable());
+
+    // Blocks the only thread of the event loop meanwhile.
+    close.send(()).unwrap();
+    server.join().unwrap();
+
+    assert!(!connection.is_reusable(), "the server closed it");
+}
+
 /// Starts a server that sends `head` on each connection and then `piece` again and again, until the
 /// connection is closed.
 async fn endless(head: &'static str, piece: &'static str, pause: Duration) -> SocketAddr {
