gateway: let the pool's test wait for the close that it checks

Its server closed the connection 100 ms after its response, as a task of the test's thread, and the test looked after 150 ms.

The server now has a thread of its own and is waited for, so that the connection is closed when the test looks. The assertion is the same; it has no 150 ms of grace any more. It fails if the check ignores a closed connection.

--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -151,9 +151,11 @@
     assert!(!connection.is_reusable());
 }
 
+/// Guards against a new connection for each request, and against a request on a connection that its
+/// server has closed.
 #[tokio::test]
 async fn pool_gives_an_idle_connection_again_and_drops_closed_ones() {
-    let address = scripted(vec![FIRST]).await;
+    let (address, close, server) = threaded();
     let pool = ConnectionPool::default();
     let mut connection = pool.acquire(address).await.unwrap();
     connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
@@ -162,7 +164,8 @@
 
     let mut reused = pool.acquire(address).await.unwrap();
     assert!(reused.is_reused());
-    tokio::time::sleep(Duration::from_millis(150)).await;
+    close.send(()).unwrap();
+    server.join().unwrap();
 
     assert!(!reused.is_reusable(), "the server closed it");
 }
