--- /dev/null
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -0,0 +1,237 @@
+//! Requests that are offered more than once.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use dragonflycart_core::ErrorKind;
+use dragonflycart_gateway::{
+    CallForwarder, GatewayContext, GatewayFailure, OfferHistory, RouteKind, ServerRecord,
+    StreamForwarder, TokenDemand,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+use crate::{
+    fixtures::{DESK, ENGINES, caller_request, context, record, report, route},
+    stub_store::StubStore,
+};
+
+/// Requests from which the budget allows some retries.
+const BUDGET_REQUESTS: u32 = 40;
+
+/// Size of a response, of which two leave no memory for a third one.
+const LARGE_BYTES: usize = 4 * 1024 * 1024;
+/// Time after which a test takes a wait for endless.
+const WAIT_TIME: Duration = Duration::from_millis(300);
+
+const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\necho-id: a1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const ANSWER: &str =
+    "HTTP/1.1 200 OK\r\necho-id: a1\r\nsignature: s\r\ncontent-length: 2\r\n\r\nok";
+
+fn refused() -> GatewayFailure {
+    GatewayFailure::new(ErrorKind::Overloaded, "all servers refused")
+}
+
+/// Guards against a caller that is told "not run" because the last server refused its request,
+/// although an earlier one may have run it (REFUSED).
+#[test]
+fn refusal_after_a_possible_run_is_not_reported() {
+    let mut history = OfferHistory::default();
+    history.note_possible_run();
+    history.note_refused();
+
+    assert_eq!(history.reported_failure(refused()).kind, ErrorKind::Interrupted);
+    let unplaced = GatewayFailure::new(ErrorKind::NoBackend, "no server takes work");
+    assert_eq!(history.reported_failure(unplaced).kind, ErrorKind::Interrupted);
+}
+
+/// Guards against hiding from a caller that its request did not run, and may be sent again.
+#[test]
+fn refusal_by_all_servers_is_reported() {
+    let mut history = OfferHistory::default();
+    history.note_refused();
+    history.note_refused();
+
+    assert_eq!(history.reported_failure(refused()), refused());
+}
+
+/// Guards against a booking that is offered to a second server after the first one may have run it
+/// (TWICE).
+#[test]
+fn request_that_may_have_run_is_offered_again_only_if_its_route_allows_it() {
+    for (kind, is_allowed) in [
+        (RouteKind::Idempotent, true),
+        (RouteKind::NonIdempotent, false),
+        (RouteKind::Stream, false),
+    ] {
+        let route = route("any", "/any/", kind, DESK);
+        let mut history = OfferHistory::default();
+        history.note_refused();
+        assert!(history.allows_offer(&route), "{kind}: it was refused");
+
+        history.note_possible_run();
+
+        assert_eq!(history.allows_offer(&route), is_allowed, "{kind}");
+    }
+}
+
+/// Guards against more runs than the route's maximum number of attempts.
+#[test]
+fn request_is_run_no_more_often_than_its_route_allows() {
+    let route = route("any", "/any/", RouteKind::Idempotent, DESK);
+    let mut history = OfferHistory::default();
+
+    for _ in 0..route.max_attempts {
+        assert!(history.allows_offer(&route));
+        history.note_possible_run();
+    }
+
+    assert!(!history.allows_offer(&route));
+}
+
+/// Scripted servers, and the number of requests that reached them.
+struct ScriptedServers {
+    addresses: Vec<SocketAddr>,
+    requests: Arc<AtomicU32>,
+}
+
+/// Starts as many servers as there are scripts. The n-th request, at whichever server, gets the n-th
+/// script, and the connection is closed after it.
+async fn scripted_servers(scripts: &'static [&'static str]) -> ScriptedServers {
+    let requests = Arc::new(AtomicU32::new(0));
+    let mut addresses = Vec::new();
+    for _ in scripts {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        addresses.push(listener.local_addr().unwrap());
+        let requests = Arc::clone(&requests);
+        tokio::spawn(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut buffer = [0; 4_096];
+                if stream.read(&mut buffer).await.unwrap() == 0 {
+                    continue;
+                }
+                let number = requests.fetch_add(1, Ordering::Relaxed) as usize;
+                let script = scripts.get(number).copied().unwrap_or_default();
+                stream.write_all(script.as_bytes()).await.unwrap();
+            }
+        });
+    }
+    ScriptedServers { addresses, requests }
+}
+
+/// Returns a context that knows the servers and has retries left.
+fn context_with(servers: &ScriptedServers, service: &str) -> Arc<GatewayContext> {
+    let context = context(Arc::new(StubStore::default()));
+    let now = context.clock.now();
+    let mut view = context.view();
+    for (index, address) in servers.addresses.iter().enumerate() {
+        let record = ServerRecord { address: *address, ..record(service, "a", 8_000) };
+        view.apply_server(&format!("s{index}"), record, index as u64, now);
+    }
+    for _ in 0..BUDGET_REQUESTS {
+        view.note_request(service, now);
+    }
+    drop(view);
+    context
+}
+
+/// Starts a server that answers each connection's first request with [`LARGE_BYTES`].
+async fn large_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4_096];
+            if stream.read(&mut buffer).await.unwrap() == 0 {
+                continue;
+            }
+            let head = format!(
+                "HTTP/1.1 200 OK\r\necho-id: a1\r\nsignature: s\r\ncontent-length: {LARGE_BYTES}\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&vec![b'x'; LARGE_BYTES]).await.unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against the same false "not run", where the forwarder does not use the history.
+#[tokio::test]
+async fn forwarder_does_not_deny_a_run_after_a_lost_response() {
+    let servers = scripted_servers(&["", REFUSAL]).await;
+    let context = context_with(&servers, DESK);
+    let route = route("desk", "/desk/", RouteKind::Idempotent, DESK);
+    let request = caller_request(&context, route, TokenDemand::default());
+
+    let result = CallForwarder::new(&context, request).run().await;
+
+    assert_eq!(servers.requests.load(Ordering::Relaxed), 2, "it was not offered again");
+    assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::Interrupted));
+}
+
+/// Guards against the same second run of a booking, where the forwarder does not use the history.
+#[tokio::test]
+async fn forwarder_does_not_repeat_a_booking_after_a_lost_response() {
+    let servers = scripted_servers(&["", ANSWER]).await;
+    let context = context_with(&servers, DESK);
+    let route = route("desk", "/desk/", RouteKind::NonIdempotent, DESK);
+    let request = caller_request(&context, route, TokenDemand::default());
+
+    let result = CallForwarder::new(&context, request).run().await;
+
+    assert_eq!(servers.requests.load(Ordering::Relaxed), 1, "it was offered again");
+    assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::Interrupted));
+}
+
+/// Guards against a generation that is started a second time after the response to its first offer
+/// was lost (TWICE).
+#[tokio::test]
+async fn forwarder_does_not_repeat_a_stream_after_a_lost_response() {
+    let servers = scripted_servers(&["", ANSWER]).await;
+    let context = context_with(&servers, ENGINES);
+    let route = route("reports", "/reports/", RouteKind::Stream, ENGINES);
+    let request = caller_request(&context, route, report());
+
+    let result = StreamForwarder::new(&context, request).run().await;
+
+    assert_eq!(servers.requests.load(Ordering::Relaxed), 1, "it was offered again");
+    assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::Interrupted));
+}
+
+/// Guards against responses that wait for slow callers and whose memory counts as free, so that
+/// further ones are received without a limit.
+#[tokio::test]
+async fn response_keeps_its_memory_until_it_was_sent() {
+    let context = context(Arc::new(StubStore::default()));
+    let address = large_server().await;
+    let record = ServerRecord { address, ..record(DESK, "a", 8_000) };
+    context.view().apply_server("s0", record, 0, context.clock.now());
+    let mut responses = Vec::new();
+    for _ in 0..2 {
+        let route = route("desk", "/desk/", RouteKind::Idempotent, DESK);
+        let request = caller_request(&context, route, TokenDemand::default());
+        responses.push(CallForwarder::new(&context, request).run().await.ok().unwrap());
+    }
+    // One response at a time may grow beyond the budget.
+    let mut growing = context.responses.body(true);
+    growing.grow_to(LARGE_BYTES).await.unwrap();
+    let mut further = context.responses.body(true);
+
+    let early = tokio::time::timeout(WAIT_TIME, further.grow_to(LARGE_BYTES)).await;
+    drop(responses);
+    let late = tokio::time::timeout(WAIT_TIME, further.grow_to(LARGE_BYTES)).await;
+
+    assert!(early.is_err(), "the memory of the responses was free");
+    assert!(late.is_ok(), "the memory of the responses is still in use");
+}
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -2,13 +2,19 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use dragonflycart_core::MonoTime;
 use dragonflycart_gateway::{
-    CallerLimits, EngineSpec, ExposureLimit, FleetOrder, FleetView, PlacementQuery, PlannedRoute,
-    PlannedService, PlannedTeam, RouteKind, RoutePlan, ServerKey, ServerRecord, TokenDemand,
-    VmSettings,
+    CallerLimits, CallerRequest, EngineSpec, ExposureLimit, FleetOrder, FleetStore, FleetView,
+    GatewayContext, HeaderNames, PlacementQuery, PlannedRoute, PlannedService, PlannedTeam,
+    RouteKind, RoutePlan, ServerKey, ServerRecord, TokenDemand, VmSettings,
 };
 
+use hyper::{HeaderMap, Method};
+use tokio::time::Instant;
+
+use crate::stub_protocol::StubProtocol;
+
 /// Service of engines.
 pub(crate) const ENGINES: &str = "assistant";
 /// Plain service.
@@ -148,3 +154,68 @@
 pub(crate) fn key_of(view: &FleetView, id: &str) -> ServerKey {
     view.servers().find(|(_, state)| state.id == id).map(|(key, _)| key).unwrap()
 }
+
+/// Header names of the tests.
+pub(crate) const NAMES: HeaderNames = HeaderNames {
+    attempt: "echo-id",
+    time_left: "time-left",
+    expected_server: "expected-server",
+    server_id: "server-id",
+    team: "team",
+    auth_scheme: "Key",
+    signature: "signature",
+    not_run: "not-run",
+    load: "load",
+    leaving: "leaving",
+    cold_left: "cold-left",
+    token_counts: "token-counts",
+    length_hint: "length-hint",
+    prompt_prefixes: "prompt-prefixes",
+    urgency: "urgency",
+    resume_from: "resume-from",
+    backup_at: "backup-at",
+    reserved: &[],
+    internal: &[],
+};
+
+/// Returns the context of the only VM, with the plan and no servers.
+pub(crate) fn context(store: Arc<dyn FleetStore>) -> Arc<GatewayContext> {
+    let context = GatewayContext::new(Arc::new(settings()), NAMES, store, Arc::new(StubProtocol));
+    {
+        let mut view = context.view();
+        view.sharing_vms = 1;
+        view.apply_order(FleetOrder::Plan(Arc::new(plan(1))), context.clock.now());
+        view.note_servers_known();
+    }
+    Arc::new(context)
+}
+
+/// Returns a request `a1` of a route's service, with the time limit of the route.
+pub(crate) fn caller_request(
+    context: &GatewayContext,
+    route: PlannedRoute,
+    demand: TokenDemand,
+) -> CallerRequest {
+    let arrived = Instant::now();
+    CallerRequest {
+        attempt: "a1".to_owned(),
+        service: route.services[0].0.clone(),
+        deadline: arrived + route.time_limit,
+        route,
+        team: None,
+        credential: None,
+        team_priority: 0,
+        method: Method::GET,
+        target: "/any/1".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        body_reservation: Arc::new(context.bodies.empty_reservation()),
+        has_body: false,
+        arrived,
+        sample_seed: 1,
+        demand,
+        prompt_parts: Vec::new(),
+        trial_part: None,
+        last_event: None,
+    }
+}
