engine: close a connection that sent a response to another request

A backend server that sends a second copy of a load report late, on the connection of the next poll, puts each later response one poll behind. The poll is rejected by its request ID, but the connection went back to the pool, so every poll up to the idle time of 3 s got the report before and failed: the server counts as not reachable although it answers.

The client drops a mismatched response unread; hyper drains the short body and keeps the connection. It is now marked as unusable, and a line is logged.

connection_with_late_load_reports_is_not_used_again failed before ([Ok(0), Err(Protocol), Err(Protocol)] instead of a third report that is read) and passes now, for engines and plain services.

--- a/crates/engine/src/http_client.rs
+++ b/crates/engine/src/http_client.rs
@@ -15,9 +15,13 @@
     header::{CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING},
 };
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{
+        Client,
+        connect::{CaptureConnection, HttpConnector, capture_connection},
+    },
     rt::{TokioExecutor, TokioTimer},
 };
+use log::warn;
 
 use crate::{
     CallFailure,
@@ -105,7 +109,8 @@
         request_id: &str,
         timeout: Duration,
     ) -> Result<Response<Incoming>, CallFailure> {
-        let request = self.build_request(outgoing, request_id).ok_or(CallFailure::NotSent)?;
+        let mut request = self.build_request(outgoing, request_id).ok_or(CallFailure::NotSent)?;
+        let connection = capture_connection(&mut request);
         let result = tokio::time::timeout(timeout, self.client.request(request)).await;
         let response = match result {
             Ok(Ok(response)) => response,
@@ -114,11 +119,21 @@
             Ok(Err(_)) | Err(_) => return Err(CallFailure::MaybeSent),
         };
         if header_text(response.headers(), REQUEST_ID_HEADER) != Some(request_id) {
+            self.retire(&connection);
             return Err(CallFailure::MismatchedResponse);
         }
         Ok(response)
     }
 
+    /// Keeps a connection from being used again. Its next response may belong to an earlier request,
+    /// too.
+    fn retire(&self, connection: &CaptureConnection) {
+        warn!("backend: response to another request; address={}", self.address);
+        if let Some(connected) = connection.connection_metadata().as_ref() {
+            connected.poison();
+        }
+    }
+
     /// Sends a request and reads the whole response.
     pub(crate) async fn send(
         &self,
--- a/crates/testkit/tests/all/main.rs
+++ b/crates/testkit/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod fixtures;
 mod log_client;
 mod platform_clients;
+mod repeated_responses;
 mod service_client;
 mod unresponsive;
