interfaces: use a connection for each request to the platform

The own daemon's clients of the log, the VM list and the weight store took pooled connections, and these responses echo no ID. A second copy of a response, sent late on a connection in use again, became the response to the next request: an append was reported at the offset of the append before it, a list of VMs was older than its request, and a load began that the weight store had refused. Not seen on a deployment; shown with a scripted server.

Each request now has a connection of its own, as the gateway's calls to the store and to engines have. The request says so with "Connection: close", so that the platform closes first and the closed connections do not wait on the VM's ports. A request costs one round trip more; that was not measured.

--- a/crates/interfaces/src/http_transport.rs
+++ b/crates/interfaces/src/http_transport.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, StatusCode};
+use hyper::{
+    Method, Request, StatusCode,
+    header::{CONNECTION, HeaderValue},
+};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -25,7 +28,9 @@
     MaybeSent,
 }
 
-/// HTTP client of one service of the platform.
+/// HTTP client of one service of the platform. Each request has a connection of its own: responses
+/// echo no ID, so on a used connection a second copy of an earlier response would be taken for the
+/// response to the next request.
 pub(crate) struct HttpTransport {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
@@ -37,8 +42,10 @@
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         // A retried append could be written twice, so the caller decides whether to retry.
-        let client =
-            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
         HttpTransport { address, client }
     }
 
@@ -54,6 +61,7 @@
         let request = Request::builder()
             .method(method)
             .uri(uri)
+            .header(CONNECTION, HeaderValue::from_static("close"))
             .body(Full::new(body))
             .map_err(|_| TransportError::NotSent)?;
         let response = async {
--- a/crates/testkit/tests/all/repeated_responses.rs
+++ b/crates/testkit/tests/all/repeated_responses.rs
@@ -3,16 +3,22 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
+use dragonflycart_core::LogOffset;
 use dragonflycart_engine::{
     EngineClient, EngineError, HttpEngineClient, HttpServiceClient, ServiceClient,
     protocol::REQUEST_ID_HEADER,
 };
+use dragonflycart_interfaces::{
+    HttpLogClient, HttpVmDirectoryClient, HttpWeightStoreClient, LogService, LogTopic, VmDirectory,
+    WeightStore, WeightStoreError,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
 
-use crate::fixtures::short_options;
+use crate::fixtures::{model, short_options, version};
 
 /// Which response a server sends to a further request on a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,6 +97,79 @@
     tokio::time::sleep(Duration::from_millis(20)).await;
 }
 
+/// Guards against an append that is reported at the offset of the append before it, and against a
+/// read that returns the records of another topic.
+#[tokio::test]
+async fn second_copy_of_a_response_of_the_log_does_not_answer_the_next_request() {
+    let address = repeating_server(RepeatedResponse::First, |number, request| {
+        if request.starts_with("POST") {
+            return response(request, &format!("{{\"offset\":{number}}}"));
+        }
+        let text = format!("{number}");
+        let head = format!("{{\"first_available\":0,\"end\":9,\"sizes\":[[0,{}]]}}", text.len());
+        response(request, &format!("{head}\n{text}"))
+    })
+    .await;
+    let log = HttpLogClient::new(address);
+
+    let mut offsets = Vec::new();
+    for _ in 0..2 {
+        offsets.push(log.append(LogTopic::Calls, Bytes::from_static(b"x")).await);
+        settle().await;
+    }
+    let mut texts = Vec::new();
+    for topic in [LogTopic::Calls, LogTopic::Plan] {
+        let batch = log.read(topic, LogOffset(0), Duration::ZERO).await.unwrap();
+        texts.push(batch.records[0].body.clone());
+        settle().await;
+    }
+
+    assert_eq!(offsets, [Ok(LogOffset(0)), Ok(LogOffset(1))]);
+    assert_eq!(texts, [Bytes::from_static(b"2"), Bytes::from_static(b"3")]);
+}
+
+/// Guards against a list of VMs that is older than its request.
+#[tokio::test]
+async fn second_copy_of_the_vm_list_does_not_answer_the_next_request() {
+    let address = repeating_server(RepeatedResponse::First, |number, request| {
+        let entry = r#"{"address":"127.0.0.1:9","zone":"dobele","state":"leaving"}"#;
+        response(request, &format!("[{}]", vec![entry; number].join(",")))
+    })
+    .await;
+    let directory = HttpVmDirectoryClient::new(address);
+
+    let mut counts = Vec::new();
+    for _ in 0..3 {
+        counts.push(directory.list().await.map(|entries| entries.len()));
+        settle().await;
+    }
+
+    assert_eq!(counts, [Ok(0), Ok(1), Ok(2)]);
+}
+
+/// Guards against a load that starts although the weight store refused it.
+#[tokio::test]
+async fn second_copy_of_a_permission_does_not_allow_the_next_load() {
+    let address = repeating_server(RepeatedResponse::First, |number, request| {
+        if number == 0 {
+            return response(request, "");
+        }
+        let body = r#"{"retry_after_ms":40}"#;
+        let refusal = response(request, body);
+        refusal.replace("200 OK", "429 Too Many Requests")
+    })
+    .await;
+    let weights = HttpWeightStoreClient::new(address);
+
+    let first = weights.begin_load(&model(), &version("v1")).await;
+    settle().await;
+    let second = weights.begin_load(&model(), &version("v2")).await;
+
+    assert_eq!(first, Ok(()));
+    let retry_after = Duration::from_millis(40);
+    assert_eq!(second, Err(WeightStoreError::RateLimited { retry_after }));
+}
+
 fn report(number: usize, request: &str) -> String {
     let body = format!(
         "{{\"instance\":1,\"cold\":false,\"bears\":8,\"leaving\":false,\"running\":{number},\
