operator: use a connection for each request to a VM

The client of the administration API took pooled connections, and its responses echo no ID. A second copy of an outcome, sent late on a connection in use again, was shown as the outcome of the next submission. Not seen on a deployment; shown with a scripted VM.

second_copy_of_an_outcome_is_not_shown_for_the_next_submission failed before (revision 1 for both submissions) and passes now.

--- a/crates/operator/src/admin_client.rs
+++ b/crates/operator/src/admin_client.rs
@@ -30,7 +30,9 @@
 /// Size limit of a response body. The counts of 30 objectives take a few MiB.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
-/// Client of the administration API. It tries the VMs in the given order until one responds.
+/// Client of the administration API. It tries the VMs in the given order until one responds. Each
+/// request has a connection of its own: responses echo no ID, so on a used connection a second copy
+/// of an earlier response would be taken for the response to the next request.
 #[derive(Debug, Clone)]
 pub struct AdminClient {
     servers: Vec<SocketAddr>,
@@ -49,7 +51,8 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT.min(timeout)));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
+        let client =
+            Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector);
         AdminClient { servers, credential, timeout, client }
     }
 
