gateway: bound the trailer section of a chunked body

A trailer section without an end gives no data, so none of the limits on the size of a body ends it; each of its lines was bounded, their number was not. By reading, a server could so hold a request until its deadline; that was not run.

The section may now have 16 KiB, half of what a head may have. trailer_section_without_an_end_is_refused failed before (NeedsMore after 1,048,578 bytes) and passes now; usual_trailer_section_ends_a_body passes before and after.

--- a/crates/gateway/src/chunk_decoder.rs
+++ b/crates/gateway/src/chunk_decoder.rs
@@ -6,13 +6,17 @@
 
 /// Maximum length of a chunk size line, in bytes.
 const SIZE_LINE_LIMIT: usize = 256;
+/// Maximum size of the trailer section, in bytes. It is half of a head's, and gives no data that
+/// would count against the limit of a body.
+const TRAILER_LIMIT_BYTES: usize = 16 * 1024;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChunkState {
     Size,
     Data(u64),
     DataEnd,
-    Trailer,
+    /// The trailer section, with the bytes of it that were decoded.
+    Trailer(usize),
     Done,
 }
 
@@ -53,7 +57,7 @@
                     };
                     let size = parse_size(&line)?;
                     self.state =
-                        if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
+                        if size == 0 { ChunkState::Trailer(0) } else { ChunkState::Data(size) };
                 }
                 ChunkState::Data(left) => {
                     if buffer.is_empty() {
@@ -76,13 +80,18 @@
                     buffer.advance(2);
                     self.state = ChunkState::Size;
                 }
-                ChunkState::Trailer => {
+                ChunkState::Trailer(decoded) => {
                     let Some(line) = take_line(buffer)? else {
                         return Ok(DecodedChunk::NeedsMore);
                     };
-                    if line.is_empty() {
-                        self.state = ChunkState::Done;
+                    if decoded + line.len() > TRAILER_LIMIT_BYTES {
+                        return Err(ConnectionError::Malformed);
                     }
+                    self.state = if line.is_empty() {
+                        ChunkState::Done
+                    } else {
+                        ChunkState::Trailer(decoded + line.len())
+                    };
                 }
                 ChunkState::Done => return Ok(DecodedChunk::End),
             }
--- a/crates/gateway/tests/all/splitting.rs
+++ b/crates/gateway/tests/all/splitting.rs
@@ -40,6 +40,39 @@
     }
 }
 
+/// Guards against a body whose trailer section has no end: it gives no data, so that no limit on the
+/// size of a body ends it.
+#[test]
+fn trailer_section_without_an_end_is_refused() {
+    let mut decoder = ChunkDecoder::new();
+    let mut buffer = BytesMut::from(&b"2\r\nab\r\n0\r\n"[..]);
+    let mut result = decoder.decode(&mut buffer);
+    assert_eq!(result, Ok(DecodedChunk::Data("ab".into())));
+    let mut bytes = 0;
+
+    while bytes < 1024 * 1024 {
+        buffer.extend_from_slice(b"x: y\r\n");
+        bytes += 6;
+        result = decoder.decode(&mut buffer);
+        if result != Ok(DecodedChunk::NeedsMore) {
+            break;
+        }
+    }
+
+    assert_eq!(result, Err(ConnectionError::Malformed), "after {bytes} bytes");
+}
+
+/// A limit on the trailer section must not refuse a usual one.
+#[test]
+fn usual_trailer_section_ends_a_body() {
+    let mut decoder = ChunkDecoder::new();
+    let trailers = "digest: 0123456789abcdef\r\n".repeat(20);
+    let mut buffer = BytesMut::from(format!("0\r\n{trailers}\r\n").as_bytes());
+
+    assert_eq!(decoder.decode(&mut buffer), Ok(DecodedChunk::End));
+    assert!(buffer.is_empty());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
 
