gateway: close a connection with a response out of turn

A response without the request's identity counts on the first use of a connection if it reports a failure, and the connection went back to the pool. On further uses such a response is never accepted, so a server that does not name requests in its refusals would leave the next one to wait until its deadline. A connection on which responses to other requests were skipped was kept, too, and such a server may send more of them.

Both are now closed after their response. Echoed responses in turn keep their connection as before.

connection_with_a_response_out_of_turn_is_not_used_again failed before (the connection was reusable after a nameless 503) and passes now.

--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -174,7 +174,11 @@
                 None => !is_reused && !response.status.is_success(),
             });
             if is_ours {
-                self.must_close = !response.keeps_alive || sent < request.len();
+                // A server that does not name the request, or that responds to others, may do so
+                // again; a later request on the connection would wait in vain.
+                let is_out_of_turn =
+                    skipped > 0 || echo.is_some_and(|(name, _)| response.text(name).is_none());
+                self.must_close = !response.keeps_alive || sent < request.len() || is_out_of_turn;
                 self.note_idle_limit(&response);
                 return Ok(response);
             }
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -95,6 +95,27 @@
     assert!(result.is_err());
 }
 
+/// Guards against later requests on a connection whose server does not name the request that it
+/// responds to, or responds to others: they can get nothing that is accepted, and wait in vain.
+#[tokio::test]
+async fn connection_with_a_response_out_of_turn_is_not_used_again() {
+    let nameless = "HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nno";
+    let scripts = [vec![nameless, SECOND], vec![FIRST, LATE_AND_SECOND]];
+    for script in scripts {
+        let address = scripted(script.clone()).await;
+        let pool = ConnectionPool::default();
+        let mut connection = pool.acquire(address).await.unwrap();
+        if script[0] == FIRST {
+            connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await.unwrap();
+            connection.read_body(100).await.unwrap();
+        }
+        connection.exchange(REQUEST, &Bytes::new(), echo("a2")).await.unwrap();
+        connection.read_body(100).await.unwrap();
+
+        assert!(!connection.is_reusable(), "{script:?}");
+    }
+}
+
 /// Bytes after a complete response do not belong to any request.
 #[tokio::test]
 async fn connection_with_extra_bytes_is_not_used_again() {
