gateway: end a stream that sends without progress and without pause

A stream whose engine sent comments without a pause was not ended by its callers' patience. The relay takes bytes that are there before it looks at its timers, so that a stream is not cut by a delay of the VM itself, and there are always bytes then.

The relay now counts the bytes since the last numbered event and, beyond 1 MiB, treats the engine's response as broken: the generation goes on elsewhere where that is allowed, and otherwise ends as incomplete. It counts bytes, so that no slow stream is cut by it.

--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -28,6 +28,12 @@
 /// The same as a multiple of the route's pause target.
 const PATIENCE_PAUSES: u32 = 8;
 
+/// Maximum number of bytes without progress, that is of comments, events without an ID and events
+/// that were forwarded before. The timers alone do not end a stream whose engine sends these without
+/// a pause, since bytes that are there are read first. The largest event, of 256 KiB, fits four
+/// times; comments that keep a connection open have some bytes a second.
+const IDLE_LIMIT_BYTES: usize = 1024 * 1024;
+
 /// Number of events between updates of a generation's reserved memory and its service's timing.
 const RESIZE_EVENTS: u64 = 16;
 /// Number of pauses between the first events of an engine that tell how fast it writes.
@@ -92,6 +98,8 @@
     stalled_since: Instant,
     /// Time of the last event that advances the stream.
     progress_at: Instant,
+    /// Bytes received since then.
+    idle_bytes: usize,
     longest_pause_ms: u64,
     tokens_per_event: u64,
 }
@@ -122,6 +130,7 @@
             last_event_at: Instant::now(),
             stalled_since: Instant::now(),
             progress_at: Instant::now(),
+            idle_bytes: 0,
             longest_pause_ms: 0,
             tokens_per_event,
         }
@@ -173,8 +182,16 @@
                 if let Some(end) = self.reserve(bytes.len()).await {
                     return StepOutcome::End(end);
                 }
+                self.idle_bytes += bytes.len();
                 self.splitter.push(&bytes);
-                self.forward_events().await
+                match self.forward_events().await {
+                    StepOutcome::Continue if self.idle_bytes > IDLE_LIMIT_BYTES => {
+                        let unit = "bytes without an event";
+                        self.source.connection.log_excess(unit, IDLE_LIMIT_BYTES);
+                        self.recover(RelayEnd::Broken).await
+                    }
+                    outcome => outcome,
+                }
             }
             Ok(None) if self.splitter.has_partial() => self.recover(RelayEnd::Broken).await,
             Ok(None) => self.complete().await,
@@ -268,6 +285,7 @@
         old.reservation.close();
         self.source.reservation.engine.note_started();
         self.splitter = EventSplitter::default();
+        self.idle_bytes = 0;
         self.pace = None;
         self.writing_since = Instant::now();
         self.stalled_since = self.writing_since;
@@ -359,6 +377,7 @@
         self.last_event_at = now;
         self.stalled_since = self.last_event_at;
         self.progress_at = self.last_event_at;
+        self.idle_bytes = 0;
     }
 
     /// Records the time to the engine's first event at once, and then how fast it writes: a slow
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -205,7 +205,8 @@
         }
     }
 
-    fn log_excess(&self, unit: &'static str, limit: usize) {
+    /// Logs that a response of the server exceeds a limit, of which `unit` says what it counts.
+    pub(crate) fn log_excess(&self, unit: &'static str, limit: usize) {
         let address = self.stream.peer_addr().ok().map(|address| address.to_string());
         info!(address, unit, limit, "server: response exceeds a limit");
     }
--- a/tests/all/stalls.rs
+++ b/tests/all/stalls.rs
@@ -50,6 +50,29 @@
     assert_eq!(&bytes.body[..], b"id: 0\ndata: x\n\n", "no part of an event is passed on");
 }
 
+/// Guards against a stream that an engine holds open with comments, which it sends without pause: the
+/// gateway read them, and did not look at its time limits.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_of_comments_without_pause_is_ended_as_incomplete() {
+    let comment = format!(": {}\n\n", "wait ".repeat(200)).leak();
+
+    let response = stream_from("flood-comments", EngineScript::Flood(comment)).await;
+
+    assert_eq!((response.status, response.is_complete), (Some(200), false));
+    assert!(response.body.starts_with(b"id: 0\ndata: x\n\n: wait"));
+}
+
+/// Guards against the same with an event that was passed on before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_that_repeats_an_event_without_pause_is_ended_as_incomplete() {
+    let event = "id: 0\ndata: x\n\n";
+
+    let response = stream_from("flood-repeated", EngineScript::Flood(event)).await;
+
+    assert_eq!((response.status, response.is_complete), (Some(200), false));
+    assert_eq!(&response.body[..], event.as_bytes(), "an event is passed on once");
+}
+
 /// Guards against a slow stream that is cut although each event arrives in time for its caller.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slow_stream_arrives_whole() {
