node: end a resumed stream of an engine that makes no progress

A caller who resumed a stream at another VM, while its engine sent heartbeats and no tokens, waited as long as the engine went on. The VM that started a generation gives up after the setting engine_progress (30 s by default) without a token; the VM at which it was resumed looked only at the silence of the connection, which heartbeats end.

The resumed stream now ends with an error after the same time without a token, counted over all connections. A slow engine has the time that it has at the VM that started the generation.

resumed_stream_of_a_stalled_engine_is_ended failed before ("the stream never ends", 9 s with engine_progress at 3 s) and passes now, with engine_changes::* and streams::*.

--- a/crates/node/src/generation/stream_resumer.rs
+++ b/crates/node/src/generation/stream_resumer.rs
@@ -5,6 +5,7 @@
 use dragonflycart_core::{ErrorKind, GenerationId, ServiceError};
 use dragonflycart_engine::{EngineClient, EngineError, FinishReason, StreamEvent, TokenStream};
 use futures::StreamExt;
+use log::warn;
 use tokio::time::{Instant, timeout_at};
 
 use crate::generation::{GenerationBuffer, GenerationEnd, RunnerContext};
@@ -78,6 +79,7 @@
     ) {
         let mut stream = Some(stream);
         let mut reconnects = 0;
+        let mut token_at = Instant::now();
         loop {
             if let Some(open) = stream.take() {
                 let before = buffer.next_index();
@@ -85,7 +87,7 @@
                     // The caller has disconnected. The engine continues the generation.
                     return;
                 }
-                if let Some(end) = self.read(open, &id, &buffer).await {
+                if let Some(end) = self.read(open, &id, &buffer, &mut token_at).await {
                     buffer.finish(end);
                     return;
                 }
@@ -111,12 +113,14 @@
     }
 
     /// Reads one connection. Returns `None` if a new connection is needed. The engine client has
-    /// already checked the generation and the index of each event.
+    /// already checked the generation and the index of each event. `token_at` is the time of the
+    /// last token on any connection; heartbeats do not show that the generation proceeds.
     async fn read(
         &self,
         mut stream: TokenStream,
         id: &GenerationId,
         buffer: &Arc<GenerationBuffer>,
+        token_at: &mut Instant,
     ) -> Option<GenerationEnd> {
         let own = id.to_string();
         loop {
@@ -131,6 +135,7 @@
                     }
                     if index == buffer.next_index() {
                         buffer.push(&text);
+                        *token_at = Instant::now();
                     }
                 }
                 StreamEvent::Heartbeat { .. } => {}
@@ -146,6 +151,10 @@
                 }
                 StreamEvent::Failed { message, .. } => return Some(interrupted(&message)),
             }
+            if token_at.elapsed() > self.context.limits.progress_timeout {
+                warn!("stream: engine makes no progress; generation={id}");
+                return Some(interrupted("the backend server made no progress"));
+            }
         }
     }
 }
--- a/tests/all/engine_changes.rs
+++ b/tests/all/engine_changes.rs
@@ -11,6 +11,9 @@
 
 /// Longest time for which two engines may work on one generation while both can be reached.
 const OVERLAP_BOUND: Duration = Duration::from_millis(400);
+/// Longest time until a resumed stream without progress is ended: three times the 3 s of the setting
+/// `engine_progress` in its test.
+const STALL_BOUND: Duration = Duration::from_secs(9);
 /// Tokens of a stream that lasts 6 s.
 const TOKENS: u32 = 600;
 
@@ -123,3 +126,32 @@
     assert!(overlap <= OVERLAP_BOUND, "both engines worked for {overlap:?}");
     assert_complete(streaming).await;
 }
+
+/// Guards against a caller who resumed a stream at another VM and waits without end for an engine
+/// that sends heartbeats and no tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_stream_of_a_stalled_engine_is_ended() {
+    let spec = DeploymentSpec {
+        timeouts: "report_poll = 200ms\nengine_silence = 2s\nengine_progress = 3s".to_owned(),
+        ..DeploymentSpec::default()
+    };
+    let mut deployment = Deployment::start(spec).await;
+    let streaming = start_stream(&deployment);
+    let first = wait_first_engine(&deployment).await;
+    wait_for("the stream to run", || async {
+        let tokens = deployment.metric(0, "dragonflycart_tokens_total").await?;
+        (tokens >= 20.0).then_some(())
+    })
+    .await;
+
+    deployment.engines[first].command(EngineCommand::Stall { stalled: true });
+    deployment.vms[0].process().kill().unwrap();
+    let partial = streaming.await.unwrap().unwrap_err();
+    let caller = Caller::new("reports");
+    let resuming = caller.resume(deployment.vms[1].http, partial);
+    let response = tokio::time::timeout(STALL_BOUND, resuming).await;
+
+    let response = response.expect("the stream never ends").unwrap_or_else(|broken| broken);
+    assert!(!response.done);
+    assert!(response.error.is_some(), "{response:?}");
+}
