gateway: limit lines of chunked bodies however they arrive

A size line or trailer of more than 256 bytes was accepted if it arrived with its end, and refused if it came in pieces; one of exactly 256 bytes was refused if its line end was split. So whether a response counted depended on how the network cut it. Found by the new property tests of the parsers.

The limit now applies to the line without its end, in both cases. A trailer may be as long as the rest of its section (16 KiB), since the shorter limit could refuse a sound one.

--- a/crates/gateway/src/chunk_decoder.rs
+++ b/crates/gateway/src/chunk_decoder.rs
@@ -4,9 +4,9 @@
 
 use crate::ConnectionError;
 
-/// Maximum length of a chunk size line, in bytes.
+/// Maximum length of a chunk size line, without its end, in bytes.
 const SIZE_LINE_LIMIT: usize = 256;
-/// Maximum size of the trailer section, in bytes. It is half of a head's, and gives no data that
+/// Maximum size of the trailer section, without the ends of its lines, in bytes. It is half of a head's, and gives no data that
 /// would count against the limit of a body.
 const TRAILER_LIMIT_BYTES: usize = 16 * 1024;
 
@@ -52,7 +52,7 @@
         loop {
             match self.state {
                 ChunkState::Size => {
-                    let Some(line) = take_line(buffer)? else {
+                    let Some(line) = take_line(buffer, SIZE_LINE_LIMIT)? else {
                         return Ok(DecodedChunk::NeedsMore);
                     };
                     let size = parse_size(&line)?;
@@ -81,12 +81,9 @@
                     self.state = ChunkState::Size;
                 }
                 ChunkState::Trailer(decoded) => {
-                    let Some(line) = take_line(buffer)? else {
+                    let Some(line) = take_line(buffer, TRAILER_LIMIT_BYTES - decoded)? else {
                         return Ok(DecodedChunk::NeedsMore);
                     };
-                    if decoded + line.len() > TRAILER_LIMIT_BYTES {
-                        return Err(ConnectionError::Malformed);
-                    }
                     self.state = if line.is_empty() {
                         ChunkState::Done
                     } else {
@@ -105,13 +102,19 @@
     }
 }
 
-fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, ConnectionError> {
+/// Removes a line of up to `limit` bytes without its end. Whether it is too long does not depend on
+/// how much of it has arrived.
+fn take_line(buffer: &mut BytesMut, limit: usize) -> Result<Option<Bytes>, ConnectionError> {
     let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
-        if buffer.len() > SIZE_LINE_LIMIT {
+        // The last byte may be the first one of the line's end.
+        if buffer.len() > limit + 1 {
             return Err(ConnectionError::Malformed);
         }
         return Ok(None);
     };
+    if end > limit {
+        return Err(ConnectionError::Malformed);
+    }
     let line = buffer.split_to(end).freeze();
     buffer.advance(2);
     Ok(Some(line))
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod log_lines;
 mod memory;
 mod moves;
+mod parsers;
 mod peer_tables;
 mod placements;
 mod response_heads;
