--- a/crates/gateway/src/chunk_decoder.rs
+++ b/crates/gateway/src/chunk_decoder.rs
@@ -4,15 +4,19 @@
 
 use crate::ConnectionError;
 
-/// Maximum length of a chunk size line, in bytes.
+/// Maximum length of a chunk size line, without its end, in bytes.
 const SIZE_LINE_LIMIT: usize = 256;
+/// Maximum size of the trailer section, without the ends of its lines, in bytes. It is half of a head's, and gives no data that
+/// would count against the limit of a body.
+const TRAILER_LIMIT_BYTES: usize = 16 * 1024;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChunkState {
     Size,
     Data(u64),
     DataEnd,
-    Trailer,
+    /// The trailer section, with the bytes of it that were decoded.
+    Trailer(usize),
     Done,
 }
 
@@ -48,12 +52,12 @@
         loop {
             match self.state {
                 ChunkState::Size => {
-                    let Some(line) = take_line(buffer)? else {
+                    let Some(line) = take_line(buffer, SIZE_LINE_LIMIT)? else {
                         return Ok(DecodedChunk::NeedsMore);
                     };
                     let size = parse_size(&line)?;
                     self.state =
-                        if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
+                        if size == 0 { ChunkState::Trailer(0) } else { ChunkState::Data(size) };
                 }
                 ChunkState::Data(left) => {
                     if buffer.is_empty() {
@@ -76,13 +80,15 @@
                     buffer.advance(2);
                     self.state = ChunkState::Size;
                 }
-                ChunkState::Trailer => {
-                    let Some(line) = take_line(buffer)? else {
+                ChunkState::Trailer(decoded) => {
+                    let Some(line) = take_line(buffer, TRAILER_LIMIT_BYTES - decoded)? else {
                         return Ok(DecodedChunk::NeedsMore);
                     };
-                    if line.is_empty() {
-                        self.state = ChunkState::Done;
-                    }
+                    self.state = if line.is_empty() {
+                        ChunkState::Done
+                    } else {
+                        ChunkState::Trailer(decoded + line.len())
+                    };
                 }
                 ChunkState::Done => return Ok(DecodedChunk::End),
             }
@@ -96,13 +102,19 @@
     }
 }
 
-fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, ConnectionError> {
+/// Removes a line of up to `limit` bytes without its end. Whether it is too long does not depend on
+/// how much of it has arrived.
+fn take_line(buffer: &mut BytesMut, limit: usize) -> Result<Option<Bytes>, ConnectionError> {
     let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
-        if buffer.len() > SIZE_LINE_LIMIT {
+        // The last byte may be the first one of the line's end.
+        if buffer.len() > limit + 1 {
             return Err(ConnectionError::Malformed);
         }
         return Ok(None);
     };
+    if end > limit {
+        return Err(ConnectionError::Malformed);
+    }
     let line = buffer.split_to(end).freeze();
     buffer.advance(2);
     Ok(Some(line))
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -177,7 +177,11 @@
                 None => !is_reused && !response.status.is_success(),
             });
             if is_ours {
-                self.must_close = !response.keeps_alive || sent < request.len();
+                // A server that does not name the request, or that responds to others, may do so
+                // again; a later request on the connection would wait in vain.
+                let is_out_of_turn =
+                    skipped > 0 || echo.is_some_and(|(name, _)| response.text(name).is_none());
+                self.must_close = !response.keeps_alive || sent < request.len() || is_out_of_turn;
                 self.note_idle_limit(&response);
                 return Ok(response);
             }
@@ -204,7 +208,8 @@
         }
     }
 
-    fn log_excess(&self, unit: &'static str, limit: usize) {
+    /// Logs that a response of the server exceeds a limit, of which `unit` says what it counts.
+    pub(crate) fn log_excess(&self, unit: &'static str, limit: usize) {
         let address = self.stream.peer_addr().ok().map(|address| address.to_string());
         info!(address, unit, limit, "server: response exceeds a limit");
     }
