Prove a version good by comparison while both versions are bad

Operators saw a good version rolled back at its deadline with "not proven good by the deadline on route classify: failed, 0 requests (evidence 1.0)", although no request had failed and the old version was as slow as the new one. Seen in `moves::good_version_is_done_by_its_deadline` on a busy machine; a deployment in which many responses are slow (first token after 360 ms, or 72 ms a token) would suffer the same in any move.

Trace of a failing run (two copies of the test and 16 of a test of jobs beside 16 busy processes, load average 74; seconds after the start of the move at 21:57:34.8): share 0.10 at 19 s, 0.63 at 47 s, 0.9 from 65 s on, twice at 0.15 for about 4 s and 2 s (53 and 69 s) until the old version raised its alarm, too; evidence against the new version 0.35 throughout. At 89 s 845 of 2,523 requests had run on the new version, none of either failed, 14% of the old version's and 20% of the new one's were slow. Both acceptance tests had 0 requests at 65, 75 and 89 s, and at 90 s the move was rolled back.

- Each alarm of the new version discarded the requests of 10 s before and after it from the acceptance tests of both measures, also if the old version raised an alarm, too.
While both were slow, an alarm came more often than that.
So the half of the test that compares the versions, which is there for such times, never got a request, and alarms about slowness discarded the proof that nothing failed.
Now a stratum near an alarm of the same measure counts for the comparison if the alarm is common, and as before not at all if it isn't.
The rate is still not fed, so the other half and its bound are unchanged.
- A slow request takes 3.3 from the credit of the new version, so above 30% slow requests the share never grew.
At a load average of 97 (45% slow on both) it stayed low to the end.
Now the deduction follows the rate of the old version if that is above the tolerance.

`a_version_that_is_as_slow_as_the_old_one_is_done` failed before (0.45: NotAccepted, metric Failed, requests 0), and passes. A version slower than a slow old one is rolled back before and after: `a_version_that_is_slower_than_a_slow_old_one_is_rolled_back`.

All tests of the crate pass.

--- a/crates/policy/src/move_acceptance_test.rs
+++ b/crates/policy/src/move_acceptance_test.rs
@@ -41,8 +41,7 @@
 
     /// Updates the test with one stratum.
     pub fn absorb(&mut self, stratum: &MoveStratum) {
-        self.requests += stratum.new;
-        self.log_odds -= stratum.log_likelihood_ratio(BAD_ODDS, 1.0);
+        self.absorb_comparison(stratum);
         let good = (stratum.new - stratum.new_bad) as f64;
         for (log, fraction) in self.log_rate.iter_mut().zip(GOOD_FRACTIONS) {
             let rate = fraction * self.tolerance;
@@ -51,6 +50,13 @@
         }
     }
 
+    /// Updates only the half that compares the versions, with a stratum from a time in which both
+    /// had many bad requests. The rate in such a time says nothing about the new version.
+    pub fn absorb_comparison(&mut self, stratum: &MoveStratum) {
+        self.requests += stratum.new;
+        self.log_odds -= stratum.log_likelihood_ratio(BAD_ODDS, 1.0);
+    }
+
     /// Returns the e-value; a large value means that the new version is good.
     pub fn e_value(&self) -> f64 {
         let rate = self.log_rate.iter().map(|log| log.exp()).sum::<f64>();
--- a/crates/policy/src/move_evaluator.rs
+++ b/crates/policy/src/move_evaluator.rs
@@ -42,6 +42,16 @@
 /// version that turns bad later does so at the start of a segment.
 const SEGMENT_COUNT: u64 = 32;
 
+/// Closed strata of one route that wait for the acceptance tests, one for each metric.
+#[derive(Debug, Clone)]
+struct AwaitingStrata {
+    closed_s: u64,
+    route: RouteName,
+    strata: [MoveStratum; 2],
+    /// Whether the new version raised an alarm at nearly the same time, on each metric.
+    alarmed: [bool; 2],
+}
+
 /// Evaluation of a new version: tests per route, over all routes, and over the strata with a high
 /// share of the new version.
 ///
@@ -62,8 +72,9 @@
     pending: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
     /// Counters that have updated the comparisons.
     tested_counts: BTreeMap<(u64, RouteName), [MoveCounts; 2]>,
-    /// Closed strata for the acceptance tests, kept until it is known that no alarm follows them.
-    awaiting_acceptance: VecDeque<(u64, RouteName, [MoveStratum; 2])>,
+    /// Closed strata for the acceptance tests, kept until it is known whether an alarm follows
+    /// them.
+    awaiting_acceptance: VecDeque<AwaitingStrata>,
     routes: BTreeMap<RouteName, RouteComparison>,
     epochs: BTreeMap<RouteName, ShareEpochs>,
     overall_tests: [MoveRejectionTest; 2],
@@ -71,8 +82,9 @@
     acceptance_attempts: u64,
     high_share_tests: [MoveRejectionTest; 2],
     acceptance_enabled: bool,
-    /// Start of the last bucket that raised an alarm for the old and for the new version.
-    alarms_s: [Option<u64>; 2],
+    /// Start of the last bucket that raised an alarm for the old and for the new version, on each
+    /// metric.
+    alarms_s: [[Option<u64>; 2]; 2],
 }
 
 impl MoveEvaluator {
@@ -98,7 +110,7 @@
             acceptance_attempts: 1,
             high_share_tests: [test.clone(), test],
             acceptance_enabled: false,
-            alarms_s: [None; 2],
+            alarms_s: [[None; 2]; 2],
             settings,
         }
     }
@@ -113,7 +125,8 @@
             let added = [sums[0].since(known[0]), sums[1].since(known[1])];
             *known = sums;
             let raised = self.comparison(route.clone()).check_alarms(added);
-            for (alarm_s, raised) in self.alarms_s.iter_mut().zip(raised) {
+            let alarms_s = self.alarms_s.as_flattened_mut().iter_mut();
+            for (alarm_s, raised) in alarms_s.zip(raised.as_flattened()) {
                 *alarm_s = (*alarm_s).max(raised.then_some(bucket_s));
             }
             self.pending.insert((bucket_s, route), sums);
@@ -174,14 +187,16 @@
     /// Returns the start of the last bucket that raised an alarm for the new version, unless the
     /// old version raised one at nearly the same time.
     pub fn last_alarm_s(&self) -> Option<u64> {
-        let new_s = self.alarms_s[1]?;
-        let common = self.alarms_s[0].is_some_and(|old_s| old_s + COMMON_FAULT_WINDOW_S >= new_s);
+        let [old_s, new_s] = self.alarms_s.map(|alarms_s| alarms_s.into_iter().max().flatten());
+        let new_s = new_s?;
+        let common = old_s.is_some_and(|old_s| old_s + COMMON_FAULT_WINDOW_S >= new_s);
         (!common).then_some(new_s)
     }
 
     /// Returns whether both versions raised an alarm recently.
     fn has_common_fault(&self, now_s: u64) -> bool {
-        let recent = self.alarms_s[1].is_some_and(|new_s| new_s + COMMON_FAULT_WINDOW_S >= now_s);
+        let mut alarms_s = self.alarms_s[1].into_iter().flatten();
+        let recent = alarms_s.any(|new_s| new_s + COMMON_FAULT_WINDOW_S >= now_s);
         recent && self.last_alarm_s().is_none()
     }
 
@@ -262,7 +277,10 @@
                 test.absorb(stratum);
             }
             if self.acceptance_enabled {
-                self.awaiting_acceptance.push_back((now_s, route.clone(), strata));
+                let route = route.clone();
+                let awaiting =
+                    AwaitingStrata { closed_s: now_s, route, strata, alarmed: [false; 2] };
+                self.awaiting_acceptance.push_back(awaiting);
             }
             for (test, stratum) in self.high_share_tests.iter_mut().zip(&strata) {
                 if stratum.new >= stratum.old {
@@ -272,23 +290,36 @@
         }
     }
 
-    /// Updates the acceptance tests with strata that were not followed by an alarm shortly
-    /// afterwards. Requests that failed in a platform fault say nothing about the failure rate of
-    /// the new version; the rejection tests compare them with those of the old version.
+    /// Updates the acceptance tests of each metric with strata that were not followed by an alarm
+    /// on it shortly afterwards. If both versions raised an alarm, the strata only compare them:
+    /// requests that are bad in a platform fault say nothing about the rate of the new version.
     fn feed_settled_strata(&mut self, now_s: u64) {
-        if self.alarms_s[1].is_some_and(|alarm_s| now_s <= alarm_s + COMMON_FAULT_WINDOW_S) {
-            self.awaiting_acceptance.clear();
+        for (metric, alarm_s) in self.alarms_s[1].iter().enumerate() {
+            if alarm_s.is_some_and(|alarm_s| now_s <= alarm_s + COMMON_FAULT_WINDOW_S) {
+                for awaiting in &mut self.awaiting_acceptance {
+                    awaiting.alarmed[metric] = true;
+                }
+            }
         }
+        let is_common = self.last_alarm_s().is_none();
         while self
             .awaiting_acceptance
             .front()
-            .is_some_and(|(s, _, _)| s + COMMON_FAULT_WINDOW_S < now_s)
+            .is_some_and(|awaiting| awaiting.closed_s + COMMON_FAULT_WINDOW_S < now_s)
         {
-            let Some((_, route, strata)) = self.awaiting_acceptance.pop_front() else { break };
-            for (test, stratum) in self.acceptance_tests.iter_mut().zip(&strata) {
-                test.absorb(stratum);
+            let Some(awaiting) = self.awaiting_acceptance.pop_front() else { break };
+            for metric in MoveMetric::ALL {
+                let stratum = awaiting.strata[metric as usize];
+                let alarmed = awaiting.alarmed[metric as usize];
+                if alarmed && !is_common {
+                    continue;
+                }
+                let route_comparison = self.comparison(awaiting.route.clone());
+                let route_test = route_comparison.acceptance_test_mut(metric);
+                feed_acceptance_test(route_test, &stratum, alarmed);
+                let overall_test = &mut self.acceptance_tests[metric as usize];
+                feed_acceptance_test(overall_test, &stratum, alarmed);
             }
-            self.comparison(route).feed_acceptance_tests(&strata);
         }
     }
 
@@ -320,3 +351,11 @@
         }
     }
 }
+
+fn feed_acceptance_test(test: &mut MoveAcceptanceTest, stratum: &MoveStratum, alarmed: bool) {
+    if alarmed {
+        test.absorb_comparison(stratum);
+    } else {
+        test.absorb(stratum);
+    }
+}
--- a/crates/policy/src/route_comparison.rs
+++ b/crates/policy/src/route_comparison.rs
@@ -21,6 +21,10 @@
 /// Multiple of the tolerated rate of bad requests at which the credit stops growing.
 const CREDIT_TOLERANCE_FACTOR: f64 = 2.0;
 
+/// Number of requests at the tolerated rate that are added to those of the old version when its
+/// rate of bad requests is estimated.
+const EXPECTED_RATE_REQUESTS: f64 = 100.0;
+
 /// Factor on the tolerated rates in the acceptance tests of a single route. Without it, a route
 /// with a few percent of the traffic could not be accepted within the duration of a move.
 const ROUTE_TOLERANCE: f64 = 3.0;
@@ -60,13 +64,13 @@
     }
 
     /// Updates the alarms with newly arrived counters. Returns whether an alarm is raised for the
-    /// old and for the new version.
-    pub fn check_alarms(&mut self, counts: [MoveCounts; 2]) -> [bool; 2] {
-        let mut alarmed = [false; 2];
+    /// old and for the new version, on each metric.
+    pub fn check_alarms(&mut self, counts: [MoveCounts; 2]) -> [[bool; 2]; 2] {
+        let mut alarmed = [[false; 2]; 2];
         for (side, added) in counts.into_iter().enumerate() {
             for (metric, alarm) in MoveMetric::ALL.into_iter().zip(&mut self.alarms[side]) {
                 let (requests, bad) = metric.trials(added);
-                alarmed[side] |= alarm.absorb(requests, bad);
+                alarmed[side][metric as usize] = alarm.absorb(requests, bad);
             }
         }
         alarmed
@@ -81,6 +85,7 @@
         self.credit += counts[1].total() as f64;
         for (metric, tolerance) in MoveMetric::ALL.into_iter().zip(self.tolerances) {
             let (_, bad) = metric.trials(counts[1]);
+            let tolerance = tolerance.max(self.old_rate(metric, tolerance));
             self.credit -= bad as f64 / (CREDIT_TOLERANCE_FACTOR * tolerance);
         }
         self.credit = self.credit.max(0.0);
@@ -91,6 +96,14 @@
         }
     }
 
+    /// Returns the rate of bad requests of the old version, drawn towards `expected` while it has
+    /// few requests.
+    fn old_rate(&self, metric: MoveMetric, expected: f64) -> f64 {
+        let (requests, bad) = metric.trials(self.totals[0]);
+        (bad as f64 + expected * EXPECTED_RATE_REQUESTS)
+            / (requests as f64 + EXPECTED_RATE_REQUESTS)
+    }
+
     /// Closes each open stratum that is large or old enough and updates the rejection tests with
     /// it. Returns the closed strata, each with one entry per metric.
     pub fn close_ready(&mut self, now_s: u64) -> Vec<[MoveStratum; 2]> {
@@ -108,11 +121,9 @@
         closed
     }
 
-    /// Updates the acceptance test of each metric with its stratum.
-    pub fn feed_acceptance_tests(&mut self, strata: &[MoveStratum; 2]) {
-        for (test, stratum) in self.acceptance_tests.iter_mut().zip(strata) {
-            test.absorb(stratum);
-        }
+    /// Returns the acceptance test of a metric, to update it.
+    pub fn acceptance_test_mut(&mut self, metric: MoveMetric) -> &mut MoveAcceptanceTest {
+        &mut self.acceptance_tests[metric as usize]
     }
 
     /// Resets the acceptance tests and raises the limits of the new version's alarms.
@@ -149,7 +160,8 @@
 
     /// Returns the credit of the new version: the number of its concluded requests, less a
     /// deduction for each bad one. It limits how many requests the new version gets in one step.
-    /// The credit does not grow while the rate of bad requests is above twice the tolerated rate.
+    /// The credit does not grow while the rate of bad requests is above twice the tolerated rate,
+    /// or twice the rate of the old version if that is higher.
     pub fn credit(&self) -> f64 {
         self.credit
     }
