--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -9,7 +9,6 @@
     GatewayContext, HeaderNames, PlacementQuery, PlannedRoute, PlannedService, PlannedTeam,
     RouteKind, RoutePlan, ServerKey, ServerRecord, TokenDemand, VmSettings,
 };
-
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
 
--- a/crates/gateway/tests/all/status_writes.rs
+++ b/crates/gateway/tests/all/status_writes.rs
@@ -1,16 +1,19 @@
 //! Version moves while a store does not answer the writes of their statuses.
 
-use std::{future::pending, net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::pending, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dragonflycart_gateway::{
-    BoxFuture, CopyResponse, EngineProtocol, EngineReport, FleetOrder, FleetStore, FleetTable,
-    GatewayClock, GatewayContext, HeaderNames, HttpCall, ServerRecord, StoreError, TableBatch,
-    VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole, control_version_moves,
+    BoxFuture, FleetOrder, FleetStore, FleetTable, GatewayClock, GatewayContext, ServerRecord,
+    StoreError, TableBatch, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole,
+    control_version_moves,
 };
 use tokio::{sync::Notify, time::Instant};
 
-use crate::fixtures::{DESK, settings};
+use crate::{
+    fixtures::{DESK, NAMES, settings},
+    stub_protocol::StubProtocol,
+};
 
 /// Offset of the order.
 const ORDER: u64 = 3;
@@ -75,65 +78,11 @@
     }
 }
 
-/// Protocol of a deployment without engines.
-struct NoEngines;
-
-impl EngineProtocol for NoEngines {
-    fn copy_call(&self, _attempt: &str, _target: SocketAddr, _is_final: bool) -> HttpCall {
-        HttpCall::get(String::new())
-    }
-
-    fn release_call(&self, _handle: &str) -> HttpCall {
-        HttpCall::get(String::new())
-    }
-
-    fn report_call(&self) -> HttpCall {
-        HttpCall::get(String::new())
-    }
-
-    fn decode_report(&self, _body: &[u8]) -> Option<EngineReport> {
-        None
-    }
-
-    fn decode_copy(&self, _status: u16, _body: &[u8]) -> Option<CopyResponse> {
-        None
-    }
-
-    fn resume_value(&self, _address: SocketAddr, _handle: &str) -> String {
-        String::new()
-    }
-}
-
-fn header_names() -> HeaderNames {
-    HeaderNames {
-        attempt: "x-attempt",
-        time_left: "x-time-left",
-        expected_server: "x-expected-server",
-        server_id: "x-server-id",
-        team: "x-team",
-        auth_scheme: "Bearer",
-        signature: "x-signature",
-        not_run: "x-not-run",
-        load: "x-load",
-        leaving: "x-leaving",
-        cold_left: "x-cold-left",
-        token_counts: "x-token-counts",
-        length_hint: "x-length-hint",
-        prompt_prefixes: "x-prompt-prefixes",
-        urgency: "x-urgency",
-        resume_from: "x-resume-from",
-        backup_at: "x-backup-at",
-        reserved: &[],
-        internal: &[],
-    }
-}
-
 /// Returns the context of the only VM, which has read that a version move was ordered and that it
 /// has no status yet.
 fn moving_context(store: &Arc<SilentStore>) -> Arc<GatewayContext> {
     let store: Arc<dyn FleetStore> = Arc::<SilentStore>::clone(store);
-    let context =
-        GatewayContext::new(Arc::new(settings()), header_names(), store, Arc::new(NoEngines));
+    let context = GatewayContext::new(Arc::new(settings()), NAMES, store, Arc::new(StubProtocol));
     let order = VersionMoveSpec {
         service: DESK.to_owned(),
         target: "v2".to_owned(),
