--- a/crates/gateway/tests/all/call_forwarding.rs
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -32,10 +32,9 @@
 /// Time after which a test takes a wait for endless.
 const WAIT_TIME: Duration = Duration::from_millis(300);
 
-const REFUSAL: &str =
-    "HTTP/1.1 503 Service Unavailable\r\necho-id: a1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nx-echo-id: a1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
 const ANSWER: &str =
-    "HTTP/1.1 200 OK\r\necho-id: a1\r\nsignature: s\r\ncontent-length: 2\r\n\r\nok";
+    "HTTP/1.1 200 OK\r\nx-echo-id: a1\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok";
 
 fn refused() -> GatewayFailure {
     GatewayFailure::new(ErrorKind::Overloaded, "all servers refused")
@@ -157,7 +156,7 @@
                 continue;
             }
             let head = format!(
-                "HTTP/1.1 200 OK\r\necho-id: a1\r\nsignature: s\r\ncontent-length: {LARGE_BYTES}\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nx-echo-id: a1\r\nx-signature: s\r\ncontent-length: {LARGE_BYTES}\r\n\r\n"
             );
             stream.write_all(head.as_bytes()).await.unwrap();
             stream.write_all(&vec![b'x'; LARGE_BYTES]).await.unwrap();
--- a/crates/gateway/tests/all/scripted_engine.rs
+++ b/crates/gateway/tests/all/scripted_engine.rs
@@ -104,9 +104,9 @@
         let answer = answer(&head, script, &mut calls.lock().unwrap());
         tokio::time::sleep(answer.delay).await;
         let Some(status) = answer.status else { return };
-        let mark = if status == 503 { "not-run: 1" } else { "signature: s" };
+        let mark = if status == 503 { "x-not-run: 1" } else { "x-signature: s" };
         let response = format!(
-            "HTTP/1.1 {status} X\r\necho-id: a1\r\n{mark}\r\ncontent-length: {}\r\n\r\n{}",
+            "HTTP/1.1 {status} X\r\nx-echo-id: a1\r\n{mark}\r\ncontent-length: {}\r\n\r\n{}",
             answer.body.len(),
             answer.body
         );
@@ -130,7 +130,7 @@
         calls.releases.push(handle.to_owned());
         return EngineAnswer::RESUMED;
     }
-    let Some(from) = head.lines().find_map(|line| line.strip_prefix("resume-from: ")) else {
+    let Some(from) = head.lines().find_map(|line| line.strip_prefix("x-resume-from: ")) else {
         return EngineAnswer::UNKNOWN;
     };
     calls.resumptions.push(from.to_owned());
