--- a/crates/gateway/src/chunk_decoder.rs
+++ b/crates/gateway/src/chunk_decoder.rs
@@ -6,8 +6,8 @@
 
 /// Maximum length of a chunk size line, without its end, in bytes.
 const SIZE_LINE_LIMIT: usize = 256;
-/// Maximum size of the trailer section, without the ends of its lines, in bytes. It is half of a head's, and gives no data that
-/// would count against the limit of a body.
+/// Maximum size of the trailer section, without the ends of its lines, in bytes. It is half of a
+/// head's, and gives no data that would count against the limit of a body.
 const TRAILER_LIMIT_BYTES: usize = 16 * 1024;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
