capacity: learn the speed of servers, and place by it

Servers of a service may differ in speed, and placement did not consider the pace of events: long streams on slow engines were late by their pauses although their first event was in time.

The new package reads the load header by position, follows its pace figure for 300 ms, and learns each server's speed relative to the median of its service from times to first events, pauses and latencies. The gateway feeds it and, for services whose servers send the pace, places by expected times: long streams where their pauses stay within the target even in a slow phase, short ones on slow engines while their first event comes well within its target, plain calls by least expected time. Moves, copies and other services are placed as before. The load header of all services is now used only if its first three figures are valid; before, any two numbers in it counted.

--- /dev/null
+++ b/crates/capacity/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the learned capacity of servers.
+
+mod load_headers;
+mod speeds;
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -110,6 +110,8 @@
         PlacementQuery {
             service: &self.service,
             demand: self.demand,
+            latency_target: self.route.latency_target,
+            pause_target: self.route.pause_target,
             shared_prefix: self.prompt_parts.last().copied(),
             preferred_zone: None,
             moved_tokens: 0,
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -1,13 +1,16 @@
 //! A VM's view of the fleet, and the placement of requests on servers.
 
+mod learned_capacity;
 mod run_results;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::Duration,
 };
 
+use dragonflycart_capacity::CapacityTable;
 use dragonflycart_core::{ErrorKind, MonoTime, PromptPart};
 use slotmap::SlotMap;
 
@@ -16,6 +19,7 @@
     RouteBaselines, RoutePlan, RunKey, ServerKey, ServerLoad, ServerRecord, ServerScore,
     ServerState, SurveyedEngine, TokenDemand, VersionMove, VersionMovePhase, VersionMoveRecord,
     VersionMoveSpec, VersionRole, VmSettings, ZoneReachability,
+    capacity::UNSUITABLE_COST,
     peer_table::SMALL_FLEET,
     server_score::{copy_factor, spread},
     versions::OpenRun,
@@ -39,6 +43,8 @@
 const REMOTE_SAMPLE: f64 = 3.0;
 /// Minimum number of usable servers in a VM's zone for choosing among a sample of the others.
 const MIN_LOCAL_SERVERS: u32 = 4;
+/// Factor by which the sample grows if none of its servers is suitable.
+const WIDER_SAMPLE: f64 = 4.0;
 /// Maximum number of prompt prefixes remembered per server.
 const PREFIXES_REMEMBERED: usize = 256;
 
@@ -58,6 +64,8 @@
     /// Latest status of each service's version move in the store.
     move_statuses: BTreeMap<String, VersionMoveRecord>,
     prefixes: BTreeMap<ServerKey, BTreeMap<PromptPart, MonoTime>>,
+    /// Learned capacity of the servers of each service.
+    capacities: BTreeMap<String, CapacityTable<ServerKey>>,
     baselines: RouteBaselines,
     runs: SlotMap<RunKey, OpenRun>,
     /// Number of running VMs known, including this one.
@@ -68,12 +76,17 @@
     store_failed_at: Option<MonoTime>,
     servers_known: bool,
     zone_reachability: ZoneReachability,
+    /// Number that differs between VMs.
+    vm_seed: u64,
 }
 
 impl FleetView {
     /// Builds an empty view.
     pub fn new(settings: Arc<VmSettings>) -> FleetView {
+        let mut hasher = DefaultHasher::new();
+        settings.name.hash(&mut hasher);
         FleetView {
+            vm_seed: hasher.finish(),
             settings,
             plan: None,
             planned_since: None,
@@ -85,6 +98,7 @@
             version_moves: BTreeMap::new(),
             move_statuses: BTreeMap::new(),
             prefixes: BTreeMap::new(),
+            capacities: BTreeMap::new(),
             baselines: RouteBaselines::default(),
             runs: SlotMap::with_key(),
             vm_count: 1,
@@ -330,11 +344,13 @@
 
     fn forget_server(&mut self, key: ServerKey) {
         self.prefixes.remove(&key);
-        if let Some(state) = self.servers.remove(key)
-            && self.by_id.get(&state.id) == Some(&key)
-        {
+        let Some(state) = self.servers.remove(key) else { return };
+        if self.by_id.get(&state.id) == Some(&key) {
             self.by_id.remove(&state.id);
         }
+        if let Some(table) = self.capacities.get_mut(&state.record.service) {
+            table.forget(key);
+        }
     }
 
     /// Records a peer's reported load on a server.
@@ -640,13 +656,20 @@
         fill_limit: Option<f64>,
         now: MonoTime,
     ) -> Result<ServerKey, ErrorKind> {
+        let is_learned = self.capacity_for(query).is_some();
         if let Some(share) = self.remote_share(query, now) {
             let result = self.choose_among(query, role, fill_limit, share, now);
-            if result.is_ok() {
-                return result;
+            match result {
+                Ok((score, _)) if is_learned && score >= UNSUITABLE_COST => {
+                    let share = share * WIDER_SAMPLE;
+                    let wider = self.choose_among(query, role, fill_limit, share, now);
+                    return wider.map(|(_, key)| key);
+                }
+                Ok((_, key)) => return Ok(key),
+                Err(_) => {}
             }
         }
-        self.choose_among(query, role, fill_limit, 1.0, now)
+        self.choose_among(query, role, fill_limit, 1.0, now).map(|(_, key)| key)
     }
 
     /// Returns the share of the servers in other zones to choose among, or `None` for all.
@@ -676,7 +699,8 @@
         fill_limit: Option<f64>,
         remote_share: f64,
         now: MonoTime,
-    ) -> Result<ServerKey, ErrorKind> {
+    ) -> Result<(f64, ServerKey), ErrorKind> {
+        let capacity = self.capacity_for(query);
         let version_move = self.version_moves.get(query.service);
         let mut best: Option<(f64, ServerKey)> = None;
         let mut is_full = false;
@@ -701,13 +725,13 @@
                 is_full = true;
                 continue;
             }
-            let score = self.score((key, state), query, now);
+            let score = self.score((key, state), capacity, query, now);
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, key));
             }
         }
         match best {
-            Some((_, key)) => Ok(key),
+            Some(best) => Ok(best),
             None if is_full => Err(ErrorKind::Overloaded),
             None => Err(ErrorKind::NoBackend),
         }
@@ -783,6 +807,7 @@
             state.cold_limiter.take(cold_rate, now);
         }
         let is_near = query.preferred_zone == Some(state.record.zone.as_str());
+        self.note_retest(key, query, now);
         if let Some(prefix) = query.shared_prefix {
             self.remember_prefix(key, prefix, now);
         }
@@ -863,6 +888,7 @@
     fn score(
         &self,
         (key, state): (ServerKey, &ServerState),
+        capacity: Option<&CapacityTable<ServerKey>>,
         query: &PlacementQuery<'_>,
         now: MonoTime,
     ) -> f64 {
@@ -875,6 +901,8 @@
             engine: self.engine_spec(query.service),
             holds_prefix,
             own_zone: &self.settings.zone,
+            capacity,
+            is_retest: capacity.is_some_and(|table| self.is_retest(table, key, query, now)),
         };
         score.value(query, now)
     }
--- a/crates/gateway/src/fleet_view/run_results.rs
+++ b/crates/gateway/src/fleet_view/run_results.rs
@@ -59,11 +59,12 @@
     /// Records that a request is sent to a server.
     pub fn start_run(&mut self, server: ServerKey, route: &str, now: MonoTime) -> RunKey {
         let route = route.to_owned();
-        self.runs.insert(OpenRun { server, route, sent_at: now, counted: None })
+        self.runs.insert(OpenRun { server, route, sent_at: now, load: None, counted: None })
     }
 
     /// Records that the response to a request has started.
     pub fn note_run_started(&mut self, key: RunKey, now: MonoTime) {
+        self.learn_first_event(key, now);
         self.count_run(key, false, now);
     }
 
@@ -94,7 +95,10 @@
     /// Ends a request at a server.
     pub fn end_run(&mut self, key: RunKey, end: RunEnd, now: MonoTime) {
         match end {
-            RunEnd::Good => self.count_run(key, false, now),
+            RunEnd::Good => {
+                self.learn_call(key, now);
+                self.count_run(key, false, now);
+            }
             RunEnd::Failed => self.note_run_failure(key, now),
             RunEnd::Abandoned if self.is_run_overdue(key, now) => self.count_run(key, false, now),
             RunEnd::Refused => self.count_refusal(key),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod caller_limits;
 mod caller_request;
 mod caller_server;
+mod capacity;
 mod chunk_decoder;
 mod connection_error;
 mod connection_pool;
--- a/crates/gateway/src/placement_query.rs
+++ b/crates/gateway/src/placement_query.rs
@@ -1,6 +1,6 @@
 //! Query for a placement.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use dragonflycart_core::PromptPart;
 
@@ -13,6 +13,10 @@
     pub service: &'a str,
     /// Engine memory that the request needs; zero for plain services.
     pub demand: TokenDemand,
+    /// Target for the time to the response, or to the first event of a stream.
+    pub latency_target: Duration,
+    /// Target for the longest pause between two events of a stream.
+    pub pause_target: Option<Duration>,
     /// ID of the longest prompt prefix that other requests share, if any.
     pub shared_prefix: Option<PromptPart>,
     /// Preferred zone instead of the VM's own.
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use dragonflycart_capacity::RunningLoad;
 use dragonflycart_core::ErrorKind;
 use hyper::StatusCode;
 use tracing::info;
@@ -75,7 +76,12 @@
     }
     let head = request.encode_head(&context.names, fields);
     let echo = (context.names.attempt, request.attempt.as_str());
-    let run = RequestRun::start(context, reservation.server(), request);
+    let run = RequestRun::start(
+        context,
+        reservation.server(),
+        request,
+        run_load(request, reservation, fields),
+    );
     let exchange = connection.exchange(&head, &request.body, Some(echo));
     let response = match await_server(context, request, exchange).await {
         Ok(response) => response,
@@ -115,6 +121,20 @@
     is_closed || (fields.resume_from.is_none() && view.is_withdrawn(server, now))
 }
 
+/// Returns the load of a server with the request, or `None` if the prompt is not read there because
+/// the generation is resumed.
+fn run_load(
+    request: &CallerRequest,
+    reservation: &ServerReservation,
+    fields: SystemHeaders<'_>,
+) -> Option<RunningLoad> {
+    let seen = reservation.seen_load();
+    fields.resume_from.is_none().then(|| RunningLoad {
+        requests: seen.requests + 1,
+        unread_tokens: seen.pending_prompt_tokens + request.demand.prompt_tokens,
+    })
+}
+
 /// Waits for a server's response or its body, until the request's deadline or the end of a planned
 /// stop.
 ///
@@ -206,8 +226,8 @@
     let mut view = context.view();
     if status == 421 {
         view.note_replaced(reservation.server(), now);
-    } else if let Some(state) = view.server_mut(reservation.server()) {
-        state.note_refusal(REFUSAL_PAUSE, now);
+    } else {
+        view.note_refusal(reservation.server(), REFUSAL_PAUSE, now);
     }
 }
 
@@ -244,14 +264,8 @@
     let now = context.clock.now();
     let mut view = context.view();
     view.note_reached(reservation.server());
+    view.note_load_header(reservation.server(), response.text(context.names.load), now);
     let Some(state) = view.server_mut(reservation.server()) else { return };
-    if let Some(text) = response.text(context.names.load) {
-        let numbers: Vec<u32> =
-            text.split(',').filter_map(|part| part.trim().parse().ok()).collect();
-        if let [running, waiting, ..] = numbers[..] {
-            state.note_reported_load(running.saturating_add(waiting), now);
-        }
-    }
     if let Some(cold_ms) = response.text(context.names.cold_left).and_then(|text| text.parse().ok())
     {
         state.cold_until = state.cold_until.max(now + Duration::from_millis(cold_ms));
--- a/crates/gateway/src/server_score.rs
+++ b/crates/gateway/src/server_score.rs
@@ -2,22 +2,23 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use dragonflycart_capacity::CapacityTable;
 use dragonflycart_core::MonoTime;
 
-use crate::{EngineSpec, PlacementQuery, ServerKey, ServerState};
+use crate::{EngineSpec, PlacementQuery, ServerKey, ServerState, capacity::PlacementCost};
 
 /// Score added for a full engine memory.
-const FILL_WEIGHT: f64 = 0.4;
+pub(crate) const FILL_WEIGHT: f64 = 0.4;
 /// Number of pending prompt tokens that add a score of 1. An engine processes them in about half a
 /// second.
-const PENDING_PROMPT_TOKENS: f64 = 2_000.0;
+pub(crate) const PENDING_PROMPT_TOKENS: f64 = 2_000.0;
 /// Score added for a server in another zone. A server with all its slots in use has a score of 1.
 const ZONE_PENALTY: f64 = 0.08;
 /// The same for a long generation, which a partition of the zones would break off, and whose events
 /// all cross the zones.
 const LONG_ZONE_PENALTY: f64 = 0.4;
 /// Expected output, in tokens, from which a generation is long.
-const LONG_OUTPUT_TOKENS: u64 = 120;
+pub(crate) const LONG_OUTPUT_TOKENS: u64 = 120;
 /// Score added for a backup engine in another zone than the engine that it backs up.
 const COPY_ZONE_PENALTY: f64 = 1.5;
 /// Score added per second of copying until a moved generation's memory has arrived. Time is short
@@ -50,17 +51,19 @@
     pub holds_prefix: bool,
     /// Zone of this VM.
     pub own_zone: &'a str,
+    /// Learned capacity of the service's servers, if it is used for the request.
+    pub capacity: Option<&'a CapacityTable<ServerKey>>,
+    /// Whether the server is to be measured again.
+    pub is_retest: bool,
 }
 
 impl ServerScore<'_> {
     /// Returns the score for a request. The server with the lowest score is chosen.
     pub fn value(&self, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
         let state = self.state;
-        let slots = f64::from(state.record.slots.max(1));
-        let mut score = f64::from(state.total_load(now).requests) / slots;
-        score += match self.engine {
-            Some(engine) => self.engine_score(engine, query, now),
-            None => state.latency_ms().map_or(0.0, |ms| LATENCY_PENALTY * ms / 100.0),
+        let mut score = match self.capacity {
+            Some(table) => self.learned_score(table, query, now),
+            None => self.load_score(query, now),
         };
         score += self.zone_score(query);
         if let Some(seed) = query.spread_seed {
@@ -73,6 +76,34 @@
         score + FAILURE_PENALTY * state.failure_share()
     }
 
+    fn load_score(&self, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+        let slots = f64::from(self.state.record.slots.max(1));
+        let score = f64::from(self.state.total_load(now).requests) / slots;
+        score
+            + match self.engine {
+                Some(engine) => self.engine_score(engine, query, now),
+                None => self.state.latency_ms().map_or(0.0, |ms| LATENCY_PENALTY * ms / 100.0),
+            }
+    }
+
+    fn learned_score(
+        &self,
+        table: &CapacityTable<ServerKey>,
+        query: &PlacementQuery<'_>,
+        now: MonoTime,
+    ) -> f64 {
+        let cost = PlacementCost {
+            table,
+            key: self.key,
+            load: self.state.total_load(now),
+            slots: self.state.record.slots,
+            engine: self.engine,
+            is_retest: self.is_retest,
+        };
+        let bonus = if self.holds_prefix { PREFIX_BONUS } else { 0.0 };
+        cost.value(query, now) - bonus
+    }
+
     fn engine_score(&self, engine: EngineSpec, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
         let load = self.state.total_load(now);
         let fill = load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
--- a/crates/gateway/src/versions/open_run.rs
+++ b/crates/gateway/src/versions/open_run.rs
@@ -1,5 +1,6 @@
 //! State of a request at a server.
 
+use dragonflycart_capacity::RunningLoad;
 use dragonflycart_core::MonoTime;
 use slotmap::new_key_type;
 
@@ -19,6 +20,9 @@
     pub(crate) route: String,
     /// Time at which it was sent.
     pub(crate) sent_at: MonoTime,
+    /// Load of the server when it was sent, including the request, if its time tells how fast the
+    /// server is.
+    pub(crate) load: Option<RunningLoad>,
     /// Whether it was counted, and as what: true for a bad result.
     pub(crate) counted: Option<bool>,
 }
--- a/crates/gateway/src/versions/request_run.rs
+++ b/crates/gateway/src/versions/request_run.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use dragonflycart_capacity::{PauseWindow, RunningLoad};
+
 use crate::{CallerRequest, GatewayContext, RunEnd, RunKey, ServerKey, containment::PromptRun};
 
 /// One request at one server, from the moment it is sent to its result. Each request that is sent to
@@ -13,19 +15,35 @@
     key: RunKey,
     end: RunEnd,
     prompt: Option<PromptRun>,
+    pauses: PauseWindow,
 }
 
 impl RequestRun {
-    /// Starts the run of a request that is about to be sent.
+    /// Starts the run of a request that is about to be sent. `load` is the load of the server with the
+    /// request, unless its prompt needs not be read there.
     pub(crate) fn start(
         context: &Arc<GatewayContext>,
         server: ServerKey,
         request: &CallerRequest,
+        load: Option<RunningLoad>,
     ) -> RequestRun {
         let now = context.clock.now();
-        let key = context.view().start_run(server, &request.route.name, now);
+        let key = {
+            let mut view = context.view();
+            let key = view.start_run(server, &request.route.name, now);
+            if let Some(load) = load {
+                view.note_run_load(key, load);
+            }
+            key
+        };
         let prompt = PromptRun::start(context, server, &request.prompt_parts);
-        RequestRun { context: Arc::clone(context), key, end: RunEnd::Abandoned, prompt }
+        RequestRun {
+            context: Arc::clone(context),
+            key,
+            end: RunEnd::Abandoned,
+            prompt,
+            pauses: PauseWindow::default(),
+        }
     }
 
     /// Records that the response has started. For a stream, this is its first event.
@@ -39,6 +57,10 @@
         if let Some(prompt) = &mut self.prompt {
             prompt.note_event(&self.context);
         }
+        let now = self.context.clock.now();
+        if let Some(sample) = self.pauses.note_event(now) {
+            self.context.view().note_run_pauses(self.key, sample, now);
+        }
     }
 
     /// Records that the server survived the request.
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -141,6 +141,8 @@
     PlacementQuery {
         service: ENGINES,
         demand,
+        latency_target: Duration::from_millis(1_500),
+        pause_target: Some(Duration::from_millis(180)),
         shared_prefix: None,
         preferred_zone: None,
         moved_tokens: 0,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod fixtures;
 mod generation_timings;
 mod hand_overs;
+mod learned_placements;
 mod limits;
 mod log_lines;
 mod memory;
