gateway: move the choice of servers out of fleet_view.rs

The choice among servers is now in fleet_view/choice.rs and the reservation of load in fleet_view/placing.rs. No behaviour changes.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -1,6 +1,8 @@
-//! A VM's view of the fleet, and the placement of requests on servers.
+//! A VM's view of the fleet. Requests are placed on servers in `choice` and `placing`.
 
+mod choice;
 mod learned_capacity;
+mod placing;
 mod run_results;
 
 use std::{
@@ -11,18 +13,14 @@
 };
 
 use dragonflycart_capacity::CapacityTable;
-use dragonflycart_core::{ErrorKind, MonoTime, PromptPart};
+use dragonflycart_core::{MonoTime, PromptPart};
 use slotmap::SlotMap;
 
 use crate::{
-    EngineSpec, FleetOrder, GenerationTiming, Placement, PlacementQuery, RetryBudget, RetryLimit,
-    RouteBaselines, RoutePlan, RunKey, ServerKey, ServerLoad, ServerRecord, ServerScore,
-    ServerState, SurveyedEngine, TokenDemand, VersionMove, VersionMovePhase, VersionMoveRecord,
-    VersionMoveSpec, VersionRole, VmSettings, ZoneReachability,
-    capacity::UNSUITABLE_COST,
-    peer_table::SMALL_FLEET,
-    server_score::{copy_factor, spread},
-    versions::OpenRun,
+    EngineSpec, FleetOrder, GenerationTiming, RetryBudget, RetryLimit, RouteBaselines, RoutePlan,
+    RunKey, ServerKey, ServerLoad, ServerRecord, ServerState, SurveyedEngine, TokenDemand,
+    VersionMove, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole, VmSettings,
+    ZoneReachability, versions::OpenRun,
 };
 
 /// Time in which a registration that disappeared after a store outage may reappear.
@@ -30,23 +28,8 @@
 /// Time after a store failure in which the removal of a registration may mean only that the server
 /// could not renew it.
 const OUTAGE_WINDOW: Duration = Duration::from_millis(3_000);
-/// Maximum fraction of an engine's memory in use after a new generation is placed there.
-const RUN_FILL_LIMIT: f64 = 0.97;
-/// The same for generations that are moved from engines that shut down.
-const MOVE_FILL_LIMIT: f64 = 0.98;
-/// The same for backup copies of other engines' generations. The rest of the memory is left to the
-/// engine's own generations.
-const COPY_FILL_LIMIT: f64 = 0.20;
 /// Number of VMs among which the limits of the whole fleet are divided until the VMs are known.
 const UNKNOWN_FLEET_VMS: usize = 16;
-/// Number of servers in other zones among which a VM of a large fleet chooses.
-const REMOTE_SAMPLE: f64 = 3.0;
-/// Minimum number of usable servers in a VM's zone for choosing among a sample of the others.
-const MIN_LOCAL_SERVERS: u32 = 4;
-/// Factor by which the sample grows if none of its servers is suitable.
-const WIDER_SAMPLE: f64 = 4.0;
-/// Maximum number of prompt prefixes remembered per server.
-const PREFIXES_REMEMBERED: usize = 256;
 
 /// State on which a VM bases its decisions. It does no I/O and reads no clock.
 #[derive(Debug)]
@@ -560,304 +543,6 @@
         budgets.or_insert_with(|| RetryBudget::new(window, since))
     }
 
-    /// Chooses a server and reserves the request's load on it.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ErrorKind::NoBackend`] if no server accepts requests, and
-    /// [`ErrorKind::Overloaded`] if none has capacity.
-    pub fn place(
-        &mut self,
-        query: &PlacementQuery<'_>,
-        now: MonoTime,
-    ) -> Result<Placement, ErrorKind> {
-        let limit = if query.preferred_zone.is_some() { MOVE_FILL_LIMIT } else { RUN_FILL_LIMIT };
-        let fill_limit = self.engine_spec(query.service).map(|_| limit);
-        let key = self.choose_for_version_move(query, fill_limit, now)?;
-        self.zone_reachability.note_tried(&self.servers[key].record.zone, now);
-        Ok(self.reserve_work(key, query, now))
-    }
-
-    /// Chooses an engine for backup copies of the memory of a generation on the server `source`, and
-    /// reserves memory on it. The engine has the same version, unless that one is taken out of use:
-    /// a generation that is resumed must not get past the limits of a version move.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ErrorKind::NoBackend`] if no engine accepts requests, and
-    /// [`ErrorKind::Overloaded`] if none has capacity.
-    pub fn place_copy(
-        &mut self,
-        query: &PlacementQuery<'_>,
-        source: ServerKey,
-        now: MonoTime,
-    ) -> Result<Placement, ErrorKind> {
-        let version_move = self.version_moves.get(query.service);
-        let source = self.servers.get(source).filter(|source| !self.is_outgoing(source));
-        let role = match (version_move, source) {
-            (Some(version_move), Some(source)) => {
-                Some(version_move.role_of(&source.record.version))
-            }
-            (Some(version_move), None) => {
-                Some(version_move.next_role(self.settings.exposure, self.sharing_vms))
-            }
-            (None, _) => None,
-        };
-        let key = self.choose(query, role, Some(COPY_FILL_LIMIT), now)?;
-        let tokens = query.demand.reserved_tokens();
-        Ok(self.reserve(key, ServerLoad { copy_tokens: tokens, ..ServerLoad::default() }, now))
-    }
-
-    /// Chooses among the servers of one version if the service has a version move.
-    fn choose_for_version_move(
-        &self,
-        query: &PlacementQuery<'_>,
-        fill_limit: Option<f64>,
-        now: MonoTime,
-    ) -> Result<ServerKey, ErrorKind> {
-        let Some(version_move) = self.version_moves.get(query.service) else {
-            return self.choose(query, None, fill_limit, now);
-        };
-        let role = version_move.next_role(self.settings.exposure, self.sharing_vms);
-        let result = self.choose(query, Some(role), fill_limit, now);
-        if result.is_ok() || version_move.phase().is_final() {
-            return result;
-        }
-        match role {
-            VersionRole::New => self.choose(query, Some(VersionRole::Old), fill_limit, now),
-            // A VM that started after the version move was completed may not know its status yet.
-            VersionRole::Old
-                if version_move.may_have_ended(now)
-                    && !self.has_servers_with_role(query.service, VersionRole::Old) =>
-            {
-                self.choose(query, Some(VersionRole::New), fill_limit, now)
-            }
-            VersionRole::Old => result,
-        }
-    }
-
-    /// Returns whether a service has servers with this role in its version move that are not
-    /// leaving.
-    fn has_servers_with_role(&self, service: &str, role: VersionRole) -> bool {
-        let Some(version_move) = self.version_moves.get(service) else { return false };
-        self.servers.values().any(|state| {
-            state.record.service == service
-                && state.leaving_since.is_none()
-                && version_move.role_of(&state.record.version) == role
-        })
-    }
-
-    /// Returns the usable server with the lowest score whose memory use stays within `fill_limit`
-    /// when the request is added.
-    fn choose(
-        &self,
-        query: &PlacementQuery<'_>,
-        role: Option<VersionRole>,
-        fill_limit: Option<f64>,
-        now: MonoTime,
-    ) -> Result<ServerKey, ErrorKind> {
-        let is_learned = self.capacity_for(query).is_some();
-        if let Some(share) = self.remote_share(query, now) {
-            let result = self.choose_among(query, role, fill_limit, share, now);
-            match result {
-                Ok((score, _)) if is_learned && score >= UNSUITABLE_COST => {
-                    let share = share * WIDER_SAMPLE;
-                    let wider = self.choose_among(query, role, fill_limit, share, now);
-                    return wider.map(|(_, key)| key);
-                }
-                Ok((_, key)) => return Ok(key),
-                Err(_) => {}
-            }
-        }
-        self.choose_among(query, role, fill_limit, 1.0, now).map(|(_, key)| key)
-    }
-
-    /// Returns the share of the servers in other zones to choose among, or `None` for all.
-    ///
-    /// In a large fleet, VMs of other zones report their load late. If each VM compared all servers,
-    /// many would choose the same one before they see each other's requests; a small random sample
-    /// differs between requests.
-    fn remote_share(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Option<f64> {
-        if self.vm_count <= SMALL_FLEET || query.preferred_zone.is_some() {
-            return None;
-        }
-        let (mut local, mut remote) = (0, 0);
-        for state in self.servers.values() {
-            if state.record.service != query.service || !state.accepts_requests(now) {
-                continue;
-            }
-            if state.record.zone == self.settings.zone { local += 1 } else { remote += 1 }
-        }
-        (local >= MIN_LOCAL_SERVERS).then(|| REMOTE_SAMPLE / f64::from(remote.max(1)))
-    }
-
-    /// Chooses among the servers of this VM's zone and a share of the others.
-    fn choose_among(
-        &self,
-        query: &PlacementQuery<'_>,
-        role: Option<VersionRole>,
-        fill_limit: Option<f64>,
-        remote_share: f64,
-        now: MonoTime,
-    ) -> Result<(f64, ServerKey), ErrorKind> {
-        let capacity = self.capacity_for(query);
-        let version_move = self.version_moves.get(query.service);
-        let mut best: Option<(f64, ServerKey)> = None;
-        let mut is_full = false;
-        let unreachable_zones = self.zone_reachability.unreachable_zones(now);
-        for (key, state) in &self.servers {
-            let has_other_role = match (version_move, role) {
-                (Some(version_move), Some(role)) => {
-                    version_move.role_of(&state.record.version) != role
-                }
-                _ => false,
-            };
-            let is_left_out = state.record.zone != self.settings.zone
-                && spread(query.sample_seed, key) > remote_share;
-            if has_other_role
-                || is_left_out
-                || !self.is_usable(key, state, query, now)
-                || unreachable_zones.contains(state.record.zone.as_str())
-            {
-                continue;
-            }
-            if fill_limit.is_some_and(|limit| self.fill_with(state, query, now) > limit) {
-                is_full = true;
-                continue;
-            }
-            let score = self.score((key, state), capacity, query, now);
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, key));
-            }
-        }
-        match best {
-            Some(best) => Ok(best),
-            None if is_full => Err(ErrorKind::Overloaded),
-            None => Err(ErrorKind::NoBackend),
-        }
-    }
-
-    /// Returns the fraction of an engine's memory that is in use when the request is added. An
-    /// empty engine accepts any request; it rejects one that is too large itself.
-    fn fill_with(&self, state: &ServerState, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
-        let capacity = self.engine_spec(query.service).map_or(0, |engine| engine.memory_tokens);
-        let used = state.total_load(now).memory_tokens();
-        if used == 0 {
-            return 0.0;
-        }
-        (used + query.demand.reserved_tokens()) as f64 / capacity.max(1) as f64
-    }
-
-    /// Returns the fraction of the memory in use on a service's leaving engines in a zone that fits
-    /// on the service's other engines in that zone. The rest has to move to other zones.
-    pub fn fraction_fitting_in_zone(&self, service: &str, zone: &str, now: MonoTime) -> f64 {
-        let capacity = self.engine_spec(service).map_or(0, |engine| engine.memory_tokens);
-        let limit = (capacity as f64 * MOVE_FILL_LIMIT) as u64;
-        let (mut room, mut leaving) = (0, 0);
-        for state in self.servers.values() {
-            if state.record.service != service || state.record.zone != zone {
-                continue;
-            }
-            let load = state.total_load(now);
-            if state.accepts_requests(now) {
-                room += limit.saturating_sub(load.memory_tokens());
-            } else if state.leaving_since.is_some() {
-                leaving += load.tokens;
-            }
-        }
-        if leaving == 0 { 1.0 } else { (room as f64 / leaving as f64).min(1.0) }
-    }
-
-    /// Reserves a given server, or returns `None` if it accepts no requests.
-    pub fn place_at(
-        &mut self,
-        key: ServerKey,
-        query: &PlacementQuery<'_>,
-        now: MonoTime,
-    ) -> Option<Placement> {
-        let state = self.servers.get(key)?;
-        if !state.accepts_requests(now) || self.is_closed(key) || self.is_cold_limited(key, now) {
-            return None;
-        }
-        Some(self.reserve_work(key, query, now))
-    }
-
-    /// Reserves a server even if it is leaving, for a generation whose memory it holds.
-    pub fn reserve_leaving(
-        &mut self,
-        key: ServerKey,
-        query: &PlacementQuery<'_>,
-        now: MonoTime,
-    ) -> Option<Placement> {
-        self.servers.contains_key(key).then(|| self.reserve_work(key, query, now))
-    }
-
-    fn reserve_work(
-        &mut self,
-        key: ServerKey,
-        query: &PlacementQuery<'_>,
-        now: MonoTime,
-    ) -> Placement {
-        if let Some(version_move) = self.version_moves.get_mut(query.service) {
-            version_move.note_sent(version_move.role_of(&self.servers[key].record.version));
-        }
-        let cold_rate = self.cold_rate(query.service);
-        let state = &mut self.servers[key];
-        if cold_rate > 0.0 && state.is_cold(now) {
-            state.cold_limiter.take(cold_rate, now);
-        }
-        let is_near = query.preferred_zone == Some(state.record.zone.as_str());
-        self.note_retest(key, query, now);
-        if let Some(prefix) = query.shared_prefix {
-            self.remember_prefix(key, prefix, now);
-        }
-        // A moved generation needs no prompt processing, but its memory has to be transferred.
-        let is_new = query.moved_tokens == 0;
-        let load = ServerLoad {
-            requests: 1,
-            tokens: query.demand.reserved_tokens(),
-            copy_tokens: 0,
-            pending_prompt_tokens: if is_new { query.demand.prompt_tokens } else { 0 },
-            arriving_tokens: query.moved_tokens * copy_factor(is_near),
-        };
-        self.reserve(key, load, now)
-    }
-
-    fn reserve(&mut self, key: ServerKey, load: ServerLoad, now: MonoTime) -> Placement {
-        let state = &mut self.servers[key];
-        let seen = state.total_load(now);
-        state.own_load += load;
-        Placement { server: key, id: state.id.clone(), address: state.record.address, seen, load }
-    }
-
-    fn remember_prefix(&mut self, key: ServerKey, prefix: PromptPart, now: MonoTime) {
-        let prefixes = self.prefixes.entry(key).or_default();
-        prefixes.insert(prefix, now);
-        if prefixes.len() <= PREFIXES_REMEMBERED {
-            return;
-        }
-        if let Some(oldest) =
-            prefixes.iter().min_by_key(|(_, used)| **used).map(|(prefix, _)| *prefix)
-        {
-            prefixes.remove(&oldest);
-        }
-    }
-
-    /// Releases load on a server.
-    pub fn release(&mut self, key: ServerKey, load: ServerLoad) {
-        if let Some(state) = self.servers.get_mut(key) {
-            state.own_load -= load;
-        }
-    }
-
-    /// Replaces some of the load on a server.
-    pub fn replace_load(&mut self, key: ServerKey, old: ServerLoad, new: ServerLoad) {
-        if let Some(state) = self.servers.get_mut(key) {
-            state.own_load -= old;
-            state.own_load += new;
-        }
-    }
-
     /// Returns the requests per second that this VM may send to each cold server of a service; zero
     /// means no limit.
     fn cold_rate(&self, service: &str) -> f64 {
@@ -868,42 +553,4 @@
             .map_or(0.0, |service| service.cold_rate);
         rate / self.sharing_vms.max(1) as f64
     }
-
-    fn is_usable(
-        &self,
-        key: ServerKey,
-        state: &ServerState,
-        query: &PlacementQuery<'_>,
-        now: MonoTime,
-    ) -> bool {
-        if state.record.service != query.service || !state.accepts_requests(now) {
-            return false;
-        }
-        if query.excluded.contains(&key) || self.evacuated.contains_key(&state.record.zone) {
-            return false;
-        }
-        !self.is_cold_limited(key, now)
-    }
-
-    fn score(
-        &self,
-        (key, state): (ServerKey, &ServerState),
-        capacity: Option<&CapacityTable<ServerKey>>,
-        query: &PlacementQuery<'_>,
-        now: MonoTime,
-    ) -> f64 {
-        let holds_prefix = query.shared_prefix.is_some_and(|prefix| {
-            self.prefixes.get(&key).is_some_and(|prefixes| prefixes.contains_key(&prefix))
-        });
-        let score = ServerScore {
-            key,
-            state,
-            engine: self.engine_spec(query.service),
-            holds_prefix,
-            own_zone: &self.settings.zone,
-            capacity,
-            is_retest: capacity.is_some_and(|table| self.is_retest(table, key, query, now)),
-        };
-        score.value(query, now)
-    }
 }
