admission: order, limit and refuse requests that wait for engines

On overloaded deployments, long streams filled the engines, so that generations of leaving engines found no room elsewhere; requests waited three latency targets although their callers wait for four, or waited in vain; and each poll of a waiter scanned the whole queue.

For an engine service with a deferrable route (less urgent than another route and with a longer latency target, a pure function of the route plan):

- Deferrable requests fill an engine only up to a lower limit.
The room left is the most engine memory that left within the time of one notice (2 s) in the last ten seconds, as a fraction of the memory that stays, from 0 to 25 %.
Urgent requests and moves keep their limits.
An urgent request that follows a blocked deferrable one may use the room between the limits.
- A request may wait for four latency targets, at least two seconds, less the expected time from the engine to its first event.
- A request whose wait can't end in time by the estimate is refused on arrival with the estimate as Retry-After.
An estimate from fewer than three recent ends of generations, or that was wrong by more than a factor of three, is doubtful and admits.
Estimates are corrected by earlier waits.
For now, they are based on this VM's own figures.

The wait queue moves to the new package dragonflycart-admission, as ordered sets by lateness, rank, class, age, team and arrival. Other services keep their order. The next waiter is woken when a generation ends or a waiter leaves; the timer of 20 ms remains for room that other VMs freed.

The three tests of the wait queue in the gateway's placements.rs moved with it to crates/admission/tests; they check the same order, and one in addition that nothing overtakes a request that found no room.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,26 @@
+//! Order and admission of requests that wait for engines.
+//!
+//! Nothing here does I/O or reads a clock. The owner passes the time and what it observed: requests
+//! that wait, memory that became free, and engines that left. The decisions differ from first come,
+//! first served only for a service with a deferrable route, see [`AdmissionClass`].
+
+mod admission_class;
+mod admission_table;
+mod freed_rate;
+mod leave_history;
+mod service_queue;
+mod team_use;
+mod wait_estimate;
+mod wait_queue;
+mod waiter;
+
+pub use crate::{
+    admission_class::AdmissionClass,
+    admission_table::AdmissionTable,
+    freed_rate::FreedRate,
+    leave_history::LeaveHistory,
+    team_use::TeamUse,
+    wait_estimate::{EstimateInputs, WaitEstimate, maximum_wait},
+    wait_queue::WaitQueue,
+    waiter::{Waiter, WaiterId},
+};
--- /dev/null
+++ b/crates/admission/src/wait_queue.rs
@@ -0,0 +1,87 @@
+//! Queue of requests that wait for an engine.
+
+use std::collections::BTreeMap;
+
+use dragonflycart_core::MonoTime;
+
+use crate::{TeamUse, Waiter, WaiterId, service_queue::ServiceQueue};
+
+/// Requests of one VM that wait for an engine. The first request of a service gets the next engine
+/// with capacity. Requests that can still meet their latency target go before late ones, then the
+/// order is by rank. Among equal ones it is by arrival or, for a service with a deferrable route, by
+/// the use of the teams. Smaller requests never overtake a large one, so that it does not starve.
+///
+/// All operations take logarithmic time in the number of waiting requests.
+#[derive(Debug, Clone, Default)]
+pub struct WaitQueue {
+    services: BTreeMap<String, ServiceQueue>,
+    /// Service of each waiting request.
+    locations: BTreeMap<WaiterId, String>,
+    next_id: WaiterId,
+}
+
+impl WaitQueue {
+    /// Adds a request.
+    pub fn enqueue(&mut self, waiter: Waiter, now: MonoTime) -> WaiterId {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.locations.insert(id, waiter.service.clone());
+        self.services.entry(waiter.service.clone()).or_default().insert(id, waiter, now);
+        id
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, id: WaiterId) -> Option<Waiter> {
+        let service = self.locations.remove(&id)?;
+        let queue = self.services.get_mut(&service)?;
+        let waiter = queue.remove(id);
+        if queue.is_empty() {
+            self.services.remove(&service);
+        }
+        waiter
+    }
+
+    /// Returns whether it is a request's turn to look for room: it is the first of its service, or
+    /// the first urgent one behind a deferrable one that found no room within its limit.
+    pub fn has_turn(&mut self, id: WaiterId, team_use: &TeamUse, now: MonoTime) -> bool {
+        self.queue_of(id).is_some_and(|queue| queue.has_turn(id, team_use, now))
+    }
+
+    /// Records that a request had its turn and found no room.
+    pub fn note_no_room(&mut self, id: WaiterId) {
+        if let Some(queue) = self.queue_of(id) {
+            queue.note_no_room(id);
+        }
+    }
+
+    /// Returns the requests of a service that may be able to use memory that has become free.
+    pub fn candidates(
+        &mut self,
+        service: &str,
+        team_use: &TeamUse,
+        now: MonoTime,
+    ) -> Vec<WaiterId> {
+        let queue = self.services.get_mut(service);
+        queue.map(|queue| queue.candidates(team_use, now)).unwrap_or_default()
+    }
+
+    /// Returns the tokens of the requests that go before a new one, or may do so if their teams have
+    /// less use.
+    pub fn tokens_ahead(&mut self, id: WaiterId, now: MonoTime) -> u64 {
+        self.queue_of(id).map_or(0, |queue| queue.tokens_ahead(id, now))
+    }
+
+    /// Returns the number of requests that wait for a service.
+    pub fn count(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, ServiceQueue::count)
+    }
+
+    /// Returns the number of waiting requests and their tokens, by service and rank.
+    pub fn demand(&self) -> impl Iterator<Item = (&str, BTreeMap<u8, (usize, u64)>)> {
+        self.services.iter().map(|(service, queue)| (service.as_str(), queue.demand()))
+    }
+
+    fn queue_of(&mut self, id: WaiterId) -> Option<&mut ServiceQueue> {
+        self.services.get_mut(self.locations.get(&id)?)
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/all/estimates.rs
@@ -0,0 +1,97 @@
+//! Estimates of waits. Each test describes its load pattern.
+
+use std::time::Duration;
+
+use dragonflycart_admission::{
+    AdmissionTable, EstimateInputs, FreedRate, WaitEstimate, maximum_wait,
+};
+
+use crate::fixtures::{ENGINES, LONG_TOKENS, at, inputs, long};
+
+/// Pattern: a short overload. A request was refused after three latency targets although its caller
+/// would have waited longer.
+#[test]
+fn request_may_wait_as_long_as_its_caller() {
+    let millis = Duration::from_millis;
+
+    assert_eq!(maximum_wait(millis(4_000), millis(500)), millis(15_500));
+    assert_eq!(maximum_wait(millis(300), millis(500)), millis(1_500), "callers wait 2 s at least");
+    assert_eq!(maximum_wait(millis(1_500), millis(9_000)), millis(3_000), "slow engines");
+}
+
+/// Pattern: a long queue. A request that waits in vain learns it only when its caller gives up.
+#[test]
+fn request_that_would_wait_in_vain_is_refused_and_others_are_not() {
+    let estimate = WaitEstimate::from_inputs(inputs());
+
+    assert_eq!(estimate.wait, Duration::from_secs(2));
+    assert!(estimate.exceeds(Duration::from_millis(1_500)));
+    assert!(!estimate.exceeds(Duration::from_millis(1_700)), "within the margin");
+}
+
+/// Pattern: the engines have room that the requests ahead leave. Nobody must be refused then.
+#[test]
+fn request_that_fits_does_not_wait() {
+    let estimate = WaitEstimate::from_inputs(EstimateInputs { room_tokens: 20_000, ..inputs() });
+
+    assert_eq!(estimate.wait, Duration::ZERO);
+    assert!(!estimate.exceeds(Duration::ZERO));
+}
+
+/// Pattern: a VM has just started, or nothing became free for long. A guess must not refuse anyone.
+#[test]
+fn doubtful_estimate_admits() {
+    let unknown = [
+        EstimateInputs { freed_per_s: 0.0, ..inputs() },
+        EstimateInputs { freed_per_s: f64::NAN, ..inputs() },
+        EstimateInputs { freed_samples: 2.0, ..inputs() },
+        EstimateInputs { wait_ratio: (3.5, 10.0), ..inputs() },
+    ];
+
+    for inputs in unknown {
+        let estimate = WaitEstimate::from_inputs(inputs);
+        assert!(estimate.is_doubtful, "{inputs:?}");
+        assert!(!estimate.exceeds(Duration::ZERO), "{inputs:?}");
+    }
+}
+
+/// Pattern: generations end one after the other, then none for some time. The rate must follow.
+#[test]
+fn rate_follows_what_became_free() {
+    let mut freed = FreedRate::default();
+    for index in 0..100 {
+        freed.note(1_000, at(index * 100));
+    }
+
+    let busy = freed.per_second(at(10_000));
+    let idle = freed.per_second(at(25_000));
+
+    assert!((9_000.0..11_500.0).contains(&busy), "{busy}");
+    assert!(idle < 0.1 * busy, "{idle}");
+    assert!(freed.samples(at(25_000)) < 3.0, "the estimate is doubtful by then");
+}
+
+/// Pattern: estimates are too short by half, since the engines slow down. The later ones are
+/// corrected.
+#[test]
+fn estimates_that_are_off_are_corrected() {
+    let mut table = AdmissionTable::default();
+    for index in 0..50 {
+        table.note_freed(ENGINES, LONG_TOKENS, at(index * 100));
+    }
+    let now = at(5_000);
+    let id = table.queue.enqueue(long("a", now), now);
+    let inputs = table.estimate_inputs(id, ENGINES, 35_000, 0, now);
+    let before = WaitEstimate::from_inputs(inputs);
+
+    for _ in 0..40 {
+        table.note_wait(ENGINES, before, 2.0 * before.uncorrected.as_secs_f64());
+    }
+
+    let inputs = table.estimate_inputs(id, ENGINES, 35_000, 0, now);
+    let after = WaitEstimate::from_inputs(inputs);
+    let ratio = after.wait.as_secs_f64() / before.wait.as_secs_f64();
+    assert!((1.9..2.1).contains(&ratio), "{ratio}");
+    assert!(!after.is_doubtful);
+    assert_eq!(after.uncorrected, before.uncorrected);
+}
--- /dev/null
+++ b/crates/gateway/src/admission/queue_entry.rs
@@ -0,0 +1,64 @@
+//! Entry of a request in the wait queue.
+
+use std::{sync::Arc, time::Duration};
+
+use dragonflycart_admission::{Waiter, WaiterId};
+use tokio::sync::Notify;
+
+use crate::{CallerRequest, GatewayContext};
+
+/// Entry in the wait queue. It is removed on drop, also when the request's task is cancelled because
+/// the caller disconnected.
+pub(crate) struct QueueEntry<'a> {
+    context: &'a GatewayContext,
+    id: WaiterId,
+    waker: Arc<Notify>,
+}
+
+impl<'a> QueueEntry<'a> {
+    /// Adds a request to the queue that may wait for `maximum` from its arrival on.
+    pub(crate) fn new(
+        context: &'a GatewayContext,
+        request: &CallerRequest,
+        maximum: Duration,
+    ) -> QueueEntry<'a> {
+        let arrived = context.clock.at(request.arrived);
+        let waiter = Waiter {
+            service: request.service.clone(),
+            class: request.admission,
+            rank: request.rank(),
+            team: request.team.clone().unwrap_or_default(),
+            tokens: request.demand.reserved_tokens(),
+            late_at: arrived + request.route.latency_target,
+            aged_at: arrived + maximum / 2,
+        };
+        let (id, waker) = context.admission.enqueue(waiter, context.clock.now());
+        QueueEntry { context, id, waker }
+    }
+
+    /// Returns the ID of the request in the queue.
+    pub(crate) fn id(&self) -> WaiterId {
+        self.id
+    }
+
+    /// Returns whether it is the request's turn to look for room.
+    pub(crate) fn has_turn(&self) -> bool {
+        self.context.admission.table().has_turn(self.id, self.context.clock.now())
+    }
+
+    /// Records that the request had its turn and found no room.
+    pub(crate) fn note_no_room(&self) {
+        self.context.admission.table().queue.note_no_room(self.id);
+    }
+
+    /// Waits until room may have become free.
+    pub(crate) async fn woken(&self) {
+        self.waker.notified().await;
+    }
+}
+
+impl Drop for QueueEntry<'_> {
+    fn drop(&mut self) {
+        self.context.admission.remove(self.id, self.context.clock.now());
+    }
+}
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use dragonflycart_admission::AdmissionClass;
 use dragonflycart_core::PromptPart;
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
@@ -31,6 +32,8 @@
     pub route: PlannedRoute,
     /// Service chosen from those of the route.
     pub service: String,
+    /// How the request is admitted to engines.
+    pub admission: AdmissionClass,
     /// Team of the caller.
     pub team: Option<String>,
     /// Key to check again before each offer to a server, if the deployment bounds the time for
@@ -115,6 +118,7 @@
             moved_tokens: 0,
             spread_seed: None,
             sample_seed: self.sample_seed,
+            admission: self.admission,
             excluded,
         }
     }
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -5,71 +5,165 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use dragonflycart_admission::{EstimateInputs, WaitEstimate, maximum_wait};
 use dragonflycart_core::ErrorKind;
+use tokio::time::Instant;
 use tracing::info;
 
 use crate::{
-    CallerRequest, GatewayContext, GatewayFailure, GenerationReservation, ServerKey, WaiterId,
-    containment::prompt_check, revocation::key_check, server_attempt,
+    CallerRequest, GatewayContext, GatewayFailure, GenerationReservation, ServerKey,
+    admission::QueueEntry, containment::prompt_check, revocation::key_check, server_attempt,
 };
 
-/// Time between attempts to find an engine.
+/// Maximum time between attempts to find an engine. Memory that other VMs freed and requests that
+/// became late wake nobody.
 const TRY_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum wait as a multiple of the latency target. Callers abandon a stream after four times the
-/// target, and the prompt still has to be processed after the wait.
+/// Maximum wait as a multiple of the latency target, for services without a deferrable route.
+/// Callers abandon a stream after four times the target, and the prompt still has to be processed
+/// after the wait.
 const WAIT_TARGETS: f64 = 3.0;
 
-/// Entry in the wait queue. It is removed on drop, also when the request's task is cancelled
-/// because the caller disconnected.
-struct QueueEntry<'a> {
-    context: &'a GatewayContext,
-    id: WaiterId,
-}
-
-impl Drop for QueueEntry<'_> {
-    fn drop(&mut self) {
-        self.context.wait_queue().remove(self.id);
-    }
-}
-
 /// Reserves an engine as soon as one has capacity.
 ///
 /// # Errors
 ///
-/// Returns the failure to report if no engine has capacity in time, if this VM stops, if the
-/// request's key is no longer accepted, or if a part of its prompt was contained.
+/// Returns the failure to report if no engine has capacity in time or can be expected to, if this VM
+/// stops, if the request's key is no longer accepted, or if a part of its prompt was contained.
 pub async fn reserve_engine(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
     excluded: &BTreeSet<ServerKey>,
 ) -> Result<GenerationReservation, GatewayFailure> {
-    let target = request.route.latency_target;
-    let late_at = context.clock.at(request.arrived) + target;
-    let id = context.wait_queue().enqueue(&request.service, request.rank(), late_at);
-    let entry = QueueEntry { context, id };
-    let give_up_at = (request.arrived + target.mul_f64(WAIT_TARGETS)).min(request.deadline);
+    let is_managed = request.admission.is_managed();
+    let maximum = longest_wait(context, request);
+    let entry = QueueEntry::new(context, request, maximum);
+    let began = Instant::now();
+    let give_up_at = (request.arrived + maximum).min(request.deadline);
+    let mut estimate = None;
     let mut tries = 0_u32;
     loop {
         server_attempt::check_stop(context)?;
         key_check::check_request(context, request)?;
         prompt_check::check_request(context, request)?;
-        if context.wait_queue().is_first(entry.id, context.clock.now()) {
+        if entry.has_turn() {
             tries += 1;
             if let Some(reservation) = GenerationReservation::take(context, request, excluded) {
+                note_wait(context, request, estimate, began);
+                charge(context, request);
                 return Ok(reservation);
             }
+            entry.note_no_room();
+        }
+        if is_managed && estimate.is_none() {
+            let inputs = estimate_inputs(context, request, &entry, excluded);
+            let expected = WaitEstimate::from_inputs(inputs);
+            estimate = Some(expected);
+            let left = give_up_at.saturating_duration_since(Instant::now());
+            if expected.exceeds(left) {
+                log_refusal(request, inputs, expected, left);
+                return Err(GatewayFailure::new(
+                    ErrorKind::Overloaded,
+                    "the wait would be too long",
+                )
+                .with_retry_after(expected.wait));
+            }
         }
-        if tokio::time::Instant::now() >= give_up_at {
-            let waiting = context.wait_queue().count(&request.service);
+        if Instant::now() >= give_up_at {
+            note_wait(context, request, estimate, began);
+            let waiting = context.admission.table().queue.count(&request.service);
             info!(id = request.attempt, tries, waiting, "stream: no engine had room in time");
-            return Err(no_room(request));
+            return Err(no_room(context, request, &entry, excluded));
+        }
+        let pause = tokio::time::sleep_until((Instant::now() + TRY_INTERVAL).min(give_up_at));
+        tokio::select! {
+            () = entry.woken() => {}
+            () = pause => {}
         }
-        tokio::time::sleep(TRY_INTERVAL).await;
     }
 }
 
+/// Returns the maximum time from a request's arrival in which it may wait for an engine.
+fn longest_wait(context: &GatewayContext, request: &CallerRequest) -> Duration {
+    let target = request.route.latency_target;
+    if !request.admission.is_managed() {
+        return target.mul_f64(WAIT_TARGETS);
+    }
+    let expected = context.view().timing_mut(&request.service).expected_start();
+    maximum_wait(target, expected.unwrap_or_default())
+}
+
+fn estimate_inputs(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    entry: &QueueEntry<'_>,
+    excluded: &BTreeSet<ServerKey>,
+) -> EstimateInputs {
+    let now = context.clock.now();
+    let room = context.view().room_tokens(&request.query(excluded), now);
+    let own = request.demand.reserved_tokens();
+    context.admission.table().estimate_inputs(entry.id(), &request.service, own, room, now)
+}
+
+/// Compares the estimate with the real wait, if the request had to wait.
+fn note_wait(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    estimate: Option<WaitEstimate>,
+    began: Instant,
+) {
+    let Some(estimate) = estimate else { return };
+    let wait_s = began.elapsed().as_secs_f64();
+    context.admission.table().note_wait(&request.service, estimate, wait_s);
+}
+
+/// Charges an admitted request to its team.
+fn charge(context: &GatewayContext, request: &CallerRequest) {
+    let Some(team) = request.team.as_deref().filter(|_| request.admission.is_managed()) else {
+        return;
+    };
+    let tokens = request.demand.prompt_tokens + request.demand.expected_tokens();
+    let now = context.clock.now();
+    context.admission.table().team_use.charge(team, tokens, now);
+}
+
+fn log_refusal(
+    request: &CallerRequest,
+    inputs: EstimateInputs,
+    estimate: WaitEstimate,
+    left: Duration,
+) {
+    info!(
+        id = request.attempt,
+        service = request.service,
+        class = %request.admission,
+        rank = request.rank(),
+        wait_ms = estimate.wait.as_millis() as u64,
+        left_ms = left.as_millis() as u64,
+        ahead_tokens = inputs.ahead_tokens,
+        own_tokens = inputs.own_tokens,
+        room_tokens = inputs.room_tokens,
+        freed_per_s = inputs.freed_per_s as u64,
+        freed_samples = inputs.freed_samples as u64,
+        wait_ratio = inputs.wait_ratio.0,
+        waits = inputs.wait_ratio.1 as u64,
+        "admission: refused"
+    );
+}
+
 /// Returns the failure of a request that was not sent because no engine had capacity.
-fn no_room(request: &CallerRequest) -> GatewayFailure {
-    GatewayFailure::new(ErrorKind::Overloaded, "no engine had room")
-        .with_retry_after(request.route.latency_target)
+fn no_room(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    entry: &QueueEntry<'_>,
+    excluded: &BTreeSet<ServerKey>,
+) -> GatewayFailure {
+    let mut retry_after = request.route.latency_target;
+    if request.admission.is_managed() {
+        let inputs = estimate_inputs(context, request, entry, excluded);
+        let estimate = WaitEstimate::from_inputs(inputs);
+        if !estimate.is_doubtful {
+            retry_after = estimate.wait;
+        }
+    }
+    GatewayFailure::new(ErrorKind::Overloaded, "no engine had room").with_retry_after(retry_after)
 }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -1,5 +1,6 @@
 //! A VM's view of the fleet, and the placement of requests on servers.
 
+mod admission_room;
 mod run_results;
 
 use std::{
@@ -26,7 +27,8 @@
 /// Time after a store failure in which the removal of a registration may mean only that the server
 /// could not renew it.
 const OUTAGE_WINDOW: Duration = Duration::from_millis(3_000);
-/// Maximum fraction of an engine's memory in use after a new generation is placed there.
+/// Maximum fraction of an engine's memory in use after a new generation is placed there. It is
+/// lower for deferrable requests.
 const RUN_FILL_LIMIT: f64 = 0.97;
 /// The same for generations that are moved from engines that shut down.
 const MOVE_FILL_LIMIT: f64 = 0.98;
@@ -276,7 +278,7 @@
                 state.update(record, offset, now);
                 return before != (state.record.is_draining, false);
             }
-            state.leaving_since.get_or_insert(now);
+            state.mark_leaving(now);
         }
         let key = self.servers.insert(ServerState::new(id, record, offset, now));
         self.by_id.insert(id.to_owned(), key);
@@ -299,7 +301,7 @@
             state.expired_at.get_or_insert(now);
             return false;
         }
-        state.leaving_since = Some(now);
+        state.mark_leaving(now);
         true
     }
 
@@ -313,7 +315,7 @@
             if state.expired_at.is_some_and(|at| now.since(at) > EXPIRY_GRACE)
                 && state.leaving_since.is_none()
             {
-                state.leaving_since = Some(now);
+                state.mark_leaving(now);
                 changed = true;
             }
             let is_gone =
@@ -380,7 +382,7 @@
         if state.leaving_since.is_some() || is_outdated {
             return false;
         }
-        state.leaving_since = Some(now);
+        state.mark_leaving(now);
         true
     }
 
@@ -390,7 +392,7 @@
         let Some(state) = self.servers.get_mut(key) else { return false };
         state.has_drained = true;
         let is_new = state.leaving_since.is_none();
-        state.leaving_since.get_or_insert(now);
+        state.mark_leaving(now);
         is_new
     }
 
@@ -411,7 +413,7 @@
     /// Records that another server responds at a server's address.
     pub fn note_replaced(&mut self, key: ServerKey, now: MonoTime) {
         if let Some(state) = self.servers.get_mut(key) {
-            state.leaving_since.get_or_insert(now);
+            state.mark_leaving(now);
         }
     }
 
@@ -443,6 +445,11 @@
         engines
     }
 
+    /// Returns the service of a server.
+    pub fn service_of(&self, key: ServerKey) -> Option<String> {
+        self.servers.get(key).map(|state| state.record.service.clone())
+    }
+
     /// Returns the mutable state of a server.
     pub fn server_mut(&mut self, key: ServerKey) -> Option<&mut ServerState> {
         self.servers.get_mut(key)
@@ -555,8 +562,7 @@
         query: &PlacementQuery<'_>,
         now: MonoTime,
     ) -> Result<Placement, ErrorKind> {
-        let limit = if query.preferred_zone.is_some() { MOVE_FILL_LIMIT } else { RUN_FILL_LIMIT };
-        let fill_limit = self.engine_spec(query.service).map(|_| limit);
+        let fill_limit = self.engine_spec(query.service).map(|_| self.fill_limit(query, now));
         let key = self.choose_for_version_move(query, fill_limit, now)?;
         self.zone_reachability.note_tried(&self.servers[key].record.zone, now);
         Ok(self.reserve_work(key, query, now))
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    BodyBudget, ConnectionPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock,
-    GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, ResponseMemory, StopPhase, VmSettings,
-    WaitQueue,
+    BodyBudget, ConnectionPool, EngineAdmission, EngineProtocol, FleetStore, FleetTables,
+    FleetView, GatewayClock, GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, ResponseMemory,
+    StopPhase, VmSettings,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -39,12 +39,13 @@
     pub metrics: GatewayMetrics,
     /// Random ID of this process, which changes with each start.
     pub boot: u64,
+    /// Admission of requests to engines.
+    pub admission: EngineAdmission,
     /// Local copies of the store's tables.
     pub tables: FleetTables,
     view: Mutex<FleetView>,
     peers: Mutex<PeerTable>,
     freshness: Mutex<PlanFreshness>,
-    wait_queue: Mutex<WaitQueue>,
     crashes: Mutex<CrashLedger>,
     /// Makes the exchange of evidence about prompts send a report at once.
     pub evidence_changes: Notify,
@@ -74,7 +75,7 @@
             view: Mutex::new(FleetView::new(Arc::clone(&settings))),
             peers: Mutex::new(PeerTable::new(&settings.name, &settings.zone)),
             freshness: Mutex::new(PlanFreshness::new(settings.revocation_time)),
-            wait_queue: Mutex::default(),
+            admission: EngineAdmission::default(),
             crashes: Mutex::default(),
             evidence_changes: Notify::new(),
             load_changes: Notify::new(),
@@ -109,11 +110,6 @@
         self.freshness.lock().expect("no holder of the freshness lock panics")
     }
 
-    /// Locks the queue of waiting requests. Hold the lock for a single decision only.
-    pub fn wait_queue(&self) -> MutexGuard<'_, WaitQueue> {
-        self.wait_queue.lock().expect("no holder of the wait queue's lock panics")
-    }
-
     /// Locks the ledger of crashes. Hold the lock for a single decision only.
     pub fn crashes(&self) -> MutexGuard<'_, CrashLedger> {
         self.crashes.lock().expect("no holder of the ledger's lock panics")
--- a/crates/gateway/src/generation_timing.rs
+++ b/crates/gateway/src/generation_timing.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct GenerationTiming {
     first_event_s: Option<f64>,
+    /// Time from the reservation of an engine to the first event.
+    start_s: Option<f64>,
     token_s: Option<f64>,
 }
 
@@ -20,6 +22,16 @@
         update_average(&mut self.first_event_s, time.as_secs_f64());
     }
 
+    /// Records the time from the reservation of an engine to the first event.
+    pub fn note_start(&mut self, time: Duration) {
+        update_average(&mut self.start_s, time.as_secs_f64());
+    }
+
+    /// Returns the expected time from the reservation of an engine to the first event.
+    pub fn expected_start(&self) -> Option<Duration> {
+        self.start_s.map(Duration::from_secs_f64)
+    }
+
     /// Records the time in which a generation produced `tokens` output tokens.
     pub fn note_tokens(&mut self, tokens: u64, time: Duration) {
         update_average(&mut self.token_s, time.as_secs_f64() / tokens.max(1) as f64);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! The crate does not depend on the header names or record formats of a deployment: these are
 //! supplied as [`HeaderNames`], a [`FleetStore`] and an [`EngineProtocol`].
 
+mod admission;
 mod body_budget;
 mod body_framing;
 mod call_forwarder;
@@ -93,10 +94,10 @@
 mod versions;
 mod vm_record;
 mod vm_settings;
-mod wait_queue;
 mod zone_reachability;
 
 pub use crate::{
+    admission::EngineAdmission,
     body_budget::{BodyBudget, BodyReservation},
     body_framing::BodyFraming,
     call_forwarder::CallForwarder,
@@ -108,6 +109,7 @@
     engine_protocol::{CopyResponse, EngineProtocol},
     engine_report::{EngineReport, RunningGeneration},
     engine_spec::EngineSpec,
+    engine_wait::reserve_engine,
     engine_watcher::EngineWatcher,
     event_splitter::{EventSplitter, StreamEvent},
     feed_message::{FeedProbe, FeedRecord, FeedRequest, FeedUpdate, PlanConfirmation, TableUpdate},
@@ -174,6 +176,5 @@
     },
     vm_record::VmRecord,
     vm_settings::VmSettings,
-    wait_queue::{WaitQueue, WaiterId},
     zone_reachability::ZoneReachability,
 };
--- a/crates/gateway/src/placement_query.rs
+++ b/crates/gateway/src/placement_query.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use dragonflycart_admission::AdmissionClass;
 use dragonflycart_core::PromptPart;
 
 use crate::{ServerKey, TokenDemand};
@@ -23,6 +24,8 @@
     pub spread_seed: Option<u64>,
     /// Seed of the sample of servers in other zones from which a VM of a large fleet chooses.
     pub sample_seed: u64,
+    /// How the request is admitted, which limits the engine memory that it may fill.
+    pub admission: AdmissionClass,
     /// Servers that must not be used.
     pub excluded: &'a BTreeSet<ServerKey>,
 }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -140,6 +140,7 @@
     let service = choose_service(&route);
     Ok(CallerRequest {
         attempt: attempt.to_owned(),
+        admission: plan.admission_class(&route, &service),
         service,
         team_priority: team.map_or(0, |team| team.priority),
         team: team.map(|team| team.name.clone()),
--- a/crates/gateway/src/route_plan.rs
+++ b/crates/gateway/src/route_plan.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use dragonflycart_admission::AdmissionClass;
+
 use crate::{CallerLimits, PlannedRoute, PlannedService, PlannedTeam};
 
 /// Routes, services, limits and teams of one version of the operators' configuration.
@@ -61,6 +63,29 @@
         self.routes.values().flatten().any(|route| route.name == name && uses(route))
     }
 
+    /// Returns how requests of a route are admitted to the servers of a service. A route is
+    /// deferrable if another route of an engine service is more urgent and has a shorter latency
+    /// target.
+    pub fn admission_class(&self, route: &PlannedRoute, service: &str) -> AdmissionClass {
+        if self.services.get(service).is_none_or(|service| service.engine.is_none()) {
+            return AdmissionClass::Unmanaged;
+        }
+        let uses = |route: &&PlannedRoute| route.services.iter().any(|(used, _)| used == service);
+        let routes: Vec<&PlannedRoute> = self.routes.values().flatten().filter(uses).collect();
+        let is_deferrable = |route: &PlannedRoute| {
+            routes.iter().any(|other| {
+                other.priority < route.priority && other.latency_target < route.latency_target
+            })
+        };
+        if is_deferrable(route) {
+            AdmissionClass::Deferrable
+        } else if routes.iter().any(|other| is_deferrable(other)) {
+            AdmissionClass::Urgent
+        } else {
+            AdmissionClass::Unmanaged
+        }
+    }
+
     /// Returns whether non-public routes require a credential.
     pub fn has_teams(&self) -> bool {
         self.teams.is_some()
--- a/crates/gateway/src/server_reservation.rs
+++ b/crates/gateway/src/server_reservation.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use tokio::time::Instant;
+
 use crate::{GatewayContext, Placement, ServerKey, ServerLoad};
 
 /// Load reserved on a server. It is released on drop, also when the request's task is cancelled
@@ -9,6 +11,7 @@
 pub struct ServerReservation {
     context: Arc<GatewayContext>,
     placement: Placement,
+    reserved_at: Instant,
 }
 
 impl ServerReservation {
@@ -17,7 +20,7 @@
         if placement.load.memory_tokens() > 0 {
             context.load_changes.notify_one();
         }
-        ServerReservation { context: Arc::clone(context), placement }
+        ServerReservation { context: Arc::clone(context), placement, reserved_at: Instant::now() }
     }
 
     /// Returns the key of the server.
@@ -46,7 +49,15 @@
             pending_prompt_tokens: std::mem::take(&mut self.placement.load.pending_prompt_tokens),
             ..ServerLoad::default()
         };
-        self.context.view().release(self.placement.server, read);
+        {
+            let mut view = self.context.view();
+            view.release(self.placement.server, read);
+            if read.pending_prompt_tokens > 0
+                && let Some(service) = view.service_of(self.placement.server)
+            {
+                view.timing_mut(&service).note_start(self.reserved_at.elapsed());
+            }
+        }
         self.context.load_changes.notify_one();
     }
 
@@ -86,9 +97,23 @@
 
 impl Drop for ServerReservation {
     fn drop(&mut self) {
-        self.context.view().release(self.placement.server, self.placement.load);
-        if self.placement.load.memory_tokens() > 0 {
-            self.context.load_changes.notify_one();
+        let Placement { server, load, .. } = self.placement;
+        let service = {
+            let mut view = self.context.view();
+            view.release(server, load);
+            // The memory of an engine that leaves can't be used again.
+            view.service_of(server).filter(|_| !view.is_closed(server))
+        };
+        if load.memory_tokens() == 0 {
+            return;
+        }
+        self.context.load_changes.notify_one();
+        let Some(service) = service else { return };
+        let now = self.context.clock.now();
+        // A request that did not start only returns what it took.
+        if load.tokens > 0 && load.pending_prompt_tokens == 0 {
+            self.context.admission.table().note_freed(&service, load.tokens, now);
         }
+        self.context.admission.wake(&service, now);
     }
 }
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -35,6 +35,8 @@
     pub offset: u64,
     /// Time since which the server is known to be leaving.
     pub leaving_since: Option<MonoTime>,
+    /// Engine memory of its generations when it was found to leave, in tokens.
+    pub tokens_at_leave: u64,
     /// Whether the store contains its registration.
     pub is_registered: bool,
     /// Whether it announced its shutdown itself.
@@ -77,6 +79,7 @@
             record,
             offset,
             leaving_since,
+            tokens_at_leave: 0,
             recovered_at: None,
             expired_at: None,
             ended_at: None,
@@ -96,8 +99,8 @@
 
     /// Applies a newer registration of the same incarnation.
     pub fn update(&mut self, record: ServerRecord, offset: u64, now: MonoTime) {
-        if record.is_draining && self.leaving_since.is_none() {
-            self.leaving_since = Some(now);
+        if record.is_draining {
+            self.mark_leaving(now);
         }
         if !record.cold_left.is_zero() {
             self.cold_until = self.cold_until.max(now + record.cold_left);
@@ -109,6 +112,14 @@
         self.offset = offset;
     }
 
+    /// Records that the server is leaving, if that is not known yet.
+    pub fn mark_leaving(&mut self, now: MonoTime) {
+        if self.leaving_since.is_none() {
+            self.tokens_at_leave = self.total_load(now).tokens;
+            self.leaving_since = Some(now);
+        }
+    }
+
     /// Returns whether new requests may be sent to the server.
     pub fn accepts_requests(&self, now: MonoTime) -> bool {
         self.leaving_since.is_none() && now >= self.paused_until && !self.declines_requests(now)
--- /dev/null
+++ b/crates/gateway/tests/all/admission.rs
@@ -0,0 +1,221 @@
+//! Admission to engines with a deferrable route. Each test describes its load pattern.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use dragonflycart_admission::AdmissionClass;
+use dragonflycart_core::ErrorKind;
+use dragonflycart_gateway::{
+    CallerLimits, CallerRequest, FleetView, GatewayContext, PlacementQuery, PlannedRoute,
+    PlannedService, RouteKind, RoutePlan, ServerLoad, TokenDemand, reserve_engine,
+};
+
+use crate::{
+    fixtures::{
+        DESK, ENGINES, MEMORY_TOKENS, at, caller_request, context, engine_spec, query, record,
+        report, route, view,
+    },
+    stub_store::StubStore,
+};
+
+fn route_of(name: &str, priority: u8, target_ms: u64, service: &str) -> PlannedRoute {
+    PlannedRoute {
+        priority,
+        latency_target: Duration::from_millis(target_ms),
+        time_limit: Duration::from_secs(39),
+        ..route(name, &format!("/{name}/"), RouteKind::Stream, service)
+    }
+}
+
+fn plan_of(routes: &[PlannedRoute]) -> RoutePlan {
+    let service = |name: &str, engine| PlannedService {
+        name: name.to_owned(),
+        cold_rate: 0.0,
+        health_path: "/health".to_owned(),
+        engine,
+    };
+    let limits = CallerLimits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let services = vec![service(ENGINES, Some(engine_spec())), service(DESK, None)];
+    RoutePlan::new(2, routes.to_vec(), services, limits, None)
+}
+
+fn classes(routes: &[PlannedRoute]) -> Vec<AdmissionClass> {
+    let plan = plan_of(routes);
+    routes.iter().map(|route| plan.admission_class(route, &route.services[0].0)).collect()
+}
+
+/// Pattern: the two deployments of `hard-load.md`. Their long streams are deferrable.
+#[test]
+fn less_urgent_route_with_a_longer_target_is_deferrable() {
+    for (rank, target_ms) in [(2, 4_000), (1, 1_800)] {
+        let long = route_of("reports", rank, target_ms, ENGINES);
+        let short = route_of("verdicts", 0, 1_500, ENGINES);
+
+        assert_eq!(classes(&[long, short]), [AdmissionClass::Deferrable, AdmissionClass::Urgent]);
+    }
+}
+
+/// Pattern: earlier deployments. Their order and limits must stay as they were.
+#[test]
+fn other_services_are_not_managed() {
+    let unmanaged = AdmissionClass::Unmanaged;
+    let same_rank =
+        [route_of("reports", 1, 4_000, ENGINES), route_of("verdicts", 1, 1_500, ENGINES)];
+    let less_urgent_but_faster =
+        [route_of("reports", 1, 1_000, ENGINES), route_of("verdicts", 0, 1_500, ENGINES)];
+    let plain = [route_of("bookings", 1, 4_000, DESK), route_of("urgent", 0, 1_500, DESK)];
+    let apart = [route_of("bookings", 1, 4_000, DESK), route_of("verdicts", 0, 1_500, ENGINES)];
+
+    for routes in [same_rank, less_urgent_but_faster, plain, apart] {
+        assert_eq!(classes(&routes), [unmanaged, unmanaged], "{routes:?}");
+    }
+}
+
+fn query_of(
+    class: AdmissionClass,
+    excluded: &BTreeSet<dragonflycart_gateway::ServerKey>,
+) -> PlacementQuery<'_> {
+    PlacementQuery { admission: class, ..query(report(), excluded) }
+}
+
+/// Lets one of five engines leave with `tokens`, and fills the others to `fill`.
+fn view_after_leave(tokens: u64, fill: f64) -> FleetView {
+    let mut view = view(&["a"; 5]);
+    let load = |tokens| ServerLoad { requests: 5, tokens, ..ServerLoad::default() };
+    view.note_peer_load(7, "e0", load(tokens), at(0));
+    for id in ["e1", "e2", "e3", "e4"] {
+        view.note_peer_load(7, id, load((MEMORY_TOKENS as f64 * fill) as u64), at(0));
+    }
+    view.note_leaving("e0", Some(1), true, at(10));
+    view
+}
+
+/// Pattern: full engines leave every few seconds. Generations that have to move found no room on
+/// engines that were full of other long ones.
+#[test]
+fn deferrable_requests_leave_room_for_moves_and_urgent_requests() {
+    let excluded = BTreeSet::new();
+    let mut view = view_after_leave(20_000, 0.75);
+    let moved = PlacementQuery { preferred_zone: Some("a"), ..query(report(), &excluded) };
+
+    let deferrable = view.place(&query_of(AdmissionClass::Deferrable, &excluded), at(20));
+    let urgent = view.place(&query_of(AdmissionClass::Urgent, &excluded), at(20));
+    let moved = view.place(&moved, at(20));
+
+    assert!(
+        (view.move_room(ENGINES, at(20)) - 20_000.0 / (4.0 * MEMORY_TOKENS as f64)).abs() < 0.001
+    );
+    assert_eq!(deferrable, Err(ErrorKind::Overloaded));
+    assert!(urgent.is_ok());
+    assert!(moved.is_ok());
+}
+
+/// Pattern: no engine left lately. The room must not lie idle.
+#[test]
+fn deferrable_requests_use_all_room_while_no_engine_leaves() {
+    let excluded = BTreeSet::new();
+    let mut view = view_after_leave(20_000, 0.75);
+    let load = ServerLoad { requests: 5, tokens: 20_000, ..ServerLoad::default() };
+    for id in ["e1", "e2", "e3", "e4"] {
+        view.note_peer_load(7, id, load, at(11_000));
+    }
+
+    assert!(view.place(&query_of(AdmissionClass::Deferrable, &excluded), at(11_000)).is_ok());
+}
+
+/// Pattern: an empty engine and a request larger than the limit of deferrable ones. It must not wait
+/// for room that never becomes free.
+#[test]
+fn large_deferrable_request_goes_to_an_empty_engine() {
+    let excluded = BTreeSet::new();
+    let mut view = view(&["a"]);
+    let huge = TokenDemand::estimate(2 * MEMORY_TOKENS, 10, None);
+    let query = PlacementQuery { demand: huge, ..query_of(AdmissionClass::Deferrable, &excluded) };
+
+    assert!(view.room_tokens(&query, at(0)) >= huge.reserved_tokens());
+    assert!(view.place(&query, at(0)).is_ok());
+}
+
+/// Pattern: placements until no more fit. The room that estimates are based on must be that which
+/// placement finds.
+#[test]
+fn room_is_what_placement_can_use() {
+    let excluded = BTreeSet::new();
+    for class in [AdmissionClass::Deferrable, AdmissionClass::Urgent] {
+        let mut view = view_after_leave(15_000, 0.3);
+        let query = query_of(class, &excluded);
+        let expected = view.room_tokens(&query, at(20)) / report().reserved_tokens();
+
+        let mut placed = 0;
+        while view.place(&query, at(20)).is_ok() {
+            placed += 1;
+        }
+
+        assert_eq!(placed, expected, "{class}");
+    }
+}
+
+/// Returns the context of a VM with one full engine, whose memory becomes free at `per_second`
+/// tokens per second.
+fn busy_context(per_second: u64) -> Arc<GatewayContext> {
+    let context = context(Arc::new(StubStore::default()));
+    let now = context.clock.now();
+    let mut view = context.view();
+    view.apply_server("e0", record(ENGINES, "a", 8_000), 0, now);
+    let load = ServerLoad { requests: 7, tokens: MEMORY_TOKENS, ..ServerLoad::default() };
+    view.note_peer_load(7, "e0", load, now);
+    drop(view);
+    for _ in 0..5 {
+        context.admission.table().note_freed(ENGINES, per_second / 5, now);
+    }
+    context
+}
+
+fn request_of(context: &GatewayContext, target_ms: u64) -> CallerRequest {
+    CallerRequest {
+        admission: AdmissionClass::Deferrable,
+        ..caller_request(context, route_of("reports", 2, target_ms, ENGINES), report())
+    }
+}
+
+/// Pattern: overload. A request that can't begin before its caller gives up was kept until then, and
+/// its caller could not use the time to try again.
+#[tokio::test]
+async fn request_that_would_wait_in_vain_is_refused_on_arrival() {
+    let context = busy_context(500);
+    let request = request_of(&context, 500);
+
+    let began = tokio::time::Instant::now();
+    let refusal = reserve_engine(&context, &request, &BTreeSet::new()).await.err().unwrap();
+
+    assert!(began.elapsed() < Duration::from_millis(200), "{:?}", began.elapsed());
+    assert_eq!(refusal.kind, ErrorKind::Overloaded);
+    // 3,576 tokens at 500 per second.
+    let retry_after = refusal.retry_after.unwrap();
+    assert!((6_000..8_000).contains(&retry_after.as_millis()), "{retry_after:?}");
+    assert_eq!(context.admission.table().queue.count(ENGINES), 0);
+}
+
+/// Pattern: a short overload, or a VM that knows nothing about the engines yet. The request waits as
+/// long as its caller does, and begins at once when room becomes free.
+#[tokio::test]
+async fn request_waits_while_it_may_be_served() {
+    for per_second in [4_000, 0] {
+        let context = busy_context(per_second);
+        let request = request_of(&context, 500);
+        let later = Arc::clone(&context);
+        tokio::spawn(async move {
+            // Three latency targets, the limit of other services, have passed by then.
+            tokio::time::sleep(Duration::from_millis(1_600)).await;
+            later.view().clear_peer_loads(7, &BTreeSet::new());
+        });
+
+        let reservation = reserve_engine(&context, &request, &BTreeSet::new()).await;
+
+        assert!(reservation.is_ok(), "{per_second}: {:?}", reservation.err());
+    }
+}
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use dragonflycart_admission::AdmissionClass;
 use dragonflycart_core::MonoTime;
 use dragonflycart_gateway::{
     CallerLimits, CallerRequest, EngineSpec, ExposureLimit, FleetOrder, FleetStore, FleetView,
@@ -146,6 +147,7 @@
         moved_tokens: 0,
         spread_seed: None,
         sample_seed: 0,
+        admission: AdmissionClass::Unmanaged,
         excluded,
     }
 }
@@ -199,6 +201,7 @@
     CallerRequest {
         attempt: "a1".to_owned(),
         service: route.services[0].0.clone(),
+        admission: AdmissionClass::Unmanaged,
         deadline: arrived + route.time_limit,
         route,
         team: None,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions without network, and of its connections on the loopback
 //! interface.
 
+mod admission;
 mod call_forwarding;
 mod clocks;
 mod fixtures;
--- a/crates/gateway/tests/all/placements.rs
+++ b/crates/gateway/tests/all/placements.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dragonflycart_core::ErrorKind;
-use dragonflycart_gateway::{PlacementQuery, ServerLoad, TokenDemand, VmSettings, WaitQueue};
+use dragonflycart_gateway::{PlacementQuery, ServerLoad, TokenDemand, VmSettings};
 
 use crate::fixtures::{MEMORY_TOKENS, at, key_of, query, report, settings, view, view_of};
 
@@ -196,44 +196,6 @@
     assert!(beyond > demand.prompt_tokens + 2 * demand.expected_tokens());
 }
 
-/// Pattern: large requests among small ones. If small requests overtook a waiting large one, they
-/// would take all memory that becomes free and starve it.
-#[test]
-fn wait_queue_serves_in_order_whatever_the_size() {
-    let mut queue = WaitQueue::default();
-    let first = queue.enqueue("assistant", 0, at(1_500));
-    let second = queue.enqueue("assistant", 0, at(1_500));
-
-    assert!(queue.is_first(first, at(0)));
-    assert!(!queue.is_first(second, at(0)));
-    queue.remove(first);
-    assert!(queue.is_first(second, at(0)));
-}
-
-/// Pattern: overload. Serving requests that are already late first would make further ones late.
-#[test]
-fn late_requests_wait_behind_those_that_can_be_on_time() {
-    let mut queue = WaitQueue::default();
-    let late = queue.enqueue("assistant", 0, at(100));
-    let urgent_late = queue.enqueue("assistant", 0, at(150));
-    let timely = queue.enqueue("assistant", 3, at(1_500));
-
-    assert!(queue.is_first(late, at(50)));
-    assert!(queue.is_first(timely, at(200)));
-    assert!(!queue.is_first(urgent_late, at(200)));
-}
-
-/// Pattern: requests of several services, which must not wait for each other.
-#[test]
-fn wait_queue_is_kept_per_service() {
-    let mut queue = WaitQueue::default();
-    queue.enqueue("assistant", 0, at(1_500));
-    let other = queue.enqueue("drafter", 9, at(1_500));
-
-    assert!(queue.is_first(other, at(0)));
-    assert_eq!(queue.count("assistant"), 1);
-}
-
 /// Pattern: requests that end. Their whole load must be released.
 #[test]
 fn released_load_makes_room_again() {
