admission: share demand and the use of teams over the fleet

Each VM ordered and estimated by its own requests only: an urgent request waited at one VM while another gave the room to less urgent ones, and a team that sent to many VMs looked small at each.

- Reports carry, for services with a deferrable route, the waiting requests and their tokens by rank, the tokens freed per second (tag 16), and the decayed use of the sender's eight largest teams (tag 17).
What does not fit into a datagram is left out: teams, then demand, then leaving servers.
- A request leaves scarce room to more urgent ones that wait elsewhere, if that was reported within two intervals and one second at most.
The demand is divided among the VMs with such requests or less urgent ones.
- Estimates count the requests ahead and the memory that becomes free at all VMs, and those requests that go first once the request is late.
- Among equal lateness and rank, the request of the team with the least decayed use over all VMs goes first; those that waited for half of their maximum wait go first by arrival.
- A VM that was suspended drops its figures.

encode_report moves to PeerReport::into_datagram.

--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -4,7 +4,10 @@
 
 use dragonflycart_core::MonoTime;
 
-use crate::{EstimateInputs, FreedRate, TeamUse, WaitEstimate, WaitQueue, WaiterId};
+use crate::{
+    EstimateInputs, FleetDemand, FreedRate, ServiceDemand, TeamUse, WaitEstimate, WaitQueue,
+    Waiter, WaiterId,
+};
 
 /// Weight of a new sample in the average of the ratio of waits, which thus covers about ten samples.
 const AVERAGE_WEIGHT: f64 = 0.1;
@@ -15,6 +18,8 @@
 /// Engine memory and waits of one service.
 #[derive(Debug, Clone, Copy, Default)]
 struct ServiceFlow {
+    /// Whether the service has a deferrable route.
+    is_managed: bool,
     freed: FreedRate,
     /// Average logarithm of the ratio of real to estimated waits.
     wait_ratio_ln: f64,
@@ -28,15 +33,33 @@
     pub queue: WaitQueue,
     /// Recent use of the teams.
     pub team_use: TeamUse,
+    /// Demand that the other VMs reported.
+    pub fleet_demand: FleetDemand,
     flows: BTreeMap<String, ServiceFlow>,
 }
 
 impl AdmissionTable {
+    /// Adds a waiting request.
+    pub fn enqueue(&mut self, waiter: Waiter, now: MonoTime) -> WaiterId {
+        self.flow(&waiter.service).is_managed = waiter.class.is_managed();
+        self.queue.enqueue(waiter, now)
+    }
+
     /// Records that the end of a generation freed memory of an engine that stays.
     pub fn note_freed(&mut self, service: &str, tokens: u64, now: MonoTime) {
         self.flow(service).freed.note(tokens, now);
     }
 
+    /// Forgets all figures that depend on the time, but not the waiting requests. A VM that was
+    /// suspended can't tell how old they are.
+    pub fn forget_figures(&mut self) {
+        self.fleet_demand.clear();
+        self.team_use = TeamUse::default();
+        for flow in self.flows.values_mut() {
+            *flow = ServiceFlow { is_managed: flow.is_managed, ..ServiceFlow::default() };
+        }
+    }
+
     /// Returns whether it is a request's turn to look for room.
     pub fn has_turn(&mut self, id: WaiterId, now: MonoTime) -> bool {
         self.queue.has_turn(id, &self.team_use, now)
@@ -47,27 +70,59 @@
         self.queue.candidates(service, &self.team_use, now)
     }
 
+    /// Returns the tokens of more urgent requests of other VMs to which a request gives way.
+    pub fn urgent_share(&mut self, id: WaiterId, service: &str, now: MonoTime) -> u64 {
+        let Some((is_late, rank)) = self.queue.order_of(id, now) else { return 0 };
+        self.fleet_demand.urgent_share(service, is_late, rank, now)
+    }
+
     /// Returns the inputs of the estimate of a new request's wait. `room_tokens` is the memory that
-    /// it and the requests before it could take at once.
+    /// it and the requests before it could take at once, and `late_in` the time until it is late.
     pub fn estimate_inputs(
         &mut self,
         id: WaiterId,
-        service: &str,
-        own_tokens: u64,
+        waiter: (&str, u64),
+        late_in: Duration,
         room_tokens: u64,
         now: MonoTime,
     ) -> EstimateInputs {
+        let (service, own_tokens) = waiter;
         let flow = *self.flow(service);
+        let (mut ahead_tokens, mut late_tokens) = self.queue.tokens_ahead(id, now);
+        if let Some((is_late, rank)) = self.queue.order_of(id, now) {
+            let ahead = self.fleet_demand.tokens_ahead(service, is_late, rank, now);
+            let ahead_when_late = self.fleet_demand.tokens_ahead(service, true, rank, now);
+            ahead_tokens += ahead;
+            late_tokens += ahead_when_late - ahead;
+        }
+        let (freed_per_s, freed_samples) = self.fleet_demand.freed(service, now);
         EstimateInputs {
-            ahead_tokens: self.queue.tokens_ahead(id, now),
+            ahead_tokens,
+            late_tokens,
+            late_in,
             own_tokens,
             room_tokens,
-            freed_per_s: flow.freed.per_second(now),
-            freed_samples: flow.freed.samples(now),
+            freed_per_s: freed_per_s + flow.freed.per_second(now),
+            freed_samples: freed_samples + flow.freed.samples(now),
             wait_ratio: (flow.wait_ratio_ln.exp(), flow.waits),
         }
     }
 
+    /// Returns the demand at this VM for each service with a deferrable route, to be reported to the
+    /// others.
+    pub fn own_demand(&mut self, now: MonoTime) -> BTreeMap<String, ServiceDemand> {
+        let mut services = BTreeMap::new();
+        for (service, flow) in self.flows.iter().filter(|(_, flow)| flow.is_managed) {
+            let demand = ServiceDemand {
+                ranks: self.queue.demand(service, now),
+                freed_per_s: flow.freed.per_second(now),
+                freed_samples: flow.freed.samples(now),
+            };
+            services.insert(service.clone(), demand);
+        }
+        services
+    }
+
     /// Compares an estimate with the real wait of a request that got an engine, or with the time after
     /// which it gave up.
     pub fn note_wait(&mut self, service: &str, estimate: WaitEstimate, wait_s: f64) {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod admission_class;
 mod admission_table;
+mod fleet_demand;
 mod freed_rate;
+mod give_way;
 mod leave_history;
 mod service_queue;
 mod team_use;
@@ -17,7 +19,9 @@
 pub use crate::{
     admission_class::AdmissionClass,
     admission_table::AdmissionTable,
+    fleet_demand::{FleetDemand, RankDemand, ServiceDemand},
     freed_rate::FreedRate,
+    give_way::GiveWay,
     leave_history::LeaveHistory,
     team_use::TeamUse,
     wait_estimate::{EstimateInputs, WaitEstimate, maximum_wait},
--- a/crates/admission/src/service_queue.rs
+++ b/crates/admission/src/service_queue.rs
@@ -4,7 +4,7 @@
 
 use dragonflycart_core::MonoTime;
 
-use crate::{AdmissionClass, TeamUse, Waiter, WaiterId};
+use crate::{AdmissionClass, RankDemand, TeamUse, Waiter, WaiterId};
 
 /// Order of groups of waiting requests. The first one goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -147,22 +147,36 @@
         candidates
     }
 
-    /// Returns the tokens of the requests that go before the newest one of a rank and class. Whether
-    /// a request of the same rank goes first may still depend on its team.
-    pub(crate) fn tokens_ahead(&mut self, id: WaiterId, now: MonoTime) -> u64 {
+    /// Returns the tokens of the requests that go before the newest one of a rank and class, and of
+    /// those that do so in addition when it is late. Whether a request of the same rank goes first
+    /// may still depend on its team.
+    pub(crate) fn tokens_ahead(&mut self, id: WaiterId, now: MonoTime) -> (u64, u64) {
         self.advance(now);
-        let Some(queued) = self.waiters.get(&id) else { return 0 };
-        let ahead = self.lanes.range(..=queued.lane).map(|(_, lane)| lane.tokens);
-        ahead.sum::<u64>().saturating_sub(queued.waiter.tokens)
+        let Some(queued) = self.waiters.get(&id) else { return (0, 0) };
+        let late_lane = LaneKey { is_late: true, ..queued.lane };
+        let (mut ahead, mut late) = (0, 0);
+        for (key, lane) in self.lanes.range(..=late_lane) {
+            let sum = if *key <= queued.lane { &mut ahead } else { &mut late };
+            *sum += lane.tokens;
+        }
+        (ahead - queued.waiter.tokens, late)
     }
 
-    /// Returns the number of waiting requests and their tokens, by rank.
-    pub(crate) fn demand(&self) -> BTreeMap<u8, (usize, u64)> {
-        let mut demand = BTreeMap::new();
+    /// Returns whether a request is late, and its rank.
+    pub(crate) fn order_of(&mut self, id: WaiterId, now: MonoTime) -> Option<(bool, u8)> {
+        self.advance(now);
+        self.waiters.get(&id).map(|queued| (queued.lane.is_late, queued.lane.rank))
+    }
+
+    /// Returns the waiting requests by rank.
+    pub(crate) fn demand(&mut self, now: MonoTime) -> BTreeMap<u8, RankDemand> {
+        self.advance(now);
+        let mut demand = BTreeMap::<u8, RankDemand>::new();
         for (key, lane) in &self.lanes {
-            let (count, tokens) = demand.entry(key.rank).or_insert((0, 0));
-            *count += lane.count;
-            *tokens += lane.tokens;
+            let rank = demand.entry(key.rank).or_default();
+            rank.waiting += lane.count as u32;
+            rank.tokens += lane.tokens;
+            rank.timely_tokens += if key.is_late { 0 } else { lane.tokens };
         }
         demand
     }
--- a/crates/admission/src/team_use.rs
+++ b/crates/admission/src/team_use.rs
@@ -50,18 +50,16 @@
         self.totals.entry(team.to_owned()).or_default().add(tokens as f64, now);
     }
 
-    /// Replaces the use that the VM with this ID reported.
+    /// Replaces the use that the VM with this ID reported of some teams. What it reported of others
+    /// before decays, as it does there.
     pub fn note_report(&mut self, peer: u64, teams: &BTreeMap<String, u64>, now: MonoTime) {
-        for (team, old) in self.peers.remove(&peer).unwrap_or_default() {
-            self.totals.entry(team).or_default().add(-old.at(now), now);
-        }
-        let mut reported = BTreeMap::new();
+        let reported = self.peers.entry(peer).or_default();
         for (team, tokens) in teams {
-            let tokens = *tokens as f64;
-            self.totals.entry(team.clone()).or_default().add(tokens, now);
-            reported.insert(team.clone(), DecayedTokens { tokens, updated_at: now });
+            let known = reported.entry(team.clone()).or_default();
+            let change = *tokens as f64 - known.at(now);
+            *known = DecayedTokens { tokens: *tokens as f64, updated_at: now };
+            self.totals.entry(team.clone()).or_default().add(change, now);
         }
-        self.peers.insert(peer, reported);
         self.forget(now);
     }
 
@@ -84,6 +82,9 @@
     fn forget(&mut self, now: MonoTime) {
         self.own.retain(|_, tokens| tokens.at(now) >= LEAST_TOKENS);
         self.totals.retain(|_, tokens| tokens.at(now) >= LEAST_TOKENS);
-        self.peers.retain(|_, teams| teams.values().any(|tokens| tokens.at(now) >= LEAST_TOKENS));
+        for teams in self.peers.values_mut() {
+            teams.retain(|_, tokens| tokens.at(now) >= LEAST_TOKENS);
+        }
+        self.peers.retain(|_, teams| !teams.is_empty());
     }
 }
--- a/crates/admission/src/wait_estimate.rs
+++ b/crates/admission/src/wait_estimate.rs
@@ -31,6 +31,10 @@
 pub struct EstimateInputs {
     /// Tokens of the requests that go before this one.
     pub ahead_tokens: u64,
+    /// Tokens of the requests that go before it, too, when it is late.
+    pub late_tokens: u64,
+    /// Time until it is late.
+    pub late_in: Duration,
     /// Tokens that the request itself needs.
     pub own_tokens: u64,
     /// Tokens of engine memory that the request and those before it could take at once.
@@ -57,7 +61,15 @@
 impl WaitEstimate {
     /// Estimates the wait.
     pub fn from_inputs(inputs: EstimateInputs) -> WaitEstimate {
-        let needed = (inputs.ahead_tokens + inputs.own_tokens).saturating_sub(inputs.room_tokens);
+        let timely = WaitEstimate::of_tokens(inputs.ahead_tokens, inputs);
+        if timely.wait <= inputs.late_in {
+            return timely;
+        }
+        WaitEstimate::of_tokens(inputs.ahead_tokens + inputs.late_tokens, inputs)
+    }
+
+    fn of_tokens(ahead_tokens: u64, inputs: EstimateInputs) -> WaitEstimate {
+        let needed = (ahead_tokens + inputs.own_tokens).saturating_sub(inputs.room_tokens);
         if needed == 0 {
             return WaitEstimate {
                 wait: Duration::ZERO,
--- a/crates/admission/src/wait_queue.rs
+++ b/crates/admission/src/wait_queue.rs
@@ -4,7 +4,7 @@
 
 use dragonflycart_core::MonoTime;
 
-use crate::{TeamUse, Waiter, WaiterId, service_queue::ServiceQueue};
+use crate::{RankDemand, TeamUse, Waiter, WaiterId, service_queue::ServiceQueue};
 
 /// Requests of one VM that wait for an engine. The first request of a service gets the next engine
 /// with capacity. Requests that can still meet their latency target go before late ones, then the
@@ -66,9 +66,14 @@
     }
 
     /// Returns the tokens of the requests that go before a new one, or may do so if their teams have
-    /// less use.
-    pub fn tokens_ahead(&mut self, id: WaiterId, now: MonoTime) -> u64 {
-        self.queue_of(id).map_or(0, |queue| queue.tokens_ahead(id, now))
+    /// less use, and of those that do so in addition when it is late.
+    pub fn tokens_ahead(&mut self, id: WaiterId, now: MonoTime) -> (u64, u64) {
+        self.queue_of(id).map_or((0, 0), |queue| queue.tokens_ahead(id, now))
+    }
+
+    /// Returns whether a request is late, and its rank.
+    pub fn order_of(&mut self, id: WaiterId, now: MonoTime) -> Option<(bool, u8)> {
+        self.queue_of(id)?.order_of(id, now)
     }
 
     /// Returns the number of requests that wait for a service.
@@ -76,9 +81,10 @@
         self.services.get(service).map_or(0, ServiceQueue::count)
     }
 
-    /// Returns the number of waiting requests and their tokens, by service and rank.
-    pub fn demand(&self) -> impl Iterator<Item = (&str, BTreeMap<u8, (usize, u64)>)> {
-        self.services.iter().map(|(service, queue)| (service.as_str(), queue.demand()))
+    /// Returns the requests that wait for a service, by rank.
+    pub fn demand(&mut self, service: &str, now: MonoTime) -> BTreeMap<u8, RankDemand> {
+        let queue = self.services.get_mut(service);
+        queue.map(|queue| queue.demand(now)).unwrap_or_default()
     }
 
     fn queue_of(&mut self, id: WaiterId) -> Option<&mut ServiceQueue> {
--- a/crates/admission/tests/all/estimates.rs
+++ b/crates/admission/tests/all/estimates.rs
@@ -80,18 +80,31 @@
         table.note_freed(ENGINES, LONG_TOKENS, at(index * 100));
     }
     let now = at(5_000);
-    let id = table.queue.enqueue(long("a", now), now);
-    let inputs = table.estimate_inputs(id, ENGINES, 35_000, 0, now);
+    let id = table.enqueue(long("a", now), now);
+    let inputs = table.estimate_inputs(id, (ENGINES, 35_000), Duration::MAX, 0, now);
     let before = WaitEstimate::from_inputs(inputs);
 
     for _ in 0..40 {
         table.note_wait(ENGINES, before, 2.0 * before.uncorrected.as_secs_f64());
     }
 
-    let inputs = table.estimate_inputs(id, ENGINES, 35_000, 0, now);
+    let inputs = table.estimate_inputs(id, (ENGINES, 35_000), Duration::MAX, 0, now);
     let after = WaitEstimate::from_inputs(inputs);
     let ratio = after.wait.as_secs_f64() / before.wait.as_secs_f64();
     assert!((1.9..2.1).contains(&ratio), "{ratio}");
     assert!(!after.is_doubtful);
     assert_eq!(after.uncorrected, before.uncorrected);
 }
+
+/// Pattern: many requests wait that are late. A request that begins in time does not wait for them;
+/// one that becomes late goes behind them.
+#[test]
+fn late_requests_count_only_if_the_wait_makes_the_request_late() {
+    let late = EstimateInputs { late_tokens: 50_000, ..inputs() };
+
+    let timely = EstimateInputs { late_in: Duration::from_secs(3), ..late };
+    let becomes_late = EstimateInputs { late_in: Duration::from_secs(1), ..late };
+
+    assert_eq!(WaitEstimate::from_inputs(timely).wait, Duration::from_secs(2));
+    assert_eq!(WaitEstimate::from_inputs(becomes_late).wait, Duration::from_secs(7));
+}
--- a/crates/admission/tests/all/fixtures.rs
+++ b/crates/admission/tests/all/fixtures.rs
@@ -59,6 +59,8 @@
 pub(crate) fn inputs() -> EstimateInputs {
     EstimateInputs {
         ahead_tokens: 17_000,
+        late_tokens: 0,
+        late_in: Duration::from_millis(1_500),
         own_tokens: 3_000,
         room_tokens: 0,
         freed_per_s: 10_000.0,
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -2,5 +2,8 @@
 
 mod estimates;
 mod fixtures;
+mod fleet_model;
+mod fleets;
 mod leaves;
 mod queues;
+mod shares;
--- a/crates/gateway/src/admission/engine_admission.rs
+++ b/crates/gateway/src/admission/engine_admission.rs
@@ -24,7 +24,7 @@
 
     /// Adds a waiting request. Returns its ID and what wakes it.
     pub(crate) fn enqueue(&self, waiter: Waiter, now: MonoTime) -> (WaiterId, Arc<Notify>) {
-        let id = self.table().queue.enqueue(waiter, now);
+        let id = self.table().enqueue(waiter, now);
         let waker = Arc::new(Notify::new());
         self.wakers().insert(id, Arc::clone(&waker));
         (id, waker)
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use dragonflycart_admission::{EstimateInputs, WaitEstimate, maximum_wait};
+use dragonflycart_admission::{EstimateInputs, GiveWay, WaitEstimate, maximum_wait};
 use dragonflycart_core::ErrorKind;
 use tokio::time::Instant;
 use tracing::info;
@@ -41,13 +41,16 @@
     let give_up_at = (request.arrived + maximum).min(request.deadline);
     let mut estimate = None;
     let mut tries = 0_u32;
+    let mut give_way = GiveWay::default();
     loop {
         server_attempt::check_stop(context)?;
         key_check::check_request(context, request)?;
         prompt_check::check_request(context, request)?;
         if entry.has_turn() {
             tries += 1;
-            if let Some(reservation) = GenerationReservation::take(context, request, excluded) {
+            if !gives_way(context, request, &entry, excluded, &mut give_way)
+                && let Some(reservation) = GenerationReservation::take(context, request, excluded)
+            {
                 note_wait(context, request, estimate, began);
                 charge(context, request);
                 return Ok(reservation);
@@ -92,6 +95,26 @@
     maximum_wait(target, expected.unwrap_or_default())
 }
 
+/// Returns whether the request leaves the room for now to more urgent ones of other VMs.
+fn gives_way(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    entry: &QueueEntry<'_>,
+    excluded: &BTreeSet<ServerKey>,
+    give_way: &mut GiveWay,
+) -> bool {
+    if !request.admission.is_managed() {
+        return false;
+    }
+    let now = context.clock.now();
+    let share = context.admission.table().urgent_share(entry.id(), &request.service, now);
+    if share == 0 {
+        return false;
+    }
+    let room = context.view().room_tokens(&request.query(excluded), now);
+    give_way.gives_way(request.demand.reserved_tokens(), share, room, now)
+}
+
 fn estimate_inputs(
     context: &GatewayContext,
     request: &CallerRequest,
@@ -101,7 +124,10 @@
     let now = context.clock.now();
     let room = context.view().room_tokens(&request.query(excluded), now);
     let own = request.demand.reserved_tokens();
-    context.admission.table().estimate_inputs(entry.id(), &request.service, own, room, now)
+    let late_at = request.arrived + request.route.latency_target;
+    let late_in = late_at.saturating_duration_since(Instant::now());
+    let waiter = (request.service.as_str(), own);
+    context.admission.table().estimate_inputs(entry.id(), waiter, late_in, room, now)
 }
 
 /// Compares the estimate with the real wait, if the request had to wait.
@@ -140,6 +166,7 @@
         wait_ms = estimate.wait.as_millis() as u64,
         left_ms = left.as_millis() as u64,
         ahead_tokens = inputs.ahead_tokens,
+        late_tokens = inputs.late_tokens,
         own_tokens = inputs.own_tokens,
         room_tokens = inputs.room_tokens,
         freed_per_s = inputs.freed_per_s as u64,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -97,7 +97,7 @@
 mod zone_reachability;
 
 pub use crate::{
-    admission::EngineAdmission,
+    admission::{EngineAdmission, apply_report, fill_report},
     body_budget::{BodyBudget, BodyReservation},
     body_framing::BodyFraming,
     call_forwarder::CallForwarder,
@@ -134,7 +134,10 @@
     memory::{MemoryBudget, MemoryReservation, ResponseMemory, StreamMemory},
     move_schedule::{CopyStart, MoveSchedule},
     peer_exchange::PeerExchange,
-    peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, VersionMoveEntry},
+    peer_report::{
+        DemandEntry, LeavingEntry, LoadEntry, PeerEntry, PeerReport, RankEntry, RouteEntry,
+        TeamEntry, VersionMoveEntry,
+    },
     peer_table::PeerTable,
     placement::Placement,
     placement_query::PlacementQuery,
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -13,9 +13,10 @@
 use tracing::{info, warn};
 
 use crate::{
-    FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ReportRecipients,
-    ResultCounts, RouteEntry, RouteResults, ServerLoad, UsualResults, VersionMove,
-    VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
+    BootTime, FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport,
+    ReportRecipients, ResultCounts, RouteEntry, RouteResults, ServerLoad, UsualResults,
+    VersionMove, VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
+    admission::{apply_report, fill_report},
     containment::evidence_exchange::EvidenceExchange,
 };
 
@@ -31,10 +32,11 @@
 /// Interval, in number of reports, at which a report names other VMs. Reports cross zones, and that
 /// traffic is billed by the byte.
 const NAMING_INTERVAL: u64 = 8;
-/// Maximum datagram size, in bytes. It fits the usual MTU.
-const DATAGRAM_BYTES: usize = 1_400;
 /// Minimum time for which a VM keeps reporting a server as leaving.
 const LEAVING_REPEATED: Duration = Duration::from_millis(800);
+/// Time by which a report may be late on a busy VM before the VM counts as suspended since the last
+/// one.
+const SUSPENSION_SLACK: Duration = Duration::from_secs(1);
 /// Time after the start during which registered VMs count as running even if no report was received
 /// from them.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -46,6 +48,8 @@
     evidence: EvidenceExchange,
     sequence: u64,
     started: Instant,
+    /// Time of the last report, by the clock that keeps running while the VM is suspended.
+    reported_at: BootTime,
 }
 
 impl PeerExchange {
@@ -58,6 +62,7 @@
             socket,
             sequence: 0,
             started: Instant::now(),
+            reported_at: BootTime::now(),
         }
     }
 
@@ -72,7 +77,7 @@
         });
         tokio::spawn(EvidenceExchange::new(&self.context, &self.socket).run());
         let mut next_report = Instant::now();
-        let mut buffer = vec![0_u8; 2 * DATAGRAM_BYTES];
+        let mut buffer = vec![0_u8; 2 * PeerReport::DATAGRAM_BYTES];
         loop {
             tokio::select! {
                 received = self.socket.recv_from(&mut buffer) => match received {
@@ -139,6 +144,8 @@
             self.evidence.send_to(origin).await;
         }
         self.apply_peers(&report);
+        let interval = self.context.peers().report_interval();
+        apply_report(&report, &mut self.context.admission.table(), interval, now);
         let mut view = self.context.view();
         apply_loads(&mut view, &report, now);
         let mut changed = apply_version_moves(&mut view, &report, now);
@@ -159,7 +166,7 @@
     /// Sends a report of another zone to the VMs of this one.
     async fn relay(&self, report: PeerReport) {
         let recipients = self.context.peers().zone_recipients(self.context.clock.now());
-        self.send_to(&encode_report(report), &recipients).await;
+        self.send_to(&report.into_datagram(), &recipients).await;
     }
 
     async fn send_to(&self, bytes: &[u8], recipients: &[SocketAddr]) {
@@ -185,6 +192,13 @@
     /// once.
     async fn send_reports(&mut self, is_change: bool) {
         let now = self.context.clock.now();
+        let reported_at = BootTime::now();
+        let pause = reported_at.since(self.reported_at);
+        self.reported_at = reported_at;
+        if pause > self.context.peers().report_interval() + SUSPENSION_SLACK {
+            info!(pause_ms = pause.as_millis() as u64, "admission: figures dropped after a pause");
+            self.context.admission.table().forget_figures();
+        }
         self.sequence += 1;
         let (mut running, known, recipients) = {
             let mut peers = self.context.peers();
@@ -202,9 +216,9 @@
         let report = self.build_report(running);
         if !recipients.relays.is_empty() {
             let relayed = PeerReport { is_for_zone: true, ..report.clone() };
-            self.send_to(&encode_report(relayed), &recipients.relays).await;
+            self.send_to(&relayed.into_datagram(), &recipients.relays).await;
         }
-        self.send_to(&encode_report(report), &recipients.direct).await;
+        self.send_to(&report.into_datagram(), &recipients.direct).await;
     }
 
     fn build_report(&self, running: usize) -> PeerReport {
@@ -265,19 +279,12 @@
                 });
             }
         }
+        drop(view);
+        fill_report(&mut report, &mut self.context.admission.table(), now);
         report
     }
 }
 
-/// Encodes a report. Leaves out the leaving servers if it does not fit into a datagram otherwise.
-fn encode_report(report: PeerReport) -> Vec<u8> {
-    let bytes = report.encode_to_vec();
-    if bytes.len() <= DATAGRAM_BYTES {
-        return bytes;
-    }
-    PeerReport { leaving: Vec::new(), ..report }.encode_to_vec()
-}
-
 fn apply_loads(view: &mut FleetView, report: &PeerReport, now: dragonflycart_core::MonoTime) {
     let mut named = BTreeSet::new();
     for entry in &report.loads {
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -106,6 +106,51 @@
     pub routes: Vec<RouteEntry>,
 }
 
+/// Requests of one rank that wait for a service.
+#[derive(Clone, PartialEq, Message)]
+pub struct RankEntry {
+    /// Rank; lower goes first.
+    #[prost(uint32, tag = "1")]
+    pub rank: u32,
+    /// Number of requests.
+    #[prost(uint32, tag = "2")]
+    pub waiting: u32,
+    /// Engine memory that they need, in tokens.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    /// The part of it for requests that can still meet their latency target.
+    #[prost(uint64, tag = "4")]
+    pub timely_tokens: u64,
+}
+
+/// Demand of a VM for the engines of a service.
+#[derive(Clone, PartialEq, Message)]
+pub struct DemandEntry {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Waiting requests.
+    #[prost(message, repeated, tag = "2")]
+    pub ranks: Vec<RankEntry>,
+    /// Tokens of engine memory that become free per second as generations of the VM end.
+    #[prost(uint64, tag = "3")]
+    pub freed_per_s: u64,
+    /// Number of recent samples on which the rate is based, in tenths.
+    #[prost(uint32, tag = "4")]
+    pub freed_samples_tenths: u32,
+}
+
+/// Recent use of engines by a team.
+#[derive(Clone, PartialEq, Message)]
+pub struct TeamEntry {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Decayed tokens.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+
 /// State of a VM, sent to each peer in one datagram. Each report replaces the previous one, so lost
 /// datagrams need no retransmission.
 #[derive(Clone, PartialEq, Message)]
@@ -155,4 +200,34 @@
     /// their shares of the limits.
     #[prost(uint32, tag = "14")]
     pub sharing_vms: u32,
+    /// Demand for services with a deferrable route.
+    #[prost(message, repeated, tag = "16")]
+    pub demand: Vec<DemandEntry>,
+    /// Recent use at the sender by the teams with the most.
+    #[prost(message, repeated, tag = "17")]
+    pub teams: Vec<TeamEntry>,
+}
+
+impl PeerReport {
+    /// Maximum datagram size, in bytes. It fits the usual MTU.
+    pub const DATAGRAM_BYTES: usize = 1_400;
+
+    /// Encodes the report. If it does not fit into a datagram otherwise, leaves out the use of the
+    /// teams, then the demand, and then the leaving servers.
+    pub fn into_datagram(mut self) -> Vec<u8> {
+        let omissions: [fn(&mut PeerReport); 3] = [
+            |report| report.teams.clear(),
+            |report| report.demand.clear(),
+            |report| report.leaving.clear(),
+        ];
+        let mut bytes = self.encode_to_vec();
+        for omit in omissions {
+            if bytes.len() <= PeerReport::DATAGRAM_BYTES {
+                break;
+            }
+            omit(&mut self);
+            bytes = self.encode_to_vec();
+        }
+        bytes
+    }
 }
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -2,12 +2,14 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use dragonflycart_admission::AdmissionClass;
+use dragonflycart_admission::{AdmissionClass, AdmissionTable, Waiter};
 use dragonflycart_core::ErrorKind;
 use dragonflycart_gateway::{
-    CallerLimits, CallerRequest, FleetView, GatewayContext, PlacementQuery, PlannedRoute,
-    PlannedService, RouteKind, RoutePlan, ServerLoad, TokenDemand, reserve_engine,
+    CallerLimits, CallerRequest, FleetView, GatewayContext, LoadEntry, PeerReport, PlacementQuery,
+    PlannedRoute, PlannedService, RouteKind, RoutePlan, ServerLoad, TokenDemand, apply_report,
+    fill_report, reserve_engine,
 };
+use prost::Message;
 
 use crate::{
     fixtures::{
@@ -219,3 +221,106 @@
         assert!(reservation.is_ok(), "{per_second}: {:?}", reservation.err());
     }
 }
+
+/// Returns the table of a VM at which a long and a short stream wait, after generations ended.
+fn waiting_table() -> AdmissionTable {
+    let mut table = AdmissionTable::default();
+    for (rank, class) in [(0, AdmissionClass::Urgent), (2, AdmissionClass::Deferrable)] {
+        let waiter = Waiter {
+            service: ENGINES.to_owned(),
+            class,
+            rank,
+            team: "studio".to_owned(),
+            tokens: 3_000,
+            late_at: at(1_500),
+            aged_at: at(3_000),
+        };
+        table.enqueue(waiter, at(0));
+    }
+    for index in 0..10 {
+        table.note_freed(ENGINES, 3_500, at(index * 100));
+    }
+    table.team_use.charge("studio", 9_000, at(1_000));
+    table
+}
+
+fn report_of(table: &mut AdmissionTable) -> PeerReport {
+    let mut report = PeerReport { name: "vm-a-2".to_owned(), boot: 2, ..PeerReport::default() };
+    fill_report(&mut report, table, at(1_000));
+    report
+}
+
+/// Pattern: requests wait at all VMs. Each VM alone would see a short queue and little that becomes
+/// free.
+#[test]
+fn report_tells_the_demand_and_the_use_of_teams() {
+    let bytes = report_of(&mut waiting_table()).into_datagram();
+    let report = PeerReport::decode(bytes.as_slice()).unwrap();
+    let mut table = AdmissionTable::default();
+
+    apply_report(&report, &mut table, Duration::from_millis(300), at(1_000));
+
+    let demand = &table.fleet_demand;
+    assert_eq!(demand.urgent_share(ENGINES, false, 2, at(1_000)), 1_500, "half of it");
+    assert_eq!(demand.urgent_share(ENGINES, false, 0, at(1_000)), 0);
+    assert_eq!(demand.tokens_ahead(ENGINES, false, 2, at(1_000)), 6_000);
+    let (per_second, samples) = demand.freed(ENGINES, at(1_000));
+    assert!(per_second > 20_000.0 && samples > 8.0, "{per_second}, {samples}");
+    assert!((table.team_use.tokens("studio", at(1_000)) - 9_000.0).abs() < 2.0);
+}
+
+/// Pattern: a VM with urgent requests is cut off, ends or freezes. The others must not give way to
+/// it for longer than two report intervals, and a second at most in a large fleet.
+#[test]
+fn demand_counts_only_while_it_is_fresh() {
+    for (interval_ms, limit_ms) in [(300, 600), (2_000, 1_000)] {
+        let mut table = AdmissionTable::default();
+        let report = report_of(&mut waiting_table());
+        apply_report(&report, &mut table, Duration::from_millis(interval_ms), at(1_000));
+
+        let demand = &table.fleet_demand;
+        assert!(demand.urgent_share(ENGINES, false, 2, at(1_000 + limit_ms)) > 0);
+        assert_eq!(demand.urgent_share(ENGINES, false, 2, at(1_010 + limit_ms)), 0);
+    }
+}
+
+/// Pattern: a VM with load on many engines and many teams. Reports beyond the size of a datagram
+/// would not arrive, and the load of the engines matters most.
+#[test]
+fn report_that_is_too_large_leaves_out_the_least_important_first() {
+    let mut table = waiting_table();
+    for team in 0..8 {
+        let name = format!("team-with-a-long-name-{team}");
+        table.team_use.charge(&name, 50_000, at(1_000));
+    }
+    let full = report_of(&mut table);
+    let with_loads = |count: usize| {
+        let load = |index| LoadEntry {
+            server: format!("engine-{index:04}"),
+            tokens: 20_000,
+            ..LoadEntry::default()
+        };
+        let report = PeerReport { loads: (0..count).map(load).collect(), ..full.clone() };
+        let bytes = report.into_datagram();
+        (PeerReport::decode(bytes.as_slice()).unwrap(), bytes.len())
+    };
+
+    let (few, _) = with_loads(5);
+    assert_eq!((few.loads.len(), few.teams.len(), few.demand.len()), (5, 8, 1));
+    let (more, length) = with_loads(65);
+    assert_eq!((more.loads.len(), more.teams.len(), more.demand.len()), (65, 0, 1), "{length}");
+    assert!(length <= PeerReport::DATAGRAM_BYTES, "{length}");
+    let (most, _) = with_loads(72);
+    assert_eq!((most.loads.len(), most.teams.len(), most.demand.len()), (72, 0, 0));
+}
+
+/// Pattern: a VM without a service with a deferrable route. Its reports must stay as they were.
+#[test]
+fn report_of_an_unmanaged_service_has_no_demand() {
+    let mut table = AdmissionTable::default();
+    table.note_freed(ENGINES, 3_500, at(0));
+
+    let report = report_of(&mut table);
+
+    assert!(report.demand.is_empty() && report.teams.is_empty());
+}
