--- /dev/null
+++ b/crates/admission/src/admission_table.rs
@@ -0,0 +1,146 @@
+//! What a VM knows for the admission of requests to engines.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use dragonflycart_core::MonoTime;
+
+use crate::{
+    EstimateInputs, FleetDemand, FreedRate, ServiceDemand, TeamUse, WaitEstimate, WaitQueue,
+    Waiter, WaiterId,
+};
+
+/// Weight of a new sample in the average of the ratio of waits, which thus covers about ten samples.
+const AVERAGE_WEIGHT: f64 = 0.1;
+/// Largest ratio of a wait to its estimate that counts in the average, and the inverse of the
+/// smallest one. A single estimate of almost no wait must not decide the average.
+const RATIO_LIMIT: f64 = 4.0;
+
+/// Engine memory and waits of one service.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServiceFlow {
+    /// Whether the service has a deferrable route.
+    is_managed: bool,
+    freed: FreedRate,
+    /// Average logarithm of the ratio of real to estimated waits.
+    wait_ratio_ln: f64,
+    waits: f64,
+}
+
+/// State on which a VM bases the admission of requests to engines.
+#[derive(Debug, Clone, Default)]
+pub struct AdmissionTable {
+    /// Requests that wait at this VM.
+    pub queue: WaitQueue,
+    /// Recent use of the teams.
+    pub team_use: TeamUse,
+    /// Demand that the other VMs reported.
+    pub fleet_demand: FleetDemand,
+    flows: BTreeMap<String, ServiceFlow>,
+}
+
+impl AdmissionTable {
+    /// Adds a waiting request.
+    pub fn enqueue(&mut self, waiter: Waiter, now: MonoTime) -> WaiterId {
+        self.flow(&waiter.service).is_managed = waiter.class.is_managed();
+        self.queue.enqueue(waiter, now)
+    }
+
+    /// Records that the end of a generation freed memory of an engine that stays.
+    pub fn note_freed(&mut self, service: &str, tokens: u64, now: MonoTime) {
+        self.flow(service).freed.note(tokens, now);
+    }
+
+    /// Forgets all figures that depend on the time, but not the waiting requests. A VM that was
+    /// suspended can't tell how old they are.
+    pub fn forget_figures(&mut self) {
+        self.fleet_demand.clear();
+        self.team_use = TeamUse::default();
+        for flow in self.flows.values_mut() {
+            *flow = ServiceFlow { is_managed: flow.is_managed, ..ServiceFlow::default() };
+        }
+    }
+
+    /// Returns whether it is a request's turn to look for room.
+    pub fn has_turn(&mut self, id: WaiterId, now: MonoTime) -> bool {
+        self.queue.has_turn(id, &self.team_use, now)
+    }
+
+    /// Returns the requests of a service that may be able to use memory that has become free.
+    pub fn candidates(&mut self, service: &str, now: MonoTime) -> Vec<WaiterId> {
+        self.queue.candidates(service, &self.team_use, now)
+    }
+
+    /// Returns the tokens of more urgent requests of other VMs to which a request gives way.
+    pub fn urgent_share(&mut self, id: WaiterId, service: &str, now: MonoTime) -> u64 {
+        let Some((is_late, rank)) = self.queue.order_of(id, now) else { return 0 };
+        self.fleet_demand.urgent_share(service, is_late, rank, now)
+    }
+
+    /// Returns the inputs of the estimate of a new request's wait. `room_tokens` is the memory that
+    /// it and the requests before it could take at once, and `late_in` the time until it is late.
+    pub fn estimate_inputs(
+        &mut self,
+        id: WaiterId,
+        waiter: (&str, u64),
+        late_in: Duration,
+        room_tokens: u64,
+        now: MonoTime,
+    ) -> EstimateInputs {
+        let (service, own_tokens) = waiter;
+        let flow = *self.flow(service);
+        let (mut ahead_tokens, mut late_tokens) = self.queue.tokens_ahead(id, now);
+        if let Some((is_late, rank)) = self.queue.order_of(id, now) {
+            let ahead = self.fleet_demand.tokens_ahead(service, is_late, rank, now);
+            let ahead_when_late = self.fleet_demand.tokens_ahead(service, true, rank, now);
+            ahead_tokens += ahead;
+            late_tokens += ahead_when_late - ahead;
+        }
+        let (freed_per_s, freed_samples) = self.fleet_demand.freed(service, now);
+        EstimateInputs {
+            ahead_tokens,
+            late_tokens,
+            late_in,
+            own_tokens,
+            room_tokens,
+            freed_per_s: freed_per_s + flow.freed.per_second(now),
+            freed_samples: freed_samples + flow.freed.samples(now),
+            wait_ratio: (flow.wait_ratio_ln.exp(), flow.waits),
+        }
+    }
+
+    /// Returns the demand at this VM for each service with a deferrable route, to be reported to the
+    /// others.
+    pub fn own_demand(&mut self, now: MonoTime) -> BTreeMap<String, ServiceDemand> {
+        let mut services = BTreeMap::new();
+        for (service, flow) in self.flows.iter().filter(|(_, flow)| flow.is_managed) {
+            let demand = ServiceDemand {
+                ranks: self.queue.demand(service, now),
+                freed_per_s: flow.freed.per_second(now),
+                freed_samples: flow.freed.samples(now),
+            };
+            services.insert(service.clone(), demand);
+        }
+        services
+    }
+
+    /// Compares an estimate with the real wait of a request that got an engine, or with the time after
+    /// which it gave up.
+    pub fn note_wait(&mut self, service: &str, estimate: WaitEstimate, wait_s: f64) {
+        let estimated_s = estimate.uncorrected.as_secs_f64();
+        if estimate.uncorrected.is_zero() || estimate.uncorrected == Duration::MAX {
+            return;
+        }
+        let ratio = (wait_s / estimated_s).clamp(1.0 / RATIO_LIMIT, RATIO_LIMIT);
+        let flow = self.flow(service);
+        let weight = AVERAGE_WEIGHT.max(1.0 / (flow.waits + 1.0));
+        flow.wait_ratio_ln += weight * (ratio.ln() - flow.wait_ratio_ln);
+        flow.waits += 1.0;
+    }
+
+    fn flow(&mut self, service: &str) -> &mut ServiceFlow {
+        if !self.flows.contains_key(service) {
+            self.flows.insert(service.to_owned(), ServiceFlow::default());
+        }
+        self.flows.get_mut(service).expect("the flow was inserted above")
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the admission of requests to engines.
+
+mod estimates;
+mod fixtures;
+mod fleet_model;
+mod fleets;
+mod leaves;
+mod queues;
+mod shares;
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -1,5 +1,6 @@
 //! A VM's view of the fleet. Requests are placed on servers in `choice` and `placing`.
 
+mod admission_room;
 mod choice;
 mod learned_capacity;
 mod placing;
@@ -273,7 +274,7 @@
                 state.update(record, offset, now);
                 return before != (state.record.is_draining, false);
             }
-            state.leaving_since.get_or_insert(now);
+            state.mark_leaving(now);
         }
         let key = self.servers.insert(ServerState::new(id, record, offset, now));
         self.by_id.insert(id.to_owned(), key);
@@ -296,7 +297,7 @@
             state.expired_at.get_or_insert(now);
             return false;
         }
-        state.leaving_since = Some(now);
+        state.mark_leaving(now);
         true
     }
 
@@ -310,7 +311,7 @@
             if state.expired_at.is_some_and(|at| now.since(at) > EXPIRY_GRACE)
                 && state.leaving_since.is_none()
             {
-                state.leaving_since = Some(now);
+                state.mark_leaving(now);
                 changed = true;
             }
             let is_gone =
@@ -379,7 +380,7 @@
         if state.leaving_since.is_some() || is_outdated {
             return false;
         }
-        state.leaving_since = Some(now);
+        state.mark_leaving(now);
         true
     }
 
@@ -389,7 +390,7 @@
         let Some(state) = self.servers.get_mut(key) else { return false };
         state.has_drained = true;
         let is_new = state.leaving_since.is_none();
-        state.leaving_since.get_or_insert(now);
+        state.mark_leaving(now);
         is_new
     }
 
@@ -410,7 +411,7 @@
     /// Records that another server responds at a server's address.
     pub fn note_replaced(&mut self, key: ServerKey, now: MonoTime) {
         if let Some(state) = self.servers.get_mut(key) {
-            state.leaving_since.get_or_insert(now);
+            state.mark_leaving(now);
         }
     }
 
@@ -442,6 +443,11 @@
         engines
     }
 
+    /// Returns the service of a server.
+    pub fn service_of(&self, key: ServerKey) -> Option<String> {
+        self.servers.get(key).map(|state| state.record.service.clone())
+    }
+
     /// Returns the mutable state of a server.
     pub fn server_mut(&mut self, key: ServerKey) -> Option<&mut ServerState> {
         self.servers.get_mut(key)
--- a/crates/gateway/src/fleet_view/choice.rs
+++ b/crates/gateway/src/fleet_view/choice.rs
@@ -157,7 +157,7 @@
         (used + query.demand.reserved_tokens()) as f64 / capacity.max(1) as f64
     }
 
-    fn is_usable(
+    pub(super) fn is_usable(
         &self,
         key: ServerKey,
         state: &ServerState,
--- a/crates/gateway/src/fleet_view/placing.rs
+++ b/crates/gateway/src/fleet_view/placing.rs
@@ -6,9 +6,9 @@
 use crate::{Placement, PlacementQuery, ServerKey, ServerLoad, server_score::copy_factor};
 
 /// Maximum fraction of an engine's memory in use after a new generation is placed there.
-const RUN_FILL_LIMIT: f64 = 0.97;
+pub(super) const RUN_FILL_LIMIT: f64 = 0.97;
 /// The same for generations that are moved from engines that shut down.
-const MOVE_FILL_LIMIT: f64 = 0.98;
+pub(super) const MOVE_FILL_LIMIT: f64 = 0.98;
 /// The same for backup copies of other engines' generations. The rest of the memory is left to the
 /// engine's own generations.
 const COPY_FILL_LIMIT: f64 = 0.20;
@@ -27,8 +27,7 @@
         query: &PlacementQuery<'_>,
         now: MonoTime,
     ) -> Result<Placement, ErrorKind> {
-        let limit = if query.preferred_zone.is_some() { MOVE_FILL_LIMIT } else { RUN_FILL_LIMIT };
-        let fill_limit = self.engine_spec(query.service).map(|_| limit);
+        let fill_limit = self.engine_spec(query.service).map(|_| self.fill_limit(query, now));
         let key = self.choose_for_version_move(query, fill_limit, now)?;
         self.zone_reachability.note_tried(&self.servers[key].record.zone, now);
         Ok(self.reserve_work(key, query, now))
