gateway: send resumable streams again before their first event

A stream whose server was lost or failed it before any event was forwarded ended as failed, although routes may now allow another run.

Such a stream is offered to another server after a lost response, an answer that is not genuine, a server error or a refusal that does not state that the request did not run. StreamRuns decides, without I/O: at most max_attempts servers (those that left as announced or whose zone was cut off don't count), the expected time to the first event before the deadline, and a retry of the budget. Once a run was possible, only the outcome of a run is reported. Before a prompt with shared parts is sent again, the check whether its engine crashed is awaited, so that a contained part is not sent. Other routes behave as before.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -1,5 +1,6 @@
 //! A VM's view of the fleet, and the placement of requests on servers.
 
+mod lost_servers;
 mod run_results;
 
 use std::{
--- a/crates/gateway/src/generation_timing.rs
+++ b/crates/gateway/src/generation_timing.rs
@@ -25,6 +25,12 @@
         update_average(&mut self.token_s, time.as_secs_f64() / tokens.max(1) as f64);
     }
 
+    /// Returns the expected time from the arrival of a generation to its first event, or `None` if
+    /// there are no samples.
+    pub fn expected_first_event(&self) -> Option<Duration> {
+        self.first_event_s.map(Duration::from_secs_f64)
+    }
+
     /// Returns the expected time from the arrival of a generation to its end, or `None` if there
     /// are not enough samples.
     pub fn expected_time(&self, demand: TokenDemand) -> Option<Duration> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 mod response_body;
 mod response_head;
 mod response_relay;
+mod resumption;
 mod retries;
 mod revocation;
 mod route_kind;
@@ -142,6 +143,7 @@
     rate_limiter::RateLimiter,
     response_body::{BodyError, BodySender, ResponseBody},
     response_head::ResponseHead,
+    resumption::{RepeatDenial, RepeatTime, StreamRuns},
     retries::{OfferHistory, RetryBudget, RetryLimit},
     revocation::{BootTime, CallerCredential, FeedProbes, PlanFreshness},
     route_kind::RouteKind,
--- a/crates/gateway/src/planned_route.rs
+++ b/crates/gateway/src/planned_route.rs
@@ -29,4 +29,13 @@
     pub max_attempts: u32,
     /// Whether requests need no credential.
     pub is_public: bool,
+    /// Whether a stream may run again at another server after its server's response was lost.
+    pub is_resumable: bool,
+}
+
+impl PlannedRoute {
+    /// Returns whether a request that may have run can be sent to another server.
+    pub fn may_repeat(&self) -> bool {
+        self.kind.is_retryable() || (self.kind == RouteKind::Stream && self.is_resumable)
+    }
 }
--- a/crates/gateway/src/route_kind.rs
+++ b/crates/gateway/src/route_kind.rs
@@ -12,12 +12,12 @@
     Idempotent,
     /// A request runs at most once.
     NonIdempotent,
-    /// The response is an event stream; a request runs at most once.
+    /// The response is an event stream; a request runs at most once unless its route is resumable.
     Stream,
 }
 
 impl RouteKind {
-    /// Returns whether a request that may have run can be retried.
+    /// Returns whether every request of the kind can be retried after it may have run.
     pub fn is_retryable(self) -> bool {
         self == RouteKind::Idempotent
     }
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -1,6 +1,6 @@
 //! Forwards requests with event stream responses.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use dragonflycart_core::{ErrorKind, PromptPart};
 use hyper::Response;
@@ -8,9 +8,10 @@
 
 use crate::{
     AttemptOutcome, CallerRequest, ConnectionError, EngineWatcher, GatewayContext, GatewayFailure,
-    GenerationRelay, GenerationReservation, MoveOutcome, OpenResponse, RelaySource, ResponseBody,
-    RunEnd, ServerKey, ServerReservation, StreamProgress, SystemHeaders, engine_wait,
-    memory::ReservedBytes, response_body, response_relay, server_attempt,
+    GenerationRelay, GenerationReservation, MoveOutcome, OpenResponse, RelaySource, RepeatDenial,
+    RepeatTime, ResponseBody, ResponseHead, RunEnd, ServerConnection, ServerReservation,
+    StreamProgress, StreamRuns, SystemHeaders, engine_wait, memory::ReservedBytes, response_body,
+    response_relay, resumption, server_attempt,
 };
 
 /// Maximum number of servers tried while none has run the request.
@@ -24,8 +25,7 @@
 pub struct StreamForwarder {
     context: Arc<GatewayContext>,
     request: CallerRequest,
-    excluded: BTreeSet<ServerKey>,
-    arrivals: u32,
+    runs: StreamRuns,
     progress: Arc<StreamProgress>,
     /// Time until an engine was reserved.
     queued_ms: u64,
@@ -39,8 +39,7 @@
             progress,
             context: Arc::clone(context),
             request,
-            excluded: BTreeSet::new(),
-            arrivals: 0,
+            runs: StreamRuns::default(),
             queued_ms: 0,
         }
     }
@@ -55,24 +54,28 @@
             return Err(GatewayFailure::new(ErrorKind::Draining, "it would outlast this VM")
                 .with_retry_after(Duration::ZERO));
         }
-        let mut failure = server_attempt::not_run("no engine takes work");
+        // Once the request may have run, only the outcome of a run is reported.
+        let mut result = Err(server_attempt::not_run("no engine takes work"));
         for _ in 0..MAX_OFFERS {
             if self.request.time_left().is_zero() {
-                return Err(GatewayFailure::new(ErrorKind::DeadlineNotStarted, "no time left"));
+                if !self.runs.may_have_run() {
+                    result =
+                        Err(GatewayFailure::new(ErrorKind::DeadlineNotStarted, "no time left"));
+                }
+                break;
             }
-            let now = self.context.clock.now();
-            if self.arrivals > 0 && !self.context.view().take_retry(&self.request.service, now) {
-                info!(
-                    id = self.request.attempt,
-                    service = self.request.service,
-                    "stream: no retry left"
-                );
+            if self.runs.arrivals() > 0 && !self.may_offer_again() {
                 break;
             }
-            let waiting = engine_wait::reserve_engine(&self.context, &self.request, &self.excluded);
-            let reservation = waiting.await?;
+            let waiting =
+                engine_wait::reserve_engine(&self.context, &self.request, self.runs.tried());
+            let reservation = match waiting.await {
+                Ok(reservation) => reservation,
+                Err(_) if self.runs.may_have_run() => break,
+                Err(rejection) => return Err(rejection),
+            };
             self.queued_ms = self.request.arrived.elapsed().as_millis() as u64;
-            self.excluded.insert(reservation.engine.server());
+            self.runs.note_tried(reservation.engine.server());
             let mut watcher = EngineWatcher::new(&self.context);
             let (reservation, outcome) = self.offer_and_watch(reservation, &mut watcher).await;
             match outcome {
@@ -80,25 +83,68 @@
                 AttemptOutcome::Withheld(rejection) => {
                     self.log_offer(&reservation, "withheld");
                     reservation.close();
-                    return Err(rejection);
+                    if !self.runs.may_have_run() {
+                        result = Err(rejection);
+                    }
+                    break;
                 }
                 AttemptOutcome::ServerWithdrawn => self.log_offer(&reservation, "withdrawn"),
                 AttemptOutcome::Refused { .. } => {
-                    self.arrivals += 1;
+                    self.runs.note_refused();
                     self.log_offer(&reservation, "refused");
-                    failure = GatewayFailure::new(ErrorKind::Overloaded, "all engines refused");
+                    if !self.runs.may_have_run() {
+                        result =
+                            Err(GatewayFailure::new(ErrorKind::Overloaded, "all engines refused"));
+                    }
                 }
                 AttemptOutcome::Lost(error) => {
+                    self.runs.note_possible_run(reservation.engine.server());
                     self.log_offer(&reservation, error.into());
-                    return Err(lost_failure(error));
+                    result = Err(lost_failure(error));
+                    if matches!(error, ConnectionError::TimedOut | ConnectionError::Stopping) {
+                        reservation.close();
+                        break;
+                    }
+                    resumption::settle_loss(
+                        &self.context,
+                        &self.request,
+                        &reservation.engine,
+                        &mut self.runs,
+                    )
+                    .await;
                 }
                 AttemptOutcome::Answered(response) => {
-                    return self.respond(reservation, watcher, *response).await;
+                    self.runs.note_possible_run(reservation.engine.server());
+                    if !self.is_failed(&response.head) {
+                        return self.respond(reservation, watcher, *response).await;
+                    }
+                    result = self.take_failure(&reservation, *response).await;
                 }
             }
             reservation.close();
         }
-        Err(failure)
+        result
+    }
+
+    /// Returns whether the request may be offered to another server. Takes the retry from the budget.
+    fn may_offer_again(&self) -> bool {
+        let now = self.context.clock.now();
+        let service = &self.request.service;
+        let time = RepeatTime {
+            left: self.request.time_left(),
+            first_event: self.context.view().timing_mut(service).expected_first_event(),
+        };
+        let checked = self.runs.check(&self.request.route, time).and_then(|()| {
+            let has_retry = self.context.view().take_retry(service, now);
+            if has_retry { Ok(()) } else { Err(RepeatDenial::NoRetry) }
+        });
+        if let Err(denial) = checked
+            && denial != RepeatDenial::NotResumable
+        {
+            let reason = <&str>::from(denial);
+            info!(id = self.request.attempt, service, reason, "stream: not offered again");
+        }
+        checked.is_ok()
     }
 
     /// Returns whether the stream is expected to be cut off by a planned stop of this VM. Another
@@ -160,42 +206,72 @@
         (resumed.reservation, AttemptOutcome::Answered(Box::new(resumed.response)))
     }
 
+    /// Returns whether a response shows that the server failed the request, so that another one may
+    /// serve it.
+    fn is_failed(&self, head: &ResponseHead) -> bool {
+        !response_relay::is_genuine(&self.context.names, head)
+            || response_relay::denies_run(head.status)
+            || head.status.is_server_error()
+    }
+
+    /// Reads the response of a server that failed the request. Returns what to report to the caller
+    /// if no other server serves it.
+    async fn take_failure(
+        &self,
+        reservation: &GenerationReservation,
+        response: OpenResponse,
+    ) -> Result<Response<ResponseBody>, GatewayFailure> {
+        let OpenResponse { head, connection, run } = response;
+        run.close(RunEnd::Failed);
+        if !response_relay::is_genuine(&self.context.names, &head) {
+            self.log_offer(reservation, "not_genuine");
+            connection.close();
+            return Err(GatewayFailure::new(ErrorKind::Interrupted, "the answer isn't genuine"));
+        }
+        self.log_offer(reservation, "failed");
+        let denies_run = response_relay::denies_run(head.status);
+        let response = self.read_error(reservation, &head, connection).await?;
+        if denies_run {
+            return Err(GatewayFailure::new(ErrorKind::BackendFailed, "the engine failed"));
+        }
+        Ok(response)
+    }
+
+    /// Reads the body of an error response.
+    async fn read_error(
+        &self,
+        reservation: &GenerationReservation,
+        head: &ResponseHead,
+        mut connection: ServerConnection,
+    ) -> Result<Response<ResponseBody>, GatewayFailure> {
+        let mut memory = self.context.responses.body(connection.has_known_length());
+        let body = connection.read_reserved_body(FAILURE_LIMIT_BYTES, &mut memory);
+        let body = server_attempt::await_server(&self.context, &self.request, body).await;
+        let Ok(body) = body else {
+            connection.close();
+            return Err(GatewayFailure::new(ErrorKind::BackendFailed, "the engine failed"));
+        };
+        self.context.pool.put_back(reservation.engine.address(), connection);
+        let body = ReservedBytes::body(body.into(), memory);
+        Ok(response_relay::build(&self.context.names, head, response_body::full(body)))
+    }
+
+    /// Returns the response to the caller, whose events are relayed as they arrive.
     async fn respond(
         self,
         reservation: GenerationReservation,
         watcher: EngineWatcher,
         response: OpenResponse,
     ) -> Result<Response<ResponseBody>, GatewayFailure> {
-        let OpenResponse { head, mut connection, run } = response;
-        let names = self.context.names;
-        if !response_relay::is_genuine(&names, &head) {
-            self.log_offer(&reservation, "not_genuine");
-            run.close(RunEnd::Failed);
-            connection.close();
-            return Err(GatewayFailure::new(ErrorKind::Interrupted, "the answer isn't genuine"));
-        }
+        let OpenResponse { head, connection, run } = response;
         if !head.status.is_success() {
             self.log_offer(&reservation, "failed");
-            let denies_run = response_relay::denies_run(head.status);
-            let is_failure = denies_run || head.status.is_server_error();
-            run.close(if is_failure { RunEnd::Failed } else { RunEnd::Good });
-            let mut memory = self.context.responses.body(connection.has_known_length());
-            let body = connection.read_reserved_body(FAILURE_LIMIT_BYTES, &mut memory);
-            let body = server_attempt::await_server(&self.context, &self.request, body).await;
-            let Ok(body) = body else {
-                connection.close();
-                return Err(GatewayFailure::new(ErrorKind::BackendFailed, "the engine failed"));
-            };
-            self.context.pool.put_back(reservation.engine.address(), connection);
-            if denies_run {
-                return Err(GatewayFailure::new(ErrorKind::BackendFailed, "the engine failed"));
-            }
-            let body = ReservedBytes::body(body.into(), memory);
-            return Ok(response_relay::build(&names, &head, response_body::full(body)));
+            run.close(RunEnd::Good);
+            return self.read_error(&reservation, &head, connection).await;
         }
         self.log_offer(&reservation, "answered");
         let (sender, body) = response_body::channel(EVENTS_BUFFERED);
-        let response = response_relay::build(&names, &head, body);
+        let response = response_relay::build(&self.context.names, &head, body);
         let source = RelaySource { reservation, watcher, connection, run };
         let relay =
             GenerationRelay::new(&self.context, self.request, source, self.progress, sender);
@@ -210,7 +286,7 @@
             backup = reservation.backup.as_ref().map(ServerReservation::id),
             outcome,
             parts = PromptPart::list(&self.request.prompt_parts),
-            arrivals = self.arrivals,
+            arrivals = self.runs.arrivals(),
             seen_tokens = reservation.engine.seen_load().memory_tokens(),
             seen_unread = reservation.engine.seen_load().pending_prompt_tokens,
             queued_ms = self.queued_ms,
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -56,6 +56,7 @@
         services: vec![(service.to_owned(), 1)],
         max_attempts: 2,
         is_public: false,
+        is_resumable: false,
     }
 }
 
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -14,6 +14,8 @@
 mod peer_tables;
 mod placements;
 mod response_heads;
+mod resumable_engines;
+mod resumable_streams;
 mod revocation;
 mod revocation_model;
 mod routes;
