gateway: continue resumable streams at another server

A stream whose server was lost, stalled or broke off after its first events ended as broken unless a backup copy of its memory existed.

On a resumable route, the relay now closes the connection to that server and sends the request to another one with the ID of the last forwarded event. StreamJoin joins the events of the runs in the same response: events up to the last one are skipped, a gap ends the stream as broken, and a run that ends before the last forwarded event is no end of the stream. Moves and backup copies of the memory go first. A server that is only silent keeps its connection until another one has room and a retry is left. Nothing is sent after the caller has left, in the last phase of a planned stop, under a withdrawn key, with a contained part of the prompt, as a trial of such a part, or after an event without an ID.

Each continuation is logged (stream: continued, not continued, not taken over) and counted (stream_repeats).

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -16,6 +16,14 @@
     pub bytes: Bytes,
 }
 
+impl StreamEvent {
+    /// Returns whether the event consists of comments and empty lines, which carry nothing.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+        lines.all(|line| line.is_empty() || line[0] == b':')
+    }
+}
+
 /// Buffers bytes until events are complete, so that a truncated event is never forwarded.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/gateway/src/fleet_view/lost_servers.rs
+++ b/crates/gateway/src/fleet_view/lost_servers.rs
@@ -6,9 +6,12 @@
 use crate::ServerKey;
 
 impl FleetView {
-    /// Returns whether a server is not known any more or its zone can't be reached.
-    pub fn is_cut_off(&self, key: ServerKey, now: MonoTime) -> bool {
+    /// Returns whether a server has left and its registration was removed, or its zone can't be
+    /// reached.
+    pub fn is_out_of_reach(&self, key: ServerKey, now: MonoTime) -> bool {
         let Some(state) = self.servers.get(key) else { return true };
-        self.zone_reachability.unreachable_zones(now).contains(state.record.zone.as_str())
+        let has_left = state.leaving_since.is_some() && !state.is_registered;
+        let zones = self.zone_reachability.unreachable_zones(now);
+        has_left || zones.contains(state.record.zone.as_str())
     }
 }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -38,6 +38,7 @@
     first_event: Histogram,
     moves: Family<ResultLabels, Counter>,
     sources: Family<ResultLabels, Counter>,
+    repeats: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     /// Number of connections opened to servers.
     pub connections: Counter,
@@ -75,6 +76,7 @@
             first_event: Histogram::new(buckets()),
             moves: Family::default(),
             sources: Family::default(),
+            repeats: Family::default(),
             store_calls: Family::default(),
             connections: Counter::default(),
             responses_without_memory: Counter::default(),
@@ -107,6 +109,11 @@
             "Engines whose generation was about to go on elsewhere, by what was known of it there",
             self.sources.clone(),
         );
+        registry.register(
+            "stream_repeats",
+            "Streams whose server was lost or failed, by what became of their next run",
+            self.repeats.clone(),
+        );
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
         registry.register("connections", "Connections opened to servers", self.connections.clone());
         registry.register(
@@ -174,6 +181,11 @@
         self.sources.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a stream that runs again at another server, or could not.
+    pub fn count_repeat(&self, result: &'static str) {
+        self.repeats.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.get_or_create(&ResultLabels { result }).inc();
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -8,10 +8,12 @@
 use tracing::info;
 
 use crate::{
-    BodyError, BodySender, CallerRequest, ConnectionError, EngineWatcher, EventSplitter,
-    GatewayContext, GenerationReservation, MoveOutcome, PlannedRoute, ResumedGeneration, RunEnd,
-    ServerConnection, StreamEvent, StreamMemory, StreamProgress,
+    BodyError, BodySender, CallerRequest, ConnectionError, EngineWatcher, EventSplitter, EventStep,
+    GatewayContext, GenerationReservation, MoveOutcome, PlannedRoute, RepeatDenial,
+    ResumedGeneration, RunEnd, ServerConnection, StreamEvent, StreamJoin, StreamMemory,
+    StreamProgress, StreamRuns,
     containment::{RunState, run_check},
+    resumption::{self, StreamRepeater},
     versions::RequestRun,
 };
 
@@ -63,6 +65,8 @@
     Continue,
     End(RelayEnd),
     Resumed(Box<ResumedGeneration>),
+    /// Another engine runs the request again.
+    Repeated(Box<ResumedGeneration>),
 }
 
 /// Engine that the events are read from.
@@ -71,8 +75,8 @@
     pub reservation: GenerationReservation,
     /// Detects that the engine is leaving.
     pub watcher: EngineWatcher,
-    /// Connection from which the events are read.
-    pub connection: ServerConnection,
+    /// Connection from which the events are read. `None` after it was closed for another run.
+    pub connection: Option<ServerConnection>,
     /// Records the result at the engine.
     pub(crate) run: RequestRun,
 }
@@ -82,6 +86,8 @@
     context: Arc<GatewayContext>,
     request: CallerRequest,
     source: RelaySource,
+    runs: StreamRuns,
+    join: StreamJoin,
     progress: Arc<StreamProgress>,
     sender: BodySender,
     splitter: EventSplitter,
@@ -104,12 +110,31 @@
     tokens_per_event: u64,
 }
 
+impl RelaySource {
+    async fn next_data(
+        connection: &mut Option<ServerConnection>,
+    ) -> Result<Option<Bytes>, ConnectionError> {
+        match connection {
+            Some(connection) => connection.next_data().await,
+            None => Err(ConnectionError::Closed),
+        }
+    }
+
+    /// Closes the connection, so that the engine stops.
+    fn close_connection(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.close();
+        }
+    }
+}
+
 impl GenerationRelay {
     /// Builds the relay of a stream whose response head was forwarded.
     pub fn new(
         context: &Arc<GatewayContext>,
         request: CallerRequest,
         source: RelaySource,
+        runs: StreamRuns,
         progress: Arc<StreamProgress>,
         sender: BodySender,
     ) -> GenerationRelay {
@@ -119,6 +144,8 @@
             context: Arc::clone(context),
             request,
             source,
+            runs,
+            join: StreamJoin::default(),
             progress,
             sender,
             splitter: EventSplitter::default(),
@@ -142,7 +169,14 @@
             match self.step().await {
                 StepOutcome::Continue => {}
                 StepOutcome::End(end) => break end,
-                StepOutcome::Resumed(resumed) => self.switch(*resumed),
+                StepOutcome::Resumed(resumed) => {
+                    self.switch(*resumed);
+                    self.source.reservation.engine.note_started();
+                }
+                StepOutcome::Repeated(repeated) => {
+                    self.join.begin_run();
+                    self.switch(*repeated);
+                }
             }
         };
         self.finish(end).await;
@@ -154,16 +188,19 @@
         let limit = pause.map_or(DEFAULT_STALL_TIMEOUT, |pause| pause * STALL_PAUSES);
         let stall_deadline = self.stalled_since + limit;
         let patience = stream_patience(&self.request.route);
-        let can_recover = self.events > 0 && reservation.backup.is_some();
+        let can_repeat = self.request.route.may_repeat()
+            && self.join.can_continue()
+            && !self.runs.are_used_up(&self.request.route);
+        let can_recover = self.events > 0 && (reservation.backup.is_some() || can_repeat);
         tokio::select! {
             biased;
             () = self.sender.closed() => StepOutcome::End(RelayEnd::CallerLeft),
             outcome = watcher.next(&self.request, reservation, &self.progress) => match outcome {
                 MoveOutcome::Stays => StepOutcome::Continue,
-                MoveOutcome::Gone => StepOutcome::End(RelayEnd::Broken),
+                MoveOutcome::Gone => self.repeat(RelayEnd::Broken).await,
                 MoveOutcome::Resumed(resumed) => StepOutcome::Resumed(resumed),
             },
-            piece = connection.next_data() => self.take_data(piece).await,
+            piece = RelaySource::next_data(connection) => self.take_data(piece).await,
             () = tokio::time::sleep_until(stall_deadline), if can_recover => {
                 self.recover(RelayEnd::Silent).await
             }
@@ -186,8 +223,9 @@
                 self.splitter.push(&bytes);
                 match self.forward_events().await {
                     StepOutcome::Continue if self.idle_bytes > IDLE_LIMIT_BYTES => {
-                        let unit = "bytes without an event";
-                        self.source.connection.log_excess(unit, IDLE_LIMIT_BYTES);
+                        if let Some(connection) = &self.source.connection {
+                            connection.log_excess("bytes without an event", IDLE_LIMIT_BYTES);
+                        }
                         self.recover(RelayEnd::Broken).await
                     }
                     outcome => outcome,
@@ -201,18 +239,21 @@
 
     /// Ends a stream after its last event.
     async fn complete(&mut self) -> StepOutcome {
-        if !self.source.connection.ended_by_close() {
+        if !self.join.can_end(self.progress.last_event()) {
+            return StepOutcome::End(RelayEnd::Gap);
+        }
+        if !self.source.connection.as_ref().is_some_and(ServerConnection::ended_by_close) {
             self.source.run.note_survived();
             return StepOutcome::End(RelayEnd::Complete);
         }
         // The end of the engine would look the same.
-        if self.events == 0 {
+        if self.events == 0 || self.join.is_joining() {
             return self.recover(RelayEnd::Broken).await;
         }
         match self.source.watcher.stopped_outcome().await {
             None => {}
             Some(MoveOutcome::Resumed(resumed)) => return StepOutcome::Resumed(resumed),
-            Some(MoveOutcome::Gone) => return StepOutcome::End(RelayEnd::Broken),
+            Some(MoveOutcome::Gone) => return self.repeat(RelayEnd::Broken).await,
             Some(MoveOutcome::Stays) => return self.recover(RelayEnd::Broken).await,
         }
         // A process that exits closes its connections, too.
@@ -224,8 +265,8 @@
         StepOutcome::End(RelayEnd::Complete)
     }
 
-    /// Resumes the stream on another engine after the response was cut off or stalled. Ends it if
-    /// that is not possible.
+    /// Resumes the stream on another engine after the response was cut off or stalled, or lets it run
+    /// again at another one. Ends it if neither is possible.
     async fn recover(&mut self, end: RelayEnd) -> StepOutcome {
         info!(
             id = self.request.attempt,
@@ -247,6 +288,8 @@
             run_check::start(&self.context, &self.source.reservation.engine);
         }
         let RelaySource { reservation, watcher, run, .. } = &mut self.source;
+        // Without a backup, nothing was done about the generation.
+        let is_untouched = reservation.backup.is_none() && !watcher.is_moving();
         match watcher.recover(&self.request, reservation, &self.progress).await {
             MoveOutcome::Resumed(resumed) => {
                 if is_failure {
@@ -254,36 +297,115 @@
                 }
                 StepOutcome::Resumed(resumed)
             }
-            // The engine may only be slow, and its response is still open.
-            MoveOutcome::Stays if end == RelayEnd::Silent => {
-                self.stalled_since = Instant::now();
-                StepOutcome::Continue
+            MoveOutcome::Gone if !is_untouched => {
+                self.source.close_connection();
+                self.repeat(end).await
+            }
+            MoveOutcome::Stays | MoveOutcome::Gone => {
+                let outcome = self.repeat(end).await;
+                if is_failure && matches!(outcome, StepOutcome::Repeated(_)) {
+                    self.source.run.note_failure();
+                }
+                outcome
+            }
+        }
+    }
+
+    /// Lets the stream run again at another engine, if its route allows it and the caller is still
+    /// there. Ends it otherwise, or leaves it at its engine if that one may only be slow.
+    async fn repeat(&mut self, end: RelayEnd) -> StepOutcome {
+        if !self.request.route.may_repeat() {
+            return self.end_unless_open(end);
+        }
+        let sender = self.sender.clone();
+        let result = tokio::select! {
+            biased;
+            () = sender.closed() => return StepOutcome::End(RelayEnd::CallerLeft),
+            result = self.run_again(end) => result,
+        };
+        match result {
+            Ok(repeated) => {
+                self.context.metrics.count_repeat("continued");
+                info!(
+                    id = self.request.attempt,
+                    server = repeated.reservation.engine.id(),
+                    before = self.source.reservation.engine.id(),
+                    cause = <&str>::from(end),
+                    last_event = self.progress.last_event(),
+                    paused_ms = self.last_event_at.elapsed().as_millis() as u64,
+                    "stream: continued"
+                );
+                StepOutcome::Repeated(Box::new(repeated))
+            }
+            Err(denial) => {
+                let reason = <&str>::from(denial);
+                self.context.metrics.count_repeat(reason);
+                info!(id = self.request.attempt, reason, "stream: not continued");
+                self.end_unless_open(end)
             }
-            MoveOutcome::Stays | MoveOutcome::Gone => StepOutcome::End(end),
         }
     }
 
-    /// Switches to the events of another engine. The response head was already forwarded and the
-    /// generation is the same, so only events after the last one are needed.
+    /// Ends a stream that does not go on elsewhere, unless its engine may only be slow and the
+    /// response is still open.
+    fn end_unless_open(&mut self, end: RelayEnd) -> StepOutcome {
+        if end == RelayEnd::Silent && self.source.connection.is_some() {
+            self.stalled_since = Instant::now();
+            return StepOutcome::Continue;
+        }
+        StepOutcome::End(end)
+    }
+
+    /// Closes the connection to the engine and sends the request to another one. An engine that is
+    /// only silent keeps its connection until another one has room.
+    async fn run_again(&mut self, end: RelayEnd) -> Result<ResumedGeneration, RepeatDenial> {
+        if !self.join.can_continue() {
+            return Err(RepeatDenial::Unnumbered);
+        }
+        let may_only_be_slow = end == RelayEnd::Silent && self.source.connection.is_some();
+        if !may_only_be_slow {
+            self.source.close_connection();
+            let engine = &self.source.reservation.engine;
+            resumption::settle_loss(&self.context, &self.request, engine, &mut self.runs).await;
+        }
+        let patience_end = self.progress_at + stream_patience(&self.request.route);
+        let last_event = self.progress.last_event();
+        let mut repeater = StreamRepeater::new(
+            &self.context,
+            &self.request,
+            &mut self.runs,
+            patience_end.min(self.request.deadline),
+        );
+        loop {
+            let may_wait = self.source.connection.is_none();
+            let reservation = repeater.reserve(may_wait).await?;
+            self.source.close_connection();
+            if let Some(repeated) = repeater.offer(reservation, last_event).await? {
+                return Ok(repeated);
+            }
+        }
+    }
+
+    /// Switches to the events of another engine. The response head was already forwarded, so only
+    /// events after the last one are needed.
     fn switch(&mut self, resumed: ResumedGeneration) {
         let mut run = resumed.response.run;
         run.continue_from(&self.source.run);
         let source = RelaySource {
             reservation: resumed.reservation,
             watcher: EngineWatcher::new(&self.context),
-            connection: resumed.response.connection,
+            connection: Some(resumed.response.connection),
             run,
         };
-        let old = std::mem::replace(&mut self.source, source);
+        let mut old = std::mem::replace(&mut self.source, source);
         info!(
             id = self.request.attempt,
             server = old.reservation.engine.id(),
             "stream: engine before closed"
         );
-        old.connection.close();
+        old.close_connection();
         old.run.close(RunEnd::Abandoned);
         old.reservation.close();
-        self.source.reservation.engine.note_started();
         self.splitter = EventSplitter::default();
         self.idle_bytes = 0;
         self.pace = None;
@@ -331,13 +453,10 @@
     }
 
     async fn forward_event(&mut self, event: StreamEvent) -> Option<RelayEnd> {
-        if let (Some(last), Some(id)) = (self.progress.last_event(), event.id) {
-            if id <= last {
-                return None;
-            }
-            if id > last + 1 {
-                return Some(RelayEnd::Gap);
-            }
+        match self.join.step(&event, self.progress.last_event()) {
+            EventStep::Forward => {}
+            EventStep::Skip => return None,
+            EventStep::Gap => return Some(RelayEnd::Gap),
         }
         // An event without an ID, such as a comment, does not show that the generation proceeds.
         if let Some(id) = event.id {
@@ -354,11 +473,13 @@
     fn note_event(&mut self) {
         let now = Instant::now();
         self.source.run.note_event();
+        if self.pace.is_none() {
+            self.source.reservation.engine.note_started();
+        }
         self.note_pace(now);
         let service = &self.request.service;
         if self.events == 0 {
             let time = self.request.arrived.elapsed();
-            self.source.reservation.engine.note_started();
             self.context.metrics.count_first_event(time);
             self.context.view().timing_mut(service).note_first_event(time);
             self.timed_since = now;
@@ -403,10 +524,12 @@
             RelayEnd::Broken | RelayEnd::Gap | RelayEnd::Silent => RunEnd::Failed,
             RelayEnd::CallerLeft | RelayEnd::TimedOut | RelayEnd::NoMemory => RunEnd::Abandoned,
         });
-        if end == RelayEnd::Complete {
-            self.context.pool.put_back(reservation.engine.address(), connection);
-        } else {
-            connection.close();
+        match connection {
+            Some(connection) if end == RelayEnd::Complete => {
+                self.context.pool.put_back(reservation.engine.address(), connection);
+            }
+            Some(connection) => connection.close(),
+            None => {}
         }
         let is_cut = !matches!(end, RelayEnd::Complete | RelayEnd::CallerLeft);
         if is_cut && self.sender.send(Err(BodyError::Interrupted)).await.is_err() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -143,7 +143,7 @@
     rate_limiter::RateLimiter,
     response_body::{BodyError, BodySender, ResponseBody},
     response_head::ResponseHead,
-    resumption::{RepeatDenial, RepeatTime, StreamRuns},
+    resumption::{EventStep, RepeatDenial, RepeatTime, StreamJoin, StreamRuns},
     retries::{OfferHistory, RetryBudget, RetryLimit},
     revocation::{BootTime, CallerCredential, FeedProbes, PlanFreshness},
     route_kind::RouteKind,
--- a/crates/gateway/src/resumption/repeat_denial.rs
+++ b/crates/gateway/src/resumption/repeat_denial.rs
@@ -8,10 +8,22 @@
 pub enum RepeatDenial {
     /// The route does not allow it.
     NotResumable,
+    /// The last forwarded event has no ID after which a server could continue.
+    Unnumbered,
+    /// The request was admitted as the only trial of a contained part of its prompt.
+    OnTrial,
     /// It has run on as many servers as the route allows.
     AttemptsUsed,
     /// The deadline leaves less than the expected time to the first event.
     DeadlineShort,
+    /// No server had room while the caller waited.
+    NoRoom,
     /// The retry budget is empty.
     NoRetry,
+    /// This VM stops, the request's key was withdrawn, or a part of its prompt was contained.
+    Withheld,
+    /// The servers that it was offered to did not take it.
+    NotTaken,
+    /// A server responded that the request is faulty.
+    Rejected,
 }
--- a/crates/gateway/src/resumption/run_loss.rs
+++ b/crates/gateway/src/resumption/run_loss.rs
@@ -33,8 +33,12 @@
     };
     let now = context.clock.now();
     let view = context.view();
-    let has_left = state == RunState::Ended && view.leaving_for(server.server(), now).is_some();
-    if has_left || view.is_cut_off(server.server(), now) {
+    if state == RunState::Ended && view.leaving_for(server.server(), now).is_some() {
         runs.note_gone(server.server());
     }
+    for key in runs.ran_at().clone() {
+        if view.is_out_of_reach(key, now) {
+            runs.note_gone(key);
+        }
+    }
 }
--- a/crates/gateway/src/resumption/stream_runs.rs
+++ b/crates/gateway/src/resumption/stream_runs.rs
@@ -48,6 +48,11 @@
         &self.tried
     }
 
+    /// Returns the servers that may have run the request.
+    pub fn ran_at(&self) -> &BTreeSet<ServerKey> {
+        &self.ran_at
+    }
+
     /// Returns the number of offers that reached a server.
     pub fn arrivals(&self) -> u32 {
         self.arrivals
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -134,6 +134,9 @@
             left: self.request.time_left(),
             first_event: self.context.view().timing_mut(service).expected_first_event(),
         };
+        if self.runs.may_have_run() && self.request.trial_part.is_some() {
+            return false;
+        }
         let checked = self.runs.check(&self.request.route, time).and_then(|()| {
             let has_retry = self.context.view().take_retry(service, now);
             if has_retry { Ok(()) } else { Err(RepeatDenial::NoRetry) }
@@ -144,6 +147,9 @@
             let reason = <&str>::from(denial);
             info!(id = self.request.attempt, service, reason, "stream: not offered again");
         }
+        if self.runs.may_have_run() && self.request.route.may_repeat() {
+            self.context.metrics.count_repeat(checked.err().map_or("sent_again", <&str>::from));
+        }
         checked.is_ok()
     }
 
@@ -272,9 +278,15 @@
         self.log_offer(&reservation, "answered");
         let (sender, body) = response_body::channel(EVENTS_BUFFERED);
         let response = response_relay::build(&self.context.names, &head, body);
-        let source = RelaySource { reservation, watcher, connection, run };
-        let relay =
-            GenerationRelay::new(&self.context, self.request, source, self.progress, sender);
+        let source = RelaySource { reservation, watcher, connection: Some(connection), run };
+        let relay = GenerationRelay::new(
+            &self.context,
+            self.request,
+            source,
+            self.runs,
+            self.progress,
+            sender,
+        );
         tokio::spawn(relay.run());
         Ok(response)
     }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,8 @@
 
 mod call_forwarding;
 mod clocks;
+mod continued_streams;
+mod stream_joins;
 mod fixtures;
 mod generation_timings;
 mod hand_overs;
@@ -15,6 +17,7 @@
 mod placements;
 mod response_heads;
 mod resumable_engines;
+mod resumable_fleet;
 mod resumable_streams;
 mod revocation;
 mod revocation_model;
--- a/crates/gateway/tests/all/resumable_engines.rs
+++ b/crates/gateway/tests/all/resumable_engines.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -10,11 +11,20 @@
     net::{TcpListener, TcpStream},
 };
 
+/// Time for which an engine that holds a connection waits for its end.
+const HOLD_LIMIT: Duration = Duration::from_secs(20);
+
 /// Part of a script. The connection is closed at the end of a script.
 #[derive(Debug, Clone)]
 pub(crate) enum Piece {
     /// Sends this text.
     Send(String),
+    /// Sends nothing for this time.
+    Pause(Duration),
+    /// Waits until the gateway closes the connection.
+    Hold,
+    /// Sends this text again and again until the gateway closes the connection.
+    Repeat(&'static str),
 }
 
 /// Request that reached an engine.
@@ -24,6 +34,10 @@
     pub(crate) engine: usize,
     /// Head of the request.
     pub(crate) head: String,
+    /// Time of its arrival.
+    pub(crate) arrived: Instant,
+    /// Time at which the gateway closed the connection, if the engine was holding it.
+    pub(crate) closed: Option<Instant>,
 }
 
 impl SeenRequest {
@@ -38,6 +52,7 @@
     /// Addresses.
     pub(crate) addresses: Vec<SocketAddr>,
     requests: Arc<Mutex<Vec<SeenRequest>>>,
+    listeners: Vec<tokio::task::AbortHandle>,
 }
 
 impl ResumableEngines {
@@ -46,33 +61,46 @@
     pub(crate) async fn start(count: usize, scripts: Vec<Vec<Piece>>) -> ResumableEngines {
         let requests = Arc::<Mutex<Vec<SeenRequest>>>::default();
         let scripts = Arc::new(scripts);
-        let mut addresses = Vec::new();
+        let (mut addresses, mut listeners) = (Vec::new(), Vec::new());
         for engine in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             addresses.push(listener.local_addr().unwrap());
             let (requests, scripts) = (Arc::clone(&requests), Arc::clone(&scripts));
-            tokio::spawn(async move {
+            let task = tokio::spawn(async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     let (requests, scripts) = (Arc::clone(&requests), Arc::clone(&scripts));
                     tokio::spawn(serve(stream, engine, scripts, requests));
                 }
             });
+            listeners.push(task.abort_handle());
         }
-        ResumableEngines { addresses, requests }
+        ResumableEngines { addresses, requests, listeners }
+    }
+
+    /// Closes the listeners, as when the processes end.
+    pub(crate) fn stop_listening(&self) {
+        self.listeners.iter().for_each(tokio::task::AbortHandle::abort);
     }
 
     /// Returns the requests that reached engines so far.
     pub(crate) fn requests(&self) -> Vec<SeenRequest> {
         self.requests.lock().unwrap().clone()
     }
+
+    /// Waits until this many requests have reached engines.
+    pub(crate) async fn wait_requests(&self, count: usize) {
+        while self.requests.lock().unwrap().len() < count {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
 }
 
 /// Returns the head of a response with events.
-pub(crate) fn stream_head() -> Piece {
-    Piece::Send(
-        "HTTP/1.1 200 OK\r\nx-echo-id: a1\r\nx-signature: first\r\ntransfer-encoding: chunked\r\n\r\n"
-            .to_owned(),
-    )
+pub(crate) fn stream_head(signature: &str) -> Piece {
+    Piece::Send(format!(
+        "HTTP/1.1 200 OK\r\nx-echo-id: a1\r\nx-signature: {signature}\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    ))
 }
 
 /// Returns a response without a body.
@@ -80,6 +108,11 @@
     Piece::Send(format!("HTTP/1.1 {status} X\r\nx-echo-id: a1\r\n{marks}content-length: 0\r\n\r\n"))
 }
 
+/// Returns a chunk with this text.
+pub(crate) fn chunk(text: &str) -> Piece {
+    Piece::Send(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
 /// Returns events with these IDs, each in a chunk.
 pub(crate) fn events(ids: std::ops::Range<u64>) -> Piece {
     let chunks = ids.map(|id| {
@@ -105,7 +138,7 @@
     let head = String::from_utf8_lossy(&buffer[..read]).into_owned();
     let number = {
         let mut requests = requests.lock().unwrap();
-        requests.push(SeenRequest { engine, head });
+        requests.push(SeenRequest { engine, head, arrived: Instant::now(), closed: None });
         requests.len() - 1
     };
     for piece in scripts.get(number).cloned().unwrap_or_default() {
@@ -115,6 +148,19 @@
                     return;
                 }
             }
+            Piece::Pause(time) => tokio::time::sleep(time).await,
+            Piece::Hold => {
+                let read = tokio::time::timeout(HOLD_LIMIT, stream.read(&mut buffer)).await;
+                if matches!(read, Ok(Ok(0) | Err(_))) {
+                    requests.lock().unwrap()[number].closed = Some(Instant::now());
+                }
+            }
+            Piece::Repeat(text) => {
+                let text = text.repeat(4_096 / text.len());
+                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                while stream.write_all(chunk.as_bytes()).await.is_ok() {}
+                requests.lock().unwrap()[number].closed = Some(Instant::now());
+            }
         }
     }
 }
--- a/crates/gateway/tests/all/resumable_streams.rs
+++ b/crates/gateway/tests/all/resumable_streams.rs
@@ -1,24 +1,18 @@
 //! Streams that may run again at another server.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use dragonflycart_core::ErrorKind;
-use dragonflycart_gateway::{
-    CallerRequest, GatewayContext, GatewayFailure, PlannedRoute, RepeatDenial, RepeatTime,
-    ResponseBody, RouteKind, ServerKey, ServerRecord, StreamForwarder, StreamRuns,
-};
-use http_body_util::BodyExt;
-use hyper::{Response, header::HeaderValue};
+use dragonflycart_gateway::{RepeatDenial, RepeatTime, RouteKind, ServerKey, StreamRuns};
+use hyper::header::HeaderValue;
 use slotmap::SlotMap;
 
 use crate::{
-    fixtures::{ENGINES, caller_request, context, record, report, route},
-    resumable_engines::{Piece, ResumableEngines, empty_response, end, events, stream_head},
-    stub_store::StubStore,
+    fixtures::{ENGINES, route},
+    resumable_engines::{empty_response, end, events, stream_head},
+    resumable_fleet::{ReceivedStream, ResumableFleet, receive, resumable_route, whole},
 };
 
-/// Requests from which the budget allows some retries.
-const BUDGET_REQUESTS: u32 = 40;
 /// Signature without the statement that the request did not run.
 const SIGNED: &str = "x-signature: s\r\n";
 /// Statement that the request did not run.
@@ -26,74 +20,6 @@
 /// Time to the first event that samples of the service show.
 const FIRST_EVENT: Duration = Duration::from_millis(400);
 
-fn resumable_route() -> PlannedRoute {
-    PlannedRoute { is_resumable: true, ..route("notes", "/notes/", RouteKind::Stream, ENGINES) }
-}
-
-/// Context with engines, and retries left.
-struct ResumableFleet {
-    context: Arc<GatewayContext>,
-    engines: ResumableEngines,
-}
-
-impl ResumableFleet {
-    async fn start(count: usize, scripts: Vec<Vec<Piece>>) -> ResumableFleet {
-        let context = context(Arc::new(StubStore::default()));
-        let engines = ResumableEngines::start(count, scripts).await;
-        let now = context.clock.now();
-        let mut view = context.view();
-        for (index, address) in engines.addresses.iter().enumerate() {
-            let record = ServerRecord { address: *address, ..record(ENGINES, "a", 8_000) };
-            view.apply_server(&format!("e{index}"), record, index as u64, now);
-        }
-        for _ in 0..BUDGET_REQUESTS {
-            view.note_request(ENGINES, now);
-        }
-        drop(view);
-        ResumableFleet { context, engines }
-    }
-
-    fn request(&self, route: PlannedRoute) -> CallerRequest {
-        caller_request(&self.context, route, report())
-    }
-
-    async fn send(&self, request: CallerRequest) -> Result<Response<ResponseBody>, GatewayFailure> {
-        StreamForwarder::new(&self.context, request).run().await
-    }
-
-    /// Uses up the retry budget.
-    fn use_budget_up(&self) {
-        let now = self.context.clock.now();
-        while self.context.view().take_retry(ENGINES, now) {}
-    }
-}
-
-/// Events of a response, and whether it ended as complete.
-#[derive(Debug, PartialEq, Eq)]
-struct ReceivedStream {
-    ids: Vec<u64>,
-    is_complete: bool,
-}
-
-async fn receive(response: Response<ResponseBody>) -> ReceivedStream {
-    let mut body = response.into_body();
-    let mut bytes = Vec::new();
-    let is_complete = loop {
-        match body.frame().await {
-            Some(Ok(frame)) => bytes.extend_from_slice(&frame.into_data().unwrap()),
-            Some(Err(_)) => break false,
-            None => break true,
-        }
-    };
-    let text = String::from_utf8(bytes).unwrap();
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect();
-    ReceivedStream { ids, is_complete }
-}
-
-fn whole(count: u64) -> ReceivedStream {
-    ReceivedStream { ids: (0..count).collect(), is_complete: true }
-}
-
 fn server_keys<const COUNT: usize>() -> [ServerKey; COUNT] {
     let mut arena = SlotMap::<ServerKey, ()>::with_key();
     std::array::from_fn(|_| arena.insert(()))
@@ -161,8 +87,11 @@
         ("unsigned", vec![empty_response(200, "")]),
     ]);
     for (name, failure) in failures {
-        let fleet =
-            ResumableFleet::start(2, vec![failure, vec![stream_head(), events(0..3), end()]]).await;
+        let fleet = ResumableFleet::start(
+            2,
+            vec![failure, vec![stream_head("first"), events(0..3), end()]],
+        )
+        .await;
 
         let response = fleet.send(fleet.request(resumable_route())).await;
 
@@ -178,7 +107,7 @@
 /// receive events twice.
 #[tokio::test]
 async fn callers_last_event_is_sent_to_each_server() {
-    let scripts = vec![Vec::new(), vec![stream_head(), events(3..5), end()]];
+    let scripts = vec![Vec::new(), vec![stream_head("first"), events(3..5), end()]];
     let fleet = ResumableFleet::start(2, scripts).await;
     let mut request = fleet.request(resumable_route());
     request.last_event = Some(2);
@@ -219,7 +148,7 @@
 /// Guards against repeats beyond the deployment's limit on retries.
 #[tokio::test]
 async fn stream_is_not_sent_again_without_a_retry() {
-    let scripts = vec![Vec::new(), vec![stream_head(), events(0..3), end()]];
+    let scripts = vec![Vec::new(), vec![stream_head("first"), events(0..3), end()]];
     let fleet = ResumableFleet::start(2, scripts).await;
     fleet.use_budget_up();
 
