--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod learned_capacity;
 mod placing;
+mod lost_servers;
 mod run_results;
 
 use std::{
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,6 +61,7 @@
 mod response_body;
 mod response_head;
 mod response_relay;
+mod resumption;
 mod retries;
 mod revocation;
 mod route_kind;
@@ -148,6 +149,7 @@
     rate_limiter::RateLimiter,
     response_body::{BodyError, BodySender, ResponseBody},
     response_head::ResponseHead,
+    resumption::{EventStep, RepeatDenial, RepeatTime, StreamJoin, StreamRuns},
     retries::{OfferHistory, RetryBudget, RetryLimit},
     revocation::{BootTime, CallerCredential, FeedProbes, PlanFreshness},
     route_kind::RouteKind,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -4,6 +4,8 @@
 mod admission;
 mod call_forwarding;
 mod clocks;
+mod continued_streams;
+mod stream_joins;
 mod fixtures;
 mod generation_timings;
 mod hand_overs;
@@ -16,6 +18,9 @@
 mod peer_tables;
 mod placements;
 mod response_heads;
+mod resumable_engines;
+mod resumable_fleet;
+mod resumable_streams;
 mod revocation;
 mod revocation_model;
 mod routes;
