--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     CallerRequest, GatewayContext, GatewayFailure, GenerationReservation, ServerKey,
-    admission::QueueEntry, containment::prompt_check, revocation::key_check, server_attempt,
+    admission::{LeaseOutcome, QueueEntry, engine_lease},
+    containment::prompt_check,
+    revocation::key_check,
+    server_attempt,
 };
 
 /// Maximum time between attempts to find an engine. Memory that other VMs freed and requests that
@@ -23,6 +26,12 @@
 /// after the wait.
 const WAIT_TARGETS: f64 = 3.0;
 
+/// Time after an engine refused a lease in which the request asks no other one. It doubles with each
+/// further refusal.
+const LEASE_PAUSE: Duration = Duration::from_millis(5);
+/// Maximum of that time.
+const LEASE_PAUSE_MAX: Duration = Duration::from_millis(320);
+
 /// Reserves an engine as soon as one has capacity.
 ///
 /// # Errors
@@ -42,6 +51,8 @@
     let mut estimate = None;
     let mut tries = 0_u32;
     let mut give_way = GiveWay::default();
+    let mut next_try = began;
+    let mut lease_pause = LEASE_PAUSE;
     loop {
         server_attempt::check_stop(context)?;
         key_check::check_request(context, request)?;
@@ -49,11 +60,20 @@
         if entry.has_turn() {
             tries += 1;
             if !gives_way(context, request, &entry, excluded, &mut give_way)
-                && let Some(reservation) = GenerationReservation::take(context, request, excluded)
+                && Instant::now() >= next_try
+                && let Some(mut reservation) =
+                    GenerationReservation::take(context, request, excluded)
             {
-                note_wait(context, request, estimate, began);
-                charge(context, request);
-                return Ok(reservation);
+                if engine_lease::take(context, request, &mut reservation).await
+                    == LeaseOutcome::Ready
+                {
+                    note_wait(context, request, estimate, began);
+                    charge(context, request);
+                    return Ok(reservation);
+                }
+                reservation.close();
+                next_try = Instant::now() + lease_pause;
+                lease_pause = (lease_pause * 2).min(LEASE_PAUSE_MAX);
             }
             entry.note_no_room();
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -42,6 +42,8 @@
     store_calls: Family<ResultLabels, Counter>,
     /// Number of connections opened to servers.
     pub connections: Counter,
+    /// Number of leases that engines refused for lack of room.
+    pub leases_refused: Counter,
     /// Number of responses given up because there was no memory for them.
     pub responses_without_memory: Counter,
     /// Number of engines found to have ended without notice.
@@ -79,6 +81,7 @@
             repeats: Family::default(),
             store_calls: Family::default(),
             connections: Counter::default(),
+            leases_refused: Counter::default(),
             responses_without_memory: Counter::default(),
             engine_crashes: Counter::default(),
             contained_requests: Counter::default(),
@@ -116,6 +119,11 @@
         );
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
         registry.register("connections", "Connections opened to servers", self.connections.clone());
+        registry.register(
+            "leases_refused",
+            "Leases that engines refused for lack of room",
+            self.leases_refused.clone(),
+        );
         registry.register(
             "responses_without_memory",
             "Responses given up because there was no memory for them",
--- a/crates/gateway/src/generation_reservation.rs
+++ b/crates/gateway/src/generation_reservation.rs
@@ -17,6 +17,8 @@
     pub engine: ServerReservation,
     /// Engine that receives the backup copies.
     pub backup: Option<ServerReservation>,
+    /// ID of the lease of a slot and memory at the engine.
+    pub lease: Option<String>,
 }
 
 impl GenerationReservation {
@@ -42,7 +44,7 @@
         if request.demand.output_tokens < MIN_BACKUP_TOKENS
             || !context.can_back_up(&request.service)
         {
-            return GenerationReservation { engine, backup: None };
+            return GenerationReservation { engine, backup: None, lease: None };
         }
         let mut excluded = excluded.clone();
         excluded.insert(engine.server());
@@ -55,7 +57,7 @@
         if backup.is_none() {
             info!(id = request.attempt, engine = engine.id(), "stream: no engine for copies");
         }
-        GenerationReservation { engine, backup }
+        GenerationReservation { engine, backup, lease: None }
     }
 
     /// Returns the address of the backup engine as a header value.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -108,7 +108,7 @@
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     connection_error::ConnectionError,
     connection_pool::ConnectionPool,
-    engine_protocol::{CopyResponse, EngineProtocol},
+    engine_protocol::{CopyResponse, EngineProtocol, LeaseResponse},
     engine_report::{EngineReport, RunningGeneration},
     engine_spec::EngineSpec,
     engine_wait::reserve_engine,
