capacity: share measured speeds, measure avoided servers again, log changes

A VM of a large fleet sends a request to a given engine about once a minute, so its own results can't tell slow engines from fast ones in time.

Reports to peers contain the speeds of servers that the VM measured in the last two seconds (tag 15, up to eight in turn). Receivers keep the last one of each VM, and average by number of samples and age. Servers below 0.7 get a request of one VM at a time, in turn, once a second if nobody measured them. A server whose header becomes unusable or usable, and a notable change of speed, write one line each at a bounded rate; metrics count samples, bad headers and such requests. What is usual is now taken from samples of at least three servers: a server that was alone at its number of requests was compared with itself.

--- a/crates/capacity/src/capacity_table.rs
+++ b/crates/capacity/src/capacity_table.rs
@@ -5,8 +5,8 @@
 use dragonflycart_core::MonoTime;
 
 use crate::{
-    CapacityChange, HeaderFault, LoadHeader, PauseSample, PeerSample, RunningLoad,
-    sample_ring::SampleRing, server_estimate::ServerEstimate, time_model::TimeModel,
+    CapacityChange, CapacityCounts, HeaderFault, LoadHeader, PauseSample, PeerSample, RunningLoad,
+    ServerOutlook, sample_ring::SampleRing, server_estimate::ServerEstimate, time_model::TimeModel,
 };
 
 /// Unread prompt tokens from which the time to the first event tells how fast a server reads. With
@@ -22,10 +22,8 @@
 const MEDIAN_INTERVAL: Duration = Duration::from_millis(200);
 /// Bound of the learned speed, as a logarithm: a factor of 10.
 const LOG_LIMIT: f64 = 2.3;
-/// Speed below which a server counts as avoided.
-const AVOIDED_SPEED: f64 = 0.7;
-/// Minimum time since the last sample for an avoided server to be measured again.
-const RETEST_AGE: Duration = Duration::from_secs(1);
+/// Speed below which a server counts as avoided, as a logarithm: 0.7.
+const AVOIDED_LOG: f64 = -0.36;
 /// Change of the learned speed that is reported, as a logarithm: a factor of 1.35.
 const TOLD_DIFFERENCE: f64 = 0.3;
 /// Minimum time between two reports of the speed of one server.
@@ -42,22 +40,23 @@
 pub struct CapacityTable<K> {
     servers: BTreeMap<K, ServerEstimate>,
     /// Time to read a prompt token, by the number of requests.
-    reading: TimeModel,
+    reading: TimeModel<K>,
     /// Median pause between events.
-    pauses: TimeModel,
+    pauses: TimeModel<K>,
     /// Quotient of a heavy and a median pause.
-    heaviness: SampleRing,
+    heaviness: SampleRing<K>,
     /// Latency of plain calls.
-    calls: TimeModel,
+    calls: TimeModel<K>,
     /// Logarithm of the median speed of the servers, and the time at which it was computed.
     median_log: f64,
     median_at: Option<MonoTime>,
     is_in_effect: bool,
     told_at: Option<MonoTime>,
     changes: Vec<(K, CapacityChange)>,
+    counts: CapacityCounts,
 }
 
-impl<K> Default for CapacityTable<K> {
+impl<K: Copy + Ord> Default for CapacityTable<K> {
     fn default() -> CapacityTable<K> {
         CapacityTable {
             servers: BTreeMap::new(),
@@ -70,6 +69,7 @@
             is_in_effect: false,
             told_at: None,
             changes: Vec::new(),
+            counts: CapacityCounts::default(),
         }
     }
 }
@@ -88,9 +88,13 @@
         now: MonoTime,
     ) {
         let estimate = self.servers.entry(server).or_default();
-        if let Ok(header) = header {
-            estimate.note_pace(header.pace, now);
-            self.is_in_effect |= header.pace.is_some();
+        match header {
+            Ok(header) => {
+                estimate.note_pace(header.pace, now);
+                self.is_in_effect |= header.pace.is_some();
+            }
+            Err(HeaderFault::Absent) => {}
+            Err(_) => self.counts.unusable_headers += 1,
         }
         let change = match estimate.header.note(header.err(), now) {
             Some(Some(fault)) => CapacityChange::HeaderUnusable { fault },
@@ -116,7 +120,7 @@
         }
         let token_s = self.paced_s(server, time, now) / load.unread_tokens as f64;
         let unbiased_s = token_s * self.speed(server, now);
-        self.reading.push(load.requests, unbiased_s, now);
+        self.reading.push(server, load.requests, unbiased_s, now);
         self.note_ratio(server, self.reading.usual(load.requests), token_s, now);
     }
 
@@ -126,9 +130,9 @@
         if pause.usual.is_zero() {
             return;
         }
-        self.heaviness.push(pause.heavy.as_secs_f64() / pause.usual.as_secs_f64(), now);
+        self.heaviness.push(server, pause.heavy.as_secs_f64() / pause.usual.as_secs_f64(), now);
         let unbiased_s = pause_s * self.speed(server, now);
-        self.pauses.push(requests, unbiased_s, now);
+        self.pauses.push(server, requests, unbiased_s, now);
         self.note_ratio(server, self.pauses.usual(requests), pause_s, now);
     }
 
@@ -136,7 +140,7 @@
     pub fn note_call(&mut self, server: K, latency: Duration, requests: u32, now: MonoTime) {
         let call_s = self.paced_s(server, latency, now);
         let unbiased_s = call_s * self.speed(server, now);
-        self.calls.push(requests, unbiased_s, now);
+        self.calls.push(server, requests, unbiased_s, now);
         self.note_ratio(server, self.calls.usual(requests), call_s, now);
     }
 
@@ -159,6 +163,9 @@
             self.is_in_effect = true;
             self.update_median(now);
             self.tell_speed(server, now);
+            self.counts.peer_samples += 1;
+        } else {
+            self.counts.unused_peer_samples += 1;
         }
         is_used
     }
@@ -177,6 +184,7 @@
         let Some(usual_s) = usual_s.filter(|usual_s| *usual_s > 0.0 && time_s > 0.0) else {
             return;
         };
+        self.counts.own_samples += 1;
         let log = (usual_s / time_s).ln().clamp(-LOG_LIMIT, LOG_LIMIT);
         self.servers.entry(server).or_default().note_own(log, now);
         self.update_median(now);
@@ -232,9 +240,12 @@
         self.servers.get(&server).map_or(1.0, |estimate| estimate.pace(now))
     }
 
-    /// Returns how long work takes at a server now, as a multiple of the median of the service.
-    pub fn slowness(&self, server: K, now: MonoTime) -> f64 {
-        self.pace(server, now) / self.speed(server, now)
+    /// Returns what is expected of a server now.
+    pub fn outlook(&self, server: K, now: MonoTime) -> ServerOutlook {
+        let Some(estimate) = self.servers.get(&server) else { return ServerOutlook::default() };
+        let log = estimate.relative_log(self.median_log, now).clamp(-LOG_LIMIT, LOG_LIMIT);
+        let (pace, takes_well) = (estimate.pace(now), estimate.refused_at(now));
+        ServerOutlook { speed: log.exp(), pace, takes_well }
     }
 
     /// Returns the expected time to the first event of a stream with `prompt_tokens` that is sent to
@@ -245,10 +256,20 @@
         load: RunningLoad,
         prompt_tokens: u64,
         now: MonoTime,
+    ) -> Option<Duration> {
+        self.first_event_by(&self.outlook(server, now), load, prompt_tokens)
+    }
+
+    /// Returns the same for a server of which `outlook` is expected.
+    pub fn first_event_by(
+        &self,
+        outlook: &ServerOutlook,
+        load: RunningLoad,
+        prompt_tokens: u64,
     ) -> Option<Duration> {
         let token_s = self.reading.usual(load.requests)?;
         let tokens = (load.unread_tokens + prompt_tokens) as f64;
-        Some(Duration::from_secs_f64(token_s * tokens * self.slowness(server, now)))
+        Some(Duration::from_secs_f64(token_s * tokens * outlook.slowness()))
     }
 
     /// Returns the expected pause between events at a server with this load, or `None` if too
@@ -256,20 +277,16 @@
     pub fn expected_pause(&self, server: K, load: RunningLoad, now: MonoTime) -> Option<Duration> {
         let heaviness = if load.unread_tokens > 0 { self.heaviness() } else { 1.0 };
         let pause_s = self.pauses.usual(load.requests)?;
-        Some(Duration::from_secs_f64(pause_s * heaviness * self.slowness(server, now)))
+        let slowness = self.outlook(server, now).slowness();
+        Some(Duration::from_secs_f64(pause_s * heaviness * slowness))
     }
 
-    /// Returns the expected pause between events at a server with this load while it is in a slow
-    /// phase and reads prompts.
-    pub fn slow_phase_pause(
-        &self,
-        server: K,
-        load: RunningLoad,
-        now: MonoTime,
-    ) -> Option<Duration> {
+    /// Returns the expected pause between events at a server with this load, of which `outlook` is
+    /// expected, while it is in a slow phase and reads prompts.
+    pub fn slow_phase_pause(&self, outlook: &ServerOutlook, load: RunningLoad) -> Option<Duration> {
         let pause_s = self.pauses.usual(load.requests)? * self.heaviness();
-        let pace = self.pace(server, now).max(SLOW_PHASE_PACE);
-        Some(Duration::from_secs_f64(pause_s * pace / self.speed(server, now)))
+        let pace = outlook.pace.max(SLOW_PHASE_PACE);
+        Some(Duration::from_secs_f64(pause_s * pace / outlook.speed))
     }
 
     fn heaviness(&self) -> f64 {
@@ -283,23 +300,26 @@
 
     /// Returns whether a server is so slow that it is avoided.
     pub fn is_avoided(&self, server: K, now: MonoTime) -> bool {
-        self.speed(server, now) < AVOIDED_SPEED
+        self.servers.get(&server).is_some_and(|estimate| self.is_slow(estimate, now))
     }
 
-    /// Returns whether this VM is to send a request to an avoided server so that it is measured
-    /// again. `interval` is the minimum time between such requests of one VM, and `phase`, from 0 to
-    /// 1, spreads the VMs over it.
-    pub fn is_retest_due(&self, server: K, interval: Duration, phase: f64, now: MonoTime) -> bool {
+    fn is_slow(&self, estimate: &ServerEstimate, now: MonoTime) -> bool {
+        estimate.relative_log(self.median_log, now) < AVOIDED_LOG
+    }
+
+    /// Returns whether an avoided server had no sample for `wait` and this VM is to send it a request,
+    /// so that it is measured again. A wait that differs between VMs lets them take turns.
+    pub fn is_retest_due(&self, server: K, wait: Duration, now: MonoTime) -> bool {
         let Some(estimate) = self.servers.get(&server) else { return false };
         let Some(sampled_at) = estimate.sampled_at() else { return false };
-        let wait = RETEST_AGE + interval.mul_f64(phase.clamp(0.0, 1.0));
-        self.is_avoided(server, now) && now.since(sampled_at) >= wait && now >= estimate.next_retest
+        self.is_slow(estimate, now) && now.since(sampled_at) >= wait && now >= estimate.next_retest
     }
 
     /// Records that this VM sends a request to a server so that it is measured again.
     pub fn note_retest(&mut self, server: K, interval: Duration, now: MonoTime) {
         if let Some(estimate) = self.servers.get_mut(&server) {
             estimate.next_retest = now + interval;
+            self.counts.retests += 1;
         }
     }
 
@@ -316,6 +336,11 @@
         samples
     }
 
+    /// Returns the counts since the last call.
+    pub fn take_counts(&mut self) -> CapacityCounts {
+        std::mem::take(&mut self.counts)
+    }
+
     /// Returns the learned speeds of all servers with recent samples.
     pub fn speeds(&self, now: MonoTime) -> Vec<(K, f64)> {
         let measured = self.servers.iter().filter(|(_, state)| state.recent_log(now).is_some());
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -12,6 +12,7 @@
 //! Nothing here does I/O or reads a clock. The owner of a table tells it what was observed.
 
 mod capacity_change;
+mod capacity_counts;
 mod capacity_table;
 mod header_fault;
 mod header_watch;
@@ -22,11 +23,13 @@
 mod running_load;
 mod sample_ring;
 mod server_estimate;
+mod server_outlook;
 mod speed_estimate;
 mod time_model;
 
 pub use crate::{
-    capacity_change::CapacityChange, capacity_table::CapacityTable, header_fault::HeaderFault,
-    load_header::LoadHeader, pause_sample::PauseSample, pause_window::PauseWindow,
-    peer_sample::PeerSample, running_load::RunningLoad,
+    capacity_change::CapacityChange, capacity_counts::CapacityCounts,
+    capacity_table::CapacityTable, header_fault::HeaderFault, load_header::LoadHeader,
+    pause_sample::PauseSample, pause_window::PauseWindow, peer_sample::PeerSample,
+    running_load::RunningLoad, server_outlook::ServerOutlook,
 };
--- a/crates/capacity/src/time_model.rs
+++ b/crates/capacity/src/time_model.rs
@@ -9,36 +9,45 @@
 /// Number of medians; the last one also covers more requests.
 const BUCKETS: usize = 32;
 
+/// Number of servers whose samples a median should cover. A server that is alone at its number of
+/// requests would be compared with itself, and a change of its speed would be taken as usual.
+const SERVERS_WANTED: usize = 3;
+
 /// Usual time of a piece of work at a server of the service, by the number of requests there.
 #[derive(Debug, Clone)]
-pub(crate) struct TimeModel {
-    buckets: Vec<SampleRing>,
+pub(crate) struct TimeModel<K> {
+    buckets: Vec<SampleRing<K>>,
 }
 
-impl Default for TimeModel {
-    fn default() -> TimeModel {
+impl<K: Copy + Ord> Default for TimeModel<K> {
+    fn default() -> TimeModel<K> {
         TimeModel { buckets: vec![SampleRing::default(); BUCKETS] }
     }
 }
 
-impl TimeModel {
+impl<K: Copy + Ord> TimeModel<K> {
     /// Adds a time.
-    pub(crate) fn push(&mut self, requests: u32, time_s: f64, now: MonoTime) {
-        self.buckets[bucket_of(requests)].push(time_s, now);
+    pub(crate) fn push(&mut self, server: K, requests: u32, time_s: f64, now: MonoTime) {
+        self.buckets[bucket_of(requests)].push(server, time_s, now);
     }
 
     /// Returns the usual time in seconds, at the nearest number of requests for which there are
-    /// enough samples.
+    /// samples of enough servers or, if there are none, of any.
     pub(crate) fn usual(&self, requests: u32) -> Option<f64> {
         let bucket = bucket_of(requests);
+        let mut nearest = None;
         for distance in 0..BUCKETS {
-            let above = self.buckets.get(bucket + distance).and_then(SampleRing::median);
-            let below = bucket.checked_sub(distance).and_then(|index| self.buckets[index].median());
-            if let Some(time_s) = above.or(below) {
-                return Some(time_s);
+            let above = self.buckets.get(bucket + distance);
+            let below = bucket.checked_sub(distance).map(|index| &self.buckets[index]);
+            for ring in [above, below].into_iter().flatten() {
+                let Some(time_s) = ring.median() else { continue };
+                if ring.server_count() >= SERVERS_WANTED {
+                    return Some(time_s);
+                }
+                nearest = nearest.or(Some(time_s));
             }
         }
-        None
+        nearest
     }
 }
 
--- a/crates/gateway/src/capacity/mod.rs
+++ b/crates/gateway/src/capacity/mod.rs
@@ -1,5 +1,11 @@
-//! Use of the learned capacity of servers in placement.
+//! Use of the learned capacity of servers in placement, and its exchange with the other VMs.
 
+mod capacity_log;
 mod placement_cost;
+mod speed_exchange;
 
-pub(crate) use self::placement_cost::{PlacementCost, UNSUITABLE_COST};
+pub use self::speed_exchange::{apply_speeds, speed_entries};
+pub(crate) use self::{
+    capacity_log::report_changes,
+    placement_cost::{PlacementCost, UNSUITABLE_COST},
+};
--- a/crates/gateway/src/capacity/placement_cost.rs
+++ b/crates/gateway/src/capacity/placement_cost.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use dragonflycart_capacity::{CapacityTable, RunningLoad};
-use dragonflycart_core::MonoTime;
+use dragonflycart_capacity::{CapacityTable, RunningLoad, ServerOutlook};
 
 use crate::{
     EngineSpec, PlacementQuery, ServerKey, ServerLoad,
@@ -46,6 +45,8 @@
 pub(crate) struct PlacementCost<'a> {
     /// Learned capacity of the service's servers.
     pub(crate) table: &'a CapacityTable<ServerKey>,
+    /// What is expected of the server.
+    pub(crate) outlook: ServerOutlook,
     /// Key of the server.
     pub(crate) key: ServerKey,
     /// Load of the server.
@@ -66,12 +67,12 @@
     }
 
     /// Returns the cost of a request.
-    pub(crate) fn value(&self, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+    pub(crate) fn value(&self, query: &PlacementQuery<'_>) -> f64 {
         let mut cost = match self.engine {
-            Some(engine) => self.stream_cost(engine, query, now),
-            None => self.call_cost(query, now),
+            Some(engine) => self.stream_cost(engine, query),
+            None => self.call_cost(query),
         };
-        if self.table.takes_well(self.key, now).is_some_and(|limit| self.load.requests >= limit) {
+        if self.outlook.takes_well.is_some_and(|limit| self.load.requests >= limit) {
             cost += REFUSAL_COST;
         }
         if self.is_retest { cost - RETEST_BONUS } else { cost }
@@ -79,31 +80,31 @@
 
     /// Returns the expected time of a call as a multiple of the service's usual one, with calls that
     /// wait for a slot.
-    fn call_cost(&self, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+    fn call_cost(&self, query: &PlacementQuery<'_>) -> f64 {
         let slots = f64::from(self.slots.max(1));
         let requests = f64::from(self.load.requests);
         let rounds = ((requests + 1.0) / slots).max(1.0);
-        rounds * self.table.slowness(self.key, now)
+        rounds * self.outlook.slowness()
             + SLOTS_COST * requests / slots
             + CALL_SPREAD * spread(query.sample_seed, self.key)
     }
 
-    fn stream_cost(&self, engine: EngineSpec, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+    fn stream_cost(&self, engine: EngineSpec, query: &PlacementQuery<'_>) -> f64 {
         let is_long = query.demand.output_tokens >= LONG_OUTPUT_TOKENS;
         let fill = self.load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
         let usage = f64::from(self.load.requests) / f64::from(self.slots.max(1));
-        let mut cost = FILL_WEIGHT * fill + usage + self.first_event_cost(is_long, query, now);
+        let mut cost = FILL_WEIGHT * fill + usage + self.first_event_cost(is_long, query);
         if is_long {
-            cost += self.pause_cost(query, now);
+            cost += self.pause_cost(query);
         } else {
-            cost -= KEEP_FREE_COST * (1.0 - self.table.speed(self.key, now)).max(0.0);
+            cost -= KEEP_FREE_COST * (1.0 - self.outlook.speed).max(0.0);
         }
         cost
     }
 
-    fn first_event_cost(&self, is_long: bool, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+    fn first_event_cost(&self, is_long: bool, query: &PlacementQuery<'_>) -> f64 {
         let prompt = query.demand.prompt_tokens;
-        let Some(time) = self.table.expected_first_event(self.key, self.work(), prompt, now) else {
+        let Some(time) = self.table.first_event_by(&self.outlook, self.work(), prompt) else {
             return self.load.pending_prompt_tokens as f64 / PENDING_PROMPT_TOKENS;
         };
         let target_s = query.latency_target.max(Duration::from_millis(1)).as_secs_f64();
@@ -116,12 +117,12 @@
         time_cost + LATE_COST * (target_share - free_share).max(0.0)
     }
 
-    fn pause_cost(&self, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+    fn pause_cost(&self, query: &PlacementQuery<'_>) -> f64 {
         let Some(target) = query.pause_target.filter(|target| !target.is_zero()) else {
             return 0.0;
         };
         let load = RunningLoad { requests: self.load.requests + 1, ..self.work() };
-        let Some(pause) = self.table.slow_phase_pause(self.key, load, now) else { return 0.0 };
+        let Some(pause) = self.table.slow_phase_pause(&self.outlook, load) else { return 0.0 };
         let excess = pause.as_secs_f64() / target.as_secs_f64() - 1.0;
         if excess > 0.0 { PAUSE_COST + excess.min(EXCESS_COST) } else { 0.0 }
     }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -7,7 +7,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::Duration,
 };
@@ -56,20 +55,17 @@
     /// Number of VMs among which the limits of the whole fleet are divided, including this one. VMs
     /// that are cut off from this one count, too, since they go on to use their shares.
     pub sharing_vms: usize,
+    /// Number of VMs before this one by name, among those that share the limits.
+    pub own_rank: usize,
     store_failed_at: Option<MonoTime>,
     servers_known: bool,
     zone_reachability: ZoneReachability,
-    /// Number that differs between VMs.
-    vm_seed: u64,
 }
 
 impl FleetView {
     /// Builds an empty view.
     pub fn new(settings: Arc<VmSettings>) -> FleetView {
-        let mut hasher = DefaultHasher::new();
-        settings.name.hash(&mut hasher);
         FleetView {
-            vm_seed: hasher.finish(),
             settings,
             plan: None,
             planned_since: None,
@@ -86,6 +82,7 @@
             runs: SlotMap::with_key(),
             vm_count: 1,
             sharing_vms: UNKNOWN_FLEET_VMS,
+            own_rank: 0,
             store_failed_at: None,
             servers_known: false,
             zone_reachability: ZoneReachability::default(),
--- a/crates/gateway/src/fleet_view/choice.rs
+++ b/crates/gateway/src/fleet_view/choice.rs
@@ -190,7 +190,8 @@
             holds_prefix,
             own_zone: &self.settings.zone,
             capacity,
-            is_retest: capacity.is_some_and(|table| self.is_retest(table, key, query, now)),
+            is_retest: capacity
+                .is_some_and(|table| self.is_retest(table, (key, state), query, now)),
         };
         score.value(query, now)
     }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -39,6 +39,7 @@
     moves: Family<ResultLabels, Counter>,
     sources: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
+    samples: Family<ResultLabels, Counter>,
     /// Number of connections opened to servers.
     pub connections: Counter,
     /// Number of responses given up because there was no memory for them.
@@ -51,6 +52,14 @@
     pub contained_parts: Gauge,
     /// Number of parts of prompts with crashes that are not contained.
     pub suspect_parts: Gauge,
+    /// Number of load headers that could not be used.
+    pub unusable_load_headers: Counter,
+    /// Number of requests sent to servers that are avoided because they are slow.
+    pub capacity_retests: Counter,
+    /// Number of servers whose speed was measured recently.
+    pub measured_servers: Gauge,
+    /// Learned speed of the slowest of them, in percent of the median of its service.
+    pub slowest_server_percent: Gauge,
     /// Version of the route plan in effect.
     pub plan_version: Gauge,
     /// Milliseconds since the plan was last known to be the newest one; -1 if it never was. Zero if
@@ -76,12 +85,17 @@
             moves: Family::default(),
             sources: Family::default(),
             store_calls: Family::default(),
+            samples: Family::default(),
             connections: Counter::default(),
             responses_without_memory: Counter::default(),
             engine_crashes: Counter::default(),
             contained_requests: Counter::default(),
             contained_parts: Gauge::default(),
             suspect_parts: Gauge::default(),
+            unusable_load_headers: Counter::default(),
+            capacity_retests: Counter::default(),
+            measured_servers: Gauge::default(),
+            slowest_server_percent: Gauge::default(),
             plan_version: Gauge::default(),
             plan_age_ms: Gauge::default(),
             servers: Gauge::default(),
@@ -134,6 +148,31 @@
             "Parts of prompts that were present at crashes and are not contained",
             self.suspect_parts.clone(),
         );
+        registry.register(
+            "capacity_samples",
+            "Samples of the speed of servers: own, of peers, and of peers that were not used",
+            self.samples.clone(),
+        );
+        registry.register(
+            "unusable_load_headers",
+            "Load headers of servers that could not be used",
+            self.unusable_load_headers.clone(),
+        );
+        registry.register(
+            "capacity_retests",
+            "Requests sent to servers that are avoided because they are slow",
+            self.capacity_retests.clone(),
+        );
+        registry.register(
+            "measured_servers",
+            "Servers whose speed was measured recently",
+            self.measured_servers.clone(),
+        );
+        registry.register(
+            "slowest_server_percent",
+            "Learned speed of the slowest measured server, in percent of its service's median",
+            self.slowest_server_percent.clone(),
+        );
         registry.register(
             "plan_version",
             "Version of the plan in force",
@@ -174,6 +213,11 @@
         self.sources.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts samples of the speed of servers.
+    pub fn count_capacity_samples(&self, result: &'static str, count: u64) {
+        self.samples.get_or_create(&ResultLabels { result }).inc_by(count);
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.get_or_create(&ResultLabels { result }).inc();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -103,6 +103,7 @@
     call_forwarder::CallForwarder,
     caller_limits::CallerLimits,
     caller_request::{CallerRequest, SystemHeaders},
+    capacity::{apply_speeds, speed_entries},
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     connection_error::ConnectionError,
     connection_pool::ConnectionPool,
@@ -133,7 +134,9 @@
     memory::{MemoryBudget, MemoryReservation, ResponseMemory, StreamMemory},
     move_schedule::{CopyStart, MoveSchedule},
     peer_exchange::PeerExchange,
-    peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, VersionMoveEntry},
+    peer_report::{
+        LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, SpeedEntry, VersionMoveEntry,
+    },
     peer_table::PeerTable,
     placement::Placement,
     placement_query::PlacementQuery,
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -15,7 +15,7 @@
 use crate::{
     FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ReportRecipients,
     ResultCounts, RouteEntry, RouteResults, ServerLoad, UsualResults, VersionMove,
-    VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
+    VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord, capacity,
     containment::evidence_exchange::EvidenceExchange,
 };
 
@@ -141,6 +141,7 @@
         self.apply_peers(&report);
         let mut view = self.context.view();
         apply_loads(&mut view, &report, now);
+        capacity::apply_speeds(&mut view, &report, now);
         let mut changed = apply_version_moves(&mut view, &report, now);
         for entry in &report.leaving {
             if view.note_leaving(&entry.server, entry.started_at_ms, entry.is_announced, now) {
@@ -199,7 +200,12 @@
         if self.started.elapsed() < SETTLING_TIME {
             running = running.max(known);
         }
-        let report = self.build_report(running);
+        let mut report = self.build_report(running);
+        // Changes are reported at a high rate; speeds change slowly.
+        if !is_change {
+            report.speeds = capacity::speed_entries(&self.context.view(), self.sequence, now);
+            capacity::report_changes(&self.context);
+        }
         if !recipients.relays.is_empty() {
             let relayed = PeerReport { is_for_zone: true, ..report.clone() };
             self.send_to(&encode_report(relayed), &recipients.relays).await;
@@ -219,11 +225,13 @@
             let turn = self.sequence / NAMING_INTERVAL;
             (table.can_read(now), table.running_sample(count, turn, now))
         };
-        let (possible, sharing) = {
+        let (possible, sharing, rank) = {
             let (table, uptime) = (self.context.peers(), self.started.elapsed());
-            (table.possible_count(uptime, now), table.sharing_count(uptime, now))
+            let sharing = table.sharing_count(uptime, now);
+            (table.possible_count(uptime, now), sharing, table.own_rank(now))
         };
         let mut view = self.context.view();
+        view.own_rank = rank;
         view.vm_count = running + 1;
         if let Some(sharing) = sharing {
             view.sharing_vms = sharing;
@@ -269,8 +277,10 @@
     }
 }
 
-/// Encodes a report. Leaves out the leaving servers if it does not fit into a datagram otherwise.
-fn encode_report(report: PeerReport) -> Vec<u8> {
+/// Encodes a report. Leaves out speeds and then the leaving servers if it does not fit into a
+/// datagram otherwise.
+fn encode_report(mut report: PeerReport) -> Vec<u8> {
+    while report.encoded_len() > DATAGRAM_BYTES && report.speeds.pop().is_some() {}
     let bytes = report.encode_to_vec();
     if bytes.len() <= DATAGRAM_BYTES {
         return bytes;
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -28,6 +28,26 @@
     pub arriving_tokens: u64,
 }
 
+/// Speed of a server as the sender measured it.
+#[derive(Clone, PartialEq, Message)]
+pub struct SpeedEntry {
+    /// ID of the server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Number of samples that the speed rests on.
+    #[prost(uint32, tag = "2")]
+    pub samples: u32,
+    /// Speed relative to what is usual for the service, in percent.
+    #[prost(uint32, tag = "3")]
+    pub speed_percent: u32,
+    /// Milliseconds since the last sample.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+    /// Start time of the server's process, in Unix milliseconds.
+    #[prost(uint64, optional, tag = "5")]
+    pub started_at_ms: Option<u64>,
+}
+
 /// Server that a VM knows to be leaving.
 #[derive(Clone, PartialEq, Message)]
 pub struct LeavingEntry {
@@ -155,4 +175,7 @@
     /// their shares of the limits.
     #[prost(uint32, tag = "14")]
     pub sharing_vms: u32,
+    /// Measured speeds of some of the servers that the VM recently used. Absence says nothing.
+    #[prost(message, repeated, tag = "15")]
+    pub speeds: Vec<SpeedEntry>,
 }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -302,6 +302,13 @@
         self.peers.values().filter(may_run).count()
     }
 
+    /// Returns the number of VMs before this one by name, among those that may be running.
+    pub fn own_rank(&self, now: MonoTime) -> usize {
+        let is_recent = |heard: MonoTime| now.since(heard) <= SHARING_MEMORY;
+        let others = self.peers.values().filter(|state| state.heard_at.is_some_and(is_recent));
+        others.filter(|state| state.name < self.own_name).count()
+    }
+
     /// Returns the number of VMs among which limits are divided, including this one: those that may
     /// be running, or that a running peer counts. Returns `None` if the fleet is not known yet.
     pub fn sharing_count(&self, uptime: Duration, now: MonoTime) -> Option<usize> {
--- a/crates/gateway/src/server_score.rs
+++ b/crates/gateway/src/server_score.rs
@@ -94,6 +94,7 @@
     ) -> f64 {
         let cost = PlacementCost {
             table,
+            outlook: table.outlook(self.key, now),
             key: self.key,
             load: self.state.total_load(now),
             slots: self.state.record.slots,
@@ -101,7 +102,7 @@
             is_retest: self.is_retest,
         };
         let bonus = if self.holds_prefix { PREFIX_BONUS } else { 0.0 };
-        cost.value(query, now) - bonus
+        cost.value(query) - bonus
     }
 
     fn engine_score(&self, engine: EngineSpec, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
--- a/crates/gateway/tests/all/learned_placements.rs
+++ b/crates/gateway/tests/all/learned_placements.rs
@@ -203,3 +203,76 @@
     assert!(!during.contains("d1"), "{during:?}");
     assert!(after.contains("d1"), "{after:?}");
 }
+
+/// Lets each plain server answer calls for ten seconds, `d0` in `factor` times the usual time.
+fn teach_calls(view: &mut FleetView, factor: f64) {
+    for step in 0..100 {
+        let now = at(100 * step);
+        for index in 0..4 {
+            let key = key_of(view, &format!("d{index}"));
+            view.note_load_header(key, Some("1,0,6,100"), now);
+            let time = if index == 0 { 30.0 * factor } else { 30.0 };
+            let run = view.start_run(key, "bookings", now - millis(time));
+            view.end_run(run, RunEnd::Good, now);
+        }
+    }
+}
+
+/// Pattern: one plain server has half the speed. It must get fewer calls at equal load, and still get
+/// some when the others are full.
+#[test]
+fn plain_calls_go_where_they_end_first() {
+    let mut view = desk_view(4);
+    teach_calls(&mut view, 2.0);
+    let excluded = BTreeSet::new();
+
+    let mut counts = BTreeMap::<String, usize>::new();
+    for seed in 0..36 {
+        let placement = view.place(&call(&excluded, seed), at(10_000)).unwrap();
+        *counts.entry(placement.id).or_default() += 1;
+    }
+
+    let slow = counts.get("d0").copied().unwrap_or_default();
+    assert!((3..=7).contains(&slow), "{counts:?}");
+    for id in ["d1", "d2", "d3"] {
+        assert!((8..=13).contains(&counts[id]), "{counts:?}");
+    }
+}
+
+/// Pattern: a plain server is so slow that it gets no calls. It is measured again, by one call of each
+/// VM in turn.
+#[test]
+fn avoided_plain_server_gets_an_occasional_call() {
+    let mut view = desk_view(4);
+    teach_calls(&mut view, 4.0);
+    view.sharing_vms = 4;
+
+    let calls =
+        (0..90).filter(|step| place_call(&mut view, *step, at(10_000 + 100 * step)) == "d0");
+
+    let count = calls.count();
+    assert!((1..=3).contains(&count), "{count} in 9 s");
+}
+
+/// Pattern: a server refused a call while it had some. Others take more than it does.
+#[test]
+fn server_that_refuses_gets_fewer_calls() {
+    let mut view = desk_view(2);
+    for index in 0..2 {
+        let key = key_of(&view, &format!("d{index}"));
+        view.note_load_header(key, Some("2,0,6,100"), at(0));
+    }
+    let refusing = key_of(&view, "d0");
+    let excluded = BTreeSet::new();
+    let busy = ServerLoad { requests: 2, ..ServerLoad::default() };
+    for id in ["d0", "d1"] {
+        view.note_peer_load(7, id, busy, at(0));
+    }
+    view.note_refusal(refusing, Duration::from_millis(100), at(0));
+
+    for seed in 0..20 {
+        let placement = view.place(&call(&excluded, seed), at(200)).unwrap();
+        view.release(placement.server, placement.load);
+        assert_eq!(placement.id, "d1");
+    }
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod generation_timings;
 mod hand_overs;
 mod learned_placements;
+mod learned_precedence;
 mod limits;
 mod log_lines;
 mod memory;
