--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -19,7 +19,8 @@
     pub signature: &'static str,
     /// Present if the server did not run the request.
     pub not_run: &'static str,
-    /// Number of running requests, waiting requests and slots of a server, separated by commas.
+    /// Number of running requests, waiting requests and slots of a server, separated by commas. The
+    /// pace may follow, in percent: how long work takes there at this moment, compared with usual.
     pub load: &'static str,
     /// Present if the server is going to shut down.
     pub leaving: &'static str,
