gateway: test learned capacity on a fleet, keep slow engines for near short streams

Slow engines are now preferred for short streams only in the VM's own zone, and a late first event costs more.

--- a/crates/gateway/src/capacity/placement_cost.rs
+++ b/crates/gateway/src/capacity/placement_cost.rs
@@ -25,11 +25,12 @@
 /// The same for the cost of a long stream that may be late.
 const LONG_TARGET_SHARE: f64 = 0.8;
 /// Cost of a first event that comes later than that by a whole target.
-const LATE_COST: f64 = 4.0;
+const LATE_COST: f64 = 6.0;
 /// Cost subtracted for a short stream on an infinitely slow engine, and in proportion on a faster
-/// one, so that fast engines keep room for long streams. On an engine of less than half the usual
+/// one, so that fast engines keep room for long streams. It applies in the VM's own zone, whose VMs
+/// see each other's prompts at once; two prompts that meet on a slow engine are late. On an engine of less than half the usual
 /// speed, it outweighs slots and memory in use until the engine is nearly full.
-const KEEP_FREE_COST: f64 = 1.5;
+const KEEP_FREE_COST: f64 = 1.2;
 /// Cost of a slot in use at a plain server, for all slots together.
 const SLOTS_COST: f64 = 0.25;
 /// Maximum random cost of a plain server. Many VMs choose at the same time and see each other's
@@ -55,6 +56,8 @@
     pub(crate) slots: u32,
     /// Specification, if it is an engine.
     pub(crate) engine: Option<EngineSpec>,
+    /// Whether the server is in the zone of this VM.
+    pub(crate) is_near: bool,
     /// Whether the server is to be measured again.
     pub(crate) is_retest: bool,
 }
@@ -96,7 +99,7 @@
         let mut cost = FILL_WEIGHT * fill + usage + self.first_event_cost(is_long, query);
         if is_long {
             cost += self.pause_cost(query);
-        } else {
+        } else if self.is_near {
             cost -= KEEP_FREE_COST * (1.0 - self.outlook.speed).max(0.0);
         }
         cost
--- a/crates/gateway/src/server_score.rs
+++ b/crates/gateway/src/server_score.rs
@@ -99,6 +99,7 @@
             load: self.state.total_load(now),
             slots: self.state.record.slots,
             engine: self.engine,
+            is_near: self.state.record.zone == self.own_zone,
             is_retest: self.is_retest,
         };
         let bonus = if self.holds_prefix { PREFIX_BONUS } else { 0.0 };
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod fixtures;
 mod generation_timings;
 mod hand_overs;
+mod learned_fleet;
 mod learned_placements;
 mod learned_precedence;
 mod limits;
