--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -105,6 +105,7 @@
     call_forwarder::CallForwarder,
     caller_limits::CallerLimits,
     caller_request::{CallerRequest, SystemHeaders},
+    capacity::{apply_speeds, speed_entries},
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     connection_error::ConnectionError,
     connection_pool::ConnectionPool,
@@ -138,7 +139,7 @@
     peer_exchange::PeerExchange,
     peer_report::{
         DemandEntry, LeavingEntry, LoadEntry, PeerEntry, PeerReport, RankEntry, RouteEntry,
-        TeamEntry, VersionMoveEntry,
+        SpeedEntry, TeamEntry, VersionMoveEntry,
     },
     peer_table::PeerTable,
     placement::Placement,
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -17,6 +17,7 @@
     ReportRecipients, ResultCounts, RouteEntry, RouteResults, ServerLoad, UsualResults,
     VersionMove, VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
     admission::{apply_report, fill_report},
+    capacity,
     containment::evidence_exchange::EvidenceExchange,
 };
 
@@ -148,6 +149,7 @@
         apply_report(&report, &mut self.context.admission.table(), interval, now);
         let mut view = self.context.view();
         apply_loads(&mut view, &report, now);
+        capacity::apply_speeds(&mut view, &report, now);
         let mut changed = apply_version_moves(&mut view, &report, now);
         for entry in &report.leaving {
             if view.note_leaving(&entry.server, entry.started_at_ms, entry.is_announced, now) {
@@ -213,7 +215,12 @@
         if self.started.elapsed() < SETTLING_TIME {
             running = running.max(known);
         }
-        let report = self.build_report(running);
+        let mut report = self.build_report(running);
+        // Changes are reported at a high rate; speeds change slowly.
+        if !is_change {
+            report.speeds = capacity::speed_entries(&self.context.view(), self.sequence, now);
+            capacity::report_changes(&self.context);
+        }
         if !recipients.relays.is_empty() {
             let relayed = PeerReport { is_for_zone: true, ..report.clone() };
             self.send_to(&relayed.into_datagram(), &recipients.relays).await;
@@ -233,11 +240,13 @@
             let turn = self.sequence / NAMING_INTERVAL;
             (table.can_read(now), table.running_sample(count, turn, now))
         };
-        let (possible, sharing) = {
+        let (possible, sharing, rank) = {
             let (table, uptime) = (self.context.peers(), self.started.elapsed());
-            (table.possible_count(uptime, now), table.sharing_count(uptime, now))
+            let sharing = table.sharing_count(uptime, now);
+            (table.possible_count(uptime, now), sharing, table.own_rank(now))
         };
         let mut view = self.context.view();
+        view.own_rank = rank;
         view.vm_count = running + 1;
         if let Some(sharing) = sharing {
             view.sharing_vms = sharing;
