capacity: learn lasting differences from pace figures

The figure was divided out of each result, so that all servers looked alike. The momentary pace is now relative to the median of the server's own figures, and that median, compared with the service's, counts as a sample of its speed. Short streams keep off engines that are faster than usual, which long streams need. Tests of the crate pass.

--- a/crates/capacity/src/capacity_table.rs
+++ b/crates/capacity/src/capacity_table.rs
@@ -24,6 +24,9 @@
 const LOG_LIMIT: f64 = 2.3;
 /// Speed below which a server counts as avoided, as a logarithm: 0.7.
 const AVOIDED_LOG: f64 = -0.36;
+/// Difference of a pace figure from the service's usual one from which it counts as a sample of the
+/// speed, as a logarithm: 5%. A header that always says the same tells nothing.
+const FIGURE_DIFFERENCE: f64 = 0.05;
 /// Change of the learned speed that is reported, as a logarithm: a factor of 1.35.
 const TOLD_DIFFERENCE: f64 = 0.3;
 /// Minimum time between two reports of the speed of one server.
@@ -45,6 +48,8 @@
     pauses: TimeModel<K>,
     /// Quotient of a heavy and a median pause.
     heaviness: SampleRing<K>,
+    /// Pace figures of load headers.
+    figures: SampleRing<K>,
     /// Latency of plain calls.
     calls: TimeModel<K>,
     /// Logarithm of the median speed of the servers, and the time at which it was computed.
@@ -63,6 +68,7 @@
             reading: TimeModel::default(),
             pauses: TimeModel::default(),
             heaviness: SampleRing::default(),
+            figures: SampleRing::default(),
             calls: TimeModel::default(),
             median_log: 0.0,
             median_at: None,
@@ -90,8 +96,19 @@
         let estimate = self.servers.entry(server).or_default();
         match header {
             Ok(header) => {
-                estimate.note_pace(header.pace, now);
-                self.is_in_effect |= header.pace.is_some();
+                if let Some(pace) = header.pace {
+                    self.figures.push(server, pace, now);
+                    self.is_in_effect = true;
+                }
+                // A server that is alone would be compared with itself.
+                let has_others = self.figures.server_count() >= LEAST_MEASURED;
+                let usual = self.figures.median().filter(|_| has_others).unwrap_or(1.0);
+                estimate.note_pace(header.pace, usual, now);
+                // The figures also tell lasting differences, long before there are enough results.
+                let log = estimate.usual_figure().map_or(0.0, |figure| (usual / figure).ln());
+                if header.pace.is_some() && log.abs() >= FIGURE_DIFFERENCE {
+                    estimate.note_own(log.clamp(-LOG_LIMIT, LOG_LIMIT), now);
+                }
             }
             Err(HeaderFault::Absent) => {}
             Err(_) => self.counts.unusable_headers += 1,
--- a/crates/capacity/src/server_estimate.rs
+++ b/crates/capacity/src/server_estimate.rs
@@ -1,6 +1,9 @@
 //! What a VM knows of the speed of one server.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use dragonflycart_core::MonoTime;
 
@@ -12,6 +15,11 @@
 
 /// Time for which the pace in a load header holds. It changes many times per second.
 const PACE_AGE: Duration = Duration::from_millis(300);
+/// Number of own pace figures of which the median is a server's usual one.
+const FIGURES_KEPT: usize = 7;
+/// Weight of the service's usual figure in that median. A first figure says what the pace is now, not
+/// what is usual.
+const SERVICE_FIGURES: usize = 2;
 /// Least pace that counts. A false figure must not draw all requests to a server.
 const LEAST_PACE: f64 = 0.5;
 /// Bounds of the speed that a peer may report.
@@ -27,6 +35,11 @@
     pub(crate) header: HeaderWatch,
     /// Pace in the last usable header that has one.
     pace: Option<(f64, MonoTime)>,
+    /// Latest pace figures. Figures of servers of different speed differ also while nothing slows
+    /// them.
+    figures: VecDeque<f64>,
+    /// Median of these and of the service's usual figure.
+    usual_figure: Option<f64>,
     /// Number of requests at which the server refused one.
     refusal: Option<(u32, MonoTime)>,
     /// Results of this VM.
@@ -42,14 +55,30 @@
 }
 
 impl ServerEstimate {
-    pub(crate) fn note_pace(&mut self, pace: Option<f64>, now: MonoTime) {
+    /// Records the pace figure of a load header, of which `service_figure` is usual for the service.
+    pub(crate) fn note_pace(&mut self, pace: Option<f64>, service_figure: f64, now: MonoTime) {
         self.pace = pace.map(|pace| (pace, now));
+        let Some(pace) = pace else { return };
+        self.figures.push_back(pace);
+        if self.figures.len() > FIGURES_KEPT {
+            self.figures.pop_front();
+        }
+        let mut figures: Vec<f64> = self.figures.iter().copied().collect();
+        figures.resize(figures.len() + SERVICE_FIGURES, service_figure);
+        let middle = figures.len() / 2;
+        let (_, median, _) = figures.select_nth_unstable_by(middle, f64::total_cmp);
+        self.usual_figure = Some(*median);
+    }
+
+    /// Returns the usual pace figure of the server.
+    pub(crate) fn usual_figure(&self) -> Option<f64> {
+        self.usual_figure
     }
 
     /// Returns how long work takes now as a multiple of the usual time, 1.0 if it is not known.
     pub(crate) fn pace(&self, now: MonoTime) -> f64 {
         let current = self.pace.filter(|(_, at)| now.since(*at) <= PACE_AGE);
-        current.map_or(1.0, |(pace, _)| pace.max(LEAST_PACE))
+        current.map_or(1.0, |(pace, _)| (pace / self.usual_figure.unwrap_or(1.0)).max(LEAST_PACE))
     }
 
     pub(crate) fn note_own(&mut self, log: f64, now: MonoTime) {
--- a/crates/gateway/src/capacity/placement_cost.rs
+++ b/crates/gateway/src/capacity/placement_cost.rs
@@ -97,10 +97,11 @@
         let fill = self.load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
         let usage = f64::from(self.load.requests) / f64::from(self.slots.max(1));
         let mut cost = FILL_WEIGHT * fill + usage + self.first_event_cost(is_long, query);
+        let slack = (1.0 - self.outlook.speed).clamp(-1.0, 1.0);
         if is_long {
             cost += self.pause_cost(query);
-        } else if self.is_near {
-            cost -= KEEP_FREE_COST * (1.0 - self.outlook.speed).max(0.0);
+        } else if slack < 0.0 || self.is_near {
+            cost -= KEEP_FREE_COST * slack;
         }
         cost
     }
