admission: count refusals, waits and the error of estimates

Nothing told how long requests waited for engines, why they were refused, or whether the estimates were right.

- Metrics: waiting requests by rank, refusals by reason, time waited, and the real wait divided by the estimate.
- One log line per refusal for want of room, with the reason, the estimate and its inputs.
- Requests of teams with more use no longer count as ahead in an estimate: a request of a small team was refused because of a large team's queue although it goes before it.

--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -5,8 +5,8 @@
 use dragonflycart_core::MonoTime;
 
 use crate::{
-    EstimateInputs, FleetDemand, FreedRate, ServiceDemand, TeamUse, WaitEstimate, WaitQueue,
-    Waiter, WaiterId,
+    EstimateInputs, FleetDemand, FreedRate, QueuePlace, ServiceDemand, TeamUse, WaitEstimate,
+    WaitQueue, Waiter, WaiterId,
 };
 
 /// Weight of a new sample in the average of the ratio of waits, which thus covers about ten samples.
@@ -88,12 +88,18 @@
     ) -> EstimateInputs {
         let (service, own_tokens) = waiter;
         let flow = *self.flow(service);
-        let (mut ahead_tokens, mut late_tokens) = self.queue.tokens_ahead(id, now);
-        if let Some((is_late, rank)) = self.queue.order_of(id, now) {
-            let ahead = self.fleet_demand.tokens_ahead(service, is_late, rank, now);
-            let ahead_when_late = self.fleet_demand.tokens_ahead(service, true, rank, now);
-            ahead_tokens += ahead;
-            late_tokens += ahead_when_late - ahead;
+        let (mut ahead_tokens, mut late_tokens) = (0, 0);
+        if let Some(place) = self.queue.place_of(id, now) {
+            let QueuePlace { is_late, rank, .. } = place;
+            let (ahead, equal) = self.fleet_demand.tokens_ahead(service, is_late, rank, now);
+            let (ahead_late, equal_late) = self.fleet_demand.tokens_ahead(service, true, rank, now);
+            // What the teams of waiting requests elsewhere are is not known.
+            let share = self.team_use.share_ahead_of(place.team, now);
+            let equal_ahead = (share * (place.equal_tokens + equal) as f64) as u64;
+            ahead_tokens = place.ahead_tokens + ahead + equal_ahead;
+            late_tokens = place.late_tokens + place.equal_tokens
+                - (share * place.equal_tokens as f64) as u64
+                + (ahead_late + equal_late).saturating_sub(ahead + (share * equal as f64) as u64);
         }
         let (freed_per_s, freed_samples) = self.fleet_demand.freed(service, now);
         EstimateInputs {
--- a/crates/admission/src/fleet_demand.rs
+++ b/crates/admission/src/fleet_demand.rs
@@ -86,10 +86,22 @@
         self.peers.clear();
     }
 
-    /// Returns the tokens of the requests elsewhere that go before a new one of this lateness and
-    /// rank, including those of the same rank.
-    pub fn tokens_ahead(&self, service: &str, is_late: bool, rank: u8, now: MonoTime) -> u64 {
-        self.fresh(service, now).map(|demand| demand.tokens_before(is_late, rank, true)).sum()
+    /// Returns the tokens of the requests elsewhere that go before one of this lateness and rank, and
+    /// of those of the same lateness and rank.
+    pub fn tokens_ahead(
+        &self,
+        service: &str,
+        is_late: bool,
+        rank: u8,
+        now: MonoTime,
+    ) -> (u64, u64) {
+        let (mut ahead, mut equal) = (0, 0);
+        for demand in self.fresh(service, now) {
+            let before = demand.tokens_before(is_late, rank, false);
+            ahead += before;
+            equal += demand.tokens_before(is_late, rank, true) - before;
+        }
+        (ahead, equal)
     }
 
     /// Returns the tokens of the more urgent requests elsewhere to which this VM gives way with a
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,6 +10,7 @@
 mod freed_rate;
 mod give_way;
 mod leave_history;
+mod queue_place;
 mod service_queue;
 mod team_use;
 mod wait_estimate;
@@ -23,6 +24,7 @@
     freed_rate::FreedRate,
     give_way::GiveWay,
     leave_history::LeaveHistory,
+    queue_place::QueuePlace,
     team_use::TeamUse,
     wait_estimate::{EstimateInputs, WaitEstimate, maximum_wait},
     wait_queue::WaitQueue,
--- a/crates/admission/src/service_queue.rs
+++ b/crates/admission/src/service_queue.rs
@@ -1,10 +1,13 @@
 //! Requests that wait for the engines of one service.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use dragonflycart_core::MonoTime;
 
-use crate::{AdmissionClass, RankDemand, TeamUse, Waiter, WaiterId};
+use crate::{AdmissionClass, QueuePlace, RankDemand, TeamUse, Waiter, WaiterId};
 
 /// Order of groups of waiting requests. The first one goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -147,19 +150,27 @@
         candidates
     }
 
-    /// Returns the tokens of the requests that go before the newest one of a rank and class, and of
-    /// those that do so in addition when it is late. Whether a request of the same rank goes first
-    /// may still depend on its team.
-    pub(crate) fn tokens_ahead(&mut self, id: WaiterId, now: MonoTime) -> (u64, u64) {
+    /// Returns the place of a request.
+    pub(crate) fn place_of(&mut self, id: WaiterId, now: MonoTime) -> Option<QueuePlace<'_>> {
         self.advance(now);
-        let Some(queued) = self.waiters.get(&id) else { return (0, 0) };
+        let queued = self.waiters.get(&id)?;
         let late_lane = LaneKey { is_late: true, ..queued.lane };
-        let (mut ahead, mut late) = (0, 0);
+        let mut place = QueuePlace {
+            is_late: queued.lane.is_late,
+            rank: queued.lane.rank,
+            team: &queued.waiter.team,
+            ahead_tokens: 0,
+            equal_tokens: 0,
+            late_tokens: 0,
+        };
         for (key, lane) in self.lanes.range(..=late_lane) {
-            let sum = if *key <= queued.lane { &mut ahead } else { &mut late };
-            *sum += lane.tokens;
+            match key.cmp(&queued.lane) {
+                Ordering::Less => place.ahead_tokens += lane.tokens,
+                Ordering::Equal => place.equal_tokens += lane.tokens - queued.waiter.tokens,
+                Ordering::Greater => place.late_tokens += lane.tokens,
+            }
         }
-        (ahead - queued.waiter.tokens, late)
+        Some(place)
     }
 
     /// Returns whether a request is late, and its rank.
--- a/crates/admission/src/team_use.rs
+++ b/crates/admission/src/team_use.rs
@@ -68,6 +68,19 @@
         self.totals.get(team).map_or(0.0, |total| total.at(now))
     }
 
+    /// Returns the share of all use that is by teams with no more use than this one. Requests of these
+    /// teams go before its own, those of the others behind.
+    pub fn share_ahead_of(&self, team: &str, now: MonoTime) -> f64 {
+        let own = self.tokens(team, now);
+        let (mut ahead, mut sum) = (own, own);
+        for (_, total) in self.totals.iter().filter(|(other, _)| *other != team) {
+            let tokens = total.at(now);
+            sum += tokens;
+            ahead += if tokens <= own { tokens } else { 0.0 };
+        }
+        if sum > 0.0 { ahead / sum } else { 1.0 }
+    }
+
     /// Returns the use on this VM of the `count` teams with the most, to be reported to the others.
     pub fn largest(&self, count: usize, now: MonoTime) -> Vec<(&str, u64)> {
         let mut teams: Vec<(&str, u64)> =
--- a/crates/admission/src/wait_queue.rs
+++ b/crates/admission/src/wait_queue.rs
@@ -4,7 +4,7 @@
 
 use dragonflycart_core::MonoTime;
 
-use crate::{RankDemand, TeamUse, Waiter, WaiterId, service_queue::ServiceQueue};
+use crate::{QueuePlace, RankDemand, TeamUse, Waiter, WaiterId, service_queue::ServiceQueue};
 
 /// Requests of one VM that wait for an engine. The first request of a service gets the next engine
 /// with capacity. Requests that can still meet their latency target go before late ones, then the
@@ -65,10 +65,9 @@
         queue.map(|queue| queue.candidates(team_use, now)).unwrap_or_default()
     }
 
-    /// Returns the tokens of the requests that go before a new one, or may do so if their teams have
-    /// less use, and of those that do so in addition when it is late.
-    pub fn tokens_ahead(&mut self, id: WaiterId, now: MonoTime) -> (u64, u64) {
-        self.queue_of(id).map_or((0, 0), |queue| queue.tokens_ahead(id, now))
+    /// Returns the place of a request.
+    pub fn place_of(&mut self, id: WaiterId, now: MonoTime) -> Option<QueuePlace<'_>> {
+        self.queue_of(id)?.place_of(id, now)
     }
 
     /// Returns whether a request is late, and its rank.
--- a/crates/admission/tests/all/estimates.rs
+++ b/crates/admission/tests/all/estimates.rs
@@ -108,3 +108,25 @@
     assert_eq!(WaitEstimate::from_inputs(timely).wait, Duration::from_secs(2));
     assert_eq!(WaitEstimate::from_inputs(becomes_late).wait, Duration::from_secs(7));
 }
+
+/// Pattern: a large team fills the queues of all VMs. A request of a small team goes before them and
+/// must not be refused because of them.
+#[test]
+fn requests_of_teams_with_more_use_are_not_ahead() {
+    let mut table = AdmissionTable::default();
+    for index in 0..10 {
+        table.note_freed(ENGINES, LONG_TOKENS, at(index * 100));
+        table.enqueue(long("large", at(900)), at(900));
+    }
+    let now = at(1_000);
+    table.team_use.charge("large", 200_000, now);
+    table.team_use.charge("small", 1_000, now);
+
+    let mut ahead_of = |team| {
+        let id = table.enqueue(long(team, now), now);
+        table.estimate_inputs(id, (ENGINES, LONG_TOKENS), Duration::MAX, 0, now).ahead_tokens
+    };
+
+    assert_eq!(ahead_of("large"), 10 * LONG_TOKENS);
+    assert!(ahead_of("small") < LONG_TOKENS);
+}
--- a/crates/admission/tests/all/fleet_model.rs
+++ b/crates/admission/tests/all/fleet_model.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use dragonflycart_admission::{AdmissionTable, GiveWay, ServiceDemand, Waiter, WaiterId};
+use dragonflycart_admission::{
+    AdmissionTable, GiveWay, ServiceDemand, WaitEstimate, Waiter, WaiterId,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -59,6 +61,8 @@
     pub(crate) arrival: Arrival,
     pub(crate) waited_ms: u64,
     pub(crate) is_admitted: bool,
+    /// Estimate with which it was refused on arrival.
+    pub(crate) refused_with: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -66,6 +70,7 @@
     vm: usize,
     id: WaiterId,
     arrival: Arrival,
+    expected: WaitEstimate,
     give_way: GiveWay,
     /// Time since which it could have used idle room.
     idle_since: Option<u64>,
@@ -102,6 +107,7 @@
     mail: Vec<Mail>,
     troubles: Vec<Trouble>,
     network: Network,
+    refuses: bool,
     rng: ChaCha8Rng,
     now_ms: u64,
     /// Requests in the order in which they were admitted or gave up.
@@ -123,6 +129,7 @@
             mail: Vec::new(),
             troubles: Vec::new(),
             network,
+            refuses: false,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now_ms: 0,
             ended: Vec::new(),
@@ -135,6 +142,12 @@
         self
     }
 
+    /// Lets the VMs refuse requests on arrival whose wait would be too long.
+    pub(crate) fn with_refusals(mut self) -> FleetModel {
+        self.refuses = true;
+        self
+    }
+
     /// Runs the model until all requests ended.
     pub(crate) fn run(mut self, mut arrivals: Vec<Arrival>) -> FleetModel {
         arrivals.sort_by_key(|arrival| std::cmp::Reverse(arrival.at_ms));
@@ -217,7 +230,24 @@
         let waiter = Waiter { tokens: arrival.tokens, ..waiter };
         let id = self.tables[vm].enqueue(waiter, at(self.now_ms));
         let give_way = GiveWay::default();
-        self.waiters.push(ModelWaiter { vm, id, arrival, give_way, idle_since: None });
+        let expected = self.estimate(vm, id, &arrival);
+        let maximum_ms = if arrival.is_long { 15_000 } else { 5_600 };
+        let is_refused = self.refuses && expected.exceeds(Duration::from_millis(maximum_ms));
+        let idle_since = None;
+        self.waiters.push(ModelWaiter { vm, id, arrival, expected, give_way, idle_since });
+        if is_refused {
+            self.end(self.waiters.len() - 1, false);
+            self.ended.last_mut().unwrap().refused_with = Some(expected.wait);
+        }
+    }
+
+    fn estimate(&mut self, vm: usize, id: WaiterId, arrival: &Arrival) -> WaitEstimate {
+        let room = self.room(arrival);
+        let late_in = Duration::from_millis(if arrival.is_long { 4_000 } else { 1_500 });
+        let waiter = (ENGINES, arrival.tokens);
+        let now = at(self.now_ms);
+        let inputs = self.tables[vm].estimate_inputs(id, waiter, late_in, room, now);
+        WaitEstimate::from_inputs(inputs)
     }
 
     /// Returns the emptiest engine on which a request fits.
@@ -257,6 +287,9 @@
             assert!(self.engines[engine] <= ENGINE_TOKENS, "more admitted than there is room");
             self.running.push((self.now_ms + arrival.run_ms, engine, vm, arrival.tokens));
             self.tables[vm].team_use.charge(&arrival.team, arrival.tokens, now);
+            let waiter = &self.waiters[index];
+            let wait_s = (self.now_ms - waiter.arrival.at_ms) as f64 / 1_000.0;
+            self.tables[vm].note_wait(ENGINES, waiter.expected, wait_s);
             self.end(index, true);
             index = 0;
         }
@@ -266,7 +299,8 @@
         let waiter = self.waiters.remove(index);
         self.tables[waiter.vm].queue.remove(waiter.id);
         let waited_ms = self.now_ms - waiter.arrival.at_ms;
-        self.ended.push(Ended { arrival: waiter.arrival, waited_ms, is_admitted });
+        let arrival = waiter.arrival;
+        self.ended.push(Ended { arrival, waited_ms, is_admitted, refused_with: None });
     }
 
     fn end_generations(&mut self) {
--- a/crates/admission/tests/all/fleets.rs
+++ b/crates/admission/tests/all/fleets.rs
@@ -141,12 +141,37 @@
 
     let (small, small_refused) = fleet.waits(|arrival| arrival.team != "large");
     let (large, large_refused) = fleet.waits(|arrival| arrival.team == "large");
-    assert!(3 * percentile(&small, 50) < 2 * percentile(&large, 50) || small_refused == 0);
+    assert!(
+        3 * percentile(&small, 50) < 2 * percentile(&large, 50),
+        "{} and {}",
+        percentile(&small, 50),
+        percentile(&large, 50)
+    );
     assert!(10 * small_refused < small.len(), "{small_refused} of the small teams refused");
     assert!(large_refused > 0, "this is no overload");
     assert!(large.len() > small.len(), "room that the small teams don't want lies idle");
 }
 
+/// Pattern: long overloads. Refusals on arrival must not cost service: what is refused would mostly
+/// have waited in vain.
+#[test]
+fn refusals_on_arrival_cost_hardly_any_service() {
+    for (seed, long_per_s) in [(10, 14), (11, 30)] {
+        let arrivals = mixed(8, 25, long_per_s, 10, seed);
+        let without = FleetModel::new(8, 4, Network::default(), seed).run(arrivals.clone());
+
+        let fleet = FleetModel::new(8, 4, Network::default(), seed).with_refusals().run(arrivals);
+
+        let refused = fleet.ended.iter().filter(|ended| ended.refused_with.is_some()).count();
+        for is_long in [true, false] {
+            let served = fleet.waits(|arrival| arrival.is_long == is_long).0.len();
+            let served_without = without.waits(|arrival| arrival.is_long == is_long).0.len();
+            assert!(100 * served >= 95 * served_without, "{served} of {served_without}");
+        }
+        assert!(refused > 0 || long_per_s < 20, "nothing was refused");
+    }
+}
+
 /// Pattern: one team only. All room must be open to it.
 #[test]
 fn single_team_gets_all_the_room() {
--- a/crates/admission/tests/all/queues.rs
+++ b/crates/admission/tests/all/queues.rs
@@ -123,6 +123,10 @@
     let urgent = queue.enqueue(short("b", at(0)), at(0));
     let deferrable = queue.enqueue(long("b", at(0)), at(0));
 
-    assert_eq!(queue.tokens_ahead(urgent, at(0)), (SHORT_TOKENS, 2 * LONG_TOKENS));
-    assert_eq!(queue.tokens_ahead(deferrable, at(0)), (LONG_TOKENS + 2 * SHORT_TOKENS, 0));
+    let place = queue.place_of(urgent, at(0)).unwrap();
+    assert_eq!((place.ahead_tokens, place.equal_tokens), (0, SHORT_TOKENS));
+    assert_eq!(place.late_tokens, 2 * LONG_TOKENS);
+    let place = queue.place_of(deferrable, at(0)).unwrap();
+    assert_eq!((place.ahead_tokens, place.equal_tokens), (2 * SHORT_TOKENS, LONG_TOKENS));
+    assert_eq!(place.late_tokens, 0);
 }
--- a/crates/gateway/src/admission/queue_entry.rs
+++ b/crates/gateway/src/admission/queue_entry.rs
@@ -12,6 +12,7 @@
 pub(crate) struct QueueEntry<'a> {
     context: &'a GatewayContext,
     id: WaiterId,
+    rank: u8,
     waker: Arc<Notify>,
 }
 
@@ -33,7 +34,8 @@
             aged_at: arrived + maximum / 2,
         };
         let (id, waker) = context.admission.enqueue(waiter, context.clock.now());
-        QueueEntry { context, id, waker }
+        context.metrics.change_waiting(request.rank(), 1);
+        QueueEntry { context, id, rank: request.rank(), waker }
     }
 
     /// Returns the ID of the request in the queue.
@@ -59,6 +61,7 @@
 
 impl Drop for QueueEntry<'_> {
     fn drop(&mut self) {
+        self.context.metrics.change_waiting(self.rank, -1);
         self.context.admission.remove(self.id, self.context.clock.now());
     }
 }
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -23,6 +23,16 @@
 /// after the wait.
 const WAIT_TARGETS: f64 = 3.0;
 
+/// Why a request was refused for want of room on engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum RefusalReason {
+    /// By the estimate, it could not begin before its caller gives up.
+    WaitTooLong,
+    /// It waited for as long as it may.
+    NoRoomInTime,
+}
+
 /// Reserves an engine as soon as one has capacity.
 ///
 /// # Errors
@@ -63,7 +73,7 @@
             estimate = Some(expected);
             let left = give_up_at.saturating_duration_since(Instant::now());
             if expected.exceeds(left) {
-                log_refusal(request, inputs, expected, left);
+                log_refusal(context, request, RefusalReason::WaitTooLong, (inputs, expected), left);
                 return Err(GatewayFailure::new(
                     ErrorKind::Overloaded,
                     "the wait would be too long",
@@ -130,15 +140,21 @@
     context.admission.table().estimate_inputs(entry.id(), waiter, late_in, room, now)
 }
 
-/// Compares the estimate with the real wait, if the request had to wait.
+/// Records how long a request waited, and compares that with the estimate.
 fn note_wait(
     context: &GatewayContext,
     request: &CallerRequest,
     estimate: Option<WaitEstimate>,
     began: Instant,
 ) {
+    let wait = began.elapsed();
+    context.metrics.count_engine_wait(wait);
     let Some(estimate) = estimate else { return };
-    let wait_s = began.elapsed().as_secs_f64();
+    let wait_s = wait.as_secs_f64();
+    let ratio = wait_s / estimate.wait.as_secs_f64();
+    if !estimate.is_doubtful && ratio.is_finite() {
+        context.metrics.count_wait_ratio(ratio);
+    }
     context.admission.table().note_wait(&request.service, estimate, wait_s);
 }
 
@@ -152,18 +168,23 @@
     context.admission.table().team_use.charge(team, tokens, now);
 }
 
+/// Counts and logs a refusal, with the estimate and what it was based on.
 fn log_refusal(
+    context: &GatewayContext,
     request: &CallerRequest,
-    inputs: EstimateInputs,
-    estimate: WaitEstimate,
+    reason: RefusalReason,
+    (inputs, estimate): (EstimateInputs, WaitEstimate),
     left: Duration,
 ) {
+    context.metrics.count_refusal(reason.into());
     info!(
         id = request.attempt,
         service = request.service,
         class = %request.admission,
         rank = request.rank(),
+        reason = <&str>::from(reason),
         wait_ms = estimate.wait.as_millis() as u64,
+        is_doubtful = estimate.is_doubtful,
         left_ms = left.as_millis() as u64,
         ahead_tokens = inputs.ahead_tokens,
         late_tokens = inputs.late_tokens,
@@ -177,20 +198,22 @@
     );
 }
 
-/// Returns the failure of a request that was not sent because no engine had capacity.
+/// Returns the failure of a request that was not sent because no engine had capacity in time.
 fn no_room(
     context: &GatewayContext,
     request: &CallerRequest,
     entry: &QueueEntry<'_>,
     excluded: &BTreeSet<ServerKey>,
 ) -> GatewayFailure {
-    let mut retry_after = request.route.latency_target;
-    if request.admission.is_managed() {
-        let inputs = estimate_inputs(context, request, entry, excluded);
-        let estimate = WaitEstimate::from_inputs(inputs);
-        if !estimate.is_doubtful {
-            retry_after = estimate.wait;
-        }
+    let failure = GatewayFailure::new(ErrorKind::Overloaded, "no engine had room");
+    let target = request.route.latency_target;
+    let reason = RefusalReason::NoRoomInTime;
+    if !request.admission.is_managed() {
+        context.metrics.count_refusal(reason.into());
+        return failure.with_retry_after(target);
     }
-    GatewayFailure::new(ErrorKind::Overloaded, "no engine had room").with_retry_after(retry_after)
+    let inputs = estimate_inputs(context, request, entry, excluded);
+    let estimate = WaitEstimate::from_inputs(inputs);
+    log_refusal(context, request, reason, (inputs, estimate), Duration::ZERO);
+    failure.with_retry_after(if estimate.is_doubtful { target } else { estimate.wait })
 }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -29,6 +29,21 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RankLabels {
+    rank: u32,
+}
+
+/// Upper bound of the first bucket of the ratio of waits to their estimates, and number of buckets.
+/// Each bound is twice the previous one, so the last is 16.
+const SMALLEST_RATIO: f64 = 1.0 / 16.0;
+const RATIO_BUCKETS: u16 = 9;
+
 /// Metrics of the gateway. All label values come from fixed sets, so the number of time series is
 /// bounded.
 pub struct GatewayMetrics {
@@ -36,6 +51,10 @@
     requests: Family<OutcomeLabels, Counter>,
     latency: Histogram,
     first_event: Histogram,
+    engine_waits: Histogram,
+    wait_ratios: Histogram,
+    waiting: Family<RankLabels, Gauge>,
+    refusals: Family<ReasonLabels, Counter>,
     moves: Family<ResultLabels, Counter>,
     sources: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
@@ -73,6 +92,10 @@
             requests: Family::default(),
             latency: Histogram::new(buckets()),
             first_event: Histogram::new(buckets()),
+            engine_waits: Histogram::new(buckets()),
+            wait_ratios: Histogram::new(exponential_buckets(SMALLEST_RATIO, 2.0, RATIO_BUCKETS)),
+            waiting: Family::default(),
+            refusals: Family::default(),
             moves: Family::default(),
             sources: Family::default(),
             store_calls: Family::default(),
@@ -101,6 +124,26 @@
             "Time to the first event of a stream",
             self.first_event.clone(),
         );
+        registry.register(
+            "engine_wait_seconds",
+            "Time for which a request waited for an engine",
+            self.engine_waits.clone(),
+        );
+        registry.register(
+            "engine_wait_ratio",
+            "Real wait for an engine divided by the estimate",
+            self.wait_ratios.clone(),
+        );
+        registry.register(
+            "engine_waiting",
+            "Requests that wait for an engine, by rank",
+            self.waiting.clone(),
+        );
+        registry.register(
+            "engine_refusals",
+            "Requests refused for want of room on engines, by reason",
+            self.refusals.clone(),
+        );
         registry.register("moves", "Moves of generations by result", self.moves.clone());
         registry.register(
             "resumption_sources",
@@ -164,6 +207,26 @@
         self.first_event.observe(time.as_secs_f64());
     }
 
+    /// Records how long a request waited for an engine.
+    pub fn count_engine_wait(&self, time: Duration) {
+        self.engine_waits.observe(time.as_secs_f64());
+    }
+
+    /// Records the real wait for an engine divided by the estimate.
+    pub fn count_wait_ratio(&self, ratio: f64) {
+        self.wait_ratios.observe(ratio);
+    }
+
+    /// Adds to the number of requests of a rank that wait for an engine.
+    pub fn change_waiting(&self, rank: u8, change: i64) {
+        self.waiting.get_or_create(&RankLabels { rank: u32::from(rank) }).inc_by(change);
+    }
+
+    /// Counts a request that was refused for want of room on engines.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     /// Counts a move of a generation to another engine.
     pub fn count_move(&self, result: &'static str) {
         self.moves.get_or_create(&ResultLabels { result }).inc();
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -200,6 +200,9 @@
     let retry_after = refusal.retry_after.unwrap();
     assert!((6_000..8_000).contains(&retry_after.as_millis()), "{retry_after:?}");
     assert_eq!(context.admission.table().queue.count(ENGINES), 0);
+    let metrics = context.metrics.encode();
+    assert!(metrics.contains("engine_refusals_total{reason=\"wait_too_long\"} 1"), "{metrics}");
+    assert!(metrics.contains("engine_waiting{rank=\"2\"} 0"), "{metrics}");
 }
 
 /// Pattern: a short overload, or a VM that knows nothing about the engines yet. The request waits as
@@ -263,7 +266,7 @@
     let demand = &table.fleet_demand;
     assert_eq!(demand.urgent_share(ENGINES, false, 2, at(1_000)), 1_500, "half of it");
     assert_eq!(demand.urgent_share(ENGINES, false, 0, at(1_000)), 0);
-    assert_eq!(demand.tokens_ahead(ENGINES, false, 2, at(1_000)), 6_000);
+    assert_eq!(demand.tokens_ahead(ENGINES, false, 2, at(1_000)), (3_000, 3_000));
     let (per_second, samples) = demand.freed(ENGINES, at(1_000));
     assert!(per_second > 20_000.0 && samples > 8.0, "{per_second}, {samples}");
     assert!((table.team_use.tokens("studio", at(1_000)) - 9_000.0).abs() < 2.0);
