--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the admission of requests to engines.
 
+mod demands;
 mod estimates;
 mod fixtures;
 mod fleet_model;
