admission: spread the return of refused requests

Tokens of refused requests that were told to come back are counted until they do, and reported to the other VMs; the next refusal is told a later time. A request counts only if its Retry-After is at most a third of its remaining time, for which callers honour it. The decision to refuse does not depend on it.

--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     EstimateInputs, FleetDemand, FreedRate, QueuePlace, ServiceDemand, TeamUse, WaitEstimate,
-    WaitQueue, Waiter, WaiterId,
+    WaitQueue, Waiter, WaiterId, promised_returns::PromisedReturns,
 };
 
 /// Weight of a new sample in the average of the ratio of waits, which thus covers about ten samples.
@@ -16,11 +16,12 @@
 const RATIO_LIMIT: f64 = 4.0;
 
 /// Engine memory and waits of one service.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct ServiceFlow {
     /// Whether the service has a deferrable route.
     is_managed: bool,
     freed: FreedRate,
+    promised: PromisedReturns,
     /// Average logarithm of the ratio of real to estimated waits.
     wait_ratio_ln: f64,
     waits: f64,
@@ -60,6 +61,11 @@
         }
     }
 
+    /// Records that a request was refused and told to come back after `time`.
+    pub fn note_promise(&mut self, service: &str, tokens: u64, time: Duration, now: MonoTime) {
+        self.flow(service).promised.note(tokens, time, now);
+    }
+
     /// Returns whether it is a request's turn to look for room.
     pub fn has_turn(&mut self, id: WaiterId, now: MonoTime) -> bool {
         self.queue.has_turn(id, &self.team_use, now)
@@ -87,7 +93,6 @@
         now: MonoTime,
     ) -> EstimateInputs {
         let (service, own_tokens) = waiter;
-        let flow = *self.flow(service);
         let (mut ahead_tokens, mut late_tokens) = (0, 0);
         if let Some(place) = self.queue.place_of(id, now) {
             let QueuePlace { is_late, rank, .. } = place;
@@ -101,7 +106,9 @@
                 - (share * place.equal_tokens as f64) as u64
                 + (ahead_late + equal_late).saturating_sub(ahead + (share * equal as f64) as u64);
         }
+        let promised = self.fleet_demand.promised_tokens(service, now);
         let (freed_per_s, freed_samples) = self.fleet_demand.freed(service, now);
+        let flow = self.flow(service);
         EstimateInputs {
             ahead_tokens,
             late_tokens,
@@ -110,6 +117,7 @@
             room_tokens,
             freed_per_s: freed_per_s + flow.freed.per_second(now),
             freed_samples: freed_samples + flow.freed.samples(now),
+            promised_tokens: promised + flow.promised.tokens(now),
             wait_ratio: (flow.wait_ratio_ln.exp(), flow.waits),
         }
     }
@@ -118,11 +126,12 @@
     /// others.
     pub fn own_demand(&mut self, now: MonoTime) -> BTreeMap<String, ServiceDemand> {
         let mut services = BTreeMap::new();
-        for (service, flow) in self.flows.iter().filter(|(_, flow)| flow.is_managed) {
+        for (service, flow) in self.flows.iter_mut().filter(|(_, flow)| flow.is_managed) {
             let demand = ServiceDemand {
                 ranks: self.queue.demand(service, now),
                 freed_per_s: flow.freed.per_second(now),
                 freed_samples: flow.freed.samples(now),
+                promised_tokens: flow.promised.tokens(now),
             };
             services.insert(service.clone(), demand);
         }
--- a/crates/admission/src/fleet_demand.rs
+++ b/crates/admission/src/fleet_demand.rs
@@ -29,6 +29,8 @@
     pub freed_per_s: f64,
     /// Number of recent samples on which the rate is based.
     pub freed_samples: f64,
+    /// Tokens of refused requests that were told to come back later.
+    pub promised_tokens: u64,
 }
 
 impl ServiceDemand {
@@ -116,6 +118,11 @@
         tokens / vms
     }
 
+    /// Returns the tokens of requests that the other VMs refused and told to come back later.
+    pub fn promised_tokens(&self, service: &str, now: MonoTime) -> u64 {
+        self.fresh(service, now).map(|demand| demand.promised_tokens).sum()
+    }
+
     /// Returns the tokens that become free per second at the other VMs, and the number of recent
     /// samples.
     pub fn freed(&self, service: &str, now: MonoTime) -> (f64, f64) {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,6 +10,7 @@
 mod freed_rate;
 mod give_way;
 mod leave_history;
+mod promised_returns;
 mod queue_place;
 mod service_queue;
 mod team_use;
--- a/crates/admission/src/wait_estimate.rs
+++ b/crates/admission/src/wait_estimate.rs
@@ -43,6 +43,8 @@
     pub freed_per_s: f64,
     /// Number of recent samples on which the rate is based.
     pub freed_samples: f64,
+    /// Tokens of refused requests that were told to come back later.
+    pub promised_tokens: u64,
     /// Average ratio of real waits to estimated ones, and the number of recent waits.
     pub wait_ratio: (f64, f64),
 }
@@ -52,7 +54,10 @@
 pub struct WaitEstimate {
     /// Expected wait from now on.
     pub wait: Duration,
-    /// The same without the correction by earlier waits.
+    /// Time after which the request could begin if it came back. Those that were refused before come
+    /// back earlier.
+    pub retry_after: Duration,
+    /// The wait without the correction by earlier waits.
     pub uncorrected: Duration,
     /// Whether too little is known to refuse a request because of the estimate.
     pub is_doubtful: bool,
@@ -73,6 +78,7 @@
         if needed == 0 {
             return WaitEstimate {
                 wait: Duration::ZERO,
+                retry_after: Duration::ZERO,
                 uncorrected: Duration::ZERO,
                 is_doubtful: false,
             };
@@ -84,20 +90,23 @@
         let factor =
             if is_corrected { ratio.clamp(1.0 / CORRECTION_LIMIT, CORRECTION_LIMIT) } else { 1.0 };
         let uncorrected_s = needed as f64 / inputs.freed_per_s;
+        let promised_s = inputs.promised_tokens as f64 / inputs.freed_per_s;
         let times = (
             Duration::try_from_secs_f64(uncorrected_s),
             Duration::try_from_secs_f64(factor * uncorrected_s),
+            Duration::try_from_secs_f64(factor * (uncorrected_s + promised_s)),
         );
         // Without freed memory, the figures are no numbers or too large.
-        let (Ok(uncorrected), Ok(wait)) = times else {
+        let (Ok(uncorrected), Ok(wait), Ok(retry_after)) = times else {
             return WaitEstimate {
                 wait: Duration::MAX,
+                retry_after: Duration::MAX,
                 uncorrected: Duration::MAX,
                 is_doubtful: true,
             };
         };
         let is_doubtful = is_wrong || inputs.freed_samples < LEAST_SAMPLES;
-        WaitEstimate { wait, uncorrected, is_doubtful }
+        WaitEstimate { wait, retry_after, uncorrected, is_doubtful }
     }
 
     /// Returns whether a request that can wait for `time` is to be refused, because it would wait in
--- a/crates/admission/tests/all/demands.rs
+++ b/crates/admission/tests/all/demands.rs
@@ -15,7 +15,8 @@
         RankDemand { waiting, tokens, timely_tokens: tokens }
     };
     let ranks = ranks.iter().map(|(rank, waiting)| (*rank, rank_demand(*waiting))).collect();
-    let demand = ServiceDemand { ranks, freed_per_s: 1_000.0, freed_samples: 2.0 };
+    let demand =
+        ServiceDemand { ranks, freed_per_s: 1_000.0, freed_samples: 2.0, promised_tokens: 0 };
     BTreeMap::from([(ENGINES.to_owned(), demand)])
 }
 
--- a/crates/admission/tests/all/fixtures.rs
+++ b/crates/admission/tests/all/fixtures.rs
@@ -63,6 +63,7 @@
         late_in: Duration::from_millis(1_500),
         own_tokens: 3_000,
         room_tokens: 0,
+        promised_tokens: 0,
         freed_per_s: 10_000.0,
         freed_samples: 10.0,
         wait_ratio: (1.0, 0.0),
--- a/crates/admission/tests/all/fleet_model.rs
+++ b/crates/admission/tests/all/fleet_model.rs
@@ -34,6 +34,8 @@
     pub(crate) team: String,
     pub(crate) tokens: u64,
     pub(crate) run_ms: u64,
+    /// Whether it was refused before, and comes after the time that it was told.
+    pub(crate) is_retry: bool,
 }
 
 /// Trouble of one VM in a time span, in milliseconds.
@@ -108,6 +110,8 @@
     troubles: Vec<Trouble>,
     network: Network,
     refuses: bool,
+    /// Refused requests that will be sent again after the time that they were told.
+    retries: Vec<Arrival>,
     rng: ChaCha8Rng,
     now_ms: u64,
     /// Requests in the order in which they were admitted or gave up.
@@ -130,6 +134,7 @@
             troubles: Vec::new(),
             network,
             refuses: false,
+            retries: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now_ms: 0,
             ended: Vec::new(),
@@ -151,7 +156,7 @@
     /// Runs the model until all requests ended.
     pub(crate) fn run(mut self, mut arrivals: Vec<Arrival>) -> FleetModel {
         arrivals.sort_by_key(|arrival| std::cmp::Reverse(arrival.at_ms));
-        while !arrivals.is_empty() || !self.waiters.is_empty() {
+        while !(arrivals.is_empty() && self.waiters.is_empty() && self.retries.is_empty()) {
             self.now_ms += STEP_MS;
             self.apply_troubles();
             self.deliver();
@@ -159,6 +164,13 @@
             while arrivals.last().is_some_and(|arrival| arrival.at_ms <= self.now_ms) {
                 self.enqueue(arrivals.pop().unwrap());
             }
+            let now_ms = self.now_ms;
+            let (due, later): (Vec<_>, Vec<_>) =
+                self.retries.drain(..).partition(|retry| retry.at_ms <= now_ms);
+            self.retries = later;
+            for retry in due {
+                self.enqueue(retry);
+            }
             // No VM is always the first to look for room.
             let first = self.rng.random_range(0..self.tables.len());
             for index in 0..self.tables.len() {
@@ -237,7 +249,15 @@
         self.waiters.push(ModelWaiter { vm, id, arrival, expected, give_way, idle_since });
         if is_refused {
             self.end(self.waiters.len() - 1, false);
-            self.ended.last_mut().unwrap().refused_with = Some(expected.wait);
+            let ended = self.ended.last_mut().unwrap();
+            ended.refused_with = Some(expected.wait);
+            if !ended.arrival.is_retry {
+                let time = expected.retry_after;
+                let at_ms = self.now_ms + time.as_millis() as u64;
+                let arrival = Arrival { at_ms, is_retry: true, ..ended.arrival.clone() };
+                self.tables[vm].note_promise(ENGINES, arrival.tokens, time, at(self.now_ms));
+                self.retries.push(arrival);
+            }
         }
     }
 
--- a/crates/admission/tests/all/fleets.rs
+++ b/crates/admission/tests/all/fleets.rs
@@ -11,12 +11,12 @@
 
 fn long_stream(at_ms: u64, vm: usize, team: &str) -> Arrival {
     let team = team.to_owned();
-    Arrival { at_ms, vm, is_long: true, team, tokens: LONG_TOKENS, run_ms: 4_000 }
+    Arrival { at_ms, vm, is_long: true, team, tokens: LONG_TOKENS, run_ms: 4_000, is_retry: false }
 }
 
 fn short_stream(at_ms: u64, vm: usize, team: &str) -> Arrival {
     let team = team.to_owned();
-    Arrival { at_ms, vm, is_long: false, team, tokens: SHORT_TOKENS, run_ms: 500 }
+    Arrival { at_ms, vm, is_long: false, team, tokens: SHORT_TOKENS, run_ms: 500, is_retry: false }
 }
 
 /// Returns long and short streams at random times and VMs. `long_per_s` of 7 fill four engines.
@@ -172,6 +172,27 @@
     }
 }
 
+/// Pattern: a burst of long streams of ten times the capacity for 4 s, then a third of it. Callers
+/// that are refused try once more, after the time that they were told, and must be served then.
+#[test]
+fn retry_after_of_a_refusal_holds() {
+    for seed in [20, 21, 22] {
+        let mut arrivals = mixed(8, 4, 60, 5, seed);
+        for mut arrival in mixed(8, 40, 2, 5, seed + 100) {
+            arrival.at_ms += 4_000;
+            arrivals.push(arrival);
+        }
+
+        let fleet = FleetModel::new(8, 4, Network::default(), seed).with_refusals().run(arrivals);
+
+        let (waits, refused) = fleet.waits(|arrival| arrival.is_retry);
+        let timely = waits.iter().filter(|wait| **wait < 4_000).count();
+        assert!(waits.len() > 20, "{} served", waits.len());
+        assert!(20 * refused < waits.len(), "{refused} refused, {} served", waits.len());
+        assert!(100 * timely > 85 * waits.len(), "{timely} of {} on time", waits.len());
+    }
+}
+
 /// Pattern: one team only. All room must be open to it.
 #[test]
 fn single_team_gets_all_the_room() {
--- a/crates/gateway/src/admission/demand_reports.rs
+++ b/crates/gateway/src/admission/demand_reports.rs
@@ -25,6 +25,7 @@
             ranks: ranks.collect(),
             freed_per_s: demand.freed_per_s as u64,
             freed_samples_tenths: (demand.freed_samples * 10.0) as u32,
+            promised_tokens: demand.promised_tokens,
         });
     }
     for (team, tokens) in table.team_use.largest(TEAMS_NAMED, now) {
@@ -55,6 +56,7 @@
             ranks,
             freed_per_s: entry.freed_per_s as f64,
             freed_samples: f64::from(entry.freed_samples_tenths) / 10.0,
+            promised_tokens: entry.promised_tokens,
         };
         services.insert(entry.service.clone(), demand);
     }
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -23,6 +23,9 @@
 /// after the wait.
 const WAIT_TARGETS: f64 = 3.0;
 
+/// Inverse of the part of their remaining time for which callers honour a `Retry-After`.
+const RETRY_SHARE: u32 = 3;
+
 /// Why a request was refused for want of room on engines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -78,7 +81,7 @@
                     ErrorKind::Overloaded,
                     "the wait would be too long",
                 )
-                .with_retry_after(expected.wait));
+                .with_retry_after(promise_return(context, request, expected)));
             }
         }
         if Instant::now() >= give_up_at {
@@ -168,6 +171,22 @@
     context.admission.table().team_use.charge(team, tokens, now);
 }
 
+/// Returns after which time a refused request is told to come back. If its caller can be expected to
+/// do so, those that are refused next come later.
+fn promise_return(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    estimate: WaitEstimate,
+) -> Duration {
+    let time = estimate.retry_after;
+    if time <= request.time_left() / RETRY_SHARE {
+        let tokens = request.demand.reserved_tokens();
+        let now = context.clock.now();
+        context.admission.table().note_promise(&request.service, tokens, time, now);
+    }
+    time
+}
+
 /// Counts and logs a refusal, with the estimate and what it was based on.
 fn log_refusal(
     context: &GatewayContext,
@@ -190,6 +209,7 @@
         late_tokens = inputs.late_tokens,
         own_tokens = inputs.own_tokens,
         room_tokens = inputs.room_tokens,
+        promised_tokens = inputs.promised_tokens,
         freed_per_s = inputs.freed_per_s as u64,
         freed_samples = inputs.freed_samples as u64,
         wait_ratio = inputs.wait_ratio.0,
@@ -215,5 +235,8 @@
     let inputs = estimate_inputs(context, request, entry, excluded);
     let estimate = WaitEstimate::from_inputs(inputs);
     log_refusal(context, request, reason, (inputs, estimate), Duration::ZERO);
-    failure.with_retry_after(if estimate.is_doubtful { target } else { estimate.wait })
+    if estimate.is_doubtful {
+        return failure.with_retry_after(target);
+    }
+    failure.with_retry_after(promise_return(context, request, estimate))
 }
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -138,6 +138,9 @@
     /// Number of recent samples on which the rate is based, in tenths.
     #[prost(uint32, tag = "4")]
     pub freed_samples_tenths: u32,
+    /// Tokens of refused requests that were told to come back later.
+    #[prost(uint64, tag = "5")]
+    pub promised_tokens: u64,
 }
 
 /// Recent use of engines by a team.
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -244,6 +244,8 @@
         table.note_freed(ENGINES, 3_500, at(index * 100));
     }
     table.team_use.charge("studio", 9_000, at(1_000));
+    table.note_promise(ENGINES, 2_500, Duration::from_secs(5), at(0));
+    table.note_promise(ENGINES, 1_500, Duration::from_millis(900), at(0));
     table
 }
 
@@ -269,6 +271,7 @@
     assert_eq!(demand.tokens_ahead(ENGINES, false, 2, at(1_000)), (3_000, 3_000));
     let (per_second, samples) = demand.freed(ENGINES, at(1_000));
     assert!(per_second > 20_000.0 && samples > 8.0, "{per_second}, {samples}");
+    assert_eq!(demand.promised_tokens(ENGINES, at(1_000)), 2_500, "the other has come back");
     assert!((table.team_use.tokens("studio", at(1_000)) - 9_000.0).abs() < 2.0);
 }
 
