admission: log one line per refusal

A request of a service with a deferrable route that waited in vain had two lines about it. "stream: no engine had room in time" remains for other services only.

--- a/crates/admission/tests/all/estimates.rs
+++ b/crates/admission/tests/all/estimates.rs
@@ -130,3 +130,29 @@
     assert_eq!(ahead_of("large"), 10 * LONG_TOKENS);
     assert!(ahead_of("small") < LONG_TOKENS);
 }
+
+/// Pattern: a VM is suspended for minutes with requests that wait. Its clock stood still, so all its
+/// figures look fresh when it goes on. It must not refuse or order requests by them.
+#[test]
+fn suspended_vm_drops_its_figures_and_keeps_its_requests() {
+    let mut table = AdmissionTable::default();
+    let id = table.enqueue(long("studio", at(0)), at(0));
+    for index in 0..10 {
+        table.note_freed(ENGINES, 100, at(index * 100));
+    }
+    table.team_use.charge("studio", 50_000, at(1_000));
+    table.note_promise(ENGINES, 9_000, Duration::from_secs(9), at(1_000));
+    let demand = table.own_demand(at(1_000));
+    table.fleet_demand.note_report(7, demand, Duration::from_millis(300), at(1_000));
+    let before = table.estimate_inputs(id, (ENGINES, LONG_TOKENS), Duration::MAX, 0, at(1_000));
+
+    table.forget_figures();
+
+    let after = table.estimate_inputs(id, (ENGINES, LONG_TOKENS), Duration::MAX, 0, at(1_000));
+    assert!(WaitEstimate::from_inputs(before).exceeds(Duration::from_secs(1)));
+    assert!(WaitEstimate::from_inputs(after).is_doubtful);
+    assert_eq!((after.ahead_tokens, after.promised_tokens), (0, 0));
+    assert!(table.team_use.tokens("studio", at(1_000)) < 1.0);
+    assert!(table.has_turn(id, at(1_000)));
+    assert!(table.own_demand(at(1_000)).contains_key(ENGINES), "its requests are still reported");
+}
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -86,8 +86,10 @@
         }
         if Instant::now() >= give_up_at {
             note_wait(context, request, estimate, began);
-            let waiting = context.admission.table().queue.count(&request.service);
-            info!(id = request.attempt, tries, waiting, "stream: no engine had room in time");
+            if !is_managed {
+                let waiting = context.admission.table().queue.count(&request.service);
+                info!(id = request.attempt, tries, waiting, "stream: no engine had room in time");
+            }
             return Err(no_room(context, request, &entry, excluded));
         }
         let pause = tokio::time::sleep_until((Instant::now() + TRY_INTERVAL).min(give_up_at));
