admission: end waits before the deadline

A request of a service with a deferrable route could wait until its deadline and begin just before it, which reads its prompt for nothing. The expected time from the engine to the first event is now subtracted from the deadline, too, if that comes before the caller gives up. Refusals on arrival use the same limit.

--- a/crates/admission/src/wait_estimate.rs
+++ b/crates/admission/src/wait_estimate.rs
@@ -18,10 +18,14 @@
 /// just have been served in time is lost; one that waits in vain costs little.
 const REFUSAL_MARGIN: f64 = 1.25;
 
-/// Returns how long a request may wait for an engine: as long as its caller does, less the expected
-/// time from the engine to the first event.
-pub fn maximum_wait(latency_target: Duration, expected_first_event: Duration) -> Duration {
-    let patience = (latency_target * PATIENCE_TARGETS).max(LEAST_PATIENCE);
+/// Returns how long a request may wait for an engine: as long as its caller does, and within its time
+/// limit, less the expected time from the engine to the first event.
+pub fn maximum_wait(
+    latency_target: Duration,
+    time_limit: Duration,
+    expected_first_event: Duration,
+) -> Duration {
+    let patience = (latency_target * PATIENCE_TARGETS).max(LEAST_PATIENCE).min(time_limit);
     // A few slow engines must not make the gateway refuse everything.
     patience - expected_first_event.min(patience / 2)
 }
--- a/crates/admission/tests/all/estimates.rs
+++ b/crates/admission/tests/all/estimates.rs
@@ -13,10 +13,14 @@
 #[test]
 fn request_may_wait_as_long_as_its_caller() {
     let millis = Duration::from_millis;
+    let maximum = |target_ms, limit_ms, expected_ms| {
+        maximum_wait(millis(target_ms), millis(limit_ms), millis(expected_ms))
+    };
 
-    assert_eq!(maximum_wait(millis(4_000), millis(500)), millis(15_500));
-    assert_eq!(maximum_wait(millis(300), millis(500)), millis(1_500), "callers wait 2 s at least");
-    assert_eq!(maximum_wait(millis(1_500), millis(9_000)), millis(3_000), "slow engines");
+    assert_eq!(maximum(4_000, 39_000, 500), millis(15_500));
+    assert_eq!(maximum(300, 6_000, 500), millis(1_500), "callers wait 2 s at least");
+    assert_eq!(maximum(1_500, 6_000, 9_000), millis(3_000), "slow engines");
+    assert_eq!(maximum(4_000, 3_000, 500), millis(2_500), "a second attempt with less time");
 }
 
 /// Pattern: a long queue. A request that waits in vain learns it only when its caller gives up.
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -107,7 +107,8 @@
         return target.mul_f64(WAIT_TARGETS);
     }
     let expected = context.view().timing_mut(&request.service).expected_start();
-    maximum_wait(target, expected.unwrap_or_default())
+    let time_limit = request.deadline.saturating_duration_since(request.arrived);
+    maximum_wait(target, time_limit, expected.unwrap_or_default())
 }
 
 /// Returns whether the request leaves the room for now to more urgent ones of other VMs.
