--- a/crates/admission/src/fleet_demand.rs
+++ b/crates/admission/src/fleet_demand.rs
@@ -29,6 +29,8 @@
     pub freed_per_s: f64,
     /// Number of recent samples on which the rate is based.
     pub freed_samples: f64,
+    /// Tokens of refused requests that were told to come back later.
+    pub promised_tokens: u64,
 }
 
 impl ServiceDemand {
@@ -86,10 +88,22 @@
         self.peers.clear();
     }
 
-    /// Returns the tokens of the requests elsewhere that go before a new one of this lateness and
-    /// rank, including those of the same rank.
-    pub fn tokens_ahead(&self, service: &str, is_late: bool, rank: u8, now: MonoTime) -> u64 {
-        self.fresh(service, now).map(|demand| demand.tokens_before(is_late, rank, true)).sum()
+    /// Returns the tokens of the requests elsewhere that go before one of this lateness and rank, and
+    /// of those of the same lateness and rank.
+    pub fn tokens_ahead(
+        &self,
+        service: &str,
+        is_late: bool,
+        rank: u8,
+        now: MonoTime,
+    ) -> (u64, u64) {
+        let (mut ahead, mut equal) = (0, 0);
+        for demand in self.fresh(service, now) {
+            let before = demand.tokens_before(is_late, rank, false);
+            ahead += before;
+            equal += demand.tokens_before(is_late, rank, true) - before;
+        }
+        (ahead, equal)
     }
 
     /// Returns the tokens of the more urgent requests elsewhere to which this VM gives way with a
@@ -104,6 +118,11 @@
         tokens / vms
     }
 
+    /// Returns the tokens of requests that the other VMs refused and told to come back later.
+    pub fn promised_tokens(&self, service: &str, now: MonoTime) -> u64 {
+        self.fresh(service, now).map(|demand| demand.promised_tokens).sum()
+    }
+
     /// Returns the tokens that become free per second at the other VMs, and the number of recent
     /// samples.
     pub fn freed(&self, service: &str, now: MonoTime) -> (f64, f64) {
--- a/crates/admission/tests/all/estimates.rs
+++ b/crates/admission/tests/all/estimates.rs
@@ -13,10 +13,14 @@
 #[test]
 fn request_may_wait_as_long_as_its_caller() {
     let millis = Duration::from_millis;
-
-    assert_eq!(maximum_wait(millis(4_000), millis(500)), millis(15_500));
-    assert_eq!(maximum_wait(millis(300), millis(500)), millis(1_500), "callers wait 2 s at least");
-    assert_eq!(maximum_wait(millis(1_500), millis(9_000)), millis(3_000), "slow engines");
+    let maximum = |target_ms, limit_ms, expected_ms| {
+        maximum_wait(millis(target_ms), millis(limit_ms), millis(expected_ms))
+    };
+
+    assert_eq!(maximum(4_000, 39_000, 500), millis(15_500));
+    assert_eq!(maximum(300, 6_000, 500), millis(1_500), "callers wait 2 s at least");
+    assert_eq!(maximum(1_500, 6_000, 9_000), millis(3_000), "slow engines");
+    assert_eq!(maximum(4_000, 3_000, 500), millis(2_500), "a second attempt with less time");
 }
 
 /// Pattern: a long queue. A request that waits in vain learns it only when its caller gives up.
@@ -108,3 +112,51 @@
     assert_eq!(WaitEstimate::from_inputs(timely).wait, Duration::from_secs(2));
     assert_eq!(WaitEstimate::from_inputs(becomes_late).wait, Duration::from_secs(7));
 }
+
+/// Pattern: a large team fills the queues of all VMs. A request of a small team goes before them and
+/// must not be refused because of them.
+#[test]
+fn requests_of_teams_with_more_use_are_not_ahead() {
+    let mut table = AdmissionTable::default();
+    for index in 0..10 {
+        table.note_freed(ENGINES, LONG_TOKENS, at(index * 100));
+        table.enqueue(long("large", at(900)), at(900));
+    }
+    let now = at(1_000);
+    table.team_use.charge("large", 200_000, now);
+    table.team_use.charge("small", 1_000, now);
+
+    let mut ahead_of = |team| {
+        let id = table.enqueue(long(team, now), now);
+        table.estimate_inputs(id, (ENGINES, LONG_TOKENS), Duration::MAX, 0, now).ahead_tokens
+    };
+
+    assert_eq!(ahead_of("large"), 10 * LONG_TOKENS);
+    assert!(ahead_of("small") < LONG_TOKENS);
+}
+
+/// Pattern: a VM is suspended for minutes with requests that wait. Its clock stood still, so all its
+/// figures look fresh when it goes on. It must not refuse or order requests by them.
+#[test]
+fn suspended_vm_drops_its_figures_and_keeps_its_requests() {
+    let mut table = AdmissionTable::default();
+    let id = table.enqueue(long("studio", at(0)), at(0));
+    for index in 0..10 {
+        table.note_freed(ENGINES, 100, at(index * 100));
+    }
+    table.team_use.charge("studio", 50_000, at(1_000));
+    table.note_promise(ENGINES, 9_000, Duration::from_secs(9), at(1_000));
+    let demand = table.own_demand(at(1_000));
+    table.fleet_demand.note_report(7, demand, Duration::from_millis(300), at(1_000));
+    let before = table.estimate_inputs(id, (ENGINES, LONG_TOKENS), Duration::MAX, 0, at(1_000));
+
+    table.forget_figures();
+
+    let after = table.estimate_inputs(id, (ENGINES, LONG_TOKENS), Duration::MAX, 0, at(1_000));
+    assert!(WaitEstimate::from_inputs(before).exceeds(Duration::from_secs(1)));
+    assert!(WaitEstimate::from_inputs(after).is_doubtful);
+    assert_eq!((after.ahead_tokens, after.promised_tokens), (0, 0));
+    assert!(table.team_use.tokens("studio", at(1_000)) < 1.0);
+    assert!(table.has_turn(id, at(1_000)));
+    assert!(table.own_demand(at(1_000)).contains_key(ENGINES), "its requests are still reported");
+}
--- a/crates/admission/tests/all/fleet_model.rs
+++ b/crates/admission/tests/all/fleet_model.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use dragonflycart_admission::{AdmissionTable, GiveWay, ServiceDemand, Waiter, WaiterId};
+use dragonflycart_admission::{
+    AdmissionTable, GiveWay, ServiceDemand, WaitEstimate, Waiter, WaiterId,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -32,6 +34,8 @@
     pub(crate) team: String,
     pub(crate) tokens: u64,
     pub(crate) run_ms: u64,
+    /// Whether it was refused before, and comes after the time that it was told.
+    pub(crate) is_retry: bool,
 }
 
 /// Trouble of one VM in a time span, in milliseconds.
@@ -59,6 +63,8 @@
     pub(crate) arrival: Arrival,
     pub(crate) waited_ms: u64,
     pub(crate) is_admitted: bool,
+    /// Estimate with which it was refused on arrival.
+    pub(crate) refused_with: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -66,6 +72,7 @@
     vm: usize,
     id: WaiterId,
     arrival: Arrival,
+    expected: WaitEstimate,
     give_way: GiveWay,
     /// Time since which it could have used idle room.
     idle_since: Option<u64>,
@@ -102,6 +109,9 @@
     mail: Vec<Mail>,
     troubles: Vec<Trouble>,
     network: Network,
+    refuses: bool,
+    /// Refused requests that will be sent again after the time that they were told.
+    retries: Vec<Arrival>,
     rng: ChaCha8Rng,
     now_ms: u64,
     /// Requests in the order in which they were admitted or gave up.
@@ -123,6 +133,8 @@
             mail: Vec::new(),
             troubles: Vec::new(),
             network,
+            refuses: false,
+            retries: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now_ms: 0,
             ended: Vec::new(),
@@ -135,10 +147,16 @@
         self
     }
 
+    /// Lets the VMs refuse requests on arrival whose wait would be too long.
+    pub(crate) fn with_refusals(mut self) -> FleetModel {
+        self.refuses = true;
+        self
+    }
+
     /// Runs the model until all requests ended.
     pub(crate) fn run(mut self, mut arrivals: Vec<Arrival>) -> FleetModel {
         arrivals.sort_by_key(|arrival| std::cmp::Reverse(arrival.at_ms));
-        while !arrivals.is_empty() || !self.waiters.is_empty() {
+        while !(arrivals.is_empty() && self.waiters.is_empty() && self.retries.is_empty()) {
             self.now_ms += STEP_MS;
             self.apply_troubles();
             self.deliver();
@@ -146,6 +164,13 @@
             while arrivals.last().is_some_and(|arrival| arrival.at_ms <= self.now_ms) {
                 self.enqueue(arrivals.pop().unwrap());
             }
+            let now_ms = self.now_ms;
+            let (due, later): (Vec<_>, Vec<_>) =
+                self.retries.drain(..).partition(|retry| retry.at_ms <= now_ms);
+            self.retries = later;
+            for retry in due {
+                self.enqueue(retry);
+            }
             // No VM is always the first to look for room.
             let first = self.rng.random_range(0..self.tables.len());
             for index in 0..self.tables.len() {
@@ -217,7 +242,32 @@
         let waiter = Waiter { tokens: arrival.tokens, ..waiter };
         let id = self.tables[vm].enqueue(waiter, at(self.now_ms));
         let give_way = GiveWay::default();
-        self.waiters.push(ModelWaiter { vm, id, arrival, give_way, idle_since: None });
+        let expected = self.estimate(vm, id, &arrival);
+        let maximum_ms = if arrival.is_long { 15_000 } else { 5_600 };
+        let is_refused = self.refuses && expected.exceeds(Duration::from_millis(maximum_ms));
+        let idle_since = None;
+        self.waiters.push(ModelWaiter { vm, id, arrival, expected, give_way, idle_since });
+        if is_refused {
+            self.end(self.waiters.len() - 1, false);
+            let ended = self.ended.last_mut().unwrap();
+            ended.refused_with = Some(expected.wait);
+            if !ended.arrival.is_retry {
+                let time = expected.retry_after;
+                let at_ms = self.now_ms + time.as_millis() as u64;
+                let arrival = Arrival { at_ms, is_retry: true, ..ended.arrival.clone() };
+                self.tables[vm].note_promise(ENGINES, arrival.tokens, time, at(self.now_ms));
+                self.retries.push(arrival);
+            }
+        }
+    }
+
+    fn estimate(&mut self, vm: usize, id: WaiterId, arrival: &Arrival) -> WaitEstimate {
+        let room = self.room(arrival);
+        let late_in = Duration::from_millis(if arrival.is_long { 4_000 } else { 1_500 });
+        let waiter = (ENGINES, arrival.tokens);
+        let now = at(self.now_ms);
+        let inputs = self.tables[vm].estimate_inputs(id, waiter, late_in, room, now);
+        WaitEstimate::from_inputs(inputs)
     }
 
     /// Returns the emptiest engine on which a request fits.
@@ -257,6 +307,9 @@
             assert!(self.engines[engine] <= ENGINE_TOKENS, "more admitted than there is room");
             self.running.push((self.now_ms + arrival.run_ms, engine, vm, arrival.tokens));
             self.tables[vm].team_use.charge(&arrival.team, arrival.tokens, now);
+            let waiter = &self.waiters[index];
+            let wait_s = (self.now_ms - waiter.arrival.at_ms) as f64 / 1_000.0;
+            self.tables[vm].note_wait(ENGINES, waiter.expected, wait_s);
             self.end(index, true);
             index = 0;
         }
@@ -266,7 +319,8 @@
         let waiter = self.waiters.remove(index);
         self.tables[waiter.vm].queue.remove(waiter.id);
         let waited_ms = self.now_ms - waiter.arrival.at_ms;
-        self.ended.push(Ended { arrival: waiter.arrival, waited_ms, is_admitted });
+        let arrival = waiter.arrival;
+        self.ended.push(Ended { arrival, waited_ms, is_admitted, refused_with: None });
     }
 
     fn end_generations(&mut self) {
--- a/crates/admission/tests/all/fleets.rs
+++ b/crates/admission/tests/all/fleets.rs
@@ -11,12 +11,12 @@
 
 fn long_stream(at_ms: u64, vm: usize, team: &str) -> Arrival {
     let team = team.to_owned();
-    Arrival { at_ms, vm, is_long: true, team, tokens: LONG_TOKENS, run_ms: 4_000 }
+    Arrival { at_ms, vm, is_long: true, team, tokens: LONG_TOKENS, run_ms: 4_000, is_retry: false }
 }
 
 fn short_stream(at_ms: u64, vm: usize, team: &str) -> Arrival {
     let team = team.to_owned();
-    Arrival { at_ms, vm, is_long: false, team, tokens: SHORT_TOKENS, run_ms: 500 }
+    Arrival { at_ms, vm, is_long: false, team, tokens: SHORT_TOKENS, run_ms: 500, is_retry: false }
 }
 
 /// Returns long and short streams at random times and VMs. `long_per_s` of 7 fill four engines.
@@ -141,12 +141,58 @@
 
     let (small, small_refused) = fleet.waits(|arrival| arrival.team != "large");
     let (large, large_refused) = fleet.waits(|arrival| arrival.team == "large");
-    assert!(3 * percentile(&small, 50) < 2 * percentile(&large, 50) || small_refused == 0);
+    assert!(
+        3 * percentile(&small, 50) < 2 * percentile(&large, 50),
+        "{} and {}",
+        percentile(&small, 50),
+        percentile(&large, 50)
+    );
     assert!(10 * small_refused < small.len(), "{small_refused} of the small teams refused");
     assert!(large_refused > 0, "this is no overload");
     assert!(large.len() > small.len(), "room that the small teams don't want lies idle");
 }
 
+/// Pattern: long overloads. Refusals on arrival must not cost service: what is refused would mostly
+/// have waited in vain.
+#[test]
+fn refusals_on_arrival_cost_hardly_any_service() {
+    for (seed, long_per_s) in [(10, 14), (11, 30)] {
+        let arrivals = mixed(8, 25, long_per_s, 10, seed);
+        let without = FleetModel::new(8, 4, Network::default(), seed).run(arrivals.clone());
+
+        let fleet = FleetModel::new(8, 4, Network::default(), seed).with_refusals().run(arrivals);
+
+        let refused = fleet.ended.iter().filter(|ended| ended.refused_with.is_some()).count();
+        for is_long in [true, false] {
+            let served = fleet.waits(|arrival| arrival.is_long == is_long).0.len();
+            let served_without = without.waits(|arrival| arrival.is_long == is_long).0.len();
+            assert!(100 * served >= 95 * served_without, "{served} of {served_without}");
+        }
+        assert!(refused > 0 || long_per_s < 20, "nothing was refused");
+    }
+}
+
+/// Pattern: a burst of long streams of ten times the capacity for 4 s, then a third of it. Callers
+/// that are refused try once more, after the time that they were told, and must be served then.
+#[test]
+fn retry_after_of_a_refusal_holds() {
+    for seed in [20, 21, 22] {
+        let mut arrivals = mixed(8, 4, 60, 5, seed);
+        for mut arrival in mixed(8, 40, 2, 5, seed + 100) {
+            arrival.at_ms += 4_000;
+            arrivals.push(arrival);
+        }
+
+        let fleet = FleetModel::new(8, 4, Network::default(), seed).with_refusals().run(arrivals);
+
+        let (waits, refused) = fleet.waits(|arrival| arrival.is_retry);
+        let timely = waits.iter().filter(|wait| **wait < 4_000).count();
+        assert!(waits.len() > 20, "{} served", waits.len());
+        assert!(20 * refused < waits.len(), "{refused} refused, {} served", waits.len());
+        assert!(100 * timely > 85 * waits.len(), "{timely} of {} on time", waits.len());
+    }
+}
+
 /// Pattern: one team only. All room must be open to it.
 #[test]
 fn single_team_gets_all_the_room() {
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -32,6 +32,19 @@
 /// Maximum of that time.
 const LEASE_PAUSE_MAX: Duration = Duration::from_millis(320);
 
+/// Inverse of the part of their remaining time for which callers honour a `Retry-After`.
+const RETRY_SHARE: u32 = 3;
+
+/// Why a request was refused for want of room on engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum RefusalReason {
+    /// By the estimate, it could not begin before its caller gives up.
+    WaitTooLong,
+    /// It waited for as long as it may.
+    NoRoomInTime,
+}
+
 /// Reserves an engine as soon as one has capacity.
 ///
 /// # Errors
@@ -83,18 +96,20 @@
             estimate = Some(expected);
             let left = give_up_at.saturating_duration_since(Instant::now());
             if expected.exceeds(left) {
-                log_refusal(request, inputs, expected, left);
+                log_refusal(context, request, RefusalReason::WaitTooLong, (inputs, expected), left);
                 return Err(GatewayFailure::new(
                     ErrorKind::Overloaded,
                     "the wait would be too long",
                 )
-                .with_retry_after(expected.wait));
+                .with_retry_after(promise_return(context, request, expected)));
             }
         }
         if Instant::now() >= give_up_at {
             note_wait(context, request, estimate, began);
-            let waiting = context.admission.table().queue.count(&request.service);
-            info!(id = request.attempt, tries, waiting, "stream: no engine had room in time");
+            if !is_managed {
+                let waiting = context.admission.table().queue.count(&request.service);
+                info!(id = request.attempt, tries, waiting, "stream: no engine had room in time");
+            }
             return Err(no_room(context, request, &entry, excluded));
         }
         let pause = tokio::time::sleep_until((Instant::now() + TRY_INTERVAL).min(give_up_at));
@@ -112,7 +127,8 @@
         return target.mul_f64(WAIT_TARGETS);
     }
     let expected = context.view().timing_mut(&request.service).expected_start();
-    maximum_wait(target, expected.unwrap_or_default())
+    let time_limit = request.deadline.saturating_duration_since(request.arrived);
+    maximum_wait(target, time_limit, expected.unwrap_or_default())
 }
 
 /// Returns whether the request leaves the room for now to more urgent ones of other VMs.
@@ -150,15 +166,21 @@
     context.admission.table().estimate_inputs(entry.id(), waiter, late_in, room, now)
 }
 
-/// Compares the estimate with the real wait, if the request had to wait.
+/// Records how long a request waited, and compares that with the estimate.
 fn note_wait(
     context: &GatewayContext,
     request: &CallerRequest,
     estimate: Option<WaitEstimate>,
     began: Instant,
 ) {
+    let wait = began.elapsed();
+    context.metrics.count_engine_wait(wait);
     let Some(estimate) = estimate else { return };
-    let wait_s = began.elapsed().as_secs_f64();
+    let wait_s = wait.as_secs_f64();
+    let ratio = wait_s / estimate.wait.as_secs_f64();
+    if !estimate.is_doubtful && ratio.is_finite() {
+        context.metrics.count_wait_ratio(ratio);
+    }
     context.admission.table().note_wait(&request.service, estimate, wait_s);
 }
 
@@ -172,23 +194,45 @@
     context.admission.table().team_use.charge(team, tokens, now);
 }
 
-fn log_refusal(
+/// Returns after which time a refused request is told to come back. If its caller can be expected to
+/// do so, those that are refused next come later.
+fn promise_return(
+    context: &GatewayContext,
     request: &CallerRequest,
-    inputs: EstimateInputs,
     estimate: WaitEstimate,
+) -> Duration {
+    let time = estimate.retry_after;
+    if time <= request.time_left() / RETRY_SHARE {
+        let tokens = request.demand.reserved_tokens();
+        let now = context.clock.now();
+        context.admission.table().note_promise(&request.service, tokens, time, now);
+    }
+    time
+}
+
+/// Counts and logs a refusal, with the estimate and what it was based on.
+fn log_refusal(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    reason: RefusalReason,
+    (inputs, estimate): (EstimateInputs, WaitEstimate),
     left: Duration,
 ) {
+    context.metrics.count_refusal(reason.into());
     info!(
         id = request.attempt,
         service = request.service,
         class = %request.admission,
         rank = request.rank(),
+        reason = <&str>::from(reason),
         wait_ms = estimate.wait.as_millis() as u64,
+        is_doubtful = estimate.is_doubtful,
         left_ms = left.as_millis() as u64,
         ahead_tokens = inputs.ahead_tokens,
         late_tokens = inputs.late_tokens,
         own_tokens = inputs.own_tokens,
         room_tokens = inputs.room_tokens,
+        promised_tokens = inputs.promised_tokens,
         freed_per_s = inputs.freed_per_s as u64,
         freed_samples = inputs.freed_samples as u64,
         wait_ratio = inputs.wait_ratio.0,
@@ -197,20 +241,25 @@
     );
 }
 
-/// Returns the failure of a request that was not sent because no engine had capacity.
+/// Returns the failure of a request that was not sent because no engine had capacity in time.
 fn no_room(
     context: &GatewayContext,
     request: &CallerRequest,
     entry: &QueueEntry<'_>,
     excluded: &BTreeSet<ServerKey>,
 ) -> GatewayFailure {
-    let mut retry_after = request.route.latency_target;
-    if request.admission.is_managed() {
-        let inputs = estimate_inputs(context, request, entry, excluded);
-        let estimate = WaitEstimate::from_inputs(inputs);
-        if !estimate.is_doubtful {
-            retry_after = estimate.wait;
-        }
+    let failure = GatewayFailure::new(ErrorKind::Overloaded, "no engine had room");
+    let target = request.route.latency_target;
+    let reason = RefusalReason::NoRoomInTime;
+    if !request.admission.is_managed() {
+        context.metrics.count_refusal(reason.into());
+        return failure.with_retry_after(target);
+    }
+    let inputs = estimate_inputs(context, request, entry, excluded);
+    let estimate = WaitEstimate::from_inputs(inputs);
+    log_refusal(context, request, reason, (inputs, estimate), Duration::ZERO);
+    if estimate.is_doubtful {
+        return failure.with_retry_after(target);
     }
-    GatewayFailure::new(ErrorKind::Overloaded, "no engine had room").with_retry_after(retry_after)
+    failure.with_retry_after(promise_return(context, request, estimate))
 }
