gateway: test that responses reach the table of learned capacity

The tests of learned capacity fed the view directly; nothing guarded the path from a response to the table. Two tests with servers on the loopback interface do.

--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod learned_fleet;
 mod learned_placements;
 mod learned_precedence;
+mod learned_wiring;
 mod limits;
 mod log_lines;
 mod memory;
