tests: continue a resumable stream with real processes

The stream of a resumable route whose engine crashes was tested with scripted engines in one process only.

Two tests with gateway processes: the stream runs again at another engine, and goes on from its backup copy where there is one. The test of the old connection lets the next server answer late: with an immediate answer it passed although the connection was closed after the next run began.

The changed test of the old connection was not run at this commit.

--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -175,9 +175,11 @@
 #[tokio::test]
 async fn connection_to_a_stalled_server_is_closed_before_the_next_run() {
     let stalled = vec![stream_head("first"), events(0..3), Piece::Hold];
+    let mut late = vec![Piece::Pause(CHANGE_TIME)];
+    late.extend(rest(3..6));
     let begun = Instant::now();
 
-    let (received, fleet) = run(vec![stalled, rest(3..6)]).await;
+    let (received, fleet) = run(vec![stalled, late]).await;
 
     assert_eq!(received, whole(6));
     assert!(begun.elapsed() >= STALL_TIME, "a server may pause");
--- a/tests/all/resumptions.rs
+++ b/tests/all/resumptions.rs
@@ -3,11 +3,16 @@
 
 use std::time::{Duration, Instant};
 
-use dragonflycart_standins::{CallerResponse, FinalCopy, ResumptionFault, UnframedOptions};
+use dragonflycart_standins::{
+    CallerResponse, FinalCopy, ManifestSpec, ResumptionFault, RunPart, UnframedOptions, send,
+};
 use dragonflycart_testkit::RelayMode;
 
-use crate::support::unframed_fleet::{
-    LAST_EVENT, NOTICE, OVERLAP_ALLOWED, UnframedFleet, event_ids,
+use crate::support::{
+    GatewayFleet,
+    unframed_fleet::{
+        LAST_EVENT, NOTICE, OUTPUT_TOKENS, OVERLAP_ALLOWED, UnframedFleet, event_ids,
+    },
 };
 
 /// Fault of an engine that begins at once and sends its head late.
@@ -30,6 +35,11 @@
 const FIRST_COPY_TIME: Duration = Duration::from_millis(300);
 /// Time after which callers abandon a stream without progress.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Interval at which engines renew their registrations.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Number of these intervals after which an engine crashes: the retry budget, which is empty at the
+/// start, has a retry by then.
+const HEARTBEATS_BEFORE_CRASH: u32 = 5;
 /// Silence that outlasts all streams.
 const LASTING_SILENCE: Duration = Duration::from_secs(60);
 
@@ -317,3 +327,64 @@
     assert!(wait <= PATIENCE, "the stream goes on after {wait:?}");
     unframed.close();
 }
+
+/// Crashes the engine of a stream whose route is resumable, where engines keep backup copies or not.
+/// Returns the response, the runs of the stream and how many streams the gateways continued.
+async fn crash_resumable(name: &str, has_backups: bool) -> (CallerResponse, Vec<RunPart>, f64) {
+    let mut fleet = GatewayFleet::start(name, 0).await;
+    fleet.add_engine("i-second").await;
+    fleet.add_engine("i-third").await;
+    let plan = ManifestSpec { version: 2, extra_routes: 0, keys: vec!["key".to_owned()] };
+    let mut plan = plan.to_json();
+    plan["routes"][0]["resumable"] = true.into();
+    plan["services"][0]["engine"]["backups"] = has_backups.into();
+    plan["services"][0]["engine"]["moves"] = false.into();
+    fleet.store.put_order("config", &plan);
+    fleet.start_gateways().await;
+    let request = fleet.stream_request(OUTPUT_TOKENS);
+    let (address, id) = (fleet.gateways[0].http_address, request.id.clone());
+    let response = tokio::spawn(async move { send(address, &request).await });
+    for _ in 0..HEARTBEATS_BEFORE_CRASH {
+        tokio::time::sleep(HEARTBEAT).await;
+        fleet.heartbeat();
+    }
+
+    fleet.crash(&fleet.log.parts(&id)[0].runner);
+    while !response.is_finished() {
+        tokio::time::sleep(HEARTBEAT).await;
+        fleet.heartbeat();
+    }
+
+    let repeats = "dragonflycart_gateway_stream_repeats_total{result=\"continued\"}";
+    let mut continued = 0.0;
+    if !has_backups {
+        continued = fleet.metric(fleet.gateways[0].status_address, repeats).await;
+    }
+    let parts = fleet.log.parts(&id);
+    fleet.close();
+    (response.await.unwrap(), parts, continued)
+}
+
+/// Guards against a stream of a resumable route that is lost with its engine although another one
+/// could run it again, and against events that are missing or come twice (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resumable_stream_whose_engine_crashes_runs_again_at_another_one() {
+    let (response, parts, continued) = crash_resumable("continued-crash", false).await;
+
+    assert_whole(&response);
+    assert_eq!(parts.len(), 2, "{parts:?}");
+    assert_ne!(parts[0].runner, parts[1].runner);
+    assert!(!parts[1].is_resumed, "there was no memory to go on from");
+    assert!(parts[0].work.end <= parts[1].work.start, "both engines worked");
+    assert_eq!(continued, 1.0);
+}
+
+/// Guards against a second run of a stream that could go on from its backup copy.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resumable_stream_goes_on_from_its_backup_copy_first() {
+    let (response, parts, _) = crash_resumable("continued-backup", true).await;
+
+    assert_whole(&response);
+    assert_eq!(parts.len(), 2, "{parts:?}");
+    assert!(parts[1].is_resumed, "it ran again");
+}
