gateway: test which ends of engines count as attempts

Nothing showed that an engine which left as announced does not count, that one which crashed does, that the crash of a prompt counts before the prompt is sent again, and which servers are out of reach. The test of crashed engines closed all listeners, so that a third run could not have been seen.

--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -352,19 +352,66 @@
     assert_eq!(fleet.engines.requests().len(), 1);
 }
 
-/// Guards against a prompt that makes more engines crash than its route allows attempts: engines that
-/// end without notice count.
-#[tokio::test]
-async fn engines_that_crash_use_up_the_attempts() {
+/// Runs a stream whose first two engines end in the middle of it. Returns what the caller received
+/// and the number of runs.
+async fn run_at_ending_engines(is_announced: bool) -> (ReceivedStream, usize) {
     let cut = |ids| vec![stream_head("any"), events(ids), Piece::Pause(CHANGE_TIME)];
     let fleet = ResumableFleet::start(4, vec![cut(0..3), cut(3..4), rest(4..6)]).await;
     let mut request = fleet.request(resumable_route());
     request.prompt_parts = vec![PromptPart::new(7)];
     let response = fleet.send(request).await.ok().unwrap();
 
-    fleet.engines.wait_requests(2).await;
-    fleet.engines.stop_listening();
+    for number in 0..2 {
+        fleet.engines.wait_requests(number + 1).await;
+        let engine = fleet.engines.requests()[number].engine;
+        if is_announced {
+            fleet.announce_leaving(engine);
+        }
+        fleet.engines.stop_listening(engine);
+    }
 
-    assert_eq!(receive(response).await, broken_after(4));
-    assert_eq!(fleet.engines.requests().len(), 2);
+    (receive(response).await, fleet.engines.requests().len())
+}
+
+/// Guards against a prompt that makes more engines crash than its route allows attempts: engines that
+/// end without notice count.
+#[tokio::test]
+async fn engines_that_crash_use_up_the_attempts() {
+    assert_eq!(run_at_ending_engines(false).await, (broken_after(4), 2));
+}
+
+/// Guards against a stream that is given up because its engines left as announced (LOST).
+#[tokio::test]
+async fn engines_that_leave_as_announced_use_up_no_attempt() {
+    assert_eq!(run_at_ending_engines(true).await, (whole(6), 3));
+}
+
+/// Guards against a prompt that is sent to a further engine before the crash of the last one counts,
+/// by which a part of it is contained: in the middle of a stream, and before its head.
+#[tokio::test]
+async fn prompt_is_not_sent_again_if_its_last_crash_contains_it() {
+    for script in [cut_later(), vec![Piece::Pause(CHANGE_TIME)]] {
+        let part = PromptPart::new(7);
+        let fleet = ResumableFleet::start(2, vec![script, rest(3..6)]).await;
+        let now = fleet.context.clock.now();
+        for number in 1..=2 {
+            let engine = EngineRun::from_number(number);
+            fleet.context.crashes().note_engine_end(engine, now);
+            fleet.context.crashes().note_break(engine, &[part], now);
+        }
+        let mut request = fleet.request(resumable_route());
+        request.prompt_parts = vec![part];
+
+        let crash = async {
+            fleet.engines.wait_requests(1).await;
+            fleet.engines.stop_listening(fleet.engines.requests()[0].engine);
+        };
+        let (result, ()) = tokio::join!(fleet.send(request), crash);
+        if let Ok(response) = result {
+            assert_eq!(receive(response).await, broken_after(3));
+        }
+
+        assert!(fleet.context.crashes().is_contained(part));
+        assert_eq!(fleet.engines.requests().len(), 1);
+    }
 }
--- a/crates/gateway/tests/all/resumable_engines.rs
+++ b/crates/gateway/tests/all/resumable_engines.rs
@@ -77,9 +77,9 @@
         ResumableEngines { addresses, requests, listeners }
     }
 
-    /// Closes the listeners, as when the processes end.
-    pub(crate) fn stop_listening(&self) {
-        self.listeners.iter().for_each(tokio::task::AbortHandle::abort);
+    /// Closes the listener of an engine, as when its process ends.
+    pub(crate) fn stop_listening(&self, engine: usize) {
+        self.listeners[engine].abort();
     }
 
     /// Returns the requests that reached engines so far.
--- a/crates/gateway/tests/all/resumable_fleet.rs
+++ b/crates/gateway/tests/all/resumable_fleet.rs
@@ -56,6 +56,17 @@
         StreamForwarder::new(&self.context, request).run().await
     }
 
+    /// Makes it known that an engine is going to leave.
+    pub(crate) fn announce_leaving(&self, engine: usize) {
+        let now = self.context.clock.now();
+        let address = self.engines.addresses[engine];
+        let mut view = self.context.view();
+        let mut servers = view.servers();
+        let key = servers.find(|(_, state)| state.record.address == address).unwrap().0;
+        drop(servers);
+        view.note_announced_leaving(key, now);
+    }
+
     /// Uses up the retry budget.
     pub(crate) fn use_budget_up(&self) {
         let now = self.context.clock.now();
--- a/crates/gateway/tests/all/resumable_streams.rs
+++ b/crates/gateway/tests/all/resumable_streams.rs
@@ -8,7 +8,7 @@
 use slotmap::SlotMap;
 
 use crate::{
-    fixtures::{ENGINES, route},
+    fixtures::{ENGINES, at, key_of, route, view},
     resumable_engines::{empty_response, end, events, stream_head},
     resumable_fleet::{ReceivedStream, ResumableFleet, receive, resumable_route, whole},
 };
@@ -61,6 +61,22 @@
     assert_eq!(runs.check(&resumable_route(), ample_time()), Ok(()));
 }
 
+/// Guards against attempts that are used up by servers in a zone that can't be reached, or that have
+/// left.
+#[test]
+fn server_in_an_unreachable_zone_or_without_registration_is_out_of_reach() {
+    let mut view = view(&["a", "a", "b", "b"]);
+    let [near, gone, far, other] = ["e0", "e1", "e2", "e3"].map(|id| key_of(&view, id));
+
+    view.remove_server("e1", at(0));
+    view.note_unreachable(far, at(0));
+    view.note_unreachable(other, at(0));
+
+    assert!(!view.is_out_of_reach(near, at(1)));
+    assert!(view.is_out_of_reach(gone, at(1)));
+    assert!(view.is_out_of_reach(far, at(1)));
+}
+
 /// Guards against a run that can't begin before the deadline.
 #[test]
 fn stream_does_not_repeat_shortly_before_its_deadline() {
