gateway: end a continuation that a server rejects

A 4xx answer to a continuation counted as a failure of the server, and two rules had no test that failed without them: a trial of a contained part is sent to one engine, and a stalled stream does not wait for another server while its events arrive.

A rejection counts as a good answer of the server and ends the stream.

--- a/crates/gateway/src/resumption/stream_repeater.rs
+++ b/crates/gateway/src/resumption/stream_repeater.rs
@@ -114,12 +114,13 @@
                     return Ok(Some(ResumedGeneration { reservation, response: *response }));
                 }
                 let status = response.head.status;
-                if status.is_client_error() && !response_relay::denies_run(status) {
+                let is_rejected = status.is_client_error() && !response_relay::denies_run(status);
+                if is_rejected {
                     result = Err(RepeatDenial::Rejected);
                 }
-                response.run.close(RunEnd::Failed);
+                response.run.close(if is_rejected { RunEnd::Good } else { RunEnd::Failed });
                 response.connection.close();
-                "failed"
+                if is_rejected { "rejected" } else { "failed" }
             }
             Ok(AttemptOutcome::Lost(error)) => {
                 self.runs.note_possible_run(server);
--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -24,6 +24,9 @@
 /// Pause target of the routes, after four times of which a stream has stalled.
 const STALL_TIME: Duration = Duration::from_millis(720);
 
+/// Time for which a caller waits for the next event, with some to spare for a busy machine.
+const PATIENCE: Duration = Duration::from_secs(4);
+
 /// Returns a script that is cut off after events 0 to 2.
 fn cut_after_three() -> Vec<Piece> {
     vec![stream_head("first"), events(0..3)]
@@ -170,6 +173,21 @@
     assert_eq!(fleet.engines.requests().len(), 2);
 }
 
+/// Guards against further offers of a request that a server calls faulty, and against its response
+/// within the stream.
+#[tokio::test]
+async fn server_that_rejects_the_continuation_ends_the_stream_as_broken() {
+    let rejection = vec![empty_response(412, "x-signature: s\r\n")];
+    let mut route = resumable_route();
+    route.max_attempts = 3;
+    let fleet = ResumableFleet::start(4, vec![cut_after_three(), rejection, rest(3..6)]).await;
+
+    let response = fleet.send(fleet.request(route)).await.ok().unwrap();
+
+    assert_eq!(receive(response).await, broken_after(3));
+    assert_eq!(fleet.engines.requests().len(), 2);
+}
+
 /// Guards against a server that works on while the next one runs the request: the connection to a
 /// server that is only silent stays open.
 #[tokio::test]
@@ -201,10 +219,12 @@
         end(),
     ];
     let fleet = ResumableFleet::start(1, vec![slow]).await;
+    let begun = Instant::now();
 
     let response = fleet.send(fleet.request(resumable_route())).await.ok().unwrap();
 
     assert_eq!(receive(response).await, whole(6));
+    assert!(begun.elapsed() < PATIENCE, "its events waited for another server");
 }
 
 /// Guards against a stream that is held up by a server which sends bytes without an event.
@@ -415,3 +435,20 @@
         assert_eq!(fleet.engines.requests().len(), 1);
     }
 }
+
+/// Guards against a second engine that the only trial of a contained part makes crash.
+#[tokio::test]
+async fn trial_of_a_contained_part_is_sent_to_one_engine() {
+    for script in [cut_after_three(), Vec::new()] {
+        let fleet = ResumableFleet::start(2, vec![script, rest(3..6)]).await;
+        let mut request = fleet.request(resumable_route());
+        request.prompt_parts = vec![PromptPart::new(7)];
+        request.trial_part = Some(PromptPart::new(7));
+
+        if let Ok(response) = fleet.send(request).await {
+            assert_eq!(receive(response).await, broken_after(3));
+        }
+
+        assert_eq!(fleet.engines.requests().len(), 1);
+    }
+}
