--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -24,6 +24,9 @@
 /// Pause target of the routes, after four times of which a stream has stalled.
 const STALL_TIME: Duration = Duration::from_millis(720);
 
+/// Time for which a caller waits for the next event, with some to spare for a busy machine.
+const PATIENCE: Duration = Duration::from_secs(4);
+
 /// Returns a script that is cut off after events 0 to 2.
 fn cut_after_three() -> Vec<Piece> {
     vec![stream_head("first"), events(0..3)]
@@ -170,14 +173,31 @@
     assert_eq!(fleet.engines.requests().len(), 2);
 }
 
+/// Guards against further offers of a request that a server calls faulty, and against its response
+/// within the stream.
+#[tokio::test]
+async fn server_that_rejects_the_continuation_ends_the_stream_as_broken() {
+    let rejection = vec![empty_response(412, "x-signature: s\r\n")];
+    let mut route = resumable_route();
+    route.max_attempts = 3;
+    let fleet = ResumableFleet::start(4, vec![cut_after_three(), rejection, rest(3..6)]).await;
+
+    let response = fleet.send(fleet.request(route)).await.ok().unwrap();
+
+    assert_eq!(receive(response).await, broken_after(3));
+    assert_eq!(fleet.engines.requests().len(), 2);
+}
+
 /// Guards against a server that works on while the next one runs the request: the connection to a
 /// server that is only silent stays open.
 #[tokio::test]
 async fn connection_to_a_stalled_server_is_closed_before_the_next_run() {
     let stalled = vec![stream_head("first"), events(0..3), Piece::Hold];
+    let mut late = vec![Piece::Pause(CHANGE_TIME)];
+    late.extend(rest(3..6));
     let begun = Instant::now();
 
-    let (received, fleet) = run(vec![stalled, rest(3..6)]).await;
+    let (received, fleet) = run(vec![stalled, late]).await;
 
     assert_eq!(received, whole(6));
     assert!(begun.elapsed() >= STALL_TIME, "a server may pause");
@@ -199,10 +219,12 @@
         end(),
     ];
     let fleet = ResumableFleet::start(1, vec![slow]).await;
+    let begun = Instant::now();
 
     let response = fleet.send(fleet.request(resumable_route())).await.ok().unwrap();
 
     assert_eq!(receive(response).await, whole(6));
+    assert!(begun.elapsed() < PATIENCE, "its events waited for another server");
 }
 
 /// Guards against a stream that is held up by a server which sends bytes without an event.
@@ -350,19 +372,83 @@
     assert_eq!(fleet.engines.requests().len(), 1);
 }
 
-/// Guards against a prompt that makes more engines crash than its route allows attempts: engines that
-/// end without notice count.
-#[tokio::test]
-async fn engines_that_crash_use_up_the_attempts() {
+/// Runs a stream whose first two engines end in the middle of it. Returns what the caller received
+/// and the number of runs.
+async fn run_at_ending_engines(is_announced: bool) -> (ReceivedStream, usize) {
     let cut = |ids| vec![stream_head("any"), events(ids), Piece::Pause(CHANGE_TIME)];
     let fleet = ResumableFleet::start(4, vec![cut(0..3), cut(3..4), rest(4..6)]).await;
     let mut request = fleet.request(resumable_route());
     request.prompt_parts = vec![PromptPart::new(7)];
     let response = fleet.send(request).await.ok().unwrap();
 
-    fleet.engines.wait_requests(2).await;
-    fleet.engines.stop_listening();
+    for number in 0..2 {
+        fleet.engines.wait_requests(number + 1).await;
+        let engine = fleet.engines.requests()[number].engine;
+        if is_announced {
+            fleet.announce_leaving(engine);
+        }
+        fleet.engines.stop_listening(engine);
+    }
 
-    assert_eq!(receive(response).await, broken_after(4));
-    assert_eq!(fleet.engines.requests().len(), 2);
+    (receive(response).await, fleet.engines.requests().len())
+}
+
+/// Guards against a prompt that makes more engines crash than its route allows attempts: engines that
+/// end without notice count.
+#[tokio::test]
+async fn engines_that_crash_use_up_the_attempts() {
+    assert_eq!(run_at_ending_engines(false).await, (broken_after(4), 2));
+}
+
+/// Guards against a stream that is given up because its engines left as announced (LOST).
+#[tokio::test]
+async fn engines_that_leave_as_announced_use_up_no_attempt() {
+    assert_eq!(run_at_ending_engines(true).await, (whole(6), 3));
+}
+
+/// Guards against a prompt that is sent to a further engine before the crash of the last one counts,
+/// by which a part of it is contained: in the middle of a stream, and before its head.
+#[tokio::test]
+async fn prompt_is_not_sent_again_if_its_last_crash_contains_it() {
+    for script in [cut_later(), vec![Piece::Pause(CHANGE_TIME)]] {
+        let part = PromptPart::new(7);
+        let fleet = ResumableFleet::start(2, vec![script, rest(3..6)]).await;
+        let now = fleet.context.clock.now();
+        for number in 1..=2 {
+            let engine = EngineRun::from_number(number);
+            fleet.context.crashes().note_engine_end(engine, now);
+            fleet.context.crashes().note_break(engine, &[part], now);
+        }
+        let mut request = fleet.request(resumable_route());
+        request.prompt_parts = vec![part];
+
+        let crash = async {
+            fleet.engines.wait_requests(1).await;
+            fleet.engines.stop_listening(fleet.engines.requests()[0].engine);
+        };
+        let (result, ()) = tokio::join!(fleet.send(request), crash);
+        if let Ok(response) = result {
+            assert_eq!(receive(response).await, broken_after(3));
+        }
+
+        assert!(fleet.context.crashes().is_contained(part));
+        assert_eq!(fleet.engines.requests().len(), 1);
+    }
+}
+
+/// Guards against a second engine that the only trial of a contained part makes crash.
+#[tokio::test]
+async fn trial_of_a_contained_part_is_sent_to_one_engine() {
+    for script in [cut_after_three(), Vec::new()] {
+        let fleet = ResumableFleet::start(2, vec![script, rest(3..6)]).await;
+        let mut request = fleet.request(resumable_route());
+        request.prompt_parts = vec![PromptPart::new(7)];
+        request.trial_part = Some(PromptPart::new(7));
+
+        if let Ok(response) = fleet.send(request).await {
+            assert_eq!(receive(response).await, broken_after(3));
+        }
+
+        assert_eq!(fleet.engines.requests().len(), 1);
+    }
 }
