duties: add the lease of the VM that makes the fleet's calls

Some calls to the platform are made by one VM at a time, and the platform doesn't check who makes them. The new crate decides which VM that is: the lease is a sequence of records in a log with conditional appends, and the holder stops by itself before another VM may claim.

The number of a holder is the offset of its claim plus one, so no two claims share one. Every record holds the whole state of the usage reports.

--- /dev/null
+++ b/crates/duties/src/lib.rs
@@ -0,0 +1,30 @@
+//! Duties that one VM of the fleet carries out at a time.
+//!
+//! The [`DutyLease`] decides which VM that is. The lease is a sequence of [`DutyRecord`]s in a log
+//! that accepts an append only at its current end. A holder stops by itself before any other VM may
+//! take over, because nobody else rejects its late calls.
+//!
+//! Nothing here does I/O or reads a clock. The owner makes the calls that a [`LeaseStep`] asks for
+//! and reports their results.
+
+mod append_result;
+mod duty_lease;
+mod duty_record;
+mod lease_change;
+mod lease_permit;
+mod lease_step;
+mod lease_terms;
+mod lease_time;
+mod log_tail;
+
+pub use crate::{
+    append_result::AppendResult,
+    duty_lease::DutyLease,
+    duty_record::{DutyRecord, ReportContent, TeamCount, UsageState},
+    lease_change::LeaseChange,
+    lease_permit::LeasePermit,
+    lease_step::LeaseStep,
+    lease_terms::LeaseTerms,
+    lease_time::LeaseTime,
+    log_tail::LogTail,
+};
--- /dev/null
+++ b/crates/duties/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the duties' decisions.
+
+mod fixtures;
+mod lease_model;
+mod lease_properties;
+mod leases;
