gateway: report the fleet's usage from one VM

Where the settings have cloud.duties, one VM at a time reports the requests of each team by window. Every VM counts where a run starts and sends its counts to the holder of the lease in datagrams of their own until they are acknowledged; a new holder gets everything again. The content of a report is written with the lease's records before it is first sent, so a new holder repeats it exactly.

Windows are by true time: the median offset of the time of day to the boot-time clock, and the median of the fleet as the holder announces it.

HttpCall gets additional headers, RendezvousScore a fraction, VmSettings the field cloud (None in the gateway's test fixture). Deployments without cloud.duties start none of this.

--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -7,6 +7,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RendezvousScore(u64);
 
+impl RendezvousScore {
+    /// Returns the score as a fraction from 0 to 1.
+    pub fn as_fraction(self) -> f64 {
+        self.0 as f64 / u64::MAX as f64
+    }
+}
+
 /// Computes the score of `candidate` for `subject`. The result is the same on every VM and in
 /// every version of the program, which the assignment of cold-start slots depends on.
 pub fn rendezvous_score(subject: &[&[u8]], candidate: &[u8]) -> RendezvousScore {
--- a/crates/duties/src/duty_lease.rs
+++ b/crates/duties/src/duty_lease.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::{
-    AppendResult, DutyRecord, LeaseChange, LeasePermit, LeaseStep, LeaseTerms, LeaseTime, LogTail,
-    UsageState,
+    AppendResult, DutyRecord, DutyState, LeaseChange, LeasePermit, LeaseStep, LeaseTerms,
+    LeaseTime, LogTail, StateWrite,
 };
 
 /// End of the log as far as it is known.
@@ -109,20 +109,20 @@
         self.tail.as_ref().map(|tail| tail.end)
     }
 
-    /// Returns the state of the usage reports in the last record, if this VM wrote or read it.
-    pub fn usage(&self) -> Option<&UsageState> {
-        self.tail.as_ref()?.last.as_ref()?.usage.as_ref()
+    /// Returns the state of the duties in the last record, if this VM wrote or read it.
+    pub fn state(&self) -> Option<&DutyState> {
+        self.tail.as_ref()?.last.as_ref()?.state.as_ref()
     }
 
     /// Returns the next call to the store. `is_willing` tells whether this VM should hold the lease.
-    /// `usage` is the state that the holder wants to write; `unknown_usage` the one that a new holder
-    /// begins with if the last record is not available.
+    /// `write` is the state that a holder wants to write; `unknown` the one that a new holder begins
+    /// with if the last record is not available.
     pub fn next_step(
         &mut self,
         now: LeaseTime,
         is_willing: bool,
-        usage: Option<UsageState>,
-        unknown_usage: &UsageState,
+        write: Option<StateWrite>,
+        unknown: &DutyState,
     ) -> LeaseStep {
         let is_pausing = self
             .failed_at
@@ -140,11 +140,12 @@
         }
         if let Some(held) = self.held {
             let age = now.longest_since(held.confirmed_from);
-            if !is_willing || (usage.is_none() && age < self.terms.renewal_time()) {
+            let is_due = write.as_ref().is_some_and(|write| write.is_due);
+            if !is_willing || (!is_due && age < self.terms.renewal_time()) {
                 return LeaseStep::Wait;
             }
-            let usage = usage.or_else(|| self.usage().cloned());
-            return self.append(held.number, usage, now);
+            let state = write.map(|write| write.state).or_else(|| self.state().cloned());
+            return self.append(held.number, state, now);
         }
         let is_quiet = tail.end == 0 || now.shortest_since(tail.seen_at) >= self.terms.quiet_time();
         let is_barred =
@@ -155,8 +156,8 @@
         if !tail.is_read {
             return self.read(last_offset);
         }
-        let usage = self.usage().unwrap_or(unknown_usage).clone();
-        self.append(claim_number(tail.end), Some(usage), now)
+        let state = self.state().unwrap_or(unknown).clone();
+        self.append(claim_number(tail.end), Some(state), now)
     }
 
     /// Gives up a lease that has run out, if this VM should not hold it any longer.
@@ -255,7 +256,7 @@
         LeaseStep::Read { from }
     }
 
-    fn append(&mut self, number: u64, usage: Option<UsageState>, now: LeaseTime) -> LeaseStep {
+    fn append(&mut self, number: u64, state: Option<DutyState>, now: LeaseTime) -> LeaseStep {
         let Some(at) = self.log_end() else { return LeaseStep::Wait };
         self.is_calling = true;
         self.sequence += 1;
@@ -264,7 +265,7 @@
             boot: self.boot,
             sequence: self.sequence,
             number,
-            usage,
+            state,
         };
         self.open.push(OpenAppend { at, record: record.clone(), sent_at: now });
         LeaseStep::Append { at, record }
--- a/crates/duties/src/duty_record.rs
+++ b/crates/duties/src/duty_record.rs
@@ -22,15 +22,32 @@
     pub counts: Vec<TeamCount>,
 }
 
-/// State of the usage reports.
+/// Ordered number of servers of a service in a zone.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct UsageState {
+pub struct ScaleOrder {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Name of the zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Number of servers.
+    #[prost(uint32, tag = "3")]
+    pub desired: u32,
+}
+
+/// State of the duties, which outlasts their holder.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct DutyState {
     /// Last window whose content was decided. Windows up to it are never decided again.
     #[prost(uint64, tag = "1")]
     pub last_window: u64,
     /// Decided reports for which no answer of the platform is known, oldest first.
     #[prost(message, repeated, tag = "2")]
     pub reports: Vec<ReportContent>,
+    /// Latest orders of servers.
+    #[prost(message, repeated, tag = "3")]
+    pub orders: Vec<ScaleOrder>,
 }
 
 /// Claim or renewal of the lease. Each record holds the whole state, so that only the last one needs
@@ -50,7 +67,7 @@
     /// Number of the holder: the offset of its claim plus one, so no two claims share one.
     #[prost(uint64, tag = "4")]
     pub number: u64,
-    /// State of the usage reports.
+    /// State of the duties.
     #[prost(message, optional, tag = "5")]
-    pub usage: Option<UsageState>,
+    pub state: Option<DutyState>,
 }
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod append_result;
 mod duty_lease;
+mod duty_message;
 mod duty_record;
 mod lease_change;
 mod lease_permit;
@@ -16,15 +17,26 @@
 mod lease_terms;
 mod lease_time;
 mod log_tail;
+mod state_write;
+mod true_clock;
+mod usage_counter;
+mod usage_windows;
 
 pub use crate::{
     append_result::AppendResult,
     duty_lease::DutyLease,
-    duty_record::{DutyRecord, ReportContent, TeamCount, UsageState},
+    duty_message::{
+        DutyMessage, HolderNews, MESSAGE_BYTES, UsageNews, UsageReceipt, WaitingCount, WindowCounts,
+    },
+    duty_record::{DutyRecord, DutyState, ReportContent, ScaleOrder, TeamCount},
     lease_change::LeaseChange,
     lease_permit::LeasePermit,
     lease_step::LeaseStep,
     lease_terms::LeaseTerms,
     lease_time::LeaseTime,
     log_tail::LogTail,
+    state_write::StateWrite,
+    true_clock::TrueClock,
+    usage_counter::UsageCounter,
+    usage_windows::{UsageWindows, WindowTerms},
 };
--- a/crates/duties/tests/all/fixtures.rs
+++ b/crates/duties/tests/all/fixtures.rs
@@ -4,7 +4,7 @@
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_duties::{
-    AppendResult, DutyLease, DutyRecord, LeaseStep, LeaseTerms, LeaseTime, LogTail, UsageState,
+    AppendResult, DutyLease, DutyRecord, DutyState, LeaseStep, LeaseTerms, LeaseTime, LogTail,
 };
 
 /// Lease time of the tests.
@@ -22,7 +22,7 @@
 
 /// Asks a willing VM that has nothing to write for its next step.
 pub(crate) fn step(lease: &mut DutyLease, ms: u64) -> LeaseStep {
-    lease.next_step(at(ms), true, None, &UsageState::default())
+    lease.next_step(at(ms), true, None, &DutyState::default())
 }
 
 /// Returns a lease that was claimed as the first record of the log, at `ms`.
--- a/crates/duties/tests/all/lease_model.rs
+++ b/crates/duties/tests/all/lease_model.rs
@@ -5,8 +5,8 @@
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_duties::{
-    AppendResult, DutyLease, DutyRecord, LeaseChange, LeaseStep, LeaseTerms, LeaseTime, LogTail,
-    ReportContent, TeamCount, UsageState,
+    AppendResult, DutyLease, DutyRecord, DutyState, LeaseChange, LeaseStep, LeaseTerms, LeaseTime,
+    LogTail, ReportContent, StateWrite, TeamCount,
 };
 
 use crate::fixtures::LEASE;
@@ -198,7 +198,7 @@
         self.act(vm);
         let time = self.time(vm);
         let decided = is_deciding.then(|| self.decide_report(vm)).flatten();
-        let unknown = UsageState { last_window: 1_000_000 + self.now, reports: Vec::new() };
+        let unknown = DutyState { last_window: 1_000_000 + self.now, ..DutyState::default() };
         let held = self.vms[vm].lease.held_number();
         let call = match self.vms[vm].lease.next_step(time, true, decided, &unknown) {
             LeaseStep::Wait => return,
@@ -224,10 +224,10 @@
     }
 
     /// Returns the state with one more report, whose content no other VM would decide.
-    fn decide_report(&mut self, vm: usize) -> Option<UsageState> {
+    fn decide_report(&mut self, vm: usize) -> Option<StateWrite> {
         let lease = &self.vms[vm].lease;
         lease.held_number()?;
-        let mut usage = lease.usage()?.clone();
+        let mut usage = lease.state()?.clone();
         self.decided += 1;
         usage.last_window += 1;
         let counts = vec![TeamCount { team: "blue".to_owned(), count: self.decided }];
@@ -235,7 +235,7 @@
         if usage.reports.len() > 3 {
             usage.reports.remove(0);
         }
-        Some(usage)
+        Some(StateWrite { state: usage, is_due: true })
     }
 
     /// Makes the calls that the VM may make now, and checks them like the platform does.
@@ -245,7 +245,7 @@
         let boot = state.boot;
         let Some(permit) = state.lease.permit(time) else { return };
         let act = ModelAct { at: self.now, vm, number: permit.number };
-        if let Some(usage) = state.lease.usage() {
+        if let Some(usage) = state.lease.state() {
             for report in &usage.reports {
                 let known = self.sent.entry(report.window).or_insert_with(|| report.clone());
                 assert_eq!(known, report, "two reports of one window differ");
--- a/crates/duties/tests/all/leases.rs
+++ b/crates/duties/tests/all/leases.rs
@@ -4,7 +4,8 @@
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_duties::{
-    AppendResult, DutyRecord, LeaseChange, LeaseStep, LeaseTime, LogTail, ReportContent, UsageState,
+    AppendResult, DutyRecord, DutyState, LeaseChange, LeaseStep, LeaseTime, LogTail, ReportContent,
+    StateWrite,
 };
 
 use crate::fixtures::{at, claimed_lease, start_lease, step};
@@ -53,26 +54,28 @@
 #[test]
 fn content_of_an_unanswered_append_is_taken_from_the_log() {
     let (mut lease, _) = claimed_lease("a", 1, 10_000);
-    let decided = |team: &str| UsageState {
+    let decided = |team: &str| DutyState {
         last_window: 7,
         reports: vec![ReportContent {
             window: 7,
             counts: vec![dragonflycart_duties::TeamCount { team: team.to_owned(), count: 1 }],
         }],
+        ..DutyState::default()
     };
-    let first = lease.next_step(at(10_500), true, Some(decided("red")), &UsageState::default());
+    let write = |team: &str| Some(StateWrite { state: decided(team), is_due: true });
+    let first = lease.next_step(at(10_500), true, write("red"), &DutyState::default());
     let LeaseStep::Append { record, .. } = first else { panic!("an append") };
     lease.note_append(AppendResult::Unknown, at(10_700));
     step(&mut lease, 11_200);
     lease.note_read(LogTail { end: 1, last: None }, at(11_200));
-    let second = lease.next_step(at(11_300), true, Some(decided("blue")), &UsageState::default());
+    let second = lease.next_step(at(11_300), true, write("blue"), &DutyState::default());
     assert!(matches!(second, LeaseStep::Append { at: 1, .. }));
     lease.note_append(AppendResult::Unknown, at(11_400));
 
     step(&mut lease, 12_500);
     lease.note_read(LogTail { end: 2, last: Some(record) }, at(12_500));
 
-    assert_eq!(lease.usage(), Some(&decided("red")));
+    assert_eq!(lease.state(), Some(&decided("red")));
 }
 
 /// Guards against a takeover while the holder may still act.
@@ -108,13 +111,17 @@
 /// Guards against a new holder that decides windows again which its predecessor decided.
 #[test]
 fn claim_takes_over_the_reports() {
-    let usage = UsageState { last_window: 9, reports: vec![ReportContent::default()] };
+    let usage = DutyState {
+        last_window: 9,
+        reports: vec![ReportContent::default()],
+        ..DutyState::default()
+    };
     let record = DutyRecord {
         holder: "a".to_owned(),
         boot: 1,
         sequence: 4,
         number: 1,
-        usage: Some(usage.clone()),
+        state: Some(usage.clone()),
     };
     let mut lease = start_lease("b", 2, 1_000);
     step(&mut lease, 2_000);
@@ -122,21 +129,21 @@
 
     let claim = step(&mut lease, 6_000);
 
-    assert!(matches!(claim, LeaseStep::Append { at: 5, record } if record.usage == Some(usage)));
+    assert!(matches!(claim, LeaseStep::Append { at: 5, record } if record.state == Some(usage)));
 }
 
 /// Guards against decisions on windows that may have been reported, after the store lost the last
 /// record.
 #[test]
 fn claim_after_a_deleted_record_begins_with_the_given_state() {
-    let unknown = UsageState { last_window: 50, reports: Vec::new() };
+    let unknown = DutyState { last_window: 50, ..DutyState::default() };
     let mut lease = start_lease("b", 2, 1_000);
     step(&mut lease, 2_000);
     lease.note_read(LogTail { end: 5, last: None }, at(2_000));
 
     let claim = lease.next_step(at(6_000), true, None, &unknown);
 
-    assert!(matches!(claim, LeaseStep::Append { at: 5, record } if record.usage == Some(unknown)));
+    assert!(matches!(claim, LeaseStep::Append { at: 5, record } if record.state == Some(unknown)));
 }
 
 /// Guards against a VM that keeps the lease although it is stopping or cut off from the others.
@@ -144,7 +151,7 @@
 fn unwilling_holder_does_not_renew() {
     let (mut lease, _) = claimed_lease("a", 1, 10_000);
 
-    let renewal = lease.next_step(at(11_500), false, None, &UsageState::default());
+    let renewal = lease.next_step(at(11_500), false, None, &DutyState::default());
     let early = lease.resign(at(11_500));
     let late = lease.resign(at(12_800));
 
--- a/crates/duties/tests/all/main.rs
+++ b/crates/duties/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod lease_model;
 mod lease_properties;
 mod leases;
+mod usage;
--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -87,7 +87,10 @@
                 AttemptOutcome::Answered(response) => {
                     self.offers.note_possible_run();
                     match self.collect(&reservation, *response).await {
-                        Ok(response) => return Ok(response),
+                        Ok(response) => {
+                            self.context.count_use(self.request.team.as_deref());
+                            return Ok(response);
+                        }
                         Err(reason) => failure = reason,
                     }
                 }
@@ -102,6 +105,7 @@
     fn finish(self, failure: GatewayFailure) -> Result<Response<ResponseBody>, GatewayFailure> {
         match self.last_failure {
             Some((head, body)) => {
+                self.context.count_use(self.request.team.as_deref());
                 Ok(response_relay::build(&self.context.names, &head, response_body::full(body)))
             }
             None => Err(self.offers.reported_failure(failure)),
--- /dev/null
+++ b/crates/gateway/src/duties/held_duties.rs
@@ -0,0 +1,69 @@
+//! State of the duties while this VM holds the lease.
+
+use std::collections::BTreeSet;
+
+use dragonflycart_core::MonoTime;
+use dragonflycart_duties::{
+    DutyState, ReportContent, ScaleOrder, StateWrite, UsageWindows, WindowTerms,
+};
+
+/// Most reports that are written but not yet answered. They are part of every record of the lease.
+const OPEN_REPORTS: usize = 8;
+
+/// State of the duties while this VM holds the lease.
+pub(super) struct HeldDuties {
+    /// Number of the holder.
+    pub(super) number: u64,
+    /// Counts of the fleet.
+    pub(super) windows: UsageWindows,
+    /// Windows whose reports were answered.
+    answered: BTreeSet<u64>,
+    /// Latest orders, which are written with the next record.
+    pub(super) orders: Option<Vec<ScaleOrder>>,
+}
+
+impl HeldDuties {
+    /// Builds the state of a VM that became the holder at `now`.
+    pub(super) fn new(number: u64, terms: WindowTerms, now: MonoTime) -> HeldDuties {
+        HeldDuties {
+            number,
+            windows: UsageWindows::new(terms, now),
+            answered: BTreeSet::new(),
+            orders: None,
+        }
+    }
+
+    /// Returns the state to write, based on the state of the last record.
+    pub(super) fn next_write(
+        &mut self,
+        last: &DutyState,
+        unix_ms: Option<u64>,
+        now: MonoTime,
+    ) -> StateWrite {
+        let mut state = last.clone();
+        state.reports.retain(|report| !self.answered.contains(&report.window));
+        if let Some(orders) = &self.orders {
+            state.orders.clone_from(orders);
+        }
+        let mut is_due = false;
+        if let Some(unix_ms) = unix_ms {
+            let limit = OPEN_REPORTS.saturating_sub(state.reports.len());
+            let (reports, last_window) =
+                self.windows.decide(state.last_window, limit, unix_ms, now);
+            is_due = !reports.is_empty();
+            state.reports.extend(reports);
+            state.last_window = last_window;
+        }
+        StateWrite { state, is_due }
+    }
+
+    /// Returns the oldest report of the last record that was not answered.
+    pub(super) fn open_report<'a>(&self, last: &'a DutyState) -> Option<&'a ReportContent> {
+        last.reports.iter().find(|report| !self.answered.contains(&report.window))
+    }
+
+    /// Records that the platform answered a report.
+    pub(super) fn note_answered(&mut self, window: u64) {
+        self.answered.insert(window);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/duties/vm_duties.rs
@@ -0,0 +1,83 @@
+//! Duties of one VM.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use dragonflycart_core::rendezvous_score;
+use dragonflycart_duties::{
+    DutyLease, LeasePermit, LeaseTerms, TrueClock, UsageCounter, WindowTerms,
+};
+
+use super::{
+    cloud_settings::CloudSettings,
+    duty_clock::{boot_time, lease_time},
+    duty_decisions::DutyDecisions,
+    duty_platform::DutyPlatform,
+};
+use crate::{GatewayClock, VmSettings};
+
+/// Memory below which a VM claims the lease later than others. The smallest VMs have the least
+/// processor time.
+const SMALL_VM_BYTES: usize = 200 << 20;
+
+/// Duties of one VM, whether it holds the lease or not.
+pub struct VmDuties {
+    pub(super) platform: Arc<dyn DutyPlatform>,
+    pub(super) cloud: CloudSettings,
+    decisions: Mutex<DutyDecisions>,
+}
+
+impl VmDuties {
+    /// Builds the duties of a VM that knows of no holder. `boot` is the random ID of its process.
+    pub(crate) fn new(
+        platform: Arc<dyn DutyPlatform>,
+        cloud: CloudSettings,
+        settings: &VmSettings,
+        boot: u64,
+        clock: &GatewayClock,
+    ) -> VmDuties {
+        let terms = LeaseTerms::new(cloud.lease, claim_turn(settings));
+        let decisions = DutyDecisions {
+            lease: DutyLease::new(&settings.name, boot, terms, lease_time(clock)),
+            clock: TrueClock::default(),
+            counter: UsageCounter::default(),
+            terms: WindowTerms { window: cloud.report_window, due: cloud.report_due },
+            held: None,
+            holder: None,
+        };
+        VmDuties { platform, cloud, decisions: Mutex::new(decisions) }
+    }
+
+    /// Locks the state. Hold the lock for a single decision only.
+    pub(super) fn decisions(&self) -> MutexGuard<'_, DutyDecisions> {
+        self.decisions.lock().expect("no holder of the duties' lock panics")
+    }
+
+    /// Returns the permit to act, or `None` if this VM may not act now.
+    pub fn permit(&self, clock: &GatewayClock) -> Option<LeasePermit> {
+        self.decisions().lease.permit(lease_time(clock))
+    }
+
+    /// Returns the name and number of the last known holder.
+    pub fn holder(&self) -> Option<(String, u64)> {
+        self.decisions().lease.holder().map(|(name, number)| (name.to_owned(), number))
+    }
+
+    /// Counts a request of a team that began to run now.
+    pub(crate) fn count_start(&self, team: &str) {
+        let boot = boot_time();
+        let mut decisions = self.decisions();
+        if decisions.clock.own_unix_ms(boot).is_none() {
+            decisions.clock.note_time_of_day(boot, GatewayClock::unix_ms());
+        }
+        let Some(unix_ms) = decisions.clock.unix_ms(boot) else { return };
+        let window = decisions.terms.window_at(unix_ms);
+        decisions.counter.note_start(team, window);
+    }
+}
+
+/// Returns the place of a VM in the order of claims, from 0 to 1.
+fn claim_turn(settings: &VmSettings) -> f64 {
+    let score = rendezvous_score(&[b"duty"], settings.name.as_bytes()).as_fraction();
+    let is_small = settings.memory_bytes < SMALL_VM_BYTES;
+    (score + if is_small { 1.0 } else { 0.0 }) / 2.0
+}
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    BodyBudget, ConnectionPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock,
-    GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, ResponseMemory, StopPhase, VmSettings,
-    WaitQueue,
+    BodyBudget, ConnectionPool, DutyPlatform, EngineProtocol, FleetStore, FleetTables, FleetView,
+    GatewayClock, GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, ResponseMemory, StopPhase,
+    VmDuties, VmSettings, WaitQueue,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -46,6 +46,8 @@
     freshness: Mutex<PlanFreshness>,
     wait_queue: Mutex<WaitQueue>,
     crashes: Mutex<CrashLedger>,
+    /// Calls that one VM makes for the fleet, if the deployment has any.
+    pub duties: Option<Arc<VmDuties>>,
     /// Makes the exchange of evidence about prompts send a report at once.
     pub evidence_changes: Notify,
     /// Makes the peer exchange send a report at once, after a change of load.
@@ -76,6 +78,7 @@
             freshness: Mutex::new(PlanFreshness::new(settings.revocation_time)),
             wait_queue: Mutex::default(),
             crashes: Mutex::default(),
+            duties: None,
             evidence_changes: Notify::new(),
             load_changes: Notify::new(),
             bodies: BodyBudget::new(settings.memory_bytes),
@@ -94,6 +97,15 @@
         }
     }
 
+    /// Adds the calls to the platform that one VM makes for the fleet, if the settings have any.
+    pub fn with_duties(mut self, platform: Arc<dyn DutyPlatform>) -> GatewayContext {
+        if let Some(cloud) = self.settings.cloud.clone() {
+            let duties = VmDuties::new(platform, cloud, &self.settings, self.boot, &self.clock);
+            self.duties = Some(Arc::new(duties));
+        }
+        self
+    }
+
     /// Locks the view. Hold the lock for a single decision only, never across an await.
     pub fn view(&self) -> MutexGuard<'_, FleetView> {
         self.view.lock().expect("no decision panics while it holds the view")
@@ -119,6 +131,13 @@
         self.crashes.lock().expect("no holder of the ledger's lock panics")
     }
 
+    /// Counts a request of a team that began to run, for the usage reports.
+    pub(crate) fn count_use(&self, team: Option<&str>) {
+        if let (Some(duties), Some(team)) = (&self.duties, team) {
+            duties.count_start(team);
+        }
+    }
+
     /// Returns whether generations of a service can be moved between its engines.
     pub fn can_move(&self, service: &str) -> bool {
         self.view().engine_spec(service).is_some_and(|engine| engine.can_move)
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -39,6 +39,7 @@
     moves: Family<ResultLabels, Counter>,
     sources: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
+    duty_calls: Family<ResultLabels, Counter>,
     /// Number of connections opened to servers.
     pub connections: Counter,
     /// Number of responses given up because there was no memory for them.
@@ -76,6 +77,7 @@
             moves: Family::default(),
             sources: Family::default(),
             store_calls: Family::default(),
+            duty_calls: Family::default(),
             connections: Counter::default(),
             responses_without_memory: Counter::default(),
             engine_crashes: Counter::default(),
@@ -108,6 +110,11 @@
             self.sources.clone(),
         );
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
+        registry.register(
+            "duty_calls",
+            "Calls for the duties by kind and result",
+            self.duty_calls.clone(),
+        );
         registry.register("connections", "Connections opened to servers", self.connections.clone());
         registry.register(
             "responses_without_memory",
@@ -179,6 +186,11 @@
         self.store_calls.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a call for the duties.
+    pub fn count_duty_call(&self, result: &'static str) {
+        self.duty_calls.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -17,6 +17,8 @@
     path: String,
     content_type: &'static str,
     body: Bytes,
+    /// Additional headers.
+    headers: Vec<(&'static str, String)>,
     /// Maximum size of the response, in bytes.
     response_limit: usize,
 }
@@ -43,7 +45,20 @@
         content_type: &'static str,
         body: Bytes,
     ) -> HttpCall {
-        HttpCall { method, path, content_type, body, response_limit: RESPONSE_LIMIT_BYTES }
+        HttpCall {
+            method,
+            path,
+            content_type,
+            body,
+            headers: Vec::new(),
+            response_limit: RESPONSE_LIMIT_BYTES,
+        }
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: &'static str, value: String) -> HttpCall {
+        self.headers.push((name, value));
+        self
     }
 
     /// Accepts a response of up to `bytes`.
@@ -123,6 +138,9 @@
             head.push_str(&format!("content-type: {}\r\n", self.content_type));
             head.push_str(&format!("content-length: {}\r\n", self.body.len()));
         }
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
         head.push_str("\r\n");
         head.into_bytes()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod connection_error;
 mod connection_pool;
 mod containment;
+mod duties;
 mod engine_protocol;
 mod engine_report;
 mod engine_spec;
@@ -105,6 +106,7 @@
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     connection_error::ConnectionError,
     connection_pool::ConnectionPool,
+    duties::{BeforeSend, CloudError, CloudSettings, DutyCaller, DutyKind, DutyPlatform, VmDuties},
     engine_protocol::{CopyResponse, EngineProtocol},
     engine_report::{EngineReport, RunningGeneration},
     engine_spec::EngineSpec,
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -16,7 +16,7 @@
     FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport, ReportRecipients,
     ResultCounts, RouteEntry, RouteResults, ServerLoad, UsualResults, VersionMove,
     VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
-    containment::evidence_exchange::EvidenceExchange,
+    containment::evidence_exchange::EvidenceExchange, duties::DutyExchange,
 };
 
 /// Minimum time between two reports sent because of a change.
@@ -44,6 +44,7 @@
     context: Arc<GatewayContext>,
     socket: Arc<UdpSocket>,
     evidence: EvidenceExchange,
+    duties: Option<DutyExchange>,
     sequence: u64,
     started: Instant,
 }
@@ -55,6 +56,7 @@
         PeerExchange {
             context: Arc::clone(context),
             evidence: EvidenceExchange::new(context, &socket),
+            duties: DutyExchange::new(context, &socket),
             socket,
             sequence: 0,
             started: Instant::now(),
@@ -71,6 +73,9 @@
             discover(&context).await;
         });
         tokio::spawn(EvidenceExchange::new(&self.context, &self.socket).run());
+        if let Some(duties) = &self.duties {
+            duties.clone().start();
+        }
         let mut next_report = Instant::now();
         let mut buffer = vec![0_u8; 2 * DATAGRAM_BYTES];
         loop {
@@ -100,7 +105,8 @@
     }
 
     async fn receive(&mut self, bytes: &[u8], sender: SocketAddr) {
-        if self.evidence.receive(bytes, sender) {
+        let is_duty = self.duties.as_ref().is_some_and(|duties| duties.receive(bytes, sender));
+        if is_duty || self.evidence.receive(bytes, sender) {
             return;
         }
         if let Some(relayed) = self.apply_report(bytes, sender).await {
--- a/crates/gateway/src/versions/request_run.rs
+++ b/crates/gateway/src/versions/request_run.rs
@@ -13,6 +13,8 @@
     key: RunKey,
     end: RunEnd,
     prompt: Option<PromptRun>,
+    /// Team whose usage the run counts for, unless it resumes a stream that was counted before.
+    team: Option<String>,
 }
 
 impl RequestRun {
@@ -25,13 +27,15 @@
         let now = context.clock.now();
         let key = context.view().start_run(server, &request.route.name, now);
         let prompt = PromptRun::start(context, server, &request.prompt_parts);
-        RequestRun { context: Arc::clone(context), key, end: RunEnd::Abandoned, prompt }
+        let team = request.team.clone().filter(|_| request.last_event.is_none());
+        RequestRun { context: Arc::clone(context), key, end: RunEnd::Abandoned, prompt, team }
     }
 
     /// Records that the response has started. For a stream, this is its first event.
     pub(crate) fn note_started(&self) {
         let now = self.context.clock.now();
         self.context.view().note_run_started(self.key, now);
+        self.context.count_use(self.team.as_deref());
     }
 
     /// Records an event of a stream.
--- a/crates/gateway/src/vm_settings.rs
+++ b/crates/gateway/src/vm_settings.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use crate::ExposureLimit;
+use crate::{CloudSettings, ExposureLimit};
 
 /// Settings of a VM, provided by the deployment.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,4 +37,6 @@
     pub revocation_time: Option<Duration>,
     /// Length of the window of the retry budget.
     pub retry_window: Duration,
+    /// Calls to the platform that one VM makes for the fleet. `None` if there are none.
+    pub cloud: Option<CloudSettings>,
 }
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -40,6 +40,7 @@
         exposure: ExposureLimit { share: 0.1, allowance: 50.0 },
         revocation_time: None,
         retry_window: Duration::from_secs(10),
+        cloud: None,
     }
 }
 
