--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -63,6 +63,8 @@
 pub struct UsageWindows {
     terms: WindowTerms,
     held_since: MonoTime,
+    /// Time since which the VMs know the holder.
+    gathering_since: MonoTime,
     counts: BTreeMap<u64, BTreeMap<u64, BTreeMap<String, u64>>>,
     vms: BTreeMap<u64, VmProgress>,
 }
@@ -71,7 +73,19 @@
     /// Builds the counts of a VM that became the holder at `now`. All times are by the boot-time
     /// clock.
     pub fn new(terms: WindowTerms, now: MonoTime) -> UsageWindows {
-        UsageWindows { terms, held_since: now, counts: BTreeMap::new(), vms: BTreeMap::new() }
+        UsageWindows {
+            terms,
+            held_since: now,
+            gathering_since: now,
+            counts: BTreeMap::new(),
+            vms: BTreeMap::new(),
+        }
+    }
+
+    /// Records that this VM may not act. The others stop sending their counts then, so they get the
+    /// time to send them again.
+    pub fn note_lapse(&mut self, now: MonoTime) {
+        self.gathering_since = now;
     }
 
     /// Applies a message of a VM. Counts only grow within a process, so messages may be lost,
@@ -131,7 +145,7 @@
         let mut reports = Vec::new();
         let mut decided = last_window;
         let held_ms = now.since(self.held_since).as_millis() as u64;
-        if now.since(self.held_since) < GATHERING_TIME {
+        if now.since(self.gathering_since) < GATHERING_TIME {
             return (reports, decided);
         }
         while reports.len() < limit {
--- a/crates/duties/tests/all/usage.rs
+++ b/crates/duties/tests/all/usage.rs
@@ -138,6 +138,24 @@
     assert_eq!(counts(&reports[0]), [("blue", 1)]);
 }
 
+/// Guards against reports without the counts of an outage of the store: the VMs send them only after
+/// the holder is known again.
+#[test]
+fn report_waits_after_a_lapse() {
+    let mut counter = UsageCounter::default();
+    let mut windows = UsageWindows::new(TERMS, boot(0));
+    counter.note_holder(1, 0);
+    counter.note_start("blue", FIRST);
+    windows.note_lapse(boot(60_000));
+
+    let (early, _) = windows.decide(FIRST - 1, 8, EPOCH_MS + 60_100, boot(60_100));
+    exchange(&mut counter, &mut windows, 7, 61_000);
+    let (late, _) = windows.decide(FIRST - 1, 1, EPOCH_MS + 62_600, boot(62_600));
+
+    assert_eq!(early, []);
+    assert_eq!(counts(&late[0]), [("blue", 1)]);
+}
+
 /// Guards against an empty report of a window whose counts were lost with all VMs.
 #[test]
 fn new_holder_does_not_report_empty_windows_of_the_past() {
--- a/crates/gateway/src/duties/lease_task.rs
+++ b/crates/gateway/src/duties/lease_task.rs
@@ -77,6 +77,11 @@
         let change = decisions.lease.resign(now);
         decisions.note_change(change, now);
     }
+    if decisions.lease.permit(now).is_none()
+        && let Some(held) = &mut decisions.held
+    {
+        held.windows.note_lapse(now.boot);
+    }
     let unknown = decisions.unknown_state(now);
     let unix_ms = decisions.clock.unix_ms(now.boot);
     let write = match (&mut decisions.held, decisions.lease.state()) {
