gateway: order numbers of servers from one VM

The holder of the lease orders servers where the manifest has scaling and the settings have the duty autoscale. The number follows from the memory in use, its trend over the boot time and the waiting requests that VMs report; it goes up at once and down by one after 8 s of low use. The first order of a zone is never below what was there. Zones that are evacuated, can't be reached or whose VMs are not heard are left alone. Orders are written with the lease's records, so a new holder continues from them.

PlannedService gets the field scaling; the gateway's test fixture sets None.

--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -17,6 +17,7 @@
 mod lease_terms;
 mod lease_time;
 mod log_tail;
+mod scale_control;
 mod state_write;
 mod true_clock;
 mod usage_counter;
@@ -35,6 +36,7 @@
     lease_terms::LeaseTerms,
     lease_time::LeaseTime,
     log_tail::LogTail,
+    scale_control::{ScaleBounds, ScaleControl, ZoneDemand},
     state_write::StateWrite,
     true_clock::TrueClock,
     usage_counter::UsageCounter,
--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -123,6 +123,11 @@
         u64::try_from(boot_ms(now) + offset).ok()
     }
 
+    /// Returns whether a VM of a zone was heard lately.
+    pub fn hears_zone(&self, zone: &str, now: MonoTime) -> bool {
+        self.vms.values().any(|vm| vm.zone == zone && now.since(vm.heard_at) <= WAITING_AGE)
+    }
+
     /// Returns the number of requests that wait for a service at the VMs of a zone.
     pub fn waiting(&self, service: &str, zone: &str, now: MonoTime) -> u32 {
         let near =
--- a/crates/duties/tests/all/main.rs
+++ b/crates/duties/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod lease_model;
 mod lease_properties;
 mod leases;
+mod scaling;
 mod usage;
--- a/crates/gateway/src/duties/duty_exchange.rs
+++ b/crates/gateway/src/duties/duty_exchange.rs
@@ -2,14 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use dragonflycart_duties::{DutyMessage, HolderNews, UsageNews, UsageReceipt};
+use dragonflycart_duties::{DutyMessage, HolderNews, UsageNews, UsageReceipt, WaitingCount};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tracing::{debug, info};
 
 use super::{
-    duty_clock::lease_time, duty_datagram, duty_decisions::DutyDecisions, lease_task, usage_task,
-    vm_duties::VmDuties,
+    duty_clock::lease_time, duty_datagram, duty_decisions::DutyDecisions, lease_task, scale_task,
+    usage_task, vm_duties::VmDuties,
 };
 use crate::{DutyKind, GatewayClock, GatewayContext};
 
@@ -42,6 +42,9 @@
         if duties.cloud.duties.contains(&DutyKind::UsageReport) {
             tokio::spawn(usage_task::run(Arc::clone(&context), Arc::clone(&duties)));
         }
+        if duties.cloud.duties.contains(&DutyKind::Autoscale) {
+            tokio::spawn(scale_task::run(Arc::clone(&context), Arc::clone(&duties)));
+        }
         tokio::spawn(lease_task::run(context, duties, self.clone()));
         tokio::spawn(self.run());
     }
@@ -111,6 +114,7 @@
     /// Returns the address of the holder and the messages for it. Counts of the holder itself are
     /// applied at once.
     fn next_messages(&self) -> (Option<SocketAddr>, Vec<UsageNews>) {
+        let waiting = self.waiting();
         let now = lease_time(&self.context.clock);
         let mut decisions = self.duties.decisions();
         let decisions: &mut DutyDecisions = &mut decisions;
@@ -121,6 +125,7 @@
             boot: self.context.boot,
             unix_ms: own_ms,
             zone: self.context.settings.zone.clone(),
+            waiting,
             ..UsageNews::default()
         };
         let current = decisions.terms.window_at(unix_ms);
@@ -141,6 +146,19 @@
         (Some(address), decisions.counter.messages(current, &frame))
     }
 
+    /// Returns the requests that wait at this VM for a service whose servers are ordered.
+    fn waiting(&self) -> Vec<WaitingCount> {
+        let Some(plan) = self.context.view().plan().cloned() else { return Vec::new() };
+        let mut waiting = Vec::new();
+        for service in plan.services.values().filter(|service| service.scaling.is_some()) {
+            let requests = self.context.wait_queue().count(&service.name) as u32;
+            if requests > 0 {
+                waiting.push(WaitingCount { service: service.name.clone(), requests });
+            }
+        }
+        waiting
+    }
+
     fn holder_news(&self) -> Option<HolderNews> {
         let now = lease_time(&self.context.clock);
         let decisions = self.duties.decisions();
--- a/crates/gateway/src/duties/held_duties.rs
+++ b/crates/gateway/src/duties/held_duties.rs
@@ -1,10 +1,10 @@
 //! State of the duties while this VM holds the lease.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_duties::{
-    DutyState, ReportContent, ScaleOrder, StateWrite, UsageWindows, WindowTerms,
+    DutyState, ReportContent, ScaleControl, ScaleOrder, StateWrite, UsageWindows, WindowTerms,
 };
 
 /// Most reports that are written but not yet answered. They are part of every record of the lease.
@@ -19,7 +19,9 @@
     /// Windows whose reports were answered.
     answered: BTreeSet<u64>,
     /// Latest orders, which are written with the next record.
-    pub(super) orders: Option<Vec<ScaleOrder>>,
+    orders: BTreeMap<(String, String), ScaleOrder>,
+    /// Decisions on the numbers of servers, once the orders of the predecessors are known.
+    pub(super) scale: Option<ScaleControl>,
 }
 
 impl HeldDuties {
@@ -29,7 +31,8 @@
             number,
             windows: UsageWindows::new(terms, now),
             answered: BTreeSet::new(),
-            orders: None,
+            orders: BTreeMap::new(),
+            scale: None,
         }
     }
 
@@ -42,8 +45,14 @@
     ) -> StateWrite {
         let mut state = last.clone();
         state.reports.retain(|report| !self.answered.contains(&report.window));
-        if let Some(orders) = &self.orders {
-            state.orders.clone_from(orders);
+        for order in self.orders.values() {
+            let is_same = |known: &&mut ScaleOrder| {
+                (&known.service, &known.zone) == (&order.service, &order.zone)
+            };
+            match state.orders.iter_mut().find(is_same) {
+                Some(known) => known.desired = order.desired,
+                None => state.orders.push(order.clone()),
+            }
         }
         let mut is_due = false;
         if let Some(unix_ms) = unix_ms {
@@ -62,6 +71,14 @@
         last.reports.iter().find(|report| !self.answered.contains(&report.window))
     }
 
+    /// Records that the platform accepted an order. It is written with the next record.
+    pub(super) fn note_ordered(&mut self, order: ScaleOrder) {
+        if let Some(scale) = &mut self.scale {
+            scale.note_ordered(&order);
+        }
+        self.orders.insert((order.service.clone(), order.zone.clone()), order);
+    }
+
     /// Records that the platform answered a report.
     pub(super) fn note_answered(&mut self, window: u64) {
         self.answered.insert(window);
--- a/crates/gateway/src/duties/mod.rs
+++ b/crates/gateway/src/duties/mod.rs
@@ -9,6 +9,7 @@
 mod duty_platform;
 mod held_duties;
 mod lease_task;
+mod scale_task;
 mod usage_task;
 mod vm_duties;
 
--- a/crates/gateway/src/duties/usage_task.rs
+++ b/crates/gateway/src/duties/usage_task.rs
@@ -20,7 +20,7 @@
 pub(crate) async fn run(context: Arc<GatewayContext>, duties: Arc<VmDuties>) {
     let mut failures = 0;
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        tokio::time::sleep(CHECK_INTERVAL.max(duties.call_spacing())).await;
         let Some((number, report)) = next_report(&context, &duties) else { continue };
         let before_send = || call_limit(&context, &duties, number);
         let caller = DutyCaller { holder: context.settings.name.clone(), number };
--- a/crates/gateway/src/duties/vm_duties.rs
+++ b/crates/gateway/src/duties/vm_duties.rs
@@ -1,6 +1,9 @@
 //! Duties of one VM.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
 
 use dragonflycart_core::rendezvous_score;
 use dragonflycart_duties::{
@@ -19,6 +22,12 @@
 /// processor time.
 const SMALL_VM_BYTES: usize = 200 << 20;
 
+/// Time before each call of a task, as a multiple of the time that a call has at the rate of the
+/// fleet.
+const CALL_SPACING: f64 = 3.0;
+/// Maximum of that time, also for a rate of zero.
+const CALL_SPACING_MAX: Duration = Duration::from_secs(5);
+
 /// Duties of one VM, whether it holds the lease or not.
 pub struct VmDuties {
     pub(super) platform: Arc<dyn DutyPlatform>,
@@ -52,6 +61,13 @@
         self.decisions.lock().expect("no holder of the duties' lock panics")
     }
 
+    /// Returns the time before each call. Two tasks make calls, so each uses less than half of the
+    /// rate of the fleet.
+    pub(super) fn call_spacing(&self) -> Duration {
+        let spacing_s = CALL_SPACING / self.cloud.calls_per_s;
+        Duration::try_from_secs_f64(spacing_s).unwrap_or(CALL_SPACING_MAX).min(CALL_SPACING_MAX)
+    }
+
     /// Returns the permit to act, or `None` if this VM may not act now.
     pub fn permit(&self, clock: &GatewayClock) -> Option<LeasePermit> {
         self.decisions().lease.permit(lease_time(clock))
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -1,6 +1,7 @@
 //! A VM's view of the fleet, and the placement of requests on servers.
 
 mod run_results;
+mod zone_demands;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/gateway/src/planned_service.rs
+++ b/crates/gateway/src/planned_service.rs
@@ -1,5 +1,7 @@
 //! Service of the route plan.
 
+use dragonflycart_duties::ScaleBounds;
+
 use crate::EngineSpec;
 
 /// Service: a group of interchangeable backend servers.
@@ -14,4 +16,6 @@
     pub health_path: String,
     /// Specification of its engines, or `None` for a plain service.
     pub engine: Option<EngineSpec>,
+    /// Limits within which the number of its servers is ordered, or `None` if it is fixed.
+    pub scaling: Option<ScaleBounds>,
 }
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -76,6 +76,7 @@
         cold_rate,
         health_path: "/health".to_owned(),
         engine,
+        scaling: None,
     };
     RoutePlan::new(
         version,
--- a/crates/gateway/tests/all/log_lines.rs
+++ b/crates/gateway/tests/all/log_lines.rs
@@ -7,9 +7,9 @@
 };
 
 /// Topics, with which the log messages begin.
-const TOPICS: [&str; 15] = [
-    "call", "feed", "front", "gateway", "keys", "move", "orders", "peers", "prompts", "request",
-    "server", "servers", "status", "store", "stream",
+const TOPICS: [&str; 16] = [
+    "call", "duties", "feed", "front", "gateway", "keys", "move", "orders", "peers", "prompts",
+    "request", "server", "servers", "status", "store", "stream",
 ];
 /// Topic that was added with version moves.
 const VERSIONS: &str = "versions";
