--- a/crates/duties/src/duty_lease.rs
+++ b/crates/duties/src/duty_lease.rs
@@ -124,9 +124,8 @@
         write: Option<StateWrite>,
         unknown: &DutyState,
     ) -> LeaseStep {
-        let is_pausing = self
-            .failed_at
-            .is_some_and(|at| now.shortest_since(at) < self.terms.retry_time(self.failures));
+        let pause = self.terms.retry_time(self.failures, self.held.is_some());
+        let is_pausing = self.failed_at.is_some_and(|at| now.shortest_since(at) < pause);
         if self.is_calling || is_pausing {
             return LeaseStep::Wait;
         }
--- a/crates/duties/src/lease_terms.rs
+++ b/crates/duties/src/lease_terms.rs
@@ -58,7 +58,9 @@
     }
 
     /// Returns the time before a failed call to the store is repeated, after a number of failures.
-    pub fn retry_time(&self, failures: u32) -> Duration {
-        (self.lease / 15).saturating_mul(1 << failures.min(5)).min(self.lease)
+    /// All VMs but the holder wait longer, since a store that is down makes all of them call it.
+    pub fn retry_time(&self, failures: u32, is_holder: bool) -> Duration {
+        let pause = (self.lease / 15).saturating_mul(1 << failures.min(5)).min(self.lease);
+        if is_holder { pause } else { pause * 2 }
     }
 }
--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -54,7 +54,7 @@
 
     /// Returns the end of a window in Unix milliseconds.
     fn end_ms(&self, window: u64) -> u64 {
-        (window + 1) * self.window.as_millis() as u64
+        window.saturating_add(1).saturating_mul(self.window.as_millis() as u64)
     }
 }
 
@@ -156,7 +156,7 @@
         while reports.len() < limit {
             let first = self.counts.keys().find(|window| **window > decided).copied();
             let held_from = self.terms.window_at(unix_ms.saturating_sub(held_ms)) + 1;
-            let window = first.unwrap_or(u64::MAX).min(held_from.max(decided + 1));
+            let window = first.unwrap_or(u64::MAX).min(held_from.max(decided.saturating_add(1)));
             if !self.is_settled(window, unix_ms) {
                 break;
             }
--- a/crates/gateway/src/duties/lease_task.rs
+++ b/crates/gateway/src/duties/lease_task.rs
@@ -84,6 +84,8 @@
     }
     let unknown = decisions.unknown_state(now);
     let unix_ms = decisions.clock.unix_ms(now.boot);
+    // Without the time, a new holder does not know which windows are past.
+    let is_willing = is_willing && unix_ms.is_some();
     let write = match (&mut decisions.held, decisions.lease.state()) {
         (Some(held), Some(state)) => Some(held.next_write(state, unix_ms, now.boot)),
         _ => None,
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -109,6 +109,18 @@
         })
     }
 
+    /// Makes the kernel discard what was not delivered when the connection is closed. Otherwise it
+    /// goes on sending a call that was given up, and the call may arrive after a partition has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError::Closed`] if the option can't be set.
+    pub fn discard_on_close(&self) -> Result<(), ConnectionError> {
+        SockRef::from(&self.stream)
+            .set_linger(Some(Duration::ZERO))
+            .map_err(|_| ConnectionError::Closed)
+    }
+
     /// Returns whether the connection was used before.
     pub fn is_reused(&self) -> bool {
         self.was_used
