--- /dev/null
+++ b/crates/duties/tests/all/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the duties' decisions.
+
+mod fixtures;
+mod lease_model;
+mod lease_properties;
+mod leases;
+mod scaling;
+mod usage;
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -6,6 +6,7 @@
 mod placing;
 mod lost_servers;
 mod run_results;
+mod zone_demands;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -60,6 +60,7 @@
     repeats: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     samples: Family<ResultLabels, Counter>,
+    duty_calls: Family<ResultLabels, Counter>,
     /// Number of connections opened to servers.
     pub connections: Counter,
     /// Number of leases that engines refused for lack of room.
@@ -113,6 +114,7 @@
             repeats: Family::default(),
             store_calls: Family::default(),
             samples: Family::default(),
+            duty_calls: Family::default(),
             connections: Counter::default(),
             leases_refused: Counter::default(),
             responses_without_memory: Counter::default(),
@@ -175,6 +177,11 @@
             self.repeats.clone(),
         );
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
+        registry.register(
+            "duty_calls",
+            "Calls for the duties by kind and result",
+            self.duty_calls.clone(),
+        );
         registry.register("connections", "Connections opened to servers", self.connections.clone());
         registry.register(
             "leases_refused",
@@ -306,6 +313,11 @@
         self.store_calls.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a call for the duties.
+    pub fn count_duty_call(&self, result: &'static str) {
+        self.duty_calls.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -19,6 +19,7 @@
     admission::{apply_report, fill_report},
     capacity,
     containment::evidence_exchange::EvidenceExchange,
+    duties::DutyExchange,
 };
 
 /// Minimum time between two reports sent because of a change.
@@ -47,6 +48,7 @@
     context: Arc<GatewayContext>,
     socket: Arc<UdpSocket>,
     evidence: EvidenceExchange,
+    duties: Option<DutyExchange>,
     sequence: u64,
     started: Instant,
     /// Time of the last report, by the clock that keeps running while the VM is suspended.
@@ -60,6 +62,7 @@
         PeerExchange {
             context: Arc::clone(context),
             evidence: EvidenceExchange::new(context, &socket),
+            duties: DutyExchange::new(context, &socket),
             socket,
             sequence: 0,
             started: Instant::now(),
@@ -77,6 +80,9 @@
             discover(&context).await;
         });
         tokio::spawn(EvidenceExchange::new(&self.context, &self.socket).run());
+        if let Some(duties) = &self.duties {
+            duties.clone().start();
+        }
         let mut next_report = Instant::now();
         let mut buffer = vec![0_u8; 2 * PeerReport::DATAGRAM_BYTES];
         loop {
@@ -106,7 +112,8 @@
     }
 
     async fn receive(&mut self, bytes: &[u8], sender: SocketAddr) {
-        if self.evidence.receive(bytes, sender) {
+        let is_duty = self.duties.as_ref().is_some_and(|duties| duties.receive(bytes, sender));
+        if is_duty || self.evidence.receive(bytes, sender) {
             return;
         }
         if let Some(relayed) = self.apply_report(bytes, sender).await {
--- a/crates/gateway/src/versions/request_run.rs
+++ b/crates/gateway/src/versions/request_run.rs
@@ -16,6 +16,8 @@
     end: RunEnd,
     prompt: Option<PromptRun>,
     pauses: PauseWindow,
+    /// Team whose usage the run counts for, unless it resumes a stream that was counted before.
+    team: Option<String>,
 }
 
 impl RequestRun {
@@ -37,12 +39,14 @@
             key
         };
         let prompt = PromptRun::start(context, server, &request.prompt_parts);
+        let team = request.team.clone().filter(|_| request.last_event.is_none());
         RequestRun {
             context: Arc::clone(context),
             key,
             end: RunEnd::Abandoned,
             prompt,
             pauses: PauseWindow::default(),
+            team,
         }
     }
 
@@ -50,6 +54,7 @@
     pub(crate) fn note_started(&self) {
         let now = self.context.clock.now();
         self.context.view().note_run_started(self.key, now);
+        self.context.count_use(self.team.as_deref());
     }
 
     /// Records an event of a stream.
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -41,6 +41,7 @@
         exposure: ExposureLimit { share: 0.1, allowance: 50.0 },
         revocation_time: None,
         retry_window: Duration::from_secs(10),
+        cloud: None,
     }
 }
 
@@ -77,6 +78,7 @@
         cold_rate,
         health_path: "/health".to_owned(),
         engine,
+        scaling: None,
     };
     RoutePlan::new(
         version,
--- a/crates/gateway/tests/all/log_lines.rs
+++ b/crates/gateway/tests/all/log_lines.rs
@@ -7,9 +7,10 @@
 };
 
 /// Topics, with which the log messages begin.
-const TOPICS: [&str; 16] = [
+const TOPICS: [&str; 17] = [
     "admission",
     "call",
+    "duties",
     "feed",
     "front",
     "gateway",
