gateway: let plain calls wait for a free slot

A plain call was sent to a server even if its slots were taken, and ended when no server took work at that moment, although a slot would have been free some milliseconds later.

Where the route's time limit is at least four times its latency target, a call for which no server has a free slot now waits at the VM: by rank, then lateness, then arrival (CallQueue, pure). SlotSurvey tells the free slots from the load header and the requests in flight. Calls are served on each completion and every 10 ms. VMs see each other's load late, so a call is offered anyway while it can still meet its target, after one latency target at most. It is refused as not run when its remaining time is less than the usual latency of the service; Retry-After is the time to work off the waiting calls.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -10,7 +10,9 @@
 use crate::{
     AttemptOutcome, CallerRequest, ConnectionError, GatewayContext, GatewayFailure, OfferHistory,
     OpenResponse, ResponseBody, ResponseHead, RunEnd, ServerReservation, SystemHeaders,
-    memory::ReservedBytes, response_body, response_relay, server_attempt,
+    memory::ReservedBytes,
+    plain_calls::slot_wait::{self, WaitFailure},
+    response_body, response_relay, server_attempt,
 };
 
 /// Maximum response size of a plain service, in bytes. Responses are buffered whole, so that a
@@ -50,6 +52,7 @@
     /// Returns the failure to report to the caller.
     pub async fn run(mut self) -> Result<Response<ResponseBody>, GatewayFailure> {
         let mut failure = server_attempt::not_run("no server takes work");
+        let may_wait = slot_wait::takes_effect(&self.context, &self.request);
         for _ in 0..MAX_OFFERS {
             if self.request.time_left() < MIN_OFFER_TIME {
                 failure = self.too_late();
@@ -58,7 +61,21 @@
             if self.offers.arrivals() > 0 && !self.may_retry() {
                 break;
             }
-            let Some(reservation) = self.place() else { break };
+            let reservation = if may_wait {
+                match self.wait_for_slot().await {
+                    Ok(reservation) => reservation,
+                    Err(WaitFailure::NoServer) => break,
+                    Err(WaitFailure::Refused(refusal)) => {
+                        if !self.offers.may_have_run() {
+                            failure = refusal;
+                        }
+                        break;
+                    }
+                }
+            } else {
+                let Some(reservation) = self.place() else { break };
+                reservation
+            };
             self.excluded.insert(reservation.server());
             let fields = SystemHeaders { server_id: reservation.id(), ..SystemHeaders::default() };
             let outcome =
@@ -138,6 +155,10 @@
         has_budget
     }
 
+    async fn wait_for_slot(&self) -> Result<ServerReservation, WaitFailure> {
+        slot_wait::reserve_server(&self.context, &self.request, &self.excluded, None).await
+    }
+
     fn place(&mut self) -> Option<ServerReservation> {
         let now = self.context.clock.now();
         let placement = self.context.view().place(&self.request.query(&self.excluded), now).ok()?;
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    BodyBudget, ConnectionPool, EngineProtocol, FleetStore, FleetTables, FleetView, GatewayClock,
-    GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, ResponseMemory, StopPhase, VmSettings,
-    WaitQueue,
+    BodyBudget, CallDispatcher, ConnectionPool, EngineProtocol, FleetStore, FleetTables, FleetView,
+    GatewayClock, GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, ResponseMemory, StopPhase,
+    VmSettings, WaitQueue,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -31,6 +31,8 @@
     pub bodies: BodyBudget,
     /// Memory budgets for responses.
     pub responses: ResponseMemory,
+    /// Plain calls that wait for a slot.
+    pub plain_calls: CallDispatcher,
     /// Idle connections to servers.
     pub pool: Arc<ConnectionPool>,
     /// Clock.
@@ -80,6 +82,7 @@
             load_changes: Notify::new(),
             bodies: BodyBudget::new(settings.memory_bytes),
             responses: ResponseMemory::new(settings.memory_bytes),
+            plain_calls: CallDispatcher::default(),
             settings,
             names,
             store,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod peer_table;
 mod placement;
 mod placement_query;
+mod plain_calls;
 mod planned_route;
 mod planned_service;
 mod planned_team;
@@ -136,6 +137,10 @@
     peer_table::PeerTable,
     placement::Placement,
     placement_query::PlacementQuery,
+    plain_calls::{
+        CallDispatcher, CallId, CallQueue, CallTimes, ServedCalls, SlotNeed, SlotSurvey,
+        WaitingCall, serve_calls,
+    },
     planned_route::PlannedRoute,
     planned_service::PlannedService,
     planned_team::PlannedTeam,
--- /dev/null
+++ b/crates/gateway/src/plain_calls/slot_wait.rs
@@ -0,0 +1,109 @@
+//! Waits until a server of a plain service has a free slot.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use dragonflycart_core::{ErrorKind, MonoTime};
+use tracing::info;
+
+use super::{CallTimes, SlotSurvey, WaitingCall, call_dispatcher::CallResult};
+use crate::{
+    CallerRequest, GatewayContext, GatewayFailure, ServerKey, ServerReservation, StopPhase,
+    server_attempt,
+};
+
+/// Minimum time limit of a route, as a multiple of its latency target, for its calls to wait.
+const MIN_LIMIT_TARGETS: u32 = 4;
+
+/// Failure to reserve a server.
+pub(crate) enum WaitFailure {
+    /// No server is left for the call.
+    NoServer,
+    /// No server has a free slot in time, or this VM stops.
+    Refused(GatewayFailure),
+}
+
+/// Returns whether a call waits for a slot: its route leaves time to wait, and the servers of its
+/// service give their slots.
+pub(crate) fn takes_effect(context: &GatewayContext, request: &CallerRequest) -> bool {
+    let route = &request.route;
+    if route.time_limit < route.latency_target * MIN_LIMIT_TARGETS {
+        return false;
+    }
+    let (view, now) = (context.view(), context.clock.now());
+    SlotSurvey::new(&view, &request.service, &BTreeSet::new(), now).gives_slots
+}
+
+/// Reserves a server as soon as one has a free slot. `refused_at` is the time at which a server last
+/// refused the call.
+pub(crate) async fn reserve_server(
+    context: &Arc<GatewayContext>,
+    request: &CallerRequest,
+    excluded: &BTreeSet<ServerKey>,
+    refused_at: Option<MonoTime>,
+) -> Result<ServerReservation, WaitFailure> {
+    let now = context.clock.now();
+    let survey = SlotSurvey::new(&context.view(), &request.service, excluded, now);
+    let Some(opens_at) = survey.opens_at else { return Err(WaitFailure::NoServer) };
+    let target = request.route.latency_target;
+    let (arrived, deadline) =
+        (context.clock.at(request.arrived), context.clock.at(request.deadline));
+    let mut times = CallTimes::new(arrived, deadline, target, survey.usual_latency);
+    if let Some(refused_at) = refused_at {
+        times = times.after_refusal(refused_at, target);
+    }
+    if opens_at > now && opens_at >= times.end_at {
+        return Err(WaitFailure::Refused(no_slot(context, request, excluded)));
+    }
+    let call = WaitingCall {
+        rank: request.rank(),
+        times,
+        excluded: excluded.clone(),
+        sample_seed: request.sample_seed,
+    };
+    let (entry, result) = context.plain_calls.enqueue(context, &request.service, call);
+    let mut stop = context.stop.subscribe();
+    let result = tokio::select! {
+        biased;
+        result = result => result,
+        () = StopPhase::Ending.reached(&mut stop) => {
+            return Err(WaitFailure::Refused(server_attempt::stop_failure()));
+        }
+    };
+    let result = match result {
+        Ok(CallResult::Placed(reservation)) => Ok(reservation),
+        Ok(CallResult::OutOfTime) | Err(_) => {
+            Err(WaitFailure::Refused(no_slot(context, request, excluded)))
+        }
+    };
+    drop(entry);
+    result
+}
+
+/// Returns the failure of a call for which no server has a free slot in time, and logs it.
+fn no_slot(
+    context: &GatewayContext,
+    request: &CallerRequest,
+    excluded: &BTreeSet<ServerKey>,
+) -> GatewayFailure {
+    let now = context.clock.now();
+    let waiting = context.plain_calls.waiting(&request.service);
+    let (survey, vms) = {
+        let view = context.view();
+        (SlotSurvey::new(&view, &request.service, excluded, now), view.vm_count)
+    };
+    let closed = survey.opens_at.map_or(Duration::ZERO, |opens_at| opens_at.since(now));
+    let retry_after = closed + survey.drain_time(waiting, vms, request.route.latency_target);
+    info!(
+        id = request.attempt,
+        service = request.service,
+        waiting,
+        slots = survey.slots,
+        full = survey.full.len(),
+        closed_ms = closed.as_millis() as u64,
+        waited_ms = request.arrived.elapsed().as_millis() as u64,
+        retry_after_ms = retry_after.as_millis() as u64,
+        "call: no slot was free in time"
+    );
+    GatewayFailure::new(ErrorKind::Overloaded, "no server had a free slot")
+        .with_retry_after(retry_after)
+}
--- /dev/null
+++ b/crates/gateway/src/plain_calls/waiting_call.rs
@@ -0,0 +1,19 @@
+//! Plain call that waits for a slot.
+
+use std::collections::BTreeSet;
+
+use super::CallTimes;
+use crate::ServerKey;
+
+/// Plain call that waits for a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaitingCall {
+    /// Rank; lower goes first.
+    pub rank: u8,
+    /// Times that bound the wait.
+    pub times: CallTimes,
+    /// Servers that must not get the call.
+    pub excluded: BTreeSet<ServerKey>,
+    /// Seed of the random part of the choice of a server.
+    pub sample_seed: u64,
+}
--- a/crates/gateway/src/server_reservation.rs
+++ b/crates/gateway/src/server_reservation.rs
@@ -89,6 +89,8 @@
         self.context.view().release(self.placement.server, self.placement.load);
         if self.placement.load.memory_tokens() > 0 {
             self.context.load_changes.notify_one();
+        } else {
+            self.context.plain_calls.serve(&self.context);
         }
     }
 }
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -114,6 +114,17 @@
         self.leaving_since.is_none() && now >= self.paused_until && !self.declines_requests(now)
     }
 
+    /// Returns the earliest time at which a server that is not leaving accepts requests.
+    pub fn opens_at(&self) -> MonoTime {
+        self.paused_until.max(self.declined_until)
+    }
+
+    /// Returns whether the server accepts requests and one of its slots is free, as far as this VM
+    /// knows.
+    pub fn has_free_slot(&self, now: MonoTime) -> bool {
+        self.accepts_requests(now) && self.total_load(now).requests < self.record.slots
+    }
+
     /// Returns whether the server itself asked for a pause that has not ended.
     pub fn declines_requests(&self, now: MonoTime) -> bool {
         now < self.declined_until
--- a/crates/gateway/tests/all/call_forwarding.rs
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -1,6 +1,7 @@
 //! Requests that are offered more than once.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{
         Arc,
@@ -11,8 +12,8 @@
 
 use dragonflycart_core::ErrorKind;
 use dragonflycart_gateway::{
-    CallForwarder, GatewayContext, GatewayFailure, OfferHistory, RouteKind, ServerRecord,
-    StreamForwarder, TokenDemand,
+    CallForwarder, GatewayContext, GatewayFailure, OfferHistory, PlacementQuery, RouteKind,
+    ServerRecord, ServerReservation, StreamForwarder, TokenDemand,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -20,7 +21,7 @@
 };
 
 use crate::{
-    fixtures::{DESK, ENGINES, caller_request, context, record, report, route},
+    fixtures::{DESK, ENGINES, caller_request, context, query, record, report, route},
     stub_store::StubStore,
 };
 
@@ -234,3 +235,62 @@
     assert!(early.is_err(), "the memory of the responses was free");
     assert!(late.is_ok(), "the memory of the responses is still in use");
 }
+
+/// Takes the only slot of the server `s0`.
+fn take_only_slot(context: &Arc<GatewayContext>, servers: &ScriptedServers) -> ServerReservation {
+    let (now, excluded) = (context.clock.now(), BTreeSet::new());
+    let address = servers.addresses[0];
+    let record = ServerRecord { address, slots: 1, ..record(DESK, "a", 8_000) };
+    let mut view = context.view();
+    view.apply_server("s0", record, 9, now);
+    let query = PlacementQuery { service: DESK, ..query(TokenDemand::default(), &excluded) };
+    let placement = view.place(&query, now).unwrap();
+    drop(view);
+    ServerReservation::new(context, placement)
+}
+
+/// Pattern: the only slot is taken when a call arrives, and is released before its target.
+/// Guards against a call that is sent to a full server, and against a lost wake-up: the call would
+/// stay until it is late.
+#[tokio::test]
+async fn call_waits_for_a_slot_and_gets_it_when_it_is_released() {
+    let servers = scripted_servers(&[ANSWER]).await;
+    let context = context_with(&servers, DESK);
+    let taken = take_only_slot(&context, &servers);
+    let route = route("desk", "/desk/", RouteKind::NonIdempotent, DESK);
+    let request = caller_request(&context, route, TokenDemand::default());
+
+    let call = tokio::spawn(CallForwarder::new(&context, request).run());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let (early, waiting) =
+        (servers.requests.load(Ordering::Relaxed), context.plain_calls.waiting(DESK));
+    taken.close();
+    let response = tokio::time::timeout(WAIT_TIME, call).await;
+
+    assert_eq!((early, waiting), (0, 1), "it did not wait");
+    assert!(response.expect("it was not woken").unwrap().is_ok());
+    assert_eq!(context.plain_calls.waiting(DESK), 0);
+}
+
+/// Pattern: callers disconnect while their calls wait.
+/// Guards against calls that stay in the queue, or take a slot, after their callers have left.
+#[tokio::test]
+async fn call_whose_caller_leaves_takes_no_slot() {
+    let servers = scripted_servers(&[ANSWER]).await;
+    let context = context_with(&servers, DESK);
+    let taken = take_only_slot(&context, &servers);
+    let route = route("desk", "/desk/", RouteKind::NonIdempotent, DESK);
+    let request = caller_request(&context, route, TokenDemand::default());
+
+    let call = tokio::spawn(CallForwarder::new(&context, request).run());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let before = context.plain_calls.waiting(DESK);
+    call.abort();
+    let is_cancelled = call.await.is_err();
+    taken.close();
+
+    assert!(is_cancelled);
+    assert_eq!((before, context.plain_calls.waiting(DESK)), (1, 0));
+    let load: u32 = context.view().servers().map(|(_, state)| state.own_load.requests).sum();
+    assert_eq!(load, 0, "a slot is lost");
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod parsers;
 mod peer_tables;
 mod placements;
+mod plain_calls;
 mod response_heads;
 mod revocation;
 mod revocation_model;
