gateway: offer a refused plain call again while there is time

A plain call ended after four offers, or when each server had refused it once, with most of its time left. Where calls wait for slots, a call that servers refused now goes back to the queue with its turn, and is offered again while its time and the retry budget allow: at once where a slot is free, otherwise a latency target after the refusal. The budget is checked before the wait, and taken when a server is reserved. Retry-After is the time until a server takes requests and the waiting calls are worked off. After a possible run nothing changes: a booking is not sent again, and the refusal at the end of the wait does not deny the run.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use dragonflycart_core::ErrorKind;
+use dragonflycart_core::{ErrorKind, MonoTime};
 use hyper::Response;
 use tracing::info;
 
@@ -21,7 +21,7 @@
 /// Minimum time before the deadline to offer a request to another server; with less, the response
 /// would be late.
 const MIN_OFFER_TIME: Duration = Duration::from_millis(15);
-/// Maximum number of servers tried while none has run the request.
+/// Maximum number of servers tried while none has run a request that does not wait for slots.
 const MAX_OFFERS: u32 = 4;
 
 /// Forwards one request.
@@ -30,6 +30,10 @@
     request: CallerRequest,
     excluded: BTreeSet<crate::ServerKey>,
     offers: OfferHistory,
+    /// Whether the request waits for a free slot.
+    may_wait: bool,
+    /// Time at which a server last refused the request.
+    refused_at: Option<MonoTime>,
     last_failure: Option<(ResponseHead, Bytes)>,
 }
 
@@ -37,6 +41,8 @@
     /// Builds the forwarder of a request.
     pub fn new(context: &Arc<GatewayContext>, request: CallerRequest) -> CallForwarder {
         CallForwarder {
+            may_wait: slot_wait::takes_effect(context, &request),
+            refused_at: None,
             context: Arc::clone(context),
             request,
             excluded: BTreeSet::new(),
@@ -52,30 +58,31 @@
     /// Returns the failure to report to the caller.
     pub async fn run(mut self) -> Result<Response<ResponseBody>, GatewayFailure> {
         let mut failure = server_attempt::not_run("no server takes work");
-        let may_wait = slot_wait::takes_effect(&self.context, &self.request);
-        for _ in 0..MAX_OFFERS {
+        let mut tries = 0;
+        while self.may_wait || tries < MAX_OFFERS {
+            tries += 1;
             if self.request.time_left() < MIN_OFFER_TIME {
                 failure = self.too_late();
                 break;
             }
-            if self.offers.arrivals() > 0 && !self.may_retry() {
+            let is_retry = self.offers.arrivals() > 0;
+            if is_retry && !self.allows_retry() {
                 break;
             }
-            let reservation = if may_wait {
-                match self.wait_for_slot().await {
-                    Ok(reservation) => reservation,
-                    Err(WaitFailure::NoServer) => break,
-                    Err(WaitFailure::Refused(refusal)) => {
-                        if !self.offers.may_have_run() {
-                            failure = refusal;
-                        }
-                        break;
+            let reservation = match self.reserve().await {
+                Ok(reservation) => reservation,
+                Err(WaitFailure::NoServer) => break,
+                Err(WaitFailure::Refused(refusal)) => {
+                    if !self.offers.may_have_run() {
+                        failure = refusal;
                     }
+                    break;
                 }
-            } else {
-                let Some(reservation) = self.place() else { break };
-                reservation
             };
+            if is_retry && !self.take_retry() {
+                reservation.close();
+                break;
+            }
             self.excluded.insert(reservation.server());
             let fields = SystemHeaders { server_id: reservation.id(), ..SystemHeaders::default() };
             let outcome =
@@ -92,9 +99,8 @@
                 }
                 AttemptOutcome::ServerWithdrawn => self.log_offer(&reservation, "withdrawn"),
                 AttemptOutcome::Refused { .. } => {
-                    self.offers.note_refused();
-                    self.log_offer(&reservation, "refused");
-                    failure = GatewayFailure::new(ErrorKind::Overloaded, "all servers refused");
+                    self.note_refused(&reservation);
+                    failure = self.refused_failure();
                 }
                 AttemptOutcome::Lost(error) => {
                     self.offers.note_possible_run();
@@ -142,27 +148,64 @@
         }
     }
 
-    /// Returns whether the request may be retried. Takes the retry from the budget.
-    fn may_retry(&self) -> bool {
+    /// Records that a server refused the request. A request that waits may be offered to it again.
+    fn note_refused(&mut self, reservation: &ServerReservation) {
+        self.offers.note_refused();
+        self.log_offer(reservation, "refused");
+        if self.may_wait {
+            self.excluded.remove(&reservation.server());
+            self.refused_at = Some(self.context.clock.now());
+        }
+    }
+
+    fn refused_failure(&self) -> GatewayFailure {
+        let failure = GatewayFailure::new(ErrorKind::Overloaded, "all servers refused");
+        if !self.may_wait {
+            return failure;
+        }
+        failure.with_retry_after(slot_wait::retry_time(&self.context, &self.request))
+    }
+
+    /// Returns whether the request may be retried.
+    fn allows_retry(&self) -> bool {
         if !self.offers.allows_offer(&self.request.route) {
             return false;
         }
-        let has_budget =
-            self.context.view().take_retry(&self.request.service, self.context.clock.now());
+        let now = self.context.clock.now();
+        let has_budget = self.context.view().allows_retry(&self.request.service, now);
+        if !has_budget {
+            self.log_no_retry();
+        }
+        has_budget
+    }
+
+    /// Takes a retry from the budget. Returns false if other requests used it up.
+    fn take_retry(&self) -> bool {
+        let now = self.context.clock.now();
+        let has_budget = self.context.view().take_retry(&self.request.service, now);
         if !has_budget {
-            info!(id = self.request.attempt, service = self.request.service, "call: no retry left");
+            self.log_no_retry();
         }
         has_budget
     }
 
-    async fn wait_for_slot(&self) -> Result<ServerReservation, WaitFailure> {
-        slot_wait::reserve_server(&self.context, &self.request, &self.excluded, None).await
+    fn log_no_retry(&self) {
+        info!(id = self.request.attempt, service = self.request.service, "call: no retry left");
     }
 
-    fn place(&mut self) -> Option<ServerReservation> {
-        let now = self.context.clock.now();
-        let placement = self.context.view().place(&self.request.query(&self.excluded), now).ok()?;
-        Some(ServerReservation::new(&self.context, placement))
+    /// Reserves a server, as soon as one has a free slot if the request waits.
+    async fn reserve(&self) -> Result<ServerReservation, WaitFailure> {
+        let (context, request) = (&self.context, &self.request);
+        if self.may_wait {
+            return slot_wait::reserve_server(context, request, &self.excluded, self.refused_at)
+                .await;
+        }
+        let now = context.clock.now();
+        let placement = context.view().place(&request.query(&self.excluded), now);
+        match placement {
+            Ok(placement) => Ok(ServerReservation::new(context, placement)),
+            Err(_) => Err(WaitFailure::NoServer),
+        }
     }
 
     /// Reads the body of a response. A server's error response is kept, so that it can be returned
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -517,6 +517,12 @@
         self.retry_budget(service, now).note_request(now);
     }
 
+    /// Returns whether a service's budget allows a retry now.
+    pub fn allows_retry(&mut self, service: &str, now: MonoTime) -> bool {
+        let limit = self.retry_limit();
+        self.retry_budget(service, now).allows_retry(limit, now)
+    }
+
     /// Takes one retry from a service's budget. Returns false if the budget is exhausted.
     pub fn take_retry(&mut self, service: &str, now: MonoTime) -> bool {
         let limit = self.retry_limit();
--- a/crates/gateway/src/plain_calls/call_queue.rs
+++ b/crates/gateway/src/plain_calls/call_queue.rs
@@ -9,7 +9,7 @@
 
 use super::WaitingCall;
 
-/// ID of a waiting call. IDs increase in order of arrival.
+/// ID of a waiting call. A call that waits again after a refusal gets another ID.
 pub type CallId = u64;
 
 /// Place of a call in the queue: by rank, then calls that can meet their latency target before late
@@ -18,9 +18,16 @@
 struct CallTurn {
     rank: u8,
     is_late: bool,
+    arrived: MonoTime,
     id: CallId,
 }
 
+impl CallTurn {
+    fn new(call: &WaitingCall, is_late: bool, id: CallId) -> CallTurn {
+        CallTurn { rank: call.rank, is_late, arrived: call.arrived, id }
+    }
+}
+
 /// Servers to which a waiting call may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SlotNeed {
@@ -58,7 +65,7 @@
     pub fn enqueue(&mut self, call: WaitingCall) -> CallId {
         let id = self.next_id;
         self.next_id += 1;
-        self.turns.insert(CallTurn { rank: call.rank, is_late: false, id });
+        self.turns.insert(CallTurn::new(&call, false, id));
         self.late_times.insert((call.times.late_at, id));
         self.offer_times.insert((call.times.offer_at, id));
         self.end_times.insert((call.times.end_at, id));
@@ -70,7 +77,7 @@
     pub fn remove(&mut self, id: CallId) {
         let Some(call) = self.calls.remove(&id) else { return };
         let is_late = !self.late_times.remove(&(call.times.late_at, id));
-        self.turns.remove(&CallTurn { rank: call.rank, is_late, id });
+        self.turns.remove(&CallTurn::new(&call, is_late, id));
         self.offer_times.remove(&(call.times.offer_at, id));
         self.end_times.remove(&(call.times.end_at, id));
     }
@@ -147,8 +154,8 @@
         {
             self.late_times.remove(&(late_at, id));
             let Some(call) = self.calls.get(&id) else { continue };
-            self.turns.remove(&CallTurn { rank: call.rank, is_late: false, id });
-            self.turns.insert(CallTurn { rank: call.rank, is_late: true, id });
+            self.turns.remove(&CallTurn::new(call, false, id));
+            self.turns.insert(CallTurn::new(call, true, id));
         }
     }
 }
--- a/crates/gateway/src/plain_calls/call_times.rs
+++ b/crates/gateway/src/plain_calls/call_times.rs
@@ -8,7 +8,10 @@
 const MIN_OFFER_TIME: Duration = Duration::from_millis(15);
 /// Multiple of the usual latency that a call keeps to meet its latency target: its own run and a
 /// wait of the same length in the server's queue.
-const TARGET_RESERVE: u32 = 2;
+const RESERVED_LATENCIES: u32 = 2;
+/// Time that a call keeps in addition, for the interval at which the queue is served and for the
+/// network.
+const RESERVED_TIME: Duration = Duration::from_millis(20);
 
 /// Times that bound the wait of a plain call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,7 +38,7 @@
         let usual = usual.unwrap_or_default().min(target);
         CallTimes {
             late_at: arrived + target,
-            offer_at: arrived + target.saturating_sub(usual * TARGET_RESERVE),
+            offer_at: arrived + target.saturating_sub(usual * RESERVED_LATENCIES + RESERVED_TIME),
             end_at: deadline - usual.max(MIN_OFFER_TIME),
         }
     }
--- a/crates/gateway/src/plain_calls/slot_wait.rs
+++ b/crates/gateway/src/plain_calls/slot_wait.rs
@@ -52,10 +52,11 @@
         times = times.after_refusal(refused_at, target);
     }
     if opens_at > now && opens_at >= times.end_at {
-        return Err(WaitFailure::Refused(no_slot(context, request, excluded)));
+        return Err(WaitFailure::Refused(no_slot(context, request)));
     }
     let call = WaitingCall {
         rank: request.rank(),
+        arrived,
         times,
         excluded: excluded.clone(),
         sample_seed: request.sample_seed,
@@ -71,35 +72,33 @@
     };
     let result = match result {
         Ok(CallResult::Placed(reservation)) => Ok(reservation),
-        Ok(CallResult::OutOfTime) | Err(_) => {
-            Err(WaitFailure::Refused(no_slot(context, request, excluded)))
-        }
+        Ok(CallResult::OutOfTime) | Err(_) => Err(WaitFailure::Refused(no_slot(context, request))),
     };
     drop(entry);
     result
 }
 
-/// Returns the failure of a call for which no server has a free slot in time, and logs it.
-fn no_slot(
-    context: &GatewayContext,
-    request: &CallerRequest,
-    excluded: &BTreeSet<ServerKey>,
-) -> GatewayFailure {
+/// Returns the time after which a repeated call probably finds a free slot.
+pub(crate) fn retry_time(context: &GatewayContext, request: &CallerRequest) -> Duration {
     let now = context.clock.now();
     let waiting = context.plain_calls.waiting(&request.service);
-    let (survey, vms) = {
-        let view = context.view();
-        (SlotSurvey::new(&view, &request.service, excluded, now), view.vm_count)
-    };
+    let view = context.view();
+    let survey = SlotSurvey::new(&view, &request.service, &BTreeSet::new(), now);
     let closed = survey.opens_at.map_or(Duration::ZERO, |opens_at| opens_at.since(now));
-    let retry_after = closed + survey.drain_time(waiting, vms, request.route.latency_target);
+    closed + survey.drain_time(waiting, view.vm_count, request.route.latency_target)
+}
+
+/// Returns the failure of a call for which no server has a free slot in time, and logs it.
+fn no_slot(context: &GatewayContext, request: &CallerRequest) -> GatewayFailure {
+    let now = context.clock.now();
+    let retry_after = retry_time(context, request);
+    let survey = SlotSurvey::new(&context.view(), &request.service, &BTreeSet::new(), now);
     info!(
         id = request.attempt,
         service = request.service,
-        waiting,
+        waiting = context.plain_calls.waiting(&request.service),
         slots = survey.slots,
         full = survey.full.len(),
-        closed_ms = closed.as_millis() as u64,
         waited_ms = request.arrived.elapsed().as_millis() as u64,
         retry_after_ms = retry_after.as_millis() as u64,
         "call: no slot was free in time"
--- a/crates/gateway/src/plain_calls/waiting_call.rs
+++ b/crates/gateway/src/plain_calls/waiting_call.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use dragonflycart_core::MonoTime;
+
 use super::CallTimes;
 use crate::ServerKey;
 
@@ -10,6 +12,8 @@
 pub struct WaitingCall {
     /// Rank; lower goes first.
     pub rank: u8,
+    /// Time of arrival at this VM.
+    pub arrived: MonoTime,
     /// Times that bound the wait.
     pub times: CallTimes,
     /// Servers that must not get the call.
--- a/crates/gateway/src/retries/retry_budget.rs
+++ b/crates/gateway/src/retries/retry_budget.rs
@@ -52,10 +52,15 @@
         self.forget(now);
     }
 
+    /// Returns whether the budget allows a retry now.
+    pub fn allows_retry(&mut self, limit: RetryLimit, now: MonoTime) -> bool {
+        self.fill(limit, now);
+        self.available >= 1.0
+    }
+
     /// Counts a retry and returns true if the budget allows it.
     pub fn take_retry(&mut self, limit: RetryLimit, now: MonoTime) -> bool {
-        self.fill(limit, now);
-        if self.available < 1.0 {
+        if !self.allows_retry(limit, now) {
             return false;
         }
         self.spend(now);
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -56,6 +56,8 @@
     peer_loads: BTreeMap<u64, (MonoTime, ServerLoad)>,
     reported_requests: Option<(MonoTime, u32)>,
     paused_until: MonoTime,
+    /// Time until which no slot counts as free because the server refused a request.
+    refused_until: MonoTime,
     /// Time until which the server itself wants no requests of this VM.
     declined_until: MonoTime,
     connect_failures: u32,
@@ -86,6 +88,7 @@
             peer_loads: BTreeMap::new(),
             reported_requests: None,
             paused_until: MonoTime::default(),
+            refused_until: MonoTime::default(),
             declined_until: MonoTime::default(),
             connect_failures: 0,
             losses: LostResponses::default(),
@@ -122,7 +125,10 @@
     /// Returns whether the server accepts requests and one of its slots is free, as far as this VM
     /// knows.
     pub fn has_free_slot(&self, now: MonoTime) -> bool {
-        self.accepts_requests(now) && self.total_load(now).requests < self.record.slots
+        let is_known_full = now < self.refused_until;
+        self.accepts_requests(now)
+            && !is_known_full
+            && self.total_load(now).requests < self.record.slots
     }
 
     /// Returns whether the server itself asked for a pause that has not ended.
@@ -200,6 +206,9 @@
 
     /// Records the result of a request.
     pub fn note_response(&mut self, is_failure: bool, latency: Duration) {
+        if !is_failure {
+            self.refused_until = MonoTime::default();
+        }
         let failed = if is_failure { 1.0 } else { 0.0 };
         self.failure_share += AVERAGE_WEIGHT * (failed - self.failure_share);
         let sample_ms = latency.as_secs_f64() * 1_000.0;
@@ -228,6 +237,7 @@
     /// Records that the server refused a request without running it.
     pub fn note_refusal(&mut self, pause: Duration, now: MonoTime) {
         self.paused_until = self.paused_until.max(now + pause);
+        self.refused_until = now + REPORTED_LOAD_AGE;
     }
 
     /// Records that the server asked for a pause.
