gateway: bound a VM's requests by its size and refuse when it is overloaded

A VM accepted requests without regard to its size. A small one that got more than its share accepted them all and let them time out.

The settings limits.cpu_share and limits.memory_mb now bound the number of requests that wait for the head of their response (streams and plain calls): 64 KiB of 15% of the memory each, and 2,000 for each core; 180 on the smallest VMs (88 MB, 0.09 cores), where some ten wait in normal service. The gateway measures how late its own timers are (TimerDelay: moving average over one second, capped samples so that a frozen VM is not taken for an overloaded one). From 200 ms on, about six wake-ups of a request take 1.2 s, and it would time out: new requests are refused as not run with Retry-After until the average is below 60 ms. Begin and end of both are logged. A share of zero, or none, is no limit (one core). VMs that are not overloaded serve as before.

Metrics: waiting_calls, load_refusals by reason, timer_delay_milliseconds.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     FleetTable, GatewayContext, PeerExchange, PollTiming, StopPhase, caller_server, feed_client,
-    feed_server, membership::leave_survey, revocation::freshness_watch, server_recovery,
-    server_updates, status_server, table_sync, version_move_controller,
+    feed_server, membership::leave_survey, overload::delay_watch, revocation::freshness_watch,
+    server_recovery, server_updates, status_server, table_sync, version_move_controller,
 };
 
 /// Polling of orders. They must take effect within two seconds, and a long poll may miss a record
@@ -83,6 +83,7 @@
         tokio::spawn(table_sync::follow(Arc::clone(&context), FleetTable::Statuses, STATUSES_POLL));
         tokio::spawn(freshness_watch::run(Arc::clone(&context)));
         tokio::spawn(version_move_controller::run(Arc::clone(&context)));
+        tokio::spawn(delay_watch::run(Arc::clone(&context)));
         tokio::spawn(leave_survey::run(Arc::clone(&context)));
         tokio::spawn(server_recovery::check(Arc::clone(&context)));
         tokio::spawn(feed_server::serve(Arc::clone(&context), self.feed_listener));
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -14,7 +14,7 @@
 use crate::{
     BodyBudget, CallDispatcher, ConnectionPool, EngineProtocol, FleetStore, FleetTables, FleetView,
     GatewayClock, GatewayMetrics, HeaderNames, PeerTable, PlanFreshness, ResponseMemory, StopPhase,
-    VmSettings, WaitQueue,
+    VmLoad, VmSettings, WaitQueue,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -47,6 +47,7 @@
     peers: Mutex<PeerTable>,
     freshness: Mutex<PlanFreshness>,
     wait_queue: Mutex<WaitQueue>,
+    vm_load: Mutex<VmLoad>,
     crashes: Mutex<CrashLedger>,
     /// Makes the exchange of evidence about prompts send a report at once.
     pub evidence_changes: Notify,
@@ -77,6 +78,7 @@
             peers: Mutex::new(PeerTable::new(&settings.name, &settings.zone)),
             freshness: Mutex::new(PlanFreshness::new(settings.revocation_time)),
             wait_queue: Mutex::default(),
+            vm_load: Mutex::new(VmLoad::new(settings.memory_bytes, settings.cpu_share)),
             crashes: Mutex::default(),
             evidence_changes: Notify::new(),
             load_changes: Notify::new(),
@@ -117,6 +119,11 @@
         self.wait_queue.lock().expect("no holder of the wait queue's lock panics")
     }
 
+    /// Locks the load of this VM. Hold the lock for a single decision only.
+    pub fn vm_load(&self) -> MutexGuard<'_, VmLoad> {
+        self.vm_load.lock().expect("no holder of the load's lock panics")
+    }
+
     /// Locks the ledger of crashes. Hold the lock for a single decision only.
     pub fn crashes(&self) -> MutexGuard<'_, CrashLedger> {
         self.crashes.lock().expect("no holder of the ledger's lock panics")
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -29,6 +29,11 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
 /// Metrics of the gateway. All label values come from fixed sets, so the number of time series is
 /// bounded.
 pub struct GatewayMetrics {
@@ -39,6 +44,11 @@
     moves: Family<ResultLabels, Counter>,
     sources: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
+    refusals: Family<ReasonLabels, Counter>,
+    /// Plain calls that wait for a slot.
+    pub waiting_calls: Gauge,
+    /// Average delay of the process's timers, in milliseconds.
+    pub timer_delay_ms: Gauge,
     /// Number of connections opened to servers.
     pub connections: Counter,
     /// Number of responses given up because there was no memory for them.
@@ -76,6 +86,9 @@
             moves: Family::default(),
             sources: Family::default(),
             store_calls: Family::default(),
+            refusals: Family::default(),
+            waiting_calls: Gauge::default(),
+            timer_delay_ms: Gauge::default(),
             connections: Counter::default(),
             responses_without_memory: Counter::default(),
             engine_crashes: Counter::default(),
@@ -108,6 +121,21 @@
             self.sources.clone(),
         );
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
+        registry.register(
+            "load_refusals",
+            "Requests refused as not run because of load, by reason",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "waiting_calls",
+            "Plain calls that wait for a slot",
+            self.waiting_calls.clone(),
+        );
+        registry.register(
+            "timer_delay_milliseconds",
+            "Average delay of the timers of the process",
+            self.timer_delay_ms.clone(),
+        );
         registry.register("connections", "Connections opened to servers", self.connections.clone());
         registry.register(
             "responses_without_memory",
@@ -174,6 +202,11 @@
         self.sources.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a request that is refused because of load.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.get_or_create(&ResultLabels { result }).inc();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod move_schedule;
 mod moves;
 mod order_updates;
+mod overload;
 mod peer_exchange;
 mod peer_report;
 mod peer_table;
@@ -132,6 +133,7 @@
     membership::{ReportRecipients, SurveyedEngine},
     memory::{MemoryBudget, MemoryReservation, ResponseMemory, StreamMemory},
     move_schedule::{CopyStart, MoveSchedule},
+    overload::{LoadChange, RefusalReason, TimerDelay, VmLoad},
     peer_exchange::PeerExchange,
     peer_report::{LeavingEntry, LoadEntry, PeerEntry, PeerReport, RouteEntry, VersionMoveEntry},
     peer_table::PeerTable,
--- a/crates/gateway/src/plain_calls/call_dispatcher.rs
+++ b/crates/gateway/src/plain_calls/call_dispatcher.rs
@@ -52,17 +52,19 @@
 /// Entry of a waiting call. It is removed on drop, also when the call's task is cancelled because
 /// the caller disconnected.
 pub(super) struct CallEntry<'a> {
-    dispatcher: &'a CallDispatcher,
+    context: &'a GatewayContext,
     service: &'a str,
     id: CallId,
 }
 
 impl Drop for CallEntry<'_> {
     fn drop(&mut self) {
-        let mut state = self.dispatcher.lock();
+        let mut state = self.context.plain_calls.lock();
         let Some(calls) = state.services.get_mut(self.service) else { return };
         calls.queue.remove(self.id);
-        calls.results.remove(&self.id);
+        if calls.results.remove(&self.id).is_some() {
+            self.context.metrics.waiting_calls.dec();
+        }
     }
 }
 
@@ -74,8 +76,8 @@
 
     /// Adds a call and serves it at once if possible.
     pub(super) fn enqueue<'a>(
-        &'a self,
-        context: &Arc<GatewayContext>,
+        &self,
+        context: &'a Arc<GatewayContext>,
         service: &'a str,
         call: WaitingCall,
     ) -> (CallEntry<'a>, oneshot::Receiver<CallResult>) {
@@ -84,6 +86,7 @@
         let calls = state.services.entry(service.to_owned()).or_default();
         let id = calls.queue.enqueue(call);
         calls.results.insert(id, sender);
+        context.metrics.waiting_calls.inc();
         drop(state);
         self.serve(context);
         let mut state = self.lock();
@@ -92,7 +95,7 @@
             tokio::spawn(serve_at_intervals(Arc::clone(context)));
         }
         drop(state);
-        (CallEntry { dispatcher: self, service, id }, receiver)
+        (CallEntry { context, service, id }, receiver)
     }
 
     /// Serves the waiting calls of all services. Called after each change that may have freed a
@@ -109,10 +112,10 @@
             let served = slot_placement::serve(&mut calls.queue, &mut context.view(), service, now);
             for (id, placement) in served.placed {
                 let reservation = ServerReservation::new(context, placement);
-                unwanted.extend(calls.send(id, CallResult::Placed(reservation)));
+                unwanted.extend(calls.send(context, id, CallResult::Placed(reservation)));
             }
             for id in served.refused {
-                unwanted.extend(calls.send(id, CallResult::OutOfTime));
+                unwanted.extend(calls.send(context, id, CallResult::OutOfTime));
             }
         }
         drop(state);
@@ -126,11 +129,15 @@
 
 impl ServiceCalls {
     /// Sends the result of a call. Returns it if the call's task has ended.
-    fn send(&mut self, id: CallId, result: CallResult) -> Option<CallResult> {
-        match self.results.remove(&id) {
-            Some(sender) => sender.send(result).err(),
-            None => Some(result),
-        }
+    fn send(
+        &mut self,
+        context: &GatewayContext,
+        id: CallId,
+        result: CallResult,
+    ) -> Option<CallResult> {
+        let Some(sender) = self.results.remove(&id) else { return Some(result) };
+        context.metrics.waiting_calls.dec();
+        sender.send(result).err()
     }
 }
 
--- a/crates/gateway/src/plain_calls/slot_wait.rs
+++ b/crates/gateway/src/plain_calls/slot_wait.rs
@@ -103,6 +103,7 @@
         retry_after_ms = retry_after.as_millis() as u64,
         "call: no slot was free in time"
     );
+    context.metrics.count_refusal("no_free_slot");
     GatewayFailure::new(ErrorKind::Overloaded, "no server had a free slot")
         .with_retry_after(retry_after)
 }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -13,7 +13,11 @@
 use crate::{
     BodyReservation, CallForwarder, CallerCredential, CallerRequest, GatewayContext,
     GatewayFailure, HeaderNames, PlannedRoute, PlannedTeam, ResponseBody, RouteKind, RoutePlan,
-    StreamForwarder, TokenDemand, containment::prompt_check, response_relay, revocation::key_check,
+    StreamForwarder, TokenDemand,
+    containment::prompt_check,
+    overload::{WaitingRequest, waiting_request},
+    response_relay,
+    revocation::key_check,
     server_attempt,
 };
 
@@ -49,11 +53,13 @@
     context.view().note_request(&request.service, now);
     let (attempt, arrived) = (request.attempt.clone(), request.arrived);
     let kind = request.route.kind;
+    let waiting = WaitingRequest::new(context);
     let result = if kind == RouteKind::Stream {
         StreamForwarder::new(context, request).run().await
     } else {
         CallForwarder::new(context, request).run().await
     };
+    waiting.close();
     match result {
         Ok(response) => {
             if kind != RouteKind::Stream {
@@ -115,6 +121,7 @@
         .filter(|_| team.is_some() && context.settings.revocation_time.is_some())
         .map(CallerCredential::new);
     server_attempt::check_stop(context)?;
+    waiting_request::check(context)?;
     if attempt.is_empty() {
         return Err(GatewayFailure::new(ErrorKind::BadRequest, "the attempt has no identity"));
     }
--- a/crates/gateway/src/vm_settings.rs
+++ b/crates/gateway/src/vm_settings.rs
@@ -24,6 +24,8 @@
     pub peer_port: u16,
     /// Memory limit of the process, in bytes.
     pub memory_bytes: usize,
+    /// Processor time that the process may use, in cores.
+    pub cpu_share: f64,
     /// Time between SIGTERM and SIGKILL.
     pub stop_grace: Duration,
     /// Retries allowed per request, over all VMs.
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -34,6 +34,7 @@
         ready_address: "127.0.0.1:0".parse().unwrap(),
         peer_port: 0,
         memory_bytes: 110 << 20,
+        cpu_share: 0.25,
         stop_grace: Duration::from_secs(8),
         retry_ratio: 0.2,
         retry_allowance: 58.0,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -29,3 +29,4 @@
 mod tables;
 mod version_faults;
 mod version_moves;
+mod vm_loads;
--- /dev/null
+++ b/crates/gateway/tests/all/vm_loads.rs
@@ -0,0 +1,123 @@
+//! Bounds of a VM by its size.
+
+use std::time::Duration;
+
+use dragonflycart_gateway::{LoadChange, RefusalReason, TimerDelay, VmLoad};
+
+/// Interval of the measured timer.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Memory of a small VM.
+const SMALL_BYTES: usize = 88 << 20;
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Records delays for `total`. Returns the changes.
+fn note_delays(load: &mut VmLoad, delay: Duration, total: Duration) -> Vec<LoadChange> {
+    let mut changes = Vec::new();
+    let mut elapsed = Duration::ZERO;
+    while elapsed < total {
+        changes.extend(load.note_delay(INTERVAL, delay));
+        elapsed += INTERVAL + delay;
+    }
+    changes
+}
+
+/// Pattern: a small VM gets more requests than it has processor time for.
+/// Guards against requests that are accepted and then time out: the VM refuses new ones within the
+/// time limit of a plain call, and says so.
+#[test]
+fn small_vm_without_processor_time_refuses_before_requests_time_out() {
+    let mut load = VmLoad::new(SMALL_BYTES, 0.12);
+
+    let changes = note_delays(&mut load, millis(500), millis(1_200));
+
+    assert_eq!(changes, [LoadChange::Begins(RefusalReason::LateTimers)]);
+    assert_eq!(load.refuse(), Some(RefusalReason::LateTimers));
+    assert!(load.retry_time(1) >= load.delay().recovery_time());
+}
+
+/// Pattern: the same, and the load ends.
+/// Guards against a VM that goes on to refuse after it has recovered, or that changes its mind with
+/// each sample near a threshold.
+#[test]
+fn vm_recovers_soon_and_does_not_flap() {
+    let mut load = VmLoad::new(SMALL_BYTES, 0.12);
+    note_delays(&mut load, millis(500), millis(3_000));
+    load.refuse();
+
+    let near = note_delays(&mut load, millis(120), millis(10_000));
+    let retry = load.retry_time(1);
+    let after = note_delays(&mut load, millis(1), retry + millis(200));
+
+    assert_eq!(near, [], "it changed its mind between the thresholds");
+    let ends = LoadChange::Ends { reason: RefusalReason::LateTimers, refused: 1 };
+    assert_eq!(after, [ends]);
+    assert_eq!(load.refuse(), None);
+}
+
+/// Pattern: a VM with a small processor share is throttled for most of a period now and then.
+/// Guards against refusals by a VM that is only busy.
+#[test]
+fn busy_vm_refuses_nothing() {
+    let mut delay = TimerDelay::default();
+
+    for index in 0..1_000 {
+        delay.note(INTERVAL, if index % 3 == 0 { millis(90) } else { millis(15) });
+        assert!(!delay.is_overloaded());
+    }
+}
+
+/// Pattern: a VM is frozen for some seconds and goes on.
+/// Guards against refusals because of a single late timer, when the VM has all its processor time.
+#[test]
+fn frozen_vm_serves_at_once_when_it_goes_on() {
+    for frozen_s in [1, 5, 600] {
+        let mut delay = TimerDelay::default();
+        delay.note(INTERVAL, millis(5));
+
+        delay.note(INTERVAL, Duration::from_secs(frozen_s));
+
+        assert!(!delay.is_overloaded(), "{frozen_s} s");
+    }
+}
+
+/// Pattern: requests pile up at one VM.
+/// Guards against a VM that runs out of memory with waiting requests, and against a bound that VMs
+/// of the usual sizes reach in normal service (some ten requests wait at each).
+#[test]
+fn waiting_requests_are_bounded_by_the_size_of_the_vm() {
+    for (memory_mb, cpu_share, bound) in
+        [(88, 0.09, 180), (110, 0.25, 264), (512, 0.5, 1_000), (512, 4.0, 1_228), (1, 0.0, 32)]
+    {
+        assert_eq!(VmLoad::new(memory_mb << 20, cpu_share).waiting_bound(), bound, "{memory_mb}");
+    }
+}
+
+/// Pattern: the same, until requests are answered again.
+/// Guards against a count that never falls, and against a log line for each request at the bound.
+#[test]
+fn vm_admits_requests_again_when_fewer_wait() {
+    let mut load = VmLoad::new(SMALL_BYTES, 0.09);
+    let bound = load.waiting_bound();
+
+    let mut changes = Vec::new();
+    for _ in 0..bound {
+        assert_eq!(load.refuse(), None);
+        changes.extend(load.note_waiting());
+    }
+    let refused = load.refuse();
+    for _ in 0..10 {
+        changes.extend(load.note_answered());
+        changes.extend(load.note_waiting());
+    }
+    for _ in 0..bound {
+        changes.extend(load.note_answered());
+    }
+
+    assert_eq!(refused, Some(RefusalReason::ManyWaiting));
+    let ends = LoadChange::Ends { reason: RefusalReason::ManyWaiting, refused: 1 };
+    assert_eq!(changes, [LoadChange::Begins(RefusalReason::ManyWaiting), ends]);
+    assert_eq!((load.refuse(), load.waiting()), (None, 0));
+}
