gateway: test the refusals of an overloaded VM over a connection

The decisions of VmLoad were tested, but not that a request is refused by them. serve_callers is public, so that the test uses its own listener.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -104,6 +104,7 @@
     call_forwarder::CallForwarder,
     caller_limits::CallerLimits,
     caller_request::{CallerRequest, SystemHeaders},
+    caller_server::serve as serve_callers,
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     connection_error::ConnectionError,
     connection_pool::ConnectionPool,
--- a/crates/gateway/tests/all/vm_loads.rs
+++ b/crates/gateway/tests/all/vm_loads.rs
@@ -1,8 +1,16 @@
 //! Bounds of a VM by its size.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use dragonflycart_gateway::{LoadChange, RefusalReason, TimerDelay, VmLoad};
+use dragonflycart_gateway::{
+    GatewayContext, LoadChange, RefusalReason, TimerDelay, VmLoad, serve_callers,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::{fixtures::context, stub_store::StubStore};
 
 /// Interval of the measured timer.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -121,3 +129,42 @@
     assert_eq!(changes, [LoadChange::Begins(RefusalReason::ManyWaiting), ends]);
     assert_eq!((load.refuse(), load.waiting()), (None, 0));
 }
+
+/// Sends a booking to the VM at `address` and returns the response.
+async fn book(address: std::net::SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = "GET /bookings/1 HTTP/1.1\r\nhost: desk.example\r\nx-echo-id: a1\r\n\
+        authorization: Key k1\r\nconnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    response
+}
+
+fn refusals(context: &GatewayContext, reason: RefusalReason) -> usize {
+    let sample = format!("load_refusals_total{{reason=\"{reason}\"}} 1");
+    context.metrics.encode().matches(&sample).count()
+}
+
+/// Pattern: an overloaded VM gets a request, recovers, and gets another one.
+/// Guards against an overload that is logged and changes nothing, against a refusal that callers
+/// take for a run or can't follow, and against refusals after the end.
+#[tokio::test]
+async fn overloaded_vm_refuses_as_not_run_until_it_has_recovered() {
+    let context = context(Arc::new(StubStore::default()));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(serve_callers(Arc::clone(&context), listener));
+
+    note_delays(&mut context.vm_load(), millis(500), millis(2_000));
+    let refused = book(address).await;
+    let count = refusals(&context, RefusalReason::LateTimers);
+    note_delays(&mut context.vm_load(), millis(0), millis(4_000));
+    book(address).await;
+    server.abort();
+
+    assert!(refused.starts_with("HTTP/1.1 503 "), "{refused}");
+    assert!(refused.contains("retry-after: "), "{refused}");
+    assert_eq!((count, refusals(&context, RefusalReason::LateTimers)), (1, 1));
+    assert_eq!(context.vm_load().waiting(), 0, "a request still counts as waiting");
+}
