gateway: spare the retries of refused plain calls

A call ended as soon as the budget was empty, also when another call had just taken the retry, and offered itself to all three servers at once.

A refused call now waits for the budget if it is expected to allow a retry in the call's time, and ends at once otherwise. After two refusals it waits for a server that has told of a free slot in the last 300 ms, or for one latency target.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -21,6 +21,8 @@
 /// Minimum time before the deadline to offer a request to another server; with less, the response
 /// would be late.
 const MIN_OFFER_TIME: Duration = Duration::from_millis(15);
+/// Interval at which a request checks whether the retry budget allows a retry.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of servers tried while none has run a request that does not wait for slots.
 const MAX_OFFERS: u32 = 4;
 
@@ -32,8 +34,8 @@
     offers: OfferHistory,
     /// Whether the request waits for a free slot.
     may_wait: bool,
-    /// Time at which a server last refused the request.
-    refused_at: Option<MonoTime>,
+    /// Number of refusals by servers and time of the last one.
+    refusals: Option<(u32, MonoTime)>,
     last_failure: Option<(ResponseHead, Bytes)>,
 }
 
@@ -42,7 +44,7 @@
     pub fn new(context: &Arc<GatewayContext>, request: CallerRequest) -> CallForwarder {
         CallForwarder {
             may_wait: slot_wait::takes_effect(context, &request),
-            refused_at: None,
+            refusals: None,
             context: Arc::clone(context),
             request,
             excluded: BTreeSet::new(),
@@ -66,7 +68,7 @@
                 break;
             }
             let is_retry = self.offers.arrivals() > 0;
-            if is_retry && !self.allows_retry() {
+            if is_retry && !self.wait_for_retry().await {
                 break;
             }
             let reservation = match self.reserve().await {
@@ -87,7 +89,7 @@
             }
             if is_retry && !self.take_retry() {
                 reservation.close();
-                break;
+                continue;
             }
             self.excluded.insert(reservation.server());
             let fields = SystemHeaders { server_id: reservation.id(), ..SystemHeaders::default() };
@@ -160,7 +162,8 @@
         self.log_offer(reservation, "refused");
         if self.may_wait {
             self.excluded.remove(&reservation.server());
-            self.refused_at = Some(self.context.clock.now());
+            let count = self.refusals.map_or(1, |(count, _)| count + 1);
+            self.refusals = Some((count, self.context.clock.now()));
         }
     }
 
@@ -172,27 +175,33 @@
         failure.with_retry_after(slot_wait::retry_time(&self.context, &self.request))
     }
 
-    /// Returns whether the request may be retried.
-    fn allows_retry(&self) -> bool {
+    /// Waits until the request may be retried. Returns false if it never may, or not while the
+    /// retry could be answered: a request that does not wait for slots does not wait here either.
+    async fn wait_for_retry(&self) -> bool {
         if !self.offers.allows_offer(&self.request.route) {
             return false;
         }
-        let now = self.context.clock.now();
-        let has_budget = self.context.view().allows_retry(&self.request.service, now);
-        if !has_budget {
-            self.log_no_retry();
+        loop {
+            let now = self.context.clock.now();
+            let time = self.context.view().time_to_retry(&self.request.service, now);
+            if time == Some(Duration::ZERO) {
+                return true;
+            }
+            let left = self.request.time_left().saturating_sub(self.request.route.latency_target);
+            let is_stopping = self.context.rejects_requests();
+            if !self.may_wait || is_stopping || time.is_none_or(|time| time > left) {
+                self.log_no_retry();
+                return false;
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
         }
-        has_budget
     }
 
-    /// Takes a retry from the budget. Returns false if other requests used it up.
+    /// Takes a retry from the budget. Returns false if other requests used it up while this one
+    /// waited for a slot.
     fn take_retry(&self) -> bool {
         let now = self.context.clock.now();
-        let has_budget = self.context.view().take_retry(&self.request.service, now);
-        if !has_budget {
-            self.log_no_retry();
-        }
-        has_budget
+        self.context.view().take_retry(&self.request.service, now)
     }
 
     fn log_no_retry(&self) {
@@ -203,7 +212,7 @@
     async fn reserve(&self) -> Result<ServerReservation, WaitFailure> {
         let (context, request) = (&self.context, &self.request);
         if self.may_wait {
-            return slot_wait::reserve_server(context, request, &self.excluded, self.refused_at)
+            return slot_wait::reserve_server(context, request, &self.excluded, self.refusals)
                 .await;
         }
         let now = context.clock.now();
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -517,10 +517,11 @@
         self.retry_budget(service, now).note_request(now);
     }
 
-    /// Returns whether a service's budget allows a retry now.
-    pub fn allows_retry(&mut self, service: &str, now: MonoTime) -> bool {
+    /// Returns the expected time until a service's budget allows a retry, or `None` if it never
+    /// does.
+    pub fn time_to_retry(&mut self, service: &str, now: MonoTime) -> Option<Duration> {
         let limit = self.retry_limit();
-        self.retry_budget(service, now).allows_retry(limit, now)
+        self.retry_budget(service, now).time_to_retry(limit, now)
     }
 
     /// Takes one retry from a service's budget. Returns false if the budget is exhausted.
--- a/crates/gateway/src/plain_calls/call_queue.rs
+++ b/crates/gateway/src/plain_calls/call_queue.rs
@@ -93,7 +93,8 @@
     }
 
     /// Serves the calls. `place` returns a placement of a call, or `None` if there is none. It must
-    /// be true that a call that excludes no server finds a placement if another call does.
+    /// be true that a call that excludes no server and needs no proof finds a placement if another
+    /// call does.
     ///
     /// Free slots go to the calls in order. Calls that have waited long enough for a slot that seems
     /// taken are placed without one. Calls that can no longer be answered in time are refused.
@@ -143,7 +144,7 @@
                 placed.push((id, placement));
                 true
             }
-            None => !call.excluded.is_empty(),
+            None => !call.excluded.is_empty() || (need == SlotNeed::Free && call.needs_proof),
         }
     }
 
--- a/crates/gateway/src/plain_calls/slot_placement.rs
+++ b/crates/gateway/src/plain_calls/slot_placement.rs
@@ -28,6 +28,9 @@
     let mut excluded = call.excluded.clone();
     if need == SlotNeed::Free {
         excluded.extend(&survey.full);
+        if call.needs_proof {
+            excluded.extend(&survey.unproven);
+        }
     }
     let query = PlacementQuery {
         service,
--- a/crates/gateway/src/plain_calls/slot_survey.rs
+++ b/crates/gateway/src/plain_calls/slot_survey.rs
@@ -11,6 +11,8 @@
 pub struct SlotSurvey {
     /// Servers without a free slot.
     pub full: BTreeSet<ServerKey>,
+    /// Servers that have not told their load lately.
+    pub unproven: BTreeSet<ServerKey>,
     /// Number of slots, including those of servers that accept no requests at the moment.
     pub slots: u32,
     /// Whether each server gives the number of its slots.
@@ -31,6 +33,7 @@
     ) -> SlotSurvey {
         let mut survey = SlotSurvey {
             full: BTreeSet::new(),
+            unproven: BTreeSet::new(),
             slots: 0,
             gives_slots: true,
             usual_latency: None,
@@ -49,6 +52,9 @@
             if !state.has_free_slot(now) {
                 survey.full.insert(key);
             }
+            if !state.has_reported_load(now) {
+                survey.unproven.insert(key);
+            }
         }
         latencies_ms.sort_by(f64::total_cmp);
         survey.usual_latency = latencies_ms
--- a/crates/gateway/src/plain_calls/slot_wait.rs
+++ b/crates/gateway/src/plain_calls/slot_wait.rs
@@ -13,6 +13,9 @@
 
 /// Minimum time limit of a route, as a multiple of its latency target, for its calls to wait.
 const MIN_LIMIT_TARGETS: u32 = 4;
+/// Number of refusals from which a call waits for a server that tells of a free slot. Each further
+/// offer draws on the retry budget.
+const PROOF_REFUSALS: u32 = 2;
 
 /// Failure to reserve a server.
 pub(crate) enum WaitFailure {
@@ -36,13 +39,13 @@
     SlotSurvey::new(&view, &request.service, &BTreeSet::new(), now).gives_slots
 }
 
-/// Reserves a server as soon as one has a free slot. `refused_at` is the time at which a server last
-/// refused the call.
+/// Reserves a server as soon as one has a free slot. `refusals` are the number of refusals of the
+/// call by servers so far and the time of the last one.
 pub(crate) async fn reserve_server(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
     excluded: &BTreeSet<ServerKey>,
-    refused_at: Option<MonoTime>,
+    refusals: Option<(u32, MonoTime)>,
 ) -> Result<ServerReservation, WaitFailure> {
     let now = context.clock.now();
     let survey = SlotSurvey::new(&context.view(), &request.service, excluded, now);
@@ -51,7 +54,7 @@
     let (arrived, deadline) =
         (context.clock.at(request.arrived), context.clock.at(request.deadline));
     let mut times = CallTimes::new(arrived, deadline, target, survey.usual_latency);
-    if let Some(refused_at) = refused_at {
+    if let Some((_, refused_at)) = refusals {
         times = times.after_refusal(refused_at, target);
     }
     if opens_at > now && opens_at >= times.end_at {
@@ -61,6 +64,7 @@
         rank: request.rank(),
         arrived,
         times,
+        needs_proof: refusals.is_some_and(|(count, _)| count >= PROOF_REFUSALS),
         excluded: excluded.clone(),
         sample_seed: request.sample_seed,
     };
--- a/crates/gateway/src/plain_calls/waiting_call.rs
+++ b/crates/gateway/src/plain_calls/waiting_call.rs
@@ -16,6 +16,9 @@
     pub arrived: MonoTime,
     /// Times that bound the wait.
     pub times: CallTimes,
+    /// Whether a slot counts as free only if the server has lately told its load. Several servers
+    /// have refused the call, so the others are probably full, too.
+    pub needs_proof: bool,
     /// Servers that must not get the call.
     pub excluded: BTreeSet<ServerKey>,
     /// Seed of the random part of the choice of a server.
--- a/crates/gateway/src/retries/retry_budget.rs
+++ b/crates/gateway/src/retries/retry_budget.rs
@@ -58,6 +58,19 @@
         self.available >= 1.0
     }
 
+    /// Returns the expected time until the budget allows a retry, if none is sent before, and as many
+    /// requests arrive as in the last window. `None` if it never does.
+    pub fn time_to_retry(&mut self, limit: RetryLimit, now: MonoTime) -> Option<Duration> {
+        if self.allows_retry(limit, now) {
+            return Some(Duration::ZERO);
+        }
+        let per_request = RATIO_FRACTION * limit.ratio;
+        let per_window = ALLOWANCE_FRACTION * limit.allowance * (1.0 - KEPT_WINDOWS);
+        let earned = per_request * self.requests.len() as f64 + per_window;
+        let windows = (1.0 - self.available) / earned;
+        Duration::try_from_secs_f64(windows * self.window.as_secs_f64()).ok()
+    }
+
     /// Counts a retry and returns true if the budget allows it.
     pub fn take_retry(&mut self, limit: RetryLimit, now: MonoTime) -> bool {
         if !self.allows_retry(limit, now) {
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -131,6 +131,11 @@
             && self.total_load(now).requests < self.record.slots
     }
 
+    /// Returns whether the server has told its load so recently that it is used.
+    pub fn has_reported_load(&self, now: MonoTime) -> bool {
+        self.reported_requests.is_some_and(|(at, _)| now.since(at) <= REPORTED_LOAD_AGE)
+    }
+
     /// Returns whether the server itself asked for a pause that has not ended.
     pub fn declines_requests(&self, now: MonoTime) -> bool {
         now < self.declined_until
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod peer_tables;
 mod placements;
 mod plain_calls;
+mod plain_fleet;
 mod response_heads;
 mod revocation;
 mod revocation_model;
--- a/crates/gateway/tests/all/plain_calls.rs
+++ b/crates/gateway/tests/all/plain_calls.rs
@@ -28,6 +28,7 @@
         rank,
         arrived,
         times: CallTimes::new(arrived, arrived + LIMIT, TARGET, Some(USUAL)),
+        needs_proof: false,
         excluded: BTreeSet::new(),
         sample_seed: arrived_ms,
     }
@@ -126,6 +127,25 @@
     assert!(state.has_free_slot(at(510)));
 }
 
+/// Pattern: a call was refused by two servers; nothing was heard from the third for a while.
+/// Guards against a third offer that is probably refused, too, and uses up the retry budget, and
+/// against a wait although a server tells of a free slot.
+#[test]
+fn call_that_was_refused_twice_waits_for_a_server_that_tells_of_a_slot() {
+    let mut view = desk_view(1, 2);
+    let key = key_of(&view, "p0");
+    let mut queue = CallQueue::default();
+    queue.enqueue(WaitingCall { needs_proof: true, ..call(0, 0) });
+    let other = queue.enqueue(call(1, 0));
+
+    let silent = serve_calls(&mut queue, &mut view, DESK, at(1));
+    view.server_mut(key).unwrap().note_reported_load(1, at(2));
+    let told = serve_calls(&mut queue, &mut view, DESK, at(2));
+
+    assert_eq!(silent.placed.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [other]);
+    assert_eq!(told.placed.len(), 1);
+}
+
 /// Pattern: a refused call waits again beside calls that arrived after it.
 /// Guards against a call that loses its turn with each refusal.
 #[test]
