gateway: deliver a server's failure without a wait for retries

A request that may have run has an outcome to report: its failure, or the server's error response. It waited for the retry budget like one that was only refused.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -176,7 +176,8 @@
     }
 
     /// Waits until the request may be retried. Returns false if it never may, or not while the
-    /// retry could be answered: a request that does not wait for slots does not wait here either.
+    /// retry could be answered. A request that does not wait for slots does not wait here either,
+    /// nor one that may have run, whose failure is known.
     async fn wait_for_retry(&self) -> bool {
         if !self.offers.allows_offer(&self.request.route) {
             return false;
@@ -188,8 +189,9 @@
                 return true;
             }
             let left = self.request.time_left().saturating_sub(self.request.route.latency_target);
-            let is_stopping = self.context.rejects_requests();
-            if !self.may_wait || is_stopping || time.is_none_or(|time| time > left) {
+            let may_wait =
+                self.may_wait && !self.offers.may_have_run() && !self.context.rejects_requests();
+            if !may_wait || time.is_none_or(|time| time > left) {
                 self.log_no_retry();
                 return false;
             }
--- a/crates/gateway/tests/all/call_forwarding.rs
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -350,6 +350,24 @@
     assert_eq!(servers.requests.load(Ordering::Relaxed), 2);
 }
 
+/// Pattern: a server fails while the retry budget is empty and fills slowly.
+/// Guards against an answer that is held back until a retry would be allowed.
+#[tokio::test]
+async fn failure_of_a_server_is_delivered_while_no_retry_is_left() {
+    const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\nx-echo-id: a1\r\nx-signature: s\r\ncontent-length: 0\r\n\r\n";
+    let servers = scripted_servers(&[FAILURE, ANSWER]).await;
+    let context = context_with(&servers, DESK);
+    while context.view().take_retry(DESK, context.clock.now()) {}
+    let request =
+        caller_request(&context, waiting_route(RouteKind::Idempotent), TokenDemand::default());
+    let started = Instant::now();
+
+    let response = CallForwarder::new(&context, request).run().await.ok().unwrap();
+
+    assert_eq!(response.status().as_u16(), 500);
+    assert!(started.elapsed() < Duration::from_millis(150), "{:?}", started.elapsed());
+}
+
 /// Pattern: servers refuse, and one loses its response.
 /// Guards against a booking that is offered again after it may have run (TWICE), and against a
 /// false "not run" after it (REFUSED).
