Merge plain calls at full servers and the bounds of a VM

They take effect only where the plan has a deferrable route, since earlier deployments are served as before. The priorities and targets of a service's routes are computed once for each plan, not for each request.

--- a/crates/gateway/src/call_forwarder.rs
+++ b/crates/gateway/src/call_forwarder.rs
@@ -3,14 +3,16 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use dragonflycart_core::ErrorKind;
+use dragonflycart_core::{ErrorKind, MonoTime};
 use hyper::Response;
 use tracing::info;
 
 use crate::{
     AttemptOutcome, CallerRequest, ConnectionError, GatewayContext, GatewayFailure, OfferHistory,
     OpenResponse, ResponseBody, ResponseHead, RunEnd, ServerReservation, SystemHeaders,
-    memory::ReservedBytes, response_body, response_relay, server_attempt,
+    memory::ReservedBytes,
+    plain_calls::slot_wait::{self, WaitFailure},
+    response_body, response_relay, server_attempt,
 };
 
 /// Maximum response size of a plain service, in bytes. Responses are buffered whole, so that a
@@ -19,7 +21,9 @@
 /// Minimum time before the deadline to offer a request to another server; with less, the response
 /// would be late.
 const MIN_OFFER_TIME: Duration = Duration::from_millis(15);
-/// Maximum number of servers tried while none has run the request.
+/// Interval at which a request checks whether the retry budget allows a retry.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum number of servers tried while none has run a request that does not wait for slots.
 const MAX_OFFERS: u32 = 4;
 
 /// Forwards one request.
@@ -28,6 +32,10 @@
     request: CallerRequest,
     excluded: BTreeSet<crate::ServerKey>,
     offers: OfferHistory,
+    /// Whether the request waits for a free slot.
+    may_wait: bool,
+    /// Number of refusals by servers and time of the last one.
+    refusals: Option<(u32, MonoTime)>,
     last_failure: Option<(ResponseHead, Bytes)>,
 }
 
@@ -35,6 +43,8 @@
     /// Builds the forwarder of a request.
     pub fn new(context: &Arc<GatewayContext>, request: CallerRequest) -> CallForwarder {
         CallForwarder {
+            may_wait: slot_wait::takes_effect(context, &request),
+            refusals: None,
             context: Arc::clone(context),
             request,
             excluded: BTreeSet::new(),
@@ -50,15 +60,37 @@
     /// Returns the failure to report to the caller.
     pub async fn run(mut self) -> Result<Response<ResponseBody>, GatewayFailure> {
         let mut failure = server_attempt::not_run("no server takes work");
-        for _ in 0..MAX_OFFERS {
+        let mut tries = 0;
+        while self.may_wait || tries < MAX_OFFERS {
+            tries += 1;
             if self.request.time_left() < MIN_OFFER_TIME {
                 failure = self.too_late();
                 break;
             }
-            if self.offers.arrivals() > 0 && !self.may_retry() {
+            let is_retry = self.offers.arrivals() > 0;
+            if is_retry && !self.wait_for_retry().await {
                 break;
             }
-            let Some(reservation) = self.place() else { break };
+            let reservation = match self.reserve().await {
+                Ok(reservation) => reservation,
+                Err(WaitFailure::NoServer) => break,
+                Err(WaitFailure::Refused(refusal)) => {
+                    if !self.offers.may_have_run() {
+                        failure = refusal;
+                    }
+                    break;
+                }
+            };
+            // A VM that was frozen may serve its waiting requests after their time.
+            if self.request.time_left() < MIN_OFFER_TIME {
+                reservation.close();
+                failure = self.too_late();
+                break;
+            }
+            if is_retry && !self.take_retry() {
+                reservation.close();
+                continue;
+            }
             self.excluded.insert(reservation.server());
             let fields = SystemHeaders { server_id: reservation.id(), ..SystemHeaders::default() };
             let outcome =
@@ -75,9 +107,8 @@
                 }
                 AttemptOutcome::ServerWithdrawn => self.log_offer(&reservation, "withdrawn"),
                 AttemptOutcome::Refused { .. } => {
-                    self.offers.note_refused();
-                    self.log_offer(&reservation, "refused");
-                    failure = GatewayFailure::new(ErrorKind::Overloaded, "all servers refused");
+                    self.note_refused(&reservation);
+                    failure = self.refused_failure();
                 }
                 AttemptOutcome::Lost(error) => {
                     self.offers.note_possible_run();
@@ -129,23 +160,73 @@
         }
     }
 
-    /// Returns whether the request may be retried. Takes the retry from the budget.
-    fn may_retry(&self) -> bool {
+    /// Records that a server refused the request. A request that waits may be offered to it again.
+    fn note_refused(&mut self, reservation: &ServerReservation) {
+        self.offers.note_refused();
+        self.log_offer(reservation, "refused");
+        if self.may_wait {
+            self.excluded.remove(&reservation.server());
+            let count = self.refusals.map_or(1, |(count, _)| count + 1);
+            self.refusals = Some((count, self.context.clock.now()));
+        }
+    }
+
+    fn refused_failure(&self) -> GatewayFailure {
+        let failure = GatewayFailure::new(ErrorKind::Overloaded, "all servers refused");
+        if !self.may_wait {
+            return failure;
+        }
+        failure.with_retry_after(slot_wait::retry_time(&self.context, &self.request))
+    }
+
+    /// Waits until the request may be retried. Returns false if it never may, or not while the
+    /// retry could be answered. A request that does not wait for slots does not wait here either,
+    /// nor one that may have run, whose failure is known.
+    async fn wait_for_retry(&self) -> bool {
         if !self.offers.allows_offer(&self.request.route) {
             return false;
         }
-        let has_budget =
-            self.context.view().take_retry(&self.request.service, self.context.clock.now());
-        if !has_budget {
-            info!(id = self.request.attempt, service = self.request.service, "call: no retry left");
+        loop {
+            let now = self.context.clock.now();
+            let time = self.context.view().time_to_retry(&self.request.service, now);
+            if time == Some(Duration::ZERO) {
+                return true;
+            }
+            let left = self.request.time_left().saturating_sub(self.request.route.latency_target);
+            let may_wait =
+                self.may_wait && !self.offers.may_have_run() && !self.context.rejects_requests();
+            if !may_wait || time.is_none_or(|time| time > left) {
+                self.log_no_retry();
+                return false;
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
         }
-        has_budget
     }
 
-    fn place(&mut self) -> Option<ServerReservation> {
+    /// Takes a retry from the budget. Returns false if other requests used it up while this one
+    /// waited for a slot.
+    fn take_retry(&self) -> bool {
         let now = self.context.clock.now();
-        let placement = self.context.view().place(&self.request.query(&self.excluded), now).ok()?;
-        Some(ServerReservation::new(&self.context, placement))
+        self.context.view().take_retry(&self.request.service, now)
+    }
+
+    fn log_no_retry(&self) {
+        info!(id = self.request.attempt, service = self.request.service, "call: no retry left");
+    }
+
+    /// Reserves a server, as soon as one has a free slot if the request waits.
+    async fn reserve(&self) -> Result<ServerReservation, WaitFailure> {
+        let (context, request) = (&self.context, &self.request);
+        if self.may_wait {
+            return slot_wait::reserve_server(context, request, &self.excluded, self.refusals)
+                .await;
+        }
+        let now = context.clock.now();
+        let placement = context.view().place(&request.query(&self.excluded), now);
+        match placement {
+            Ok(placement) => Ok(ServerReservation::new(context, placement)),
+            Err(_) => Err(WaitFailure::NoServer),
+        }
     }
 
     /// Reads the body of a response. A server's error response is kept, so that it can be returned
--- a/crates/gateway/src/duties/duty_exchange.rs
+++ b/crates/gateway/src/duties/duty_exchange.rs
@@ -151,7 +151,7 @@
         let Some(plan) = self.context.view().plan().cloned() else { return Vec::new() };
         let mut waiting = Vec::new();
         for service in plan.services.values().filter(|service| service.scaling.is_some()) {
-            let requests = self.context.wait_queue().count(&service.name) as u32;
+            let requests = self.context.admission.table().queue.count(&service.name) as u32;
             if requests > 0 {
                 waiting.push(WaitingCount { service: service.name.clone(), requests });
             }
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    BodyBudget, ConnectionPool, DutyPlatform, EngineAdmission, EngineProtocol, FleetStore,
-    FleetTables, FleetView, GatewayClock, GatewayMetrics, HeaderNames, PeerTable, PlanFreshness,
-    ResponseMemory, StopPhase, VmDuties, VmSettings,
+    BodyBudget, CallDispatcher, ConnectionPool, DutyPlatform, EngineAdmission, EngineProtocol,
+    FleetStore, FleetTables, FleetView, GatewayClock, GatewayMetrics, HeaderNames, PeerTable,
+    PlanFreshness, ResponseMemory, StopPhase, VmDuties, VmLoad, VmSettings,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -31,6 +31,8 @@
     pub bodies: BodyBudget,
     /// Memory budgets for responses.
     pub responses: ResponseMemory,
+    /// Plain calls that wait for a slot.
+    pub plain_calls: CallDispatcher,
     /// Idle connections to servers.
     pub pool: Arc<ConnectionPool>,
     /// Clock.
@@ -46,6 +48,7 @@
     view: Mutex<FleetView>,
     peers: Mutex<PeerTable>,
     freshness: Mutex<PlanFreshness>,
+    vm_load: Mutex<VmLoad>,
     crashes: Mutex<CrashLedger>,
     /// Calls that one VM makes for the fleet, if the deployment has any.
     pub duties: Option<Arc<VmDuties>>,
@@ -78,12 +81,14 @@
             peers: Mutex::new(PeerTable::new(&settings.name, &settings.zone)),
             freshness: Mutex::new(PlanFreshness::new(settings.revocation_time)),
             admission: EngineAdmission::default(),
+            vm_load: Mutex::new(VmLoad::new(settings.memory_bytes, settings.cpu_share)),
             crashes: Mutex::default(),
             duties: None,
             evidence_changes: Notify::new(),
             load_changes: Notify::new(),
             bodies: BodyBudget::new(settings.memory_bytes),
             responses: ResponseMemory::new(settings.memory_bytes),
+            plain_calls: CallDispatcher::default(),
             settings,
             names,
             store,
@@ -122,6 +127,11 @@
         self.freshness.lock().expect("no holder of the freshness lock panics")
     }
 
+    /// Locks the load of this VM. Hold the lock for a single decision only.
+    pub fn vm_load(&self) -> MutexGuard<'_, VmLoad> {
+        self.vm_load.lock().expect("no holder of the load's lock panics")
+    }
+
     /// Locks the ledger of crashes. Hold the lock for a single decision only.
     pub fn crashes(&self) -> MutexGuard<'_, CrashLedger> {
         self.crashes.lock().expect("no holder of the ledger's lock panics")
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -61,6 +61,11 @@
     store_calls: Family<ResultLabels, Counter>,
     samples: Family<ResultLabels, Counter>,
     duty_calls: Family<ResultLabels, Counter>,
+    load_refusals: Family<ReasonLabels, Counter>,
+    /// Plain calls that wait for a slot.
+    pub waiting_calls: Gauge,
+    /// Average delay of the process's timers, in milliseconds.
+    pub timer_delay_ms: Gauge,
     /// Number of connections opened to servers.
     pub connections: Counter,
     /// Number of leases that engines refused for lack of room.
@@ -115,6 +120,9 @@
             store_calls: Family::default(),
             samples: Family::default(),
             duty_calls: Family::default(),
+            load_refusals: Family::default(),
+            waiting_calls: Gauge::default(),
+            timer_delay_ms: Gauge::default(),
             connections: Counter::default(),
             leases_refused: Counter::default(),
             responses_without_memory: Counter::default(),
@@ -182,6 +190,21 @@
             "Calls for the duties by kind and result",
             self.duty_calls.clone(),
         );
+        registry.register(
+            "load_refusals",
+            "Requests refused as not run because of load, by reason",
+            self.load_refusals.clone(),
+        );
+        registry.register(
+            "waiting_calls",
+            "Plain calls that wait for a slot",
+            self.waiting_calls.clone(),
+        );
+        registry.register(
+            "timer_delay_milliseconds",
+            "Average delay of the timers of the process",
+            self.timer_delay_ms.clone(),
+        );
         registry.register("connections", "Connections opened to servers", self.connections.clone());
         registry.register(
             "leases_refused",
@@ -308,6 +331,11 @@
         self.samples.get_or_create(&ResultLabels { result }).inc_by(count);
     }
 
+    /// Counts a request that is refused because of load.
+    pub fn count_load_refusal(&self, reason: &'static str) {
+        self.load_refusals.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.get_or_create(&ResultLabels { result }).inc();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,11 +49,13 @@
 mod move_schedule;
 mod moves;
 mod order_updates;
+mod overload;
 mod peer_exchange;
 mod peer_report;
 mod peer_table;
 mod placement;
 mod placement_query;
+mod plain_calls;
 mod planned_route;
 mod planned_service;
 mod planned_team;
@@ -106,6 +108,7 @@
     call_forwarder::CallForwarder,
     caller_limits::CallerLimits,
     caller_request::{CallerRequest, SystemHeaders},
+    caller_server::serve as serve_callers,
     capacity::{apply_speeds, speed_entries},
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     connection_error::ConnectionError,
@@ -138,6 +141,7 @@
     membership::{ReportRecipients, SurveyedEngine},
     memory::{MemoryBudget, MemoryReservation, ResponseMemory, StreamMemory},
     move_schedule::{CopyStart, MoveSchedule},
+    overload::{LoadChange, RefusalReason, TimerDelay, VmLoad},
     peer_exchange::PeerExchange,
     peer_report::{
         DemandEntry, LeavingEntry, LoadEntry, PeerEntry, PeerReport, RankEntry, RouteEntry,
@@ -146,6 +150,10 @@
     peer_table::PeerTable,
     placement::Placement,
     placement_query::PlacementQuery,
+    plain_calls::{
+        CallDispatcher, CallId, CallQueue, CallTimes, ServedCalls, SlotNeed, SlotSurvey,
+        WaitingCall, serve_calls,
+    },
     planned_route::PlannedRoute,
     planned_service::PlannedService,
     planned_team::PlannedTeam,
--- a/crates/gateway/src/route_plan.rs
+++ b/crates/gateway/src/route_plan.rs
@@ -1,6 +1,9 @@
 //! The route plan.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use dragonflycart_admission::AdmissionClass;
 
@@ -19,6 +22,9 @@
     pub limits: CallerLimits,
     /// Teams by key, or `None` if the plan has no teams and needs no credentials.
     teams: Option<BTreeMap<String, PlannedTeam>>,
+    /// Priorities and latency targets of the routes of each engine service. A plan may have
+    /// thousands of routes, and these are needed for each request.
+    targets: BTreeMap<String, BTreeSet<(u8, Duration)>>,
 }
 
 impl RoutePlan {
@@ -37,12 +43,25 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
+        let services: BTreeMap<String, PlannedService> =
+            services.into_iter().map(|service| (service.name.clone(), service)).collect();
+        let mut targets = BTreeMap::<String, BTreeSet<(u8, Duration)>>::new();
+        for route in by_host.values().flatten() {
+            for (service, _) in &route.services {
+                if services.get(service).is_none_or(|service| service.engine.is_none()) {
+                    continue;
+                }
+                let known = targets.entry(service.clone()).or_default();
+                known.insert((route.priority, route.latency_target));
+            }
+        }
         RoutePlan {
             version,
             routes: by_host,
-            services: services.into_iter().map(|service| (service.name.clone(), service)).collect(),
+            services,
             limits,
             teams: teams.map(index_teams),
+            targets,
         }
     }
 
@@ -67,25 +86,22 @@
     /// deferrable if another route of an engine service is more urgent and has a shorter latency
     /// target.
     pub fn admission_class(&self, route: &PlannedRoute, service: &str) -> AdmissionClass {
-        if self.services.get(service).is_none_or(|service| service.engine.is_none()) {
-            return AdmissionClass::Unmanaged;
-        }
-        let uses = |route: &&PlannedRoute| route.services.iter().any(|(used, _)| used == service);
-        let routes: Vec<&PlannedRoute> = self.routes.values().flatten().filter(uses).collect();
-        let is_deferrable = |route: &PlannedRoute| {
-            routes.iter().any(|other| {
-                other.priority < route.priority && other.latency_target < route.latency_target
-            })
-        };
-        if is_deferrable(route) {
+        let Some(targets) = self.targets.get(service) else { return AdmissionClass::Unmanaged };
+        if is_deferrable(targets, (route.priority, route.latency_target)) {
             AdmissionClass::Deferrable
-        } else if routes.iter().any(|other| is_deferrable(other)) {
+        } else if has_deferrable(targets) {
             AdmissionClass::Urgent
         } else {
             AdmissionClass::Unmanaged
         }
     }
 
+    /// Returns whether some engine service has a deferrable route. Only then do VMs order what waits
+    /// at plain services and refuse requests because they are overloaded themselves.
+    pub fn has_deferrable_route(&self) -> bool {
+        self.targets.values().any(has_deferrable)
+    }
+
     /// Returns whether non-public routes require a credential.
     pub fn has_teams(&self) -> bool {
         self.teams.is_some()
@@ -106,3 +122,13 @@
     }
     by_key
 }
+
+/// Returns whether a route with this priority and latency target is deferrable among the routes of
+/// a service.
+fn is_deferrable(targets: &BTreeSet<(u8, Duration)>, (priority, target): (u8, Duration)) -> bool {
+    targets.iter().any(|(other, other_target)| *other < priority && *other_target < target)
+}
+
+fn has_deferrable(targets: &BTreeSet<(u8, Duration)>) -> bool {
+    targets.iter().any(|route| is_deferrable(targets, *route))
+}
--- a/crates/gateway/src/server_reservation.rs
+++ b/crates/gateway/src/server_reservation.rs
@@ -105,6 +105,7 @@
             view.service_of(server).filter(|_| !view.is_closed(server))
         };
         if load.memory_tokens() == 0 {
+            self.context.plain_calls.serve(&self.context);
             return;
         }
         self.context.load_changes.notify_one();
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -19,6 +19,8 @@
 pub(crate) const ENGINES: &str = "assistant";
 /// Plain service.
 pub(crate) const DESK: &str = "desk";
+/// Service with engines that no test starts.
+pub(crate) const BATCH: &str = "batch";
 /// Memory of an engine, in tokens.
 pub(crate) const MEMORY_TOKENS: u64 = 27_000;
 
@@ -35,6 +37,7 @@
         ready_address: "127.0.0.1:0".parse().unwrap(),
         peer_port: 0,
         memory_bytes: 110 << 20,
+        cpu_share: 0.25,
         stop_grace: Duration::from_secs(8),
         retry_ratio: 0.2,
         retry_allowance: 58.0,
@@ -72,7 +75,14 @@
     }
 }
 
+/// Plan with an engine service of its own that has a deferrable route, so that VMs order what waits.
+/// No server serves it.
 pub(crate) fn plan(version: u64) -> RoutePlan {
+    let batch = PlannedRoute {
+        priority: 2,
+        latency_target: Duration::from_secs(4),
+        ..route("batch", "/batch/", RouteKind::Stream, BATCH)
+    };
     let service = |name: &str, cold_rate, engine| PlannedService {
         name: name.to_owned(),
         cold_rate,
@@ -86,8 +96,14 @@
             route("reports", "/reports/", RouteKind::Stream, ENGINES),
             route("bookings", "/bookings/", RouteKind::NonIdempotent, DESK),
             route("urgent", "/bookings/urgent/", RouteKind::NonIdempotent, DESK),
+            route("chat", "/chat/", RouteKind::Stream, BATCH),
+            batch,
+        ],
+        vec![
+            service(ENGINES, 38.0, Some(engine_spec())),
+            service(DESK, 0.0, None),
+            service(BATCH, 0.0, Some(engine_spec())),
         ],
-        vec![service(ENGINES, 38.0, Some(engine_spec())), service(DESK, 0.0, None)],
         CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1 << 20,
