--- a/crates/capacity/src/capacity_table.rs
+++ b/crates/capacity/src/capacity_table.rs
@@ -22,8 +22,6 @@
 const MEDIAN_INTERVAL: Duration = Duration::from_millis(200);
 /// Bound of the learned speed, as a logarithm: a factor of 10.
 const LOG_LIMIT: f64 = 2.3;
-/// Speed below which a server counts as avoided, as a logarithm: 0.7.
-const AVOIDED_LOG: f64 = -0.36;
 /// Change of the learned speed that is reported, as a logarithm: a factor of 1.35.
 const TOLD_DIFFERENCE: f64 = 0.3;
 /// Minimum time between two reports of the speed of one server.
@@ -300,11 +298,7 @@
 
     /// Returns whether a server is so slow that it is avoided.
     pub fn is_avoided(&self, server: K, now: MonoTime) -> bool {
-        self.servers.get(&server).is_some_and(|estimate| self.is_slow(estimate, now))
-    }
-
-    fn is_slow(&self, estimate: &ServerEstimate, now: MonoTime) -> bool {
-        estimate.relative_log(self.median_log, now) < AVOIDED_LOG
+        self.outlook(server, now).is_avoided()
     }
 
     /// Returns whether an avoided server had no sample for `wait` and this VM is to send it a request,
@@ -312,7 +306,7 @@
     pub fn is_retest_due(&self, server: K, wait: Duration, now: MonoTime) -> bool {
         let Some(estimate) = self.servers.get(&server) else { return false };
         let Some(sampled_at) = estimate.sampled_at() else { return false };
-        self.is_slow(estimate, now) && now.since(sampled_at) >= wait && now >= estimate.next_retest
+        self.is_avoided(server, now) && now.since(sampled_at) >= wait && now >= estimate.next_retest
     }
 
     /// Records that this VM sends a request to a server so that it is measured again.
--- a/crates/capacity/src/server_outlook.rs
+++ b/crates/capacity/src/server_outlook.rs
@@ -1,5 +1,8 @@
 //! What is expected of a server at one moment.
 
+/// Speed below which a server counts as avoided.
+const AVOIDED_SPEED: f64 = 0.7;
+
 /// What is expected of a server at one moment.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServerOutlook {
@@ -19,6 +22,11 @@
 }
 
 impl ServerOutlook {
+    /// Returns whether the server is so slow that it is avoided.
+    pub fn is_avoided(&self) -> bool {
+        self.speed < AVOIDED_SPEED
+    }
+
     /// Returns how long work takes now, as a multiple of the median of the service.
     pub fn slowness(&self) -> f64 {
         self.pace / self.speed
--- a/crates/gateway/src/fleet_view/choice.rs
+++ b/crates/gateway/src/fleet_view/choice.rs
@@ -183,6 +183,10 @@
         let holds_prefix = query.shared_prefix.is_some_and(|prefix| {
             self.prefixes.get(&key).is_some_and(|prefixes| prefixes.contains_key(&prefix))
         });
+        let capacity = capacity.map(|table| (table, table.outlook(key, now)));
+        let is_retest = capacity.is_some_and(|(table, outlook)| {
+            outlook.is_avoided() && self.is_retest(table, (key, state), query, now)
+        });
         let score = ServerScore {
             key,
             state,
@@ -190,8 +194,7 @@
             holds_prefix,
             own_zone: &self.settings.zone,
             capacity,
-            is_retest: capacity
-                .is_some_and(|table| self.is_retest(table, (key, state), query, now)),
+            is_retest,
         };
         score.value(query, now)
     }
--- a/crates/gateway/src/fleet_view/learned_capacity.rs
+++ b/crates/gateway/src/fleet_view/learned_capacity.rs
@@ -35,7 +35,7 @@
         self.capacity(query.service).filter(|_| PlacementCost::applies_to(query))
     }
 
-    /// Returns whether this request is to be sent to an avoided server so that it is measured again.
+    /// Returns whether this request is to be sent to an avoided server, `state`, so that it is measured again.
     pub(super) fn is_retest(
         &self,
         table: &CapacityTable<ServerKey>,
@@ -43,9 +43,6 @@
         query: &PlacementQuery<'_>,
         now: MonoTime,
     ) -> bool {
-        if !table.is_avoided(key, now) {
-            return false;
-        }
         let is_long = query.demand.output_tokens >= LONG_OUTPUT_TOKENS;
         let least_age = if is_long { LONG_RETEST_AGE } else { RETEST_AGE };
         // The VMs take turns, and begin with another one for each server.
--- a/crates/gateway/src/server_score.rs
+++ b/crates/gateway/src/server_score.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use dragonflycart_capacity::CapacityTable;
+use dragonflycart_capacity::{CapacityTable, ServerOutlook};
 use dragonflycart_core::MonoTime;
 
 use crate::{EngineSpec, PlacementQuery, ServerKey, ServerState, capacity::PlacementCost};
@@ -51,8 +51,9 @@
     pub holds_prefix: bool,
     /// Zone of this VM.
     pub own_zone: &'a str,
-    /// Learned capacity of the service's servers, if it is used for the request.
-    pub capacity: Option<&'a CapacityTable<ServerKey>>,
+    /// Learned capacity of the service's servers and what is expected of this one, if that is used
+    /// for the request.
+    pub capacity: Option<(&'a CapacityTable<ServerKey>, ServerOutlook)>,
     /// Whether the server is to be measured again.
     pub is_retest: bool,
 }
@@ -62,7 +63,7 @@
     pub fn value(&self, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
         let state = self.state;
         let mut score = match self.capacity {
-            Some(table) => self.learned_score(table, query, now),
+            Some(capacity) => self.learned_score(capacity, query, now),
             None => self.load_score(query, now),
         };
         score += self.zone_score(query);
@@ -88,13 +89,13 @@
 
     fn learned_score(
         &self,
-        table: &CapacityTable<ServerKey>,
+        (table, outlook): (&CapacityTable<ServerKey>, ServerOutlook),
         query: &PlacementQuery<'_>,
         now: MonoTime,
     ) -> f64 {
         let cost = PlacementCost {
             table,
-            outlook: table.outlook(self.key, now),
+            outlook,
             key: self.key,
             load: self.state.total_load(now),
             slots: self.state.record.slots,
