--- a/crates/gateway/src/admission/engine_lease.rs
+++ b/crates/gateway/src/admission/engine_lease.rs
@@ -6,7 +6,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dragonflycart_admission::AdmissionClass;
 use tracing::info;
 
 use crate::{CallerRequest, GatewayContext, GenerationReservation, LeaseResponse};
@@ -40,12 +39,7 @@
     if !request.admission.is_managed() {
         return LeaseOutcome::Ready;
     }
-    let growth = match request.admission {
-        AdmissionClass::Deferrable => (spec.memory_tokens as f64 * 0.15) as u64,
-        AdmissionClass::Urgent | AdmissionClass::Unmanaged => 0,
-    };
-    let demand = request.demand;
-    let tokens = (demand.prompt_tokens + demand.output_tokens + growth).min(spec.memory_tokens);
+    let tokens = request.demand.reserved_tokens().min(spec.memory_tokens);
     let call = context.engine_protocol.lease_call(tokens, spec.lease_time);
     let response = call.send(reservation.engine.address(), LEASE_TIMEOUT).await;
     let decoded = match &response {
