--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -3,9 +3,8 @@
 
 mod demand_reports;
 mod engine_admission;
-pub(crate) mod engine_lease;
 mod queue_entry;
 
-pub(crate) use self::{engine_lease::LeaseOutcome, queue_entry::QueueEntry};
+pub(crate) use self::queue_entry::QueueEntry;
 pub use demand_reports::{apply_report, fill_report};
 pub use engine_admission::EngineAdmission;
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -79,8 +79,6 @@
     pub resume_from: Option<&'a str>,
     /// Address of the engine that receives backup copies of the memory.
     pub backup_at: Option<&'a str>,
-    /// ID of the lease of a slot and memory at the server.
-    pub lease: Option<&'a str>,
     /// ID of the last event that was forwarded.
     pub last_event: Option<u64>,
     /// Whether a generation goes back to the server at which it was stopped, which may be leaving.
@@ -159,9 +157,6 @@
         if let Some(value) = fields.backup_at {
             push_header(&mut head, names.backup_at, value.as_bytes());
         }
-        if let Some(value) = fields.lease {
-            push_header(&mut head, names.lease, value.as_bytes());
-        }
         if let Some(number) = fields.last_event {
             push_header(&mut head, "last-event-id", number.to_string().as_bytes());
         }
--- a/crates/gateway/src/engine_protocol.rs
+++ b/crates/gateway/src/engine_protocol.rs
@@ -1,6 +1,6 @@
 //! Calls to engines about running generations.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use crate::{EngineReport, HttpCall};
 
@@ -23,18 +23,6 @@
     },
 }
 
-/// Response to a call that leases a slot and memory.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum LeaseResponse {
-    /// The slot and the memory are reserved.
-    Granted {
-        /// ID of the lease.
-        lease: String,
-    },
-    /// The engine has no free slot or not enough free memory.
-    NoRoom,
-}
-
 /// Encoding of calls to engines and decoding of their responses.
 pub trait EngineProtocol: Send + Sync {
     /// Builds the call that copies the memory of `attempt` to `target`. With `is_final`, the engine
@@ -44,12 +32,6 @@
     /// Builds the call that frees a copy.
     fn release_call(&self, handle: &str) -> HttpCall;
 
-    /// Builds the call that leases a slot and `tokens` of memory for `time`.
-    fn lease_call(&self, tokens: u64, time: Duration) -> HttpCall;
-
-    /// Decodes the response to a lease call, or returns `None` if it is invalid.
-    fn decode_lease(&self, status: u16, body: &[u8]) -> Option<LeaseResponse>;
-
     /// Builds the call that requests an engine's report.
     fn report_call(&self) -> HttpCall;
 
--- a/crates/gateway/src/engine_spec.rs
+++ b/crates/gateway/src/engine_spec.rs
@@ -16,7 +16,4 @@
     pub tokens_per_event: u32,
     /// Time to copy one token's memory to another engine in the same zone.
     pub token_copy_time: Duration,
-    /// Maximum time for which an engine leases a slot and memory to a request that is about to be
-    /// sent; zero if it leases none.
-    pub lease_time: Duration,
 }
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -12,10 +12,7 @@
 
 use crate::{
     CallerRequest, GatewayContext, GatewayFailure, GenerationReservation, ServerKey,
-    admission::{LeaseOutcome, QueueEntry, engine_lease},
-    containment::prompt_check,
-    revocation::key_check,
-    server_attempt,
+    admission::QueueEntry, containment::prompt_check, revocation::key_check, server_attempt,
 };
 
 /// Maximum time between attempts to find an engine. Memory that other VMs freed and requests that
@@ -26,12 +23,6 @@
 /// after the wait.
 const WAIT_TARGETS: f64 = 3.0;
 
-/// Time after an engine refused a lease in which the request asks no other one. It doubles with each
-/// further refusal.
-const LEASE_PAUSE: Duration = Duration::from_millis(5);
-/// Maximum of that time.
-const LEASE_PAUSE_MAX: Duration = Duration::from_millis(320);
-
 /// Inverse of the part of their remaining time for which callers honour a `Retry-After`.
 const RETRY_SHARE: u32 = 3;
 
@@ -64,8 +55,6 @@
     let mut estimate = None;
     let mut tries = 0_u32;
     let mut give_way = GiveWay::default();
-    let mut next_try = began;
-    let mut lease_pause = LEASE_PAUSE;
     loop {
         server_attempt::check_stop(context)?;
         key_check::check_request(context, request)?;
@@ -73,20 +62,11 @@
         if entry.has_turn() {
             tries += 1;
             if !gives_way(context, request, &entry, excluded, &mut give_way)
-                && Instant::now() >= next_try
-                && let Some(mut reservation) =
-                    GenerationReservation::take(context, request, excluded)
+                && let Some(reservation) = GenerationReservation::take(context, request, excluded)
             {
-                if engine_lease::take(context, request, &mut reservation).await
-                    == LeaseOutcome::Ready
-                {
-                    note_wait(context, request, estimate, began);
-                    charge(context, request);
-                    return Ok(reservation);
-                }
-                reservation.close();
-                next_try = Instant::now() + lease_pause;
-                lease_pause = (lease_pause * 2).min(LEASE_PAUSE_MAX);
+                note_wait(context, request, estimate, began);
+                charge(context, request);
+                return Ok(reservation);
             }
             entry.note_no_room();
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -68,8 +68,6 @@
     pub timer_delay_ms: Gauge,
     /// Number of connections opened to servers.
     pub connections: Counter,
-    /// Number of leases that engines refused for lack of room.
-    pub leases_refused: Counter,
     /// Number of responses given up because there was no memory for them.
     pub responses_without_memory: Counter,
     /// Number of engines found to have ended without notice.
@@ -124,7 +122,6 @@
             waiting_calls: Gauge::default(),
             timer_delay_ms: Gauge::default(),
             connections: Counter::default(),
-            leases_refused: Counter::default(),
             responses_without_memory: Counter::default(),
             engine_crashes: Counter::default(),
             contained_requests: Counter::default(),
@@ -206,11 +203,6 @@
             self.timer_delay_ms.clone(),
         );
         registry.register("connections", "Connections opened to servers", self.connections.clone());
-        registry.register(
-            "leases_refused",
-            "Leases that engines refused for lack of room",
-            self.leases_refused.clone(),
-        );
         registry.register(
             "responses_without_memory",
             "Responses given up because there was no memory for them",
--- a/crates/gateway/src/generation_reservation.rs
+++ b/crates/gateway/src/generation_reservation.rs
@@ -17,8 +17,6 @@
     pub engine: ServerReservation,
     /// Engine that receives the backup copies.
     pub backup: Option<ServerReservation>,
-    /// ID of the lease of a slot and memory at the engine.
-    pub lease: Option<String>,
 }
 
 impl GenerationReservation {
@@ -44,7 +42,7 @@
         if request.demand.output_tokens < MIN_BACKUP_TOKENS
             || !context.can_back_up(&request.service)
         {
-            return GenerationReservation { engine, backup: None, lease: None };
+            return GenerationReservation { engine, backup: None };
         }
         let mut excluded = excluded.clone();
         excluded.insert(engine.server());
@@ -57,7 +55,7 @@
         if backup.is_none() {
             info!(id = request.attempt, engine = engine.id(), "stream: no engine for copies");
         }
-        GenerationReservation { engine, backup, lease: None }
+        GenerationReservation { engine, backup }
     }
 
     /// Returns the address of the backup engine as a header value.
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -47,7 +47,6 @@
         server_id: reservation.engine.id(),
         resume_from: Some(source.resume_from),
         backup_at: backup_at.as_deref(),
-        lease: None,
         last_event,
         is_return: permit.is_return(),
     };
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -38,8 +38,6 @@
     pub resume_from: &'static str,
     /// Address of the engine that receives backup copies of a generation's memory.
     pub backup_at: &'static str,
-    /// ID of the lease of a slot and memory with which a request is admitted.
-    pub lease: &'static str,
     /// Further headers that only the gateway may set; those from callers are dropped.
     pub reserved: &'static [&'static str],
     /// Response headers of a server that are not forwarded to callers.
@@ -56,7 +54,6 @@
             self.urgency,
             self.resume_from,
             self.backup_at,
-            self.lease,
         ];
         own.contains(&name) || self.reserved.contains(&name)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -114,7 +114,7 @@
     connection_error::ConnectionError,
     connection_pool::ConnectionPool,
     duties::{BeforeSend, CloudError, CloudSettings, DutyCaller, DutyKind, DutyPlatform, VmDuties},
-    engine_protocol::{CopyResponse, EngineProtocol, LeaseResponse},
+    engine_protocol::{CopyResponse, EngineProtocol},
     engine_report::{EngineReport, RunningGeneration},
     engine_spec::EngineSpec,
     engine_wait::reserve_engine,
--- a/crates/gateway/src/resumption/stream_repeater.rs
+++ b/crates/gateway/src/resumption/stream_repeater.rs
@@ -97,7 +97,6 @@
         let fields = SystemHeaders {
             server_id: reservation.engine.id(),
             backup_at: backup_at.as_deref(),
-            lease: reservation.lease.as_deref(),
             // The caller's own header is kept as long as it has received nothing else.
             last_event: last_event.filter(|_| last_event != self.request.last_event),
             ..SystemHeaders::default()
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -173,7 +173,6 @@
             let fields = SystemHeaders {
                 server_id: reservation.engine.id(),
                 backup_at: backup_at.as_deref(),
-                lease: reservation.lease.as_deref(),
                 ..SystemHeaders::default()
             };
             let offer =
