--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -34,6 +34,7 @@
         cold_rate: 0.0,
         health_path: "/health".to_owned(),
         engine,
+        scaling: None,
     };
     let limits = CallerLimits {
         header_bytes: 16_384,
