gateway: forward keys that were removed and written again

A VM that takes a table from a peer saw such a key as renewed, if it missed the removal, and did not pass it on to a VM that knew only the removal, which then lacked the server. Records that a peer forwards now count as changes. Ruled out: reading from the store, whose batches have every record, and whole tables, which are forwarded whole.

--- a/crates/gateway/src/table_mirror.rs
+++ b/crates/gateway/src/table_mirror.rs
@@ -53,7 +53,13 @@
             self.removals_from = batch.next;
         }
         let records = batch.records.into_iter().filter(|record| record.offset >= known_to);
+        let missing = unknown.len();
         unknown.extend(records);
+        // What a peer forwards leaves records out: a key that looks renewed may have been removed in
+        // between, and a third VM may know only the removal.
+        let is_complete = (unknown.len() - missing) as u64 == batch.next.saturating_sub(known_to);
+        let shows_renewals = is_snapshot || is_complete;
+        let is_renewal = |old: &Bytes, new: &Bytes| shows_renewals && is_renewal(old, new);
         let mut delta = Vec::new();
         for record in unknown {
             if self.insert(record.clone(), &is_renewal) {
--- a/crates/gateway/tests/all/tables.rs
+++ b/crates/gateway/tests/all/tables.rs
@@ -48,6 +48,25 @@
     assert_eq!(mirror.since(0).records, vec![record(5, "a", Some("new"))]);
 }
 
+/// Guards against a server that is missing at a VM: its registration was removed and written again
+/// with the same content, and the VM learned of the removal from the store and of the rest through
+/// two peers, of which the second one saw a renewal only.
+#[test]
+fn key_that_was_written_again_is_forwarded_by_a_vm_that_missed_its_removal() {
+    let log = [record(0, "a", Some("1")), record(1, "a", None), record(2, "a", Some("1"))];
+    let (mut reader, mut relay) = (TableMirror::default(), TableMirror::default());
+    let mut subscriber = TableMirror::default();
+    apply(&mut reader, batch(log[..1].to_vec(), 1), true);
+    apply_delta(&mut relay, reader.all());
+    apply(&mut subscriber, batch(Vec::new(), 2), true);
+    apply(&mut reader, batch(log[1..].to_vec(), 3), false);
+
+    apply_delta(&mut relay, reader.since(1));
+    apply_delta(&mut subscriber, relay.since(2));
+
+    assert_eq!(subscriber.all().records, vec![record(2, "a", Some("1"))]);
+}
+
 /// After the store has deleted old records, removals can only be detected by missing keys.
 #[test]
 fn whole_batch_removes_missing_keys() {
