gateway: spread the engines that managed requests choose

Many VMs choose at the same time and hear of each other late, so that requests met at the same engines.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -118,7 +118,8 @@
             shared_prefix: self.prompt_parts.last().copied(),
             preferred_zone: None,
             moved_tokens: 0,
-            spread_seed: None,
+            // Many VMs choose at the same time, above all when an engine has just started.
+            spread_seed: self.admission.is_managed().then_some(self.sample_seed),
             sample_seed: self.sample_seed,
             admission: self.admission,
             excluded,
