--- a/crates/gateway/src/table_mirror.rs
+++ b/crates/gateway/src/table_mirror.rs
@@ -62,7 +62,7 @@
         let is_renewal = |old: &Bytes, new: &Bytes| shows_renewals && is_renewal(old, new);
         let mut delta = Vec::new();
         for record in unknown {
-            if self.insert(record.clone(), &is_renewal) {
+            if self.insert(record.clone(), is_renewal) {
                 delta.push(record);
             }
         }
