duties: let the last VM of a small fleet hold the lease

Cause: a VM held the lease only if it heard 40% of the other VMs of the last minute, not counting itself. After the loss of one of two VMs the other heard none of one, so nobody reported usage for a minute.

A VM now counts itself in both numbers; a zone of three or four that is cut off still has too few. The tests take their ports from the pool that the tests of real processes use, below the ephemeral range.

last_of_two_vms_may_hold_the_lease and last_vm_reports_after_the_loss_of_the_other failed before the change.

--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -11,6 +11,7 @@
 mod duty_lease;
 mod duty_message;
 mod duty_record;
+mod heard_share;
 mod lease_change;
 mod lease_permit;
 mod lease_step;
@@ -30,6 +31,7 @@
         DutyMessage, HolderNews, MESSAGE_BYTES, UsageNews, UsageReceipt, WaitingCount, WindowCounts,
     },
     duty_record::{DutyRecord, DutyState, ReportContent, ScaleOrder, TeamCount},
+    heard_share::hears_enough,
     lease_change::LeaseChange,
     lease_permit::LeasePermit,
     lease_step::LeaseStep,
--- a/crates/gateway/src/duties/lease_task.rs
+++ b/crates/gateway/src/duties/lease_task.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dragonflycart_duties::LeaseStep;
+use dragonflycart_duties::{LeaseStep, hears_enough};
 use tokio::time::Instant;
 use tracing::info;
 
@@ -17,9 +17,6 @@
 /// Timeout of calls to the store, as a share of the lease time. A slow answer to a renewal still
 /// leaves time to act.
 const CALL_SHARE: f64 = 0.6;
-/// Share of the VMs that a holder must hear. The VMs of a zone that is cut off are fewer, and hold
-/// no lease: the counts of the others would not reach them.
-const HEARD_SHARE: f64 = 0.4;
 
 /// Drives the lease for the lifetime of the process.
 pub(crate) async fn run(context: Arc<GatewayContext>, duties: Arc<VmDuties>, news: DutyExchange) {
@@ -97,5 +94,5 @@
 fn hears_others(context: &GatewayContext, uptime: Duration) -> bool {
     let now = context.clock.now();
     let peers = context.peers();
-    peers.running_count(now) as f64 >= HEARD_SHARE * peers.possible_count(uptime, now) as f64
+    hears_enough(peers.running_count(now), peers.possible_count(uptime, now))
 }
--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use dragonflycart_standins::{
     CallerRequest, CrashPoint, FakeRunner, FakeStore, GenerationOptions, ManifestSpec, READY_PATH,
-    RunLog, RunnerFailure, RunnerKind, RunnerOptions, StoreMode, send, settings_text,
+    RunLog, RunnerFailure, RunnerKind, RunnerOptions, StoreMode, free_address, send, settings_text,
 };
 use dragonflycart_testkit::{ChildProcess, FaultRelay, RelayCommand, RelayMode, RelayScope};
 use serde_json::json;
@@ -23,7 +23,6 @@
     soak_outcome::{RequestKind, SoakCall, SoakOutcome},
     soak_schedule::{SoakFault, SoakSchedule, TimedFault},
 };
-use crate::support::port_pool::free_address;
 
 /// Number of gateways.
 const GATEWAY_COUNT: usize = 4;
--- a/tests/all/support/deployment.rs
+++ b/tests/all/support/deployment.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use dragonflycart_core::{ModelPlacement, OperatingPlan, ZoneName, ZonePlan, ZoneState};
 use dragonflycart_interfaces::{HttpLogClient, LogService, LogTopic, VmEntry, VmState};
+use dragonflycart_standins::free_address;
 use dragonflycart_testkit::{
     DirectoryConfig, FakeDirectory, FakeEngine, FakeLog, FakeService, FakeWeights, FaultRelay,
     RelayCommand, RelayMode, RelayScope, WeightConfig,
@@ -20,10 +21,7 @@
 use hyper::Method;
 use prost::Message;
 
-use crate::support::{
-    Caller, DeploymentSpec, VmProcess, deployment_spec::model_version, port_pool::free_address,
-    wait_for,
-};
+use crate::support::{Caller, DeploymentSpec, VmProcess, deployment_spec::model_version, wait_for};
 
 /// Teams of every deployment.
 const TEAMS: [&str; 3] = ["desk", "reports", "orders"];
--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -11,15 +11,13 @@
 use bytes::Bytes;
 use dragonflycart_standins::{
     CallerRequest, CallerResponse, CrashPoint, FakeRunner, FakeStore, GenerationOptions,
-    ManifestSpec, READY_PATH, RunLog, RunnerFailure, RunnerKind, RunnerOptions, send,
+    ManifestSpec, READY_PATH, RunLog, RunnerFailure, RunnerKind, RunnerOptions, free_address, send,
     settings_text,
 };
 use dragonflycart_testkit::ChildProcess;
 use serde_json::json;
 use tokio::{task::JoinSet, time::Instant};
 
-use super::port_pool::free_address;
-
 /// Time limit in the order for a version move.
 pub(crate) const MOVE_TIME_LIMIT: Duration = Duration::from_secs(7);
 /// Pause between requests.
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -5,7 +5,6 @@
 mod deployment_spec;
 mod gateway_fleet;
 mod operator;
-pub(crate) mod port_pool;
 mod traffic;
 pub(crate) mod unframed_fleet;
 mod vm_process;
