tests: crash engines whose generations have no backups

The trace shows one of the eight streams at its backup: the gateway that sees the first of the simultaneous ends resumes the generation before the part is contained, which is right, and the whole stream shows that the part is sound. The test wants crashes without such proof, so its engines now keep no backups, and it checks that no stream ran a second time.

--- a/tests/all/crashes.rs
+++ b/tests/all/crashes.rs
@@ -2,8 +2,11 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use dragonflycart_standins::{CallerRequest, CallerResponse, CrashPoint, StoreMode, send};
+use dragonflycart_standins::{
+    CallerRequest, CallerResponse, CrashPoint, ManifestSpec, StoreMode, send,
+};
 use dragonflycart_testkit::EngineConfig;
+use serde_json::json;
 use tokio::task::JoinSet;
 
 use crate::support::{Caller, Deployment, DeploymentSpec, GatewayFleet};
@@ -39,6 +42,23 @@
 
 /// Starts two gateways with engines that crash on a part.
 async fn start_fleet_with(name: &str, part: &str, crash_point: CrashPoint) -> GatewayFleet {
+    let mut fleet = add_engines(name, part, crash_point).await;
+    fleet.start_gateways().await;
+    fleet
+}
+
+/// Starts the same without backup copies: no generation outlives its engine.
+async fn start_fleet_without_backups(name: &str) -> GatewayFleet {
+    let mut fleet = add_engines(name, BAD_PART, CrashPoint::AfterEvents).await;
+    let plan = ManifestSpec { version: 2, extra_routes: 0, keys: vec!["key".to_owned()] };
+    let mut manifest = plan.to_json();
+    manifest["services"][0]["engine"]["backups"] = json!(false);
+    fleet.store.put_order("config", &manifest);
+    fleet.start_gateways().await;
+    fleet
+}
+
+async fn add_engines(name: &str, part: &str, crash_point: CrashPoint) -> GatewayFleet {
     let mut fleet = GatewayFleet::start(name, 0).await;
     for number in 0..ENGINES {
         let id = format!("i-crashing-{number}");
@@ -46,7 +66,6 @@
     }
     fleet.crash("i-engine");
     fleet.store.remove_server("i-engine");
-    fleet.start_gateways().await;
     fleet
 }
 
@@ -166,7 +185,7 @@
 /// for another reason: they are stopped or lose power.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn engines_that_end_for_other_reasons_contain_nothing() {
-    let mut fleet = start_fleet("crash-other-reasons").await;
+    let mut fleet = start_fleet_without_backups("crash-other-reasons").await;
     for vm in [0, 1] {
         assert!(is_served(&send_to(&mut fleet, vm, &[SOUND_PART]).await));
     }
@@ -206,6 +225,10 @@
 
     assert!(engines.len() >= CRASHES_ALLOWED, "only {engines:?} had begun the part");
     assert!(engines.len() < ENGINES, "no engine was left");
+    for id in &ids {
+        let runs = fleet.log.parts(id);
+        assert!(runs.len() < 2, "an engine showed that the part is sound: {runs:?}");
+    }
     assert!(!broken.iter().any(is_served), "an engine showed that the part is sound: {broken:?}");
     assert!(sound.iter().all(is_served), "{sound:?}");
     fleet.close();
