duties: fix faults found by a review

- A renewal that took effect after its holder gave up the lease restored the lease under the old number.
The counts sent under that number were gone, and VMs send them again only to a new number.
Such a renewal no longer restores the lease.
- Failures of appends were forgotten with the next read, so a store that answers reads only was called without a growing pause.
- The first of several messages vouched for the others where a count did not fit beside the waiting requests.
- A report due less than 4.5 s after its window was decided before the VMs had sent their counts.
- The holder kept windows without a limit while the platform was down, and reported windows as empty that the VMs no longer keep.
- The time between two decisions on servers counted as low use, also while the holder could not act.
- An order of servers without an answer may have taken effect but was treated as refused.
It is now repeated until it is answered.
- The end of the lease counted as a failure of the platform, and answered windows were kept for good.

--- a/crates/duties/src/duty_lease.rs
+++ b/crates/duties/src/duty_lease.rs
@@ -206,7 +206,9 @@
             self.note_failure(now);
             return None;
         }
-        self.note_success();
+        if self.open.is_empty() {
+            self.note_success();
+        }
         self.must_read = false;
         if self.tail.as_ref().is_some_and(|tail| tail.is_read && read.end == tail.end) {
             return None;
@@ -214,13 +216,15 @@
         let own = read.last.as_ref().filter(|last| self.is_own(last));
         if let Some(last) = own {
             let sent = self.open.iter().find(|sent| sent.record.sequence == last.sequence).cloned();
-            if let Some(sent) = sent {
+            if let Some(sent) = sent.filter(|sent| self.may_hold(sent)) {
+                self.note_success();
                 return self.confirm(&sent, now);
             }
         }
         let is_held = own.is_some_and(|last| Some(last.number) == self.held_number());
         // Appends before the end either took effect or never will.
         self.open.retain(|sent| sent.at >= read.end);
+        self.note_success();
         let change = if is_held { None } else { self.follow(read.last.as_ref(), now) };
         let seen_at = match &self.tail {
             Some(tail) if tail.end == read.end => tail.seen_at,
@@ -246,6 +250,13 @@
         self.follow(Some(&record), now)
     }
 
+    /// Returns whether an append that took effect makes this VM the holder. A renewal of a lease that
+    /// was given up does not: the counts that were acknowledged under its number are gone.
+    fn may_hold(&self, sent: &OpenAppend) -> bool {
+        let number = sent.record.number;
+        number == claim_number(sent.at) || self.held_number() == Some(number)
+    }
+
     fn is_own(&self, record: &DutyRecord) -> bool {
         record.holder == self.name && record.boot == self.boot
     }
--- a/crates/duties/src/scale_control.rs
+++ b/crates/duties/src/scale_control.rs
@@ -29,6 +29,10 @@
 /// Time for which the number of servers is remembered. Reclaimed engines are replaced within it.
 const PRESENT_TIME: Duration = Duration::from_secs(10);
 
+/// Longest time between two decisions. After a longer one, for example a time without the lease, the
+/// demand in between is not known.
+const DECISION_GAP: Duration = Duration::from_secs(3);
+
 /// Limits of a service's servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ScaleBounds {
@@ -63,6 +67,8 @@
     current: Option<u32>,
     /// Whether it was ordered.
     is_ordered: bool,
+    /// Whether the platform may have accepted an order that it did not answer.
+    is_uncertain: bool,
     present: VecDeque<(MonoTime, u32)>,
     used: VecDeque<(MonoTime, f64)>,
     low_since: Option<MonoTime>,
@@ -105,26 +111,47 @@
     /// Records that a zone is cut off or evacuated. It is observed anew afterwards.
     pub fn note_closed(&mut self, service: &str, zone: &str) {
         if let Some(state) = self.zones.get_mut(&(service.to_owned(), zone.to_owned())) {
-            *state = ZoneScale {
-                current: state.current.filter(|_| state.is_ordered),
-                is_ordered: state.is_ordered,
-                ..ZoneScale::default()
-            };
+            state.restart();
         }
     }
 
+    /// Records that an order has no answer. The platform may have accepted it, so a number is
+    /// ordered until the platform answers.
+    pub fn note_unanswered(&mut self, order: &ScaleOrder) {
+        let key = (order.service.clone(), order.zone.clone());
+        let state = self.zones.entry(key).or_default();
+        // Servers may be booting, so a rise is taken as accepted and undone slowly.
+        state.current = state.current.max(Some(order.desired));
+        state.is_uncertain = true;
+    }
+
     /// Records that the platform accepted an order.
     pub fn note_ordered(&mut self, order: &ScaleOrder) {
         let key = (order.service.clone(), order.zone.clone());
         let state = self.zones.entry(key).or_default();
         state.current = Some(order.desired);
         state.is_ordered = true;
+        state.is_uncertain = false;
         state.low_since = None;
     }
 }
 
 impl ZoneScale {
+    /// Forgets what was observed.
+    fn restart(&mut self) {
+        *self = ZoneScale {
+            current: self.current.filter(|_| self.is_ordered || self.is_uncertain),
+            is_ordered: self.is_ordered,
+            is_uncertain: self.is_uncertain,
+            ..ZoneScale::default()
+        };
+    }
+
+    /// Returns the number to order, if it changes or the last order has no answer.
     fn decide(&mut self, bounds: ScaleBounds, demand: ZoneDemand, now: MonoTime) -> Option<u32> {
+        if self.used.back().is_some_and(|(at, _)| now.since(*at) > DECISION_GAP) {
+            self.restart();
+        }
         self.present.push_back((now, demand.servers));
         while self.present.front().is_some_and(|(at, _)| now.since(*at) > PRESENT_TIME) {
             self.present.pop_front();
@@ -140,6 +167,19 @@
         }
         let present = self.present.iter().map(|(_, servers)| *servers).max().unwrap_or(0);
         let current = *self.current.get_or_insert(present);
+        let change = self.change(current, used, bounds, demand, now);
+        change.or(self.is_uncertain.then_some(current))
+    }
+
+    /// Returns the number to order if it differs from `current`.
+    fn change(
+        &mut self,
+        current: u32,
+        used: f64,
+        bounds: ScaleBounds,
+        demand: ZoneDemand,
+        now: MonoTime,
+    ) -> Option<u32> {
         let capacity = demand.server_capacity as f64;
         let needed = (self.forecast(used, bounds.boot_time) / (capacity * HIGH_FILL)).ceil() as u32;
         let wanted = needed.max(bounds.min).min(bounds.max.max(bounds.min));
--- a/crates/duties/src/usage_counter.rs
+++ b/crates/duties/src/usage_counter.rs
@@ -8,7 +8,7 @@
 
 /// Windows whose counts are kept while no holder reports them. With windows of five seconds this is
 /// a store outage of a quarter of an hour.
-const WINDOWS_KEPT: usize = 180;
+pub(crate) const WINDOWS_KEPT: usize = 180;
 /// Number of unacknowledged messages that are remembered.
 const MESSAGES_KEPT: usize = 64;
 /// Space that a message needs beside its counts, in bytes.
@@ -107,7 +107,7 @@
         }
         if parts.len() > 1 {
             // Some of the messages may be lost, so none vouches for the windows of the others.
-            let first = parts[0].first().map_or(complete_through, |first| first.window);
+            let first = parts.iter().flatten().next().map_or(0, |first| first.window);
             complete_through = complete_through.min(first.saturating_sub(1));
         }
         let mut messages = Vec::new();
--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -7,6 +7,7 @@
 use crate::{
     ReportContent, TeamCount, UsageNews,
     true_clock::{boot_ms, median},
+    usage_counter::WINDOWS_KEPT,
 };
 
 /// Time after the end of a window before its report is decided. Every VM has sent its counts twice
@@ -136,8 +137,8 @@
     }
 
     /// Returns the reports to decide after that of `last_window`, oldest first, at most `limit`, and
-    /// the last window that is then decided. Empty windows that began before this VM was the holder
-    /// are left out: their counts may be lost.
+    /// the last window that is then decided. Empty windows that began before this VM was the holder,
+    /// or for which the VMs no longer keep counts, are left out: their counts may be lost.
     pub fn decide(
         &mut self,
         last_window: u64,
@@ -145,7 +146,10 @@
         unix_ms: u64,
         now: MonoTime,
     ) -> (Vec<ReportContent>, u64) {
-        self.counts.retain(|window, _| *window > last_window);
+        let current = self.terms.window_at(unix_ms);
+        // The VMs keep no older counts either, so such a window would be reported in part.
+        let oldest = current.saturating_sub(WINDOWS_KEPT as u64);
+        self.counts.retain(|window, _| *window > last_window && *window >= oldest);
         self.vms.retain(|_, vm| now.since(vm.heard_at) <= SILENT_TIME);
         let mut reports = Vec::new();
         let mut decided = last_window;
@@ -156,7 +160,8 @@
         while reports.len() < limit {
             let first = self.counts.keys().find(|window| **window > decided).copied();
             let held_from = self.terms.window_at(unix_ms.saturating_sub(held_ms)) + 1;
-            let window = first.unwrap_or(u64::MAX).min(held_from.max(decided.saturating_add(1)));
+            let empty_from = held_from.max(oldest).max(decided.saturating_add(1));
+            let window = first.unwrap_or(u64::MAX).min(empty_from);
             if !self.is_settled(window, unix_ms) {
                 break;
             }
@@ -169,7 +174,8 @@
     fn is_settled(&self, window: u64, unix_ms: u64) -> bool {
         let Some(past_ms) = unix_ms.checked_sub(self.terms.end_ms(window)) else { return false };
         let past = Duration::from_millis(past_ms);
-        let last_moment = self.terms.due.saturating_sub(SENDING_TIME);
+        // A report without the counts of its last moments would be wrong; a late one is not.
+        let last_moment = self.terms.due.saturating_sub(SENDING_TIME).max(SETTLING_TIME);
         let is_complete = self.vms.values().all(|vm| vm.complete_through >= window);
         past >= last_moment || (past >= SETTLING_TIME && is_complete)
     }
--- a/crates/duties/tests/all/leases.rs
+++ b/crates/duties/tests/all/leases.rs
@@ -176,3 +176,45 @@
 
     assert!((5..=12).contains(&reads), "reads: {reads}");
 }
+
+/// Guards against a flood of calls to a store that answers reads but no appends.
+#[test]
+fn failed_appends_are_repeated_at_growing_intervals() {
+    let mut lease = start_lease("a", 1, 1_000);
+
+    let mut appends = 0;
+    for ms in (2_000..62_000).step_by(20) {
+        match step(&mut lease, ms) {
+            LeaseStep::Wait => {}
+            LeaseStep::Read { .. } => {
+                lease.note_read(LogTail { end: 0, last: None }, at(ms));
+            }
+            LeaseStep::Append { .. } => {
+                appends += 1;
+                lease.note_append(AppendResult::Unknown, at(ms));
+            }
+        }
+    }
+
+    assert!((5..=18).contains(&appends), "appends: {appends}");
+}
+
+/// Guards against a holder that goes on under a number that it gave up: the counts that the VMs
+/// sent it are gone, and the VMs send them again only to a new number.
+#[test]
+fn late_renewal_does_not_restore_a_lease_that_was_given_up() {
+    let (mut lease, _) = claimed_lease("a", 1, 10_000);
+    let LeaseStep::Append { record, .. } = step(&mut lease, 11_100) else { panic!("no renewal") };
+    lease.note_append(AppendResult::Unknown, at(12_600));
+    lease.resign(at(12_800));
+
+    let read = step(&mut lease, 13_400);
+    let change = lease.note_read(LogTail { end: 2, last: Some(record) }, at(13_400));
+    let early = step(&mut lease, 16_000);
+    let claim = step(&mut lease, 19_000);
+
+    assert_eq!(read, LeaseStep::Read { from: 0 });
+    assert!(!matches!(change, Some(LeaseChange::Claimed { .. })), "{change:?}");
+    assert_eq!(early, LeaseStep::Wait);
+    assert!(matches!(claim, LeaseStep::Append { at: 2, record } if record.number == 3));
+}
--- a/crates/duties/tests/all/scaling.rs
+++ b/crates/duties/tests/all/scaling.rs
@@ -124,3 +124,37 @@
 
     assert_eq!(order, None);
 }
+
+/// Guards against servers that are given up after a time in which the holder could not act: it does
+/// not know whether use was low.
+#[test]
+fn gap_between_decisions_does_not_count_as_low_use() {
+    let mut control = ScaleControl::default();
+    let low = || (0..20).map(|_| demand(10, 3_000, 0));
+    run(&mut control, low());
+
+    let now = MonoTime::from_millis(200_000);
+    let order = control.decide("s", "a", BOUNDS, demand(10, 3_000, 0), now);
+
+    assert_eq!(order, None);
+}
+
+/// Guards against servers that stay, or are missing, because an order without an answer took effect
+/// and is not followed by another one.
+#[test]
+fn unanswered_order_is_repeated_until_it_is_answered() {
+    let mut control = ScaleControl::default();
+    run(&mut control, (0..20).map(|_| demand(10, 6_000, 0)));
+    let order = ScaleOrder { service: "s".to_owned(), zone: "a".to_owned(), desired: 12 };
+    control.note_unanswered(&order);
+
+    let orders = |control: &mut ScaleControl, ms: u64| {
+        control.decide("s", "a", BOUNDS, demand(10, 6_000, 0), MonoTime::from_millis(ms))
+    };
+    let repeated = orders(&mut control, 110_000);
+    control.note_ordered(&order);
+    let answered = orders(&mut control, 110_500);
+
+    assert_eq!(repeated, Some(12));
+    assert_eq!(answered, None);
+}
--- a/crates/duties/tests/all/usage.rs
+++ b/crates/duties/tests/all/usage.rs
@@ -107,6 +107,56 @@
     assert!(messages.iter().all(|news| news.complete_through < FIRST));
 }
 
+/// Guards against a holder that takes the first of several messages for all of them where a count
+/// fits into no message beside the waiting requests.
+#[test]
+fn large_counts_are_not_vouched_for_by_another_message() {
+    let mut counter = UsageCounter::default();
+    counter.note_holder(1, 0);
+    counter.note_start(&"long".repeat(300), FIRST);
+
+    let messages = counter.messages(FIRST + 3, &frame(7, 100));
+
+    assert!(messages.iter().all(|news| news.complete_through < FIRST), "{messages:?}");
+}
+
+/// Guards against a report that is decided before the VMs have sent their counts, where it is due
+/// soon after its window.
+#[test]
+fn report_that_is_due_soon_waits_for_the_counts() {
+    let terms = WindowTerms { due: Duration::from_secs(3), ..TERMS };
+    let mut counter = UsageCounter::default();
+    let mut windows = UsageWindows::new(terms, boot(0));
+    counter.note_holder(1, 0);
+    exchange(&mut counter, &mut windows, 7, 9_800);
+    counter.note_start("blue", FIRST + 1);
+
+    let (early, _) = windows.decide(FIRST, 8, EPOCH_MS + 10_100, boot(10_100));
+    exchange(&mut counter, &mut windows, 7, 10_200);
+    let (late, _) = windows.decide(FIRST, 8, EPOCH_MS + 11_600, boot(11_600));
+
+    assert_eq!(early, []);
+    assert_eq!(counts(&late[0]), [("blue", 1)]);
+}
+
+/// Guards against memory that grows for as long as the platform is down, and against empty or
+/// partial reports of windows whose counts the VMs dropped.
+#[test]
+fn windows_that_no_vm_keeps_are_not_reported() {
+    let mut counter = UsageCounter::default();
+    let mut windows = UsageWindows::new(TERMS, boot(0));
+    counter.note_holder(1, 0);
+    counter.note_start("blue", FIRST);
+    exchange(&mut counter, &mut windows, 7, 3_000);
+
+    let ms = 300 * 5_000;
+    exchange(&mut counter, &mut windows, 7, ms);
+    let (reports, _) = windows.decide(FIRST - 1, 1, EPOCH_MS + ms, boot(ms));
+
+    let decided: Vec<u64> = reports.iter().map(|report| report.window).collect();
+    assert_eq!(decided, [FIRST + 300 - 180]);
+}
+
 /// Guards against a report without the counts of a VM that is slow or cut off for a moment.
 #[test]
 fn report_waits_for_a_vm_whose_counts_are_missing() {
--- a/crates/gateway/src/duties/duty_platform.rs
+++ b/crates/gateway/src/duties/duty_platform.rs
@@ -21,6 +21,19 @@
     NoAnswer(#[from] ConnectionError),
 }
 
+impl CloudError {
+    /// Returns whether the platform may have accepted the call.
+    pub fn may_have_effect(&self) -> bool {
+        match self {
+            CloudError::LeaseEnded | CloudError::TooManyCalls => false,
+            CloudError::Status(status) => *status >= 500,
+            CloudError::NoAnswer(error) => {
+                !matches!(error, ConnectionError::NotListening | ConnectionError::Unreachable)
+            }
+        }
+    }
+}
+
 /// Checks that the caller still holds the lease. Called directly before a call is sent, after the
 /// connection was established, and returns the time in which the call must end.
 pub type BeforeSend<'a> = &'a (dyn Fn() -> Option<Duration> + Send + Sync);
--- a/crates/gateway/src/duties/held_duties.rs
+++ b/crates/gateway/src/duties/held_duties.rs
@@ -44,6 +44,7 @@
         now: MonoTime,
     ) -> StateWrite {
         let mut state = last.clone();
+        self.answered.retain(|window| last.reports.iter().any(|report| report.window == *window));
         state.reports.retain(|report| !self.answered.contains(&report.window));
         for order in self.orders.values() {
             let is_same = |known: &&mut ScaleOrder| {
@@ -79,6 +80,13 @@
         self.orders.insert((order.service.clone(), order.zone.clone()), order);
     }
 
+    /// Records that an order that the platform may have accepted has no answer.
+    pub(super) fn note_unanswered(&mut self, order: &ScaleOrder) {
+        if let Some(scale) = &mut self.scale {
+            scale.note_unanswered(order);
+        }
+    }
+
     /// Records that the platform answered a report.
     pub(super) fn note_answered(&mut self, window: u64) {
         self.answered.insert(window);
--- a/crates/gateway/src/duties/scale_task.rs
+++ b/crates/gateway/src/duties/scale_task.rs
@@ -89,6 +89,11 @@
         Err(error) => {
             context.metrics.count_duty_call("scale_failed");
             info!(number, service, zone, desired, %error, "duties: servers not ordered");
+            if let Some(held) = &mut duties.decisions().held
+                && error.may_have_effect()
+            {
+                held.note_unanswered(&order);
+            }
             error == CloudError::LeaseEnded
         }
     }
--- a/crates/gateway/src/duties/usage_task.rs
+++ b/crates/gateway/src/duties/usage_task.rs
@@ -40,11 +40,12 @@
             Err(error) => {
                 context.metrics.count_duty_call("usage_failed");
                 info!(number, window, teams, requests, %error, "duties: usage not reported");
+                if error == CloudError::LeaseEnded {
+                    continue;
+                }
                 let pause = FAILURE_PAUSE * 2_u32.pow(failures);
                 failures = (failures + 1).min(4);
-                if error != CloudError::LeaseEnded {
-                    tokio::time::sleep(pause.min(FAILURE_PAUSE_MAX)).await;
-                }
+                tokio::time::sleep(pause.min(FAILURE_PAUSE_MAX)).await;
             }
         }
     }
