duties: keep a copy of the holder's own counts at another VM

The holder kept its own counts in its memory only. The holder now sends its counts to another running VM, which keeps them until their windows are decided and sends them to the next holder, marked as a copy. Older VMs ignore the field; an older VM keeps no copy.

New tests run three gateway processes with requests of three teams, and compare the reports with what the fake servers ran: without a fault, with the holder killed in a call, with the holder stopped and continued, with the store silent, and with the platform refusing, silent or not answering.

The kill test failed without the change.

--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -8,6 +8,7 @@
 //! and reports their results.
 
 mod append_result;
+mod count_copies;
 mod duty_lease;
 mod duty_message;
 mod duty_record;
@@ -25,6 +26,7 @@
 
 pub use crate::{
     append_result::AppendResult,
+    count_copies::CountCopies,
     duty_lease::DutyLease,
     duty_message::{
         DutyMessage, HolderNews, MESSAGE_BYTES, UsageNews, UsageReceipt, WaitingCount, WindowCounts,
--- a/crates/duties/src/usage_counter.rs
+++ b/crates/duties/src/usage_counter.rs
@@ -40,14 +40,23 @@
 impl UsageCounter {
     /// Counts a request that began to run.
     pub fn note_start(&mut self, team: &str, window: u64) {
+        self.update(team, window, |count| count + 1);
+    }
+
+    /// Applies a total that another process counted.
+    pub(crate) fn note_total(&mut self, team: &str, window: u64, total: u64) {
+        self.update(team, window, |count| count.max(total));
+    }
+
+    fn update(&mut self, team: &str, window: u64, change: impl Fn(u64) -> u64) {
         if window <= self.reported {
             return;
         }
         let teams = self.windows.entry(window).or_default();
         match teams.get_mut(team) {
-            Some(state) => state.count += 1,
+            Some(state) => state.count = change(state.count),
             None => {
-                teams.insert(team.to_owned(), CountState { count: 1, known: 0 });
+                teams.insert(team.to_owned(), CountState { count: change(0), known: 0 });
             }
         }
         while self.windows.len() > WINDOWS_KEPT {
@@ -67,15 +76,20 @@
         }
         if number > self.number {
             self.number = number;
-            self.sent.clear();
-            for state in self.windows.values_mut().flat_map(BTreeMap::values_mut) {
-                state.known = 0;
-            }
+            self.forget_receipts();
         }
         self.reported = self.reported.max(last_window);
         self.windows.retain(|window, _| *window > last_window);
     }
 
+    /// Forgets what was acknowledged, so that everything is sent again.
+    pub fn forget_receipts(&mut self) {
+        self.sent.clear();
+        for state in self.windows.values_mut().flat_map(BTreeMap::values_mut) {
+            state.known = 0;
+        }
+    }
+
     /// Returns the messages to send now: at least one, which tells the holder how far this VM's
     /// counts are complete. `frame` holds the fields that don't concern the counts.
     pub fn messages(&mut self, current_window: u64, frame: &UsageNews) -> Vec<UsageNews> {
--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -100,7 +100,7 @@
             }
         }
         let known = self.vms.get(&news.boot);
-        if known.is_some_and(|known| known.sequence >= news.sequence) {
+        if news.is_copy || known.is_some_and(|known| known.sequence >= news.sequence) {
             return;
         }
         let complete = known.map_or(0, |known| known.complete_through);
--- a/crates/duties/tests/all/usage.rs
+++ b/crates/duties/tests/all/usage.rs
@@ -4,7 +4,8 @@
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_duties::{
-    MESSAGE_BYTES, ReportContent, TrueClock, UsageCounter, UsageNews, UsageWindows, WindowTerms,
+    CountCopies, MESSAGE_BYTES, ReportContent, TrueClock, UsageCounter, UsageNews, UsageWindows,
+    WindowTerms,
 };
 use prost::Message;
 
@@ -76,6 +77,33 @@
     assert_eq!(counts(&reports[0]), [("blue", 1), ("red", 1)]);
 }
 
+/// Guards against the loss of a holder's own counts with it, and against a report that waits for the
+/// lost holder.
+#[test]
+fn next_holder_gets_the_counts_of_a_lost_one() {
+    let mut lost = UsageCounter::default();
+    let mut copies = CountCopies::default();
+    let mut new = UsageWindows::new(TERMS, boot(200));
+    lost.note_holder(1, 0);
+    lost.note_start("blue", FIRST);
+    lost.messages(FIRST, &frame(7, 100)).iter().for_each(|news| copies.note_news(news));
+
+    let unneeded = copies.messages(1, &frame(8, 100));
+    copies.note_holder(5, FIRST - 1);
+    for news in copies.messages(5, &frame(8, 6_000)) {
+        new.note_news(&news, boot(6_000));
+        copies.note_receipt(news.boot, news.number, news.sequence);
+    }
+    let acknowledged = copies.messages(5, &frame(8, 6_400));
+    let (reports, _) = new.decide(FIRST - 1, 8, EPOCH_MS + 6_600, boot(6_600));
+    copies.note_holder(5, FIRST);
+
+    assert_eq!(unneeded, []);
+    assert_eq!(acknowledged, []);
+    assert_eq!(counts(&reports[0]), [("blue", 1)]);
+    assert_eq!(copies.messages(9, &frame(8, 7_000)), []);
+}
+
 /// Guards against traffic for counts that the holder already has.
 #[test]
 fn acknowledged_counts_are_not_sent_again() {
--- a/crates/gateway/src/duties/duty_decisions.rs
+++ b/crates/gateway/src/duties/duty_decisions.rs
@@ -4,7 +4,8 @@
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_duties::{
-    DutyLease, DutyState, HolderNews, LeaseChange, LeaseTime, TrueClock, UsageCounter, WindowTerms,
+    CountCopies, DutyLease, DutyState, HolderNews, LeaseChange, LeaseTime, TrueClock, UsageCounter,
+    UsageNews, UsageReceipt, WindowTerms,
 };
 use tracing::info;
 
@@ -15,6 +16,8 @@
     pub(super) lease: DutyLease,
     pub(super) clock: TrueClock,
     pub(super) counter: UsageCounter,
+    /// Counts of holders, to be sent to their successors.
+    pub(super) copies: CountCopies,
     pub(super) terms: WindowTerms,
     /// State of the duties while this VM holds the lease.
     pub(super) held: Option<HeldDuties>,
@@ -29,7 +32,8 @@
         let quiet_ms = self.lease.quiet_for(now).map_or(0, |quiet| quiet.as_millis() as u64);
         match &change {
             LeaseChange::Claimed { number } => {
-                self.held = Some(HeldDuties::new(*number, self.terms, now.boot));
+                self.held =
+                    Some(HeldDuties::new(*number, self.terms, self.counter.clone(), now.boot));
                 self.holder = None;
                 info!(number, "duties: this VM is the holder");
             }
@@ -65,6 +69,36 @@
             self.clock.note_fleet_time(now.boot, news.unix_ms);
         }
         self.counter.note_holder(news.number, news.last_window);
+        self.copies.note_holder(news.number, news.last_window);
+    }
+
+    /// Applies counts of another VM. Returns whether they are acknowledged: by the holder, or by the
+    /// VM that keeps a copy of the holder's own counts.
+    pub(super) fn note_usage(&mut self, usage: &UsageNews, now: LeaseTime) -> bool {
+        if let Some(held) = &mut self.held {
+            if held.number == usage.number {
+                held.windows.note_news(usage, now.boot);
+            }
+            return held.number == usage.number;
+        }
+        let is_holder = self.holder.is_some_and(|(number, ..)| number == usage.number);
+        if is_holder {
+            self.copies.note_news(usage);
+        }
+        is_holder
+    }
+
+    /// Applies an acknowledgement. `own_boot` is the ID of this process.
+    pub(super) fn note_receipt(&mut self, receipt: &UsageReceipt, own_boot: u64) {
+        let UsageReceipt { number, boot, sequence } = *receipt;
+        if boot != own_boot {
+            self.copies.note_receipt(boot, number, sequence);
+            return;
+        }
+        match &mut self.held {
+            Some(held) => held.counter.note_receipt(number, sequence),
+            None => self.counter.note_receipt(number, sequence),
+        }
     }
 
     /// Returns the state with which a new holder begins if the last record is not available. Windows
--- a/crates/gateway/src/duties/duty_exchange.rs
+++ b/crates/gateway/src/duties/duty_exchange.rs
@@ -54,10 +54,8 @@
         loop {
             tokio::time::sleep(MESSAGE_INTERVAL).await;
             let (address, messages) = self.next_messages();
-            let Some(address) = address else {
-                self.announce().await;
-                continue;
-            };
+            self.announce().await;
+            let Some(address) = address else { continue };
             for usage in messages {
                 let message = DutyMessage { usage: Some(usage), ..DutyMessage::default() };
                 self.send(&message, address).await;
@@ -90,16 +88,12 @@
         if let Some(news) = &message.holder {
             decisions.note_holder_news(news, sender, now);
         }
-        if let Some(receipt) = &message.receipt
-            && receipt.boot == self.context.boot
-        {
-            decisions.counter.note_receipt(receipt.number, receipt.sequence);
+        if let Some(receipt) = &message.receipt {
+            decisions.note_receipt(receipt, self.context.boot);
         }
         if let Some(usage) = &message.usage
-            && let Some(held) = &mut decisions.held
-            && held.number == usage.number
+            && decisions.note_usage(usage, now)
         {
-            held.windows.note_news(usage, now.boot);
             let receipt =
                 UsageReceipt { number: usage.number, boot: usage.boot, sequence: usage.sequence };
             let answer = DutyMessage { receipt: Some(receipt), ..DutyMessage::default() };
@@ -112,9 +106,10 @@
     }
 
     /// Returns the address of the holder and the messages for it. Counts of the holder itself are
-    /// applied at once.
+    /// applied at once; it sends a copy of them to another VM.
     fn next_messages(&self) -> (Option<SocketAddr>, Vec<UsageNews>) {
         let waiting = self.waiting();
+        let running = self.context.peers().running_addresses(self.context.clock.now());
         let now = lease_time(&self.context.clock);
         let mut decisions = self.duties.decisions();
         let decisions: &mut DutyDecisions = &mut decisions;
@@ -136,14 +131,21 @@
                 held.windows.note_news(&news, now.boot);
                 decisions.counter.note_receipt(news.number, news.sequence);
             }
+            decisions.copies.note_holder(held.number, last_window);
+            for news in decisions.copies.messages(held.number, &frame) {
+                held.windows.note_news(&news, now.boot);
+                decisions.copies.note_receipt(news.boot, news.number, news.sequence);
+            }
             if let Some(fleet_ms) = held.windows.fleet_unix_ms(now.boot) {
                 decisions.clock.note_fleet_time(now.boot, fleet_ms);
             }
-            return (None, Vec::new());
+            return held.copy_messages(&running, current, last_window, &frame);
         }
         let recent = decisions.holder.filter(|(.., at)| now.boot.since(*at) <= HOLDER_AGE);
-        let Some((_, address, _)) = recent else { return (None, Vec::new()) };
-        (Some(address), decisions.counter.messages(current, &frame))
+        let Some((number, address, _)) = recent else { return (None, Vec::new()) };
+        let mut messages = decisions.counter.messages(current, &frame);
+        messages.extend(decisions.copies.messages(number, &frame));
+        (Some(address), messages)
     }
 
     /// Returns the requests that wait at this VM for a service whose servers are ordered.
--- a/crates/gateway/src/duties/held_duties.rs
+++ b/crates/gateway/src/duties/held_duties.rs
@@ -1,10 +1,14 @@
 //! State of the duties while this VM holds the lease.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_duties::{
-    DutyState, ReportContent, ScaleControl, ScaleOrder, StateWrite, UsageWindows, WindowTerms,
+    DutyState, ReportContent, ScaleControl, ScaleOrder, StateWrite, UsageCounter, UsageNews,
+    UsageWindows, WindowTerms,
 };
 
 /// Most reports that are written but not yet answered. They are part of every record of the lease.
@@ -18,6 +22,10 @@
     pub(super) windows: UsageWindows,
     /// Windows whose reports were answered.
     answered: BTreeSet<u64>,
+    /// Counts of this VM that the VM with their copy may not have.
+    pub(super) counter: UsageCounter,
+    /// VM that has a copy of them.
+    copy_address: Option<SocketAddr>,
     /// Latest orders, which are written with the next record.
     orders: BTreeMap<(String, String), ScaleOrder>,
     /// Decisions on the numbers of servers, once the orders of the predecessors are known.
@@ -25,17 +33,43 @@
 }
 
 impl HeldDuties {
-    /// Builds the state of a VM that became the holder at `now`.
-    pub(super) fn new(number: u64, terms: WindowTerms, now: MonoTime) -> HeldDuties {
+    /// Builds the state of a VM that became the holder at `now`. `counter` holds its counts so far.
+    pub(super) fn new(
+        number: u64,
+        terms: WindowTerms,
+        counter: UsageCounter,
+        now: MonoTime,
+    ) -> HeldDuties {
         HeldDuties {
             number,
             windows: UsageWindows::new(terms, now),
             answered: BTreeSet::new(),
+            counter,
+            copy_address: None,
             orders: BTreeMap::new(),
             scale: None,
         }
     }
 
+    /// Returns one of the running VMs, the same one as long as it runs, and the counts to send it.
+    pub(super) fn copy_messages(
+        &mut self,
+        running: &[SocketAddr],
+        current_window: u64,
+        last_window: u64,
+        frame: &UsageNews,
+    ) -> (Option<SocketAddr>, Vec<UsageNews>) {
+        self.counter.note_holder(self.number, last_window);
+        if !self.copy_address.is_some_and(|address| running.contains(&address)) {
+            self.copy_address = running.first().copied();
+            self.counter.forget_receipts();
+        }
+        if self.copy_address.is_none() {
+            return (None, Vec::new());
+        }
+        (self.copy_address, self.counter.messages(current_window, frame))
+    }
+
     /// Returns the state to write, based on the state of the last record.
     pub(super) fn next_write(
         &mut self,
--- a/crates/gateway/src/duties/vm_duties.rs
+++ b/crates/gateway/src/duties/vm_duties.rs
@@ -7,7 +7,7 @@
 
 use dragonflycart_core::rendezvous_score;
 use dragonflycart_duties::{
-    DutyLease, LeasePermit, LeaseTerms, TrueClock, UsageCounter, WindowTerms,
+    CountCopies, DutyLease, LeasePermit, LeaseTerms, TrueClock, UsageCounter, WindowTerms,
 };
 
 use super::{
@@ -49,6 +49,7 @@
             lease: DutyLease::new(&settings.name, boot, terms, lease_time(clock)),
             clock: TrueClock::default(),
             counter: UsageCounter::default(),
+            copies: CountCopies::default(),
             terms: WindowTerms { window: cloud.report_window, due: cloud.report_due },
             held: None,
             holder: None,
@@ -89,6 +90,9 @@
         let Some(unix_ms) = decisions.clock.unix_ms(boot) else { return };
         let window = decisions.terms.window_at(unix_ms);
         decisions.counter.note_start(team, window);
+        if let Some(held) = &mut decisions.held {
+            held.counter.note_start(team, window);
+        }
     }
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod chaos;
 mod crashes;
+mod duties;
 mod endless;
 mod engine_changes;
 mod faults;
--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -493,6 +493,7 @@
     }
 }
 
-async fn is_ready(address: SocketAddr) -> bool {
+/// Returns whether the gateway with this status address takes requests.
+pub(crate) async fn is_ready(address: SocketAddr) -> bool {
     send(address, &ready_request()).await.status == Some(200)
 }
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -3,10 +3,13 @@
 mod caller;
 mod deployment;
 mod deployment_spec;
+mod duty_fleet;
 mod gateway_fleet;
 mod operator;
 pub(crate) mod port_pool;
 mod traffic;
+mod usage_run;
+mod usage_traffic;
 pub(crate) mod unframed_fleet;
 mod vm_process;
 mod wait;
@@ -15,9 +18,11 @@
     caller::{Caller, HttpResponse, StreamedResponse},
     deployment::{Deployment, zone_name},
     deployment_spec::{DeploymentSpec, model_version},
+    duty_fleet::{DutyFleet, LEASE},
     gateway_fleet::{GatewayFleet, GatewayUnderTest, MOVE_TIME_LIMIT},
     operator::{Operator, submit_response},
     traffic::{Traffic, TrafficReport},
+    usage_run::UsageRun,
     vm_process::VmProcess,
     wait::wait_for,
 };
