duties: send other orders after the platform rejected one

An order that the platform rejects (status 4xx other than 429) was tried first in every round, and the orders after it were never sent. They now follow after the pause. Refusals by rate, missing answers and 5xx still end the round.

--- a/crates/gateway/src/duties/duty_platform.rs
+++ b/crates/gateway/src/duties/duty_platform.rs
@@ -32,6 +32,11 @@
             }
         }
     }
+
+    /// Returns whether the platform rejected the content of the call, so that others may succeed.
+    pub fn concerns_content(&self) -> bool {
+        matches!(self, CloudError::Status(400..=499))
+    }
 }
 
 /// Checks that the caller still holds the lease. Called directly before a call is sent, after the
--- a/crates/gateway/src/duties/scale_task.rs
+++ b/crates/gateway/src/duties/scale_task.rs
@@ -27,12 +27,18 @@
         tokio::time::sleep(DECIDE_INTERVAL).await;
         for planned in plan_orders(&context, &duties) {
             tokio::time::sleep(duties.call_spacing()).await;
-            if send(&context, &duties, planned).await {
+            let Err(error) = send(&context, &duties, planned).await else {
                 failures = 0;
                 continue;
+            };
+            if error == CloudError::LeaseEnded {
+                break;
             }
             tokio::time::sleep(FAILURE_PAUSE * 2_u32.pow(failures)).await;
             failures = (failures + 1).min(4);
+            if error.concerns_content() {
+                continue;
+            }
             // Later orders are decided anew.
             break;
         }
@@ -66,15 +72,19 @@
     planned
 }
 
-/// Sends an order. Returns whether it was accepted.
-async fn send(context: &GatewayContext, duties: &VmDuties, planned: PlannedOrder) -> bool {
+/// Sends an order.
+async fn send(
+    context: &GatewayContext,
+    duties: &VmDuties,
+    planned: PlannedOrder,
+) -> Result<(), CloudError> {
     let PlannedOrder { number, order, demand } = planned;
     let caller = DutyCaller { holder: context.settings.name.clone(), number };
     let before_send = || call_limit(context, duties, number);
     let result = duties.platform.send_scale(&caller, &order, &before_send).await;
     let (service, zone, desired) = (&order.service, &order.zone, order.desired);
     let ZoneDemand { servers, used, waiting, .. } = demand;
-    match result {
+    match &result {
         Ok(()) => {
             context.metrics.count_duty_call("scale_sent");
             info!(
@@ -84,7 +94,6 @@
             if let Some(held) = &mut duties.decisions().held {
                 held.note_ordered(order);
             }
-            true
         }
         Err(error) => {
             context.metrics.count_duty_call("scale_failed");
@@ -94,7 +103,7 @@
             {
                 held.note_unanswered(&order);
             }
-            error == CloudError::LeaseEnded
         }
     }
+    result
 }
--- a/tests/all/support/usage_traffic.rs
+++ b/tests/all/support/usage_traffic.rs
@@ -106,7 +106,7 @@
 
 /// Builds a plain call or, at every fourth turn, a request for a short stream.
 fn request(team: &str, gateway: usize, number: usize) -> CallerRequest {
-    let is_stream = number % 4 == 0;
+    let is_stream = number.is_multiple_of(4);
     CallerRequest {
         id: format!("{team}-{gateway}-{number}"),
         method: "POST",
