--- a/crates/duties/src/usage_counter.rs
+++ b/crates/duties/src/usage_counter.rs
@@ -8,7 +8,7 @@
 
 /// Windows whose counts are kept while no holder reports them. With windows of five seconds this is
 /// a store outage of a quarter of an hour.
-const WINDOWS_KEPT: usize = 180;
+pub(crate) const WINDOWS_KEPT: usize = 180;
 /// Number of unacknowledged messages that are remembered.
 const MESSAGES_KEPT: usize = 64;
 /// Space that a message needs beside its counts, in bytes.
@@ -40,14 +40,23 @@
 impl UsageCounter {
     /// Counts a request that began to run.
     pub fn note_start(&mut self, team: &str, window: u64) {
+        self.update(team, window, |count| count + 1);
+    }
+
+    /// Applies a total that another process counted.
+    pub(crate) fn note_total(&mut self, team: &str, window: u64, total: u64) {
+        self.update(team, window, |count| count.max(total));
+    }
+
+    fn update(&mut self, team: &str, window: u64, change: impl Fn(u64) -> u64) {
         if window <= self.reported {
             return;
         }
         let teams = self.windows.entry(window).or_default();
         match teams.get_mut(team) {
-            Some(state) => state.count += 1,
+            Some(state) => state.count = change(state.count),
             None => {
-                teams.insert(team.to_owned(), CountState { count: 1, known: 0 });
+                teams.insert(team.to_owned(), CountState { count: change(0), known: 0 });
             }
         }
         while self.windows.len() > WINDOWS_KEPT {
@@ -67,15 +76,20 @@
         }
         if number > self.number {
             self.number = number;
-            self.sent.clear();
-            for state in self.windows.values_mut().flat_map(BTreeMap::values_mut) {
-                state.known = 0;
-            }
+            self.forget_receipts();
         }
         self.reported = self.reported.max(last_window);
         self.windows.retain(|window, _| *window > last_window);
     }
 
+    /// Forgets what was acknowledged, so that everything is sent again.
+    pub fn forget_receipts(&mut self) {
+        self.sent.clear();
+        for state in self.windows.values_mut().flat_map(BTreeMap::values_mut) {
+            state.known = 0;
+        }
+    }
+
     /// Returns the messages to send now: at least one, which tells the holder how far this VM's
     /// counts are complete. `frame` holds the fields that don't concern the counts.
     pub fn messages(&mut self, current_window: u64, frame: &UsageNews) -> Vec<UsageNews> {
@@ -107,7 +121,7 @@
         }
         if parts.len() > 1 {
             // Some of the messages may be lost, so none vouches for the windows of the others.
-            let first = parts[0].first().map_or(complete_through, |first| first.window);
+            let first = parts.iter().flatten().next().map_or(0, |first| first.window);
             complete_through = complete_through.min(first.saturating_sub(1));
         }
         let mut messages = Vec::new();
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -3,9 +3,12 @@
 mod caller;
 mod deployment;
 mod deployment_spec;
+mod duty_fleet;
 mod gateway_fleet;
 mod operator;
 mod traffic;
+mod usage_run;
+mod usage_traffic;
 pub(crate) mod unframed_fleet;
 mod vm_process;
 mod wait;
@@ -14,9 +17,11 @@
     caller::{Caller, HttpResponse, StreamedResponse},
     deployment::{Deployment, zone_name},
     deployment_spec::{DeploymentSpec, model_version},
+    duty_fleet::{DutyFleet, LEASE},
     gateway_fleet::{GatewayFleet, GatewayUnderTest, MOVE_TIME_LIMIT},
     operator::{Operator, submit_response},
     traffic::{Traffic, TrafficReport},
+    usage_run::UsageRun,
     vm_process::VmProcess,
     wait::wait_for,
 };
