gateway: keep later runs of streams that still read their prompt

A run of a resumable stream at another server was taken for stalled four pause targets after its head, although its server was still reading the prompt or making events that were forwarded before. With three attempts or a backup copy without content, this gave up sound runs. Until its first new event, such a run now has the route's latency target without any event.

An event ID of 2^64 - 1, also in a caller's Last-Event-Id, overflowed the number of the next event: the relay panicked in debug builds, and counted from zero otherwise. Such an ID no longer counts as a number.

A relay that ended by a panic dropped its sender, and the response ended as complete. The body now ends as complete only after a piece that says so. The reservation is released before the end of the response is sent, since a caller that does not read may hold that up.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -81,10 +81,15 @@
     }
 }
 
+/// Returns the number in the text of an event ID. The largest one does not count: no event could follow.
+pub fn event_number(text: &str) -> Option<u64> {
+    text.parse().ok().filter(|number| *number < u64::MAX)
+}
+
 fn event_id(bytes: &[u8]) -> Option<u64> {
     for line in bytes.split(|byte| *byte == b'\n') {
         let Some(value) = line.strip_prefix(b"id:") else { continue };
-        return std::str::from_utf8(value).ok()?.trim().parse().ok();
+        return event_number(std::str::from_utf8(value).ok()?.trim());
     }
     None
 }
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -183,10 +183,8 @@
     }
 
     async fn step(&mut self) -> StepOutcome {
+        let stall_deadline = self.stalled_since + self.stall_limit();
         let RelaySource { reservation, watcher, connection, .. } = &mut self.source;
-        let pause = self.request.route.pause_target;
-        let limit = pause.map_or(DEFAULT_STALL_TIMEOUT, |pause| pause * STALL_PAUSES);
-        let stall_deadline = self.stalled_since + limit;
         let patience = stream_patience(&self.request.route);
         let can_repeat = self.request.route.may_repeat()
             && self.join.can_continue()
@@ -213,6 +211,14 @@
         }
     }
 
+    /// Returns the time without an event after which the stream is resumed on another engine.
+    fn stall_limit(&self) -> Duration {
+        let route = &self.request.route;
+        let limit = route.pause_target.map_or(DEFAULT_STALL_TIMEOUT, |pause| pause * STALL_PAUSES);
+        // An engine that runs the request again has to read its prompt first.
+        if self.join.is_joining() { limit.max(route.latency_target) } else { limit }
+    }
+
     async fn take_data(&mut self, piece: Result<Option<Bytes>, ConnectionError>) -> StepOutcome {
         match piece {
             Ok(Some(bytes)) => {
@@ -455,7 +461,13 @@
     async fn forward_event(&mut self, event: StreamEvent) -> Option<RelayEnd> {
         match self.join.step(&event, self.progress.last_event()) {
             EventStep::Forward => {}
-            EventStep::Skip => return None,
+            EventStep::Skip => {
+                // The engine runs the request again and makes the events that were forwarded.
+                if self.join.is_joining() {
+                    self.stalled_since = Instant::now();
+                }
+                return None;
+            }
             EventStep::Gap => return Some(RelayEnd::Gap),
         }
         // An event without an ID, such as a comment, does not show that the generation proceeds.
@@ -531,11 +543,14 @@
             Some(connection) => connection.close(),
             None => {}
         }
-        let is_cut = !matches!(end, RelayEnd::Complete | RelayEnd::CallerLeft);
-        if is_cut && self.sender.send(Err(BodyError::Interrupted)).await.is_err() {
+        let last_piece = match end {
+            RelayEnd::Complete => Ok(Bytes::new()),
+            _ => Err(BodyError::Interrupted),
+        };
+        reservation.close();
+        if end != RelayEnd::CallerLeft && self.sender.send(last_piece).await.is_err() {
             info!(id = self.request.attempt, "stream: the caller left before its end was told");
         }
-        reservation.close();
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -158,7 +158,7 @@
     planned_service::PlannedService,
     planned_team::PlannedTeam,
     rate_limiter::RateLimiter,
-    response_body::{BodyError, BodySender, ResponseBody},
+    response_body::{BodyError, BodySender, ResponseBody, channel as response_body_channel},
     response_head::ResponseHead,
     resumption::{EventStep, RepeatDenial, RepeatTime, StreamJoin, StreamRuns},
     retries::{OfferHistory, RetryBudget, RetryLimit},
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -14,7 +14,8 @@
 /// never looks complete.
 pub type ResponseBody = BoxBody<Bytes, BodyError>;
 
-/// Sender of the data of a streamed body.
+/// Sender of the data of a streamed body. An empty piece of data ends the body as complete. Without it,
+/// the body ends as broken when the sender is dropped, for example because its task panicked.
 pub type BodySender = mpsc::Sender<Result<Bytes, BodyError>>;
 
 /// The body could not be finished.
@@ -36,7 +37,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.receiver.poll_recv(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+        self.receiver.poll_recv(context).map(|piece| match piece {
+            Some(Ok(bytes)) if bytes.is_empty() => None,
+            Some(piece) => Some(piece.map(Frame::data)),
+            None => Some(Err(BodyError::Interrupted)),
+        })
     }
 }
 
--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -2,10 +2,12 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use dragonflycart_containment::EngineRun;
 use dragonflycart_core::PromptPart;
 use dragonflycart_gateway::{
     CallerCredential, FleetOrder, PlannedRoute, RouteKind, RoutePlan, StopPhase,
+    response_body_channel,
 };
 use http_body_util::BodyExt;
 
@@ -207,6 +209,64 @@
     assert!(closed <= requests[1].arrived + NOTE_DELAY, "closed after the next run began");
 }
 
+/// Guards against a run that is taken for lost while its server reads the prompt: a stream stalls only
+/// after an event of its run (LOST).
+#[tokio::test]
+async fn run_that_reads_its_prompt_has_not_stalled() {
+    let mut slow = vec![stream_head("second"), Piece::Pause(STALL_TIME + CHANGE_TIME)];
+    slow.extend([events(3..6), end()]);
+    let route = PlannedRoute { max_attempts: 3, ..resumable_route() };
+    let fleet = ResumableFleet::start(4, vec![cut_after_three(), slow, rest(3..6)]).await;
+
+    let response = fleet.send(fleet.request(route)).await.ok().unwrap();
+
+    assert_eq!(receive(response).await, whole(6));
+    assert_eq!(fleet.engines.requests().len(), 2, "the second run was given up");
+}
+
+/// Guards against a run that is taken for lost while it repeats the events that were forwarded, at a
+/// server that does not know `Last-Event-Id` (LOST).
+#[tokio::test]
+async fn run_that_repeats_events_has_not_stalled() {
+    let mut slow = vec![stream_head("second")];
+    for id in 0..3 {
+        slow.extend([Piece::Pause(STALL_TIME), events(id..id + 1)]);
+    }
+    slow.extend([events(3..6), end()]);
+    let route = PlannedRoute { max_attempts: 3, ..resumable_route() };
+    let fleet = ResumableFleet::start(4, vec![cut_after_three(), slow, rest(3..6)]).await;
+
+    let response = fleet.send(fleet.request(route)).await.ok().unwrap();
+
+    assert_eq!(receive(response).await, whole(6));
+    assert_eq!(fleet.engines.requests().len(), 2, "the second run was given up");
+}
+
+/// Guards against an event with the largest ID, after which no other one can follow: the number of the
+/// next event overflowed, and the response ended as if it were complete (ORDER).
+#[tokio::test]
+async fn event_with_the_largest_id_has_no_number() {
+    let largest = chunk("id: 18446744073709551615\ndata: word\n\n");
+
+    let (received, fleet) = run(vec![vec![stream_head("first"), largest], rest(0..2)]).await;
+
+    assert!(!received.is_complete, "the first server was lost");
+    assert_eq!(fleet.engines.requests().len(), 1, "it can't be continued after this event");
+}
+
+/// Guards against a response that ends as complete although the task that relays its events ended
+/// without having read the end of the stream (ORDER).
+#[tokio::test]
+async fn body_whose_sender_ends_early_is_broken() {
+    let (sender, mut body) = response_body_channel(1);
+
+    sender.send(Ok(Bytes::from_static(b"data: word\n\n"))).await.unwrap();
+    drop(sender);
+
+    assert!(body.frame().await.is_some_and(|frame| frame.is_ok()));
+    assert!(body.frame().await.is_some_and(|frame| frame.is_err()), "it looks complete");
+}
+
 /// Guards against a stalled stream that is given up although its server may only be slow and no other
 /// one has room.
 #[tokio::test]
