tests: soak the parts of hard load

The soak knew nothing of uneven servers, load headers, deferrable and resumable routes. Runners now tell their load; their pace and their load header are changed from outside, in a sequence of faults of its own, so that the main sequences of earlier seeds stay as they are. The plan has an urgent, a deferrable and a resumable route; calls wait for the two slots of each server, and engines have a fifth of the memory. New checks: a stream of the resumable route arrives whole and in order, and at most two servers that did not leave start a request that may be repeated. The check that a refused request did not run now also covers requests that may be repeated.

--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -10,11 +10,12 @@
 
 use bytes::Bytes;
 use dragonflycart_standins::{
-    CallerRequest, CrashPoint, FakeRunner, FakeStore, GenerationOptions, ManifestSpec, READY_PATH,
-    RunLog, RunnerFailure, RunnerKind, RunnerOptions, StoreMode, send, settings_text,
+    CallerRequest, CrashPoint, FakeRunner, FakeStore, GenerationOptions, LoadHeaderMode,
+    ManifestSpec, READY_PATH, RunLog, RunnerFailure, RunnerKind, RunnerOptions, StoreMode, send,
+    settings_text,
 };
 use dragonflycart_testkit::{ChildProcess, FaultRelay, RelayCommand, RelayMode, RelayScope};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::{task::JoinSet, time::Instant};
 
 use super::{
@@ -42,6 +43,15 @@
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for requests in flight to end after the run.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(12);
+/// Slots of a runner of service `desk`. Few, so that calls wait for them.
+const DESK_SLOTS: u32 = 2;
+/// Tokens that fit into an engine's memory. Few, so that streams wait while engines are slow or gone.
+const ENGINE_TOKENS: u64 = 20_000;
+/// Pace of a runner that is slow, and of one that is fast, in percent of the usual time.
+const SLOW_PACE: u32 = 250;
+const FAST_PACE: u32 = 40;
+/// Usual pace of a runner.
+const USUAL_PACE: u32 = 100;
 /// Time limit of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -78,6 +88,10 @@
     heals_at: Option<Instant>,
     /// Times from and until which no connection to the runner is possible.
     unreachable: Option<(Instant, Instant)>,
+    /// Time at which the runner works at its usual pace again.
+    usual_pace_at: Option<Instant>,
+    /// Time at which the load header is sound again.
+    sound_header_at: Option<Instant>,
 }
 
 /// Processes, fakes and requests of one run.
@@ -150,7 +164,7 @@
             extra_routes: self.manifest_version % 7,
             keys: vec!["key".to_owned()],
         };
-        self.store.put_order("config", &plan.to_json());
+        self.store.put_order("config", &hard_load_plan(&plan));
     }
 
     async fn add_runner(&mut self, kind: RunnerKind, zone: &str) {
@@ -178,12 +192,18 @@
         let runner = FakeRunner::start(options, &self.log, self.next_runner).await;
         let relay = FaultRelay::start(runner.address()).await.expect("a loopback port is free");
         runner.set_public_address(relay.address());
+        runner.set_load_header(LoadHeaderMode::Sound);
+        if kind == RunnerKind::PlainService {
+            runner.set_slot_limit(DESK_SLOTS);
+        }
         self.runners.push(RunnerSlot {
             runner,
             relay,
             removed_at: None,
             heals_at: None,
             unreachable: None,
+            usual_pace_at: None,
+            sound_header_at: None,
         });
         self.heartbeat();
     }
@@ -274,7 +294,11 @@
                 (RequestKind::Report, "POST", "/reports/r", Some((900, 100)))
             }
             0 => (RequestKind::Report, "POST", "/reports/r", Some((900, 400 + 80 * (number % 9)))),
-            1..=4 => (RequestKind::Booking, "POST", "/book/b", None),
+            4 if number.is_multiple_of(3) => {
+                (RequestKind::Batch, "POST", "/batches/b", Some((900, 400)))
+            }
+            4 => (RequestKind::Feed, "POST", "/feeds/f", Some((900, 200 + 80 * (number % 9)))),
+            1..=3 => (RequestKind::Booking, "POST", "/book/b", None),
             _ => (RequestKind::Lookup, "GET", "/look/l", None),
         };
         let body = if method == "POST" { vec![b'x'; 20 + number as usize % 700] } else { vec![] };
@@ -319,6 +343,17 @@
             SoakFault::RunnerCrash => self.replace_runner(timed.target).await,
             SoakFault::RunnerDrained => self.drain_runner(timed).await,
             SoakFault::RunnerUnreachable => self.close_runner(timed.target, until),
+            SoakFault::RunnerSlow => self.set_pace(timed.target, SLOW_PACE, until),
+            SoakFault::RunnerFast => self.set_pace(timed.target, FAST_PACE, until),
+            SoakFault::LoadHeaderFalse => {
+                self.set_load_header(timed.target, LoadHeaderMode::False, until);
+            }
+            SoakFault::LoadHeaderUnusable => {
+                self.set_load_header(timed.target, LoadHeaderMode::Unusable, until);
+            }
+            SoakFault::LoadHeaderMissing => {
+                self.set_load_header(timed.target, LoadHeaderMode::Absent, until);
+            }
             SoakFault::NewManifest => self.publish_manifest(),
             SoakFault::Evacuation => {
                 self.store.put_order("evacuate/b", &json!({}));
@@ -327,6 +362,20 @@
         }
     }
 
+    fn set_pace(&mut self, target: usize, pace: u32, until: Instant) {
+        let count = self.runners.len();
+        let slot = &mut self.runners[target % count];
+        slot.runner.set_pace(pace);
+        slot.usual_pace_at = Some(until);
+    }
+
+    fn set_load_header(&mut self, target: usize, mode: LoadHeaderMode, until: Instant) {
+        let count = self.runners.len();
+        let slot = &mut self.runners[target % count];
+        slot.runner.set_load_header(mode);
+        slot.sound_header_at = Some(until);
+    }
+
     fn set_store(&mut self, mode: StoreMode, until: Instant) {
         self.store.set_mode(mode);
         self.store_heals_at = Some(until);
@@ -377,6 +426,7 @@
         let index = target % self.runners.len();
         let slot = self.runners.remove(index);
         self.store.remove_server(slot.runner.id());
+        self.disruptions.note_departed(slot.runner.id());
         if let Some((since, _)) = slot.unreachable {
             self.disruptions.note_unreachable(slot.runner.id(), since);
         }
@@ -394,6 +444,7 @@
             return;
         }
         slot.runner.drain_within(notice);
+        self.disruptions.note_departed(slot.runner.id());
         slot.removed_at = Some(Instant::now() + notice);
         let kind = runner_kind(&slot.runner);
         self.heartbeat();
@@ -424,6 +475,14 @@
                 slot.relay.apply(RelayCommand { scope: RelayScope::Open, mode: RelayMode::Pass });
                 slot.heals_at = None;
             }
+            if is_due(&slot.usual_pace_at) {
+                slot.runner.set_pace(USUAL_PACE);
+                slot.usual_pace_at = None;
+            }
+            if is_due(&slot.sound_header_at) {
+                slot.runner.set_load_header(LoadHeaderMode::Sound);
+                slot.sound_header_at = None;
+            }
             if let Some((since, _)) = slot.unreachable.take_if(|(_, until)| is_due(&Some(*until))) {
                 slot.relay.apply(RelayCommand { scope: RelayScope::All, mode: RelayMode::Pass });
                 self.disruptions.note_unreachable(slot.runner.id(), since);
@@ -483,6 +542,30 @@
     }
 }
 
+/// Returns the manifest with a deferrable route and a resumable one, in which calls have time to wait
+/// for a slot.
+fn hard_load_plan(plan: &ManifestSpec) -> Value {
+    let mut plan = plan.to_json();
+    for route in plan["routes"].as_array_mut().expect("a list of routes") {
+        if route["service"] == "desk" {
+            route["target_latency_ms"] = 300.into();
+        }
+    }
+    let reports = plan["routes"][0].clone();
+    let mut batches = reports.clone();
+    batches["name"] = "batches".into();
+    batches["path_prefix"] = "/batches/".into();
+    batches["priority"] = 2.into();
+    batches["target_latency_ms"] = 4_000.into();
+    let mut feeds = reports;
+    feeds["name"] = "feeds".into();
+    feeds["path_prefix"] = "/feeds/".into();
+    feeds["resumable"] = true.into();
+    plan["routes"].as_array_mut().expect("a list of routes").extend([batches, feeds]);
+    plan["services"][0]["engine"]["kv_capacity_tokens"] = ENGINE_TOKENS.into();
+    plan
+}
+
 fn runner_kind(runner: &FakeRunner) -> RunnerKind {
     if runner.service() == "engines" { RunnerKind::Engine } else { RunnerKind::PlainService }
 }
--- a/tests/all/soak/soak_outcome.rs
+++ b/tests/all/soak/soak_outcome.rs
@@ -2,18 +2,25 @@
 
 use std::fmt;
 
-use dragonflycart_standins::{CallerRequest, CallerResponse, RunLog};
+use dragonflycart_standins::{CallerRequest, CallerResponse, RunLog, RunPart};
 
 use super::{
     overlap_check::{OverlapExcuses, find_overlap},
     soak_disruptions::SoakDisruptions,
 };
 
+/// Number of runners that may start a request that may be repeated, as in the manifest.
+const MAX_ATTEMPTS: usize = 2;
+
 /// Kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RequestKind {
     /// Streamed generation, which may not be started twice.
     Report,
+    /// The same on a deferrable route.
+    Batch,
+    /// Streamed generation of a resumable route.
+    Feed,
     /// Call that is not idempotent.
     Booking,
     /// Idempotent call.
@@ -44,6 +51,8 @@
     pub(crate) refused: usize,
     /// Requests that were resumed at another runner.
     pub(crate) resumed: usize,
+    /// Streams of the resumable route that were started more than once and arrived whole.
+    pub(crate) repeated: usize,
     /// Generations on which two runners worked for too long, but which a disruption excuses, each with
     /// what overlaps and what excuses it.
     pub(crate) excused: Vec<String>,
@@ -55,11 +64,12 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "sent {}, served {}, refused {}, resumed {}, excused {}, violations {}",
+            "sent {}, served {}, refused {}, resumed {}, repeated {}, excused {}, violations {}",
             self.sent,
             self.served,
             self.refused,
             self.resumed,
+            self.repeated,
             self.excused.len(),
             self.violations.len()
         )
@@ -103,16 +113,23 @@
             self.excused.push(line);
         }
         let starts = log.starts(id);
-        if call.kind != RequestKind::Lookup && starts > 1 {
+        let may_repeat = matches!(call.kind, RequestKind::Feed | RequestKind::Lookup);
+        if !may_repeat && starts > 1 {
             self.violations.push(format!("{id}: executed {starts} times: {:?}", log.parts(id)));
         }
+        // A run at a runner that has left does not count.
+        let is_counted =
+            |part: &&RunPart| !part.is_resumed && !disruptions.has_departed(&part.runner);
+        if parts.iter().filter(is_counted).count() > MAX_ATTEMPTS {
+            self.violations.push(format!("{id}: more attempts than allowed: {parts:?}"));
+        }
         if log.parts(id).iter().any(|part| part.is_resumed) {
             self.resumed += 1;
         }
         let Some(status) = call.response.status else { return };
         if matches!(status, 408 | 421 | 429 | 503) {
             self.refused += 1;
-            if call.kind != RequestKind::Lookup && starts > 0 {
+            if starts > 0 {
                 self.violations.push(format!("{id}: refused with {status}, but executed"));
             }
         }
@@ -123,12 +140,15 @@
             return;
         }
         let wrong = match call.kind {
-            RequestKind::Report => check_stream(call),
+            RequestKind::Report | RequestKind::Batch | RequestKind::Feed => check_stream(call),
             RequestKind::Booking | RequestKind::Lookup => check_body(call),
         };
         match wrong {
             Some(reason) => self.violations.push(format!("{id}: {reason}")),
-            None if call.response.is_complete => self.served += 1,
+            None if call.response.is_complete => {
+                self.served += 1;
+                self.repeated += usize::from(call.kind == RequestKind::Feed && starts > 1);
+            }
             None => {}
         }
     }
--- a/tests/all/soak/soak_schedule.rs
+++ b/tests/all/soak/soak_schedule.rs
@@ -13,6 +13,9 @@
 /// Time between two runners that can't be reached, in milliseconds.
 const UNREACHABLE_PAUSE_MS: std::ops::Range<u64> = 2_000..8_000;
 
+/// Time between two faults of the speed and the load headers of runners, in milliseconds.
+const LOAD_PAUSE_MS: std::ops::Range<u64> = 300..1_500;
+
 /// One kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SoakFault {
@@ -50,10 +53,29 @@
     Evacuation,
     /// All connections to a runner are closed, also new ones, for a while.
     RunnerUnreachable,
+    /// A runner takes two and a half times as long for its work for a while.
+    RunnerSlow,
+    /// A runner takes less than half as long for its work for a while.
+    RunnerFast,
+    /// A runner's load header states a load and a pace that are false for a while.
+    LoadHeaderFalse,
+    /// A runner's load header can't be used for a while.
+    LoadHeaderUnusable,
+    /// A runner sends no load header for a while.
+    LoadHeaderMissing,
 }
 
-/// Faults of the main sequence. [`SoakFault::RunnerUnreachable`] has a sequence of its own, so that the
-/// main sequences of earlier seeds stay as they are.
+/// Faults of the speed and the load headers of runners.
+const LOAD_FAULTS: [SoakFault; 5] = [
+    SoakFault::RunnerSlow,
+    SoakFault::RunnerFast,
+    SoakFault::LoadHeaderFalse,
+    SoakFault::LoadHeaderUnusable,
+    SoakFault::LoadHeaderMissing,
+];
+
+/// Faults of the main sequence. [`SoakFault::RunnerUnreachable`] and [`LOAD_FAULTS`] have sequences of
+/// their own, so that the main sequences of earlier seeds stay as they are.
 const FAULTS: [SoakFault; 16] = [
     SoakFault::Kill,
     SoakFault::Pause,
@@ -121,6 +143,17 @@
             });
             at += Duration::from_millis(rng.random_range(UNREACHABLE_PAUSE_MS));
         }
+        rng.set_stream(2);
+        let mut at = Duration::from_millis(rng.random_range(LOAD_PAUSE_MS));
+        while at < duration {
+            faults.push(TimedFault {
+                at,
+                duration: Duration::from_millis(rng.random_range(FAULT_DURATION_MS)),
+                fault: LOAD_FAULTS[rng.random_range(0..LOAD_FAULTS.len())],
+                target: rng.random_range(0..1_000),
+            });
+            at += Duration::from_millis(rng.random_range(LOAD_PAUSE_MS));
+        }
         faults.sort_by_key(|fault| fault.at);
         SoakSchedule { duration, faults }
     }
