admission: estimate the wait of waiting requests again

Cause: the wait was estimated once, on arrival. A request whose chance fell later was kept until its caller gave up.

A waiting request is now estimated again every 500 ms, or every 10 ms for each request that waits at the VM, and refused as not run with the margin of an arriving one (reason wait_became_too_long). Only requests that go before it count: later ones of its own VM are known, and of those elsewhere the ones reported when it took its place count, less what became free since. A refusal tells something about the estimates only if the request waited for longer than expected. A stated demand counts as one engine at most, sums of reported tokens saturate, and aged requests count fully as ahead.

Tested: cargo test -p dragonflycart-admission, and the filter 'admission' of the gateway's tests. fixtures.rs gets the new field; the fleet model also reviews waiting requests if a test asks for it.

--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     EstimateInputs, FleetDemand, FreedRate, QueuePlace, ServiceDemand, TeamUse, WaitEstimate,
-    WaitQueue, Waiter, WaiterId, promised_returns::PromisedReturns,
+    WaitProspect, WaitQueue, Waiter, WaiterId, promised_returns::PromisedReturns,
 };
 
 /// Weight of a new sample in the average of the ratio of waits, which thus covers about ten samples.
@@ -91,35 +91,71 @@
         late_in: Duration,
         room_tokens: u64,
         now: MonoTime,
+    ) -> EstimateInputs {
+        let mut prospect = WaitProspect::default();
+        self.review_inputs(id, waiter, late_in, room_tokens, &mut prospect, now)
+    }
+
+    /// Returns the inputs of the estimate of how much longer a request waits. `prospect` is what its
+    /// earlier estimates were based on; the other arguments are those of
+    /// [`AdmissionTable::estimate_inputs`].
+    pub fn review_inputs(
+        &mut self,
+        id: WaiterId,
+        waiter: (&str, u64),
+        late_in: Duration,
+        room_tokens: u64,
+        prospect: &mut WaitProspect,
+        now: MonoTime,
     ) -> EstimateInputs {
         let (service, own_tokens) = waiter;
-        let (mut ahead_tokens, mut late_tokens) = (0, 0);
-        if let Some(place) = self.queue.place_of(id, now) {
-            let QueuePlace { is_late, rank, .. } = place;
-            let (ahead, equal) = self.fleet_demand.tokens_ahead(service, is_late, rank, now);
-            let (ahead_late, equal_late) = self.fleet_demand.tokens_ahead(service, true, rank, now);
-            // What the teams of waiting requests elsewhere are is not known.
-            let share = self.team_use.share_ahead_of(place.team, now);
-            let equal_ahead = (share * (place.equal_tokens + equal) as f64) as u64;
-            ahead_tokens = place.ahead_tokens + ahead + equal_ahead;
-            late_tokens = place.late_tokens + place.equal_tokens
-                - (share * place.equal_tokens as f64) as u64
-                + (ahead_late + equal_late).saturating_sub(ahead + (share * equal as f64) as u64);
-        }
-        let promised = self.fleet_demand.promised_tokens(service, now);
-        let (freed_per_s, freed_samples) = self.fleet_demand.freed(service, now);
+        let (peers_freed_per_s, peers_samples) = self.fleet_demand.freed(service, now);
         let flow = self.flow(service);
-        EstimateInputs {
-            ahead_tokens,
-            late_tokens,
+        let mut inputs = EstimateInputs {
             late_in,
             own_tokens,
             room_tokens,
-            freed_per_s: freed_per_s + flow.freed.per_second(now),
-            freed_samples: freed_samples + flow.freed.samples(now),
-            promised_tokens: promised + flow.promised.tokens(now),
+            freed_per_s: peers_freed_per_s + flow.freed.per_second(now),
+            freed_samples: peers_samples + flow.freed.samples(now),
+            promised_tokens: flow.promised.tokens(now),
             wait_ratio: (flow.wait_ratio_ln.exp(), flow.waits),
+            ..EstimateInputs::default()
+        };
+        let promised = self.fleet_demand.promised_tokens(service, now);
+        inputs.promised_tokens = inputs.promised_tokens.saturating_add(promised);
+        let Some(place) = self.queue.place_of(id, now) else { return inputs };
+        let QueuePlace { is_late, rank, .. } = place;
+        let (ahead, equal) = self.fleet_demand.tokens_ahead(service, is_late, rank, now);
+        let older = prospect.older_tokens(is_late, equal, inputs.freed_per_s, now);
+        // What the teams of waiting requests elsewhere are is not known.
+        let share = self.team_use.share_ahead_of(place.team, now);
+        let share_of = |tokens: u64| ((share * tokens as f64) as u64).min(tokens);
+        let passing =
+            if is_late { self.fleet_demand.passing_tokens(service, rank, now) } else { 0 };
+        inputs.ahead_tokens = place
+            .ahead_tokens
+            .saturating_add(share_of(place.equal_tokens))
+            .saturating_add(ahead - passing)
+            .saturating_add(share_of(older))
+            .saturating_add(prospect.passing_tokens(
+                place.passing_tokens.saturating_add(passing),
+                inputs.freed_per_s,
+                late_in,
+            ));
+        let behind = place.equal_tokens - share_of(place.equal_tokens);
+        inputs.late_tokens = place.late_tokens.saturating_add(behind);
+        if is_late {
+            inputs.late_tokens = inputs.late_tokens.saturating_add(older - share_of(older));
+        } else {
+            let (ahead_late, equal_late) = self.fleet_demand.tokens_ahead(service, true, rank, now);
+            let newer = equal - older;
+            let not_late = ahead.saturating_add(share_of(older)).saturating_add(newer);
+            let all = ahead_late.saturating_add(equal_late);
+            inputs.late_tokens = inputs.late_tokens.saturating_add(all.saturating_sub(not_late));
+            inputs.newer_tokens = place.newer_tokens.saturating_add(newer);
         }
+        inputs.own_tokens = prospect.missing_tokens(inputs, now);
+        inputs
     }
 
     /// Returns the demand at this VM for each service with a deferrable route, to be reported to the
@@ -138,8 +174,15 @@
         services
     }
 
-    /// Compares an estimate with the real wait of a request that got an engine, or with the time after
-    /// which it gave up.
+    /// Compares an estimate with the time after which a request was refused. That the request would
+    /// have waited for longer tells something only if it waited for longer than was expected.
+    pub fn note_unserved(&mut self, service: &str, estimate: WaitEstimate, wait_s: f64) {
+        if wait_s > estimate.wait.as_secs_f64() {
+            self.note_wait(service, estimate, wait_s);
+        }
+    }
+
+    /// Compares an estimate with the real wait of a request that got an engine.
     pub fn note_wait(&mut self, service: &str, estimate: WaitEstimate, wait_s: f64) {
         let estimated_s = estimate.uncorrected.as_secs_f64();
         if estimate.uncorrected.is_zero() || estimate.uncorrected == Duration::MAX {
--- a/crates/admission/src/fleet_demand.rs
+++ b/crates/admission/src/fleet_demand.rs
@@ -41,10 +41,10 @@
         for (other, demand) in &self.ranks {
             let is_before = *other < rank || (is_equal && *other == rank);
             if is_late || is_before {
-                tokens += demand.timely_tokens;
+                tokens = u64::saturating_add(tokens, demand.timely_tokens);
             }
             if is_late && is_before {
-                tokens += demand.tokens.saturating_sub(demand.timely_tokens);
+                tokens = tokens.saturating_add(demand.tokens.saturating_sub(demand.timely_tokens));
             }
         }
         tokens
@@ -97,22 +97,33 @@
         rank: u8,
         now: MonoTime,
     ) -> (u64, u64) {
-        let (mut ahead, mut equal) = (0, 0);
+        let (mut ahead, mut equal) = (0_u64, 0_u64);
         for demand in self.fresh(service, now) {
             let before = demand.tokens_before(is_late, rank, false);
-            ahead += before;
-            equal += demand.tokens_before(is_late, rank, true) - before;
+            ahead = ahead.saturating_add(before);
+            equal = equal.saturating_add(demand.tokens_before(is_late, rank, true) - before);
         }
         (ahead, equal)
     }
 
+    /// Returns the tokens of the requests elsewhere of this rank or less urgent ones that can still be
+    /// on time. They go before a late request of this rank as long as they are on time.
+    pub fn passing_tokens(&self, service: &str, rank: u8, now: MonoTime) -> u64 {
+        let mut tokens = 0_u64;
+        for demand in self.fresh(service, now) {
+            let urgent = demand.tokens_before(false, rank, false);
+            tokens = tokens.saturating_add(demand.tokens_before(false, u8::MAX, true) - urgent);
+        }
+        tokens
+    }
+
     /// Returns the tokens of the more urgent requests elsewhere to which this VM gives way with a
     /// request of this lateness and rank. They are divided among the VMs that have such a request or
     /// a less urgent one, so that not all of these give way to the same requests.
     pub fn urgent_share(&self, service: &str, is_late: bool, rank: u8, now: MonoTime) -> u64 {
-        let (mut tokens, mut vms) = (0, 1);
+        let (mut tokens, mut vms) = (0_u64, 1);
         for demand in self.fresh(service, now) {
-            tokens += demand.tokens_before(is_late, rank, false);
+            tokens = tokens.saturating_add(demand.tokens_before(is_late, rank, false));
             vms += u64::from(demand.has_waiters_from(rank));
         }
         tokens / vms
@@ -120,7 +131,8 @@
 
     /// Returns the tokens of requests that the other VMs refused and told to come back later.
     pub fn promised_tokens(&self, service: &str, now: MonoTime) -> u64 {
-        self.fresh(service, now).map(|demand| demand.promised_tokens).sum()
+        let promised = self.fresh(service, now).map(|demand| demand.promised_tokens);
+        promised.fold(0, u64::saturating_add)
     }
 
     /// Returns the tokens that become free per second at the other VMs, and the number of recent
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -15,6 +15,7 @@
 mod service_queue;
 mod team_use;
 mod wait_estimate;
+mod wait_prospect;
 mod wait_queue;
 mod waiter;
 
@@ -28,6 +29,7 @@
     queue_place::QueuePlace,
     team_use::TeamUse,
     wait_estimate::{EstimateInputs, WaitEstimate, maximum_wait},
+    wait_prospect::WaitProspect,
     wait_queue::WaitQueue,
     waiter::{Waiter, WaiterId},
 };
--- a/crates/admission/src/service_queue.rs
+++ b/crates/admission/src/service_queue.rs
@@ -25,6 +25,8 @@
     teams: BTreeMap<String, BTreeSet<WaiterId>>,
     count: usize,
     tokens: u64,
+    /// The part of the tokens for aged requests.
+    aged_tokens: u64,
 }
 
 impl WaiterLane {
@@ -45,6 +47,17 @@
         }
         first.map(|(_, id)| id)
     }
+
+    /// Returns the requests that arrived after this one and are behind it, whatever the teams. Of an
+    /// aged request, these include all that are not aged.
+    fn newer(&self, id: WaiterId, is_aged: bool) -> impl Iterator<Item = WaiterId> {
+        let aged = self.aged.range(id + 1..).filter(move |_| is_aged);
+        let others = self.teams.values().flat_map(move |ids| {
+            let first = if is_aged { 0 } else { id + 1 };
+            ids.range(first..)
+        });
+        aged.chain(others).copied()
+    }
 }
 
 /// Waiting request and the state that decides its place.
@@ -150,7 +163,8 @@
         candidates
     }
 
-    /// Returns the place of a request.
+    /// Returns the place of a request. This takes a time that grows with the number of requests that
+    /// arrived after it.
     pub(crate) fn place_of(&mut self, id: WaiterId, now: MonoTime) -> Option<QueuePlace<'_>> {
         self.advance(now);
         let queued = self.waiters.get(&id)?;
@@ -161,12 +175,26 @@
             team: &queued.waiter.team,
             ahead_tokens: 0,
             equal_tokens: 0,
+            passing_tokens: 0,
+            newer_tokens: 0,
             late_tokens: 0,
         };
         for (key, lane) in self.lanes.range(..=late_lane) {
             match key.cmp(&queued.lane) {
+                Ordering::Less if LaneKey { is_late: true, ..*key } >= late_lane => {
+                    place.passing_tokens += lane.tokens;
+                }
                 Ordering::Less => place.ahead_tokens += lane.tokens,
-                Ordering::Equal => place.equal_tokens += lane.tokens - queued.waiter.tokens,
+                Ordering::Equal => {
+                    let newer = lane.newer(id, queued.is_aged);
+                    let newer = newer.filter_map(|id| self.waiters.get(&id));
+                    place.newer_tokens = newer.map(|queued| queued.waiter.tokens).sum();
+                    let older = lane.tokens - queued.waiter.tokens - place.newer_tokens;
+                    // The aged requests go first, whatever the teams.
+                    let aged = if queued.is_aged { older } else { lane.aged_tokens };
+                    place.ahead_tokens += aged;
+                    place.equal_tokens = older - aged;
+                }
                 Ordering::Greater => place.late_tokens += lane.tokens,
             }
         }
@@ -221,6 +249,7 @@
         lane.count += 1;
         lane.tokens += queued.waiter.tokens;
         if queued.is_aged {
+            lane.aged_tokens += queued.waiter.tokens;
             lane.aged.insert(id);
             return;
         }
@@ -241,7 +270,9 @@
         let Some(lane) = self.lanes.get_mut(&queued.lane) else { return };
         lane.count -= 1;
         lane.tokens -= queued.waiter.tokens;
-        lane.aged.remove(&id);
+        if lane.aged.remove(&id) {
+            lane.aged_tokens -= queued.waiter.tokens;
+        }
         let is_managed = queued.waiter.class.is_managed();
         let team = if is_managed { queued.waiter.team.as_str() } else { "" };
         if let Some(ids) = lane.teams.get_mut(team) {
--- a/crates/admission/src/wait_estimate.rs
+++ b/crates/admission/src/wait_estimate.rs
@@ -25,7 +25,8 @@
     time_limit: Duration,
     expected_first_event: Duration,
 ) -> Duration {
-    let patience = (latency_target * PATIENCE_TARGETS).max(LEAST_PATIENCE).min(time_limit);
+    let patience =
+        latency_target.saturating_mul(PATIENCE_TARGETS).max(LEAST_PATIENCE).min(time_limit);
     // A few slow engines must not make the gateway refuse everything.
     patience - expected_first_event.min(patience / 2)
 }
@@ -37,6 +38,8 @@
     pub ahead_tokens: u64,
     /// Tokens of the requests that go before it, too, when it is late.
     pub late_tokens: u64,
+    /// Tokens of the requests behind this one that would go before it if it came back later.
+    pub newer_tokens: u64,
     /// Time until it is late.
     pub late_in: Duration,
     /// Tokens that the request itself needs.
@@ -74,11 +77,12 @@
         if timely.wait <= inputs.late_in {
             return timely;
         }
-        WaitEstimate::of_tokens(inputs.ahead_tokens + inputs.late_tokens, inputs)
+        WaitEstimate::of_tokens(inputs.ahead_tokens.saturating_add(inputs.late_tokens), inputs)
     }
 
     fn of_tokens(ahead_tokens: u64, inputs: EstimateInputs) -> WaitEstimate {
-        let needed = (ahead_tokens + inputs.own_tokens).saturating_sub(inputs.room_tokens);
+        let needed =
+            ahead_tokens.saturating_add(inputs.own_tokens).saturating_sub(inputs.room_tokens);
         if needed == 0 {
             return WaitEstimate {
                 wait: Duration::ZERO,
@@ -94,11 +98,12 @@
         let factor =
             if is_corrected { ratio.clamp(1.0 / CORRECTION_LIMIT, CORRECTION_LIMIT) } else { 1.0 };
         let uncorrected_s = needed as f64 / inputs.freed_per_s;
-        let promised_s = inputs.promised_tokens as f64 / inputs.freed_per_s;
+        let later_tokens = inputs.promised_tokens as f64 + inputs.newer_tokens as f64;
+        let later_s = later_tokens / inputs.freed_per_s;
         let times = (
             Duration::try_from_secs_f64(uncorrected_s),
             Duration::try_from_secs_f64(factor * uncorrected_s),
-            Duration::try_from_secs_f64(factor * (uncorrected_s + promised_s)),
+            Duration::try_from_secs_f64(factor * (uncorrected_s + later_s)),
         );
         // Without freed memory, the figures are no numbers or too large.
         let (Ok(uncorrected), Ok(wait), Ok(retry_after)) = times else {
@@ -109,13 +114,14 @@
                 is_doubtful: true,
             };
         };
-        let is_doubtful = is_wrong || inputs.freed_samples < LEAST_SAMPLES;
+        let has_samples = inputs.freed_samples >= LEAST_SAMPLES;
+        let is_doubtful = is_wrong || !has_samples;
         WaitEstimate { wait, retry_after, uncorrected, is_doubtful }
     }
 
     /// Returns whether a request that can wait for `time` is to be refused, because it would wait in
     /// vain.
     pub fn exceeds(&self, time: Duration) -> bool {
-        !self.is_doubtful && self.wait > time.mul_f64(REFUSAL_MARGIN)
+        !self.is_doubtful && self.wait.as_secs_f64() > time.as_secs_f64() * REFUSAL_MARGIN
     }
 }
--- a/crates/admission/tests/all/fixtures.rs
+++ b/crates/admission/tests/all/fixtures.rs
@@ -60,6 +60,7 @@
     EstimateInputs {
         ahead_tokens: 17_000,
         late_tokens: 0,
+        newer_tokens: 0,
         late_in: Duration::from_millis(1_500),
         own_tokens: 3_000,
         room_tokens: 0,
--- a/crates/admission/tests/all/fleet_model.rs
+++ b/crates/admission/tests/all/fleet_model.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use dragonflycart_admission::{
-    AdmissionTable, GiveWay, ServiceDemand, WaitEstimate, Waiter, WaiterId,
+    AdmissionTable, GiveWay, ServiceDemand, WaitEstimate, WaitProspect, Waiter, WaiterId,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -65,6 +65,10 @@
     pub(crate) is_admitted: bool,
     /// Estimate with which it was refused on arrival.
     pub(crate) refused_with: Option<Duration>,
+    /// Estimate with which it was refused while it waited.
+    pub(crate) reviewed_with: Option<Duration>,
+    /// Estimate on its arrival.
+    pub(crate) expected: WaitEstimate,
 }
 
 #[derive(Debug)]
@@ -73,6 +77,7 @@
     id: WaiterId,
     arrival: Arrival,
     expected: WaitEstimate,
+    prospect: WaitProspect,
     give_way: GiveWay,
     /// Time since which it could have used idle room.
     idle_since: Option<u64>,
@@ -110,6 +115,7 @@
     troubles: Vec<Trouble>,
     network: Network,
     refuses: bool,
+    reviews: bool,
     /// Refused requests that will be sent again after the time that they were told.
     retries: Vec<Arrival>,
     rng: ChaCha8Rng,
@@ -134,6 +140,7 @@
             troubles: Vec::new(),
             network,
             refuses: false,
+            reviews: false,
             retries: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now_ms: 0,
@@ -153,6 +160,11 @@
         self
     }
 
+    /// Lets the VMs refuse requests, on arrival and while they wait, whose wait would be too long.
+    pub(crate) fn with_reviews(self) -> FleetModel {
+        FleetModel { reviews: true, ..self.with_refusals() }
+    }
+
     /// Runs the model until all requests ended.
     pub(crate) fn run(mut self, mut arrivals: Vec<Arrival>) -> FleetModel {
         arrivals.sort_by_key(|arrival| std::cmp::Reverse(arrival.at_ms));
@@ -178,6 +190,7 @@
                 let is_turn = (self.now_ms / STEP_MS + vm as u64).is_multiple_of(TRY_MS / STEP_MS);
                 if is_turn && !self.is_troubled(vm, TroubleKind::Frozen) {
                     self.admit(vm);
+                    self.review(vm);
                 }
             }
             self.note_idle();
@@ -242,34 +255,83 @@
         let waiter = Waiter { tokens: arrival.tokens, ..waiter };
         let id = self.tables[vm].enqueue(waiter, at(self.now_ms));
         let give_way = GiveWay::default();
-        let expected = self.estimate(vm, id, &arrival);
-        let maximum_ms = if arrival.is_long { 15_000 } else { 5_600 };
-        let is_refused = self.refuses && expected.exceeds(Duration::from_millis(maximum_ms));
+        let mut prospect = WaitProspect::default();
+        let expected = self.estimate(vm, id, &arrival, &mut prospect);
+        let is_refused = self.refuses && expected.exceeds(self.time_left(&arrival));
         let idle_since = None;
-        self.waiters.push(ModelWaiter { vm, id, arrival, expected, give_way, idle_since });
+        let waiter = ModelWaiter { vm, id, arrival, expected, prospect, give_way, idle_since };
+        self.waiters.push(waiter);
         if is_refused {
             self.end(self.waiters.len() - 1, false);
-            let ended = self.ended.last_mut().unwrap();
-            ended.refused_with = Some(expected.wait);
-            if !ended.arrival.is_retry {
-                let time = expected.retry_after;
-                let at_ms = self.now_ms + time.as_millis() as u64;
-                let arrival = Arrival { at_ms, is_retry: true, ..ended.arrival.clone() };
-                self.tables[vm].note_promise(ENGINES, arrival.tokens, time, at(self.now_ms));
-                self.retries.push(arrival);
-            }
+            self.ended.last_mut().unwrap().refused_with = Some(expected.wait);
+            self.send_again(vm, expected);
         }
     }
 
-    fn estimate(&mut self, vm: usize, id: WaiterId, arrival: &Arrival) -> WaitEstimate {
+    /// Lets the last request that ended come back after the time that it was told, if it is its first
+    /// attempt.
+    fn send_again(&mut self, vm: usize, expected: WaitEstimate) {
+        let ended = self.ended.last().unwrap();
+        if ended.arrival.is_retry {
+            return;
+        }
+        let time = expected.retry_after;
+        let at_ms = self.now_ms + time.as_millis() as u64;
+        let arrival = Arrival { at_ms, is_retry: true, ..ended.arrival.clone() };
+        self.tables[vm].note_promise(ENGINES, arrival.tokens, time, at(self.now_ms));
+        self.retries.push(arrival);
+    }
+
+    fn time_left(&self, arrival: &Arrival) -> Duration {
+        let maximum_ms = if arrival.is_long { 15_000 } else { 5_600 };
+        Duration::from_millis((arrival.at_ms + maximum_ms).saturating_sub(self.now_ms))
+    }
+
+    fn estimate(
+        &mut self,
+        vm: usize,
+        id: WaiterId,
+        arrival: &Arrival,
+        prospect: &mut WaitProspect,
+    ) -> WaitEstimate {
         let room = self.room(arrival);
-        let late_in = Duration::from_millis(if arrival.is_long { 4_000 } else { 1_500 });
+        let late_ms = arrival.at_ms + if arrival.is_long { 4_000 } else { 1_500 };
+        let late_in = Duration::from_millis(late_ms.saturating_sub(self.now_ms));
         let waiter = (ENGINES, arrival.tokens);
         let now = at(self.now_ms);
-        let inputs = self.tables[vm].estimate_inputs(id, waiter, late_in, room, now);
+        prospect.note_estimate(self.tables[vm].queue.count(ENGINES), now);
+        let inputs = self.tables[vm].review_inputs(id, waiter, late_in, room, prospect, now);
         WaitEstimate::from_inputs(inputs)
     }
 
+    /// Estimates the waiting requests of a VM again whose time has come.
+    fn review(&mut self, vm: usize) {
+        let mut index = 0;
+        while index < self.waiters.len() {
+            let waiter = &self.waiters[index];
+            let left = self.time_left(&waiter.arrival);
+            let is_due = waiter.prospect.is_due(left, at(self.now_ms));
+            if !self.reviews || waiter.vm != vm || !is_due {
+                index += 1;
+                continue;
+            }
+            let (id, arrival) = (waiter.id, waiter.arrival.clone());
+            let mut prospect = waiter.prospect.clone();
+            let expected = self.estimate(vm, id, &arrival, &mut prospect);
+            self.waiters[index].prospect = prospect;
+            if !expected.exceeds(left) {
+                index += 1;
+                continue;
+            }
+            let waiter = &self.waiters[index];
+            let wait_s = (self.now_ms - waiter.arrival.at_ms) as f64 / 1_000.0;
+            self.tables[vm].note_unserved(ENGINES, waiter.expected, wait_s);
+            self.end(index, false);
+            self.ended.last_mut().unwrap().reviewed_with = Some(expected.wait);
+            self.send_again(vm, expected);
+        }
+    }
+
     /// Returns the emptiest engine on which a request fits.
     fn engine_for(&self, arrival: &Arrival) -> Option<usize> {
         let limit = if arrival.is_long { DEFERRABLE_LIMIT } else { URGENT_LIMIT };
@@ -320,7 +382,14 @@
         self.tables[waiter.vm].queue.remove(waiter.id);
         let waited_ms = self.now_ms - waiter.arrival.at_ms;
         let arrival = waiter.arrival;
-        self.ended.push(Ended { arrival, waited_ms, is_admitted, refused_with: None });
+        self.ended.push(Ended {
+            arrival,
+            waited_ms,
+            is_admitted,
+            refused_with: None,
+            reviewed_with: None,
+            expected: waiter.expected,
+        });
     }
 
     fn end_generations(&mut self) {
--- a/crates/admission/tests/all/fleets.rs
+++ b/crates/admission/tests/all/fleets.rs
@@ -172,6 +172,73 @@
     }
 }
 
+/// Pattern: the same. Refusals of requests that wait already must not cost service either: they may
+/// only concern requests that would have waited in vain.
+#[test]
+fn refusals_of_waiting_requests_cost_hardly_any_service() {
+    for (seed, long_per_s) in [(10, 14), (11, 30), (12, 20)] {
+        let arrivals = mixed(8, 25, long_per_s, 10, seed);
+        let without = FleetModel::new(8, 4, Network::default(), seed).run(arrivals.clone());
+
+        let fleet = FleetModel::new(8, 4, Network::default(), seed).with_reviews().run(arrivals);
+
+        for is_long in [true, false] {
+            let served = fleet.waits(|arrival| arrival.is_long == is_long).0.len();
+            let served_without = without.waits(|arrival| arrival.is_long == is_long).0.len();
+            assert!(100 * served >= 95 * served_without, "{served} of {served_without}");
+        }
+    }
+}
+
+/// Pattern: long streams wait that could all begin in time, and then urgent ones come for 10 s that
+/// take all the room. The long ones must be refused when that is known, not when their callers give
+/// up, and none of them may be refused that could have been served.
+#[test]
+fn requests_whose_chance_falls_are_refused_before_their_callers_give_up() {
+    let mut arrivals = mixed(8, 12, 14, 5, 30);
+    for mut arrival in mixed(8, 12, 0, 120, 31) {
+        arrival.at_ms += 9_000;
+        arrivals.push(arrival);
+    }
+    let run = |fleet: FleetModel| fleet.run(arrivals.clone());
+    let once = run(FleetModel::new(8, 4, Network::default(), 30).with_refusals());
+
+    let fleet = run(FleetModel::new(8, 4, Network::default(), 30).with_reviews());
+
+    let in_vain = |fleet: &FleetModel| {
+        let ended = fleet.ended.iter().filter(|ended| ended.arrival.is_long && !ended.is_admitted);
+        ended.filter(|ended| ended.waited_ms >= 15_000).count()
+    };
+    let served = |fleet: &FleetModel| fleet.waits(|arrival| arrival.is_long).0.len();
+    let refused = fleet.ended.iter().filter(|ended| ended.reviewed_with.is_some()).count();
+    assert!(2 * in_vain(&fleet) < in_vain(&once), "{} of {}", in_vain(&fleet), in_vain(&once));
+    assert!(100 * served(&fleet) >= 95 * served(&once), "{} of {}", served(&fleet), served(&once));
+    assert!(refused > 0);
+}
+
+/// Pattern: lasting overloads of one and a half times and twice the capacity. Real waits differ from
+/// single estimates, but the correction must keep their average ratio within the factor of 3 beyond
+/// which estimates count as doubtful.
+#[test]
+fn average_error_of_the_estimates_is_bounded() {
+    for (seed, long_per_s) in [(40, 11), (41, 14), (42, 14)] {
+        let arrivals = mixed(8, 30, long_per_s, 10, seed);
+
+        let fleet = FleetModel::new(8, 4, Network::default(), seed).with_reviews().run(arrivals);
+
+        let mut logarithms = Vec::new();
+        for ended in fleet.ended.iter().filter(|ended| ended.is_admitted) {
+            let expected_s = ended.expected.wait.as_secs_f64();
+            if !ended.expected.is_doubtful && expected_s > 0.0 {
+                logarithms.push((ended.waited_ms.max(1) as f64 / 1_000.0 / expected_s).ln());
+            }
+        }
+        let average = (logarithms.iter().sum::<f64>() / logarithms.len() as f64).exp();
+        assert!(logarithms.len() > 100, "{} estimates", logarithms.len());
+        assert!((1.0 / 3.0..=3.0).contains(&average), "{average}");
+    }
+}
+
 /// Pattern: a burst of long streams of ten times the capacity for 4 s, then a third of it. Callers
 /// that are refused try once more, after the time that they were told, and must be served then.
 #[test]
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod fleet_model;
 mod fleets;
 mod leaves;
+mod prospects;
 mod queues;
 mod shares;
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -3,8 +3,9 @@
 
 mod demand_reports;
 mod engine_admission;
+mod engine_tokens;
 mod queue_entry;
 
-pub(crate) use self::queue_entry::QueueEntry;
+pub(crate) use self::{engine_tokens::engine_tokens, queue_entry::QueueEntry};
 pub use demand_reports::{apply_report, fill_report};
 pub use engine_admission::EngineAdmission;
--- a/crates/gateway/src/admission/queue_entry.rs
+++ b/crates/gateway/src/admission/queue_entry.rs
@@ -5,6 +5,7 @@
 use dragonflycart_admission::{Waiter, WaiterId};
 use tokio::sync::Notify;
 
+use super::engine_tokens;
 use crate::{CallerRequest, GatewayContext};
 
 /// Entry in the wait queue. It is removed on drop, also when the request's task is cancelled because
@@ -13,6 +14,7 @@
     context: &'a GatewayContext,
     id: WaiterId,
     rank: u8,
+    tokens: u64,
     waker: Arc<Notify>,
 }
 
@@ -24,18 +26,19 @@
         maximum: Duration,
     ) -> QueueEntry<'a> {
         let arrived = context.clock.at(request.arrived);
+        let tokens = engine_tokens(context, request);
         let waiter = Waiter {
             service: request.service.clone(),
             class: request.admission,
             rank: request.rank(),
             team: request.team.clone().unwrap_or_default(),
-            tokens: request.demand.reserved_tokens(),
+            tokens,
             late_at: arrived + request.route.latency_target,
             aged_at: arrived + maximum / 2,
         };
         let (id, waker) = context.admission.enqueue(waiter, context.clock.now());
         context.metrics.change_waiting(request.rank(), 1);
-        QueueEntry { context, id, rank: request.rank(), waker }
+        QueueEntry { context, id, rank: request.rank(), tokens, waker }
     }
 
     /// Returns the ID of the request in the queue.
@@ -43,6 +46,11 @@
         self.id
     }
 
+    /// Returns the engine memory that the request counts for, in tokens.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
     /// Returns whether it is the request's turn to look for room.
     pub(crate) fn has_turn(&self) -> bool {
         self.context.admission.table().has_turn(self.id, self.context.clock.now())
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -5,14 +5,17 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use dragonflycart_admission::{EstimateInputs, GiveWay, WaitEstimate, maximum_wait};
+use dragonflycart_admission::{EstimateInputs, GiveWay, WaitEstimate, WaitProspect, maximum_wait};
 use dragonflycart_core::ErrorKind;
 use tokio::time::Instant;
 use tracing::info;
 
 use crate::{
     CallerRequest, GatewayContext, GatewayFailure, GenerationReservation, ServerKey,
-    admission::QueueEntry, containment::prompt_check, revocation::key_check, server_attempt,
+    admission::{self, QueueEntry},
+    containment::prompt_check,
+    revocation::key_check,
+    server_attempt,
 };
 
 /// Maximum time between attempts to find an engine. Memory that other VMs freed and requests that
@@ -30,8 +33,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 enum RefusalReason {
-    /// By the estimate, it could not begin before its caller gives up.
+    /// By the estimate on arrival, it could not begin before its caller gives up.
     WaitTooLong,
+    /// By a later estimate, it can no longer begin before its caller gives up.
+    WaitBecameTooLong,
     /// It waited for as long as it may.
     NoRoomInTime,
 }
@@ -54,6 +59,7 @@
     let give_up_at = (request.arrived + maximum).min(request.deadline);
     let mut estimate = None;
     let mut tries = 0_u32;
+    let mut prospect = WaitProspect::default();
     let mut give_way = GiveWay::default();
     loop {
         server_attempt::check_stop(context)?;
@@ -64,19 +70,26 @@
             if !gives_way(context, request, &entry, excluded, &mut give_way)
                 && let Some(reservation) = GenerationReservation::take(context, request, excluded)
             {
-                note_wait(context, request, estimate, began);
+                note_wait(context, request, estimate, began, true);
                 charge(context, request);
                 return Ok(reservation);
             }
             entry.note_no_room();
         }
-        if is_managed && estimate.is_none() {
-            let inputs = estimate_inputs(context, request, &entry, excluded);
-            let expected = WaitEstimate::from_inputs(inputs);
-            estimate = Some(expected);
-            let left = give_up_at.saturating_duration_since(Instant::now());
+        let left = give_up_at.saturating_duration_since(Instant::now());
+        let is_arriving = estimate.is_none();
+        if is_managed && (is_arriving || prospect.is_due(left, context.clock.now())) {
+            let (inputs, expected) =
+                estimate_wait(context, request, &entry, excluded, &mut prospect, left);
+            estimate.get_or_insert(expected);
             if expected.exceeds(left) {
-                log_refusal(context, request, RefusalReason::WaitTooLong, (inputs, expected), left);
+                let reason = if is_arriving {
+                    RefusalReason::WaitTooLong
+                } else {
+                    note_wait(context, request, estimate, began, false);
+                    RefusalReason::WaitBecameTooLong
+                };
+                log_refusal(context, request, reason, (inputs, expected), left);
                 return Err(GatewayFailure::new(
                     ErrorKind::Overloaded,
                     "the wait would be too long",
@@ -85,12 +98,12 @@
             }
         }
         if Instant::now() >= give_up_at {
-            note_wait(context, request, estimate, began);
+            note_wait(context, request, estimate, began, false);
             if !is_managed {
                 let waiting = context.admission.table().queue.count(&request.service);
                 info!(id = request.attempt, tries, waiting, "stream: no engine had room in time");
             }
-            return Err(no_room(context, request, &entry, excluded));
+            return Err(no_room(context, request, &entry, excluded, &mut prospect));
         }
         let pause = tokio::time::sleep_until((Instant::now() + TRY_INTERVAL).min(give_up_at));
         tokio::select! {
@@ -131,32 +144,51 @@
     give_way.gives_way(request.demand.reserved_tokens(), share, room, now)
 }
 
-fn estimate_inputs(
+/// Estimates how much longer a request waits. `left` is the time that it may still wait.
+fn estimate_wait(
     context: &GatewayContext,
     request: &CallerRequest,
     entry: &QueueEntry<'_>,
     excluded: &BTreeSet<ServerKey>,
-) -> EstimateInputs {
+    prospect: &mut WaitProspect,
+    left: Duration,
+) -> (EstimateInputs, WaitEstimate) {
     let now = context.clock.now();
-    let room = context.view().room_tokens(&request.query(excluded), now);
-    let own = request.demand.reserved_tokens();
     let late_at = request.arrived + request.route.latency_target;
     let late_in = late_at.saturating_duration_since(Instant::now());
-    let waiter = (request.service.as_str(), own);
-    context.admission.table().estimate_inputs(entry.id(), waiter, late_in, room, now)
+    let waiter = (request.service.as_str(), entry.tokens());
+    let is_arriving = prospect.is_new();
+    let inputs = {
+        let mut table = context.admission.table();
+        prospect.note_estimate(table.queue.count(&request.service), now);
+        table.review_inputs(entry.id(), waiter, late_in, 0, prospect, now)
+    };
+    // Room only shortens the wait, and it takes a look at all engines to find it.
+    let without_room = WaitEstimate::from_inputs(inputs);
+    if !is_arriving && !left.is_zero() && !without_room.exceeds(left) {
+        return (inputs, without_room);
+    }
+    let room_tokens = context.view().room_tokens(&request.query(excluded), now);
+    let inputs = EstimateInputs { room_tokens, ..inputs };
+    (inputs, WaitEstimate::from_inputs(inputs))
 }
 
-/// Records how long a request waited, and compares that with the estimate.
+/// Records how long a request waited, and compares that with the estimate on its arrival.
 fn note_wait(
     context: &GatewayContext,
     request: &CallerRequest,
     estimate: Option<WaitEstimate>,
     began: Instant,
+    is_admitted: bool,
 ) {
     let wait = began.elapsed();
     context.metrics.count_engine_wait(wait);
     let Some(estimate) = estimate else { return };
     let wait_s = wait.as_secs_f64();
+    if !is_admitted {
+        context.admission.table().note_unserved(&request.service, estimate, wait_s);
+        return;
+    }
     let ratio = wait_s / estimate.wait.as_secs_f64();
     if !estimate.is_doubtful && ratio.is_finite() {
         context.metrics.count_wait_ratio(ratio);
@@ -183,7 +215,7 @@
 ) -> Duration {
     let time = estimate.retry_after;
     if time <= request.time_left() / RETRY_SHARE {
-        let tokens = request.demand.reserved_tokens();
+        let tokens = admission::engine_tokens(context, request);
         let now = context.clock.now();
         context.admission.table().note_promise(&request.service, tokens, time, now);
     }
@@ -227,6 +259,7 @@
     request: &CallerRequest,
     entry: &QueueEntry<'_>,
     excluded: &BTreeSet<ServerKey>,
+    prospect: &mut WaitProspect,
 ) -> GatewayFailure {
     let failure = GatewayFailure::new(ErrorKind::Overloaded, "no engine had room");
     let target = request.route.latency_target;
@@ -235,10 +268,11 @@
         context.metrics.count_refusal(reason.into());
         return failure.with_retry_after(target);
     }
-    let inputs = estimate_inputs(context, request, entry, excluded);
-    let estimate = WaitEstimate::from_inputs(inputs);
+    let (inputs, estimate) =
+        estimate_wait(context, request, entry, excluded, prospect, Duration::ZERO);
     log_refusal(context, request, reason, (inputs, estimate), Duration::ZERO);
-    if estimate.is_doubtful {
+    // That the request should have begun at once was wrong.
+    if estimate.is_doubtful || estimate.retry_after.is_zero() {
         return failure.with_retry_after(target);
     }
     failure.with_retry_after(promise_return(context, request, estimate))
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -245,6 +245,76 @@
     }
 }
 
+/// Pattern: a long request waits that could begin soon, and then a burst of urgent ones at another VM
+/// takes all that becomes free.
+/// Guards against a request that is kept until its caller gives up although it is known earlier that
+/// it can't begin in time, and against a refusal that callers take for a run.
+#[tokio::test]
+async fn request_that_can_no_longer_be_served_is_refused_while_it_waits() {
+    let context = busy_context(4_000);
+    let request = request_of(&context, 2_000);
+    let mut urgent = waiting_table();
+    for _ in 0..100 {
+        let waiter = Waiter {
+            service: ENGINES.to_owned(),
+            class: AdmissionClass::Urgent,
+            rank: 0,
+            team: "studio".to_owned(),
+            tokens: 3_000,
+            late_at: at(60_000),
+            aged_at: at(60_000),
+        };
+        urgent.enqueue(waiter, at(0));
+    }
+    let burst = report_of(&mut urgent);
+    let other = Arc::clone(&context);
+    let load = tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let (mut table, now) = (other.admission.table(), other.clock.now());
+            table.note_freed(ENGINES, 400, now);
+            apply_report(&burst, &mut table, Duration::from_millis(300), now);
+            drop(table);
+            let load = ServerLoad { requests: 7, tokens: MEMORY_TOKENS, ..ServerLoad::default() };
+            other.view().note_peer_load(7, "e0", load, now);
+        }
+    });
+
+    let refusal = reserve_engine(&context, &request, &BTreeSet::new()).await.err().unwrap();
+    load.abort();
+
+    assert_eq!(refusal.kind, ErrorKind::Overloaded);
+    assert!(refusal.retry_after.unwrap() > Duration::from_secs(4), "{:?}", refusal.retry_after);
+    let metrics = context.metrics.encode();
+    let sample = "engine_refusals_total{reason=\"wait_became_too_long\"} 1";
+    assert!(metrics.contains(sample), "{metrics}");
+    assert_eq!(context.admission.table().queue.count(ENGINES), 0);
+}
+
+/// Pattern: a caller states a prompt of a billion tokens, and others wait behind its request.
+/// Guards against estimates for the others that are too long because of it: it gets one empty engine
+/// like any request that is larger than one.
+#[tokio::test]
+async fn request_that_states_nonsense_does_not_lengthen_the_estimates_of_others() {
+    let context = busy_context(4_000);
+    let huge = CallerRequest {
+        demand: TokenDemand::estimate(1_000_000_000, 10, None),
+        ..request_of(&context, 4_000)
+    };
+    let first = Arc::clone(&context);
+    let waiting =
+        tokio::spawn(async move { reserve_engine(&first, &huge, &BTreeSet::new()).await.is_ok() });
+    while context.admission.table().queue.count(ENGINES) == 0 {
+        assert!(!waiting.is_finished(), "it was refused because of its own size");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+
+    let demand = context.admission.table().own_demand(context.clock.now());
+    waiting.abort();
+
+    assert_eq!(demand[ENGINES].ranks[&2].tokens, MEMORY_TOKENS);
+}
+
 /// Returns the table of a VM at which a long and a short stream wait, after generations ended.
 fn waiting_table() -> AdmissionTable {
     let mut table = AdmissionTable::default();
