gateway: answer where a request would go now, and why

Cause: the logs say where a request went, but not why another server was not chosen, and nothing tells where a request would go now.

Change: FleetView::explain_choice returns the choice of a placement with the score of each server by part, what excludes it, and the age of each input. The status address answers GET /placement with it, and with the outcome of the request: a server, a wait or a refusal. A score is computed by one generic function for the placement, which needs only the number, and for the explanation, which keeps the parts. Decisions that had an effect beside their result got a form without it: the overload check, the check of contained prompt parts, the maximum wait, the query of a waiting call. The place in the wait queue is determined on a copy of the queue if at most 256 requests wait. The types of the question and the answer are in the new crate dragonflycart-explanation, which the operators' command line will use.

The explained choice is the real one in 400 random fleets with 12 placements each, its parts add up to the score, and the state does not change. An assertion of plain_calls.rs compared a vector with an empty array, whose type is no longer inferred with serde_json; it now asserts that the vector is empty.

--- a/crates/admission/src/wait_queue.rs
+++ b/crates/admission/src/wait_queue.rs
@@ -80,6 +80,11 @@
         self.services.get(service).map_or(0, ServiceQueue::count)
     }
 
+    /// Returns the number of requests that wait for any service.
+    pub fn total(&self) -> usize {
+        self.locations.len()
+    }
+
     /// Returns the requests that wait for a service, by rank.
     pub fn demand(&mut self, service: &str, now: MonoTime) -> BTreeMap<u8, RankDemand> {
         let queue = self.services.get_mut(service);
--- a/crates/capacity/src/capacity_table.rs
+++ b/crates/capacity/src/capacity_table.rs
@@ -249,6 +249,12 @@
         estimate.relative_log(self.median_log, now).clamp(-LOG_LIMIT, LOG_LIMIT).exp()
     }
 
+    /// Returns the time since the last sample of a server's speed by any VM.
+    pub fn sample_age(&self, server: K, now: MonoTime) -> Option<Duration> {
+        let sampled_at = self.servers.get(&server)?.sampled_at()?;
+        Some(now.since(sampled_at))
+    }
+
     /// Returns how long work takes at a server at this moment, as a multiple of its usual time, by
     /// its last load header; 1.0 if that is too old.
     pub fn pace(&self, server: K, now: MonoTime) -> f64 {
--- a/crates/gateway/src/capacity/placement_cost.rs
+++ b/crates/gateway/src/capacity/placement_cost.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use dragonflycart_capacity::{CapacityTable, RunningLoad, ServerOutlook};
+use dragonflycart_explanation::ScorePart;
 
 use crate::{
     EngineSpec, PlacementQuery, ServerKey, ServerLoad,
+    explanation::ScoreSum,
     server_score::{FILL_WEIGHT, LONG_OUTPUT_TOKENS, PENDING_PROMPT_TOKENS, spread},
 };
 
@@ -70,38 +72,46 @@
     }
 
     /// Returns the cost of a request.
-    pub(crate) fn value(&self, query: &PlacementQuery<'_>) -> f64 {
-        let mut cost = match self.engine {
+    pub(crate) fn sum<S: ScoreSum>(&self, query: &PlacementQuery<'_>) -> S {
+        let mut cost: S = match self.engine {
             Some(engine) => self.stream_cost(engine, query),
             None => self.call_cost(query),
         };
         if self.outlook.takes_well.is_some_and(|limit| self.load.requests >= limit) {
-            cost += REFUSAL_COST;
+            cost.add(ScorePart::Use, REFUSAL_COST);
         }
-        if self.is_retest { cost - RETEST_BONUS } else { cost }
+        if self.is_retest {
+            cost.add(ScorePart::Speed, -RETEST_BONUS);
+        }
+        cost
     }
 
     /// Returns the expected time of a call as a multiple of the service's usual one, with calls that
     /// wait for a slot.
-    fn call_cost(&self, query: &PlacementQuery<'_>) -> f64 {
+    fn call_cost<S: ScoreSum>(&self, query: &PlacementQuery<'_>) -> S {
         let slots = f64::from(self.slots.max(1));
         let requests = f64::from(self.load.requests);
         let rounds = ((requests + 1.0) / slots).max(1.0);
-        rounds * self.outlook.slowness()
-            + SLOTS_COST * requests / slots
-            + CALL_SPREAD * spread(query.sample_seed, self.key)
+        let mut cost = S::default();
+        cost.add_product((ScorePart::Use, rounds), (ScorePart::Speed, self.outlook.slowness()));
+        cost.add(ScorePart::Use, SLOTS_COST * requests / slots);
+        cost.add(ScorePart::Random, CALL_SPREAD * spread(query.sample_seed, self.key));
+        cost
     }
 
-    fn stream_cost(&self, engine: EngineSpec, query: &PlacementQuery<'_>) -> f64 {
+    fn stream_cost<S: ScoreSum>(&self, engine: EngineSpec, query: &PlacementQuery<'_>) -> S {
         let is_long = query.demand.output_tokens >= LONG_OUTPUT_TOKENS;
         let fill = self.load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
         let usage = f64::from(self.load.requests) / f64::from(self.slots.max(1));
-        let mut cost = FILL_WEIGHT * fill + usage + self.first_event_cost(is_long, query);
+        let mut cost = S::default();
+        cost.add(ScorePart::Memory, FILL_WEIGHT * fill);
+        cost.add(ScorePart::Use, usage);
+        cost.add(ScorePart::FirstEvent, self.first_event_cost(is_long, query));
         let slack = (1.0 - self.outlook.speed).clamp(-1.0, 1.0);
         if is_long {
-            cost += self.pause_cost(query);
+            cost.add(ScorePart::Pauses, self.pause_cost(query));
         } else if slack < 0.0 || self.is_near {
-            cost -= KEEP_FREE_COST * slack;
+            cost.add(ScorePart::Speed, -(KEEP_FREE_COST * slack));
         }
         cost
     }
--- a/crates/gateway/src/containment/prompt_check.rs
+++ b/crates/gateway/src/containment/prompt_check.rs
@@ -1,5 +1,7 @@
 //! Refuses requests whose prompt has a contained part.
 
+use std::time::Duration;
+
 use dragonflycart_containment::{ContainedPart, PartVerdict};
 use dragonflycart_core::{ErrorKind, PromptPart};
 use tracing::info;
@@ -24,7 +26,7 @@
         PartVerdict::Contained(contained) => Err(refuse(context, attempt, contained)),
         PartVerdict::TrialDue { part: contained, round } => {
             let part = contained.part;
-            let turn = [part.id().to_be_bytes(), round.to_be_bytes()].concat();
+            let turn = trial_turn(part, round);
             let vms = contained.trial_vms;
             let has_turn = vms.is_none_or(|vms| context.peers().has_turn(&turn, vms, now));
             if !has_turn || !context.crashes().begin_trial(part, round) {
@@ -66,6 +68,37 @@
         retry_after_ms = retry_after.as_millis() as u64,
         "prompts: request refused"
     );
+    contained_failure(retry_after)
+}
+
+fn contained_failure(retry_after: Duration) -> GatewayFailure {
     GatewayFailure::new(ErrorKind::PromptContained, "a part of the prompt crashes engines")
         .with_retry_after(retry_after)
 }
+
+/// Returns the failure with which a new request would be refused now, without counting it and
+/// without beginning a trial.
+pub(crate) fn would_refuse(
+    context: &GatewayContext,
+    parts: &[PromptPart],
+) -> Option<GatewayFailure> {
+    let now = context.clock.now();
+    let verdict = context.crashes().check(parts, None, now);
+    match verdict {
+        PartVerdict::Allowed => None,
+        PartVerdict::Contained(contained) => Some(contained_failure(contained.retry_after)),
+        PartVerdict::TrialDue { part: contained, round } => {
+            let vms = contained.trial_vms;
+            let turn = trial_turn(contained.part, round);
+            let has_turn = vms.is_none_or(|vms| context.peers().has_turn(&turn, vms, now));
+            // The trial begins on a copy, which has no effect.
+            let begins = has_turn && context.crashes().clone().begin_trial(contained.part, round);
+            (!begins).then(|| contained_failure(contained.retry_after))
+        }
+    }
+}
+
+/// Returns what determines the VMs that make a trial.
+fn trial_turn(part: PromptPart, round: u64) -> Vec<u8> {
+    [part.id().to_be_bytes(), round.to_be_bytes()].concat()
+}
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -11,8 +11,9 @@
 use tracing::info;
 
 use crate::{
-    CallerRequest, GatewayContext, GatewayFailure, GenerationReservation, ServerKey,
-    admission::QueueEntry, containment::prompt_check, revocation::key_check, server_attempt,
+    CallerRequest, FleetView, GatewayContext, GatewayFailure, GenerationReservation,
+    GenerationTiming, ServerKey, admission::QueueEntry, containment::prompt_check,
+    revocation::key_check, server_attempt,
 };
 
 /// Maximum time between attempts to find an engine. Memory that other VMs freed and requests that
@@ -48,7 +49,7 @@
     excluded: &BTreeSet<ServerKey>,
 ) -> Result<GenerationReservation, GatewayFailure> {
     let is_managed = request.admission.is_managed();
-    let maximum = longest_wait(context, request);
+    let maximum = longest_wait(&context.view(), request);
     let entry = QueueEntry::new(context, request, maximum);
     let began = Instant::now();
     let give_up_at = (request.arrived + maximum).min(request.deadline);
@@ -77,11 +78,8 @@
             let left = give_up_at.saturating_duration_since(Instant::now());
             if expected.exceeds(left) {
                 log_refusal(context, request, RefusalReason::WaitTooLong, (inputs, expected), left);
-                return Err(GatewayFailure::new(
-                    ErrorKind::Overloaded,
-                    "the wait would be too long",
-                )
-                .with_retry_after(promise_return(context, request, expected)));
+                let retry_after = promise_return(context, request, expected);
+                return Err(wait_failure().with_retry_after(retry_after));
             }
         }
         if Instant::now() >= give_up_at {
@@ -100,13 +98,18 @@
     }
 }
 
+/// Returns the failure of a request that would wait in vain.
+pub(crate) fn wait_failure() -> GatewayFailure {
+    GatewayFailure::new(ErrorKind::Overloaded, "the wait would be too long")
+}
+
 /// Returns the maximum time from a request's arrival in which it may wait for an engine.
-fn longest_wait(context: &GatewayContext, request: &CallerRequest) -> Duration {
+pub(crate) fn longest_wait(view: &FleetView, request: &CallerRequest) -> Duration {
     let target = request.route.latency_target;
     if !request.admission.is_managed() {
         return target.mul_f64(WAIT_TARGETS);
     }
-    let expected = context.view().timing_mut(&request.service).expected_start();
+    let expected = view.timing(&request.service).and_then(GenerationTiming::expected_start);
     let time_limit = request.deadline.saturating_duration_since(request.arrived);
     maximum_wait(target, time_limit, expected.unwrap_or_default())
 }
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -2,10 +2,12 @@
 
 mod admission_room;
 mod choice;
+mod explained_choice;
 mod learned_capacity;
 mod placing;
 mod lost_servers;
 mod run_results;
+mod server_choice;
 mod zone_demands;
 
 use std::{
--- a/crates/gateway/src/fleet_view/choice.rs
+++ b/crates/gateway/src/fleet_view/choice.rs
@@ -3,7 +3,7 @@
 use dragonflycart_capacity::CapacityTable;
 use dragonflycart_core::{ErrorKind, MonoTime};
 
-use super::FleetView;
+use super::{FleetView, server_choice::ServerChoice};
 use crate::{
     PlacementQuery, ServerKey, ServerScore, ServerState, VersionRole, capacity::UNSUITABLE_COST,
     peer_table::SMALL_FLEET, server_score::spread,
@@ -23,14 +23,14 @@
         query: &PlacementQuery<'_>,
         fill_limit: Option<f64>,
         now: MonoTime,
-    ) -> Result<ServerKey, ErrorKind> {
+    ) -> ServerChoice {
         let Some(version_move) = self.version_moves.get(query.service) else {
             return self.choose(query, None, fill_limit, now);
         };
         let role = version_move.next_role(self.settings.exposure, self.sharing_vms);
-        let result = self.choose(query, Some(role), fill_limit, now);
-        if result.is_ok() || version_move.phase().is_final() {
-            return result;
+        let choice = self.choose(query, Some(role), fill_limit, now);
+        if choice.result.is_ok() || version_move.phase().is_final() {
+            return choice;
         }
         match role {
             VersionRole::New => self.choose(query, Some(VersionRole::Old), fill_limit, now),
@@ -41,7 +41,7 @@
             {
                 self.choose(query, Some(VersionRole::New), fill_limit, now)
             }
-            VersionRole::Old => result,
+            VersionRole::Old => choice,
         }
     }
 
@@ -64,7 +64,7 @@
         role: Option<VersionRole>,
         fill_limit: Option<f64>,
         now: MonoTime,
-    ) -> Result<ServerKey, ErrorKind> {
+    ) -> ServerChoice {
         let is_learned = self.capacity_for(query).is_some();
         if let Some(share) = self.remote_share(query, now) {
             let result = self.choose_among(query, role, fill_limit, share, now);
@@ -72,13 +72,13 @@
                 Ok((score, _)) if is_learned && score >= UNSUITABLE_COST => {
                     let share = share * WIDER_SAMPLE;
                     let wider = self.choose_among(query, role, fill_limit, share, now);
-                    return wider.map(|(_, key)| key);
+                    return ServerChoice::new(wider, role, share);
                 }
-                Ok((_, key)) => return Ok(key),
+                Ok(_) => return ServerChoice::new(result, role, share),
                 Err(_) => {}
             }
         }
-        self.choose_among(query, role, fill_limit, 1.0, now).map(|(_, key)| key)
+        ServerChoice::new(self.choose_among(query, role, fill_limit, 1.0, now), role, 1.0)
     }
 
     /// Returns the share of the servers in other zones to choose among, or `None` for all.
@@ -148,7 +148,12 @@
 
     /// Returns the fraction of an engine's memory that is in use when the request is added. An
     /// empty engine accepts any request; it rejects one that is too large itself.
-    fn fill_with(&self, state: &ServerState, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+    pub(super) fn fill_with(
+        &self,
+        state: &ServerState,
+        query: &PlacementQuery<'_>,
+        now: MonoTime,
+    ) -> f64 {
         let capacity = self.engine_spec(query.service).map_or(0, |engine| engine.memory_tokens);
         let used = state.total_load(now).memory_tokens();
         if used == 0 {
@@ -175,11 +180,21 @@
 
     fn score(
         &self,
-        (key, state): (ServerKey, &ServerState),
+        server: (ServerKey, &ServerState),
         capacity: Option<&CapacityTable<ServerKey>>,
         query: &PlacementQuery<'_>,
         now: MonoTime,
     ) -> f64 {
+        self.score_inputs(server, capacity, query, now).value(query, now)
+    }
+
+    pub(super) fn score_inputs<'a>(
+        &'a self,
+        (key, state): (ServerKey, &'a ServerState),
+        capacity: Option<&'a CapacityTable<ServerKey>>,
+        query: &PlacementQuery<'_>,
+        now: MonoTime,
+    ) -> ServerScore<'a> {
         let holds_prefix = query.shared_prefix.is_some_and(|prefix| {
             self.prefixes.get(&key).is_some_and(|prefixes| prefixes.contains_key(&prefix))
         });
@@ -187,7 +202,7 @@
         let is_retest = capacity.is_some_and(|(table, outlook)| {
             outlook.is_avoided() && self.is_retest(table, (key, state), query, now)
         });
-        let score = ServerScore {
+        ServerScore {
             key,
             state,
             engine: self.engine_spec(query.service),
@@ -195,7 +210,6 @@
             own_zone: &self.settings.zone,
             capacity,
             is_retest,
-        };
-        score.value(query, now)
+        }
     }
 }
--- a/crates/gateway/src/fleet_view/placing.rs
+++ b/crates/gateway/src/fleet_view/placing.rs
@@ -28,7 +28,7 @@
         now: MonoTime,
     ) -> Result<Placement, ErrorKind> {
         let fill_limit = self.engine_spec(query.service).map(|_| self.fill_limit(query, now));
-        let key = self.choose_for_version_move(query, fill_limit, now)?;
+        let key = self.choose_for_version_move(query, fill_limit, now).result?;
         self.zone_reachability.note_tried(&self.servers[key].record.zone, now);
         Ok(self.reserve_work(key, query, now))
     }
@@ -58,7 +58,7 @@
             }
             (None, _) => None,
         };
-        let key = self.choose(query, role, Some(COPY_FILL_LIMIT), now)?;
+        let key = self.choose(query, role, Some(COPY_FILL_LIMIT), now).result?;
         let tokens = query.demand.reserved_tokens();
         Ok(self.reserve(key, ServerLoad { copy_tokens: tokens, ..ServerLoad::default() }, now))
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod engine_wait;
 mod engine_watcher;
 mod event_splitter;
+mod explanation;
 mod feed_client;
 mod feed_message;
 mod feed_server;
@@ -120,6 +121,7 @@
     engine_wait::reserve_engine,
     engine_watcher::EngineWatcher,
     event_splitter::{EventSplitter, StreamEvent},
+    explanation::{ChoiceExplanation, ScoreParts, explain_request},
     feed_message::{FeedProbe, FeedRecord, FeedRequest, FeedUpdate, PlanConfirmation, TableUpdate},
     fleet_order::FleetOrder,
     fleet_store::{BoxFuture, FleetStore},
@@ -173,6 +175,7 @@
     server_reservation::ServerReservation,
     server_score::ServerScore,
     server_state::ServerState,
+    status_server::serve as serve_status,
     stop_phase::StopPhase,
     store_error::StoreError,
     stream_forwarder::StreamForwarder,
--- a/crates/gateway/src/overload/vm_load.rs
+++ b/crates/gateway/src/overload/vm_load.rs
@@ -79,6 +79,11 @@
         Some(*reason)
     }
 
+    /// Returns the reason for which a new request would be refused, without counting one.
+    pub fn refusal_reason(&self) -> Option<RefusalReason> {
+        self.refused.keys().next().copied()
+    }
+
     /// Returns the time after which a refused request probably is admitted, in a fleet of `vms`.
     pub fn retry_time(&self, vms: usize) -> Duration {
         if vms > 1 { OTHER_VM_RETRY } else { self.delay.recovery_time().max(OTHER_VM_RETRY) }
--- a/crates/gateway/src/overload/waiting_request.rs
+++ b/crates/gateway/src/overload/waiting_request.rs
@@ -5,7 +5,7 @@
 use dragonflycart_core::ErrorKind;
 use tracing::{info, warn};
 
-use super::{LoadChange, VmLoad};
+use super::{LoadChange, RefusalReason, VmLoad};
 use crate::{GatewayContext, GatewayFailure};
 
 /// Request that counts as waiting until this is dropped, also when its task is cancelled because the
@@ -48,13 +48,28 @@
     }
     let mut load = context.vm_load();
     let Some(reason) = load.refuse() else { return Ok(()) };
-    let failure = GatewayFailure::new(ErrorKind::Overloaded, reason.cause())
-        .with_retry_after(load.retry_time(vms));
+    let failure = overload_failure(reason, &load, vms);
     drop(load);
     context.metrics.count_load_refusal(reason.into());
     Err(failure)
 }
 
+/// Returns the failure with which a new request would be refused now, without counting it.
+pub(crate) fn would_refuse(context: &GatewayContext) -> Option<GatewayFailure> {
+    let (vms, is_ordered) = {
+        let view = context.view();
+        (view.vm_count, view.plan().is_some_and(|plan| plan.has_deferrable_route()))
+    };
+    let load = context.vm_load();
+    let reason = load.refusal_reason().filter(|_| is_ordered)?;
+    Some(overload_failure(reason, &load, vms))
+}
+
+fn overload_failure(reason: RefusalReason, load: &VmLoad, vms: usize) -> GatewayFailure {
+    GatewayFailure::new(ErrorKind::Overloaded, reason.cause())
+        .with_retry_after(load.retry_time(vms))
+}
+
 /// Changes the load of the VM, and logs what follows from it.
 pub(super) fn apply(context: &GatewayContext, change: impl FnOnce(&mut VmLoad) -> Vec<LoadChange>) {
     let mut load = context.vm_load();
--- a/crates/gateway/src/plain_calls/mod.rs
+++ b/crates/gateway/src/plain_calls/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod slot_wait;
 mod waiting_call;
 
+pub(crate) use self::slot_placement::call_query;
 pub use self::{
     call_dispatcher::CallDispatcher,
     call_queue::{CallId, CallQueue, ServedCalls, SlotNeed},
--- a/crates/gateway/src/plain_calls/slot_placement.rs
+++ b/crates/gateway/src/plain_calls/slot_placement.rs
@@ -6,7 +6,7 @@
 use dragonflycart_core::MonoTime;
 
 use super::{CallQueue, ServedCalls, SlotNeed, SlotSurvey, WaitingCall};
-use crate::{FleetView, Placement, PlacementQuery, TokenDemand};
+use crate::{FleetView, Placement, PlacementQuery, ServerKey, TokenDemand};
 
 /// Serves the calls that wait for a service, and reserves a server for each call that is placed.
 pub fn serve(
@@ -33,23 +33,32 @@
             excluded.extend(&survey.unproven);
         }
     }
-    let query = PlacementQuery {
+    let query = call_query(service, call.sample_seed, &excluded);
+    let placement = view.place(&query, now).ok()?;
+    let has_free_slot = view.server(placement.server).is_some_and(|state| state.has_free_slot(now));
+    if !has_free_slot {
+        survey.full.insert(placement.server);
+    }
+    Some(placement)
+}
+
+/// Returns the query of a call that waits for a slot.
+pub(crate) fn call_query<'a>(
+    service: &'a str,
+    sample_seed: u64,
+    excluded: &'a BTreeSet<ServerKey>,
+) -> PlacementQuery<'a> {
+    PlacementQuery {
         service,
         demand: TokenDemand::default(),
         shared_prefix: None,
         preferred_zone: None,
         moved_tokens: 0,
         spread_seed: None,
-        sample_seed: call.sample_seed,
+        sample_seed,
         admission: AdmissionClass::Unmanaged,
         latency_target: Duration::ZERO,
         pause_target: None,
-        excluded: &excluded,
-    };
-    let placement = view.place(&query, now).ok()?;
-    let has_free_slot = view.server(placement.server).is_some_and(|state| state.has_free_slot(now));
-    if !has_free_slot {
-        survey.full.insert(placement.server);
+        excluded,
     }
-    Some(placement)
 }
--- a/crates/gateway/src/plain_calls/slot_wait.rs
+++ b/crates/gateway/src/plain_calls/slot_wait.rs
@@ -7,8 +7,8 @@
 
 use super::{CallTimes, SlotSurvey, WaitingCall, call_dispatcher::CallResult};
 use crate::{
-    CallerRequest, GatewayContext, GatewayFailure, ServerKey, ServerReservation, StopPhase,
-    server_attempt,
+    CallerRequest, FleetView, GatewayContext, GatewayFailure, ServerKey, ServerReservation,
+    StopPhase, server_attempt,
 };
 
 /// Minimum time limit of a route, as a multiple of its latency target, for its calls to wait.
@@ -28,16 +28,20 @@
 /// Returns whether a call waits for a slot: the plan has a deferrable route, its service has no engines, its route leaves time to
 /// wait, and the servers give their slots.
 pub(crate) fn takes_effect(context: &GatewayContext, request: &CallerRequest) -> bool {
+    takes_effect_in(&context.view(), request, context.clock.now())
+}
+
+/// Returns the same for a view.
+pub(crate) fn takes_effect_in(view: &FleetView, request: &CallerRequest, now: MonoTime) -> bool {
     let route = &request.route;
     if route.time_limit < route.latency_target * MIN_LIMIT_TARGETS {
         return false;
     }
-    let (view, now) = (context.view(), context.clock.now());
     let is_ordered = view.plan().is_some_and(|plan| plan.has_deferrable_route());
     if !is_ordered || view.engine_spec(&request.service).is_some() {
         return false;
     }
-    SlotSurvey::new(&view, &request.service, &BTreeSet::new(), now).gives_slots
+    SlotSurvey::new(view, &request.service, &BTreeSet::new(), now).gives_slots
 }
 
 /// Reserves a server as soon as one has a free slot. `refusals` are the number of refusals of the
@@ -112,6 +116,10 @@
         "call: no slot was free in time"
     );
     context.metrics.count_load_refusal("no_free_slot");
+    slot_failure().with_retry_after(retry_after)
+}
+
+/// Returns the failure of a call for which no server has a free slot in time.
+pub(crate) fn slot_failure() -> GatewayFailure {
     GatewayFailure::new(ErrorKind::Overloaded, "no server had a free slot")
-        .with_retry_after(retry_after)
 }
--- a/crates/gateway/src/route_plan.rs
+++ b/crates/gateway/src/route_plan.rs
@@ -73,7 +73,22 @@
 
     /// Returns whether the plan has a route of this name.
     pub fn has_route(&self, name: &str) -> bool {
-        self.routes.values().flatten().any(|route| route.name == name)
+        self.route_named(name).is_some()
+    }
+
+    /// Returns the route of this name.
+    pub fn route_named(&self, name: &str) -> Option<&PlannedRoute> {
+        self.routes.values().flatten().find(|route| route.name == name)
+    }
+
+    /// Returns the route that `path` has on each host.
+    pub fn routes_of(&self, path: &str) -> Vec<&PlannedRoute> {
+        self.routes.keys().filter_map(|host| self.find_route(host, path)).collect()
+    }
+
+    /// Returns the team of this name.
+    pub fn team_named(&self, name: &str) -> Option<&PlannedTeam> {
+        self.teams.as_ref()?.values().find(|team| team.name == name)
     }
 
     /// Returns whether the route of this name uses a service.
--- a/crates/gateway/src/server_score.rs
+++ b/crates/gateway/src/server_score.rs
@@ -4,8 +4,12 @@
 
 use dragonflycart_capacity::{CapacityTable, ServerOutlook};
 use dragonflycart_core::MonoTime;
+use dragonflycart_explanation::ScorePart;
 
-use crate::{EngineSpec, PlacementQuery, ServerKey, ServerState, capacity::PlacementCost};
+use crate::{
+    EngineSpec, PlacementQuery, ScoreParts, ServerKey, ServerState, capacity::PlacementCost,
+    explanation::ScoreSum,
+};
 
 /// Score added for a full engine memory.
 pub(crate) const FILL_WEIGHT: f64 = 0.4;
@@ -61,38 +65,54 @@
 impl ServerScore<'_> {
     /// Returns the score for a request. The server with the lowest score is chosen.
     pub fn value(&self, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+        self.sum(query, now)
+    }
+
+    /// Returns the same score with its parts.
+    pub fn parts(&self, query: &PlacementQuery<'_>, now: MonoTime) -> ScoreParts {
+        self.sum(query, now)
+    }
+
+    fn sum<S: ScoreSum>(&self, query: &PlacementQuery<'_>, now: MonoTime) -> S {
         let state = self.state;
-        let mut score = match self.capacity {
+        let mut score: S = match self.capacity {
             Some(capacity) => self.learned_score(capacity, query, now),
             None => self.load_score(query, now),
         };
-        score += self.zone_score(query);
+        score.add(ScorePart::Zone, self.zone_score(query));
         if let Some(seed) = query.spread_seed {
-            score += SPREAD_WEIGHT * spread(seed, self.key);
+            score.add(ScorePart::Random, SPREAD_WEIGHT * spread(seed, self.key));
         }
         if state.expired_at.is_some() {
-            score += FAILURE_PENALTY;
+            score.add(ScorePart::Failures, FAILURE_PENALTY);
         }
-        score += LOSS_PENALTY * f64::from(state.losses.total(now).min(LOSSES_COUNTED));
-        score + FAILURE_PENALTY * state.failure_share()
+        let losses = state.losses.total(now).min(LOSSES_COUNTED);
+        score.add(ScorePart::Losses, LOSS_PENALTY * f64::from(losses));
+        score.add(ScorePart::Failures, FAILURE_PENALTY * state.failure_share());
+        score
     }
 
-    fn load_score(&self, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+    fn load_score<S: ScoreSum>(&self, query: &PlacementQuery<'_>, now: MonoTime) -> S {
         let slots = f64::from(self.state.record.slots.max(1));
-        let score = f64::from(self.state.total_load(now).requests) / slots;
-        score
-            + match self.engine {
-                Some(engine) => self.engine_score(engine, query, now),
-                None => self.state.latency_ms().map_or(0.0, |ms| LATENCY_PENALTY * ms / 100.0),
+        let mut score = S::default();
+        score.add(ScorePart::Use, f64::from(self.state.total_load(now).requests) / slots);
+        match self.engine {
+            Some(engine) => score.merge(self.engine_score(engine, query, now)),
+            None => {
+                let latency =
+                    self.state.latency_ms().map_or(0.0, |ms| LATENCY_PENALTY * ms / 100.0);
+                score.add(ScorePart::Speed, latency);
             }
+        }
+        score
     }
 
-    fn learned_score(
+    fn learned_score<S: ScoreSum>(
         &self,
         (table, outlook): (&CapacityTable<ServerKey>, ServerOutlook),
         query: &PlacementQuery<'_>,
         now: MonoTime,
-    ) -> f64 {
+    ) -> S {
         let cost = PlacementCost {
             table,
             outlook,
@@ -103,25 +123,35 @@
             is_near: self.state.record.zone == self.own_zone,
             is_retest: self.is_retest,
         };
+        let mut score: S = cost.sum(query);
         let bonus = if self.holds_prefix { PREFIX_BONUS } else { 0.0 };
-        cost.value(query) - bonus
+        score.add(ScorePart::Prefix, -bonus);
+        score
     }
 
-    fn engine_score(&self, engine: EngineSpec, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
+    fn engine_score<S: ScoreSum>(
+        &self,
+        engine: EngineSpec,
+        query: &PlacementQuery<'_>,
+        now: MonoTime,
+    ) -> S {
         let load = self.state.total_load(now);
         let fill = load.memory_tokens() as f64 / engine.memory_tokens.max(1) as f64;
-        let mut score = FILL_WEIGHT * fill;
+        let mut score = S::default();
+        score.add(ScorePart::Memory, FILL_WEIGHT * fill);
         // An engine admits a moved generation before waiting prompts.
         if query.preferred_zone.is_none() {
-            score += load.pending_prompt_tokens as f64 / PENDING_PROMPT_TOKENS;
+            let pending = load.pending_prompt_tokens as f64 / PENDING_PROMPT_TOKENS;
+            score.add(ScorePart::FirstEvent, pending);
         }
         if query.moved_tokens > 0 {
             let is_near = query.preferred_zone == Some(self.state.record.zone.as_str());
             let tokens = load.arriving_tokens + query.moved_tokens * copy_factor(is_near);
-            score += ARRIVAL_PENALTY * engine.token_copy_time.as_secs_f64() * tokens as f64;
+            let time_s = engine.token_copy_time.as_secs_f64();
+            score.add(ScorePart::Arrival, ARRIVAL_PENALTY * time_s * tokens as f64);
         }
         if self.holds_prefix {
-            score -= PREFIX_BONUS;
+            score.add(ScorePart::Prefix, -PREFIX_BONUS);
         }
         score
     }
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -1,9 +1,12 @@
 //! State of a backend server, as known to this VM.
 
+mod input_ages;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use dragonflycart_core::MonoTime;
 
+pub(crate) use self::input_ages::whole_millis;
 use crate::{LostResponses, RateLimiter, ServerLoad, ServerRecord};
 
 /// Weight of a new result in the moving averages, which thus cover about ten results.
--- a/crates/gateway/src/status_server.rs
+++ b/crates/gateway/src/status_server.rs
@@ -1,8 +1,10 @@
-//! HTTP server for the load balancer's readiness probe and for metrics.
+//! HTTP server for the load balancer's readiness probe, for metrics and for questions where a
+//! request would go.
 
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
+use dragonflycart_explanation::PLACEMENT_PATH;
 use hyper::{
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
@@ -10,7 +12,7 @@
 use tokio::net::TcpListener;
 use tracing::warn;
 
-use crate::{BootTime, GatewayContext, ResponseBody, response_body};
+use crate::{BootTime, GatewayContext, ResponseBody, explanation, response_body};
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -29,7 +31,7 @@
         let context = Arc::clone(&context);
         tokio::spawn(async move {
             let service = service_fn(|request: Request<Incoming>| {
-                let response = respond(&context, request.uri().path(), ready_path);
+                let response = respond(&context, &request, ready_path);
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -40,10 +42,18 @@
     }
 }
 
-fn respond(context: &GatewayContext, path: &str, ready_path: &str) -> Response<ResponseBody> {
+fn respond(
+    context: &GatewayContext,
+    request: &Request<Incoming>,
+    ready_path: &str,
+) -> Response<ResponseBody> {
+    let path = request.uri().path();
     if path == METRICS_PATH {
         return Response::new(response_body::full(Bytes::from(context.metrics.encode())));
     }
+    if path == PLACEMENT_PATH {
+        return explanation::answer(context, request.method(), request.uri());
+    }
     let is_ready = !context.is_stopping() && context.view().is_complete() && accepts_keys(context);
     let status = match (path == ready_path, is_ready) {
         (true, true) => StatusCode::OK,
--- a/crates/gateway/tests/all/learned_placements.rs
+++ b/crates/gateway/tests/all/learned_placements.rs
@@ -12,7 +12,7 @@
 use crate::fixtures::{DESK, at, key_of, query, record, report, view};
 
 /// Time at which the views of these tests have learned the speeds.
-const LEARNED_MS: u64 = 12_000;
+pub(crate) const LEARNED_MS: u64 = 12_000;
 
 fn verdict() -> TokenDemand {
     TokenDemand::estimate(2_200, 40, Some(12))
@@ -23,7 +23,7 @@
 }
 
 /// Lets each engine write a stream for 12 seconds, with `factor` times the usual times.
-fn teach_engines(view: &mut FleetView, factors: &[f64]) {
+pub(crate) fn teach_engines(view: &mut FleetView, factors: &[f64]) {
     for half in 0..24 {
         let now = at(500 * half);
         for (index, factor) in factors.iter().enumerate() {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod clocks;
 mod continued_streams;
 mod stream_joins;
+mod explained_choices;
 mod fixtures;
 mod generation_timings;
 mod hand_overs;
--- a/crates/gateway/tests/all/plain_calls.rs
+++ b/crates/gateway/tests/all/plain_calls.rs
@@ -173,7 +173,7 @@
     let before = serve_calls(&mut queue, &mut view, DESK, at(1_169));
     let after = serve_calls(&mut queue, &mut view, DESK, at(1_170));
 
-    assert_eq!(before.refused, []);
+    assert!(before.refused.is_empty(), "{:?}", before.refused);
     assert_eq!(after.refused, [id]);
     assert!(queue.is_empty());
 }
