operator: add the command placement

Cause: operators need to see where a request would go now without sending it.

Change: dragonflycartctl placement asks the status address of a VM and shows the outcome, the scores by part, what excludes each server and the age of the inputs, as tables or as JSON. It sends no credential. The new exit code 9 tells that the VM does not know its plan or servers yet; an unknown route or team is 6, and a VM that can't be reached 5.

--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod moves;
 mod parsers;
 mod peer_tables;
+mod placement_command;
 mod placements;
 mod plain_calls;
 mod plain_fleet;
--- a/crates/operator/src/command_line.rs
+++ b/crates/operator/src/command_line.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 use dragonflycart_core::ZoneName;
 
 use crate::CREDENTIAL_VARIABLE;
@@ -10,7 +10,8 @@
 /// Exit codes as shown by `--help`.
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 faults in a file, 2 wrong command line, \
     3 another operator's plan won, 4 outcome unknown, 5 no server answered, 6 rejected by the \
-    server, 7 partial report, 8 a followed move was rolled back.";
+    server, or the route or team is unknown, 7 partial report, 8 a followed move was rolled back, 9 \
+    the VM does not know its route plan or servers yet.";
 
 /// Must exceed the 5 s after which a VM responds that the outcome of a submission is unknown.
 const DEFAULT_TIMEOUT_SECONDS: &str = "7";
@@ -32,6 +33,7 @@
         .subcommand(moves_command())
         .subcommand(burn_command())
         .subcommand(explain_command())
+        .subcommand(placement_command())
 }
 
 fn global_args() -> [Arg; 5] {
@@ -87,6 +89,37 @@
         )
 }
 
+fn placement_command() -> Command {
+    let text = |name: &'static str, value: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name(value).help(help)
+    };
+    let number = |name: &'static str, value: &'static str, help: &'static str| {
+        text(name, value, help).value_parser(value_parser!(u64))
+    };
+    Command::new("placement")
+        .about("Shows where a request would go now, and why, without sending it")
+        .long_about(
+            "Shows where a request would go now, and why, as one VM's gateway would decide it. \
+             Nothing is sent or reserved. --server takes the status address of the VM, which \
+             needs no credential.",
+        )
+        .arg(text("route", "NAME", "Name of the route"))
+        .arg(text("path", "PATH", "Path of the request, instead of the route"))
+        .group(ArgGroup::new("target").args(["route", "path"]).required(true))
+        .arg(text("method", "METHOD", "Method of the request").requires("path"))
+        .arg(text("host", "HOST", "Host of the request").requires("path"))
+        .arg(text(
+            "service",
+            "SERVICE",
+            "Service of the route; the one with most of its requests by default",
+        ))
+        .arg(text("team", "TEAM", "Team of the caller"))
+        .arg(number("prompt-tokens", "COUNT", "Tokens of the prompt"))
+        .arg(number("output-tokens", "COUNT", "Expected output tokens"))
+        .arg(text("shared-part", "ID", "Id of the longest part of the prompt that is shared"))
+        .arg(number("seed", "NUMBER", "Seed of the random part; a random one by default"))
+}
+
 fn file_arg() -> Arg {
     Arg::new("file")
         .value_name("FILE")
--- a/crates/operator/src/command_runner.rs
+++ b/crates/operator/src/command_runner.rs
@@ -6,10 +6,12 @@
 use dragonflycart_core::{PlanRevision, WallTime, ZoneName, ZoneState};
 
 use crate::{
-    AdminClient, CommandEnvironment, Console, ExitStatus, OperatorCredential, build_command,
+    AdminClient, CommandEnvironment, Console, ExitStatus, OperatorCredential, StatusClient,
+    build_command,
     burn_command::run_burn,
     explain_command::explain,
     moves_command::{follow_moves, list_moves},
+    placement_command::{read_question, show_placement},
     plan_command::PlanCommand,
     status_command::show_status,
     zone_command::change_zone,
@@ -45,6 +47,9 @@
     /// Runs the command.
     pub async fn run(&self, out: &mut dyn Write, err: &mut dyn Write) -> ExitStatus {
         let mut console = Console::new(out, err, self.matches.get_flag("json"));
+        if let Some(arguments) = self.matches.subcommand_matches("placement") {
+            return self.run_placement(&mut console, arguments).await;
+        }
         let client = match self.build_client() {
             Ok(client) => client,
             Err(reason) if self.needs_client() => {
@@ -56,6 +61,17 @@
         self.dispatch(&mut console, client).await
     }
 
+    /// Runs the command `placement`, which asks status addresses and needs no credential.
+    async fn run_placement(&self, console: &mut Console<'_>, arguments: &ArgMatches) -> ExitStatus {
+        let servers: Vec<SocketAddr> = self.servers().collect();
+        if servers.is_empty() {
+            console.diagnostic("no server: give --server ADDR with the status address of a VM");
+            return ExitStatus::Usage;
+        }
+        let client = StatusClient::new(servers, self.seconds("timeout"));
+        show_placement(console, &client, &read_question(arguments)).await
+    }
+
     /// Returns whether the command needs a server. Only `explain` and `plan check` work without
     /// one.
     fn needs_client(&self) -> bool {
--- a/crates/operator/src/exit_status.rs
+++ b/crates/operator/src/exit_status.rs
@@ -24,6 +24,8 @@
     Partial = 7,
     /// A followed version move was rolled back.
     RolledBack = 8,
+    /// The VM does not know its route plan or servers yet.
+    NotReady = 9,
 }
 
 impl From<ExitStatus> for ExitCode {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -20,6 +20,7 @@
 mod moves_command;
 mod objective_report;
 mod operator_credential;
+mod placement_command;
 mod plan_command;
 mod plan_difference;
 mod plan_sheet;
@@ -32,6 +33,7 @@
 mod sheet_problem;
 mod sheet_reader;
 mod sheet_row;
+mod status_client;
 mod status_command;
 mod command_environment;
 mod text_table;
@@ -66,6 +68,7 @@
     sheet_problem::SheetProblem,
     sheet_reader::SheetReader,
     sheet_row::SheetRow,
+    status_client::StatusClient,
     text_table::TextTable,
     time_text::{format_time, parse_time},
     worst_entry::WorstEntry,
--- a/crates/operator/src/text_table.rs
+++ b/crates/operator/src/text_table.rs
@@ -9,7 +9,17 @@
 impl TextTable {
     /// Creates a table with the given column headings.
     pub fn new(headings: &[&str]) -> TextTable {
-        TextTable { rows: vec![headings.iter().map(|text| (*text).to_owned()).collect()] }
+        TextTable::with_headings(headings.iter().map(|text| (*text).to_owned()).collect())
+    }
+
+    /// Creates a table whose number of columns depends on the contents.
+    pub fn with_headings(headings: Vec<String>) -> TextTable {
+        TextTable { rows: vec![headings] }
+    }
+
+    /// Adds a row to a table whose number of columns depends on the contents.
+    pub fn push_row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
     }
 
     /// Adds a row.
--- a/crates/operator/tests/pages.rs
+++ b/crates/operator/tests/pages.rs
@@ -110,6 +110,7 @@
         ExitStatus::Rejected,
         ExitStatus::Partial,
         ExitStatus::RolledBack,
+        ExitStatus::NotReady,
     ];
 
     for code in codes {
