--- a/crates/explanation/src/placement_fault.rs
+++ b/crates/explanation/src/placement_fault.rs
@@ -1,10 +1,10 @@
 //! Failure to answer a question.
 
 use serde::{Deserialize, Serialize};
-use strum::Display;
+use strum::{Display, EnumIter};
 
 /// Why a VM can't answer a question.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
--- a/crates/gateway/src/explanation/question_reader.rs
+++ b/crates/gateway/src/explanation/question_reader.rs
@@ -43,7 +43,8 @@
         has_body: false,
         arrived,
         deadline: arrived + route.time_limit,
-        sample_seed: question.seed.unwrap_or_else(rand::random),
+        // A number of 32 bits survives programs that read JSON numbers as floating-point numbers.
+        sample_seed: question.seed.unwrap_or_else(|| u64::from(rand::random::<u32>())),
         demand: if is_stream { read_demand(question) } else { TokenDemand::default() },
         prompt_parts: question
             .shared_part
--- a/crates/operator/tests/pages.rs
+++ b/crates/operator/tests/pages.rs
@@ -1,10 +1,17 @@
 //! Agreement of the pages on the command line, the plan file and the administration API with the
 //! code.
 
-use std::path::PathBuf;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    path::PathBuf,
+};
 
 use dragonflycart_burn::BurnSnapshot;
 use dragonflycart_core::WallTime;
+use dragonflycart_explanation::{
+    FaultKind, InputAges, PLACEMENT_PATH, PlacementAnswer, PlacementFault, PlacementOutcome,
+    PlacementQuestion, RoleChoice, ScorePart, ServerExclusion, ServerExplanation, WaitReason,
+};
 use dragonflycart_operator::{
     ExitStatus, PlanSheet, SheetColumn, SheetContext,
     api::{
@@ -117,3 +124,112 @@
         assert!(page.contains(&format!("\n| {} | ", code as u8)), "{code:?}");
     }
 }
+
+/// Adds the keys of all objects in a JSON value.
+fn collect_keys(value: &serde_json::Value, keys: &mut BTreeSet<String>) {
+    match value {
+        serde_json::Value::Object(fields) => {
+            for (key, field) in fields {
+                keys.insert(key.clone());
+                collect_keys(field, keys);
+            }
+        }
+        serde_json::Value::Array(values) => {
+            for value in values {
+                collect_keys(value, keys);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Returns an answer about one server with one service and each part of a score.
+fn whole_answer(outcome: PlacementOutcome) -> PlacementAnswer {
+    let server = ServerExplanation {
+        id: "e0".to_owned(),
+        address: "10.0.0.1:8000".parse().expect("an address"),
+        zone: "a".to_owned(),
+        version: "v1".to_owned(),
+        excluded: ServerExclusion::iter().collect(),
+        score: 0.0,
+        parts: ScorePart::iter().map(|part| (part, 0.0)).collect(),
+        requests: 0,
+        slots: 0,
+        memory_tokens: 0,
+        pending_prompt_tokens: 0,
+        speed: None,
+        ages: InputAges::default(),
+    };
+    PlacementAnswer {
+        vm: "vm".to_owned(),
+        zone: "a".to_owned(),
+        plan_version: 1,
+        plan_age_ms: None,
+        route: "reports".to_owned(),
+        service: "engines".to_owned(),
+        services: BTreeMap::new(),
+        team: None,
+        admission: "unmanaged".to_owned(),
+        rank: 0,
+        reserved_tokens: 0,
+        seed: 0,
+        fill_limit: None,
+        sampled_share: 1.0,
+        version_move: Some(RoleChoice { phase: "watching".to_owned(), role: "old".to_owned() }),
+        outcome,
+        servers: vec![server],
+    }
+}
+
+/// Guards against a field, reason or part of the answer where a request would go that is missing on
+/// the page of outer names.
+#[test]
+fn the_page_of_outer_names_has_the_names_of_placements() {
+    let page = page("outer-names.md");
+    let (_, section) =
+        page.split_once("\n## Question where a request would go").expect("a section");
+    let section = section.split("\n## ").next().expect("a section");
+    let wait = PlacementOutcome::Wait {
+        reason: WaitReason::NoRoom,
+        waiting: 0,
+        expected_ms: None,
+        maximum_ms: 0,
+    };
+    let refusal = PlacementOutcome::Refusal {
+        error: "overloaded".to_owned(),
+        reason: "no engine had room".to_owned(),
+        retry_after_ms: None,
+    };
+    let server = PlacementOutcome::Server { id: "e0".to_owned() };
+    let text = Some("x".to_owned());
+    let question = PlacementQuestion {
+        route: text.clone(),
+        method: text.clone(),
+        path: text.clone(),
+        host: text.clone(),
+        service: text.clone(),
+        team: text.clone(),
+        prompt_tokens: Some(1),
+        output_tokens: Some(1),
+        shared_part: text,
+        seed: Some(1),
+    };
+    let mut names = BTreeSet::new();
+    for outcome in [wait, refusal, server] {
+        let value = serde_json::to_value(whole_answer(outcome)).expect("serialisable");
+        names.extend(value["outcome"]["kind"].as_str().map(str::to_owned));
+        collect_keys(&value, &mut names);
+    }
+    let fault = PlacementFault::new(FaultKind::NotReady, "not yet");
+    collect_keys(&serde_json::to_value(fault).expect("serialisable"), &mut names);
+    collect_keys(&serde_json::to_value(question).expect("serialisable"), &mut names);
+    names.extend(ServerExclusion::iter().map(|name| name.to_string()));
+    names.extend(WaitReason::iter().map(|name| name.to_string()));
+    names.extend(FaultKind::iter().map(|name| name.to_string()));
+
+    let missing: Vec<_> =
+        names.iter().filter(|name| !section.contains(&format!("`{name}`"))).collect();
+
+    assert!(missing.is_empty(), "{missing:?}");
+    assert!(page.contains(&format!("`{PLACEMENT_PATH}`")));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod matrix;
 mod moves;
+mod placements;
 mod plans;
 mod reclaims;
 mod repeats;
