--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod keys;
 mod matrix;
 mod moves;
+mod placements;
 mod plans;
 mod reclaims;
 mod repeats;
--- a/tests/all/support/duty_fleet.rs
+++ b/tests/all/support/duty_fleet.rs
@@ -11,13 +11,12 @@
 
 use dragonflycart_standins::{
     CloudCall, CrashPoint, FakeCloud, FakeRunner, FakeStore, GenerationOptions, ManifestSpec,
-    RunLog, RunnerFailure, RunnerKind, RunnerOptions, settings_text,
+    RunLog, RunnerFailure, RunnerKind, RunnerOptions, free_address, settings_text,
 };
 use serde_json::{Value, json};
 
 use super::{
     gateway_fleet::{GatewayUnderTest, is_ready},
-    port_pool::free_address,
     usage_run::UsageRun,
     usage_traffic::{TEAMS, UsageTraffic},
     wait::wait_for,
