admission: bound state and sums, drop reports from before a suspension

Causes: reports that waited in a buffer while a VM was suspended counted as fresh and could refuse requests. Services, promised returns and, without peers, teams were never forgotten. Very large figures overflowed in sums and durations. The room for moves took a time that grew with the square of the leaves, on each placement.

Reports in the first report interval after a suspension no longer count, services are forgotten after 300 s, promises are kept in steps of 10 ms, sums saturate, and the room for moves looks at each leave once.

New property tests: shares with late, lost, doubled and reordered reports; the room for moves. New model tests: a zone cut off with too much demand; VMs restarted or frozen in series.

--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -15,11 +15,17 @@
 /// smallest one. A single estimate of almost no wait must not decide the average.
 const RATIO_LIMIT: f64 = 4.0;
 
+/// Time after the last request or end of a generation from which a service is forgotten. It exceeds
+/// the usual time limits, so that generations end before.
+const MEMORY_TIME: Duration = Duration::from_secs(300);
+
 /// Engine memory and waits of one service.
 #[derive(Debug, Clone, Default)]
 struct ServiceFlow {
     /// Whether the service has a deferrable route.
     is_managed: bool,
+    /// Time of the last request or end of a generation.
+    used_at: MonoTime,
     freed: FreedRate,
     promised: PromisedReturns,
     /// Average logarithm of the ratio of real to estimated waits.
@@ -42,13 +48,17 @@
 impl AdmissionTable {
     /// Adds a waiting request.
     pub fn enqueue(&mut self, waiter: Waiter, now: MonoTime) -> WaiterId {
-        self.flow(&waiter.service).is_managed = waiter.class.is_managed();
+        let flow = self.flow(&waiter.service);
+        flow.is_managed = waiter.class.is_managed();
+        flow.used_at = flow.used_at.max(now);
         self.queue.enqueue(waiter, now)
     }
 
     /// Records that the end of a generation freed memory of an engine that stays.
     pub fn note_freed(&mut self, service: &str, tokens: u64, now: MonoTime) {
-        self.flow(service).freed.note(tokens, now);
+        let flow = self.flow(service);
+        flow.freed.note(tokens, now);
+        flow.used_at = flow.used_at.max(now);
     }
 
     /// Forgets all figures that depend on the time, but not the waiting requests. A VM that was
@@ -57,7 +67,11 @@
         self.fleet_demand.clear();
         self.team_use = TeamUse::default();
         for flow in self.flows.values_mut() {
-            *flow = ServiceFlow { is_managed: flow.is_managed, ..ServiceFlow::default() };
+            *flow = ServiceFlow {
+                is_managed: flow.is_managed,
+                used_at: flow.used_at,
+                ..ServiceFlow::default()
+            };
         }
     }
 
@@ -159,9 +173,14 @@
     }
 
     /// Returns the demand at this VM for each service with a deferrable route, to be reported to the
-    /// others.
+    /// others. Forgets services that are no longer used.
     pub fn own_demand(&mut self, now: MonoTime) -> BTreeMap<String, ServiceDemand> {
         let mut services = BTreeMap::new();
+        let queue = &self.queue;
+        self.flows.retain(|service, flow| {
+            queue.count(service) > 0 || now.since(flow.used_at) <= MEMORY_TIME
+        });
+        self.team_use.forget(now);
         for (service, flow) in self.flows.iter_mut().filter(|(_, flow)| flow.is_managed) {
             let demand = ServiceDemand {
                 ranks: self.queue.demand(service, now),
--- a/crates/admission/src/fleet_demand.rs
+++ b/crates/admission/src/fleet_demand.rs
@@ -67,6 +67,9 @@
 pub struct FleetDemand {
     peers: BTreeMap<u64, PeerDemand>,
     age_limit: Duration,
+    is_resuming: bool,
+    /// Time before which reports may have waited in a buffer while this VM was suspended.
+    counts_from: MonoTime,
 }
 
 impl FleetDemand {
@@ -78,14 +81,22 @@
         interval: Duration,
         now: MonoTime,
     ) {
-        self.age_limit = (interval * REPORT_INTERVALS).min(REPORT_AGE_LIMIT);
+        if std::mem::take(&mut self.is_resuming) {
+            self.counts_from = now + interval.min(REPORT_AGE_LIMIT);
+        }
+        if now < self.counts_from {
+            return;
+        }
+        self.age_limit = interval.saturating_mul(REPORT_INTERVALS).min(REPORT_AGE_LIMIT);
         self.peers.insert(peer, PeerDemand { heard_at: now, services });
         self.peers.retain(|_, demand| now.since(demand.heard_at) <= REPORT_AGE_LIMIT);
     }
 
-    /// Forgets all reports.
+    /// Forgets all reports after a suspension of this VM. Those that arrive in the first report
+    /// interval after it don't count either: they may be as old as the suspension is long.
     pub fn clear(&mut self) {
         self.peers.clear();
+        self.is_resuming = true;
     }
 
     /// Returns the tokens of the requests elsewhere that go before one of this lateness and rank, and
--- a/crates/admission/src/leave_history.rs
+++ b/crates/admission/src/leave_history.rs
@@ -30,13 +30,17 @@
 
     /// Returns the fraction of the engines' memory to keep free for generations that move, where
     /// `capacity` is the memory of the engines that stay, in tokens. It is the most memory that left
-    /// within the time of one notice, which is what has to find room at the same time.
+    /// within the time of one notice, which is what has to find room at the same time. Each placement
+    /// asks for it, so it looks at each leave once.
     pub fn move_room(&self, capacity: u64) -> f64 {
-        let mut most = 0;
-        for (index, (first_at, _)) in self.leaves.iter().enumerate() {
-            let together =
-                self.leaves[index..].iter().filter(|(at, _)| at.since(*first_at) <= NOTICE_TIME);
-            most = most.max(together.map(|(_, tokens)| tokens).sum());
+        let (mut most, mut together, mut first) = (0_u64, 0_u64, 0);
+        for (at, tokens) in &self.leaves {
+            while at.since(self.leaves[first].0) > NOTICE_TIME {
+                together = together.saturating_sub(self.leaves[first].1);
+                first += 1;
+            }
+            together = together.saturating_add(*tokens);
+            most = most.max(together);
         }
         if most == 0 { 0.0 } else { (most as f64 / capacity as f64).min(MOVE_ROOM_LIMIT) }
     }
--- a/crates/admission/src/promised_returns.rs
+++ b/crates/admission/src/promised_returns.rs
@@ -4,6 +4,10 @@
 
 use dragonflycart_core::MonoTime;
 
+/// Interval to which the times are rounded up, so that the number of entries is bounded by the time
+/// that callers have left. It is short against the time of a retry.
+const RETURN_STEP_MICROS: u64 = 10_000;
+
 /// Tokens of refused requests by the time at which they come back. Each later refusal is told a later
 /// time; otherwise, all would come back together and most would be refused again.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -15,8 +19,13 @@
 impl PromisedReturns {
     /// Records that a request was told to come back after `time`.
     pub(crate) fn note(&mut self, tokens: u64, time: Duration, now: MonoTime) {
-        *self.returns.entry(now + time).or_default() += tokens;
-        self.tokens += tokens;
+        let micros = (now + time).as_micros();
+        let at = micros.checked_next_multiple_of(RETURN_STEP_MICROS).unwrap_or(u64::MAX);
+        let known = self.returns.entry(MonoTime::from_micros(at)).or_default();
+        // The sum must stay that of the entries.
+        let added = tokens.min(u64::MAX - self.tokens);
+        *known += added;
+        self.tokens += added;
     }
 
     /// Returns the tokens of the requests that have not come back yet.
--- a/crates/admission/src/team_use.rs
+++ b/crates/admission/src/team_use.rs
@@ -91,8 +91,8 @@
         teams
     }
 
-    /// Forgets teams and VMs whose use has decayed.
-    fn forget(&mut self, now: MonoTime) {
+    /// Forgets teams and VMs whose use has decayed. Reports do the same, but a VM may know no others.
+    pub(crate) fn forget(&mut self, now: MonoTime) {
         self.own.retain(|_, tokens| tokens.at(now) >= LEAST_TOKENS);
         self.totals.retain(|_, tokens| tokens.at(now) >= LEAST_TOKENS);
         for teams in self.peers.values_mut() {
--- a/crates/admission/src/wait_queue.rs
+++ b/crates/admission/src/wait_queue.rs
@@ -6,6 +6,10 @@
 
 use crate::{QueuePlace, RankDemand, TeamUse, Waiter, WaiterId, service_queue::ServiceQueue};
 
+/// Maximum tokens of one request that count. More than any engine holds, and so few that the sum over
+/// the waiting requests of a VM stays below the limit of a `u64`.
+const TOKENS_LIMIT: u64 = 1 << 40;
+
 /// Requests of one VM that wait for an engine. The first request of a service gets the next engine
 /// with capacity. Requests that can still meet their latency target go before late ones, then the
 /// order is by rank. Among equal ones it is by arrival or, for a service with a deferrable route, by
@@ -22,7 +26,8 @@
 
 impl WaitQueue {
     /// Adds a request.
-    pub fn enqueue(&mut self, waiter: Waiter, now: MonoTime) -> WaiterId {
+    pub fn enqueue(&mut self, mut waiter: Waiter, now: MonoTime) -> WaiterId {
+        waiter.tokens = waiter.tokens.min(TOKENS_LIMIT);
         let id = self.next_id;
         self.next_id += 1;
         self.locations.insert(id, waiter.service.clone());
--- a/crates/admission/tests/all/demands.rs
+++ b/crates/admission/tests/all/demands.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use dragonflycart_admission::{FleetDemand, GiveWay, RankDemand, ServiceDemand};
+use dragonflycart_admission::{
+    AdmissionTable, FleetDemand, GiveWay, RankDemand, ServiceDemand, WaitEstimate, Waiter,
+};
 
-use crate::fixtures::{ENGINES, LONG_TOKENS, SHORT_TOKENS, at};
+use crate::fixtures::{ENGINES, LONG_TOKENS, SHORT_TOKENS, at, long};
 
 const INTERVAL: Duration = Duration::from_millis(300);
 
@@ -58,6 +60,82 @@
     assert_eq!(demand.freed(ENGINES, at(700)), (0.0, 0.0), "the report is too old");
 }
 
+/// Pattern: a VM is suspended, and gets reports from before its suspension when it goes on.
+/// Guards against requests that are refused, or that give way, because of demand of long ago.
+#[test]
+fn reports_from_before_a_suspension_do_not_count() {
+    let mut demand = FleetDemand::default();
+    demand.note_report(1, demand_of(&[(0, 10)]), INTERVAL, at(0));
+
+    demand.clear();
+    demand.note_report(1, demand_of(&[(0, 10)]), INTERVAL, at(100));
+    demand.note_report(2, demand_of(&[(0, 10)]), INTERVAL, at(390));
+    let old = demand.tokens_ahead(ENGINES, false, 2, at(390));
+    demand.note_report(1, demand_of(&[(0, 3)]), INTERVAL, at(400));
+
+    assert_eq!(old, (0, 0));
+    assert_eq!(demand.tokens_ahead(ENGINES, false, 2, at(400)).0, 3 * SHORT_TOKENS);
+}
+
+/// Pattern: a peer reports nonsense.
+/// Guards against sums that overflow, which would end the decisions of this VM.
+#[test]
+fn very_large_figures_do_not_overflow() {
+    let ranks = (0..3).map(|rank| {
+        let tokens = u64::MAX;
+        (rank, RankDemand { waiting: u32::MAX, tokens, timely_tokens: u64::MAX / 2 })
+    });
+    let huge = ServiceDemand {
+        ranks: ranks.collect(),
+        freed_per_s: f64::MAX,
+        freed_samples: f64::MAX,
+        promised_tokens: u64::MAX,
+    };
+    let mut table = AdmissionTable::default();
+    for peer in 1..4 {
+        let services = BTreeMap::from([(ENGINES.to_owned(), huge.clone())]);
+        table.fleet_demand.note_report(peer, services, Duration::MAX, at(0));
+    }
+    for _ in 0..3 {
+        table.note_promise(ENGINES, u64::MAX, Duration::MAX, at(0));
+    }
+    table.note_freed(ENGINES, u64::MAX, at(0));
+
+    let waiter = Waiter { tokens: u64::MAX, ..long("a", at(0)) };
+    let ids: Vec<_> = (0..3).map(|_| table.enqueue(waiter.clone(), at(0))).collect();
+
+    for id in ids {
+        for millis in [0, 5_000] {
+            let inputs =
+                table.estimate_inputs(id, (ENGINES, u64::MAX), Duration::ZERO, 0, at(millis));
+            let estimate = WaitEstimate::from_inputs(inputs);
+            estimate.exceeds(Duration::MAX);
+        }
+        assert!(table.urgent_share(id, ENGINES, at(0)) > 0);
+    }
+    assert_eq!(table.own_demand(at(0))[ENGINES].ranks[&2].waiting, 3);
+}
+
+/// Pattern: services come and go with the plan, and requests of them were refused by the thousand.
+/// Guards against state and reports that grow without bound.
+#[test]
+fn unused_services_and_promises_are_forgotten() {
+    let mut table = AdmissionTable::default();
+    for index in 0..100 {
+        let service = format!("s{index}");
+        let waiter = Waiter { service: service.clone(), ..long("a", at(0)) };
+        let id = table.enqueue(waiter, at(0));
+        table.note_freed(&service, LONG_TOKENS, at(0));
+        table.note_promise(&service, LONG_TOKENS, Duration::from_secs(5), at(0));
+        table.queue.remove(id);
+    }
+    let used = table.own_demand(at(60_000)).len();
+
+    let unused = table.own_demand(at(301_000)).len();
+
+    assert_eq!((used, unused), (100, 0));
+}
+
 /// Pattern: the more urgent requests can't use the room, since their VM is frozen or their servers
 /// are excluded. The room must not lie idle for longer than their VM needs to take it.
 #[test]
--- a/crates/admission/tests/all/fleets.rs
+++ b/crates/admission/tests/all/fleets.rs
@@ -83,6 +83,58 @@
     }
 }
 
+/// Pattern: a zone is cut off with twice the demand that the engines can serve, and callers try again
+/// when they are told. Its refusals must hold, and the rest must be served as if it were not there.
+#[test]
+fn cut_off_zone_with_too_much_demand_refuses_only_what_it_must() {
+    let troubles: Vec<Trouble> = (0..3)
+        .map(|vm| Trouble { vm, from_ms: 3_000, to_ms: 15_000, kind: TroubleKind::CutOff })
+        .collect();
+    let mut arrivals = mixed(9, 16, 2, 10, 50);
+    arrivals.extend(mixed(3, 16, 14, 2, 51));
+    let without = FleetModel::new(9, 4, Network::default(), 50).with_troubles(&troubles);
+    let without = without.run(arrivals.clone());
+
+    let fleet = FleetModel::new(9, 4, Network::default(), 50).with_troubles(&troubles);
+    let fleet = fleet.with_reviews().run(arrivals);
+
+    assert!(fleet.is_idle_bounded(), "{} ms", fleet.longest_idle_ms);
+    let (waits, refused) = fleet.waits(|arrival| !arrival.is_long);
+    assert_eq!(refused, 0);
+    assert!(percentile(&waits, 95) < 500, "{}", percentile(&waits, 95));
+    let served = fleet.waits(|arrival| arrival.is_long).0.len();
+    let served_without = without.waits(|arrival| arrival.is_long).0.len();
+    assert!(100 * served >= 95 * served_without, "{served} of {served_without}");
+}
+
+/// Pattern: half of the VMs are restarted one after the other, or frozen and thawed, while more
+/// requests wait than can be served. What a new or thawed VM believes must not make it refuse
+/// requests that could be served.
+#[test]
+fn restarted_and_thawed_vms_refuse_only_what_they_must() {
+    for kind in [TroubleKind::Restarted, TroubleKind::Frozen] {
+        let troubles: Vec<Trouble> = (0..4)
+            .map(|vm| {
+                let from_ms = 4_000 + 2_500 * vm as u64;
+                Trouble { vm, from_ms, to_ms: from_ms + 2_000, kind }
+            })
+            .collect();
+        let arrivals = mixed(8, 20, 14, 10, 52);
+        let without = FleetModel::new(8, 4, Network::default(), 52).with_troubles(&troubles);
+        let without = without.run(arrivals.clone());
+
+        let fleet = FleetModel::new(8, 4, Network::default(), 52).with_troubles(&troubles);
+        let fleet = fleet.with_reviews().run(arrivals);
+
+        assert!(fleet.is_idle_bounded(), "{kind:?}: {} ms", fleet.longest_idle_ms);
+        for is_long in [true, false] {
+            let served = fleet.waits(|arrival| arrival.is_long == is_long).0.len();
+            let served_without = without.waits(|arrival| arrival.is_long == is_long).0.len();
+            assert!(100 * served >= 95 * served_without, "{kind:?}: {served} of {served_without}");
+        }
+    }
+}
+
 /// Pattern: a VM with many urgent requests freezes or ends just after its report. The others must
 /// not leave it room for longer than its report counts, nor the VM itself act on old figures.
 #[test]
--- a/crates/admission/tests/all/leaves.rs
+++ b/crates/admission/tests/all/leaves.rs
@@ -1,6 +1,7 @@
 //! Room kept free for generations of engines that leave. Each test describes its load pattern.
 
 use dragonflycart_admission::LeaveHistory;
+use proptest::prelude::*;
 
 use crate::fixtures::at;
 
@@ -49,3 +50,24 @@
     let leaves = [(at(0), 27_000)].into_iter();
     assert_eq!(LeaveHistory::recent(leaves, at(1)).move_room(0), 0.25);
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(17), ..ProptestConfig::default() })]
+
+    /// Engines leave at any times, with any tokens.
+    /// Guards against a sum over a moving span of time that differs from the sum of its leaves.
+    #[test]
+    fn room_is_the_largest_sum_within_a_notice(
+        leaves in proptest::collection::vec((0..10_000_u64, 0..500_u64), 0..40),
+    ) {
+        let mut most = 0;
+        for (first_ms, _) in &leaves {
+            let together = leaves.iter().filter(|(millis, _)| (*first_ms..=first_ms + 2_000).contains(millis));
+            most = most.max(together.map(|(_, tokens)| tokens).sum::<u64>());
+        }
+
+        let room = room(&leaves, 10_000);
+
+        prop_assert!((room - most as f64 / CAPACITY as f64).abs() < 1e-9, "{room} instead of {most}");
+    }
+}
--- a/crates/admission/tests/all/shares.rs
+++ b/crates/admission/tests/all/shares.rs
@@ -121,4 +121,60 @@
             prop_assert!((seen - real).abs() <= 12.0, "{team}: {seen} instead of {real}");
         }
     }
+
+    /// Reports are late, lost, doubled and out of order; what is not newer is dropped by its sequence
+    /// number. At every moment, the sum must be that of the newest report of each VM that arrived,
+    /// decayed since then: nothing counts twice, and nothing is lost but what no report told yet.
+    #[test]
+    fn sum_over_vms_is_that_of_the_newest_reports_that_arrived(
+        steps in proptest::collection::vec(
+            (0..300_u64, 0..5_usize, 0..4_usize, 500..5_000_u64, 0..3_usize, 0..2_000_u64),
+            1..80,
+        ),
+    ) {
+        let mut vms = vec![TeamUse::default(); 5];
+        let mut own = TeamUse::default();
+        let mut mail = BTreeMap::new();
+        let mut newest = BTreeMap::<usize, u64>::new();
+        let mut expected = BTreeMap::<(usize, String), (u64, u64)>::new();
+        let (mut now_ms, mut sequence) = (0, 0);
+        for (pause, vm, team, tokens, copies, delay_ms) in steps {
+            now_ms += pause;
+            vms[vm].charge(&format!("t{team}"), tokens, at(now_ms));
+            let teams: BTreeMap<String, u64> = vms[vm]
+                .largest(8, at(now_ms))
+                .into_iter()
+                .map(|(team, tokens)| (team.to_owned(), tokens))
+                .collect();
+            for copy in 0..copies as u64 {
+                sequence += 1;
+                let due_ms = now_ms + delay_ms * (copy + 1);
+                mail.insert((due_ms, sequence), (vm, now_ms * 1_000 + sequence, teams.clone()));
+            }
+            while let Some(first) = mail.first_entry()
+                && first.key().0 <= now_ms
+            {
+                let ((due_ms, _), (from, number, teams)) = first.remove_entry();
+                if newest.get(&from).is_some_and(|known| number <= *known) {
+                    continue;
+                }
+                newest.insert(from, number);
+                own.note_report(from as u64, &teams, at(due_ms));
+                for (team, tokens) in teams {
+                    expected.insert((from, team), (tokens, due_ms));
+                }
+            }
+            for team in 0..4 {
+                let team = format!("t{team}");
+                let mut sum = 0.0;
+                for ((_, name), (tokens, heard_ms)) in &expected {
+                    let age_s = (now_ms - heard_ms) as f64 / 1_000.0;
+                    sum += if *name == team { *tokens as f64 * (-age_s / 8.0).exp() } else { 0.0 };
+                }
+                let seen = own.tokens(&team, at(now_ms));
+                // What has decayed below one token per VM is forgotten.
+                prop_assert!((seen - sum).abs() <= 6.0, "{team}: {seen} instead of {sum}");
+            }
+        }
+    }
 }
