admission: leave the room out of the inputs of a review

Cause: clippy's limit of arguments, and the room is looked up only if the request would be refused without it.

Tested: cargo clippy -D warnings and cargo test of the admission crate; the filters 'admission' and 'wait' of the gateway's tests.

--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -107,18 +107,18 @@
         now: MonoTime,
     ) -> EstimateInputs {
         let mut prospect = WaitProspect::default();
-        self.review_inputs(id, waiter, late_in, room_tokens, &mut prospect, now)
+        let inputs = self.review_inputs(id, waiter, late_in, &mut prospect, now);
+        EstimateInputs { room_tokens, ..inputs }
     }
 
     /// Returns the inputs of the estimate of how much longer a request waits. `prospect` is what its
     /// earlier estimates were based on; the other arguments are those of
-    /// [`AdmissionTable::estimate_inputs`].
+    /// [`AdmissionTable::estimate_inputs`]. The room is left to the caller, since it is seldom needed.
     pub fn review_inputs(
         &mut self,
         id: WaiterId,
         waiter: (&str, u64),
         late_in: Duration,
-        room_tokens: u64,
         prospect: &mut WaitProspect,
         now: MonoTime,
     ) -> EstimateInputs {
@@ -128,7 +128,6 @@
         let mut inputs = EstimateInputs {
             late_in,
             own_tokens,
-            room_tokens,
             freed_per_s: peers_freed_per_s + flow.freed.per_second(now),
             freed_samples: peers_samples + flow.freed.samples(now),
             promised_tokens: flow.promised.tokens(now),
--- a/crates/admission/tests/all/fleet_model.rs
+++ b/crates/admission/tests/all/fleet_model.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use dragonflycart_admission::{
-    AdmissionTable, GiveWay, ServiceDemand, WaitEstimate, WaitProspect, Waiter, WaiterId,
+    AdmissionTable, EstimateInputs, GiveWay, ServiceDemand, WaitEstimate, WaitProspect, Waiter,
+    WaiterId,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -300,8 +301,8 @@
         let waiter = (ENGINES, arrival.tokens);
         let now = at(self.now_ms);
         prospect.note_estimate(self.tables[vm].queue.count(ENGINES), now);
-        let inputs = self.tables[vm].review_inputs(id, waiter, late_in, room, prospect, now);
-        WaitEstimate::from_inputs(inputs)
+        let inputs = self.tables[vm].review_inputs(id, waiter, late_in, prospect, now);
+        WaitEstimate::from_inputs(EstimateInputs { room_tokens: room, ..inputs })
     }
 
     /// Estimates the waiting requests of a VM again whose time has come.
--- a/crates/admission/tests/all/prospects.rs
+++ b/crates/admission/tests/all/prospects.rs
@@ -44,7 +44,7 @@
     millis: u64,
 ) -> EstimateInputs {
     let late_in = Duration::from_millis(9_000_u64.saturating_sub(millis));
-    table.review_inputs(id, (ENGINES, LONG_TOKENS), late_in, 0, prospect, at(millis))
+    table.review_inputs(id, (ENGINES, LONG_TOKENS), late_in, prospect, at(millis))
 }
 
 /// Pattern: a burst of urgent requests begins while a long one waits.
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -161,7 +161,7 @@
     let inputs = {
         let mut table = context.admission.table();
         prospect.note_estimate(table.queue.count(&request.service), now);
-        table.review_inputs(entry.id(), waiter, late_in, 0, prospect, now)
+        table.review_inputs(entry.id(), waiter, late_in, prospect, now)
     };
     // Room only shortens the wait, and it takes a look at all engines to find it.
     let without_room = WaitEstimate::from_inputs(inputs);
