overload: state how the thresholds follow from what callers need

Cause: the thresholds were chosen. Those of the timer delay follow from the shortest time limit of a plain call (1.2 s), the shortest limit of a pause (180 ms) and the share of their time that callers wait; no value changes. The memory and processor time of a waiting request were not measured, so the bounds that use them can't be derived.

Tested: the filter 'vm_loads' of the gateway's tests, with two new tests of the thresholds, which pass without this change, too.

--- a/crates/gateway/src/overload/timer_delay.rs
+++ b/crates/gateway/src/overload/timer_delay.rs
@@ -2,16 +2,19 @@
 
 use std::time::Duration;
 
-/// Delay from which the VM counts as overloaded. A request goes through about six wake-ups of the
-/// process; with 200 ms each it takes 1.2 s, the time limit of the most urgent plain calls.
+/// Delay from which the VM counts as overloaded: the shortest time limit of a plain call, 1.2 s, over
+/// six wake-ups (head, body, offer, connection to the server, head and body of its response). From
+/// then on, a call times out by these alone.
 const BEGIN_DELAY: Duration = Duration::from_millis(200);
-/// Delay below which it no longer does. Events of streams are then passed on within a third of the
-/// usual limit of a pause.
+/// Delay below which it no longer does: a third of the shortest limit of a pause, 180 ms, since an
+/// event of a stream is delayed by up to two wake-ups and the server needs the rest.
 const END_DELAY: Duration = Duration::from_millis(60);
-/// Time constant of the moving average.
+/// Time constant of the moving average. At 500 ms of delay, the average then exceeds the limit within
+/// 1.2 s, the shortest time limit of a plain call.
 const AVERAGING_TIME: Duration = Duration::from_secs(1);
 /// Maximum delay that one sample counts. A process that was frozen once has one large sample, which
-/// says nothing of its load.
+/// says nothing of its load: together with `MAX_SAMPLE_TIME`, it adds 155 ms, so that an average below
+/// `END_DELAY` stays below `BEGIN_DELAY`.
 const MAX_SAMPLE: Duration = Duration::from_millis(600);
 /// Maximum time that one sample stands for.
 const MAX_SAMPLE_TIME: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/overload/vm_load.rs
+++ b/crates/gateway/src/overload/vm_load.rs
@@ -8,16 +8,20 @@
 
 /// Fraction of the process's memory for requests that wait, without their bodies.
 const WAITING_FRACTION: f64 = 0.15;
-/// Memory of a waiting request, in bytes: its connection's buffers, its task and its headers.
+/// Memory of a waiting request, in bytes: its connection's buffers, its task and its headers. Not
+/// measured.
 const WAITING_BYTES: f64 = 64.0 * 1024.0;
 /// Number of waiting requests for each core. Each takes up to half a millisecond of processor time
-/// per second while it waits, and the same again when it is answered.
+/// per second while it waits, and the same again when it is answered. It can't be derived from what
+/// callers need without that time, which was not measured.
 const WAITING_PER_CORE: f64 = 2_000.0;
 /// Minimum bound on the number of waiting requests.
 const MIN_WAITING: usize = 32;
 /// Fraction of the bound below which requests are admitted again.
 const ADMITTED_FRACTION: f64 = 0.9;
-/// `Retry-After` time if other VMs run: a repeated request probably reaches one of them.
+/// `Retry-After` time if other VMs run: a repeated request probably reaches one of them. Callers honour
+/// up to a third of their remaining time, which is 400 ms for the shortest time limit of a plain call,
+/// 1.2 s.
 const OTHER_VM_RETRY: Duration = Duration::from_millis(300);
 
 /// Load of a VM, and the bounds on it.
--- a/crates/gateway/tests/all/vm_loads.rs
+++ b/crates/gateway/tests/all/vm_loads.rs
@@ -91,6 +91,36 @@
     }
 }
 
+/// Pattern: a VM that is as busy as it may be without an overload is frozen for some seconds.
+/// Guards against a limit of a sample that is too large for the thresholds.
+#[test]
+fn single_freeze_of_a_busy_vm_is_no_overload() {
+    let mut delay = TimerDelay::default();
+    for _ in 0..1_000 {
+        delay.note(INTERVAL, millis(59));
+    }
+
+    delay.note(INTERVAL, Duration::from_secs(600));
+
+    assert!(!delay.is_overloaded(), "{:?}", delay.average());
+}
+
+/// Pattern: the timers are so late that calls with the shortest time limit, 1.2 s, would time out
+/// after six wake-ups, or just not.
+/// Guards against a VM that accepts requests that time out for sure, and against refusals of requests
+/// that it can serve.
+#[test]
+fn overload_begins_where_six_wake_ups_take_the_shortest_time_limit() {
+    for (delay_ms, is_overloaded) in [(1_200 / 6 - 10, false), (1_200 / 6 + 10, true)] {
+        let mut delay = TimerDelay::default();
+        for _ in 0..100 {
+            delay.note(INTERVAL, millis(delay_ms));
+        }
+
+        assert_eq!(delay.is_overloaded(), is_overloaded, "{delay_ms}");
+    }
+}
+
 /// Pattern: requests pile up at one VM.
 /// Guards against a VM that runs out of memory with waiting requests, and against a bound that VMs
 /// of the usual sizes reach in normal service (some ten requests wait at each).
