--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -15,11 +15,17 @@
 /// smallest one. A single estimate of almost no wait must not decide the average.
 const RATIO_LIMIT: f64 = 4.0;
 
+/// Time after the last request or end of a generation from which a service is forgotten. It exceeds
+/// the usual time limits, so that generations end before.
+const MEMORY_TIME: Duration = Duration::from_secs(300);
+
 /// Engine memory and waits of one service.
 #[derive(Debug, Clone, Default)]
 struct ServiceFlow {
     /// Whether the service has a deferrable route.
     is_managed: bool,
+    /// Time of the last request or end of a generation.
+    used_at: MonoTime,
     freed: FreedRate,
     promised: PromisedReturns,
     /// Average logarithm of the ratio of real to estimated waits.
@@ -42,13 +48,17 @@
 impl AdmissionTable {
     /// Adds a waiting request.
     pub fn enqueue(&mut self, waiter: Waiter, now: MonoTime) -> WaiterId {
-        self.flow(&waiter.service).is_managed = waiter.class.is_managed();
+        let flow = self.flow(&waiter.service);
+        flow.is_managed = waiter.class.is_managed();
+        flow.used_at = flow.used_at.max(now);
         self.queue.enqueue(waiter, now)
     }
 
     /// Records that the end of a generation freed memory of an engine that stays.
     pub fn note_freed(&mut self, service: &str, tokens: u64, now: MonoTime) {
-        self.flow(service).freed.note(tokens, now);
+        let flow = self.flow(service);
+        flow.freed.note(tokens, now);
+        flow.used_at = flow.used_at.max(now);
     }
 
     /// Forgets all figures that depend on the time, but not the waiting requests. A VM that was
@@ -57,7 +67,11 @@
         self.fleet_demand.clear();
         self.team_use = TeamUse::default();
         for flow in self.flows.values_mut() {
-            *flow = ServiceFlow { is_managed: flow.is_managed, ..ServiceFlow::default() };
+            *flow = ServiceFlow {
+                is_managed: flow.is_managed,
+                used_at: flow.used_at,
+                ..ServiceFlow::default()
+            };
         }
     }
 
@@ -93,18 +107,18 @@
         now: MonoTime,
     ) -> EstimateInputs {
         let mut prospect = WaitProspect::default();
-        self.review_inputs(id, waiter, late_in, room_tokens, &mut prospect, now)
+        let inputs = self.review_inputs(id, waiter, late_in, &mut prospect, now);
+        EstimateInputs { room_tokens, ..inputs }
     }
 
     /// Returns the inputs of the estimate of how much longer a request waits. `prospect` is what its
     /// earlier estimates were based on; the other arguments are those of
-    /// [`AdmissionTable::estimate_inputs`].
+    /// [`AdmissionTable::estimate_inputs`]. The room is left to the caller, since it is seldom needed.
     pub fn review_inputs(
         &mut self,
         id: WaiterId,
         waiter: (&str, u64),
         late_in: Duration,
-        room_tokens: u64,
         prospect: &mut WaitProspect,
         now: MonoTime,
     ) -> EstimateInputs {
@@ -114,7 +128,6 @@
         let mut inputs = EstimateInputs {
             late_in,
             own_tokens,
-            room_tokens,
             freed_per_s: peers_freed_per_s + flow.freed.per_second(now),
             freed_samples: peers_samples + flow.freed.samples(now),
             promised_tokens: flow.promised.tokens(now),
@@ -159,9 +172,14 @@
     }
 
     /// Returns the demand at this VM for each service with a deferrable route, to be reported to the
-    /// others.
+    /// others. Forgets services that are no longer used.
     pub fn own_demand(&mut self, now: MonoTime) -> BTreeMap<String, ServiceDemand> {
         let mut services = BTreeMap::new();
+        let queue = &self.queue;
+        self.flows.retain(|service, flow| {
+            queue.count(service) > 0 || now.since(flow.used_at) <= MEMORY_TIME
+        });
+        self.team_use.forget(now);
         for (service, flow) in self.flows.iter_mut().filter(|(_, flow)| flow.is_managed) {
             let demand = ServiceDemand {
                 ranks: self.queue.demand(service, now),
