capacity: do not compare a server with its own results

Results are compared with times that were corrected by the learned speed, relative to the median of the service. With fewer than three measured servers the median was left as it was, and was added to each new result: where one of three servers got all calls, its learned speed grew to the limit of ten within a minute, so that the others got none and were never measured again. The median now counts as 1.0 then, as its constant says. A server whose results would be compared with its own earlier ones only counts as usual, unless peers report on others.

--- a/crates/capacity/src/capacity_table.rs
+++ b/crates/capacity/src/capacity_table.rs
@@ -53,6 +53,8 @@
     /// Logarithm of the median speed of the servers, and the time at which it was computed.
     median_log: f64,
     median_at: Option<MonoTime>,
+    /// Whether the median covers enough servers.
+    has_median: bool,
     is_in_effect: bool,
     told_at: Option<MonoTime>,
     changes: Vec<(K, CapacityChange)>,
@@ -70,6 +72,7 @@
             calls: TimeModel::default(),
             median_log: 0.0,
             median_at: None,
+            has_median: false,
             is_in_effect: false,
             told_at: None,
             changes: Vec::new(),
@@ -136,7 +139,12 @@
         let token_s = self.paced_s(server, time, now) / load.unread_tokens as f64;
         let unbiased_s = token_s * self.speed(server, now);
         self.reading.push(server, load.requests, unbiased_s, now);
-        self.note_ratio(server, self.reading.usual(load.requests), token_s, now);
+        let is_compared = self.is_compared(self.reading.covers_several(load.requests), now);
+        let usual_s = self
+            .reading
+            .usual(load.requests)
+            .map(|usual_s| if is_compared { usual_s } else { token_s });
+        self.note_ratio(server, usual_s, token_s, now);
     }
 
     /// Records pauses between events of a stream, while `requests` ran at the server.
@@ -148,7 +156,10 @@
         self.heaviness.push(server, pause.heavy.as_secs_f64() / pause.usual.as_secs_f64(), now);
         let unbiased_s = pause_s * self.speed(server, now);
         self.pauses.push(server, requests, unbiased_s, now);
-        self.note_ratio(server, self.pauses.usual(requests), pause_s, now);
+        let is_compared = self.is_compared(self.pauses.covers_several(requests), now);
+        let usual_s =
+            self.pauses.usual(requests).map(|usual_s| if is_compared { usual_s } else { pause_s });
+        self.note_ratio(server, usual_s, pause_s, now);
     }
 
     /// Records the latency of a plain call, while `requests` were at the server.
@@ -156,7 +167,10 @@
         let call_s = self.paced_s(server, latency, now);
         let unbiased_s = call_s * self.speed(server, now);
         self.calls.push(server, requests, unbiased_s, now);
-        self.note_ratio(server, self.calls.usual(requests), call_s, now);
+        let is_compared = self.is_compared(self.calls.covers_several(requests), now);
+        let usual_s =
+            self.calls.usual(requests).map(|usual_s| if is_compared { usual_s } else { call_s });
+        self.note_ratio(server, usual_s, call_s, now);
     }
 
     /// Records that a server refused a request while it had `requests`.
@@ -195,6 +209,14 @@
         time.as_secs_f64() / self.pace(server, now)
     }
 
+    /// Returns whether a result tells the speed of a server. One that would only be compared with earlier
+    /// ones of the same server does so only beside the results of peers at others; it counts as usual
+    /// otherwise.
+    fn is_compared(&mut self, covers_several: bool, now: MonoTime) -> bool {
+        self.update_median(now);
+        covers_several || self.has_median
+    }
+
     fn note_ratio(&mut self, server: K, usual_s: Option<f64>, time_s: f64, now: MonoTime) {
         let Some(usual_s) = usual_s.filter(|usual_s| *usual_s > 0.0 && time_s > 0.0) else {
             return;
@@ -214,8 +236,13 @@
         let recent = self.servers.values().filter_map(|estimate| estimate.recent_log(now));
         let mut logs: Vec<f64> = recent.collect();
         if logs.len() < LEAST_MEASURED {
+            // A median of long ago would be added to each new result, since results are compared with
+            // times that the learned speed has corrected.
+            self.median_log = 0.0;
+            self.has_median = false;
             return;
         }
+        self.has_median = true;
         let middle = logs.len() / 2;
         let (_, median, _) = logs.select_nth_unstable_by(middle, f64::total_cmp);
         self.median_log = *median;
--- a/crates/capacity/src/time_model.rs
+++ b/crates/capacity/src/time_model.rs
@@ -12,13 +12,16 @@
 /// Number of servers whose samples a median should cover. A server that is alone at its number of
 /// requests would be compared with itself, and a change of its speed would be taken as usual.
 const SERVERS_WANTED: usize = 3;
+/// Number of servers without which a median says nothing of the speed of any of them.
+const LEAST_SERVERS: usize = 2;
 
 /// Usual time of a piece of work at a server of the service, by the number of requests there.
 #[derive(Debug, Clone)]
 pub(crate) struct TimeModel<K> {
     buckets: Vec<SampleRing<K>>,
-    /// Usual time for each bucket, computed when a sample is added.
-    usual: [Option<f64>; BUCKETS],
+    /// Usual time for each bucket and the number of servers whose samples it covers, computed when a
+    /// sample is added.
+    usual: [Option<(f64, usize)>; BUCKETS],
 }
 
 impl<K: Copy + Ord> Default for TimeModel<K> {
@@ -39,20 +42,29 @@
     /// Returns the usual time in seconds, at the nearest number of requests for which there are
     /// samples of enough servers or, if there are none, of any.
     pub(crate) fn usual(&self, requests: u32) -> Option<f64> {
-        self.usual[bucket_of(requests)]
+        self.usual[bucket_of(requests)].map(|(time_s, _)| time_s)
     }
 
-    fn nearest(&self, bucket: usize) -> Option<f64> {
-        let mut nearest = None;
+    /// Returns whether the usual time covers several servers. A server that is alone would be compared
+    /// with itself.
+    pub(crate) fn covers_several(&self, requests: u32) -> bool {
+        self.usual[bucket_of(requests)].is_some_and(|(_, servers)| servers >= LEAST_SERVERS)
+    }
+
+    fn nearest(&self, bucket: usize) -> Option<(f64, usize)> {
+        let mut nearest: Option<(f64, usize)> = None;
         for distance in 0..BUCKETS {
             let above = self.buckets.get(bucket + distance);
             let below = bucket.checked_sub(distance).map(|index| &self.buckets[index]);
             for ring in [above, below].into_iter().flatten() {
                 let Some(time_s) = ring.median() else { continue };
-                if ring.server_count() >= SERVERS_WANTED {
-                    return Some(time_s);
+                let servers = ring.server_count();
+                if servers >= SERVERS_WANTED {
+                    return Some((time_s, servers));
+                }
+                if nearest.is_none_or(|(_, known)| known < servers.min(LEAST_SERVERS)) {
+                    nearest = Some((time_s, servers));
                 }
-                nearest = nearest.or(Some(time_s));
             }
         }
         nearest
--- a/crates/capacity/tests/all/speeds.rs
+++ b/crates/capacity/tests/all/speeds.rs
@@ -278,3 +278,28 @@
 
     assert!(table.speed(4, at(45_000)) > 0.85, "{}", table.speed(4, at(45_000)));
 }
+
+/// Guards against a learned speed that grows without end because only one of three servers gets calls:
+/// its results were compared with its own earlier ones, relative to a median of long ago.
+#[test]
+fn server_that_alone_gets_calls_is_not_compared_with_itself() {
+    let mut table = CapacityTable::<u32>::default();
+    // Too few results for the true speeds, which are the same.
+    for (index, times_ms) in [[20, 30, 28], [20, 32, 30], [20, 14, 15]].iter().enumerate() {
+        for (step, time_ms) in times_ms.iter().enumerate() {
+            let now = at(step as u64 * 250);
+            table.note_call(index as u32, Duration::from_millis(*time_ms), 1, now);
+        }
+    }
+
+    let mut fastest = 0.0_f64;
+    for step in 0..4_000 {
+        let now = at(1_000 + step * 20);
+        table.note_call(2, Duration::from_millis(20), 1, now);
+        fastest = fastest.max(table.speed(2, now));
+    }
+
+    assert!(fastest < 1.5, "the speed grew to {fastest}");
+    let speed = table.speed(2, at(81_000));
+    assert!((0.9..1.1).contains(&speed), "{speed}");
+}
