tests: stop the holder and the store while a report is open

With a permit that never ends, planted by hand, the process tests of duties passed: the holder had no report left that it could send. The platform now refuses calls first, so a report is open when the holder is stopped or the store fails. With the planted fault, the test with the store now fails; the one with the stopped holder still passes, because the continued holder reads the log before it sends.

--- a/tests/all/duties.rs
+++ b/tests/all/duties.rs
@@ -53,16 +53,26 @@
     assert_eq!(fleet.finish(lost_with(holder, killed_at)).await, Vec::<String>::new());
 }
 
-/// Guards against a frozen holder that goes on when it is continued, after another VM took over.
+/// Lets the platform refuse calls until the holder has a report that it repeats.
+async fn hold_up_reports(fleet: &DutyFleet) {
+    let known = fleet.cloud.refusals();
+    fleet.cloud.set_mode(CloudMode::Busy);
+    wait_for("refusals", async || (fleet.cloud.refusals() >= known + 2).then_some(())).await;
+}
+
+/// Guards against a frozen holder that goes on when it is continued, after another VM took over. It
+/// has a report that it would send at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn continued_holder_does_not_act_for_its_successor() {
     let fleet = DutyFleet::start("duties-stop").await;
     let call = fleet.wait_reports(2).await;
 
     let holder = DutyFleet::caller(&call);
+    hold_up_reports(&fleet).await;
     let stopped_at = unix_ms();
     fleet.gateways[holder].process.pause().unwrap();
     fleet.traffic.avoid(holder);
+    fleet.cloud.set_mode(CloudMode::Up);
     wait_for("another holder", async || {
         fleet.reports().iter().any(|other| other.holder != call.holder).then_some(())
     })
@@ -81,8 +91,10 @@
     let fleet = DutyFleet::start("duties-store").await;
     fleet.wait_reports(2).await;
 
+    hold_up_reports(&fleet).await;
     fleet.store.set_mode(StoreMode::Silent);
     tokio::time::sleep(LEASE * 2).await;
+    fleet.cloud.set_mode(CloudMode::Up);
     let silent_from = fleet.reports().len();
     tokio::time::sleep(LEASE * 4).await;
     let silent_to = fleet.reports().len();
@@ -100,8 +112,7 @@
     let fleet = DutyFleet::start("duties-platform").await;
     fleet.wait_reports(2).await;
 
-    fleet.cloud.set_mode(CloudMode::Busy);
-    wait_for("refusals", async || (fleet.cloud.refusals() >= 3).then_some(())).await;
+    hold_up_reports(&fleet).await;
     for mode in [CloudMode::Silent, CloudMode::AnswerLost] {
         let known = fleet.reports().len();
         fleet.cloud.set_mode(mode);
