gateway: count a stream that continues elsewhere once in the usage

Each run of a stream at a further server counted its team's use again with its first event, after a move as well as after a new run with Last-Event-Id. Runs after the first event of the stream are now left out.

Adds tests/all/hard_load.rs, which injects one failure each into real gateways: missing load headers, slow phases, restarts of half of the VMs while calls wait, no store throughout, and the usage of a stream that continues.

--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -397,6 +397,10 @@
     fn switch(&mut self, resumed: ResumedGeneration) {
         let mut run = resumed.response.run;
         run.continue_from(&self.source.run);
+        // Its first event was counted in the usage of its team.
+        if self.events > 0 {
+            run.skip_use();
+        }
         let source = RelaySource {
             reservation: resumed.reservation,
             watcher: EngineWatcher::new(&self.context),
--- a/crates/gateway/src/versions/request_run.rs
+++ b/crates/gateway/src/versions/request_run.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Leaves the run out of the usage of its team, because the stream was counted at a server before.
+    pub(crate) fn skip_use(&mut self) {
+        self.team = None;
+    }
+
     /// Takes over what was seen of the request's prompt at the server before.
     pub(crate) fn continue_from(&mut self, earlier: &RequestRun) {
         if let (Some(prompt), Some(earlier)) = (&mut self.prompt, &earlier.prompt) {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod engine_changes;
 mod faults;
 mod gateway_stops;
+mod hard_load;
 mod jobs;
 mod keys;
 mod matrix;
