gateway: place requests without adding up the reports of all peers

A placement added up the loads that all peers reported, several times for each server, looked the service up for each server, and scored the servers of the VM's zone again when a wider sample was needed.

The sum of the peers' loads is kept with the times between which it holds, and a report renews it shortly before its end. Loads of VMs that restarted, which no report replaces, are dropped; they stayed for as long as the server ran. What is the same for all servers is looked up once, service and nearness of each server are kept beside its state, the servers of the zone are scored once, and the learned capacity is read in the order of the servers.

Ruled out: fields in the order of their use (repr(C)) and inline hints made no difference.

--- a/crates/capacity/src/capacity_table.rs
+++ b/crates/capacity/src/capacity_table.rs
@@ -5,8 +5,11 @@
 use dragonflycart_core::MonoTime;
 
 use crate::{
-    CapacityChange, CapacityCounts, HeaderFault, LoadHeader, PauseSample, PeerSample, RunningLoad,
-    ServerOutlook, sample_ring::SampleRing, server_estimate::ServerEstimate, time_model::TimeModel,
+    CapacityChange, CapacityCounts, HeaderFault, LoadHeader, OutlookCursor, PauseSample,
+    PeerSample, RunningLoad, ServerOutlook,
+    sample_ring::SampleRing,
+    server_estimate::{LOG_LIMIT, ServerEstimate},
+    time_model::TimeModel,
 };
 
 /// Unread prompt tokens from which the time to the first event tells how fast a server reads. With
@@ -20,8 +23,6 @@
 /// Minimum time between computations of the median. A fleet of 600 servers gets thousands of samples
 /// per second.
 const MEDIAN_INTERVAL: Duration = Duration::from_millis(200);
-/// Bound of the learned speed, as a logarithm: a factor of 10.
-const LOG_LIMIT: f64 = 2.3;
 /// Difference of a pace figure from the service's usual one from which it counts as a sample of the
 /// speed, as a logarithm: 5%. A header that always says the same tells nothing.
 const FIGURE_DIFFERENCE: f64 = 0.05;
@@ -246,7 +247,7 @@
     /// Returns the learned speed of a server relative to the median of the service.
     pub fn speed(&self, server: K, now: MonoTime) -> f64 {
         let Some(estimate) = self.servers.get(&server) else { return 1.0 };
-        estimate.relative_log(self.median_log, now).clamp(-LOG_LIMIT, LOG_LIMIT).exp()
+        estimate.speed(self.median_log, now)
     }
 
     /// Returns how long work takes at a server at this moment, as a multiple of its usual time, by
@@ -257,10 +258,13 @@
 
     /// Returns what is expected of a server now.
     pub fn outlook(&self, server: K, now: MonoTime) -> ServerOutlook {
-        let Some(estimate) = self.servers.get(&server) else { return ServerOutlook::default() };
-        let log = estimate.relative_log(self.median_log, now).clamp(-LOG_LIMIT, LOG_LIMIT);
-        let (pace, takes_well) = (estimate.pace(now), estimate.refused_at(now));
-        ServerOutlook { speed: log.exp(), pace, takes_well }
+        let estimate = self.servers.get(&server);
+        estimate.map_or_else(ServerOutlook::default, |known| known.outlook(self.median_log, now))
+    }
+
+    /// Returns a cursor that reads what is expected of many servers now.
+    pub fn outlooks(&self, now: MonoTime) -> OutlookCursor<'_, K> {
+        OutlookCursor::new(&self.servers, self.median_log, now)
     }
 
     /// Returns the expected time to the first event of a stream with `prompt_tokens` that is sent to
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -17,6 +17,7 @@
 mod header_fault;
 mod header_watch;
 mod load_header;
+mod outlook_cursor;
 mod pause_sample;
 mod pause_window;
 mod peer_sample;
@@ -30,6 +31,6 @@
 pub use crate::{
     capacity_change::CapacityChange, capacity_counts::CapacityCounts,
     capacity_table::CapacityTable, header_fault::HeaderFault, load_header::LoadHeader,
-    pause_sample::PauseSample, pause_window::PauseWindow, peer_sample::PeerSample,
-    running_load::RunningLoad, server_outlook::ServerOutlook,
+    outlook_cursor::OutlookCursor, pause_sample::PauseSample, pause_window::PauseWindow,
+    peer_sample::PeerSample, running_load::RunningLoad, server_outlook::ServerOutlook,
 };
--- a/crates/capacity/src/server_estimate.rs
+++ b/crates/capacity/src/server_estimate.rs
@@ -8,7 +8,7 @@
 use dragonflycart_core::MonoTime;
 
 use crate::{
-    PeerSample,
+    PeerSample, ServerOutlook,
     header_watch::HeaderWatch,
     speed_estimate::{SpeedEstimate, kept_share},
 };
@@ -22,6 +22,8 @@
 const SERVICE_FIGURES: usize = 2;
 /// Least pace that counts. A false figure must not draw all requests to a server.
 const LEAST_PACE: f64 = 0.5;
+/// Bound of the learned speed, as a logarithm: a factor of 10.
+pub(crate) const LOG_LIMIT: f64 = 2.3;
 /// Bounds of the speed that a peer may report.
 const PEER_SPEEDS: std::ops::RangeInclusive<f64> = 0.01..=100.0;
 /// Maximum age of a peer's samples.
@@ -130,6 +132,21 @@
         (self.merged.log - median_log) * kept_share(now.since(at))
     }
 
+    /// Returns the speed relative to the median of the service, of which the logarithm is
+    /// `median_log`.
+    pub(crate) fn speed(&self, median_log: f64, now: MonoTime) -> f64 {
+        self.relative_log(median_log, now).clamp(-LOG_LIMIT, LOG_LIMIT).exp()
+    }
+
+    /// Returns what is expected of the server now.
+    pub(crate) fn outlook(&self, median_log: f64, now: MonoTime) -> ServerOutlook {
+        ServerOutlook {
+            speed: self.speed(median_log, now),
+            pace: self.pace(now),
+            takes_well: self.refused_at(now),
+        }
+    }
+
     /// Returns the time of the last sample of any VM.
     pub(crate) fn sampled_at(&self) -> Option<MonoTime> {
         self.merged.at
--- a/crates/capacity/src/speed_estimate.rs
+++ b/crates/capacity/src/speed_estimate.rs
@@ -54,5 +54,8 @@
 
 /// Returns the share of an estimate that is kept after a time without samples.
 pub(crate) fn kept_share(age: Duration) -> f64 {
+    if age <= FADE_START {
+        return 1.0;
+    }
     (-age.saturating_sub(FADE_START).as_secs_f64() / FADE_S).exp()
 }
--- a/crates/capacity/tests/all/speeds.rs
+++ b/crates/capacity/tests/all/speeds.rs
@@ -278,3 +278,23 @@
 
     assert!(table.speed(4, at(45_000)) > 0.85, "{}", table.speed(4, at(45_000)));
 }
+
+/// Guards against a placement by the outlook of another server: the cursor that a placement reads
+/// must say the same as the table in any order of keys, also of servers that are not known.
+#[test]
+fn cursor_says_the_same_as_the_table() {
+    let mut table = CapacityTable::default();
+    for (index, server) in [3, 5, 8, 9, 40].into_iter().enumerate() {
+        for half in 0..20 {
+            let pause_ms = 30.0 + 12.0 * index as f64;
+            table.note_pause(server, pause(pause_ms), 8, at(500 * half));
+        }
+        table.note_refusal(server, 4 + index as u32, at(9_500));
+    }
+    let now = at(10_000);
+    let mut cursor = table.outlooks(now);
+
+    for server in [1, 3, 3, 8, 9, 10, 39, 41, 5, 40, 2, 9, 8, 50, 3] {
+        assert_eq!(cursor.outlook(server), table.outlook(server, now), "{server}");
+    }
+}
--- a/crates/gateway/benches/placement/bench_fleet.rs
+++ b/crates/gateway/benches/placement/bench_fleet.rs
@@ -95,7 +95,7 @@
     fn respond(&mut self, index: usize, now: MonoTime) {
         let key = self.keys[index];
         // Every zone has fast servers.
-        let (factor, pace) = if index / 4 % 4 == 0 { (1.0, 55) } else { (2.2, 120) };
+        let (factor, pace) = if (index / 4).is_multiple_of(4) { (1.0, 55) } else { (2.2, 120) };
         self.view.note_load_header(key, Some(&format!("8,0,24,{pace}")), now);
         let time = |millis: f64| Duration::from_secs_f64(millis * factor / 1_000.0);
         let run = self.view.start_run(key, "reports", now - time(300.0));
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -5,7 +5,11 @@
 mod learned_capacity;
 mod placing;
 mod lost_servers;
+mod peer_loads;
+mod placement_scope;
 mod run_results;
+mod server_choice;
+mod server_places;
 mod zone_demands;
 
 use std::{
@@ -16,8 +20,10 @@
 
 use dragonflycart_capacity::CapacityTable;
 use dragonflycart_core::{MonoTime, PromptPart};
-use slotmap::SlotMap;
+use slotmap::{SecondaryMap, SlotMap};
 
+pub(crate) use self::peer_loads::PeerLoads;
+use self::server_places::ServerPlaces;
 use crate::{
     EngineSpec, FleetOrder, GenerationTiming, RetryBudget, RetryLimit, RouteBaselines, RoutePlan,
     RunKey, ServerKey, ServerLoad, ServerRecord, ServerState, SurveyedEngine, TokenDemand,
@@ -41,6 +47,8 @@
     /// Time at which the first plan was known.
     planned_since: Option<MonoTime>,
     servers: SlotMap<ServerKey, ServerState>,
+    /// Kept in step with the registrations of the servers.
+    places: ServerPlaces,
     by_id: BTreeMap<String, ServerKey>,
     evacuated: BTreeMap<String, MonoTime>,
     retry_budgets: BTreeMap<String, RetryBudget>,
@@ -48,7 +56,7 @@
     version_moves: BTreeMap<String, VersionMove>,
     /// Latest status of each service's version move in the store.
     move_statuses: BTreeMap<String, VersionMoveRecord>,
-    prefixes: BTreeMap<ServerKey, BTreeMap<PromptPart, MonoTime>>,
+    prefixes: SecondaryMap<ServerKey, BTreeMap<PromptPart, MonoTime>>,
     /// Learned capacity of the servers of each service.
     capacities: BTreeMap<String, CapacityTable<ServerKey>>,
     baselines: RouteBaselines,
@@ -73,13 +81,14 @@
             plan: None,
             planned_since: None,
             servers: SlotMap::with_key(),
+            places: ServerPlaces::default(),
             by_id: BTreeMap::new(),
             evacuated: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             timings: BTreeMap::new(),
             version_moves: BTreeMap::new(),
             move_statuses: BTreeMap::new(),
-            prefixes: BTreeMap::new(),
+            prefixes: SecondaryMap::new(),
             capacities: BTreeMap::new(),
             baselines: RouteBaselines::default(),
             runs: SlotMap::with_key(),
@@ -270,12 +279,14 @@
                 && state.record.service == record.service;
             if is_same {
                 let before = (state.record.is_draining, state.expired_at.is_some());
+                self.places.set(key, &record, &self.settings.zone);
                 state.update(record, offset, now);
                 return before != (state.record.is_draining, false);
             }
             state.mark_leaving(now);
         }
         let key = self.servers.insert(ServerState::new(id, record, offset, now));
+        self.places.set(key, &self.servers[key].record, &self.settings.zone);
         self.by_id.insert(id.to_owned(), key);
         true
     }
@@ -326,7 +337,8 @@
     }
 
     fn forget_server(&mut self, key: ServerKey) {
-        self.prefixes.remove(&key);
+        self.prefixes.remove(key);
+        self.places.remove(key);
         let Some(state) = self.servers.remove(key) else { return };
         if self.by_id.get(&state.id) == Some(&key) {
             self.by_id.remove(&state.id);
--- a/crates/gateway/src/fleet_view/admission_room.rs
+++ b/crates/gateway/src/fleet_view/admission_room.rs
@@ -5,6 +5,7 @@
 
 use super::{
     FleetView,
+    placement_scope::PlacementScope,
     placing::{MOVE_FILL_LIMIT, RUN_FILL_LIMIT},
 };
 use crate::PlacementQuery;
@@ -30,10 +31,8 @@
         };
         let mut capacity = 0;
         let mut leaves = Vec::new();
-        for state in self.servers.values() {
-            if state.record.service != service {
-                continue;
-            }
+        for (key, _) in self.places.of_service(service) {
+            let state = &self.servers[key];
             match state.leaving_since {
                 Some(since) => leaves.push((since, state.tokens_at_leave)),
                 None => capacity += engine.memory_tokens,
@@ -44,15 +43,14 @@
 
     /// Returns the tokens of requests like this one that the engines have room for now.
     pub fn room_tokens(&self, query: &PlacementQuery<'_>, now: MonoTime) -> u64 {
-        let Some(engine) = self.engine_spec(query.service) else { return 0 };
+        let scope = PlacementScope::new(self, query, now);
+        let Some(engine) = scope.engine else { return 0 };
         let limit = (engine.memory_tokens as f64 * self.fill_limit(query, now)) as u64;
         let own = query.demand.reserved_tokens().max(1);
-        let unreachable_zones = self.zone_reachability.unreachable_zones(now);
         let mut room = 0;
-        for (key, state) in &self.servers {
-            if !self.is_usable(key, state, query, now)
-                || unreachable_zones.contains(state.record.zone.as_str())
-            {
+        for (key, _) in self.places.of_service(query.service) {
+            let state = &self.servers[key];
+            if !scope.is_usable(key, state) {
                 continue;
             }
             let used = state.total_load(now).memory_tokens();
--- a/crates/gateway/src/fleet_view/choice.rs
+++ b/crates/gateway/src/fleet_view/choice.rs
@@ -1,12 +1,11 @@
 //! Chooses the server for a request.
 
-use dragonflycart_capacity::CapacityTable;
 use dragonflycart_core::{ErrorKind, MonoTime};
 
-use super::FleetView;
+use super::{FleetView, placement_scope::PlacementScope, server_choice::ServerChoice};
 use crate::{
-    PlacementQuery, ServerKey, ServerScore, ServerState, VersionRole, capacity::UNSUITABLE_COST,
-    peer_table::SMALL_FLEET, server_score::spread,
+    PlacementQuery, ServerKey, VersionRole, capacity::UNSUITABLE_COST, peer_table::SMALL_FLEET,
+    server_score::spread,
 };
 
 /// Number of servers in other zones among which a VM of a large fleet chooses.
@@ -58,144 +57,66 @@
 
     /// Returns the usable server with the lowest score whose memory use stays within `fill_limit`
     /// when the request is added.
-    pub(super) fn choose(
-        &self,
-        query: &PlacementQuery<'_>,
-        role: Option<VersionRole>,
-        fill_limit: Option<f64>,
-        now: MonoTime,
-    ) -> Result<ServerKey, ErrorKind> {
-        let is_learned = self.capacity_for(query).is_some();
-        if let Some(share) = self.remote_share(query, now) {
-            let result = self.choose_among(query, role, fill_limit, share, now);
-            match result {
-                Ok((score, _)) if is_learned && score >= UNSUITABLE_COST => {
-                    let share = share * WIDER_SAMPLE;
-                    let wider = self.choose_among(query, role, fill_limit, share, now);
-                    return wider.map(|(_, key)| key);
-                }
-                Ok((_, key)) => return Ok(key),
-                Err(_) => {}
-            }
-        }
-        self.choose_among(query, role, fill_limit, 1.0, now).map(|(_, key)| key)
-    }
-
-    /// Returns the share of the servers in other zones to choose among, or `None` for all.
     ///
     /// In a large fleet, VMs of other zones report their load late. If each VM compared all servers,
     /// many would choose the same one before they see each other's requests; a small random sample
     /// differs between requests.
-    fn remote_share(&self, query: &PlacementQuery<'_>, now: MonoTime) -> Option<f64> {
-        if self.vm_count <= SMALL_FLEET || query.preferred_zone.is_some() {
-            return None;
-        }
-        let (mut local, mut remote) = (0, 0);
-        for state in self.servers.values() {
-            if state.record.service != query.service || !state.accepts_requests(now) {
-                continue;
-            }
-            if state.record.zone == self.settings.zone { local += 1 } else { remote += 1 }
-        }
-        (local >= MIN_LOCAL_SERVERS).then(|| REMOTE_SAMPLE / f64::from(remote.max(1)))
-    }
-
-    /// Chooses among the servers of this VM's zone and a share of the others.
-    fn choose_among(
+    pub(super) fn choose(
         &self,
         query: &PlacementQuery<'_>,
         role: Option<VersionRole>,
         fill_limit: Option<f64>,
-        remote_share: f64,
         now: MonoTime,
-    ) -> Result<(f64, ServerKey), ErrorKind> {
-        let capacity = self.capacity_for(query);
-        let version_move = self.version_moves.get(query.service);
-        let mut best: Option<(f64, ServerKey)> = None;
-        let mut is_full = false;
-        let unreachable_zones = self.zone_reachability.unreachable_zones(now);
-        for (key, state) in &self.servers {
-            let has_other_role = match (version_move, role) {
-                (Some(version_move), Some(role)) => {
-                    version_move.role_of(&state.record.version) != role
-                }
-                _ => false,
-            };
-            let is_left_out = state.record.zone != self.settings.zone
-                && spread(query.sample_seed, key) > remote_share;
-            if has_other_role
-                || is_left_out
-                || !self.is_usable(key, state, query, now)
-                || unreachable_zones.contains(state.record.zone.as_str())
-            {
+    ) -> Result<ServerKey, ErrorKind> {
+        let scope = PlacementScope::new(self, query, now);
+        let mut choice = ServerChoice::new(&scope, role, fill_limit);
+        let may_sample = self.vm_count > SMALL_FLEET && query.preferred_zone.is_none();
+        let mut others = Vec::with_capacity(if may_sample { self.servers.len() } else { 0 });
+        let mut local = 0;
+        for (key, is_near) in self.places.of_service(query.service) {
+            let state = &self.servers[key];
+            if !state.accepts_requests(now) {
                 continue;
             }
-            if fill_limit.is_some_and(|limit| self.fill_with(state, query, now) > limit) {
-                is_full = true;
+            if may_sample && !is_near {
+                others.push((key, state));
                 continue;
             }
-            let score = self.score((key, state), capacity, query, now);
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, key));
-            }
-        }
-        match best {
-            Some(best) => Ok(best),
-            None if is_full => Err(ErrorKind::Overloaded),
-            None => Err(ErrorKind::NoBackend),
+            local += 1;
+            choice.consider(key, state);
         }
-    }
-
-    /// Returns the fraction of an engine's memory that is in use when the request is added. An
-    /// empty engine accepts any request; it rejects one that is too large itself.
-    fn fill_with(&self, state: &ServerState, query: &PlacementQuery<'_>, now: MonoTime) -> f64 {
-        let capacity = self.engine_spec(query.service).map_or(0, |engine| engine.memory_tokens);
-        let used = state.total_load(now).memory_tokens();
-        if used == 0 {
-            return 0.0;
+        if !may_sample {
+            return choice.result();
         }
-        (used + query.demand.reserved_tokens()) as f64 / capacity.max(1) as f64
-    }
-
-    pub(super) fn is_usable(
-        &self,
-        key: ServerKey,
-        state: &ServerState,
-        query: &PlacementQuery<'_>,
-        now: MonoTime,
-    ) -> bool {
-        if state.record.service != query.service || !state.accepts_requests(now) {
-            return false;
+        if local < MIN_LOCAL_SERVERS {
+            for (key, state) in others {
+                choice.consider(key, state);
+            }
+            return choice.result();
         }
-        if query.excluded.contains(&key) || self.evacuated.contains_key(&state.record.zone) {
-            return false;
+        let share = REMOTE_SAMPLE / others.len().max(1) as f64;
+        let mut left_out = Vec::with_capacity(others.len());
+        for (key, state) in others {
+            let draw = spread(query.sample_seed, key);
+            if draw > share {
+                left_out.push((draw, key, state));
+            } else {
+                choice.consider(key, state);
+            }
         }
-        !self.is_cold_limited(key, now)
-    }
-
-    fn score(
-        &self,
-        (key, state): (ServerKey, &ServerState),
-        capacity: Option<&CapacityTable<ServerKey>>,
-        query: &PlacementQuery<'_>,
-        now: MonoTime,
-    ) -> f64 {
-        let holds_prefix = query.shared_prefix.is_some_and(|prefix| {
-            self.prefixes.get(&key).is_some_and(|prefixes| prefixes.contains_key(&prefix))
-        });
-        let capacity = capacity.map(|table| (table, table.outlook(key, now)));
-        let is_retest = capacity.is_some_and(|(table, outlook)| {
-            outlook.is_avoided() && self.is_retest(table, (key, state), query, now)
-        });
-        let score = ServerScore {
-            key,
-            state,
-            engine: self.engine_spec(query.service),
-            holds_prefix,
-            own_zone: &self.settings.zone,
-            capacity,
-            is_retest,
+        // If no server of the sample has room, all are considered.
+        let is_suitable =
+            choice.lowest_score().map(|score| scope.capacity.is_none() || score < UNSUITABLE_COST);
+        let limit = match is_suitable {
+            Some(true) => return choice.result(),
+            Some(false) => share * WIDER_SAMPLE,
+            None => 1.0,
         };
-        score.value(query, now)
+        for (draw, key, state) in left_out {
+            if draw <= limit {
+                choice.consider(key, state);
+            }
+        }
+        choice.result()
     }
 }
--- a/crates/gateway/src/fleet_view/placing.rs
+++ b/crates/gateway/src/fleet_view/placing.rs
@@ -146,7 +146,9 @@
     }
 
     fn remember_prefix(&mut self, key: ServerKey, prefix: PromptPart, now: MonoTime) {
-        let prefixes = self.prefixes.entry(key).or_default();
+        // The entry is missing only for a server that was forgotten.
+        let Some(entry) = self.prefixes.entry(key) else { return };
+        let prefixes = entry.or_default();
         prefixes.insert(prefix, now);
         if prefixes.len() <= PREFIXES_REMEMBERED {
             return;
--- /dev/null
+++ b/crates/gateway/src/fleet_view/server_choice.rs
@@ -0,0 +1,96 @@
+//! Comparison of the servers for a request.
+
+use dragonflycart_capacity::OutlookCursor;
+use dragonflycart_core::ErrorKind;
+
+use super::placement_scope::PlacementScope;
+use crate::{ServerKey, ServerScore, ServerState, VersionMove, VersionRole};
+
+/// Server with the lowest score among those considered so far.
+pub(super) struct ServerChoice<'a> {
+    scope: &'a PlacementScope<'a>,
+    /// Version that the server must run, if the service has a version move.
+    version: Option<(&'a VersionMove, VersionRole)>,
+    fill_limit: Option<f64>,
+    outlooks: Option<OutlookCursor<'a, ServerKey>>,
+    best: Option<(f64, ServerKey)>,
+    is_full: bool,
+}
+
+impl<'a> ServerChoice<'a> {
+    pub(super) fn new(
+        scope: &'a PlacementScope<'a>,
+        role: Option<VersionRole>,
+        fill_limit: Option<f64>,
+    ) -> ServerChoice<'a> {
+        ServerChoice {
+            scope,
+            version: scope.view.version_moves.get(scope.query.service).zip(role),
+            fill_limit,
+            outlooks: scope.capacity.map(|table| table.outlooks(scope.now)),
+            best: None,
+            is_full: false,
+        }
+    }
+
+    /// Considers a server of the request's service.
+    pub(super) fn consider(&mut self, key: ServerKey, state: &ServerState) {
+        let has_other_role = self.version.is_some_and(|(version_move, role)| {
+            version_move.role_of(&state.record.version) != role
+        });
+        if has_other_role || !self.scope.is_usable(key, state) {
+            return;
+        }
+        if self.fill_limit.is_some_and(|limit| self.scope.fill_with(state) > limit) {
+            self.is_full = true;
+            return;
+        }
+        let score = self.score(key, state);
+        // The first one in the order of the view is chosen among equal ones.
+        if self.best.is_none_or(|(lowest, best)| score < lowest || (score == lowest && key < best))
+        {
+            self.best = Some((score, key));
+        }
+    }
+
+    /// Returns the lowest score.
+    pub(super) fn lowest_score(&self) -> Option<f64> {
+        self.best.map(|(score, _)| score)
+    }
+
+    /// Returns the chosen server.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Overloaded`] if no server has capacity, and [`ErrorKind::NoBackend`] if
+    /// none is usable.
+    pub(super) fn result(&self) -> Result<ServerKey, ErrorKind> {
+        match self.best {
+            Some((_, key)) => Ok(key),
+            None if self.is_full => Err(ErrorKind::Overloaded),
+            None => Err(ErrorKind::NoBackend),
+        }
+    }
+
+    fn score(&mut self, key: ServerKey, state: &ServerState) -> f64 {
+        let PlacementScope { query, now, engine, view, capacity, .. } = *self.scope;
+        let holds_prefix = query.shared_prefix.is_some_and(|prefix| {
+            view.prefixes.get(key).is_some_and(|prefixes| prefixes.contains_key(&prefix))
+        });
+        let outlook = self.outlooks.as_mut().map(|outlooks| outlooks.outlook(key));
+        let capacity = capacity.zip(outlook);
+        let is_retest = capacity.is_some_and(|(table, outlook)| {
+            outlook.is_avoided() && view.is_retest(table, (key, state), query, now)
+        });
+        let score = ServerScore {
+            key,
+            state,
+            engine,
+            holds_prefix,
+            own_zone: &view.settings.zone,
+            capacity,
+            is_retest,
+        };
+        score.value(query, now)
+    }
+}
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -1,10 +1,10 @@
 //! State of a backend server, as known to this VM.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use dragonflycart_core::MonoTime;
 
-use crate::{LostResponses, RateLimiter, ServerLoad, ServerRecord};
+use crate::{LostResponses, RateLimiter, ServerLoad, ServerRecord, fleet_view::PeerLoads};
 
 /// Weight of a new result in the moving averages, which thus cover about ten results.
 const AVERAGE_WEIGHT: f64 = 0.1;
@@ -19,8 +19,6 @@
 /// Time for which a server's own answer counts more than a peer's report that it is leaving. Peers
 /// of a large fleet repeat such a report for more than a second.
 const RECOVERY_TRUST: Duration = Duration::from_secs(5);
-/// Maximum age of a load that a peer reported.
-const PEER_LOAD_AGE: Duration = Duration::from_secs(3);
 /// Maximum age of a load that the server itself reported.
 const REPORTED_LOAD_AGE: Duration = Duration::from_millis(300);
 
@@ -55,7 +53,7 @@
     pub cold_limiter: RateLimiter,
     /// Load that this VM has on it.
     pub own_load: ServerLoad,
-    peer_loads: BTreeMap<u64, (MonoTime, ServerLoad)>,
+    peer_loads: PeerLoads,
     reported_requests: Option<(MonoTime, u32)>,
     paused_until: MonoTime,
     /// Time until which no slot counts as free because the server refused a request.
@@ -88,7 +86,7 @@
             run_checked_at: None,
             cold_limiter: RateLimiter::default(),
             own_load: ServerLoad::default(),
-            peer_loads: BTreeMap::new(),
+            peer_loads: PeerLoads::default(),
             reported_requests: None,
             paused_until: MonoTime::default(),
             refused_until: MonoTime::default(),
@@ -184,12 +182,7 @@
     /// Returns the load of all VMs on the server, as far as this VM knows.
     pub fn total_load(&self, now: MonoTime) -> ServerLoad {
         let mut total = self.own_load;
-        for (heard_at, load) in self.peer_loads.values() {
-            if now.since(*heard_at) > PEER_LOAD_AGE {
-                continue;
-            }
-            total += *load;
-        }
+        total += self.peer_loads.total(now);
         if let Some((reported_at, requests)) = self.reported_requests
             && now.since(reported_at) <= REPORTED_LOAD_AGE
         {
@@ -200,19 +193,22 @@
 
     /// Returns the number of VMs that have load on the server, including this one.
     pub fn user_count(&self, now: MonoTime) -> usize {
-        let recent =
-            self.peer_loads.values().filter(|(heard_at, _)| now.since(*heard_at) <= PEER_LOAD_AGE);
-        1 + recent.count()
+        1 + self.peer_loads.count(now)
     }
 
     /// Records a peer's reported load on the server.
     pub fn note_peer_load(&mut self, peer: u64, load: ServerLoad, now: MonoTime) {
-        self.peer_loads.insert(peer, (now, load));
+        self.peer_loads.note(peer, load, now);
     }
 
     /// Records that a peer has no load on the server.
     pub fn clear_peer_load(&mut self, peer: u64) {
-        self.peer_loads.remove(&peer);
+        self.peer_loads.clear(peer);
+    }
+
+    /// Returns the number of peers whose load is kept, with outdated ones.
+    pub fn kept_peer_loads(&self) -> usize {
+        self.peer_loads.kept()
     }
 
     /// Records the number of running and waiting requests that the server itself reported.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod memory;
 mod moves;
 mod parsers;
+mod peer_load_sums;
 mod peer_tables;
 mod placements;
 mod plain_calls;
--- a/crates/gateway/tests/all/placements.rs
+++ b/crates/gateway/tests/all/placements.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dragonflycart_core::ErrorKind;
-use dragonflycart_gateway::{PlacementQuery, ServerLoad, TokenDemand, VmSettings};
+use dragonflycart_gateway::{FleetView, PlacementQuery, ServerLoad, TokenDemand, VmSettings};
 
-use crate::fixtures::{MEMORY_TOKENS, at, key_of, query, report, settings, view, view_of};
+use crate::fixtures::{
+    ENGINES, MEMORY_TOKENS, at, key_of, query, record, report, settings, view, view_of,
+};
 
 /// Pattern: long generations fill the memory of all engines. One more would be started and
 /// preempted again, or wait in the queue of an engine that may shut down.
@@ -310,3 +312,45 @@
         assert_eq!(placement.id, "e39");
     }
 }
+
+/// Guards against a nearness that is remembered from an earlier registration: a server that was
+/// registered with another zone must count as near at once, and the other way round.
+#[test]
+fn changed_zone_of_a_registration_counts_at_once() {
+    let mut view = view(&["a", "b"]);
+    view.vm_count = 100;
+    let excluded = BTreeSet::new();
+    for index in 2..8 {
+        // Enough servers of the VM's zone for a sample of the others.
+        let record = record(ENGINES, "a", 8_000 + index);
+        view.apply_server(&format!("e{index}"), record, 20 + u64::from(index), at(0));
+    }
+    let busy = ServerLoad { requests: 20, tokens: 20_000, ..ServerLoad::default() };
+    for index in (0..8).filter(|index| *index != 1) {
+        view.note_peer_load(7, &format!("e{index}"), busy, at(0));
+    }
+    let mut far = record(ENGINES, "b", 8_001);
+    for index in 8..80 {
+        far.address.set_port(8_000 + index);
+        view.apply_server(&format!("e{index}"), far.clone(), 20 + u64::from(index), at(0));
+        view.note_peer_load(7, &format!("e{index}"), busy, at(0));
+    }
+    let seeds = 0..40_u64;
+    let count = |view: &mut FleetView, now| {
+        let mut count = 0;
+        for sample_seed in seeds.clone() {
+            let query = PlacementQuery { sample_seed, ..query(report(), &excluded) };
+            let placement = view.place(&query, now).unwrap();
+            view.release(placement.server, placement.load);
+            count += usize::from(placement.id == "e1");
+        }
+        count
+    };
+
+    let as_far = count(&mut view, at(10));
+    view.apply_server("e1", record(ENGINES, "a", 8_001), 200, at(20));
+    let as_near = count(&mut view, at(30));
+
+    assert!(as_far < 20, "it is in few samples: {as_far}");
+    assert_eq!(as_near, 40);
+}
