capacity: bound the sample counts that peers report

The counts of all peers are added, and two peers that report numbers near the largest one made the sum overflow, which panics in builds with overflow checks. A count above 16 has no more weight, so larger ones count as 16.

--- a/crates/capacity/src/server_estimate.rs
+++ b/crates/capacity/src/server_estimate.rs
@@ -10,7 +10,7 @@
 use crate::{
     PeerSample, ServerOutlook,
     header_watch::HeaderWatch,
-    speed_estimate::{SpeedEstimate, kept_share},
+    speed_estimate::{SAMPLES_COUNTED, SpeedEstimate, kept_share},
 };
 
 /// Time for which the pace in a load header holds. It changes many times per second.
@@ -100,7 +100,9 @@
             return false;
         }
         let log = sample.speed.ln();
-        self.peers.insert(peer, SpeedEstimate { log, samples: sample.samples, at: Some(at) });
+        // More samples have no more weight, and the sum of any numbers may overflow.
+        let samples = sample.samples.min(SAMPLES_COUNTED);
+        self.peers.insert(peer, SpeedEstimate { log, samples, at: Some(at) });
         self.merge(now);
         true
     }
--- a/crates/capacity/src/speed_estimate.rs
+++ b/crates/capacity/src/speed_estimate.rs
@@ -5,7 +5,7 @@
 use dragonflycart_core::MonoTime;
 
 /// Maximum number of samples that count, which is the weight of an estimate.
-const SAMPLES_COUNTED: u32 = 16;
+pub(crate) const SAMPLES_COUNTED: u32 = 16;
 /// Minimum weight of a new sample.
 const LEAST_WEIGHT: f64 = 0.08;
 /// Maximum part of a sample's difference that counts, as a logarithm: a factor of 1.65. A single
--- a/crates/capacity/tests/all/fleets.rs
+++ b/crates/capacity/tests/all/fleets.rs
@@ -63,6 +63,20 @@
     assert_eq!((counts.peer_samples, counts.unused_peer_samples), (0, 6));
 }
 
+/// Guards against a sum of sample counts that overflows, which ends the process in builds with
+/// overflow checks: peers whose reports are damaged send counts near the largest number.
+#[test]
+fn huge_sample_counts_count_like_the_largest_useful_one() {
+    let mut huge = CapacityTable::default();
+    let mut usual = CapacityTable::default();
+    for peer in 1..4 {
+        assert!(huge.note_peer_sample(1, peer, sample(u32::MAX, 0.5, 0), at(0)));
+        assert!(usual.note_peer_sample(1, peer, sample(16, 0.5, 0), at(0)));
+    }
+
+    assert_eq!(huge.speed(1, at(0)), usual.speed(1, at(0)));
+}
+
 /// Pattern: VMs differ. More and newer samples count more.
 #[test]
 fn samples_are_weighted_by_number_and_age() {
