--- a/crates/capacity/src/speed_estimate.rs
+++ b/crates/capacity/src/speed_estimate.rs
@@ -5,7 +5,7 @@
 use dragonflycart_core::MonoTime;
 
 /// Maximum number of samples that count, which is the weight of an estimate.
-const SAMPLES_COUNTED: u32 = 16;
+pub(crate) const SAMPLES_COUNTED: u32 = 16;
 /// Minimum weight of a new sample.
 const LEAST_WEIGHT: f64 = 0.08;
 /// Maximum part of a sample's difference that counts, as a logarithm: a factor of 1.65. A single
@@ -54,5 +54,8 @@
 
 /// Returns the share of an estimate that is kept after a time without samples.
 pub(crate) fn kept_share(age: Duration) -> f64 {
+    if age <= FADE_START {
+        return 1.0;
+    }
     (-age.saturating_sub(FADE_START).as_secs_f64() / FADE_S).exp()
 }
--- a/crates/capacity/tests/all/speeds.rs
+++ b/crates/capacity/tests/all/speeds.rs
@@ -303,3 +303,23 @@
     let speed = table.speed(2, at(81_000));
     assert!((0.9..1.1).contains(&speed), "{speed}");
 }
+
+/// Guards against a placement by the outlook of another server: the cursor that a placement reads
+/// must say the same as the table in any order of keys, also of servers that are not known.
+#[test]
+fn cursor_says_the_same_as_the_table() {
+    let mut table = CapacityTable::default();
+    for (index, server) in [3, 5, 8, 9, 40].into_iter().enumerate() {
+        for half in 0..20 {
+            let pause_ms = 30.0 + 12.0 * index as f64;
+            table.note_pause(server, pause(pause_ms), 8, at(500 * half));
+        }
+        table.note_refusal(server, 4 + index as u32, at(9_500));
+    }
+    let now = at(10_000);
+    let mut cursor = table.outlooks(now);
+
+    for server in [1, 3, 3, 8, 9, 10, 39, 41, 5, 40, 2, 9, 8, 50, 3] {
+        assert_eq!(cursor.outlook(server), table.outlook(server, now), "{server}");
+    }
+}
--- a/crates/gateway/src/fleet_view/explained_choice.rs
+++ b/crates/gateway/src/fleet_view/explained_choice.rs
@@ -3,7 +3,7 @@
 use dragonflycart_core::MonoTime;
 use dragonflycart_explanation::{RoleChoice, ServerExclusion, ServerExplanation};
 
-use super::{FleetView, server_choice::ServerChoice};
+use super::{FleetView, placement_scope::PlacementScope, server_choice::ServerChoice};
 use crate::{
     ChoiceExplanation, GenerationTiming, PlacementQuery, ServerKey, ServerState, VersionRole,
     server_score::spread, server_state::whole_millis,
@@ -16,6 +16,7 @@
         let fill_limit = self.engine_spec(query.service).map(|_| self.fill_limit(query, now));
         let choice = self.choose_for_version_move(query, fill_limit, now);
         let roles = self.tried_roles(query, choice);
+        let scope = PlacementScope::new(self, query, now);
         let unreachable_zones = self.zone_reachability.unreachable_zones(now);
         let capacity = self.capacity_for(query);
         let mut servers = Vec::new();
@@ -27,7 +28,7 @@
             if unreachable_zones.contains(state.record.zone.as_str()) {
                 excluded.push(ServerExclusion::UnreachableZone);
             }
-            if fill_limit.is_some_and(|limit| self.fill_with(state, query, now) > limit) {
+            if fill_limit.is_some_and(|limit| scope.fill_with(state) > limit) {
                 excluded.push(ServerExclusion::Full);
             }
             if let Some(version_move) = self.version_moves.get(query.service)
@@ -40,7 +41,8 @@
             {
                 excluded.push(ServerExclusion::NotInSample);
             }
-            let score = self.score_inputs((key, state), capacity, query, now).parts(query, now);
+            let outlook = capacity.map(|table| table.outlook(key, now));
+            let score = scope.score_inputs((key, state), outlook).parts(query, now);
             let load = state.total_load(now);
             let mut ages = state.input_ages(now);
             ages.speed_ms = capacity.and_then(|table| table.sample_age(key, now)).map(whole_millis);
--- a/crates/gateway/src/fleet_view/server_choice.rs
+++ b/crates/gateway/src/fleet_view/server_choice.rs
@@ -16,12 +16,12 @@
 }
 
 impl ServerChoice {
-    /// Builds a choice from its result with the score.
+    /// Builds a choice.
     pub(super) fn new(
-        result: Result<(f64, ServerKey), ErrorKind>,
+        result: Result<ServerKey, ErrorKind>,
         role: Option<VersionRole>,
         remote_share: f64,
     ) -> ServerChoice {
-        ServerChoice { result: result.map(|(_, key)| key), role, remote_share }
+        ServerChoice { result, role, remote_share }
     }
 }
--- a/crates/gateway/src/server_state/input_ages.rs
+++ b/crates/gateway/src/server_state/input_ages.rs
@@ -5,7 +5,7 @@
 use dragonflycart_core::MonoTime;
 use dragonflycart_explanation::{InputAges, ServerExclusion};
 
-use super::{PEER_LOAD_AGE, REPORTED_LOAD_AGE, ServerState};
+use super::{REPORTED_LOAD_AGE, ServerState};
 
 impl ServerState {
     /// Returns the ages of the inputs that count at `now`, without that of the learned speed.
@@ -15,11 +15,7 @@
             reported_load_ms: reported.filter(|age| *age <= REPORTED_LOAD_AGE).map(whole_millis),
             ..InputAges::default()
         };
-        for (heard_at, _) in self.peer_loads.values() {
-            let age = now.since(*heard_at);
-            if age > PEER_LOAD_AGE {
-                continue;
-            }
+        for age in self.peer_loads.ages(now) {
             let age_ms = whole_millis(age);
             ages.peer_reports += 1;
             let newest = ages.newest_peer_report_ms.map_or(age_ms, |known| known.min(age_ms));
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod memory;
 mod moves;
 mod parsers;
+mod peer_load_sums;
 mod peer_tables;
 mod placement_command;
 mod placements;
--- a/tests/all/hard_load/load_fleet.rs
+++ b/tests/all/hard_load/load_fleet.rs
@@ -12,7 +12,7 @@
 use dragonflycart_standins::{
     CallerRequest, CallerResponse, CrashPoint, FakeRunner, FakeStore, GenerationOptions,
     LoadHeaderMode, ManifestSpec, READY_PATH, RunLog, RunnerFailure, RunnerKind, RunnerOptions,
-    send, settings_text,
+    free_address, send, settings_text,
 };
 use dragonflycart_testkit::ChildProcess;
 use serde_json::{Value, json};
@@ -22,7 +22,7 @@
 };
 
 use super::{answered_request::AnsweredRequest, load_options::LoadOptions};
-use crate::support::{port_pool::free_address, wait_for};
+use crate::support::wait_for;
 
 /// Interval at which runners renew their registration.
 const HEARTBEAT: Duration = Duration::from_millis(300);
