gateway: send measured speeds once per interval in fleets of any size

Cause: speeds were part of reports at intervals only. In a fleet of up to 64 VMs each report of a change of load postpones the next one at an interval, so under load no speeds were sent at all; a process test had shown a VM without samples beside one that measured all servers. In larger fleets, reports of changes used up the turns by which the servers in a report are selected.

SpeedSchedule decides which reports contain speeds. Its first test names the first fault and its second test the other one; both failures were found by reading, and the tests use the new type, so they did not run on the old code.

--- a/crates/gateway/src/capacity/mod.rs
+++ b/crates/gateway/src/capacity/mod.rs
@@ -3,9 +3,13 @@
 mod capacity_log;
 mod placement_cost;
 mod speed_exchange;
+mod speed_schedule;
 
-pub use self::speed_exchange::{apply_speeds, speed_entries};
 pub(crate) use self::{
     capacity_log::report_changes,
     placement_cost::{PlacementCost, UNSUITABLE_COST},
 };
+pub use self::{
+    speed_exchange::{apply_speeds, speed_entries},
+    speed_schedule::SpeedSchedule,
+};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -110,7 +110,7 @@
     caller_limits::CallerLimits,
     caller_request::{CallerRequest, SystemHeaders},
     caller_server::serve as serve_callers,
-    capacity::{apply_speeds, speed_entries},
+    capacity::{SpeedSchedule, apply_speeds, speed_entries},
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     connection_error::ConnectionError,
     connection_pool::ConnectionPool,
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -17,7 +17,7 @@
     ReportRecipients, ResultCounts, RouteEntry, RouteResults, ServerLoad, UsualResults,
     VersionMove, VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
     admission::{apply_report, fill_report},
-    capacity,
+    capacity::{self, SpeedSchedule},
     containment::evidence_exchange::EvidenceExchange,
     duties::DutyExchange,
 };
@@ -50,6 +50,7 @@
     evidence: EvidenceExchange,
     duties: Option<DutyExchange>,
     sequence: u64,
+    speeds: SpeedSchedule,
     started: Instant,
     /// Time of the last report, by the clock that keeps running while the VM is suspended.
     reported_at: BootTime,
@@ -65,6 +66,7 @@
             duties: DutyExchange::new(context, &socket),
             socket,
             sequence: 0,
+            speeds: SpeedSchedule::default(),
             started: Instant::now(),
             reported_at: BootTime::now(),
         }
@@ -223,9 +225,12 @@
             running = running.max(known);
         }
         let mut report = self.build_report(running);
-        // Changes are reported at a high rate; speeds change slowly.
-        if !is_change {
-            report.speeds = capacity::speed_entries(&self.context.view(), self.sequence, now);
+        let (is_large, interval) = {
+            let peers = self.context.peers();
+            (peers.is_large(), peers.report_interval())
+        };
+        if let Some(turn) = self.speeds.next_turn(!is_change || !is_large, interval, now) {
+            report.speeds = capacity::speed_entries(&self.context.view(), turn, now);
             capacity::report_changes(&self.context);
         }
         if !recipients.relays.is_empty() {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -36,6 +36,7 @@
 mod server_connections;
 mod server_states;
 mod source_stops;
+mod speed_schedules;
 mod splitting;
 mod status_writes;
 mod stub_protocol;
