--- a/tests/all/hard_load/load_fleet.rs
+++ b/tests/all/hard_load/load_fleet.rs
@@ -10,9 +10,8 @@
 
 use bytes::Bytes;
 use dragonflycart_standins::{
-    CallerRequest, CallerResponse, CrashPoint, FakeRunner, FakeStore, GenerationOptions,
-    LoadHeaderMode, ManifestSpec, READY_PATH, RunLog, RunnerFailure, RunnerKind, RunnerOptions,
-    free_address, send, settings_text,
+    CallerRequest, CallerResponse, FakeRunner, FakeStore, LoadHeaderMode, ManifestSpec, READY_PATH,
+    RunLog, RunnerKind, free_address, send, settings_text,
 };
 use dragonflycart_testkit::ChildProcess;
 use serde_json::{Value, json};
@@ -22,7 +21,7 @@
 };
 
 use super::{answered_request::AnsweredRequest, load_options::LoadOptions};
-use crate::support::wait_for;
+use crate::support::{runner_options, wait_for};
 
 /// Interval at which runners renew their registration.
 const HEARTBEAT: Duration = Duration::from_millis(300);
@@ -331,19 +330,7 @@
         RunnerKind::Engine => ("engines", "i-engine"),
         RunnerKind::PlainService => ("desk", "i-desk"),
     };
-    let options = RunnerOptions {
-        id: format!("{prefix}-{number}"),
-        kind,
-        service: service.to_owned(),
-        zone: "a".to_owned(),
-        lost_response_percent: 0,
-        version: "v1".to_owned(),
-        failure_percent: 0,
-        failure: RunnerFailure::Error,
-        crashes_on: None,
-        crash_point: CrashPoint::AfterEvents,
-        generations: GenerationOptions::default(),
-    };
+    let options = runner_options(&format!("{prefix}-{number}"), kind, service);
     let runner = FakeRunner::start(options, log, number as u64 + 1).await;
     runner.set_load_header(LoadHeaderMode::Sound);
     runner
--- a/tests/all/support/duty_fleet.rs
+++ b/tests/all/support/duty_fleet.rs
@@ -10,13 +10,14 @@
 };
 
 use dragonflycart_standins::{
-    CloudCall, CrashPoint, FakeCloud, FakeRunner, FakeStore, GenerationOptions, ManifestSpec,
-    RunLog, RunnerFailure, RunnerKind, RunnerOptions, free_address, settings_text,
+    CloudCall, FakeCloud, FakeRunner, FakeStore, ManifestSpec, RunLog, RunnerKind, free_address,
+    settings_text,
 };
 use serde_json::{Value, json};
 
 use super::{
     gateway_fleet::{GatewayUnderTest, is_ready},
+    runner_options::runner_options,
     usage_run::UsageRun,
     usage_traffic::{TEAMS, UsageTraffic},
     wait::wait_for,
@@ -54,7 +55,9 @@
         let mut runners = Vec::new();
         for (kind, service) in [(RunnerKind::Engine, "engines"), (RunnerKind::PlainService, "desk")]
         {
-            let runner = FakeRunner::start(runner_options(kind, service), &log, 1).await;
+            let runner =
+                FakeRunner::start(runner_options(&format!("i-{service}"), kind, service), &log, 1)
+                    .await;
             store.put_server(runner.id(), &runner.registration(1));
             runners.push(runner);
         }
@@ -160,22 +163,6 @@
     manifest
 }
 
-fn runner_options(kind: RunnerKind, service: &str) -> RunnerOptions {
-    RunnerOptions {
-        id: format!("i-{service}"),
-        kind,
-        service: service.to_owned(),
-        zone: "a".to_owned(),
-        lost_response_percent: 0,
-        version: "v1".to_owned(),
-        failure_percent: 0,
-        failure: RunnerFailure::Error,
-        crashes_on: None,
-        crash_point: CrashPoint::AfterEvents,
-        generations: GenerationOptions::default(),
-    }
-}
-
 fn start_gateway(
     directory: &std::path::Path,
     number: usize,
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -6,6 +6,7 @@
 mod duty_fleet;
 mod gateway_fleet;
 mod operator;
+mod runner_options;
 mod traffic;
 mod usage_run;
 mod usage_traffic;
@@ -20,6 +21,7 @@
     duty_fleet::{DutyFleet, LEASE},
     gateway_fleet::{GatewayFleet, GatewayUnderTest, MOVE_TIME_LIMIT},
     operator::{Operator, submit_response},
+    runner_options::runner_options,
     traffic::{Traffic, TrafficReport},
     usage_run::UsageRun,
     vm_process::VmProcess,
