admission, duties, operator: rename private names that mislead

MEMORY_TIME did not refer to engine memory, and the constants of the maximum wait were named figuratively. Two tests and a closure parameter are renamed too.

--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -17,7 +17,7 @@
 
 /// Time after the last request or end of a generation from which a service is forgotten. It exceeds
 /// the usual time limits, so that generations end before.
-const MEMORY_TIME: Duration = Duration::from_secs(300);
+const SERVICE_RETENTION: Duration = Duration::from_secs(300);
 
 /// Engine memory and waits of one service.
 #[derive(Debug, Clone, Default)]
@@ -177,7 +177,7 @@
         let mut services = BTreeMap::new();
         let queue = &self.queue;
         self.flows.retain(|service, flow| {
-            queue.count(service) > 0 || now.since(flow.used_at) <= MEMORY_TIME
+            queue.count(service) > 0 || now.since(flow.used_at) <= SERVICE_RETENTION
         });
         self.team_use.forget(now);
         for (service, flow) in self.flows.iter_mut().filter(|(_, flow)| flow.is_managed) {
--- a/crates/admission/src/wait_estimate.rs
+++ b/crates/admission/src/wait_estimate.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 /// Multiple of the latency target after which callers abandon a stream, also before its first event.
-const PATIENCE_TARGETS: u32 = 4;
+const ABANDON_TARGETS: u32 = 4;
 /// Minimum of that time.
-const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+const MIN_CALLER_WAIT: Duration = Duration::from_secs(2);
 /// Number of recent samples of freed memory below which an estimate is doubtful. With fewer, a
 /// single long generation changes the rate by more than a third.
 const LEAST_SAMPLES: f64 = 3.0;
@@ -25,10 +25,10 @@
     time_limit: Duration,
     expected_first_event: Duration,
 ) -> Duration {
-    let patience =
-        latency_target.saturating_mul(PATIENCE_TARGETS).max(LEAST_PATIENCE).min(time_limit);
+    let caller_wait =
+        latency_target.saturating_mul(ABANDON_TARGETS).max(MIN_CALLER_WAIT).min(time_limit);
     // A few slow engines must not make the gateway refuse everything.
-    patience - expected_first_event.min(patience / 2)
+    caller_wait - expected_first_event.min(caller_wait / 2)
 }
 
 /// Inputs of an estimate.
--- a/crates/duties/tests/all/usage.rs
+++ b/crates/duties/tests/all/usage.rs
@@ -138,7 +138,7 @@
 /// Guards against a holder that takes the first of several messages for all of them where a count
 /// fits into no message beside the waiting requests.
 #[test]
-fn large_counts_are_not_vouched_for_by_another_message() {
+fn no_message_reports_large_counts_of_another_as_complete() {
     let mut counter = UsageCounter::default();
     counter.note_holder(1, 0);
     counter.note_start(&"long".repeat(300), FIRST);
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -295,7 +295,7 @@
 /// Guards against estimates for the others that are too long because of it: it gets one empty engine
 /// like any request that is larger than one.
 #[tokio::test]
-async fn request_that_states_nonsense_does_not_lengthen_the_estimates_of_others() {
+async fn oversized_request_does_not_lengthen_the_estimates_of_others() {
     let context = busy_context(4_000);
     let huge = CallerRequest {
         demand: TokenDemand::estimate(1_000_000_000, 10, None),
--- a/crates/operator/src/placement_command.rs
+++ b/crates/operator/src/placement_command.rs
@@ -108,7 +108,8 @@
 
 fn score_table(answer: &PlacementAnswer) -> TextTable {
     // Parts that no server has are left out.
-    let has_part = |part: &ScorePart| answer.servers.iter().any(|it| it.parts.contains_key(part));
+    let has_part =
+        |part: &ScorePart| answer.servers.iter().any(|server| server.parts.contains_key(part));
     let parts: Vec<ScorePart> = ScorePart::iter().filter(has_part).collect();
     let mut headings = vec!["SERVER".to_owned(), "SCORE".to_owned()];
     headings.extend(parts.iter().map(|part| part.to_string().to_uppercase()));
