--- a/crates/admission/src/admission_table.rs
+++ b/crates/admission/src/admission_table.rs
@@ -15,8 +15,8 @@
 /// smallest one. A single estimate of almost no wait must not decide the average.
 const RATIO_LIMIT: f64 = 4.0;
 
-/// Time after the last request or end of a generation from which a service is forgotten. It exceeds
-/// the usual time limits, so that generations end before.
+/// Time without a request or the end of a generation after which a service is forgotten. It exceeds
+/// the usual time limits, so that no generation of the service is left.
 const SERVICE_RETENTION: Duration = Duration::from_secs(300);
 
 /// Engine memory and waits of one service.
@@ -111,9 +111,10 @@
         EstimateInputs { room_tokens, ..inputs }
     }
 
-    /// Returns the inputs of the estimate of how much longer a request waits. `prospect` is what its
-    /// earlier estimates were based on; the other arguments are those of
-    /// [`AdmissionTable::estimate_inputs`]. The room is left to the caller, since it is seldom needed.
+    /// Returns the inputs of the estimate of how much longer a request waits. `prospect` is what
+    /// its earlier estimates were based on; the other arguments are those of
+    /// [`AdmissionTable::estimate_inputs`]. `room_tokens` is zero: the caller sets it if it needs
+    /// it.
     pub fn review_inputs(
         &mut self,
         id: WaiterId,
@@ -140,7 +141,7 @@
         let QueuePlace { is_late, rank, .. } = place;
         let (ahead, equal) = self.fleet_demand.tokens_ahead(service, is_late, rank, now);
         let older = prospect.older_tokens(is_late, equal, inputs.freed_per_s, now);
-        // What the teams of waiting requests elsewhere are is not known.
+        // The teams of the requests that wait at other VMs are not known.
         let share = self.team_use.share_ahead_of(place.team, now);
         let share_of = |tokens: u64| ((share * tokens as f64) as u64).min(tokens);
         let passing =
@@ -192,8 +193,8 @@
         services
     }
 
-    /// Compares an estimate with the time after which a request was refused. That the request would
-    /// have waited for longer tells something only if it waited for longer than was expected.
+    /// Compares an estimate with the time after which a request was refused. Only a lower bound of
+    /// the real wait is known, so it counts only if it exceeds the estimate.
     pub fn note_unserved(&mut self, service: &str, estimate: WaitEstimate, wait_s: f64) {
         if wait_s > estimate.wait.as_secs_f64() {
             self.note_wait(service, estimate, wait_s);
--- a/crates/admission/src/fleet_demand.rs
+++ b/crates/admission/src/fleet_demand.rs
@@ -67,6 +67,7 @@
 pub struct FleetDemand {
     peers: BTreeMap<u64, PeerDemand>,
     age_limit: Duration,
+    /// Whether no report has arrived since the last suspension of this VM.
     is_resuming: bool,
     /// Time before which reports may have waited in a buffer while this VM was suspended.
     counts_from: MonoTime,
@@ -92,8 +93,9 @@
         self.peers.retain(|_, demand| now.since(demand.heard_at) <= REPORT_AGE_LIMIT);
     }
 
-    /// Forgets all reports after a suspension of this VM. Those that arrive in the first report
-    /// interval after it don't count either: they may be as old as the suspension is long.
+    /// Forgets all reports after a suspension of this VM. Those that arrive within one report
+    /// interval of the first one after it don't count either: they may have been sent at any time
+    /// during the suspension.
     pub fn clear(&mut self) {
         self.peers.clear();
         self.is_resuming = true;
@@ -117,8 +119,8 @@
         (ahead, equal)
     }
 
-    /// Returns the tokens of the requests elsewhere of this rank or less urgent ones that can still be
-    /// on time. They go before a late request of this rank as long as they are on time.
+    /// Returns the tokens of the requests elsewhere that are not more urgent than this rank and can
+    /// still be on time. Until they are late, they go before a late request of this rank.
     pub fn passing_tokens(&self, service: &str, rank: u8, now: MonoTime) -> u64 {
         let mut tokens = 0_u64;
         for demand in self.fresh(service, now) {
--- a/crates/admission/src/leave_history.rs
+++ b/crates/admission/src/leave_history.rs
@@ -30,8 +30,8 @@
 
     /// Returns the fraction of the engines' memory to keep free for generations that move, where
     /// `capacity` is the memory of the engines that stay, in tokens. It is the most memory that left
-    /// within the time of one notice, which is what has to find room at the same time. Each placement
-    /// asks for it, so it looks at each leave once.
+    /// within the time of one notice, which is what has to find room at the same time. It is
+    /// called for each placement, so it takes linear time in the number of leaves.
     pub fn move_room(&self, capacity: u64) -> f64 {
         let (mut most, mut together, mut first) = (0_u64, 0_u64, 0);
         for (at, tokens) in &self.leaves {
--- a/crates/admission/src/promised_returns.rs
+++ b/crates/admission/src/promised_returns.rs
@@ -4,8 +4,8 @@
 
 use dragonflycart_core::MonoTime;
 
-/// Interval to which the times are rounded up, so that the number of entries is bounded by the time
-/// that callers have left. It is short against the time of a retry.
+/// Unit to which the times of returns are rounded up, in microseconds. It bounds the number of
+/// entries, and is short compared with the time until a retry.
 const RETURN_STEP_MICROS: u64 = 10_000;
 
 /// Tokens of refused requests by the time at which they come back. Each later refusal is told a later
@@ -22,7 +22,7 @@
         let micros = (now + time).as_micros();
         let at = micros.checked_next_multiple_of(RETURN_STEP_MICROS).unwrap_or(u64::MAX);
         let known = self.returns.entry(MonoTime::from_micros(at)).or_default();
-        // The sum must stay that of the entries.
+        // Limited so that `self.tokens` stays the sum of the entries without an overflow.
         let added = tokens.min(u64::MAX - self.tokens);
         *known += added;
         self.tokens += added;
--- a/crates/admission/src/queue_place.rs
+++ b/crates/admission/src/queue_place.rs
@@ -14,8 +14,8 @@
     /// Tokens of the earlier requests of the same lateness, rank and class, whose order depends on the
     /// teams.
     pub equal_tokens: u64,
-    /// Tokens of the requests that go before a late one only as long as they are on time themselves:
-    /// those of the same rank and class or of less urgent ones.
+    /// Tokens of the requests of the same rank and class or less urgent ones that can still be on
+    /// time, if this request is late. They go before it only until they are late, too.
     pub passing_tokens: u64,
     /// Tokens of the later requests of the same lateness, rank and class.
     pub newer_tokens: u64,
--- a/crates/admission/src/service_queue.rs
+++ b/crates/admission/src/service_queue.rs
@@ -25,7 +25,7 @@
     teams: BTreeMap<String, BTreeSet<WaiterId>>,
     count: usize,
     tokens: u64,
-    /// The part of the tokens for aged requests.
+    /// Tokens of the aged requests, which are included in `tokens`.
     aged_tokens: u64,
 }
 
@@ -48,8 +48,8 @@
         first.map(|(_, id)| id)
     }
 
-    /// Returns the requests that arrived after this one and are behind it, whatever the teams. Of an
-    /// aged request, these include all that are not aged.
+    /// Returns the requests that are behind this one whatever the teams: those that arrived later
+    /// and, if this one is aged, all that are not aged.
     fn newer(&self, id: WaiterId, is_aged: bool) -> impl Iterator<Item = WaiterId> {
         let aged = self.aged.range(id + 1..).filter(move |_| is_aged);
         let others = self.teams.values().flat_map(move |ids| {
--- a/crates/admission/src/team_use.rs
+++ b/crates/admission/src/team_use.rs
@@ -91,7 +91,8 @@
         teams
     }
 
-    /// Forgets teams and VMs whose use has decayed. Reports do the same, but a VM may know no others.
+    /// Forgets teams and VMs whose use has decayed. Each report from another VM does the same, but
+    /// a VM without others gets none.
     pub(crate) fn forget(&mut self, now: MonoTime) {
         self.own.retain(|_, tokens| tokens.at(now) >= LEAST_TOKENS);
         self.totals.retain(|_, tokens| tokens.at(now) >= LEAST_TOKENS);
--- a/crates/admission/src/wait_estimate.rs
+++ b/crates/admission/src/wait_estimate.rs
@@ -38,7 +38,8 @@
     pub ahead_tokens: u64,
     /// Tokens of the requests that go before it, too, when it is late.
     pub late_tokens: u64,
-    /// Tokens of the requests behind this one that would go before it if it came back later.
+    /// Tokens of the requests that arrived after this one. They would go before it if it were
+    /// refused and came back.
     pub newer_tokens: u64,
     /// Time until it is late.
     pub late_in: Duration,
--- a/crates/admission/src/wait_prospect.rs
+++ b/crates/admission/src/wait_prospect.rs
@@ -1,4 +1,4 @@
-//! What the estimates of one waiting request are based on.
+//! State of the repeated estimates of one waiting request.
 
 use std::time::Duration;
 
@@ -9,35 +9,37 @@
 /// Minimum time between two estimates of a request. It is short against the least time for which
 /// callers wait, 2 s, so that most of that time is left to a caller that is refused.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
-/// Time between two estimates of a VM. An estimate looks at all engines of the service, so that 100
-/// per second bound what they cost a small VM.
+/// Minimum average time between two estimates for a service at one VM. An estimate may look at all
+/// engines of the service, and a small VM has 0.09 of a core, so there are at most 100 per second.
 const ESTIMATE_SPACING: Duration = Duration::from_millis(10);
 
-/// When a waiting request is estimated again, and which requests of other VMs were there before it.
+/// State of the repeated estimates of one waiting request: when the next one is due, and how many
+/// tokens of requests at other VMs are still ahead of it.
 ///
-/// Reports don't tell the age of requests. Of those of its own place that wait elsewhere, a request
-/// thus counts as earlier what was reported when it took its place, less all memory that became free
-/// since then. The estimate errs towards a shorter wait.
+/// Reports don't contain the arrival times of requests. Among the requests at other VMs with the
+/// same lateness and rank, those in the reports at the first estimate count as earlier, less all
+/// memory that became free since then. The estimated wait is thus rather too short than too long.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct WaitProspect {
     review_at: MonoTime,
-    /// Lateness for which the earlier requests were counted, and their tokens.
+    /// Lateness of this request when the earlier requests were counted, and their remaining tokens.
     older: Option<(bool, f64)>,
-    /// Longest time until the request is late that was seen, which is about its latency target.
+    /// Largest `late_in` of the estimates so far, which is about the latency target.
     late_in: Duration,
-    /// Tokens that became free since nothing else was ahead.
+    /// Tokens that became free since no other request was ahead.
     collected: f64,
+    /// Time of the last estimate.
     updated_at: Option<MonoTime>,
 }
 
 impl WaitProspect {
-    /// Returns whether the request was not estimated yet.
+    /// Returns whether there was no estimate yet.
     pub fn is_new(&self) -> bool {
         self.updated_at.is_none()
     }
 
-    /// Returns whether the request is to be estimated again. One that has little time `left` is not:
-    /// a refusal would come hardly earlier than the end of its wait.
+    /// Returns whether the request is to be estimated again. One with little time `left` is not: it
+    /// would hardly be refused earlier than at the end of its wait.
     pub fn is_due(&self, left: Duration, now: MonoTime) -> bool {
         now >= self.review_at && left > REVIEW_INTERVAL
     }
@@ -64,8 +66,9 @@
         (older as u64).min(reported)
     }
 
-    /// Returns the part of the tokens of requests that go before it only as long as they are on time.
-    /// They hold it up for as long as the newest of them is on time, about one latency target.
+    /// Returns how many of `tokens`, those of requests that go before it only until they are late,
+    /// count as ahead. The newest of them is on time for about one latency target, so they delay
+    /// the request by no more than that.
     pub(crate) fn passing_tokens(
         &mut self,
         tokens: u64,
@@ -79,9 +82,9 @@
         tokens.min((freed_per_s * self.late_in.as_secs_f64()) as u64)
     }
 
-    /// Returns the tokens that the request still lacks, and ends the step that
-    /// [`WaitProspect::older_tokens`] began. While nothing is ahead of it, it gets all that becomes
-    /// free.
+    /// Returns the tokens that the request still lacks. While no other request is ahead of it, it
+    /// gets all that becomes free. Called last in an estimate, since it sets the time from which
+    /// freed memory counts in the next one.
     pub(crate) fn missing_tokens(&mut self, inputs: EstimateInputs, now: MonoTime) -> u64 {
         let freed = self.freed_since(inputs.freed_per_s, now);
         self.collected = if inputs.ahead_tokens == 0 { self.collected + freed } else { 0.0 };
--- a/crates/admission/src/wait_queue.rs
+++ b/crates/admission/src/wait_queue.rs
@@ -6,8 +6,8 @@
 
 use crate::{QueuePlace, RankDemand, TeamUse, Waiter, WaiterId, service_queue::ServiceQueue};
 
-/// Maximum tokens of one request that count. More than any engine holds, and so few that the sum over
-/// the waiting requests of a VM stays below the limit of a `u64`.
+/// Maximum tokens that one request counts for. No engine holds as many, and the sum over the
+/// waiting requests of a VM fits into a `u64`.
 const TOKENS_LIMIT: u64 = 1 << 40;
 
 /// Requests of one VM that wait for an engine. The first request of a service gets the next engine
--- a/crates/admission/tests/all/demands.rs
+++ b/crates/admission/tests/all/demands.rs
@@ -60,8 +60,8 @@
     assert_eq!(demand.freed(ENGINES, at(700)), (0.0, 0.0), "the report is too old");
 }
 
-/// Pattern: a VM is suspended, and gets reports from before its suspension when it goes on.
-/// Guards against requests that are refused, or that give way, because of demand of long ago.
+/// Pattern: a VM is suspended, and receives reports from before its suspension when it continues.
+/// Guards against requests that are refused, or that give way, because of outdated demand.
 #[test]
 fn reports_from_before_a_suspension_do_not_count() {
     let mut demand = FleetDemand::default();
@@ -77,8 +77,8 @@
     assert_eq!(demand.tokens_ahead(ENGINES, false, 2, at(400)).0, 3 * SHORT_TOKENS);
 }
 
-/// Pattern: a peer reports nonsense.
-/// Guards against sums that overflow, which would end the decisions of this VM.
+/// Pattern: a peer reports the largest possible figures.
+/// Guards against sums that overflow, which would panic in builds with overflow checks.
 #[test]
 fn very_large_figures_do_not_overflow() {
     let ranks = (0..3).map(|rank| {
@@ -116,7 +116,7 @@
     assert_eq!(table.own_demand(at(0))[ENGINES].ranks[&2].waiting, 3);
 }
 
-/// Pattern: services come and go with the plan, and requests of them were refused by the thousand.
+/// Pattern: the plan adds and removes services, and requests of each were refused.
 /// Guards against state and reports that grow without bound.
 #[test]
 fn unused_services_and_promises_are_forgotten() {
--- a/crates/admission/tests/all/fleet_model.rs
+++ b/crates/admission/tests/all/fleet_model.rs
@@ -161,7 +161,7 @@
         self
     }
 
-    /// Lets the VMs refuse requests, on arrival and while they wait, whose wait would be too long.
+    /// Lets the VMs refuse requests whose wait would be too long, on arrival and while they wait.
     pub(crate) fn with_reviews(self) -> FleetModel {
         FleetModel { reviews: true, ..self.with_refusals() }
     }
@@ -269,7 +269,7 @@
         }
     }
 
-    /// Lets the last request that ended come back after the time that it was told, if it is its first
+    /// Sends the last request that ended again after its `Retry-After` time, if that was its first
     /// attempt.
     fn send_again(&mut self, vm: usize, expected: WaitEstimate) {
         let ended = self.ended.last().unwrap();
@@ -305,7 +305,7 @@
         WaitEstimate::from_inputs(EstimateInputs { room_tokens: room, ..inputs })
     }
 
-    /// Estimates the waiting requests of a VM again whose time has come.
+    /// Repeats the estimates that are due at a VM, and refuses requests by them.
     fn review(&mut self, vm: usize) {
         let mut index = 0;
         while index < self.waiters.len() {
--- a/crates/admission/tests/all/fleets.rs
+++ b/crates/admission/tests/all/fleets.rs
@@ -83,8 +83,9 @@
     }
 }
 
-/// Pattern: a zone is cut off with twice the demand that the engines can serve, and callers try again
-/// when they are told. Its refusals must hold, and the rest must be served as if it were not there.
+/// Pattern: a zone is cut off with twice the demand that the engines can serve, and callers try
+/// again after the `Retry-After` time. Refusals there must not cost service, and the requests of
+/// the other zones must not be delayed.
 #[test]
 fn cut_off_zone_with_too_much_demand_refuses_only_what_it_must() {
     let troubles: Vec<Trouble> = (0..3)
@@ -108,8 +109,8 @@
 }
 
 /// Pattern: half of the VMs are restarted one after the other, or frozen and thawed, while more
-/// requests wait than can be served. What a new or thawed VM believes must not make it refuse
-/// requests that could be served.
+/// requests wait than can be served. The missing or outdated figures of such a VM must not make
+/// it refuse requests that could be served.
 #[test]
 fn restarted_and_thawed_vms_refuse_only_what_they_must() {
     for kind in [TroubleKind::Restarted, TroubleKind::Frozen] {
@@ -224,8 +225,8 @@
     }
 }
 
-/// Pattern: the same. Refusals of requests that wait already must not cost service either: they may
-/// only concern requests that would have waited in vain.
+/// Pattern: lasting overloads. Refusals of requests that wait already may only concern requests
+/// that would have waited in vain.
 #[test]
 fn refusals_of_waiting_requests_cost_hardly_any_service() {
     for (seed, long_per_s) in [(10, 14), (11, 30), (12, 20)] {
--- a/crates/admission/tests/all/leaves.rs
+++ b/crates/admission/tests/all/leaves.rs
@@ -55,7 +55,7 @@
     #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(17), ..ProptestConfig::default() })]
 
     /// Engines leave at any times, with any tokens.
-    /// Guards against a sum over a moving span of time that differs from the sum of its leaves.
+    /// Guards against a running sum that differs from the sum of the leaves within a notice.
     #[test]
     fn room_is_the_largest_sum_within_a_notice(
         leaves in proptest::collection::vec((0..10_000_u64, 0..500_u64), 0..40),
--- a/crates/admission/tests/all/prospects.rs
+++ b/crates/admission/tests/all/prospects.rs
@@ -1,4 +1,4 @@
-//! Estimates of requests that wait already. Each test describes its load pattern.
+//! Repeated estimates of waiting requests. Each test describes its load pattern.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -126,8 +126,8 @@
 }
 
 /// Pattern: hundreds of requests wait at a small VM.
-/// Guards against estimates that take the processor time of the VM, and against a request that is
-/// refused so late that its caller gains nothing.
+/// Guards against estimates that use up the processor time of the VM, and against estimates so late
+/// that a refusal would gain the caller no time.
 #[test]
 fn rate_of_estimates_is_bounded() {
     let left = Duration::from_secs(5);
@@ -160,7 +160,7 @@
 
 /// Pattern: a request of a team with little use waits behind one that has waited for half of its
 /// maximum wait.
-/// Guards against an estimate that takes such a request for one that goes behind.
+/// Guards against an estimate that counts the aged requests as behind.
 #[test]
 fn requests_that_waited_for_long_are_ahead_whatever_the_team() {
     let mut table = AdmissionTable::default();
--- a/crates/admission/tests/all/shares.rs
+++ b/crates/admission/tests/all/shares.rs
@@ -122,9 +122,10 @@
         }
     }
 
-    /// Reports are late, lost, doubled and out of order; what is not newer is dropped by its sequence
-    /// number. At every moment, the sum must be that of the newest report of each VM that arrived,
-    /// decayed since then: nothing counts twice, and nothing is lost but what no report told yet.
+    /// Reports are late, lost, doubled and out of order; what is not newer is dropped by its
+    /// sequence number. At every moment, the sum must be that of the newest report of each VM that
+    /// arrived, decayed since then: nothing counts twice, and only what was not reported yet is
+    /// missing.
     #[test]
     fn sum_over_vms_is_that_of_the_newest_reports_that_arrived(
         steps in proptest::collection::vec(
--- a/crates/capacity/src/capacity_table.rs
+++ b/crates/capacity/src/capacity_table.rs
@@ -210,9 +210,9 @@
         time.as_secs_f64() / self.pace(server, now)
     }
 
-    /// Returns whether a result tells the speed of a server. One that would only be compared with earlier
-    /// ones of the same server does so only beside the results of peers at others; it counts as usual
-    /// otherwise.
+    /// Returns whether a result is compared with the usual time. If that time covers only the
+    /// server itself, the result says nothing of its relative speed unless there is a median over
+    /// several servers. A result that is not compared counts as the usual time.
     fn is_compared(&mut self, covers_several: bool, now: MonoTime) -> bool {
         self.update_median(now);
         covers_several || self.has_median
@@ -237,8 +237,8 @@
         let recent = self.servers.values().filter_map(|estimate| estimate.recent_log(now));
         let mut logs: Vec<f64> = recent.collect();
         if logs.len() < LEAST_MEASURED {
-            // A median of long ago would be added to each new result, since results are compared with
-            // times that the learned speed has corrected.
+            // Results are compared with times that are corrected by the learned speed. An outdated
+            // median would be added again with each result, and the speed would grow without end.
             self.median_log = 0.0;
             self.has_median = false;
             return;
--- a/crates/capacity/src/outlook_cursor.rs
+++ b/crates/capacity/src/outlook_cursor.rs
@@ -6,14 +6,14 @@
 
 use crate::{ServerOutlook, server_estimate::ServerEstimate};
 
-/// Reads what is expected of servers, fastest in ascending order of their keys: a placement reads
-/// hundreds of them, and a search for each one takes longer than what is done with it.
+/// Reads what is expected of servers, fastest in ascending order of their keys. A placement reads
+/// hundreds of servers, and a separate search for each would take most of its time.
 #[derive(Debug)]
 pub struct OutlookCursor<'a, K> {
     servers: &'a btree_map::BTreeMap<K, ServerEstimate>,
     median_log: f64,
     now: MonoTime,
-    /// Servers from the last one asked for.
+    /// Servers from the last requested one on.
     rest: Peekable<btree_map::Range<'a, K, ServerEstimate>>,
     last: Option<K>,
 }
--- a/crates/capacity/src/server_estimate.rs
+++ b/crates/capacity/src/server_estimate.rs
@@ -100,7 +100,8 @@
             return false;
         }
         let log = sample.speed.ln();
-        // More samples have no more weight, and the sum of any numbers may overflow.
+        // More samples have no more weight, and unlimited counts could overflow when they are
+        // added.
         let samples = sample.samples.min(SAMPLES_COUNTED);
         self.peers.insert(peer, SpeedEstimate { log, samples, at: Some(at) });
         self.merge(now);
--- a/crates/capacity/src/time_model.rs
+++ b/crates/capacity/src/time_model.rs
@@ -12,7 +12,7 @@
 /// Number of servers whose samples a median should cover. A server that is alone at its number of
 /// requests would be compared with itself, and a change of its speed would be taken as usual.
 const SERVERS_WANTED: usize = 3;
-/// Number of servers without which a median says nothing of the speed of any of them.
+/// Minimum number of servers with which a median says something about the speed of each.
 const LEAST_SERVERS: usize = 2;
 
 /// Usual time of a piece of work at a server of the service, by the number of requests there.
--- a/crates/capacity/tests/all/speeds.rs
+++ b/crates/capacity/tests/all/speeds.rs
@@ -305,7 +305,7 @@
 }
 
 /// Guards against a placement by the outlook of another server: the cursor that a placement reads
-/// must say the same as the table in any order of keys, also of servers that are not known.
+/// must return the same as the table in any order of keys, also for unknown servers.
 #[test]
 fn cursor_says_the_same_as_the_table() {
     let mut table = CapacityTable::default();
--- a/crates/duties/src/count_copies.rs
+++ b/crates/duties/src/count_copies.rs
@@ -7,7 +7,7 @@
 /// Copy of the counts of one holder.
 #[derive(Debug, Clone)]
 struct CountCopy {
-    /// Number of the holder that sent them.
+    /// Holder number under which they were sent.
     number: u64,
     counter: UsageCounter,
 }
@@ -40,8 +40,8 @@
         self.copies.retain(|_, copy| copy.counter.window_count() > 0);
     }
 
-    /// Returns the messages to send to holder `number`, with the counts of its predecessors. `frame`
-    /// holds the sender's other fields.
+    /// Returns the messages to send to holder `number`, with the counts of its predecessors.
+    /// `frame` holds the fields that don't concern the counts.
     pub fn messages(&mut self, number: u64, frame: &UsageNews) -> Vec<UsageNews> {
         let mut messages = Vec::new();
         for (boot, copy) in &mut self.copies {
--- a/crates/duties/src/heard_share.rs
+++ b/crates/duties/src/heard_share.rs
@@ -1,7 +1,7 @@
 //! Share of the fleet that the holder of the lease must hear.
 
-/// Share of the VMs, including itself, that a holder must hear. The VMs of a zone that is cut off
-/// are fewer, and hold no lease: the counts of the others would not reach them.
+/// Share of the VMs, including itself, that a holder must hear. A zone that is cut off has a
+/// smaller share, so its VMs don't take the lease; the counts of the others would not reach them.
 const HEARD_SHARE: f64 = 0.4;
 
 /// Returns whether a VM that hears `running` other VMs may hold the lease if `possible` others may
--- a/crates/duties/src/scale_control.rs
+++ b/crates/duties/src/scale_control.rs
@@ -29,8 +29,8 @@
 /// Time for which the number of servers is remembered. Reclaimed engines are replaced within it.
 const PRESENT_TIME: Duration = Duration::from_secs(10);
 
-/// Longest time between two decisions. After a longer one, for example a time without the lease, the
-/// demand in between is not known.
+/// Maximum time between two decisions. After a longer one, for example without the lease, the
+/// demand in between is not known, and the observation begins anew.
 const DECISION_GAP: Duration = Duration::from_secs(3);
 
 /// Limits of a service's servers.
@@ -115,12 +115,12 @@
         }
     }
 
-    /// Records that an order has no answer. The platform may have accepted it, so a number is
-    /// ordered until the platform answers.
+    /// Records that an order was not answered. The platform may have accepted it, so every decision
+    /// orders a number until the platform accepts an order.
     pub fn note_unanswered(&mut self, order: &ScaleOrder) {
         let key = (order.service.clone(), order.zone.clone());
         let state = self.zones.entry(key).or_default();
-        // Servers may be booting, so a rise is taken as accepted and undone slowly.
+        // After a rise, servers may be booting, so the higher number counts as the current one.
         state.current = state.current.max(Some(order.desired));
         state.is_uncertain = true;
     }
@@ -137,7 +137,7 @@
 }
 
 impl ZoneScale {
-    /// Forgets what was observed.
+    /// Forgets the observed demand, but not the orders.
     fn restart(&mut self) {
         *self = ZoneScale {
             current: self.current.filter(|_| self.is_ordered || self.is_uncertain),
--- a/crates/duties/src/usage_counter.rs
+++ b/crates/duties/src/usage_counter.rs
@@ -120,7 +120,8 @@
             }
         }
         if parts.len() > 1 {
-            // Some of the messages may be lost, so none vouches for the windows of the others.
+            // Some of the messages may be lost, so none reports the windows of the others as
+            // complete.
             let first = parts.iter().flatten().next().map_or(0, |first| first.window);
             complete_through = complete_through.min(first.saturating_sub(1));
         }
--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -174,7 +174,7 @@
     fn is_settled(&self, window: u64, unix_ms: u64) -> bool {
         let Some(past_ms) = unix_ms.checked_sub(self.terms.end_ms(window)) else { return false };
         let past = Duration::from_millis(past_ms);
-        // A report without the counts of its last moments would be wrong; a late one is not.
+        // A late report is better than one without the last counts of its window.
         let last_moment = self.terms.due.saturating_sub(SENDING_TIME).max(SETTLING_TIME);
         let is_complete = self.vms.values().all(|vm| vm.complete_through >= window);
         past >= last_moment || (past >= SETTLING_TIME && is_complete)
--- a/crates/duties/tests/all/heard_shares.rs
+++ b/crates/duties/tests/all/heard_shares.rs
@@ -2,7 +2,7 @@
 
 use dragonflycart_duties::hears_enough;
 
-/// Guards against duties that nobody does for a minute: the last of two VMs hears no other one.
+/// Guards against a minute without a holder: the last of two VMs hears no other one.
 #[test]
 fn last_of_two_vms_may_hold_the_lease() {
     assert!(hears_enough(0, 1));
--- a/crates/duties/tests/all/leases.rs
+++ b/crates/duties/tests/all/leases.rs
@@ -199,7 +199,7 @@
     assert!((5..=18).contains(&appends), "appends: {appends}");
 }
 
-/// Guards against a holder that goes on under a number that it gave up: the counts that the VMs
+/// Guards against a holder that continues under a number that it gave up: the counts that the VMs
 /// sent it are gone, and the VMs send them again only to a new number.
 #[test]
 fn late_renewal_does_not_restore_a_lease_that_was_given_up() {
--- a/crates/duties/tests/all/scaling.rs
+++ b/crates/duties/tests/all/scaling.rs
@@ -125,7 +125,7 @@
     assert_eq!(order, None);
 }
 
-/// Guards against servers that are given up after a time in which the holder could not act: it does
+/// Guards against servers that are removed after a time in which the holder could not act: it does
 /// not know whether use was low.
 #[test]
 fn gap_between_decisions_does_not_count_as_low_use() {
--- a/crates/duties/tests/all/usage.rs
+++ b/crates/duties/tests/all/usage.rs
@@ -135,8 +135,8 @@
     assert!(messages.iter().all(|news| news.complete_through < FIRST));
 }
 
-/// Guards against a holder that takes the first of several messages for all of them where a count
-/// fits into no message beside the waiting requests.
+/// Guards against a holder that treats the first of several messages as complete although the
+/// counts are in a later one, because they don't fit beside the waiting requests.
 #[test]
 fn no_message_reports_large_counts_of_another_as_complete() {
     let mut counter = UsageCounter::default();
--- a/crates/gateway/benches/placement/bench_fleet.rs
+++ b/crates/gateway/benches/placement/bench_fleet.rs
@@ -55,7 +55,7 @@
     keys: Vec<ServerKey>,
     running: VecDeque<Placement>,
     step: u64,
-    /// Servers chosen so far, combined into one number.
+    /// Checksum of the servers chosen so far.
     pub(crate) choices: u64,
 }
 
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Adds the last choice to the number that stands for all choices.
+    /// Adds the last choice to the checksum.
     pub(crate) fn note_choice(&mut self) {
         let Some(placement) = self.running.back() else { return };
         for byte in placement.id.bytes() {
--- a/crates/gateway/benches/placement/main.rs
+++ b/crates/gateway/benches/placement/main.rs
@@ -3,8 +3,8 @@
 //! The target of a placement is a percentile, so each placement is also timed by itself while
 //! reports of peers and responses of servers arrive between placements. Percentiles are printed of
 //! the elapsed time and of the processor time of the thread, which excludes the time in which other
-//! processes ran on a busy machine. The number beside them stands for all servers chosen: it is the
-//! same for two builds that choose the same servers.
+//! processes ran on a busy machine. The checksum beside them covers all choices: it is the same for
+//! two builds that choose the same servers.
 
 mod bench_fleet;
 mod bench_queue;
--- a/crates/gateway/src/capacity/speed_schedule.rs
+++ b/crates/gateway/src/capacity/speed_schedule.rs
@@ -12,11 +12,12 @@
 }
 
 impl SpeedSchedule {
-    /// Returns the turn of the speeds in a report that is sent now, or `None` if it contains none.
+    /// Returns the number of a report that is sent now among those with speeds, or `None` if it
+    /// contains no speeds. `is_for_all` is whether it goes to all VMs.
     ///
-    /// Speeds change slowly and changes of load are reported at a high rate, so speeds are sent once
-    /// per interval. `is_for_all` is whether the report goes to all VMs: in a small fleet, reports of
-    /// changes do, and under load they take the place of those at intervals.
+    /// Changes of load are reported at a high rate, but speeds change slowly and are sent once per
+    /// interval. In a small fleet, reports of changes go to all VMs and postpone the reports at
+    /// intervals, so they must contain speeds, too.
     pub fn next_turn(
         &mut self,
         is_for_all: bool,
--- a/crates/gateway/src/containment/prompt_check.rs
+++ b/crates/gateway/src/containment/prompt_check.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Returns what determines the VMs that make a trial.
+/// Returns the key from which the VMs that make a trial are chosen.
 fn trial_turn(part: PromptPart, round: u64) -> Vec<u8> {
     [part.id().to_be_bytes(), round.to_be_bytes()].concat()
 }
--- a/crates/gateway/src/duties/duty_decisions.rs
+++ b/crates/gateway/src/duties/duty_decisions.rs
@@ -16,7 +16,7 @@
     pub(super) lease: DutyLease,
     pub(super) clock: TrueClock,
     pub(super) counter: UsageCounter,
-    /// Counts of holders, to be sent to their successors.
+    /// Copies of counts of holders, to be sent to their successors.
     pub(super) copies: CountCopies,
     pub(super) terms: WindowTerms,
     /// State of the duties while this VM holds the lease.
@@ -72,8 +72,8 @@
         self.copies.note_holder(news.number, news.last_window);
     }
 
-    /// Applies counts of another VM. Returns whether they are acknowledged: by the holder, or by the
-    /// VM that keeps a copy of the holder's own counts.
+    /// Applies counts of another VM, as the holder or as the VM that keeps a copy of the holder's
+    /// own counts. Returns whether to acknowledge them.
     pub(super) fn note_usage(&mut self, usage: &UsageNews, now: LeaseTime) -> bool {
         if let Some(held) = &mut self.held {
             if held.number == usage.number {
--- a/crates/gateway/src/duties/duty_platform.rs
+++ b/crates/gateway/src/duties/duty_platform.rs
@@ -33,7 +33,8 @@
         }
     }
 
-    /// Returns whether the platform rejected the content of the call, so that others may succeed.
+    /// Returns whether the platform rejected this call for its content, so that calls with other
+    /// content may succeed.
     pub fn concerns_content(&self) -> bool {
         matches!(self, CloudError::Status(400..=499))
     }
--- a/crates/gateway/src/duties/held_duties.rs
+++ b/crates/gateway/src/duties/held_duties.rs
@@ -22,9 +22,9 @@
     pub(super) windows: UsageWindows,
     /// Windows whose reports were answered.
     answered: BTreeSet<u64>,
-    /// Counts of this VM that the VM with their copy may not have.
+    /// Counts of this VM, and which of them the VM with the copy has acknowledged.
     pub(super) counter: UsageCounter,
-    /// VM that has a copy of them.
+    /// Address of the VM with the copy.
     copy_address: Option<SocketAddr>,
     /// Latest orders, which are written with the next record.
     orders: BTreeMap<(String, String), ScaleOrder>,
@@ -51,7 +51,8 @@
         }
     }
 
-    /// Returns one of the running VMs, the same one as long as it runs, and the counts to send it.
+    /// Returns the address of the VM that keeps a copy of this VM's counts, and the messages for
+    /// it. The VM changes only when it no longer runs; the new one then gets all counts.
     pub(super) fn copy_messages(
         &mut self,
         running: &[SocketAddr],
@@ -114,7 +115,7 @@
         self.orders.insert((order.service.clone(), order.zone.clone()), order);
     }
 
-    /// Records that an order that the platform may have accepted has no answer.
+    /// Records that an order was not answered, although the platform may have accepted it.
     pub(super) fn note_unanswered(&mut self, order: &ScaleOrder) {
         if let Some(scale) = &mut self.scale {
             scale.note_unanswered(order);
--- a/crates/gateway/src/duties/vm_duties.rs
+++ b/crates/gateway/src/duties/vm_duties.rs
@@ -82,7 +82,8 @@
     /// Counts a request of a team that began to run now.
     pub(crate) fn count_start(&self, team: &str) {
         let mut decisions = self.decisions();
-        // Read behind the lock, so that no message vouches for the window before this count.
+        // Read with the lock held, so that no message reports the window as complete without this
+        // count.
         let boot = boot_time();
         if decisions.clock.own_unix_ms(boot).is_none() {
             decisions.clock.note_time_of_day(boot, GatewayClock::unix_ms());
--- a/crates/gateway/src/engine_wait.rs
+++ b/crates/gateway/src/engine_wait.rs
@@ -166,7 +166,8 @@
         prospect.note_estimate(table.queue.count(&request.service), now);
         table.review_inputs(entry.id(), waiter, late_in, prospect, now)
     };
-    // Room only shortens the wait, and it takes a look at all engines to find it.
+    // Room only shortens the wait, so the search of all engines for it is left out where it can't
+    // change the decision.
     let without_room = WaitEstimate::from_inputs(inputs);
     if !is_arriving && !left.is_zero() && !without_room.exceeds(left) {
         return (inputs, without_room);
@@ -176,7 +177,8 @@
     (inputs, WaitEstimate::from_inputs(inputs))
 }
 
-/// Records how long a request waited, and compares that with the estimate on its arrival.
+/// Records how long a request waited, and compares that with the estimate on its arrival. A request
+/// that was not admitted would have waited for longer.
 fn note_wait(
     context: &GatewayContext,
     request: &CallerRequest,
@@ -274,7 +276,7 @@
     let (inputs, estimate) =
         estimate_wait(context, request, entry, excluded, prospect, Duration::ZERO);
     log_refusal(context, request, reason, (inputs, estimate), Duration::ZERO);
-    // That the request should have begun at once was wrong.
+    // An estimate of no wait was wrong, since the request found no engine.
     if estimate.is_doubtful || estimate.retry_after.is_zero() {
         return failure.with_retry_after(target);
     }
--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -81,7 +81,8 @@
     }
 }
 
-/// Returns the number in the text of an event ID. The largest one does not count: no event could follow.
+/// Returns the number in the text of an event ID. The largest number is rejected, since no event
+/// could follow it.
 pub fn event_number(text: &str) -> Option<u64> {
     text.parse().ok().filter(|number| *number < u64::MAX)
 }
--- a/crates/gateway/src/explanation/placement_explainer.rs
+++ b/crates/gateway/src/explanation/placement_explainer.rs
@@ -108,7 +108,7 @@
     (choice, outcome)
 }
 
-/// Explains a stream, which waits for an engine with room.
+/// Explains a stream, which may wait for an engine.
 fn explain_stream(
     context: &GatewayContext,
     request: &CallerRequest,
@@ -148,7 +148,7 @@
     (choice, outcome)
 }
 
-/// Explains a call that waits for a server with a free slot.
+/// Explains a call that may wait for a server with a free slot.
 fn explain_waiting_call(
     context: &GatewayContext,
     request: &CallerRequest,
--- a/crates/gateway/src/explanation/score_sum.rs
+++ b/crates/gateway/src/explanation/score_sum.rs
@@ -2,14 +2,15 @@
 
 use dragonflycart_explanation::ScorePart;
 
-/// Sum of the parts of a score. The score is computed once for both implementations, so that the
-/// explained score is the one by which a server is chosen: placement needs only the number, and the
-/// explanation also its parts.
+/// Sum of the parts of a score. Placement uses the implementation for `f64`, which keeps only the
+/// sum, and the explanation the one that also keeps the parts. Both use the same formula, so the
+/// explained score is the one by which a server is chosen.
 pub(crate) trait ScoreSum: Default {
     /// Adds a part.
     fn add(&mut self, part: ScorePart, value: f64);
 
-    /// Adds a product. The first part is the value, and the second one what the factor changes.
+    /// Adds the product of a value and a factor. The value counts as one part, and the change by
+    /// the factor as the other one.
     fn add_product(&mut self, value: (ScorePart, f64), factor: (ScorePart, f64));
 
     /// Adds another sum.
--- a/crates/gateway/src/explanation/turn_preview.rs
+++ b/crates/gateway/src/explanation/turn_preview.rs
@@ -8,8 +8,8 @@
 
 use crate::{CallerRequest, GatewayContext};
 
-/// Maximum number of waiting requests with which the queue is copied. The copy of more would take
-/// longer than a placement, and hold up the requests that wait.
+/// Maximum number of waiting requests with which the queue is copied. Copying more would take
+/// longer than a placement, with the lock of the queue held.
 const COPIED_WAITERS: usize = 256;
 
 /// Place that a request would get in the wait queue for engines.
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -49,7 +49,7 @@
     /// Time at which the first plan was known.
     planned_since: Option<MonoTime>,
     servers: SlotMap<ServerKey, ServerState>,
-    /// Kept in step with the registrations of the servers.
+    /// Service and nearness of each server, updated with its registration.
     places: ServerPlaces,
     by_id: BTreeMap<String, ServerKey>,
     evacuated: BTreeMap<String, MonoTime>,
--- a/crates/gateway/src/fleet_view/explained_choice.rs
+++ b/crates/gateway/src/fleet_view/explained_choice.rs
@@ -11,7 +11,8 @@
 
 impl FleetView {
     /// Returns which server a placement would choose now, and how each server of the service is
-    /// judged. The cost is that of a placement, and a score for each server in the answer.
+    /// judged. It takes the time of a placement plus that of one score for each server of the
+    /// service.
     pub fn explain_choice(&self, query: &PlacementQuery<'_>, now: MonoTime) -> ChoiceExplanation {
         let fill_limit = self.engine_spec(query.service).map(|_| self.fill_limit(query, now));
         let choice = self.choose_for_version_move(query, fill_limit, now);
@@ -62,7 +63,8 @@
                 ages,
             });
         }
-        // The sort is stable: among equal scores, a placement chooses the first server, too.
+        // The sort is stable, so the first of several servers with the lowest score is the one that
+        // a placement chooses.
         servers.sort_by(|one, other| {
             let is_behind = |server: &ServerExplanation| !server.excluded.is_empty();
             let by_score = one.score.total_cmp(&other.score);
@@ -82,7 +84,8 @@
         self.timings.get(service)
     }
 
-    /// Returns why a server is not usable for a request, apart from its reachability and load.
+    /// Returns why a server is not usable for a request, apart from its zone's reachability, its
+    /// memory, its version and the sample.
     fn common_exclusions(
         &self,
         (key, state): (ServerKey, &ServerState),
--- a/crates/gateway/src/fleet_view/peer_loads.rs
+++ b/crates/gateway/src/fleet_view/peer_loads.rs
@@ -8,23 +8,22 @@
 
 /// Maximum age of a load that a peer reported.
 const PEER_LOAD_AGE: Duration = Duration::from_secs(3);
-/// Remaining validity of the sum below which a report renews it. A sum that ends between two reports
-/// would be computed by a placement, together with those of all other servers.
+/// Remaining validity of the sum below which a report renews it. Otherwise, the sums of many
+/// servers could expire between two reports, and one placement would have to compute them all.
 const RENEWAL_MARGIN: Duration = Duration::from_millis(300);
-/// Time after which an outdated load is dropped. A VM that restarts reports under another ID, and
-/// its earlier load would stay for as long as the server runs.
+/// Time for which an outdated load is kept. A VM that restarts reports under another ID, so its
+/// earlier load is never replaced.
 const OUTDATED_KEPT: Duration = Duration::from_secs(3);
 
-/// Sum of the loads that are not outdated. It is the same at each time after `after` and not after
-/// `until`.
+/// Sum of the loads that are not outdated. It holds at all times later than `after` up to and
+/// including `until`.
 #[derive(Debug, Clone, Copy, Default)]
 struct LoadSum {
     load: ServerLoad,
     peers: usize,
-    /// Latest time at which a load that is left out was valid, or `None` if none is left out.
+    /// Latest end of the validity of a load that is left out, or `None` if none is left out.
     after: Option<MonoTime>,
-    /// Earliest time at which a load that is included is valid for the last time, or `None` if none
-    /// is included.
+    /// Earliest end of the validity of a load that is included, or `None` if none is included.
     until: Option<MonoTime>,
 }
 
@@ -97,7 +96,7 @@
             .map(move |valid_until| PEER_LOAD_AGE.saturating_sub(valid_until.since(now)))
     }
 
-    /// Returns the number of loads that are kept, with outdated ones.
+    /// Returns the number of loads that are kept, including outdated ones.
     pub(crate) fn kept(&self) -> usize {
         self.loads.len()
     }
--- a/crates/gateway/src/fleet_view/server_choice.rs
+++ b/crates/gateway/src/fleet_view/server_choice.rs
@@ -1,4 +1,4 @@
-//! Choice of a server, and among which servers it was made.
+//! Choice of a server by a placement.
 
 use dragonflycart_core::ErrorKind;
 
@@ -16,7 +16,7 @@
 }
 
 impl ServerChoice {
-    /// Builds a choice.
+    /// Builds a choice from its fields.
     pub(super) fn new(
         result: Result<ServerKey, ErrorKind>,
         role: Option<VersionRole>,
--- a/crates/gateway/src/fleet_view/server_comparison.rs
+++ b/crates/gateway/src/fleet_view/server_comparison.rs
@@ -46,7 +46,7 @@
             return;
         }
         let score = self.score(key, state);
-        // The first one in the order of the view is chosen among equal ones.
+        // Among equal scores, the first server in the order of the view is chosen.
         if self.best.is_none_or(|(lowest, best)| score < lowest || (score == lowest && key < best))
         {
             self.best = Some((score, key));
--- a/crates/gateway/src/fleet_view/server_places.rs
+++ b/crates/gateway/src/fleet_view/server_places.rs
@@ -6,7 +6,7 @@
 
 use crate::{ServerKey, ServerRecord};
 
-/// What decides first whether a server is considered for a request.
+/// Properties of a server that a placement checks before all others.
 #[derive(Debug, Clone, Copy)]
 struct ServerPlace {
     /// Number of its service.
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -397,7 +397,7 @@
     fn switch(&mut self, resumed: ResumedGeneration) {
         let mut run = resumed.response.run;
         run.continue_from(&self.source.run);
-        // Its first event was counted in the usage of its team.
+        // The usage of the team counts a stream once, with its first event.
         if self.events > 0 {
             run.skip_use();
         }
@@ -466,7 +466,7 @@
         match self.join.step(&event, self.progress.last_event()) {
             EventStep::Forward => {}
             EventStep::Skip => {
-                // The engine runs the request again and makes the events that were forwarded.
+                // The engine runs the request again, and repeated events are progress.
                 if self.join.is_joining() {
                     self.stalled_since = Instant::now();
                 }
--- a/crates/gateway/src/overload/timer_delay.rs
+++ b/crates/gateway/src/overload/timer_delay.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-/// Delay from which the VM counts as overloaded: the shortest time limit of a plain call, 1.2 s, over
-/// six wake-ups (head, body, offer, connection to the server, head and body of its response). From
-/// then on, a call times out by these alone.
+/// Delay from which the VM counts as overloaded: the shortest time limit of a plain call, 1.2 s,
+/// over six wake-ups (head, body, offer, connection to the server, head and body of its response).
+/// With this delay, the wake-ups alone take the whole time limit.
 const BEGIN_DELAY: Duration = Duration::from_millis(200);
 /// Delay below which it no longer does: a third of the shortest limit of a pause, 180 ms, since an
 /// event of a stream is delayed by up to two wake-ups and the server needs the rest.
--- a/crates/gateway/src/overload/vm_load.rs
+++ b/crates/gateway/src/overload/vm_load.rs
@@ -8,20 +8,20 @@
 
 /// Fraction of the process's memory for requests that wait, without their bodies.
 const WAITING_FRACTION: f64 = 0.15;
-/// Memory of a waiting request, in bytes: its connection's buffers, its task and its headers. Not
-/// measured.
+/// Memory of a waiting request, in bytes: its connection's buffers, its task and its headers. This
+/// is an assumption, not a measured figure.
 const WAITING_BYTES: f64 = 64.0 * 1024.0;
 /// Number of waiting requests for each core. Each takes up to half a millisecond of processor time
-/// per second while it waits, and the same again when it is answered. It can't be derived from what
-/// callers need without that time, which was not measured.
+/// per second while it waits, and the same again when it is answered. This time is an assumption,
+/// not a measured figure.
 const WAITING_PER_CORE: f64 = 2_000.0;
 /// Minimum bound on the number of waiting requests.
 const MIN_WAITING: usize = 32;
 /// Fraction of the bound below which requests are admitted again.
 const ADMITTED_FRACTION: f64 = 0.9;
-/// `Retry-After` time if other VMs run: a repeated request probably reaches one of them. Callers honour
-/// up to a third of their remaining time, which is 400 ms for the shortest time limit of a plain call,
-/// 1.2 s.
+/// `Retry-After` time if other VMs run: a repeated request probably reaches one of them. Callers
+/// wait for up to a third of their remaining time, which is 400 ms for the shortest time limit of a
+/// plain call, 1.2 s.
 const OTHER_VM_RETRY: Duration = Duration::from_millis(300);
 
 /// Load of a VM, and the bounds on it.
@@ -83,7 +83,7 @@
         Some(*reason)
     }
 
-    /// Returns the reason for which a new request would be refused, without counting one.
+    /// Returns the reason for which a new request would be refused, without counting a refusal.
     pub fn refusal_reason(&self) -> Option<RefusalReason> {
         self.refused.keys().next().copied()
     }
--- a/crates/gateway/src/overload/waiting_request.rs
+++ b/crates/gateway/src/overload/waiting_request.rs
@@ -54,7 +54,7 @@
     Err(failure)
 }
 
-/// Returns the failure with which a new request would be refused now, without counting it.
+/// Returns the failure with which a new request would be refused now, without counting a refusal.
 pub(crate) fn would_refuse(context: &GatewayContext) -> Option<GatewayFailure> {
     let (vms, is_ordered) = {
         let view = context.view();
--- a/crates/gateway/src/plain_calls/slot_wait.rs
+++ b/crates/gateway/src/plain_calls/slot_wait.rs
@@ -31,7 +31,7 @@
     takes_effect_in(&context.view(), request, context.clock.now())
 }
 
-/// Returns the same for a view.
+/// Returns the same as [`takes_effect`], for a caller that holds the lock of the view.
 pub(crate) fn takes_effect_in(view: &FleetView, request: &CallerRequest, now: MonoTime) -> bool {
     let route = &request.route;
     if route.time_limit < route.latency_target * MIN_LIMIT_TARGETS {
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -14,8 +14,8 @@
 /// never looks complete.
 pub type ResponseBody = BoxBody<Bytes, BodyError>;
 
-/// Sender of the data of a streamed body. An empty piece of data ends the body as complete. Without it,
-/// the body ends as broken when the sender is dropped, for example because its task panicked.
+/// Sender of the data of a streamed body. An empty piece of data ends the body as complete. If the
+/// sender is dropped before, for example because its task panicked, the body ends with an error.
 pub type BodySender = mpsc::Sender<Result<Bytes, BodyError>>;
 
 /// The body could not be finished.
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -209,7 +209,7 @@
         self.peer_loads.clear(peer);
     }
 
-    /// Returns the number of peers whose load is kept, with outdated ones.
+    /// Returns the number of peers whose load is kept, including outdated ones.
     pub fn kept_peer_loads(&self) -> usize {
         self.peer_loads.kept()
     }
--- a/crates/gateway/src/versions/request_run.rs
+++ b/crates/gateway/src/versions/request_run.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    /// Leaves the run out of the usage of its team, because the stream was counted at a server before.
+    /// Leaves the run out of the usage of its team, because an earlier run of the stream was
+    /// counted.
     pub(crate) fn skip_use(&mut self) {
         self.team = None;
     }
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -292,8 +292,8 @@
 }
 
 /// Pattern: a caller states a prompt of a billion tokens, and others wait behind its request.
-/// Guards against estimates for the others that are too long because of it: it gets one empty engine
-/// like any request that is larger than one.
+/// Guards against estimates for the others that are too long because of it: like any request that
+/// is larger than an engine, it needs one empty engine.
 #[tokio::test]
 async fn oversized_request_does_not_lengthen_the_estimates_of_others() {
     let context = busy_context(4_000);
--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -209,7 +209,7 @@
     assert!(closed <= requests[1].arrived + NOTE_DELAY, "closed after the next run began");
 }
 
-/// Guards against a run that is taken for lost while its server reads the prompt: a stream stalls only
+/// Guards against a run that counts as lost while its server reads the prompt: a stream stalls only
 /// after an event of its run (LOST).
 #[tokio::test]
 async fn run_that_reads_its_prompt_has_not_stalled() {
@@ -224,7 +224,7 @@
     assert_eq!(fleet.engines.requests().len(), 2, "the second run was given up");
 }
 
-/// Guards against a run that is taken for lost while it repeats the events that were forwarded, at a
+/// Guards against a run that counts as lost while it repeats the events that were forwarded, at a
 /// server that does not know `Last-Event-Id` (LOST).
 #[tokio::test]
 async fn run_that_repeats_events_has_not_stalled() {
--- a/crates/gateway/tests/all/explained_choices.rs
+++ b/crates/gateway/tests/all/explained_choices.rs
@@ -184,9 +184,9 @@
     }
 }
 
-/// Guards against an explanation that names another server than the one that placement chooses, that
-/// calls a server a candidate that is none or the reverse, whose parts do not add up to the score, or
-/// that changes the state. The counts guard against fleets in which a case never occurs.
+/// Guards against an explanation that names another server than placement chooses, that has wrong
+/// candidates or parts that do not add up to the score, or that changes the state. The counts guard
+/// against random fleets in which a case never occurs.
 #[test]
 fn explained_choice_is_the_real_one_in_random_fleets() {
     let mut reasons = BTreeMap::<ServerExclusion, u32>::new();
@@ -284,7 +284,7 @@
     assert_eq!(ages["e1"].peer_reports, 0);
 }
 
-/// Guards against an explanation that shows the version which a version move does not use.
+/// Guards against an explanation that names the wrong version during a version move.
 #[test]
 fn version_move_names_the_role_that_is_chosen() {
     let mut view = view(&["a", "a"]);
--- a/crates/gateway/tests/all/vm_loads.rs
+++ b/crates/gateway/tests/all/vm_loads.rs
@@ -92,7 +92,7 @@
 }
 
 /// Pattern: a VM that is as busy as it may be without an overload is frozen for some seconds.
-/// Guards against a limit of a sample that is too large for the thresholds.
+/// Guards against a limit of one sample with which a single freeze counts as an overload.
 #[test]
 fn single_freeze_of_a_busy_vm_is_no_overload() {
     let mut delay = TimerDelay::default();
@@ -107,8 +107,8 @@
 
 /// Pattern: the timers are so late that calls with the shortest time limit, 1.2 s, would time out
 /// after six wake-ups, or just not.
-/// Guards against a VM that accepts requests that time out for sure, and against refusals of requests
-/// that it can serve.
+/// Guards against a VM that accepts requests that are bound to time out, and against refusals of
+/// requests that it can serve.
 #[test]
 fn overload_begins_where_six_wake_ups_take_the_shortest_time_limit() {
     for (delay_ms, is_overloaded) in [(1_200 / 6 - 10, false), (1_200 / 6 + 10, true)] {
--- a/crates/operator/src/status_client.rs
+++ b/crates/operator/src/status_client.rs
@@ -37,7 +37,8 @@
         StatusClient { servers, timeout, client }
     }
 
-    /// Asks where a request would go. The first VM that responds answers, also if it can't tell.
+    /// Asks where a request would go. Returns the answer or the failure of the first VM that
+    /// responds.
     ///
     /// # Errors
     ///
@@ -68,7 +69,7 @@
     ) -> Result<(StatusCode, Bytes), &'static str> {
         let request = Request::get(format!("http://{server}{PLACEMENT_PATH}?{query}"))
             .body(Empty::new())
-            .map_err(|_| "the question is no URL")?;
+            .map_err(|_| "the question does not make a valid URL")?;
         let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() { "no connection" } else { "the connection was lost" }
         })?;
--- a/tests/all/duties.rs
+++ b/tests/all/duties.rs
@@ -60,8 +60,8 @@
     wait_for("refusals", async || (fleet.cloud.refusals() >= known + 2).then_some(())).await;
 }
 
-/// Guards against a frozen holder that goes on when it is continued, after another VM took over. It
-/// has a report that it would send at once.
+/// Guards against a stopped holder that acts after it is continued, although another VM took over.
+/// It has a report that it would send at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn continued_holder_does_not_act_for_its_successor() {
     let fleet = DutyFleet::start("duties-stop").await;
--- a/tests/all/hard_load.rs
+++ b/tests/all/hard_load.rs
@@ -34,8 +34,8 @@
 const USUAL_SPEED: f64 = 85.0;
 /// Requests between two looks at the learned speeds.
 const REQUESTS_PER_LOOK: u64 = 20;
-/// Maximum number of requests until the learned speeds are as awaited. An old judgement is given up
-/// after 10 s without samples, in which some 400 requests are sent.
+/// Maximum number of requests until the learned speeds are as expected. A learned speed begins
+/// to fade after 10 s without samples, in which some 400 requests are sent.
 const REQUESTS_LIMIT: u64 = 4_000;
 
 /// Time between two rounds of calls, one at each of four gateways. The servers need 400 ms for a round,
@@ -55,7 +55,7 @@
     send_until_speeds(fleet, |speeds| speeds.iter().any(|speed| *speed < SLOW_SPEED)).await;
 }
 
-/// Sends requests until no gateway takes a server for slow.
+/// Sends requests until no gateway counts a server as slow.
 async fn send_until_speeds_are_usual(fleet: &mut LoadFleet) {
     send_until_speeds(fleet, |speeds| speeds.iter().all(|speed| *speed >= USUAL_SPEED)).await;
 }
@@ -88,9 +88,9 @@
     }
 }
 
-/// Guards against requests that are refused or run twice because the load header disappears, against a
-/// slow server that is not noticed by its results alone, and against a judgement that stays when the
-/// server is fast again and the header returns.
+/// Guards against requests that are refused or run twice because the load header disappears,
+/// against a slow server that is not noticed by its results alone, and against a low learned speed
+/// that stays when the server is fast again and the header returns.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn servers_are_judged_by_results_while_the_load_header_is_missing() {
     let mut fleet = LoadFleet::start("header-gone", LoadOptions::default()).await;
@@ -108,8 +108,9 @@
     fleet.close();
 }
 
-/// Guards against requests that are refused or run twice while a server is 2.5 times slower for some
-/// hundred milliseconds again and again, and against a judgement that stays afterwards.
+/// Guards against requests that are refused or run twice while a server is 2.5 times slower for
+/// some hundred milliseconds again and again, and against a low learned speed that stays
+/// afterwards.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_are_served_while_servers_have_slow_phases() {
     let mut fleet = LoadFleet::start("slow-phases", LoadOptions::default()).await;
--- a/tests/all/support/usage_run.rs
+++ b/tests/all/support/usage_run.rs
@@ -11,7 +11,8 @@
     pub(crate) gateway: usize,
     /// Unix time in milliseconds before which the gateway can't have counted the request.
     pub(crate) earliest: u64,
-    /// Unix time in milliseconds after which it can't; the greatest number if there was no response.
+    /// Unix time in milliseconds after which it can't have counted it, or `u64::MAX` if there was
+    /// no response.
     pub(crate) latest: u64,
 }
 
