--- a/crates/admission/src/service_queue.rs
+++ b/crates/admission/src/service_queue.rs
@@ -163,8 +163,8 @@
         candidates
     }
 
-    /// Returns the place of a request. This takes a time that grows with the number of requests that
-    /// arrived after it.
+    /// Returns the place of a request. This takes a time that grows with the number of requests
+    /// that arrived after it.
     pub(crate) fn place_of(&mut self, id: WaiterId, now: MonoTime) -> Option<QueuePlace<'_>> {
         self.advance(now);
         let queued = self.waiters.get(&id)?;
--- a/crates/admission/src/wait_queue.rs
+++ b/crates/admission/src/wait_queue.rs
@@ -15,7 +15,8 @@
 /// order is by rank. Among equal ones it is by arrival or, for a service with a deferrable route, by
 /// the use of the teams. Smaller requests never overtake a large one, so that it does not starve.
 ///
-/// All operations but [`WaitQueue::place_of`] take logarithmic time in the number of waiting requests.
+/// All operations but [`WaitQueue::place_of`] take logarithmic time in the number of waiting
+/// requests.
 #[derive(Debug, Clone, Default)]
 pub struct WaitQueue {
     services: BTreeMap<String, ServiceQueue>,
@@ -70,8 +71,8 @@
         queue.map(|queue| queue.candidates(team_use, now)).unwrap_or_default()
     }
 
-    /// Returns the place of a request. This takes a time that grows with the number of requests that
-    /// arrived after it.
+    /// Returns the place of a request. This takes a time that grows with the number of requests
+    /// that arrived after it.
     pub fn place_of(&mut self, id: WaiterId, now: MonoTime) -> Option<QueuePlace<'_>> {
         self.queue_of(id)?.place_of(id, now)
     }
--- a/crates/admission/tests/all/fleets.rs
+++ b/crates/admission/tests/all/fleets.rs
@@ -269,9 +269,9 @@
     assert!(refused > 0);
 }
 
-/// Pattern: lasting overloads of one and a half times and twice the capacity. Real waits differ from
-/// single estimates, but the correction must keep their average ratio within the factor of 3 beyond
-/// which estimates count as doubtful.
+/// Pattern: lasting overloads of one and a half times and twice the capacity. Real waits differ
+/// from single estimates, but the correction must keep their average ratio within the factor of 3
+/// beyond which estimates count as doubtful.
 #[test]
 fn average_error_of_the_estimates_is_bounded() {
     for (seed, long_per_s) in [(40, 11), (41, 14), (42, 14)] {
--- a/crates/admission/tests/all/prospects.rs
+++ b/crates/admission/tests/all/prospects.rs
@@ -48,8 +48,8 @@
 }
 
 /// Pattern: a burst of urgent requests begins while a long one waits.
-/// Guards against a request that is kept until its caller gives up although it is known earlier that
-/// it can't begin in time.
+/// Guards against a request that is kept until its caller gives up although it is known earlier
+/// that it can't begin in time.
 #[test]
 fn request_is_expected_to_wait_for_longer_when_urgent_demand_grows() {
     let (mut table, id) = waiting_table(5);
@@ -64,7 +64,8 @@
     assert!(after.exceeds(Duration::from_secs(13)), "{after:?}");
 }
 
-/// Pattern: a lasting overload. Behind a request that waits, as many arrive as are served before it.
+/// Pattern: a lasting overload. Behind a request that waits, as many arrive as are served before
+/// it.
 /// Guards against the refusal of a request because of others that go behind it.
 #[test]
 fn requests_that_arrive_later_do_not_lengthen_the_wait() {
@@ -107,8 +108,8 @@
 }
 
 /// Pattern: a request is the first over the fleet, and generations end now and then.
-/// Guards against an estimate that stays the same while the memory for the request gathers, and that
-/// refuses it just before it would begin.
+/// Guards against an estimate that stays the same while the memory for the request gathers, and
+/// that refuses it just before it would begin.
 #[test]
 fn first_request_lacks_less_as_memory_becomes_free() {
     let (mut table, id) = waiting_table(0);
--- a/crates/capacity/src/time_model.rs
+++ b/crates/capacity/src/time_model.rs
@@ -19,8 +19,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct TimeModel<K> {
     buckets: Vec<SampleRing<K>>,
-    /// Usual time for each bucket and the number of servers whose samples it covers, computed when a
-    /// sample is added.
+    /// Usual time for each bucket and the number of servers whose samples it covers, computed when
+    /// a sample is added.
     usual: [Option<(f64, usize)>; BUCKETS],
 }
 
@@ -45,8 +45,8 @@
         self.usual[bucket_of(requests)].map(|(time_s, _)| time_s)
     }
 
-    /// Returns whether the usual time covers several servers. A server that is alone would be compared
-    /// with itself.
+    /// Returns whether the usual time covers several servers. A server that is alone would be
+    /// compared with itself.
     pub(crate) fn covers_several(&self, requests: u32) -> bool {
         self.usual[bucket_of(requests)].is_some_and(|(_, servers)| servers >= LEAST_SERVERS)
     }
--- a/crates/capacity/tests/all/speeds.rs
+++ b/crates/capacity/tests/all/speeds.rs
@@ -279,8 +279,8 @@
     assert!(table.speed(4, at(45_000)) > 0.85, "{}", table.speed(4, at(45_000)));
 }
 
-/// Guards against a learned speed that grows without end because only one of three servers gets calls:
-/// its results were compared with its own earlier ones, relative to a median of long ago.
+/// Guards against a learned speed that grows without end because only one of three servers gets
+/// calls: its results were compared with its own earlier ones, relative to a median of long ago.
 #[test]
 fn server_that_alone_gets_calls_is_not_compared_with_itself() {
     let mut table = CapacityTable::<u32>::default();
--- a/crates/duties/src/count_copies.rs
+++ b/crates/duties/src/count_copies.rs
@@ -13,7 +13,8 @@
 }
 
 /// Copies of the counts of holders, by the ID of their process. The counts that a holder keeps for
-/// itself would be lost with it, so it sends them to another VM, which sends them to the next holder.
+/// itself would be lost with it, so it sends them to another VM, which sends them to the next
+/// holder.
 #[derive(Debug, Clone, Default)]
 pub struct CountCopies {
     copies: BTreeMap<u64, CountCopy>,
--- a/crates/duties/src/duty_lease.rs
+++ b/crates/duties/src/duty_lease.rs
@@ -250,8 +250,8 @@
         self.follow(Some(&record), now)
     }
 
-    /// Returns whether an append that took effect makes this VM the holder. A renewal of a lease that
-    /// was given up does not: the counts that were acknowledged under its number are gone.
+    /// Returns whether an append that took effect makes this VM the holder. A renewal of a lease
+    /// that was given up does not: the counts that were acknowledged under its number are gone.
     fn may_hold(&self, sent: &OpenAppend) -> bool {
         let number = sent.record.number;
         number == claim_number(sent.at) || self.held_number() == Some(number)
--- a/crates/duties/src/duty_message.rs
+++ b/crates/duties/src/duty_message.rs
@@ -74,8 +74,8 @@
     /// Zone of the sender.
     #[prost(string, tag = "8")]
     pub zone: String,
-    /// Whether these are counts of an earlier holder, sent by a VM that has a copy of them. They say
-    /// nothing about the progress of that process.
+    /// Whether these are counts of an earlier holder, sent by a VM that has a copy of them. They
+    /// say nothing about the progress of that process.
     #[prost(bool, tag = "9")]
     pub is_copy: bool,
 }
--- a/crates/duties/src/usage_windows.rs
+++ b/crates/duties/src/usage_windows.rs
@@ -137,8 +137,8 @@
     }
 
     /// Returns the reports to decide after that of `last_window`, oldest first, at most `limit`, and
-    /// the last window that is then decided. Empty windows that began before this VM was the holder,
-    /// or for which the VMs no longer keep counts, are left out: their counts may be lost.
+    /// the last window that is then decided. Empty windows that began before this VM was the
+    /// holder, or for which the VMs no longer keep counts, are left out: their counts may be lost.
     pub fn decide(
         &mut self,
         last_window: u64,
--- a/crates/duties/tests/all/usage.rs
+++ b/crates/duties/tests/all/usage.rs
@@ -77,8 +77,8 @@
     assert_eq!(counts(&reports[0]), [("blue", 1), ("red", 1)]);
 }
 
-/// Guards against the loss of a holder's own counts with it, and against a report that waits for the
-/// lost holder.
+/// Guards against the loss of a holder's own counts with it, and against a report that waits for
+/// the lost holder.
 #[test]
 fn next_holder_gets_the_counts_of_a_lost_one() {
     let mut lost = UsageCounter::default();
--- a/crates/gateway/src/capacity/placement_cost.rs
+++ b/crates/gateway/src/capacity/placement_cost.rs
@@ -30,8 +30,9 @@
 const LATE_COST: f64 = 6.0;
 /// Cost subtracted for a short stream on an infinitely slow engine, and in proportion on a faster
 /// one, so that fast engines keep room for long streams. It applies in the VM's own zone, whose VMs
-/// see each other's prompts at once; two prompts that meet on a slow engine are late. On an engine of less than half the usual
-/// speed, it outweighs slots and memory in use until the engine is nearly full.
+/// see each other's prompts at once; two prompts that meet on a slow engine are late. On an engine
+/// of less than half the usual speed, it outweighs slots and memory in use until the engine is
+/// nearly full.
 const KEEP_FREE_COST: f64 = 1.2;
 /// Cost of a slot in use at a plain server, for all slots together.
 const SLOTS_COST: f64 = 0.25;
--- a/crates/gateway/src/explanation/question_reader.rs
+++ b/crates/gateway/src/explanation/question_reader.rs
@@ -16,7 +16,8 @@
 ///
 /// # Errors
 ///
-/// Returns the failure to report if the question is incomplete or names what the plan does not have.
+/// Returns the failure to report if the question is incomplete or names what the plan does not
+/// have.
 pub(super) fn build_request(
     context: &GatewayContext,
     plan: &RoutePlan,
@@ -102,7 +103,8 @@
     plan.team_named(name).map(Some).ok_or_else(unknown)
 }
 
-/// Returns the service that the question names, or the one to which most of the route's requests go.
+/// Returns the service that the question names, or the one to which most of the route's requests
+/// go.
 fn find_service(
     route: &PlannedRoute,
     question: &PlacementQuestion,
--- a/crates/gateway/src/fleet_view/learned_capacity.rs
+++ b/crates/gateway/src/fleet_view/learned_capacity.rs
@@ -35,7 +35,8 @@
         self.capacity(query.service).filter(|_| PlacementCost::applies_to(query))
     }
 
-    /// Returns whether this request is to be sent to an avoided server, `state`, so that it is measured again.
+    /// Returns whether this request is to be sent to an avoided server, `state`, so that it is
+    /// measured again.
     pub(super) fn is_retest(
         &self,
         table: &CapacityTable<ServerKey>,
--- a/crates/gateway/src/fleet_view/peer_loads.rs
+++ b/crates/gateway/src/fleet_view/peer_loads.rs
@@ -43,8 +43,8 @@
     }
 }
 
-/// Loads that the peers reported on one server. Their sum is kept, since each placement needs it for
-/// each server.
+/// Loads that the peers reported on one server. Their sum is kept, since each placement needs it
+/// for each server.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PeerLoads {
     /// Load of each peer and the time until which it is valid.
--- a/crates/gateway/src/overload/timer_delay.rs
+++ b/crates/gateway/src/overload/timer_delay.rs
@@ -9,12 +9,12 @@
 /// Delay below which it no longer does: a third of the shortest limit of a pause, 180 ms, since an
 /// event of a stream is delayed by up to two wake-ups and the server needs the rest.
 const END_DELAY: Duration = Duration::from_millis(60);
-/// Time constant of the moving average. At 500 ms of delay, the average then exceeds the limit within
-/// 1.2 s, the shortest time limit of a plain call.
+/// Time constant of the moving average. At 500 ms of delay, the average then exceeds the limit
+/// within 1.2 s, the shortest time limit of a plain call.
 const AVERAGING_TIME: Duration = Duration::from_secs(1);
 /// Maximum delay that one sample counts. A process that was frozen once has one large sample, which
-/// says nothing of its load: together with `MAX_SAMPLE_TIME`, it adds 155 ms, so that an average below
-/// `END_DELAY` stays below `BEGIN_DELAY`.
+/// says nothing of its load: together with `MAX_SAMPLE_TIME`, it adds 155 ms, so that an average
+/// below `END_DELAY` stays below `BEGIN_DELAY`.
 const MAX_SAMPLE: Duration = Duration::from_millis(600);
 /// Maximum time that one sample stands for.
 const MAX_SAMPLE_TIME: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/plain_calls/slot_wait.rs
+++ b/crates/gateway/src/plain_calls/slot_wait.rs
@@ -25,8 +25,8 @@
     Refused(GatewayFailure),
 }
 
-/// Returns whether a call waits for a slot: the plan has a deferrable route, its service has no engines, its route leaves time to
-/// wait, and the servers give their slots.
+/// Returns whether a call waits for a slot: the plan has a deferrable route, its service has no
+/// engines, its route leaves time to wait, and the servers give their slots.
 pub(crate) fn takes_effect(context: &GatewayContext, request: &CallerRequest) -> bool {
     takes_effect_in(&context.view(), request, context.clock.now())
 }
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -245,10 +245,10 @@
     }
 }
 
-/// Pattern: a long request waits that could begin soon, and then a burst of urgent ones at another VM
-/// takes all that becomes free.
-/// Guards against a request that is kept until its caller gives up although it is known earlier that
-/// it can't begin in time, and against a refusal that callers take for a run.
+/// Pattern: a long request waits that could begin soon, and then a burst of urgent ones at another
+/// VM takes all that becomes free.
+/// Guards against a request that is kept until its caller gives up although it is known earlier
+/// that it can't begin in time, and against a refusal that callers take for a run.
 #[tokio::test]
 async fn request_that_can_no_longer_be_served_is_refused_while_it_waits() {
     let context = busy_context(4_000);
--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -242,8 +242,8 @@
     assert_eq!(fleet.engines.requests().len(), 2, "the second run was given up");
 }
 
-/// Guards against an event with the largest ID, after which no other one can follow: the number of the
-/// next event overflowed, and the response ended as if it were complete (ORDER).
+/// Guards against an event with the largest ID, after which no other one can follow: the number of
+/// the next event overflowed, and the response ended as if it were complete (ORDER).
 #[tokio::test]
 async fn event_with_the_largest_id_has_no_number() {
     let largest = chunk("id: 18446744073709551615\ndata: word\n\n");
--- a/crates/gateway/tests/all/peer_load_sums.rs
+++ b/crates/gateway/tests/all/peer_load_sums.rs
@@ -141,8 +141,8 @@
     }
 }
 
-/// Guards against loads that are kept for as long as a server runs. A VM that restarts reports under
-/// another ID, so nothing replaces or removes its earlier load.
+/// Guards against loads that are kept for as long as a server runs. A VM that restarts reports
+/// under another ID, so nothing replaces or removes its earlier load.
 #[test]
 fn loads_of_ended_processes_are_dropped() {
     let mut state = ServerState::new("e0", record(ENGINES, "a", 8_000), 0, at(0));
--- a/crates/gateway/tests/all/placement_command.rs
+++ b/crates/gateway/tests/all/placement_command.rs
@@ -112,8 +112,8 @@
     format!("{view}\n{admission}\n{load}\n{crashes}\n{peers}\n{waiting}\n{metrics:#?}")
 }
 
-/// Guards against an answer that names another server than a request with the same figures gets, and
-/// against figures of the command line that do not reach the gateway.
+/// Guards against an answer that names another server than a request with the same figures gets,
+/// and against figures of the command line that do not reach the gateway.
 #[tokio::test]
 async fn command_names_the_server_that_the_request_gets() {
     let context = engine_context();
@@ -226,8 +226,8 @@
     assert_eq!(with.answer().route, "others");
 }
 
-/// Guards against a question that reserves load, counts a request, draws on a budget or joins a queue,
-/// whatever the outcome.
+/// Guards against a question that reserves load, counts a request, draws on a budget or joins a
+/// queue, whatever the outcome.
 #[tokio::test]
 async fn questions_change_no_state() {
     let context = engine_context();
@@ -250,8 +250,8 @@
     assert_eq!(state_of(&context), before);
 }
 
-/// Lets the only engine of the service with a deferrable route be full, and its memory become free at
-/// `per_second` tokens per second.
+/// Lets the only engine of the service with a deferrable route be full, and its memory become free
+/// at `per_second` tokens per second.
 fn busy_context(per_second: u64) -> Arc<GatewayContext> {
     let context = context(Arc::new(StubStore::default()));
     let now = context.clock.now();
--- a/crates/gateway/tests/all/speed_schedules.rs
+++ b/crates/gateway/tests/all/speed_schedules.rs
@@ -9,8 +9,8 @@
 /// Interval of reports.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Guards against speeds that are never sent in a small fleet under load: each report of a change of
-/// load postponed the next report at an interval, and only those contained speeds.
+/// Guards against speeds that are never sent in a small fleet under load: each report of a change
+/// of load postponed the next report at an interval, and only those contained speeds.
 #[test]
 fn reports_of_changes_contain_speeds_once_per_interval() {
     let mut schedule = SpeedSchedule::default();
--- a/tests/all/crashes.rs
+++ b/tests/all/crashes.rs
@@ -29,8 +29,8 @@
 const ENGINES: usize = 20;
 /// Output tokens of a request, which its engine generates in about 100 ms.
 const OUTPUT_TOKENS: u64 = 40;
-/// Streams that run when their engines end together. Each of the two VMs spreads its half over as many
-/// engines, and both may choose the same ones, since they see each other's streams late.
+/// Streams that run when their engines end together. Each of the two VMs spreads its half over as
+/// many engines, and both may choose the same ones, since they see each other's streams late.
 const STREAMS: usize = 10;
 /// Output tokens of such a stream, which its engine generates in about a second.
 const LONG_OUTPUT_TOKENS: u64 = 400;
--- a/tests/all/hard_load.rs
+++ b/tests/all/hard_load.rs
@@ -27,8 +27,8 @@
 const PHASE_TIME: Duration = Duration::from_millis(300);
 /// Number of slow phases.
 const PHASES: u32 = 10;
-/// Learned speed below which a server counts as slower than the others, in percent. A server that is
-/// 2.5 times slower has 40.
+/// Learned speed below which a server counts as slower than the others, in percent. A server that
+/// is 2.5 times slower has 40.
 const SLOW_SPEED: f64 = 70.0;
 /// Learned speed from which a server counts as fast as the others, in percent.
 const USUAL_SPEED: f64 = 85.0;
@@ -38,8 +38,8 @@
 /// to fade after 10 s without samples, in which some 400 requests are sent.
 const REQUESTS_LIMIT: u64 = 4_000;
 
-/// Time between two rounds of calls, one at each of four gateways. The servers need 400 ms for a round,
-/// so that calls have to wait within a few rounds.
+/// Time between two rounds of calls, one at each of four gateways. The servers need 400 ms for a
+/// round, so that calls have to wait within a few rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 /// Maximum number of rounds until a call waits.
 const ROUNDS_LIMIT: u32 = 40;
@@ -132,8 +132,8 @@
     fleet.close();
 }
 
-/// Guards against calls that are lost, run twice, or are refused although they ran, when half of the
-/// VMs are restarted one after the other while calls wait for slots.
+/// Guards against calls that are lost, run twice, or are refused although they ran, when half of
+/// the VMs are restarted one after the other while calls wait for slots.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn waiting_calls_survive_the_restart_of_half_of_the_vms() {
     // Two servers with one slot each that need 200 ms for a call.
--- a/tests/all/hard_load/load_fleet.rs
+++ b/tests/all/hard_load/load_fleet.rs
@@ -279,8 +279,8 @@
         .await
     }
 
-    /// Returns the learned speed of the slowest server that each gateway has measured, in percent of
-    /// the median.
+    /// Returns the learned speed of the slowest server that each gateway has measured, in percent
+    /// of the median.
     pub(crate) async fn slowest_speeds(&self) -> Vec<f64> {
         let mut speeds = Vec::new();
         for index in 0..self.gateways.len() {
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -1,7 +1,8 @@
 //! Soak test: real gateway processes under random faults, checked by comparing what callers
 //! received with what runners executed.
 //!
-//! `SOAK_SEEDS=FIRST..LAST` runs further seeds, with streams at all gateways; `SOAK_SECONDS` sets the duration of each run.
+//! `SOAK_SEEDS=FIRST..LAST` runs further seeds, with streams at all gateways; `SOAK_SECONDS` sets the
+//! duration of each run.
 
 mod gateway_choice;
 mod overlap_check;
--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -44,7 +44,8 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(12);
 /// Slots of a runner of service `desk`. Few, so that calls wait for them.
 const DESK_SLOTS: u32 = 2;
-/// Tokens that fit into an engine's memory. Few, so that streams wait while engines are slow or gone.
+/// Tokens that fit into an engine's memory. Few, so that streams wait while engines are slow or
+/// gone.
 const ENGINE_TOKENS: u64 = 20_000;
 /// Pace of a runner that is slow, and of one that is fast, in percent of the usual time.
 const SLOW_PACE: u32 = 250;
@@ -541,8 +542,8 @@
     }
 }
 
-/// Returns the manifest with a deferrable route and a resumable one, in which calls have time to wait
-/// for a slot.
+/// Returns the manifest with a deferrable route and a resumable one, in which calls have time to
+/// wait for a slot.
 fn hard_load_plan(plan: &ManifestSpec) -> Value {
     let mut plan = plan.to_json();
     for route in plan["routes"].as_array_mut().expect("a list of routes") {
--- a/tests/all/soak/soak_schedule.rs
+++ b/tests/all/soak/soak_schedule.rs
@@ -74,8 +74,8 @@
     SoakFault::LoadHeaderMissing,
 ];
 
-/// Faults of the main sequence. [`SoakFault::RunnerUnreachable`] and [`LOAD_FAULTS`] have sequences of
-/// their own, so that the main sequences of earlier seeds stay as they are.
+/// Faults of the main sequence. [`SoakFault::RunnerUnreachable`] and [`LOAD_FAULTS`] have sequences
+/// of their own, so that the main sequences of earlier seeds stay as they are.
 const FAULTS: [SoakFault; 16] = [
     SoakFault::Kill,
     SoakFault::Pause,
--- a/tests/all/support/usage_run.rs
+++ b/tests/all/support/usage_run.rs
@@ -2,8 +2,8 @@
 
 use std::ops::Range;
 
-/// Request that a fake server began to run. The gateway counted it at some time between the server's
-/// response and its arrival at the caller.
+/// Request that a fake server began to run. The gateway counted it at some time between the
+/// server's response and its arrival at the caller.
 #[derive(Debug, Clone)]
 pub(crate) struct UsageRun {
     pub(crate) team: String,
