--- a/crates/admission/tests/all/prospects.rs
+++ b/crates/admission/tests/all/prospects.rs
@@ -1,4 +1,4 @@
-//! Estimates of requests that wait already. Each test describes its load pattern.
+//! Repeated estimates of waiting requests. Each test describes its load pattern.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -48,8 +48,8 @@
 }
 
 /// Pattern: a burst of urgent requests begins while a long one waits.
-/// Guards against a request that is kept until its caller gives up although it is known earlier that
-/// it can't begin in time.
+/// Guards against a request that is kept until its caller gives up although it is known earlier
+/// that it can't begin in time.
 #[test]
 fn request_is_expected_to_wait_for_longer_when_urgent_demand_grows() {
     let (mut table, id) = waiting_table(5);
@@ -64,7 +64,8 @@
     assert!(after.exceeds(Duration::from_secs(13)), "{after:?}");
 }
 
-/// Pattern: a lasting overload. Behind a request that waits, as many arrive as are served before it.
+/// Pattern: a lasting overload. Behind a request that waits, as many arrive as are served before
+/// it.
 /// Guards against the refusal of a request because of others that go behind it.
 #[test]
 fn requests_that_arrive_later_do_not_lengthen_the_wait() {
@@ -107,8 +108,8 @@
 }
 
 /// Pattern: a request is the first over the fleet, and generations end now and then.
-/// Guards against an estimate that stays the same while the memory for the request gathers, and that
-/// refuses it just before it would begin.
+/// Guards against an estimate that stays the same while the memory for the request gathers, and
+/// that refuses it just before it would begin.
 #[test]
 fn first_request_lacks_less_as_memory_becomes_free() {
     let (mut table, id) = waiting_table(0);
@@ -126,8 +127,8 @@
 }
 
 /// Pattern: hundreds of requests wait at a small VM.
-/// Guards against estimates that take the processor time of the VM, and against a request that is
-/// refused so late that its caller gains nothing.
+/// Guards against estimates that use up the processor time of the VM, and against estimates so late
+/// that a refusal would gain the caller no time.
 #[test]
 fn rate_of_estimates_is_bounded() {
     let left = Duration::from_secs(5);
@@ -160,7 +161,7 @@
 
 /// Pattern: a request of a team with little use waits behind one that has waited for half of its
 /// maximum wait.
-/// Guards against an estimate that takes such a request for one that goes behind.
+/// Guards against an estimate that counts the aged requests as behind.
 #[test]
 fn requests_that_waited_for_long_are_ahead_whatever_the_team() {
     let mut table = AdmissionTable::default();
--- a/crates/capacity/src/time_model.rs
+++ b/crates/capacity/src/time_model.rs
@@ -12,15 +12,15 @@
 /// Number of servers whose samples a median should cover. A server that is alone at its number of
 /// requests would be compared with itself, and a change of its speed would be taken as usual.
 const SERVERS_WANTED: usize = 3;
-/// Number of servers without which a median says nothing of the speed of any of them.
+/// Minimum number of servers with which a median says something about the speed of each.
 const LEAST_SERVERS: usize = 2;
 
 /// Usual time of a piece of work at a server of the service, by the number of requests there.
 #[derive(Debug, Clone)]
 pub(crate) struct TimeModel<K> {
     buckets: Vec<SampleRing<K>>,
-    /// Usual time for each bucket and the number of servers whose samples it covers, computed when a
-    /// sample is added.
+    /// Usual time for each bucket and the number of servers whose samples it covers, computed when
+    /// a sample is added.
     usual: [Option<(f64, usize)>; BUCKETS],
 }
 
@@ -45,8 +45,8 @@
         self.usual[bucket_of(requests)].map(|(time_s, _)| time_s)
     }
 
-    /// Returns whether the usual time covers several servers. A server that is alone would be compared
-    /// with itself.
+    /// Returns whether the usual time covers several servers. A server that is alone would be
+    /// compared with itself.
     pub(crate) fn covers_several(&self, requests: u32) -> bool {
         self.usual[bucket_of(requests)].is_some_and(|(_, servers)| servers >= LEAST_SERVERS)
     }
--- a/crates/capacity/tests/all/speeds.rs
+++ b/crates/capacity/tests/all/speeds.rs
@@ -279,8 +279,8 @@
     assert!(table.speed(4, at(45_000)) > 0.85, "{}", table.speed(4, at(45_000)));
 }
 
-/// Guards against a learned speed that grows without end because only one of three servers gets calls:
-/// its results were compared with its own earlier ones, relative to a median of long ago.
+/// Guards against a learned speed that grows without end because only one of three servers gets
+/// calls: its results were compared with its own earlier ones, relative to a median of long ago.
 #[test]
 fn server_that_alone_gets_calls_is_not_compared_with_itself() {
     let mut table = CapacityTable::<u32>::default();
@@ -305,7 +305,7 @@
 }
 
 /// Guards against a placement by the outlook of another server: the cursor that a placement reads
-/// must say the same as the table in any order of keys, also of servers that are not known.
+/// must return the same as the table in any order of keys, also for unknown servers.
 #[test]
 fn cursor_says_the_same_as_the_table() {
     let mut table = CapacityTable::default();
--- a/crates/duties/src/count_copies.rs
+++ b/crates/duties/src/count_copies.rs
@@ -7,13 +7,14 @@
 /// Copy of the counts of one holder.
 #[derive(Debug, Clone)]
 struct CountCopy {
-    /// Number of the holder that sent them.
+    /// Holder number under which they were sent.
     number: u64,
     counter: UsageCounter,
 }
 
 /// Copies of the counts of holders, by the ID of their process. The counts that a holder keeps for
-/// itself would be lost with it, so it sends them to another VM, which sends them to the next holder.
+/// itself would be lost with it, so it sends them to another VM, which sends them to the next
+/// holder.
 #[derive(Debug, Clone, Default)]
 pub struct CountCopies {
     copies: BTreeMap<u64, CountCopy>,
@@ -40,8 +41,8 @@
         self.copies.retain(|_, copy| copy.counter.window_count() > 0);
     }
 
-    /// Returns the messages to send to holder `number`, with the counts of its predecessors. `frame`
-    /// holds the sender's other fields.
+    /// Returns the messages to send to holder `number`, with the counts of its predecessors.
+    /// `frame` holds the fields that don't concern the counts.
     pub fn messages(&mut self, number: u64, frame: &UsageNews) -> Vec<UsageNews> {
         let mut messages = Vec::new();
         for (boot, copy) in &mut self.copies {
--- a/crates/duties/tests/all/usage.rs
+++ b/crates/duties/tests/all/usage.rs
@@ -77,8 +77,8 @@
     assert_eq!(counts(&reports[0]), [("blue", 1), ("red", 1)]);
 }
 
-/// Guards against the loss of a holder's own counts with it, and against a report that waits for the
-/// lost holder.
+/// Guards against the loss of a holder's own counts with it, and against a report that waits for
+/// the lost holder.
 #[test]
 fn next_holder_gets_the_counts_of_a_lost_one() {
     let mut lost = UsageCounter::default();
@@ -135,10 +135,10 @@
     assert!(messages.iter().all(|news| news.complete_through < FIRST));
 }
 
-/// Guards against a holder that takes the first of several messages for all of them where a count
-/// fits into no message beside the waiting requests.
+/// Guards against a holder that treats the first of several messages as complete although the
+/// counts are in a later one, because they don't fit beside the waiting requests.
 #[test]
-fn large_counts_are_not_vouched_for_by_another_message() {
+fn no_message_reports_large_counts_of_another_as_complete() {
     let mut counter = UsageCounter::default();
     counter.note_holder(1, 0);
     counter.note_start(&"long".repeat(300), FIRST);
--- a/crates/gateway/src/plain_calls/slot_wait.rs
+++ b/crates/gateway/src/plain_calls/slot_wait.rs
@@ -25,13 +25,13 @@
     Refused(GatewayFailure),
 }
 
-/// Returns whether a call waits for a slot: the plan has a deferrable route, its service has no engines, its route leaves time to
-/// wait, and the servers give their slots.
+/// Returns whether a call waits for a slot: the plan has a deferrable route, its service has no
+/// engines, its route leaves time to wait, and the servers give their slots.
 pub(crate) fn takes_effect(context: &GatewayContext, request: &CallerRequest) -> bool {
     takes_effect_in(&context.view(), request, context.clock.now())
 }
 
-/// Returns the same for a view.
+/// Returns the same as [`takes_effect`], for a caller that holds the lock of the view.
 pub(crate) fn takes_effect_in(view: &FleetView, request: &CallerRequest, now: MonoTime) -> bool {
     let route = &request.route;
     if route.time_limit < route.latency_target * MIN_LIMIT_TARGETS {
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -245,10 +245,10 @@
     }
 }
 
-/// Pattern: a long request waits that could begin soon, and then a burst of urgent ones at another VM
-/// takes all that becomes free.
-/// Guards against a request that is kept until its caller gives up although it is known earlier that
-/// it can't begin in time, and against a refusal that callers take for a run.
+/// Pattern: a long request waits that could begin soon, and then a burst of urgent ones at another
+/// VM takes all that becomes free.
+/// Guards against a request that is kept until its caller gives up although it is known earlier
+/// that it can't begin in time, and against a refusal that callers take for a run.
 #[tokio::test]
 async fn request_that_can_no_longer_be_served_is_refused_while_it_waits() {
     let context = busy_context(4_000);
@@ -292,10 +292,10 @@
 }
 
 /// Pattern: a caller states a prompt of a billion tokens, and others wait behind its request.
-/// Guards against estimates for the others that are too long because of it: it gets one empty engine
-/// like any request that is larger than one.
+/// Guards against estimates for the others that are too long because of it: like any request that
+/// is larger than an engine, it needs one empty engine.
 #[tokio::test]
-async fn request_that_states_nonsense_does_not_lengthen_the_estimates_of_others() {
+async fn oversized_request_does_not_lengthen_the_estimates_of_others() {
     let context = busy_context(4_000);
     let huge = CallerRequest {
         demand: TokenDemand::estimate(1_000_000_000, 10, None),
