gateway: bound the tokens that a request may state

A caller that states 2^64 - 1 tokens made the sum of the memory to reserve overflow: a panic in debug builds, almost no reservation in others. Stated tokens now count up to 2^40. The preview of a waiting request in an explanation counts a request as one engine at most, as the wait queue does.

stated_tokens_are_bounded panics without the bound.

--- a/crates/gateway/src/explanation/turn_preview.rs
+++ b/crates/gateway/src/explanation/turn_preview.rs
@@ -6,7 +6,7 @@
 use dragonflycart_core::MonoTime;
 use tokio::time::Instant;
 
-use crate::{CallerRequest, GatewayContext};
+use crate::{CallerRequest, GatewayContext, admission::engine_tokens};
 
 /// Maximum number of waiting requests with which the queue is copied. Copying more would take
 /// longer than a placement, with the lock of the queue held.
@@ -34,6 +34,7 @@
         (maximum, room): (Duration, u64),
         now: MonoTime,
     ) -> TurnPreview {
+        let own = engine_tokens(context, request);
         let table = context.admission.table();
         let waiting = table.queue.count(&request.service);
         if table.queue.total() > COPIED_WAITERS {
@@ -41,7 +42,6 @@
         }
         let mut copy = table.clone();
         drop(table);
-        let own = request.demand.reserved_tokens();
         let target = request.route.latency_target;
         let arrived = context.clock.at(request.arrived);
         let waiter = Waiter {
@@ -59,7 +59,8 @@
             return TurnPreview { waiting, has_turn, gives_way: false, estimate: None };
         }
         let share = copy.urgent_share(id, &request.service, now);
-        let gives_way = share > 0 && GiveWay::default().gives_way(own, share, room, now);
+        let gives_way = share > 0
+            && GiveWay::default().gives_way(request.demand.reserved_tokens(), share, room, now);
         let late_in = (request.arrived + target).saturating_duration_since(Instant::now());
         let inputs = copy.estimate_inputs(id, (&request.service, own), late_in, room, now);
         let estimate = Some(WaitEstimate::from_inputs(inputs));
--- a/crates/gateway/src/token_demand.rs
+++ b/crates/gateway/src/token_demand.rs
@@ -17,6 +17,9 @@
 const RESERVED_FRACTION: f64 = 0.6;
 /// Expected output, as a fraction of the maximum, if the caller gives no estimate.
 const UNHINTED_FRACTION: f64 = 0.5;
+/// Maximum tokens of a prompt or an output that count. More than any engine holds, and so few that the
+/// sum over all requests of a VM does not overflow.
+const TOKENS_LIMIT: u64 = 1 << 40;
 
 impl TokenDemand {
     /// Builds the demand from a request's token counts and its caller's estimate.
@@ -25,7 +28,10 @@
             Some(hint) => (hint as f64 * HINT_FACTOR) as u64,
             None => (output_limit as f64 * UNHINTED_FRACTION) as u64,
         };
-        TokenDemand { prompt_tokens, output_tokens: expected.min(output_limit).max(1) }
+        TokenDemand {
+            prompt_tokens: prompt_tokens.min(TOKENS_LIMIT),
+            output_tokens: expected.min(output_limit).clamp(1, TOKENS_LIMIT),
+        }
     }
 
     /// Returns the expected output without the safety margin.
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use dragonflycart_gateway::{BodyBudget, RateLimiter, RetryBudget, RetryLimit};
+use dragonflycart_gateway::{BodyBudget, RateLimiter, RetryBudget, RetryLimit, TokenDemand};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -162,3 +162,16 @@
     assert!(second.grow(200));
     assert!(!second.grow(1));
 }
+
+/// Guards against sums of engine memory that overflow because a caller states more tokens than any
+/// engine holds.
+#[test]
+fn stated_tokens_are_bounded() {
+    let demand = TokenDemand::estimate(u64::MAX, u64::MAX, Some(u64::MAX));
+
+    let reserved = demand.reserved_tokens();
+
+    assert!(reserved >= 1 << 40, "less than a large engine holds: {reserved}");
+    // The requests of a VM together.
+    assert!(reserved.checked_mul(1 << 20).is_some(), "{reserved}");
+}
