gateway: log the streams that a planned stop cuts

Open streams are kept in a list, with what they wait for. Those that are left at the end of a planned stop are logged with their phase, the time since their last event and the time at which they were sent relative to the stop. 'stream: ended' states the same, and the engine.

No decision is changed.

--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -46,6 +46,11 @@
         self.moving.is_some()
     }
 
+    /// Returns whether the engine was asked to stop the generation and may have done so.
+    pub(crate) fn is_stop_asked(&self) -> bool {
+        self.stop.is_open()
+    }
+
     /// Waits until the engine is leaving, starts a move and waits for its outcome. This method is
     /// cancel safe: the returned future can be dropped and the method called again.
     pub async fn next(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -113,13 +113,21 @@
 
 async fn stop(context: &GatewayContext, caller_task: tokio::task::JoinHandle<()>) {
     let deadline = Instant::now() + context.settings.stop_grace.saturating_sub(STOP_MARGIN);
-    info!("gateway: planned stop begins");
+    info!(streams = context.streams.count(), "gateway: planned stop begins");
     context.begin_stop(deadline);
     tokio::time::sleep(LEAVE_TIME.min(context.settings.stop_grace / 2)).await;
     context.stop.send_replace(StopPhase::Ending);
     match tokio::time::timeout_at(deadline, caller_task).await {
         Ok(Ok(())) => info!("gateway: planned stop is complete"),
         Ok(Err(error)) => warn!(%error, "gateway: the front ended with an error"),
-        Err(_) => warn!("gateway: requests were open at the end of the grace period"),
+        Err(_) => {
+            if let Some(began) = context.stop_began() {
+                context.streams.log_cut(began);
+            }
+            warn!(
+                streams = context.streams.count(),
+                "gateway: requests were open at the end of the grace period"
+            );
+        }
     }
 }
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     BodyBudget, CallDispatcher, ConnectionPool, DutyPlatform, EngineAdmission, EngineProtocol,
-    FleetStore, FleetTables, FleetView, GatewayClock, GatewayMetrics, HeaderNames, PeerTable,
-    PlanFreshness, ResponseMemory, StopPhase, VmDuties, VmLoad, VmSettings,
+    FleetStore, FleetTables, FleetView, GatewayClock, GatewayMetrics, HeaderNames, OpenStreams,
+    PeerTable, PlanFreshness, ResponseMemory, StopPhase, VmDuties, VmLoad, VmSettings,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -60,6 +60,9 @@
     pub changes: watch::Sender<u64>,
     /// Progress of a planned stop.
     pub stop: watch::Sender<StopPhase>,
+    /// Streams that are relayed to callers.
+    pub streams: OpenStreams,
+    stop_began: OnceLock<Instant>,
     stop_deadline: OnceLock<Instant>,
 }
 
@@ -99,6 +102,8 @@
             boot: rand::random(),
             changes: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
+            streams: OpenStreams::default(),
+            stop_began: OnceLock::new(),
             stop_deadline: OnceLock::new(),
         }
     }
@@ -161,10 +166,16 @@
 
     /// Begins the planned stop. Requests still open at `deadline` are abandoned.
     pub fn begin_stop(&self, deadline: Instant) {
+        self.stop_began.get_or_init(Instant::now);
         self.stop_deadline.get_or_init(|| deadline);
         self.stop.send_replace(StopPhase::Leaving);
     }
 
+    /// Returns the time at which a planned stop began, or `None` if none has.
+    pub fn stop_began(&self) -> Option<Instant> {
+        self.stop_began.get().copied()
+    }
+
     /// Returns the time until a planned stop abandons open requests, or `None` if none has begun.
     pub fn time_to_stop(&self) -> Option<Duration> {
         self.stop_deadline.get().map(|deadline| deadline.duration_since(Instant::now()))
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     CallerRequest, CopyResponse, GatewayContext, GenerationReservation, Placement, PlacementQuery,
-    ResumeResult, ResumedGeneration, ServerKey, ServerReservation, StreamProgress,
+    ResumeResult, ResumedGeneration, ServerKey, ServerReservation, StreamPhase, StreamProgress,
     generation_resumer,
     moves::{
         CopyTiming, MoveSignals, MoveSource, ResumePermit, ResumeSource, SourceStop, StopCalls,
@@ -191,6 +191,7 @@
         }
         let was_asked = self.signals.stop.is_open();
         self.signals.stop.note_asked();
+        self.progress.enter(StreamPhase::Stopping);
         let stop = self.signals.source_stop.get_or_init(|| {
             SourceStop::start(StopCalls {
                 context: Arc::clone(&self.context),
@@ -456,6 +457,7 @@
             );
             if is_final {
                 self.signals.stop.note_asked();
+                self.progress.enter(StreamPhase::Stopping);
             }
             let asked_at = Instant::now();
             let response = call.send(self.source.address, COPY_TIMEOUT).await;
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -10,8 +10,8 @@
 use crate::{
     BodyError, BodySender, CallerRequest, ConnectionError, EngineWatcher, EventSplitter, EventStep,
     GatewayContext, GenerationReservation, MoveOutcome, PlannedRoute, RepeatDenial,
-    ResumedGeneration, RunEnd, ServerConnection, StreamEvent, StreamJoin, StreamMemory,
-    StreamProgress, StreamRuns,
+    ResumedGeneration, RunEnd, ServerConnection, StreamEntry, StreamEvent, StreamJoin,
+    StreamMemory, StreamPhase, StreamProgress, StreamRuns,
     containment::{RunState, run_check},
     resumption::{self, StreamRepeater},
     versions::RequestRun,
@@ -108,6 +108,7 @@
     idle_bytes: usize,
     longest_pause_ms: u64,
     tokens_per_event: u64,
+    entry: StreamEntry,
 }
 
 impl RelaySource {
@@ -140,6 +141,7 @@
     ) -> GenerationRelay {
         let engine = context.view().engine_spec(&request.service);
         let tokens_per_event = engine.map_or(1, |engine| u64::from(engine.tokens_per_event));
+        let entry = context.streams.add(&request.attempt, request.arrived, &progress);
         GenerationRelay {
             context: Arc::clone(context),
             request,
@@ -160,6 +162,7 @@
             idle_bytes: 0,
             longest_pause_ms: 0,
             tokens_per_event,
+            entry,
         }
     }
 
@@ -194,7 +197,10 @@
             biased;
             () = self.sender.closed() => StepOutcome::End(RelayEnd::CallerLeft),
             outcome = watcher.next(&self.request, reservation, &self.progress) => match outcome {
-                MoveOutcome::Stays => StepOutcome::Continue,
+                MoveOutcome::Stays => {
+                    self.progress.enter(StreamPhase::Reading);
+                    StepOutcome::Continue
+                }
                 MoveOutcome::Gone => self.repeat(RelayEnd::Broken).await,
                 MoveOutcome::Resumed(resumed) => StepOutcome::Resumed(resumed),
             },
@@ -357,6 +363,7 @@
     fn end_unless_open(&mut self, end: RelayEnd) -> StepOutcome {
         if end == RelayEnd::Silent && self.source.connection.is_some() {
             self.stalled_since = Instant::now();
+            self.progress.enter(StreamPhase::Reading);
             return StepOutcome::Continue;
         }
         StepOutcome::End(end)
@@ -374,6 +381,7 @@
             let engine = &self.source.reservation.engine;
             resumption::settle_loss(&self.context, &self.request, engine, &mut self.runs).await;
         }
+        self.progress.enter(StreamPhase::Repeating);
         let patience_end = self.progress_at + stream_patience(&self.request.route);
         let last_event = self.progress.last_event();
         let mut repeater = StreamRepeater::new(
@@ -416,6 +424,7 @@
         old.close_connection();
         old.run.close(RunEnd::Abandoned);
         old.reservation.close();
+        self.progress.enter(StreamPhase::Reading);
         self.splitter = EventSplitter::default();
         self.idle_bytes = 0;
         self.pace = None;
@@ -533,7 +542,7 @@
 
     async fn finish(self, end: RelayEnd) {
         let outcome = <&str>::from(end);
-        log_end(&self.context, &self.request, outcome, self.events, self.longest_pause_ms);
+        self.log_end(outcome);
         let RelaySource { reservation, connection, run, .. } = self.source;
         run.close(match end {
             RelayEnd::Complete => RunEnd::Good,
@@ -555,6 +564,29 @@
         if end != RelayEnd::CallerLeft && self.sender.send(last_piece).await.is_err() {
             info!(id = self.request.attempt, "stream: the caller left before its end was told");
         }
+        drop(self.entry);
+    }
+
+    fn log_end(&self, outcome: &'static str) {
+        let GenerationRelay { context, request, source, progress, .. } = self;
+        let total = request.arrived.elapsed();
+        context.metrics.count_request(request.route.kind.into(), outcome, total);
+        let stopping = context.stop_began().map(|began| began.elapsed());
+        info!(
+            id = request.attempt,
+            route = request.route.name,
+            server = source.reservation.engine.id(),
+            outcome,
+            phase = <&str>::from(progress.phase()),
+            is_stop_asked = source.watcher.is_stop_asked(),
+            events = self.events,
+            last_event = progress.last_event(),
+            longest_pause_ms = self.longest_pause_ms,
+            silent_ms = progress.silent_time().as_millis() as u64,
+            total_ms = total.as_millis() as u64,
+            stopping_ms = stopping.map(|time| time.as_millis() as u64),
+            "stream: ended"
+        );
     }
 }
 
@@ -564,22 +596,3 @@
     let pause = route.pause_target.unwrap_or_default();
     LEAST_PATIENCE.max(route.latency_target * PATIENCE_TARGETS).max(pause * PATIENCE_PAUSES)
 }
-
-fn log_end(
-    context: &GatewayContext,
-    request: &CallerRequest,
-    outcome: &'static str,
-    events: u64,
-    longest_pause_ms: u64,
-) {
-    context.metrics.count_request(request.route.kind.into(), outcome, request.arrived.elapsed());
-    info!(
-        id = request.attempt,
-        route = request.route.name,
-        outcome,
-        events,
-        longest_pause_ms,
-        total_ms = request.arrived.elapsed().as_millis() as u64,
-        "stream: ended"
-    );
-}
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     AttemptOutcome, CallerRequest, GatewayContext, GenerationReservation, OpenResponse, RunEnd,
-    ServerReservation, StreamProgress, SystemHeaders,
+    ServerReservation, StreamPhase, StreamProgress, SystemHeaders,
     moves::{ResumePermit, ResumeSource},
     response_relay, server_attempt,
 };
@@ -50,6 +50,7 @@
         last_event,
         is_return: permit.is_return(),
     };
+    progress.enter(StreamPhase::Resuming);
     let sent_at = Instant::now();
     info!(
         id = request.attempt,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 mod plain_calls;
 mod planned_route;
 mod planned_service;
+mod planned_stop;
 mod planned_team;
 mod rate_limiter;
 mod request_handler;
@@ -158,6 +159,7 @@
     },
     planned_route::PlannedRoute,
     planned_service::PlannedService,
+    planned_stop::{OpenStreams, StreamEntry, StreamPhase},
     planned_team::PlannedTeam,
     rate_limiter::RateLimiter,
     response_body::{BodyError, BodySender, ResponseBody, channel as response_body_channel},
--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -1,13 +1,16 @@
 //! Streams whose server was lost in the middle and that continue at another one.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use dragonflycart_containment::EngineRun;
 use dragonflycart_core::PromptPart;
 use dragonflycart_gateway::{
-    CallerCredential, FleetOrder, PlannedRoute, RouteKind, RoutePlan, StopPhase,
-    response_body_channel,
+    CallerCredential, FleetOrder, PlannedRoute, RouteKind, RoutePlan, StopPhase, StreamPhase,
+    StreamProgress, response_body_channel,
 };
 use http_body_util::BodyExt;
 
@@ -512,3 +515,27 @@
         assert_eq!(fleet.engines.requests().len(), 1);
     }
 }
+
+/// Guards against a stream that is missing from the list of those that a planned stop cuts, or that
+/// stays in it after its end, and against a wrong account of what it waited for.
+#[tokio::test]
+async fn open_streams_are_listed_with_what_they_wait_for() {
+    let held = vec![stream_head("first"), events(0..3), Piece::Hold];
+    let fleet = ResumableFleet::start(1, vec![held, rest(0..3)]).await;
+    let streams = &fleet.context.streams;
+    let progress = Arc::new(StreamProgress::new(None));
+    let entry = streams.add("a2", tokio::time::Instant::now(), &progress);
+
+    progress.advance(4);
+    progress.enter(StreamPhase::Resuming);
+    let response = fleet.send(fleet.request(resumable_route())).await.ok().unwrap();
+    let open = streams.count();
+    drop(entry);
+    drop(response);
+    while streams.count() > 0 {
+        tokio::time::sleep(NOTE_DELAY).await;
+    }
+
+    assert_eq!(open, 2);
+    assert_eq!((progress.phase(), progress.last_event()), (StreamPhase::Resuming, Some(4)));
+}
