tests: reproduce the ways in which this VM ends an accepted stream

Six tests without network show four ways in which the gateway itself ends a stream that its engine would have finished.

- a stream that may run again is withheld from another engine once the VM rejects new requests;
- a stream is ended because its engine is silent.

stream_is_continued_in_a_planned_stop_only_while_requests_are_served is replaced: it asked for the withheld run, to guard against runs that the end of the stop cuts off. The two tests in its place ask for the run in both phases if there is time for its first event, and for none in either phase if there is not.

--- a/crates/gateway/tests/all/continued_streams.rs
+++ b/crates/gateway/tests/all/continued_streams.rs
@@ -10,7 +10,7 @@
 use dragonflycart_core::PromptPart;
 use dragonflycart_gateway::{
     CallerCredential, FleetOrder, PlannedRoute, RouteKind, RoutePlan, StopPhase, StreamPhase,
-    StreamProgress, response_body_channel,
+    StreamProgress, response_body_channel, stream_patience,
 };
 use http_body_util::BodyExt;
 
@@ -380,21 +380,61 @@
     assert!(requests[1].closed.is_some(), "the connection is open");
 }
 
-/// Guards against runs that a planned stop of the VM would cut off.
+/// Runs a stream that is cut off in a planned stop of the VM, which ends after `time`.
+async fn run_in_a_planned_stop(phase: StopPhase, time: Duration) -> ReceivedStream {
+    let fleet = ResumableFleet::start(2, vec![cut_later(), rest(3..6)]).await;
+    let first_event = Duration::from_secs(1);
+    fleet.context.view().timing_mut(ENGINES).note_first_event(first_event);
+    let response = fleet.send(fleet.request(resumable_route())).await.ok().unwrap();
+
+    fleet.context.begin_stop(tokio::time::Instant::now() + time);
+    fleet.context.stop.send_replace(phase);
+    receive(response).await
+}
+
+/// Guards against a stream that was accepted before a planned stop and is cut off together with its
+/// server, because the VM accepts no new requests any more (LOST).
+#[tokio::test]
+async fn stream_is_continued_in_each_phase_of_a_planned_stop() {
+    for phase in [StopPhase::Leaving, StopPhase::Ending] {
+        let received = run_in_a_planned_stop(phase, Duration::from_secs(5)).await;
+
+        assert_eq!(received, whole(6), "{phase}");
+    }
+}
+
+/// Guards against runs that the end of a planned stop would cut off before their first event.
 #[tokio::test]
-async fn stream_is_continued_in_a_planned_stop_only_while_requests_are_served() {
-    for (phase, expected) in [(StopPhase::Leaving, whole(6)), (StopPhase::Ending, broken_after(3))]
-    {
-        let fleet = ResumableFleet::start(2, vec![cut_later(), rest(3..6)]).await;
-        let response = fleet.send(fleet.request(resumable_route())).await.ok().unwrap();
+async fn stream_is_not_continued_shortly_before_a_planned_stop_ends() {
+    for phase in [StopPhase::Leaving, StopPhase::Ending] {
+        let received = run_in_a_planned_stop(phase, Duration::from_millis(1_100)).await;
 
-        fleet.context.begin_stop(tokio::time::Instant::now() + Duration::from_secs(5));
-        fleet.context.stop.send_replace(phase);
+        assert_eq!(received, broken_after(3), "{phase}");
+    }
+}
 
-        assert_eq!(receive(response).await, expected, "{phase}");
+/// Route whose callers wait for two seconds.
+fn quick_route() -> PlannedRoute {
+    PlannedRoute {
+        latency_target: Duration::from_millis(100),
+        pause_target: Some(Duration::from_millis(50)),
+        ..route("reports", "/reports/", RouteKind::Stream, ENGINES)
     }
 }
 
+/// Guards against a stream that is ended because its engine is silent. The engine goes on, for example
+/// after it has preempted the generation, and whether to wait for it is the caller's choice (LOST).
+#[tokio::test]
+async fn stream_of_an_engine_that_is_silent_for_long_arrives_whole() {
+    let pause = stream_patience(&quick_route()) + CHANGE_TIME;
+    let silent = vec![stream_head("first"), events(0..3), Piece::Pause(pause), events(3..6), end()];
+    let fleet = ResumableFleet::start(1, vec![silent]).await;
+
+    let response = fleet.send(fleet.request(quick_route())).await.ok().unwrap();
+
+    assert_eq!(receive(response).await, whole(6));
+}
+
 /// Guards against a request that is sent under a key that was withdrawn since.
 #[tokio::test]
 async fn stream_is_not_continued_under_a_withdrawn_key() {
--- a/crates/gateway/tests/all/scripted_engine.rs
+++ b/crates/gateway/tests/all/scripted_engine.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -73,6 +76,7 @@
     /// Address.
     pub(crate) address: SocketAddr,
     calls: Arc<Mutex<EngineCalls>>,
+    is_full: Arc<AtomicBool>,
 }
 
 impl ScriptedEngine {
@@ -81,13 +85,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let calls = Arc::<Mutex<EngineCalls>>::default();
-        let served = Arc::clone(&calls);
+        let is_full = Arc::<AtomicBool>::default();
+        let (served, refuses) = (Arc::clone(&calls), Arc::clone(&is_full));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, script, Arc::clone(&served)));
+                tokio::spawn(serve(stream, script, Arc::clone(&served), Arc::clone(&refuses)));
             }
         });
-        ScriptedEngine { address, calls }
+        ScriptedEngine { address, calls, is_full }
+    }
+
+    /// Refuses all further resumptions.
+    pub(crate) fn fill(&self) {
+        self.is_full.store(true, Ordering::Release);
     }
 
     /// Returns what the engine was asked so far.
@@ -96,12 +106,18 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, script: EngineScript, calls: Arc<Mutex<EngineCalls>>) {
+async fn serve(
+    mut stream: TcpStream,
+    script: EngineScript,
+    calls: Arc<Mutex<EngineCalls>>,
+    is_full: Arc<AtomicBool>,
+) {
     let mut buffer = vec![0; 4_096];
     loop {
         let Ok(read @ 1..) = stream.read(&mut buffer).await else { return };
         let head = String::from_utf8_lossy(&buffer[..read]).into_owned();
-        let answer = answer(&head, script, &mut calls.lock().unwrap());
+        let is_full = is_full.load(Ordering::Acquire);
+        let answer = answer(&head, script, is_full, &mut calls.lock().unwrap());
         tokio::time::sleep(answer.delay).await;
         let Some(status) = answer.status else { return };
         let mark = if status == 503 { "x-not-run: 1" } else { "x-signature: s" };
@@ -116,7 +132,12 @@
     }
 }
 
-fn answer(head: &str, script: EngineScript, calls: &mut EngineCalls) -> EngineAnswer {
+fn answer(
+    head: &str,
+    script: EngineScript,
+    is_full: bool,
+    calls: &mut EngineCalls,
+) -> EngineAnswer {
     let in_turn = |answers: &[EngineAnswer], number: usize| answers[number.min(answers.len() - 1)];
     let path = head.split(' ').nth(1).unwrap_or_default();
     if path == FINAL_COPY {
@@ -134,5 +155,8 @@
         return EngineAnswer::UNKNOWN;
     };
     calls.resumptions.push(from.to_owned());
+    if is_full {
+        return EngineAnswer::REFUSED;
+    }
     in_turn(script.resumptions, calls.resumptions.len() - 1)
 }
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -5,7 +5,7 @@
 
 use dragonflycart_gateway::{
     CallerRequest, EngineWatcher, GatewayContext, GenerationReservation, MoveOutcome, RouteKind,
-    ServerRecord, StreamProgress,
+    ServerRecord, StopPhase, StreamProgress,
 };
 
 use crate::{
@@ -59,6 +59,23 @@
         watcher.recover(&self.request, &self.reservation, &self.progress).await
     }
 
+    /// Uses up the budget for resumptions.
+    fn use_budget_up(&self) {
+        let now = self.context.clock.now();
+        while self.context.view().take_resumption(ENGINES, now) {}
+    }
+
+    /// Makes it known that the backup engine is going to leave.
+    fn announce_backup_leaving(&self) {
+        let now = self.context.clock.now();
+        let backup = self.reservation.backup.as_ref().unwrap().server();
+        self.context.view().note_announced_leaving(backup, now);
+    }
+
+    async fn next(&self, watcher: &mut EngineWatcher) -> MoveOutcome {
+        watcher.next(&self.request, &self.reservation, &self.progress).await
+    }
+
     fn resumption_count(&self) -> usize {
         self.source.calls().resumptions.len() + self.backup.calls().resumptions.len()
     }
@@ -199,3 +216,54 @@
     assert_eq!(stream.backup.calls().resumptions, [format!("{}/h1", stream.source.address)]);
     assert_eq!(stream.resumption_count(), 1, "resumed twice");
 }
+
+/// Final copy that is answered after a test has changed something.
+const SLOW_COPY: &[EngineAnswer] = &[EngineAnswer::COPIED.after(Duration::from_millis(200))];
+
+/// Guards against a generation that is lost after its final copy although its engine retains its
+/// memory: the target began to leave during the copy and got no request, and the way back needed
+/// another permit of a budget that was used up (LOST).
+#[tokio::test]
+async fn generation_returns_if_its_target_leaves_during_the_final_copy() {
+    let stream = LostStream::start(script(SLOW_COPY, &[EngineAnswer::RESUMED])).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    start_final_copy(&stream, &mut watcher).await;
+    stream.use_budget_up();
+    stream.announce_backup_leaving();
+    let outcome = stream.next(&mut watcher).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the generation is lost");
+    assert_eq!(stream.source.calls().resumptions, [format!("{}/h1", stream.source.address)]);
+    assert!(stream.backup.calls().resumptions.is_empty(), "sent to an engine that leaves");
+}
+
+/// Guards against the same where the target refuses the generation for want of room (LOST).
+#[tokio::test]
+async fn generation_returns_if_its_target_refuses_it_and_the_budget_is_used_up() {
+    let stream = LostStream::start(script(SLOW_COPY, &[EngineAnswer::RESUMED])).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    start_final_copy(&stream, &mut watcher).await;
+    stream.use_budget_up();
+    stream.backup.fill();
+    let outcome = stream.next(&mut watcher).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the generation is lost");
+    assert_eq!(stream.backup.calls().resumptions, [format!("{}/h1", stream.source.address)]);
+    assert_eq!(stream.source.calls().resumptions, [format!("{}/h1", stream.source.address)]);
+}
+
+/// Guards against a resumption that is given up before a planned stop ends the process: its caller
+/// has received the head of the response and can get no other answer (LOST).
+#[tokio::test]
+async fn resumption_is_awaited_until_a_planned_stop_ends_the_process() {
+    const RESUMED_LATE: EngineAnswer = EngineAnswer::RESUMED.after(Duration::from_millis(150));
+    let stream = LostStream::start(script(&[EngineAnswer::COPIED], &[RESUMED_LATE])).await;
+
+    stream.context.begin_stop(tokio::time::Instant::now() + Duration::from_millis(200));
+    stream.context.stop.send_replace(StopPhase::Ending);
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the generation is lost");
+}
