gateway: let a stopped generation return to its engine without a further permit

Cause: a generation that moves is stopped by the final copy of its memory and goes on at the target or, failing that, at its engine, which retains the memory. The permit of the move was used up by the request to the target even if nothing was sent, because the target had begun to leave during the copy, and the way back needed a second one. In fleets of many VMs, the share of each is two or three permits in ten seconds, so none was left and the generation was given up.

A permit counts as used when the request is sent. A return is counted in the budget but not denied: there is at most one for each move, each move needs a permit that can be denied, and further resumptions wait until the budget has recovered (test returns_count).

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -555,6 +555,12 @@
         self.retry_budget(service, now).take_resumption(limit, now)
     }
 
+    /// Counts the resumption of a generation that the budget of its service can't deny.
+    pub fn note_resumption(&mut self, service: &str, now: MonoTime) {
+        let limit = self.retry_limit();
+        self.retry_budget(service, now).note_resumption(limit, now);
+    }
+
     fn retry_limit(&self) -> RetryLimit {
         RetryLimit {
             ratio: self.settings.retry_ratio,
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -15,8 +15,8 @@
 
 use crate::{
     CallerRequest, CopyResponse, GatewayContext, GenerationReservation, Placement, PlacementQuery,
-    ResumeResult, ResumedGeneration, ServerKey, ServerReservation, StreamPhase, StreamProgress,
-    generation_resumer,
+    ResumedGeneration, ServerKey, ServerReservation, StreamPhase, StreamProgress,
+    generation_resumer::{self, ResumeResult},
     moves::{
         CopyTiming, MoveSignals, MoveSource, ResumePermit, ResumeSource, SourceStop, StopCalls,
         StoppedSource,
@@ -151,7 +151,7 @@
         };
         self.tried.insert(key);
         let Some(placement) = self.place_at_backup(key).await else {
-            return self.return_to_source().await;
+            return self.return_to_source(None).await;
         };
         let reservation = ServerReservation::new(&self.context, placement);
         let Some(permit) = ResumePermit::take(&self.context, &self.request) else {
@@ -164,7 +164,7 @@
         let Some(stopped) = stopped else { return self.stay() };
         let retained = self.signals.source_stop.get().and_then(SourceStop::answer);
         if let Some(CopyResponse::Copied { handle }) = retained.and_then(|answer| answer.copy) {
-            return self.resume_retained(Some(reservation), &handle, Some(permit), stopped).await;
+            return self.resume_retained(Some(reservation), &handle, permit, stopped).await;
         }
         let resume_from = self.context.engine_protocol.resume_value(address, &self.request.attempt);
         let source = ResumeSource { resume_from: &resume_from, stopped };
@@ -180,7 +180,7 @@
         match result {
             ResumeResult::Resumed(resumed) => MoveOutcome::Resumed(resumed),
             ResumeResult::Failed => MoveOutcome::Gone,
-            ResumeResult::NotRun => self.return_to_source().await,
+            ResumeResult::NotRun(unused) => self.return_to_source(unused).await,
         }
     }
 
@@ -212,11 +212,14 @@
     }
 
     /// Returns a generation to its source, if that one has stopped it and retains its memory.
-    async fn return_to_source(&mut self) -> MoveOutcome {
+    /// `unused` is a permit of a resumption that was not sent.
+    async fn return_to_source(&mut self, unused: Option<ResumePermit>) -> MoveOutcome {
         let Some(stop) = self.signals.source_stop.get().cloned() else { return MoveOutcome::Stays };
         let Some(handle) = stop.wait_retained().await else { return self.stay() };
         let stopped = StoppedSource::after_retention(&self.context);
-        self.resume_retained(None, &handle, None, stopped).await
+        let permit =
+            unused.unwrap_or_else(|| ResumePermit::take_for_return(&self.context, &self.request));
+        self.resume_retained(None, &handle, permit, stopped).await
     }
 
     /// Resumes a generation from memory that its source retains after a stop.
@@ -224,7 +227,7 @@
         &mut self,
         target: Option<ServerReservation>,
         handle: &str,
-        permit: Option<ResumePermit>,
+        permit: ResumePermit,
         stopped: StoppedSource,
     ) -> MoveOutcome {
         let outcome = self.resume(target, handle, permit, stopped).await;
@@ -334,10 +337,10 @@
                 copy.as_ref().and_then(|copy| StoppedSource::after_final_copy(&self.context, copy));
             return match (copy, stopped) {
                 (Some(CopyResponse::Copied { handle }), Some(stopped)) => {
-                    self.resume(Some(target), &handle, Some(permit), stopped).await
+                    self.resume(Some(target), &handle, permit, stopped).await
                 }
                 (Some(CopyResponse::NoRoom { handle: Some(handle) }), Some(stopped)) => {
-                    self.resume(None, &handle, Some(permit), stopped).await
+                    self.resume(None, &handle, permit, stopped).await
                 }
                 _ => MoveOutcome::Stays,
             };
@@ -387,7 +390,7 @@
         &mut self,
         target: Option<ServerReservation>,
         handle: &str,
-        mut unused: Option<ResumePermit>,
+        permit: ResumePermit,
         stopped: StoppedSource,
     ) -> MoveOutcome {
         let resume_from = self.context.engine_protocol.resume_value(self.source.address, handle);
@@ -401,9 +404,11 @@
             may_return.then(|| view.reserve_leaving(self.source.server, &query, now)).flatten()
         };
         let source = source.map(|placement| ServerReservation::new(&self.context, placement));
+        let mut unused = Some(permit);
         for reservation in [target, source].into_iter().flatten() {
-            let permit = unused.take().or_else(|| ResumePermit::take(&self.context, &self.request));
-            let Some(mut permit) = permit else { break };
+            let mut permit = unused
+                .take()
+                .unwrap_or_else(|| ResumePermit::take_for_return(&self.context, &self.request));
             if reservation.server() == self.source.server {
                 permit = permit.for_return();
             }
@@ -418,7 +423,7 @@
             .await;
             match result {
                 ResumeResult::Resumed(resumed) => return MoveOutcome::Resumed(resumed),
-                ResumeResult::NotRun => {}
+                ResumeResult::NotRun(permit) => unused = permit,
                 ResumeResult::Failed => return MoveOutcome::Gone,
             }
         }
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -21,17 +21,18 @@
 }
 
 /// Result of an attempt to resume a generation.
-pub enum ResumeResult {
+pub(crate) enum ResumeResult {
     /// The generation was resumed.
     Resumed(Box<ResumedGeneration>),
-    /// The engine did not run the request; another one may be tried.
-    NotRun,
+    /// The engine did not run the request; another one may be tried. Holds the permit if nothing was
+    /// sent.
+    NotRun(Option<ResumePermit>),
     /// The engine may have run the request, so no other one may be tried.
     Failed,
 }
 
 /// Asks a reserved engine to resume a generation from `source`.
-pub async fn resume(
+pub(crate) async fn resume(
     context: &Arc<GatewayContext>,
     request: &CallerRequest,
     engine: ServerReservation,
@@ -61,7 +62,7 @@
     );
     let outcome = server_attempt::offer(context, request, &reservation.engine, fields).await;
     let waited_ms = sent_at.elapsed().as_millis() as u64;
-    let (result, is_run) = match outcome {
+    let (reason, result): (&'static str, _) = match outcome {
         AttemptOutcome::Answered(response)
             if response.head.status.is_success()
                 && response_relay::is_genuine(&context.names, &response.head) =>
@@ -81,21 +82,21 @@
         AttemptOutcome::Answered(response) => {
             response.run.close(RunEnd::Failed);
             response.connection.close();
-            ("failed", true)
+            ("failed", ResumeResult::Failed)
         }
-        AttemptOutcome::NotSent(error) => (error.into(), false),
-        AttemptOutcome::Withheld(_) => ("withheld", false),
-        AttemptOutcome::ServerWithdrawn => ("withdrawn", false),
-        AttemptOutcome::Refused { .. } => ("refused", false),
-        AttemptOutcome::Lost(error) => (error.into(), true),
+        AttemptOutcome::NotSent(error) => (error.into(), ResumeResult::NotRun(Some(permit))),
+        AttemptOutcome::Withheld(_) => ("withheld", ResumeResult::NotRun(Some(permit))),
+        AttemptOutcome::ServerWithdrawn => ("withdrawn", ResumeResult::NotRun(Some(permit))),
+        AttemptOutcome::Refused { .. } => ("refused", ResumeResult::NotRun(None)),
+        AttemptOutcome::Lost(error) => (error.into(), ResumeResult::Failed),
     };
     info!(
         id = request.attempt,
         server = reservation.engine.id(),
-        result,
+        result = reason,
         waited_ms,
         "stream: not resumed"
     );
     reservation.close();
-    if is_run { ResumeResult::Failed } else { ResumeResult::NotRun }
+    result
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -136,7 +136,7 @@
     generation_mover::{GenerationMover, MoveOutcome, MoveReason},
     generation_relay::{GenerationRelay, RelaySource, stream_patience},
     generation_reservation::GenerationReservation,
-    generation_resumer::{ResumeResult, ResumedGeneration},
+    generation_resumer::ResumedGeneration,
     generation_timing::GenerationTiming,
     header_names::HeaderNames,
     http_call::HttpCall,
--- a/crates/gateway/src/moves/resume_permit.rs
+++ b/crates/gateway/src/moves/resume_permit.rs
@@ -5,7 +5,7 @@
 use crate::{CallerRequest, GatewayContext};
 
 /// Permit to resume a generation on an engine, taken from the retry budget of its service. A
-/// generation must not be stopped for a move without it.
+/// generation must not be stopped for a move without it. It is used when the request is sent.
 pub(crate) struct ResumePermit {
     is_return: bool,
 }
@@ -20,6 +20,16 @@
         None
     }
 
+    /// Takes a permit to return to the engine at which the generation was stopped. It is counted but
+    /// not denied: a stopped generation can go on only there after its target has refused it.
+    pub(crate) fn take_for_return(
+        context: &GatewayContext,
+        request: &CallerRequest,
+    ) -> ResumePermit {
+        context.view().note_resumption(&request.service, context.clock.now());
+        ResumePermit { is_return: true }
+    }
+
     /// Makes this a permit to return to the engine at which the generation was stopped, which may be
     /// leaving.
     pub(crate) fn for_return(self) -> ResumePermit {
--- a/crates/gateway/src/retries/retry_budget.rs
+++ b/crates/gateway/src/retries/retry_budget.rs
@@ -93,6 +93,12 @@
         true
     }
 
+    /// Counts a generation that resumes whatever the budget allows.
+    pub fn note_resumption(&mut self, limit: RetryLimit, now: MonoTime) {
+        self.fill(limit, now);
+        self.spend(now);
+    }
+
     fn spend(&mut self, now: MonoTime) {
         self.available -= 1.0;
         self.retries.push_back(now);
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -63,6 +63,21 @@
     assert!(!retries.take_retry(limit, at(19_000)));
 }
 
+/// Guards against returns of stopped generations, which are never denied, that come on top of all
+/// resumptions that are allowed (BUDGET).
+#[test]
+fn returns_count() {
+    let limit = limit(0.0, 10.0, 1);
+    let mut retries = RetryBudget::new(WINDOW, at(0));
+    for _ in 0..4 {
+        retries.note_resumption(limit, at(10_000));
+    }
+    let resumed = (0..20).filter(|_| retries.take_resumption(limit, at(10_000))).count();
+
+    assert_eq!(resumed, 6, "returns leave less for other resumptions");
+    assert!(!retries.take_retry(limit, at(10_001)));
+}
+
 /// Guards against a budget that each start of a process fills again (BUDGET): VMs are killed and
 /// restarted at any time while each request fails, and send as many retries as they may.
 #[test]
