gateway: await the resumption of a begun stream until the process ends

Cause: 0.2 s before the end of the stop, each wait for a server ends, so that the caller gets a 502. The caller of a begun stream has received the head of its response and gets no other answer.

Such a resumption is awaited until the request's deadline. The test without network failed before.

--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -141,6 +141,7 @@
     ) -> GenerationRelay {
         let engine = context.view().engine_spec(&request.service);
         let tokens_per_event = engine.map_or(1, |engine| u64::from(engine.tokens_per_event));
+        progress.begin();
         let entry = context.streams.add(&request.attempt, request.arrived, &progress);
         GenerationRelay {
             context: Arc::clone(context),
--- a/crates/gateway/src/generation_resumer.rs
+++ b/crates/gateway/src/generation_resumer.rs
@@ -50,7 +50,7 @@
         backup_at: backup_at.as_deref(),
         last_event,
         is_return: permit.is_return(),
-        is_begun: false,
+        is_begun: progress.is_begun(),
     };
     progress.enter(StreamPhase::Resuming);
     let sent_at = Instant::now();
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -83,7 +83,13 @@
         run_load(request, reservation, fields),
     );
     let exchange = connection.exchange(&head, &request.body, Some(echo));
-    let response = match await_server(context, request, exchange).await {
+    let result = if fields.is_begun {
+        // The caller can't get another answer before the process ends.
+        await_deadline(request, exchange).await
+    } else {
+        await_server(context, request, exchange).await
+    };
+    let response = match result {
         Ok(response) => response,
         Err(ConnectionError::Stopping) => {
             connection.close();
@@ -149,13 +155,19 @@
 ) -> Result<T, ConnectionError> {
     tokio::select! {
         biased;
-        result = tokio::time::timeout_at(request.deadline, response) => {
-            result.unwrap_or(Err(ConnectionError::TimedOut))
-        }
+        result = await_deadline(request, response) => result,
         () = context.last_answer_time() => Err(ConnectionError::Stopping),
     }
 }
 
+async fn await_deadline<T>(
+    request: &CallerRequest,
+    response: impl Future<Output = Result<T, ConnectionError>>,
+) -> Result<T, ConnectionError> {
+    let result = tokio::time::timeout_at(request.deadline, response).await;
+    result.unwrap_or(Err(ConnectionError::TimedOut))
+}
+
 /// Checks that a request may still be sent. Requests wait in several places, the last of them being
 /// the connection, so all are checked here.
 fn check_request(
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -17,6 +17,7 @@
 pub struct StreamProgress {
     /// ID of the last event plus one; zero if there is none.
     next: AtomicU64,
+    is_begun: AtomicBool,
     times: Mutex<PhaseTimes>,
 }
 
@@ -33,6 +34,7 @@
         let now = Instant::now();
         StreamProgress {
             next: AtomicU64::new(last.map_or(0, |last| last + 1)),
+            is_begun: AtomicBool::new(false),
             times: Mutex::new(PhaseTimes {
                 phase: StreamPhase::default(),
                 since: now,
@@ -41,6 +43,16 @@
         }
     }
 
+    /// Records that the caller gets the head of the response.
+    pub fn begin(&self) {
+        self.is_begun.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the caller gets or has got the head of the response.
+    pub fn is_begun(&self) -> bool {
+        self.is_begun.load(Ordering::Relaxed)
+    }
+
     /// Records that an event was forwarded.
     pub fn advance(&self, id: u64) {
         self.next.store(id + 1, Ordering::Relaxed);
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -50,6 +50,7 @@
             engines.reverse();
         }
         let progress = Arc::new(StreamProgress::new(None));
+        progress.begin();
         progress.advance(LAST_EVENT);
         let (backup, source) = (engines.pop().unwrap(), engines.pop().unwrap());
         LostStream { context, request, reservation, progress, source, backup }
