gateway: do not end a stream because its engine is silent

An engine is silent for that long after it has preempted a generation for want of memory.

Cause: the relay ended such a stream itself, a moment before its caller would have decided to leave or to wait.

A silent stream stays open until its caller leaves or its time limit. The engine's failure is recorded as before, so that versions that hang are still rolled back, and the stream is resumed elsewhere only as long as before, since each attempt draws on the retry budget. A stream whose engine sends bytes without an event ends as before.

--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -23,7 +23,8 @@
 /// Time after which a stalled stream is resumed on another engine if the route has no pause target.
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Minimum time without progress after which callers abandon a stream, also before its first event.
+/// Minimum time without progress after which callers may abandon a stream, also before its first
+/// event.
 const LEAST_PATIENCE: Duration = Duration::from_secs(2);
 /// The same as a multiple of the route's latency target.
 const PATIENCE_TARGETS: u32 = 4;
@@ -51,7 +52,7 @@
     CallerLeft,
     /// The connection to the engine was lost.
     Broken,
-    /// The engine was silent for too long.
+    /// The engine sent no event for too long.
     Silent,
     /// Event IDs are missing in the sequence.
     Gap,
@@ -104,6 +105,10 @@
     stalled_since: Instant,
     /// Time of the last event that advances the stream.
     progress_at: Instant,
+    /// Time at which its callers may have lost patience next.
+    patience_end: Instant,
+    /// Time at which the last bytes of the engine arrived.
+    bytes_at: Instant,
     /// Bytes received since then.
     idle_bytes: usize,
     longest_pause_ms: u64,
@@ -142,6 +147,7 @@
         let engine = context.view().engine_spec(&request.service);
         let tokens_per_event = engine.map_or(1, |engine| u64::from(engine.tokens_per_event));
         progress.begin();
+        let patience = stream_patience(&request.route);
         let entry = context.streams.add(&request.attempt, request.arrived, &progress);
         GenerationRelay {
             context: Arc::clone(context),
@@ -160,6 +166,8 @@
             last_event_at: Instant::now(),
             stalled_since: Instant::now(),
             progress_at: Instant::now(),
+            patience_end: Instant::now() + patience,
+            bytes_at: Instant::now(),
             idle_bytes: 0,
             longest_pause_ms: 0,
             tokens_per_event,
@@ -189,11 +197,13 @@
     async fn step(&mut self) -> StepOutcome {
         let stall_deadline = self.stalled_since + self.stall_limit();
         let RelaySource { reservation, watcher, connection, .. } = &mut self.source;
-        let patience = stream_patience(&self.request.route);
         let can_repeat = self.request.route.may_repeat()
             && self.join.can_continue()
             && !self.runs.are_used_up(&self.request.route);
-        let can_recover = self.events > 0 && (reservation.backup.is_some() || can_repeat);
+        // Each attempt draws on the retry budget.
+        let has_patience = Instant::now() < self.progress_at + stream_patience(&self.request.route);
+        let can_recover =
+            self.events > 0 && has_patience && (reservation.backup.is_some() || can_repeat);
         tokio::select! {
             biased;
             () = self.sender.closed() => StepOutcome::End(RelayEnd::CallerLeft),
@@ -209,15 +219,33 @@
             () = tokio::time::sleep_until(stall_deadline), if can_recover => {
                 self.recover(RelayEnd::Silent).await
             }
-            () = tokio::time::sleep_until(self.progress_at + patience) => {
-                StepOutcome::End(RelayEnd::Silent)
-            }
+            () = tokio::time::sleep_until(self.patience_end) => self.check_bytes(),
             () = tokio::time::sleep_until(self.request.deadline) => {
                 StepOutcome::End(RelayEnd::TimedOut)
             }
         }
     }
 
+    /// Ends a stream whose engine sends bytes without an event for as long as callers wait. A silent
+    /// engine may go on, for example after it has preempted the generation. Its callers decide whether
+    /// to wait until the deadline.
+    fn check_bytes(&mut self) -> StepOutcome {
+        let patience = stream_patience(&self.request.route);
+        if self.bytes_at > self.progress_at && self.bytes_at.elapsed() < patience / 2 {
+            return StepOutcome::End(RelayEnd::Silent);
+        }
+        info!(
+            id = self.request.attempt,
+            server = self.source.reservation.engine.id(),
+            events = self.events,
+            silent_ms = self.progress_at.elapsed().as_millis() as u64,
+            "stream: engine is silent"
+        );
+        self.source.run.note_failure();
+        self.patience_end = Instant::now() + patience;
+        StepOutcome::Continue
+    }
+
     /// Returns the time without an event after which the stream is resumed on another engine.
     fn stall_limit(&self) -> Duration {
         let route = &self.request.route;
@@ -233,6 +261,7 @@
                     return StepOutcome::End(end);
                 }
                 self.idle_bytes += bytes.len();
+                self.bytes_at = Instant::now();
                 self.splitter.push(&bytes);
                 match self.forward_events().await {
                     StepOutcome::Continue if self.idle_bytes > IDLE_LIMIT_BYTES => {
@@ -524,6 +553,7 @@
         self.last_event_at = now;
         self.stalled_since = self.last_event_at;
         self.progress_at = self.last_event_at;
+        self.patience_end = self.progress_at + stream_patience(&self.request.route);
         self.idle_bytes = 0;
     }
 
