gateway: find out what became of a final copy without an answer

Cause: a final copy stops the generation at its engine before it is answered. If no answer came, because the connection was lost or the copy took longer than 1.8 s, the move ended as if the generation had stayed. Its stream was over by then, and the memory that the engine retains was not used. Only generations with a backup copy were told to stop again.

The engine is asked again, as after a lost response, and the generation goes on from the memory that it retains. An engine that has ended is found at once. The test without network failed before.

--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -342,12 +342,26 @@
                 (Some(CopyResponse::NoRoom { handle: Some(handle) }), Some(stopped)) => {
                     self.resume(None, &handle, permit, stopped).await
                 }
+                (None, _) => self.settle_final_copy(target, permit).await,
                 _ => MoveOutcome::Stays,
             };
         }
         MoveOutcome::Stays
     }
 
+    /// Finds out what became of a final copy without an answer: an engine that works on may have
+    /// stopped the generation, and retains its memory then.
+    async fn settle_final_copy(
+        &mut self,
+        target: ServerReservation,
+        permit: ResumePermit,
+    ) -> MoveOutcome {
+        let Some(stopped) = self.stop_source(target.address()).await else { return self.stay() };
+        let Some(stop) = self.signals.source_stop.get().cloned() else { return MoveOutcome::Stays };
+        let Some(handle) = stop.wait_retained().await else { return MoveOutcome::Stays };
+        self.resume_retained(Some(target), &handle, permit, stopped).await
+    }
+
     /// Waits until the final copy, during which the generation is stopped, will not be delayed by
     /// first copies of other generations. If there is not enough time for all generations, a final
     /// copy within its time slot starts at once, since a late first copy of another generation
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -255,6 +255,22 @@
     assert_eq!(stream.source.calls().resumptions, [format!("{}/h1", stream.source.address)]);
 }
 
+/// Guards against a generation that is lost because the answer to its final copy was lost: its engine
+/// works on, and retains the memory of the generation that it has stopped (LOST).
+#[tokio::test]
+async fn generation_goes_on_after_the_answer_to_its_final_copy_was_lost() {
+    let copies = &[EngineAnswer::LOST, EngineAnswer::COPIED];
+    let stream = LostStream::start(script(copies, &[EngineAnswer::RESUMED])).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    start_final_copy(&stream, &mut watcher).await;
+    let outcome = stream.next(&mut watcher).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the generation is lost");
+    assert_eq!(stream.backup.calls().resumptions, [format!("{}/h1", stream.source.address)]);
+    assert_eq!(stream.resumption_count(), 1, "resumed twice");
+}
+
 /// Guards against a resumption that is given up before a planned stop ends the process: its caller
 /// has received the head of the response and can get no other answer (LOST).
 #[tokio::test]
