tests: let streams end before the grace period of a planned stop is over

These are 742 of 750 events, made in the 8.2 s from the request to the end of the grace period (7.7 s after SIGTERM), 11 ms each. The stand-in engine is meant to make one in 8 ms.

Trace on with the gateway's log kept: beside 16 and 24 busy processes, 3 of 4 runs failed, and each log has only "requests were open at the end of the grace period", 7.70 s after "planned stop begins". In two more runs of the same test beside 24 busy processes, with the engine's record printed, all 12 streams were cut 7.70 s after SIGTERM; the gateway had passed on all events but the one that the engine made after the cut, 680 to 733 of 750, and the engine was at work until then. Without busy processes, each event took about 9.4 ms, and the streams ended 6.6 s after SIGTERM.

The engine now makes events at a tenth of the pace, 80 of them in 6.4 s, so that a delay of some milliseconds with each one does not add up to seconds. With the grace period set to 6 s, the test fails as it did before.

--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -198,6 +198,12 @@
         self.runners.iter().filter(|runner| runner.has_crashed()).count()
     }
 
+    /// Sets how long the work of a runner takes from now on, in percent of the usual time.
+    pub(crate) fn set_pace(&self, id: &str, pace: u32) {
+        let runner = self.runners.iter().find(|runner| runner.id() == id);
+        runner.expect("a runner of this name").set_pace(pace);
+    }
+
     /// Lets a runner announce that it is going to exit.
     pub(crate) fn drain(&self, id: &str) {
         let runner = self.runners.iter().find(|runner| runner.id() == id);
