tests: list a stream that ends in an engine's silence in a planned stop as red

Callers see a stream end without its last event when its engine writes nothing for longer than `stream_patience` in a planned stop, although the engine writes the rest well within the grace period. The relay ends such a stream with `RelayEnd::Silent` whether the gateway stops or not.

The test lets a stand-in engine make a stream of 2 s, of which the second half is sent 3 s late. The time of a stand-in's silence becomes an option for it.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod matrix;
 mod moves;
 mod placements;
+mod planned_stops;
 mod plans;
 mod reclaims;
 mod repeats;
--- a/tests/all/soak/soak_fleet.rs
+++ b/tests/all/soak/soak_fleet.rs
@@ -175,6 +175,7 @@
             drops_requests: (self.next_runner / 4).is_multiple_of(2),
             late_head_percent: self.runner_faults.late_head_percent,
             silent_percent: self.runner_faults.silent_percent,
+            ..GenerationOptions::default()
         };
         let options = RunnerOptions {
             id: format!("i-{}", self.next_runner),
--- a/tests/all/support/gateway_fleet.rs
+++ b/tests/all/support/gateway_fleet.rs
@@ -169,6 +169,24 @@
         id: &str,
         part: Option<&str>,
         crash_point: CrashPoint,
+    ) {
+        let generations = GenerationOptions::default();
+        self.start_engine(id, part, crash_point, generations).await;
+    }
+
+    /// Starts another engine, whose streams are all silent for a time from their middle on.
+    pub(crate) async fn add_silent_engine(&mut self, id: &str, silent_time: Duration) {
+        let generations =
+            GenerationOptions { silent_percent: 100, silent_time, ..GenerationOptions::default() };
+        self.start_engine(id, None, CrashPoint::AfterEvents, generations).await;
+    }
+
+    async fn start_engine(
+        &mut self,
+        id: &str,
+        crashes_on: Option<&str>,
+        crash_point: CrashPoint,
+        generations: GenerationOptions,
     ) {
         let engine = RunnerOptions {
             id: id.to_owned(),
@@ -179,9 +197,9 @@
             version: "v1".to_owned(),
             failure_percent: 0,
             failure: RunnerFailure::Error,
-            crashes_on: part.map(str::to_owned),
+            crashes_on: crashes_on.map(str::to_owned),
             crash_point,
-            generations: GenerationOptions::default(),
+            generations,
         };
         self.runners.push(FakeRunner::start(engine, &self.log, 9).await);
         self.heartbeat();
