tests: list a resumable stream that does not run again in a planned stop as red

From `StopPhase::Ending` on, `server_attempt::check_request` withholds each offer that does not resume from a copy, so also that of a stream which has begun.

The test crashes one of four engines without backups as soon as the gateway accepts no connection any more, while eight streams run.

--- a/tests/all/planned_stops.rs
+++ b/tests/all/planned_stops.rs
@@ -1,11 +1,11 @@
-//! Tests of real gateway processes with streams whose engine falls silent while their gateway is in a
-//! planned stop.
+//! Tests of real gateway processes with streams whose engine fails or falls silent while their
+//! gateway is in a planned stop.
 
 use std::time::Duration;
 
 use dragonflycart_standins::{CallerResponse, ManifestSpec, send};
 use serde_json::Value;
-use tokio::{task::JoinSet, time::Instant};
+use tokio::{net::TcpStream, task::JoinSet, time::Instant};
 
 use crate::support::{GatewayFleet, unframed_fleet::event_ids};
 
@@ -16,6 +16,11 @@
 const SILENT_TIME: Duration = Duration::from_secs(3);
 /// Output of the silent stream, which an engine generates in two seconds.
 const SILENT_TOKENS: u64 = 1_000;
+/// Output of the other streams, which takes longer than new requests are accepted after SIGTERM and
+/// ends long before the end of the grace period.
+const OUTPUT_TOKENS: u64 = 1_800;
+/// Number of these streams.
+const STREAMS: usize = 8;
 /// Number of tokens in each event.
 const TOKENS_PER_EVENT: u64 = 4;
 /// Interval at which engines renew their registrations.
@@ -39,6 +44,20 @@
     }
 }
 
+/// Waits until the planned stop of a gateway has come so far that it accepts no connection.
+async fn wait_closed(fleet: &mut GatewayFleet, index: usize) {
+    let start = Instant::now();
+    let mut next_heartbeat = start;
+    while TcpStream::connect(fleet.gateways[index].http_address).await.is_ok() {
+        assert!(start.elapsed() < CONDITION_TIMEOUT, "the gateway still accepts connections");
+        if Instant::now() >= next_heartbeat {
+            fleet.heartbeat();
+            next_heartbeat += HEARTBEAT;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Waits for the responses while the engines renew their registrations.
 async fn wait_ends(
     fleet: &mut GatewayFleet,
@@ -101,3 +120,42 @@
     assert!(is_whole(response, SILENT_TOKENS), "ended after {count} events, in the silence");
     fleet.close();
 }
+
+/// Guards against a stream of a resumable route that is lost with its engine because its gateway is
+/// in a planned stop, although another engine could run it again within the grace period (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resumable_stream_whose_engine_crashes_in_a_planned_stop_runs_again_at_another_one() {
+    let mut fleet = GatewayFleet::start("stop-crash", 0).await;
+    for id in ["i-second", "i-third", "i-fourth"] {
+        fleet.add_engine(id).await;
+    }
+    let mut plan = plan();
+    plan["routes"][0]["resumable"] = true.into();
+    plan["services"][0]["engine"]["backups"] = false.into();
+    plan["services"][0]["engine"]["moves"] = false.into();
+    fleet.store.put_order("config", &plan);
+    fleet.start_gateways().await;
+    let (ids, streams) = start_streams(&mut fleet, STREAMS, OUTPUT_TOKENS);
+    wait_begun(&mut fleet, &ids).await;
+
+    fleet.gateways[0].process.terminate().unwrap();
+    wait_closed(&mut fleet, 0).await;
+    let crashed = fleet.log.parts(&ids[0])[0].runner.clone();
+    fleet.crash(&crashed);
+    let responses = wait_ends(&mut fleet, streams).await;
+
+    let mut cut = Vec::new();
+    for (id, response) in &responses {
+        let parts = fleet.log.parts(id);
+        let is_affected = parts[0].runner == crashed;
+        let count = event_ids(response).len();
+        println!("{id}: {count} events, at the engine that crashes: {is_affected}");
+        if is_whole(response, OUTPUT_TOKENS) {
+            assert_eq!(parts.len(), 1 + usize::from(is_affected), "{parts:?}");
+        } else {
+            cut.push(id);
+        }
+    }
+    assert!(cut.is_empty(), "{} of {STREAMS} streams are not whole: {cut:?}", cut.len());
+    fleet.close();
+}
