gateway: let moves end as they are reported

- A move that had asked about a final copy without an answer reported that the generation stays, and went on telling its engine to stop it.
The calls are suspended, and none is made for a caller that has left.
- A recovery that found no permit left a generation that an earlier one had stopped.
It returns to its engine if that retains the memory.
- Whether the engine still takes a return was checked before the request to the target, which may take half a second to connect.
It is checked just before the return (DRAIN).

generation_that_stays_after_its_final_copy_is_not_stopped_later fails without the first change; each_resumption_that_is_sent_counts_once fails if a return is left out of the budget. The other two are by reading.

--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -155,7 +155,8 @@
         };
         let reservation = ServerReservation::new(&self.context, placement);
         let Some(permit) = ResumePermit::take(&self.context, &self.request) else {
-            return MoveOutcome::Stays;
+            // An earlier recovery may have stopped the generation.
+            return self.return_to_source(None).await;
         };
         let stopped = tokio::select! {
             stopped = self.stop_source(address) => stopped,
@@ -168,16 +169,7 @@
         }
         let resume_from = self.context.engine_protocol.resume_value(address, &self.request.attempt);
         let source = ResumeSource { resume_from: &resume_from, stopped };
-        let result = generation_resumer::resume(
-            &self.context,
-            &self.request,
-            reservation,
-            source,
-            &self.progress,
-            permit,
-        )
-        .await;
-        match result {
+        match self.resume_at(reservation, source, permit).await {
             ResumeResult::Resumed(resumed) => MoveOutcome::Resumed(resumed),
             ResumeResult::Failed => MoveOutcome::Gone,
             ResumeResult::NotRun(unused) => self.return_to_source(unused).await,
@@ -342,7 +334,9 @@
                 (Some(CopyResponse::NoRoom { handle: Some(handle) }), Some(stopped)) => {
                     self.resume(None, &handle, permit, stopped).await
                 }
-                (None, _) => self.settle_final_copy(target, permit).await,
+                (None, _) if !sender.is_closed() && self.calls < CALL_LIMIT => {
+                    self.settle_final_copy(target, permit, sender).await
+                }
                 _ => MoveOutcome::Stays,
             };
         }
@@ -355,10 +349,17 @@
         &mut self,
         target: ServerReservation,
         permit: ResumePermit,
+        sender: &mut oneshot::Sender<MoveOutcome>,
     ) -> MoveOutcome {
-        let Some(stopped) = self.stop_source(target.address()).await else { return self.stay() };
-        let Some(stop) = self.signals.source_stop.get().cloned() else { return MoveOutcome::Stays };
-        let Some(handle) = stop.wait_retained().await else { return MoveOutcome::Stays };
+        let stopped = tokio::select! {
+            stopped = self.stop_source(target.address()) => stopped,
+            () = sender.closed() => None,
+        };
+        let Some(stopped) = stopped else { return self.stay() };
+        let Some(stop) = self.signals.source_stop.get().cloned() else { return self.stay() };
+        let Some(handle) = stop.wait_retained().await.filter(|_| !sender.is_closed()) else {
+            return self.stay();
+        };
         self.resume_retained(Some(target), &handle, permit, stopped).await
     }
 
@@ -408,40 +409,50 @@
         stopped: StoppedSource,
     ) -> MoveOutcome {
         let resume_from = self.context.engine_protocol.resume_value(self.source.address, handle);
+        let source = ResumeSource { resume_from: &resume_from, stopped };
+        let unused = match target {
+            Some(target) => match self.resume_at(target, source, permit).await {
+                ResumeResult::Resumed(resumed) => return MoveOutcome::Resumed(resumed),
+                ResumeResult::NotRun(unused) => unused,
+                ResumeResult::Failed => return MoveOutcome::Gone,
+            },
+            None => Some(permit),
+        };
+        let Some(reservation) = self.reserve_return() else { return MoveOutcome::Gone };
+        let permit = unused
+            .unwrap_or_else(|| ResumePermit::take_for_return(&self.context, &self.request))
+            .for_return();
+        match self.resume_at(reservation, source, permit).await {
+            ResumeResult::Resumed(resumed) => MoveOutcome::Resumed(resumed),
+            ResumeResult::NotRun(_) | ResumeResult::Failed => MoveOutcome::Gone,
+        }
+    }
+
+    async fn resume_at(
+        &self,
+        reservation: ServerReservation,
+        source: ResumeSource<'_>,
+        permit: ResumePermit,
+    ) -> ResumeResult {
+        let (context, request) = (&self.context, &self.request);
+        generation_resumer::resume(context, request, reservation, source, &self.progress, permit)
+            .await
+    }
+
+    /// Reserves the source, if a generation may still return there.
+    fn reserve_return(&self) -> Option<ServerReservation> {
         let excluded = BTreeSet::new();
         let now = self.context.clock.now();
         let query = self.request.query(&excluded);
-        let source = {
+        let placement = {
             let mut view = self.context.view();
-            let may_return =
-                view.leaving_for(self.source.server, now).is_none_or(|time| time < RETURN_TIME);
-            may_return.then(|| view.reserve_leaving(self.source.server, &query, now)).flatten()
-        };
-        let source = source.map(|placement| ServerReservation::new(&self.context, placement));
-        let mut unused = Some(permit);
-        for reservation in [target, source].into_iter().flatten() {
-            let mut permit = unused
-                .take()
-                .unwrap_or_else(|| ResumePermit::take_for_return(&self.context, &self.request));
-            if reservation.server() == self.source.server {
-                permit = permit.for_return();
-            }
-            let result = generation_resumer::resume(
-                &self.context,
-                &self.request,
-                reservation,
-                ResumeSource { resume_from: &resume_from, stopped },
-                &self.progress,
-                permit,
-            )
-            .await;
-            match result {
-                ResumeResult::Resumed(resumed) => return MoveOutcome::Resumed(resumed),
-                ResumeResult::NotRun(permit) => unused = permit,
-                ResumeResult::Failed => return MoveOutcome::Gone,
+            let leaving_for = view.leaving_for(self.source.server, now);
+            if leaving_for.is_some_and(|time| time >= RETURN_TIME) {
+                return None;
             }
-        }
-        MoveOutcome::Gone
+            view.reserve_leaving(self.source.server, &query, now)
+        };
+        placement.map(|placement| ServerReservation::new(&self.context, placement))
     }
 
     fn place(&self) -> Option<ServerReservation> {
--- a/crates/gateway/src/moves/resume_permit.rs
+++ b/crates/gateway/src/moves/resume_permit.rs
@@ -21,7 +21,7 @@
     }
 
     /// Takes a permit to return to the engine at which the generation was stopped. It is counted but
-    /// not denied: a stopped generation can go on only there after its target has refused it.
+    /// not denied: a stopped generation that no other engine has taken can go on only there.
     pub(crate) fn take_for_return(
         context: &GatewayContext,
         request: &CallerRequest,
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -74,8 +74,14 @@
     }
     let resumed = (0..20).filter(|_| retries.take_resumption(limit, at(10_000))).count();
 
+    for _ in 0..4 {
+        retries.note_resumption(limit, at(11_000));
+    }
+    let later = (0..20).filter(|_| retries.take_resumption(limit, at(20_100))).count();
+
     assert_eq!(resumed, 6, "returns leave less for other resumptions");
     assert!(!retries.take_retry(limit, at(10_001)));
+    assert_eq!(later, 6, "returns beyond the limit count in the next window, too");
 }
 
 /// Guards against a budget that each start of a process fills again (BUDGET): VMs are killed and
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -60,12 +60,6 @@
         watcher.recover(&self.request, &self.reservation, &self.progress).await
     }
 
-    /// Uses up the budget for resumptions.
-    fn use_budget_up(&self) {
-        let now = self.context.clock.now();
-        while self.context.view().take_resumption(ENGINES, now) {}
-    }
-
     /// Makes it known that the backup engine is going to leave.
     fn announce_backup_leaving(&self) {
         let now = self.context.clock.now();
@@ -73,6 +67,12 @@
         self.context.view().note_announced_leaving(backup, now);
     }
 
+    /// Returns the number of resumptions that the budget still allows, and uses it up.
+    fn left_resumptions(&self) -> usize {
+        let now = self.context.clock.now();
+        (0..1_000).take_while(|_| self.context.view().take_resumption(ENGINES, now)).count()
+    }
+
     async fn next(&self, watcher: &mut EngineWatcher) -> MoveOutcome {
         watcher.next(&self.request, &self.reservation, &self.progress).await
     }
@@ -218,6 +218,41 @@
     assert_eq!(stream.resumption_count(), 1, "resumed twice");
 }
 
+/// Guards against returns that are left out of the budget, and against permits that count although
+/// nothing was sent (BUDGET).
+#[tokio::test]
+async fn each_resumption_that_is_sent_counts_once() {
+    for (is_full, sent) in [(false, 1), (true, 2)] {
+        let stream = LostStream::start(script(&[EngineAnswer::COPIED], &[EngineAnswer::RESUMED]));
+        let unused = LostStream::start(script(&[EngineAnswer::COPIED], &[EngineAnswer::RESUMED]));
+        let (stream, allowed) = (stream.await, unused.await.left_resumptions());
+        if is_full {
+            stream.backup.fill();
+        }
+
+        let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+
+        assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+        assert_eq!(stream.resumption_count(), sent);
+        assert_eq!(stream.left_resumptions(), allowed - sent);
+    }
+}
+
+/// Guards against calls that stop a generation after the move has left it at its engine (LOST).
+#[tokio::test]
+async fn generation_that_stays_after_its_final_copy_is_not_stopped_later() {
+    let stream = LostStream::start(script(&[EngineAnswer::LOST], &[EngineAnswer::RESUMED])).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    start_final_copy(&stream, &mut watcher).await;
+    let outcome = stream.next(&mut watcher).await;
+    let calls = stream.source.calls().final_copies;
+    tokio::time::sleep(RELEASE_TIME).await;
+
+    assert!(matches!(outcome, MoveOutcome::Stays));
+    assert_eq!(stream.source.calls().final_copies, calls, "told to stop after it stayed");
+}
+
 /// Final copy that is answered after a test has changed something.
 const SLOW_COPY: &[EngineAnswer] = &[EngineAnswer::COPIED.after(Duration::from_millis(200))];
 
@@ -230,7 +265,7 @@
     let mut watcher = EngineWatcher::new(&stream.context);
 
     start_final_copy(&stream, &mut watcher).await;
-    stream.use_budget_up();
+    stream.left_resumptions();
     stream.announce_backup_leaving();
     let outcome = stream.next(&mut watcher).await;
 
@@ -246,7 +281,7 @@
     let mut watcher = EngineWatcher::new(&stream.context);
 
     start_final_copy(&stream, &mut watcher).await;
-    stream.use_budget_up();
+    stream.left_resumptions();
     stream.backup.fill();
     let outcome = stream.next(&mut watcher).await;
 
