gateway: list a stream until its caller has got the rest of it

- A stream left the list of open ones when its last event was buffered, so that the log could not show an answer that a slow caller had not received at the end of a planned stop.
It stays until its body was read, in the phase 'delivering'.
- Bytes that an engine had sent before the stream went on at another one could end it as a stream of bytes without an event.
- A stream whose caller stayed beyond its usual patience could not run again: the time for the next run was over before it began.

The second and third are by reading. The list marks the stream as begun, so that the test of the list covers what the test of the resumption near the end of a stop sets by itself.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -83,7 +83,7 @@
     pub last_event: Option<u64>,
     /// Whether a generation goes back to the server at which it was stopped, which may be leaving.
     pub is_return: bool,
-    /// Whether the caller has received the head of the response.
+    /// Whether the caller gets or has got the head of the response.
     pub is_begun: bool,
 }
 
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -105,11 +105,11 @@
     stalled_since: Instant,
     /// Time of the last event that advances the stream.
     progress_at: Instant,
-    /// Time at which its callers may have lost patience next.
-    patience_end: Instant,
+    /// Time at which it is checked next whether the engine only sends bytes without an event.
+    check_at: Instant,
     /// Time at which the last bytes of the engine arrived.
     bytes_at: Instant,
-    /// Bytes received since then.
+    /// Bytes received since the last event.
     idle_bytes: usize,
     longest_pause_ms: u64,
     tokens_per_event: u64,
@@ -146,7 +146,6 @@
     ) -> GenerationRelay {
         let engine = context.view().engine_spec(&request.service);
         let tokens_per_event = engine.map_or(1, |engine| u64::from(engine.tokens_per_event));
-        progress.begin();
         let patience = stream_patience(&request.route);
         let entry = context.streams.add(&request.attempt, request.arrived, &progress);
         GenerationRelay {
@@ -166,7 +165,7 @@
             last_event_at: Instant::now(),
             stalled_since: Instant::now(),
             progress_at: Instant::now(),
-            patience_end: Instant::now() + patience,
+            check_at: Instant::now() + patience,
             bytes_at: Instant::now(),
             idle_bytes: 0,
             longest_pause_ms: 0,
@@ -219,7 +218,7 @@
             () = tokio::time::sleep_until(stall_deadline), if can_recover => {
                 self.recover(RelayEnd::Silent).await
             }
-            () = tokio::time::sleep_until(self.patience_end) => self.check_bytes(),
+            () = tokio::time::sleep_until(self.check_at) => self.check_silence(),
             () = tokio::time::sleep_until(self.request.deadline) => {
                 StepOutcome::End(RelayEnd::TimedOut)
             }
@@ -229,7 +228,7 @@
     /// Ends a stream whose engine sends bytes without an event for as long as callers wait. A silent
     /// engine may go on, for example after it has preempted the generation. Its callers decide whether
     /// to wait until the deadline.
-    fn check_bytes(&mut self) -> StepOutcome {
+    fn check_silence(&mut self) -> StepOutcome {
         let patience = stream_patience(&self.request.route);
         if self.bytes_at > self.progress_at && self.bytes_at.elapsed() < patience / 2 {
             return StepOutcome::End(RelayEnd::Silent);
@@ -242,7 +241,7 @@
             "stream: engine is silent"
         );
         self.source.run.note_failure();
-        self.patience_end = Instant::now() + patience;
+        self.check_at = Instant::now() + patience;
         StepOutcome::Continue
     }
 
@@ -412,7 +411,8 @@
             resumption::settle_loss(&self.context, &self.request, engine, &mut self.runs).await;
         }
         self.progress.enter(StreamPhase::Repeating);
-        let patience_end = self.progress_at + stream_patience(&self.request.route);
+        // A caller that is still there after its usual patience waits on.
+        let patience_end = self.check_at;
         let last_event = self.progress.last_event();
         let mut repeater = StreamRepeater::new(
             &self.context,
@@ -457,6 +457,7 @@
         self.progress.enter(StreamPhase::Reading);
         self.splitter = EventSplitter::default();
         self.idle_bytes = 0;
+        self.bytes_at = self.progress_at;
         self.pace = None;
         self.writing_since = Instant::now();
         self.stalled_since = self.writing_since;
@@ -553,7 +554,7 @@
         self.last_event_at = now;
         self.stalled_since = self.last_event_at;
         self.progress_at = self.last_event_at;
-        self.patience_end = self.progress_at + stream_patience(&self.request.route);
+        self.check_at = self.progress_at + stream_patience(&self.request.route);
         self.idle_bytes = 0;
     }
 
@@ -595,6 +596,9 @@
         if end != RelayEnd::CallerLeft && self.sender.send(last_piece).await.is_err() {
             info!(id = self.request.attempt, "stream: the caller left before its end was told");
         }
+        // Dropped by the connection once the caller has got the rest.
+        self.progress.enter(StreamPhase::Delivering);
+        self.sender.closed().await;
         drop(self.entry);
     }
 
@@ -621,8 +625,7 @@
     }
 }
 
-/// Returns the time without progress after which a stream is ended, because its caller has left or
-/// will find it useless. A slow stream is only ended after this time.
+/// Returns the time without progress after which callers may abandon a stream.
 pub fn stream_patience(route: &PlannedRoute) -> Duration {
     let pause = route.pause_target.unwrap_or_default();
     LEAST_PATIENCE.max(route.latency_target * PATIENCE_TARGETS).max(pause * PATIENCE_PAUSES)
--- a/crates/gateway/src/planned_stop/open_streams.rs
+++ b/crates/gateway/src/planned_stop/open_streams.rs
@@ -23,13 +23,14 @@
 }
 
 impl OpenStreams {
-    /// Adds a stream until the entry is dropped.
+    /// Adds a stream whose caller gets the head of the response, until the entry is dropped.
     pub fn add(
         &self,
         attempt: &str,
         arrived: Instant,
         progress: &Arc<StreamProgress>,
     ) -> StreamEntry {
+        progress.begin();
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let stream =
             OpenStream { attempt: attempt.to_owned(), arrived, progress: Arc::clone(progress) };
--- a/crates/gateway/src/planned_stop/stream_phase.rs
+++ b/crates/gateway/src/planned_stop/stream_phase.rs
@@ -16,4 +16,6 @@
     Resuming,
     /// An engine that runs the request again.
     Repeating,
+    /// Its caller, which has not received the rest.
+    Delivering,
 }
