Leave a generation to its engine once its reader was handed over

With `shutdown_timeout` set, a reader that got `reconnect` and went on at another VM lost its stream with "the generation was cancelled", although its engine was at work: the stopping VM is kept alive by a call or a response without streaming, and gives the generation up after `stream_retention` because nobody reads it there any more.

The runner of a generation went on after its readers were handed over, with all its reasons to stop the engine: no reader, no progress, a lost connection.

The last reader that leaves for another VM now ends the runner, which leaves the generation at its engine. A generation that is also read here, by a job or a response without streaming, goes on until that reader has left, too.

stops::stream_that_was_handed_over_is_not_cancelled failed before (two of two runs, "interrupted ... the generation was cancelled") and passes. All tests of stops, jobs and streams pass.

--- a/crates/node/src/generation/generation_buffer.rs
+++ b/crates/node/src/generation/generation_buffer.rs
@@ -49,6 +49,8 @@
     read: bool,
     first_token_at: Option<Instant>,
     readers: u32,
+    /// Whether a reader was sent to another VM.
+    is_read_elsewhere: bool,
     /// Start of the current time without readers.
     unread_since: Instant,
 }
@@ -58,6 +60,7 @@
     state: Mutex<BufferState>,
     changed: watch::Sender<()>,
     abandoned: watch::Sender<bool>,
+    handed_over: watch::Sender<bool>,
 }
 
 impl GenerationBuffer {
@@ -72,12 +75,14 @@
             read: false,
             first_token_at: None,
             readers: 0,
+            is_read_elsewhere: false,
             unread_since: Instant::now(),
         };
         GenerationBuffer {
             state: Mutex::new(state),
             changed: watch::Sender::new(()),
             abandoned: watch::Sender::new(false),
+            handed_over: watch::Sender::new(false),
         }
     }
 
@@ -146,6 +151,21 @@
         let mut state = self.lock();
         state.readers = state.readers.saturating_sub(1);
         state.unread_since = Instant::now();
+        if state.readers == 0 && state.is_read_elsewhere {
+            self.handed_over.send_replace(true);
+        }
+    }
+
+    /// Removes a reader that continues at another VM. Without any reader left, this VM leaves the
+    /// generation to its engine.
+    pub(crate) fn reader_handed_over(&self) {
+        self.lock().is_read_elsewhere = true;
+        self.reader_left();
+    }
+
+    /// Returns a receiver that becomes true when this VM must leave the generation to its engine.
+    pub(crate) fn handed_over(&self) -> watch::Receiver<bool> {
+        self.handed_over.subscribe()
     }
 
     /// Returns how long the buffer has had no reader, or `None` if it has one.
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -161,15 +161,22 @@
         }
     }
 
-    /// Runs the generation to its end.
+    /// Runs the generation to its end, or until it is handed over to another VM.
     pub(crate) async fn run(mut self) {
         let mut abandoned = self.buffer.abandoned();
+        let mut handed_over = self.buffer.handed_over();
         let result = tokio::select! {
-            result = self.run_attempts() => result,
-            _ = abandoned.wait_for(|abandoned| *abandoned) => Err(ServiceError::new(
+            biased;
+            // First, so that a generation that another VM reads is not stopped at its engine.
+            _ = handed_over.wait_for(|handed_over| *handed_over) => None,
+            result = self.run_attempts() => Some(result),
+            _ = abandoned.wait_for(|abandoned| *abandoned) => Some(Err(ServiceError::new(
                 ErrorKind::Interrupted,
                 "the generation was given up, because nobody read it",
-            )),
+            ))),
+        };
+        let Some(result) = result else {
+            return self.hand_over().await;
         };
         if *self.buffer.abandoned().borrow() {
             self.release_engine().await;
@@ -188,6 +195,15 @@
         self.buffer.finish(end);
     }
 
+    /// Leaves the generation to its engine, from which another VM reads it.
+    async fn hand_over(&self) {
+        info!("stream: handed over; generation={}", self.buffer.location());
+        self.report_cancelled().await;
+        let message = "the VM stops; continue at another VM";
+        let error = ServiceError::new(ErrorKind::Draining, message);
+        self.buffer.finish(GenerationEnd::Failed(error));
+    }
+
     /// Cancels an abandoned generation at the engine and in the placement.
     async fn release_engine(&mut self) {
         self.stop_attempt().await;
--- a/crates/node/src/generation/reader_guard.rs
+++ b/crates/node/src/generation/reader_guard.rs
@@ -8,23 +8,33 @@
 /// after a while.
 pub(crate) struct ReaderGuard {
     buffer: Arc<GenerationBuffer>,
+    is_handed_over: bool,
 }
 
 impl ReaderGuard {
     /// Adds a reader to `buffer`.
     pub(crate) fn new(buffer: Arc<GenerationBuffer>) -> ReaderGuard {
         buffer.reader_joined();
-        ReaderGuard { buffer }
+        ReaderGuard { buffer, is_handed_over: false }
     }
 
     /// Returns the buffer.
     pub(crate) fn buffer(&self) -> &Arc<GenerationBuffer> {
         &self.buffer
     }
+
+    /// Removes the reader because it continues at another VM.
+    pub(crate) fn hand_over(&mut self) {
+        if !std::mem::replace(&mut self.is_handed_over, true) {
+            self.buffer.reader_handed_over();
+        }
+    }
 }
 
 impl Drop for ReaderGuard {
     fn drop(&mut self) {
-        self.buffer.reader_left();
+        if !self.is_handed_over {
+            self.buffer.reader_left();
+        }
     }
 }
--- a/crates/node/src/http/event_body.rs
+++ b/crates/node/src/http/event_body.rs
@@ -61,6 +61,7 @@
             }
             if *self.shutdown.borrow() {
                 self.done = true;
+                self.reader.hand_over();
                 return Some(self.reconnect_event());
             }
             tokio::select! {
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -10,7 +10,9 @@
     task::JoinHandle,
 };
 
-use crate::support::{Caller, Deployment, DeploymentSpec, HttpResponse, wait_for};
+use crate::support::{
+    Caller, Deployment, DeploymentSpec, HttpResponse, StreamedResponse, wait_for,
+};
 
 /// Body of every call.
 const BODY: &str = "{\"drums\":4}";
@@ -323,3 +325,59 @@
     let text = response.json()["choices"][0]["text"].as_str().unwrap_or_default().to_owned();
     assert_eq!(text, TokenSource::expected_text(300), "{:?}", response.body);
 }
+
+/// Deployment of one zone with two VMs and two engines, with a [`SHORT_STOP`].
+async fn start_two_engines(timeouts: &str) -> Deployment {
+    Deployment::start(DeploymentSpec {
+        zones: 1,
+        vms_per_zone: 2,
+        engines: 2,
+        drain: SHORT_STOP.to_owned(),
+        timeouts: format!("report_poll = 200ms\n{timeouts}"),
+        ..DeploymentSpec::default()
+    })
+    .await
+}
+
+/// Starts a stream of 600 tokens at the first VM and waits until it runs. Returns the engine that
+/// runs it and the task that reads it.
+async fn start_long_stream(
+    deployment: &Deployment,
+) -> (usize, JoinHandle<Result<StreamedResponse, StreamedResponse>>) {
+    let address = deployment.vms[0].http;
+    let streaming = tokio::spawn(async move {
+        Caller::new("reports").stream(address, "a long report", 600, |_| {}).await
+    });
+    wait_running(deployment).await;
+    let engine = deployment.engines.iter().position(|engine| engine.running() > 0).unwrap();
+    (engine, streaming)
+}
+
+fn assert_whole(response: &StreamedResponse) {
+    assert_eq!(response.error, None);
+    assert_eq!(response.indexes, (0..600).collect::<Vec<u64>>());
+    assert_eq!(response.text, TokenSource::expected_text(600));
+    assert!(response.done);
+}
+
+/// Guards against a VM that hands a stream over, is kept alive by a call, and cancels the generation
+/// at its engine because nobody reads it at this VM any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_was_handed_over_is_not_cancelled() {
+    let mut deployment = start_two_engines("stream_retention = 1s").await;
+    // The call runs for longer than the rest of the stream.
+    deployment.bookings[0].command(ServiceCommand::Delay { ms: 8_000 });
+    let call = start_booking(&deployment, "running");
+    wait_booking_sent(&deployment).await;
+    let (_, streaming) = start_long_stream(&deployment).await;
+
+    deployment.vms[0].process().terminate().unwrap();
+    let partial = streaming.await.unwrap().unwrap_err();
+    assert!(partial.reconnect, "{partial:?}");
+    let response = Caller::new("reports").resume(deployment.vms[1].http, partial).await.unwrap();
+    let call = call.await.unwrap().unwrap();
+    wait_ended(&mut deployment).await;
+
+    assert_whole(&response);
+    assert_eq!(call.status, 200, "{:?}", call.body);
+}
