Hand a stream over only once an engine has it

At the time limit of a planned stop a reader lost its stream if its engine had failed shortly before: with an engine still to be found it got `interrupted`, and with an engine that did not respond it got `reconnect` and then `no_backend` at every other VM. Only the stopping VM has the prompt and can move a generation.

`RequestScheduler::close_queues` also rejected generations that had output and waited for another engine, and the readers were told to reconnect without regard to whether an engine had the generation.

The queues are now closed only for requests without output. A reader gets `reconnect` once the connection to the engine is open and, after a move, a token with the new location has arrived, since callers resume by the last event. Until then the stream goes on here. A reader whose sender of the shutdown has ended no longer wakes without pause.

stops::stream_between_two_engines_outlasts_the_shutdown_timeout ("interrupted"), stops::stream_of_a_frozen_engine_is_handed_over_after_its_move ("no_backend") and limits::closed_queues_place_generations_that_have_output (`Reject` twice) failed before and pass. The check of closed_queues_reject_waiting_and_failed_requests is unchanged and passes.

--- a/crates/node/src/generation/generation_buffer.rs
+++ b/crates/node/src/generation/generation_buffer.rs
@@ -49,6 +49,11 @@
     read: bool,
     first_token_at: Option<Instant>,
     readers: u32,
+    /// Whether the engine at `location` is connected.
+    is_attached: bool,
+    /// Whether no token has arrived since the generation went to another engine. The last event of
+    /// the readers then names an engine that does not have the generation.
+    is_moved: bool,
     /// Whether a reader was sent to another VM.
     is_read_elsewhere: bool,
     /// Start of the current time without readers.
@@ -75,6 +80,8 @@
             read: false,
             first_token_at: None,
             readers: 0,
+            is_attached: false,
+            is_moved: false,
             is_read_elsewhere: false,
             unread_since: Instant::now(),
         };
@@ -96,6 +103,7 @@
         state.text.push_str(text);
         let end = state.text.len() as u32;
         state.text_ends.push(end);
+        state.is_moved = false;
         state.first_token_at.get_or_insert_with(Instant::now);
         drop(state);
         self.changed.send_replace(());
@@ -113,7 +121,23 @@
 
     /// Records that the generation now runs at `location`.
     pub(crate) fn relocate(&self, location: GenerationId) {
-        self.lock().location = location;
+        let mut state = self.lock();
+        state.location = location;
+        state.is_attached = false;
+        state.is_moved = !state.text_ends.is_empty();
+    }
+
+    /// Records that the engine is connected.
+    pub(crate) fn attach(&self) {
+        self.lock().is_attached = true;
+        self.changed.send_replace(());
+    }
+
+    /// Records that the engine is not connected. Returns false if the generation was handed over.
+    pub(crate) fn detach(&self) -> bool {
+        let mut state = self.lock();
+        state.is_attached = false;
+        !*self.handed_over.borrow()
     }
 
     /// Removes all tokens if no caller has read any, so that the generation can start over.
@@ -148,7 +172,10 @@
 
     /// Removes a reader.
     pub(crate) fn reader_left(&self) {
-        let mut state = self.lock();
+        self.remove_reader(&mut self.lock());
+    }
+
+    fn remove_reader(&self, state: &mut BufferState) {
         state.readers = state.readers.saturating_sub(1);
         state.unread_since = Instant::now();
         if state.readers == 0 && state.is_read_elsewhere {
@@ -158,9 +185,17 @@
 
     /// Removes a reader that continues at another VM. Without any reader left, this VM leaves the
     /// generation to its engine.
-    pub(crate) fn reader_handed_over(&self) {
-        self.lock().is_read_elsewhere = true;
-        self.reader_left();
+    ///
+    /// Returns false and changes nothing while no engine is known to have the generation: only the
+    /// VM with the prompt can move it to another one.
+    pub(crate) fn hand_over_reader(&self) -> bool {
+        let mut state = self.lock();
+        if !state.is_attached || state.is_moved {
+            return false;
+        }
+        state.is_read_elsewhere = true;
+        self.remove_reader(&mut state);
+        true
     }
 
     /// Returns a receiver that becomes true when this VM must leave the generation to its engine.
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -175,8 +175,10 @@
                 "the generation was given up, because nobody read it",
             ))),
         };
-        let Some(result) = result else {
-            return self.hand_over().await;
+        let is_handed_over = *self.buffer.handed_over().borrow();
+        let result = match result {
+            Some(result) if result.is_ok() || !is_handed_over => result,
+            _ => return self.hand_over().await,
         };
         if *self.buffer.abandoned().borrow() {
             self.release_engine().await;
@@ -200,7 +202,7 @@
         info!("stream: handed over; generation={}", self.buffer.location());
         self.report_cancelled().await;
         let message = "the VM stops; continue at another VM";
-        let error = ServiceError::new(ErrorKind::Draining, message);
+        let error = ServiceError::new(ErrorKind::Interrupted, message);
         self.buffer.finish(GenerationEnd::Failed(error));
     }
 
@@ -244,7 +246,10 @@
             if let Some(task) = self.stops.remove(&grant.server) {
                 task.close().await;
             }
-            let end = self.run_attempt(&grant, prefix).await;
+            let mut end = self.run_attempt(&grant, prefix).await;
+            if !self.buffer.detach() && !matches!(end, AttemptEnd::Finished(_)) {
+                end = AttemptEnd::Stopping;
+            }
             if !matches!(end, AttemptEnd::Finished(_) | AttemptEnd::Stopping) {
                 self.stop_attempt().await;
             }
@@ -431,6 +436,7 @@
         let mut reconnects = 0;
         loop {
             if let Some(open) = stream.take() {
+                self.buffer.attach();
                 let before = self.buffer.next_index();
                 if let ReadEnd::Attempt(end) = self.read_stream(&location, open).await {
                     return end;
@@ -439,6 +445,9 @@
                     reconnects = 0;
                 }
             }
+            if !self.buffer.detach() {
+                return AttemptEnd::Stopping;
+            }
             if reconnects >= self.context.limits.max_reconnects {
                 return AttemptEnd::EngineLost;
             }
--- a/crates/node/src/generation/reader_guard.rs
+++ b/crates/node/src/generation/reader_guard.rs
@@ -23,11 +23,12 @@
         &self.buffer
     }
 
-    /// Removes the reader because it continues at another VM.
-    pub(crate) fn hand_over(&mut self) {
-        if !std::mem::replace(&mut self.is_handed_over, true) {
-            self.buffer.reader_handed_over();
+    /// Removes the reader because it continues at another VM. Returns false if it can't yet.
+    pub(crate) fn hand_over(&mut self) -> bool {
+        if !self.is_handed_over {
+            self.is_handed_over = self.buffer.hand_over_reader();
         }
+        self.is_handed_over
     }
 }
 
--- a/crates/node/src/generation/stream_resumer.rs
+++ b/crates/node/src/generation/stream_resumer.rs
@@ -52,6 +52,8 @@
             }
         };
         let buffer = Arc::new(GenerationBuffer::new(id.clone(), next));
+        // Another VM can do as much as this one for a lost engine.
+        buffer.attach();
         tokio::spawn(self.fill(engine, id.clone(), stream, Arc::clone(&buffer)));
         Ok(buffer)
     }
--- a/crates/node/src/http/event_body.rs
+++ b/crates/node/src/http/event_body.rs
@@ -30,7 +30,7 @@
 }
 
 /// Builds the body of an event stream that starts at token `next`. When `shutdown` becomes true,
-/// the stream ends with a `reconnect` event.
+/// the stream ends with a `reconnect` event as soon as another VM can continue it.
 pub(crate) fn event_body(
     buffer: Arc<GenerationBuffer>,
     model: Option<ModelName>,
@@ -46,6 +46,14 @@
     }))
 }
 
+/// Waits until `shutdown` is true.
+async fn begun(shutdown: &mut watch::Receiver<bool>) {
+    if shutdown.wait_for(|shutdown| *shutdown).await.is_err() {
+        // The process stops without handing streams over.
+        std::future::pending::<()>().await;
+    }
+}
+
 impl EventReader {
     /// Waits for new tokens and renders all of them as one chunk. After a pause of
     /// [`HEARTBEAT_PERIOD`] the chunk is a heartbeat.
@@ -59,14 +67,14 @@
             if !slice.texts.is_empty() || slice.end.is_some() {
                 return Some(self.render(&slice));
             }
-            if *self.shutdown.borrow() {
+            let is_shutdown = *self.shutdown.borrow();
+            if is_shutdown && self.reader.hand_over() {
                 self.done = true;
-                self.reader.hand_over();
                 return Some(self.reconnect_event());
             }
             tokio::select! {
                 changed = self.changes.changed() => changed.ok()?,
-                _ = self.shutdown.changed() => {}
+                () = begun(&mut self.shutdown), if !is_shutdown => {}
                 () = tokio::time::sleep(HEARTBEAT_PERIOD) => {
                     return Some(Bytes::from_static(b": heartbeat\n\n"));
                 }
--- a/crates/policy/src/request_scheduler.rs
+++ b/crates/policy/src/request_scheduler.rs
@@ -52,7 +52,7 @@
     last_pass: MonoTime,
     /// Pools whose queues were not empty after the last pass.
     left_waiting: BTreeSet<PoolKey>,
-    /// Whether no further request is placed because the time limit of a planned stop has passed.
+    /// Whether no further request is started because the time limit of a planned stop has passed.
     is_closed: bool,
     /// Moving average of the share of time in which requests wait, per pool.
     contention: BTreeMap<PoolKey, f64>,
@@ -148,8 +148,9 @@
         self.admission.set_draining(draining);
     }
 
-    /// Places no further request: those that wait now or later, for example after a failed attempt,
-    /// are rejected. Running requests continue.
+    /// Starts no further request: those that wait now or later, for example after a failed attempt,
+    /// are rejected. Running requests continue, also at another server once they have output, which
+    /// a repeat elsewhere would not continue.
     pub fn close_queues(&mut self) {
         self.admission.set_draining(true);
         self.is_closed = true;
@@ -192,28 +193,28 @@
             self.placer.refresh_residuals();
         }
         if self.is_closed {
-            self.reject_waiting();
-            self.expire_running(now);
-            return std::mem::take(&mut self.outbox);
+            self.reject_not_begun();
         }
         self.release_retries(now);
         self.expire_waiting(now);
         self.expire_running(now);
         self.place_waiting(now);
-        self.preempt_for_interactive(now);
+        if !self.is_closed {
+            self.preempt_for_interactive(now);
+        }
         std::mem::take(&mut self.outbox)
     }
 
-    /// Rejects all waiting requests, as not run only those that no server may have run.
-    fn reject_waiting(&mut self) {
-        self.retries.clear();
+    /// Rejects the waiting requests without output, as not run only those that no server may have
+    /// run.
+    fn reject_not_begun(&mut self) {
         let mut waiting = Vec::new();
         for (ticket, entry) in &self.requests {
-            if entry.server.is_none() {
-                let kind = match (entry.tokens, entry.may_have_run_on.is_empty()) {
-                    (0, true) => ErrorKind::Draining,
-                    (0, false) => ErrorKind::BackendFailed,
-                    _ => ErrorKind::Interrupted,
+            if entry.server.is_none() && entry.tokens == 0 {
+                let kind = if entry.may_have_run_on.is_empty() {
+                    ErrorKind::Draining
+                } else {
+                    ErrorKind::BackendFailed
                 };
                 waiting.push((*ticket, entry.pool, kind));
             }
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -7,7 +7,7 @@
 use dragonflycart_core::{ErrorKind, ServerName, TeamName, VmOrdinal, ZoneName};
 use dragonflycart_policy::{
     AttemptFailure, ColdSignal, PlacementDecision, PriorityClass, RetryBudget, RetrySubset,
-    ServerKey, ZoneLimits,
+    ServerKey, TokenProgress, ZoneLimits,
 };
 use proptest::prelude::*;
 use support::{at, dispatches, report, request, seconds, settings, single_vm, zone};
@@ -326,3 +326,33 @@
         [reject(running[0], ErrorKind::BackendFailed), reject(running[1], ErrorKind::Draining)];
     assert_eq!(failed, expected);
 }
+
+/// Guards against a generation that is ended by the time limit of a planned stop while it waits for
+/// another server, although its caller has read a part of it.
+#[test]
+fn closed_queues_place_generations_that_have_output() {
+    let mut settings = settings(1);
+    settings.zone_ramp = seconds(0);
+    let (mut scheduler, keys) = single_vm(settings, 3);
+    scheduler.report(at(0), keys[0], report(at(0)));
+    let running: Vec<_> = (0..2).map(|_| scheduler.submit(at(0), request("a"))).collect();
+    assert_eq!(dispatches(&scheduler.tick(at(0))).len(), 2);
+    let progress = running.iter().map(|ticket| TokenProgress { ticket: *ticket, tokens: 20 });
+    scheduler.progress(at(10), &progress.collect::<Vec<_>>());
+    scheduler.failed(at(20), running[0], AttemptFailure::ServerLost);
+    assert_eq!(scheduler.tick(at(20)), []);
+
+    scheduler.close_queues();
+    scheduler.failed(at(30), running[1], AttemptFailure::ServerLost);
+    let waiting = scheduler.tick(at(30));
+    for key in &keys[1..] {
+        scheduler.report(at(1_000), *key, report(at(1_000)));
+    }
+    let mut placed = dispatches(&scheduler.tick(at(1_000)));
+    placed.extend(dispatches(&scheduler.tick(at(20_000))));
+
+    assert_eq!(waiting, []);
+    let mut tickets: Vec<_> = placed.iter().map(|(ticket, _)| *ticket).collect();
+    tickets.sort();
+    assert_eq!(tickets, running);
+}
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use dragonflycart_testkit::{EngineCommand, ServiceCommand, ServiceConfig, TokenSource};
+use dragonflycart_testkit::{
+    EngineCommand, FaultCommand, ServiceCommand, ServiceConfig, TokenSource,
+};
 use hyper::Method;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -360,6 +362,51 @@
     assert!(response.done);
 }
 
+/// Guards against a stream that is ended by the time limit of the stop while it waits for another
+/// engine: only this VM has its prompt, so no other VM can continue it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_between_two_engines_outlasts_the_shutdown_timeout() {
+    let mut deployment = start_two_engines("").await;
+    let (engine, streaming) = start_long_stream(&deployment).await;
+    let other = 1 - engine;
+    deployment.engines[other].command(EngineCommand::Leaving { leaving: true });
+    // The VM reads the load report every 200 ms.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    deployment.vms[0].process().terminate().unwrap();
+    deployment.engines[engine].fault(&FaultCommand::Die);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    deployment.engines[other].command(EngineCommand::Leaving { leaving: false });
+    let partial = streaming.await.unwrap().unwrap_err();
+    assert!(partial.reconnect, "{partial:?}");
+    let response = Caller::new("reports").resume(deployment.vms[1].http, partial).await.unwrap();
+    wait_ended(&mut deployment).await;
+
+    assert_whole(&response);
+}
+
+/// Guards against a reader that is sent to another VM while its engine does not respond, although
+/// only this VM can move the generation to another engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_frozen_engine_is_handed_over_after_its_move() {
+    let mut deployment = start_two_engines("engine_silence = 800ms").await;
+    let (engine, streaming) = start_long_stream(&deployment).await;
+
+    deployment.engines[engine].fault(&FaultCommand::Freeze);
+    wait_for("the connection to be replaced", || async {
+        let reconnects = deployment.metric(0, "dragonflycart_engine_reconnects_total").await?;
+        (reconnects >= 1.0).then_some(())
+    })
+    .await;
+    deployment.vms[0].process().terminate().unwrap();
+    let partial = streaming.await.unwrap().unwrap_err();
+    assert!(partial.reconnect, "{partial:?}");
+    let response = Caller::new("reports").resume(deployment.vms[1].http, partial).await.unwrap();
+    wait_ended(&mut deployment).await;
+
+    assert_whole(&response);
+}
+
 /// Guards against a VM that hands a stream over, is kept alive by a call, and cancels the generation
 /// at its engine because nobody reads it at this VM any more.
 #[tokio::test(flavor = "multi_thread")]
