Let a call run until its caller's deadline

A call whose caller asked for more than `call_deadline` was cut after `call_deadline`, in a planned stop as at any other time: the caller got `outcome_unknown`, or the call was sent to a second server if it may be repeated, although its server completed it in the caller's time.

`call_deadline` is the deadline of callers that state none, but it was also the timeout of every request to a server.

The timeout is now the time left until the caller's deadline if that is longer. A shorter deadline does not cut the request, because a late response is still recorded and can be fetched.

--- a/crates/engine/src/http_service_client.rs
+++ b/crates/engine/src/http_service_client.rs
@@ -47,7 +47,8 @@
         if let Some(ordinal) = request.ordinal {
             outgoing.headers.push((ORDINAL_HEADER, ordinal));
         }
-        let timeout = self.options.response_timeout;
+        // A late response is still recorded, so a short deadline does not cut the call.
+        let timeout = self.options.response_timeout.max(request.time_left);
         let response = self.call_client.send(outgoing, &request.request_id, timeout).await?;
         Ok(ServiceResponse {
             status: response.status().as_u16(),
--- a/crates/engine/src/service_client.rs
+++ b/crates/engine/src/service_client.rs
@@ -1,5 +1,7 @@
 //! Interface to a server of a plain service.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use dragonflycart_core::{RequestKey, ServerInstance};
 
@@ -18,6 +20,8 @@
     pub body: Bytes,
     /// Entry VM, as "zone/ordinal", that holds a cold-start slot for this call, if any.
     pub ordinal: Option<String>,
+    /// Time until the caller's deadline.
+    pub time_left: Duration,
 }
 
 /// Complete response of a plain service.
--- a/crates/node/src/call/call_runner.rs
+++ b/crates/node/src/call/call_runner.rs
@@ -133,6 +133,7 @@
             operation: spec.operation.to_string(),
             body: spec.body.clone(),
             ordinal: Some(grant.ordinal.clone()),
+            time_left: spec.deadline.since(self.clock.now()),
         };
         client.call(request).await
     }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -170,7 +170,8 @@
 }
 
 /// Waits until the last calls have ended and their outcomes are in the log, for at most `limit`: a
-/// call and its lookup end by the deadline of calls, while the log may stay unreachable.
+/// call without its caller and its lookup end by the default deadline of calls, unless the caller
+/// asked for more, while the log may stay unreachable.
 async fn wait_recorded(control: &ControlHandle, limit: Duration) {
     let started = tokio::time::Instant::now();
     while !control.ask(ControlMessage::IsIdle).await.unwrap_or(true) {
--- a/crates/testkit/tests/all/fixtures.rs
+++ b/crates/testkit/tests/all/fixtures.rs
@@ -65,6 +65,7 @@
         operation: "book".to_owned(),
         body: Bytes::from(format!("body of {key}")),
         ordinal: None,
+        time_left: Duration::ZERO,
     }
 }
 
--- a/tests/all/calls.rs
+++ b/tests/all/calls.rs
@@ -376,3 +376,21 @@
     assert_eq!(deployment.executions("denied"), 1);
     assert!(streaming.await.unwrap().is_ok());
 }
+
+/// Guards against a call that is given up after the default deadline, although its caller asked for
+/// more time and its server completes it in that time.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_with_a_long_deadline_outlasts_the_default_deadline() {
+    let timeouts = "report_poll = 200ms\ncall_deadline = 1s".to_owned();
+    let deployment = Deployment::start(DeploymentSpec { timeouts, ..without_lookup() }).await;
+    for server in &deployment.bookings {
+        server.command(ServiceCommand::Delay { ms: 2_500 });
+    }
+    let headers = [("idempotency-key", "slow"), ("x-attempt", "1"), ("x-deadline-ms", "20000")];
+    let caller = Caller::new("orders");
+
+    let response = caller.call(deployment.vms[0].http, "book", &headers, BODY).await.unwrap();
+
+    assert_eq!(response.status, 200, "{:?}", response.body);
+    assert_eq!(deployment.executions("slow"), 1);
+}
