Hand over resumed streams at the time limit of a stop

A stream that was resumed at a VM ran on past `shutdown_timeout` if that VM was stopped: its reader was not told to reconnect, and the stream was cut when the platform ended the process.

A planned stop ended its drain phase as soon as no generation of its own and no record was open, which drops the signal to hand streams over. Streams that were begun at another VM are in no list; only their connections kept the process alive.

The store now knows the resumed streams that are read, and the drain phase lasts until they have ended or the time limit has passed.

stops::resumed_stream_is_handed_over_at_the_shutdown_timeout failed before ("the stream ran to its end at this VM", one run) and passes. All tests of stops, jobs, streams, calls and engine_changes pass (51).

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -277,7 +277,7 @@
     }
 
     async fn is_idle(&self) -> bool {
-        if self.store.open_count() > 0 {
+        if self.store.open_count() > 0 || self.store.has_resumed() {
             return false;
         }
         self.control.ask(ControlMessage::IsIdle).await.unwrap_or(true)
--- a/crates/node/src/generation/generation_store.rs
+++ b/crates/node/src/generation/generation_store.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     time::Duration,
 };
 
@@ -21,6 +21,8 @@
 struct StoreState {
     generations: BTreeMap<u128, StoredGeneration>,
     by_key: BTreeMap<(TeamName, RequestKey), u128>,
+    /// Streams that were begun at another VM and are read here.
+    resumed: Vec<Weak<GenerationBuffer>>,
 }
 
 /// Generations by id. Each is kept for a while after its end, so that a caller that lost its
@@ -60,6 +62,18 @@
         None
     }
 
+    /// Adds a stream that was begun at another VM, so that a planned stop waits for it.
+    pub(crate) fn add_resumed(&self, buffer: &Arc<GenerationBuffer>) {
+        let mut state = self.lock();
+        state.resumed.retain(is_open);
+        state.resumed.push(Arc::downgrade(buffer));
+    }
+
+    /// Returns whether a stream that was begun at another VM is read here.
+    pub(crate) fn has_resumed(&self) -> bool {
+        self.lock().resumed.iter().any(is_open)
+    }
+
     /// Returns the generation if it is stored here and belongs to `team`.
     pub(crate) fn find(&self, id: &GenerationId, team: &TeamName) -> Option<Arc<GenerationBuffer>> {
         let state = self.lock();
@@ -91,7 +105,7 @@
             let ended_at = *stored.ended_at.get_or_insert(now);
             now.since(ended_at) < retention
         });
-        let StoreState { generations, by_key } = &mut *state;
+        let StoreState { generations, by_key, .. } = &mut *state;
         by_key.retain(|_, unique| generations.contains_key(unique));
     }
 
@@ -100,3 +114,7 @@
         self.lock().generations.values().filter(|stored| stored.buffer.end().is_none()).count()
     }
 }
+
+fn is_open(buffer: &Weak<GenerationBuffer>) -> bool {
+    buffer.upgrade().is_some_and(|buffer| buffer.end().is_none())
+}
--- a/crates/node/src/http/generation_handler.rs
+++ b/crates/node/src/http/generation_handler.rs
@@ -187,6 +187,7 @@
     }
     let resumer = StreamResumer::new(api.runner.clone());
     let buffer = resumer.resume(&id, next).await?;
+    api.store.add_resumed(&buffer);
     Ok(stream_response(api, buffer, None, next))
 }
 
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -428,3 +428,32 @@
     assert_whole(&response);
     assert_eq!(call.status, 200, "{:?}", call.body);
 }
+
+/// Guards against a resumed stream that keeps a stopping process alive without being told to go to
+/// another VM, so that it is cut when the platform ends the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_stream_is_handed_over_at_the_shutdown_timeout() {
+    let drain = SHORT_STOP.to_owned();
+    let spec = DeploymentSpec { zones: 1, vms_per_zone: 3, drain, ..DeploymentSpec::default() };
+    let mut deployment = Deployment::start(spec).await;
+    let (_, streaming) = start_long_stream(&deployment).await;
+    deployment.vms[0].process().kill().unwrap();
+    let partial = streaming.await.unwrap().unwrap_err();
+    let (second, third) = (deployment.vms[1].http, deployment.vms[2].http);
+    let (progress, mut resumed) = tokio::sync::watch::channel(0);
+    let begin = partial.indexes.len();
+    let streaming = tokio::spawn(async move {
+        let note = |response: &StreamedResponse| {
+            progress.send_replace(response.indexes.len());
+        };
+        Caller::new("reports").resume_with(second, partial, note).await
+    });
+    resumed.wait_for(|count| *count > begin).await.unwrap();
+
+    deployment.vms[1].process().terminate().unwrap();
+    let partial = streaming.await.unwrap().expect_err("the stream ran to its end at this VM");
+    assert!(partial.reconnect, "{partial:?}");
+    let response = Caller::new("reports").resume(third, partial).await.unwrap();
+
+    assert_whole(&response);
+}
