tests: list a stream that its first VM gives up as red

The first VM does not learn that another VM reads the generation, so the fix needs a message between VMs.

--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -271,3 +271,27 @@
     })
     .await;
 }
+
+/// Guards against a generation that its first VM gives up for want of a reader while its caller, who
+/// lost the connection, reads it at another VM.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_goes_on_at_another_vm_is_not_given_up() {
+    let timeouts = "report_poll = 200ms\nstream_retention = 1s".to_owned();
+    let deployment = Deployment::start(DeploymentSpec { timeouts, ..Default::default() }).await;
+    let (first, second) = (deployment.vms[0].http, deployment.vms[1].http);
+    let (progress, mut received) = tokio::sync::watch::channel(StreamedResponse::default());
+    let streaming = tokio::spawn(async move {
+        let note = |response: &StreamedResponse| {
+            progress.send_replace(response.clone());
+        };
+        Caller::new("reports").stream(first, "a long report", 3 * LONG_STREAM_TOKENS, note).await
+    });
+    received.wait_for(|response| response.indexes.len() >= 10).await.unwrap();
+
+    streaming.abort();
+    assert!(streaming.await.is_err());
+    let partial = received.borrow().clone();
+    let response = Caller::new("reports").resume(second, partial).await;
+
+    assert_complete(&response.unwrap(), 3 * LONG_STREAM_TOKENS);
+}
