Wait for a stalled engine if no other can continue the stream

A reader lost its stream after `engine_progress` without a token, although its engine sent heartbeats and would have finished it: a model whose engines don't accept a forced prefix can't be continued at another engine once a token was read. `engine_progress` is the time after which a generation is continued elsewhere; the runner ended the attempt without asking whether that is possible, stopped the engine and gave the stream up.

The attempt now ends for want of progress only if the generation can move. Otherwise it has its engine until its deadline.

streams::stalled_stream_that_cannot_move_is_whole failed before (one run, "the backend server made no progress") and passes.

--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -45,7 +45,7 @@
 pub(crate) struct RunnerLimits {
     /// Time without any event after which the connection is replaced.
     pub(crate) idle_timeout: Duration,
-    /// Time without a token after which the generation continues on another engine.
+    /// Time without a token after which the generation continues on another engine, if it can.
     pub(crate) progress_timeout: Duration,
     /// Maximum number of reconnections to one engine without a token in between.
     pub(crate) max_reconnects: u32,
@@ -353,6 +353,12 @@
         }
     }
 
+    /// Returns whether another engine could continue the generation. One that can't move has its
+    /// engine until its deadline, however slow that is.
+    fn can_move(&self) -> bool {
+        self.placed.forced_prefix || !self.buffer.is_read()
+    }
+
     async fn give_up<T>(&self, message: &str) -> Result<T, ServiceError> {
         self.report_cancelled().await;
         Err(ServiceError::new(ErrorKind::Interrupted, message))
@@ -543,7 +549,8 @@
             if let Some(end) = self.apply(&own, event) {
                 return end;
             }
-            if self.last_token_at.elapsed() > self.context.limits.progress_timeout {
+            let is_stalled = self.last_token_at.elapsed() > self.context.limits.progress_timeout;
+            if is_stalled && self.can_move() {
                 return ReadEnd::Attempt(AttemptEnd::Stalled);
             }
         }
--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -295,3 +295,32 @@
 
     assert_complete(&response.unwrap(), 3 * LONG_STREAM_TOKENS);
 }
+
+/// Guards against a stream that is ended because its engine makes no progress for a while, although
+/// no other engine can continue it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_stream_that_cannot_move_is_whole() {
+    let timeouts = "report_poll = 200ms\nengine_silence = 1s\nengine_progress = 2s".to_owned();
+    let spec = DeploymentSpec { forced_prefix: false, timeouts, ..DeploymentSpec::default() };
+    let deployment = Deployment::start(spec).await;
+    let address = deployment.vms[0].http;
+    let streaming = tokio::spawn(async move {
+        Caller::new("reports").stream(address, "a long report", LONG_STREAM_TOKENS, |_| {}).await
+    });
+    wait_for("the stream to run", || async {
+        let tokens = deployment.metric(0, "dragonflycart_tokens_total").await?;
+        (tokens >= 20.0).then_some(())
+    })
+    .await;
+
+    for engine in &deployment.engines {
+        engine.command(EngineCommand::Stall { stalled: true });
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for engine in &deployment.engines {
+        engine.command(EngineCommand::Stall { stalled: false });
+    }
+    let response = streaming.await.unwrap();
+
+    assert_complete(&response.unwrap(), LONG_STREAM_TOKENS);
+}
