--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -170,7 +170,8 @@
 }
 
 /// Waits until the last calls have ended and their outcomes are in the log, for at most `limit`: a
-/// call and its lookup end by the deadline of calls, while the log may stay unreachable.
+/// call without its caller and its lookup end by the default deadline of calls, unless the caller
+/// asked for more, while the log may stay unreachable.
 async fn wait_recorded(control: &ControlHandle, limit: Duration) {
     let started = tokio::time::Instant::now();
     while !control.ask(ControlMessage::IsIdle).await.unwrap_or(true) {
@@ -276,7 +277,7 @@
     }
 
     async fn is_idle(&self) -> bool {
-        if self.store.open_count() > 0 {
+        if self.store.open_count() > 0 || self.store.has_resumed() {
             return false;
         }
         self.control.ask(ControlMessage::IsIdle).await.unwrap_or(true)
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -45,7 +45,7 @@
 pub(crate) struct RunnerLimits {
     /// Time without any event after which the connection is replaced.
     pub(crate) idle_timeout: Duration,
-    /// Time without a token after which the generation continues on another engine.
+    /// Time without a token after which the generation continues on another engine, if it can.
     pub(crate) progress_timeout: Duration,
     /// Maximum number of reconnections to one engine without a token in between.
     pub(crate) max_reconnects: u32,
@@ -161,15 +161,24 @@
         }
     }
 
-    /// Runs the generation to its end.
+    /// Runs the generation to its end, or until it is handed over to another VM.
     pub(crate) async fn run(mut self) {
         let mut abandoned = self.buffer.abandoned();
+        let mut handed_over = self.buffer.handed_over();
         let result = tokio::select! {
-            result = self.run_attempts() => result,
-            _ = abandoned.wait_for(|abandoned| *abandoned) => Err(ServiceError::new(
+            biased;
+            // First, so that a generation that another VM reads is not stopped at its engine.
+            _ = handed_over.wait_for(|handed_over| *handed_over) => None,
+            result = self.run_attempts() => Some(result),
+            _ = abandoned.wait_for(|abandoned| *abandoned) => Some(Err(ServiceError::new(
                 ErrorKind::Interrupted,
                 "the generation was given up, because nobody read it",
-            )),
+            ))),
+        };
+        let is_handed_over = *self.buffer.handed_over().borrow();
+        let result = match result {
+            Some(result) if result.is_ok() || !is_handed_over => result,
+            _ => return self.hand_over().await,
         };
         if *self.buffer.abandoned().borrow() {
             self.release_engine().await;
@@ -188,6 +197,15 @@
         self.buffer.finish(end);
     }
 
+    /// Leaves the generation to its engine, from which another VM reads it.
+    async fn hand_over(&self) {
+        info!("stream: handed over; generation={}", self.buffer.location());
+        self.report_cancelled().await;
+        let message = "the VM stops; continue at another VM";
+        let error = ServiceError::new(ErrorKind::Interrupted, message);
+        self.buffer.finish(GenerationEnd::Failed(error));
+    }
+
     /// Cancels an abandoned generation at the engine and in the placement.
     async fn release_engine(&mut self) {
         self.stop_attempt().await;
@@ -228,7 +246,10 @@
             if let Some(task) = self.stops.remove(&grant.server) {
                 task.close().await;
             }
-            let end = self.run_attempt(&grant, prefix).await;
+            let mut end = self.run_attempt(&grant, prefix).await;
+            if !self.buffer.detach() && !matches!(end, AttemptEnd::Finished(_)) {
+                end = AttemptEnd::Stopping;
+            }
             if !matches!(end, AttemptEnd::Finished(_) | AttemptEnd::Stopping) {
                 self.stop_attempt().await;
             }
@@ -332,6 +353,12 @@
         }
     }
 
+    /// Returns whether another engine could continue the generation. One that can't move has its
+    /// engine until its deadline, however slow that is.
+    fn can_move(&self) -> bool {
+        self.placed.forced_prefix || !self.buffer.is_read()
+    }
+
     async fn give_up<T>(&self, message: &str) -> Result<T, ServiceError> {
         self.report_cancelled().await;
         Err(ServiceError::new(ErrorKind::Interrupted, message))
@@ -415,6 +442,7 @@
         let mut reconnects = 0;
         loop {
             if let Some(open) = stream.take() {
+                self.buffer.attach();
                 let before = self.buffer.next_index();
                 if let ReadEnd::Attempt(end) = self.read_stream(&location, open).await {
                     return end;
@@ -423,6 +451,9 @@
                     reconnects = 0;
                 }
             }
+            if !self.buffer.detach() {
+                return AttemptEnd::Stopping;
+            }
             if reconnects >= self.context.limits.max_reconnects {
                 return AttemptEnd::EngineLost;
             }
@@ -518,7 +549,8 @@
             if let Some(end) = self.apply(&own, event) {
                 return end;
             }
-            if self.last_token_at.elapsed() > self.context.limits.progress_timeout {
+            let is_stalled = self.last_token_at.elapsed() > self.context.limits.progress_timeout;
+            if is_stalled && self.can_move() {
                 return ReadEnd::Attempt(AttemptEnd::Stalled);
             }
         }
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use dragonflycart_testkit::{EngineCommand, ServiceCommand, ServiceConfig, TokenSource};
+use dragonflycart_testkit::{
+    EngineCommand, FaultCommand, ServiceCommand, ServiceConfig, TokenSource,
+};
 use hyper::Method;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -10,7 +12,9 @@
     task::JoinHandle,
 };
 
-use crate::support::{Caller, Deployment, DeploymentSpec, HttpResponse, wait_for};
+use crate::support::{
+    Caller, Deployment, DeploymentSpec, HttpResponse, StreamedResponse, wait_for,
+};
 
 /// Body of every call.
 const BODY: &str = "{\"drums\":4}";
@@ -323,3 +327,133 @@
     let text = response.json()["choices"][0]["text"].as_str().unwrap_or_default().to_owned();
     assert_eq!(text, TokenSource::expected_text(300), "{:?}", response.body);
 }
+
+/// Deployment of one zone with two VMs and two engines, with a [`SHORT_STOP`].
+async fn start_two_engines(timeouts: &str) -> Deployment {
+    Deployment::start(DeploymentSpec {
+        zones: 1,
+        vms_per_zone: 2,
+        engines: 2,
+        drain: SHORT_STOP.to_owned(),
+        timeouts: format!("report_poll = 200ms\n{timeouts}"),
+        ..DeploymentSpec::default()
+    })
+    .await
+}
+
+/// Starts a stream of 600 tokens at the first VM and waits until it runs. Returns the engine that
+/// runs it and the task that reads it.
+async fn start_long_stream(
+    deployment: &Deployment,
+) -> (usize, JoinHandle<Result<StreamedResponse, StreamedResponse>>) {
+    let address = deployment.vms[0].http;
+    let streaming = tokio::spawn(async move {
+        Caller::new("reports").stream(address, "a long report", 600, |_| {}).await
+    });
+    wait_running(deployment).await;
+    let engine = deployment.engines.iter().position(|engine| engine.running() > 0).unwrap();
+    (engine, streaming)
+}
+
+fn assert_whole(response: &StreamedResponse) {
+    assert_eq!(response.error, None);
+    assert_eq!(response.indexes, (0..600).collect::<Vec<u64>>());
+    assert_eq!(response.text, TokenSource::expected_text(600));
+    assert!(response.done);
+}
+
+/// Guards against a stream that is ended by the time limit of the stop while it waits for another
+/// engine: only this VM has its prompt, so no other VM can continue it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_between_two_engines_outlasts_the_shutdown_timeout() {
+    let mut deployment = start_two_engines("").await;
+    let (engine, streaming) = start_long_stream(&deployment).await;
+    let other = 1 - engine;
+    deployment.engines[other].command(EngineCommand::Leaving { leaving: true });
+    // The VM reads the load report every 200 ms.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    deployment.vms[0].process().terminate().unwrap();
+    deployment.engines[engine].fault(&FaultCommand::Die);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    deployment.engines[other].command(EngineCommand::Leaving { leaving: false });
+    let partial = streaming.await.unwrap().unwrap_err();
+    assert!(partial.reconnect, "{partial:?}");
+    let response = Caller::new("reports").resume(deployment.vms[1].http, partial).await.unwrap();
+    wait_ended(&mut deployment).await;
+
+    assert_whole(&response);
+}
+
+/// Guards against a reader that is sent to another VM while its engine does not respond, although
+/// only this VM can move the generation to another engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_frozen_engine_is_handed_over_after_its_move() {
+    let mut deployment = start_two_engines("engine_silence = 800ms").await;
+    let (engine, streaming) = start_long_stream(&deployment).await;
+
+    deployment.engines[engine].fault(&FaultCommand::Freeze);
+    wait_for("the connection to be replaced", || async {
+        let reconnects = deployment.metric(0, "dragonflycart_engine_reconnects_total").await?;
+        (reconnects >= 1.0).then_some(())
+    })
+    .await;
+    deployment.vms[0].process().terminate().unwrap();
+    let partial = streaming.await.unwrap().unwrap_err();
+    assert!(partial.reconnect, "{partial:?}");
+    let response = Caller::new("reports").resume(deployment.vms[1].http, partial).await.unwrap();
+    wait_ended(&mut deployment).await;
+
+    assert_whole(&response);
+}
+
+/// Guards against a VM that hands a stream over, is kept alive by a call, and cancels the generation
+/// at its engine because nobody reads it at this VM any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_was_handed_over_is_not_cancelled() {
+    let mut deployment = start_two_engines("stream_retention = 1s").await;
+    // The call runs for longer than the rest of the stream.
+    deployment.bookings[0].command(ServiceCommand::Delay { ms: 8_000 });
+    let call = start_booking(&deployment, "running");
+    wait_booking_sent(&deployment).await;
+    let (_, streaming) = start_long_stream(&deployment).await;
+
+    deployment.vms[0].process().terminate().unwrap();
+    let partial = streaming.await.unwrap().unwrap_err();
+    assert!(partial.reconnect, "{partial:?}");
+    let response = Caller::new("reports").resume(deployment.vms[1].http, partial).await.unwrap();
+    let call = call.await.unwrap().unwrap();
+    wait_ended(&mut deployment).await;
+
+    assert_whole(&response);
+    assert_eq!(call.status, 200, "{:?}", call.body);
+}
+
+/// Guards against a resumed stream that keeps a stopping process alive without being told to go to
+/// another VM, so that it is cut when the platform ends the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_stream_is_handed_over_at_the_shutdown_timeout() {
+    let drain = SHORT_STOP.to_owned();
+    let spec = DeploymentSpec { zones: 1, vms_per_zone: 3, drain, ..DeploymentSpec::default() };
+    let mut deployment = Deployment::start(spec).await;
+    let (_, streaming) = start_long_stream(&deployment).await;
+    deployment.vms[0].process().kill().unwrap();
+    let partial = streaming.await.unwrap().unwrap_err();
+    let (second, third) = (deployment.vms[1].http, deployment.vms[2].http);
+    let (progress, mut resumed) = tokio::sync::watch::channel(0);
+    let begin = partial.indexes.len();
+    let streaming = tokio::spawn(async move {
+        let note = |response: &StreamedResponse| {
+            progress.send_replace(response.indexes.len());
+        };
+        Caller::new("reports").resume_with(second, partial, note).await
+    });
+    resumed.wait_for(|count| *count > begin).await.unwrap();
+
+    deployment.vms[1].process().terminate().unwrap();
+    let partial = streaming.await.unwrap().expect_err("the stream ran to its end at this VM");
+    assert!(partial.reconnect, "{partial:?}");
+    let response = Caller::new("reports").resume(third, partial).await.unwrap();
+
+    assert_whole(&response);
+}
