--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -596,7 +596,7 @@
         if end != RelayEnd::CallerLeft && self.sender.send(last_piece).await.is_err() {
             info!(id = self.request.attempt, "stream: the caller left before its end was told");
         }
-        // Dropped by the connection once the caller has got the rest.
+        // The connection drops the body once its caller has got the rest, or has left.
         self.progress.enter(StreamPhase::Delivering);
         self.sender.closed().await;
         drop(self.entry);
