tests: let the lost answer to a final copy come late

The fixture waits for the final copy in steps of 20 ms, and the whole move could end within one of them. The engine loses the answer after 200 ms, as in the other tests of the fixture. The assertions are unchanged.

--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -294,7 +294,8 @@
 /// works on, and retains the memory of the generation that it has stopped (LOST).
 #[tokio::test]
 async fn generation_goes_on_after_the_answer_to_its_final_copy_was_lost() {
-    let copies = &[EngineAnswer::LOST, EngineAnswer::COPIED];
+    const LOST_LATE: EngineAnswer = EngineAnswer::LOST.after(Duration::from_millis(200));
+    let copies = &[LOST_LATE, EngineAnswer::COPIED];
     let stream = LostStream::start(script(copies, &[EngineAnswer::RESUMED])).await;
     let mut watcher = EngineWatcher::new(&stream.context);
 
