--- a/review/standins-2/case_9.rs
+++ b/review/standins-2/case_9.rs
@@ -86,6 +86,7 @@
             .stdout(Stdio::piped())
             .spawn()
             .ok()?;
+        kit::note_started(&child);
         let mut lines = BufReader::new(child.stdout.take()?);
         let mut line = String::new();
         lines.read_line(&mut line).ok()?;
@@ -101,8 +102,7 @@
 
 impl Drop for Server {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        kit::end_process(&mut self.child);
     }
 }
 
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -25,6 +25,35 @@
 /// Exit code of a case that could not run.
 pub const NOT_RUN: i32 = 2;
 
+/// Time after which a case ends its processes and gives up.
+const TIME_LIMIT: Duration = Duration::from_secs(100);
+
+/// Processes that the case has started and not ended.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Records a process that the case has started.
+pub fn note_started(child: &Child) {
+    CHILDREN.lock().unwrap().push(child.id());
+}
+
+/// Ends a process that the case has started.
+pub fn end_process(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    CHILDREN.lock().unwrap().retain(|id| *id != child.id());
+}
+
+/// Ends all processes and the case after its time limit.
+fn start_watchdog() {
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        for id in CHILDREN.lock().unwrap().iter() {
+            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        }
+        std::process::exit(NOT_RUN);
+    });
+}
+
 /// Returns whether the case runs with its disruption.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
@@ -38,7 +67,9 @@
 }
 
 impl Record {
+    /// Creates the record, and starts the time limit of the case.
     pub fn create(path: &Path) -> io::Result<Record> {
+        start_watchdog();
         Ok(Record { file: Arc::new(Mutex::new(File::create(path)?)), start: Instant::now() })
     }
 
@@ -480,6 +511,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        note_started(&child);
         Ok(Gateway { name: name.to_owned(), front, ready, child })
     }
 
@@ -508,8 +540,7 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        end_process(&mut self.child);
     }
 }
 
