--- a/crates/gateway/benches/placement/bench_fleet.rs
+++ b/crates/gateway/benches/placement/bench_fleet.rs
@@ -14,7 +14,7 @@
 use dragonflycart_gateway::{
     CallerLimits, EngineSpec, ExposureLimit, FleetOrder, FleetView, Placement, PlacementQuery,
     PlannedRoute, PlannedService, RouteKind, RoutePlan, RunEnd, ServerKey, ServerLoad,
-    ServerRecord, TokenDemand, VmSettings,
+    ServerRecord, StorePosition, TokenDemand, VmSettings,
 };
 
 /// Service of the engines.
@@ -69,7 +69,12 @@
         let mut keys = Vec::new();
         for index in 0..size.servers {
             let zone = ZONES[index as usize % size.zones];
-            view.apply_server(&server_id(index), record(zone, index), index, at(0));
+            view.apply_server(
+                &server_id(index),
+                record(zone, index),
+                StorePosition::new(0, index),
+                at(0),
+            );
         }
         view.note_servers_known();
         keys.extend(view.servers().map(|(key, _)| key));
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     BootTime, FeedProbe, FeedProbes, FeedRequest, FeedUpdate, FleetTable, GatewayContext,
-    TableBatch, TableRecord, TableUpdate, server_connection, table_sync,
+    StorePosition, TableBatch, TableRecord, TableUpdate, server_connection, table_sync,
 };
 
 /// Interval at which to check which peer reads the store.
@@ -56,10 +56,17 @@
     let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
     let is_bounded = context.freshness().is_bounded();
     let mut probes = FeedProbes::default();
+    let [orders, servers, statuses] =
+        [FleetTable::Orders, FleetTable::Servers, FleetTable::Statuses]
+            .map(|table| context.tables.next(table));
+    let era = |next: Option<StorePosition>| next.map_or(0, |next| next.era);
     let request = FeedRequest {
-        orders_from: context.tables.next(FleetTable::Orders),
-        servers_from: context.tables.next(FleetTable::Servers),
-        statuses_from: context.tables.next(FleetTable::Statuses),
+        orders_from: orders.map(|next| next.offset),
+        orders_era: era(orders),
+        servers_from: servers.map(|next| next.offset),
+        servers_era: era(servers),
+        statuses_from: statuses.map(|next| next.offset),
+        statuses_era: era(statuses),
         probe: is_bounded.then(|| probes.next(BootTime::now())),
     };
     if frames.send(Bytes::from(request.encode_to_vec())).await.is_err() {
@@ -74,10 +81,11 @@
             Err(_) => return "silent",
         };
         let Ok(update) = FeedUpdate::decode(bytes) else { return "not understood" };
-        apply_table(context, FleetTable::Orders, update.orders);
+        let knows_orders = apply_table(context, FleetTable::Orders, update.orders);
         apply_table(context, FleetTable::Servers, update.servers);
         apply_table(context, FleetTable::Statuses, update.statuses);
-        if let Some(confirmation) = update.confirmation
+        // A peer in an earlier era of the store may confirm a plan that this VM never had.
+        if let Some(confirmation) = update.confirmation.filter(|_| knows_orders)
             && let Some(asked_at) = probes.sent_at(confirmation.probe)
         {
             let age = Duration::from_millis(confirmation.age_ms);
@@ -97,14 +105,15 @@
     }
 }
 
-fn apply_table(context: &GatewayContext, table: FleetTable, update: Option<TableUpdate>) {
-    let Some(update) = update else { return };
+/// Applies the update of a table. Returns whether there is one and it was not of another era.
+fn apply_table(context: &GatewayContext, table: FleetTable, update: Option<TableUpdate>) -> bool {
+    let Some(update) = update else { return false };
     let records = update
         .records
         .into_iter()
         .map(|record| TableRecord { offset: record.offset, key: record.key, value: record.value })
         .collect();
-    let batch = TableBatch { records, next: update.next };
+    let batch = TableBatch { era: update.era, records, next: update.next };
     let age = Duration::from_millis(update.age_ms);
-    table_sync::apply_batch(context, table, batch, update.is_whole, age);
+    table_sync::apply_batch(context, table, batch, update.is_whole, age)
 }
--- a/crates/gateway/src/feed_message.rs
+++ b/crates/gateway/src/feed_message.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-/// First message of a connection: the offsets that the subscriber has reached.
+/// First message of a connection: the positions that the subscriber has reached.
 #[derive(Clone, PartialEq, Message)]
 pub struct FeedRequest {
     /// Offset of the first order to send; none for all.
@@ -17,6 +17,15 @@
     /// Number of the first probe; none if the subscriber needs no confirmations of the plan.
     #[prost(uint64, optional, tag = "4")]
     pub probe: Option<u64>,
+    /// Era of the store to which the offset of the orders belongs.
+    #[prost(uint64, tag = "5")]
+    pub orders_era: u64,
+    /// Era of the store to which the offset of the server registrations belongs.
+    #[prost(uint64, tag = "6")]
+    pub servers_era: u64,
+    /// Era of the store to which the offset of the statuses belongs.
+    #[prost(uint64, tag = "7")]
+    pub statuses_era: u64,
 }
 
 /// Probe of a subscriber, which the sender of the updates answers at once.
@@ -67,6 +76,9 @@
     /// Milliseconds since the sender's copy was last known to be current.
     #[prost(uint64, tag = "4")]
     pub age_ms: u64,
+    /// Era of the store to which all offsets belong.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// Updates of the tables. Also sent at intervals without new records, as a heartbeat.
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     BootTime, FeedProbe, FeedRecord, FeedRequest, FeedUpdate, FleetTable, GatewayContext,
-    PlanConfirmation, TableRecord, TableUpdate, server_connection,
+    PlanConfirmation, StorePosition, TableRecord, TableUpdate, server_connection,
 };
 
 /// Interval of messages without new records. A subscriber that no longer receives messages soon
@@ -52,9 +52,10 @@
         }
     };
     let mut changes = context.tables.subscribe();
-    let mut orders_from = request.orders_from;
-    let mut servers_from = request.servers_from;
-    let mut statuses_from = request.statuses_from;
+    let position = |era, offset: Option<u64>| offset.map(|offset| StorePosition::new(era, offset));
+    let mut orders_from = position(request.orders_era, request.orders_from);
+    let mut servers_from = position(request.servers_era, request.servers_from);
+    let mut statuses_from = position(request.statuses_era, request.statuses_from);
     let mut probe = request.probe;
     loop {
         changes.mark_unchanged();
@@ -94,18 +95,19 @@
 fn read_table(
     context: &GatewayContext,
     table: FleetTable,
-    from: &mut Option<u64>,
+    from: &mut Option<StorePosition>,
 ) -> Option<TableUpdate> {
     let delta = context.tables.since(table, *from)?;
     let age = context.tables.age(table)?;
     if let (true, Some(from)) = (delta.is_whole, *from) {
-        info!(%table, from, next = delta.next, "feed: whole table sent, removals may be unknown");
+        let next = StorePosition::new(delta.era, delta.next);
+        info!(%table, %from, %next, "feed: whole table sent, removals may be unknown");
     }
-    *from = Some(delta.next);
+    *from = Some(StorePosition::new(delta.era, delta.next));
     let mut records = Vec::new();
     for TableRecord { offset, key, value } in delta.records {
         records.push(FeedRecord { offset, key, value });
     }
-    let (next, is_whole) = (delta.next, delta.is_whole);
-    Some(TableUpdate { records, next, is_whole, age_ms: age.as_millis() as u64 })
+    let (era, next, is_whole) = (delta.era, delta.next, delta.is_whole);
+    Some(TableUpdate { era, records, next, is_whole, age_ms: age.as_millis() as u64 })
 }
--- a/crates/gateway/src/fleet_tables.rs
+++ b/crates/gateway/src/fleet_tables.rs
@@ -12,16 +12,10 @@
 use bytes::Bytes;
 use tokio::{sync::watch, time::Instant};
 
-use crate::{FleetTable, TableBatch, TableDelta, TableMirror};
-
-#[derive(Debug, Default)]
-struct TableState {
-    mirror: TableMirror,
-    current_at: Option<Instant>,
-}
+use crate::{FleetTable, StorePosition, TableBatch, TableDelta, tables::TableState};
 
 /// Copies of all tables. Records received from a peer and records that this VM reads itself are
-/// merged by offset, so that an older record never replaces a newer one.
+/// merged by position, so that an older record never replaces a newer one.
 #[derive(Debug, Default)]
 pub struct FleetTables {
     tables: Mutex<BTreeMap<FleetTable, TableState>>,
@@ -42,7 +36,8 @@
         self.order.lock().expect("no holder of the order's lock panics")
     }
 
-    /// Applies records that were current `age` ago. Returns those that are new and not renewals.
+    /// Applies records that were current `age` ago. Returns those that are new and not renewals, or
+    /// `None` if the batch is of an earlier era of the store, or of a later one and not a snapshot.
     pub fn apply(
         &self,
         table: FleetTable,
@@ -50,38 +45,51 @@
         is_snapshot: bool,
         age: Duration,
         is_renewal: impl Fn(&Bytes, &Bytes) -> bool,
-    ) -> TableBatch {
+    ) -> Option<TableBatch> {
         let now = Instant::now();
         let mut tables = self.lock();
         let state = tables.entry(table).or_default();
-        let delta = state.mirror.apply(batch, is_snapshot, is_renewal);
         let current_at = now.checked_sub(age).unwrap_or(now);
-        state.current_at = Some(state.current_at.map_or(current_at, |at| at.max(current_at)));
+        let delta = state.apply(batch, is_snapshot, current_at, is_renewal)?;
         drop(tables);
         // A VM that forwards tables also tells its subscribers at once that they are still current.
         if !delta.records.is_empty() || self.wakes_on_every_batch.load(Ordering::Relaxed) {
             self.changes.send_modify(|count| *count += 1);
         }
-        delta
+        Some(delta)
     }
 
     /// Returns the time since a table was last known to be current, or `None` if it was never read.
     pub fn age(&self, table: FleetTable) -> Option<Duration> {
-        self.lock().get(&table)?.current_at.map(|at| at.elapsed())
+        self.lock().get(&table)?.age()
+    }
+
+    /// Returns the position after the last known record of a table, or `None` if it was never read.
+    pub fn next(&self, table: FleetTable) -> Option<StorePosition> {
+        self.lock().get(&table)?.next()
+    }
+
+    /// Returns whether records of a table may still be about to be written again, because the era of
+    /// the store was first seen a moment ago.
+    pub fn is_unsettled(&self, table: FleetTable) -> bool {
+        self.lock().get(&table).is_some_and(TableState::is_unsettled)
     }
 
-    /// Returns the offset after the last known record of a table, or `None` if it was never read.
-    pub fn next(&self, table: FleetTable) -> Option<u64> {
-        self.lock().get(&table)?.mirror.next()
+    /// Ends the time in which the writers of a table may write again what the store lost, if it is
+    /// over, and returns what is to be applied then: all records, and the removals of the keys that
+    /// the store lacks. Returns no records if no earlier era was known.
+    pub fn settle(&self, table: FleetTable) -> Option<TableBatch> {
+        self.lock().get_mut(&table)?.settle(table)
     }
 
-    /// Returns what a holder of a copy of a table up to offset `from` lacks, or one without a copy if
-    /// there is no `from`. Returns `None` if the table was never read.
-    pub fn since(&self, table: FleetTable, from: Option<u64>) -> Option<TableDelta> {
+    /// Returns what a holder of a copy of a table up to `from` lacks: the whole table if the copy is of
+    /// another era of the store, or if there is none. Returns `None` if the table was never read.
+    pub fn since(&self, table: FleetTable, from: Option<StorePosition>) -> Option<TableDelta> {
         let tables = self.lock();
-        let state = tables.get(&table)?;
-        state.mirror.next()?;
-        Some(from.map_or_else(|| state.mirror.all(), |from| state.mirror.since(from)))
+        let mirror = tables.get(&table)?.mirror();
+        mirror.next()?;
+        let from = from.filter(|from| from.era == mirror.era());
+        Some(from.map_or_else(|| mirror.all(), |from| mirror.since(from.offset)))
     }
 
     /// Sets whether subscribers are notified of every batch, including those without new records.
--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -28,9 +28,9 @@
 use self::server_places::ServerPlaces;
 use crate::{
     EngineSpec, FleetOrder, GenerationTiming, RetryBudget, RetryLimit, RouteBaselines, RoutePlan,
-    RunKey, ServerKey, ServerLoad, ServerRecord, ServerState, SurveyedEngine, TokenDemand,
-    VersionMove, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole, VmSettings,
-    ZoneReachability, versions::OpenRun,
+    RunKey, ServerKey, ServerLoad, ServerRecord, ServerState, StorePosition, SurveyedEngine,
+    TokenDemand, VersionMove, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole,
+    VmSettings, ZoneReachability, versions::OpenRun,
 };
 
 /// Time in which a registration that disappeared after a store outage may reappear.
@@ -71,6 +71,8 @@
     /// Number of VMs before this one by name, among those that share the limits.
     pub own_rank: usize,
     store_failed_at: Option<MonoTime>,
+    /// Era of the store in which orders may still be about to be written again.
+    unsettled_era: Option<u64>,
     servers_known: bool,
     zone_reachability: ZoneReachability,
 }
@@ -98,6 +100,7 @@
             sharing_vms: UNKNOWN_FLEET_VMS,
             own_rank: 0,
             store_failed_at: None,
+            unsettled_era: None,
             servers_known: false,
             zone_reachability: ZoneReachability::default(),
         }
@@ -145,24 +148,36 @@
         }
     }
 
-    /// Starts the version move ordered by the record at offset `order_offset`. Returns false if it
-    /// is already known.
+    /// Starts the version move ordered by the record at `position`. Returns false if it is already
+    /// known. Until the operators had the time to write again what a store lost that came back from
+    /// an older copy, the same order at a later position is that version move, and another order may
+    /// be an older one than that.
     pub fn start_version_move(
         &mut self,
         order: VersionMoveSpec,
-        order_offset: u64,
+        position: StorePosition,
         now: MonoTime,
         now_ms: u64,
     ) -> bool {
-        let known = self.version_moves.get(&order.service);
-        if known.is_some_and(|known| known.order_offset() >= order_offset) {
-            return false;
+        if let Some(known) = self.version_moves.get_mut(&order.service) {
+            let known_position = known.order_position();
+            if known_position >= position {
+                return false;
+            }
+            let is_unsettled = self.unsettled_era == Some(position.era);
+            if *known.order() == order && (is_unsettled || known_position.era < position.era) {
+                known.note_written_again(position);
+                return false;
+            }
+            if is_unsettled && known_position.era < position.era {
+                return false;
+            }
         }
         let service = order.service.clone();
         let plan = self.plan.as_ref();
         let uses = |route: &str| plan.is_some_and(|plan| plan.route_uses(route, &service));
         let usual = self.baselines.usual_of(uses);
-        let mut version_move = VersionMove::new(order, order_offset, now, now_ms).with_usual(usual);
+        let mut version_move = VersionMove::new(order, position, now, now_ms).with_usual(usual);
         // The status may have been read before the order.
         if let Some(status) = self.move_statuses.get(&service) {
             version_move.note_status(status, now, now_ms);
@@ -186,15 +201,15 @@
         self.version_moves.get(service)
     }
 
-    /// Returns a service's version move, if it was ordered at offset `order_offset`.
+    /// Returns a service's version move, if it was ordered at `position`.
     pub fn version_move_mut(
         &mut self,
         service: &str,
-        order_offset: u64,
+        position: StorePosition,
     ) -> Option<&mut VersionMove> {
         self.version_moves
             .get_mut(service)
-            .filter(|version_move| version_move.order_offset() == order_offset)
+            .filter(|version_move| version_move.order_position() == position)
     }
 
     /// Applies a version move status from the store. Returns whether the phase changed.
@@ -247,6 +262,11 @@
         version_move.decide(is_old_idle, now).then(|| version_move.phase())
     }
 
+    /// Returns whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.contains_key(zone)
+    }
+
     /// Ends the evacuation of a zone. Returns whether the zone was evacuated.
     pub fn end_evacuation(&mut self, zone: &str) -> bool {
         self.evacuated.remove(zone).is_some()
@@ -257,6 +277,12 @@
         self.store_failed_at = Some(now);
     }
 
+    /// Records the era of the store in which orders may still be about to be written again, or that
+    /// they are not.
+    pub fn note_unsettled_era(&mut self, era: Option<u64>) {
+        self.unsettled_era = era;
+    }
+
     /// Records that the whole table of servers was read.
     pub fn note_servers_known(&mut self) {
         self.servers_known = true;
@@ -268,12 +294,12 @@
         &mut self,
         id: &str,
         record: ServerRecord,
-        offset: u64,
+        position: StorePosition,
         now: MonoTime,
     ) -> bool {
         if let Some(key) = self.by_id.get(id).copied() {
             let state = &mut self.servers[key];
-            if offset < state.offset {
+            if position < state.position {
                 return false;
             }
             let is_same = state.record.started_at_ms == record.started_at_ms
@@ -282,12 +308,12 @@
             if is_same {
                 let before = (state.record.is_draining, state.expired_at.is_some());
                 self.places.set(key, &record, &self.settings.zone);
-                state.update(record, offset, now);
+                state.update(record, position, now);
                 return before != (state.record.is_draining, false);
             }
             state.mark_leaving(now);
         }
-        let key = self.servers.insert(ServerState::new(id, record, offset, now));
+        let key = self.servers.insert(ServerState::new(id, record, position, now));
         self.places.set(key, &self.servers[key].record, &self.settings.zone);
         self.by_id.insert(id.to_owned(), key);
         true
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -59,6 +59,8 @@
     sources: Family<ResultLabels, Counter>,
     repeats: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
+    /// Number of tables read again because the store came back from an older copy.
+    pub store_returns: Counter,
     samples: Family<ResultLabels, Counter>,
     duty_calls: Family<ResultLabels, Counter>,
     load_refusals: Family<ReasonLabels, Counter>,
@@ -116,6 +118,7 @@
             sources: Family::default(),
             repeats: Family::default(),
             store_calls: Family::default(),
+            store_returns: Counter::default(),
             samples: Family::default(),
             duty_calls: Family::default(),
             load_refusals: Family::default(),
@@ -182,6 +185,11 @@
             self.repeats.clone(),
         );
         registry.register("store_calls", "Calls to the store by result", self.store_calls.clone());
+        registry.register(
+            "store_returns",
+            "Tables read again because the store came back from an older copy",
+            self.store_returns.clone(),
+        );
         registry.register(
             "duty_calls",
             "Calls for the duties by kind and result",
--- a/crates/gateway/src/order_updates.rs
+++ b/crates/gateway/src/order_updates.rs
@@ -2,13 +2,15 @@
 
 use tracing::{info, warn};
 
-use crate::{FleetOrder, GatewayClock, GatewayContext, StoreError, TableBatch, TableRecord};
+use crate::{
+    FleetOrder, GatewayClock, GatewayContext, StoreError, StorePosition, TableBatch, TableRecord,
+};
 
 /// Applies new records.
 pub fn apply(context: &GatewayContext, batch: &TableBatch) {
     let mut changed = false;
     for record in &batch.records {
-        match apply_record(context, record) {
+        match apply_record(context, record, batch.era) {
             Ok(is_change) => changed |= is_change,
             Err(error) => {
                 warn!(key = record.key, offset = record.offset, %error, "orders: not understood");
@@ -20,7 +22,11 @@
     }
 }
 
-fn apply_record(context: &GatewayContext, record: &TableRecord) -> Result<bool, StoreError> {
+fn apply_record(
+    context: &GatewayContext,
+    record: &TableRecord,
+    era: u64,
+) -> Result<bool, StoreError> {
     let now = context.clock.now();
     let Some(value) = &record.value else {
         let ended = context.store.decode_removed_order(&record.key);
@@ -32,8 +38,9 @@
         let (service, target) = (order.service.clone(), order.target.clone());
         let time_limit_ms = order.time_limit.as_millis() as u64;
         let now_ms = GatewayClock::unix_ms();
-        let is_new = context.view().start_version_move(order, record.offset, now, now_ms);
-        info!(service, target, time_limit_ms, order = record.offset, is_new, "versions: ordered");
+        let position = StorePosition::new(era, record.offset);
+        let is_new = context.view().start_version_move(order, position, now, now_ms);
+        info!(service, target, time_limit_ms, order = %position, is_new, "versions: ordered");
         return Ok(is_new);
     }
     let changed = context.view().apply_order(order, now);
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     BootTime, FleetTable, FleetView, GatewayContext, LeavingEntry, LoadEntry, PeerReport,
-    ReportRecipients, ResultCounts, RouteEntry, RouteResults, ServerLoad, UsualResults,
-    VersionMove, VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
+    ReportRecipients, ResultCounts, RouteEntry, RouteResults, ServerLoad, StorePosition,
+    UsualResults, VersionMove, VersionMoveEntry, VersionMoveEvidence, VersionMovePhase, VmRecord,
     admission::{apply_report, fill_report},
     capacity::{self, SpeedSchedule},
     containment::evidence_exchange::EvidenceExchange,
@@ -332,7 +332,8 @@
     let mut changed = false;
     for entry in &report.versions {
         let Some(phase) = VersionMovePhase::from_repr(entry.phase) else { continue };
-        let Some(known) = view.version_move_mut(&entry.service, entry.number) else { continue };
+        let position = StorePosition::new(entry.era, entry.number);
+        let Some(known) = view.version_move_mut(&entry.service, position) else { continue };
         let mut results = RouteResults::new();
         let mut usual = BTreeMap::new();
         for route in &entry.routes {
@@ -383,7 +384,8 @@
     }
     VersionMoveEntry {
         service: version_move.order().service.clone(),
-        number: version_move.order_offset(),
+        number: version_move.order_position().offset,
+        era: version_move.order_position().era,
         phase: version_move.phase() as u32,
         elapsed_ms: version_move.elapsed(now).as_millis() as u64,
         routes,
--- a/crates/gateway/src/peer_report.rs
+++ b/crates/gateway/src/peer_report.rs
@@ -124,6 +124,9 @@
     /// All results of the sender so far, by route.
     #[prost(message, repeated, tag = "5")]
     pub routes: Vec<RouteEntry>,
+    /// Era of the store to which the offset of the order belongs.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 /// Requests of one rank that wait for a service.
--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -7,7 +7,9 @@
 use dragonflycart_core::MonoTime;
 
 pub(crate) use self::input_ages::whole_millis;
-use crate::{LostResponses, RateLimiter, ServerLoad, ServerRecord, fleet_view::PeerLoads};
+use crate::{
+    LostResponses, RateLimiter, ServerLoad, ServerRecord, StorePosition, fleet_view::PeerLoads,
+};
 
 /// Weight of a new result in the moving averages, which thus cover about ten results.
 const AVERAGE_WEIGHT: f64 = 0.1;
@@ -32,8 +34,8 @@
     pub id: String,
     /// Latest registration.
     pub record: ServerRecord,
-    /// Offset of the registration in the table of servers.
-    pub offset: u64,
+    /// Position of the registration in the table of servers.
+    pub position: StorePosition,
     /// Time since which the server is known to be leaving.
     pub leaving_since: Option<MonoTime>,
     /// Engine memory of its generations when it was found to leave, in tokens.
@@ -72,7 +74,12 @@
 
 impl ServerState {
     /// Builds the state of a newly registered server.
-    pub fn new(id: &str, record: ServerRecord, offset: u64, now: MonoTime) -> ServerState {
+    pub fn new(
+        id: &str,
+        record: ServerRecord,
+        position: StorePosition,
+        now: MonoTime,
+    ) -> ServerState {
         let leaving_since = record.is_draining.then_some(now);
         ServerState {
             id: id.to_owned(),
@@ -80,7 +87,7 @@
             is_registered: true,
             has_drained: record.is_draining,
             record,
-            offset,
+            position,
             leaving_since,
             tokens_at_leave: 0,
             recovered_at: None,
@@ -102,7 +109,7 @@
     }
 
     /// Applies a newer registration of the same incarnation.
-    pub fn update(&mut self, record: ServerRecord, offset: u64, now: MonoTime) {
+    pub fn update(&mut self, record: ServerRecord, position: StorePosition, now: MonoTime) {
         if record.is_draining {
             self.mark_leaving(now);
         }
@@ -113,7 +120,7 @@
         self.is_registered = true;
         self.has_drained |= record.is_draining;
         self.record = record;
-        self.offset = offset;
+        self.position = position;
     }
 
     /// Records that the server is leaving, if that is not known yet.
--- a/crates/gateway/src/server_updates.rs
+++ b/crates/gateway/src/server_updates.rs
@@ -4,7 +4,7 @@
 
 use tracing::{info, warn};
 
-use crate::{GatewayContext, TableBatch, TableRecord};
+use crate::{GatewayContext, StorePosition, TableBatch, TableRecord};
 
 /// Interval of the check for expired registrations.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
@@ -25,7 +25,7 @@
 pub fn apply(context: &GatewayContext, batch: &TableBatch) {
     let mut changed = false;
     for record in &batch.records {
-        changed |= apply_record(context, record);
+        changed |= apply_record(context, record, batch.era);
     }
     let now = context.clock.now();
     let mut view = context.view();
@@ -38,7 +38,7 @@
     }
 }
 
-fn apply_record(context: &GatewayContext, record: &TableRecord) -> bool {
+fn apply_record(context: &GatewayContext, record: &TableRecord, era: u64) -> bool {
     let now = context.clock.now();
     let Some(value) = &record.value else {
         let changed = context.view().remove_server(&record.key, now);
@@ -55,7 +55,8 @@
     let draining = server.is_draining;
     let version = server.version.clone();
     let cold_ms = server.cold_left.as_millis() as u64;
-    let changed = context.view().apply_server(&record.key, server, record.offset, now);
+    let position = StorePosition::new(era, record.offset);
+    let changed = context.view().apply_server(&record.key, server, position, now);
     if changed {
         info!(
             server = record.key,
--- a/crates/gateway/src/store_error.rs
+++ b/crates/gateway/src/store_error.rs
@@ -12,6 +12,8 @@
     Refused(u16),
     /// the requested records have expired from the store
     Expired,
+    /// the store is in another era than expected
+    OtherEra,
     /// the precondition of the write failed
     Conflict,
     /// the store's response or record is invalid: {0}
--- a/crates/gateway/src/table_mirror.rs
+++ b/crates/gateway/src/table_mirror.rs
@@ -17,10 +17,11 @@
     changed_at: u64,
 }
 
-/// Newest record of each key up to some offset. Records that only renew a key are not forwarded,
+/// Newest record of each key up to some offset, in one era of the store. Records that only renew a key are not forwarded,
 /// since servers renew their registrations constantly.
 #[derive(Debug, Clone, Default)]
 pub struct TableMirror {
+    era: u64,
     entries: BTreeMap<String, MirrorEntry>,
     next: Option<u64>,
     /// Offset from which on all removals are known. A snapshot shows no removals before it, and old
@@ -29,6 +30,22 @@
 }
 
 impl TableMirror {
+    /// Builds an empty copy of a table in era `era` of the store.
+    pub fn new(era: u64) -> TableMirror {
+        TableMirror { era, ..TableMirror::default() }
+    }
+
+    /// Returns the era of the store to which all offsets belong.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Returns the keys that have a value.
+    pub(crate) fn into_keys(self) -> impl Iterator<Item = String> {
+        let held = self.entries.into_iter().filter(|(_, entry)| entry.record.value.is_some());
+        held.map(|(key, _)| key)
+    }
+
     /// Returns the offset after the last known record, or `None` if the table was never read.
     pub fn next(&self) -> Option<u64> {
         self.next
@@ -68,7 +85,7 @@
         }
         self.next = Some(known_to.max(batch.next));
         self.forget_removed();
-        TableBatch { records: delta, next: batch.next }
+        TableBatch { era: self.era, records: delta, next: batch.next }
     }
 
     /// Stores a record and returns whether it changes the content of its key.
@@ -119,7 +136,7 @@
     ) -> TableDelta {
         let mut records: Vec<TableRecord> = entries.map(|entry| entry.record.clone()).collect();
         records.sort_by_key(|record| record.offset);
-        TableDelta { records, next: self.next.unwrap_or(0), is_whole }
+        TableDelta { era: self.era, records, next: self.next.unwrap_or(0), is_whole }
     }
 
     /// Removes the oldest tombstones if there are too many.
--- a/crates/gateway/src/table_record.rs
+++ b/crates/gateway/src/table_record.rs
@@ -31,6 +31,8 @@
 /// Result of reading a table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TableBatch {
+    /// Era of the store to which all offsets belong.
+    pub era: u64,
     /// Records ordered by offset.
     pub records: Vec<TableRecord>,
     /// Offset at which to continue reading.
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -6,7 +6,7 @@
 use tracing::{info, warn};
 
 use crate::{
-    BootTime, FleetTable, GatewayContext, StoreError, TableBatch, order_updates,
+    BootTime, FleetTable, GatewayContext, StoreError, StorePosition, TableBatch, order_updates,
     peer_table::SMALL_FLEET, server_updates, version_move_updates,
 };
 
@@ -39,6 +39,7 @@
     let mut failures = 0;
     let mut must_reread = false;
     loop {
+        settle_table(&context, table);
         if table == FleetTable::Statuses && context.view().services_with_open_move().is_empty() {
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
@@ -61,11 +62,19 @@
                     context.peers().note_store_success();
                     context.load_changes.notify_one();
                 }
-                failures = 0;
                 must_reread = false;
                 // In a large fleet, the tables take two hops, so none may wait for the next heartbeat.
                 context.tables.set_wake_on_every_batch(context.peers().is_large());
-                apply_batch(&context, table, batch, next.is_none(), Duration::ZERO);
+                let is_applied =
+                    apply_batch(&context, table, batch, next.is_none(), Duration::ZERO);
+                if !is_applied {
+                    // A late answer of an earlier era.
+                    let pause = retry_pause(failures, context.view().vm_count, rand::random());
+                    failures += 1;
+                    tokio::time::sleep(pause).await;
+                    continue;
+                }
+                failures = 0;
                 if table == FleetTable::Orders {
                     context.freshness().note_store_read(began_at);
                 }
@@ -73,7 +82,11 @@
             }
             Err(StoreError::Expired) => {
                 context.metrics.count_store_call("expired");
-                info!(%table, from = next, "store: records expired");
+                info!(%table, from = next.map(tracing::field::display), "store: records expired");
+                must_reread = true;
+            }
+            Err(StoreError::OtherEra) if next.is_some() => {
+                context.metrics.count_store_call("other_era");
                 must_reread = true;
             }
             Err(error) => {
@@ -132,22 +145,73 @@
     matches!((decode(before), decode(now)), (Ok(before), Ok(now)) if before == now)
 }
 
-/// Applies records of a table from the store or from a peer, to the table and to the view.
+/// Applies records of a table from the store or from a peer, to the table and to the view. Returns
+/// whether they were applied: those of an earlier era of the store are dropped, and those of a later
+/// one unless they are a snapshot.
 pub fn apply_batch(
     context: &GatewayContext,
     table: FleetTable,
     batch: TableBatch,
     is_snapshot: bool,
     age: Duration,
-) {
+) -> bool {
     let _order = context.tables.lock_order();
+    let (known, era) = (context.tables.next(table), batch.era);
     let delta = context.tables.apply(table, batch, is_snapshot, age, |before, now| {
         is_renewal(context, table, before, now)
     });
+    let Some(delta) = delta else {
+        info!(%table, era, known = known.map(tracing::field::display), "store: batch of another era");
+        return false;
+    };
+    let is_new_era = known.is_none_or(|known| known.era != era);
+    if is_new_era {
+        begin_era(context, table, known, era);
+    }
+    apply_to_view(context, table, &delta);
+    if is_new_era {
+        settle_if_due(context, table);
+    }
+    true
+}
+
+/// Records that a table was first read in an era of the store. `known` is how far it was known in an
+/// earlier one, if at all.
+fn begin_era(context: &GatewayContext, table: FleetTable, known: Option<StorePosition>, era: u64) {
+    if table == FleetTable::Orders {
+        context.view().note_unsettled_era(Some(era));
+    }
+    let Some(known) = known else { return };
+    warn!(%table, era, %known, "store: came back from an older copy");
+    context.metrics.store_returns.inc();
+    // The store was away, also if this VM made no call meanwhile: servers whose registrations it
+    // lacks may live.
+    context.view().note_store_failure(context.clock.now());
+}
+
+/// Applies to the view what the store lacks since it came back from an older copy, once the writers
+/// of the table had the time to write it again.
+pub fn settle_table(context: &GatewayContext, table: FleetTable) {
+    let _order = context.tables.lock_order();
+    settle_if_due(context, table);
+}
+
+/// Does the same while the order of batches is locked.
+fn settle_if_due(context: &GatewayContext, table: FleetTable) {
+    let Some(batch) = context.tables.settle(table) else { return };
+    if table == FleetTable::Orders {
+        context.view().note_unsettled_era(None);
+    }
+    if !batch.records.is_empty() {
+        apply_to_view(context, table, &batch);
+    }
+}
+
+fn apply_to_view(context: &GatewayContext, table: FleetTable, delta: &TableBatch) {
     match table {
-        FleetTable::Orders => order_updates::apply(context, &delta),
-        FleetTable::Servers => server_updates::apply(context, &delta),
-        FleetTable::Statuses => version_move_updates::apply(context, &delta),
+        FleetTable::Orders => order_updates::apply(context, delta),
+        FleetTable::Servers => server_updates::apply(context, delta),
+        FleetTable::Statuses => version_move_updates::apply(context, delta),
         FleetTable::Vms => {}
     }
 }
--- a/crates/gateway/src/tables/table_delta.rs
+++ b/crates/gateway/src/tables/table_delta.rs
@@ -5,6 +5,8 @@
 /// Changes of a table since some offset.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TableDelta {
+    /// Era of the store to which all offsets belong.
+    pub era: u64,
     /// Records ordered by offset.
     pub records: Vec<TableRecord>,
     /// Offset up to which they bring the older copy.
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -12,8 +12,8 @@
 use dragonflycart_core::MonoTime;
 
 use crate::{
-    RouteBaselines, UsualResults, VersionMoveEvidence, VersionMovePhase, VersionMoveRecord,
-    VersionMoveSpec, VersionRole, versions::SuspicionLevel,
+    RouteBaselines, StorePosition, UsualResults, VersionMoveEvidence, VersionMovePhase,
+    VersionMoveRecord, VersionMoveSpec, VersionRole, versions::SuspicionLevel,
 };
 
 /// Fraction of the allowed share that a new version gets as a canary. The rest is reserved for the
@@ -59,7 +59,7 @@
 #[derive(Debug, Clone)]
 pub struct VersionMove {
     order: VersionMoveSpec,
-    order_offset: u64,
+    order_position: StorePosition,
     known_at: MonoTime,
     began: MonoTime,
     began_at_ms: u64,
@@ -86,16 +86,16 @@
         VersionMove { own, usual, ..self }
     }
 
-    /// Builds a version move that was ordered by the record at offset `order_offset`.
+    /// Builds a version move that was ordered by the record at `order_position`.
     pub fn new(
         order: VersionMoveSpec,
-        order_offset: u64,
+        order_position: StorePosition,
         now: MonoTime,
         now_ms: u64,
     ) -> VersionMove {
         VersionMove {
             order,
-            order_offset,
+            order_position,
             known_at: now,
             began: now,
             began_at_ms: now_ms,
@@ -118,9 +118,15 @@
         &self.order
     }
 
-    /// Returns the offset of the order in the operators' table.
-    pub fn order_offset(&self) -> u64 {
-        self.order_offset
+    /// Returns the position of the order in the operators' table.
+    pub fn order_position(&self) -> StorePosition {
+        self.order_position
+    }
+
+    /// Records that the order was written again at `position`, or is there since the store came back
+    /// from an older copy.
+    pub fn note_written_again(&mut self, position: StorePosition) {
+        self.order_position = position;
     }
 
     /// Returns the phase.
@@ -144,7 +150,7 @@
             service: self.order.service.clone(),
             target: self.order.target.clone(),
             phase: self.phase,
-            order: self.order_offset,
+            order: self.order_position,
             began_at_ms: self.began_at_ms,
             suspicion: self.suspicion.highest(),
         }
@@ -279,7 +285,7 @@
 
     /// Applies a status from the store. Returns whether the phase changed.
     pub fn note_status(&mut self, status: &VersionMoveRecord, now: MonoTime, now_ms: u64) -> bool {
-        if status.order != self.order_offset || status.target != self.order.target {
+        if status.order != self.order_position || status.target != self.order.target {
             return false;
         }
         let elapsed_ms = now_ms.saturating_sub(status.began_at_ms);
--- a/crates/gateway/src/version_move_controller.rs
+++ b/crates/gateway/src/version_move_controller.rs
@@ -55,7 +55,7 @@
     info!(
         service,
         target = version_move.order().target,
-        order = version_move.order_offset(),
+        order = %version_move.order_position(),
         %phase,
         is_deciding,
         elapsed_ms = version_move.elapsed(now).as_millis() as u64,
--- a/crates/gateway/src/version_move_record.rs
+++ b/crates/gateway/src/version_move_record.rs
@@ -1,6 +1,6 @@
 //! Status of a version move in the store.
 
-use crate::{SuspicionRecord, VersionMovePhase};
+use crate::{StorePosition, SuspicionRecord, VersionMovePhase};
 
 /// Status of one version move. Only a status with a final phase is binding. A status is written
 /// only if its writer has read all earlier ones.
@@ -12,8 +12,8 @@
     pub target: String,
     /// Phase.
     pub phase: VersionMovePhase,
-    /// Offset of the order in the operators' table.
-    pub order: u64,
+    /// Position of the order in the operators' table.
+    pub order: StorePosition,
     /// Time at which the order was first seen, in Unix milliseconds.
     pub began_at_ms: u64,
     /// Evidence against the new version so far, for VMs that know none because they have just
--- a/crates/gateway/src/version_move_updates.rs
+++ b/crates/gateway/src/version_move_updates.rs
@@ -9,7 +9,7 @@
     let mut changed = false;
     for record in &batch.records {
         let Some(value) = &record.value else { continue };
-        let status = match context.store.decode_status(&record.key, value) {
+        let status = match context.store.decode_status(&record.key, value, batch.era) {
             Ok(Some(status)) => status,
             Ok(None) => continue,
             Err(error) => {
@@ -23,7 +23,7 @@
             service = status.service,
             target = status.target,
             phase = %status.phase,
-            order = status.order,
+            order = %status.order,
             offset = record.offset,
             "versions: status read"
         );
--- a/crates/gateway/src/versions/status_writer.rs
+++ b/crates/gateway/src/versions/status_writer.rs
@@ -60,12 +60,16 @@
     let Some(at) = context.tables.next(FleetTable::Statuses).filter(|_| is_current) else {
         return false;
     };
+    if status.order.era != at.era {
+        // The order has no position in this era yet, or the statuses were last read before it.
+        return false;
+    }
     let result = context.store.write_status(status, at).await;
     let service = &status.service;
     match &result {
-        Ok(()) => info!(service, phase = %status.phase, at, "versions: status written"),
+        Ok(()) => info!(service, phase = %status.phase, %at, "versions: status written"),
         Err(StoreError::Conflict) => {
-            info!(service, phase = %status.phase, at, "versions: another status came first");
+            info!(service, phase = %status.phase, %at, "versions: another status came first");
         }
         Err(error) => warn!(service, phase = %status.phase, %error, "versions: status not written"),
     }
--- a/crates/gateway/tests/all/admission.rs
+++ b/crates/gateway/tests/all/admission.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     fixtures::{
-        DESK, ENGINES, MEMORY_TOKENS, at, caller_request, context, engine_spec, query, record,
-        report, route, view,
+        DESK, ENGINES, MEMORY_TOKENS, at, caller_request, context, engine_spec, position, query,
+        record, report, route, view,
     },
     stub_store::StubStore,
 };
@@ -187,7 +187,7 @@
     let context = context(Arc::new(StubStore::default()));
     let now = context.clock.now();
     let mut view = context.view();
-    view.apply_server("e0", record(ENGINES, "a", 8_000), 0, now);
+    view.apply_server("e0", record(ENGINES, "a", 8_000), position(0), now);
     let load = ServerLoad { requests: 7, tokens: MEMORY_TOKENS, ..ServerLoad::default() };
     view.note_peer_load(7, "e0", load, now);
     drop(view);
--- a/crates/gateway/tests/all/call_forwarding.rs
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    fixtures::{DESK, ENGINES, caller_request, context, query, record, report, route},
+    fixtures::{DESK, ENGINES, caller_request, context, position, query, record, report, route},
     stub_store::StubStore,
 };
 
@@ -136,7 +136,7 @@
     let mut view = context.view();
     for (index, address) in servers.addresses.iter().enumerate() {
         let record = ServerRecord { address: *address, ..record(service, "a", 8_000) };
-        view.apply_server(&format!("s{index}"), record, index as u64, now);
+        view.apply_server(&format!("s{index}"), record, position(index as u64), now);
     }
     for _ in 0..BUDGET_REQUESTS {
         view.note_request(service, now);
@@ -218,7 +218,7 @@
     let context = context(Arc::new(StubStore::default()));
     let address = large_server().await;
     let record = ServerRecord { address, ..record(DESK, "a", 8_000) };
-    context.view().apply_server("s0", record, 0, context.clock.now());
+    context.view().apply_server("s0", record, position(0), context.clock.now());
     let mut responses = Vec::new();
     for _ in 0..2 {
         let route = route("desk", "/desk/", RouteKind::Idempotent, DESK);
@@ -433,7 +433,7 @@
     let address = servers.addresses[0];
     let record = ServerRecord { address, slots: 1, ..record(DESK, "a", 8_000) };
     let mut view = context.view();
-    view.apply_server("s0", record, 9, now);
+    view.apply_server("s0", record, position(9), now);
     let query = PlacementQuery { service: DESK, ..query(TokenDemand::default(), &excluded) };
     let placement = view.place(&query, now).unwrap();
     drop(view);
--- a/crates/gateway/tests/all/explained_choices.rs
+++ b/crates/gateway/tests/all/explained_choices.rs
@@ -18,7 +18,7 @@
 use strum::IntoEnumIterator;
 
 use crate::{
-    fixtures::{DESK, ENGINES, at, key_of, query, record, settings, view},
+    fixtures::{DESK, ENGINES, at, key_of, position, query, record, settings, view},
     learned_placements::{LEARNED_MS, teach_engines},
 };
 
@@ -74,7 +74,12 @@
             ..record(self.service, zone, 8_000 + index as u16)
         };
         let offset = 100 + index as u64;
-        self.view.apply_server(&format!("e{index}"), registration, offset, RandomFleet::now());
+        self.view.apply_server(
+            &format!("e{index}"),
+            registration,
+            position(offset),
+            RandomFleet::now(),
+        );
     }
 
     fn disturb(&mut self, index: usize) {
@@ -145,7 +150,7 @@
             };
             // Some of them may have ended unknown to the VM.
             let known_at = if self.rng.random_bool(0.5) { at(LEARNED_MS - 5_000) } else { now };
-            self.view.start_version_move(order, 5, known_at, 0);
+            self.view.start_version_move(order, position(5), known_at, 0);
             if self.rng.random_bool(0.5) {
                 self.view.note_statuses_read();
             }
@@ -289,13 +294,13 @@
 fn version_move_names_the_role_that_is_chosen() {
     let mut view = view(&["a", "a"]);
     let new = ServerRecord { version: "v2".to_owned(), ..record(ENGINES, "a", 8_001) };
-    view.apply_server("e1", new, 9, at(0));
+    view.apply_server("e1", new, position(9), at(0));
     let order = VersionMoveSpec {
         service: ENGINES.to_owned(),
         target: "v2".to_owned(),
         time_limit: Duration::from_secs(60),
     };
-    view.start_version_move(order, 5, at(0), 0);
+    view.start_version_move(order, position(5), at(0), 0);
     let first = view.version_move(ENGINES).unwrap().next_role(settings().exposure, 1);
     let excluded = BTreeSet::new();
 
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -8,7 +8,7 @@
 use dragonflycart_gateway::{
     CallerLimits, CallerRequest, EngineSpec, ExposureLimit, FleetOrder, FleetStore, FleetView,
     GatewayContext, HeaderNames, PlacementQuery, PlannedRoute, PlannedService, PlannedTeam,
-    RouteKind, RoutePlan, ServerKey, ServerRecord, TokenDemand, VmSettings,
+    RouteKind, RoutePlan, ServerKey, ServerRecord, StorePosition, TokenDemand, VmSettings,
 };
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
@@ -28,6 +28,11 @@
     MonoTime::from_millis(60_000 + millis)
 }
 
+/// Returns a position in the first era of the store.
+pub(crate) fn position(offset: u64) -> StorePosition {
+    StorePosition::new(0, offset)
+}
+
 pub(crate) fn settings() -> VmSettings {
     VmSettings {
         name: "vm-a-1".to_owned(),
@@ -144,7 +149,12 @@
     view.apply_order(FleetOrder::Plan(Arc::new(plan(1))), at(0));
     for (index, zone) in zones.iter().enumerate() {
         let port = 8_000 + index as u16;
-        view.apply_server(&format!("e{index}"), record(ENGINES, zone, port), index as u64, at(0));
+        view.apply_server(
+            &format!("e{index}"),
+            record(ENGINES, zone, port),
+            position(index as u64),
+            at(0),
+        );
     }
     view.note_servers_known();
     view
--- a/crates/gateway/tests/all/hand_overs.rs
+++ b/crates/gateway/tests/all/hand_overs.rs
@@ -12,7 +12,7 @@
 /// Applies one record of a table, as read from the store or forwarded by a reader.
 fn apply(context: &GatewayContext, table: FleetTable, record: TableRecord) {
     let next = record.offset + 1;
-    let batch = TableBatch { records: vec![record], next };
+    let batch = TableBatch { era: 0, records: vec![record], next };
     apply_batch(context, table, batch, false, Duration::ZERO);
 }
 
--- a/crates/gateway/tests/all/learned_placements.rs
+++ b/crates/gateway/tests/all/learned_placements.rs
@@ -9,7 +9,7 @@
 use dragonflycart_core::MonoTime;
 use dragonflycart_gateway::{FleetView, PlacementQuery, RunEnd, ServerLoad, TokenDemand};
 
-use crate::fixtures::{DESK, at, key_of, query, record, report, view};
+use crate::fixtures::{DESK, at, key_of, position, query, record, report, view};
 
 /// Time at which the views of these tests have learned the speeds.
 pub(crate) const LEARNED_MS: u64 = 12_000;
@@ -164,7 +164,7 @@
     for index in 0..count {
         let record =
             dragonflycart_gateway::ServerRecord { slots: 6, ..record(DESK, "a", 9_000 + index) };
-        view.apply_server(&format!("d{index}"), record, u64::from(index), at(0));
+        view.apply_server(&format!("d{index}"), record, position(u64::from(index)), at(0));
     }
     view
 }
--- a/crates/gateway/tests/all/learned_precedence.rs
+++ b/crates/gateway/tests/all/learned_precedence.rs
@@ -15,7 +15,9 @@
 };
 
 use crate::{
-    fixtures::{ENGINES, at, caller_request, context, key_of, query, record, report, route, view},
+    fixtures::{
+        ENGINES, at, caller_request, context, key_of, position, query, record, report, route, view,
+    },
     stub_store::StubStore,
 };
 
@@ -62,12 +64,12 @@
     let counts = |slow: &[&str]| {
         let mut view = view(&["a", "a", "a"]);
         let new = ServerRecord { version: "v2".to_owned(), ..record(ENGINES, "a", 8_050) };
-        view.apply_server("n0", new, 50, at(0));
+        view.apply_server("n0", new, position(50), at(0));
         teach(&mut view, slow, 0);
         let time_limit = Duration::from_secs(40);
         let order =
             VersionMoveSpec { service: ENGINES.to_owned(), target: "v2".to_owned(), time_limit };
-        view.start_version_move(order, 5, at(LEARNED_MS), LEARNED_MS);
+        view.start_version_move(order, position(5), at(LEARNED_MS), LEARNED_MS);
         view.note_statuses_read();
         let mut counts = BTreeMap::<bool, usize>::new();
         for index in 0..200 {
@@ -142,7 +144,7 @@
     {
         let mut view = context.view();
         let now = context.clock.now();
-        view.apply_server("e0", record(ENGINES, "a", 8_000), 1, now);
+        view.apply_server("e0", record(ENGINES, "a", 8_000), position(1), now);
         let key = key_of(&view, "e0");
         view.note_load_header(key, Some("0,0,24,100"), now);
     }
@@ -211,7 +213,7 @@
     let sample = PeerSample { samples: 16, speed: 0.4, age: Duration::from_millis(100) };
 
     let restarted = ServerRecord { started_at_ms: Some(2), ..record(ENGINES, "a", 8_003) };
-    view.apply_server("e3", restarted, 99, at(LEARNED_MS));
+    view.apply_server("e3", restarted, position(99), at(LEARNED_MS));
 
     let key = view.servers().filter(|(_, state)| state.id == "e3").last().unwrap().0;
     let table_speed =
--- a/crates/gateway/tests/all/learned_wiring.rs
+++ b/crates/gateway/tests/all/learned_wiring.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    fixtures::{DESK, ENGINES, caller_request, context, key_of, record, report, route},
+    fixtures::{DESK, ENGINES, caller_request, context, key_of, position, record, report, route},
     stub_store::StubStore,
 };
 
@@ -23,7 +23,7 @@
 fn context_with(id: &str, service: &str, address: SocketAddr) -> Arc<GatewayContext> {
     let context = context(Arc::new(StubStore::default()));
     let server = ServerRecord { address, ..record(service, "a", 1) };
-    context.view().apply_server(id, server, 1, context.clock.now());
+    context.view().apply_server(id, server, position(1), context.clock.now());
     context
 }
 
--- a/crates/gateway/tests/all/limits.rs
+++ b/crates/gateway/tests/all/limits.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::fixtures::{ENGINES, at, query, record, report, view};
+use crate::fixtures::{ENGINES, at, position, query, record, report, view};
 
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -153,7 +153,7 @@
         view.sharing_vms = vm_count;
         let mut cold = record(ENGINES, "a", 8_100);
         cold.cold_left = Duration::from_secs(60);
-        view.apply_server("cold", cold, 9, at(0));
+        view.apply_server("cold", cold, position(9), at(0));
         let excluded = BTreeSet::new();
         for millis in 0..1_000 {
             if let Ok(placement) = view.place(&query(report(), &excluded), at(millis)) {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -39,6 +39,7 @@
 mod speed_schedules;
 mod splitting;
 mod status_writes;
+mod store_eras;
 mod stub_protocol;
 mod stub_store;
 mod tables;
--- a/crates/gateway/tests/all/peer_load_sums.rs
+++ b/crates/gateway/tests/all/peer_load_sums.rs
@@ -6,7 +6,7 @@
 use dragonflycart_gateway::{ServerLoad, ServerState};
 use proptest::prelude::*;
 
-use crate::fixtures::{ENGINES, at, record};
+use crate::fixtures::{ENGINES, at, position, record};
 
 /// Time for which a peer's report is valid.
 const PEER_LOAD_MS: u64 = 3_000;
@@ -105,7 +105,7 @@
     fn kept_sum_equals_the_sum_over_all_reports(
         events in prop::collection::vec((event(), step(), any::<bool>(), 0..4_000_000_u64), 1..80),
     ) {
-        let mut state = ServerState::new("e0", record(ENGINES, "a", 8_000), 0, at(0));
+        let mut state = ServerState::new("e0", record(ENGINES, "a", 8_000), position(0), at(0));
         let mut direct = DirectSum::default();
         let mut now = at(0);
         for (event, step, is_asked, earlier) in events {
@@ -145,7 +145,7 @@
 /// under another ID, so nothing replaces or removes its earlier load.
 #[test]
 fn loads_of_ended_processes_are_dropped() {
-    let mut state = ServerState::new("e0", record(ENGINES, "a", 8_000), 0, at(0));
+    let mut state = ServerState::new("e0", record(ENGINES, "a", 8_000), position(0), at(0));
     let load = ServerLoad { requests: 1, tokens: 3_000, ..ServerLoad::default() };
 
     for second in 0..120 {
--- a/crates/gateway/tests/all/placement_command.rs
+++ b/crates/gateway/tests/all/placement_command.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     fixtures::{
-        BATCH, DESK, ENGINES, MEMORY_TOKENS, NAMES, caller_request, context, key_of, plan, record,
-        report, route, settings,
+        BATCH, DESK, ENGINES, MEMORY_TOKENS, NAMES, caller_request, context, key_of, plan,
+        position, record, report, route, settings,
     },
     stub_protocol::StubProtocol,
     stub_store::StubStore,
@@ -86,8 +86,8 @@
 fn engine_context() -> Arc<GatewayContext> {
     let context = context(Arc::new(StubStore::default()));
     let now = context.clock.now();
-    context.view().apply_server("e0", record(ENGINES, "a", 8_000), 0, now);
-    context.view().apply_server("e1", record(ENGINES, "b", 8_001), 1, now);
+    context.view().apply_server("e0", record(ENGINES, "a", 8_000), position(0), now);
+    context.view().apply_server("e1", record(ENGINES, "b", 8_001), position(1), now);
     context
 }
 
@@ -232,8 +232,8 @@
 async fn questions_change_no_state() {
     let context = engine_context();
     let now = context.clock.now();
-    context.view().apply_server("p0", record(DESK, "a", 9_000), 2, now);
-    context.view().apply_server("b0", record(BATCH, "a", 9_001), 3, now);
+    context.view().apply_server("p0", record(DESK, "a", 9_000), position(2), now);
+    context.view().apply_server("b0", record(BATCH, "a", 9_001), position(3), now);
     let full = ServerLoad { requests: 24, tokens: MEMORY_TOKENS, ..ServerLoad::default() };
     context.view().note_peer_load(7, "b0", full, later(&context));
     context.view().note_peer_load(7, "p0", full, later(&context));
@@ -255,7 +255,7 @@
 fn busy_context(per_second: u64) -> Arc<GatewayContext> {
     let context = context(Arc::new(StubStore::default()));
     let now = context.clock.now();
-    context.view().apply_server("b0", record(BATCH, "a", 8_000), 0, now);
+    context.view().apply_server("b0", record(BATCH, "a", 8_000), position(0), now);
     let load = ServerLoad { requests: 7, tokens: MEMORY_TOKENS, ..ServerLoad::default() };
     context.view().note_peer_load(7, "b0", load, later(&context));
     for _ in 0..5 {
@@ -361,7 +361,7 @@
 
     let now = context.clock.now();
     let one_slot = ServerRecord { slots: 1, ..record(DESK, "a", 9_000) };
-    context.view().apply_server("p0", one_slot, 0, now);
+    context.view().apply_server("p0", one_slot, position(0), now);
     let outcome = ask(address, &args).await.answer().outcome;
     assert_eq!(outcome, PlacementOutcome::Server { id: "p0".to_owned() });
 
--- a/crates/gateway/tests/all/placements.rs
+++ b/crates/gateway/tests/all/placements.rs
@@ -6,7 +6,7 @@
 use dragonflycart_gateway::{FleetView, PlacementQuery, ServerLoad, TokenDemand, VmSettings};
 
 use crate::fixtures::{
-    ENGINES, MEMORY_TOKENS, at, key_of, query, record, report, settings, view, view_of,
+    ENGINES, MEMORY_TOKENS, at, key_of, position, query, record, report, settings, view, view_of,
 };
 
 /// Pattern: long generations fill the memory of all engines. One more would be started and
@@ -323,7 +323,7 @@
     for index in 2..8 {
         // Enough servers of the VM's zone for a sample of the others.
         let record = record(ENGINES, "a", 8_000 + index);
-        view.apply_server(&format!("e{index}"), record, 20 + u64::from(index), at(0));
+        view.apply_server(&format!("e{index}"), record, position(20 + u64::from(index)), at(0));
     }
     let busy = ServerLoad { requests: 20, tokens: 20_000, ..ServerLoad::default() };
     for index in (0..8).filter(|index| *index != 1) {
@@ -332,7 +332,12 @@
     let mut far = record(ENGINES, "b", 8_001);
     for index in 8..80 {
         far.address.set_port(8_000 + index);
-        view.apply_server(&format!("e{index}"), far.clone(), 20 + u64::from(index), at(0));
+        view.apply_server(
+            &format!("e{index}"),
+            far.clone(),
+            position(20 + u64::from(index)),
+            at(0),
+        );
         view.note_peer_load(7, &format!("e{index}"), busy, at(0));
     }
     let seeds = 0..40_u64;
@@ -348,7 +353,7 @@
     };
 
     let as_far = count(&mut view, at(10));
-    view.apply_server("e1", record(ENGINES, "a", 8_001), 200, at(20));
+    view.apply_server("e1", record(ENGINES, "a", 8_001), position(200), at(20));
     let as_near = count(&mut view, at(30));
 
     assert!(as_far < 20, "it is in few samples: {as_far}");
--- a/crates/gateway/tests/all/plain_calls.rs
+++ b/crates/gateway/tests/all/plain_calls.rs
@@ -12,7 +12,7 @@
 };
 use proptest::{collection, prelude::*, test_runner::RngSeed};
 
-use crate::fixtures::{DESK, at, key_of, record, view};
+use crate::fixtures::{DESK, at, key_of, position, record, view};
 
 /// Latency target of the calls.
 const TARGET: Duration = Duration::from_millis(150);
@@ -39,7 +39,7 @@
     let mut view = view(&[]);
     for index in 0..servers {
         let record = ServerRecord { slots, ..record(DESK, "a", 9_000 + index as u16) };
-        view.apply_server(&format!("p{index}"), record, index as u64, at(0));
+        view.apply_server(&format!("p{index}"), record, position(index as u64), at(0));
     }
     view
 }
--- a/crates/gateway/tests/all/plain_fleet.rs
+++ b/crates/gateway/tests/all/plain_fleet.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::fixtures::{DESK, at, key_of, record, settings, view_of};
+use crate::fixtures::{DESK, at, key_of, position, record, settings, view_of};
 
 /// Number of VMs.
 const VMS: usize = 24;
@@ -77,7 +77,7 @@
             for index in 0..servers {
                 let port = 9_000 + index as u16;
                 let record = ServerRecord { slots: SLOTS as u32, ..record(DESK, "a", port) };
-                view.apply_server(&format!("p{index}"), record, index as u64, at(0));
+                view.apply_server(&format!("p{index}"), record, position(index as u64), at(0));
             }
             // The retry budget of a VM that has served for a while.
             for _ in 0..REQUESTS_BEFORE {
--- a/crates/gateway/tests/all/resumable_fleet.rs
+++ b/crates/gateway/tests/all/resumable_fleet.rs
@@ -10,7 +10,7 @@
 use hyper::Response;
 
 use crate::{
-    fixtures::{ENGINES, caller_request, context, record, route},
+    fixtures::{ENGINES, caller_request, context, position, record, route},
     resumable_engines::{Piece, ResumableEngines},
     stub_store::StubStore,
 };
@@ -36,7 +36,7 @@
         let mut view = context.view();
         for (index, address) in engines.addresses.iter().enumerate() {
             let record = ServerRecord { address: *address, ..record(ENGINES, "a", 8_000) };
-            view.apply_server(&format!("e{index}"), record, index as u64, now);
+            view.apply_server(&format!("e{index}"), record, position(index as u64), now);
         }
         for _ in 0..BUDGET_REQUESTS {
             view.note_request(ENGINES, now);
--- a/crates/gateway/tests/all/server_states.rs
+++ b/crates/gateway/tests/all/server_states.rs
@@ -4,7 +4,7 @@
 
 use dragonflycart_gateway::{ServerLoad, ZoneReachability};
 
-use crate::fixtures::{ENGINES, at, key_of, query, record, report, view};
+use crate::fixtures::{ENGINES, at, key_of, position, query, record, report, view};
 
 #[test]
 fn draining_server_gets_no_work() {
@@ -13,7 +13,7 @@
     let mut draining = record(ENGINES, "a", 8_000);
     draining.is_draining = true;
 
-    let changed = view.apply_server("e0", draining, 10, at(5));
+    let changed = view.apply_server("e0", draining, position(10), at(5));
 
     assert!(changed);
     assert!(view.is_leaving(key_of(&view, "e0")));
@@ -26,9 +26,9 @@
     let mut view = view(&["a"]);
     let mut draining = record(ENGINES, "a", 8_000);
     draining.is_draining = true;
-    view.apply_server("e0", draining, 10, at(5));
+    view.apply_server("e0", draining, position(10), at(5));
 
-    view.apply_server("e0", record(ENGINES, "a", 8_000), 9, at(6));
+    view.apply_server("e0", record(ENGINES, "a", 8_000), position(9), at(6));
 
     assert!(view.is_leaving(key_of(&view, "e0")));
 }
@@ -41,7 +41,7 @@
     let mut restarted = record(ENGINES, "a", 8_000);
     restarted.started_at_ms = Some(2);
 
-    view.apply_server("e0", restarted, 10, at(5));
+    view.apply_server("e0", restarted, position(10), at(5));
 
     assert!(view.is_leaving(before));
     assert!(view.servers().any(|(key, state)| key != before && state.leaving_since.is_none()));
@@ -65,7 +65,7 @@
 
     assert!(!view.remove_server("e0", at(500)));
     assert!(!view.remove_server("e1", at(500)));
-    view.apply_server("e0", record(ENGINES, "a", 8_000), 20, at(1_000));
+    view.apply_server("e0", record(ENGINES, "a", 8_000), position(20), at(1_000));
     view.expire_servers(at(2_400));
 
     assert!(!view.is_leaving(key_of(&view, "e0")));
@@ -180,7 +180,7 @@
     view.remove_server("e0", at(0));
     assert!(view.recovery_candidates(at(3_000)).is_empty(), "its registration is gone");
 
-    view.apply_server("e0", record(ENGINES, "a", 8_000), 10, at(3_000));
+    view.apply_server("e0", record(ENGINES, "a", 8_000), position(10), at(3_000));
     assert_eq!(view.recovery_candidates(at(3_000)), [key]);
     assert!(view.is_leaving(key), "its last registration may have come late");
     view.server_mut(key).unwrap().note_recovered(at(3_000));
@@ -195,10 +195,10 @@
     let mut view = view(&["a"]);
     let mut draining = record(ENGINES, "a", 8_000);
     draining.is_draining = true;
-    view.apply_server("e0", draining, 10, at(0));
+    view.apply_server("e0", draining, position(10), at(0));
     view.remove_server("e0", at(2_000));
 
-    view.apply_server("e0", record(ENGINES, "a", 8_000), 11, at(3_000));
+    view.apply_server("e0", record(ENGINES, "a", 8_000), position(11), at(3_000));
 
     assert!(view.recovery_candidates(at(5_000)).is_empty());
 }
@@ -314,7 +314,7 @@
     let leaving = key_of(&view, "e0");
 
     let is_new = view.note_announced_leaving(leaving, at(5));
-    view.apply_server("e0", record(ENGINES, "a", 8_000), 10, at(6));
+    view.apply_server("e0", record(ENGINES, "a", 8_000), position(10), at(6));
 
     assert!(is_new && !view.note_announced_leaving(leaving, at(7)));
     assert!(view.is_leaving(leaving));
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    fixtures::{ENGINES, caller_request, context, record, report, route},
+    fixtures::{ENGINES, caller_request, context, position, record, report, route},
     scripted_engine::{EngineAnswer, EngineScript, ScriptedEngine},
     stub_store::StubStore,
 };
@@ -38,7 +38,7 @@
             let engine = ScriptedEngine::start(script).await;
             let record = ServerRecord { address: engine.address, ..record(ENGINES, "a", 8_000) };
             let now = context.clock.now();
-            context.view().apply_server(&format!("e{index}"), record, index, now);
+            context.view().apply_server(&format!("e{index}"), record, position(index), now);
             engines.push(engine);
         }
         let route = route("reports", "/reports/", RouteKind::Stream, ENGINES);
--- a/crates/gateway/tests/all/status_writes.rs
+++ b/crates/gateway/tests/all/status_writes.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use dragonflycart_gateway::{
     BoxFuture, FleetOrder, FleetStore, FleetTable, GatewayClock, GatewayContext, ServerRecord,
-    StoreError, TableBatch, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole,
-    control_version_moves,
+    StoreError, StorePosition, TableBatch, VersionMovePhase, VersionMoveRecord, VersionMoveSpec,
+    VersionRole, control_version_moves,
 };
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    fixtures::{DESK, NAMES, settings},
+    fixtures::{DESK, NAMES, position, settings},
     stub_protocol::StubProtocol,
 };
 
@@ -38,7 +38,7 @@
     fn read_from(
         &self,
         _table: FleetTable,
-        _from: u64,
+        _from: StorePosition,
         _wait: Duration,
     ) -> BoxFuture<'_, Result<TableBatch, StoreError>> {
         Box::pin(pending())
@@ -51,7 +51,7 @@
     fn write_status(
         &self,
         _status: &VersionMoveRecord,
-        _at: u64,
+        _at: StorePosition,
     ) -> BoxFuture<'_, Result<(), StoreError>> {
         self.write_begun.notify_one();
         Box::pin(pending())
@@ -61,6 +61,7 @@
         &self,
         _key: &str,
         _value: &Bytes,
+        _era: u64,
     ) -> Result<Option<VersionMoveRecord>, StoreError> {
         Ok(None)
     }
@@ -89,7 +90,7 @@
         time_limit: Duration::from_secs(60),
     };
     let now = context.clock.now();
-    context.view().start_version_move(order, ORDER, now, GatewayClock::unix_ms());
+    context.view().start_version_move(order, position(ORDER), now, GatewayClock::unix_ms());
     context.view().note_statuses_read();
     Arc::new(context)
 }
@@ -99,7 +100,7 @@
 async fn wait_write(context: &GatewayContext, store: &SilentStore) {
     let start = Instant::now();
     loop {
-        let statuses = TableBatch { records: Vec::new(), next: 0 };
+        let statuses = TableBatch { era: 0, records: Vec::new(), next: 0 };
         context.tables.apply(FleetTable::Statuses, statuses, true, Duration::ZERO, |_, _| false);
         if tokio::time::timeout(POLL_INTERVAL, store.write_begun.notified()).await.is_ok() {
             return;
@@ -111,7 +112,7 @@
 /// Records results of which those of the new version are all bad.
 fn note_bad_version(context: &GatewayContext) {
     let mut view = context.view();
-    let version_move = view.version_move_mut(DESK, ORDER).unwrap();
+    let version_move = view.version_move_mut(DESK, position(ORDER)).unwrap();
     for _ in 0..100 {
         let time = Duration::from_millis(30);
         version_move.note_result("book", VersionRole::Old, false, time);
--- a/crates/gateway/tests/all/stub_store.rs
+++ b/crates/gateway/tests/all/stub_store.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use dragonflycart_gateway::{
-    BoxFuture, FleetOrder, FleetStore, FleetTable, ServerRecord, StoreError, TableBatch,
-    TableRecord, VersionMoveRecord,
+    BoxFuture, FleetOrder, FleetStore, FleetTable, ServerRecord, StoreError, StorePosition,
+    TableBatch, TableRecord, VersionMoveRecord,
 };
 
 use crate::fixtures::{DESK, record};
@@ -53,23 +53,29 @@
 
 impl FleetStore for StubStore {
     fn read_newest(&self, _: FleetTable) -> BoxFuture<'_, Result<TableBatch, StoreError>> {
-        Box::pin(async { Ok(TableBatch { records: Vec::new(), next: 0 }) })
+        Box::pin(async { Ok(TableBatch { era: 0, records: Vec::new(), next: 0 }) })
     }
 
     fn read_from(
         &self,
         _: FleetTable,
-        from: u64,
+        from: StorePosition,
         _: Duration,
     ) -> BoxFuture<'_, Result<TableBatch, StoreError>> {
-        Box::pin(async move { Ok(TableBatch { records: Vec::new(), next: from }) })
+        Box::pin(
+            async move { Ok(TableBatch { era: from.era, records: Vec::new(), next: from.offset }) },
+        )
     }
 
     fn write_vm(&self, _: &str, _: Bytes) -> BoxFuture<'_, Result<(), StoreError>> {
         Box::pin(async { Ok(()) })
     }
 
-    fn write_status(&self, _: &VersionMoveRecord, _: u64) -> BoxFuture<'_, Result<(), StoreError>> {
+    fn write_status(
+        &self,
+        _: &VersionMoveRecord,
+        _: StorePosition,
+    ) -> BoxFuture<'_, Result<(), StoreError>> {
         Box::pin(async { Ok(()) })
     }
 
@@ -77,6 +83,7 @@
         &self,
         _: &str,
         value: &Bytes,
+        _: u64,
     ) -> Result<Option<VersionMoveRecord>, StoreError> {
         self.decode(value);
         Ok(None)
--- a/crates/gateway/tests/all/tables.rs
+++ b/crates/gateway/tests/all/tables.rs
@@ -11,7 +11,7 @@
 }
 
 fn batch(records: Vec<TableRecord>, next: u64) -> TableBatch {
-    TableBatch { records, next }
+    TableBatch { era: 0, records, next }
 }
 
 /// Applies records; a record with an unchanged value is a renewal.
@@ -120,7 +120,7 @@
 
 /// Applies what a peer forwards, as a subscriber does.
 fn apply_delta(mirror: &mut TableMirror, delta: TableDelta) -> TableBatch {
-    let TableDelta { records, next, is_whole } = delta;
+    let TableDelta { records, next, is_whole, .. } = delta;
     apply(mirror, batch(records, next), is_whole)
 }
 
@@ -214,7 +214,7 @@
 }
 
 /// Returns the records of a table at an offset, without removed keys.
-fn table_at(log: &[TableRecord], end: u64) -> BTreeMap<String, Option<Bytes>> {
+pub(crate) fn table_at(log: &[TableRecord], end: u64) -> BTreeMap<String, Option<Bytes>> {
     let mut table = BTreeMap::new();
     for record in &log[..end as usize] {
         table.insert(record.key.clone(), record.value.clone());
--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -12,7 +12,7 @@
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use crate::fixtures::{ENGINES, at, key_of, query, record, report, view};
+use crate::fixtures::{ENGINES, at, key_of, position, query, record, report, view};
 
 /// Number of bad results after which a bad version must get no more requests.
 const BAD_RESULTS_ALLOWED: usize = 50;
@@ -41,7 +41,7 @@
 
 fn new_move(usual: UsualResults) -> VersionMove {
     let usual = BTreeMap::from([("reports".to_owned(), usual)]);
-    VersionMove::new(order(), 3, at(0), 0).with_usual(usual)
+    VersionMove::new(order(), position(3), at(0), 0).with_usual(usual)
 }
 
 /// Returns a view with two engines of the old version, `e0` and `e1`, two of the new one, `n0` and
@@ -50,9 +50,9 @@
     let mut fleet = view(&["a", "a"]);
     for index in 0..2 {
         let new = ServerRecord { version: "v2".to_owned(), ..record(ENGINES, "a", 8_010 + index) };
-        fleet.apply_server(&format!("n{index}"), new, 10 + u64::from(index), at(0));
+        fleet.apply_server(&format!("n{index}"), new, position(10 + u64::from(index)), at(0));
     }
-    fleet.start_version_move(order(), 3, at(0), 0);
+    fleet.start_version_move(order(), position(3), at(0), 0);
     fleet.note_statuses_read();
     fleet
 }
@@ -101,7 +101,7 @@
 /// comparison with the old version can tell.
 #[test]
 fn version_that_turns_bad_late_is_rolled_back_without_usual_results() {
-    let mut version_move = VersionMove::new(order(), 3, at(0), 0);
+    let mut version_move = VersionMove::new(order(), position(3), at(0), 0);
     for _ in 0..1_000 {
         version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
         version_move.note_result("reports", VersionRole::New, false, RESPONSE_TIME);
@@ -234,7 +234,7 @@
 
     fleet.note_version_move_status(&status, at(0), 0);
     fleet.note_statuses_read();
-    fleet.start_version_move(order(), 3, at(0), 0);
+    fleet.start_version_move(order(), position(3), at(0), 0);
 
     let version_move = fleet.version_move(ENGINES).unwrap();
     assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
@@ -284,7 +284,7 @@
 #[test]
 fn vm_without_usual_results_takes_those_of_its_peers() {
     let known = BTreeMap::from([("reports".to_owned(), usual(0))]);
-    let mut version_move = VersionMove::new(order(), 3, at(0), 0);
+    let mut version_move = VersionMove::new(order(), position(3), at(0), 0);
     let evidence = VersionMoveEvidence::with_usual(known);
     version_move.note_peer(9, evidence, VersionMovePhase::Watching, at(0));
     version_move.decide(false, at(100));
@@ -322,8 +322,8 @@
 fn version_whose_move_may_have_ended_gets_requests() {
     let mut fleet = view(&["a"]);
     let new = ServerRecord { version: "v2".to_owned(), ..record(ENGINES, "a", 8_010) };
-    fleet.apply_server("n0", new, 10, at(0));
-    fleet.start_version_move(order(), 3, at(0), 0);
+    fleet.apply_server("n0", new, position(10), at(0));
+    fleet.start_version_move(order(), position(3), at(0), 0);
     fleet.remove_server("e0", at(10));
     let excluded = BTreeSet::new();
 
@@ -403,7 +403,7 @@
         fleet.end_run(run, end, at(900));
     }
 
-    fleet.start_version_move(order(), 3, at(1_000), 1_000);
+    fleet.start_version_move(order(), position(3), at(1_000), 1_000);
 
     let usual = fleet.version_move(ENGINES).unwrap().own_evidence().usual()["reports"];
     assert_eq!(usual.bad, 8);
@@ -421,7 +421,7 @@
         fleet.note_result(new, "reports", false, SLOW_TIME);
     }
 
-    fleet.start_version_move(order(), 4, at(30_000), 30_000);
+    fleet.start_version_move(order(), position(4), at(30_000), 30_000);
 
     let usual = fleet.version_move(ENGINES).unwrap().own_evidence().usual()["reports"];
     assert_eq!((usual.time_ms, usual.total), (300.0, 20));
@@ -436,7 +436,7 @@
     for _ in 0..60 {
         fleet.note_result(server, "reports", false, RESPONSE_TIME);
     }
-    fleet.start_version_move(order(), 3, at(0), 0);
+    fleet.start_version_move(order(), position(3), at(0), 0);
     let status = VersionMoveRecord {
         phase: VersionMovePhase::RolledBack,
         ..fleet.version_move(ENGINES).unwrap().status()
@@ -446,7 +446,7 @@
         fleet.note_result(server, "reports", false, RESPONSE_TIME * 5);
     }
 
-    fleet.start_version_move(order(), 4, at(90_000), 90_000);
+    fleet.start_version_move(order(), position(4), at(90_000), 90_000);
 
     let usual = fleet.version_move(ENGINES).unwrap().own_evidence().usual()["reports"];
     assert_eq!((usual.time_ms, usual.bad), (1_500.0, 0));
@@ -487,8 +487,8 @@
         fleet.end_run(run, RunEnd::Good, at(900));
     }
     let new = ServerRecord { version: "v2".to_owned(), ..record(ENGINES, "a", 8_010) };
-    fleet.apply_server("n0", new, 10, at(0));
-    fleet.start_version_move(order(), 3, at(1_000), 1_000);
+    fleet.apply_server("n0", new, position(10), at(0));
+    fleet.start_version_move(order(), position(3), at(1_000), 1_000);
 
     for factor in [1, 6] {
         let run = fleet.start_run(key_of(&fleet, "n0"), "reports", at(1_000));
@@ -510,7 +510,7 @@
     for _ in 0..20 {
         fleet.note_result(old, "reports", false, RESPONSE_TIME);
     }
-    fleet.start_version_move(order(), 3, at(0), 0);
+    fleet.start_version_move(order(), position(3), at(0), 0);
 
     for left_ms in [400, 2_400] {
         let run = fleet.start_run(old, "reports", at(0));
--- a/crates/gateway/tests/all/version_moves.rs
+++ b/crates/gateway/tests/all/version_moves.rs
@@ -10,7 +10,7 @@
 };
 use proptest::prelude::*;
 
-use crate::fixtures::{ENGINES, at, key_of, query, record, report, view};
+use crate::fixtures::{ENGINES, at, key_of, position, query, record, report, view};
 
 const LIMIT: ExposureLimit = ExposureLimit { share: 0.1, allowance: 50.0 };
 const TIME_LIMIT: Duration = Duration::from_secs(12);
@@ -25,7 +25,7 @@
 }
 
 fn new_move(now_ms: u64) -> VersionMove {
-    VersionMove::new(order(), ORDER, at(now_ms), now_ms)
+    VersionMove::new(order(), position(ORDER), at(now_ms), now_ms)
 }
 
 /// Returns a version move with `count` results of each version. `old_bad` and `new_bad` are the
@@ -134,12 +134,12 @@
     let old = key_of(&fleet, "e0");
     fleet.note_result(old, "reports", false, Duration::from_millis(300));
     let order = VersionMoveSpec { service: ENGINES.to_owned(), ..order() };
-    fleet.start_version_move(order, ORDER, at(0), 0);
+    fleet.start_version_move(order, position(ORDER), at(0), 0);
     let new = dragonflycart_gateway::ServerRecord {
         version: "v2".to_owned(),
         ..record(ENGINES, "a", 8_009)
     };
-    fleet.apply_server("e9", new, 9, at(0));
+    fleet.apply_server("e9", new, position(9), at(0));
 
     let slow = key_of(&fleet, "e9");
     fleet.note_result(slow, "reports", false, Duration::from_millis(2_400));
@@ -250,7 +250,7 @@
     let mut version_move = new_move(0);
     let earlier = VersionMoveRecord {
         phase: VersionMovePhase::RolledBack,
-        order: ORDER - 1,
+        order: position(ORDER - 1),
         ..version_move.status()
     };
 
@@ -456,10 +456,10 @@
     let mut view = view(&["a", "a"]);
     let mut new_version = record(ENGINES, "a", 8_001);
     new_version.version = "v2".to_owned();
-    view.apply_server("e1", new_version, 9, at(0));
+    view.apply_server("e1", new_version, position(9), at(0));
     let order = VersionMoveSpec { service: ENGINES.to_owned(), ..order() };
-    assert!(view.start_version_move(order.clone(), ORDER, at(0), 0));
-    assert!(!view.start_version_move(order, ORDER, at(5), 5), "the same record again");
+    assert!(view.start_version_move(order.clone(), position(ORDER), at(0), 0));
+    assert!(!view.start_version_move(order, position(ORDER), at(5), 5), "the same record again");
     view.note_statuses_read();
     let excluded = BTreeSet::new();
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod soak;
 mod stalls;
 mod stops;
+mod store_copies;
 mod streams;
 mod support;
 mod unframed;
