gateway: write the final status of a version move again if it was lost

Cause: a VM that has read the final status of a version move never compares it with the store again. The store still said `in_progress`, and VMs that start decide from that.

A version move counts as over only while the store is known to hold its final status for the order at its present position. An order that is found again in a later era makes it an open one: the statuses are read, and the VM that decides writes the status that it knows, under the condition that it has read all others. The phase stays, and a final status that the copy holds is not written again.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -167,6 +167,9 @@
             let is_unsettled = self.unsettled_era == Some(position.era);
             if *known.order() == order && (is_unsettled || known_position.era < position.era) {
                 known.note_written_again(position);
+                if let Some(status) = self.move_statuses.get(&order.service) {
+                    known.note_status(status, now, now_ms);
+                }
                 return false;
             }
             if is_unsettled && known_position.era < position.era {
@@ -186,14 +189,15 @@
         true
     }
 
-    /// Returns the services with a version move that has no final status in the store.
+    /// Returns the services with a version move that has no final status in the store, or whose status
+    /// it lost.
     pub fn services_with_open_move(&self) -> Vec<String> {
         self.open_version_moves().map(|open| open.order().service.clone()).collect()
     }
 
-    /// Returns the version moves that have no final status in the store.
+    /// Returns the version moves that have no final status in the store, or whose status it lost.
     pub fn open_version_moves(&self) -> impl Iterator<Item = &VersionMove> {
-        self.version_moves.values().filter(|version_move| !version_move.is_confirmed())
+        self.version_moves.values().filter(|version_move| !version_move.is_recorded())
     }
 
     /// Returns the latest version move of a service.
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -68,6 +68,8 @@
     /// Whether running requests leave the old version.
     releases_old: bool,
     is_confirmed: bool,
+    /// Position of the order for which the store was seen to hold a final status.
+    recorded_for: Option<StorePosition>,
     has_read_statuses: bool,
     own: VersionMoveEvidence,
     peers: BTreeMap<u64, VersionMoveEvidence>,
@@ -103,6 +105,7 @@
             switched_at: None,
             releases_old: false,
             is_confirmed: false,
+            recorded_for: None,
             has_read_statuses: false,
             own: VersionMoveEvidence::default(),
             peers: BTreeMap::new(),
@@ -139,6 +142,12 @@
         self.is_confirmed
     }
 
+    /// Returns whether the store holds the final phase for the order at its present position, as far
+    /// as this VM knows. A store that comes back from an older copy may have lost it.
+    pub fn is_recorded(&self) -> bool {
+        self.recorded_for == Some(self.order_position)
+    }
+
     /// Returns the results of this VM.
     pub fn own_evidence(&self) -> &VersionMoveEvidence {
         &self.own
@@ -294,7 +303,11 @@
         if !self.has_read_statuses {
             self.suspicion.raise(status.suspicion);
         }
-        if !status.phase.is_final() || self.is_confirmed {
+        if !status.phase.is_final() {
+            return false;
+        }
+        self.recorded_for = Some(self.order_position);
+        if self.is_confirmed {
             return false;
         }
         self.is_confirmed = true;
@@ -322,6 +335,9 @@
     /// enough. Returns whether this changed. If they all moved at the switch, a version that turns
     /// bad with it would get them all before its first result is known.
     pub fn release_old(&mut self, now: MonoTime) -> bool {
+        if self.phase.is_final() {
+            return false;
+        }
         let Some(at) = self.switched_at.filter(|_| !self.releases_old) else { return false };
         let left = self.order.time_limit.saturating_sub(self.elapsed(now));
         let since = now.since(at);
--- a/crates/gateway/tests/all/store_eras.rs
+++ b/crates/gateway/tests/all/store_eras.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dragonflycart_gateway::{
     FleetTable, FleetTables, GatewayContext, StorePosition, TableBatch, TableRecord,
-    VersionMoveSpec, apply_batch, settle_table,
+    VersionMovePhase, VersionMoveRecord, VersionMoveSpec, apply_batch, settle_table,
 };
 use proptest::prelude::*;
 
@@ -195,6 +195,52 @@
     assert!(is_new_later, "what the store holds never takes effect");
 }
 
+/// Guards against a version move that looks ended in the store to this VM only: the copy lacks its
+/// final status, nobody writes it again, and VMs that start decide anew.
+#[test]
+fn version_move_whose_final_status_was_lost_is_open_until_it_is_written_again() {
+    let mut view = view(&["a"]);
+    view.start_version_move(desk_order("v2"), position(9), at(0), 0);
+    let completed = VersionMoveRecord {
+        phase: VersionMovePhase::Completed,
+        ..view.version_move(DESK).unwrap().status()
+    };
+    let order = StorePosition::new(1, 9);
+    let lost = VersionMoveRecord { order, phase: VersionMovePhase::Watching, ..completed.clone() };
+    let again = VersionMoveRecord { order, ..completed.clone() };
+    let mut open_after = Vec::new();
+
+    view.note_version_move_status(&completed, at(10), 10);
+    open_after.push(view.services_with_open_move().len());
+    view.start_version_move(desk_order("v2"), order, at(20), 20);
+    open_after.push(view.services_with_open_move().len());
+    view.note_version_move_status(&lost, at(30), 30);
+    open_after.push(view.services_with_open_move().len());
+    assert!(!view.note_version_move_status(&again, at(40), 40), "the phase changed");
+    open_after.push(view.services_with_open_move().len());
+
+    assert_eq!(open_after, [0, 1, 1, 0]);
+    assert_eq!(view.version_move(DESK).unwrap().status(), again);
+}
+
+/// Guards against a final status that is written again although the copy holds it.
+#[test]
+fn version_move_whose_final_status_was_read_before_its_order_is_not_open() {
+    let mut view = view(&["a"]);
+    view.start_version_move(desk_order("v2"), position(9), at(0), 0);
+    let completed = VersionMoveRecord {
+        phase: VersionMovePhase::Completed,
+        ..view.version_move(DESK).unwrap().status()
+    };
+    view.note_version_move_status(&completed, at(10), 10);
+    let order = StorePosition::new(1, 9);
+
+    view.note_version_move_status(&VersionMoveRecord { order, ..completed }, at(20), 20);
+    view.start_version_move(desk_order("v2"), order, at(30), 30);
+
+    assert!(view.services_with_open_move().is_empty());
+}
+
 /// What may happen to the copies of a table while the store comes back from older copies.
 #[derive(Debug, Clone)]
 enum EraStep {
--- a/tests/all/store_copies.rs
+++ b/tests/all/store_copies.rs
@@ -6,12 +6,14 @@
 use dragonflycart_standins::{ManifestSpec, StoreCopy, StoreMode};
 use tokio::time::Instant;
 
-use crate::support::GatewayFleet;
+use crate::support::{GatewayFleet, MOVE_TIME_LIMIT, wait_for};
 
 /// Time within which a confirmed manifest must be in force (`config_deadline_ms`).
 const CONFIG_DEADLINE: Duration = Duration::from_secs(2);
 /// Time for which the store is away before it comes back.
 const STORE_AWAY: Duration = Duration::from_millis(600);
+/// Time after which requests must be served again once all gateways are back (`recovery_s`).
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Time between the return of the store and what the test does next.
 const SETTLING_TIME: Duration = Duration::from_secs(1);
 
@@ -65,7 +67,7 @@
 }
 
 /// Guards against gateways that act on the older manifest of the copy: the key that the lost one had
-/// added was rejected, or the one that it had withdrawn was accepted.
+/// added was rejected, or the one that it had withdrawn was accepted. The store comes back twice.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn manifest_that_the_store_lost_stays_in_force() {
     let mut fleet = GatewayFleet::start("lost-manifest", 0).await;
@@ -75,8 +77,10 @@
     put_manifest(&fleet, 3, &["key", "third"]);
     let is_known = all_answer(&mut fleet, "third", 200, Instant::now() + CONFIG_DEADLINE).await;
 
-    come_back_from(&mut fleet, &copy).await;
-    tokio::time::sleep(SETTLING_TIME).await;
+    for _ in 0..2 {
+        come_back_from(&mut fleet, &copy).await;
+        tokio::time::sleep(SETTLING_TIME).await;
+    }
 
     assert!(is_known, "the manifest before is not in force");
     assert!(all_answer(&mut fleet, "third", 200, Instant::now()).await, "its key is rejected");
@@ -86,3 +90,74 @@
     );
     fleet.close();
 }
+
+/// Guards against a service without servers: the store lost that a version move was completed, the
+/// gateways did not write it again, and after their restart they rolled it back to servers that had
+/// stopped (RECOVER).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn completed_move_is_written_again_after_the_store_lost_it() {
+    let mut fleet = GatewayFleet::start("lost-status", 0).await;
+    fleet.start_gateways().await;
+    fleet.start_version_move();
+    fleet.send_until_move_ends(MOVE_TIME_LIMIT / 2).await;
+    let copy = fleet.store.copy();
+    let ended = fleet.send_until_move_ends(MOVE_TIME_LIMIT).await;
+    for old in ["i-old-0", "i-old-1"] {
+        fleet.crash(old);
+    }
+    fleet.success_share().await;
+
+    come_back_from(&mut fleet, &copy).await;
+    for old in ["i-old-0", "i-old-1"] {
+        fleet.store.remove_server(old);
+    }
+    wait_for("the status to be written again", || async {
+        (fleet.move_state().as_deref() == Some("completed")).then_some(())
+    })
+    .await;
+    for index in 0..fleet.gateways.len() {
+        fleet.gateways[index].process.kill().unwrap();
+    }
+    for index in 0..fleet.gateways.len() {
+        fleet.restart_gateway(index).await;
+    }
+    let is_served = all_answer(&mut fleet, "key", 200, Instant::now() + RECOVERY_TIME).await;
+    let (old_before, new_before) = fleet.runs_by_version();
+    fleet.send_requests(40).await;
+    fleet.success_share().await;
+
+    assert!(ended.is_some(), "the version move did not end");
+    assert!(is_served, "no requests are served");
+    let (old, new) = fleet.runs_by_version();
+    assert_eq!((old - old_before, new - new_before), (0, 40));
+    assert_eq!(fleet.move_state().as_deref(), Some("completed"));
+    fleet.close();
+}
+
+/// Guards against a version move that begins anew, or that VMs know under two positions: the store lost
+/// its order, which is written again, and one gateway starts in between.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_move_goes_on_after_its_order_was_written_again() {
+    let mut fleet = GatewayFleet::start("lost-order", 0).await;
+    fleet.start_gateways().await;
+    let copy = fleet.store.copy();
+    fleet.start_version_move();
+    let ordered = Instant::now();
+    fleet.send_until_move_ends(MOVE_TIME_LIMIT / 3).await;
+
+    come_back_from(&mut fleet, &copy).await;
+    fleet.restart_gateway(0).await;
+    fleet.start_version_move();
+    let time_left = MOVE_TIME_LIMIT.saturating_sub(ordered.elapsed());
+    let ended = fleet.send_until_move_ends(time_left).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    let (old_before, new_before) = fleet.runs_by_version();
+    fleet.send_requests(40).await;
+    fleet.success_share().await;
+
+    assert!(ended.is_some(), "the version move did not end within its time limit");
+    assert_eq!(fleet.move_state().as_deref(), Some("completed"));
+    let (old, new) = fleet.runs_by_version();
+    assert_eq!((old - old_before, new - new_before), (0, 40));
+    fleet.close();
+}
