gateway: do not roll back to servers that are gone

Cause: a VM that starts after the time limit of a version move switches and decides 0.15 s later. It knows fewer than five results of the new version by then and rolled back, without asking whether the old version has a server.

With too few results, the version move now waits for more as long as no server of the old version takes requests. A bad version is rolled back as before. `version_is_not_rolled_back_to_servers_that_are_gone` fails without the condition.

--- a/crates/gateway/src/fleet_view.rs
+++ b/crates/gateway/src/fleet_view.rs
@@ -27,10 +27,10 @@
 pub(crate) use self::peer_loads::PeerLoads;
 use self::server_places::ServerPlaces;
 use crate::{
-    EngineSpec, FleetOrder, GenerationTiming, RetryBudget, RetryLimit, RouteBaselines, RoutePlan,
-    RunKey, ServerKey, ServerLoad, ServerRecord, ServerState, StorePosition, SurveyedEngine,
-    TokenDemand, VersionMove, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole,
-    VmSettings, ZoneReachability, versions::OpenRun,
+    EngineSpec, FleetOrder, GenerationTiming, OldServers, RetryBudget, RetryLimit, RouteBaselines,
+    RoutePlan, RunKey, ServerKey, ServerLoad, ServerRecord, ServerState, StorePosition,
+    SurveyedEngine, TokenDemand, VersionMove, VersionMovePhase, VersionMoveRecord, VersionMoveSpec,
+    VersionRole, VmSettings, ZoneReachability, versions::OpenRun,
 };
 
 /// Time in which a registration that disappeared after a store outage may reappear.
@@ -257,13 +257,23 @@
         now: MonoTime,
     ) -> Option<VersionMovePhase> {
         let version_move = self.version_moves.get(service)?;
-        let is_old_idle = self.servers.values().all(|state| {
-            state.record.service != service
+        let mut old_servers = OldServers::Gone;
+        for state in self.servers.values() {
+            if state.record.service != service
                 || version_move.role_of(&state.record.version) == VersionRole::New
-                || state.total_load(now).requests == 0
-        });
+            {
+                continue;
+            }
+            if state.total_load(now).requests > 0 {
+                old_servers = OldServers::Busy;
+                break;
+            }
+            if state.leaving_since.is_none() {
+                old_servers = OldServers::Idle;
+            }
+        }
         let version_move = self.version_moves.get_mut(service)?;
-        version_move.decide(is_old_idle, now).then(|| version_move.phase())
+        version_move.decide(old_servers, now).then(|| version_move.phase())
     }
 
     /// Returns whether a zone is evacuated.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -194,7 +194,8 @@
     version_move_record::VersionMoveRecord,
     version_move_spec::VersionMoveSpec,
     versions::{
-        PauseGuard, RouteBaseline, RouteBaselines, RunEnd, RunKey, SuspicionRecord, UsualResults,
+        OldServers, PauseGuard, RouteBaseline, RouteBaselines, RunEnd, RunKey, SuspicionRecord,
+        UsualResults,
     },
     vm_record::VmRecord,
     vm_settings::VmSettings,
--- a/crates/gateway/src/version_move.rs
+++ b/crates/gateway/src/version_move.rs
@@ -12,7 +12,7 @@
 use dragonflycart_core::MonoTime;
 
 use crate::{
-    RouteBaselines, StorePosition, UsualResults, VersionMoveEvidence, VersionMovePhase,
+    OldServers, RouteBaselines, StorePosition, UsualResults, VersionMoveEvidence, VersionMovePhase,
     VersionMoveRecord, VersionMoveSpec, VersionRole, versions::SuspicionLevel,
 };
 
@@ -347,9 +347,8 @@
     }
 
     /// Decides whether the version move enters another phase, and returns whether it does. Called
-    /// on the VM that controls version moves. `is_old_idle` states whether no server of the old
-    /// version has open requests.
-    pub fn decide(&mut self, is_old_idle: bool, now: MonoTime) -> bool {
+    /// on the VM that controls version moves.
+    pub fn decide(&mut self, old_servers: OldServers, now: MonoTime) -> bool {
         self.update_suspicion();
         let is_due = self.elapsed(now) + WRITE_TIME >= self.order.time_limit;
         let next = match self.phase {
@@ -361,9 +360,12 @@
             VersionMovePhase::Watching if self.elapsed(now) >= self.switch_at(now) => {
                 VersionMovePhase::Switching
             }
-            VersionMovePhase::Switching if is_due || self.may_complete_early(is_old_idle, now) => {
+            VersionMovePhase::Switching if is_due || self.may_complete_early(old_servers, now) => {
                 if self.evidence().total(VersionRole::New) >= MIN_RESULTS {
                     VersionMovePhase::Completed
+                } else if old_servers == OldServers::Gone {
+                    // No server could take the requests after a rollback.
+                    return false;
                 } else {
                     VersionMovePhase::RolledBack
                 }
@@ -412,7 +414,8 @@
         limit.saturating_sub(time + WRITE_TIME)
     }
 
-    fn may_complete_early(&self, is_old_idle: bool, now: MonoTime) -> bool {
-        is_old_idle && self.switched_at.is_some_and(|at| now.since(at) >= SWITCH_SETTLED)
+    fn may_complete_early(&self, old_servers: OldServers, now: MonoTime) -> bool {
+        old_servers != OldServers::Busy
+            && self.switched_at.is_some_and(|at| now.since(at) >= SWITCH_SETTLED)
     }
 }
--- a/crates/gateway/tests/all/version_faults.rs
+++ b/crates/gateway/tests/all/version_faults.rs
@@ -7,8 +7,9 @@
 };
 
 use dragonflycart_gateway::{
-    BootTime, FleetView, PauseGuard, RunEnd, ServerRecord, TokenDemand, UsualResults, VersionMove,
-    VersionMoveEvidence, VersionMovePhase, VersionMoveRecord, VersionMoveSpec, VersionRole,
+    BootTime, FleetView, OldServers, PauseGuard, RunEnd, ServerRecord, TokenDemand, UsualResults,
+    VersionMove, VersionMoveEvidence, VersionMovePhase, VersionMoveRecord, VersionMoveSpec,
+    VersionRole,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -73,7 +74,7 @@
         let (is_failure, time) = if index % 2 == 0 { bad } else { (false, RESPONSE_TIME) };
         version_move.note_result("reports", VersionRole::New, is_failure, time);
         count += usize::from(index % 2 == 0);
-        if version_move.decide(false, at(1_000)) {
+        if version_move.decide(OldServers::Busy, at(1_000)) {
             assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
             return count;
         }
@@ -88,7 +89,7 @@
     for _ in 0..1_000 {
         version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
         version_move.note_result("reports", VersionRole::New, false, RESPONSE_TIME);
-        version_move.decide(false, at(500));
+        version_move.decide(OldServers::Busy, at(500));
     }
 
     let old = [(false, RESPONSE_TIME)];
@@ -105,7 +106,7 @@
     for _ in 0..1_000 {
         version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
         version_move.note_result("reports", VersionRole::New, false, RESPONSE_TIME);
-        version_move.decide(false, at(500));
+        version_move.decide(OldServers::Busy, at(500));
     }
 
     let old = [(false, RESPONSE_TIME)];
@@ -151,7 +152,7 @@
                 let is_failure = random.random_bool(0.08);
                 version_move.note_result("reports", role, is_failure, RESPONSE_TIME);
             }
-            version_move.decide(false, at(1_000));
+            version_move.decide(OldServers::Busy, at(1_000));
         }
         rolled_back += u64::from(version_move.phase() == VersionMovePhase::RolledBack);
     }
@@ -214,7 +215,7 @@
             version_move.note_result("reports", VersionRole::New, is_failure, RESPONSE_TIME);
             bad += usize::from(is_failure);
         }
-        version_move.decide(false, at(1_000));
+        version_move.decide(OldServers::Busy, at(1_000));
         if version_move.phase() == VersionMovePhase::RolledBack {
             break;
         }
@@ -254,8 +255,8 @@
         version_move.note_result("reports", VersionRole::New, index % 5 == 4, RESPONSE_TIME);
     }
 
-    assert!(!version_move.decide(false, at(15_000)), "{}", version_move.phase());
-    assert!(version_move.decide(false, at(17_500)));
+    assert!(!version_move.decide(OldServers::Busy, at(15_000)), "{}", version_move.phase());
+    assert!(version_move.decide(OldServers::Busy, at(17_500)));
 
     assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
 }
@@ -269,7 +270,7 @@
         version_move.note_result("reports", VersionRole::Old, false, RESPONSE_TIME);
         version_move.note_result("reports", VersionRole::New, false, RESPONSE_TIME);
     }
-    assert!(version_move.decide(false, at(15_000)), "it switches");
+    assert!(version_move.decide(OldServers::Busy, at(15_000)), "it switches");
 
     version_move.release_old(at(15_200));
     let at_switch = version_move.is_outgoing(VersionRole::Old);
@@ -287,7 +288,7 @@
     let mut version_move = VersionMove::new(order(), position(3), at(0), 0);
     let evidence = VersionMoveEvidence::with_usual(known);
     version_move.note_peer(9, evidence, VersionMovePhase::Watching, at(0));
-    version_move.decide(false, at(100));
+    version_move.decide(OldServers::Busy, at(100));
 
     let old = [(false, SLOW_TIME)];
     let bad = count_bad_until_rollback(&mut version_move, &old, (false, SLOW_TIME));
@@ -465,7 +466,7 @@
                 let factor = if random.random_bool(0.1) { 6 } else { 1 };
                 version_move.note_result("reports", role, false, RESPONSE_TIME * factor);
             }
-            version_move.decide(false, at(1_000));
+            version_move.decide(OldServers::Busy, at(1_000));
         }
         rolled_back += u64::from(version_move.phase() == VersionMovePhase::RolledBack);
     }
@@ -520,3 +521,37 @@
     let [old, _] = fleet.version_move(ENGINES).unwrap().own_evidence().results()["reports"];
     assert_eq!((old.good, old.bad), (0, 1));
 }
+
+/// Guards against a service without servers: VMs that start after the time limit know too few results
+/// of the new version, and rolled back to servers that had stopped (RECOVER).
+#[test]
+fn version_is_not_rolled_back_to_servers_that_are_gone() {
+    let mut fleet = moving_fleet();
+    for old in ["e0", "e1"] {
+        fleet.remove_server(old, at(17_000));
+    }
+
+    let switched = fleet.decide_version_move(ENGINES, at(18_000));
+    let without_results = fleet.decide_version_move(ENGINES, at(18_150));
+    let new = key_of(&fleet, "n0");
+    for _ in 0..5 {
+        fleet.note_result(new, "reports", false, RESPONSE_TIME);
+    }
+    let with_results = fleet.decide_version_move(ENGINES, at(19_000));
+
+    assert_eq!(switched, Some(VersionMovePhase::Switching));
+    assert_eq!(without_results, None);
+    assert_eq!(with_results, Some(VersionMovePhase::Completed));
+}
+
+/// Guards against a version that is kept without results although the old one still has servers.
+#[test]
+fn version_without_results_is_rolled_back_to_servers_of_the_old_one() {
+    let mut fleet = moving_fleet();
+    fleet.remove_server("e0", at(17_000));
+
+    fleet.decide_version_move(ENGINES, at(18_000));
+    let end = fleet.decide_version_move(ENGINES, at(18_150));
+
+    assert_eq!(end, Some(VersionMovePhase::RolledBack));
+}
--- a/crates/gateway/tests/all/version_moves.rs
+++ b/crates/gateway/tests/all/version_moves.rs
@@ -5,7 +5,7 @@
 
 use dragonflycart_core::MonoTime;
 use dragonflycart_gateway::{
-    ExposureLimit, TokenDemand, VersionMove, VersionMoveEvidence, VersionMovePhase,
+    ExposureLimit, OldServers, TokenDemand, VersionMove, VersionMoveEvidence, VersionMovePhase,
     VersionMoveRecord, VersionMoveSpec, VersionRole,
 };
 use proptest::prelude::*;
@@ -41,8 +41,8 @@
 
 #[test]
 fn version_that_fails_more_often_is_rolled_back() {
-    assert!(watched(2, 40, 60).decide(false, at(1_000)));
-    assert!(!watched(8, 8, 400).decide(false, at(1_000)));
+    assert!(watched(2, 40, 60).decide(OldServers::Busy, at(1_000)));
+    assert!(!watched(8, 8, 400).decide(OldServers::Busy, at(1_000)));
 }
 
 /// About eight percent of lookups fail on every server. That must not count against a version.
@@ -50,7 +50,7 @@
 fn failures_of_both_versions_are_no_evidence() {
     let mut version_move = watched(40, 40, 300);
 
-    assert!(!version_move.decide(false, at(1_000)));
+    assert!(!version_move.decide(OldServers::Busy, at(1_000)));
     assert_eq!(version_move.phase(), VersionMovePhase::Watching);
 }
 
@@ -63,7 +63,7 @@
         version_move.note_result("look", VersionRole::New, index % 2 == 0, RESPONSE_TIME);
     }
 
-    assert!(version_move.decide(false, at(1_000)));
+    assert!(version_move.decide(OldServers::Busy, at(1_000)));
     assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
 }
 
@@ -77,7 +77,7 @@
         version_move.note_result("book", VersionRole::New, false, time);
     }
 
-    assert!(version_move.decide(false, at(1_000)));
+    assert!(version_move.decide(OldServers::Busy, at(1_000)));
 }
 
 /// A version move without any results of the new version must not be completed.
@@ -85,8 +85,8 @@
 fn version_without_results_is_rolled_back_at_the_time_limit() {
     let mut version_move = new_move(0);
 
-    assert!(version_move.decide(false, at(11_000)), "it switches");
-    assert!(version_move.decide(false, at(11_500)));
+    assert!(version_move.decide(OldServers::Busy, at(11_000)), "it switches");
+    assert!(version_move.decide(OldServers::Busy, at(11_500)));
 
     assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
 }
@@ -104,8 +104,8 @@
         version_move.note_result("classify", VersionRole::New, index < 3, RESPONSE_TIME);
     }
 
-    let switches = version_move.decide(true, at(11_000));
-    let ends = version_move.decide(true, at(11_500));
+    let switches = version_move.decide(OldServers::Idle, at(11_000));
+    let ends = version_move.decide(OldServers::Idle, at(11_500));
 
     assert!(!switches && ends);
     assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
@@ -116,12 +116,12 @@
 #[test]
 fn version_that_becomes_doubtful_after_the_switch_is_not_completed() {
     let mut version_move = watched(0, 0, 6);
-    assert!(version_move.decide(true, at(11_000)), "it switches");
+    assert!(version_move.decide(OldServers::Idle, at(11_000)), "it switches");
     for _ in 0..3 {
         version_move.note_result("book", VersionRole::New, true, RESPONSE_TIME);
     }
 
-    version_move.decide(true, at(11_500));
+    version_move.decide(OldServers::Idle, at(11_500));
 
     assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
 }
@@ -153,7 +153,7 @@
 #[test]
 fn final_status_of_the_store_stands_above_what_vms_decided() {
     let mut version_move = watched(2, 60, 60);
-    version_move.decide(false, at(1_000));
+    version_move.decide(OldServers::Busy, at(1_000));
     assert_eq!(version_move.phase(), VersionMovePhase::RolledBack);
     let status = VersionMoveRecord { phase: VersionMovePhase::Completed, ..version_move.status() };
 
@@ -211,7 +211,7 @@
     for judge in &mut judges {
         judge.note_statuses_read();
         judge.note_peer(9, VersionMoveEvidence::default(), VersionMovePhase::Switching, at(100));
-        judge.decide(false, at(switch_end));
+        judge.decide(OldServers::Busy, at(switch_end));
     }
     judges
 }
@@ -238,7 +238,7 @@
 
         assert_eq!(store.statuses.len(), 1, "{:?}", store.statuses);
         for judge in &mut judges {
-            assert!(!judge.decide(true, at(60_200)), "a judge decides again");
+            assert!(!judge.decide(OldServers::Idle, at(60_200)), "a judge decides again");
             assert_eq!(judge.phase(), phases[order[0]]);
         }
     }
@@ -382,7 +382,7 @@
             ModelStep::Report { .. } => {}
             ModelStep::Decide { vm } => {
                 let ModelVm { version_move, known_end } = &mut run.vms[vm];
-                version_move.decide(false, now);
+                version_move.decide(OldServers::Busy, now);
                 if let Some(end) = known_end.filter(|_| !version_move.is_confirmed()) {
                     run.store.append(version_move.status(), end);
                 }
