gateway: do not take a body as whole whose upload was reset

Cause: the kernel reports a reset to one call only. A write of the upload got the error, which is dropped on purpose since the server may have answered. The bytes before the reset can still be read, and then the read sees an orderly end, which is the end of a body without a length.

A connection now remembers that a write failed: a body that ends with the connection counts as cut off, and the connection is not used again. All answers of servers, engines and the store are read there.

--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -75,6 +75,8 @@
     served: VecDeque<String>,
     must_close: bool,
     was_closed: bool,
+    /// Whether a write failed. The kernel reports a reset once, so that later reads see an orderly end.
+    write_failed: bool,
     idle_limit: Duration,
     idle_since: Instant,
 }
@@ -104,6 +106,7 @@
             served: VecDeque::new(),
             must_close: false,
             was_closed: false,
+            write_failed: false,
             idle_limit: DEFAULT_IDLE_LIMIT,
             idle_since: Instant::now(),
         })
@@ -193,7 +196,10 @@
                 // again; a later request on the connection would wait in vain.
                 let is_out_of_turn =
                     skipped > 0 || echo.is_some_and(|(name, _)| response.text(name).is_none());
-                self.must_close = !response.keeps_alive || sent < request.len() || is_out_of_turn;
+                self.must_close = !response.keeps_alive
+                    || sent < request.len()
+                    || self.write_failed
+                    || is_out_of_turn;
                 self.note_idle_limit(&response);
                 return Ok(response);
             }
@@ -260,7 +266,10 @@
                     match written {
                         Ok(count) => *sent += count,
                         // The server may have responded before it closed its side, so keep reading.
-                        Err(_) => *sent = request.len(),
+                        Err(_) => {
+                            self.write_failed = true;
+                            *sent = request.len();
+                        }
                     }
                 }
                 read = reader.read_buf(&mut self.buffer) => {
@@ -280,7 +289,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is cut off.
+    /// Returns an error if the body is cut off. A body without a length whose connection was reset
+    /// counts as cut off, also if it was reset while the request was still being sent.
     pub async fn next_data(&mut self) -> Result<Option<Bytes>, ConnectionError> {
         loop {
             if let Some(piece) = self.buffered_data()? {
@@ -291,7 +301,7 @@
             if count == 0 {
                 self.must_close = true;
                 self.was_closed = true;
-                if is_open_ended {
+                if is_open_ended && !self.write_failed {
                     self.body = BodyState::Idle;
                     return Ok(None);
                 }
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -470,3 +470,76 @@
     assert_eq!(report, Err(ConnectionError::Malformed));
     assert_eq!(table.unwrap().1.len(), length);
 }
+
+/// Server that answers while a request's body is still being sent, and resets the connection.
+struct EarlyResetter {
+    address: SocketAddr,
+    began: mpsc::Receiver<()>,
+    may_answer: mpsc::Sender<()>,
+    was_reset: mpsc::Receiver<()>,
+}
+
+impl EarlyResetter {
+    fn start(answer: &'static str) -> EarlyResetter {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (begin, began) = mpsc::channel();
+        let (may_answer, answering) = mpsc::channel();
+        let (reset, was_reset) = mpsc::channel();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            assert_ne!(stream.read(&mut [0; 1_024]).unwrap(), 0);
+            begin.send(()).unwrap();
+            answering.recv().unwrap();
+            stream.write_all(answer.as_bytes()).unwrap();
+            // What is unread makes the kernel reset the connection.
+            drop(stream);
+            reset.send(()).unwrap();
+        });
+        EarlyResetter { address, began, may_answer, was_reset }
+    }
+
+    /// Lets the server answer once the request has begun. Holds the only thread meanwhile, so that the
+    /// answer and the reset arrive while a write waits.
+    async fn answer(&self) {
+        while self.began.try_recv().is_err() {
+            tokio::task::yield_now().await;
+        }
+        self.may_answer.send(()).unwrap();
+        self.was_reset.recv().unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Guards against a part of a body that passes as whole (MIXED): the server answers a long upload
+/// early, without a length, and resets the connection; the error of the write used up the reset, so
+/// that the read saw an orderly end.
+#[tokio::test]
+async fn body_whose_connection_was_reset_during_the_upload_is_an_error() {
+    let server = EarlyResetter::start("HTTP/1.1 200 OK\r\necho-id: a1\r\n\r\npart of the bo");
+    let mut connection = ServerConnection::connect(server.address).await.unwrap();
+    let upload = Bytes::from(vec![b'x'; 32 << 20]);
+
+    let exchange = connection.exchange(REQUEST, &upload, echo("a1"));
+    let (response, ()) = tokio::join!(exchange, server.answer());
+    let body = match response {
+        Ok(_) => connection.read_body(100).await,
+        Err(error) => Err(error),
+    };
+
+    assert_eq!(body, Err(ConnectionError::Closed));
+}
+
+/// Guards against the same where short answers are read: those of the store, of engines and of health
+/// checks.
+#[tokio::test]
+async fn answer_to_a_call_that_was_reset_during_the_upload_is_an_error() {
+    let server = EarlyResetter::start("HTTP/1.1 200 OK\r\n\r\n{\"offset\":1");
+    let upload = Bytes::from(vec![b'x'; 32 << 20]);
+    let call = HttpCall::post("/append".to_owned(), "application/octet-stream", upload);
+
+    let sending = call.send(server.address, Duration::from_secs(5));
+    let (result, ()) = tokio::join!(sending, server.answer());
+
+    assert_eq!(result, Err(ConnectionError::Closed));
+}
