gateway: refuse answers whose status is outside the protocol's classes

Cause: the library that parses status lines takes three digits, and the type of a status 100 to 999. So 000 was refused already, but 600 to 999 passed, in calls, streams, and answers of the store and of engines. Field names were strict already; that is held by tests now.

Statuses from 100 to 599 are taken, and interim ones are never the answer.

--- a/crates/gateway/src/response_head.rs
+++ b/crates/gateway/src/response_head.rs
@@ -10,6 +10,8 @@
 pub const HEAD_LIMIT_BYTES: usize = 32 * 1024;
 /// Longest time without requests that a server may ask for.
 const LONGEST_PAUSE: Duration = Duration::from_secs(600);
+/// Status codes of the protocol.
+const STATUS_CODES: std::ops::Range<u16> = 100..600;
 /// Maximum number of headers in a response.
 const HEADER_LIMIT: usize = 100;
 
@@ -42,8 +44,12 @@
             }
             httparse::Status::Partial => return Ok(None),
         };
-        let status = StatusCode::from_u16(parsed.code.unwrap_or(0))
-            .map_err(|_| ConnectionError::Malformed)?;
+        // The library takes codes up to 999, but the protocol has five classes only.
+        let status = parsed
+            .code
+            .filter(|code| STATUS_CODES.contains(code))
+            .and_then(|code| StatusCode::from_u16(code).ok())
+            .ok_or(ConnectionError::Malformed)?;
         let mut headers = HeaderMap::with_capacity(parsed.headers.len());
         for header in parsed.headers.iter() {
             let name = HeaderName::from_bytes(header.name.as_bytes())
--- a/crates/gateway/tests/all/call_forwarding.rs
+++ b/crates/gateway/tests/all/call_forwarding.rs
@@ -510,3 +510,31 @@
     assert_eq!(result.err().map(|failure| failure.kind), Some(ErrorKind::DeadlineNotStarted));
     assert_eq!(servers.requests.load(Ordering::Relaxed), 0, "it was sent");
 }
+
+/// Guards against bytes of a server in trouble that a caller gets as an answer (MIXED): a status outside
+/// the classes, or a field name with a blank or a control byte.
+#[tokio::test]
+async fn answer_that_is_not_of_the_protocol_reaches_no_caller() {
+    const SCRIPTS: [&[&str]; 4] = [
+        &["HTTP/1.1 000 OK\r\nx-echo-id: a1\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok"],
+        &["HTTP/1.1 600 OK\r\nx-echo-id: a1\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok"],
+        &["HTTP/1.1 200 OK\r\nx-echo-id: a1\r\nx-signature: s\r\ncontent -length: 2\r\n\r\nok"],
+        &["HTTP/1.1 200 OK\r\nx-echo-id: a1\r\nx-signature: s\r\na\x01b: c\r\n\r\nok"],
+    ];
+    for scripts in SCRIPTS {
+        let servers = scripted_servers(scripts).await;
+        let context = context_with(&servers, DESK);
+        let call_route = route("desk", "/desk/", RouteKind::NonIdempotent, DESK);
+        let call = caller_request(&context, call_route, TokenDemand::default());
+        let engines = scripted_servers(scripts).await;
+        let engine_context = context_with(&engines, ENGINES);
+        let stream_route = route("reports", "/reports/", RouteKind::Stream, ENGINES);
+        let stream = caller_request(&engine_context, stream_route, report());
+
+        let called = CallForwarder::new(&context, call).run().await;
+        let streamed = StreamForwarder::new(&engine_context, stream).run().await;
+
+        let kinds = [called, streamed].map(|result| result.err().map(|failure| failure.kind));
+        assert_eq!(kinds, [Some(ErrorKind::Interrupted); 2], "{scripts:?}");
+    }
+}
--- a/crates/gateway/tests/all/response_heads.rs
+++ b/crates/gateway/tests/all/response_heads.rs
@@ -79,3 +79,42 @@
         assert_eq!(head.retry_after(), pause, "{header}");
     }
 }
+
+/// Guards against an answer of a server in trouble that passes for one (MIXED): its status is outside
+/// the classes of the protocol.
+#[test]
+fn status_outside_the_classes_is_refused() {
+    for status in ["000", "001", "099", "600", "700", "999", "20", "2000", "-20", "2x0"] {
+        let result = parse(&format!("HTTP/1.1 {status} OK\r\ncontent-length: 0\r\n\r\n"));
+        assert!(matches!(result, Err(ConnectionError::Malformed)), "{status}");
+    }
+    for status in [100, 200, 299, 404, 599] {
+        let (head, _) = parse(&format!("HTTP/1.1 {status} OK\r\n\r\n")).unwrap().unwrap();
+        assert_eq!(head.status.as_u16(), status);
+    }
+}
+
+/// Guards against the same with a name that holds a blank or a control byte: a caller got that line, or
+/// a body with another end than the server's.
+#[test]
+fn field_name_with_a_blank_or_a_control_byte_is_refused() {
+    let names = [
+        "content -length",
+        "content-length ",
+        " content-length",
+        "content\tlength",
+        "a\x01b",
+        "a\x7fb",
+        "a\x0bb",
+        "",
+        "a(b",
+        "a\u{e9}b",
+    ];
+    for name in names {
+        for place in ["{}: 5\r\nx: y", "x: y\r\n{}: 5"] {
+            let headers = place.replace("{}", name);
+            let result = parse(&format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\n"));
+            assert!(matches!(result, Err(ConnectionError::Malformed)), "{headers:?}");
+        }
+    }
+}
--- a/crates/gateway/tests/all/server_connections.rs
+++ b/crates/gateway/tests/all/server_connections.rs
@@ -543,3 +543,35 @@
 
     assert_eq!(result, Err(ConnectionError::Closed));
 }
+
+/// Guards against an interim response that passes as the answer because none follows it.
+#[tokio::test]
+async fn interim_response_is_never_the_answer() {
+    for status in ["100 Continue", "101 Switching Protocols", "103 Early Hints"] {
+        let script = format!("HTTP/1.1 {status}\r\necho-id: a1\r\n\r\n").leak();
+        let mut connection = ServerConnection::connect(scripted(vec![script]).await).await.unwrap();
+
+        let result = connection.exchange(REQUEST, &Bytes::new(), echo("a1")).await;
+
+        assert_eq!(result.unwrap_err(), ConnectionError::Closed, "{status}");
+    }
+}
+
+/// Guards against heads that are no answer and pass as one where short answers are read: those of the
+/// store, of engines and of health checks.
+#[tokio::test]
+async fn call_takes_no_head_that_is_not_of_the_protocol() {
+    let heads = [
+        "HTTP/1.1 000 OK\r\ncontent-length: 2",
+        "HTTP/1.1 600 OK\r\ncontent-length: 2",
+        "HTTP/1.1 200 OK\r\ncontent -length: 2",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\na\x01b: c",
+    ];
+    for head in heads {
+        let address = scripted(vec![format!("{head}\r\n\r\nok").leak()]).await;
+
+        let result = HttpCall::get("/".to_owned()).send(address, Duration::from_secs(5)).await;
+
+        assert_eq!(result, Err(ConnectionError::Malformed), "{head}");
+    }
+}
