engine: refuse responses and outcomes whose status is outside the protocol

Cause: the HTTP library takes statuses from 100 to 999, and the status in the outcome of an earlier call is read as any number up to 65535.

Statuses from 200 to 599 are taken. Anything else counts as a lost response, so the call may have run.

--- a/crates/engine/src/http_client.rs
+++ b/crates/engine/src/http_client.rs
@@ -35,6 +35,9 @@
 /// server can take up.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Status codes of final responses. The HTTP library takes further ones.
+pub(crate) const STATUS_CODES: std::ops::Range<u16> = 200..600;
+
 /// Whether a request may use the connection of an earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectionReuse {
@@ -118,6 +121,10 @@
             Ok(Err(error)) if error.is_connect() => return Err(CallFailure::NotSent),
             Ok(Err(_)) | Err(_) => return Err(CallFailure::MaybeSent),
         };
+        if !STATUS_CODES.contains(&response.status().as_u16()) {
+            warn!("backend: status outside the protocol; address={}", self.address);
+            return Err(CallFailure::MaybeSent);
+        }
         if header_text(response.headers(), REQUEST_ID_HEADER) != Some(request_id) {
             self.retire(&connection);
             return Err(CallFailure::MismatchedResponse);
--- a/crates/engine/src/http_service_client.rs
+++ b/crates/engine/src/http_service_client.rs
@@ -9,7 +9,9 @@
 use crate::{
     BoxFuture, CallFailure, LoadReport, ServiceClient, ServiceOptions, ServiceRequest,
     ServiceResponse,
-    http_client::{ConnectionReuse, HttpClient, OutgoingRequest, header_text, server_instance},
+    http_client::{
+        ConnectionReuse, HttpClient, OutgoingRequest, STATUS_CODES, header_text, server_instance,
+    },
     protocol::{
         IDEMPOTENCY_KEY_HEADER, LOAD_PATH, OPERATIONS_PATH, ORDINAL_HEADER, OUTCOME_STATUS_HEADER,
         OUTCOMES_PATH, encode_segment,
@@ -76,7 +78,10 @@
             _ => return Err(CallFailure::MaybeSent),
         }
         let status = header_text(response.headers(), OUTCOME_STATUS_HEADER);
-        let status = status.and_then(|text| text.parse().ok()).ok_or(CallFailure::MaybeSent)?;
+        let status = status
+            .and_then(|text| text.parse().ok())
+            .filter(|status| STATUS_CODES.contains(status))
+            .ok_or(CallFailure::MaybeSent)?;
         let instance = server_instance(response.headers());
         Ok(Some(ServiceResponse { status, instance, body: response.into_body() }))
     }
--- a/crates/testkit/tests/all/main.rs
+++ b/crates/testkit/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod engine_client;
 mod engine_fake;
 mod fixtures;
+mod invalid_responses;
 mod log_client;
 mod platform_clients;
 mod repeated_responses;
--- a/crates/testkit/tests/all/repeated_responses.rs
+++ b/crates/testkit/tests/all/repeated_responses.rs
@@ -22,7 +22,7 @@
 
 /// Which response a server sends to a further request on a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RepeatedResponse {
+pub(crate) enum RepeatedResponse {
     /// A copy of the response before, and then the right one.
     First,
     /// The response that the request before should have got, so that it is late by one each time.
@@ -31,7 +31,7 @@
 
 /// Starts a server that responds to its n-th request, counted over all connections from 0, with
 /// `respond(n, request)`.
-async fn repeating_server(
+pub(crate) async fn repeating_server(
     repeated: RepeatedResponse,
     respond: fn(usize, &str) -> String,
 ) -> SocketAddr {
@@ -79,7 +79,7 @@
     }
 }
 
-fn header<'a>(request: &'a str, name: &str) -> &'a str {
+pub(crate) fn header<'a>(request: &'a str, name: &str) -> &'a str {
     let value = request.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
     value.unwrap_or_default()
 }
