tests: judge by the users' rules which manifest gateways go by

The soak published manifests and did not check which one is in force.

`manifests::confirmed_manifests_are_in_force_in_time` changes routes and keys all the time and asks six gateways for what was just added or withdrawn, while gateways are killed, frozen and stopped, and the store is away, rejects single gateways, drops its history or comes back from older copies.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod hard_load;
 mod jobs;
 mod keys;
+mod manifests;
 mod matrix;
 mod moves;
 mod placements;
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -11,10 +11,7 @@
 mod soak_outcome;
 mod soak_schedule;
 
-use std::{
-    ops::Range,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use dragonflycart_standins::{RunPart, WorkSpan};
 
@@ -25,6 +22,7 @@
     soak_outcome::SoakOutcome,
     soak_schedule::SoakSchedule,
 };
+use crate::support::extra_seeds;
 
 /// Seeds that run every time, and the choice of the gateway with which they do. Add a seed that failed
 /// here, with a line on its cause.
@@ -48,13 +46,6 @@
 /// Duration of a run in CI, which doesn't set `SOAK_SECONDS`.
 const DEFAULT_SECONDS: u64 = 8;
 
-fn extra_seeds() -> Range<u64> {
-    let Ok(text) = std::env::var("SOAK_SEEDS") else { return 0..0 };
-    let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
-    let parse = |text: &str| text.parse::<u64>().expect("SOAK_SEEDS holds two numbers");
-    parse(first)..parse(last)
-}
-
 fn seconds() -> u64 {
     match std::env::var("SOAK_SECONDS") {
         Ok(text) => text.parse().expect("SOAK_SECONDS is a number"),
@@ -92,7 +83,7 @@
 async fn promises_hold_under_random_faults() {
     let mut failures = Vec::new();
 
-    let extra = extra_seeds().map(|seed| (seed, GatewayChoice::Spread));
+    let extra = extra_seeds("SOAK_SEEDS").map(|seed| (seed, GatewayChoice::Spread));
     for (seed, choice) in REGRESSION_RUNS.into_iter().chain(extra) {
         let outcome = run_seed(seed, choice).await;
         if !outcome.violations.is_empty() {
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -7,6 +7,7 @@
 mod gateway_fleet;
 mod operator;
 mod runner_options;
+mod seed_range;
 mod traffic;
 mod usage_run;
 mod usage_traffic;
@@ -19,9 +20,10 @@
     deployment::{Deployment, zone_name},
     deployment_spec::{DeploymentSpec, model_version},
     duty_fleet::{DutyFleet, LEASE},
-    gateway_fleet::{GatewayFleet, GatewayUnderTest, MOVE_TIME_LIMIT},
+    gateway_fleet::{GatewayFleet, GatewayUnderTest, MOVE_TIME_LIMIT, is_ready},
     operator::{Operator, submit_response},
     runner_options::runner_options,
+    seed_range::extra_seeds,
     traffic::{Traffic, TrafficReport},
     usage_run::UsageRun,
     vm_process::VmProcess,
