gateway: register again when the store has lost the registrations

Cause: a gateway registers once, when it starts.

The context keeps the highest era in which records were lost. A change makes each gateway register and read the others' registrations again, at random moments within 16 ms times the number of VMs.

`store_copies::lost_registrations_of_gateways_are_written_again` (real gateways) failed before: no registration within 30 s.

--- a/crates/gateway/src/fleet_tables.rs
+++ b/crates/gateway/src/fleet_tables.rs
@@ -69,12 +69,6 @@
         self.lock().get(&table)?.next()
     }
 
-    /// Returns whether records of a table may still be about to be written again, because the era of
-    /// the store was first seen a moment ago.
-    pub fn is_unsettled(&self, table: FleetTable) -> bool {
-        self.lock().get(&table).is_some_and(TableState::is_unsettled)
-    }
-
     /// Ends the time in which the writers of a table may write again what the store lost, if it is
     /// over, and returns what is to be applied then: all records, and the removals of the keys that
     /// the store lacks. Returns no records if no earlier era was known.
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -56,6 +56,8 @@
     pub evidence_changes: Notify,
     /// Makes the peer exchange send a report at once, after a change of load.
     pub load_changes: Notify,
+    /// Highest era of the store in which this VM found that the store has lost records.
+    pub store_era: watch::Sender<u64>,
     /// Counter of changes that may affect running requests.
     pub changes: watch::Sender<u64>,
     /// Progress of a planned stop.
@@ -100,6 +102,7 @@
             clock: GatewayClock::start(),
             metrics: GatewayMetrics::new(),
             boot: rand::random(),
+            store_era: watch::Sender::new(0),
             changes: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
             streams: OpenStreams::default(),
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -29,6 +29,8 @@
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause before registering or reading registrations is retried after the store failed.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+/// Mean interval between the registrations of all VMs after the store has lost them.
+const REGISTER_INTERVAL: Duration = Duration::from_millis(16);
 /// Number of other VMs that a report names.
 const PEERS_NAMED: usize = 3;
 /// Interval, in number of reports, at which a report names other VMs. Reports cross zones, and that
@@ -76,10 +78,18 @@
     pub async fn run(mut self) {
         let context = Arc::clone(&self.context);
         tokio::spawn(async move {
-            // Register first: of two VMs that start at the same time, the one that registers later
-            // then finds the other.
-            register(&context).await;
-            discover(&context).await;
+            let mut eras = context.store_era.subscribe();
+            loop {
+                // Register first: of two VMs that start at the same time, the one that registers
+                // later then finds the other.
+                register(&context).await;
+                tokio::select! {
+                    () = discover(&context) => {}
+                    _ = eras.changed() => {}
+                }
+                let vms = context.view().vm_count as u32;
+                tokio::time::sleep((REGISTER_INTERVAL * vms).mul_f64(rand::random())).await;
+            }
         });
         tokio::spawn(EvidenceExchange::new(&self.context, &self.socket).run());
         if let Some(duties) = &self.duties {
@@ -415,7 +425,7 @@
     }
 }
 
-/// Reads the registrations of the other VMs.
+/// Reads the registrations of the other VMs, again and again.
 async fn discover(context: &GatewayContext) {
     loop {
         let pause = match context.store.read_newest(FleetTable::Vms).await {
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -184,6 +184,11 @@
     let Some(known) = known else { return };
     warn!(%table, era, %known, "store: came back from an older copy");
     context.metrics.store_returns.inc();
+    context.store_era.send_if_modified(|known| {
+        let is_later = era > *known;
+        *known = era.max(*known);
+        is_later
+    });
     // The store was away, also if this VM made no call meanwhile: servers whose registrations it
     // lacks may live.
     context.view().note_store_failure(context.clock.now());
--- a/crates/gateway/src/tables/table_state.rs
+++ b/crates/gateway/src/tables/table_state.rs
@@ -40,11 +40,6 @@
         self.current_at.map(|at| at.elapsed())
     }
 
-    /// Returns whether the newest record of each key may still be about to be written again.
-    pub(crate) fn is_unsettled(&self) -> bool {
-        self.unsettled_since.is_some()
-    }
-
     /// Applies records that were current at `current_at`. Returns those that are new and not renewals,
     /// or `None` if the batch can't be applied: it is of an earlier era, or of a later one and not a
     /// snapshot.
@@ -66,7 +61,7 @@
         if is_first || is_later {
             self.begin_era(&batch);
         }
-        let is_unsettled = self.is_unsettled();
+        let is_unsettled = self.unsettled_since.is_some();
         // A record that was written again has another position, which must become known.
         let is_renewal = |before: &Bytes, now: &Bytes| !is_unsettled && is_renewal(before, now);
         let delta = self.mirror.apply(batch, is_snapshot, is_renewal);
@@ -77,6 +72,7 @@
         Some(delta)
     }
 
+    /// Replaces the copy by an empty one of the era of a snapshot, and notes the keys that it lacks.
     fn begin_era(&mut self, batch: &TableBatch) {
         let known = std::mem::replace(&mut self.mirror, TableMirror::new(batch.era));
         self.had_earlier_era = known.next().is_some();
--- a/tests/all/store_copies.rs
+++ b/tests/all/store_copies.rs
@@ -161,3 +161,24 @@
     assert_eq!((old - old_before, new - new_before), (0, 40));
     fleet.close();
 }
+
+/// Guards against gateways that start later and find no others: the store lost the registrations of
+/// those that run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_registrations_of_gateways_are_written_again() {
+    let mut fleet = GatewayFleet::start("lost-registrations", 0).await;
+    let copy = fleet.store.copy();
+    fleet.start_gateways().await;
+    wait_for("both gateways to register", || async {
+        (fleet.store.vm_names().len() == 2).then_some(())
+    })
+    .await;
+
+    come_back_from(&mut fleet, &copy).await;
+
+    wait_for("both gateways to register again", || async {
+        (fleet.store.vm_names().len() == 2).then_some(())
+    })
+    .await;
+    fleet.close();
+}
