--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -120,7 +120,7 @@
             let mut sequence = 0;
             while alive.load(Ordering::Relaxed) {
                 sequence += 1;
-                let value = registration("desk", address, 6, "ready", 1, sequence);
+                let value = registration("desk", address, 6, "v1", 1, sequence);
                 store.put("keyed.servers", &name, Some(&value));
                 thread::sleep(HEARTBEAT);
             }
--- a/review/standin-3/lib.rs
+++ b/review/standin-3/lib.rs
@@ -9,7 +9,10 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, Stdio},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -260,6 +263,21 @@
         store
     }
 
+    /// Opens another address of the store, for a machine that it may turn away.
+    pub fn open_entry(&self) -> StoreEntry {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().unwrap();
+        let turns_away = Arc::new(AtomicBool::new(false));
+        let (store, is_turned_away) = (self.clone(), Arc::clone(&turns_away));
+        serve(listener, move |wire, request| {
+            if is_turned_away.load(Ordering::Relaxed) {
+                return respond(wire, 503, "", b"");
+            }
+            store.answer(wire, &request)
+        });
+        StoreEntry { address, turns_away }
+    }
+
     /// Appends a record; without a value, the key is dropped.
     pub fn put(&self, topic: &str, key: &str, value: Option<&str>) -> u64 {
         self.append(topic, key, value.map(|text| text.as_bytes().to_vec()), None).unwrap()
@@ -384,6 +402,13 @@
     }
 }
 
+/// Address of the store for one machine.
+pub struct StoreEntry {
+    pub address: SocketAddr,
+    /// Whether the machine's calls are refused.
+    pub turns_away: Arc<AtomicBool>,
+}
+
 fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
@@ -433,6 +458,7 @@
     pub process: Process,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    settings: PathBuf,
 }
 
 /// Settings of a gateway as in a small deployment.
@@ -475,30 +501,55 @@
         let (front, ready) = (free_port(ip), free_port(ip));
         let path = folder.join(format!("{name}.json"));
         fs::write(&path, settings(name, "a", ip, (front, ready, peer), store)).ok()?;
-        let log = fs::File::create(folder.join(format!("{name}.log"))).ok()?;
+        let gateway = Gateway {
+            process: Gateway::spawn(&path)?,
+            front: format!("{ip}:{front}").parse().unwrap(),
+            ready: format!("{ip}:{ready}").parse().unwrap(),
+            settings: path,
+        };
+        if !gateway.wait_ready() {
+            record.note(&format!("gateway {name} is not ready"));
+            return None;
+        }
+        record.note(&format!("gateway {name} is ready at {}", gateway.front));
+        Some(gateway)
+    }
+
+    fn spawn(settings: &Path) -> Option<Process> {
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(settings.with_extension("log"))
+            .ok()?;
         let child = Command::new("target/release/dragonflycartd")
             .arg("gateway")
-            .env("DRAGONFLYCART_BOOT", &path)
+            .env("DRAGONFLYCART_BOOT", settings)
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(Stdio::null())
             .spawn()
             .ok()?;
-        let gateway = Gateway {
-            process: Process { child },
-            front: format!("{ip}:{front}").parse().unwrap(),
-            ready: format!("{ip}:{ready}").parse().unwrap(),
-        };
+        Some(Process { child })
+    }
+
+    /// Starts the process again after it was killed.
+    pub fn start_again(&mut self) -> bool {
+        match Gateway::spawn(&self.settings) {
+            Some(process) => self.process = process,
+            None => return false,
+        }
+        self.wait_ready()
+    }
+
+    fn wait_ready(&self) -> bool {
         let deadline = Instant::now() + Duration::from_secs(15);
-        while !gateway.is_ready() {
+        while !self.is_ready() {
             if Instant::now() > deadline {
-                record.note(&format!("gateway {name} is not ready"));
-                return None;
+                return false;
             }
             thread::sleep(Duration::from_millis(50));
         }
-        record.note(&format!("gateway {name} is ready at {}", gateway.front));
-        Some(gateway)
+        true
     }
 
     pub fn is_ready(&self) -> bool {
@@ -536,6 +587,12 @@
 
 /// Manifest with routes, an engine service `engines` and a plain service `desk`.
 pub fn manifest(version: u64, routes: &[String]) -> String {
+    manifest_with_keys(version, routes, &["key"])
+}
+
+/// The same with the API keys of the only tenant.
+pub fn manifest_with_keys(version: u64, routes: &[String], keys: &[&str]) -> String {
+    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[\
          {{\"name\":\"engines\",\"health_path\":\"/health\",\"max_connections\":300,\
@@ -546,8 +603,9 @@
          \"cold_start_s\":0.0,\"cold_per_s\":0.0}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"studio\",\"api_keys\":[\"key\"],\"priority\":0}}]}}",
-        routes.join(",")
+         \"tenants\":[{{\"name\":\"studio\",\"api_keys\":[{}],\"priority\":0}}]}}",
+        routes.join(","),
+        keys.join(",")
     )
 }
 
@@ -556,13 +614,13 @@
     service: &str,
     address: SocketAddr,
     slots: u32,
-    state: &str,
+    version: &str,
     born: u64,
     sequence: u64,
 ) -> String {
     format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"a\",\"version\":\"v1\",\
-         \"slots\":{slots},\"state\":\"{state}\",\"cold_remaining_ms\":0,\"born\":{born},\
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"a\",\"version\":\"{version}\",\
+         \"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":{born},\
          \"sequence\":{sequence}}}"
     )
 }
