--- a/review/standin-3/lib.rs
+++ b/review/standin-3/lib.rs
@@ -4,9 +4,11 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ffi::{c_int, c_ulong},
     fs,
     io::{BufRead, BufReader, Lines, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, Stdio},
     sync::{
@@ -67,17 +69,31 @@
     listener
 }
 
+unsafe extern "C" {
+    fn prctl(option: c_int, signal: c_ulong) -> c_int;
+}
+const PR_SET_PDEATHSIG: c_int = 1;
+const SIGKILL: c_ulong = 9;
+
+/// Makes the kernel kill the child when the script ends, however it ends.
+fn ends_with_script(command: &mut Command) -> &mut Command {
+    // SAFETY: the call changes an attribute of the child only, and needs no memory.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        })
+    }
+}
+
 /// Starts a stand-in process. Returns it with its address and the rest of its output.
 pub fn start_standin(
     program: &str,
     arguments: &[&str],
 ) -> Option<(Process, SocketAddr, Lines<BufReader<ChildStdout>>)> {
-    let mut child = Command::new(program)
-        .args(arguments)
-        .stdin(Stdio::null())
-        .stdout(Stdio::piped())
-        .spawn()
-        .ok()?;
+    let mut command = Command::new(program);
+    command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped());
+    let mut child = ends_with_script(&mut command).spawn().ok()?;
     let mut lines = BufReader::new(child.stdout.take()?).lines();
     let process = Process { child };
     let address = lines.next()?.ok()?.parse().ok()?;
@@ -521,14 +537,14 @@
             .append(true)
             .open(settings.with_extension("log"))
             .ok()?;
-        let child = Command::new("target/release/dragonflycartd")
+        let mut command = Command::new("target/release/dragonflycartd");
+        command
             .arg("gateway")
             .env("DRAGONFLYCART_BOOT", settings)
             .stdin(Stdio::null())
             .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()
-            .ok()?;
+            .stderr(Stdio::null());
+        let child = ends_with_script(&mut command).spawn().ok()?;
         Some(Process { child })
     }
 
