--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use crate::{ConnectionError, ServerConnection};
+use crate::{ConnectionError, ServerConnection, contacts::ServerContacts};
 
 /// Maximum number of idle connections per server.
 const IDLE_PER_SERVER: usize = 4;
@@ -20,9 +20,15 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: Mutex<BTreeMap<SocketAddr, Vec<ServerConnection>>>,
+    contacts: ServerContacts,
 }
 
 impl ConnectionPool {
+    /// Returns the contacts with the servers.
+    pub(crate) fn contacts(&self) -> &ServerContacts {
+        &self.contacts
+    }
+
     /// Returns an idle connection to a server, or opens one.
     ///
     /// # Errors
@@ -30,13 +36,29 @@
     /// Returns [`ConnectionError::NotListening`] or [`ConnectionError::Unreachable`] if the
     /// connection can't be established.
     pub async fn acquire(&self, address: SocketAddr) -> Result<ServerConnection, ConnectionError> {
-        while let Some(mut connection) = self.take_idle(address) {
-            if connection.is_reusable() {
-                return Ok(connection);
+        let mut connection = match self.take_reusable(address) {
+            Some(connection) => connection,
+            None => ServerConnection::connect(address).await?,
+        };
+        connection.follow(self.contacts.contact(address).open());
+        Ok(connection)
+    }
+
+    /// Returns an idle connection to a server on which the request with this identity was not sent
+    /// before, if there is one. Opens none.
+    pub(crate) fn take_kept(
+        &self,
+        address: SocketAddr,
+        identity: &str,
+    ) -> Option<ServerConnection> {
+        while let Some(mut connection) = self.take_reusable(address) {
+            if !connection.has_served(identity) {
+                connection.follow(self.contacts.contact(address).open());
+                return Some(connection);
             }
             connection.close();
         }
-        ServerConnection::connect(address).await
+        None
     }
 
     /// Returns a connection on which the request with this identity was not sent before.
@@ -58,6 +80,16 @@
         }
     }
 
+    fn take_reusable(&self, address: SocketAddr) -> Option<ServerConnection> {
+        while let Some(mut connection) = self.take_idle(address) {
+            if connection.is_reusable() {
+                return Some(connection);
+            }
+            connection.close();
+        }
+        None
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<ServerConnection> {
         self.idle.lock().expect("the pool's lock is never poisoned").get_mut(&address)?.pop()
     }
@@ -95,12 +127,14 @@
         });
     }
 
-    /// Closes idle connections that can no longer be used.
+    /// Closes idle connections that can no longer be used, and forgets contacts that are over.
     pub fn sweep(&self) {
         let mut idle = self.idle.lock().expect("the pool's lock is never poisoned");
         for connections in idle.values_mut() {
             connections.retain_mut(ServerConnection::is_reusable);
         }
         idle.retain(|_, connections| !connections.is_empty());
+        drop(idle);
+        self.contacts.sweep();
     }
 }
--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -17,12 +17,22 @@
 pub struct EngineWatcher {
     context: Arc<GatewayContext>,
     changes: watch::Receiver<u64>,
-    moving: Option<oneshot::Receiver<MoveOutcome>>,
+    moving: Option<RunningMove>,
+    /// Whether the generation is to be recovered, once a move that is in progress has ended.
+    is_recovering: bool,
     started: u32,
     stop: StopRequest,
     source_stop: Arc<OnceLock<SourceStop>>,
     /// Whether the engine's response was lost.
     is_lost: watch::Sender<bool>,
+    /// Whether the stream got an event since its recovery began.
+    has_progress: watch::Sender<bool>,
+}
+
+/// Move in progress.
+struct RunningMove {
+    reason: MoveReason,
+    outcome: oneshot::Receiver<MoveOutcome>,
 }
 
 impl EngineWatcher {
@@ -34,10 +44,12 @@
             context: Arc::clone(context),
             changes,
             moving: None,
+            is_recovering: false,
             started: 0,
             stop: StopRequest::default(),
             source_stop: Arc::default(),
             is_lost: watch::Sender::new(false),
+            has_progress: watch::Sender::new(false),
         }
     }
 
@@ -51,24 +63,69 @@
         self.stop.is_open()
     }
 
-    /// Waits until the engine is leaving, starts a move and waits for its outcome. This method is
-    /// cancel safe: the returned future can be dropped and the method called again.
+    /// Waits until the engine is leaving or a recovery was begun, makes the move and waits for its
+    /// outcome. This method is cancel safe: the returned future can be dropped and the method called
+    /// again.
     pub async fn next(
         &mut self,
         request: &CallerRequest,
         reservation: &GenerationReservation,
         progress: &Arc<StreamProgress>,
     ) -> MoveOutcome {
-        while self.moving.is_none() {
-            if self.changes.changed().await.is_err() {
-                std::future::pending::<()>().await;
+        loop {
+            while self.moving.is_none() && !self.is_recovering {
+                if self.changes.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+                let is_leaving = self.context.view().is_leaving(reservation.engine.server());
+                if is_leaving && self.started < MOVE_LIMIT {
+                    self.start(request, reservation, progress, MoveReason::Leaving);
+                }
             }
-            let is_leaving = self.context.view().is_leaving(reservation.engine.server());
-            if is_leaving && self.started < MOVE_LIMIT {
-                self.start(request, reservation, progress, MoveReason::Leaving);
+            if self.moving.is_none() {
+                if reservation.backup.is_none() {
+                    self.end_recovery();
+                    return MoveOutcome::Gone;
+                }
+                self.start(request, reservation, progress, MoveReason::Broken);
             }
+            let was_leaving =
+                self.moving.as_ref().is_some_and(|moving| moving.reason == MoveReason::Leaving);
+            let outcome = self.outcome().await;
+            let is_final = !was_leaving || !matches!(outcome, MoveOutcome::Stays);
+            if self.is_recovering && !is_final {
+                continue;
+            }
+            self.end_recovery();
+            return outcome;
         }
-        self.outcome().await
+    }
+
+    /// Begins to recover a generation whose response stalled or was cut off. The outcome is that of
+    /// the move in progress if it is final, otherwise that of a new move to the backup engine, and
+    /// [`EngineWatcher::next`] returns it. A move that has not asked the engine to stop the
+    /// generation yet ends at once.
+    pub(crate) fn begin_recovery(&mut self) {
+        self.is_recovering = true;
+        self.has_progress.send_replace(false);
+        self.is_lost.send_replace(true);
+    }
+
+    /// Ends the recovery of a stream that got an event from its engine, unless it goes on elsewhere.
+    pub(crate) fn note_progress(&self) {
+        self.has_progress.send_replace(true);
+    }
+
+    /// Makes no further calls to stop a generation that is complete.
+    pub(crate) fn note_complete(&self) {
+        if let Some(stop) = self.source_stop.get() {
+            stop.suspend();
+        }
+    }
+
+    fn end_recovery(&mut self) {
+        self.is_recovering = false;
+        self.is_lost.send_replace(false);
     }
 
     /// Returns what became of a generation whose response ended in a way that may mean that it is
@@ -78,32 +135,20 @@
             return None;
         }
         let outcome = self.outcome().await;
+        self.end_recovery();
         // The engine may have answered that the generation had ended before it was asked.
         self.stop.is_open().then_some(outcome)
     }
 
-    /// Tries to recover a generation whose response was cut off or stalled. Returns the outcome of
-    /// the move in progress if it is final, otherwise that of a new move to the backup engine. A move
-    /// that has not asked the engine to stop the generation yet ends at once.
+    /// Recovers a generation whose response was cut off. See [`EngineWatcher::begin_recovery`].
     pub async fn recover(
         &mut self,
         request: &CallerRequest,
         reservation: &GenerationReservation,
         progress: &Arc<StreamProgress>,
     ) -> MoveOutcome {
-        if self.moving.is_some() {
-            self.is_lost.send_replace(true);
-            let outcome = self.outcome().await;
-            self.is_lost.send_replace(false);
-            if !matches!(outcome, MoveOutcome::Stays) {
-                return outcome;
-            }
-        }
-        if reservation.backup.is_none() {
-            return MoveOutcome::Gone;
-        }
-        self.start(request, reservation, progress, MoveReason::Broken);
-        self.outcome().await
+        self.begin_recovery();
+        self.next(request, reservation, progress).await
     }
 
     fn start(
@@ -114,15 +159,20 @@
         reason: MoveReason,
     ) {
         self.started += 1;
-        let signals = MoveSignals::new(&self.stop, &self.source_stop, self.is_lost.subscribe());
+        let signals = MoveSignals::new(
+            &self.stop,
+            &self.source_stop,
+            self.is_lost.subscribe(),
+            self.has_progress.subscribe(),
+        );
         let mover =
             GenerationMover::new(&self.context, request, reservation, progress, reason, signals);
-        self.moving = Some(mover.start());
+        self.moving = Some(RunningMove { reason, outcome: mover.start() });
     }
 
     async fn outcome(&mut self) -> MoveOutcome {
-        let Some(receiver) = &mut self.moving else { return MoveOutcome::Stays };
-        let outcome = receiver.await.unwrap_or(MoveOutcome::Stays);
+        let Some(moving) = &mut self.moving else { return MoveOutcome::Stays };
+        let outcome = (&mut moving.outcome).await.unwrap_or(MoveOutcome::Stays);
         self.moving = None;
         outcome
     }
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -16,6 +16,8 @@
 use crate::{
     CallerRequest, CopyResponse, GatewayContext, GenerationReservation, Placement, PlacementQuery,
     ResumedGeneration, ServerKey, ServerReservation, StreamPhase, StreamProgress,
+    contacts::EngineSilence,
+    generation_relay::stall_limit,
     generation_resumer::{self, ResumeResult},
     moves::{
         CopyTiming, MoveSignals, MoveSource, ResumePermit, ResumeSource, SourceStop, StopCalls,
@@ -158,7 +160,10 @@
             // An earlier recovery may have stopped the generation.
             return self.return_to_source(None).await;
         };
+        let signals = self.signals.clone();
         let stopped = tokio::select! {
+            biased;
+            () = signals.progressed() => None,
             stopped = self.stop_source(address) => stopped,
             () = sender.closed() => return MoveOutcome::Stays,
         };
@@ -193,7 +198,9 @@
                 deadline: self.request.deadline,
             })
         });
-        let stopped = stop.wait_stopped(&self.context).await;
+        let contact = self.context.pool.contacts().contact(self.source.address);
+        let silence = EngineSilence::new(contact, stall_limit(&self.request.route));
+        let stopped = stop.wait_stopped(&self.context, &silence).await;
         let ended_before = stop
             .answer()
             .is_some_and(|answer| answer.is_first && answer.copy == Some(CopyResponse::Unknown));
@@ -491,6 +498,9 @@
             }
             let asked_at = Instant::now();
             let response = call.send(self.source.address, COPY_TIMEOUT).await;
+            if response.is_ok() {
+                self.context.pool.contacts().note_answer(self.source.address);
+            }
             let took_ms = asked_at.elapsed().as_millis() as u64;
             let copy = match &response {
                 Ok((status, body)) => self.context.engine_protocol.decode_copy(*status, body),
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -62,6 +62,16 @@
     NoMemory,
 }
 
+/// Recovery of a stream.
+#[derive(Debug, Clone, Copy)]
+struct StreamRecovery {
+    cause: RelayEnd,
+    /// Whether the engine has failed: it neither leaves nor was asked to stop the generation.
+    is_failure: bool,
+    /// Whether nothing was done about the generation before.
+    is_untouched: bool,
+}
+
 enum StepOutcome {
     Continue,
     End(RelayEnd),
@@ -113,6 +123,8 @@
     idle_bytes: usize,
     longest_pause_ms: u64,
     tokens_per_event: u64,
+    /// Recovery in progress. The events of an engine that may only be slow are relayed meanwhile.
+    recovery: Option<StreamRecovery>,
     entry: StreamEntry,
 }
 
@@ -170,6 +182,7 @@
             idle_bytes: 0,
             longest_pause_ms: 0,
             tokens_per_event,
+            recovery: None,
             entry,
         }
     }
@@ -195,28 +208,19 @@
 
     async fn step(&mut self) -> StepOutcome {
         let stall_deadline = self.stalled_since + self.stall_limit();
+        let can_recover = self.can_recover();
+        let reads = self.reads_engine();
         let RelaySource { reservation, watcher, connection, .. } = &mut self.source;
-        let can_repeat = self.request.route.may_repeat()
-            && self.join.can_continue()
-            && !self.runs.are_used_up(&self.request.route);
-        // Each attempt draws on the retry budget.
-        let has_patience = Instant::now() < self.progress_at + stream_patience(&self.request.route);
-        let can_recover =
-            self.events > 0 && has_patience && (reservation.backup.is_some() || can_repeat);
         tokio::select! {
             biased;
             () = self.sender.closed() => StepOutcome::End(RelayEnd::CallerLeft),
-            outcome = watcher.next(&self.request, reservation, &self.progress) => match outcome {
-                MoveOutcome::Stays => {
-                    self.progress.enter(StreamPhase::Reading);
-                    StepOutcome::Continue
-                }
-                MoveOutcome::Gone => self.repeat(RelayEnd::Broken).await,
-                MoveOutcome::Resumed(resumed) => StepOutcome::Resumed(resumed),
-            },
-            piece = RelaySource::next_data(connection) => self.take_data(piece).await,
+            outcome = watcher.next(&self.request, reservation, &self.progress) => {
+                self.settle_move(outcome).await
+            }
+            piece = RelaySource::next_data(connection), if reads => self.take_data(piece).await,
             () = tokio::time::sleep_until(stall_deadline), if can_recover => {
-                self.recover(RelayEnd::Silent).await
+                self.begin_recovery(RelayEnd::Silent);
+                StepOutcome::Continue
             }
             () = tokio::time::sleep_until(self.check_at) => self.check_silence(),
             () = tokio::time::sleep_until(self.request.deadline) => {
@@ -225,6 +229,38 @@
         }
     }
 
+    /// Returns whether a stalled stream may go on at another engine.
+    fn can_recover(&self) -> bool {
+        let can_repeat = self.request.route.may_repeat()
+            && self.join.can_continue()
+            && !self.runs.are_used_up(&self.request.route);
+        // Each attempt draws on the retry budget.
+        let has_patience = Instant::now() < self.progress_at + stream_patience(&self.request.route);
+        let is_possible = self.source.reservation.backup.is_some() || can_repeat;
+        self.recovery.is_none() && self.events > 0 && has_patience && is_possible
+    }
+
+    /// Returns whether the engine's events are relayed. Those that it makes while another engine is
+    /// asked to go on come from there.
+    fn reads_engine(&self) -> bool {
+        self.recovery.is_none() || self.progress.phase() != StreamPhase::Resuming
+    }
+
+    /// Continues the stream after a move of its generation or a recovery.
+    async fn settle_move(&mut self, outcome: MoveOutcome) -> StepOutcome {
+        if let Some(recovery) = self.recovery.take() {
+            return self.settle_recovery(recovery, outcome).await;
+        }
+        match outcome {
+            MoveOutcome::Stays => {
+                self.progress.enter(StreamPhase::Reading);
+                StepOutcome::Continue
+            }
+            MoveOutcome::Gone => self.repeat(RelayEnd::Broken).await,
+            MoveOutcome::Resumed(resumed) => StepOutcome::Resumed(resumed),
+        }
+    }
+
     /// Ends a stream whose engine sends bytes without an event for as long as callers wait. A silent
     /// engine may go on, for example after it has preempted the generation. Its callers decide whether
     /// to wait until the deadline.
@@ -248,7 +284,7 @@
     /// Returns the time without an event after which the stream is resumed on another engine.
     fn stall_limit(&self) -> Duration {
         let route = &self.request.route;
-        let limit = route.pause_target.map_or(DEFAULT_STALL_TIMEOUT, |pause| pause * STALL_PAUSES);
+        let limit = stall_limit(route);
         // An engine that runs the request again has to read its prompt first.
         if self.join.is_joining() { limit.max(route.latency_target) } else { limit }
     }
@@ -306,13 +342,12 @@
         StepOutcome::End(RelayEnd::Complete)
     }
 
-    /// Resumes the stream on another engine after the response was cut off or stalled, or lets it run
-    /// again at another one. Ends it if neither is possible.
-    async fn recover(&mut self, end: RelayEnd) -> StepOutcome {
+    /// Begins to resume the stream on another engine after the response was cut off or stalled.
+    fn begin_recovery(&mut self, cause: RelayEnd) {
         info!(
             id = self.request.attempt,
             server = self.source.reservation.engine.id(),
-            cause = <&str>::from(end),
+            cause = <&str>::from(cause),
             parts = PromptPart::list(&self.request.prompt_parts),
             writing_ms = self.writing_since.elapsed().as_millis() as u64,
             events = self.events,
@@ -321,29 +356,69 @@
         // The engine ends the response of a generation that is being moved, and all responses when it
         // exits as announced.
         let is_leaving = self.context.view().is_leaving(self.source.reservation.engine.server());
-        let is_failure = !self.source.watcher.is_moving() && !is_leaving;
-        if end == RelayEnd::Broken {
-            if is_failure {
+        let is_moving = self.source.watcher.is_moving();
+        let recovery = match self.recovery {
+            // The response of a stalled stream was cut off before the engine was told to stop it.
+            Some(recovery) => StreamRecovery { cause, ..recovery },
+            None => StreamRecovery {
+                cause,
+                is_failure: !is_moving && !is_leaving,
+                // Without a backup, nothing was done about the generation.
+                is_untouched: self.source.reservation.backup.is_none() && !is_moving,
+            },
+        };
+        if cause == RelayEnd::Broken {
+            if recovery.is_failure {
                 self.source.run.note_failure();
             }
             run_check::start(&self.context, &self.source.reservation.engine);
         }
-        let RelaySource { reservation, watcher, run, .. } = &mut self.source;
-        // Without a backup, nothing was done about the generation.
-        let is_untouched = reservation.backup.is_none() && !watcher.is_moving();
-        match watcher.recover(&self.request, reservation, &self.progress).await {
+        self.source.watcher.begin_recovery();
+        self.recovery = Some(recovery);
+    }
+
+    /// Resumes the stream on another engine after the response was cut off, or lets it run again at
+    /// another one. Ends it if neither is possible.
+    async fn recover(&mut self, cause: RelayEnd) -> StepOutcome {
+        match &mut self.recovery {
+            // The stop of a stalled generation ends its response, too.
+            Some(recovery) if self.source.watcher.is_stop_asked() => recovery.cause = cause,
+            _ => self.begin_recovery(cause),
+        }
+        let RelaySource { reservation, watcher, .. } = &mut self.source;
+        // An engine that is heard but can't be told to stop keeps the recovery waiting.
+        let outcome = tokio::select! {
+            biased;
+            () = self.sender.closed() => return StepOutcome::End(RelayEnd::CallerLeft),
+            outcome = watcher.next(&self.request, reservation, &self.progress) => outcome,
+            () = tokio::time::sleep_until(self.request.deadline) => {
+                return StepOutcome::End(RelayEnd::TimedOut);
+            }
+        };
+        self.settle_move(outcome).await
+    }
+
+    /// Continues the stream after its recovery. If the generation was not resumed, it runs again at
+    /// another engine, stays at its own or ends.
+    async fn settle_recovery(
+        &mut self,
+        recovery: StreamRecovery,
+        outcome: MoveOutcome,
+    ) -> StepOutcome {
+        let StreamRecovery { cause, is_failure, is_untouched } = recovery;
+        match outcome {
             MoveOutcome::Resumed(resumed) => {
                 if is_failure {
-                    run.note_failure();
+                    self.source.run.note_failure();
                 }
                 StepOutcome::Resumed(resumed)
             }
             MoveOutcome::Gone if !is_untouched => {
                 self.source.close_connection();
-                self.repeat(end).await
+                self.repeat(cause).await
             }
             MoveOutcome::Stays | MoveOutcome::Gone => {
-                let outcome = self.repeat(end).await;
+                let outcome = self.repeat(cause).await;
                 if is_failure && matches!(outcome, StepOutcome::Repeated(_)) {
                     self.source.run.note_failure();
                 }
@@ -455,6 +530,7 @@
         old.run.close(RunEnd::Abandoned);
         old.reservation.close();
         self.progress.enter(StreamPhase::Reading);
+        self.recovery = None;
         self.splitter = EventSplitter::default();
         self.idle_bytes = 0;
         self.bytes_at = self.progress_at;
@@ -518,6 +594,7 @@
         if let Some(id) = event.id {
             self.progress.advance(id);
             self.note_event();
+            self.end_stall();
         }
         let bytes = self.memory.keep(&event.bytes).await;
         match self.sender.send(Ok(bytes)).await {
@@ -526,6 +603,14 @@
         }
     }
 
+    /// Ends the recovery of a stalled stream whose engine sends events again, unless the generation is
+    /// stopped already.
+    fn end_stall(&mut self) {
+        if self.recovery.take_if(|recovery| recovery.cause == RelayEnd::Silent).is_some() {
+            self.source.watcher.note_progress();
+        }
+    }
+
     fn note_event(&mut self) {
         let now = Instant::now();
         self.source.run.note_event();
@@ -575,6 +660,9 @@
     async fn finish(self, end: RelayEnd) {
         let outcome = <&str>::from(end);
         self.log_end(outcome);
+        if end == RelayEnd::Complete {
+            self.source.watcher.note_complete();
+        }
         let RelaySource { reservation, connection, run, .. } = self.source;
         run.close(match end {
             RelayEnd::Complete => RunEnd::Good,
@@ -625,6 +713,11 @@
     }
 }
 
+/// Returns the silence after which a stream counts as stalled and is resumed on another engine.
+pub(crate) fn stall_limit(route: &PlannedRoute) -> Duration {
+    route.pause_target.map_or(DEFAULT_STALL_TIMEOUT, |pause| pause * STALL_PAUSES)
+}
+
 /// Returns the time without progress after which callers may abandon a stream.
 pub fn stream_patience(route: &PlannedRoute) -> Duration {
     let pause = route.pause_target.unwrap_or_default();
--- a/crates/gateway/src/http_call.rs
+++ b/crates/gateway/src/http_call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::{ConnectionError, ResponseHead, ServerConnection};
+use crate::{ConnectionError, ResponseHead, ServerConnection, contacts::ExpectedResponse};
 
 /// Maximum size of a response, in bytes. A server's report names its running generations, with some
 /// hundred bytes each.
@@ -94,16 +94,32 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<(u16, Bytes), ConnectionError> {
-        let exchange = self.exchange(connection, address);
+        self.send_expecting(connection, address, ExpectedResponse::First, timeout).await
+    }
+
+    /// Sends the call on a connection to `address`, which may have been used before, and returns the
+    /// status and body of the response that `expected` tells from others.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HttpCall::send`].
+    pub(crate) async fn send_expecting(
+        &self,
+        connection: ServerConnection,
+        address: SocketAddr,
+        expected: ExpectedResponse<'_>,
+        timeout: Duration,
+    ) -> Result<(u16, Bytes), ConnectionError> {
+        let exchange = self.exchange(connection, address, expected);
         let (head, body) = tokio::time::timeout(timeout, exchange)
             .await
             .unwrap_or(Err(ConnectionError::TimedOut))?;
         Ok((head.status.as_u16(), body))
     }
 
-    /// Sends the call and returns the head and body of the response. Each call has a connection of
-    /// its own: responses to calls echo no ID, so on a used connection a second copy of an earlier
-    /// response would be taken for this one.
+    /// Sends the call and returns the head and body of the response. The call has a connection of its
+    /// own: responses to calls need not echo an ID, so on a used connection a second copy of an
+    /// earlier response could be taken for this one.
     ///
     /// # Errors
     ///
@@ -115,7 +131,7 @@
     ) -> Result<(ResponseHead, Bytes), ConnectionError> {
         let exchange = async {
             let connection = ServerConnection::connect(address).await?;
-            self.exchange(connection, address).await
+            self.exchange(connection, address, ExpectedResponse::First).await
         };
         tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(ConnectionError::TimedOut))
     }
@@ -124,9 +140,10 @@
         &self,
         mut connection: ServerConnection,
         address: SocketAddr,
+        expected: ExpectedResponse<'_>,
     ) -> Result<(ResponseHead, Bytes), ConnectionError> {
         let head = self.encode_head(address);
-        let response = connection.exchange(&head, &self.body, None).await?;
+        let response = connection.exchange_expecting(&head, &self.body, expected).await?;
         let body = connection.read_body(self.response_limit).await?;
         connection.close();
         Ok((response, body))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod chunk_decoder;
 mod connection_error;
 mod connection_pool;
+mod contacts;
 mod containment;
 mod duties;
 mod engine_protocol;
--- a/crates/gateway/src/membership/leave_survey.rs
+++ b/crates/gateway/src/membership/leave_survey.rs
@@ -67,6 +67,7 @@
         tracing::debug!(server = engine.id, "servers: report not received");
         return;
     };
+    context.pool.contacts().note_answer(engine.address);
     let Some(report) = context.engine_protocol.decode_report(&body) else {
         info!(server = engine.id, "servers: report not understood");
         return;
--- a/crates/gateway/src/moves/copy_timing.rs
+++ b/crates/gateway/src/moves/copy_timing.rs
@@ -162,6 +162,9 @@
     async fn ask_report(&mut self) -> Option<EngineReport> {
         let call = self.context.engine_protocol.report_call();
         let response = call.send(self.source.address, REPORT_TIMEOUT).await;
+        if response.is_ok() {
+            self.context.pool.contacts().note_answer(self.source.address);
+        }
         let report = match response {
             Ok((200, body)) => self.context.engine_protocol.decode_report(&body)?,
             Ok(_) | Err(_) => return None,
--- a/crates/gateway/src/moves/move_signals.rs
+++ b/crates/gateway/src/moves/move_signals.rs
@@ -15,23 +15,40 @@
     /// engine may need its outcome later.
     pub(crate) source_stop: Arc<OnceLock<SourceStop>>,
     is_lost: watch::Receiver<bool>,
+    has_progress: watch::Receiver<bool>,
 }
 
 impl MoveSignals {
-    /// Builds the signals of a move. `is_lost` tells the move whether the engine's response was lost.
+    /// Builds the signals of a move. `is_lost` tells the move whether the engine's response was lost,
+    /// and `has_progress` whether a stream that had stalled got an event since.
     pub(crate) fn new(
         stop: &StopRequest,
         source_stop: &Arc<OnceLock<SourceStop>>,
         is_lost: watch::Receiver<bool>,
+        has_progress: watch::Receiver<bool>,
     ) -> MoveSignals {
-        MoveSignals { stop: stop.clone(), source_stop: Arc::clone(source_stop), is_lost }
+        MoveSignals {
+            stop: stop.clone(),
+            source_stop: Arc::clone(source_stop),
+            is_lost,
+            has_progress,
+        }
     }
 
     /// Waits until the engine's response was lost.
     pub(crate) async fn engine_lost(&self) {
-        // The sender is dropped if the stream has ended, which the move learns in other ways.
-        if self.is_lost.clone().wait_for(|is_lost| *is_lost).await.is_err() {
-            std::future::pending::<()>().await;
-        }
+        wait_true(self.is_lost.clone()).await;
+    }
+
+    /// Waits until a stream that had stalled gets an event from its engine.
+    pub(crate) async fn progressed(&self) {
+        wait_true(self.has_progress.clone()).await;
+    }
+}
+
+async fn wait_true(mut signal: watch::Receiver<bool>) {
+    // The sender is dropped if the stream has ended, which the move learns in other ways.
+    if signal.wait_for(|is_set| *is_set).await.is_err() {
+        std::future::pending::<()>().await;
     }
 }
--- a/crates/gateway/src/moves/move_source.rs
+++ b/crates/gateway/src/moves/move_source.rs
@@ -38,8 +38,11 @@
     /// Frees a copy of a generation's memory that the engine made.
     pub(crate) async fn release(&self, context: &GatewayContext, attempt: &str, handle: &str) {
         let call = context.engine_protocol.release_call(handle);
-        if let Err(error) = call.send(self.address, RELEASE_TIMEOUT).await {
-            info!(id = attempt, handle, error = <&str>::from(error), "move: copy not freed");
+        match call.send(self.address, RELEASE_TIMEOUT).await {
+            Ok(_) => context.pool.contacts().note_answer(self.address),
+            Err(error) => {
+                info!(id = attempt, handle, error = <&str>::from(error), "move: copy not freed");
+            }
         }
     }
 }
--- a/crates/gateway/src/moves/source_state.rs
+++ b/crates/gateway/src/moves/source_state.rs
@@ -1,4 +1,9 @@
 //! What is known of a generation at the engine before.
+//!
+//! Only an answer of the engine proves that a generation does not run there, or an address at which
+//! nothing listens. A stream without events, a connection that was closed or reset, a call without
+//! an answer and a full queue of new connections prove nothing as long as the engine is heard on any
+//! connection. See `docs/design/ended-runs.md`.
 
 use crate::CopyResponse;
 
@@ -12,7 +17,8 @@
     NotRunning,
     /// Nothing listens at the engine's address, so the process has ended.
     Exited,
-    /// The engine did not answer. It is told to stop until it does.
+    /// The engine did not answer, and was silent on all connections for as long as a stream is until
+    /// it counts as stalled. It is told to stop until it answers.
     Unreached,
     /// Engines of the service have no call that stops a generation, only closed connections.
     NotTold,
--- a/crates/gateway/src/moves/source_stop.rs
+++ b/crates/gateway/src/moves/source_stop.rs
@@ -12,15 +12,16 @@
     time::Duration,
 };
 
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
+use tracing::info;
 
 use crate::{
     GatewayContext,
+    contacts::EngineSilence,
     moves::{SourceState, StopAnswer, StopCalls, StopProgress, StoppedSource},
 };
 
-/// Time after which a generation goes on elsewhere although its engine has not answered. An engine
-/// that got the call stops the generation before it copies the memory.
+/// Minimum time for which an engine is called before it counts as lost.
 const UNREACHED_WAIT: Duration = Duration::from_millis(250);
 /// Maximum time to wait for an engine that has answered, but not that the generation is stopped, and
 /// for the memory that an engine retains.
@@ -30,8 +31,9 @@
 /// it does not run the generation, also after the stream has ended or went on elsewhere.
 #[derive(Debug, Clone)]
 pub(crate) struct SourceStop {
+    attempt: String,
     progress: watch::Receiver<StopProgress>,
-    is_wanted: Arc<AtomicBool>,
+    is_wanted: watch::Sender<bool>,
     is_used: Arc<AtomicBool>,
 }
 
@@ -40,13 +42,14 @@
     pub(crate) fn start(calls: StopCalls) -> SourceStop {
         let (sender, progress) = watch::channel(StopProgress::default());
         let stop = SourceStop {
+            attempt: calls.attempt.clone(),
             progress,
-            is_wanted: Arc::new(AtomicBool::new(true)),
+            is_wanted: watch::Sender::new(true),
             is_used: Arc::default(),
         };
-        let (is_wanted, is_used) = (Arc::clone(&stop.is_wanted), Arc::clone(&stop.is_used));
+        let (is_wanted, is_used) = (stop.is_wanted.subscribe(), Arc::clone(&stop.is_used));
         tokio::spawn(async move {
-            calls.run(&sender, &is_wanted).await;
+            calls.run(&sender, is_wanted).await;
             // The generation may still go on from the retained memory.
             sender.closed().await;
             let handle = sender.borrow().retained().map(str::to_owned);
@@ -57,24 +60,46 @@
         stop
     }
 
-    /// Waits until the engine has stopped the generation, or has not answered for too long. Returns
-    /// `None` if the generation may still run at an engine that can be reached.
-    pub(crate) async fn wait_stopped(&self, context: &GatewayContext) -> Option<StoppedSource> {
-        self.is_wanted.store(true, Ordering::Release);
+    /// Waits until the engine has stopped the generation or counts as lost. Returns `None` if it has
+    /// answered without telling that the generation does not run there.
+    ///
+    /// An engine that is heard on any connection is not lost, however its calls end: it may be slow,
+    /// or accept no new connections.
+    pub(crate) async fn wait_stopped(
+        &self,
+        context: &GatewayContext,
+        silence: &EngineSilence,
+    ) -> Option<StoppedSource> {
+        self.is_wanted.send_if_modified(|is_wanted| !std::mem::replace(is_wanted, true));
         self.wait_for(UNREACHED_WAIT, |progress| progress.answer.is_some()).await;
-        if self.progress.borrow().is_unclear {
-            self.wait_for(ANSWER_WAIT, |progress| {
-                progress.answer.is_some() || !progress.is_unclear
+        let mut unclear_end = None;
+        let mut is_logged = false;
+        loop {
+            let (answer, is_unclear) = {
+                let progress = self.progress.borrow();
+                (progress.answer.as_ref().map(|answer| answer.state), progress.is_unclear)
+            };
+            if let Some(state) = answer {
+                return Some(StoppedSource::new(context, state));
+            }
+            let now = Instant::now();
+            let wait = if is_unclear {
+                unclear_end.get_or_insert(now + ANSWER_WAIT).duration_since(now)
+            } else {
+                silence.time_left()
+            };
+            if wait.is_zero() {
+                return (!is_unclear).then(|| StoppedSource::new(context, SourceState::Unreached));
+            }
+            if !is_unclear && !std::mem::replace(&mut is_logged, true) {
+                let left_ms = wait.as_millis() as u64;
+                info!(id = self.attempt, left_ms, "move: source is heard, but has not answered");
+            }
+            self.wait_for(wait, |progress| {
+                progress.answer.is_some() || progress.is_unclear != is_unclear
             })
             .await;
         }
-        let progress = self.progress.borrow();
-        let state = match &progress.answer {
-            Some(answer) => answer.state,
-            None if progress.is_unclear => return None,
-            None => SourceState::Unreached,
-        };
-        Some(StoppedSource::new(context, state))
     }
 
     /// Returns the answer that shows that the generation does not run, if there is one.
@@ -96,7 +121,7 @@
 
     /// Makes no further calls for now, since the generation goes on at its engine.
     pub(crate) fn suspend(&self) {
-        self.is_wanted.store(false, Ordering::Release);
+        self.is_wanted.send_replace(false);
     }
 
     async fn wait_for(&self, limit: Duration, is_reached: impl FnMut(&StopProgress) -> bool) {
--- a/crates/gateway/src/moves/stop_calls.rs
+++ b/crates/gateway/src/moves/stop_calls.rs
@@ -1,13 +1,6 @@
 //! Calls that tell an engine to stop a generation.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     sync::{mpsc, watch},
@@ -17,6 +10,7 @@
 
 use crate::{
     ConnectionError, GatewayContext, ServerConnection,
+    contacts::ExpectedResponse,
     moves::{CallEvent, MoveSource, SourceState, StopAnswer, StopProgress},
 };
 
@@ -52,7 +46,11 @@
 
 impl StopCalls {
     /// Calls the engine until an answer shows that the generation does not run there.
-    pub(super) async fn run(&self, progress: &watch::Sender<StopProgress>, is_wanted: &AtomicBool) {
+    pub(super) async fn run(
+        &self,
+        progress: &watch::Sender<StopProgress>,
+        mut is_wanted: watch::Receiver<bool>,
+    ) {
         let (sender, mut events) = mpsc::channel(OPEN_CALLS);
         let mut number = 0;
         let mut pause = FIRST_CALL_PAUSE;
@@ -67,10 +65,15 @@
                 Some(event) = events.recv() => {
                     progress.send_modify(|progress| progress.note_event(event));
                 }
+                Ok(()) = is_wanted.changed() => {
+                    if *is_wanted.borrow_and_update() {
+                        next_call = Instant::now();
+                    }
+                }
                 () = tokio::time::sleep_until(next_call) => {
                     next_call = Instant::now() + pause;
                     pause = LONGEST_CALL_PAUSE.min(pause * 2);
-                    let is_wanted = is_wanted.load(Ordering::Acquire);
+                    let is_wanted = *is_wanted.borrow();
                     if !is_wanted && progress.is_closed() {
                         return;
                     }
@@ -104,11 +107,21 @@
         let (context, attempt) = (Arc::clone(&self.context), self.attempt.clone());
         let source = self.source.clone();
         tokio::spawn(async move {
-            let (copy, error, was_connected) = match connect(&context, source.address).await {
+            let mut is_kept = false;
+            let connected = connect(&context, source.address, &attempt, number).await;
+            let (copy, error, was_connected) = match connected {
                 Ok(connection) => {
                     // The receiver ends only after all calls or with an answer.
                     drop(events.send(CallEvent::Connected).await);
-                    let response = call.send_on(connection, source.address, CALL_TIMEOUT).await;
+                    is_kept = connection.is_reused();
+                    let expected =
+                        ExpectedResponse::Call { name: context.names.attempt, attempt: &attempt };
+                    let response = call
+                        .send_expecting(connection, source.address, expected, CALL_TIMEOUT)
+                        .await;
+                    if response.is_ok() {
+                        context.pool.contacts().note_answer(source.address);
+                    }
                     let copy = response
                         .as_ref()
                         .map(|(status, body)| context.engine_protocol.decode_copy(*status, body));
@@ -130,6 +143,7 @@
                     id = attempt,
                     source = source.id,
                     number,
+                    is_kept,
                     ?copy,
                     error = error.map(<&str>::from),
                     "move: source told to stop"
@@ -148,10 +162,19 @@
     }
 }
 
+/// Returns a connection for a call. Every second call takes an idle connection if there is one: an
+/// engine whose queue of new connections is full still serves those that are open.
 async fn connect(
     context: &GatewayContext,
     source: SocketAddr,
+    attempt: &str,
+    number: u32,
 ) -> Result<ServerConnection, ConnectionError> {
+    if number.is_multiple_of(2)
+        && let Some(kept) = context.pool.take_kept(source, attempt)
+    {
+        return Ok(kept);
+    }
     let connecting = ServerConnection::connect(source);
     let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     BodyFraming, ChunkDecoder, ConnectionError, DecodedChunk, MemoryReservation, ResponseHead,
+    contacts::{ChannelContact, ExpectedResponse},
 };
 
 /// Maximum time to establish a connection. The latency between zones is some milliseconds. A lost
@@ -79,6 +80,8 @@
     write_failed: bool,
     idle_limit: Duration,
     idle_since: Instant,
+    /// Contact with the server while a request is in progress.
+    contact: Option<ChannelContact>,
 }
 
 impl ServerConnection {
@@ -109,9 +112,15 @@
             write_failed: false,
             idle_limit: DEFAULT_IDLE_LIMIT,
             idle_since: Instant::now(),
+            contact: None,
         })
     }
 
+    /// Reports the arrival of bytes to `contact` until the connection is idle again.
+    pub(crate) fn follow(&mut self, contact: ChannelContact) {
+        self.contact = Some(contact);
+    }
+
     /// Makes the kernel discard what was not delivered when the connection is closed. Otherwise it
     /// goes on sending a call that was given up, and the call may arrive after a partition has ended.
     ///
@@ -162,10 +171,27 @@
         head: &[u8],
         body: &Bytes,
         echo: Option<(&str, &str)>,
+    ) -> Result<ResponseHead, ConnectionError> {
+        let expected = echo.map_or(ExpectedResponse::First, |(name, value)| {
+            ExpectedResponse::Echo { name, value }
+        });
+        self.exchange_expecting(head, body, expected).await
+    }
+
+    /// Sends a request and reads the head of the response that `expected` tells from others.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ServerConnection::exchange`].
+    pub(crate) async fn exchange_expecting(
+        &mut self,
+        head: &[u8],
+        body: &Bytes,
+        expected: ExpectedResponse<'_>,
     ) -> Result<ResponseHead, ConnectionError> {
         let is_reused = std::mem::replace(&mut self.was_used, true);
         self.must_close = true;
-        if let Some((_, identity)) = echo {
+        if let Some(identity) = expected.identity() {
             if self.served.len() == IDENTITIES_KEPT {
                 self.served.pop_front();
             }
@@ -187,15 +213,10 @@
                 }
                 continue;
             }
-            let is_ours = echo.is_none_or(|(name, attempt)| match response.text(name) {
-                Some(echoed) => echoed == attempt,
-                None => !is_reused && !response.status.is_success(),
-            });
-            if is_ours {
+            if expected.is_met_by(&response, is_reused) {
                 // A server that does not name the request, or that responds to others, may do so
                 // again; a later request on the connection would wait in vain.
-                let is_out_of_turn =
-                    skipped > 0 || echo.is_some_and(|(name, _)| response.text(name).is_none());
+                let is_out_of_turn = skipped > 0 || expected.lacks_echo(&response);
                 self.must_close = !response.keeps_alive
                     || sent < request.len()
                     || self.write_failed
@@ -273,7 +294,9 @@
                     }
                 }
                 read = reader.read_buf(&mut self.buffer) => {
-                    if read.map_err(|_| ConnectionError::Closed)? == 0 {
+                    let count = read.unwrap_or(0);
+                    self.note_read(count);
+                    if count == 0 {
                         return Err(ConnectionError::Closed);
                     }
                 }
@@ -297,7 +320,9 @@
                 return Ok(piece);
             }
             let is_open_ended = matches!(self.body, BodyState::UntilClose);
-            let count = self.read_more().await.map_err(|_| ConnectionError::Closed)?;
+            let read = self.read_more().await;
+            self.note_read(*read.as_ref().unwrap_or(&0));
+            let count = read.map_err(|_| ConnectionError::Closed)?;
             if count == 0 {
                 self.must_close = true;
                 self.was_closed = true;
@@ -321,6 +346,19 @@
         Ok(count)
     }
 
+    /// Records in the contact that bytes arrived, or that the server closed the connection.
+    fn note_read(&mut self, count: usize) {
+        if count > 0 {
+            if let Some(contact) = &self.contact {
+                contact.note_bytes();
+            }
+            return;
+        }
+        if let Some(contact) = self.contact.take() {
+            contact.close_broken();
+        }
+    }
+
     /// Takes body data from the buffer. Returns `Some(None)` at the end of the body, and `None` if
     /// more bytes are needed.
     fn buffered_data(&mut self) -> Result<Option<Option<Bytes>>, ConnectionError> {
@@ -439,6 +477,7 @@
     /// Marks the connection as idle from now on.
     pub fn start_idle(&mut self) {
         self.idle_since = Instant::now();
+        self.contact = None;
         self.read_bytes = FIRST_READ_BYTES;
         if self.buffer.is_empty() && self.buffer.capacity() > FIRST_READ_BYTES {
             self.buffer = BytesMut::new();
--- a/crates/gateway/src/server_recovery.rs
+++ b/crates/gateway/src/server_recovery.rs
@@ -76,6 +76,9 @@
         is_back,
         "servers: asked whether it is back"
     );
+    if response.is_ok() {
+        context.pool.contacts().note_answer(check.address);
+    }
     if !is_back {
         return;
     }
--- a/crates/gateway/tests/all/scripted_engine.rs
+++ b/crates/gateway/tests/all/scripted_engine.rs
@@ -11,11 +11,17 @@
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::watch,
 };
 
 use crate::stub_protocol::{COPY, FINAL_COPY, RELEASE};
 
+/// Maximum length of the queue of new connections.
+const BACKLOG: u32 = 1;
+/// Time after which a connection counts as not established.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Answer of an engine.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EngineAnswer {
@@ -77,22 +83,43 @@
     pub(crate) address: SocketAddr,
     calls: Arc<Mutex<EngineCalls>>,
     is_full: Arc<AtomicBool>,
+    accepts: watch::Sender<bool>,
 }
 
 impl ScriptedEngine {
     /// Starts an engine.
     pub(crate) async fn start(script: EngineScript) -> ScriptedEngine {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(BACKLOG).unwrap();
         let address = listener.local_addr().unwrap();
         let calls = Arc::<Mutex<EngineCalls>>::default();
         let is_full = Arc::<AtomicBool>::default();
+        let accepts = watch::Sender::new(true);
         let (served, refuses) = (Arc::clone(&calls), Arc::clone(&is_full));
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, script, Arc::clone(&served), Arc::clone(&refuses)));
-            }
-        });
-        ScriptedEngine { address, calls, is_full }
+        tokio::spawn(accept(listener, accepts.subscribe(), move |stream| {
+            tokio::spawn(serve(stream, script, Arc::clone(&served), Arc::clone(&refuses)));
+        }));
+        ScriptedEngine { address, calls, is_full, accepts }
+    }
+
+    /// Fills the queue of new connections with the returned ones. The engine serves on those that
+    /// are open.
+    pub(crate) async fn fill_queue(&self) -> Vec<TcpStream> {
+        self.accepts.send_replace(false);
+        let mut queued = Vec::new();
+        while let Ok(Ok(stream)) =
+            tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await
+        {
+            queued.push(stream);
+        }
+        queued
+    }
+
+    /// Accepts connections again.
+    pub(crate) fn empty_queue(&self, queued: Vec<TcpStream>) {
+        drop(queued);
+        self.accepts.send_replace(true);
     }
 
     /// Refuses all further resumptions.
@@ -106,6 +133,28 @@
     }
 }
 
+/// Accepts connections until the engine is dropped.
+async fn accept(
+    listener: TcpListener,
+    mut accepts: watch::Receiver<bool>,
+    serve: impl Fn(TcpStream),
+) {
+    while accepts.wait_for(|accepts| *accepts).await.is_ok() {
+        tokio::select! {
+            biased;
+            changed = accepts.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { return };
+                serve(stream);
+            }
+        }
+    }
+}
+
 async fn serve(
     mut stream: TcpStream,
     script: EngineScript,
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use dragonflycart_gateway::{
     CallerRequest, EngineWatcher, GatewayContext, GenerationReservation, MoveOutcome, RouteKind,
     ServerRecord, StopPhase, StreamProgress,
@@ -16,6 +17,10 @@
 
 /// Time in which memory that is not used any more is freed.
 const RELEASE_TIME: Duration = Duration::from_millis(600);
+/// Interval at which an engine is heard, and the number of times. Together they are longer than the
+/// silence after which it would count as lost.
+const HEARD_INTERVAL: Duration = Duration::from_millis(200);
+const HEARD_TIMES: u32 = 8;
 /// Last event that was forwarded.
 const LAST_EVENT: u64 = 3;
 
@@ -73,6 +78,21 @@
         (0..1_000).take_while(|_| self.context.view().take_resumption(ENGINES, now)).count()
     }
 
+    /// Opens connections that stay idle after a response from the source.
+    async fn keep_connections(&self, count: usize) {
+        let (pool, address) = (&self.context.pool, self.source.address);
+        let mut connections = Vec::new();
+        for _ in 0..count {
+            let mut connection = pool.acquire(address).await.unwrap();
+            let head = b"GET /kept HTTP/1.1\r\nhost: e\r\n\r\n";
+            connection.exchange(head, &Bytes::new(), None).await.unwrap();
+            connections.push(connection);
+        }
+        for connection in connections {
+            pool.put_back(address, connection);
+        }
+    }
+
     async fn next(&self, watcher: &mut EngineWatcher) -> MoveOutcome {
         watcher.next(&self.request, &self.reservation, &self.progress).await
     }
@@ -320,3 +340,48 @@
 
     assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the generation is lost");
 }
+
+/// Guards against a generation that goes on elsewhere while its engine works on it, because an engine
+/// that accepts no new connections is not told on one that is open (TWICE).
+#[tokio::test]
+async fn engine_that_accepts_no_connections_is_told_on_an_idle_one() {
+    let stream = LostStream::start(script(&[EngineAnswer::COPIED], &[EngineAnswer::RESUMED])).await;
+    stream.keep_connections(1).await;
+    let queued = stream.source.fill_queue().await;
+
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+    assert_eq!(stream.source.calls().final_copies, 1, "the engine was not told");
+    stream.source.empty_queue(queued);
+}
+
+/// Guards against a generation that goes on elsewhere while its engine is heard, because the engine
+/// accepts no new connections for some time (TWICE).
+#[tokio::test]
+async fn generation_waits_for_an_engine_that_is_heard() {
+    let stream = LostStream::start(script(&[EngineAnswer::COPIED], &[EngineAnswer::RESUMED])).await;
+    stream.keep_connections(1).await;
+    let pool = &stream.context.pool;
+    let mut heard = pool.acquire(stream.source.address).await.unwrap();
+    let queued = stream.source.fill_queue().await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+
+    {
+        let recovery = stream.recover(&mut watcher);
+        tokio::pin!(recovery);
+        for _ in 0..HEARD_TIMES {
+            let head = b"GET /heard HTTP/1.1\r\nhost: e\r\n\r\n";
+            heard.exchange(head, &Bytes::new(), None).await.unwrap();
+            let outcome = tokio::time::timeout(HEARD_INTERVAL, &mut recovery).await;
+            assert!(outcome.is_err(), "the generation did not wait");
+        }
+        assert_eq!(stream.resumption_count(), 0, "resumed while its engine was heard");
+        stream.source.empty_queue(queued);
+
+        let outcome = recovery.await;
+
+        assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+    }
+    assert_eq!(stream.backup.calls().resumptions, [format!("{}/h1", stream.source.address)]);
+}
--- a/tests/all/resumptions.rs
+++ b/tests/all/resumptions.rs
@@ -25,6 +25,9 @@
 const UNREACHABLE_TIME: Duration = Duration::from_millis(1_500);
 /// Silence for which the engine counts as lost: more than four times the route's pause target.
 const SHORT_SILENCE: Duration = Duration::from_millis(1_200);
+/// Longest time from the death of an engine to the resumption of its streams: four times the route's
+/// pause target, 250 ms for the calls to the engine, and 130 ms for the processes of the test.
+const DEAD_ENGINE_PAUSE: Duration = Duration::from_millis(1_100);
 /// Duration of a copy for which a generation does not wait.
 const SLOW_COPY: Duration = Duration::from_millis(500);
 /// Time for which an engine drops what it is sent.
@@ -305,6 +308,68 @@
     unframed.close();
 }
 
+/// Disturbs one stream of an engine with two, while the engine answers no new connection for some time
+/// but sends the other stream. Checks that the generation goes on elsewhere only once the engine was
+/// told to stop it.
+async fn lose_one_of_two_streams(name: &str, disturb: impl Fn(&UnframedFleet, usize)) {
+    let start = Instant::now();
+    let mut unframed = UnframedFleet::start_behind_relays(name, ResumptionFault::None).await;
+    let (source, responses) = unframed.start_streams_until_two_share_an_engine().await;
+
+    unframed.set_new_mode(source, RelayMode::Discard);
+    disturb(&unframed, source);
+    unframed.wait(UNREACHABLE_TIME).await;
+    let was_resumed = unframed.engines.iter().any(|engine| !engine.resumed().is_empty());
+    unframed.set_new_mode(source, RelayMode::Pass);
+    for response in responses {
+        assert_whole(&unframed.wait_end(response).await);
+    }
+    unframed.wait_idle().await;
+
+    assert_overlap_allowed(&unframed, start);
+    assert!(!was_resumed, "resumed while its engine was heard");
+    unframed.close();
+}
+
+/// Guards against a generation that goes on elsewhere while its engine works on it and is heard on
+/// another connection, because the stream stalls and no new connection is answered (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stalled_generation_stays_at_an_engine_that_is_heard() {
+    lose_one_of_two_streams("resumed-heard", UnframedFleet::stall_oldest_connection).await;
+}
+
+/// Guards against the same where the stream's connection is closed (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cut_generation_stays_at_an_engine_that_is_heard() {
+    let cut = |unframed: &UnframedFleet, source: usize| unframed.engines[source].cut_one_stream();
+    lose_one_of_two_streams("resumed-heard-cut", cut).await;
+}
+
+/// Guards against streams that pause longer than before after their engine died, because it is
+/// waited for until it counts as lost (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_of_a_dead_engine_go_on_at_their_backups_without_delay() {
+    let mut unframed =
+        UnframedFleet::start_behind_relays("resumed-dead", ResumptionFault::None).await;
+    let (source, responses) = unframed.start_streams_until_two_share_an_engine().await;
+    let streams = unframed.engines[source].run_count();
+
+    unframed.set_mode(source, RelayMode::Discard);
+    let died_at = Instant::now();
+    for response in responses {
+        assert_whole(&unframed.wait_end(response).await);
+    }
+
+    let resumed: Vec<_> = unframed.engines.iter().flat_map(|engine| engine.resumed_at()).collect();
+    assert_eq!(resumed.len(), streams, "resumptions");
+    for resumed_at in resumed {
+        let pause = resumed_at.saturating_duration_since(died_at);
+        println!("resumed {pause:?} after the engine died");
+        assert!(pause <= DEAD_ENGINE_PAUSE, "resumed {pause:?} after the engine died");
+    }
+    unframed.close();
+}
+
 /// Guards against a stream that ends its move only when its turn has come, long after its response was
 /// lost, and goes on too late for its caller (LOST).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/all/support/unframed_fleet.rs
+++ b/tests/all/support/unframed_fleet.rs
@@ -202,6 +202,38 @@
         self.relays[index].apply(RelayCommand { scope: RelayScope::New, mode });
     }
 
+    /// Starts streams until one engine runs two of them. Returns its index and the responses.
+    pub(crate) async fn start_streams_until_two_share_an_engine(
+        &mut self,
+    ) -> (usize, Vec<JoinHandle<CallerResponse>>) {
+        let mut responses = Vec::new();
+        loop {
+            let shared = self.engines.iter().position(|engine| engine.run_count() >= 2);
+            if let Some(index) = shared {
+                tokio::time::sleep(START_TIME).await;
+                return (index, responses);
+            }
+            responses.push(self.send_stream(OUTPUT_TOKENS, 0));
+            let sent = responses.len();
+            self.wait_until(|engines| {
+                engines.iter().map(UnframedEngine::run_count).sum::<usize>() >= sent
+            })
+            .await;
+        }
+    }
+
+    /// Changes what happens to the bytes of new connections to an engine.
+    pub(crate) fn set_new_mode(&self, index: usize, mode: RelayMode) {
+        self.relays[index].apply(RelayCommand { scope: RelayScope::New, mode });
+    }
+
+    /// Stops the bytes of the oldest connection to an engine, which goes on to work.
+    pub(crate) fn stall_oldest_connection(&self, index: usize) {
+        let oldest = self.relays[index].open_connections().into_iter().min();
+        let scope = RelayScope::Connection(oldest.expect("a connection is open"));
+        self.relays[index].apply(RelayCommand { scope, mode: RelayMode::Stall });
+    }
+
     /// Changes what happens to the bytes of all connections to an engine.
     pub(crate) fn set_mode(&self, index: usize, mode: RelayMode) {
         self.relays[index].apply(RelayCommand { scope: RelayScope::All, mode });
