gateway: tell engines again whose address rejected connections

Callers saw nothing, but an engine could work on a generation that had gone on elsewhere to the end of its output (TWICE): a rejected connection was taken for the engine's exit, and it was never called again. A partition that rejects connections looks the same, and so does an engine that has closed its listener and finishes what it has.

Now a rejected connection proves the exit only if no other connection with a request in progress is open and heard, since a process that ends closes all of them together. The engine is called each second as long as it is registered.

--- a/crates/gateway/src/contacts/engine_silence.rs
+++ b/crates/gateway/src/contacts/engine_silence.rs
@@ -20,7 +20,16 @@
 
     /// Returns the time until the engine counts as lost if it stays silent; zero if it does now.
     pub(crate) fn time_left(&self) -> Duration {
-        let silent_for = self.contact.silent_for().unwrap_or(Duration::MAX);
-        self.limit.saturating_sub(silent_for)
+        self.left_after(self.contact.silent_for())
+    }
+
+    /// Returns the same for an engine at whose address nothing listens. If its process has ended, all
+    /// of its connections close; those that are still open show that it runs.
+    pub(crate) fn time_left_without_listener(&self) -> Duration {
+        self.left_after(self.contact.open_silent_for())
+    }
+
+    fn left_after(&self, silent_for: Option<Duration>) -> Duration {
+        self.limit.saturating_sub(silent_for.unwrap_or(Duration::MAX))
     }
 }
--- a/crates/gateway/src/contacts/server_contact.rs
+++ b/crates/gateway/src/contacts/server_contact.rs
@@ -47,6 +47,13 @@
         open.chain(times.ended).max().map(|heard_at| heard_at.elapsed())
     }
 
+    /// Returns for how long the server has been silent on connections with a request in progress, or
+    /// `None` if none of them is open.
+    pub(crate) fn open_silent_for(&self) -> Option<Duration> {
+        let times = self.lock();
+        times.open.values().copied().flatten().max().map(|heard_at| heard_at.elapsed())
+    }
+
     /// Returns whether the contact tells nothing after `age` of silence.
     pub(super) fn is_outdated(&self, age: Duration) -> bool {
         let times = self.lock();
--- a/crates/gateway/src/moves/source_state.rs
+++ b/crates/gateway/src/moves/source_state.rs
@@ -1,7 +1,7 @@
 //! What is known of a generation at the engine before.
 //!
 //! Only an answer of the engine proves that a generation does not run there, or an address at which
-//! nothing listens. A stream without events, a connection that was closed or reset, a call without
+//! nothing listens while no other connection is open. A stream without events, a connection that was closed or reset, a call without
 //! an answer and a full queue of new connections prove nothing as long as the engine is heard on any
 //! connection. See `docs/design/ended-runs.md`.
 
@@ -15,7 +15,8 @@
     Stopped,
     /// The engine has stated that it does not run it.
     NotRunning,
-    /// Nothing listens at the engine's address, so the process has ended.
+    /// Nothing listens at the engine's address, so the process has ended, or a partition rejects
+    /// connections. It is told to stop as long as it is registered.
     Exited,
     /// The engine did not answer, and was silent on all connections for as long as a stream is until
     /// it counts as stalled. It is told to stop until it answers.
--- a/crates/gateway/src/moves/source_stop.rs
+++ b/crates/gateway/src/moves/source_stop.rs
@@ -23,6 +23,9 @@
 
 /// Minimum time for which an engine is called before it counts as lost.
 const UNREACHED_WAIT: Duration = Duration::from_millis(250);
+/// Interval at which to look whether all connections of an engine have closed at whose address nothing
+/// listens. Those of a process that ends close together.
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum time to wait for an engine that has answered, but not that the generation is stopped, and
 /// for the memory that an engine retains.
 const ANSWER_WAIT: Duration = Duration::from_millis(1_800);
@@ -79,6 +82,12 @@
                 let progress = self.progress.borrow();
                 (progress.answer.as_ref().map(|answer| answer.state), progress.is_unclear)
             };
+            if answer == Some(SourceState::Exited)
+                && !silence.time_left_without_listener().is_zero()
+            {
+                tokio::time::sleep(EXIT_CHECK_INTERVAL).await;
+                continue;
+            }
             if let Some(state) = answer {
                 return Some(StoppedSource::new(context, state));
             }
--- a/crates/gateway/src/moves/stop_calls.rs
+++ b/crates/gateway/src/moves/stop_calls.rs
@@ -24,6 +24,10 @@
 /// 400 ms for which two engines may work on a generation, even if earlier calls are lost on their
 /// connections.
 const LONGEST_CALL_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two calls to an engine at whose address nothing listens. A partition that rejects
+/// connections looks the same as an exit; after it, the engine must be told within the time for which
+/// VMs do not yet count as connected again, three seconds or more.
+const EXITED_CALL_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time for which an engine is called although it is not registered any more. Some engines serve on
 /// for many seconds after their registration was removed.
 const UNREGISTERED_TIME: Duration = Duration::from_secs(10);
@@ -45,7 +49,7 @@
 }
 
 impl StopCalls {
-    /// Calls the engine until an answer shows that the generation does not run there.
+    /// Calls the engine until it answers that the generation does not run there.
     pub(super) async fn run(
         &self,
         progress: &watch::Sender<StopProgress>,
@@ -57,7 +61,9 @@
         let started_at = Instant::now();
         let mut next_call = started_at;
         loop {
-            let is_answered = progress.borrow().answer.is_some();
+            let state = progress.borrow().answer.as_ref().map(|answer| answer.state);
+            let has_exited = state == Some(SourceState::Exited);
+            let is_answered = state.is_some() && !has_exited;
             if is_answered && progress.borrow().is_settled() {
                 return;
             }
@@ -71,7 +77,7 @@
                     }
                 }
                 () = tokio::time::sleep_until(next_call) => {
-                    next_call = Instant::now() + pause;
+                    next_call = Instant::now() + if has_exited { EXITED_CALL_PAUSE } else { pause };
                     pause = LONGEST_CALL_PAUSE.min(pause * 2);
                     let is_wanted = *is_wanted.borrow();
                     if !is_wanted && progress.is_closed() {
@@ -80,7 +86,11 @@
                     if is_answered || !is_wanted || sender.strong_count() > OPEN_CALLS {
                         continue;
                     }
-                    let is_gone = started_at.elapsed() > UNREGISTERED_TIME && !self.is_registered();
+                    let is_unregistered = !self.is_registered();
+                    if has_exited && is_unregistered {
+                        return;
+                    }
+                    let is_gone = is_unregistered && started_at.elapsed() > UNREGISTERED_TIME;
                     if is_gone || Instant::now() >= self.deadline {
                         info!(
                             id = self.attempt,
--- a/crates/gateway/tests/all/scripted_engine.rs
+++ b/crates/gateway/tests/all/scripted_engine.rs
@@ -89,8 +89,14 @@
 impl ScriptedEngine {
     /// Starts an engine.
     pub(crate) async fn start(script: EngineScript) -> ScriptedEngine {
+        ScriptedEngine::start_at("127.0.0.1:0".parse().unwrap(), script)
+    }
+
+    /// Starts an engine at an address.
+    pub(crate) fn start_at(address: SocketAddr, script: EngineScript) -> ScriptedEngine {
         let socket = TcpSocket::new_v4().unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(address).unwrap();
         let listener = socket.listen(BACKLOG).unwrap();
         let address = listener.local_addr().unwrap();
         let calls = Arc::<Mutex<EngineCalls>>::default();
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -21,6 +21,10 @@
 /// silence after which it would count as lost.
 const HEARD_INTERVAL: Duration = Duration::from_millis(200);
 const HEARD_TIMES: u32 = 8;
+/// Time in which the listener of a dropped engine closes.
+const EXIT_TIME: Duration = Duration::from_millis(50);
+/// Time in which an engine that can be reached again is told.
+const TOLD_TIME: Duration = Duration::from_millis(1_500);
 /// Last event that was forwarded.
 const LAST_EVENT: u64 = 3;
 
@@ -385,3 +389,52 @@
     }
     assert_eq!(stream.backup.calls().resumptions, [format!("{}/h1", stream.source.address)]);
 }
+
+/// Guards against an engine that is never told to stop because its address rejected connections for
+/// some time, as in a partition, although its process runs (TWICE).
+#[tokio::test]
+async fn engine_whose_address_rejected_connections_is_told_later() {
+    let answers = script(&[EngineAnswer::UNKNOWN], &[EngineAnswer::RESUMED]);
+    let LostStream { context, request, reservation, progress, source, backup } =
+        LostStream::start(answers).await;
+    let address = source.address;
+    drop(source);
+    tokio::time::sleep(EXIT_TIME).await;
+    let mut watcher = EngineWatcher::new(&context);
+
+    let outcome = watcher.recover(&request, &reservation, &progress).await;
+    let source = ScriptedEngine::start_at(address, answers);
+    tokio::time::sleep(TOLD_TIME).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the engine counted as running");
+    assert_eq!(backup.calls().resumptions, [format!("{}/a1", backup.address)]);
+    assert!(source.calls().final_copies > 0, "the engine was not told");
+}
+
+/// Guards against a generation that goes on elsewhere while its engine is heard, because the engine
+/// has closed its listener before it ends (TWICE).
+#[tokio::test]
+async fn generation_waits_for_an_engine_that_is_heard_without_a_listener() {
+    let answers = script(&[EngineAnswer::COPIED], &[EngineAnswer::RESUMED]);
+    let stream = LostStream::start(answers).await;
+    stream.keep_connections(1).await;
+    let mut heard = stream.context.pool.acquire(stream.source.address).await.unwrap();
+    let LostStream { context, request, reservation, progress, source, backup } = stream;
+    drop(source);
+    tokio::time::sleep(EXIT_TIME).await;
+    let mut watcher = EngineWatcher::new(&context);
+
+    let recovery = watcher.recover(&request, &reservation, &progress);
+    tokio::pin!(recovery);
+    for _ in 0..HEARD_TIMES {
+        let head = b"GET /heard HTTP/1.1\r\nhost: e\r\n\r\n";
+        heard.exchange(head, &Bytes::new(), None).await.unwrap();
+        let outcome = tokio::time::timeout(HEARD_INTERVAL, &mut recovery).await;
+        assert!(outcome.is_err(), "the generation did not wait");
+    }
+    heard.close();
+    let outcome = recovery.await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the engine counted as running");
+    assert_eq!(backup.calls().resumptions, [format!("{}/a1", backup.address)]);
+}
--- a/tests/all/resumptions.rs
+++ b/tests/all/resumptions.rs
@@ -28,6 +28,9 @@
 /// Longest time from the death of an engine to the resumption of its streams: four times the route's
 /// pause target, 250 ms for the calls to the engine, and 130 ms for the processes of the test.
 const DEAD_ENGINE_PAUSE: Duration = Duration::from_millis(1_100);
+/// Longest time from the exit of an engine to the resumption of its streams: the time after which a
+/// call without an answer no longer delays a stream.
+const EXITED_ENGINE_PAUSE: Duration = Duration::from_millis(250);
 /// Duration of a copy for which a generation does not wait.
 const SLOW_COPY: Duration = Duration::from_millis(500);
 /// Time for which an engine drops what it is sent.
@@ -345,17 +348,17 @@
     lose_one_of_two_streams("resumed-heard-cut", cut).await;
 }
 
-/// Guards against streams that pause longer than before after their engine died, because it is
-/// waited for until it counts as lost (LOST).
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn streams_of_a_dead_engine_go_on_at_their_backups_without_delay() {
-    let mut unframed =
-        UnframedFleet::start_behind_relays("resumed-dead", ResumptionFault::None).await;
+/// Ends an engine with two streams. Checks that they go on elsewhere within `limit`.
+async fn lose_engine(
+    mut unframed: UnframedFleet,
+    end: impl Fn(&UnframedFleet, usize),
+    limit: Duration,
+) {
     let (source, responses) = unframed.start_streams_until_two_share_an_engine().await;
     let streams = unframed.engines[source].run_count();
 
-    unframed.set_mode(source, RelayMode::Discard);
-    let died_at = Instant::now();
+    end(&unframed, source);
+    let ended_at = Instant::now();
     for response in responses {
         assert_whole(&unframed.wait_end(response).await);
     }
@@ -363,13 +366,33 @@
     let resumed: Vec<_> = unframed.engines.iter().flat_map(|engine| engine.resumed_at()).collect();
     assert_eq!(resumed.len(), streams, "resumptions");
     for resumed_at in resumed {
-        let pause = resumed_at.saturating_duration_since(died_at);
-        println!("resumed {pause:?} after the engine died");
-        assert!(pause <= DEAD_ENGINE_PAUSE, "resumed {pause:?} after the engine died");
+        let pause = resumed_at.saturating_duration_since(ended_at);
+        println!("resumed {pause:?} after the engine ended");
+        assert!(pause <= limit, "resumed {pause:?} after the engine ended");
     }
     unframed.close();
 }
 
+/// Guards against streams that pause longer than before after their engine died, because it is
+/// waited for until it counts as lost (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_of_a_dead_engine_go_on_at_their_backups_without_delay() {
+    let unframed = UnframedFleet::start_behind_relays("resumed-dead", ResumptionFault::None).await;
+    let die = |unframed: &UnframedFleet, source: usize| {
+        unframed.set_mode(source, RelayMode::Discard);
+    };
+    lose_engine(unframed, die, DEAD_ENGINE_PAUSE).await;
+}
+
+/// Guards against the same where the process of the engine exits, because its other connections are
+/// waited for (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_of_an_engine_that_exits_go_on_at_their_backups_at_once() {
+    let unframed = UnframedFleet::start_with_backups("resumed-exit", ResumptionFault::None).await;
+    let exit = |unframed: &UnframedFleet, source: usize| unframed.engines[source].exit();
+    lose_engine(unframed, exit, EXITED_ENGINE_PAUSE).await;
+}
+
 /// Guards against a stream that ends its move only when its turn has come, long after its response was
 /// lost, and goes on too late for its caller (LOST).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
