gateway: let calls that stop a generation wait for a full link

Now a call has 1.5 s for its connection, and calls begin as often as before. A call that gets its connection after an answer is not sent, since it would stop a generation that has returned.

With the earlier timeout, source_stops::engine_is_told_across_a_link_on_which_connections_take_long fails: the engine was not told.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -7,7 +7,11 @@
     time::Duration,
 };
 
-use crate::{ConnectionError, ServerConnection, contacts::ServerContacts};
+use crate::{
+    ConnectionError, ServerConnection,
+    contacts::{ServerConnector, ServerContacts, TcpConnector},
+    server_connection::CONNECT_TIMEOUT,
+};
 
 /// Maximum number of idle connections per server.
 const IDLE_PER_SERVER: usize = 4;
@@ -17,13 +21,24 @@
 const DISCARD_BYTES: usize = 16 * 1024;
 
 /// Pool of idle connections by server address.
-#[derive(Default)]
 pub struct ConnectionPool {
+    connector: Box<dyn ServerConnector>,
     idle: Mutex<BTreeMap<SocketAddr, Vec<ServerConnection>>>,
     contacts: ServerContacts,
 }
 
+impl Default for ConnectionPool {
+    fn default() -> ConnectionPool {
+        ConnectionPool::new(Box::new(TcpConnector))
+    }
+}
+
 impl ConnectionPool {
+    /// Builds an empty pool whose connections `connector` opens.
+    pub fn new(connector: Box<dyn ServerConnector>) -> ConnectionPool {
+        ConnectionPool { connector, idle: Mutex::default(), contacts: ServerContacts::default() }
+    }
+
     /// Returns the contacts with the servers.
     pub(crate) fn contacts(&self) -> &ServerContacts {
         &self.contacts
@@ -38,12 +53,21 @@
     pub async fn acquire(&self, address: SocketAddr) -> Result<ServerConnection, ConnectionError> {
         let mut connection = match self.take_reusable(address) {
             Some(connection) => connection,
-            None => ServerConnection::connect(address).await?,
+            None => self.connect(address, CONNECT_TIMEOUT).await?,
         };
         connection.follow(self.contacts.contact(address).open());
         Ok(connection)
     }
 
+    /// Opens a connection to a server within `limit`.
+    pub(crate) async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<ServerConnection, ConnectionError> {
+        self.connector.connect(address, limit).await
+    }
+
     /// Returns an idle connection to a server on which the request with this identity was not sent
     /// before, if there is one. Opens none.
     pub(crate) fn take_kept(
--- a/crates/gateway/src/contacts/mod.rs
+++ b/crates/gateway/src/contacts/mod.rs
@@ -5,12 +5,15 @@
 mod channel_key;
 mod engine_silence;
 mod expected_response;
+mod server_connector;
 mod server_contact;
 mod server_contacts;
+mod tcp_connector;
 
 use self::channel_key::ChannelKey;
-pub use self::server_contacts::ServerContacts;
 pub(crate) use self::{
     channel_contact::ChannelContact, engine_silence::EngineSilence,
     expected_response::ExpectedResponse, server_contact::ServerContact,
+    tcp_connector::TcpConnector,
 };
+pub use self::{server_connector::ServerConnector, server_contacts::ServerContacts};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -116,6 +116,7 @@
     chunk_decoder::{ChunkDecoder, DecodedChunk},
     connection_error::ConnectionError,
     connection_pool::ConnectionPool,
+    contacts::ServerConnector,
     duties::{BeforeSend, CloudError, CloudSettings, DutyCaller, DutyKind, DutyPlatform, VmDuties},
     engine_protocol::{CopyResponse, EngineProtocol},
     engine_report::{EngineReport, RunningGeneration},
--- a/crates/gateway/src/moves/call_event.rs
+++ b/crates/gateway/src/moves/call_event.rs
@@ -4,6 +4,8 @@
 
 /// What happens in a call.
 pub(super) enum CallEvent {
+    /// The call was not sent, since it was no longer wanted when it had its connection.
+    Withdrawn,
     /// The connection was established.
     Connected,
     /// The call ended; `was_connected` tells whether it had a connection.
--- a/crates/gateway/src/moves/stop_calls.rs
+++ b/crates/gateway/src/moves/stop_calls.rs
@@ -1,6 +1,13 @@
 //! Calls that tell an engine to stop a generation.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     sync::{mpsc, watch},
@@ -14,8 +21,9 @@
     moves::{CallEvent, MoveSource, SourceState, StopAnswer, StopProgress},
 };
 
-/// Timeout of the connection for one call.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout of the connection for one call. Across a link that is full it takes most of a second, and a
+/// lost SYN packet is resent after one.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout of one call. The answer comes when the memory is copied.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_800);
 /// Time from the first call to the second one. It doubles with each further call.
@@ -34,6 +42,20 @@
 /// Number of calls that may be waited for at the same time.
 const OPEN_CALLS: usize = 16;
 
+/// Whether calls may still be sent. It is withdrawn when the calls end.
+#[derive(Clone, Default)]
+struct SendPermit(Arc<AtomicBool>);
+
+impl SendPermit {
+    fn set(&self, may_send: bool) {
+        self.0.store(may_send, Ordering::Release);
+    }
+
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
 /// Calls that tell an engine to stop a generation.
 pub(crate) struct StopCalls {
     /// Shared state of the gateway.
@@ -56,6 +78,8 @@
         mut is_wanted: watch::Receiver<bool>,
     ) {
         let (sender, mut events) = mpsc::channel(OPEN_CALLS);
+        // A call that gets its connection late must not stop the generation once it goes on.
+        let may_send = SendPermit::default();
         let mut number = 0;
         let mut pause = FIRST_CALL_PAUSE;
         let started_at = Instant::now();
@@ -64,6 +88,7 @@
             let state = progress.borrow().answer.as_ref().map(|answer| answer.state);
             let has_exited = state == Some(SourceState::Exited);
             let is_answered = state.is_some() && !has_exited;
+            may_send.set(!is_answered && *is_wanted.borrow());
             if is_answered && progress.borrow().is_settled() {
                 return;
             }
@@ -101,7 +126,7 @@
                         return;
                     }
                     number += 1;
-                    self.spawn_call(number, sender.clone());
+                    self.spawn_call(number, may_send.clone(), sender.clone());
                 }
             }
         }
@@ -111,7 +136,7 @@
         self.context.view().server(self.source.server).is_some()
     }
 
-    fn spawn_call(&self, number: u32, events: mpsc::Sender<CallEvent>) {
+    fn spawn_call(&self, number: u32, may_send: SendPermit, events: mpsc::Sender<CallEvent>) {
         let protocol = &self.context.engine_protocol;
         let call = protocol.copy_call(&self.attempt, self.target, true);
         let (context, attempt) = (Arc::clone(&self.context), self.attempt.clone());
@@ -119,6 +144,10 @@
         tokio::spawn(async move {
             let mut is_kept = false;
             let connected = connect(&context, source.address, &attempt, number).await;
+            if !may_send.is_set() {
+                drop(events.send(CallEvent::Withdrawn).await);
+                return;
+            }
             let (copy, error, was_connected) = match connected {
                 Ok(connection) => {
                     // The receiver ends only after all calls or with an answer.
@@ -185,10 +214,7 @@
     {
         return Ok(kept);
     }
-    let connecting = ServerConnection::connect(source);
-    let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-        .await
-        .unwrap_or(Err(ConnectionError::Unreachable))?;
+    let connection = context.pool.connect(source, CONNECT_TIMEOUT).await?;
     context.metrics.connections.inc();
     Ok(connection)
 }
--- a/crates/gateway/src/moves/stop_progress.rs
+++ b/crates/gateway/src/moves/stop_progress.rs
@@ -17,6 +17,7 @@
     /// Records what happened in a call.
     pub(super) fn note_event(&mut self, event: CallEvent) {
         match event {
+            CallEvent::Withdrawn => {}
             CallEvent::Connected => self.open += 1,
             CallEvent::Ended { was_connected, is_unclear, answer } => {
                 self.open -= u32::from(was_connected);
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -26,7 +26,7 @@
 
 /// Maximum time to establish a connection. The latency between zones is some milliseconds. A lost
 /// SYN packet is resent after one second, which is too late for plain requests.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// `TCP_USER_TIMEOUT`: the kernel closes a connection whose sent data stays unacknowledged for this
 /// long.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -85,14 +85,26 @@
 }
 
 impl ServerConnection {
+    /// Connects to a server, within the time that plain requests allow for it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ServerConnection::connect_within`].
+    pub async fn connect(address: SocketAddr) -> Result<ServerConnection, ConnectionError> {
+        ServerConnection::connect_within(address, CONNECT_TIMEOUT).await
+    }
+
     /// Connects to a server.
     ///
     /// # Errors
     ///
     /// Returns [`ConnectionError::NotListening`] if the server's machine refuses the connection, and
-    /// [`ConnectionError::Unreachable`] if it can't be established in time.
-    pub async fn connect(address: SocketAddr) -> Result<ServerConnection, ConnectionError> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    /// [`ConnectionError::Unreachable`] if it can't be established within `limit`.
+    pub async fn connect_within(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<ServerConnection, ConnectionError> {
+        let stream = tokio::time::timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| ConnectionError::Unreachable)?
             .map_err(|error| match error.kind() {
--- a/crates/gateway/tests/all/fixtures.rs
+++ b/crates/gateway/tests/all/fixtures.rs
@@ -6,9 +6,10 @@
 use dragonflycart_admission::AdmissionClass;
 use dragonflycart_core::MonoTime;
 use dragonflycart_gateway::{
-    CallerLimits, CallerRequest, EngineSpec, ExposureLimit, FleetOrder, FleetStore, FleetView,
-    GatewayContext, HeaderNames, PlacementQuery, PlannedRoute, PlannedService, PlannedTeam,
-    RouteKind, RoutePlan, ServerKey, ServerRecord, StorePosition, TokenDemand, VmSettings,
+    CallerLimits, CallerRequest, ConnectionPool, EngineSpec, ExposureLimit, FleetOrder, FleetStore,
+    FleetView, GatewayContext, HeaderNames, PlacementQuery, PlannedRoute, PlannedService,
+    PlannedTeam, RouteKind, RoutePlan, ServerKey, ServerRecord, StorePosition, TokenDemand,
+    VmSettings,
 };
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
@@ -212,7 +213,17 @@
 
 /// Returns the context of the only VM, with the plan and no servers.
 pub(crate) fn context(store: Arc<dyn FleetStore>) -> Arc<GatewayContext> {
-    let context = GatewayContext::new(Arc::new(settings()), NAMES, store, Arc::new(StubProtocol));
+    context_with_pool(store, ConnectionPool::default())
+}
+
+/// Returns the same for a VM whose connections to servers come from `pool`.
+pub(crate) fn context_with_pool(
+    store: Arc<dyn FleetStore>,
+    pool: ConnectionPool,
+) -> Arc<GatewayContext> {
+    let mut context =
+        GatewayContext::new(Arc::new(settings()), NAMES, store, Arc::new(StubProtocol));
+    context.pool = Arc::new(pool);
     {
         let mut view = context.view();
         view.sharing_vms = 1;
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -35,6 +35,7 @@
 mod scripted_engine;
 mod server_connections;
 mod server_states;
+mod slow_connector;
 mod source_stops;
 mod speed_schedules;
 mod splitting;
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -5,13 +5,14 @@
 
 use bytes::Bytes;
 use dragonflycart_gateway::{
-    CallerRequest, EngineWatcher, GatewayContext, GenerationReservation, MoveOutcome, RouteKind,
-    ServerRecord, StopPhase, StreamProgress,
+    CallerRequest, ConnectionPool, EngineWatcher, GatewayContext, GenerationReservation,
+    MoveOutcome, RouteKind, ServerRecord, StopPhase, StreamProgress,
 };
 
 use crate::{
-    fixtures::{ENGINES, caller_request, context, position, record, report, route},
+    fixtures::{ENGINES, caller_request, context_with_pool, position, record, report, route},
     scripted_engine::{EngineAnswer, EngineScript, ScriptedEngine},
+    slow_connector::SlowConnector,
     stub_store::StubStore,
 };
 
@@ -21,6 +22,10 @@
 /// silence after which it would count as lost.
 const HEARD_INTERVAL: Duration = Duration::from_millis(200);
 const HEARD_TIMES: u32 = 8;
+/// Time until connections to an engine are established.
+const LONG_CONNECT: Duration = Duration::from_millis(600);
+/// Time for which two engines may work on a generation.
+const OVERLAP_ALLOWED: Duration = Duration::from_millis(400);
 /// Time in which the listener of a dropped engine closes.
 const EXIT_TIME: Duration = Duration::from_millis(50);
 /// Time in which an engine that can be reached again is told.
@@ -41,7 +46,12 @@
 impl LostStream {
     /// Starts the engines, each of which may be the source.
     async fn start(script: EngineScript) -> LostStream {
-        let context = context(Arc::new(StubStore::default()));
+        LostStream::start_with(script, ConnectionPool::default()).await
+    }
+
+    /// Starts the same with a pool.
+    async fn start_with(script: EngineScript, pool: ConnectionPool) -> LostStream {
+        let context = context_with_pool(Arc::new(StubStore::default()), pool);
         let mut engines = Vec::new();
         for index in 0..2 {
             let engine = ScriptedEngine::start(script).await;
@@ -438,3 +448,38 @@
     assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the engine counted as running");
     assert_eq!(backup.calls().resumptions, [format!("{}/a1", backup.address)]);
 }
+
+/// Guards against an engine that is not told to stop for as long as the link of the VM is full,
+/// because each call gives up before it is connected (TWICE).
+#[tokio::test]
+async fn engine_is_told_across_a_link_on_which_connections_take_long() {
+    let connector = SlowConnector::default();
+    let answers = script(&[EngineAnswer::UNKNOWN], &[EngineAnswer::RESUMED]);
+    let pool = ConnectionPool::new(Box::new(connector.clone()));
+    let stream = LostStream::start_with(answers, pool).await;
+    connector.delay(stream.source.address, LONG_CONNECT);
+
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+    tokio::time::sleep(OVERLAP_ALLOWED).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+    assert!(stream.source.calls().final_copies > 0, "the engine was not told");
+}
+
+/// Guards against a generation that is stopped at the engine to which it has returned, by a call that
+/// was connected late (LOST).
+#[tokio::test]
+async fn generation_that_has_returned_is_not_stopped_by_a_late_call() {
+    let connector = SlowConnector::default();
+    let answers = script(&[EngineAnswer::COPIED], &[EngineAnswer::REFUSED, EngineAnswer::RESUMED]);
+    let pool = ConnectionPool::new(Box::new(connector.clone()));
+    let stream = LostStream::start_with(answers, pool).await;
+    stream.keep_connections(1).await;
+    connector.delay(stream.source.address, LONG_CONNECT);
+
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+    tokio::time::sleep(LONG_CONNECT * 2).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_) | MoveOutcome::Gone));
+    assert_eq!(stream.source.calls().final_copies, 1, "told after the answer");
+}
