gateway: take an engine that responds for one that runs

After one rejected connection an engine counted as ended for as long as it was registered, although a partition may reject connections: each stream without framing that ended whole there was taken for a broken one and sent on, or reported as incomplete. By reading; not seen on a deployment.

Now its next response ends that. server_states::engine_that_responds_again_does_not_count_as_ended failed before.

--- a/crates/gateway/src/server_state.rs
+++ b/crates/gateway/src/server_state.rs
@@ -48,7 +48,8 @@
     pub recovered_at: Option<MonoTime>,
     /// Time at which its registration disappeared after a store outage.
     pub expired_at: Option<MonoTime>,
-    /// Time at which its process was found to have ended although it was not known to be leaving.
+    /// Time at which its process was found to have ended although it was not known to be leaving, unless
+    /// it has responded since.
     pub ended_at: Option<MonoTime>,
     /// Time at which this VM last checked whether its process still runs.
     pub run_checked_at: Option<MonoTime>,
@@ -254,6 +255,8 @@
     /// Records that the server responded.
     pub fn note_reached(&mut self) {
         self.connect_failures = 0;
+        // A partition that rejects connections looks like the end of the process.
+        self.ended_at = None;
     }
 
     /// Records that the server refused a request without running it.
--- a/crates/gateway/tests/all/server_states.rs
+++ b/crates/gateway/tests/all/server_states.rs
@@ -33,6 +33,19 @@
     assert!(view.is_leaving(key_of(&view, "e0")));
 }
 
+/// Guards against an engine that counts as ended for good because its address rejected connections once,
+/// as in a partition: streams that end with its connections would be taken for broken ones (LOST).
+#[test]
+fn engine_that_responds_again_does_not_count_as_ended() {
+    let mut view = view(&["a"]);
+    let engine = key_of(&view, "e0");
+    view.server_mut(engine).unwrap().ended_at = Some(at(5));
+
+    view.note_reached(engine);
+
+    assert_eq!(view.server(engine).unwrap().ended_at, None);
+}
+
 /// A server that restarts under the same ID has lost its state.
 #[test]
 fn restarted_server_is_a_new_one() {
