daemon: keep a generation at an engine that is heard until it has stopped

An engine that stalled but sent heartbeats and load reports worked on a generation that had gone on elsewhere, if the request to stop it was lost or not answered (TWICE in the daemon). Callers got each token once.

Cause: one request without an answer let the generation go on.

--- a/crates/engine/src/engine_client.rs
+++ b/crates/engine/src/engine_client.rs
@@ -1,5 +1,7 @@
 //! Interface to an engine.
 
+use std::time::Duration;
+
 use displaydoc::Display;
 use dragonflycart_core::{ModelName, OrderFence, VersionName};
 use serde::{Deserialize, Serialize};
@@ -84,6 +86,10 @@
     /// Any transport failure; the generation may then still be running.
     fn cancel(&self, generation: &str) -> BoxFuture<'_, Result<CancelOutcome, EngineError>>;
 
+    /// Returns whether the engine was heard within `time`, on any connection, and has not rejected one
+    /// since. Such an engine runs, however a request to it ends.
+    fn is_heard(&self, time: Duration) -> bool;
+
     /// Reads the engine's load report.
     ///
     /// # Errors
--- a/crates/engine/src/http_client.rs
+++ b/crates/engine/src/http_client.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -25,6 +28,7 @@
 
 use crate::{
     CallFailure,
+    engine_contact::EngineContact,
     protocol::{INSTANCE_HEADER, REQUEST_ID_HEADER},
 };
 
@@ -69,14 +73,16 @@
     client: Client<HttpConnector, Full<Bytes>>,
     id_prefix: Incarnation,
     next_id: AtomicU64,
+    contact: Arc<EngineContact>,
 }
 
 impl HttpClient {
-    /// Builds a client for the server at `address`.
+    /// Builds a client for the server at `address`, which reports to `contact` when it hears it.
     pub(crate) fn new(
         address: SocketAddr,
         connect_timeout: Duration,
         reuse: ConnectionReuse,
+        contact: &Arc<EngineContact>,
     ) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
@@ -96,6 +102,7 @@
             client,
             id_prefix: Incarnation::generate(),
             next_id: AtomicU64::new(0),
+            contact: Arc::clone(contact),
         }
     }
 
@@ -118,9 +125,13 @@
         let response = match result {
             Ok(Ok(response)) => response,
             // Connect errors occur before the first byte is sent. All others may occur after it.
-            Ok(Err(error)) if error.is_connect() => return Err(CallFailure::NotSent),
+            Ok(Err(error)) if error.is_connect() => {
+                self.contact.note_connect_error(&error);
+                return Err(CallFailure::NotSent);
+            }
             Ok(Err(_)) | Err(_) => return Err(CallFailure::MaybeSent),
         };
+        self.contact.note_bytes();
         if !STATUS_CODES.contains(&response.status().as_u16()) {
             warn!("backend: status outside the protocol; address={}", self.address);
             return Err(CallFailure::MaybeSent);
--- a/crates/engine/src/http_engine_client.rs
+++ b/crates/engine/src/http_engine_client.rs
@@ -1,6 +1,6 @@
 //! HTTP client of an engine.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dragonflycart_core::OrderFence;
@@ -13,6 +13,7 @@
 use crate::{
     BoxFuture, CacheEvent, CallFailure, CancelOutcome, EngineClient, EngineError, EngineOrder,
     GenerationRequest, LoadReport, OrderOutcome, StreamEvent, TokenStream,
+    engine_contact::EngineContact,
     event_size_limit::{EventSizeLimit, EventSourceError},
     event_validator::EventValidator,
     http_client::{
@@ -58,15 +59,17 @@
     request_client: HttpClient,
     /// Client for load reports and cache events.
     poll_client: HttpClient,
+    contact: Arc<EngineContact>,
 }
 
 impl HttpEngineClient {
     /// Builds a client for the engine at `address`.
     pub fn new(address: SocketAddr) -> HttpEngineClient {
-        HttpEngineClient {
-            request_client: HttpClient::new(address, CONNECT_TIMEOUT, ConnectionReuse::Never),
-            poll_client: HttpClient::new(address, CONNECT_TIMEOUT, ConnectionReuse::Idle),
-        }
+        let contact = Arc::default();
+        let client = |reuse| HttpClient::new(address, CONNECT_TIMEOUT, reuse, &contact);
+        let (request_client, poll_client) =
+            (client(ConnectionReuse::Never), client(ConnectionReuse::Idle));
+        HttpEngineClient { request_client, poll_client, contact }
     }
 
     async fn open_stream(
@@ -82,7 +85,8 @@
             return Err(read_error_response(response).await);
         }
         let instance = server_instance(response.headers());
-        Ok(TokenStream::new(instance, read_events(response.into_body(), validator)))
+        let events = read_events(response.into_body(), validator, Arc::clone(&self.contact));
+        Ok(TokenStream::new(instance, events))
     }
 
     async fn start_generation(
@@ -183,6 +187,10 @@
         Box::pin(async move { self.cancel_generation(&generation).await })
     }
 
+    fn is_heard(&self, time: Duration) -> bool {
+        self.contact.is_heard(time)
+    }
+
     fn report(&self) -> BoxFuture<'_, Result<LoadReport, EngineError>> {
         Box::pin(self.read_report())
     }
@@ -242,9 +250,15 @@
 fn read_events(
     body: Incoming,
     validator: EventValidator,
+    contact: Arc<EngineContact>,
 ) -> impl Stream<Item = Result<StreamEvent, EngineError>> + Send + 'static {
     let mut limit = EventSizeLimit::default();
-    let chunks = body.into_data_stream().map(move |chunk| limit.check_chunk(chunk));
+    let chunks = body.into_data_stream().map(move |chunk| {
+        if chunk.is_ok() {
+            contact.note_bytes();
+        }
+        limit.check_chunk(chunk)
+    });
     let source = Box::pin(chunks.eventsource());
     futures::stream::unfold(Some((source, validator)), |state| async move {
         let (mut source, mut validator) = state?;
--- a/crates/engine/src/http_service_client.rs
+++ b/crates/engine/src/http_service_client.rs
@@ -1,6 +1,6 @@
 //! HTTP client of a server of a plain service.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dragonflycart_core::RequestKey;
@@ -35,8 +35,11 @@
 impl HttpServiceClient {
     /// Builds a client for the server at `address`.
     pub fn new(address: SocketAddr, options: ServiceOptions) -> HttpServiceClient {
-        let call_client = HttpClient::new(address, CONNECT_TIMEOUT, ConnectionReuse::Never);
-        let poll_client = HttpClient::new(address, CONNECT_TIMEOUT, ConnectionReuse::Idle);
+        let contact = Arc::default();
+        let call_client =
+            HttpClient::new(address, CONNECT_TIMEOUT, ConnectionReuse::Never, &contact);
+        let poll_client =
+            HttpClient::new(address, CONNECT_TIMEOUT, ConnectionReuse::Idle, &contact);
         HttpServiceClient { call_client, poll_client, options }
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 mod call_failure;
 mod cancel_outcome;
 mod engine_client;
+mod engine_contact;
 mod event_size_limit;
 mod event_validator;
 mod generation_request;
--- a/crates/node/src/generation/attempt_stop.rs
+++ b/crates/node/src/generation/attempt_stop.rs
@@ -1,7 +1,8 @@
 //! Stops a generation at the engine of an attempt that ended.
 //!
 //! The first request to stop is awaited before the generation goes on elsewhere. If it is not
-//! conclusive, the generation goes on, and the request is repeated in the background.
+//! conclusive, it is repeated in the background. The generation goes on once the engine has answered
+//! or is not heard any more, see `docs/design/ended-runs.md`.
 
 use std::{
     sync::{
@@ -81,9 +82,10 @@
         }
         let location = &self.location;
         info!("stream: engine may work on; generation={location} result={result:?}");
-        let closed = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(self.repeat(started_at, Arc::clone(&closed)));
-        Some(StopTask { closed, task })
+        let signals = StopSignals::default();
+        signals.note_result(result);
+        let task = tokio::spawn(self.repeat(started_at, signals.clone()));
+        Some(StopTask { signals, task })
     }
 
     async fn request(&self) -> StopResult {
@@ -96,14 +98,15 @@
         }
     }
 
-    async fn repeat(self, started_at: Instant, closed: Arc<AtomicBool>) {
+    async fn repeat(self, started_at: Instant, signals: StopSignals) {
         let location = &self.location;
         loop {
             tokio::time::sleep(STOP_PERIOD).await;
-            if closed.load(Ordering::Relaxed) {
+            if signals.is_closed.load(Ordering::Relaxed) {
                 return;
             }
             let result = self.request().await;
+            signals.note_result(result);
             let elapsed = started_at.elapsed();
             let after_ms = elapsed.as_millis();
             match result {
@@ -122,18 +125,38 @@
     }
 }
 
+/// What the task that repeats the request to stop and its owner tell each other.
+#[derive(Debug, Clone, Default)]
+struct StopSignals {
+    is_closed: Arc<AtomicBool>,
+    is_answered: Arc<AtomicBool>,
+}
+
+impl StopSignals {
+    fn note_result(&self, result: StopResult) {
+        if result != StopResult::NoResponse {
+            self.is_answered.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Repeats the request to stop until the engine confirms it or a limit has passed, also if this
 /// value is dropped.
 pub(crate) struct StopTask {
-    closed: Arc<AtomicBool>,
+    signals: StopSignals,
     task: JoinHandle<()>,
 }
 
 impl StopTask {
+    /// Returns whether the engine has answered, or is not asked any more.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.signals.is_answered.load(Ordering::Relaxed) || self.task.is_finished()
+    }
+
     /// Ends the task after its current request, because the engine gets the generation again in a
     /// higher epoch, which replaces the earlier one.
     pub(crate) async fn close(self) {
-        self.closed.store(true, Ordering::Relaxed);
+        self.signals.is_closed.store(true, Ordering::Relaxed);
         if self.task.await.is_err() {
             warn!("stream: task that stops an engine panicked");
         }
--- a/crates/node/src/generation/generation_runner.rs
+++ b/crates/node/src/generation/generation_runner.rs
@@ -37,6 +37,8 @@
 
 /// Number of tokens between two progress reports to the control thread.
 const PROGRESS_STEP: u64 = 16;
+/// Interval at which to look whether an engine that has not answered is still heard.
+const HEARD_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay before reconnecting to an engine after a connection failed.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
 
@@ -124,6 +126,8 @@
     hold: EngineHold,
     /// Engines of earlier attempts that may still work on the generation.
     stops: BTreeMap<ServerName, StopTask>,
+    /// Server that the placement granted while the engine before was told to stop.
+    early_grant: Option<PlacementGrant>,
 }
 
 impl GenerationRunner {
@@ -158,6 +162,7 @@
             engine_ended: false,
             hold: EngineHold::Absent,
             stops: BTreeMap::new(),
+            early_grant: None,
         }
     }
 
@@ -250,8 +255,14 @@
             if !self.buffer.detach() && !matches!(end, AttemptEnd::Finished(_)) {
                 end = AttemptEnd::Stopping;
             }
-            if !matches!(end, AttemptEnd::Finished(_) | AttemptEnd::Stopping) {
-                self.stop_attempt().await;
+            match end {
+                AttemptEnd::Finished(_) | AttemptEnd::Stopping => {}
+                AttemptEnd::Cancelled(_) => self.stop_attempt().await,
+                _ => {
+                    if let Err(kind) = self.stop_before_move().await {
+                        end = AttemptEnd::Cancelled(kind);
+                    }
+                }
             }
             self.report(&end).await;
             self.note_prompt(&end, &grant);
@@ -309,6 +320,9 @@
 
     /// Waits until the placement grants a backend server.
     async fn next_grant(&mut self, message: &str) -> Result<PlacementGrant, ServiceError> {
+        if let Some(grant) = self.early_grant.take() {
+            return Ok(grant);
+        }
         loop {
             match self.placed.ticket.notices.recv().await {
                 Some(PlacementNotice::Granted(grant)) => return Ok(grant),
@@ -476,6 +490,42 @@
         }
     }
 
+    /// Stops the generation at the engine of the current attempt before it goes on at another one. An
+    /// engine that has not answered but is heard works on, so the generation waits.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the placement ends the generation meanwhile.
+    async fn stop_before_move(&mut self) -> Result<(), ErrorKind> {
+        self.stop_attempt().await;
+        let location = self.buffer.location();
+        let Some(engine) = self.context.servers.engine(location.server()) else { return Ok(()) };
+        let silence = self.context.limits.idle_timeout;
+        let mut is_logged = false;
+        loop {
+            let task = self.stops.get(location.server());
+            if task.is_none_or(StopTask::is_settled) || !engine.is_heard(silence) {
+                return Ok(());
+            }
+            if !std::mem::replace(&mut is_logged, true) {
+                info!("stream: engine is heard, but has not answered; generation={location}");
+            }
+            tokio::select! {
+                () = tokio::time::sleep(HEARD_INTERVAL) => {}
+                notice = self.placed.ticket.notices.recv(), if self.early_grant.is_none() => {
+                    match notice {
+                        Some(PlacementNotice::Granted(grant)) => self.early_grant = Some(grant),
+                        Some(PlacementNotice::Cancelled(kind) | PlacementNotice::Rejected(kind)) => {
+                            return Err(kind);
+                        }
+                        Some(PlacementNotice::Preempted) => {}
+                        None => return Err(ErrorKind::Draining),
+                    }
+                }
+            }
+        }
+    }
+
     fn is_other_instance(&self, grant: &PlacementGrant, found: Option<ServerInstance>) -> bool {
         found.is_some_and(|instance| instance != grant.instance)
     }
