gateway: tell an engine again that may have preempted a generation

Callers saw whole streams.

Cause: the 404 was taken for the end of the run. It is one only if the engine has ended the response too. Now the generation goes on at once, as before, and the engine is called every 200 ms until it has stopped it. The calls end when the attempt is sent to the engine again.

On the code before, source_stops::engine_that_preempted_a_generation_is_told_until_it_has_stopped_it fails; without the withdrawal, generation_that_comes_back_to_an_engine_is_not_stopped_there does.

--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -1,6 +1,9 @@
 //! Watches the engine of a running generation and moves the generation when the engine leaves.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::{
+    Arc, OnceLock,
+    atomic::{AtomicBool, Ordering},
+};
 
 use tokio::sync::{oneshot, watch};
 
@@ -23,6 +26,8 @@
     started: u32,
     stop: StopRequest,
     source_stop: Arc<OnceLock<SourceStop>>,
+    /// Whether the engine has not ended its response.
+    is_response_open: Arc<AtomicBool>,
     /// Whether the engine's response was lost.
     is_lost: watch::Sender<bool>,
     /// Whether the stream got an event since its recovery began.
@@ -48,6 +53,7 @@
             started: 0,
             stop: StopRequest::default(),
             source_stop: Arc::default(),
+            is_response_open: Arc::new(AtomicBool::new(true)),
             is_lost: watch::Sender::new(false),
             has_progress: watch::Sender::new(false),
         }
@@ -116,6 +122,11 @@
         self.has_progress.send_replace(true);
     }
 
+    /// Records that the engine's response has ended or was cut off.
+    pub fn note_response_ended(&self) {
+        self.is_response_open.store(false, Ordering::Release);
+    }
+
     /// Makes no further calls to stop a generation that is complete.
     pub(crate) fn note_complete(&self) {
         if let Some(stop) = self.source_stop.get() {
@@ -162,6 +173,7 @@
         let signals = MoveSignals::new(
             &self.stop,
             &self.source_stop,
+            &self.is_response_open,
             self.is_lost.subscribe(),
             self.has_progress.subscribe(),
         );
--- a/crates/gateway/src/gateway_context.rs
+++ b/crates/gateway/src/gateway_context.rs
@@ -15,6 +15,7 @@
     BodyBudget, CallDispatcher, ConnectionPool, DutyPlatform, EngineAdmission, EngineProtocol,
     FleetStore, FleetTables, FleetView, GatewayClock, GatewayMetrics, HeaderNames, OpenStreams,
     PeerTable, PlanFreshness, ResponseMemory, StopPhase, VmDuties, VmLoad, VmSettings,
+    moves::OpenStops,
 };
 
 /// Shared state and services of the gateway's tasks.
@@ -64,6 +65,8 @@
     pub stop: watch::Sender<StopPhase>,
     /// Streams that are relayed to callers.
     pub streams: OpenStreams,
+    /// Stops of generations that engines are still told.
+    pub stops: OpenStops,
     stop_began: OnceLock<Instant>,
     stop_deadline: OnceLock<Instant>,
 }
@@ -106,6 +109,7 @@
             changes: watch::Sender::new(0),
             stop: watch::Sender::new(StopPhase::Serving),
             streams: OpenStreams::default(),
+            stops: OpenStops::default(),
             stop_began: OnceLock::new(),
             stop_deadline: OnceLock::new(),
         }
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -194,6 +194,7 @@
                 context: Arc::clone(&self.context),
                 attempt: self.request.attempt.clone(),
                 source: self.source.clone(),
+                is_response_open: Arc::clone(&self.signals.is_response_open),
                 target,
                 deadline: self.request.deadline,
             })
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -290,6 +290,9 @@
     }
 
     async fn take_data(&mut self, piece: Result<Option<Bytes>, ConnectionError>) -> StepOutcome {
+        if !matches!(piece, Ok(Some(_))) {
+            self.source.watcher.note_response_ended();
+        }
         match piece {
             Ok(Some(bytes)) => {
                 if let Some(end) = self.reserve(bytes.len()).await {
--- a/crates/gateway/src/moves/mod.rs
+++ b/crates/gateway/src/moves/mod.rs
@@ -4,6 +4,7 @@
 mod copy_timing;
 mod move_signals;
 mod move_source;
+mod open_stops;
 mod resume_permit;
 mod resume_source;
 mod source_state;
@@ -15,6 +16,7 @@
 mod stopped_source;
 
 use self::call_event::CallEvent;
+pub use self::open_stops::OpenStops;
 pub(crate) use self::{
     copy_timing::CopyTiming, move_signals::MoveSignals, move_source::MoveSource,
     resume_permit::ResumePermit, resume_source::ResumeSource, source_state::SourceState,
--- a/crates/gateway/src/moves/move_signals.rs
+++ b/crates/gateway/src/moves/move_signals.rs
@@ -1,6 +1,6 @@
 //! Signals between a stream and a move of its generation.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, OnceLock, atomic::AtomicBool};
 
 use tokio::sync::watch;
 
@@ -14,6 +14,8 @@
     /// Stop of a generation whose response was lost, once it was begun. A stream that stays at its
     /// engine may need its outcome later.
     pub(crate) source_stop: Arc<OnceLock<SourceStop>>,
+    /// Whether the engine has not ended its response.
+    pub(crate) is_response_open: Arc<AtomicBool>,
     is_lost: watch::Receiver<bool>,
     has_progress: watch::Receiver<bool>,
 }
@@ -24,12 +26,14 @@
     pub(crate) fn new(
         stop: &StopRequest,
         source_stop: &Arc<OnceLock<SourceStop>>,
+        is_response_open: &Arc<AtomicBool>,
         is_lost: watch::Receiver<bool>,
         has_progress: watch::Receiver<bool>,
     ) -> MoveSignals {
         MoveSignals {
             stop: stop.clone(),
             source_stop: Arc::clone(source_stop),
+            is_response_open: Arc::clone(is_response_open),
             is_lost,
             has_progress,
         }
--- a/crates/gateway/src/moves/source_stop.rs
+++ b/crates/gateway/src/moves/source_stop.rs
@@ -50,9 +50,12 @@
             is_wanted: watch::Sender::new(true),
             is_used: Arc::default(),
         };
-        let (is_wanted, is_used) = (stop.is_wanted.subscribe(), Arc::clone(&stop.is_used));
+        let (is_wanted, is_used) = (stop.is_wanted.clone(), Arc::clone(&stop.is_used));
         tokio::spawn(async move {
-            calls.run(&sender, is_wanted).await;
+            let (attempt, engine) = (&calls.attempt, calls.source.address);
+            calls.context.stops.add(attempt, engine, &is_wanted);
+            calls.run(&sender, is_wanted.subscribe()).await;
+            calls.context.stops.remove(attempt, engine, &is_wanted);
             // The generation may still go on from the retained memory.
             sender.closed().await;
             let handle = sender.borrow().retained().map(str::to_owned);
--- a/crates/gateway/src/moves/stop_calls.rs
+++ b/crates/gateway/src/moves/stop_calls.rs
@@ -64,6 +64,8 @@
     pub(crate) attempt: String,
     /// Engine that is told to stop.
     pub(crate) source: MoveSource,
+    /// Whether the engine has not ended the generation's response.
+    pub(crate) is_response_open: Arc<AtomicBool>,
     /// Engine to which the memory is copied.
     pub(crate) target: SocketAddr,
     /// Time at which the engine ends the generation by itself.
@@ -87,7 +89,7 @@
         loop {
             let state = progress.borrow().answer.as_ref().map(|answer| answer.state);
             let has_exited = state == Some(SourceState::Exited);
-            let is_answered = state.is_some() && !has_exited;
+            let is_answered = state.is_some_and(|state| !state.is_provisional());
             may_send.set(!is_answered && *is_wanted.borrow());
             if is_answered && progress.borrow().is_settled() {
                 return;
@@ -112,7 +114,7 @@
                         continue;
                     }
                     let is_unregistered = !self.is_registered();
-                    if has_exited && is_unregistered {
+                    if state.is_some() && is_unregistered {
                         return;
                     }
                     let is_gone = is_unregistered && started_at.elapsed() > UNREGISTERED_TIME;
@@ -140,7 +142,7 @@
         let protocol = &self.context.engine_protocol;
         let call = protocol.copy_call(&self.attempt, self.target, true);
         let (context, attempt) = (Arc::clone(&self.context), self.attempt.clone());
-        let source = self.source.clone();
+        let (source, is_response_open) = (self.source.clone(), Arc::clone(&self.is_response_open));
         tokio::spawn(async move {
             let mut is_kept = false;
             let connected = connect(&context, source.address, &attempt, number).await;
@@ -173,7 +175,9 @@
             };
             let state = match (&copy, error) {
                 (_, Some(ConnectionError::NotListening)) => Some(SourceState::Exited),
-                (Some(copy), _) => SourceState::after_final_copy(copy),
+                (Some(copy), _) => {
+                    SourceState::after_final_copy(copy, is_response_open.load(Ordering::Acquire))
+                }
                 (None, _) => None,
             };
             // An engine that stays out of reach is called as long as the request may run.
--- a/crates/gateway/src/moves/stopped_source.rs
+++ b/crates/gateway/src/moves/stopped_source.rs
@@ -15,7 +15,8 @@
         context: &GatewayContext,
         response: &CopyResponse,
     ) -> Option<StoppedSource> {
-        SourceState::after_final_copy(response).map(|state| StoppedSource::new(context, state))
+        let state = SourceState::after_final_copy(response, false);
+        state.map(|state| StoppedSource::new(context, state))
     }
 
     /// Returns the proof for a service whose engines have no call that stops a generation.
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -74,6 +74,7 @@
         context.pool.put_back(reservation.address(), connection);
         return AttemptOutcome::ServerWithdrawn;
     }
+    context.stops.withdraw(&request.attempt, reservation.address());
     let head = request.encode_head(&context.names, fields);
     let echo = (context.names.attempt, request.attempt.as_str());
     let run = RequestRun::start(
--- a/crates/gateway/src/stream_forwarder.rs
+++ b/crates/gateway/src/stream_forwarder.rs
@@ -198,6 +198,7 @@
             Err((AttemptOutcome::Lost(error), true))
                 if !matches!(error, ConnectionError::TimedOut | ConnectionError::Stopping) =>
             {
+                watcher.note_response_ended();
                 match watcher.recover(&self.request, &reservation, &self.progress).await {
                     MoveOutcome::Resumed(resumed) => resumed,
                     MoveOutcome::Stays | MoveOutcome::Gone => {
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -483,3 +483,58 @@
     assert!(matches!(outcome, MoveOutcome::Resumed(_) | MoveOutcome::Gone));
     assert_eq!(stream.source.calls().final_copies, 1, "told after the answer");
 }
+
+/// Guards against two engines that work on a generation because its first one had preempted it, which
+/// then stated that it does not run it, and ran it again later (TWICE).
+#[tokio::test]
+async fn engine_that_preempted_a_generation_is_told_until_it_has_stopped_it() {
+    const UNKNOWN: EngineAnswer = EngineAnswer::UNKNOWN;
+    let copies = &[UNKNOWN, UNKNOWN, UNKNOWN, EngineAnswer::COPIED];
+    let stream = LostStream::start(script(copies, &[EngineAnswer::RESUMED])).await;
+
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+    tokio::time::sleep(RELEASE_TIME).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+    assert_eq!(stream.source.calls().final_copies, copies.len(), "the engine was not told");
+    assert_eq!(stream.source.calls().releases, ["h1"]);
+}
+
+/// Guards against calls without end to an engine that has ended the response of a generation and does
+/// not run it.
+#[tokio::test]
+async fn engine_that_has_ended_a_response_is_told_once() {
+    let answers = script(&[EngineAnswer::UNKNOWN], &[EngineAnswer::RESUMED]);
+    let stream = LostStream::start(answers).await;
+    let mut watcher = EngineWatcher::new(&stream.context);
+    watcher.note_response_ended();
+
+    let outcome = stream.recover(&mut watcher).await;
+    tokio::time::sleep(RELEASE_TIME).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)));
+    assert_eq!(stream.source.calls().final_copies, 1, "told after its answer");
+}
+
+/// Guards against a generation that is stopped after it has come back to its first engine, which is
+/// still told to stop it (LOST).
+#[tokio::test]
+async fn generation_that_comes_back_to_an_engine_is_not_stopped_there() {
+    let answers = script(&[EngineAnswer::UNKNOWN], &[EngineAnswer::RESUMED]);
+    let stream = LostStream::start(answers).await;
+    let outcome = stream.recover(&mut EngineWatcher::new(&stream.context)).await;
+    let MoveOutcome::Resumed(away) = outcome else { panic!("the generation did not go on") };
+    let LostStream { context, request, reservation, progress, source, .. } = stream;
+    assert!(source.calls().final_copies > 0, "the engine was not told");
+    progress.advance(LAST_EVENT + 1);
+    let (engine, backup) = (away.reservation.engine, Some(reservation.engine));
+    let reservation = GenerationReservation { engine, backup };
+
+    let outcome = EngineWatcher::new(&context).recover(&request, &reservation, &progress).await;
+    let calls = source.calls().final_copies;
+    tokio::time::sleep(RELEASE_TIME).await;
+
+    assert!(matches!(outcome, MoveOutcome::Resumed(_)), "the generation did not come back");
+    assert_eq!(source.calls().resumptions.len(), 1);
+    assert_eq!(source.calls().final_copies, calls, "told after it came back");
+}
