--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -5,12 +5,12 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 
 use crate::{
     CallerRequest, GatewayContext, GenerationMover, GenerationReservation, MoveOutcome, MoveReason,
     StreamProgress,
-    moves::{MoveSignals, SourceStop, StopRequest},
+    moves::{MoveSignals, RunningMove, SourceStop, StopRequest},
 };
 
 /// Maximum number of moves started for one generation while it stays on the same engine.
@@ -34,12 +34,6 @@
     has_progress: watch::Sender<bool>,
 }
 
-/// Move in progress.
-struct RunningMove {
-    reason: MoveReason,
-    outcome: oneshot::Receiver<MoveOutcome>,
-}
-
 impl EngineWatcher {
     /// Watches for changes in `context`.
     pub fn new(context: &Arc<GatewayContext>) -> EngineWatcher {
@@ -95,11 +89,10 @@
                 }
                 self.start(request, reservation, progress, MoveReason::Broken);
             }
-            let was_leaving =
-                self.moving.as_ref().is_some_and(|moving| moving.reason == MoveReason::Leaving);
+            let was_recovery = self.moving.as_ref().is_some_and(RunningMove::is_recovery);
             let outcome = self.outcome().await;
-            let is_final = !was_leaving || !matches!(outcome, MoveOutcome::Stays);
-            if self.is_recovering && !is_final {
+            let was_ended = !was_recovery && matches!(outcome, MoveOutcome::Stays);
+            if self.is_recovering && was_ended {
                 continue;
             }
             self.end_recovery();
@@ -179,12 +172,12 @@
         );
         let mover =
             GenerationMover::new(&self.context, request, reservation, progress, reason, signals);
-        self.moving = Some(RunningMove { reason, outcome: mover.start() });
+        self.moving = Some(RunningMove::new(reason, mover.start()));
     }
 
     async fn outcome(&mut self) -> MoveOutcome {
         let Some(moving) = &mut self.moving else { return MoveOutcome::Stays };
-        let outcome = (&mut moving.outcome).await.unwrap_or(MoveOutcome::Stays);
+        let outcome = moving.outcome().await;
         self.moving = None;
         outcome
     }
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -13,7 +13,7 @@
     ResumedGeneration, RunEnd, ServerConnection, StreamEntry, StreamEvent, StreamJoin,
     StreamMemory, StreamPhase, StreamProgress, StreamRuns,
     containment::{RunState, run_check},
-    resumption::{self, StreamRepeater},
+    resumption::{self, StreamRecovery, StreamRepeater},
     versions::RequestRun,
 };
 
@@ -45,7 +45,7 @@
 /// How a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-enum RelayEnd {
+pub(crate) enum RelayEnd {
     /// The whole stream was sent to the caller.
     Complete,
     /// The caller disconnected.
@@ -62,16 +62,6 @@
     NoMemory,
 }
 
-/// Recovery of a stream.
-#[derive(Debug, Clone, Copy)]
-struct StreamRecovery {
-    cause: RelayEnd,
-    /// Whether the engine has failed: it neither leaves nor was asked to stop the generation.
-    is_failure: bool,
-    /// Whether nothing was done about the generation before.
-    is_untouched: bool,
-}
-
 enum StepOutcome {
     Continue,
     End(RelayEnd),
@@ -609,7 +599,7 @@
     /// Ends the recovery of a stalled stream whose engine sends events again, unless the generation is
     /// stopped already.
     fn end_stall(&mut self) {
-        if self.recovery.take_if(|recovery| recovery.cause == RelayEnd::Silent).is_some() {
+        if self.recovery.take_if(|recovery| recovery.is_stall()).is_some() {
             self.source.watcher.note_progress();
         }
     }
--- a/crates/gateway/src/moves/open_stops.rs
+++ b/crates/gateway/src/moves/open_stops.rs
@@ -8,11 +8,14 @@
 
 use tokio::sync::watch;
 
+/// Signals of the stops that are still wanted, by attempt and address of the engine.
+type WantedSignals = BTreeMap<(String, SocketAddr), Vec<watch::Sender<bool>>>;
+
 /// Stops by attempt and address of the engine. An engine may be told for long after its generation
 /// went on elsewhere, and the generation may come back to it.
 #[derive(Debug, Default)]
 pub struct OpenStops {
-    stops: Mutex<BTreeMap<(String, SocketAddr), Vec<watch::Sender<bool>>>>,
+    stops: Mutex<WantedSignals>,
 }
 
 impl OpenStops {
@@ -40,13 +43,16 @@
 
     /// Ends the stops of an attempt at an engine to which it is about to be sent again.
     pub(crate) fn withdraw(&self, attempt: &str, engine: SocketAddr) {
-        let key = (attempt.to_owned(), engine);
-        for is_wanted in self.lock().get(&key).into_iter().flatten() {
+        let stops = self.lock();
+        if stops.is_empty() {
+            return;
+        }
+        for is_wanted in stops.get(&(attempt.to_owned(), engine)).into_iter().flatten() {
             is_wanted.send_replace(false);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<(String, SocketAddr), Vec<watch::Sender<bool>>>> {
+    fn lock(&self) -> MutexGuard<'_, WantedSignals> {
         self.stops.lock().expect("no holder of the stops' lock panics")
     }
 }
--- a/crates/gateway/src/moves/stop_calls.rs
+++ b/crates/gateway/src/moves/stop_calls.rs
@@ -18,7 +18,7 @@
 use crate::{
     ConnectionError, GatewayContext, ServerConnection,
     contacts::ExpectedResponse,
-    moves::{CallEvent, MoveSource, SourceState, StopAnswer, StopProgress},
+    moves::{CallEvent, MoveSource, SendPermit, SourceState, StopAnswer, StopProgress},
 };
 
 /// Timeout of the connection for one call. Across a link that is full it takes most of a second, and a
@@ -42,20 +42,6 @@
 /// Number of calls that may be waited for at the same time.
 const OPEN_CALLS: usize = 16;
 
-/// Whether calls may still be sent. It is withdrawn when the calls end.
-#[derive(Clone, Default)]
-struct SendPermit(Arc<AtomicBool>);
-
-impl SendPermit {
-    fn set(&self, may_send: bool) {
-        self.0.store(may_send, Ordering::Release);
-    }
-
-    fn is_set(&self) -> bool {
-        self.0.load(Ordering::Acquire)
-    }
-}
-
 /// Calls that tell an engine to stop a generation.
 pub(crate) struct StopCalls {
     /// Shared state of the gateway.
--- a/crates/gateway/src/resumption/mod.rs
+++ b/crates/gateway/src/resumption/mod.rs
@@ -5,6 +5,7 @@
 mod repeat_time;
 mod run_loss;
 mod stream_join;
+mod stream_recovery;
 mod stream_repeater;
 mod stream_runs;
 
@@ -12,4 +13,6 @@
     event_step::EventStep, repeat_denial::RepeatDenial, repeat_time::RepeatTime,
     stream_join::StreamJoin, stream_runs::StreamRuns,
 };
-pub(crate) use self::{run_loss::settle_loss, stream_repeater::StreamRepeater};
+pub(crate) use self::{
+    run_loss::settle_loss, stream_recovery::StreamRecovery, stream_repeater::StreamRepeater,
+};
