--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -144,7 +144,8 @@
         self.stop.is_open().then_some(outcome)
     }
 
-    /// Recovers a generation whose response was cut off. See [`EngineWatcher::begin_recovery`].
+    /// Begins to recover a generation whose response was cut off, and returns the outcome as
+    /// [`EngineWatcher::next`] does.
     pub async fn recover(
         &mut self,
         request: &CallerRequest,
