--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -1,12 +1,12 @@
 //! Generations that go on elsewhere after their engine was told to stop them, with scripted engines
 //! on the loopback interface.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dragonflycart_gateway::{
     CallerRequest, ConnectionPool, EngineWatcher, GatewayContext, GenerationReservation,
-    MoveOutcome, RouteKind, ServerRecord, StopPhase, StreamProgress,
+    MoveOutcome, RouteKind, ServerConnection, ServerRecord, StopPhase, StreamProgress,
 };
 
 use crate::{
@@ -370,6 +370,20 @@
     stream.source.empty_queue(queued);
 }
 
+/// Asserts that a recovery waits while the engine answers on a connection, for longer than the silence
+/// after which the engine would count as lost.
+async fn assert_waits(
+    heard: &mut ServerConnection,
+    mut recovery: Pin<&mut impl Future<Output = MoveOutcome>>,
+) {
+    for _ in 0..HEARD_TIMES {
+        let head = b"GET /heard HTTP/1.1\r\nhost: e\r\n\r\n";
+        heard.exchange(head, &Bytes::new(), None).await.unwrap();
+        let outcome = tokio::time::timeout(HEARD_INTERVAL, recovery.as_mut()).await;
+        assert!(outcome.is_err(), "the generation did not wait");
+    }
+}
+
 /// Guards against a generation that goes on elsewhere while its engine is heard, because the engine
 /// accepts no new connections for some time (TWICE).
 #[tokio::test]
@@ -384,12 +398,7 @@
     {
         let recovery = stream.recover(&mut watcher);
         tokio::pin!(recovery);
-        for _ in 0..HEARD_TIMES {
-            let head = b"GET /heard HTTP/1.1\r\nhost: e\r\n\r\n";
-            heard.exchange(head, &Bytes::new(), None).await.unwrap();
-            let outcome = tokio::time::timeout(HEARD_INTERVAL, &mut recovery).await;
-            assert!(outcome.is_err(), "the generation did not wait");
-        }
+        assert_waits(&mut heard, recovery.as_mut()).await;
         assert_eq!(stream.resumption_count(), 0, "resumed while its engine was heard");
         stream.source.empty_queue(queued);
 
@@ -436,12 +445,7 @@
 
     let recovery = watcher.recover(&request, &reservation, &progress);
     tokio::pin!(recovery);
-    for _ in 0..HEARD_TIMES {
-        let head = b"GET /heard HTTP/1.1\r\nhost: e\r\n\r\n";
-        heard.exchange(head, &Bytes::new(), None).await.unwrap();
-        let outcome = tokio::time::timeout(HEARD_INTERVAL, &mut recovery).await;
-        assert!(outcome.is_err(), "the generation did not wait");
-    }
+    assert_waits(&mut heard, recovery.as_mut()).await;
     heard.close();
     let outcome = recovery.await;
 
