gateway: send calls to servers in one place, and derive the recovery

No change of behaviour. Five callers recorded by themselves that a server had answered a call: ConnectionPool::call does it now. EngineWatcher kept is_recovering beside is_lost, which always had the same value. RelayEnd has a file of its own.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -7,8 +7,10 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+
 use crate::{
-    ConnectionError, ServerConnection,
+    ConnectionError, HttpCall, ResponseHead, ServerConnection,
     contacts::{ServerConnector, ServerContacts, TcpConnector},
     server_connection::CONNECT_TIMEOUT,
 };
@@ -68,6 +70,24 @@
         self.connector.connect(address, limit).await
     }
 
+    /// Sends a call to a server on a connection of its own, and records that the server was heard.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HttpCall::send`].
+    pub(crate) async fn call(
+        &self,
+        call: &HttpCall,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<(ResponseHead, Bytes), ConnectionError> {
+        let response = call.send_for_head(address, timeout).await;
+        if response.is_ok() {
+            self.contacts.note_answer(address);
+        }
+        response
+    }
+
     /// Returns an idle connection to a server on which the request with this identity was not sent
     /// before, if there is one. Opens none.
     pub(crate) fn take_kept(
--- a/crates/gateway/src/engine_watcher.rs
+++ b/crates/gateway/src/engine_watcher.rs
@@ -21,14 +21,13 @@
     context: Arc<GatewayContext>,
     changes: watch::Receiver<u64>,
     moving: Option<RunningMove>,
-    /// Whether the generation is to be recovered, once a move that is in progress has ended.
-    is_recovering: bool,
     started: u32,
     stop: StopRequest,
     source_stop: Arc<OnceLock<SourceStop>>,
     /// Whether the engine has not ended its response.
     is_response_open: Arc<AtomicBool>,
-    /// Whether the engine's response was lost.
+    /// Whether the engine's response was lost, so that the generation is to be recovered once a move
+    /// that is in progress has ended.
     is_lost: watch::Sender<bool>,
     /// Whether the stream got an event since its recovery began.
     has_progress: watch::Sender<bool>,
@@ -43,7 +42,6 @@
             context: Arc::clone(context),
             changes,
             moving: None,
-            is_recovering: false,
             started: 0,
             stop: StopRequest::default(),
             source_stop: Arc::default(),
@@ -73,7 +71,7 @@
         progress: &Arc<StreamProgress>,
     ) -> MoveOutcome {
         loop {
-            while self.moving.is_none() && !self.is_recovering {
+            while self.moving.is_none() && !self.is_lost() {
                 if self.changes.changed().await.is_err() {
                     std::future::pending::<()>().await;
                 }
@@ -92,7 +90,7 @@
             let was_recovery = self.moving.as_ref().is_some_and(RunningMove::is_recovery);
             let outcome = self.outcome().await;
             let was_ended = !was_recovery && matches!(outcome, MoveOutcome::Stays);
-            if self.is_recovering && was_ended {
+            if self.is_lost() && was_ended {
                 continue;
             }
             self.end_recovery();
@@ -104,8 +102,7 @@
     /// the move in progress if it is final, otherwise that of a new move to the backup engine, and
     /// [`EngineWatcher::next`] returns it. A move that has not asked the engine to stop the
     /// generation yet ends at once.
-    pub(crate) fn begin_recovery(&mut self) {
-        self.is_recovering = true;
+    pub(crate) fn begin_recovery(&self) {
         self.has_progress.send_replace(false);
         self.is_lost.send_replace(true);
     }
@@ -127,8 +124,11 @@
         }
     }
 
-    fn end_recovery(&mut self) {
-        self.is_recovering = false;
+    fn is_lost(&self) -> bool {
+        *self.is_lost.borrow()
+    }
+
+    fn end_recovery(&self) {
         self.is_lost.send_replace(false);
     }
 
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -498,13 +498,12 @@
                 self.progress.enter(StreamPhase::Stopping);
             }
             let asked_at = Instant::now();
-            let response = call.send(self.source.address, COPY_TIMEOUT).await;
-            if response.is_ok() {
-                self.context.pool.contacts().note_answer(self.source.address);
-            }
+            let response = self.context.pool.call(&call, self.source.address, COPY_TIMEOUT).await;
             let took_ms = asked_at.elapsed().as_millis() as u64;
             let copy = match &response {
-                Ok((status, body)) => self.context.engine_protocol.decode_copy(*status, body),
+                Ok((head, body)) => {
+                    self.context.engine_protocol.decode_copy(head.status.as_u16(), body)
+                }
                 Err(_) => None,
             };
             info!(
--- a/crates/gateway/src/generation_relay.rs
+++ b/crates/gateway/src/generation_relay.rs
@@ -13,7 +13,7 @@
     ResumedGeneration, RunEnd, ServerConnection, StreamEntry, StreamEvent, StreamJoin,
     StreamMemory, StreamPhase, StreamProgress, StreamRuns,
     containment::{RunState, run_check},
-    resumption::{self, StreamRecovery, StreamRepeater},
+    resumption::{self, RelayEnd, StreamRecovery, StreamRepeater},
     versions::RequestRun,
 };
 
@@ -42,26 +42,6 @@
 /// Number of pauses between the first events of an engine that tell how fast it writes.
 const PACE_PAUSES: u32 = 12;
 
-/// How a stream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub(crate) enum RelayEnd {
-    /// The whole stream was sent to the caller.
-    Complete,
-    /// The caller disconnected.
-    CallerLeft,
-    /// The connection to the engine was lost.
-    Broken,
-    /// The engine sent no event for too long.
-    Silent,
-    /// Event IDs are missing in the sequence.
-    Gap,
-    /// The request's deadline passed.
-    TimedOut,
-    /// There was no memory for an event.
-    NoMemory,
-}
-
 enum StepOutcome {
     Continue,
     End(RelayEnd),
--- a/crates/gateway/src/membership/leave_survey.rs
+++ b/crates/gateway/src/membership/leave_survey.rs
@@ -5,6 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use hyper::StatusCode;
 use tracing::info;
 
 use crate::{FleetTable, GatewayContext, ServerKey};
@@ -62,12 +63,12 @@
 
 async fn ask(context: Arc<GatewayContext>, engine: SurveyedEngine) {
     let call = context.engine_protocol.report_call();
-    let Ok((200, body)) = call.send(engine.address, REPORT_TIMEOUT).await else {
+    let response = context.pool.call(&call, engine.address, REPORT_TIMEOUT).await;
+    let Some((_, body)) = response.ok().filter(|(head, _)| head.status == StatusCode::OK) else {
         // An engine that can't be reached is noticed by its connections.
         tracing::debug!(server = engine.id, "servers: report not received");
         return;
     };
-    context.pool.contacts().note_answer(engine.address);
     let Some(report) = context.engine_protocol.decode_report(&body) else {
         info!(server = engine.id, "servers: report not understood");
         return;
--- a/crates/gateway/src/moves/copy_timing.rs
+++ b/crates/gateway/src/moves/copy_timing.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use hyper::StatusCode;
 use tokio::time::Instant;
 use tracing::info;
 
@@ -161,12 +162,11 @@
     /// Requests the engine's report, and updates the time of its shutdown if the report states it.
     async fn ask_report(&mut self) -> Option<EngineReport> {
         let call = self.context.engine_protocol.report_call();
-        let response = call.send(self.source.address, REPORT_TIMEOUT).await;
-        if response.is_ok() {
-            self.context.pool.contacts().note_answer(self.source.address);
-        }
+        let response = self.context.pool.call(&call, self.source.address, REPORT_TIMEOUT).await;
         let report = match response {
-            Ok((200, body)) => self.context.engine_protocol.decode_report(&body)?,
+            Ok((head, body)) if head.status == StatusCode::OK => {
+                self.context.engine_protocol.decode_report(&body)?
+            }
             Ok(_) | Err(_) => return None,
         };
         if let Some(left) = report.leaves_in {
--- a/crates/gateway/src/moves/move_source.rs
+++ b/crates/gateway/src/moves/move_source.rs
@@ -38,11 +38,8 @@
     /// Frees a copy of a generation's memory that the engine made.
     pub(crate) async fn release(&self, context: &GatewayContext, attempt: &str, handle: &str) {
         let call = context.engine_protocol.release_call(handle);
-        match call.send(self.address, RELEASE_TIMEOUT).await {
-            Ok(_) => context.pool.contacts().note_answer(self.address),
-            Err(error) => {
-                info!(id = attempt, handle, error = <&str>::from(error), "move: copy not freed");
-            }
+        if let Err(error) = context.pool.call(&call, self.address, RELEASE_TIMEOUT).await {
+            info!(id = attempt, handle, error = <&str>::from(error), "move: copy not freed");
         }
     }
 }
--- a/crates/gateway/src/resumption/mod.rs
+++ b/crates/gateway/src/resumption/mod.rs
@@ -1,6 +1,7 @@
 //! Streams that may run again at another server after their server's response was lost.
 
 mod event_step;
+mod relay_end;
 mod repeat_denial;
 mod repeat_time;
 mod run_loss;
@@ -14,5 +15,6 @@
     stream_join::StreamJoin, stream_runs::StreamRuns,
 };
 pub(crate) use self::{
-    run_loss::settle_loss, stream_recovery::StreamRecovery, stream_repeater::StreamRepeater,
+    relay_end::RelayEnd, run_loss::settle_loss, stream_recovery::StreamRecovery,
+    stream_repeater::StreamRepeater,
 };
--- a/crates/gateway/src/resumption/stream_recovery.rs
+++ b/crates/gateway/src/resumption/stream_recovery.rs
@@ -1,6 +1,6 @@
 //! Recovery of a stream whose response stalled or was cut off.
 
-use crate::generation_relay::RelayEnd;
+use crate::resumption::RelayEnd;
 
 /// Recovery in progress, and what was known of the engine when it began.
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/server_recovery.rs
+++ b/crates/gateway/src/server_recovery.rs
@@ -62,7 +62,7 @@
 
 async fn run(context: Arc<GatewayContext>, check: RecoveryCheck) {
     let call = HttpCall::get(check.path);
-    let response = call.send_for_head(check.address, CHECK_TIMEOUT).await;
+    let response = context.pool.call(&call, check.address, CHECK_TIMEOUT).await;
     let (status, answered_by) = match &response {
         Ok((head, _)) => (Some(head.status.as_u16()), head.text(context.names.server_id)),
         Err(_) => (None, None),
@@ -76,9 +76,6 @@
         is_back,
         "servers: asked whether it is back"
     );
-    if response.is_ok() {
-        context.pool.contacts().note_answer(check.address);
-    }
     if !is_back {
         return;
     }
