gateway: keep a stalled generation at a heard engine without a call to stop

Engines of a service that can't be told to stop a generation learn of it from the closed connection only. A stalled generation went on elsewhere while the connection was still open, also if the engine was heard, so both worked on it (TWICE).

Now it waits until the engine is silent on all connections for the stall limit. A generation whose connection was lost goes on at once, as before. source_stops::stalled_generation_waits_for_an_engine_that_has_no_call_to_stop_it fails without the wait.

--- a/crates/gateway/src/contacts/engine_silence.rs
+++ b/crates/gateway/src/contacts/engine_silence.rs
@@ -29,6 +29,17 @@
         self.left_after(self.contact.open_silent_for())
     }
 
+    /// Waits until the engine counts as lost.
+    pub(crate) async fn wait_lost(&self) {
+        loop {
+            let time_left = self.time_left();
+            if time_left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(time_left).await;
+        }
+    }
+
     fn left_after(&self, silent_for: Option<Duration>) -> Duration {
         self.limit.saturating_sub(silent_for.unwrap_or(Duration::MAX))
     }
--- a/crates/gateway/src/generation_mover.rs
+++ b/crates/gateway/src/generation_mover.rs
@@ -8,7 +8,12 @@
 //! told to stop it. Backup copies serve for this only: an engine that works stops a generation but for
 //! the final copy, so that it retains the memory until the generation goes on.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use tokio::{sync::oneshot, time::Instant};
 use tracing::info;
@@ -183,7 +188,13 @@
 
     /// Tells the source to stop the generation. Returns `None` if it may go on to work on it.
     async fn stop_source(&self, target: SocketAddr) -> Option<StoppedSource> {
+        let contact = self.context.pool.contacts().contact(self.source.address);
+        let silence = EngineSilence::new(contact, stall_limit(&self.request.route));
         if !self.context.can_move(&self.request.service) {
+            // A closed connection is all that tells the engine, and this one is still open.
+            if self.signals.is_response_open.load(Ordering::Acquire) {
+                silence.wait_lost().await;
+            }
             return Some(StoppedSource::without_call(&self.context));
         }
         let was_asked = self.signals.stop.is_open();
@@ -199,8 +210,6 @@
                 deadline: self.request.deadline,
             })
         });
-        let contact = self.context.pool.contacts().contact(self.source.address);
-        let silence = EngineSilence::new(contact, stall_limit(&self.request.route));
         let stopped = stop.wait_stopped(&self.context, &silence).await;
         let ended_before = stop
             .answer()
--- a/crates/gateway/tests/all/source_stops.rs
+++ b/crates/gateway/tests/all/source_stops.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use dragonflycart_gateway::{
-    CallerRequest, ConnectionPool, EngineWatcher, GatewayContext, GenerationReservation,
-    MoveOutcome, RouteKind, ServerConnection, ServerRecord, StopPhase, StreamProgress,
+    CallerRequest, ConnectionPool, EngineWatcher, FleetOrder, GatewayContext,
+    GenerationReservation, MoveOutcome, RouteKind, ServerConnection, ServerRecord, StopPhase,
+    StreamProgress,
 };
 
 use crate::{
-    fixtures::{ENGINES, caller_request, context_with_pool, position, record, report, route},
+    fixtures::{ENGINES, caller_request, context_with_pool, plan, position, record, report, route},
     scripted_engine::{EngineAnswer, EngineScript, ScriptedEngine},
     slow_connector::SlowConnector,
     stub_store::StubStore,
@@ -107,6 +108,15 @@
         }
     }
 
+    /// Makes a plan known in which engines have no call that copies or stops a generation.
+    fn forbid_moves(&self) {
+        let mut plan = plan(2);
+        let engine = plan.services.get_mut(ENGINES).and_then(|service| service.engine.as_mut());
+        engine.unwrap().can_move = false;
+        let now = self.context.clock.now();
+        self.context.view().apply_order(FleetOrder::Plan(Arc::new(plan)), now);
+    }
+
     async fn next(&self, watcher: &mut EngineWatcher) -> MoveOutcome {
         watcher.next(&self.request, &self.reservation, &self.progress).await
     }
@@ -542,3 +552,31 @@
     assert_eq!(source.calls().resumptions.len(), 1);
     assert_eq!(source.calls().final_copies, calls, "told after it came back");
 }
+
+/// Guards against a stalled generation that goes on elsewhere while its engine is heard, because
+/// engines of the service have no call that stops it (TWICE), and against one that stays although
+/// its connection was lost (LOST).
+#[tokio::test]
+async fn stalled_generation_waits_for_an_engine_that_has_no_call_to_stop_it() {
+    for has_ended in [false, true] {
+        let answers = script(&[EngineAnswer::BUSY], &[EngineAnswer::RESUMED]);
+        let stream = LostStream::start(answers).await;
+        stream.forbid_moves();
+        stream.keep_connections(1).await;
+        let mut heard = stream.context.pool.acquire(stream.source.address).await.unwrap();
+        let mut watcher = EngineWatcher::new(&stream.context);
+        if has_ended {
+            watcher.note_response_ended();
+        }
+
+        let recovery = stream.recover(&mut watcher);
+        tokio::pin!(recovery);
+        if !has_ended {
+            assert_waits(&mut heard, recovery.as_mut()).await;
+        }
+        let outcome = recovery.await;
+
+        assert!(matches!(outcome, MoveOutcome::Resumed(_)), "response ended: {has_ended}");
+        assert_eq!(stream.source.calls().final_copies, 0, "called without a call");
+    }
+}
