contacts: share the newest time of open connections; test closed connections

No change of behaviour: silent_for and open_silent_for computed the same, and ServerContacts is used in the crate only. A test for engines that close new connections joins the two for those that do not answer them.

--- a/crates/gateway/src/contacts/mod.rs
+++ b/crates/gateway/src/contacts/mod.rs
@@ -11,9 +11,9 @@
 mod tcp_connector;
 
 use self::channel_key::ChannelKey;
+pub use self::server_connector::ServerConnector;
 pub(crate) use self::{
     channel_contact::ChannelContact, engine_silence::EngineSilence,
     expected_response::ExpectedResponse, server_contact::ServerContact,
-    tcp_connector::TcpConnector,
+    server_contacts::ServerContacts, tcp_connector::TcpConnector,
 };
-pub use self::{server_connector::ServerConnector, server_contacts::ServerContacts};
--- a/crates/gateway/src/contacts/server_contact.rs
+++ b/crates/gateway/src/contacts/server_contact.rs
@@ -24,6 +24,13 @@
     ended: Option<Instant>,
 }
 
+impl ContactTimes {
+    /// Returns the time of the last bytes on all connections with a request in progress.
+    fn open_heard_at(&self) -> Option<Instant> {
+        self.open.values().copied().flatten().max()
+    }
+}
+
 impl ServerContact {
     /// Adds a connection with a request in progress.
     pub(crate) fn open(self: &Arc<ServerContact>) -> ChannelContact {
@@ -43,15 +50,13 @@
     /// with a request in progress can show that the process runs.
     pub(crate) fn silent_for(&self) -> Option<Duration> {
         let times = self.lock();
-        let open = times.open.values().copied().flatten();
-        open.chain(times.ended).max().map(|heard_at| heard_at.elapsed())
+        times.open_heard_at().max(times.ended).map(|heard_at| heard_at.elapsed())
     }
 
     /// Returns for how long the server has been silent on connections with a request in progress, or
     /// `None` if none of them is open.
     pub(crate) fn open_silent_for(&self) -> Option<Duration> {
-        let times = self.lock();
-        times.open.values().copied().flatten().max().map(|heard_at| heard_at.elapsed())
+        self.lock().open_heard_at().map(|heard_at| heard_at.elapsed())
     }
 
     /// Returns whether the contact tells nothing after `age` of silence.
--- a/crates/gateway/src/contacts/server_contacts.rs
+++ b/crates/gateway/src/contacts/server_contacts.rs
@@ -15,7 +15,7 @@
 
 /// Contacts with servers by address.
 #[derive(Debug, Default)]
-pub struct ServerContacts {
+pub(crate) struct ServerContacts {
     contacts: Mutex<BTreeMap<SocketAddr, Arc<ServerContact>>>,
 }
 
--- a/tests/all/resumptions.rs
+++ b/tests/all/resumptions.rs
@@ -311,15 +311,19 @@
     unframed.close();
 }
 
-/// Disturbs one stream of an engine with two, while the engine answers no new connection for some time
-/// but sends the other stream. Checks that the generation goes on elsewhere only once the engine was
+/// Disturbs one stream of an engine with two, and its new connections for some time, while it sends the
+/// other stream. Checks that the generation goes on elsewhere only once the engine was
 /// told to stop it.
-async fn lose_one_of_two_streams(name: &str, disturb: impl Fn(&UnframedFleet, usize)) {
+async fn lose_one_of_two_streams(
+    name: &str,
+    new_mode: RelayMode,
+    disturb: impl Fn(&UnframedFleet, usize),
+) {
     let start = Instant::now();
     let mut unframed = UnframedFleet::start_behind_relays(name, ResumptionFault::None).await;
     let (source, responses) = unframed.start_streams_until_two_share_an_engine().await;
 
-    unframed.set_new_mode(source, RelayMode::Discard);
+    unframed.set_new_mode(source, new_mode);
     disturb(&unframed, source);
     unframed.wait(UNREACHABLE_TIME).await;
     let was_resumed = unframed.engines.iter().any(|engine| !engine.resumed().is_empty());
@@ -338,14 +342,22 @@
 /// another connection, because the stream stalls and no new connection is answered (TWICE).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stalled_generation_stays_at_an_engine_that_is_heard() {
-    lose_one_of_two_streams("resumed-heard", UnframedFleet::stall_oldest_connection).await;
+    let stall = UnframedFleet::stall_oldest_connection;
+    lose_one_of_two_streams("resumed-heard", RelayMode::Discard, stall).await;
+}
+
+/// Guards against the same where new connections are closed at once (TWICE).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stalled_generation_stays_at_an_engine_that_closes_new_connections() {
+    let stall = UnframedFleet::stall_oldest_connection;
+    lose_one_of_two_streams("resumed-closing", RelayMode::Cut, stall).await;
 }
 
 /// Guards against the same where the stream's connection is closed (TWICE).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cut_generation_stays_at_an_engine_that_is_heard() {
     let cut = |unframed: &UnframedFleet, source: usize| unframed.engines[source].cut_one_stream();
-    lose_one_of_two_streams("resumed-heard-cut", cut).await;
+    lose_one_of_two_streams("resumed-heard-cut", RelayMode::Discard, cut).await;
 }
 
 /// Ends an engine with two streams. Checks that they go on elsewhere within `limit`.
