--- a/tests/all/resumptions.rs
+++ b/tests/all/resumptions.rs
@@ -396,6 +396,18 @@
     lose_engine(unframed, die, DEAD_ENGINE_PAUSE).await;
 }
 
+/// Guards against the same where the engine's process stands still: its connections stay open, and new
+/// ones are established (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_of_a_frozen_engine_go_on_at_their_backups_without_delay() {
+    let name = "resumed-frozen";
+    let unframed = UnframedFleet::start_behind_relays(name, ResumptionFault::None).await;
+    let freeze = |unframed: &UnframedFleet, source: usize| {
+        unframed.set_mode(source, RelayMode::Stall);
+    };
+    lose_engine(unframed, freeze, DEAD_ENGINE_PAUSE).await;
+}
+
 /// Guards against the same where the process of the engine exits, because its other connections are
 /// waited for (LOST).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
