--- a/tests/all/resumptions.rs
+++ b/tests/all/resumptions.rs
@@ -342,14 +342,18 @@
 /// another connection, because the stream stalls and no new connection is answered (TWICE).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stalled_generation_stays_at_an_engine_that_is_heard() {
-    let stall = UnframedFleet::stall_oldest_connection;
+    let stall = |unframed: &UnframedFleet, source: usize| {
+        unframed.set_oldest_mode(source, RelayMode::Stall);
+    };
     lose_one_of_two_streams("resumed-heard", RelayMode::Discard, stall).await;
 }
 
 /// Guards against the same where new connections are closed at once (TWICE).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stalled_generation_stays_at_an_engine_that_closes_new_connections() {
-    let stall = UnframedFleet::stall_oldest_connection;
+    let stall = |unframed: &UnframedFleet, source: usize| {
+        unframed.set_oldest_mode(source, RelayMode::Stall);
+    };
     lose_one_of_two_streams("resumed-closing", RelayMode::Cut, stall).await;
 }
 
@@ -360,6 +364,31 @@
     lose_one_of_two_streams("resumed-heard-cut", RelayMode::Discard, cut).await;
 }
 
+/// Guards against a generation that is stopped and moved although its engine sends events again, because
+/// its stream is not read while the engine is called (LOST).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stalled_generation_whose_engine_sends_events_again_stays() {
+    let mut unframed =
+        UnframedFleet::start_behind_relays("resumed-again", ResumptionFault::None).await;
+    let (source, responses) = unframed.start_streams_until_two_share_an_engine().await;
+
+    unframed.set_new_mode(source, RelayMode::Discard);
+    unframed.set_oldest_mode(source, RelayMode::Stall);
+    unframed.wait(UNREACHABLE_TIME).await;
+    unframed.set_oldest_mode(source, RelayMode::Pass);
+    tokio::time::sleep(FIRST_COPY_TIME).await;
+    unframed.set_new_mode(source, RelayMode::Pass);
+    // Long enough for a call to stop, and shorter than the rest of the streams.
+    unframed.wait(SLOW_COPY).await;
+    let was_resumed = unframed.engines.iter().any(|engine| !engine.resumed().is_empty());
+    for response in responses {
+        assert_whole(&unframed.wait_end(response).await);
+    }
+
+    assert!(!was_resumed, "moved although its engine sent events again");
+    unframed.close();
+}
+
 /// Ends an engine with two streams. Checks that they go on elsewhere within `limit`.
 async fn lose_engine(
     mut unframed: UnframedFleet,
--- a/tests/all/support/unframed_fleet.rs
+++ b/tests/all/support/unframed_fleet.rs
@@ -227,11 +227,11 @@
         self.relays[index].apply(RelayCommand { scope: RelayScope::New, mode });
     }
 
-    /// Stops the bytes of the oldest connection to an engine, which goes on to work.
-    pub(crate) fn stall_oldest_connection(&self, index: usize) {
+    /// Changes what happens to the bytes of the oldest connection to an engine.
+    pub(crate) fn set_oldest_mode(&self, index: usize, mode: RelayMode) {
         let oldest = self.relays[index].open_connections().into_iter().min();
         let scope = RelayScope::Connection(oldest.expect("a connection is open"));
-        self.relays[index].apply(RelayCommand { scope, mode: RelayMode::Stall });
+        self.relays[index].apply(RelayCommand { scope, mode });
     }
 
     /// Changes what happens to the bytes of all connections to an engine.
